--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+.PHONY: build generate test demo lint
+
+build:
+	go build -o bin/ ./cmd/...
+
+generate:
+	./scripts/generate
+
+lint:
+	./scripts/lint
+
+test: build
+	./scripts/test
+
+demo: build
+	./scripts/demo
--- /dev/null
+++ b/cmd/arbutusreel/daemons.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"arbutusreel/control"
+	"arbutusreel/entry"
+	"arbutusreel/membership"
+	"arbutusreel/wiregen"
+)
+
+// logTimeFormat is the time format of log lines: RFC 3339 with microseconds.
+const logTimeFormat = "2006-01-02T15:04:05.000000Z07:00"
+
+// LevelError says that a log level does not exist.
+type LevelError struct {
+	Level string
+}
+
+// Error names the level.
+func (e *LevelError) Error() string {
+	return fmt.Sprintf("setting %q: log level %q does not exist", "logLevel", e.Level)
+}
+
+// newLogger returns a logger of JSON lines that name the instance.
+func newLogger(level, role, name, region string) (zerolog.Logger, error) {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), &LevelError{Level: level}
+	}
+	zerolog.TimeFieldFormat = logTimeFormat
+	return zerolog.New(os.Stderr).Level(parsed).With().Timestamp().
+		Str("role", role).Str("instance", name).Str("region", region).Logger(), nil
+}
+
+func entryCommand() *command {
+	m := &wiregen.EntrySettings{}
+	return &command{
+		name:     "entry",
+		doc:      "Runs an entry, which serves callers.",
+		settings: m,
+		run: func(ctx context.Context, _ io.Writer) error {
+			log, err := newLogger(m.GetLogLevel(), "entry", m.GetName(), m.GetRegion())
+			if err != nil {
+				return err
+			}
+			return entry.New(entryConfig(m), log, time.Now).Run(ctx)
+		},
+	}
+}
+
+func entryConfig(m *wiregen.EntrySettings) entry.Config {
+	cfg := entry.Config{
+		Self: membership.Entry{
+			Name:            m.GetName(),
+			Region:          m.GetRegion(),
+			FailureDomain:   m.GetFailureDomain(),
+			CallerAddress:   m.GetCallerAddress(),
+			EndpointAddress: m.GetEndpointAddress(),
+			PeerAddress:     m.GetPeerAddress(),
+			Weight:          1,
+		},
+		Peers:             m.GetPeers(),
+		DirectoryAddress:  m.GetDirectoryAddress(),
+		MaxBodyBytes:      m.GetMaxBodyBytes(),
+		MaxHeaderBytes:    int(m.GetMaxHeaderBytes()),
+		AnnouncementLease: m.GetAnnouncementLease().AsDuration(),
+		DrainNotice:       m.GetDrainNotice().AsDuration(),
+		DrainTimeout:      m.GetDrainTimeout().AsDuration(),
+		ReaderTimeout:     m.GetReaderTimeout().AsDuration(),
+	}
+	for _, member := range m.GetControls() {
+		_, address, _ := strings.Cut(member, "=")
+		cfg.Controls = append(cfg.Controls, address)
+	}
+	return cfg
+}
+
+func controlCommand() *command {
+	m := &wiregen.ControlSettings{}
+	return &command{
+		name:     "control",
+		doc:      "Runs a control voter, which accepts configuration.",
+		settings: m,
+		run: func(ctx context.Context, _ io.Writer) error {
+			log, err := newLogger(m.GetLogLevel(), "control", m.GetName(), m.GetRegion())
+			if err != nil {
+				return err
+			}
+			return control.New(controlConfig(m), log, time.Now).Run(ctx)
+		},
+	}
+}
+
+func controlConfig(m *wiregen.ControlSettings) control.Config {
+	return control.Config{
+		Name:                m.GetName(),
+		Region:              m.GetRegion(),
+		FailureDomain:       m.GetFailureDomain(),
+		PeerAddress:         m.GetPeerAddress(),
+		OperatorAddress:     m.GetOperatorAddress(),
+		Voters:              m.GetVoters(),
+		Join:                m.GetJoin(),
+		DataFolder:          m.GetDataFolder(),
+		OperatorTokenDigest: m.GetOperatorTokenDigest(),
+		MaxInventoryBytes:   m.GetMaxInventoryBytes(),
+		Heartbeat:           m.GetHeartbeat().AsDuration(),
+		ElectionTimeout:     m.GetElectionTimeout().AsDuration(),
+		SnapshotEntries:     int(m.GetSnapshotEntries()),
+		PlacementPeriod:     m.GetPlacementPeriod().AsDuration(),
+	}
+}
--- /dev/null
+++ b/cmd/arbutusreel/doc.go
@@ -0,0 +1,2 @@
+// Command arbutusreel runs the daemons of the gateway and the operators' commands.
+package main
--- /dev/null
+++ b/cmd/arbutusreel/main.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"google.golang.org/protobuf/proto"
+
+	"arbutusreel/settings"
+)
+
+// version is the version of the program.
+const version = "0.1.0"
+
+// Exit codes of the program.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// command is one subcommand: its flags, and what it does with its settings.
+type command struct {
+	name     string
+	doc      string
+	settings proto.Message
+	flags    settings.Flags
+	bind     func(sub *flaggy.Subcommand)
+	run      func(ctx context.Context, stdout io.Writer) error
+	sub      *flaggy.Subcommand
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run parses the command line, loads the settings and runs the command; it returns the exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	parser := flaggy.NewParser("arbutusreel")
+	parser.Description = "A multi-region inference gateway."
+	parser.Version = version
+	commands := commands()
+	for _, c := range commands {
+		c.attach(parser)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	for _, c := range commands {
+		if c.sub.Used {
+			return c.execute(ctx, stdout, stderr)
+		}
+	}
+	parser.ShowHelp()
+	return exitUsage
+}
+
+func commands() []*command {
+	return []*command{
+		entryCommand(),
+		controlCommand(),
+		applyCommand(),
+		getCommand(),
+		statusCommand(),
+		checkCommand(),
+		settingsCommand(),
+		versionCommand(),
+	}
+}
+
+func (c *command) attach(parser *flaggy.Parser) {
+	c.sub = flaggy.NewSubcommand(c.name)
+	c.sub.Description = c.doc
+	if c.settings != nil {
+		c.flags = settings.Bind(binder{sub: c.sub}, c.settings)
+	}
+	if c.bind != nil {
+		c.bind(c.sub)
+	}
+	parser.AttachSubcommand(c.sub, 1)
+}
+
+func (c *command) execute(ctx context.Context, stdout, stderr io.Writer) int {
+	if c.settings != nil {
+		if err := settings.Load(c.settings, c.flags, os.Getenv); err != nil {
+			fmt.Fprintln(stderr, err)
+			return exitUsage
+		}
+	}
+	if err := c.run(ctx, stdout); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailure
+	}
+	return 0
+}
+
+// binder registers flags on a flaggy subcommand.
+type binder struct {
+	sub *flaggy.Subcommand
+}
+
+// String registers one flag.
+func (b binder) String(value *string, short, long, description string) {
+	b.sub.String(value, short, long, description)
+}
--- /dev/null
+++ b/cmd/arbutusreel/operators.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/integrii/flaggy"
+	"google.golang.org/protobuf/proto"
+
+	"arbutusreel/operator"
+	"arbutusreel/settings"
+	"arbutusreel/wire"
+	"arbutusreel/wiregen"
+)
+
+// RevisionTextError says that the text of an expected revision is no number.
+type RevisionTextError struct {
+	Text string
+}
+
+// Error names the text.
+func (e *RevisionTextError) Error() string {
+	return fmt.Sprintf("flag %q: revision %q is not a whole number", "expected", e.Text)
+}
+
+// withClient runs f with a client of the control voters, within the timeout.
+func withClient(ctx context.Context, m *wiregen.OperatorSettings, f func(context.Context, *operator.Client) error) error {
+	token, err := readToken(m.GetTokenFile())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.GetTimeout().AsDuration())
+	defer cancel()
+	return f(ctx, operator.New(m.GetControls(), token, http.DefaultClient))
+}
+
+func readToken(file string) (string, error) {
+	if file == "" {
+		return os.Getenv("ARBUTUSREEL_TOKEN"), nil
+	}
+	b, err := os.ReadFile(file)
+	return strings.TrimSpace(string(b)), err
+}
+
+func readInventory(file string) (*wiregen.Inventory, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	m := &wiregen.Inventory{}
+	if err := wire.DecodeJSON(b, m); err != nil {
+		return nil, err
+	}
+	_, err = wire.DecodeInventory(m)
+	return m, err
+}
+
+func applyCommand() *command {
+	m := &wiregen.OperatorSettings{}
+	var file, expected, changeID string
+	return &command{
+		name:     "apply",
+		doc:      "Replaces the inventory if the expected revision is in force.",
+		settings: m,
+		bind: func(sub *flaggy.Subcommand) {
+			sub.AddPositionalValue(&file, "file", 1, true, "File with the inventory, in JSON.")
+			sub.String(&expected, "", "expected", "Revision that must be in force; without it the present one.")
+			sub.String(&changeID, "", "changeId", "Id of the change, by which a resend is known; without it a random one.")
+		},
+		run: func(ctx context.Context, stdout io.Writer) error {
+			inv, err := readInventory(file)
+			if err != nil {
+				return err
+			}
+			return withClient(ctx, m, func(ctx context.Context, c *operator.Client) error {
+				return apply(ctx, c, inv, expected, changeID, stdout)
+			})
+		},
+	}
+}
+
+func apply(ctx context.Context, c *operator.Client, inv *wiregen.Inventory, expected, changeID string, stdout io.Writer) error {
+	revision, err := expectedRevision(ctx, c, expected)
+	if err != nil {
+		return err
+	}
+	if changeID == "" {
+		changeID = rand.Text()
+	}
+	reply, err := c.Apply(ctx, &wiregen.ApplyRequest{ExpectedRevision: revision, ChangeId: changeID, Inventory: inv})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(stdout, "revision %d accepted, change %s\n", reply.GetRevision(), changeID)
+	return nil
+}
+
+func expectedRevision(ctx context.Context, c *operator.Client, expected string) (int64, error) {
+	if expected == "" {
+		reply, err := c.Inventory(ctx)
+		return reply.GetRevision(), err
+	}
+	revision, err := strconv.ParseInt(expected, 10, 64)
+	if err != nil {
+		return 0, &RevisionTextError{Text: expected}
+	}
+	return revision, nil
+}
+
+// printCommand returns a command that prints one answer of the control voters.
+func printCommand(name, doc string, ask func(context.Context, *operator.Client) (proto.Message, error)) *command {
+	m := &wiregen.OperatorSettings{}
+	return &command{
+		name:     name,
+		doc:      doc,
+		settings: m,
+		run: func(ctx context.Context, stdout io.Writer) error {
+			return withClient(ctx, m, func(ctx context.Context, c *operator.Client) error {
+				reply, err := ask(ctx, c)
+				if err != nil {
+					return err
+				}
+				b, err := wire.EncodeJSON(reply)
+				if err != nil {
+					return err
+				}
+				_, err = stdout.Write(b)
+				return err
+			})
+		},
+	}
+}
+
+func getCommand() *command {
+	return printCommand("get", "Prints the inventory in force.", func(ctx context.Context, c *operator.Client) (proto.Message, error) {
+		return c.Inventory(ctx)
+	})
+}
+
+func statusCommand() *command {
+	return printCommand("status", "Prints the leader and the revision in force at each instance.", func(ctx context.Context, c *operator.Client) (proto.Message, error) {
+		return c.Status(ctx)
+	})
+}
+
+func checkCommand() *command {
+	var file string
+	return &command{
+		name: "check",
+		doc:  "Checks an inventory without applying it.",
+		bind: func(sub *flaggy.Subcommand) {
+			sub.AddPositionalValue(&file, "file", 1, true, "File with the inventory, in JSON.")
+		},
+		run: func(_ context.Context, stdout io.Writer) error {
+			if _, err := readInventory(file); err != nil {
+				return err
+			}
+			fmt.Fprintf(stdout, "%s: valid\n", file)
+			return nil
+		},
+	}
+}
+
+func settingsCommand() *command {
+	return &command{
+		name: "settings",
+		doc:  "Prints the page of all settings, in Markdown.",
+		run:  func(_ context.Context, stdout io.Writer) error { return writeSettings(stdout) },
+	}
+}
+
+func writeSettings(stdout io.Writer) error {
+	fmt.Fprintln(stdout, "# Settings")
+	fmt.Fprintln(stdout, "\nGenerated from schema/settings.proto by `make generate`. A flag goes before its environment variable.")
+	pages := []struct {
+		title string
+		m     proto.Message
+	}{
+		{"arbutusreel entry", &wiregen.EntrySettings{}},
+		{"arbutusreel control", &wiregen.ControlSettings{}},
+		{"operators' commands", &wiregen.OperatorSettings{}},
+	}
+	for _, p := range pages {
+		if err := settings.WritePage(stdout, p.title, p.m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func versionCommand() *command {
+	return &command{
+		name: "version",
+		doc:  "Prints the version.",
+		run: func(_ context.Context, stdout io.Writer) error {
+			_, err := fmt.Fprintln(stdout, "arbutusreel", version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/completion/answer.go
@@ -0,0 +1,142 @@
+package completion
+
+import (
+	"encoding/json"
+
+	"arbutusreel/stream"
+)
+
+// chunk is one event of a streamed answer on the wire.
+type chunk struct {
+	ID       string   `json:"id"`
+	Object   string   `json:"object"`
+	Model    string   `json:"model"`
+	Position *int     `json:"position,omitempty"`
+	Choices  []choice `json:"choices"`
+	Usage    *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Delta        *content `json:"delta,omitempty"`
+	Message      *content `json:"message,omitempty"`
+	Text         *string  `json:"text,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type content struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+	CachedTokens     int `json:"cached_tokens,omitempty"`
+}
+
+// Done is the data of the last event of a streamed answer.
+const Done = "[DONE]"
+
+// Answer writes the answer of one request.
+type Answer struct {
+	Kind  Kind
+	ID    string
+	Model string
+}
+
+// Chunk returns the event of a piece.
+func (a Answer) Chunk(p stream.Piece) []byte {
+	c := choice{}
+	if a.Kind == Chat {
+		c.Delta = &content{Content: p.Text}
+	} else {
+		c.Text = &p.Text
+	}
+	return encode(chunk{ID: a.ID, Object: a.object(".chunk"), Model: a.Model, Position: &p.Position, Choices: []choice{c}})
+}
+
+// End returns the event that ends a streamed answer, which Done follows.
+func (a Answer) End(e stream.End) []byte {
+	c := choice{FinishReason: &e.FinishReason}
+	if a.Kind == Chat {
+		c.Delta = &content{}
+	}
+	return encode(chunk{ID: a.ID, Object: a.object(".chunk"), Model: a.Model, Choices: []choice{c}, Usage: usageOf(e)})
+}
+
+// Whole returns an answer that is not streamed.
+func (a Answer) Whole(text string, e stream.End) []byte {
+	c := choice{FinishReason: &e.FinishReason}
+	if a.Kind == Chat {
+		c.Message = &content{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	return encode(chunk{ID: a.ID, Object: a.object(""), Model: a.Model, Choices: []choice{c}, Usage: usageOf(e)})
+}
+
+func (a Answer) object(suffix string) string {
+	if a.Kind == Chat {
+		return "chat.completion" + suffix
+	}
+	return "text_completion"
+}
+
+func usageOf(e stream.End) *usage {
+	return &usage{
+		PromptTokens:     e.PromptTokens,
+		CompletionTokens: e.Pieces,
+		TotalTokens:      e.PromptTokens + e.Pieces,
+		CachedTokens:     e.CachedTokens,
+	}
+}
+
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return []byte("{}")
+	}
+	return b
+}
+
+// Event is what DecodeChunk read: a piece of text, the end of the answer, or both.
+type Event struct {
+	ID           string
+	Position     int
+	HasPosition  bool
+	Text         string
+	FinishReason string
+	PromptTokens int
+	CachedTokens int
+}
+
+// DecodeChunk reads one event of a streamed answer; a fault returns *MalformedError.
+func DecodeChunk(b []byte) (Event, error) {
+	var c chunk
+	if err := json.Unmarshal(b, &c); err != nil {
+		return Event{}, &MalformedError{Field: "", Cause: err}
+	}
+	e := Event{ID: c.ID}
+	if c.Position != nil {
+		e.Position = *c.Position
+		e.HasPosition = true
+	}
+	for _, item := range c.Choices {
+		if item.Delta != nil {
+			e.Text += item.Delta.Content
+		}
+		if item.Text != nil {
+			e.Text += *item.Text
+		}
+		if item.FinishReason != nil {
+			e.FinishReason = *item.FinishReason
+		}
+	}
+	if c.Usage != nil {
+		e.PromptTokens = c.Usage.PromptTokens
+		e.CachedTokens = c.Usage.CachedTokens
+	}
+	return e, nil
+}
--- /dev/null
+++ b/completion/request.go
@@ -0,0 +1,129 @@
+package completion
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// Kind tells chat completions from text completions.
+type Kind int
+
+// Kinds of completions.
+const (
+	Chat Kind = iota
+	Text
+)
+
+// bytesPerToken estimates the length of a prompt in tokens from its bytes.
+const bytesPerToken = 4
+
+// defaultMaxTokens is the longest answer of a request that names none.
+const defaultMaxTokens = 1024
+
+// Request is what the gateway reads of a caller's request; Fields holds all of it.
+type Request struct {
+	Kind         Kind
+	Model        string
+	Prompt       string
+	Streaming    bool
+	MaxTokens    int
+	PromptTokens int
+	Fields       map[string]json.RawMessage
+}
+
+// MalformedError says which field of a request cannot be read.
+type MalformedError struct {
+	Field string
+	Cause error
+}
+
+// Error names the field and the cause.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("completion request: field %q: %v", e.Field, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error { return e.Cause }
+
+// MissingError says which field a request lacks.
+type MissingError struct {
+	Field string
+}
+
+// Error names the field.
+func (e *MissingError) Error() string {
+	return fmt.Sprintf("completion request: field %q is required", e.Field)
+}
+
+// message is a chat message on the wire.
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// Decode reads a caller's request; a fault returns *MalformedError or *MissingError.
+func Decode(kind Kind, body []byte) (Request, error) {
+	r := Request{Kind: kind, MaxTokens: defaultMaxTokens}
+	if err := json.Unmarshal(body, &r.Fields); err != nil {
+		return Request{}, &MalformedError{Field: "", Cause: err}
+	}
+	targets := []struct {
+		field string
+		value any
+	}{
+		{"model", &r.Model},
+		{"stream", &r.Streaming},
+		{"max_tokens", &r.MaxTokens},
+	}
+	for _, t := range targets {
+		if err := r.read(t.field, t.value); err != nil {
+			return Request{}, err
+		}
+	}
+	if r.Model == "" {
+		return Request{}, &MissingError{Field: "model"}
+	}
+	if err := r.readPrompt(); err != nil {
+		return Request{}, err
+	}
+	r.PromptTokens = len(r.Prompt)/bytesPerToken + 1
+	return r, nil
+}
+
+// read decodes a field that the request may leave out.
+func (r *Request) read(field string, value any) error {
+	raw, ok := r.Fields[field]
+	if !ok || string(raw) == "null" {
+		return nil
+	}
+	if err := json.Unmarshal(raw, value); err != nil {
+		return &MalformedError{Field: field, Cause: err}
+	}
+	return nil
+}
+
+func (r *Request) readPrompt() error {
+	if r.Kind == Text {
+		if _, ok := r.Fields["prompt"]; !ok {
+			return &MissingError{Field: "prompt"}
+		}
+		return r.read("prompt", &r.Prompt)
+	}
+	var messages []message
+	if _, ok := r.Fields["messages"]; !ok {
+		return &MissingError{Field: "messages"}
+	}
+	if err := r.read("messages", &messages); err != nil {
+		return err
+	}
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString(m.Role)
+		b.WriteByte(':')
+		b.Write(m.Content)
+		b.WriteByte('\n')
+	}
+	r.Prompt = b.String()
+	return nil
+}
--- /dev/null
+++ b/configuration/state.go
@@ -0,0 +1,66 @@
+package configuration
+
+import (
+	"slices"
+
+	"arbutusreel/inventory"
+)
+
+// maxAnswers is the number of change ids whose answers are kept.
+const maxAnswers = 50_000
+
+// Change replaces the inventory if Expected is the revision in force.
+type Change struct {
+	ID        string
+	Expected  int64
+	Inventory *inventory.Inventory
+}
+
+// Answer is the result of a change; if it was not accepted, Revision is the one in force.
+type Answer struct {
+	Accepted bool
+	Revision int64
+}
+
+// State is the inventory in force with its revision and the answers given.
+type State struct {
+	revision  int64
+	inventory *inventory.Inventory
+	answers   map[string]Answer
+	order     []string
+}
+
+// NewState returns the state before the first change: revision zero and no inventory.
+func NewState() *State {
+	return &State{answers: map[string]Answer{}}
+}
+
+// Revision returns the revision in force; zero if no inventory was accepted yet.
+func (s *State) Revision() int64 { return s.revision }
+
+// Inventory returns the inventory in force, or nil at revision zero.
+func (s *State) Inventory() *inventory.Inventory { return s.inventory }
+
+// Apply decides a change and returns its answer; a change id seen before returns its first answer.
+func (s *State) Apply(c Change) Answer {
+	if answer, ok := s.answers[c.ID]; ok {
+		return answer
+	}
+	if c.Expected == s.revision {
+		s.revision++
+		s.inventory = c.Inventory
+		return s.remember(c.ID, Answer{Accepted: true, Revision: s.revision})
+	}
+	return s.remember(c.ID, Answer{Revision: s.revision})
+}
+
+// remember keeps an answer and forgets the oldest beyond maxAnswers.
+func (s *State) remember(id string, answer Answer) Answer {
+	s.answers[id] = answer
+	s.order = append(s.order, id)
+	if len(s.order) > maxAnswers {
+		delete(s.answers, s.order[0])
+		s.order = slices.Delete(s.order, 0, 1)
+	}
+	return answer
+}
--- /dev/null
+++ b/control/operators.go
@@ -0,0 +1,118 @@
+package control
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"arbutusreel/configuration"
+	"arbutusreel/problem"
+	"arbutusreel/wire"
+	"arbutusreel/wiregen"
+)
+
+// operatorHandler serves operators and health.
+func (c *Control) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/inventory", c.operator(c.apply))
+	mux.HandleFunc("GET /v1/inventory", c.operator(c.get))
+	mux.HandleFunc("GET /v1/status", c.operator(c.status))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", c.ready)
+	return mux
+}
+
+// operator passes on a request that bears the operators' token.
+func (c *Control) operator(handle func(*http.Request) (proto.Message, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		digest := sha256.Sum256([]byte(token))
+		if subtle.ConstantTimeCompare([]byte(hex.EncodeToString(digest[:])), []byte(c.cfg.OperatorTokenDigest)) != 1 {
+			problem.Write(w, problem.New(problem.Unauthenticated, http.StatusUnauthorized, "the request does not bear the operators' token"), "")
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, c.cfg.MaxInventoryBytes)
+		reply, err := handle(r)
+		if err != nil {
+			problem.Write(w, problem.From(err), "")
+			return
+		}
+		writeMessage(w, reply)
+	}
+}
+
+func writeMessage(w http.ResponseWriter, m proto.Message) {
+	b, err := wire.EncodeJSON(m)
+	if err != nil {
+		problem.Write(w, problem.From(err), "")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(b)
+}
+
+// apply proposes a change of the inventory.
+func (c *Control) apply(r *http.Request) (proto.Message, error) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, problem.New(problem.BodyTooLarge, http.StatusRequestEntityTooLarge, "an inventory has at most %d bytes", c.cfg.MaxInventoryBytes)
+	}
+	m := &wiregen.ApplyRequest{}
+	if err := wire.DecodeJSON(b, m); err != nil {
+		return nil, problem.New(problem.MalformedRequest, http.StatusBadRequest, "%s", err.Error())
+	}
+	if m.GetChangeId() == "" {
+		return nil, problem.New(problem.MalformedRequest, http.StatusBadRequest, "field %q is required", "changeId")
+	}
+	inv, err := wire.DecodeInventory(m.GetInventory())
+	if err != nil {
+		return nil, problem.New(problem.InvalidInventory, http.StatusUnprocessableEntity, "%s", err.Error())
+	}
+	answer, err := c.store.Propose(r.Context(), configuration.Change{ID: m.GetChangeId(), Expected: m.GetExpectedRevision(), Inventory: inv})
+	if err != nil {
+		return nil, err
+	}
+	c.log.Info().Str("changeId", m.GetChangeId()).Int64("expectedRevision", m.GetExpectedRevision()).
+		Bool("accepted", answer.Accepted).Int64("revision", answer.Revision).Msg("changeDecided")
+	if !answer.Accepted {
+		return nil, problem.New(problem.RevisionConflict, http.StatusConflict, "revision %d is in force, not %d", answer.Revision, m.GetExpectedRevision())
+	}
+	return &wiregen.ApplyReply{Revision: answer.Revision}, nil
+}
+
+// get answers the inventory in force.
+func (c *Control) get(*http.Request) (proto.Message, error) {
+	current := c.store.Current()
+	reply := &wiregen.InventoryReply{Revision: current.Revision}
+	if current.Inventory != nil {
+		reply.Inventory = wire.EncodeInventory(current.Inventory)
+	}
+	return reply, nil
+}
+
+// status answers the leader and the revision in force at each instance.
+func (c *Control) status(*http.Request) (proto.Message, error) {
+	leader, term := c.store.Leader()
+	reply := &wiregen.StatusReply{Name: c.cfg.Name, Leader: leader, Term: term, Revision: c.store.Current().Revision, Voters: c.cfg.Voters}
+	for _, f := range c.followers.all() {
+		reply.Instances = append(reply.Instances, &wiregen.InstanceStatus{
+			Name:      f.name,
+			Region:    f.region,
+			Revision:  f.revision,
+			AgeMillis: c.now().Sub(f.at).Milliseconds(),
+		})
+	}
+	return reply, nil
+}
+
+func (c *Control) ready(w http.ResponseWriter, _ *http.Request) {
+	if leader, _ := c.store.Leader(); leader == "" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = io.WriteString(w, "\n")
+}
--- /dev/null
+++ b/directory/client.go
@@ -0,0 +1,92 @@
+package directory
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"arbutusreel/membership"
+	"arbutusreel/wire"
+	"arbutusreel/wiregen"
+)
+
+// StatusError says that the directory refused a request.
+type StatusError struct {
+	Status int
+}
+
+// Error names the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("directory answered with status %d", e.Status)
+}
+
+// Client speaks to the directory at one address.
+type Client struct {
+	address string
+	client  *http.Client
+}
+
+// New returns a client of the directory at the address, an IP number and a port.
+func New(address string, client *http.Client) *Client {
+	return &Client{address: address, client: client}
+}
+
+// Publish lists the entry until its time to live in the directory ends; a refusal returns *StatusError.
+func (c *Client) Publish(ctx context.Context, e membership.Entry) error {
+	body, err := protojson.Marshal(wire.EncodeEntries([]membership.Entry{e})[0])
+	if err != nil {
+		return err
+	}
+	return c.do(ctx, http.MethodPut, e.Name, body)
+}
+
+// Remove takes the entry off the list; a refusal returns *StatusError.
+func (c *Client) Remove(ctx context.Context, name string) error {
+	return c.do(ctx, http.MethodDelete, name, nil)
+}
+
+func (c *Client) do(ctx context.Context, method, name string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+"/v1/entries/"+name, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode >= http.StatusBadRequest {
+		return &StatusError{Status: resp.StatusCode}
+	}
+	return nil
+}
+
+// Entries reads the list of entries from the directory; it is used by endpoints' and callers' tools.
+func (c *Client) Entries(ctx context.Context) ([]membership.Entry, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+"/v1/entries", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return nil, &StatusError{Status: resp.StatusCode}
+	}
+	m := &wiregen.EntriesReply{}
+	if err := wire.DecodeJSON(b, m); err != nil {
+		return nil, err
+	}
+	return wire.DecodeEntries(m.GetEntries()), nil
+}
--- /dev/null
+++ b/dispatch/request.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"arbutusreel/residency"
+)
+
+// Hop is an instance that a request has passed.
+type Hop struct {
+	Instance string
+	Region   string
+}
+
+// Request is a checked request; it is not changed after its making.
+type Request struct {
+	CorrelationID  string
+	Team           string
+	Class          string
+	Labels         []string
+	Service        string
+	Model          string
+	Method         string
+	Path           string
+	ContentType    string
+	Body           []byte
+	Streaming      bool
+	PromptTokens   int
+	MaxTokens      int
+	Deadline       time.Time
+	Via            []Hop
+	IdempotencyKey string
+	Epoch          string
+}
+
+// Subject returns what residency is decided for.
+func (r Request) Subject() residency.Subject {
+	return residency.Subject{Labels: r.Labels, Service: r.Service, Model: r.Model}
+}
+
+// WithHop returns a copy that has passed one more instance.
+func (r Request) WithHop(h Hop) Request {
+	r.Via = append(slices.Clone(r.Via), h)
+	return r
+}
+
+// Passed reports whether the request has passed the instance.
+func (r Request) Passed(instance string) bool {
+	return slices.ContainsFunc(r.Via, func(h Hop) bool { return h.Instance == instance })
+}
+
+// Forwarded reports whether the request has crossed regions to reach the region.
+func (r Request) Forwarded(region string) bool {
+	return slices.ContainsFunc(r.Via, func(h Hop) bool { return h.Region != region })
+}
+
+// Reply is the whole answer of a plain service.
+type Reply struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	Endpoint    string
+}
--- /dev/null
+++ b/endpoint/errors.go
@@ -0,0 +1,62 @@
+package endpoint
+
+import "fmt"
+
+// UnreachableError says that an endpoint gave no answer.
+type UnreachableError struct {
+	Endpoint string
+	Cause    error
+}
+
+// Error names the endpoint and the cause.
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("endpoint %q gave no answer: %v", e.Endpoint, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// StatusError says that an endpoint answered with a status of failure.
+type StatusError struct {
+	Endpoint string
+	Status   int
+}
+
+// Error names the endpoint and the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("endpoint %q answered with status %d", e.Endpoint, e.Status)
+}
+
+// NotSentError says that no byte of a call can have reached the endpoint.
+type NotSentError struct {
+	Endpoint string
+	Cause    error
+}
+
+// Error names the endpoint and the cause.
+func (e *NotSentError) Error() string {
+	return fmt.Sprintf("call was not sent to endpoint %q: %v", e.Endpoint, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// DoubtError says that a call was sent, at least in part, and its outcome is not known.
+type DoubtError struct {
+	Endpoint string
+	Cause    error
+}
+
+// Error names the endpoint and the cause.
+func (e *DoubtError) Error() string {
+	return fmt.Sprintf("outcome of the call sent to endpoint %q is not known: %v", e.Endpoint, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *DoubtError) Unwrap() error { return e.Cause }
+
+// NoFinishReasonError says that an answer reached its end mark without a finish reason.
+type NoFinishReasonError struct{}
+
+// Error says what is missing.
+func (e *NoFinishReasonError) Error() string { return "the answer has no finish reason" }
--- /dev/null
+++ b/endpoint/transport.go
@@ -0,0 +1,26 @@
+package endpoint
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+// Limits of the connections to endpoints.
+const (
+	connectTimeout    = 2 * time.Second
+	idleTimeout       = 30 * time.Second
+	maxIdlePerAddress = 64
+)
+
+// newTransport returns a transport; with keepAlive false each request has a connection of its own.
+func newTransport(keepAlive bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableKeepAlives:   !keepAlive,
+		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost: maxIdlePerAddress,
+		DisableCompression:  true,
+	}
+}
--- /dev/null
+++ b/entry/callers.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"expvar"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"arbutusreel/inventory"
+	"arbutusreel/membership"
+	"arbutusreel/problem"
+	"arbutusreel/wire"
+	"arbutusreel/wiregen"
+)
+
+// Header fields of callers' requests.
+const (
+	classHeader       = "Arbutusreel-Class"
+	labelsHeader      = "Arbutusreel-Labels"
+	epochHeader       = "Arbutusreel-Epoch"
+	keyHeader         = "Idempotency-Key"
+	correlationHeader = "X-Correlation-Id"
+)
+
+// retryAfterStopping is when a caller of a stopping entry may use another one.
+const retryAfterStopping = time.Second
+
+// correlationBytes is the length of a correlation id before its encoding.
+const correlationBytes = 12
+
+// callerHandler serves callers, health and metrics.
+func (n *Entry) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/entries", n.authenticated(n.listEntries))
+	mux.HandleFunc("GET /v1/models", n.authenticated(n.listModels))
+	mux.HandleFunc("POST /v1/chat/completions", n.authenticated(n.chat))
+	mux.HandleFunc("POST /v1/completions", n.authenticated(n.text))
+	mux.HandleFunc("/v1/services/{service}/{path...}", n.authenticated(n.service))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", n.ready)
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		problem.Write(w, problem.New(problem.UnknownRoute, http.StatusNotFound, "no route has the path %q", r.URL.Path), "")
+	})
+	return mux
+}
+
+// ready tells the revision in force and where it came from.
+func (n *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+	n.state.mu.Lock()
+	revision, source := n.state.revision, n.state.source
+	n.state.mu.Unlock()
+	if revision == 0 || n.leaving.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	b, _ := protojson.Marshal(&wiregen.ReadyReply{Revision: revision, Source: source, Leaving: n.leaving.Load()})
+	_, _ = w.Write(b)
+}
+
+// caller is an authenticated request of a team.
+type caller struct {
+	team          inventory.Team
+	inventory     *inventory.Inventory
+	correlationID string
+}
+
+// authenticated counts a request in progress and passes it on with its team.
+func (n *Entry) authenticated(handle func(http.ResponseWriter, *http.Request, caller)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n.active.Add(1)
+		defer n.active.Add(-1)
+		c := caller{correlationID: rand.Text()[:correlationBytes]}
+		w.Header().Set(correlationHeader, c.correlationID)
+		if n.closed.Load() {
+			n.fail(w, c, problem.New(problem.Stopping, http.StatusServiceUnavailable, "instance %q is stopping; use another entry", n.cfg.Self.Name).WithRetryAfter(retryAfterStopping))
+			return
+		}
+		var err error
+		if c.inventory, c.team, err = n.authenticate(r); err != nil {
+			n.fail(w, c, err)
+			return
+		}
+		handle(w, r, c)
+	}
+}
+
+// authenticate returns the team whose token the request bears.
+func (n *Entry) authenticate(r *http.Request) (*inventory.Inventory, inventory.Team, error) {
+	inv, _ := n.state.Inventory()
+	if inv == nil {
+		return nil, inventory.Team{}, problem.New(problem.NotReady, http.StatusServiceUnavailable, "instance %q has no inventory yet", n.cfg.Self.Name).WithRetryAfter(retryAfterStopping)
+	}
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return nil, inventory.Team{}, problem.New(problem.Unauthenticated, http.StatusUnauthorized, "the request bears no token")
+	}
+	digest := sha256.Sum256([]byte(token))
+	team, ok := inv.TeamByCredential(hex.EncodeToString(digest[:]))
+	if !ok {
+		return nil, inventory.Team{}, problem.New(problem.Unauthenticated, http.StatusUnauthorized, "the token belongs to no team")
+	}
+	return inv, team, nil
+}
+
+// fail logs a failure without content and answers with its problem.
+func (n *Entry) fail(w http.ResponseWriter, c caller, err error) {
+	p := problem.From(err)
+	n.logFailure(c, p, err)
+	problem.Write(w, p, c.correlationID)
+}
+
+func (n *Entry) logFailure(c caller, p *problem.Problem, err error) {
+	event := n.log.Info()
+	if p.Code == problem.Internal {
+		event = n.log.Error().Err(err)
+	}
+	event.Str("correlationId", c.correlationID).
+		Str("team", c.team.Name).
+		Str("code", string(p.Code)).
+		Str("outcome", string(p.Outcome)).
+		Int("status", p.Status).
+		Msg("failed")
+}
+
+// body reads the whole body of a request within the bound.
+func (n *Entry) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, n.cfg.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, problem.New(problem.BodyTooLarge, http.StatusRequestEntityTooLarge, "a body has at most %d bytes", n.cfg.MaxBodyBytes)
+	}
+	if err != nil {
+		return nil, problem.New(problem.MalformedRequest, http.StatusBadRequest, "the body cannot be read")
+	}
+	return b, nil
+}
+
+// class returns the class that the request asks for, or the team's default.
+func (c caller) class(r *http.Request) (inventory.Class, error) {
+	name := r.Header.Get(classHeader)
+	if name == "" {
+		name = c.team.DefaultClass
+	}
+	class, ok := c.inventory.Class(name)
+	if !ok {
+		return inventory.Class{}, problem.New(problem.UnknownClass, http.StatusBadRequest, "no class has the name %q", name)
+	}
+	if name != c.team.DefaultClass && !slices.Contains(c.team.Classes, name) {
+		return inventory.Class{}, problem.New(problem.Forbidden, http.StatusForbidden, "team %q may not use class %q", c.team.Name, name)
+	}
+	return class, nil
+}
+
+// labels returns the team's labels and those that the request adds.
+func (c caller) labels(r *http.Request) ([]string, error) {
+	labels := slices.Clone(c.team.Labels)
+	for name := range strings.SplitSeq(r.Header.Get(labelsHeader), ",") {
+		name = strings.TrimSpace(name)
+		if name == "" || slices.Contains(labels, name) {
+			continue
+		}
+		if _, ok := c.inventory.Label(name); !ok {
+			return nil, problem.New(problem.UnknownLabel, http.StatusBadRequest, "no label has the name %q", name)
+		}
+		labels = append(labels, name)
+	}
+	return labels, nil
+}
+
+// listEntries answers which entries the caller may use now: those of its home region, or all if there are none.
+func (n *Entry) listEntries(w http.ResponseWriter, _ *http.Request, c caller) {
+	live := slices.DeleteFunc(n.state.live(), func(e membership.Entry) bool { return e.Leaving })
+	home := slices.DeleteFunc(slices.Clone(live), func(e membership.Entry) bool { return e.Region != c.team.HomeRegion })
+	if len(home) == 0 {
+		home = live
+	}
+	b, err := protojson.Marshal(&wiregen.EntriesReply{Entries: wire.EncodeEntries(home), TtlMillis: entriesTTL.Milliseconds()})
+	if err != nil {
+		n.fail(w, c, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(b)
+}
--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"time"
+
+	"arbutusreel/membership"
+)
+
+// Config is what an entry needs to know at its start.
+type Config struct {
+	Self              membership.Entry
+	Controls          []string
+	Peers             []string
+	DirectoryAddress  string
+	MaxBodyBytes      int64
+	MaxHeaderBytes    int
+	AnnouncementLease time.Duration
+	DrainNotice       time.Duration
+	DrainTimeout      time.Duration
+	ReaderTimeout     time.Duration
+}
+
+// Periods and limits of the daemon's duties.
+const (
+	exchangePeriod  = 500 * time.Millisecond
+	publishPeriod   = time.Second
+	expirePeriod    = 100 * time.Millisecond
+	followBackoff   = 300 * time.Millisecond
+	reportPeriod    = time.Second
+	entryTTL        = 3 * time.Second
+	summaryTTL      = 10 * time.Second
+	entriesTTL      = 2 * time.Second
+	headerTimeout   = 10 * time.Second
+	maxAnnouncement = 1 << 20
+)
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+
+	"arbutusreel/calls"
+	"arbutusreel/dispatch"
+	"arbutusreel/endpoint"
+	"arbutusreel/ledger"
+	"arbutusreel/routing"
+	"arbutusreel/wiregen"
+)
+
+// Entry is one entry daemon.
+type Entry struct {
+	wiregen.UnimplementedPeerServer
+
+	cfg        Config
+	log        zerolog.Logger
+	state      *state
+	peers      *peers
+	dispatcher *dispatch.Dispatcher
+	runner     *calls.Runner
+	leaving    atomic.Bool
+	closed     atomic.Bool
+	active     atomic.Int64
+	done       chan struct{}
+}
+
+// New returns an entry daemon that runs when Run is called.
+func New(cfg Config, log zerolog.Logger, now func() time.Time) *Entry {
+	s := newState(cfg.Self.Region, now)
+	p := newPeers(s, cfg.Self.Name)
+	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
+	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, routing.New(), log)
+	return &Entry{
+		cfg:        cfg,
+		log:        log,
+		state:      s,
+		peers:      p,
+		dispatcher: d,
+		runner:     calls.New(ledger.New(), d, now),
+		done:       make(chan struct{}),
+	}
+}
+
+// Done is closed when the daemon has stopped.
+func (n *Entry) Done() <-chan struct{} { return n.done }
+
+// Run serves until ctx ends and then stops gracefully; an address that cannot be served is returned as an error.
+func (n *Entry) Run(ctx context.Context) error {
+	defer close(n.done)
+	listeners, err := listen(ctx, n.cfg.Self.CallerAddress, n.cfg.Self.EndpointAddress, n.cfg.Self.PeerAddress)
+	if err != nil {
+		return err
+	}
+	callers := &http.Server{Handler: n.callerHandler(), MaxHeaderBytes: n.cfg.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout}
+	endpoints := &http.Server{Handler: n.endpointHandler(), ReadHeaderTimeout: headerTimeout}
+	peerServer := grpc.NewServer()
+	wiregen.RegisterPeerServer(peerServer, n)
+
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { serveHTTP(callers, listeners[0]) })
+	wg.Go(func() { serveHTTP(endpoints, listeners[1]) })
+	wg.Go(func() { _ = peerServer.Serve(listeners[2]) })
+	wg.Go(func() { n.follow(work) })
+	wg.Go(func() { n.exchangeLoop(work) })
+	wg.Go(func() { n.publishLoop(work) })
+	wg.Go(func() { n.expireLoop(work) })
+	n.log.Info().Str("callerAddress", n.cfg.Self.CallerAddress).Msg("started")
+
+	<-ctx.Done()
+	n.drain(work)
+	stop()
+	peerServer.Stop()
+	_ = callers.Close()
+	_ = endpoints.Close()
+	wg.Wait()
+	n.peers.close()
+	n.log.Info().Msg("stopped")
+	return nil
+}
+
+// drain leaves the directory, waits for this to spread, and then waits for the requests in progress.
+func (n *Entry) drain(ctx context.Context) {
+	n.leaving.Store(true)
+	n.log.Info().Dur("notice", n.cfg.DrainNotice).Msg("leaving")
+	n.publish(ctx)
+	wait(ctx, n.cfg.DrainNotice)
+	n.closed.Store(true)
+	deadline := time.Now().Add(n.cfg.DrainTimeout)
+	for n.active.Load() > 0 && time.Now().Before(deadline) {
+		wait(ctx, drainPoll)
+	}
+	n.log.Info().Int64("active", n.active.Load()).Msg("drained")
+}
+
+// drainPoll is the period at which a stopping entry looks for requests in progress.
+const drainPoll = 10 * time.Millisecond
+
+func listen(ctx context.Context, addresses ...string) ([]net.Listener, error) {
+	var config net.ListenConfig
+	listeners := make([]net.Listener, 0, len(addresses))
+	for _, address := range addresses {
+		l, err := config.Listen(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+func serveHTTP(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		_ = l.Close()
+	}
+}
+
+// wait returns after d or when ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// every calls f at the period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func()) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Entry) expireLoop(ctx context.Context) {
+	every(ctx, expirePeriod, func() {
+		for _, e := range n.state.expire() {
+			n.log.Info().Str("endpoint", e.Name).Str("service", e.Service).Bool("leaving", e.Leaving).Msg("endpointExpired")
+		}
+	})
+}
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,289 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"arbutusreel/dispatch"
+	"arbutusreel/membership"
+	"arbutusreel/problem"
+	"arbutusreel/stream"
+	"arbutusreel/wire"
+	"arbutusreel/wiregen"
+)
+
+// exchangeTimeout bounds one exchange with a peer.
+const exchangeTimeout = time.Second
+
+// peers speaks to the other entries.
+type peers struct {
+	state *state
+	self  string
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+var _ dispatch.Forwarder = (*peers)(nil)
+
+func newPeers(s *state, self string) *peers {
+	return &peers{state: s, self: self, conns: map[string]*grpc.ClientConn{}}
+}
+
+// client returns the client of the peer at the address, which is connected at its first use.
+func (p *peers) client(address string) (wiregen.PeerClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn := p.conns[address]; conn != nil {
+		return wiregen.NewPeerClient(conn), nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return nil, err
+	}
+	p.conns[address] = conn
+	return wiregen.NewPeerClient(conn), nil
+}
+
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.conns {
+		_ = conn.Close()
+	}
+}
+
+// ForwardModel sends a model request to an entry of the region.
+func (p *peers) ForwardModel(ctx context.Context, region string, r dispatch.Request, sink stream.Sink) (stream.End, error) {
+	frames, err := p.open(ctx, region, r)
+	if err != nil {
+		return stream.End{}, err
+	}
+	order := stream.NewOrder(r.CorrelationID, 0, 0)
+	for {
+		frame, err := frames.Recv()
+		if err != nil {
+			return stream.End{}, &stream.IncompleteError{RequestID: r.CorrelationID, Pieces: order.Next(), Cause: err}
+		}
+		switch f := frame.GetFrame().(type) {
+		case *wiregen.ForwardFrame_Piece:
+			piece := stream.Piece{RequestID: r.CorrelationID, Position: int(f.Piece.GetPosition()), Text: string(f.Piece.GetData())}
+			ok, err := order.Accept(piece)
+			if err != nil {
+				return stream.End{}, err
+			}
+			if !ok {
+				continue
+			}
+			if err := sink.Piece(piece); err != nil {
+				return stream.End{}, err
+			}
+		case *wiregen.ForwardFrame_End:
+			return wire.DecodeEnd(f.End), nil
+		case *wiregen.ForwardFrame_Problem:
+			return stream.End{}, wire.DecodeProblem(f.Problem)
+		}
+	}
+}
+
+// ForwardCall sends a call to an entry of the region.
+func (p *peers) ForwardCall(ctx context.Context, region string, r dispatch.Request) (dispatch.Reply, error) {
+	frames, err := p.open(ctx, region, r)
+	if err != nil {
+		return dispatch.Reply{}, err
+	}
+	var reply dispatch.Reply
+	for {
+		frame, err := frames.Recv()
+		if err != nil {
+			return dispatch.Reply{}, problem.New(problem.CallUnknown, http.StatusBadGateway, "region %q gave no answer", region).WithOutcome(problem.Unknown)
+		}
+		switch f := frame.GetFrame().(type) {
+		case *wiregen.ForwardFrame_Head:
+			reply.Status = int(f.Head.GetStatus())
+			reply.ContentType = f.Head.GetContentType()
+			reply.Endpoint = f.Head.GetEndpoint()
+		case *wiregen.ForwardFrame_Piece:
+			reply.Body = append(reply.Body, f.Piece.GetData()...)
+		case *wiregen.ForwardFrame_End:
+			return reply, nil
+		case *wiregen.ForwardFrame_Problem:
+			return dispatch.Reply{}, wire.DecodeProblem(f.Problem)
+		}
+	}
+}
+
+// open starts a forward to a live entry of the region.
+func (p *peers) open(ctx context.Context, region string, r dispatch.Request) (grpc.ServerStreamingClient[wiregen.ForwardFrame], error) {
+	for _, e := range p.state.live() {
+		if e.Region != region || e.Leaving || r.Passed(e.Name) {
+			continue
+		}
+		client, err := p.client(e.PeerAddress)
+		if err != nil {
+			continue
+		}
+		return client.Forward(ctx, wire.EncodeForward(r))
+	}
+	return nil, problem.New(problem.HomeRegionRequired, http.StatusServiceUnavailable, "no entry of region %q is known", region).WithRetryAfter(retryAfterStopping)
+}
+
+// frameSink sends the pieces of a forwarded answer back.
+type frameSink struct {
+	frames grpc.ServerStreamingServer[wiregen.ForwardFrame]
+}
+
+// Piece sends one piece.
+func (s frameSink) Piece(p stream.Piece) error {
+	return s.frames.Send(wire.PieceFrame(p))
+}
+
+// Forward runs a request that another region's entry sent.
+func (n *Entry) Forward(m *wiregen.ForwardRequest, frames grpc.ServerStreamingServer[wiregen.ForwardFrame]) error {
+	n.active.Add(1)
+	defer n.active.Add(-1)
+	r := wire.DecodeForward(time.Now(), m)
+	ctx, cancel := context.WithDeadline(frames.Context(), r.Deadline)
+	defer cancel()
+	if r.Model != "" {
+		end, err := n.dispatcher.Generate(ctx, r, frameSink{frames: frames})
+		if err != nil {
+			return frames.Send(wire.ProblemFrame(n.streamProblem(err)))
+		}
+		return frames.Send(wire.EndFrame(end))
+	}
+	reply, err := n.forwardedCall(ctx, r)
+	if err != nil {
+		return frames.Send(wire.ProblemFrame(problem.From(err)))
+	}
+	return sendReply(frames, reply)
+}
+
+// forwardedCall runs a call from another region, through the ledger if it may not be repeated.
+func (n *Entry) forwardedCall(ctx context.Context, r dispatch.Request) (dispatch.Reply, error) {
+	inv, _ := n.state.Inventory()
+	if inv == nil {
+		return dispatch.Reply{}, problem.New(problem.NotReady, http.StatusServiceUnavailable, "instance %q has no inventory yet", n.cfg.Self.Name)
+	}
+	s, ok := inv.Service(r.Service)
+	if !ok {
+		return dispatch.Reply{}, problem.New(problem.UnknownService, http.StatusNotFound, "no plain service has the name %q", r.Service)
+	}
+	if s.Idempotent {
+		return n.dispatcher.Call(ctx, r)
+	}
+	return n.runner.Run(ctx, r)
+}
+
+func sendReply(frames grpc.ServerStreamingServer[wiregen.ForwardFrame], reply dispatch.Reply) error {
+	for _, frame := range wire.ReplyFrames(reply) {
+		if err := frames.Send(frame); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// exchangeLoop swaps state with every known entry.
+func (n *Entry) exchangeLoop(ctx context.Context) {
+	every(ctx, exchangePeriod, func() {
+		for _, address := range n.exchangeAddresses() {
+			if err := n.exchangeOne(ctx, address); err != nil && ctx.Err() == nil {
+				n.log.Debug().Str("peer", address).Err(err).Msg("peerUnreachable")
+			}
+		}
+	})
+}
+
+// exchangeAddresses returns the peers from the settings and those heard of, without the instance itself.
+func (n *Entry) exchangeAddresses() []string {
+	seen := map[string]bool{n.cfg.Self.PeerAddress: true}
+	var addresses []string
+	add := func(address string) {
+		if !seen[address] {
+			seen[address] = true
+			addresses = append(addresses, address)
+		}
+	}
+	for _, e := range n.state.live() {
+		add(e.PeerAddress)
+	}
+	for _, address := range n.cfg.Peers {
+		add(address)
+	}
+	return addresses
+}
+
+func (n *Entry) exchangeOne(ctx context.Context, address string) error {
+	client, err := n.peers.client(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := client.Exchange(ctx, n.exchangeRequest())
+	if err != nil {
+		return err
+	}
+	n.learn(reply.GetEntries(), reply.GetEndpoints(), reply.GetSummaries())
+	return nil
+}
+
+func (n *Entry) exchangeRequest() *wiregen.ExchangeRequest {
+	now := n.state.now()
+	_, revision := n.state.Inventory()
+	endpoints := n.state.Endpoints()
+	return &wiregen.ExchangeRequest{
+		Sender:    n.cfg.Self.Name,
+		Region:    n.cfg.Self.Region,
+		Entries:   wire.EncodeEntries([]membership.Entry{n.self()}),
+		Endpoints: n.endpointStates(endpoints),
+		Summaries: wire.EncodeSummaries(now, membership.Summarize(now, n.cfg.Self.Region, endpoints)),
+		Revision:  revision,
+	}
+}
+
+func (n *Entry) endpointStates(endpoints []membership.Endpoint) []*wiregen.EndpointState {
+	states := make([]*wiregen.EndpointState, 0, len(endpoints))
+	for _, e := range endpoints {
+		states = append(states, &wiregen.EndpointState{
+			Announcement: wire.EncodeAnnouncement(n.state.now(), e),
+			LeaseMillis:  n.state.lease(e.Name).Milliseconds(),
+		})
+	}
+	return states
+}
+
+// Exchange answers a peer with the same state.
+func (n *Entry) Exchange(_ context.Context, m *wiregen.ExchangeRequest) (*wiregen.ExchangeReply, error) {
+	n.learn(m.GetEntries(), m.GetEndpoints(), m.GetSummaries())
+	own := n.exchangeRequest()
+	return &wiregen.ExchangeReply{
+		Entries:   wire.EncodeEntries(n.state.live()),
+		Endpoints: own.GetEndpoints(),
+		Summaries: own.GetSummaries(),
+		Revision:  own.GetRevision(),
+	}, nil
+}
+
+// learn takes what a peer knows; endpoints of other regions are left out.
+func (n *Entry) learn(entries []*wiregen.EntryAdvert, endpoints []*wiregen.EndpointState, summaries []*wiregen.RegionSummary) {
+	now := n.state.now()
+	for _, e := range wire.DecodeEntries(entries) {
+		n.state.hear(e)
+	}
+	for _, m := range endpoints {
+		e, err := wire.DecodeAnnouncement(now, m.GetAnnouncement())
+		if err != nil || e.Region != n.cfg.Self.Region {
+			continue
+		}
+		n.state.announce(e, time.Duration(m.GetLeaseMillis())*time.Millisecond)
+	}
+	for _, s := range wire.DecodeSummaries(now, summaries) {
+		n.state.learn(s)
+	}
+}
--- /dev/null
+++ b/entry/services.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"arbutusreel/dispatch"
+	"arbutusreel/inventory"
+	"arbutusreel/problem"
+)
+
+// service answers a call of a plain service.
+func (n *Entry) service(w http.ResponseWriter, r *http.Request, c caller) {
+	began := time.Now()
+	req, s, err := n.serviceRequest(w, r, c)
+	if err != nil {
+		n.fail(w, c, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	defer cancel()
+	reply, err := n.call(ctx, req, s, c.team.HomeRegion)
+	if err != nil {
+		n.fail(w, c, err)
+		return
+	}
+	w.Header().Set("Content-Type", reply.ContentType)
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body)
+	n.log.Info().
+		Str("correlationId", c.correlationID).
+		Str("team", c.team.Name).
+		Str("class", req.Class).
+		Str("service", s.Name).
+		Str("endpoint", reply.Endpoint).
+		Int("status", reply.Status).
+		Dur("duration", time.Since(began)).
+		Msg("answered")
+}
+
+// call sends a call; one that may not be repeated goes through the ledger of the caller's home region.
+func (n *Entry) call(ctx context.Context, req dispatch.Request, s inventory.Service, home string) (dispatch.Reply, error) {
+	if s.Idempotent {
+		return n.dispatcher.Call(ctx, req)
+	}
+	if home == n.cfg.Self.Region {
+		return n.runner.Run(ctx, req)
+	}
+	self := dispatch.Hop{Instance: n.cfg.Self.Name, Region: n.cfg.Self.Region}
+	return n.peers.ForwardCall(ctx, home, req.WithHop(self))
+}
+
+func (n *Entry) serviceRequest(w http.ResponseWriter, r *http.Request, c caller) (dispatch.Request, inventory.Service, error) {
+	s, ok := c.inventory.Service(r.PathValue("service"))
+	if !ok || s.Kind != inventory.KindPlain {
+		return dispatch.Request{}, s, problem.New(problem.UnknownService, http.StatusNotFound, "no plain service has the name %q", r.PathValue("service"))
+	}
+	body, err := n.body(w, r)
+	if err != nil {
+		return dispatch.Request{}, s, err
+	}
+	class, err := c.class(r)
+	if err != nil {
+		return dispatch.Request{}, s, err
+	}
+	labels, err := c.labels(r)
+	if err != nil {
+		return dispatch.Request{}, s, err
+	}
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return dispatch.Request{
+		CorrelationID:  c.correlationID,
+		Team:           c.team.Name,
+		Class:          class.Name,
+		Labels:         labels,
+		Service:        s.Name,
+		Method:         r.Method,
+		Path:           path,
+		ContentType:    r.Header.Get("Content-Type"),
+		Body:           body,
+		Deadline:       time.Now().Add(class.Patience),
+		IdempotencyKey: r.Header.Get(keyHeader),
+		Epoch:          r.Header.Get(epochHeader),
+	}, s, nil
+}
--- /dev/null
+++ b/inventory/inventory.go
@@ -0,0 +1,125 @@
+package inventory
+
+import "slices"
+
+// Inventory is a checked configuration with its indexes.
+type Inventory struct {
+	contents Contents
+	regions  map[string]Region
+	links    map[[2]string]Link
+	labels   map[string]Label
+	models   map[string]Model
+	services map[string]Service
+	classes  map[string]Class
+	teams    map[string]Team
+	digests  map[string]string
+}
+
+// New checks the contents and returns the inventory; invalid contents return Faults.
+func New(c Contents) (*Inventory, error) {
+	inv := &Inventory{
+		contents: c,
+		regions:  index(c.Regions, func(v Region) string { return v.Name }),
+		links:    map[[2]string]Link{},
+		labels:   index(c.Labels, func(v Label) string { return v.Name }),
+		models:   index(c.Models, func(v Model) string { return v.Name }),
+		services: index(c.Services, func(v Service) string { return v.Name }),
+		classes:  index(c.Classes, func(v Class) string { return v.Name }),
+		teams:    index(c.Teams, func(v Team) string { return v.Name }),
+		digests:  map[string]string{},
+	}
+	for _, l := range c.Links {
+		inv.links[[2]string{l.From, l.To}] = l
+		inv.links[[2]string{l.To, l.From}] = l
+	}
+	for _, t := range c.Teams {
+		inv.digests[t.CredentialDigest] = t.Name
+	}
+	if faults := check(inv); len(faults) > 0 {
+		return nil, faults
+	}
+	return inv, nil
+}
+
+func index[T any](items []T, name func(T) string) map[string]T {
+	m := make(map[string]T, len(items))
+	for _, item := range items {
+		m[name(item)] = item
+	}
+	return m
+}
+
+// Contents returns everything that the inventory holds.
+func (inv *Inventory) Contents() Contents { return inv.contents }
+
+// Rules returns the operators' rules.
+func (inv *Inventory) Rules() Rules { return inv.contents.Rules }
+
+// Region returns the region of that name.
+func (inv *Inventory) Region(name string) (Region, bool) {
+	r, ok := inv.regions[name]
+	return r, ok
+}
+
+// Link returns the link between two regions, in either direction.
+func (inv *Inventory) Link(a, b string) (Link, bool) {
+	l, ok := inv.links[[2]string{a, b}]
+	return l, ok
+}
+
+// Label returns the label of that name.
+func (inv *Inventory) Label(name string) (Label, bool) {
+	l, ok := inv.labels[name]
+	return l, ok
+}
+
+// Model returns the model of that name.
+func (inv *Inventory) Model(name string) (Model, bool) {
+	m, ok := inv.models[name]
+	return m, ok
+}
+
+// Service returns the service of that name.
+func (inv *Inventory) Service(name string) (Service, bool) {
+	s, ok := inv.services[name]
+	return s, ok
+}
+
+// Class returns the class of that name.
+func (inv *Inventory) Class(name string) (Class, bool) {
+	c, ok := inv.classes[name]
+	return c, ok
+}
+
+// Team returns the team of that name.
+func (inv *Inventory) Team(name string) (Team, bool) {
+	t, ok := inv.teams[name]
+	return t, ok
+}
+
+// TeamByCredential returns the team whose token has the SHA-256 digest, in lower-case hexadecimal.
+func (inv *Inventory) TeamByCredential(digest string) (Team, bool) {
+	name, ok := inv.digests[digest]
+	if !ok {
+		return Team{}, false
+	}
+	return inv.Team(name)
+}
+
+// ServicesOfModel returns the names of the services that offer the model.
+func (inv *Inventory) ServicesOfModel(model string) []string {
+	var names []string
+	for _, s := range inv.contents.Services {
+		if s.Kind == KindModel && slices.Contains(s.Models, model) {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
+// WithRules returns an inventory with other rules; invalid rules return Faults.
+func (inv *Inventory) WithRules(r Rules) (*Inventory, error) {
+	c := inv.contents
+	c.Rules = r
+	return New(c)
+}
--- /dev/null
+++ b/load/doc.go
@@ -0,0 +1,2 @@
+// Package load sends requests to the gateway at a steady rate, checks each answer, and tabulates the results.
+package load
--- /dev/null
+++ b/membership/endpoint.go
@@ -0,0 +1,47 @@
+package membership
+
+import "time"
+
+// Load is what an endpoint reported of its work.
+type Load struct {
+	Running                int
+	Queued                 int
+	QueuedTokens           int
+	TokensPerSecond        float64
+	PrefillTokensPerSecond float64
+	CacheUse               float64
+	// At is when the report was true: its arrival less its age.
+	At time.Time
+}
+
+// CacheEvent says that a prefix was stored in or dropped from an endpoint's cache.
+type CacheEvent struct {
+	PrefixHash uint64
+	Dropped    bool
+	Tokens     int
+}
+
+// Endpoint is one endpoint as it announced itself.
+type Endpoint struct {
+	Name          string
+	Incarnation   int64
+	Sequence      int64
+	Address       string
+	Region        string
+	FailureDomain string
+	Service       string
+	Models        []string
+	Slots         int
+	Leaving       bool
+	Load          Load
+	CacheEvents   []CacheEvent
+	CacheSequence int64
+}
+
+// newer reports whether e replaces what is known as old.
+func (e Endpoint) newer(old Endpoint) bool {
+	if e.Incarnation != old.Incarnation {
+		return e.Incarnation > old.Incarnation
+	}
+	return e.Sequence > old.Sequence
+}
--- /dev/null
+++ b/membership/table.go
@@ -0,0 +1,66 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// record is an endpoint with the end of its lease.
+type record struct {
+	endpoint Endpoint
+	expires  time.Time
+}
+
+// Table holds the endpoints of one region; it is not safe for concurrent use.
+type Table struct {
+	records map[string]record
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{records: map[string]record{}}
+}
+
+// Announce takes an announcement with its lease and reports whether it was newer than what was known.
+func (t *Table) Announce(now time.Time, e Endpoint, lease time.Duration) bool {
+	old, ok := t.records[e.Name]
+	if ok && !e.newer(old.endpoint) {
+		return false
+	}
+	t.records[e.Name] = record{endpoint: e, expires: now.Add(lease)}
+	return true
+}
+
+// Expire forgets the endpoints whose lease has ended and returns them in the order of their names.
+func (t *Table) Expire(now time.Time) []Endpoint {
+	var expired []Endpoint
+	for name, r := range t.records {
+		if now.Before(r.expires) {
+			continue
+		}
+		delete(t.records, name)
+		expired = append(expired, r.endpoint)
+	}
+	slices.SortFunc(expired, byName)
+	return expired
+}
+
+// Endpoints returns the endpoints under lease, leaving ones included, in the order of their names.
+func (t *Table) Endpoints(now time.Time) []Endpoint {
+	endpoints := make([]Endpoint, 0, len(t.records))
+	for _, r := range t.records {
+		if now.Before(r.expires) {
+			endpoints = append(endpoints, r.endpoint)
+		}
+	}
+	slices.SortFunc(endpoints, byName)
+	return endpoints
+}
+
+// Lease returns what is left of an endpoint's lease, or zero if it has none.
+func (t *Table) Lease(now time.Time, name string) time.Duration {
+	return max(t.records[name].expires.Sub(now), 0)
+}
+
+func byName(a, b Endpoint) int { return strings.Compare(a.Name, b.Name) }
--- /dev/null
+++ b/problem/problem.go
@@ -0,0 +1,100 @@
+package problem
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Outcome tells whether a request that failed was run.
+type Outcome string
+
+// Outcomes of a request that failed.
+const (
+	// NotRun says that no endpoint ran the request, nor will.
+	NotRun Outcome = "notRun"
+	// Unknown says that an endpoint may have run the request, wholly or in part.
+	Unknown Outcome = "outcomeUnknown"
+)
+
+// Code identifies a kind of problem.
+type Code string
+
+// Codes of the problems.
+const (
+	MalformedRequest   Code = "malformedRequest"
+	BodyTooLarge       Code = "bodyTooLarge"
+	Unauthenticated    Code = "unauthenticated"
+	Forbidden          Code = "forbidden"
+	UnknownModel       Code = "unknownModel"
+	UnknownService     Code = "unknownService"
+	UnknownClass       Code = "unknownClass"
+	UnknownLabel       Code = "unknownLabel"
+	UnknownRoute       Code = "unknownRoute"
+	ResidencyRefused   Code = "residencyRefused"
+	LoopRefused        Code = "loopRefused"
+	PatienceExceeded   Code = "patienceExceeded"
+	LimitExceeded      Code = "limitExceeded"
+	NoCapacity         Code = "noCapacity"
+	EndpointFailed     Code = "endpointFailed"
+	AnswerIncomplete   Code = "answerIncomplete"
+	KeyRequired        Code = "idempotencyKeyRequired"
+	KeyReused          Code = "idempotencyKeyReused"
+	CallInProgress     Code = "callInProgress"
+	CallUnknown        Code = "callOutcomeUnknown"
+	LedgerUnavailable  Code = "ledgerUnavailable"
+	Stopping           Code = "stopping"
+	NotReady           Code = "notReady"
+	RevisionConflict   Code = "revisionConflict"
+	InvalidInventory   Code = "invalidInventory"
+	QuorumUnavailable  Code = "quorumUnavailable"
+	HomeRegionRequired Code = "homeRegionUnreachable"
+	ReaderStopped      Code = "readerStopped"
+	Internal           Code = "internal"
+)
+
+// Problem is a failure as its receiver sees it; RetryAfter is zero if a new try will not help.
+type Problem struct {
+	Code       Code
+	Status     int
+	Detail     string
+	Outcome    Outcome
+	RetryAfter time.Duration
+}
+
+var _ error = (*Problem)(nil)
+
+// New returns a problem of a request that was not run.
+func New(code Code, status int, format string, args ...any) *Problem {
+	return &Problem{Code: code, Status: status, Detail: fmt.Sprintf(format, args...), Outcome: NotRun}
+}
+
+// Error returns the code and the detail.
+func (p *Problem) Error() string {
+	return string(p.Code) + ": " + p.Detail
+}
+
+// WithRetryAfter returns a copy that says when to come back.
+func (p *Problem) WithRetryAfter(d time.Duration) *Problem {
+	q := *p
+	q.RetryAfter = d
+	return &q
+}
+
+// WithOutcome returns a copy with the outcome.
+func (p *Problem) WithOutcome(o Outcome) *Problem {
+	q := *p
+	q.Outcome = o
+	return &q
+}
+
+// From returns the problem within err; any other error becomes an internal problem of unknown outcome with err's HTTP status.
+func From(err error) *Problem {
+	var p *Problem
+	if errors.As(err, &p) {
+		return p
+	}
+	return &Problem{Code: Internal, Status: merry.HTTPCode(err), Detail: "internal failure", Outcome: Unknown}
+}
--- /dev/null
+++ b/residency/allowed.go
@@ -0,0 +1,64 @@
+package residency
+
+import (
+	"slices"
+
+	"arbutusreel/inventory"
+)
+
+// Subject is what residency is decided for; an empty Service or Model adds no bound.
+type Subject struct {
+	Labels  []string
+	Service string
+	Model   string
+}
+
+// Allows reports whether the subject may be handled in the region.
+func Allows(inv *inventory.Inventory, s Subject, region string) bool {
+	if _, ok := inv.Region(region); !ok {
+		return false
+	}
+	return labelsAllow(inv, s.Labels, region) && serviceAllows(inv, s.Service, region) && modelAllows(inv, s.Model, region)
+}
+
+// Allowed returns the regions in which the subject may be handled, in the inventory's order.
+func Allowed(inv *inventory.Inventory, s Subject) []string {
+	var regions []string
+	for _, r := range inv.Contents().Regions {
+		if Allows(inv, s, r.Name) {
+			regions = append(regions, r.Name)
+		}
+	}
+	return regions
+}
+
+func labelsAllow(inv *inventory.Inventory, labels []string, region string) bool {
+	for _, name := range labels {
+		label, ok := inv.Label(name)
+		if !ok || !slices.Contains(label.AllowedRegions, region) {
+			return false
+		}
+	}
+	return true
+}
+
+func serviceAllows(inv *inventory.Inventory, name, region string) bool {
+	if name == "" {
+		return true
+	}
+	service, ok := inv.Service(name)
+	return ok && allowsRegion(service.AllowedRegions, region)
+}
+
+func modelAllows(inv *inventory.Inventory, name, region string) bool {
+	if name == "" {
+		return true
+	}
+	model, ok := inv.Model(name)
+	return ok && allowsRegion(model.AllowedRegions, region)
+}
+
+// allowsRegion reports whether a list holds the region; an empty list allows every region.
+func allowsRegion(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
+}
--- /dev/null
+++ b/ring/ring.go
@@ -0,0 +1,47 @@
+package ring
+
+import "context"
+
+// Ring is a bounded first-in, first-out queue that is safe for concurrent use.
+type Ring[T any] struct {
+	items chan T
+}
+
+// New returns a ring that holds up to n items; n is at least one.
+func New[T any](n int) *Ring[T] {
+	return &Ring[T]{items: make(chan T, max(n, 1))}
+}
+
+// Offer adds an item and reports false at once if the ring is full.
+func (r *Ring[T]) Offer(item T) bool {
+	select {
+	case r.items <- item:
+		return true
+	default:
+		return false
+	}
+}
+
+// Put adds an item, waiting while the ring is full; it returns ctx's error if ctx ends first.
+func (r *Ring[T]) Put(ctx context.Context, item T) error {
+	select {
+	case r.items <- item:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Take removes the oldest item, waiting while the ring is empty; it returns ctx's error if ctx ends first.
+func (r *Ring[T]) Take(ctx context.Context) (T, error) {
+	select {
+	case item := <-r.items:
+		return item, nil
+	case <-ctx.Done():
+		var zero T
+		return zero, ctx.Err()
+	}
+}
+
+// Len returns the number of items in the ring.
+func (r *Ring[T]) Len() int { return len(r.items) }
--- /dev/null
+++ b/routing/doc.go
@@ -0,0 +1,2 @@
+// Package routing chooses the endpoint that runs a request.
+package routing
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,201 @@
+package settings
+
+import (
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"arbutusreel/wiregen"
+)
+
+// envPrefix stands before the name of each environment variable.
+const envPrefix = "ARBUTUSREEL_"
+
+// listSeparator stands between the items of a list setting.
+const listSeparator = ","
+
+// Flags is the text of each setting given on the command line, by setting name.
+type Flags map[string]*string
+
+// Binder registers one flag with its description on a command.
+type Binder interface {
+	String(value *string, short, long, description string)
+}
+
+// Bind registers a flag for each setting of m and returns the texts that parsing fills.
+func Bind(b Binder, m proto.Message) Flags {
+	flags := Flags{}
+	for _, s := range Describe(m) {
+		text := new(string)
+		flags[s.Name] = text
+		b.String(text, "", s.Name, s.Doc)
+	}
+	return flags
+}
+
+// Load fills m from the flags, the environment and the defaults; an invalid set of settings returns Faults.
+func Load(m proto.Message, flags Flags, getenv func(string) string) error {
+	var faults Faults
+	r := m.ProtoReflect()
+	fields := r.Descriptor().Fields()
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		s := describe(field)
+		text := given(s, flags, getenv)
+		if text == "" {
+			if s.Required {
+				faults = append(faults, Fault{Setting: s.Name, Reason: "the setting is required"})
+			}
+			continue
+		}
+		value, reason := parse(r, field, s, text)
+		if reason != "" {
+			faults = append(faults, Fault{Setting: s.Name, Value: text, Reason: reason})
+			continue
+		}
+		r.Set(field, value)
+	}
+	if len(faults) > 0 {
+		return faults
+	}
+	return nil
+}
+
+// given returns the setting's text from the flag, the environment variable or the default, in this order.
+func given(s Setting, flags Flags, getenv func(string) string) string {
+	if text := flags[s.Name]; text != nil && *text != "" {
+		return *text
+	}
+	if text := getenv(s.Env); text != "" {
+		return text
+	}
+	return s.Default
+}
+
+func parse(r protoreflect.Message, field protoreflect.FieldDescriptor, s Setting, text string) (protoreflect.Value, string) {
+	if field.IsList() {
+		return parseList(r, field, s, text)
+	}
+	switch field.Kind() {
+	case protoreflect.StringKind:
+		return protoreflect.ValueOfString(text), check(s.Kind, text)
+	case protoreflect.BoolKind:
+		b, err := strconv.ParseBool(text)
+		if err != nil {
+			return protoreflect.Value{}, "the value is either true or false"
+		}
+		return protoreflect.ValueOfBool(b), ""
+	case protoreflect.Int64Kind:
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return protoreflect.Value{}, "the value is a whole number"
+		}
+		return protoreflect.ValueOfInt64(n), s.bounds(n)
+	default:
+		return parseDuration(s, text)
+	}
+}
+
+func parseList(r protoreflect.Message, field protoreflect.FieldDescriptor, s Setting, text string) (protoreflect.Value, string) {
+	value := r.NewField(field)
+	for item := range strings.SplitSeq(text, listSeparator) {
+		if reason := check(s.Kind, item); reason != "" {
+			return value, reason
+		}
+		value.List().Append(protoreflect.ValueOfString(item))
+	}
+	return value, ""
+}
+
+func parseDuration(s Setting, text string) (protoreflect.Value, string) {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return protoreflect.Value{}, "the value is a duration such as 250ms or 3s"
+	}
+	return protoreflect.ValueOfMessage(durationpb.New(d).ProtoReflect()), s.bounds(d.Milliseconds())
+}
+
+// Setting describes one setting of the schema.
+type Setting struct {
+	Name     string
+	Env      string
+	Doc      string
+	Default  string
+	Kind     wiregen.SettingKind
+	Required bool
+	Min      int64
+	Max      int64
+	Type     string
+}
+
+// bounds returns why n lies outside the bounds, or "" if it does not.
+func (s Setting) bounds(n int64) string {
+	if s.Min == 0 && s.Max == 0 {
+		return ""
+	}
+	if n < s.Min || n > s.Max {
+		return "the value lies outside " + strconv.FormatInt(s.Min, 10) + " to " + strconv.FormatInt(s.Max, 10)
+	}
+	return ""
+}
+
+// Describe returns the settings of m in the order of the schema.
+func Describe(m proto.Message) []Setting {
+	fields := m.ProtoReflect().Descriptor().Fields()
+	settings := make([]Setting, 0, fields.Len())
+	for i := range fields.Len() {
+		settings = append(settings, describe(fields.Get(i)))
+	}
+	return settings
+}
+
+func describe(field protoreflect.FieldDescriptor) Setting {
+	options, _ := proto.GetExtension(field.Options(), wiregen.E_Setting).(*wiregen.SettingOptions)
+	name := field.JSONName()
+	return Setting{
+		Name:     name,
+		Env:      envName(name),
+		Doc:      options.GetDoc(),
+		Default:  options.GetDefaultValue(),
+		Kind:     options.GetKind(),
+		Required: options.GetRequired(),
+		Min:      options.GetMin(),
+		Max:      options.GetMax(),
+		Type:     typeName(field, options.GetKind()),
+	}
+}
+
+func typeName(field protoreflect.FieldDescriptor, kind wiregen.SettingKind) string {
+	name := kind.String()
+	switch field.Kind() {
+	case protoreflect.BoolKind:
+		name = "bool"
+	case protoreflect.Int64Kind:
+		name = "number"
+	case protoreflect.MessageKind:
+		name = "duration"
+	default:
+	}
+	if field.IsList() {
+		return "list of " + name
+	}
+	return name
+}
+
+// envName turns dataFolder into ARBUTUSREEL_DATA_FOLDER.
+func envName(name string) string {
+	var b strings.Builder
+	b.WriteString(envPrefix)
+	for _, r := range name {
+		if unicode.IsUpper(r) {
+			b.WriteByte('_')
+		}
+		b.WriteRune(unicode.ToUpper(r))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+
+	"arbutusreel/directory"
+	"arbutusreel/wiregen"
+)
+
+// ServiceConfig describes an emulated endpoint of a plain service.
+type ServiceConfig struct {
+	Name          string
+	Address       string
+	Region        string
+	FailureDomain string
+	Service       string
+	Slots         int
+	Incarnation   int64
+}
+
+// Service is an emulated plain service that counts each call it ran.
+type Service struct {
+	cfg       ServiceConfig
+	directory *directory.Client
+	mu        sync.Mutex
+	ran       map[string]int
+}
+
+// NewService returns a service that announces itself to the entries of the directory.
+func NewService(cfg ServiceConfig, d *directory.Client) *Service {
+	return &Service{cfg: cfg, directory: d, ran: map[string]int{}}
+}
+
+// Run announces the service until ctx ends, and then as leaving.
+func (s *Service) Run(ctx context.Context) {
+	newAnnouncer(s.directory, s.cfg.Region, s.describe).run(ctx)
+}
+
+func (s *Service) describe() *wiregen.Announcement {
+	return &wiregen.Announcement{
+		Name:          s.cfg.Name,
+		Incarnation:   s.cfg.Incarnation,
+		Address:       s.cfg.Address,
+		Region:        s.cfg.Region,
+		FailureDomain: s.cfg.FailureDomain,
+		Service:       s.cfg.Service,
+		Slots:         int64(s.cfg.Slots),
+	}
+}
+
+// serviceAnswer is the answer of a call on the wire.
+type serviceAnswer struct {
+	Endpoint string `json:"endpoint"`
+	Ran      int    `json:"ran"`
+}
+
+// Handler serves calls; GET /ran answers how often each body was run.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ran", func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		writeJSON(w, s.ran)
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		writeJSON(w, serviceAnswer{Endpoint: s.cfg.Name, Ran: s.count(string(body))})
+	})
+	return mux
+}
+
+// count counts one more run of a body and returns the number of its runs.
+func (s *Service) count(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ran[body]++
+	return s.ran[body]
+}
+
+// Ran returns how often a body was run.
+func (s *Service) Ran(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ran[body]
+}
--- /dev/null
+++ b/stream/stream.go
@@ -0,0 +1,51 @@
+package stream
+
+import "fmt"
+
+// Piece is one token of an answer at a position, from one attempt of a request.
+type Piece struct {
+	RequestID string
+	Attempt   int
+	Position  int
+	Text      string
+}
+
+// End closes a whole answer; Pieces is the number of pieces before it.
+type End struct {
+	FinishReason string
+	Pieces       int
+	PromptTokens int
+	CachedTokens int
+}
+
+// Sink receives the pieces of one answer in order; an error stops the answer.
+type Sink interface {
+	Piece(p Piece) error
+}
+
+// GapError says that a piece did not follow the one before it.
+type GapError struct {
+	RequestID string
+	Want      int
+	Got       int
+}
+
+// Error names the request and the positions.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("stream of request %q: position %d where %d was expected", e.RequestID, e.Got, e.Want)
+}
+
+// IncompleteError says that an answer stopped before its end.
+type IncompleteError struct {
+	RequestID string
+	Pieces    int
+	Cause     error
+}
+
+// Error names the request, the pieces received and the cause.
+func (e *IncompleteError) Error() string {
+	return fmt.Sprintf("stream of request %q stopped after %d pieces: %v", e.RequestID, e.Pieces, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *IncompleteError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/wire/endpoint.go
@@ -0,0 +1,175 @@
+package wire
+
+import (
+	"net/netip"
+	"time"
+
+	"arbutusreel/membership"
+	"arbutusreel/wiregen"
+)
+
+// InvalidAnnouncementError says that an announcement lacks a field or holds a wrong one.
+type InvalidAnnouncementError struct {
+	Field  string
+	Reason string
+}
+
+// Error names the field and the reason.
+func (e *InvalidAnnouncementError) Error() string {
+	return "announcement field " + e.Field + ": " + e.Reason
+}
+
+// DecodeAnnouncement returns the endpoint of m as heard now; a missing or wrong field returns *InvalidAnnouncementError.
+func DecodeAnnouncement(now time.Time, m *wiregen.Announcement) (membership.Endpoint, error) {
+	if err := checkAnnouncement(m); err != nil {
+		return membership.Endpoint{}, err
+	}
+	load := m.GetLoad()
+	return membership.Endpoint{
+		Name:          m.GetName(),
+		Incarnation:   m.GetIncarnation(),
+		Sequence:      m.GetSequence(),
+		Address:       m.GetAddress(),
+		Region:        m.GetRegion(),
+		FailureDomain: m.GetFailureDomain(),
+		Service:       m.GetService(),
+		Models:        m.GetModels(),
+		Slots:         int(m.GetSlots()),
+		Leaving:       m.GetLeaving(),
+		Load: membership.Load{
+			Running:                int(load.GetRunning()),
+			Queued:                 int(load.GetQueued()),
+			QueuedTokens:           int(load.GetQueuedTokens()),
+			TokensPerSecond:        load.GetTokensPerSecond(),
+			PrefillTokensPerSecond: load.GetPrefillTokensPerSecond(),
+			CacheUse:               load.GetCacheUse(),
+			At:                     now.Add(-time.Duration(load.GetAgeMillis()) * time.Millisecond),
+		},
+		CacheEvents:   mapAll(m.GetCacheEvents(), decodeCacheEvent),
+		CacheSequence: m.GetCacheSequence(),
+	}, nil
+}
+
+func checkAnnouncement(m *wiregen.Announcement) error {
+	required := []struct{ field, value string }{
+		{"name", m.GetName()},
+		{"region", m.GetRegion()},
+		{"failureDomain", m.GetFailureDomain()},
+		{"service", m.GetService()},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return &InvalidAnnouncementError{Field: r.field, Reason: "the field is required"}
+		}
+	}
+	if _, err := netip.ParseAddrPort(m.GetAddress()); err != nil {
+		return &InvalidAnnouncementError{Field: "address", Reason: "an address is an IP number and a port"}
+	}
+	if m.GetSlots() <= 0 {
+		return &InvalidAnnouncementError{Field: "slots", Reason: "the value is greater than zero"}
+	}
+	return nil
+}
+
+// EncodeAnnouncement returns the message of an endpoint whose load report is aged by now.
+func EncodeAnnouncement(now time.Time, e membership.Endpoint) *wiregen.Announcement {
+	return &wiregen.Announcement{
+		Name:          e.Name,
+		Incarnation:   e.Incarnation,
+		Sequence:      e.Sequence,
+		Address:       e.Address,
+		Region:        e.Region,
+		FailureDomain: e.FailureDomain,
+		Service:       e.Service,
+		Models:        e.Models,
+		Slots:         int64(e.Slots),
+		Leaving:       e.Leaving,
+		Load: &wiregen.LoadReport{
+			Running:                int64(e.Load.Running),
+			Queued:                 int64(e.Load.Queued),
+			QueuedTokens:           int64(e.Load.QueuedTokens),
+			TokensPerSecond:        e.Load.TokensPerSecond,
+			PrefillTokensPerSecond: e.Load.PrefillTokensPerSecond,
+			CacheUse:               e.Load.CacheUse,
+			AgeMillis:              now.Sub(e.Load.At).Milliseconds(),
+		},
+		CacheEvents:   mapAll(e.CacheEvents, encodeCacheEvent),
+		CacheSequence: e.CacheSequence,
+	}
+}
+
+func decodeCacheEvent(m *wiregen.CacheEvent) membership.CacheEvent {
+	return membership.CacheEvent{PrefixHash: m.GetPrefixHash(), Dropped: m.GetDropped(), Tokens: int(m.GetTokens())}
+}
+
+func encodeCacheEvent(e membership.CacheEvent) *wiregen.CacheEvent {
+	return &wiregen.CacheEvent{PrefixHash: e.PrefixHash, Dropped: e.Dropped, Tokens: int64(e.Tokens)}
+}
+
+// DecodeEntries returns the entries of the messages.
+func DecodeEntries(ms []*wiregen.EntryAdvert) []membership.Entry { return mapAll(ms, decodeEntry) }
+
+// EncodeEntries returns the messages of the entries.
+func EncodeEntries(es []membership.Entry) []*wiregen.EntryAdvert { return mapAll(es, encodeEntry) }
+
+func decodeEntry(m *wiregen.EntryAdvert) membership.Entry {
+	return membership.Entry{
+		Name:            m.GetName(),
+		Region:          m.GetRegion(),
+		FailureDomain:   m.GetFailureDomain(),
+		CallerAddress:   m.GetCallerAddress(),
+		EndpointAddress: m.GetEndpointAddress(),
+		PeerAddress:     m.GetPeerAddress(),
+		Weight:          m.GetWeight(),
+		Leaving:         m.GetLeaving(),
+	}
+}
+
+func encodeEntry(e membership.Entry) *wiregen.EntryAdvert {
+	return &wiregen.EntryAdvert{
+		Name:            e.Name,
+		Region:          e.Region,
+		FailureDomain:   e.FailureDomain,
+		CallerAddress:   e.CallerAddress,
+		EndpointAddress: e.EndpointAddress,
+		PeerAddress:     e.PeerAddress,
+		Weight:          e.Weight,
+		Leaving:         e.Leaving,
+	}
+}
+
+// DecodeSummaries returns the summaries of the messages as heard now.
+func DecodeSummaries(now time.Time, ms []*wiregen.RegionSummary) []membership.Summary {
+	return mapAll(ms, func(m *wiregen.RegionSummary) membership.Summary {
+		return membership.Summary{
+			Region:          m.GetRegion(),
+			Service:         m.GetService(),
+			Models:          m.GetModels(),
+			Endpoints:       int(m.GetEndpoints()),
+			Slots:           int(m.GetSlots()),
+			Running:         int(m.GetRunning()),
+			Queued:          int(m.GetQueued()),
+			TokensPerSecond: m.GetTokensPerSecond(),
+			Sequence:        m.GetSequence(),
+			At:              now.Add(-time.Duration(m.GetAgeMillis()) * time.Millisecond),
+		}
+	})
+}
+
+// EncodeSummaries returns the messages of the summaries, aged by now.
+func EncodeSummaries(now time.Time, summaries []membership.Summary) []*wiregen.RegionSummary {
+	return mapAll(summaries, func(s membership.Summary) *wiregen.RegionSummary {
+		return &wiregen.RegionSummary{
+			Region:          s.Region,
+			Service:         s.Service,
+			Models:          s.Models,
+			Endpoints:       int64(s.Endpoints),
+			Slots:           int64(s.Slots),
+			Running:         int64(s.Running),
+			Queued:          int64(s.Queued),
+			TokensPerSecond: s.TokensPerSecond,
+			Sequence:        s.Sequence,
+			AgeMillis:       now.Sub(s.At).Milliseconds(),
+		}
+	})
+}
