Add a harness that runs the programs as processes, and the whole path as its first test

The harness starts, kills, freezes and restarts the programs on loopback; each proof under failure is to use it.

--- /dev/null
+++ b/systemtest/harness_test.go
@@ -0,0 +1,343 @@
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Bounds of the harness's waits; no test asserts a time.
+const (
+	startLimit = 30 * time.Second
+	pollPeriod = 20 * time.Millisecond
+	callLimit  = 20 * time.Second
+)
+
+const operatorToken = "operators-test-token"
+
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+// buildAndRun builds the programs once for all tests.
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "systemtest")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	build := exec.Command("go", "build", "-o", dir+"/", "arbutusreel/cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(out))
+		return 1
+	}
+	programs = dir
+	return m.Run()
+}
+
+// process is one program under test, which can be stopped, killed, frozen and started again with the same arguments.
+type process struct {
+	t    *testing.T
+	name string
+	args []string
+	env  []string
+	cmd  *exec.Cmd
+	log  string
+	done chan struct{}
+}
+
+// start starts the process; its output is appended to its log.
+func (p *process) start() {
+	p.t.Helper()
+	f, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	cmd := exec.Command(filepath.Join(programs, p.args[0]), p.args[1:]...)
+	cmd.Stdout, cmd.Stderr = f, f
+	cmd.Env = append(os.Environ(), p.env...)
+	if err := cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		_ = cmd.Wait()
+		_ = f.Close()
+		close(done)
+	}()
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process at once and waits for it.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// stop asks for a graceful stop and waits for it.
+func (p *process) stop() {
+	p.signal(syscall.SIGTERM)
+	<-p.done
+}
+
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+
+func (p *process) thaw() { p.signal(syscall.SIGCONT) }
+
+// logged returns what the process has written.
+func (p *process) logged() string {
+	b, _ := os.ReadFile(p.log)
+	return string(b)
+}
+
+// instance is an entry or control process with its addresses.
+type instance struct {
+	*process
+	region   string
+	caller   string
+	endpoint string
+	peer     string
+	operator string
+}
+
+// system is a set of processes on loopback: a directory, a control voter for each region, entries and endpoints.
+type system struct {
+	t         *testing.T
+	dir       string
+	directory string
+	controls  []*instance
+	entries   []*instance
+	endpoints []*instance
+	inventory string
+	all       []*process
+}
+
+// options describes a system; each region has one control voter.
+type options struct {
+	regions          []string
+	entriesPerRegion int
+	inventory        string
+	// entryArgs and controlArgs are added to the arguments of each entry and control.
+	entryArgs   []string
+	controlArgs []string
+	// dataFolders gives each entry a data folder.
+	dataFolders bool
+}
+
+// newSystem starts a system without endpoints and applies its inventory; everything ends with the test.
+func newSystem(t *testing.T, o options) *system {
+	t.Helper()
+	s := &system{t: t, dir: t.TempDir(), directory: freeAddress(t), inventory: o.inventory}
+	t.Cleanup(s.end)
+	s.run("directory", "standin", "directory", "--address", s.directory)
+	var voters, peers []string
+	for _, r := range o.regions {
+		c := &instance{region: r, peer: freeAddress(t), operator: freeAddress(t)}
+		s.controls = append(s.controls, c)
+		voters = append(voters, "control-"+r+"="+c.peer)
+	}
+	digest := sha256.Sum256([]byte(operatorToken))
+	operatorDigest := hex.EncodeToString(digest[:])
+	for _, c := range s.controls {
+		args := []string{
+			"arbutusreel", "control", "--name", "control-" + c.region, "--region", c.region, "--failureDomain", c.region + "-a",
+			"--peerAddress", c.peer, "--operatorAddress", c.operator, "--voters", strings.Join(voters, ","),
+			"--dataFolder", filepath.Join(s.dir, "control-"+c.region), "--operatorTokenDigest", operatorDigest,
+		}
+		c.process = s.run("control-"+c.region, append(args, o.controlArgs...)...)
+	}
+	for _, r := range o.regions {
+		for j := range o.entriesPerRegion {
+			e := &instance{region: r, caller: freeAddress(t), endpoint: freeAddress(t), peer: freeAddress(t)}
+			s.entries = append(s.entries, e)
+			peers = append(peers, e.peer)
+			e.process = &process{name: fmt.Sprintf("entry-%s-%d", r, j)}
+		}
+	}
+	for i, e := range s.entries {
+		domain := string(rune('a' + i%o.entriesPerRegion))
+		args := []string{
+			"arbutusreel", "entry", "--name", e.name, "--region", e.region, "--failureDomain", e.region + "-" + domain,
+			"--callerAddress", e.caller, "--endpointAddress", e.endpoint, "--peerAddress", e.peer,
+			"--controls", strings.Join(voters, ","), "--peers", strings.Join(peers, ","), "--directoryAddress", s.directory,
+			"--drainNotice", "300ms", "--operatorTokenDigest", operatorDigest,
+		}
+		if o.dataFolders {
+			args = append(args, "--dataFolder", filepath.Join(s.dir, e.name))
+		}
+		e.process = s.run(e.name, append(args, o.entryArgs...)...)
+	}
+	s.apply(o.inventory)
+	for _, e := range s.entries {
+		s.until(e.name+" is ready", func() bool { return s.get(e.caller, "/readyz", "") == http.StatusOK })
+	}
+	return s
+}
+
+// run starts one process.
+func (s *system) run(name string, args ...string) *process {
+	s.t.Helper()
+	p := &process{t: s.t, name: name, args: args, log: filepath.Join(s.dir, name+".log")}
+	p.start()
+	s.all = append(s.all, p)
+	return p
+}
+
+// end kills every process and prints the logs of a failed test.
+func (s *system) end() {
+	for _, p := range s.all {
+		p.thaw()
+		p.kill()
+	}
+	if !s.t.Failed() {
+		return
+	}
+	for _, p := range s.all {
+		s.t.Logf("log of %s:\n%s", p.name, tail(p.logged()))
+	}
+}
+
+// tail returns the end of a long text.
+func tail(text string) string {
+	const limit = 4000
+	if len(text) > limit {
+		return "…" + text[len(text)-limit:]
+	}
+	return text
+}
+
+// operators returns the operators' addresses of the control voters.
+func (s *system) operators() string {
+	var addresses []string
+	for _, c := range s.controls {
+		addresses = append(addresses, c.operator)
+	}
+	return strings.Join(addresses, ",")
+}
+
+// command runs an operators' command and returns its output.
+func (s *system) command(args ...string) (string, error) {
+	ctx, cancel := context.WithTimeout(s.t.Context(), callLimit)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, filepath.Join(programs, "arbutusreel"), args...)
+	cmd.Env = append(os.Environ(), "ARBUTUSREEL_TOKEN="+operatorToken, "ARBUTUSREEL_CONTROLS="+s.operators())
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+// apply applies an inventory file, trying again until the quorum accepts it.
+func (s *system) apply(file string) {
+	s.t.Helper()
+	s.until("the inventory is accepted", func() bool {
+		_, err := s.command("apply", file)
+		return err == nil
+	})
+}
+
+// engine starts an emulated model engine and waits until the region's entries know it.
+func (s *system) engine(name, region, service, models string, args ...string) *instance {
+	e := &instance{region: region, caller: freeAddress(s.t)}
+	base := []string{
+		"standin", "engine", "--name", name, "--address", e.caller, "--region", region, "--failureDomain", region + "-c",
+		"--service", service, "--models", models, "--directory", s.directory,
+	}
+	e.process = s.run(name, append(base, args...)...)
+	s.endpoints = append(s.endpoints, e)
+	return e
+}
+
+// service starts an emulated endpoint of a plain service.
+func (s *system) service(name, region, service string, args ...string) *instance {
+	e := &instance{region: region, caller: freeAddress(s.t)}
+	base := []string{
+		"standin", "service", "--name", name, "--address", e.caller, "--region", region, "--failureDomain", region + "-c",
+		"--service", service, "--directory", s.directory,
+	}
+	e.process = s.run(name, append(base, args...)...)
+	s.endpoints = append(s.endpoints, e)
+	return e
+}
+
+// until polls a condition; it fails the test if the condition does not come about.
+func (s *system) until(what string, condition func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(startLimit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("gave up waiting: %s", what)
+		}
+		time.Sleep(pollPeriod)
+	}
+}
+
+// answer is a whole HTTP answer; status zero says that none came.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+}
+
+// problemCode returns the code and outcome of an answer that is a problem.
+func (a answer) problemCode() (code, outcome string) {
+	var m struct{ Code, Outcome string }
+	_ = json.Unmarshal([]byte(a.body), &m)
+	return m.Code, m.Outcome
+}
+
+// do sends one request to an address as the team with the token.
+func (s *system) do(method, address, path, token, body string, headers ...string) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{}
+	}
+	return answer{status: resp.StatusCode, body: string(b), header: resp.Header}
+}
+
+func (s *system) get(address, path, token string) int {
+	return s.do(http.MethodGet, address, path, token, "").status
+}
+
+// freeAddress returns a loopback address whose port was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/systemtest/path_test.go
@@ -0,0 +1,37 @@
+package systemtest
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+const (
+	lunchClub = "../examples/lunchclub/inventory.json"
+	chatPath  = "/v1/chat/completions"
+	orderPath = "/v1/services/club-desk/orders"
+	planBody  = `{"model":"dastarkhwan-menu","max_tokens":4,"stream":true,"messages":[{"role":"user","content":"plan"}]}`
+)
+
+func TestWholePath(t *testing.T) {
+	s := newSystem(t, options{regions: []string{"lahore", "karachi", "peshawar"}, entriesPerRegion: 1, inventory: lunchClub})
+	s.engine("engine-lahore", "lahore", "menu-model", "dastarkhwan-menu")
+	s.service("desk-lahore", "lahore", "club-desk")
+	lahore := s.entries[0]
+	var a answer
+	s.until("a plan is answered", func() bool {
+		a = s.do(http.MethodPost, lahore.caller, chatPath, "lahore-demo-token", planBody)
+		return a.status == http.StatusOK
+	})
+	if !strings.HasSuffix(a.body, "data: [DONE]\n\n") {
+		t.Errorf("the stream has no end mark: %q", a.body)
+	}
+	s.until("an order is answered", func() bool {
+		a = s.do(http.MethodPost, lahore.caller, orderPath, "lahore-demo-token", "lentils", "Idempotency-Key", "k1")
+		return a.status == http.StatusOK
+	})
+	again := s.do(http.MethodPost, lahore.caller, orderPath, "lahore-demo-token", "lentils", "Idempotency-Key", "k1")
+	if again.body != a.body {
+		t.Errorf("the resent order was answered %q, first %q", again.body, a.body)
+	}
+}
