Expose the leader lease to the placement owner

The placement owner needs the term and the end of the leader lease directly before each order. The interface is one method; a stub on the single-voter store stands in until the quorum replaces it.

--- a/control/store.go
+++ b/control/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"arbutusreel/configuration"
 	"arbutusreel/inventory"
@@ -25,6 +26,7 @@
 	Current() Current
 	// Leader returns the name of the leader and its term, or "" if none is known.
 	Leader() (string, int64)
+	Leadership
 }
 
 // memoryStore is the store of a single voter without a quorum.
@@ -67,3 +69,11 @@
 
 // Leader returns the leader.
 func (s *memoryStore) Leader() (string, int64) { return s.leader, 1 }
+
+// memoryLease is the length of the lease of a single voter.
+const memoryLease = time.Second
+
+// Lease returns a lease that a single leader renews at each call.
+func (s *memoryStore) Lease(now time.Time) (term int64, end time.Time, ok bool) {
+	return 1, now.Add(memoryLease), s.name == s.leader
+}
