--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,265 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+)
+
+func mustOpen(t testing.TB, files Files) (*Journal, Contents) {
+	t.Helper()
+	j, c, err := Open(files, "disk-new")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j, c
+}
+
+// written returns the file of a journal with the records and the length of all but the last.
+func written(t testing.TB, records ...string) (b []byte, beforeLast int) {
+	t.Helper()
+	d := newDisk()
+	j, _ := mustOpen(t, d)
+	for _, r := range records {
+		beforeLast = int(j.Size())
+		if err := errors.Join(j.Append([]byte(r)), j.Sync()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return d.files[fileName].data, beforeLast
+}
+
+func texts(records [][]byte) []string {
+	var all []string
+	for _, r := range records {
+		all = append(all, string(r))
+	}
+	return all
+}
+
+func TestCutAtEveryByteOfTheLastRecord(t *testing.T) {
+	b, before := written(t, "first", "second", "the last record")
+	for n := before; n < len(b); n++ {
+		d := diskWith(slices.Clone(b[:n]))
+		j, c := mustOpen(t, d)
+		if diff := cmp.Diff([]string{"first", "second"}, texts(c.Records)); diff != "" {
+			t.Fatalf("cut at byte %d: %s", n, diff)
+		}
+		if c.Cut != int64(n-before) {
+			t.Fatalf("cut at byte %d: %d bytes were cut off", n, c.Cut)
+		}
+		if err := errors.Join(j.Append([]byte("next")), j.Sync()); err != nil {
+			t.Fatal(err)
+		}
+		_, c = mustOpen(t, d.crash(0))
+		if diff := cmp.Diff([]string{"first", "second", "next"}, texts(c.Records)); diff != "" {
+			t.Fatalf("cut at byte %d, then appended: %s", n, diff)
+		}
+	}
+}
+
+func TestFlippedBitIsRefused(t *testing.T) {
+	b, _ := written(t, "first", "second", "the last record")
+	for n := range b {
+		for bit := range 8 {
+			damaged := slices.Clone(b)
+			damaged[n] ^= 1 << bit
+			_, c, err := Open(diskWith(damaged), "disk-new")
+			var corrupt *CorruptError
+			if !errors.As(err, &corrupt) {
+				t.Fatalf("bit %d of byte %d: error %v, contents %v", bit, n, err, texts(c.Records))
+			}
+		}
+	}
+}
+
+func TestFullDisk(t *testing.T) {
+	b, before := written(t, "first", "second")
+	for room := range len(b) - before {
+		d := diskWith(slices.Clone(b[:before]))
+		j, _ := mustOpen(t, d)
+		d.room = room
+		err := j.Append([]byte("second"))
+		if !errors.Is(err, syscall.ENOSPC) {
+			t.Fatalf("room for %d bytes: error %v", room, err)
+		}
+		d.room = -1
+		if again := j.Append([]byte("third")); !errors.Is(again, syscall.ENOSPC) {
+			t.Fatalf("a failed journal took a record: error %v", again)
+		}
+		_, c := mustOpen(t, d.crash(room))
+		if diff := cmp.Diff([]string{"first"}, texts(c.Records)); diff != "" {
+			t.Fatalf("room for %d bytes: %s", room, diff)
+		}
+	}
+}
+
+func TestFailedSyncIsFinal(t *testing.T) {
+	d := newDisk()
+	j, _ := mustOpen(t, d)
+	d.syncsLeft = 0
+	err := errors.Join(j.Append([]byte("first")), j.Sync())
+	if !errors.Is(err, syscall.EIO) {
+		t.Fatalf("error %v", err)
+	}
+	d.syncsLeft = -1
+	if err := j.Sync(); !errors.Is(err, syscall.EIO) {
+		t.Errorf("a later sync answered %v", err)
+	}
+	if err := j.Compact(nil); !errors.Is(err, syscall.EIO) {
+		t.Errorf("a later compaction answered %v", err)
+	}
+}
+
+func TestEmptyFolderIsNewIdentity(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "data")
+	open := func(identity string) Contents {
+		f, err := OpenFolder(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		j, c, err := Open(f, identity)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer j.Close()
+		if _, err := OpenFolder(path); !errors.As(err, new(*LockedError)) {
+			t.Errorf("a second process opened the folder: %v", err)
+		}
+		if err := errors.Join(j.Compact([]byte("snapshot"), []byte("kept")), j.Append([]byte("later")), j.Sync()); err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	open("disk-1")
+	want := Contents{Identity: "disk-1", Snapshot: []byte("snapshot"), Records: [][]byte{[]byte("kept"), []byte("later")}}
+	if diff := cmp.Diff(want, open("disk-2")); diff != "" {
+		t.Errorf("reopened: %s", diff)
+	}
+	if err := os.RemoveAll(path); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(Contents{Identity: "disk-3"}, open("disk-3")); diff != "" {
+		t.Errorf("empty folder: %s", diff)
+	}
+}
+
+// TestCrashes compares the journal with a plain list under appends, syncs, compactions and power failures at any byte.
+func TestCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDisk()
+		j, _, err := Open(d, "disk-1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var snapshot string
+		var records []string
+		durable := 0
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0:
+				r := fmt.Sprint("record ", step)
+				err = j.Append([]byte(r))
+				records = append(records, r)
+			case 1:
+				err = j.Sync()
+				durable = len(records)
+			case 2:
+				snapshot = fmt.Sprint("snapshot ", step)
+				records = records[len(records)/2:]
+				err = j.Compact([]byte(snapshot), slices.Collect(func(yield func([]byte) bool) {
+					for _, r := range records {
+						if !yield([]byte(r)) {
+							return
+						}
+					}
+				})...)
+				durable = len(records)
+			case 3:
+				d = d.crash(rapid.IntRange(0, 80).Draw(t, "kept"))
+				var c Contents
+				j, c, err = Open(d, "disk-2")
+				if c.Identity != "disk-1" || string(c.Snapshot) != snapshot {
+					t.Fatalf("identity %q, snapshot %q, want %q", c.Identity, c.Snapshot, snapshot)
+				}
+				n := len(c.Records)
+				if n < durable || n > len(records) {
+					t.Fatalf("%d records, of %d durable and %d appended", n, durable, len(records))
+				}
+				if diff := cmp.Diff(records[:n], texts(c.Records), cmpopts.EquateEmpty()); diff != "" {
+					t.Fatal(diff)
+				}
+				records, durable = records[:n], n
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+func sizes() []int { return []int{100, 1000, 10_000, 100_000} }
+
+func BenchmarkAppend(b *testing.B) {
+	for _, n := range sizes() {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			record := make([]byte, 256)
+			for range b.N {
+				f, _ := OpenFolder(b.TempDir())
+				j, _ := mustOpen(b, f)
+				for range n {
+					if err := j.Append(record); err != nil {
+						b.Fatal(err)
+					}
+				}
+				if err := errors.Join(j.Sync(), j.Close(), f.Close()); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkAppendSync(b *testing.B) {
+	f, _ := OpenFolder(b.TempDir())
+	j, _ := mustOpen(b, f)
+	record := make([]byte, 256)
+	for range b.N {
+		if err := errors.Join(j.Append(record), j.Sync()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkReplay(b *testing.B) {
+	for _, n := range sizes() {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f, _ := OpenFolder(b.TempDir())
+			j, _ := mustOpen(b, f)
+			record := make([]byte, 256)
+			for range n {
+				if err := j.Append(record); err != nil {
+					b.Fatal(err)
+				}
+			}
+			j.Close()
+			b.ResetTimer()
+			for range b.N {
+				j, c := mustOpen(b, f)
+				if len(c.Records) != n {
+					b.Fatalf("%d records", len(c.Records))
+				}
+				j.Close()
+			}
+		})
+	}
+}
