--- /dev/null
+++ b/consensus/cluster_test.go
@@ -0,0 +1,504 @@
+package consensus
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	testHeartbeat = 20 * time.Millisecond
+	testElection  = 100 * time.Millisecond
+	// snapshotEvery is the number of applied entries between two snapshots.
+	snapshotEvery = 15
+)
+
+// failer is the part of *rapid.T and *testing.T that the cluster needs.
+type failer interface {
+	Fatalf(format string, args ...any)
+}
+
+// op is a client's operation on the register: a compare-and-set or a read.
+type op struct {
+	ID       int
+	Expected int64
+	read     bool
+	invoked  time.Duration
+	returned time.Duration
+	answered bool
+	answer   casAnswer
+}
+
+// casAnswer is the revision in force after an operation.
+type casAnswer struct {
+	Accepted bool
+	Revision int64
+}
+
+// register is the replicated state: a revision, and the answer to each operation.
+type register struct {
+	Revision int64
+	Answers  map[int]casAnswer
+}
+
+func (r *register) apply(data []byte) (int, casAnswer) {
+	var o op
+	if err := json.Unmarshal(data, &o); err != nil {
+		panic(err)
+	}
+	if a, ok := r.Answers[o.ID]; ok {
+		return o.ID, a
+	}
+	a := casAnswer{Accepted: o.Expected == r.Revision, Revision: r.Revision}
+	if a.Accepted {
+		r.Revision++
+		a.Revision = r.Revision
+	}
+	r.Answers[o.ID] = a
+	return o.ID, a
+}
+
+// waiting is an operation whose entry is not applied yet.
+type waiting struct {
+	term int64
+	op   *op
+}
+
+// server is one instance with its disk, its clock and its place in the network.
+type server struct {
+	name     string
+	id       ID
+	disks    int
+	rate     float64
+	node     *Node
+	stored   Restored
+	state    register
+	applied  int64
+	frozen   bool
+	isolated bool
+	// crashing makes the server crash within its next batch that must be persisted.
+	crashing bool
+	inbox    []Message
+	waiting  map[int64]waiting
+	reads    map[int64]*op
+}
+
+type delivery struct {
+	at time.Duration
+	m  Message
+}
+
+// cluster runs servers in memory with one source of randomness.
+type cluster struct {
+	t        failer
+	rnd      *rand.Rand
+	now      time.Duration
+	epoch    time.Time
+	servers  []*server
+	founders []Founder
+	network  []delivery
+	loss     float64
+	leaders  map[int64]ID
+	history  map[int64]Entry
+	states   map[int64]int64
+	ops      []*op
+	tokens   int64
+	wiped    int
+}
+
+func newCluster(t failer, count int, seed uint64, rates []float64) *cluster {
+	c := &cluster{
+		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), epoch: time.Unix(1_000_000, 0), loss: 0.05,
+		leaders: map[int64]ID{}, history: map[int64]Entry{}, states: map[int64]int64{},
+	}
+	for i := range count {
+		name := string(rune('a' + i))
+		c.founders = append(c.founders, Founder{Name: name, Address: name})
+	}
+	for i := range count {
+		s := &server{name: c.founders[i].Name, rate: rates[i%len(rates)]}
+		c.servers = append(c.servers, s)
+		c.wipe(s)
+		c.start(s)
+	}
+	return c
+}
+
+// clock returns the server's own time.
+func (c *cluster) clock(s *server) time.Time {
+	return c.epoch.Add(time.Duration(float64(c.now) * s.rate))
+}
+
+func (c *cluster) start(s *server) {
+	if s.node != nil {
+		return
+	}
+	cfg := Config{Self: s.id, Address: s.name, Founders: c.founders, Heartbeat: testHeartbeat, ElectionTimeout: testElection, RetainedEntries: 5}
+	s.state, s.applied = register{Answers: map[int]casAnswer{}}, 0
+	if s.stored.Snapshot != nil {
+		s.restore(s.stored.Snapshot)
+	}
+	s.waiting, s.reads = map[int64]waiting{}, map[int64]*op{}
+	s.node = New(cfg, s.stored, c.clock(s), c.rnd)
+}
+
+func (s *server) restore(snapshot *Snapshot) {
+	s.state = register{Answers: map[int]casAnswer{}}
+	if err := json.Unmarshal(snapshot.Data, &s.state); err != nil {
+		panic(err)
+	}
+	s.applied = snapshot.Index
+}
+
+func (c *cluster) crash(s *server) {
+	s.node, s.frozen, s.crashing, s.inbox = nil, false, false, nil
+}
+
+// wipe replaces the disk by an empty one.
+func (c *cluster) wipe(s *server) {
+	c.crash(s)
+	s.disks++
+	s.id = ID{Name: s.name, Disk: fmt.Sprint("disk", s.disks)}
+	s.stored = Restored{}
+}
+
+// run advances time in steps of a millisecond.
+func (c *cluster) run(d time.Duration) {
+	for end := c.now + d; c.now < end; {
+		c.now += time.Millisecond
+		c.deliver()
+		for _, s := range c.servers {
+			if s.node != nil && !s.frozen && c.rnd.IntN(4) == 0 {
+				s.node.Tick(c.clock(s))
+				c.carryOut(s)
+			}
+		}
+		c.checkLeaders()
+	}
+}
+
+func (c *cluster) deliver() {
+	var later []delivery
+	due := c.network
+	c.network = nil
+	for _, d := range due {
+		if d.at > c.now {
+			later = append(later, d)
+			continue
+		}
+		s := c.find(d.m.ToAddress)
+		if s.node == nil || s.isolated {
+			continue
+		}
+		if s.frozen {
+			s.inbox = append(s.inbox, d.m)
+			continue
+		}
+		c.receive(s, d.m)
+	}
+	c.network = append(c.network, later...)
+}
+
+func (c *cluster) receive(s *server, m Message) {
+	if s.node == nil {
+		return
+	}
+	s.node.Receive(c.clock(s), m)
+	c.carryOut(s)
+}
+
+func (c *cluster) find(name string) *server {
+	return c.servers[slices.IndexFunc(c.servers, func(s *server) bool { return s.name == name })]
+}
+
+// send puts a message on the network, which loses, doubles, delays and reorders.
+func (c *cluster) send(s *server, m Message) {
+	if s.isolated || c.rnd.Float64() < c.loss {
+		return
+	}
+	for range 1 + c.rnd.IntN(20)/19 {
+		delay := time.Duration(1+c.rnd.IntN(10)) * time.Millisecond
+		if c.rnd.IntN(30) == 0 {
+			delay += time.Duration(c.rnd.IntN(300)) * time.Millisecond
+		}
+		c.network = append(c.network, delivery{at: c.now + delay, m: m})
+	}
+}
+
+// carryOut does what the node asks for, and may crash before or after the sync.
+func (c *cluster) carryOut(s *server) {
+	a := s.node.Actions()
+	if s.crashing && a.Persists() && c.rnd.IntN(2) == 0 {
+		c.crash(s)
+		return
+	}
+	s.persist(a)
+	if s.crashing && a.Persists() {
+		c.crash(s)
+		return
+	}
+	for _, m := range a.Messages {
+		c.send(s, m)
+	}
+	if a.Install != nil {
+		s.restore(a.Install)
+		c.checkState(s)
+	}
+	for _, e := range a.Committed {
+		c.apply(s, e)
+	}
+	for _, r := range a.Reads {
+		c.answerRead(s, r)
+	}
+	if n := s.applied; s.stored.Snapshot == nil && n >= snapshotEvery || s.stored.Snapshot != nil && n >= s.stored.Snapshot.Index+snapshotEvery {
+		data, err := json.Marshal(s.state)
+		if err != nil {
+			panic(err)
+		}
+		s.stored = s.node.Compact(n, data)
+	}
+}
+
+func (s *server) persist(a Actions) {
+	if a.HardState != nil {
+		s.stored.HardState = *a.HardState
+	}
+	if a.Install != nil {
+		s.stored.Snapshot, s.stored.Entries = a.Install, nil
+	}
+	if len(a.Entries) == 0 {
+		return
+	}
+	first := a.Entries[0].Index
+	kept := slices.DeleteFunc(slices.Clone(s.stored.Entries), func(e Entry) bool { return e.Index >= first })
+	s.stored.Entries = append(kept, a.Entries...)
+}
+
+func (c *cluster) apply(s *server, e Entry) {
+	if e.Index != s.applied+1 {
+		c.t.Fatalf("%s applied index %d after %d", s.id, e.Index, s.applied)
+	}
+	s.applied = e.Index
+	if known, ok := c.history[e.Index]; ok && (known.Term != e.Term || string(known.Data) != string(e.Data)) {
+		c.t.Fatalf("%s applied %+v at an index that has %+v", s.id, e, known)
+	}
+	c.history[e.Index] = e
+	var answer casAnswer
+	if e.Kind == CommandEntry {
+		_, answer = s.state.apply(e.Data)
+	}
+	c.checkState(s)
+	if w, ok := s.waiting[e.Index]; ok {
+		delete(s.waiting, e.Index)
+		if w.term == e.Term {
+			c.answer(w.op, answer)
+		}
+	}
+}
+
+// checkState compares the state with that of the others at the same index.
+func (c *cluster) checkState(s *server) {
+	if known, ok := c.states[s.applied]; ok && known != s.state.Revision {
+		c.t.Fatalf("%s has revision %d at index %d, others %d", s.id, s.state.Revision, s.applied, known)
+	}
+	c.states[s.applied] = s.state.Revision
+}
+
+func (c *cluster) answer(o *op, a casAnswer) {
+	if !o.answered {
+		o.answered, o.answer, o.returned = true, a, c.now
+	}
+}
+
+func (c *cluster) answerRead(s *server, r ReadResult) {
+	if o := s.reads[r.Token]; r.OK {
+		if s.applied < r.Index {
+			c.t.Fatalf("%s answers a read at index %d with only %d applied", s.id, r.Index, s.applied)
+		}
+		c.answer(o, casAnswer{Revision: s.state.Revision})
+	}
+	delete(s.reads, r.Token)
+}
+
+// call sends an operation to a server, which may refuse it.
+func (c *cluster) call(s *server, o *op) {
+	if s.node == nil || s.frozen {
+		return
+	}
+	if o.read {
+		c.tokens++
+		s.reads[c.tokens] = o
+		if s.node.Read(c.clock(s), c.tokens) != nil {
+			delete(s.reads, c.tokens)
+		}
+		c.carryOut(s)
+		return
+	}
+	data, err := json.Marshal(o)
+	if err != nil {
+		panic(err)
+	}
+	if index, term, err := s.node.Propose(c.clock(s), data); err == nil {
+		s.waiting[index] = waiting{term: term, op: o}
+	}
+	c.carryOut(s)
+}
+
+// client sends a new operation, or resends one whose answer has not come, to any server.
+func (c *cluster) client() {
+	s := c.servers[c.rnd.IntN(len(c.servers))]
+	if n := len(c.ops); n > 0 && c.rnd.IntN(4) == 0 {
+		if o := c.ops[c.rnd.IntN(n)]; !o.read && !o.answered {
+			c.call(s, o)
+			return
+		}
+	}
+	o := &op{ID: len(c.ops) + 1, read: c.rnd.IntN(2) == 0, invoked: c.now, Expected: s.state.Revision}
+	c.ops = append(c.ops, o)
+	c.call(s, o)
+}
+
+// thaw lets a frozen server go on; what reached it while frozen comes after a client's read.
+func (c *cluster) thaw(s *server) {
+	if !s.frozen {
+		return
+	}
+	s.frozen = false
+	o := &op{ID: len(c.ops) + 1, read: true, invoked: c.now}
+	c.ops = append(c.ops, o)
+	c.call(s, o)
+	c.checkLeaders()
+	inbox := s.inbox
+	s.inbox = nil
+	for _, m := range inbox {
+		c.receive(s, m)
+	}
+}
+
+// checkLeaders checks that a term has one leader and that one server at most holds a lease.
+func (c *cluster) checkLeaders() {
+	var holder ID
+	for _, s := range c.servers {
+		if s.node == nil {
+			continue
+		}
+		status := s.node.Status(c.clock(s))
+		if known, ok := c.leaders[status.Term]; status.Leads && ok && known != s.id {
+			c.t.Fatalf("term %d has the leaders %s and %s", status.Term, known, s.id)
+		}
+		if status.Leads {
+			c.leaders[status.Term] = s.id
+		}
+		if _, _, ok := s.node.Lease(c.clock(s)); !ok {
+			continue
+		}
+		if holder != (ID{}) {
+			c.t.Fatalf("%s and %s hold a lease at once", holder, s.id)
+		}
+		holder = s.id
+	}
+}
+
+// whole reports whether every server's present disk is a voter by a committed set of members.
+func (c *cluster) whole() bool {
+	return slices.ContainsFunc(c.servers, func(s *server) bool {
+		if s.node == nil {
+			return false
+		}
+		members := s.node.log.setAt(s.node.commit)
+		return !slices.ContainsFunc(c.servers, func(other *server) bool { return !members.Voter(other.id) })
+	})
+}
+
+// repair does what an operator does after a lost disk: remove the old member and add the new one.
+func (c *cluster) repair() {
+	for _, s := range c.servers {
+		if s.node == nil || s.frozen || !s.node.Status(c.clock(s)).Leads {
+			continue
+		}
+		for _, other := range c.servers {
+			member, ok := s.node.log.set().members.Find(other.name)
+			if ok && member.ID != other.id {
+				_, _, _ = s.node.Remove(c.clock(s), other.name)
+			}
+			if !ok {
+				_, _, _ = s.node.Add(c.clock(s), other.id, other.name)
+			}
+		}
+		c.carryOut(s)
+	}
+}
+
+// settle heals everything and checks that nothing accepted was lost.
+func (c *cluster) settle() {
+	c.loss = 0
+	for _, s := range c.servers {
+		s.isolated, s.crashing = false, false
+		c.start(s)
+		c.thaw(s)
+	}
+	for range 40 {
+		c.run(50 * time.Millisecond)
+		c.repair()
+	}
+	last := &op{ID: len(c.ops) + 1, Expected: -1, invoked: c.now}
+	c.ops = append(c.ops, last)
+	for range 40 {
+		for _, s := range c.servers {
+			c.call(s, last)
+		}
+		c.run(50 * time.Millisecond)
+	}
+	if !last.answered {
+		c.t.Fatalf("the healed cluster does not answer")
+	}
+	for _, s := range c.servers {
+		if s.state.Revision != c.servers[0].state.Revision || !maps.Equal(s.state.Answers, c.servers[0].state.Answers) {
+			c.t.Fatalf("%s and %s differ after healing", s.id, c.servers[0].id)
+		}
+	}
+	for _, o := range c.ops {
+		if kept, ok := c.servers[0].state.Answers[o.ID]; !o.read && o.answered && (!ok || kept != o.answer) {
+			c.t.Fatalf("operation %d was answered %+v, and the state holds %+v", o.ID, o.answer, kept)
+		}
+	}
+	if err := linearizable(c.ops); err != nil {
+		c.t.Fatalf("%v", err)
+	}
+}
+
+// linearizable checks a history of compare-and-set operations and reads by
+// their revisions: a revision is made once, and no operation that began after
+// another had returned may see a lower revision, or make the same one.
+func linearizable(ops []*op) error {
+	made := map[int64]*op{}
+	var answered []*op
+	for _, o := range ops {
+		if !o.answered {
+			continue
+		}
+		answered = append(answered, o)
+		if !o.answer.Accepted {
+			continue
+		}
+		if other := made[o.answer.Revision]; other != nil {
+			return errors.New(fmt.Sprint("operations ", o.ID, " and ", other.ID, " made revision ", o.answer.Revision))
+		}
+		made[o.answer.Revision] = o
+	}
+	for _, a := range answered {
+		for _, b := range answered {
+			if a.returned >= b.invoked {
+				continue
+			}
+			if b.answer.Revision < a.answer.Revision || b.answer.Accepted && b.answer.Revision == a.answer.Revision {
+				return errors.New(fmt.Sprintf("operation %d saw revision %d after %d had returned with %d", b.ID, b.answer.Revision, a.ID, a.answer.Revision))
+			}
+		}
+	}
+	return nil
+}
