--- a/configuration/state.go
+++ b/configuration/state.go
@@ -22,12 +22,20 @@
 	Revision int64
 }
 
+// KnownAnswer is the answer that was given to a change id.
+type KnownAnswer struct {
+	ID     string
+	Answer Answer
+}
+
 // State is the inventory in force with its revision and the answers given.
 type State struct {
 	revision  int64
 	inventory *inventory.Inventory
 	answers   map[string]Answer
+	// order holds the change ids, of which the first ones are forgotten.
 	order     []string
+	forgotten int
 }
 
 // NewState returns the state before the first change: revision zero and no inventory.
@@ -35,6 +43,26 @@
 	return &State{answers: map[string]Answer{}}
 }
 
+// RestoreState returns the state with a revision, its inventory, and the answers in the order in which they were given.
+func RestoreState(revision int64, inv *inventory.Inventory, answers []KnownAnswer) *State {
+	s := NewState()
+	s.revision = revision
+	s.inventory = inv
+	for _, known := range answers {
+		s.remember(known.ID, known.Answer)
+	}
+	return s
+}
+
+// Answers returns the answers that are kept, the oldest first.
+func (s *State) Answers() []KnownAnswer {
+	answers := make([]KnownAnswer, 0, len(s.order)-s.forgotten)
+	for _, id := range s.order[s.forgotten:] {
+		answers = append(answers, KnownAnswer{ID: id, Answer: s.answers[id]})
+	}
+	return answers
+}
+
 // Revision returns the revision in force; zero if no inventory was accepted yet.
 func (s *State) Revision() int64 { return s.revision }
 
@@ -58,9 +86,13 @@
 func (s *State) remember(id string, answer Answer) Answer {
 	s.answers[id] = answer
 	s.order = append(s.order, id)
-	if len(s.order) > maxAnswers {
-		delete(s.answers, s.order[0])
-		s.order = slices.Delete(s.order, 0, 1)
+	if len(s.order)-s.forgotten > maxAnswers {
+		delete(s.answers, s.order[s.forgotten])
+		s.forgotten++
+	}
+	if s.forgotten > maxAnswers {
+		s.order = slices.Clone(s.order[s.forgotten:])
+		s.forgotten = 0
 	}
 	return answer
 }
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -182,6 +182,9 @@
 	}
 }
 
+// HardState returns what is persisted besides the log.
+func (n *Node) HardState() HardState { return n.hard }
+
 // Status is what a node knows of itself and the quorum.
 type Status struct {
 	Self    ID
--- /dev/null
+++ b/control/codec.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"arbutusreel/consensus"
+	"arbutusreel/wiregen"
+)
+
+func encodeID(id consensus.ID) *wiregen.VoterId {
+	if id == (consensus.ID{}) {
+		return nil
+	}
+	return &wiregen.VoterId{Name: id.Name, Disk: id.Disk}
+}
+
+func decodeID(m *wiregen.VoterId) consensus.ID {
+	return consensus.ID{Name: m.GetName(), Disk: m.GetDisk()}
+}
+
+func encodeMembers(members consensus.Members) []*wiregen.ConsensusMember {
+	var all []*wiregen.ConsensusMember
+	for _, m := range members {
+		all = append(all, &wiregen.ConsensusMember{Id: encodeID(m.ID), Address: m.Address, Voter: m.Voter})
+	}
+	return all
+}
+
+func decodeMembers(all []*wiregen.ConsensusMember) consensus.Members {
+	var members consensus.Members
+	for _, m := range all {
+		members = append(members, consensus.Member{ID: decodeID(m.GetId()), Address: m.GetAddress(), Voter: m.GetVoter()})
+	}
+	return members
+}
+
+func encodeEntries(entries []consensus.Entry) []*wiregen.ConsensusEntry {
+	var all []*wiregen.ConsensusEntry
+	for _, e := range entries {
+		all = append(all, &wiregen.ConsensusEntry{Index: e.Index, Term: e.Term, Kind: int32(e.Kind), Data: e.Data, Members: encodeMembers(e.Members)})
+	}
+	return all
+}
+
+func decodeEntries(all []*wiregen.ConsensusEntry) []consensus.Entry {
+	var entries []consensus.Entry
+	for _, m := range all {
+		entries = append(entries, consensus.Entry{
+			Index: m.GetIndex(), Term: m.GetTerm(), Kind: consensus.EntryKind(m.GetKind()), Data: m.GetData(), Members: decodeMembers(m.GetMembers()),
+		})
+	}
+	return entries
+}
+
+func encodeSnapshot(s *consensus.Snapshot) *wiregen.ConsensusSnapshot {
+	if s == nil {
+		return nil
+	}
+	return &wiregen.ConsensusSnapshot{Index: s.Index, Term: s.Term, Members: encodeMembers(s.Members), Data: s.Data}
+}
+
+func decodeSnapshot(m *wiregen.ConsensusSnapshot) *consensus.Snapshot {
+	if m == nil {
+		return nil
+	}
+	return &consensus.Snapshot{Index: m.GetIndex(), Term: m.GetTerm(), Members: decodeMembers(m.GetMembers()), Data: m.GetData()}
+}
+
+func encodeMessage(m consensus.Message) *wiregen.ConsensusMessage {
+	return &wiregen.ConsensusMessage{
+		Kind: int32(m.Kind), From: encodeID(m.From), FromAddress: m.FromAddress, To: encodeID(m.To), Term: m.Term,
+		Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit, Entries: encodeEntries(m.Entries), Snapshot: encodeSnapshot(m.Snapshot),
+		Granted: m.Granted, Match: m.Match, Transfer: m.Transfer, Round: m.Round, SentAtNanos: m.SentAt.Nanoseconds(),
+	}
+}
+
+func decodeMessage(m *wiregen.ConsensusMessage) consensus.Message {
+	return consensus.Message{
+		Kind: consensus.MessageKind(m.GetKind()), From: decodeID(m.GetFrom()), FromAddress: m.GetFromAddress(), To: decodeID(m.GetTo()), Term: m.GetTerm(),
+		Index: m.GetIndex(), LogTerm: m.GetLogTerm(), Commit: m.GetCommit(), Entries: decodeEntries(m.GetEntries()), Snapshot: decodeSnapshot(m.GetSnapshot()),
+		Granted: m.GetGranted(), Match: m.GetMatch(), Transfer: m.GetTransfer(), Round: m.GetRound(), SentAt: time.Duration(m.GetSentAtNanos()),
+	}
+}
+
+// marshal encodes m; messages made of scalars and messages always can be.
+func marshal(m proto.Message) []byte {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+func encodeRecord(hard *consensus.HardState, entries []consensus.Entry) []byte {
+	m := &wiregen.JournalRecord{Entries: encodeEntries(entries)}
+	if hard != nil {
+		m.HardState = &wiregen.HardStateRecord{Term: hard.Term, Vote: encodeID(hard.Vote)}
+	}
+	return marshal(m)
+}
--- a/control/control.go
+++ b/control/control.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -12,6 +13,8 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
+	"arbutusreel/journal"
+	"arbutusreel/relay"
 	"arbutusreel/wiregen"
 )
 
@@ -20,66 +23,156 @@
 
 // Control is one control daemon.
 type Control struct {
-	wiregen.UnimplementedConfigurationServer
-
-	cfg       Config
-	log       zerolog.Logger
-	now       func() time.Time
-	store     Store
-	followers *followers
-	stopping  context.Context
-	stop      context.CancelFunc
-	done      chan struct{}
+	wiregen.UnimplementedConsensusServer
+
+	cfg    Config
+	log    zerolog.Logger
+	now    func() time.Time
+	hub    *relay.Hub
+	quorum *quorum
+	store  Store
+	done   chan struct{}
 }
 
 // New returns a control daemon that runs when Run is called.
 func New(cfg Config, log zerolog.Logger, now func() time.Time) *Control {
-	leader, _, _ := strings.Cut(cfg.Voters[0], "=")
-	stopping, stop := context.WithCancel(context.Background())
-	return &Control{
-		cfg:       cfg,
-		log:       log,
-		now:       now,
-		store:     newMemoryStore(cfg.Name, leader),
-		followers: newFollowers(),
-		stopping:  stopping,
-		stop:      stop,
-		done:      make(chan struct{}),
-	}
+	return &Control{cfg: cfg, log: log, now: now, hub: relay.NewHub(cfg.Name, now), done: make(chan struct{})}
 }
 
 // Done is closed when the daemon has stopped.
 func (c *Control) Done() <-chan struct{} { return c.done }
 
-// Run serves until ctx ends; an address that cannot be served is returned as an error.
+// Run serves until ctx ends. An address that cannot be served, a data folder
+// that cannot be read and a disk that fails are returned as errors.
 func (c *Control) Run(ctx context.Context) error {
 	defer close(c.done)
-	defer c.stop()
-	var config net.ListenConfig
-	operators, err := config.Listen(ctx, "tcp", c.cfg.OperatorAddress)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	folder, err := journal.OpenFolder(c.cfg.DataFolder)
 	if err != nil {
 		return err
 	}
-	peers, err := config.Listen(ctx, "tcp", c.cfg.PeerAddress)
+	defer func() { _ = folder.Close() }()
+	links := newLinks(work, c.log)
+	if err := c.open(folder, links); err != nil {
+		return err
+	}
+	servers, err := c.listen(ctx, work.Done())
 	if err != nil {
 		return err
 	}
-	operatorServer := &http.Server{Handler: c.operatorHandler(), ReadHeaderTimeout: headerTimeout}
-	peerServer := grpc.NewServer()
-	wiregen.RegisterConfigurationServer(peerServer, c)
 	var wg sync.WaitGroup
+	servers.start(&wg, c.log)
+	failed := make(chan error, 1)
+	wg.Go(func() { failed <- c.quorum.run(work) })
+	wg.Go(func() { c.watchLeader(work) })
+	c.log.Info().Str("operatorAddress", c.cfg.OperatorAddress).Str("disk", c.quorum.disk.identity).
+		Int64("revision", c.store.Current().Revision).Msg("started")
+	select {
+	case <-ctx.Done():
+		c.handOver(work)
+	case err = <-failed:
+	}
+	stop()
+	servers.stop()
+	wg.Wait()
+	links.wg.Wait()
+	c.log.Info().Err(err).Msg("stopped")
+	return err
+}
+
+// open reads the data folder and makes the voter.
+func (c *Control) open(files journal.Files, l *links) error {
+	if !c.cfg.Join && !slices.ContainsFunc(c.cfg.Voters, func(v string) bool { return strings.HasPrefix(v, c.cfg.Name+"=") }) {
+		return &VoterMissingError{Name: c.cfg.Name, Voters: c.cfg.Voters}
+	}
+	d, restored, err := openDisk(files)
+	if err != nil {
+		return err
+	}
+	accepted := func(revision int64, whole []byte) { c.hub.Put(revision, whole) }
+	c.quorum = newQuorum(c.cfg, d, restored, l, accepted, c.log, c.now)
+	c.store = c.quorum
+	return nil
+}
+
+// watchLeader tells the followers how old this voter's word of a leader is.
+func (c *Control) watchLeader(ctx context.Context) {
+	t := time.NewTicker(c.cfg.Heartbeat)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			if status := c.store.Status(); status.Leader.Name != "" {
+				c.hub.HeardLeader(status.Heard)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// handOver gives leadership away before a planned stop and lets the message leave.
+func (c *Control) handOver(ctx context.Context) {
+	if !c.store.Status().Leads {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.ElectionTimeout)
+	defer cancel()
+	c.quorum.transfer(ctx)
+	for c.store.Status().Leader.Name == "" && ctx.Err() == nil {
+		t := time.NewTimer(c.cfg.Heartbeat)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// servers are the daemon's listeners with what serves them.
+type servers struct {
+	operators        *http.Server
+	operatorListener net.Listener
+	peers            *grpc.Server
+	peerListener     net.Listener
+}
+
+func (c *Control) listen(ctx context.Context, done <-chan struct{}) (*servers, error) {
+	var config net.ListenConfig
+	operators, err := config.Listen(ctx, "tcp", c.cfg.OperatorAddress)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := config.Listen(ctx, "tcp", c.cfg.PeerAddress)
+	if err != nil {
+		_ = operators.Close()
+		return nil, err
+	}
+	s := &servers{
+		operators:        &http.Server{Handler: c.operatorHandler(), ReadHeaderTimeout: headerTimeout},
+		operatorListener: operators,
+		peers:            grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes)),
+		peerListener:     peers,
+	}
+	wiregen.RegisterConfigurationServer(s.peers, relay.NewServer(c.hub, done))
+	wiregen.RegisterConsensusServer(s.peers, c)
+	return s, nil
+}
+
+func (s *servers) start(wg *sync.WaitGroup, log zerolog.Logger) {
 	wg.Go(func() {
-		if err := operatorServer.Serve(operators); !errors.Is(err, http.ErrServerClosed) {
-			c.log.Error().Err(err).Msg("operatorServerFailed")
+		if err := s.operators.Serve(s.operatorListener); !errors.Is(err, http.ErrServerClosed) {
+			log.Error().Err(err).Msg("operatorServerFailed")
 		}
 	})
-	wg.Go(func() { _ = peerServer.Serve(peers) })
-	c.log.Info().Str("operatorAddress", c.cfg.OperatorAddress).Msg("started")
-	<-ctx.Done()
-	c.stop()
-	_ = operatorServer.Shutdown(context.WithoutCancel(ctx))
-	peerServer.GracefulStop()
-	wg.Wait()
-	c.log.Info().Msg("stopped")
-	return nil
+	wg.Go(func() { _ = s.peers.Serve(s.peerListener) })
+}
+
+// stop answers the operators' requests in progress and cuts the peers' streams, which are resumed elsewhere.
+func (s *servers) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), decisionTimeout)
+	defer cancel()
+	_ = s.operators.Shutdown(ctx)
+	s.peers.Stop()
 }
--- /dev/null
+++ b/control/disk.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"crypto/rand"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"arbutusreel/consensus"
+	"arbutusreel/journal"
+	"arbutusreel/wiregen"
+)
+
+// disk persists what a voter must remember.
+type disk struct {
+	journal  *journal.Journal
+	identity string
+}
+
+// openDisk opens the journal in the files and returns what the voter remembers; an empty one gets a random identity.
+func openDisk(files journal.Files) (*disk, consensus.Restored, error) {
+	j, contents, err := journal.Open(files, rand.Text())
+	if err != nil {
+		return nil, consensus.Restored{}, err
+	}
+	r, err := restore(contents)
+	return &disk{journal: j, identity: contents.Identity}, r, err
+}
+
+func restore(contents journal.Contents) (consensus.Restored, error) {
+	var r consensus.Restored
+	if contents.Snapshot != nil {
+		m := &wiregen.ConsensusSnapshot{}
+		if err := proto.Unmarshal(contents.Snapshot, m); err != nil {
+			return r, &RecordError{Record: "snapshot", Cause: err}
+		}
+		r.Snapshot = decodeSnapshot(m)
+	}
+	for _, record := range contents.Records {
+		m := &wiregen.JournalRecord{}
+		if err := proto.Unmarshal(record, m); err != nil {
+			return r, &RecordError{Record: "journal record", Cause: err}
+		}
+		if hard := m.GetHardState(); hard != nil {
+			r.HardState = consensus.HardState{Term: hard.GetTerm(), Vote: decodeID(hard.GetVote())}
+		}
+		r.Entries = replaceFrom(r.Entries, decodeEntries(m.GetEntries()))
+	}
+	return r, nil
+}
+
+// replaceFrom appends entries in place of those from the first one's index on.
+func replaceFrom(entries, with []consensus.Entry) []consensus.Entry {
+	if len(with) == 0 {
+		return entries
+	}
+	n, _ := slices.BinarySearchFunc(entries, with[0].Index, func(e consensus.Entry, index int64) int { return int(e.Index - index) })
+	return append(entries[:n:n], with...)
+}
+
+// save makes what must be persisted last.
+func (d *disk) save(a consensus.Actions, hard consensus.HardState) error {
+	if a.Install != nil {
+		return d.replace(consensus.Restored{HardState: hard, Snapshot: a.Install, Entries: a.Entries})
+	}
+	if !a.Persists() {
+		return nil
+	}
+	if err := d.journal.Append(encodeRecord(a.HardState, a.Entries)); err != nil {
+		return err
+	}
+	return d.journal.Sync()
+}
+
+// replace makes a snapshot and what follows it the whole journal.
+func (d *disk) replace(r consensus.Restored) error {
+	return d.journal.Compact(marshal(encodeSnapshot(r.Snapshot)), encodeRecord(&r.HardState, r.Entries))
+}
--- /dev/null
+++ b/control/links.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"arbutusreel/consensus"
+	"arbutusreel/ring"
+	"arbutusreel/wiregen"
+)
+
+const (
+	linkMessages = 256
+	linkBackoff  = 100 * time.Millisecond
+	// maxMessageBytes bounds one message between voters, which may hold a snapshot.
+	maxMessageBytes = 128 << 20
+	// linkIdle is the time after which a link that has nothing to send is closed.
+	linkIdle = 30 * time.Second
+)
+
+// links carries messages to the other voters, with one goroutine for each address.
+type links struct {
+	ctx context.Context
+	log zerolog.Logger
+	wg  sync.WaitGroup
+
+	mu    sync.Mutex
+	rings map[string]*ring.Ring[*wiregen.ConsensusMessage]
+}
+
+func newLinks(ctx context.Context, log zerolog.Logger) *links {
+	return &links{ctx: ctx, log: log, rings: map[string]*ring.Ring[*wiregen.ConsensusMessage]{}}
+}
+
+// send passes on a message; one for a link that is full is dropped, as consensus repeats what matters.
+func (l *links) send(m consensus.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.rings[m.ToAddress]
+	if r == nil {
+		r = ring.New[*wiregen.ConsensusMessage](linkMessages)
+		l.rings[m.ToAddress] = r
+		l.wg.Go(func() { l.run(m.ToAddress, r) })
+	}
+	r.Offer(encodeMessage(m))
+}
+
+// run keeps a stream to an address until the link has been idle or the links end.
+func (l *links) run(address string, r *ring.Ring[*wiregen.ConsensusMessage]) {
+	for l.ctx.Err() == nil {
+		idle, err := l.stream(address, r)
+		if err != nil && l.ctx.Err() == nil {
+			l.log.Debug().Str("voter", address).Err(err).Msg("voterUnreachable")
+		}
+		if idle && l.forget(address, r) {
+			return
+		}
+		t := time.NewTimer(linkBackoff)
+		select {
+		case <-t.C:
+		case <-l.ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// forget removes an empty link and reports whether it did.
+func (l *links) forget(address string, r *ring.Ring[*wiregen.ConsensusMessage]) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Len() > 0 {
+		return false
+	}
+	delete(l.rings, address)
+	return true
+}
+
+// stream sends the messages of one connection; idle says that it ended for want of messages.
+func (l *links) stream(address string, r *ring.Ring[*wiregen.ConsensusMessage]) (idle bool, err error) {
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return false, err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(l.ctx)
+	defer cancel()
+	messages, err := wiregen.NewConsensusClient(conn).Deliver(ctx)
+	if err != nil {
+		return false, err
+	}
+	for {
+		waiting, stop := context.WithTimeout(ctx, linkIdle)
+		m, err := r.Take(waiting)
+		stop()
+		if err != nil {
+			return true, l.ctx.Err()
+		}
+		if err := messages.Send(m); err != nil {
+			return false, err
+		}
+	}
+}
+
+// Deliver takes the messages of another voter.
+func (c *Control) Deliver(messages grpc.ClientStreamingServer[wiregen.ConsensusMessage, wiregen.DeliverReply]) error {
+	for {
+		m, err := messages.Recv()
+		if errors.Is(err, io.EOF) {
+			return messages.SendAndClose(&wiregen.DeliverReply{})
+		}
+		if err != nil {
+			return err
+		}
+		decoded := decodeMessage(m)
+		if err := c.quorum.input(messages.Context(), func(now time.Time) { c.quorum.node.Receive(now, decoded) }); err != nil {
+			return err
+		}
+	}
+}
+
+// Identify returns this daemon's name and disk.
+func (c *Control) Identify(context.Context, *wiregen.IdentifyRequest) (*wiregen.VoterId, error) {
+	return &wiregen.VoterId{Name: c.cfg.Name, Disk: c.quorum.disk.identity}, nil
+}
--- a/control/operators.go
+++ b/control/operators.go
@@ -22,6 +22,9 @@
 	mux.HandleFunc("POST /v1/inventory", c.operator(c.apply))
 	mux.HandleFunc("GET /v1/inventory", c.operator(c.get))
 	mux.HandleFunc("GET /v1/status", c.operator(c.status))
+	mux.HandleFunc("GET /v1/members", c.operator(c.members))
+	mux.HandleFunc("POST /v1/members/add", c.operator(c.addMember))
+	mux.HandleFunc("POST /v1/members/remove", c.operator(c.removeMember))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", c.ready)
 	return mux
@@ -56,15 +59,23 @@
 	_, _ = w.Write(b)
 }
 
-// apply proposes a change of the inventory.
-func (c *Control) apply(r *http.Request) (proto.Message, error) {
+// decode reads a request's JSON into m.
+func (c *Control) decode(r *http.Request, m proto.Message) error {
 	b, err := io.ReadAll(r.Body)
 	if err != nil {
-		return nil, problem.New(problem.BodyTooLarge, http.StatusRequestEntityTooLarge, "an inventory has at most %d bytes", c.cfg.MaxInventoryBytes)
+		return problem.New(problem.BodyTooLarge, http.StatusRequestEntityTooLarge, "a request has at most %d bytes", c.cfg.MaxInventoryBytes)
 	}
-	m := &wiregen.ApplyRequest{}
 	if err := wire.DecodeJSON(b, m); err != nil {
-		return nil, problem.New(problem.MalformedRequest, http.StatusBadRequest, "%s", err.Error())
+		return problem.New(problem.MalformedRequest, http.StatusBadRequest, "%s", err.Error())
+	}
+	return nil
+}
+
+// apply proposes a change of the inventory.
+func (c *Control) apply(r *http.Request) (proto.Message, error) {
+	m := &wiregen.ApplyRequest{}
+	if err := c.decode(r, m); err != nil {
+		return nil, err
 	}
 	if m.GetChangeId() == "" {
 		return nil, problem.New(problem.MalformedRequest, http.StatusBadRequest, "field %q is required", "changeId")
@@ -85,8 +96,11 @@
 	return &wiregen.ApplyReply{Revision: answer.Revision}, nil
 }
 
-// get answers the inventory in force.
-func (c *Control) get(*http.Request) (proto.Message, error) {
+// get answers the inventory in force, from the leader alone.
+func (c *Control) get(r *http.Request) (proto.Message, error) {
+	if err := c.store.Confirm(r.Context()); err != nil {
+		return nil, err
+	}
 	current := c.store.Current()
 	reply := &wiregen.InventoryReply{Revision: current.Revision}
 	if current.Inventory != nil {
@@ -95,23 +109,27 @@
 	return reply, nil
 }
 
-// status answers the leader and the revision in force at each instance.
-func (c *Control) status(*http.Request) (proto.Message, error) {
-	leader, term := c.store.Leader()
-	reply := &wiregen.StatusReply{Name: c.cfg.Name, Leader: leader, Term: term, Revision: c.store.Current().Revision, Voters: c.cfg.Voters}
-	for _, f := range c.followers.all() {
+// status answers the leader and the revision in force at each instance; a
+// voter that is not known to be current answers what it knows, and says so.
+func (c *Control) status(r *http.Request) (proto.Message, error) {
+	err := c.store.Confirm(r.Context())
+	known := c.store.Status()
+	reply := &wiregen.StatusReply{
+		Name: c.cfg.Name, Leader: known.Leader.Name, Term: known.Term, Revision: c.store.Current().Revision,
+		Members: memberStatuses(known.Members), Current: err == nil,
+	}
+	for _, i := range c.instances(r.Context()) {
 		reply.Instances = append(reply.Instances, &wiregen.InstanceStatus{
-			Name:      f.name,
-			Region:    f.region,
-			Revision:  f.revision,
-			AgeMillis: c.now().Sub(f.at).Milliseconds(),
+			Name: i.Name, Region: i.Region, Revision: i.Revision,
+			AgeMillis: c.now().Sub(i.At).Milliseconds(),
+			LagMillis: c.lag(i).Milliseconds(),
 		})
 	}
 	return reply, nil
 }
 
 func (c *Control) ready(w http.ResponseWriter, _ *http.Request) {
-	if leader, _ := c.store.Leader(); leader == "" {
+	if c.store.Status().Leader.Name == "" {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	_, _ = io.WriteString(w, "\n")
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -52,6 +52,12 @@
 	QuorumUnavailable  Code = "quorumUnavailable"
 	HomeRegionRequired Code = "homeRegionUnreachable"
 	ReaderStopped      Code = "readerStopped"
+	ChangeUnknown      Code = "changeOutcomeUnknown"
+	MemberExists       Code = "memberExists"
+	UnknownMember      Code = "unknownMember"
+	MemberUnreachable  Code = "memberUnreachable"
+	ChangePending      Code = "changePending"
+	QuorumAtRisk       Code = "quorumAtRisk"
 	Internal           Code = "internal"
 )
 
--- /dev/null
+++ b/relay/follower.go
@@ -0,0 +1,220 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"arbutusreel/distribution"
+	"arbutusreel/wiregen"
+)
+
+// Periods and limits of a follower.
+const (
+	retryPeriod   = 300 * time.Millisecond
+	silenceLimit  = 3 * time.Second
+	staleLimit    = 5 * time.Second
+	latestTimeout = time.Second
+	reportCheck   = 200 * time.Millisecond
+	reportPeriod  = time.Second
+	// preferPeriod is the time after which a follower goes back to a source that it prefers.
+	preferPeriod = 10 * time.Second
+)
+
+// maxUpdateBytes bounds one update on the wire.
+const maxUpdateBytes = 128 << 20
+
+// Follower keeps a hub up to date.
+type Follower struct {
+	hub *Hub
+	// sources returns the addresses to follow, the preferred one first.
+	sources func() []string
+	// adopt takes an encoded inventory into force at this instance.
+	adopt func(revision int64, whole []byte, source string) error
+	// self returns the instance with the revision that it has in force.
+	self func() distribution.Instance
+	log  zerolog.Logger
+	// wantsWhole says that a delta did not fit, so that the next source is asked for the whole.
+	wantsWhole atomic.Bool
+}
+
+// NewFollower returns a follower of the sources; see the fields of Follower.
+func NewFollower(hub *Hub, sources func() []string, adopt func(int64, []byte, string) error, self func() distribution.Instance, log zerolog.Logger) *Follower {
+	return &Follower{hub: hub, sources: sources, adopt: adopt, self: self, log: log}
+}
+
+// Run asks all sources for the highest revision and then follows one after another until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.askAll(ctx, f.sources())
+	for ctx.Err() == nil {
+		f.followFirst(ctx, f.sources())
+		pause(ctx, retryPeriod)
+	}
+}
+
+// followFirst follows the first source that is connected to a leader.
+func (f *Follower) followFirst(ctx context.Context, sources []string) {
+	for _, address := range sources {
+		err := f.follow(ctx, address)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		f.log.Warn().Str("source", address).Err(err).Msg("sourceLeft")
+		pause(ctx, retryPeriod)
+	}
+}
+
+// askAll takes the highest revision that any source answers within latestTimeout.
+func (f *Follower) askAll(ctx context.Context, sources []string) {
+	ctx, cancel := context.WithTimeout(ctx, latestTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	answers := make(chan *wiregen.FollowUpdate, len(sources))
+	for _, address := range sources {
+		wg.Go(func() {
+			if m, err := f.ask(ctx, address); err == nil {
+				answers <- m
+			}
+		})
+	}
+	wg.Wait()
+	close(answers)
+	var highest *wiregen.FollowUpdate
+	for m := range answers {
+		if highest == nil || m.GetRevision() > highest.GetRevision() {
+			highest = m
+		}
+	}
+	if highest == nil {
+		return
+	}
+	if err := f.take(highest); err != nil {
+		f.log.Error().Err(err).Int64("revision", highest.GetRevision()).Msg("inventoryRefused")
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, address string) (*wiregen.FollowUpdate, error) {
+	conn, err := dial(address)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	revision, checksum := f.held()
+	return wiregen.NewConfigurationClient(conn).Latest(ctx, &wiregen.LatestRequest{Revision: revision, Checksum: checksum})
+}
+
+func dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxUpdateBytes)))
+}
+
+// follow takes what one source sends. It returns nil when a preferred source
+// should be tried again, and an error when the stream ends, falls silent or
+// comes from a source without a leader.
+func (f *Follower) follow(ctx context.Context, address string) error {
+	conn, err := dial(address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silenceLimit, cancel)
+	defer silence.Stop()
+	updates, err := wiregen.NewConfigurationClient(conn).Follow(ctx)
+	if err != nil {
+		return err
+	}
+	sender := distribution.NewSender()
+	if err := updates.Send(f.firstReport(sender)); err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { f.report(ctx, sender, updates) })
+	for began := f.hub.now(); f.hub.now().Sub(began) < preferPeriod || f.sources()[0] == address; {
+		update, err := updates.Recv()
+		if err != nil && !silence.Stop() {
+			return &SilentSourceError{Address: address, Limit: silenceLimit}
+		}
+		if err != nil {
+			return err
+		}
+		silence.Reset(silenceLimit)
+		if err := f.take(update); err != nil {
+			return err
+		}
+		if age := time.Duration(update.GetLeaderAgeMillis()) * time.Millisecond; age > staleLimit {
+			return &StaleSourceError{Address: address, Age: age}
+		}
+	}
+	return nil
+}
+
+// take takes an update into force; if its deltas do not fit, the hub's own state is left as it is.
+func (f *Follower) take(m *wiregen.FollowUpdate) error {
+	f.hub.HeardLeader(f.hub.now().Add(-time.Duration(m.GetLeaderAgeMillis()) * time.Millisecond))
+	whole, changed, err := f.hub.take(decodeUpdate(m))
+	f.wantsWhole.Store(err != nil)
+	if err != nil || !changed {
+		return err
+	}
+	return f.adopt(m.GetRevision(), whole, m.GetSource())
+}
+
+// held returns the revision in force and its checksum; zero as the checksum asks for the whole.
+func (f *Follower) held() (revision int64, checksum uint64) {
+	revision, checksum = f.hub.Revision()
+	if f.wantsWhole.Load() {
+		return revision, 0
+	}
+	return revision, checksum
+}
+
+func (f *Follower) firstReport(sender *distribution.Sender) *wiregen.FollowReport {
+	m := f.nextReport(sender)
+	if m == nil {
+		m = &wiregen.FollowReport{}
+	}
+	m.Revision, m.Checksum = f.held()
+	return m
+}
+
+// nextReport returns the report that is due, or nil.
+func (f *Follower) nextReport(sender *distribution.Sender) *wiregen.FollowReport {
+	now := f.hub.now()
+	self := f.self()
+	f.hub.Report(self)
+	r, ok := sender.Next(now, self.Revision, f.hub.Instances(), reportPeriod)
+	if !ok {
+		return nil
+	}
+	return encodeReport(now, r)
+}
+
+// report sends reports until the stream ends.
+func (f *Follower) report(ctx context.Context, sender *distribution.Sender, updates grpc.BidiStreamingClient[wiregen.FollowReport, wiregen.FollowUpdate]) {
+	for ctx.Err() == nil {
+		pause(ctx, reportCheck)
+		if m := f.nextReport(sender); m != nil && updates.Send(m) != nil {
+			return
+		}
+	}
+}
+
+// pause returns after d or when ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
