--- a/inventory/check.go
+++ b/inventory/check.go
@@ -57,12 +57,17 @@
 	return names
 }
 
+// exists checks that a name is defined.
+func exists[T any](c *checker, path, kind, name string, defined map[string]T) {
+	if _, ok := defined[name]; !ok {
+		c.add(path, name, "no "+kind+" has this name")
+	}
+}
+
 // exist checks that each name of a list is defined.
 func exist[T any](c *checker, path, kind string, names []string, defined map[string]T) {
 	for i, name := range names {
-		if _, ok := defined[name]; !ok {
-			c.add(fmt.Sprintf("%s[%d]", path, i), name, "no "+kind+" has this name")
-		}
+		exists(c, fmt.Sprintf("%s[%d]", path, i), kind, name, defined)
 	}
 }
 
@@ -93,7 +98,8 @@
 func (c *checker) links() {
 	for i, l := range c.inv.contents.Links {
 		path := fmt.Sprintf("links[%d]", i)
-		exist(c, path+".ends", "region", []string{l.From, l.To}, c.inv.regions)
+		exists(c, path+".from", "region", l.From, c.inv.regions)
+		exists(c, path+".to", "region", l.To, c.inv.regions)
 		if l.From == l.To {
 			c.add(path+".to", l.To, "a link joins two regions")
 		}
@@ -156,9 +162,9 @@
 	seen := map[string]bool{}
 	for i, t := range c.inv.contents.Teams {
 		path := fmt.Sprintf("teams[%d]", i)
-		exist(c, path+".homeRegion", "region", []string{t.HomeRegion}, c.inv.regions)
+		exists(c, path+".homeRegion", "region", t.HomeRegion, c.inv.regions)
 		exist(c, path+".classes", "class", t.Classes, c.inv.classes)
-		exist(c, path+".defaultClass", "class", []string{t.DefaultClass}, c.inv.classes)
+		exists(c, path+".defaultClass", "class", t.DefaultClass, c.inv.classes)
 		exist(c, path+".labels", "label", t.Labels, c.inv.labels)
 		c.atLeastZero(path+".tokensPerSecond", t.TokensPerSecond)
 		c.atLeastZero(path+".weight", t.Weight)
--- /dev/null
+++ b/inventory/inventory_test.go
@@ -0,0 +1,83 @@
+package inventory
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// valid returns contents without a fault.
+func valid() Contents {
+	return Contents{
+		Regions:  []Region{{Name: "north", FailureDomains: []string{"north-a"}}, {Name: "south"}},
+		Links:    []Link{{From: "north", To: "south", BytesPerSecond: 1}},
+		Labels:   []Label{{Name: "bound", AllowedRegions: []string{"north"}}},
+		Models:   []Model{{Name: "m"}},
+		Services: []Service{{Name: "s", Models: []string{"m"}}, {Name: "desk", Kind: KindPlain}},
+		Classes:  []Class{{Name: "c", Patience: 1}},
+		Teams: []Team{{
+			Name:             "t",
+			HomeRegion:       "north",
+			CredentialDigest: strings.Repeat("ab", digestBytes),
+			DefaultClass:     "c",
+			Labels:           []string{"bound"},
+		}},
+	}
+}
+
+func TestNewNamesThePathOfEachFault(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(c *Contents)
+		want   []string
+	}{
+		{name: "valid", change: func(*Contents) {}},
+		{name: "no region", change: func(c *Contents) { *c = Contents{} }, want: []string{"regions"}},
+		{name: "name used twice", change: func(c *Contents) { c.Models = append(c.Models, c.Models[0]) }, want: []string{"models[1].name"}},
+		{name: "link to itself", change: func(c *Contents) { c.Links[0].To = "north" }, want: []string{"links[0].to"}},
+		{name: "unknown region of a label", change: func(c *Contents) { c.Labels[0].AllowedRegions[0] = "west" }, want: []string{"labels[0].allowedRegions[0]"}},
+		{name: "label without a region", change: func(c *Contents) { c.Labels[0].AllowedRegions = nil }, want: []string{"labels[0].allowedRegions"}},
+		{name: "unknown model of a service", change: func(c *Contents) { c.Services[0].Models[0] = "x" }, want: []string{"services[0].models[0]"}},
+		{name: "models of a plain service", change: func(c *Contents) { c.Services[1].Models = []string{"m"} }, want: []string{"services[1].models"}},
+		{name: "class without patience", change: func(c *Contents) { c.Classes[0].Patience = 0 }, want: []string{"classes[0].patienceMillis"}},
+		{name: "unknown home", change: func(c *Contents) { c.Teams[0].HomeRegion = "west" }, want: []string{"teams[0].homeRegion"}},
+		{name: "short digest", change: func(c *Contents) { c.Teams[0].CredentialDigest = "ab" }, want: []string{"teams[0].credentialDigest"}},
+		{name: "share above one", change: func(c *Contents) { c.Rules.RetryBudget = 1.5 }, want: []string{"rules.retryBudget"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			contents := valid()
+			c.change(&contents)
+			_, err := New(contents)
+			var faults Faults
+			errors.As(err, &faults)
+			var got []string
+			for _, f := range faults {
+				got = append(got, f.Path)
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("paths of the faults (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestWithRulesLeavesTheOriginal(t *testing.T) {
+	inv, err := New(valid())
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed, err := inv.WithRules(Rules{Headroom: 0.5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if inv.Rules().Headroom != 0 || changed.Rules().Headroom != 0.5 {
+		t.Errorf("headroom is %v before and %v after", inv.Rules().Headroom, changed.Rules().Headroom)
+	}
+	if got := inv.ServicesOfModel("m"); !slices.Equal(got, []string{"s"}) {
+		t.Errorf("services of the model are %q", got)
+	}
+}
