Send an engine where a resumed attempt begins

dispatch.Attempt carries the number of the attempt, the position of its first piece and the text of all pieces before it; the engine's request body carries them as the field resume. The dispatcher still makes one attempt only; nothing resumes yet, and the stand-in engine ignores the field.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -25,9 +25,9 @@
 	Summaries() []membership.Summary
 }
 
-// Models sends a request to a model engine and its pieces to the sink.
+// Models sends one attempt of a request to a model engine and its pieces to the sink.
 type Models interface {
-	Generate(ctx context.Context, e membership.Endpoint, r Request, attempt int, sink stream.Sink) (stream.End, error)
+	Generate(ctx context.Context, e membership.Endpoint, r Request, attempt Attempt, sink stream.Sink) (stream.End, error)
 }
 
 // Plain sends a call to an endpoint of a plain service, once.
@@ -66,7 +66,7 @@
 	e, ok := d.choose(r)
 	if ok {
 		defer d.chooser.Done(e.Name)
-		return d.models.Generate(ctx, e, r, 0, sink)
+		return d.models.Generate(ctx, e, r, Attempt{}, sink)
 	}
 	region, err := d.away(r)
 	if err != nil {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -55,6 +55,16 @@
 	return slices.ContainsFunc(r.Via, func(h Hop) bool { return h.Region != region })
 }
 
+// Attempt is one try of a model request; a resumed one begins after the text that earlier attempts have sent.
+type Attempt struct {
+	// Number counts the attempts of a request in an instance, from zero.
+	Number int
+	// Next is the position of the first piece that the attempt is to send.
+	Next int
+	// Text is the text of all pieces before Next.
+	Text string
+}
+
 // Reply is the whole answer of a plain service.
 type Reply struct {
 	Status      int
--- a/endpoint/model.go
+++ b/endpoint/model.go
@@ -42,8 +42,8 @@
 }
 
 // Generate sends the request to the engine and its pieces to the sink; a stream that stops early returns *stream.IncompleteError.
-func (m *Models) Generate(ctx context.Context, e membership.Endpoint, r dispatch.Request, attempt int, sink stream.Sink) (stream.End, error) {
-	body, err := streamingBody(r.Body)
+func (m *Models) Generate(ctx context.Context, e membership.Endpoint, r dispatch.Request, attempt dispatch.Attempt, sink stream.Sink) (stream.End, error) {
+	body, err := engineBody(r.Body, attempt)
 	if err != nil {
 		return stream.End{}, err
 	}
@@ -55,7 +55,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(requestIDHeader, r.CorrelationID)
-	req.Header.Set(attemptHeader, strconv.Itoa(attempt))
+	req.Header.Set(attemptHeader, strconv.Itoa(attempt.Number))
 	resp, err := m.client.Do(req)
 	if err != nil {
 		return stream.End{}, &UnreachableError{Endpoint: e.Name, Cause: err}
@@ -64,16 +64,35 @@
 	if resp.StatusCode != http.StatusOK {
 		return stream.End{}, refusal(e, resp)
 	}
-	return readEvents(resp.Body, stream.NewOrder(r.CorrelationID, attempt, 0), r.CorrelationID, attempt, sink)
+	return readEvents(resp.Body, stream.NewOrder(r.CorrelationID, attempt.Number, attempt.Next), r.CorrelationID, attempt.Number, sink)
 }
 
-// streamingBody returns the body with streaming asked for, whatever the caller asked.
-func streamingBody(body []byte) ([]byte, error) {
+// resume asks an engine to go on after the text that an earlier attempt has sent.
+func resume(attempt dispatch.Attempt) ([]byte, error) {
+	text, err := json.Marshal(attempt.Text)
+	if err != nil {
+		return nil, &completion.MalformedError{Cause: err}
+	}
+	return json.Marshal(map[string]json.RawMessage{
+		"position": json.RawMessage(strconv.Itoa(attempt.Next)),
+		"text":     text,
+	})
+}
+
+// engineBody returns the body with streaming asked for, whatever the caller asked, from the attempt's first piece on.
+func engineBody(body []byte, attempt dispatch.Attempt) ([]byte, error) {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, &completion.MalformedError{Cause: err}
 	}
 	fields["stream"] = json.RawMessage("true")
+	if attempt.Next > 0 {
+		from, err := resume(attempt)
+		if err != nil {
+			return nil, err
+		}
+		fields["resume"] = from
+	}
 	return json.Marshal(fields)
 }
 
