Check the end of an answer against its pieces, and drop foreign events

An engine's end event of another request or attempt, or one that counts more pieces than were accepted, closed an answer as whole. Events now bear the attempt, an end must belong to the attempt and count its pieces, a piece without a position or after the end fails the attempt.

A window that puts reordered pieces back in order was ruled out: a gap is a fault of the engine, and the attempt resumes elsewhere from the pieces already sent.

--- a/completion/answer.go
+++ b/completion/answer.go
@@ -12,6 +12,7 @@
 	Object   string   `json:"object"`
 	Model    string   `json:"model"`
 	Position *int     `json:"position,omitempty"`
+	Attempt  *int     `json:"attempt,omitempty"`
 	Choices  []choice `json:"choices"`
 	Usage    *usage   `json:"usage,omitempty"`
 }
@@ -39,11 +40,12 @@
 // Done is the data of the last event of a streamed answer.
 const Done = "[DONE]"
 
-// Answer writes the answer of one request.
+// Answer writes the answer of one request; its events bear the attempt only if there is one.
 type Answer struct {
-	Kind  Kind
-	ID    string
-	Model string
+	Kind    Kind
+	ID      string
+	Model   string
+	Attempt *int
 }
 
 // Chunk returns the event of a piece.
@@ -54,7 +56,9 @@
 	} else {
 		c.Text = &p.Text
 	}
-	return encode(chunk{ID: a.ID, Object: a.object(".chunk"), Model: a.Model, Position: &p.Position, Choices: []choice{c}})
+	m := a.message(".chunk", c)
+	m.Position = &p.Position
+	return encode(m)
 }
 
 // End returns the event that ends a streamed answer, which Done follows.
@@ -63,7 +67,9 @@
 	if a.Kind == Chat {
 		c.Delta = &content{}
 	}
-	return encode(chunk{ID: a.ID, Object: a.object(".chunk"), Model: a.Model, Choices: []choice{c}, Usage: usageOf(e)})
+	m := a.message(".chunk", c)
+	m.Usage = usageOf(e)
+	return encode(m)
 }
 
 // Whole returns an answer that is not streamed.
@@ -74,7 +80,13 @@
 	} else {
 		c.Text = &text
 	}
-	return encode(chunk{ID: a.ID, Object: a.object(""), Model: a.Model, Choices: []choice{c}, Usage: usageOf(e)})
+	m := a.message("", c)
+	m.Usage = usageOf(e)
+	return encode(m)
+}
+
+func (a Answer) message(suffix string, c choice) chunk {
+	return chunk{ID: a.ID, Object: a.object(suffix), Model: a.Model, Attempt: a.Attempt, Choices: []choice{c}}
 }
 
 func (a Answer) object(suffix string) string {
@@ -104,10 +116,15 @@
 // Event is what DecodeChunk read: a piece of text, the end of the answer, or both.
 type Event struct {
 	ID           string
+	Attempt      int
+	HasAttempt   bool
 	Position     int
 	HasPosition  bool
 	Text         string
 	FinishReason string
+	// Pieces is the number of pieces that the end counts; HasUsage is false if it counts none.
+	Pieces       int
+	HasUsage     bool
 	PromptTokens int
 	CachedTokens int
 }
@@ -123,6 +140,10 @@
 		e.Position = *c.Position
 		e.HasPosition = true
 	}
+	if c.Attempt != nil {
+		e.Attempt = *c.Attempt
+		e.HasAttempt = true
+	}
 	for _, item := range c.Choices {
 		if item.Delta != nil {
 			e.Text += item.Delta.Content
@@ -135,6 +156,8 @@
 		}
 	}
 	if c.Usage != nil {
+		e.HasUsage = true
+		e.Pieces = c.Usage.CompletionTokens
 		e.PromptTokens = c.Usage.PromptTokens
 		e.CachedTokens = c.Usage.CachedTokens
 	}
--- a/endpoint/errors.go
+++ b/endpoint/errors.go
@@ -60,3 +60,25 @@
 
 // Error says what is missing.
 func (e *NoFinishReasonError) Error() string { return "the answer has no finish reason" }
+
+// NoPositionError says that a piece of an answer bears no position.
+type NoPositionError struct{}
+
+// Error says what is missing.
+func (e *NoPositionError) Error() string { return "a piece of the answer has no position" }
+
+// AfterEndError says that a new piece came after the end of the answer.
+type AfterEndError struct {
+	Position int
+}
+
+// Error names the position.
+func (e *AfterEndError) Error() string {
+	return fmt.Sprintf("position %d came after the end of the answer", e.Position)
+}
+
+// EngineError says that an engine ended an answer by an error event.
+type EngineError struct{}
+
+// Error says what happened.
+func (e *EngineError) Error() string { return "the engine ended the answer by an error event" }
--- a/endpoint/model.go
+++ b/endpoint/model.go
@@ -1,14 +1,12 @@
 package endpoint
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"arbutusreel/completion"
 	"arbutusreel/dispatch"
@@ -17,9 +15,6 @@
 	"arbutusreel/stream"
 )
 
-// maxEventBytes is the longest event of a streamed answer.
-const maxEventBytes = 1 << 20
-
 // maxProblemBytes is the longest body of a refusal that is read.
 const maxProblemBytes = 64 << 10
 
@@ -64,7 +59,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return stream.End{}, refusal(e, resp)
 	}
-	return readEvents(resp.Body, stream.NewOrder(r.CorrelationID, attempt, 0), r.CorrelationID, attempt, sink)
+	return newReader(r.CorrelationID, attempt, 0, sink).read(resp.Body)
 }
 
 // streamingBody returns the body with streaming asked for, whatever the caller asked.
@@ -85,56 +80,3 @@
 	}
 	return &StatusError{Endpoint: e.Name, Status: resp.StatusCode}
 }
-
-// readEvents reads server-sent events until the end of the answer.
-func readEvents(body io.Reader, order *stream.Order, requestID string, attempt int, sink stream.Sink) (stream.End, error) {
-	scanner := bufio.NewScanner(body)
-	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
-	var end stream.End
-	for scanner.Scan() {
-		data, ok := strings.CutPrefix(scanner.Text(), "data:")
-		if !ok {
-			continue
-		}
-		data = strings.TrimSpace(data)
-		if data == completion.Done {
-			return finish(end, order, requestID)
-		}
-		event, err := completion.DecodeChunk([]byte(data))
-		if err != nil {
-			return stream.End{}, &stream.IncompleteError{RequestID: requestID, Pieces: order.Next(), Cause: err}
-		}
-		if err := deliver(event, order, attempt, sink); err != nil {
-			return stream.End{}, &stream.IncompleteError{RequestID: requestID, Pieces: order.Next(), Cause: err}
-		}
-		if event.FinishReason != "" {
-			end = stream.End{FinishReason: event.FinishReason, PromptTokens: event.PromptTokens, CachedTokens: event.CachedTokens}
-		}
-	}
-	cause := scanner.Err()
-	if cause == nil {
-		cause = io.ErrUnexpectedEOF
-	}
-	return stream.End{}, &stream.IncompleteError{RequestID: requestID, Pieces: order.Next(), Cause: cause}
-}
-
-// deliver gives the piece of an event to the sink if it is the next one.
-func deliver(event completion.Event, order *stream.Order, attempt int, sink stream.Sink) error {
-	if !event.HasPosition {
-		return nil
-	}
-	piece := stream.Piece{RequestID: event.ID, Attempt: attempt, Position: event.Position, Text: event.Text}
-	ok, err := order.Accept(piece)
-	if err != nil || !ok {
-		return err
-	}
-	return sink.Piece(piece)
-}
-
-func finish(end stream.End, order *stream.Order, requestID string) (stream.End, error) {
-	if end.FinishReason == "" {
-		return stream.End{}, &stream.IncompleteError{RequestID: requestID, Pieces: order.Next(), Cause: &NoFinishReasonError{}}
-	}
-	end.Pieces = order.Next()
-	return end, nil
-}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -70,7 +70,7 @@
 			piece := stream.Piece{RequestID: r.CorrelationID, Position: int(f.Piece.GetPosition()), Text: string(f.Piece.GetData())}
 			ok, err := order.Accept(piece)
 			if err != nil {
-				return stream.End{}, err
+				return stream.End{}, &stream.IncompleteError{RequestID: r.CorrelationID, Pieces: order.Next(), Cause: err}
 			}
 			if !ok {
 				continue
@@ -79,13 +79,22 @@
 				return stream.End{}, err
 			}
 		case *wiregen.ForwardFrame_End:
-			return wire.DecodeEnd(f.End), nil
+			return closeForward(order, wire.DecodeEnd(f.End))
 		case *wiregen.ForwardFrame_Problem:
 			return stream.End{}, wire.DecodeProblem(f.Problem)
 		}
 	}
 }
 
+// closeForward returns the end of a forwarded answer if all of its pieces were received.
+func closeForward(order *stream.Order, end stream.End) (stream.End, error) {
+	closed, err := order.Close(end)
+	if err != nil {
+		return stream.End{}, &stream.IncompleteError{Pieces: order.Next(), Cause: err}
+	}
+	return closed, nil
+}
+
 // ForwardCall sends a call to an entry of the region.
 func (p *peers) ForwardCall(ctx context.Context, region string, r dispatch.Request) (dispatch.Reply, error) {
 	frames, err := p.open(ctx, region, r)
--- a/stream/order.go
+++ b/stream/order.go
@@ -1,6 +1,6 @@
 package stream
 
-// Order lets the pieces of one attempt through in order and drops foreign, late and doubled ones.
+// Order lets the pieces of one attempt through in order, each once; foreign, late and doubled ones are dropped.
 type Order struct {
 	requestID string
 	attempt   int
@@ -12,9 +12,9 @@
 	return &Order{requestID: requestID, attempt: attempt, next: next}
 }
 
-// Accept reports whether p is the next piece; a piece beyond the next one returns *GapError.
+// Accept reports whether p is the next piece; a piece beyond the next one is dropped and returns *GapError.
 func (o *Order) Accept(p Piece) (bool, error) {
-	if p.RequestID != o.requestID || p.Attempt != o.attempt || p.Position < o.next {
+	if !o.Owns(p.RequestID, p.Attempt) || p.Position < o.next {
 		return false, nil
 	}
 	if p.Position > o.next {
@@ -24,5 +24,18 @@
 	return true, nil
 }
 
+// Owns reports whether a piece or an end belongs to the request and the attempt.
+func (o *Order) Owns(requestID string, attempt int) bool {
+	return requestID == o.requestID && attempt == o.attempt
+}
+
+// Close returns e if all pieces before it were accepted, and otherwise *CountError.
+func (o *Order) Close(e End) (End, error) {
+	if e.Pieces != o.next {
+		return End{}, &CountError{RequestID: o.requestID, Want: e.Pieces, Got: o.next}
+	}
+	return e, nil
+}
+
 // Next returns the position of the next piece, which is the number of pieces accepted.
 func (o *Order) Next() int { return o.next }
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -10,7 +10,7 @@
 	Text      string
 }
 
-// End closes a whole answer; Pieces is the number of pieces before it.
+// End closes a whole answer; Pieces is the number of pieces before it, over all attempts.
 type End struct {
 	FinishReason string
 	Pieces       int
@@ -35,6 +35,18 @@
 	return fmt.Sprintf("stream of request %q: position %d where %d was expected", e.RequestID, e.Got, e.Want)
 }
 
+// CountError says that the end of an answer does not follow all of its pieces.
+type CountError struct {
+	RequestID string
+	Want      int
+	Got       int
+}
+
+// Error names the request and both numbers of pieces.
+func (e *CountError) Error() string {
+	return fmt.Sprintf("stream of request %q: the end counts %d pieces, %d were accepted", e.RequestID, e.Want, e.Got)
+}
+
 // IncompleteError says that an answer stopped before its end.
 type IncompleteError struct {
 	RequestID string
