Merge the attempt of a request, and send engines its priority

A caller's own field resume is removed. An engine receives the priority of the request's class; dispatch.Request has a new field Priority, which the receiver of a forward fills from its own inventory.

--- a/endpoint/model.go
+++ b/endpoint/model.go
@@ -37,8 +37,8 @@
 }
 
 // Generate sends the request to the engine and its pieces to the sink; a stream that stops early returns *stream.IncompleteError.
-func (m *Models) Generate(ctx context.Context, e membership.Endpoint, r dispatch.Request, attempt int, sink stream.Sink) (stream.End, error) {
-	body, err := streamingBody(r.Body)
+func (m *Models) Generate(ctx context.Context, e membership.Endpoint, r dispatch.Request, attempt dispatch.Attempt, sink stream.Sink) (stream.End, error) {
+	body, err := engineBody(r, attempt)
 	if err != nil {
 		return stream.End{}, err
 	}
@@ -50,7 +50,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(requestIDHeader, r.CorrelationID)
-	req.Header.Set(attemptHeader, strconv.Itoa(attempt))
+	req.Header.Set(attemptHeader, strconv.Itoa(attempt.Number))
 	resp, err := m.client.Do(req)
 	if err != nil {
 		return stream.End{}, &UnreachableError{Endpoint: e.Name, Cause: err}
@@ -59,16 +59,31 @@
 	if resp.StatusCode != http.StatusOK {
 		return stream.End{}, refusal(e, resp)
 	}
-	return newReader(r.CorrelationID, attempt, 0, sink).read(resp.Body)
+	return newReader(r.CorrelationID, attempt.Number, attempt.Next, sink).read(resp.Body)
 }
 
-// streamingBody returns the body with streaming asked for, whatever the caller asked.
-func streamingBody(body []byte) ([]byte, error) {
+// resume asks an engine to go on after the text that earlier attempts have sent.
+type resume struct {
+	Position int    `json:"position"`
+	Text     string `json:"text"`
+}
+
+// engineBody returns the body with streaming asked for, whatever the caller asked, from the attempt's first piece on.
+func engineBody(r dispatch.Request, attempt dispatch.Attempt) ([]byte, error) {
 	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil {
+	if err := json.Unmarshal(r.Body, &fields); err != nil {
 		return nil, &completion.MalformedError{Cause: err}
 	}
 	fields["stream"] = json.RawMessage("true")
+	fields["priority"] = json.RawMessage(strconv.Itoa(r.Priority))
+	delete(fields, "resume")
+	if attempt.Next > 0 {
+		from, err := json.Marshal(resume{Position: attempt.Next, Text: attempt.Text})
+		if err != nil {
+			return nil, &completion.MalformedError{Cause: err}
+		}
+		fields["resume"] = from
+	}
 	return json.Marshal(fields)
 }
 
--- a/endpoint/model_test.go
+++ b/endpoint/model_test.go
@@ -45,7 +45,7 @@
 func generate(t testing.TB, e membership.Endpoint, attempt int) (string, stream.End, error) {
 	s := &sink{}
 	r := dispatch.Request{CorrelationID: requestID, Path: "/v1/chat/completions", Body: []byte(`{"model":"m"}`)}
-	end, err := NewModels().Generate(t.Context(), e, r, attempt, s)
+	end, err := NewModels().Generate(t.Context(), e, r, dispatch.Attempt{Number: attempt}, s)
 	return s.String(), end, err
 }
 
@@ -140,6 +140,28 @@
 	}
 }
 
+// TestResume checks that a resumed attempt takes the pieces from its position on, and counts them all.
+func TestResume(t *testing.T) {
+	events := wholeEvents(requestID, 1, 4)
+	answer := append(bytes.Join(events[1:], nil), event([]byte(completion.Done))...)
+	cut := false
+	e := engine(t, &answer, &cut)
+	s := &sink{}
+	r := dispatch.Request{CorrelationID: requestID, Body: []byte(`{"model":"m","resume":{"position":9}}`)}
+	attempt := dispatch.Attempt{Number: 1, Next: 2, Text: text(2)}
+	end, err := NewModels().Generate(t.Context(), e, r, attempt, s)
+	if err != nil || text(2)+s.String() != text(4) || end.Pieces != 4 {
+		t.Errorf("text %q, end %+v, error %v", s.String(), end, err)
+	}
+	body, _ := engineBody(r, attempt)
+	if !bytes.Contains(body, []byte(`"resume":{"position":2,"text":"t0 t1 "}`)) {
+		t.Errorf("the engine was sent %s", body)
+	}
+	if body, _ = engineBody(r, dispatch.Attempt{}); bytes.Contains(body, []byte("resume")) {
+		t.Errorf("a caller's own resume was sent to the engine: %s", body)
+	}
+}
+
 // TestCutAtEveryByte cuts the connection at each byte of an answer.
 func TestCutAtEveryByte(t *testing.T) {
 	const n = 3
--- a/entry/models.go
+++ b/entry/models.go
@@ -102,6 +102,7 @@
 		CorrelationID: c.correlationID,
 		Team:          c.team.Name,
 		Class:         class.Name,
+		Priority:      class.Priority,
 		Labels:        labels,
 		Service:       services[0],
 		Model:         asked.Model,
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -151,7 +151,7 @@
 func (n *Entry) Forward(m *wiregen.ForwardRequest, frames grpc.ServerStreamingServer[wiregen.ForwardFrame]) error {
 	n.active.Add(1)
 	defer n.active.Add(-1)
-	r := wire.DecodeForward(time.Now(), m)
+	r := n.withPriority(wire.DecodeForward(time.Now(), m))
 	ctx, cancel := context.WithDeadline(frames.Context(), r.Deadline)
 	defer cancel()
 	if r.Model != "" {
@@ -168,6 +168,15 @@
 	return sendReply(frames, reply)
 }
 
+// withPriority returns the request with the priority that its class has here.
+func (n *Entry) withPriority(r dispatch.Request) dispatch.Request {
+	if inv, _ := n.state.Inventory(); inv != nil {
+		class, _ := inv.Class(r.Class)
+		r.Priority = class.Priority
+	}
+	return r
+}
+
 // forwardedCall runs a call from another region, through the ledger if it may not be repeated.
 func (n *Entry) forwardedCall(ctx context.Context, r dispatch.Request) (dispatch.Reply, error) {
 	inv, _ := n.state.Inventory()
