Give the emulated engine a priority queue, a prefix cache, resume and faults

The engine runs as many requests as it has slots, the rest wait by priority and arrival. A cached prefix skips prefill; cache events come late and with gaps by flag, load reports with a lag. It resumes an answer, exports and imports KV cache by size and time, stays for a notice after it announced that it leaves, counts what it did and when it gave up a cancelled request, and dies, stalls or refuses by flag.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,12 +20,16 @@
 // headerTimeout bounds the reading of a request's header.
 const headerTimeout = 10 * time.Second
 
+// exitDied is the exit code of an engine that was told to die.
+const exitDied = 3
+
 // options are the flags of all subcommands.
 type options struct {
 	name, address, region, failureDomain, service, directory string
 	models                                                   []string
 	slots                                                    int
-	tokenTime, prefillTime                                   time.Duration
+	leaveNotice                                              time.Duration
+	engine                                                   standin.EngineConfig
 
 	load    load.Config
 	entries []string
@@ -42,10 +46,11 @@
 }
 
 func run(ctx context.Context) error {
-	o := &options{slots: 8, tokenTime: 10 * time.Millisecond, prefillTime: 200 * time.Microsecond}
+	o := &options{slots: 8, leaveNotice: 2 * time.Second}
+	o.engine = standin.EngineConfig{TokenTime: 10 * time.Millisecond, PrefillTime: 200 * time.Microsecond, CacheBlocks: 4096, KVBytesPerSecond: 1e9, Seed: 1}
 	o.load = load.Config{Count: 20, Rate: 20, MaxTokens: 256, Seed: 1, KeyPrefix: "load"}
 	parser := flaggy.NewParser("standin")
-	engine := o.subcommand("engine", "Runs a model engine.", o.endpointFlags)
+	engine := o.subcommand("engine", "Runs a model engine.", o.engineFlags)
 	service := o.subcommand("service", "Runs an endpoint of a plain service.", o.endpointFlags)
 	dir := o.subcommand("directory", "Runs a directory.", o.endpointFlags)
 	generator := o.subcommand("load", "Sends load and prints a table.", o.loadFlags)
@@ -85,8 +90,24 @@
 	sub.String(&o.directory, "", "directory", "Address of the directory.")
 	sub.StringSlice(&o.models, "", "models", "Models that are loaded.")
 	sub.Int(&o.slots, "", "slots", "Requests that run at once.")
-	sub.Duration(&o.tokenTime, "", "tokenTime", "Time between two tokens.")
-	sub.Duration(&o.prefillTime, "", "prefillTime", "Time of a token of the prompt.")
+	sub.Duration(&o.leaveNotice, "", "leaveNotice", "Time between the first announcement as leaving and the stop.")
+}
+
+func (o *options) engineFlags(sub *flaggy.Subcommand) {
+	o.endpointFlags(sub)
+	e := &o.engine
+	sub.Duration(&e.TokenTime, "", "tokenTime", "Time between two tokens.")
+	sub.Float64(&e.BatchSlowdown, "", "batchSlowdown", "Share by which the token time grows when all slots run.")
+	sub.Duration(&e.PrefillTime, "", "prefillTime", "Time of a token of the prompt that is not cached.")
+	sub.Int(&e.CacheBlocks, "", "cacheBlocks", "Prefix blocks that the cache holds.")
+	sub.Duration(&e.CacheEventDelay, "", "cacheEventDelay", "Age at which a cache event is announced.")
+	sub.Float64(&e.CacheEventGap, "", "cacheEventGap", "Share of announcements whose cache events are lost.")
+	sub.Duration(&e.ReportLag, "", "reportLag", "Age of the load in an announcement.")
+	sub.Float64(&e.KVBytesPerSecond, "", "kvBytesPerSecond", "Rate of KV cache transfers.")
+	sub.UInt64(&e.Seed, "", "seed", "Seed of the engine.")
+	sub.Int(&e.Faults.DieAfterTokens, "", "dieAfterTokens", "Tokens after which the process ends at once; 0 never.")
+	sub.Int(&e.Faults.StallAfterTokens, "", "stallAfterTokens", "Tokens after which a stream sends nothing more; 0 never.")
+	sub.Float64(&e.Faults.RefuseShare, "", "refuseShare", "Share of requests that fail at once.")
 }
 
 func (o *options) loadFlags(sub *flaggy.Subcommand) {
@@ -118,22 +139,23 @@
 		return err
 	case <-done:
 	}
+	server.SetKeepAlivesEnabled(false)
 	return server.Shutdown(context.WithoutCancel(ctx))
 }
 
 func (o *options) runEngine(ctx context.Context) error {
-	e := standin.NewEngine(standin.EngineConfig{
-		Name:          o.name,
-		Address:       o.address,
-		Region:        o.region,
-		FailureDomain: o.failureDomain,
-		Service:       o.service,
-		Models:        o.models,
-		Slots:         o.slots,
-		TokenTime:     o.tokenTime,
-		PrefillTime:   o.prefillTime,
-		Incarnation:   time.Now().UnixNano(),
-	}, directory.New(o.directory, http.DefaultClient))
+	cfg := o.engine
+	cfg.Name = o.name
+	cfg.Address = o.address
+	cfg.Region = o.region
+	cfg.FailureDomain = o.failureDomain
+	cfg.Service = o.service
+	cfg.Models = o.models
+	cfg.Slots = o.slots
+	cfg.LeaveNotice = o.leaveNotice
+	cfg.Incarnation = time.Now().UnixNano()
+	cfg.Faults.Die = func() { os.Exit(exitDied) }
+	e := standin.NewEngine(cfg, directory.New(o.directory, http.DefaultClient))
 	return serve(ctx, o.address, e.Handler(), e.Run)
 }
 
@@ -145,6 +167,7 @@
 		FailureDomain: o.failureDomain,
 		Service:       o.service,
 		Slots:         o.slots,
+		LeaveNotice:   o.leaveNotice,
 		Incarnation:   time.Now().UnixNano(),
 	}, directory.New(o.directory, http.DefaultClient))
 	return serve(ctx, o.address, s.Handler(), s.Run)
--- a/standin/announcer.go
+++ b/standin/announcer.go
@@ -21,6 +21,7 @@
 	announceFallback  = 500 * time.Millisecond
 	announceCopies    = 2
 	announcesPerLease = 3
+	leavingPeriod     = 100 * time.Millisecond
 )
 
 // announcer announces one endpoint to entries of its region until stopped.
@@ -39,8 +40,8 @@
 	return &announcer{directory: d, region: region, client: &http.Client{Timeout: announceTimeout}, describe: describe}
 }
 
-// run announces until ctx ends, and then once more as leaving.
-func (a *announcer) run(ctx context.Context) {
+// run announces until ctx ends, and then as leaving until the notice has passed.
+func (a *announcer) run(ctx context.Context, notice time.Duration) {
 	for ctx.Err() == nil {
 		a.announce(ctx, false)
 		select {
@@ -48,7 +49,12 @@
 		case <-time.After(a.period()):
 		}
 	}
+	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), notice)
+	defer cancel()
 	a.announce(context.WithoutCancel(ctx), true)
+	for pause(leaving, leavingPeriod) {
+		a.announce(leaving, true)
+	}
 }
 
 func (a *announcer) period() time.Duration {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -3,18 +3,20 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutusreel/completion"
 	"arbutusreel/directory"
-	"arbutusreel/problem"
-	"arbutusreel/stream"
 	"arbutusreel/wiregen"
 )
 
+// reportPeriod is the period at which an engine notes its load for later reports.
+const reportPeriod = 50 * time.Millisecond
+
 // EngineConfig describes an emulated model engine.
 type EngineConfig struct {
 	Name          string
@@ -24,34 +26,114 @@
 	Service       string
 	Models        []string
 	Slots         int
-	// TokenTime is the time between two tokens of a stream.
+	// TokenTime is the time between two tokens of a stream that runs alone.
 	TokenTime time.Duration
-	// PrefillTime is the time that a token of the prompt takes.
+	// BatchSlowdown is the share by which TokenTime grows when all slots run.
+	BatchSlowdown float64
+	// PrefillTime is the time that a token of the prompt takes if it is not cached.
 	PrefillTime time.Duration
+	// CacheBlocks is the number of prefix blocks that the cache holds.
+	CacheBlocks int
+	// CacheEventDelay is the age at which a cache event is announced.
+	CacheEventDelay time.Duration
+	// CacheEventGap is the share of announcements whose cache events are lost.
+	CacheEventGap float64
+	// ReportLag is the age of the load in an announcement.
+	ReportLag time.Duration
+	// KVBytesPerSecond is the rate at which KV cache is exported and imported.
+	KVBytesPerSecond float64
+	// LeaveNotice is the time between the first announcement as leaving and the stop.
+	LeaveNotice time.Duration
 	Incarnation int64
+	Seed        uint64
+	Faults      EngineFaults
 }
 
-// Engine is an emulated model engine with a bounded number of slots.
+// Engine is an emulated model engine with continuous batching and a prefix cache.
 type Engine struct {
 	cfg       EngineConfig
 	directory *directory.Client
-	slots     chan struct{}
-	mu        sync.Mutex
-	queued    int
+	batch     *batch
+	cache     *cache
+	counts    counts
+	tokens    atomic.Int64
+
+	mu      sync.Mutex
+	models  []string
+	reports []report
+}
+
+// report is the load of an engine at a time.
+type report struct {
+	at   time.Time
+	load *wiregen.LoadReport
 }
 
 // NewEngine returns an engine that announces itself to the entries of the directory.
 func NewEngine(cfg EngineConfig, d *directory.Client) *Engine {
-	return &Engine{cfg: cfg, directory: d, slots: make(chan struct{}, cfg.Slots)}
+	rng := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed))
+	return &Engine{
+		cfg:       cfg,
+		directory: d,
+		batch:     newBatch(cfg.Slots),
+		cache:     newCache(cfg.CacheBlocks, cfg.CacheEventDelay, cfg.CacheEventGap, rng),
+		counts:    counts{cancels: map[string]int64{}},
+		models:    clone(cfg.Models),
+	}
 }
 
 // Run announces the engine until ctx ends, and then as leaving.
 func (e *Engine) Run(ctx context.Context) {
-	newAnnouncer(e.directory, e.cfg.Region, e.describe).run(ctx)
+	noting, stop := context.WithCancel(context.WithoutCancel(ctx))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.noteLoad(noting)
+	}()
+	newAnnouncer(e.directory, e.cfg.Region, e.describe).run(ctx, e.cfg.LeaveNotice)
+	stop()
+	<-done
+}
+
+// noteLoad keeps the reports that are younger than the lag.
+func (e *Engine) noteLoad(ctx context.Context) {
+	for pause(ctx, reportPeriod) {
+		now := time.Now()
+		e.mu.Lock()
+		e.reports = append(e.reports, report{at: now, load: e.load()})
+		for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.cfg.ReportLag {
+			e.reports = e.reports[1:]
+		}
+		e.mu.Unlock()
+	}
+}
+
+func (e *Engine) load() *wiregen.LoadReport {
+	running, queued, queuedTokens := e.batch.load()
+	return &wiregen.LoadReport{
+		Running:                int64(running),
+		Queued:                 int64(queued),
+		QueuedTokens:           int64(queuedTokens),
+		TokensPerSecond:        float64(e.cfg.Slots) / e.tokenTime(e.cfg.Slots).Seconds(),
+		PrefillTokensPerSecond: 1 / max(e.cfg.PrefillTime, time.Nanosecond).Seconds(),
+		CacheUse:               e.cache.fill(),
+	}
+}
+
+// reported returns the load as it was the lag ago, with its age.
+func (e *Engine) reported(now time.Time) *wiregen.LoadReport {
+	if e.cfg.ReportLag == 0 || len(e.reports) == 0 {
+		return e.load()
+	}
+	r := e.reports[0]
+	r.load.AgeMillis = now.Sub(r.at).Milliseconds()
+	return r.load
 }
 
 // describe returns the engine's announcement.
 func (e *Engine) describe() *wiregen.Announcement {
+	now := time.Now()
+	events, sequence := e.cache.announce(now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return &wiregen.Announcement{
@@ -61,95 +143,31 @@
 		Region:        e.cfg.Region,
 		FailureDomain: e.cfg.FailureDomain,
 		Service:       e.cfg.Service,
-		Models:        clone(e.cfg.Models),
+		Models:        clone(e.models),
 		Slots:         int64(e.cfg.Slots),
-		Load: &wiregen.LoadReport{
-			Running:                int64(len(e.slots)),
-			Queued:                 int64(e.queued),
-			TokensPerSecond:        1 / e.cfg.TokenTime.Seconds(),
-			PrefillTokensPerSecond: 1 / e.cfg.PrefillTime.Seconds(),
-		},
+		Load:          e.reported(now),
+		CacheEvents:   events,
+		CacheSequence: sequence,
 	}
 }
 
-// Handler serves completions.
+// tokenTime returns the time between two tokens while a number of requests runs.
+func (e *Engine) tokenTime(running int) time.Duration {
+	full := float64(running) / float64(e.cfg.Slots)
+	return time.Duration(float64(e.cfg.TokenTime) * (1 + e.cfg.BatchSlowdown*full))
+}
+
+// Handler serves completions, KV cache transfer and the engine's counts.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, completion.Chat) })
 	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, completion.Text) })
+	mux.HandleFunc("POST /v1/kv/export", e.exportKV)
+	mux.HandleFunc("POST /v1/kv/import", e.importKV)
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.counts.snapshot()) })
 	return mux
 }
 
-func (e *Engine) complete(w http.ResponseWriter, r *http.Request, kind completion.Kind) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	asked, err := completion.Decode(kind, body)
-	if err != nil {
-		problem.Write(w, problem.New(problem.MalformedRequest, http.StatusBadRequest, "%s", err.Error()), "")
-		return
-	}
-	if !e.acquire(r.Context()) {
-		return
-	}
-	defer func() { <-e.slots }()
-	if !pause(r.Context(), time.Duration(asked.PromptTokens)*e.cfg.PrefillTime) {
-		return
-	}
-	answer := completion.Answer{Kind: kind, ID: r.Header.Get("X-Request-Id"), Model: asked.Model}
-	if asked.Streaming {
-		e.stream(w, r, asked, answer)
-		return
-	}
-	n := AnswerTokens(asked.Model, asked.Prompt, asked.MaxTokens)
-	if pause(r.Context(), time.Duration(n)*e.cfg.TokenTime) {
-		_, _ = w.Write(answer.Whole(Answer(asked.Model, asked.Prompt, asked.MaxTokens), stream.End{FinishReason: "stop", Pieces: n, PromptTokens: asked.PromptTokens}))
-	}
-}
-
-// acquire waits for a slot; it reports false if ctx ends first.
-func (e *Engine) acquire(ctx context.Context) bool {
-	e.queue(1)
-	defer e.queue(-1)
-	select {
-	case e.slots <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (e *Engine) queue(n int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.queued += n
-}
-
-// stream sends the answer token by token.
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, asked completion.Request, answer completion.Answer) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	n := AnswerTokens(asked.Model, asked.Prompt, asked.MaxTokens)
-	for i := range n {
-		if !pause(r.Context(), e.cfg.TokenTime) {
-			return
-		}
-		piece := stream.Piece{Position: i, Text: Token(asked.Model, asked.Prompt, i)}
-		if !sendEvent(w, answer.Chunk(piece)) {
-			return
-		}
-	}
-	sendEvent(w, answer.End(stream.End{FinishReason: "stop", Pieces: n, PromptTokens: asked.PromptTokens}))
-	sendEvent(w, []byte(completion.Done))
-}
-
-func sendEvent(w http.ResponseWriter, data []byte) bool {
-	if _, err := w.Write(append(append([]byte("data: "), data...), '\n', '\n')); err != nil {
-		return false
-	}
-	return http.NewResponseController(w).Flush() == nil
-}
-
 // pause waits for d; it reports false if ctx ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/standin/service.go
+++ b/standin/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"arbutusreel/directory"
 	"arbutusreel/wiregen"
@@ -18,7 +19,9 @@
 	FailureDomain string
 	Service       string
 	Slots         int
-	Incarnation   int64
+	// LeaveNotice is the time between the first announcement as leaving and the stop.
+	LeaveNotice time.Duration
+	Incarnation int64
 }
 
 // Service is an emulated plain service that counts each call it ran.
@@ -36,7 +39,7 @@
 
 // Run announces the service until ctx ends, and then as leaving.
 func (s *Service) Run(ctx context.Context) {
-	newAnnouncer(s.directory, s.cfg.Region, s.describe).run(ctx)
+	newAnnouncer(s.directory, s.cfg.Region, s.describe).run(ctx, s.cfg.LeaveNotice)
 }
 
 func (s *Service) describe() *wiregen.Announcement {
