--- a/entry/models.go
+++ b/entry/models.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"strings"
 	"time"
 
 	"arbutusreel/completion"
@@ -14,6 +13,9 @@
 	"arbutusreel/stream"
 )
 
+// statusCallerGone is the status in the log of a request whose caller has closed its connection; nobody receives it.
+const statusCallerGone = 499
+
 // modelItem is one model of the list on the wire.
 type modelItem struct {
 	ID     string `json:"id"`
@@ -51,10 +53,11 @@
 		n.fail(w, c, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
-	defer cancel()
 	answer := completion.Answer{Kind: kind, ID: c.correlationID, Model: asked.Model}
-	sink := newWriter(w, answer, asked.Streaming)
+	sink := newWriter(r.Context(), w, answer, asked.Streaming, n.cfg.ReaderTimeout)
+	defer sink.stop()
+	ctx, cancel := context.WithDeadline(sink.ctx, req.Deadline)
+	defer cancel()
 	end, err := n.dispatcher.Generate(ctx, req, sink)
 	if err == nil {
 		err = sink.finish(end)
@@ -119,6 +122,9 @@
 
 // failStream answers a failure: as a problem if nothing was sent yet, else as the stream's last event.
 func (n *Entry) failStream(w http.ResponseWriter, c caller, sink *writer, err error) {
+	if cause := context.Cause(sink.ctx); cause != nil {
+		err = cause
+	}
 	p := n.streamProblem(err)
 	n.logFailure(c, p, err)
 	if !sink.started() {
@@ -134,6 +140,13 @@
 	if errors.As(err, &p) {
 		return p
 	}
+	var stopped *ReaderStoppedError
+	if errors.As(err, &stopped) {
+		return problem.New(problem.ReaderStopped, http.StatusRequestTimeout, "%s", stopped.Error()).WithOutcome(problem.Unknown)
+	}
+	if errors.Is(err, context.Canceled) {
+		return problem.New(problem.CallerGone, statusCallerGone, "the caller has closed its connection").WithOutcome(problem.Unknown)
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return problem.New(problem.PatienceExceeded, http.StatusGatewayTimeout, "the patience of the class has passed").WithOutcome(problem.Unknown).WithRetryAfter(retryAfterStopping)
 	}
@@ -143,62 +156,3 @@
 	}
 	return problem.New(problem.EndpointFailed, http.StatusBadGateway, "no endpoint answered").WithOutcome(problem.Unknown).WithRetryAfter(retryAfterStopping)
 }
-
-// writer is the sink of one answer to a caller.
-type writer struct {
-	w         http.ResponseWriter
-	answer    completion.Answer
-	streaming bool
-	sent      bool
-	text      strings.Builder
-}
-
-var _ stream.Sink = (*writer)(nil)
-
-func newWriter(w http.ResponseWriter, answer completion.Answer, streaming bool) *writer {
-	return &writer{w: w, answer: answer, streaming: streaming}
-}
-
-func (s *writer) started() bool { return s.sent }
-
-// Piece sends a piece of a streamed answer, or keeps it for a whole one.
-func (s *writer) Piece(p stream.Piece) error {
-	if !s.streaming {
-		s.text.WriteString(p.Text)
-		return nil
-	}
-	return s.event(s.answer.Chunk(p))
-}
-
-// event sends one server-sent event.
-func (s *writer) event(data []byte) error {
-	if !s.sent {
-		s.w.Header().Set("Content-Type", "text/event-stream")
-		s.w.Header().Set("Cache-Control", "no-store")
-		s.sent = true
-	}
-	event := append(append([]byte("data: "), data...), '\n', '\n')
-	if _, err := s.w.Write(event); err != nil {
-		return err
-	}
-	return http.NewResponseController(s.w).Flush()
-}
-
-// finish sends the end of the answer.
-func (s *writer) finish(end stream.End) error {
-	if s.streaming {
-		if err := s.event(s.answer.End(end)); err != nil {
-			return err
-		}
-		return s.event([]byte(completion.Done))
-	}
-	s.w.Header().Set("Content-Type", "application/json")
-	_, err := s.w.Write(s.answer.Whole(s.text.String(), end))
-	return err
-}
-
-// fail ends a streamed answer with its problem; no Done event follows.
-func (s *writer) fail(p *problem.Problem, correlationID string) {
-	_, _ = s.w.Write([]byte("event: error\n"))
-	_ = s.event(problem.Encode(p, correlationID))
-}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -52,6 +52,8 @@
 	QuorumUnavailable  Code = "quorumUnavailable"
 	HomeRegionRequired Code = "homeRegionUnreachable"
 	ReaderStopped      Code = "readerStopped"
+	CallerGone         Code = "callerGone"
+	BodyTimeout        Code = "bodyTimeout"
 	Internal           Code = "internal"
 )
 
