Drain an entry in steps: leave, give notice, refuse, finish, close

The stop closed connections by force as soon as no request was counted, so that a request read in that moment was cut, and forwarded requests were accepted until the end. Now: adverts say leaving, answers close their connections, after drainNotice new requests and forwards get stopping with notRun, streams and calls finish, then the servers shut down gracefully. After drainTimeout what is left gets an explicit error instead of a cut. An entry that is not ready is not listed, so that a restarted one gets no request before it knows endpoints. The body of a request has a time limit.

--- a/cmd/arbutusreel/daemons.go
+++ b/cmd/arbutusreel/daemons.go
@@ -75,6 +75,7 @@
 		DrainNotice:       m.GetDrainNotice().AsDuration(),
 		DrainTimeout:      m.GetDrainTimeout().AsDuration(),
 		ReaderTimeout:     m.GetReaderTimeout().AsDuration(),
+		BodyTimeout:       m.GetBodyTimeout().AsDuration(),
 	}
 	for _, member := range m.GetControls() {
 		_, address, _ := strings.Cut(member, "=")
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -45,26 +46,42 @@
 	mux.HandleFunc("POST /v1/completions", n.authenticated(n.text))
 	mux.HandleFunc("/v1/services/{service}/{path...}", n.authenticated(n.service))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
-	mux.HandleFunc("GET /readyz", n.ready)
+	mux.HandleFunc("GET /readyz", n.tellReady)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		problem.Write(w, problem.New(problem.UnknownRoute, http.StatusNotFound, "no route has the path %q", r.URL.Path), "")
 	})
-	return mux
+	return n.prepare(mux)
 }
 
-// ready tells the revision in force and where it came from.
-func (n *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+// tellReady tells the revision in force, where it came from, and whether callers may use the entry.
+func (n *Entry) tellReady(w http.ResponseWriter, _ *http.Request) {
 	n.state.mu.Lock()
 	revision, source := n.state.revision, n.state.source
 	n.state.mu.Unlock()
-	if revision == 0 || n.leaving.Load() {
+	b, err := protojson.Marshal(&wiregen.ReadyReply{Revision: revision, Source: source, Leaving: n.leaving.Load()})
+	if err != nil {
+		problem.Write(w, problem.From(err), "")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if !n.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	b, _ := protojson.Marshal(&wiregen.ReadyReply{Revision: revision, Source: source, Leaving: n.leaving.Load()})
 	_, _ = w.Write(b)
 }
 
+// prepare clears what an earlier request left on the connection, and closes the connection after a leaving entry's answer.
+func (n *Entry) prepare(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+		if n.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // caller is an authenticated request of a team.
 type caller struct {
 	team          inventory.Team
@@ -80,7 +97,7 @@
 		c := caller{correlationID: rand.Text()[:correlationBytes]}
 		w.Header().Set(correlationHeader, c.correlationID)
 		if n.closed.Load() {
-			n.fail(w, c, problem.New(problem.Stopping, http.StatusServiceUnavailable, "instance %q is stopping; use another entry", n.cfg.Self.Name).WithRetryAfter(retryAfterStopping))
+			n.fail(w, c, n.stopping())
 			return
 		}
 		var err error
@@ -132,7 +149,13 @@
 
 // body reads the whole body of a request within the bound.
 func (n *Entry) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(n.cfg.BodyTimeout))
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, n.cfg.MaxBodyBytes))
+	_ = control.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, problem.New(problem.BodyTimeout, http.StatusRequestTimeout, "a body is sent within %s", n.cfg.BodyTimeout)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, problem.New(problem.BodyTooLarge, http.StatusRequestEntityTooLarge, "a body has at most %d bytes", n.cfg.MaxBodyBytes)
--- a/entry/config.go
+++ b/entry/config.go
@@ -18,18 +18,23 @@
 	DrainNotice       time.Duration
 	DrainTimeout      time.Duration
 	ReaderTimeout     time.Duration
+	BodyTimeout       time.Duration
 }
 
 // Periods and limits of the daemon's duties.
 const (
-	exchangePeriod  = 500 * time.Millisecond
-	publishPeriod   = time.Second
-	expirePeriod    = 100 * time.Millisecond
-	followBackoff   = 300 * time.Millisecond
-	reportPeriod    = time.Second
-	entryTTL        = 3 * time.Second
-	summaryTTL      = 10 * time.Second
-	entriesTTL      = 2 * time.Second
-	headerTimeout   = 10 * time.Second
-	maxAnnouncement = 1 << 20
+	exchangePeriod = 500 * time.Millisecond
+	publishPeriod  = time.Second
+	expirePeriod   = 100 * time.Millisecond
+	followBackoff  = 300 * time.Millisecond
+	reportPeriod   = time.Second
+	entryTTL       = 3 * time.Second
+	summaryTTL     = 10 * time.Second
+	entriesTTL     = 2 * time.Second
+	headerTimeout  = 10 * time.Second
+	// warmUp is how long an entry that knows no endpoint waits before callers may use it.
+	warmUp = time.Second
+	// callerIdleTimeout closes a caller's connection that has no request.
+	callerIdleTimeout = 2 * time.Minute
+	maxAnnouncement   = 1 << 20
 )
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"google.golang.org/grpc"
 
 	"arbutusreel/calls"
 	"arbutusreel/dispatch"
@@ -30,6 +29,7 @@
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
 	runner     *calls.Runner
+	began      time.Time
 	leaving    atomic.Bool
 	closed     atomic.Bool
 	active     atomic.Int64
@@ -49,6 +49,7 @@
 		peers:      p,
 		dispatcher: d,
 		runner:     calls.New(ledger.New(), d, now),
+		began:      now(),
 		done:       make(chan struct{}),
 	}
 }
@@ -63,17 +64,15 @@
 	if err != nil {
 		return err
 	}
-	callers := &http.Server{Handler: n.callerHandler(), MaxHeaderBytes: n.cfg.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout}
-	endpoints := &http.Server{Handler: n.endpointHandler(), ReadHeaderTimeout: headerTimeout}
-	peerServer := grpc.NewServer()
-	wiregen.RegisterPeerServer(peerServer, n)
-
+	requests, cut := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cut(nil)
+	servers := n.newServers(requests)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wg sync.WaitGroup
-	wg.Go(func() { serveHTTP(callers, listeners[0]) })
-	wg.Go(func() { serveHTTP(endpoints, listeners[1]) })
-	wg.Go(func() { _ = peerServer.Serve(listeners[2]) })
+	wg.Go(func() { serveHTTP(servers.callers, listeners[0]) })
+	wg.Go(func() { serveHTTP(servers.endpoints, listeners[1]) })
+	wg.Go(func() { _ = servers.peers.Serve(listeners[2]) })
 	wg.Go(func() { n.follow(work) })
 	wg.Go(func() { n.exchangeLoop(work) })
 	wg.Go(func() { n.publishLoop(work) })
@@ -81,34 +80,15 @@
 	n.log.Info().Str("callerAddress", n.cfg.Self.CallerAddress).Msg("started")
 
 	<-ctx.Done()
-	n.drain(work)
+	n.drain(work, cut)
+	servers.shutdown(work)
 	stop()
-	peerServer.Stop()
-	_ = callers.Close()
-	_ = endpoints.Close()
 	wg.Wait()
 	n.peers.close()
 	n.log.Info().Msg("stopped")
 	return nil
 }
 
-// drain leaves the directory, waits for this to spread, and then waits for the requests in progress.
-func (n *Entry) drain(ctx context.Context) {
-	n.leaving.Store(true)
-	n.log.Info().Dur("notice", n.cfg.DrainNotice).Msg("leaving")
-	n.publish(ctx)
-	wait(ctx, n.cfg.DrainNotice)
-	n.closed.Store(true)
-	deadline := time.Now().Add(n.cfg.DrainTimeout)
-	for n.active.Load() > 0 && time.Now().Before(deadline) {
-		wait(ctx, drainPoll)
-	}
-	n.log.Info().Int64("active", n.active.Load()).Msg("drained")
-}
-
-// drainPoll is the period at which a stopping entry looks for requests in progress.
-const drainPoll = 10 * time.Millisecond
-
 func listen(ctx context.Context, addresses ...string) ([]net.Listener, error) {
 	var config net.ListenConfig
 	listeners := make([]net.Listener, 0, len(addresses))
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 
 	"arbutusreel/dispatch"
 	"arbutusreel/problem"
@@ -37,7 +38,9 @@
 	if conn := p.conns[address]; conn != nil {
 		return wiregen.NewPeerClient(conn), nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: peerPingPeriod, Timeout: peerPingTimeout}))
 	if err != nil {
 		return nil, err
 	}
@@ -151,6 +154,9 @@
 func (n *Entry) Forward(m *wiregen.ForwardRequest, frames grpc.ServerStreamingServer[wiregen.ForwardFrame]) error {
 	n.active.Add(1)
 	defer n.active.Add(-1)
+	if n.closed.Load() {
+		return frames.Send(wire.ProblemFrame(n.stopping()))
+	}
 	r := n.withPriority(wire.DecodeForward(time.Now(), m))
 	ctx, cancel := context.WithDeadline(frames.Context(), r.Deadline)
 	defer cancel()
--- a/entry/publish.go
+++ b/entry/publish.go
@@ -12,14 +12,14 @@
 // publishTimeout bounds one request to the directory.
 const publishTimeout = time.Second
 
-// self returns the entry's own advert.
+// self returns the entry's own advert; it counts as leaving while it is not ready, so that nobody uses it.
 func (n *Entry) self() membership.Entry {
 	e := n.cfg.Self
-	e.Leaving = n.leaving.Load()
+	e.Leaving = !n.ready()
 	return e
 }
 
-// publishLoop keeps the entry listed in the directory while it is not leaving.
+// publishLoop keeps the entry listed in the directory while it is ready.
 func (n *Entry) publishLoop(ctx context.Context) {
 	every(ctx, publishPeriod, func() {
 		n.state.hear(n.self())
@@ -27,7 +27,7 @@
 	})
 }
 
-// publish lists the entry, or takes it off the list if it is leaving.
+// publish lists the entry, or takes it off the list if it is not ready or is leaving.
 func (n *Entry) publish(ctx context.Context) {
 	if n.cfg.DirectoryAddress == "" {
 		return
@@ -36,7 +36,7 @@
 	defer cancel()
 	client := directory.New(n.cfg.DirectoryAddress, http.DefaultClient)
 	var err error
-	if n.leaving.Load() {
+	if !n.ready() {
 		err = client.Remove(ctx, n.cfg.Self.Name)
 	} else {
 		err = client.Publish(ctx, n.self())
--- /dev/null
+++ b/entry/servers.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"arbutusreel/wiregen"
+)
+
+// Limits of the connections between entries.
+const (
+	peerIdlePing    = 5 * time.Second
+	peerPingPeriod  = 10 * time.Second
+	peerPingTimeout = 5 * time.Second
+	peerLeastPing   = 2 * time.Second
+)
+
+// shutdownTimeout bounds the wait for connections to close when no request is in progress.
+const shutdownTimeout = 2 * time.Second
+
+// servers are the servers of an entry.
+type servers struct {
+	callers   *http.Server
+	endpoints *http.Server
+	peers     *grpc.Server
+}
+
+// newServers returns the servers; the requests of callers end with the context requests.
+func (n *Entry) newServers(requests context.Context) servers {
+	s := servers{
+		callers: &http.Server{
+			Handler:           n.callerHandler(),
+			MaxHeaderBytes:    n.cfg.MaxHeaderBytes,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       callerIdleTimeout,
+			BaseContext:       func(net.Listener) context.Context { return requests },
+		},
+		endpoints: &http.Server{Handler: n.endpointHandler(), ReadHeaderTimeout: headerTimeout},
+		peers: grpc.NewServer(
+			grpc.KeepaliveParams(keepalive.ServerParameters{Time: peerIdlePing, Timeout: peerPingTimeout}),
+			grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: peerLeastPing, PermitWithoutStream: true}),
+		),
+	}
+	wiregen.RegisterPeerServer(s.peers, n)
+	return s
+}
+
+// shutdown closes the servers; a request that came in the meantime is answered first.
+func (s servers) shutdown(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	graceful := make(chan struct{})
+	go func() {
+		defer close(graceful)
+		s.peers.GracefulStop()
+	}()
+	_ = s.callers.Shutdown(ctx)
+	_ = s.endpoints.Shutdown(ctx)
+	select {
+	case <-graceful:
+	case <-ctx.Done():
+	}
+	_ = s.callers.Close()
+	_ = s.endpoints.Close()
+	s.peers.Stop()
+	<-graceful
+}
