--- /dev/null
+++ b/entry/flow_test.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"arbutusreel/completion"
+	"arbutusreel/standin"
+	"arbutusreel/stream"
+)
+
+const plan = `{"model":"dastarkhwan-menu","max_tokens":80,"stream":true,"messages":[{"role":"user","content":"plan the week"}]}`
+
+func newEngine(tokenTime time.Duration) *standin.Engine {
+	return standin.NewEngine(standin.EngineConfig{Slots: 8, TokenTime: tokenTime}, nil)
+}
+
+func wantPlan() string {
+	r, _ := completion.Decode(completion.Chat, []byte(plan))
+	return standin.Answer(r.Model, r.Prompt, r.MaxTokens)
+}
+
+func TestStreamedAndWholeAnswers(t *testing.T) {
+	g := newGateway(t, nil)
+	g.announce("menu-model", newEngine(0).Handler())
+	_, _, streamed := g.do(http.MethodPost, chatPath, plan, nil)
+	var text strings.Builder
+	for line := range strings.Lines(streamed) {
+		if data, ok := strings.CutPrefix(line, "data: {"); ok {
+			event, err := completion.DecodeChunk([]byte("{" + data))
+			if err != nil {
+				t.Fatal(err)
+			}
+			text.WriteString(event.Text)
+		}
+	}
+	if text.String() != wantPlan() || !strings.HasSuffix(streamed, "data: [DONE]\n\n") {
+		t.Errorf("streamed answer %q", streamed)
+	}
+	_, header, whole := g.do(http.MethodPost, chatPath, strings.Replace(plan, `"stream":true`, `"stream":false`, 1), nil)
+	if !strings.Contains(whole, wantPlan()) || header.Get("Content-Length") != fmt.Sprint(len(whole)) {
+		t.Errorf("whole answer %q, header %v", whole, header)
+	}
+}
+
+// TestCallerLeaves closes the caller's connection in mid-answer.
+func TestCallerLeaves(t *testing.T) {
+	for _, streaming := range []bool{true, false} {
+		t.Run(fmt.Sprintf("streaming %v", streaming), func(t *testing.T) {
+			g := newGateway(t, nil)
+			engine := newEngine(time.Hour)
+			g.announce("menu-model", engine.Handler())
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			body := strings.Replace(plan, `"stream":true`, fmt.Sprintf(`"stream":%v`, streaming), 1)
+			go func() { _, _ = g.server.Client().Do(g.request(ctx, http.MethodPost, chatPath, body, nil)) }()
+			g.until("the engine runs the request", func() bool { return engine.Counts().PromptTokens > 0 })
+			leave()
+			g.until("the engine gives the request up", func() bool { return engine.Counts().Cancelled == 1 })
+			g.until("the entry holds nothing", func() bool { return g.entry.active.Load() == 0 })
+			if !strings.Contains(g.log.String(), `"code":"callerGone"`) {
+				t.Errorf("log %s", g.log.String())
+			}
+		})
+	}
+}
+
+// TestReaderStops does not read an endless answer: the engine is cancelled, and little was kept in between.
+func TestReaderStops(t *testing.T) {
+	g := newGateway(t, func(cfg *Config) { cfg.ReaderTimeout = 200 * time.Millisecond })
+	var sent atomic.Int64
+	cancelled := make(chan struct{})
+	g.announce("menu-model", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(cancelled)
+		_, _ = io.Copy(io.Discard, r.Body)
+		answer := completion.Answer{Kind: completion.Chat, ID: r.Header.Get("X-Request-Id")}
+		text := strings.Repeat("x", 16<<10)
+		for i := 0; r.Context().Err() == nil; i++ {
+			b := answer.Chunk(stream.Piece{Position: i, Text: text})
+			if _, err := w.Write(append(append([]byte("data: "), b...), "\n\n"...)); err != nil {
+				return
+			}
+			sent.Add(int64(len(text)))
+		}
+	}))
+	resp, err := g.server.Client().Do(g.request(t.Context(), http.MethodPost, chatPath, plan, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	<-cancelled
+	g.until("the entry holds nothing", func() bool { return g.entry.active.Load() == 0 })
+	if !strings.Contains(g.log.String(), `"code":"readerStopped"`) {
+		t.Errorf("log %s", g.log.String())
+	}
+	const limit = 64 << 20
+	if sent.Load() > limit {
+		t.Errorf("the engine had sent %d bytes", sent.Load())
+	}
+}
+
+// TestSlowReader reads an answer slowly and receives all of it.
+func TestSlowReader(t *testing.T) {
+	g := newGateway(t, func(cfg *Config) { cfg.ReaderTimeout = 5 * time.Second })
+	g.announce("menu-model", newEngine(0).Handler())
+	resp, err := g.server.Client().Do(g.request(t.Context(), http.MethodPost, chatPath, plan, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var b bytes.Buffer
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		time.Sleep(time.Millisecond)
+		b.WriteString(lines.Text() + "\n")
+	}
+	if !strings.HasSuffix(b.String(), "data: [DONE]\n\n") {
+		t.Errorf("answer %q", b.String())
+	}
+}
--- a/entry/models.go
+++ b/entry/models.go
@@ -122,7 +122,7 @@
 
 // failStream answers a failure: as a problem if nothing was sent yet, else as the stream's last event.
 func (n *Entry) failStream(w http.ResponseWriter, c caller, sink *writer, err error) {
-	if cause := context.Cause(sink.ctx); cause != nil {
+	if cause := sink.cause(); cause != nil {
 		err = cause
 	}
 	p := n.streamProblem(err)
--- a/entry/writer.go
+++ b/entry/writer.go
@@ -39,8 +39,10 @@
 	timeout   time.Duration
 	events    *ring.Ring[event]
 	done      chan struct{}
-	text      strings.Builder
-	pieces    int
+	// failure is why the last write failed; it is read after done is closed.
+	failure error
+	text    strings.Builder
+	pieces  int
 }
 
 var _ stream.Sink = (*writer)(nil)
@@ -103,14 +105,26 @@
 			}
 			b = e.append(b)
 		}
-		if err := s.flush(b); err != nil {
-			s.cancel(err)
+		if s.failure = s.flush(b); s.failure != nil || e.last {
+			s.cancel(s.failure)
 			return
 		}
-		if e.last {
-			return
+	}
+}
+
+// cause returns why the caller cannot receive the answer, or nil if it can; net/http ends the context of a connection
+// that failed before the writer can say why.
+func (s *writer) cause() error {
+	if s.ctx.Err() == nil {
+		return nil
+	}
+	if s.started() {
+		<-s.done
+		if s.failure != nil {
+			return s.failure
 		}
 	}
+	return context.Cause(s.ctx)
 }
 
 // flush writes bytes to the caller's connection; a caller that takes none for the timeout returns *ReaderStoppedError.
@@ -152,10 +166,10 @@
 func (s *writer) close(last event) error {
 	err := s.put(last)
 	<-s.done
-	if err != nil {
-		return err
+	if s.failure != nil {
+		return s.failure
 	}
-	return context.Cause(s.ctx)
+	return err
 }
 
 // stop releases what the answer holds; nothing is written afterwards.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -151,6 +151,9 @@
 	}
 }
 
+// Counts returns what the engine has done since its start.
+func (e *Engine) Counts() Counts { return e.counts.snapshot() }
+
 // tokenTime returns the time between two tokens while a number of requests runs.
 func (e *Engine) tokenTime(running int) time.Duration {
 	full := float64(running) / float64(e.cfg.Slots)
@@ -164,7 +167,7 @@
 	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, completion.Text) })
 	mux.HandleFunc("POST /v1/kv/export", e.exportKV)
 	mux.HandleFunc("POST /v1/kv/import", e.importKV)
-	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.counts.snapshot()) })
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Counts()) })
 	return mux
 }
 
