--- a/entry/errors.go
+++ b/entry/errors.go
@@ -24,3 +24,13 @@
 func (e *AnswerTooLargeError) Error() string {
 	return fmt.Sprintf("an answer that is not streamed has at most %d bytes", e.Limit)
 }
+
+// PeerUnreachableError says that no connection to an entry could be made, so that nothing was sent.
+type PeerUnreachableError struct {
+	Address string
+}
+
+// Error names the address.
+func (e *PeerUnreachableError) Error() string {
+	return fmt.Sprintf("entry at %s cannot be reached", e.Address)
+}
--- /dev/null
+++ b/entry/forward.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"google.golang.org/grpc"
+
+	"arbutusreel/dispatch"
+	"arbutusreel/problem"
+	"arbutusreel/stream"
+	"arbutusreel/wire"
+	"arbutusreel/wiregen"
+)
+
+var _ dispatch.Forwarder = (*peers)(nil)
+
+// ForwardModel sends a model request to an entry of the region; the next entry is tried while nothing of the answer came.
+func (p *peers) ForwardModel(ctx context.Context, region string, r dispatch.Request, sink stream.Sink) (stream.End, error) {
+	order := stream.NewOrder(r.CorrelationID, 0, 0)
+	var end stream.End
+	err := p.each(ctx, region, r, func(frames forwardFrames) error {
+		var err error
+		end, err = readForward(frames, r.CorrelationID, order, sink)
+		return err
+	}, func(err error) bool { return order.Next() == 0 && ctx.Err() == nil && retriable(err) })
+	return end, err
+}
+
+// ForwardCall sends a call to an entry of the region; the next entry is tried only if the call was not run.
+func (p *peers) ForwardCall(ctx context.Context, region string, r dispatch.Request) (dispatch.Reply, error) {
+	var reply dispatch.Reply
+	err := p.each(ctx, region, r, func(frames forwardFrames) error {
+		var err error
+		reply, err = readReply(frames, region)
+		return err
+	}, func(err error) bool { return ctx.Err() == nil && isStopping(err) })
+	return reply, err
+}
+
+// forwardFrames is the answer of a forward.
+type forwardFrames = grpc.ServerStreamingClient[wiregen.ForwardFrame]
+
+// each runs a forward to one entry of the region after another until one answers or next declines its failure.
+func (p *peers) each(ctx context.Context, region string, r dispatch.Request, run func(forwardFrames) error, next func(error) bool) error {
+	last := error(problem.New(problem.HomeRegionRequired, http.StatusServiceUnavailable, "no entry of region %q can be reached", region).WithRetryAfter(retryAfterStopping))
+	for _, e := range p.state.live() {
+		if e.Region != region || e.Leaving || r.Passed(e.Name) {
+			continue
+		}
+		client, err := p.connected(ctx, e.PeerAddress)
+		if err != nil {
+			continue
+		}
+		err = forwardOnce(ctx, client, r, run)
+		if err == nil || !next(err) {
+			return err
+		}
+		last = err
+	}
+	return last
+}
+
+// forwardOnce runs one forward and releases it.
+func forwardOnce(ctx context.Context, client wiregen.PeerClient, r dispatch.Request, run func(forwardFrames) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	frames, err := client.Forward(ctx, wire.EncodeForward(r))
+	if err != nil {
+		return &stream.IncompleteError{RequestID: r.CorrelationID, Cause: err}
+	}
+	return run(frames)
+}
+
+// retriable reports whether another entry may answer a model request of which nothing came.
+func retriable(err error) bool {
+	var incomplete *stream.IncompleteError
+	return errors.As(err, &incomplete) || isStopping(err)
+}
+
+// isStopping reports whether an entry refused a request because it stops.
+func isStopping(err error) bool {
+	var p *problem.Problem
+	return errors.As(err, &p) && p.Code == problem.Stopping && p.Outcome == problem.NotRun
+}
+
+// readForward gives the pieces of a forwarded answer to the sink until its end.
+func readForward(frames forwardFrames, requestID string, order *stream.Order, sink stream.Sink) (stream.End, error) {
+	for {
+		frame, err := frames.Recv()
+		if err != nil {
+			return stream.End{}, incomplete(requestID, order, err)
+		}
+		switch f := frame.GetFrame().(type) {
+		case *wiregen.ForwardFrame_Piece:
+			piece := stream.Piece{RequestID: requestID, Position: int(f.Piece.GetPosition()), Text: string(f.Piece.GetData())}
+			if err := passOn(piece, order, sink); err != nil {
+				return stream.End{}, incomplete(requestID, order, err)
+			}
+		case *wiregen.ForwardFrame_End:
+			end, err := order.Close(wire.DecodeEnd(f.End))
+			if err != nil {
+				return stream.End{}, incomplete(requestID, order, err)
+			}
+			return end, nil
+		case *wiregen.ForwardFrame_Problem:
+			return stream.End{}, wire.DecodeProblem(f.Problem)
+		}
+	}
+}
+
+func incomplete(requestID string, order *stream.Order, cause error) error {
+	return &stream.IncompleteError{RequestID: requestID, Pieces: order.Next(), Cause: cause}
+}
+
+// passOn gives a piece to the sink if it is the next one.
+func passOn(piece stream.Piece, order *stream.Order, sink stream.Sink) error {
+	ok, err := order.Accept(piece)
+	if err != nil || !ok {
+		return err
+	}
+	return sink.Piece(piece)
+}
+
+// readReply reads the whole answer of a forwarded call; an answer that stops early is of unknown outcome.
+func readReply(frames forwardFrames, region string) (dispatch.Reply, error) {
+	var reply dispatch.Reply
+	for {
+		frame, err := frames.Recv()
+		if err != nil {
+			return dispatch.Reply{}, callUnknown(region)
+		}
+		switch f := frame.GetFrame().(type) {
+		case *wiregen.ForwardFrame_Head:
+			reply.Status = int(f.Head.GetStatus())
+			reply.ContentType = f.Head.GetContentType()
+			reply.Endpoint = f.Head.GetEndpoint()
+		case *wiregen.ForwardFrame_Piece:
+			reply.Body = append(reply.Body, f.Piece.GetData()...)
+		case *wiregen.ForwardFrame_End:
+			if reply.Status == 0 {
+				return dispatch.Reply{}, callUnknown(region)
+			}
+			return reply, nil
+		case *wiregen.ForwardFrame_Problem:
+			return dispatch.Reply{}, wire.DecodeProblem(f.Problem)
+		}
+	}
+}
+
+func callUnknown(region string) *problem.Problem {
+	return problem.New(problem.CallUnknown, http.StatusBadGateway, "region %q gave no whole answer", region).WithOutcome(problem.Unknown)
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -2,22 +2,29 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
-	"arbutusreel/dispatch"
-	"arbutusreel/problem"
-	"arbutusreel/stream"
-	"arbutusreel/wire"
 	"arbutusreel/wiregen"
 )
 
-// peers speaks to the other entries.
+// Limits of the connections to other entries.
+const (
+	peerConnectTimeout = time.Second
+	peerBackoff        = 100 * time.Millisecond
+	peerMaxBackoff     = time.Second
+	peerBackoffFactor  = 1.6
+	peerBackoffJitter  = 0.2
+	maxForwardBytes    = 16 << 20
+)
+
+// peers holds the connections to the other entries.
 type peers struct {
 	state *state
 	self  string
@@ -25,185 +32,62 @@
 	conns map[string]*grpc.ClientConn
 }
 
-var _ dispatch.Forwarder = (*peers)(nil)
-
 func newPeers(s *state, self string) *peers {
 	return &peers{state: s, self: self, conns: map[string]*grpc.ClientConn{}}
 }
 
 // client returns the client of the peer at the address, which is connected at its first use.
 func (p *peers) client(address string) (wiregen.PeerClient, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if conn := p.conns[address]; conn != nil {
-		return wiregen.NewPeerClient(conn), nil
-	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: peerPingPeriod, Timeout: peerPingTimeout}))
+	conn, err := p.conn(address)
 	if err != nil {
 		return nil, err
 	}
-	p.conns[address] = conn
 	return wiregen.NewPeerClient(conn), nil
 }
 
-func (p *peers) close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, conn := range p.conns {
-		_ = conn.Close()
-	}
-}
-
-// ForwardModel sends a model request to an entry of the region.
-func (p *peers) ForwardModel(ctx context.Context, region string, r dispatch.Request, sink stream.Sink) (stream.End, error) {
-	frames, err := p.open(ctx, region, r)
-	if err != nil {
-		return stream.End{}, err
-	}
-	order := stream.NewOrder(r.CorrelationID, 0, 0)
-	for {
-		frame, err := frames.Recv()
-		if err != nil {
-			return stream.End{}, &stream.IncompleteError{RequestID: r.CorrelationID, Pieces: order.Next(), Cause: err}
-		}
-		switch f := frame.GetFrame().(type) {
-		case *wiregen.ForwardFrame_Piece:
-			piece := stream.Piece{RequestID: r.CorrelationID, Position: int(f.Piece.GetPosition()), Text: string(f.Piece.GetData())}
-			ok, err := order.Accept(piece)
-			if err != nil {
-				return stream.End{}, &stream.IncompleteError{RequestID: r.CorrelationID, Pieces: order.Next(), Cause: err}
-			}
-			if !ok {
-				continue
-			}
-			if err := sink.Piece(piece); err != nil {
-				return stream.End{}, err
-			}
-		case *wiregen.ForwardFrame_End:
-			return closeForward(order, wire.DecodeEnd(f.End))
-		case *wiregen.ForwardFrame_Problem:
-			return stream.End{}, wire.DecodeProblem(f.Problem)
-		}
-	}
-}
-
-// closeForward returns the end of a forwarded answer if all of its pieces were received.
-func closeForward(order *stream.Order, end stream.End) (stream.End, error) {
-	closed, err := order.Close(end)
+// connected returns the client of the peer at the address when a connection stands; otherwise nothing was sent.
+func (p *peers) connected(ctx context.Context, address string) (wiregen.PeerClient, error) {
+	conn, err := p.conn(address)
 	if err != nil {
-		return stream.End{}, &stream.IncompleteError{Pieces: order.Next(), Cause: err}
-	}
-	return closed, nil
-}
-
-// ForwardCall sends a call to an entry of the region.
-func (p *peers) ForwardCall(ctx context.Context, region string, r dispatch.Request) (dispatch.Reply, error) {
-	frames, err := p.open(ctx, region, r)
-	if err != nil {
-		return dispatch.Reply{}, err
-	}
-	var reply dispatch.Reply
-	for {
-		frame, err := frames.Recv()
-		if err != nil {
-			return dispatch.Reply{}, problem.New(problem.CallUnknown, http.StatusBadGateway, "region %q gave no answer", region).WithOutcome(problem.Unknown)
-		}
-		switch f := frame.GetFrame().(type) {
-		case *wiregen.ForwardFrame_Head:
-			reply.Status = int(f.Head.GetStatus())
-			reply.ContentType = f.Head.GetContentType()
-			reply.Endpoint = f.Head.GetEndpoint()
-		case *wiregen.ForwardFrame_Piece:
-			reply.Body = append(reply.Body, f.Piece.GetData()...)
-		case *wiregen.ForwardFrame_End:
-			return reply, nil
-		case *wiregen.ForwardFrame_Problem:
-			return dispatch.Reply{}, wire.DecodeProblem(f.Problem)
-		}
-	}
-}
-
-// open starts a forward to a live entry of the region.
-func (p *peers) open(ctx context.Context, region string, r dispatch.Request) (grpc.ServerStreamingClient[wiregen.ForwardFrame], error) {
-	for _, e := range p.state.live() {
-		if e.Region != region || e.Leaving || r.Passed(e.Name) {
-			continue
-		}
-		client, err := p.client(e.PeerAddress)
-		if err != nil {
-			continue
-		}
-		return client.Forward(ctx, wire.EncodeForward(r))
-	}
-	return nil, problem.New(problem.HomeRegionRequired, http.StatusServiceUnavailable, "no entry of region %q is known", region).WithRetryAfter(retryAfterStopping)
-}
-
-// frameSink sends the pieces of a forwarded answer back.
-type frameSink struct {
-	frames grpc.ServerStreamingServer[wiregen.ForwardFrame]
-}
-
-// Piece sends one piece.
-func (s frameSink) Piece(p stream.Piece) error {
-	return s.frames.Send(wire.PieceFrame(p))
-}
-
-// Forward runs a request that another region's entry sent.
-func (n *Entry) Forward(m *wiregen.ForwardRequest, frames grpc.ServerStreamingServer[wiregen.ForwardFrame]) error {
-	n.active.Add(1)
-	defer n.active.Add(-1)
-	if n.closed.Load() {
-		return frames.Send(wire.ProblemFrame(n.stopping()))
+		return nil, err
 	}
-	r := n.withPriority(wire.DecodeForward(time.Now(), m))
-	ctx, cancel := context.WithDeadline(frames.Context(), r.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, peerConnectTimeout)
 	defer cancel()
-	if r.Model != "" {
-		end, err := n.dispatcher.Generate(ctx, r, frameSink{frames: frames})
-		if err != nil {
-			return frames.Send(wire.ProblemFrame(n.streamProblem(err)))
+	conn.Connect()
+	for state := conn.GetState(); state != connectivity.Ready; state = conn.GetState() {
+		if state == connectivity.TransientFailure || !conn.WaitForStateChange(ctx, state) {
+			return nil, &PeerUnreachableError{Address: address}
 		}
-		return frames.Send(wire.EndFrame(end))
-	}
-	reply, err := n.forwardedCall(ctx, r)
-	if err != nil {
-		return frames.Send(wire.ProblemFrame(problem.From(err)))
-	}
-	return sendReply(frames, reply)
-}
-
-// withPriority returns the request with the priority that its class has here.
-func (n *Entry) withPriority(r dispatch.Request) dispatch.Request {
-	if inv, _ := n.state.Inventory(); inv != nil {
-		class, _ := inv.Class(r.Class)
-		r.Priority = class.Priority
+		conn.Connect()
 	}
-	return r
+	return wiregen.NewPeerClient(conn), nil
 }
 
-// forwardedCall runs a call from another region, through the ledger if it may not be repeated.
-func (n *Entry) forwardedCall(ctx context.Context, r dispatch.Request) (dispatch.Reply, error) {
-	inv, _ := n.state.Inventory()
-	if inv == nil {
-		return dispatch.Reply{}, problem.New(problem.NotReady, http.StatusServiceUnavailable, "instance %q has no inventory yet", n.cfg.Self.Name)
-	}
-	s, ok := inv.Service(r.Service)
-	if !ok {
-		return dispatch.Reply{}, problem.New(problem.UnknownService, http.StatusNotFound, "no plain service has the name %q", r.Service)
+func (p *peers) conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn := p.conns[address]; conn != nil {
+		return conn, nil
 	}
-	if s.Idempotent {
-		return n.dispatcher.Call(ctx, r)
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: peerPingPeriod, Timeout: peerPingTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxForwardBytes)),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: peerBackoff, MaxDelay: peerMaxBackoff, Multiplier: peerBackoffFactor, Jitter: peerBackoffJitter},
+			MinConnectTimeout: peerConnectTimeout,
+		}))
+	if err != nil {
+		return nil, err
 	}
-	return n.runner.Run(ctx, r)
+	p.conns[address] = conn
+	return conn, nil
 }
 
-func sendReply(frames grpc.ServerStreamingServer[wiregen.ForwardFrame], reply dispatch.Reply) error {
-	for _, frame := range wire.ReplyFrames(reply) {
-		if err := frames.Send(frame); err != nil {
-			return err
-		}
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.conns {
+		_ = conn.Close()
 	}
-	return nil
 }
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -42,6 +42,7 @@
 		},
 		endpoints: &http.Server{Handler: n.endpointHandler(), ReadHeaderTimeout: headerTimeout},
 		peers: grpc.NewServer(
+			grpc.MaxRecvMsgSize(maxForwardBytes+int(n.cfg.MaxBodyBytes)),
 			grpc.KeepaliveParams(keepalive.ServerParameters{Time: peerIdlePing, Timeout: peerPingTimeout}),
 			grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: peerLeastPing, PermitWithoutStream: true}),
 		),
