--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -15,9 +15,11 @@
 
 // Request is a checked request; it is not changed after its making.
 type Request struct {
-	CorrelationID  string
-	Team           string
-	Class          string
+	CorrelationID string
+	Team          string
+	Class         string
+	// Priority is the priority of the class; engines serve lower numbers first.
+	Priority       int
 	Labels         []string
 	Service        string
 	Model          string
