Check residency at arrival, at each forward and at its receipt

Cause: only the choice of a region looked at residency. A call to the home region, a forward chosen by an older view and a request that arrived in a forbidden region were not refused.

Now labels are checked before the body is read, at the one place that opens a forward, and by the receiver with its own inventory, which adds its team's labels. The forward carries the sender's revision.

Without the arrival check: 503 noCapacity instead of residencyRefused. Without the receiver's: the older sender was answered.

--- /dev/null
+++ b/dispatch/loop_test.go
@@ -0,0 +1,152 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"arbutusreel/dispatch"
+	"arbutusreel/inventory"
+	"arbutusreel/membership"
+	"arbutusreel/problem"
+	"arbutusreel/routing"
+	"arbutusreel/stream"
+)
+
+// topology is a set of instances that know each other through stale views.
+type topology struct {
+	t         *rapid.T
+	instances map[string][]*node
+	visits    map[string]int
+	crossings int
+	depth     int
+}
+
+// node is one instance with its view, which may be wrong about every region.
+type node struct {
+	topology   *topology
+	self       dispatch.Hop
+	inventory  *inventory.Inventory
+	summaries  []membership.Summary
+	dispatcher *dispatch.Dispatcher
+}
+
+func (n *node) Inventory() (*inventory.Inventory, int64) { return n.inventory, 1 }
+
+func (n *node) Endpoints() []membership.Endpoint { return nil }
+
+func (n *node) Summaries() []membership.Summary { return n.summaries }
+
+// ForwardModel takes the request to any instance of the region, also to one that it has passed.
+func (n *node) ForwardModel(ctx context.Context, region string, r dispatch.Request, sink stream.Sink) (stream.End, error) {
+	to := n.topology.arrive(n.self, region)
+	defer n.topology.leave()
+	return to.dispatcher.Generate(ctx, r, sink)
+}
+
+// ForwardCall takes the call to any instance of the region.
+func (n *node) ForwardCall(ctx context.Context, region string, r dispatch.Request) (dispatch.Reply, error) {
+	to := n.topology.arrive(n.self, region)
+	defer n.topology.leave()
+	return to.dispatcher.Call(ctx, r)
+}
+
+const maxDepth = 16
+
+// arrive counts a crossing and draws the instance that receives it.
+func (p *topology) arrive(from dispatch.Hop, region string) *node {
+	p.depth++
+	if p.depth > maxDepth {
+		p.t.Fatalf("the request is %d forwards deep", p.depth)
+	}
+	if from.Region != region {
+		p.crossings++
+	}
+	to := rapid.SampledFrom(p.instances[region]).Draw(p.t, "receiver")
+	p.visits[to.self.Instance]++
+	return to
+}
+
+func (p *topology) leave() { p.depth-- }
+
+type nothing struct{}
+
+func (nothing) Piece(stream.Piece) error { return nil }
+
+func drawTopology(t *rapid.T) *topology {
+	p := &topology{t: t, instances: map[string][]*node{}, visits: map[string]int{}}
+	var regions []string
+	for i := range rapid.IntRange(2, 4).Draw(t, "regions") {
+		regions = append(regions, fmt.Sprintf("r%d", i))
+	}
+	for _, region := range regions {
+		for i := range rapid.IntRange(1, 3).Draw(t, "instances") {
+			n := &node{topology: p, self: dispatch.Hop{Instance: fmt.Sprintf("%s-%d", region, i), Region: region}}
+			n.inventory = drawInventory(t, regions)
+			for _, other := range rapid.SliceOfNDistinct(rapid.SampledFrom(regions), 0, len(regions), rapid.ID[string]).Draw(t, "view") {
+				for _, service := range []string{"models", "desk"} {
+					n.summaries = append(n.summaries, membership.Summary{
+						Region: other, Service: service, Models: []string{"m"}, Endpoints: 1, Slots: 4, TokensPerSecond: 100,
+					})
+				}
+			}
+			n.dispatcher = dispatch.New(n.self, n, nil, nil, n, routing.New(), zerolog.Nop())
+			p.instances[region] = append(p.instances[region], n)
+		}
+	}
+	return p
+}
+
+// drawInventory returns an inventory whose label may differ from that of other instances, as during a rule change.
+func drawInventory(t *rapid.T, regions []string) *inventory.Inventory {
+	c := inventory.Contents{
+		Labels:   []inventory.Label{{Name: "l", AllowedRegions: rapid.SliceOfNDistinct(rapid.SampledFrom(regions), 1, len(regions), rapid.ID[string]).Draw(t, "allowed")}},
+		Models:   []inventory.Model{{Name: "m"}},
+		Services: []inventory.Service{{Name: "models", Models: []string{"m"}}, {Name: "desk", Kind: inventory.KindPlain, Idempotent: true}},
+		Classes:  []inventory.Class{{Name: "c", Patience: time.Second}},
+	}
+	for _, r := range regions {
+		c.Regions = append(c.Regions, inventory.Region{Name: r})
+	}
+	inv, err := inventory.New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return inv
+}
+
+// TestNoLoops checks that a request ends, visits no instance twice and crosses regions once at most, whatever the views say.
+func TestNoLoops(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawTopology(t)
+		start := rapid.SampledFrom(p.instances["r0"]).Draw(t, "start")
+		r := dispatch.Request{CorrelationID: "c", Class: "c", Deadline: time.Now().Add(time.Second)}
+		if rapid.Bool().Draw(t, "labelled") {
+			r.Labels = []string{"l"}
+		}
+		p.visits[start.self.Instance]++
+		var err error
+		if rapid.Bool().Draw(t, "model") {
+			r.Service, r.Model = "models", "m"
+			_, err = start.dispatcher.Generate(t.Context(), r, nothing{})
+		} else {
+			r.Service = "desk"
+			_, err = start.dispatcher.Call(t.Context(), r)
+		}
+		if p.crossings > 1 {
+			t.Errorf("the request crossed regions %d times", p.crossings)
+		}
+		for instance, n := range p.visits {
+			if n > 1 {
+				t.Errorf("instance %q was visited %d times", instance, n)
+			}
+		}
+		if got := problem.From(err); got.Outcome != problem.NotRun {
+			t.Errorf("a request that no endpoint can have seen failed as %v", err)
+		}
+	})
+}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -175,9 +175,9 @@
 	return labels, nil
 }
 
-// listEntries answers which entries the caller may use now: those of its home region, or all if there are none.
+// listEntries answers which entries the caller may use now: those of its home region, or all that its data may be sent to if there are none.
 func (n *Entry) listEntries(w http.ResponseWriter, _ *http.Request, c caller) {
-	live := slices.DeleteFunc(n.state.live(), func(e membership.Entry) bool { return e.Leaving })
+	live := slices.DeleteFunc(usable(c.inventory, c.team, n.state.live()), func(e membership.Entry) bool { return e.Leaving })
 	home := slices.DeleteFunc(slices.Clone(live), func(e membership.Entry) bool { return e.Region != c.team.HomeRegion })
 	if len(home) == 0 {
 		home = live
--- a/entry/models.go
+++ b/entry/models.go
@@ -75,6 +75,10 @@
 
 // modelRequest checks a caller's completion request.
 func (n *Entry) modelRequest(w http.ResponseWriter, r *http.Request, c caller, kind completion.Kind) (dispatch.Request, completion.Request, error) {
+	labels, err := n.arrivalLabels(c, r)
+	if err != nil {
+		return dispatch.Request{}, completion.Request{}, err
+	}
 	body, err := n.body(w, r)
 	if err != nil {
 		return dispatch.Request{}, completion.Request{}, err
@@ -94,10 +98,6 @@
 	if err != nil {
 		return dispatch.Request{}, asked, err
 	}
-	labels, err := c.labels(r)
-	if err != nil {
-		return dispatch.Request{}, asked, err
-	}
 	return dispatch.Request{
 		CorrelationID: c.correlationID,
 		Team:          c.team.Name,
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -115,6 +115,12 @@
 
 // open starts a forward to a live entry of the region.
 func (p *peers) open(ctx context.Context, region string, r dispatch.Request) (grpc.ServerStreamingClient[wiregen.ForwardFrame], error) {
+	revision, err := p.checkLeaving(r, region)
+	if err != nil {
+		return nil, err
+	}
+	m := wire.EncodeForward(r)
+	m.Revision = revision
 	for _, e := range p.state.live() {
 		if e.Region != region || e.Leaving || r.Passed(e.Name) {
 			continue
@@ -123,7 +129,7 @@
 		if err != nil {
 			continue
 		}
-		return client.Forward(ctx, wire.EncodeForward(r))
+		return client.Forward(ctx, m)
 	}
 	return nil, problem.New(problem.HomeRegionRequired, http.StatusServiceUnavailable, "no entry of region %q is known", region).WithRetryAfter(retryAfterStopping)
 }
@@ -142,7 +148,10 @@
 func (n *Entry) Forward(m *wiregen.ForwardRequest, frames grpc.ServerStreamingServer[wiregen.ForwardFrame]) error {
 	n.active.Add(1)
 	defer n.active.Add(-1)
-	r := wire.DecodeForward(time.Now(), m)
+	r, err := n.checkForwarded(wire.DecodeForward(time.Now(), m), m.GetRevision())
+	if err != nil {
+		return frames.Send(wire.ProblemFrame(problem.From(err)))
+	}
 	ctx, cancel := context.WithDeadline(frames.Context(), r.Deadline)
 	defer cancel()
 	if r.Model != "" {
--- a/entry/services.go
+++ b/entry/services.go
@@ -56,15 +56,15 @@
 	if !ok || s.Kind != inventory.KindPlain {
 		return dispatch.Request{}, s, problem.New(problem.UnknownService, http.StatusNotFound, "no plain service has the name %q", r.PathValue("service"))
 	}
-	body, err := n.body(w, r)
+	labels, err := n.arrivalLabels(c, r)
 	if err != nil {
 		return dispatch.Request{}, s, err
 	}
-	class, err := c.class(r)
+	body, err := n.body(w, r)
 	if err != nil {
 		return dispatch.Request{}, s, err
 	}
-	labels, err := c.labels(r)
+	class, err := c.class(r)
 	if err != nil {
 		return dispatch.Request{}, s, err
 	}
--- /dev/null
+++ b/residency/crossing.go
@@ -0,0 +1,69 @@
+package residency
+
+import (
+	"slices"
+
+	"arbutusreel/inventory"
+)
+
+// Kinds of what bounds data to regions.
+const (
+	kindTeam    = "team"
+	kindLabel   = "label"
+	kindService = "service"
+	kindModel   = "model"
+	kindRegion  = "region"
+)
+
+// Labels returns the request's labels with those that the inventory gives to its team; an unknown team returns *RefusedError.
+func Labels(inv *inventory.Inventory, team string, labels []string) ([]string, error) {
+	t, ok := inv.Team(team)
+	if !ok {
+		return nil, &RefusedError{Kind: kindTeam, Name: team, Reason: "no team has this name"}
+	}
+	all := slices.Clone(labels)
+	for _, name := range t.Labels {
+		if !slices.Contains(all, name) {
+			all = append(all, name)
+		}
+	}
+	return all, nil
+}
+
+// CheckData returns *RefusedError unless data of the team with the labels may be in the region.
+//
+// Both the labels that the data bears and those of the team in the inventory
+// bind it, so that a sender with an older inventory cannot leave one out.
+func CheckData(inv *inventory.Inventory, team string, labels []string, region string) error {
+	if _, ok := inv.Region(region); !ok {
+		return &RefusedError{Region: region, Kind: kindRegion, Name: region, Reason: "no region has this name"}
+	}
+	all, err := Labels(inv, team, labels)
+	if err != nil {
+		return err
+	}
+	for _, name := range all {
+		label, ok := inv.Label(name)
+		if !ok {
+			return &RefusedError{Region: region, Kind: kindLabel, Name: name, Reason: "no label has this name"}
+		}
+		if !slices.Contains(label.AllowedRegions, region) {
+			return &RefusedError{Region: region, Kind: kindLabel, Name: name, Reason: "the label does not allow the region"}
+		}
+	}
+	return nil
+}
+
+// CheckRun returns *RefusedError unless the subject of the team may be run in the region.
+func CheckRun(inv *inventory.Inventory, team string, s Subject, region string) error {
+	if err := CheckData(inv, team, s.Labels, region); err != nil {
+		return err
+	}
+	if !serviceAllows(inv, s.Service, region) {
+		return &RefusedError{Region: region, Kind: kindService, Name: s.Service, Reason: "the service does not allow the region"}
+	}
+	if !modelAllows(inv, s.Model, region) {
+		return &RefusedError{Region: region, Kind: kindModel, Name: s.Model, Reason: "the model does not allow the region"}
+	}
+	return nil
+}
--- a/residency/doc.go
+++ b/residency/doc.go
@@ -1,6 +1,7 @@
 // Package residency decides in which regions a request and its data may be handled.
 //
-// A request may be handled in a region only if every label of its data, its
-// model and its service allow the region. Labels that the inventory does not
-// define allow no region.
+// A request may be run in a region only if every label of its data, the labels
+// of its team, its model and its service allow the region; its data may be in
+// a region if the labels allow it. Labels and teams that the inventory does
+// not define allow no region.
 package residency
--- /dev/null
+++ b/residency/oracle_test.go
@@ -0,0 +1,166 @@
+package residency_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"arbutusreel/inventory"
+	"arbutusreel/residency"
+)
+
+// world is an inventory as plain tables, from which the oracle decides.
+type world struct {
+	regions  []string
+	labels   map[string][]string
+	models   map[string][]string
+	services map[string][]string
+	teams    map[string][]string
+}
+
+func drawWorld(t *rapid.T) world {
+	w := world{labels: map[string][]string{}, models: map[string][]string{}, services: map[string][]string{}, teams: map[string][]string{}}
+	for i := range rapid.IntRange(1, 5).Draw(t, "regions") {
+		w.regions = append(w.regions, fmt.Sprintf("r%d", i))
+	}
+	some := func(from []string, least int, what string) []string {
+		return rapid.SliceOfNDistinct(rapid.SampledFrom(from), least, len(from), rapid.ID[string]).Draw(t, what)
+	}
+	var labels []string
+	for i := range rapid.IntRange(1, 4).Draw(t, "labels") {
+		name := fmt.Sprintf("l%d", i)
+		labels = append(labels, name)
+		w.labels[name] = some(w.regions, 1, name)
+	}
+	for i := range rapid.IntRange(1, 3).Draw(t, "models") {
+		name := fmt.Sprintf("m%d", i)
+		w.models[name] = some(w.regions, 0, name)
+		w.services["s"+name] = some(w.regions, 0, "s"+name)
+	}
+	for i := range rapid.IntRange(1, 3).Draw(t, "teams") {
+		name := fmt.Sprintf("t%d", i)
+		w.teams[name] = some(labels, 0, name)
+	}
+	return w
+}
+
+func (w world) inventory(t *rapid.T) *inventory.Inventory {
+	c := inventory.Contents{Classes: []inventory.Class{{Name: "c", Patience: 1}}}
+	for _, r := range w.regions {
+		c.Regions = append(c.Regions, inventory.Region{Name: r})
+	}
+	for name, regions := range w.labels {
+		c.Labels = append(c.Labels, inventory.Label{Name: name, AllowedRegions: regions})
+	}
+	for name, regions := range w.models {
+		c.Models = append(c.Models, inventory.Model{Name: name, AllowedRegions: regions})
+		c.Services = append(c.Services, inventory.Service{Name: "s" + name, Models: []string{name}, AllowedRegions: w.services["s"+name]})
+	}
+	digit := 0
+	for name, labels := range w.teams {
+		digit++
+		c.Teams = append(c.Teams, inventory.Team{
+			Name: name, HomeRegion: w.regions[0], DefaultClass: "c", Labels: labels,
+			CredentialDigest: strings.Repeat(fmt.Sprintf("%02x", digit), 32),
+		})
+	}
+	inv, err := inventory.New(c)
+	if err != nil {
+		t.Fatalf("inventory: %v", err)
+	}
+	return inv
+}
+
+// oracle decides by striking out every region that some table forbids.
+func (w world) oracle(team string, s residency.Subject, region string, run bool) bool {
+	open := map[string]bool{}
+	for _, r := range w.regions {
+		open[r] = true
+	}
+	strike := func(table map[string][]string, name string, emptyAllows bool) {
+		allowed, defined := table[name]
+		for r := range open {
+			if !defined || (!slices.Contains(allowed, r) && (!emptyAllows || len(allowed) > 0)) {
+				open[r] = false
+			}
+		}
+	}
+	for _, l := range s.Labels {
+		strike(w.labels, l, false)
+	}
+	if team != "" {
+		teamLabels, defined := w.teams[team]
+		for _, l := range teamLabels {
+			strike(w.labels, l, false)
+		}
+		if !defined {
+			return false
+		}
+	}
+	if run && s.Service != "" {
+		strike(w.services, s.Service, true)
+	}
+	if run && s.Model != "" {
+		strike(w.models, s.Model, true)
+	}
+	return open[region]
+}
+
+func drawSubject(t *rapid.T) residency.Subject {
+	names := []string{"l0", "l1", "l2", "l3", "absent"}
+	return residency.Subject{
+		Labels:  rapid.SliceOfN(rapid.SampledFrom(names), 0, 3).Draw(t, "subjectLabels"),
+		Service: rapid.SampledFrom([]string{"", "sm0", "sm1", "sm2", "absent"}).Draw(t, "service"),
+		Model:   rapid.SampledFrom([]string{"", "m0", "m1", "m2", "absent"}).Draw(t, "model"),
+	}
+}
+
+func TestAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		inv := w.inventory(t)
+		s := drawSubject(t)
+		team := rapid.SampledFrom([]string{"t0", "t1", "t2", "absent"}).Draw(t, "team")
+		for _, region := range append(slices.Clone(w.regions), "absent") {
+			if got, want := residency.Allows(inv, s, region), w.oracle("", s, region, true); got != want {
+				t.Errorf("Allows(%+v, %q) = %v, oracle %v", s, region, got, want)
+			}
+			checkAgainst(t, residency.CheckData(inv, team, s.Labels, region), w.oracle(team, s, region, false), "CheckData", region)
+			checkAgainst(t, residency.CheckRun(inv, team, s, region), w.oracle(team, s, region, true), "CheckRun", region)
+			if got := slices.Contains(residency.Allowed(inv, s), region); got != w.oracle("", s, region, true) {
+				t.Errorf("Allowed(%+v) holds %q: %v", s, region, got)
+			}
+		}
+	})
+}
+
+func checkAgainst(t *rapid.T, err error, want bool, function, region string) {
+	var refused *residency.RefusedError
+	if err != nil && !errors.As(err, &refused) {
+		t.Fatalf("%s returned %T", function, err)
+	}
+	if (err == nil) != want {
+		t.Errorf("%s in region %q returned %v, oracle %v", function, region, err, want)
+	}
+}
+
+// TestRuleChange checks that a crossing needs the leave of the sender's inventory and of the receiver's, whichever is older.
+func TestRuleChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before := drawWorld(t)
+		after := drawWorld(t)
+		s := drawSubject(t)
+		team := rapid.SampledFrom([]string{"t0", "t1"}).Draw(t, "team")
+		region := rapid.SampledFrom(after.regions).Draw(t, "region")
+		sender, receiver := before.inventory(t), after.inventory(t)
+		allowed := residency.CheckRun(sender, team, s, region) == nil && residency.CheckRun(receiver, team, s, region) == nil
+		both := before.oracle(team, s, region, true) && after.oracle(team, s, region, true)
+		if allowed != both {
+			t.Errorf("crossing allowed %v, oracle of both %v", allowed, both)
+		}
+	})
+}
--- /dev/null
+++ b/systemtest/residency_test.go
@@ -0,0 +1,280 @@
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"arbutusreel/wiregen"
+)
+
+const (
+	marker      = "marker-diet-record-7731"
+	markedBody  = `{"model":"dastarkhwan-menu","max_tokens":4,"stream":true,"messages":[{"role":"user","content":"` + marker + `"}]}`
+	lahoreToken = "lahore-demo-token"
+)
+
+// recorder is an entry of another region that keeps every byte that it receives.
+type recorder struct {
+	wiregen.UnimplementedPeerServer
+
+	t        *testing.T
+	region   string
+	address  string
+	services []string
+	mu       sync.Mutex
+	received bytes.Buffer
+	sequence uint64
+}
+
+// newRecorder serves an entry of the region that says it has capacity for every service.
+func newRecorder(t *testing.T, region string, services ...string) *recorder {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &recorder{t: t, region: region, address: l.Addr().String(), services: services}
+	s := grpc.NewServer()
+	wiregen.RegisterPeerServer(s, r)
+	go func() { _ = s.Serve(recordingListener{Listener: l, recorder: r}) }()
+	t.Cleanup(s.Stop)
+	return r
+}
+
+type recordingListener struct {
+	net.Listener
+	recorder *recorder
+}
+
+func (l recordingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return recordingConn{Conn: c, recorder: l.recorder}, err
+}
+
+type recordingConn struct {
+	net.Conn
+	recorder *recorder
+}
+
+func (c recordingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.recorder.mu.Lock()
+	defer c.recorder.mu.Unlock()
+	c.recorder.received.Write(b[:n])
+	return n, err
+}
+
+func (r *recorder) holds(text string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return bytes.Contains(r.received.Bytes(), []byte(text))
+}
+
+func (r *recorder) adverts() ([]*wiregen.EntryAdvert, []*wiregen.RegionSummary) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	entries := []*wiregen.EntryAdvert{{
+		Name: "a-recorder-" + r.region, Region: r.region, FailureDomain: r.region + "-a",
+		CallerAddress: r.address, EndpointAddress: r.address, PeerAddress: r.address, Weight: 1,
+	}}
+	var summaries []*wiregen.RegionSummary
+	for _, s := range r.services {
+		summaries = append(summaries, &wiregen.RegionSummary{
+			Region: r.region, Service: s, Models: []string{"dastarkhwan-menu"},
+			Endpoints: 5, Slots: 40, TokensPerSecond: 500, Sequence: r.sequence,
+		})
+	}
+	return entries, summaries
+}
+
+// Exchange tells of the recorder's region.
+func (r *recorder) Exchange(context.Context, *wiregen.ExchangeRequest) (*wiregen.ExchangeReply, error) {
+	entries, summaries := r.adverts()
+	return &wiregen.ExchangeReply{Entries: entries, Summaries: summaries}, nil
+}
+
+// Forward answers with one piece.
+func (r *recorder) Forward(_ *wiregen.ForwardRequest, frames grpc.ServerStreamingServer[wiregen.ForwardFrame]) error {
+	piece := &wiregen.ForwardFrame{Frame: &wiregen.ForwardFrame_Piece{Piece: &wiregen.ForwardPiece{Data: []byte("away ")}}}
+	if err := frames.Send(piece); err != nil {
+		return err
+	}
+	return frames.Send(&wiregen.ForwardFrame{Frame: &wiregen.ForwardFrame_End{End: &wiregen.ForwardEnd{Pieces: 1, FinishReason: "stop"}}})
+}
+
+// peerClient returns a client of an entry's peer address.
+func peerClient(t *testing.T, address string) wiregen.PeerClient {
+	t.Helper()
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return wiregen.NewPeerClient(conn)
+}
+
+// join makes the recorder known to an entry until the test ends.
+func (r *recorder) join(e *instance) {
+	client := peerClient(r.t, e.peer)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.t.Cleanup(cancel)
+	go func() {
+		for ctx.Err() == nil {
+			entries, summaries := r.adverts()
+			_, _ = client.Exchange(ctx, &wiregen.ExchangeRequest{
+				Sender: "a-recorder-" + r.region, Region: r.region, Entries: entries, Summaries: summaries,
+			})
+			time.Sleep(200 * time.Millisecond)
+		}
+	}()
+}
+
+// editedInventory writes a changed copy of the Lunch Club's inventory and returns its path.
+func editedInventory(t *testing.T, edit func(map[string]any)) string {
+	t.Helper()
+	b, err := os.ReadFile(lunchClub)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m map[string]any
+	if err := json.Unmarshal(b, &m); err != nil {
+		t.Fatal(err)
+	}
+	edit(m)
+	if b, err = json.Marshal(m); err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "inventory.json")
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// item returns the item of a list whose name is given.
+func item(m map[string]any, list, name string) map[string]any {
+	for _, v := range m[list].([]any) {
+		if one := v.(map[string]any); one["name"] == name {
+			return one
+		}
+	}
+	return nil
+}
+
+// unlabelled takes the labels of Karachi's team away, so that its requests may go anywhere.
+func unlabelled(m map[string]any) { delete(item(m, "teams", "karachi-club"), "labels") }
+
+func TestBoundRequestStaysInItsRegions(t *testing.T) {
+	s := newSystem(t, options{regions: []string{"lahore"}, entriesPerRegion: 1, inventory: editedInventory(t, unlabelled)})
+	forbidden := newRecorder(t, "peshawar", "menu-model", "club-desk")
+	lahore := s.entries[0]
+	forbidden.join(lahore)
+	s.until("an unbound request crosses", func() bool {
+		return s.do(http.MethodPost, lahore.caller, chatPath, "karachi-demo-token", planBody).status == http.StatusOK
+	})
+	for range 5 {
+		if a := s.do(http.MethodPost, lahore.caller, chatPath, lahoreToken, markedBody); a.status == http.StatusOK {
+			t.Errorf("a bound request without capacity at home was answered: %q", a.body)
+		}
+		s.do(http.MethodPost, lahore.caller, orderPath, lahoreToken, marker, "Idempotency-Key", "k1")
+	}
+	if forbidden.holds(marker) {
+		t.Error("data of a bound request reached a region that its labels do not allow")
+	}
+	allowed := newRecorder(t, "karachi", "menu-model")
+	allowed.join(lahore)
+	s.until("a bound request crosses to an allowed region", func() bool {
+		return s.do(http.MethodPost, lahore.caller, chatPath, lahoreToken, markedBody).status == http.StatusOK
+	})
+	if forbidden.holds(marker) || !allowed.holds(marker) {
+		t.Errorf("the marker is in the forbidden region %v, in the allowed one %v", forbidden.holds(marker), allowed.holds(marker))
+	}
+	for _, p := range s.all {
+		if strings.Contains(p.logged(), marker) {
+			t.Errorf("the log of %s holds the data of a request", p.name)
+		}
+	}
+}
+
+func TestArrivalInForbiddenRegionIsRefused(t *testing.T) {
+	s := newSystem(t, options{regions: []string{"lahore", "peshawar"}, entriesPerRegion: 1, inventory: lunchClub})
+	peshawar := s.entries[1]
+	s.engine("engine-peshawar", "peshawar", "menu-model", "dastarkhwan-menu")
+	s.service("desk-peshawar", "peshawar", "club-desk")
+	s.until("a plan is answered", func() bool {
+		return s.do(http.MethodPost, peshawar.caller, chatPath, "peshawar-demo-token", planBody).status == http.StatusOK
+	})
+	for _, path := range []string{chatPath, orderPath} {
+		a := s.do(http.MethodPost, peshawar.caller, path, lahoreToken, markedBody, "Idempotency-Key", "k2")
+		if code, outcome := a.problemCode(); code != "residencyRefused" || outcome != "notRun" {
+			t.Errorf("%s answered %d %q %q", path, a.status, code, outcome)
+		}
+	}
+	a := s.do(http.MethodGet, peshawar.caller, "/v1/entries", lahoreToken, "")
+	if strings.Contains(a.body, peshawar.caller) || !strings.Contains(a.body, s.entries[0].caller) {
+		t.Errorf("a team of lahore was told to use %q", a.body)
+	}
+}
+
+func TestReceiverDecidesWithItsOwnInventory(t *testing.T) {
+	s := newSystem(t, options{regions: []string{"lahore"}, entriesPerRegion: 1, inventory: lunchClub})
+	lahore := s.entries[0]
+	s.engine("engine-lahore", "lahore", "menu-model", "dastarkhwan-menu")
+	s.until("a plan is answered", func() bool {
+		return s.do(http.MethodPost, lahore.caller, chatPath, lahoreToken, planBody).status == http.StatusOK
+	})
+	client := peerClient(t, lahore.peer)
+	forward := func(team string, revision int64, labels ...string) string {
+		ctx, cancel := context.WithTimeout(t.Context(), callLimit)
+		defer cancel()
+		frames, err := client.Forward(ctx, &wiregen.ForwardRequest{
+			CorrelationId: "forwarded", Team: team, RequestClass: "plan", Labels: labels, Service: "menu-model", Model: "dastarkhwan-menu",
+			Method: http.MethodPost, Path: chatPath, ContentType: "application/json", Body: []byte(planBody), Streaming: true,
+			RemainingMillis: 10_000, Revision: revision, ViaInstances: []string{"entry-old"}, ViaRegions: []string{"karachi"},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for {
+			frame, err := frames.Recv()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if p := frame.GetProblem(); p != nil {
+				return p.GetCode()
+			}
+			if frame.GetEnd() != nil {
+				return "answered"
+			}
+		}
+	}
+	check := func(name, got, want string) {
+		t.Helper()
+		if got != want {
+			t.Errorf("%s: %q, want %q", name, got, want)
+		}
+	}
+	check("same rules", forward("karachi-club", 1, "karachi-diet-records"), "answered")
+	check("sender newer, label unknown to the receiver", forward("karachi-club", 9, "karachi-diet-records", "new-label"), "residencyRefused")
+	check("sender newer, team unknown to the receiver", forward("new-club", 9), "residencyRefused")
+	s.apply(editedInventory(t, func(m map[string]any) {
+		item(m, "labels", "karachi-diet-records")["allowedRegions"] = []string{"karachi"}
+	}))
+	s.until("the receiver refuses by its newer rule", func() bool {
+		return forward("karachi-club", 1, "karachi-diet-records") == "residencyRefused"
+	})
+	check("sender older, label left out", forward("karachi-club", 1), "residencyRefused")
+}
