Add keys: certificates of instances from files, with reload and names

Package keys reads certificate, key and authority before each handshake, so a change is in force from the next connection on; files of no use leave the last good ones in force. Mutual TLS checks the chain, the usage, the time and the name in the URI SAN. Without files everything is plain. standin.Authority makes certificates for tests. Not yet wired into the daemons.

Ruled out: file times and sizes as the mark of a change, since two writes in one clock tick with equal sizes look alike; contents are compared.

--- /dev/null
+++ b/keys/files.go
@@ -0,0 +1,73 @@
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+)
+
+// Files names the PEM files of an instance; all empty means plain.
+type Files struct {
+	Certificate string
+	Key         string
+	Authority   string
+}
+
+// check returns *IncompleteError if one file is given without another that it needs.
+func (f Files) check() error {
+	switch {
+	case f.Certificate == "" && f.Key == "":
+		return nil
+	case f.Certificate == "":
+		return &IncompleteError{Setting: "tlsCertificateFile"}
+	case f.Key == "":
+		return &IncompleteError{Setting: "tlsKeyFile"}
+	case f.Authority == "":
+		return &IncompleteError{Setting: "tlsAuthorityFile"}
+	}
+	return nil
+}
+
+// contents is what the three files hold, in the order of Files.
+type contents [3]string
+
+// contents reads the files that are named; one that cannot be read returns *FileError.
+func (f Files) contents() (contents, error) {
+	var c contents
+	for i, name := range []string{f.Certificate, f.Key, f.Authority} {
+		if name == "" {
+			continue
+		}
+		b, err := os.ReadFile(name)
+		if err != nil {
+			return c, &FileError{File: name, Cause: err}
+		}
+		c[i] = string(b)
+	}
+	return c, nil
+}
+
+// material is what the contents of the files mean.
+type material struct {
+	certificate *tls.Certificate
+	authority   *x509.CertPool
+}
+
+// parse returns the material of the contents; contents of no use return *FileError.
+func (f Files) parse(c contents) (*material, error) {
+	m := &material{}
+	if f.Certificate != "" {
+		pair, err := tls.X509KeyPair([]byte(c[0]), []byte(c[1]))
+		if err != nil {
+			return nil, &FileError{File: f.Certificate, Cause: err}
+		}
+		m.certificate = &pair
+	}
+	if f.Authority != "" {
+		m.authority = x509.NewCertPool()
+		if !m.authority.AppendCertsFromPEM([]byte(c[2])) {
+			return nil, &FileError{File: f.Authority, Cause: &NoCertificateError{}}
+		}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/keys/source.go
@@ -0,0 +1,165 @@
+package keys
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// Source gives the TLS configurations of one instance; it is safe for concurrent use.
+//
+// The files are read before each handshake, so that a change is in force
+// from the next connection on. Files that cannot be read leave the last good
+// ones in force.
+type Source struct {
+	files  Files
+	now    func() time.Time
+	report func(error)
+	mu     sync.Mutex
+	loaded *material
+	seen   contents
+}
+
+// New reads the files and returns their source; report is told of later failures to read them.
+//
+// An incomplete set returns *IncompleteError, a file that cannot be used *FileError.
+func New(files Files, now func() time.Time, report func(error)) (*Source, error) {
+	if err := files.check(); err != nil {
+		return nil, err
+	}
+	seen, err := files.contents()
+	if err != nil {
+		return nil, err
+	}
+	loaded, err := files.parse(seen)
+	if err != nil {
+		return nil, err
+	}
+	return &Source{files: files, now: now, report: report, loaded: loaded, seen: seen}, nil
+}
+
+// Plain returns a source without TLS.
+func Plain() *Source { return &Source{loaded: &material{}} }
+
+// Mutual reports whether the system's own processes speak TLS with one another.
+func (s *Source) Mutual() bool { return s.files.Certificate != "" }
+
+// current returns what the files hold, read again if they have changed.
+func (s *Source) current() *material {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, err := s.files.contents()
+	if err != nil {
+		s.report(err)
+		return s.loaded
+	}
+	if now == s.seen {
+		return s.loaded
+	}
+	s.seen = now
+	loaded, err := s.files.parse(now)
+	if err != nil {
+		s.report(err)
+		return s.loaded
+	}
+	s.loaded = loaded
+	return loaded
+}
+
+// Server returns the credentials of a gRPC server that demands a certificate of the authority from its clients.
+func (s *Source) Server() credentials.TransportCredentials {
+	if !s.Mutual() {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(&tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		ClientAuth:             tls.RequireAnyClientCert,
+		SessionTicketsDisabled: true,
+		GetCertificate:         s.serverCertificate,
+		VerifyConnection: func(state tls.ConnectionState) error {
+			_, err := s.verify(state, x509.ExtKeyUsageClientAuth)
+			return err
+		},
+	})
+}
+
+// Client returns the credentials of a gRPC client that speaks only to the instance expectName, or to any if it is empty.
+func (s *Source) Client(expectName string) credentials.TransportCredentials {
+	if !s.Mutual() {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(&tls.Config{
+		MinVersion: tls.VersionTLS13,
+		// The chain and the name are checked by VerifyConnection: instances are known by name and not by host.
+		InsecureSkipVerify: true,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return s.current().certificate, nil
+		},
+		VerifyConnection: func(state tls.ConnectionState) error {
+			identity, err := s.verify(state, x509.ExtKeyUsageServerAuth)
+			if err == nil && expectName != "" && identity.Name != expectName {
+				return &NameError{Want: expectName, Got: identity}
+			}
+			return err
+		},
+	})
+}
+
+// HTTPServer returns the configuration of an HTTP server for callers or operators, or nil if it is plain.
+func (s *Source) HTTPServer() *tls.Config {
+	if !s.Mutual() {
+		return nil
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: s.serverCertificate}
+}
+
+// HTTPClient returns the configuration of an HTTP client that trusts the authority, or nil if it is plain.
+func (s *Source) HTTPClient() *tls.Config {
+	if s.files.Authority == "" {
+		return nil
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: s.current().authority}
+}
+
+// CheckClaim returns *ClaimError if the peer of a gRPC call is another instance than it claims; without TLS it returns nil.
+func (s *Source) CheckClaim(ctx context.Context, name, region string) error {
+	if !s.Mutual() {
+		return nil
+	}
+	got, ok := Peer(ctx)
+	if !ok || got.Name != name || got.Region != region {
+		return &ClaimError{Name: name, Region: region, Got: got}
+	}
+	return nil
+}
+
+func (s *Source) serverCertificate(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	return s.current().certificate, nil
+}
+
+// verify checks the chain of the other side against the authority in force and returns whom it names.
+func (s *Source) verify(state tls.ConnectionState, usage x509.ExtKeyUsage) (Identity, error) {
+	if len(state.PeerCertificates) == 0 {
+		return Identity{}, &NoCertificateError{}
+	}
+	intermediates := x509.NewCertPool()
+	for _, c := range state.PeerCertificates[1:] {
+		intermediates.AddCert(c)
+	}
+	leaf := state.PeerCertificates[0]
+	_, err := leaf.Verify(x509.VerifyOptions{
+		Roots:         s.current().authority,
+		Intermediates: intermediates,
+		CurrentTime:   s.now(),
+		KeyUsages:     []x509.ExtKeyUsage{usage},
+	})
+	if err != nil {
+		return Identity{}, err
+	}
+	return IdentityOf(leaf)
+}
--- /dev/null
+++ b/standin/authority.go
@@ -0,0 +1,78 @@
+package standin
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/url"
+	"time"
+)
+
+// Authority signs certificates of instances on loopback.
+type Authority struct {
+	key         *ecdsa.PrivateKey
+	certificate *x509.Certificate
+	serial      int64
+	from        time.Time
+}
+
+// NewAuthority returns an authority whose certificates hold for a day from the time.
+func NewAuthority(from time.Time) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	a := &Authority{key: key, from: from}
+	template := a.template()
+	template.IsCA, template.BasicConstraintsValid = true, true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, err
+	}
+	a.certificate, err = x509.ParseCertificate(der)
+	return a, err
+}
+
+func (a *Authority) template() *x509.Certificate {
+	a.serial++
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(a.serial),
+		Subject:      pkix.Name{CommonName: "emulated"},
+		NotBefore:    a.from.Add(-time.Hour),
+		NotAfter:     a.from.Add(24 * time.Hour),
+	}
+}
+
+// PEM returns the authority's own certificate.
+func (a *Authority) PEM() []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.certificate.Raw})
+}
+
+// Sign returns a certificate that bears the URI and holds for loopback, and its key.
+func (a *Authority) Sign(uri *url.URL) (certificate, key []byte, err error) {
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, err
+	}
+	template := a.template()
+	template.URIs = []*url.URL{uri}
+	template.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, private.Public(), a.key)
+	if err != nil {
+		return nil, nil, err
+	}
+	raw, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		return nil, nil, err
+	}
+	certificate = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	return certificate, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: raw}), nil
+}
