Speak mutual TLS between instances and TLS to callers and operators

Entry, control and the operators' client take their credentials from one keys.Source. Exchange, Forward and Follow refuse a peer whose certificate names another instance. Without the settings all stays plain.

--- a/cmd/arbutusreel/daemons.go
+++ b/cmd/arbutusreel/daemons.go
@@ -12,6 +12,7 @@
 
 	"arbutusreel/control"
 	"arbutusreel/entry"
+	"arbutusreel/keys"
 	"arbutusreel/membership"
 	"arbutusreel/wiregen"
 )
@@ -40,6 +41,21 @@
 		Str("role", role).Str("instance", name).Str("region", region).Logger(), nil
 }
 
+// tlsSettings are the settings of TLS that daemons share.
+type tlsSettings interface {
+	GetTlsCertificateFile() string
+	GetTlsKeyFile() string
+	GetTlsAuthorityFile() string
+}
+
+// newKeys returns the source of the files that the settings name.
+func newKeys(m tlsSettings, log zerolog.Logger) (*keys.Source, error) {
+	files := keys.Files{Certificate: m.GetTlsCertificateFile(), Key: m.GetTlsKeyFile(), Authority: m.GetTlsAuthorityFile()}
+	return keys.New(files, time.Now, func(err error) {
+		log.Error().Err(err).Msg("keysUnreadable")
+	})
+}
+
 func entryCommand() *command {
 	m := &wiregen.EntrySettings{}
 	return &command{
@@ -51,7 +67,13 @@
 			if err != nil {
 				return err
 			}
-			return entry.New(entryConfig(m), log, time.Now).Run(ctx)
+			source, err := newKeys(m, log)
+			if err != nil {
+				return err
+			}
+			cfg := entryConfig(m)
+			cfg.Keys = source
+			return entry.New(cfg, log, time.Now).Run(ctx)
 		},
 	}
 }
@@ -76,8 +98,10 @@
 		DrainTimeout:      m.GetDrainTimeout().AsDuration(),
 		ReaderTimeout:     m.GetReaderTimeout().AsDuration(),
 	}
+	cfg.ControlNames = map[string]string{}
 	for _, member := range m.GetControls() {
-		_, address, _ := strings.Cut(member, "=")
+		name, address, _ := strings.Cut(member, "=")
+		cfg.ControlNames[address] = name
 		cfg.Controls = append(cfg.Controls, address)
 	}
 	return cfg
@@ -94,7 +118,13 @@
 			if err != nil {
 				return err
 			}
-			return control.New(controlConfig(m), log, time.Now).Run(ctx)
+			source, err := newKeys(m, log)
+			if err != nil {
+				return err
+			}
+			cfg := controlConfig(m)
+			cfg.Keys = source
+			return control.New(cfg, log, time.Now).Run(ctx)
 		},
 	}
 }
--- a/cmd/arbutusreel/operators.go
+++ b/cmd/arbutusreel/operators.go
@@ -9,10 +9,12 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/integrii/flaggy"
 	"google.golang.org/protobuf/proto"
 
+	"arbutusreel/keys"
 	"arbutusreel/operator"
 	"arbutusreel/settings"
 	"arbutusreel/wire"
@@ -37,7 +39,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.GetTimeout().AsDuration())
 	defer cancel()
-	return f(ctx, operator.New(m.GetControls(), token, http.DefaultClient))
+	c := operator.New(m.GetControls(), token, http.DefaultClient)
+	source, err := keys.New(keys.Files{Authority: m.GetTlsAuthorityFile()}, time.Now, func(error) {})
+	if err != nil {
+		return err
+	}
+	if cfg := source.HTTPClient(); cfg != nil {
+		c = c.WithTLS(cfg)
+	}
+	return f(ctx, c)
 }
 
 func readToken(file string) (string, error) {
--- a/control/config.go
+++ b/control/config.go
@@ -1,6 +1,10 @@
 package control
 
-import "time"
+import (
+	"time"
+
+	"arbutusreel/keys"
+)
 
 // Config is what a control daemon needs to know at its start.
 type Config struct {
@@ -18,4 +22,5 @@
 	ElectionTimeout     time.Duration
 	SnapshotEntries     int
 	PlacementPeriod     time.Duration
+	Keys                *keys.Source
 }
--- a/control/control.go
+++ b/control/control.go
@@ -64,8 +64,9 @@
 	if err != nil {
 		return err
 	}
+	operators = c.cfg.Keys.Listener(operators)
 	operatorServer := &http.Server{Handler: c.operatorHandler(), ReadHeaderTimeout: headerTimeout}
-	peerServer := grpc.NewServer()
+	peerServer := grpc.NewServer(grpc.Creds(c.cfg.Keys.Server()))
 	wiregen.RegisterConfigurationServer(peerServer, c)
 	var wg sync.WaitGroup
 	wg.Go(func() {
--- a/control/followers.go
+++ b/control/followers.go
@@ -63,6 +63,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.checkFollower(reports.Context(), first); err != nil {
+		return err
+	}
 	c.followers.report(c.now(), first)
 	go c.readReports(reports)
 	var sent int64
--- a/entry/config.go
+++ b/entry/config.go
@@ -3,13 +3,16 @@
 import (
 	"time"
 
+	"arbutusreel/keys"
 	"arbutusreel/membership"
 )
 
 // Config is what an entry needs to know at its start.
 type Config struct {
-	Self              membership.Entry
-	Controls          []string
+	Self     membership.Entry
+	Controls []string
+	// ControlNames holds the names of the control voters by address.
+	ControlNames      map[string]string
 	Peers             []string
 	DirectoryAddress  string
 	MaxBodyBytes      int64
@@ -18,6 +21,7 @@
 	DrainNotice       time.Duration
 	DrainTimeout      time.Duration
 	ReaderTimeout     time.Duration
+	Keys              *keys.Source
 }
 
 // Periods and limits of the daemon's duties.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,7 +39,7 @@
 // New returns an entry daemon that runs when Run is called.
 func New(cfg Config, log zerolog.Logger, now func() time.Time) *Entry {
 	s := newState(cfg.Self.Region, now)
-	p := newPeers(s, cfg.Self.Name)
+	p := newPeers(s, cfg.Self.Name, cfg.Keys)
 	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
 	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, routing.New(), log)
 	return &Entry{
@@ -63,9 +63,10 @@
 	if err != nil {
 		return err
 	}
+	listeners[0] = n.cfg.Keys.Listener(listeners[0])
 	callers := &http.Server{Handler: n.callerHandler(), MaxHeaderBytes: n.cfg.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout}
 	endpoints := &http.Server{Handler: n.endpointHandler(), ReadHeaderTimeout: headerTimeout}
-	peerServer := grpc.NewServer()
+	peerServer := grpc.NewServer(grpc.Creds(n.cfg.Keys.Server()))
 	wiregen.RegisterPeerServer(peerServer, n)
 
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -83,7 +83,10 @@
 }
 
 // Exchange answers a peer with the same state.
-func (n *Entry) Exchange(_ context.Context, m *wiregen.ExchangeRequest) (*wiregen.ExchangeReply, error) {
+func (n *Entry) Exchange(ctx context.Context, m *wiregen.ExchangeRequest) (*wiregen.ExchangeReply, error) {
+	if err := n.checkClaim(ctx, m.GetSender(), m.GetRegion()); err != nil {
+		return nil, err
+	}
 	n.learn(m.GetEntries(), m.GetEndpoints(), m.GetSummaries())
 	own := n.exchangeRequest()
 	return &wiregen.ExchangeReply{
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
@@ -24,7 +23,7 @@
 
 // followOne adopts what one control voter sends until the stream ends.
 func (n *Entry) followOne(ctx context.Context, address string) error {
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(n.cfg.Keys.Client(n.cfg.ControlNames[address])))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/entry/keys.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"arbutusreel/wiregen"
+)
+
+// nameAt returns the name of the entry that is known at a peer address, or "" if none is.
+func (p *peers) nameAt(address string) string {
+	for _, e := range p.state.live() {
+		if e.PeerAddress == address {
+			return e.Name
+		}
+	}
+	return ""
+}
+
+// checkClaim refuses a peer whose certificate names another instance than the peer does.
+func (n *Entry) checkClaim(ctx context.Context, name, region string) error {
+	if err := n.cfg.Keys.CheckClaim(ctx, name, region); err != nil {
+		n.log.Warn().Err(err).Msg("peerRefused")
+		return status.Error(codes.PermissionDenied, err.Error())
+	}
+	return nil
+}
+
+// checkSender refuses a forward whose last instance passed is not the one that sent it.
+func (n *Entry) checkSender(ctx context.Context, m *wiregen.ForwardRequest) error {
+	var name, region string
+	if i := len(m.GetViaInstances()) - 1; i >= 0 && i < len(m.GetViaRegions()) {
+		name, region = m.GetViaInstances()[i], m.GetViaRegions()[i]
+	}
+	return n.checkClaim(ctx, name, region)
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"arbutusreel/dispatch"
+	"arbutusreel/keys"
 	"arbutusreel/problem"
 	"arbutusreel/stream"
 	"arbutusreel/wire"
@@ -20,14 +20,15 @@
 type peers struct {
 	state *state
 	self  string
+	keys  *keys.Source
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
 var _ dispatch.Forwarder = (*peers)(nil)
 
-func newPeers(s *state, self string) *peers {
-	return &peers{state: s, self: self, conns: map[string]*grpc.ClientConn{}}
+func newPeers(s *state, self string, source *keys.Source) *peers {
+	return &peers{state: s, self: self, keys: source, conns: map[string]*grpc.ClientConn{}}
 }
 
 // client returns the client of the peer at the address, which is connected at its first use.
@@ -37,7 +38,7 @@
 	if conn := p.conns[address]; conn != nil {
 		return wiregen.NewPeerClient(conn), nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(p.keys.Client(p.nameAt(address))))
 	if err != nil {
 		return nil, err
 	}
@@ -148,6 +149,9 @@
 func (n *Entry) Forward(m *wiregen.ForwardRequest, frames grpc.ServerStreamingServer[wiregen.ForwardFrame]) error {
 	n.active.Add(1)
 	defer n.active.Add(-1)
+	if err := n.checkSender(frames.Context(), m); err != nil {
+		return err
+	}
 	r, err := n.checkForwarded(wire.DecodeForward(time.Now(), m), m.GetRevision())
 	if err != nil {
 		return frames.Send(wire.ProblemFrame(problem.From(err)))
--- a/keys/source.go
+++ b/keys/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 //
 // The files are read before each handshake, so that a change is in force
 // from the next connection on. Files that cannot be read leave the last good
-// ones in force.
+// ones in force. A nil source is plain.
 type Source struct {
 	files  Files
 	now    func() time.Time
@@ -47,7 +48,7 @@
 func Plain() *Source { return &Source{loaded: &material{}} }
 
 // Mutual reports whether the system's own processes speak TLS with one another.
-func (s *Source) Mutual() bool { return s.files.Certificate != "" }
+func (s *Source) Mutual() bool { return s != nil && s.files.Certificate != "" }
 
 // current returns what the files hold, read again if they have changed.
 func (s *Source) current() *material {
@@ -120,7 +121,7 @@
 
 // HTTPClient returns the configuration of an HTTP client that trusts the authority, or nil if it is plain.
 func (s *Source) HTTPClient() *tls.Config {
-	if s.files.Authority == "" {
+	if s == nil || s.files.Authority == "" {
 		return nil
 	}
 	return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: s.current().authority}
@@ -163,3 +164,11 @@
 	}
 	return IdentityOf(leaf)
 }
+
+// Listener returns a listener of TLS connections for callers or operators, or l itself if it is plain.
+func (s *Source) Listener(l net.Listener) net.Listener {
+	if cfg := s.HTTPServer(); cfg != nil {
+		return tls.NewListener(l, cfg)
+	}
+	return l
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -35,11 +36,20 @@
 	controls []string
 	token    string
 	client   *http.Client
+	scheme   string
 }
 
 // New returns a client of the control voters at the addresses.
 func New(controls []string, token string, client *http.Client) *Client {
-	return &Client{controls: controls, token: token, client: client}
+	return &Client{controls: controls, token: token, client: client, scheme: "http"}
+}
+
+// WithTLS returns a client that speaks TLS by the configuration.
+func (c *Client) WithTLS(cfg *tls.Config) *Client {
+	with := *c
+	with.client = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}}
+	with.scheme = "https"
+	return &with
 }
 
 // Apply proposes a change; a refusal returns *problem.Problem, silence *UnreachableError.
@@ -86,7 +96,7 @@
 
 // ask returns the answer of one voter.
 func (c *Client) ask(ctx context.Context, address, method, path string, body []byte) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
--- a/systemtest/harness_test.go
+++ b/systemtest/harness_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
@@ -128,6 +129,9 @@
 	endpoints []*instance
 	inventory string
 	all       []*process
+	tls       *tls.Config
+	// authorityFile is given to the operators' commands.
+	authorityFile string
 }
 
 // options describes a system; each region has one control voter.
@@ -140,6 +144,8 @@
 	controlArgs []string
 	// dataFolders gives each entry a data folder.
 	dataFolders bool
+	// certificates makes every process of the system speak TLS.
+	certificates *certificates
 }
 
 // newSystem starts a system without endpoints and applies its inventory; everything ends with the test.
@@ -147,6 +153,10 @@
 	t.Helper()
 	s := &system{t: t, dir: t.TempDir(), directory: freeAddress(t), inventory: o.inventory}
 	t.Cleanup(s.end)
+	if o.certificates != nil {
+		s.tls = o.certificates.client()
+		s.authorityFile = o.certificates.authorityFile
+	}
 	s.run("directory", "standin", "directory", "--address", s.directory)
 	var voters, peers []string
 	for _, r := range o.regions {
@@ -162,6 +172,7 @@
 			"--peerAddress", c.peer, "--operatorAddress", c.operator, "--voters", strings.Join(voters, ","),
 			"--dataFolder", filepath.Join(s.dir, "control-"+c.region), "--operatorTokenDigest", operatorDigest,
 		}
+		args = append(args, o.certificates.args("control-"+c.region, c.region)...)
 		c.process = s.run("control-"+c.region, append(args, o.controlArgs...)...)
 	}
 	for _, r := range o.regions {
@@ -183,6 +194,7 @@
 		if o.dataFolders {
 			args = append(args, "--dataFolder", filepath.Join(s.dir, e.name))
 		}
+		args = append(args, o.certificates.args(e.name, e.region)...)
 		e.process = s.run(e.name, append(args, o.entryArgs...)...)
 	}
 	s.apply(o.inventory)
@@ -239,6 +251,9 @@
 	defer cancel()
 	cmd := exec.CommandContext(ctx, filepath.Join(programs, "arbutusreel"), args...)
 	cmd.Env = append(os.Environ(), "ARBUTUSREEL_TOKEN="+operatorToken, "ARBUTUSREEL_CONTROLS="+s.operators())
+	if s.tls != nil {
+		cmd.Env = append(cmd.Env, "ARBUTUSREEL_TLS_AUTHORITY_FILE="+s.authorityFile)
+	}
 	out, err := cmd.CombinedOutput()
 	return string(out), err
 }
@@ -306,7 +321,7 @@
 func (s *system) do(method, address, path, token, body string, headers ...string) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte(body)))
+	req, err := http.NewRequestWithContext(ctx, method, s.scheme()+address+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -314,7 +329,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: s.tls}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return answer{}
