Add explain: recent decision lines, asked of all instances

Package decision keeps the log lines that bear a correlation id or a placement, within decisionBytes. Entries and control voters serve them to operators; arbutusreel explain merges the story. Control voters list entries through a small RPC on the entries that follow them, which placement uses as well.

With the bound off TestStoreIsBounded fails: "264 bytes in use, at most 200".

Additive in files of others: FollowReport.sender (entry/follow.go, control/followers.go), two routes in control/operators.go, one in entry/callers.go, operator/guard.go.

--- a/cmd/arbutusreel/daemons.go
+++ b/cmd/arbutusreel/daemons.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"arbutusreel/control"
+	"arbutusreel/decision"
 	"arbutusreel/entry"
 	"arbutusreel/keys"
 	"arbutusreel/membership"
@@ -30,14 +31,14 @@
 	return fmt.Sprintf("setting %q: log level %q does not exist", "logLevel", e.Level)
 }
 
-// newLogger returns a logger of JSON lines that name the instance.
-func newLogger(level, role, name, region string) (zerolog.Logger, error) {
+// newLogger returns a logger of JSON lines that name the instance; lines that explain decisions are kept as well.
+func newLogger(level, role, name, region string, decisions *decision.Store) (zerolog.Logger, error) {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil {
 		return zerolog.Nop(), &LevelError{Level: level}
 	}
 	zerolog.TimeFieldFormat = logTimeFormat
-	return zerolog.New(os.Stderr).Level(parsed).With().Timestamp().
+	return zerolog.New(zerolog.MultiLevelWriter(os.Stderr, decisions)).Level(parsed).With().Timestamp().
 		Str("role", role).Str("instance", name).Str("region", region).Logger(), nil
 }
 
@@ -63,7 +64,8 @@
 		doc:      "Runs an entry, which serves callers.",
 		settings: m,
 		run: func(ctx context.Context, _ io.Writer) error {
-			log, err := newLogger(m.GetLogLevel(), "entry", m.GetName(), m.GetRegion())
+			decisions := decision.New(int(m.GetDecisionBytes()))
+			log, err := newLogger(m.GetLogLevel(), "entry", m.GetName(), m.GetRegion(), decisions)
 			if err != nil {
 				return err
 			}
@@ -73,6 +75,7 @@
 			}
 			cfg := entryConfig(m)
 			cfg.Keys = source
+			cfg.Decisions = decisions
 			return entry.New(cfg, log, time.Now).Run(ctx)
 		},
 	}
@@ -89,14 +92,15 @@
 			PeerAddress:     m.GetPeerAddress(),
 			Weight:          1,
 		},
-		Peers:             m.GetPeers(),
-		DirectoryAddress:  m.GetDirectoryAddress(),
-		MaxBodyBytes:      m.GetMaxBodyBytes(),
-		MaxHeaderBytes:    int(m.GetMaxHeaderBytes()),
-		AnnouncementLease: m.GetAnnouncementLease().AsDuration(),
-		DrainNotice:       m.GetDrainNotice().AsDuration(),
-		DrainTimeout:      m.GetDrainTimeout().AsDuration(),
-		ReaderTimeout:     m.GetReaderTimeout().AsDuration(),
+		Peers:               m.GetPeers(),
+		DirectoryAddress:    m.GetDirectoryAddress(),
+		MaxBodyBytes:        m.GetMaxBodyBytes(),
+		MaxHeaderBytes:      int(m.GetMaxHeaderBytes()),
+		AnnouncementLease:   m.GetAnnouncementLease().AsDuration(),
+		DrainNotice:         m.GetDrainNotice().AsDuration(),
+		DrainTimeout:        m.GetDrainTimeout().AsDuration(),
+		ReaderTimeout:       m.GetReaderTimeout().AsDuration(),
+		OperatorTokenDigest: m.GetOperatorTokenDigest(),
 	}
 	cfg.ControlNames = map[string]string{}
 	for _, member := range m.GetControls() {
@@ -114,7 +118,8 @@
 		doc:      "Runs a control voter, which accepts configuration.",
 		settings: m,
 		run: func(ctx context.Context, _ io.Writer) error {
-			log, err := newLogger(m.GetLogLevel(), "control", m.GetName(), m.GetRegion())
+			decisions := decision.New(int(m.GetDecisionBytes()))
+			log, err := newLogger(m.GetLogLevel(), "control", m.GetName(), m.GetRegion(), decisions)
 			if err != nil {
 				return err
 			}
@@ -124,6 +129,7 @@
 			}
 			cfg := controlConfig(m)
 			cfg.Keys = source
+			cfg.Decisions = decisions
 			return control.New(cfg, log, time.Now).Run(ctx)
 		},
 	}
--- a/control/config.go
+++ b/control/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"arbutusreel/decision"
 	"arbutusreel/keys"
 )
 
@@ -23,4 +24,5 @@
 	SnapshotEntries     int
 	PlacementPeriod     time.Duration
 	Keys                *keys.Source
+	Decisions           *decision.Store
 }
--- a/control/followers.go
+++ b/control/followers.go
@@ -10,10 +10,14 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"arbutusreel/membership"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
 )
 
+// followerTTL is how long an entry counts as a follower after its last report.
+const followerTTL = 10 * time.Second
+
 // follower is an instance with the revision that it has in force.
 type follower struct {
 	name     string
@@ -26,13 +30,20 @@
 type followers struct {
 	mu   sync.Mutex
 	last map[string]follower
+	// entries are those that follow this voter directly.
+	entries *membership.Entries
 }
 
-func newFollowers() *followers { return &followers{last: map[string]follower{}} }
+func newFollowers() *followers {
+	return &followers{last: map[string]follower{}, entries: membership.NewEntries(followerTTL)}
+}
 
 func (f *followers) report(now time.Time, m *wiregen.FollowReport) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if m.GetSender() != nil {
+		f.entries.Hear(now, wire.DecodeEntries([]*wiregen.EntryAdvert{m.GetSender()})[0])
+	}
 	for _, i := range m.GetInstances() {
 		at := now.Add(-time.Duration(i.GetAgeMillis()) * time.Millisecond)
 		if at.Before(f.last[i.GetName()].at) {
@@ -42,6 +53,13 @@
 	}
 }
 
+// direct returns the entries that follow this voter directly.
+func (f *followers) direct(now time.Time) []membership.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries.Live(now)
+}
+
 // all returns the followers in the order of their names.
 func (f *followers) all() []follower {
 	f.mu.Lock()
--- a/control/operators.go
+++ b/control/operators.go
@@ -22,6 +22,8 @@
 	mux.HandleFunc("POST /v1/inventory", c.operator(c.apply))
 	mux.HandleFunc("GET /v1/inventory", c.operator(c.get))
 	mux.HandleFunc("GET /v1/status", c.operator(c.status))
+	mux.HandleFunc("GET /v1/entries", c.operator(c.listEntries))
+	mux.HandleFunc("GET /v1/decisions/{kind}/{name}", c.operator(c.decisions))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", c.ready)
 	return mux
--- /dev/null
+++ b/control/regions.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"arbutusreel/decision"
+	"arbutusreel/membership"
+	"arbutusreel/wire"
+	"arbutusreel/wiregen"
+)
+
+// regionTimeout bounds one question to an entry.
+const regionTimeout = time.Second
+
+// askRegion returns what one entry knows of its region.
+func (c *Control) askRegion(ctx context.Context, e membership.Entry) (*wiregen.RegionReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, regionTimeout)
+	defer cancel()
+	conn, err := grpc.NewClient("passthrough:///"+e.PeerAddress, grpc.WithTransportCredentials(c.cfg.Keys.Client(e.Name)))
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	return wiregen.NewPlacementClient(conn).Region(ctx, &wiregen.RegionRequest{})
+}
+
+// askRegions asks all of the entries at once; those that give no answer are left out.
+func (c *Control) askRegions(ctx context.Context, entries []membership.Entry) []*wiregen.RegionReply {
+	replies := make([]*wiregen.RegionReply, len(entries))
+	var wg sync.WaitGroup
+	for i, e := range entries {
+		wg.Go(func() {
+			reply, err := c.askRegion(ctx, e)
+			if err != nil {
+				c.log.Debug().Str("entry", e.Name).Err(err).Msg("entryUnreachable")
+				return
+			}
+			replies[i] = reply
+		})
+	}
+	wg.Wait()
+	return slices.DeleteFunc(replies, func(r *wiregen.RegionReply) bool { return r == nil })
+}
+
+// entries returns every entry that the direct followers know of, in the order of their names.
+func (c *Control) entries(ctx context.Context) []membership.Entry {
+	direct := c.followers.direct(c.now())
+	known := map[string]membership.Entry{}
+	for _, e := range direct {
+		known[e.Name] = e
+	}
+	for _, reply := range c.askRegions(ctx, direct) {
+		for _, e := range wire.DecodeEntries(reply.GetEntries()) {
+			known[e.Name] = e
+		}
+	}
+	all := make([]membership.Entry, 0, len(known))
+	for _, e := range known {
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b membership.Entry) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
+// listEntries answers the entries of all regions.
+func (c *Control) listEntries(r *http.Request) (proto.Message, error) {
+	return &wiregen.EntriesReply{Entries: wire.EncodeEntries(c.entries(r.Context()))}, nil
+}
+
+// decisions answers the kept lines of a request or a placement.
+func (c *Control) decisions(r *http.Request) (proto.Message, error) {
+	reply := &wiregen.DecisionsReply{}
+	if c.cfg.Decisions != nil {
+		subject := decision.Subject{Kind: decision.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
+		reply.Lines = c.cfg.Decisions.Lines(subject)
+	}
+	return reply, nil
+}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -44,6 +44,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", n.authenticated(n.chat))
 	mux.HandleFunc("POST /v1/completions", n.authenticated(n.text))
 	mux.HandleFunc("/v1/services/{service}/{path...}", n.authenticated(n.service))
+	mux.HandleFunc("GET /v1/decisions/{kind}/{name}", n.operator(n.decisions))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", n.ready)
 	mux.Handle("GET /debug/vars", expvar.Handler())
--- a/entry/config.go
+++ b/entry/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"arbutusreel/decision"
 	"arbutusreel/keys"
 	"arbutusreel/membership"
 )
@@ -12,16 +13,18 @@
 	Self     membership.Entry
 	Controls []string
 	// ControlNames holds the names of the control voters by address.
-	ControlNames      map[string]string
-	Peers             []string
-	DirectoryAddress  string
-	MaxBodyBytes      int64
-	MaxHeaderBytes    int
-	AnnouncementLease time.Duration
-	DrainNotice       time.Duration
-	DrainTimeout      time.Duration
-	ReaderTimeout     time.Duration
-	Keys              *keys.Source
+	ControlNames        map[string]string
+	Peers               []string
+	DirectoryAddress    string
+	MaxBodyBytes        int64
+	MaxHeaderBytes      int
+	AnnouncementLease   time.Duration
+	DrainNotice         time.Duration
+	DrainTimeout        time.Duration
+	ReaderTimeout       time.Duration
+	Keys                *keys.Source
+	Decisions           *decision.Store
+	OperatorTokenDigest string
 }
 
 // Periods and limits of the daemon's duties.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 // Entry is one entry daemon.
 type Entry struct {
 	wiregen.UnimplementedPeerServer
+	wiregen.UnimplementedPlacementServer
 
 	cfg        Config
 	log        zerolog.Logger
@@ -68,6 +69,7 @@
 	endpoints := &http.Server{Handler: n.endpointHandler(), ReadHeaderTimeout: headerTimeout}
 	peerServer := grpc.NewServer(grpc.Creds(n.cfg.Keys.Server()))
 	wiregen.RegisterPeerServer(peerServer, n)
+	wiregen.RegisterPlacementServer(peerServer, n)
 
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -51,7 +51,7 @@
 
 func (n *Entry) followReport() *wiregen.FollowReport {
 	_, revision := n.state.Inventory()
-	return &wiregen.FollowReport{Instances: []*wiregen.InstanceRevision{{
+	return &wiregen.FollowReport{Sender: wire.EncodeEntry(n.self()), Instances: []*wiregen.InstanceRevision{{
 		Name:     n.cfg.Self.Name,
 		Region:   n.cfg.Self.Region,
 		Revision: revision,
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -110,7 +110,7 @@
 func DecodeEntries(ms []*wiregen.EntryAdvert) []membership.Entry { return mapAll(ms, decodeEntry) }
 
 // EncodeEntries returns the messages of the entries.
-func EncodeEntries(es []membership.Entry) []*wiregen.EntryAdvert { return mapAll(es, encodeEntry) }
+func EncodeEntries(es []membership.Entry) []*wiregen.EntryAdvert { return mapAll(es, EncodeEntry) }
 
 func decodeEntry(m *wiregen.EntryAdvert) membership.Entry {
 	return membership.Entry{
@@ -125,7 +125,8 @@
 	}
 }
 
-func encodeEntry(e membership.Entry) *wiregen.EntryAdvert {
+// EncodeEntry returns the message of an entry.
+func EncodeEntry(e membership.Entry) *wiregen.EntryAdvert {
 	return &wiregen.EntryAdvert{
 		Name:            e.Name,
 		Region:          e.Region,
