--- a/entry/callers.go
+++ b/entry/callers.go
@@ -45,6 +45,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", n.authenticated(n.chat))
 	mux.HandleFunc("POST /v1/completions", n.authenticated(n.text))
 	mux.HandleFunc("/v1/services/{service}/{path...}", n.authenticated(n.service))
+	mux.HandleFunc("GET /v1/decisions/{kind}/{name}", n.operator(n.decisions))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", n.tellReady)
 	mux.Handle("GET /debug/vars", expvar.Handler())
@@ -198,9 +199,9 @@
 	return labels, nil
 }
 
-// listEntries answers which entries the caller may use now: those of its home region, or all if there are none.
+// listEntries answers which entries the caller may use now: those of its home region, or all that its data may be sent to if there are none.
 func (n *Entry) listEntries(w http.ResponseWriter, _ *http.Request, c caller) {
-	live := slices.DeleteFunc(n.state.live(), func(e membership.Entry) bool { return e.Leaving })
+	live := slices.DeleteFunc(usable(c.inventory, c.team, n.state.live()), func(e membership.Entry) bool { return e.Leaving })
 	home := slices.DeleteFunc(slices.Clone(live), func(e membership.Entry) bool { return e.Region != c.team.HomeRegion })
 	if len(home) == 0 {
 		home = live
--- a/entry/forwarded.go
+++ b/entry/forwarded.go
@@ -28,10 +28,17 @@
 func (n *Entry) Forward(m *wiregen.ForwardRequest, frames grpc.ServerStreamingServer[wiregen.ForwardFrame]) error {
 	n.active.Add(1)
 	defer n.active.Add(-1)
+	if err := n.checkSender(frames.Context(), m); err != nil {
+		return err
+	}
 	if n.closed.Load() {
 		return frames.Send(wire.ProblemFrame(n.stopping()))
 	}
-	r := n.withPriority(wire.DecodeForward(time.Now(), m))
+	r, err := n.checkForwarded(wire.DecodeForward(time.Now(), m), m.GetRevision())
+	if err != nil {
+		return frames.Send(wire.ProblemFrame(problem.From(err)))
+	}
+	r = n.withPriority(r)
 	ctx, cancel := context.WithDeadline(frames.Context(), r.Deadline)
 	defer cancel()
 	if r.Model != "" {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -8,9 +8,9 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/connectivity"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"arbutusreel/keys"
 	"arbutusreel/wiregen"
 )
 
@@ -28,12 +28,13 @@
 type peers struct {
 	state *state
 	self  string
+	keys  *keys.Source
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-func newPeers(s *state, self string) *peers {
-	return &peers{state: s, self: self, conns: map[string]*grpc.ClientConn{}}
+func newPeers(s *state, self string, source *keys.Source) *peers {
+	return &peers{state: s, self: self, keys: source, conns: map[string]*grpc.ClientConn{}}
 }
 
 // client returns the client of the peer at the address, which is connected at its first use.
@@ -70,7 +71,7 @@
 		return conn, nil
 	}
 	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithTransportCredentials(p.keys.Client(p.nameAt(address))),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: peerPingPeriod, Timeout: peerPingTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxForwardBytes)),
 		grpc.WithConnectParams(grpc.ConnectParams{
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -42,12 +42,14 @@
 		},
 		endpoints: &http.Server{Handler: n.endpointHandler(), ReadHeaderTimeout: headerTimeout},
 		peers: grpc.NewServer(
+			grpc.Creds(n.cfg.Keys.Server()),
 			grpc.MaxRecvMsgSize(maxForwardBytes+int(n.cfg.MaxBodyBytes)),
 			grpc.KeepaliveParams(keepalive.ServerParameters{Time: peerIdlePing, Timeout: peerPingTimeout}),
 			grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: peerLeastPing, PermitWithoutStream: true}),
 		),
 	}
 	wiregen.RegisterPeerServer(s.peers, n)
+	wiregen.RegisterPlacementServer(s.peers, n)
 	return s
 }
 
