Decide which requests start, wait or are refused

Reserving max_tokens holds many times what callers use. A start-time fair queue shares capacity over teams within the priority of classes; strict priority alone starved the lowest class, so that a request in the last quarter of its patience goes first.

--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,189 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// Waiting is a request that waits for capacity.
+type Waiting[T any] struct {
+	Team string
+	// Priority is the priority of the class; lower goes first.
+	Priority int
+	// Weight is the share of the team against others, above zero.
+	Weight float64
+	// Tokens is the work of the request.
+	Tokens int
+	// Deferrable tells that the request gives way while capacity is short.
+	Deferrable bool
+	// Since is when the request came, and LatestStart when its answer can begin at the latest.
+	Since       time.Time
+	LatestStart time.Time
+	Value       T
+
+	start  float64
+	queued bool
+}
+
+// urgent reports whether the request must start soon to be met.
+func (w *Waiting[T]) urgent(now time.Time) bool {
+	patience := w.LatestStart.Sub(w.Since)
+	return !now.Before(w.LatestStart.Add(-time.Duration(float64(patience) * urgentShare)))
+}
+
+// flowKey names the requests of one team and priority.
+type flowKey struct {
+	priority int
+	team     string
+}
+
+type flow[T any] struct {
+	waiting []*Waiting[T]
+	finish  float64
+}
+
+// Queue holds waiting requests; within a priority it is fair over teams by their weights.
+type Queue[T any] struct {
+	flows   map[flowKey]*flow[T]
+	keys    []flowKey
+	virtual map[int]float64
+	tokens  map[int]int
+	length  int
+}
+
+// NewQueue returns an empty queue.
+func NewQueue[T any]() *Queue[T] {
+	return &Queue[T]{flows: map[flowKey]*flow[T]{}, virtual: map[int]float64{}, tokens: map[int]int{}}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue[T]) Len() int { return q.length }
+
+// Ahead returns the tokens of the requests that go before a new one of the priority.
+func (q *Queue[T]) Ahead(priority int) int {
+	n := 0
+	for p, tokens := range q.tokens {
+		if p <= priority {
+			n += tokens
+		}
+	}
+	return n
+}
+
+// Push appends a request to those of its team.
+func (q *Queue[T]) Push(w *Waiting[T]) {
+	k := flowKey{priority: w.Priority, team: w.Team}
+	f := q.flows[k]
+	if f == nil {
+		f = &flow[T]{}
+		q.flows[k] = f
+	}
+	if len(f.waiting) == 0 {
+		q.keys = append(q.keys, k)
+		slices.SortFunc(q.keys, compareFlows)
+	}
+	w.start = max(f.finish, q.virtual[w.Priority])
+	f.finish = w.start + float64(w.Tokens)/w.Weight
+	f.waiting = append(f.waiting, w)
+	w.queued = true
+	q.tokens[w.Priority] += w.Tokens
+	q.length++
+}
+
+func compareFlows(a, b flowKey) int {
+	if a.priority != b.priority {
+		return a.priority - b.priority
+	}
+	if a.team < b.team {
+		return -1
+	}
+	return 1
+}
+
+// Next returns the request that starts next, which stays in the queue; ok is false if none may start. Deferrable
+// requests may start only if there is capacity to spare or they are urgent.
+func (q *Queue[T]) Next(now time.Time, spare bool) (next *Waiting[T], ok bool) {
+	urgent := false
+	for _, k := range q.keys {
+		w := q.flows[k].waiting[0]
+		u := w.urgent(now)
+		if w.Deferrable && !spare && !u {
+			continue
+		}
+		if next == nil || before(w, u, next, urgent) {
+			next, urgent = w, u
+		}
+	}
+	return next, next != nil
+}
+
+// before reports whether a request goes before another: urgent ones by their latest start, the others by priority
+// and then by their start tag.
+func before[T any](w *Waiting[T], urgent bool, other *Waiting[T], otherUrgent bool) bool {
+	switch {
+	case urgent != otherUrgent:
+		return urgent
+	case urgent:
+		return w.LatestStart.Before(other.LatestStart)
+	case w.Priority != other.Priority:
+		return w.Priority < other.Priority
+	}
+	return w.start < other.start
+}
+
+// Remove takes a request out, as it starts or has gone; it reports false if the request does not wait.
+func (q *Queue[T]) Remove(w *Waiting[T], starts bool) bool {
+	if !w.queued {
+		return false
+	}
+	w.queued = false
+	k := flowKey{priority: w.Priority, team: w.Team}
+	f := q.flows[k]
+	i := slices.Index(f.waiting, w)
+	f.waiting = slices.Delete(f.waiting, i, i+1)
+	q.tokens[w.Priority] -= w.Tokens
+	q.length--
+	if starts {
+		q.virtual[w.Priority] = max(q.virtual[w.Priority], w.start)
+	} else {
+		q.retag(f, i, w)
+	}
+	if len(f.waiting) == 0 {
+		q.close(k, f)
+	}
+	return true
+}
+
+// retag gives the work of a request that has gone back to the later ones of its team.
+func (q *Queue[T]) retag(f *flow[T], i int, gone *Waiting[T]) {
+	work := float64(gone.Tokens) / gone.Weight
+	for _, w := range f.waiting[i:] {
+		w.start = max(w.start-work, gone.start)
+	}
+	f.finish = max(f.finish-work, gone.start)
+}
+
+// close takes an empty flow out of turn; its finish tag is kept while it lies beyond the virtual time, so that a team
+// gains nothing by waiting with one request at a time.
+func (q *Queue[T]) close(k flowKey, f *flow[T]) {
+	i := slices.Index(q.keys, k)
+	q.keys = slices.Delete(q.keys, i, i+1)
+	if q.tokens[k.priority] == 0 {
+		q.forget(k.priority)
+		return
+	}
+	if f.finish <= q.virtual[k.priority] {
+		delete(q.flows, k)
+	}
+}
+
+// forget begins anew with a priority at which nothing waits.
+func (q *Queue[T]) forget(priority int) {
+	for k := range q.flows {
+		if k.priority == priority {
+			delete(q.flows, k)
+		}
+	}
+	delete(q.virtual, priority)
+	delete(q.tokens, priority)
+}
