Decide retries by budget, deadline and what is known of the failure

A budget for each key bounds retries to a share of first tries with a reserve of three; delays have full jitter; a retry that could not begin before the deadline is not made; what may not be repeated is repeated only if it did not run. A breaker opens after three failures in a row and lets one probe through when it is half open.

--- /dev/null
+++ b/retry/decide.go
@@ -0,0 +1,67 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Failure tells what is known of a failed attempt.
+type Failure int
+
+// Kinds of failures.
+const (
+	// Final says that another attempt would fail alike.
+	Final Failure = iota
+	// NotRun says that no part of the attempt can have run.
+	NotRun
+	// Doubtful says that the attempt may have run.
+	Doubtful
+)
+
+// Reason tells why a request is tried again or not.
+type Reason string
+
+// Reasons.
+const (
+	Retry         Reason = "retry"
+	FinalFailure  Reason = "finalFailure"
+	NotRepeatable Reason = "notRepeatable"
+	TooMany       Reason = "tooManyAttempts"
+	NoTime        Reason = "noTimeLeft"
+	NoBudget      Reason = "noBudget"
+)
+
+// Attempts is a request's state between its attempts.
+type Attempts struct {
+	// Made is the number of attempts that have failed.
+	Made int
+	// Repeatable tells whether the request may run more than once.
+	Repeatable bool
+	Deadline   time.Time
+}
+
+// Decide returns whether the request is tried again after the failure, and after which delay. It spends budget only
+// if it answers Retry.
+func Decide[K comparable](now time.Time, a Attempts, f Failure, b *Budget[K], k K, rng *rand.Rand) (time.Duration, Reason) {
+	delay := Backoff(a.Made, rng)
+	switch {
+	case f == Final:
+		return 0, FinalFailure
+	case f == Doubtful && !a.Repeatable:
+		return 0, NotRepeatable
+	case a.Made >= maxAttempts:
+		return 0, TooMany
+	case !now.Add(delay).Before(a.Deadline):
+		return 0, NoTime
+	case !b.Take(k):
+		return 0, NoBudget
+	}
+	return delay, Retry
+}
+
+// Backoff returns a delay drawn evenly from zero to a bound that doubles with each attempt (full jitter: Brooker,
+// "Exponential backoff and jitter", 2015).
+func Backoff(made int, rng *rand.Rand) time.Duration {
+	bound := min(firstDelay<<max(made-1, 0), maxDelay)
+	return time.Duration(rng.Int64N(int64(bound) + 1))
+}
--- /dev/null
+++ b/retry/limits.go
@@ -0,0 +1,24 @@
+package retry
+
+import "time"
+
+// Limits of the retries of a request.
+const (
+	maxAttempts = 4
+	firstDelay  = 20 * time.Millisecond
+	maxDelay    = time.Second
+)
+
+// Limits of a budget, in retries.
+const (
+	budgetReserve = 3
+	budgetBurst   = 20
+)
+
+// Limits of a breaker.
+const (
+	tripFailures   = 3
+	firstOpenTime  = time.Second
+	maxOpenTime    = 30 * time.Second
+	openTimeJitter = 0.25
+)
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,102 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestDecide checks the rules of a retry one by one.
+func TestDecide(t *testing.T) {
+	deadline := start.Add(10 * time.Second)
+	tests := []struct {
+		name     string
+		attempts Attempts
+		failure  Failure
+		now      time.Time
+		want     Reason
+	}{
+		{"may be repeated", Attempts{Made: 1, Repeatable: true, Deadline: deadline}, Doubtful, start, Retry},
+		{"may not be repeated", Attempts{Made: 1, Deadline: deadline}, Doubtful, start, NotRepeatable},
+		{"did not run", Attempts{Made: 1, Deadline: deadline}, NotRun, start, Retry},
+		{"final", Attempts{Made: 1, Repeatable: true, Deadline: deadline}, Final, start, FinalFailure},
+		{"too many", Attempts{Made: maxAttempts, Repeatable: true, Deadline: deadline}, NotRun, start, TooMany},
+		{"past the deadline", Attempts{Made: 1, Repeatable: true, Deadline: deadline}, NotRun, deadline, NoTime},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, got := Decide(tt.now, tt.attempts, tt.failure, NewBudget[string](), "order", rand.New(rand.NewPCG(1, 1)))
+			if got != tt.want {
+				t.Errorf("%q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestBudget checks that retries are at most the share of first tries and the reserve, and never end past the deadline.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget[string]()
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		firsts, retries := 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "first") {
+				b.First("order", share)
+				firsts++
+				continue
+			}
+			deadline := start.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "left")) * time.Millisecond)
+			a := Attempts{Made: rapid.IntRange(1, 6).Draw(t, "made"), Repeatable: true, Deadline: deadline}
+			delay, reason := Decide(start, a, Doubtful, b, "order", rng)
+			if reason != Retry {
+				continue
+			}
+			retries++
+			if !start.Add(delay).Before(deadline) {
+				t.Fatalf("retry after %v of %v", delay, deadline.Sub(start))
+			}
+		}
+		if most := share*float64(firsts) + budgetReserve; float64(retries) > most {
+			t.Fatalf("%d retries of %d first tries at a share of %v", retries, firsts, share)
+		}
+	})
+}
+
+// TestBreaker checks the states of a breaker against a plain reading of its rules.
+func TestBreaker(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewBreakers[string](rand.NewPCG(1, 1))
+		now, inRow := start, 0
+		var openedAt time.Time
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "gap")) * time.Millisecond)
+			before := s.State(now, "e")
+			if before != Closed && now.Sub(openedAt) < firstOpenTime && before != Open {
+				t.Fatalf("half open %v after it opened", now.Sub(openedAt))
+			}
+			if before == Open {
+				continue
+			}
+			if rapid.Bool().Draw(t, "ok") {
+				inRow = 0
+				if got := s.Succeeded(now, "e"); got != Closed {
+					t.Fatalf("state %v after a success", got)
+				}
+				continue
+			}
+			inRow++
+			want := Closed
+			if before == HalfOpen || inRow >= tripFailures {
+				want, openedAt = Open, now
+			}
+			if got := s.Failed(now, "e"); got != want {
+				t.Fatalf("state %v after %d failures in a row, want %v", got, inRow, want)
+			}
+		}
+	})
+}
