Choose endpoints by expected times, wait, retry and resume

The chooser scored nothing: it counted own requests and knew neither reported load nor caches nor other regions. routing now scores a sample of candidates by expected times, prefix cache and cost; reports are aged and corrected by own starts and ends after them; endpoints that return begin a slow start counted in prompt tokens. A plain scan of all candidates was weighed against the sample: it costs more at 300 and makes all entries with one report choose alike. dispatch joins admission, routing and retry: a request starts, waits, leaves the region or is refused at once; a failed or stalled attempt goes on elsewhere after the pieces that were sent. membership.Endpoint, the announcement (cacheTokens) and ForwardRequest (prefixHashes, resume) get additive fields; entry passes prefix hashes and publishes the counts.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"net/http"
-	"slices"
+	"errors"
+	"math/rand/v2"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"arbutusreel/inventory"
 	"arbutusreel/membership"
-	"arbutusreel/problem"
-	"arbutusreel/residency"
 	"arbutusreel/routing"
 	"arbutusreel/stream"
 )
@@ -41,112 +40,126 @@
 	ForwardCall(ctx context.Context, region string, r Request) (Reply, error)
 }
 
+// Chooser chooses among the endpoints of the region; *routing.Chooser is one for each policy.
+type Chooser interface {
+	Observe(now time.Time, endpoints []membership.Endpoint)
+	SetTripped(name string, tripped bool)
+	SetProbing(name string)
+	Capacity(now time.Time, service, model string) routing.Capacity
+	Choose(now time.Time, q *routing.Query) (routing.Decision, bool)
+	Start(now time.Time, d routing.Decision, q *routing.Query) *routing.Ticket
+	FirstToken(now time.Time, t *routing.Ticket)
+	Done(now time.Time, t *routing.Ticket, ok bool)
+}
+
+var (
+	_ Chooser = (*routing.Chooser[routing.Expected])(nil)
+	_ Chooser = (*routing.Chooser[routing.LeastOutstanding])(nil)
+	_ Chooser = (*routing.Chooser[routing.Random])(nil)
+)
+
 // Dispatcher dispatches the requests of one instance.
 type Dispatcher struct {
-	self    Hop
-	view    View
-	models  Models
-	plain   Plain
-	forward Forwarder
-	chooser *routing.Chooser
-	log     zerolog.Logger
+	self      Hop
+	view      View
+	models    Models
+	plain     Plain
+	forward   Forwarder
+	scheduler *scheduler
+	now       func() time.Time
+	log       zerolog.Logger
 }
 
-// New returns a dispatcher of the instance self.
-func New(self Hop, view View, models Models, plain Plain, forward Forwarder, chooser *routing.Chooser, log zerolog.Logger) *Dispatcher {
-	return &Dispatcher{self: self, view: view, models: models, plain: plain, forward: forward, chooser: chooser, log: log}
+// New returns a dispatcher of the instance self, which draws its random numbers from the source.
+func New(self Hop, view View, models Models, plain Plain, forward Forwarder, chooser Chooser, now func() time.Time, source rand.Source, log zerolog.Logger) *Dispatcher {
+	return &Dispatcher{
+		self:      self,
+		view:      view,
+		models:    models,
+		plain:     plain,
+		forward:   forward,
+		scheduler: newScheduler(self, view, chooser, now, source, log),
+		now:       now,
+		log:       log,
+	}
 }
 
-// Generate answers a model request into the sink; a failure is a *problem.Problem.
+// Generate answers a model request into the sink, in as many attempts as its class's budget and deadline allow. A
+// refusal is a *problem.Problem; any other failure is that of the last attempt.
 func (d *Dispatcher) Generate(ctx context.Context, r Request, sink stream.Sink) (stream.End, error) {
-	if err := d.check(r); err != nil {
-		return stream.End{}, err
-	}
-	r = r.WithHop(d.self)
-	e, ok := d.choose(r)
-	if ok {
-		defer d.chooser.Done(e.Name)
-		return d.models.Generate(ctx, e, r, Attempt{}, sink)
-	}
-	region, err := d.away(r)
+	j, err := d.begin(r)
 	if err != nil {
 		return stream.End{}, err
 	}
-	return d.forward.ForwardModel(ctx, region, r, sink)
-}
-
-// Call answers a call of a plain service, which is sent to one endpoint at most; a failure is a *problem.Problem.
-func (d *Dispatcher) Call(ctx context.Context, r Request) (Reply, error) {
-	if err := d.check(r); err != nil {
-		return Reply{}, err
-	}
-	r = r.WithHop(d.self)
-	e, ok := d.choose(r)
-	if ok {
-		defer d.chooser.Done(e.Name)
-		return d.plain.Call(ctx, e, r)
-	}
-	region, err := d.away(r)
-	if err != nil {
-		return Reply{}, err
+	rec := newRecorder(sink, r.Resume)
+	for {
+		p, err := d.scheduler.place(ctx, j)
+		if err != nil {
+			return stream.End{}, j.outcome(err)
+		}
+		end, err := d.generate(ctx, j, p, rec)
+		failure := classify(ctx, err, rec.failed)
+		d.scheduler.finish(j, p, err, failure)
+		if err == nil {
+			return end, nil
+		}
+		if !d.again(ctx, j, p, err, failure) {
+			return stream.End{}, j.outcome(err)
+		}
 	}
-	return d.forward.ForwardCall(ctx, region, r)
 }
 
-// check refuses a request that has been here, or whose data may not be here.
-func (d *Dispatcher) check(r Request) error {
-	if r.Passed(d.self.Instance) {
-		return problem.New(problem.LoopRefused, http.StatusLoopDetected, "the request has passed instance %q before", d.self.Instance)
-	}
-	inv, _ := d.view.Inventory()
-	if inv == nil {
-		return problem.New(problem.NotReady, http.StatusServiceUnavailable, "instance %q has no inventory yet", d.self.Instance)
+// generate makes one attempt, which is cut off if it makes no progress.
+func (d *Dispatcher) generate(ctx context.Context, j *job, p *placement, rec *recorder) (stream.End, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	first, later := j.patience(d.now(), p)
+	rec.watch(newWatch(p.target(), first, later, cancel), func(used int) { d.scheduler.used(p, used) })
+	defer rec.unwatch()
+	var end stream.End
+	var err error
+	if p.region != "" {
+		r := j.request.WithHop(d.self)
+		r.Resume = rec.attempt(0)
+		end, err = d.forward.ForwardModel(ctx, p.region, r, rec)
+	} else {
+		end, err = d.models.Generate(ctx, p.endpoint, j.request, rec.attempt(j.attempts.Made), rec)
 	}
-	if len(residency.Allowed(inv, r.Subject())) == 0 {
-		return problem.New(problem.ResidencyRefused, http.StatusForbidden, "no region is allowed for labels %q, service %q and model %q", r.Labels, r.Service, r.Model)
+	var stalled *StalledError
+	if err != nil && errors.As(context.Cause(ctx), &stalled) {
+		err = stalled
 	}
-	return nil
+	j.pieces = rec.next
+	return end, err
 }
 
-// choose returns an endpoint of the own region that may run the request.
-func (d *Dispatcher) choose(r Request) (membership.Endpoint, bool) {
-	inv, revision := d.view.Inventory()
-	if !residency.Allows(inv, r.Subject(), d.self.Region) {
-		return membership.Endpoint{}, false
+// Call answers a call of a plain service. One that may not be repeated is sent to one endpoint at most, unless an
+// attempt is certain not to have run.
+func (d *Dispatcher) Call(ctx context.Context, r Request) (Reply, error) {
+	j, err := d.begin(r)
+	if err != nil {
+		return Reply{}, err
 	}
-	var candidates []membership.Endpoint
-	for _, e := range d.view.Endpoints() {
-		if e.Service == r.Service && !e.Leaving && (r.Model == "" || slices.Contains(e.Models, r.Model)) {
-			candidates = append(candidates, e)
+	for {
+		p, err := d.scheduler.place(ctx, j)
+		if err != nil {
+			return Reply{}, j.outcome(err)
+		}
+		reply, err := d.call(ctx, j, p)
+		failure := classify(ctx, err, false)
+		d.scheduler.finish(j, p, err, failure)
+		if err == nil {
+			return reply, nil
+		}
+		if !d.again(ctx, j, p, err, failure) {
+			return Reply{}, j.outcome(err)
 		}
 	}
-	choice, ok := d.chooser.Choose(candidates)
-	d.log.Info().
-		Str("correlationId", r.CorrelationID).
-		Str("service", r.Service).
-		Str("model", r.Model).
-		Str("class", r.Class).
-		Int64("revision", revision).
-		Int("candidates", len(candidates)).
-		Str("endpoint", choice.Endpoint.Name).
-		Str("reason", choice.Reason).
-		Msg("routed")
-	return choice.Endpoint, ok
 }
 
-// away returns another region for a request that the own region cannot serve.
-func (d *Dispatcher) away(r Request) (string, error) {
-	refusal := problem.New(problem.NoCapacity, http.StatusServiceUnavailable, "no endpoint of service %q is known for model %q", r.Service, r.Model).WithRetryAfter(retryAfterNoCapacity)
-	if r.Forwarded(d.self.Region) {
-		return "", refusal
-	}
-	inv, _ := d.view.Inventory()
-	for _, s := range d.view.Summaries() {
-		serves := s.Service == r.Service && s.Endpoints > 0 && (r.Model == "" || slices.Contains(s.Models, r.Model))
-		if serves && s.Region != d.self.Region && residency.Allows(inv, r.Subject(), s.Region) {
-			d.log.Info().Str("correlationId", r.CorrelationID).Str("region", s.Region).Str("reason", "noEndpointInRegion").Msg("forwarded")
-			return s.Region, nil
-		}
+func (d *Dispatcher) call(ctx context.Context, j *job, p *placement) (Reply, error) {
+	if p.region != "" {
+		return d.forward.ForwardCall(ctx, p.region, j.request.WithHop(d.self))
 	}
-	return "", refusal
+	return d.plain.Call(ctx, p.endpoint, j.request)
 }
--- /dev/null
+++ b/dispatch/explain.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"github.com/rs/zerolog"
+
+	"arbutusreel/admission"
+	"arbutusreel/problem"
+	"arbutusreel/routing"
+)
+
+// explain logs a decision for the own region with the terms of the chosen endpoint and of the runner-up.
+func (s *scheduler) explain(j *job, d routing.Decision, action string) {
+	event := s.request(j).
+		Str("action", action).
+		Int("open", d.Open).
+		Int("scored", d.Scored).
+		Bool("room", d.Room).
+		Str("endpoint", d.Candidate.Name()).
+		Dict("terms", terms(d.Terms))
+	if d.RunnerUp != nil {
+		event = event.Str("runnerUp", d.RunnerUp.Name()).Dict("runnerUpTerms", terms(d.RunnerUpTerms))
+	}
+	event.Msg("routed")
+}
+
+// explainAway logs that a request leaves the region; least is what the own region would take, if it could.
+func (s *scheduler) explainAway(j *job, d routing.AwayDecision, least *routing.Terms) {
+	event := s.request(j).
+		Str("action", "sentAway").
+		Int("scored", d.Scored).
+		Str("region", d.Region).
+		Dict("terms", terms(d.Terms))
+	if least != nil {
+		event = event.Str("reason", "noRoom").Dict("ownTerms", terms(*least))
+	} else {
+		event = event.Str("reason", "cannotBeMetHere")
+	}
+	event.Msg("routed")
+}
+
+// explainRefusal logs a refusal with the estimate that led to it.
+func (s *scheduler) explainRefusal(j *job, code problem.Code, v admission.Verdict) {
+	s.request(j).
+		Str("action", "refused").
+		Str("reason", string(code)).
+		Dur("wait", v.Estimate.Wait).
+		Dur("prefill", v.Estimate.Prefill).
+		Dur("decode", v.Estimate.Decode).
+		Dur("retryAfter", v.RetryAfter).
+		Msg("routed")
+}
+
+// request begins a log line with what identifies the request.
+func (s *scheduler) request(j *job) *zerolog.Event {
+	_, revision := s.view.Inventory()
+	return s.log.Info().
+		Str("correlationId", j.request.CorrelationID).
+		Str("team", j.request.Team).
+		Str("service", j.request.Service).
+		Str("model", j.request.Model).
+		Str("class", j.request.Class).
+		Int64("revision", revision).
+		Int("attempt", j.attempts.Made).
+		Int("expectedTokens", j.query.ExpectedTokens).
+		Int("reservedTokens", j.query.ReserveTokens)
+}
+
+func terms(t routing.Terms) *zerolog.Event {
+	return zerolog.Dict().
+		Float64("wait", t.Wait).
+		Float64("prefill", t.Prefill).
+		Float64("decode", t.Decode).
+		Float64("cached", t.Cached).
+		Float64("travel", t.Travel).
+		Float64("cost", t.Cost).
+		Float64("away", t.Away).
+		Float64("score", t.Score)
+}
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -2,5 +2,28 @@
 
 import "time"
 
-// retryAfterNoCapacity is when a caller may come back if no endpoint is known.
-const retryAfterNoCapacity = time.Second
+// Periods and limits of a dispatcher.
+const (
+	// retryAfterNoCapacity is when a caller may come back if no endpoint is known.
+	retryAfterNoCapacity = time.Second
+	// refreshPeriod is the age at which the known endpoints and regions are read again.
+	refreshPeriod = 50 * time.Millisecond
+	// waitPeriod is the period at which a waiting request looks at its state again.
+	waitPeriod = 50 * time.Millisecond
+	// piecesPerUse is the number of pieces after which a reservation is trued up.
+	piecesPerUse = 16
+	// wireBytesPerToken estimates the bytes that a token takes between regions.
+	wireBytesPerToken = 24
+	// wireBytesPerRequest estimates the bytes of a forwarded request besides its body and answer.
+	wireBytesPerRequest = 512
+)
+
+// Limits of an attempt that makes no progress.
+const (
+	// firstPieceFactor bounds the time to the first piece by that many times the expected one.
+	firstPieceFactor = 4
+	minFirstPiece    = 3 * time.Second
+	maxStall         = 3 * time.Second
+	// awayShare is the part of the time left that another region may take for the first piece.
+	awayShare = 0.5
+)
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,243 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"arbutusreel/admission"
+	"arbutusreel/problem"
+	"arbutusreel/residency"
+	"arbutusreel/retry"
+	"arbutusreel/routing"
+)
+
+// waiter is a job that waits for an endpoint; placed receives its placement once.
+type waiter struct {
+	job    *job
+	placed chan *placement
+}
+
+// place returns where the next attempt goes. It waits if the region has no room but the request can be met; a refusal
+// is a *problem.Problem.
+func (s *scheduler) place(ctx context.Context, j *job) (*placement, error) {
+	p, w, err := s.tryPlace(j)
+	if err != nil || p != nil {
+		return p, err
+	}
+	t := time.NewTicker(waitPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case p := <-w.Value.placed:
+			return p, nil
+		case <-ctx.Done():
+			return nil, s.abandon(w, ctx.Err())
+		case <-t.C:
+			if p, err := s.reconsider(w); err != nil || p != nil {
+				return p, err
+			}
+		}
+	}
+}
+
+// tryPlace starts the request, sends it away, refuses it or lets it wait.
+func (s *scheduler) tryPlace(j *job) (*placement, *admission.Waiting[*waiter], error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.refresh(now)
+	s.pump(now)
+	l := s.lane(j)
+	d, local := s.choose(now, j)
+	if local && d.Room && l.queue.Ahead(j.class.Priority) == 0 && (!j.class.Deferrable || s.spare(now, j)) {
+		s.explain(j, d, "started")
+		return s.start(now, j, d), nil, nil
+	}
+	if p := s.sendAway(now, j, l, d, local); p != nil {
+		return p, nil, nil
+	}
+	if !local && len(j.query.Exclude) > 0 {
+		j.query.Exclude = nil
+		d, local = s.choose(now, j)
+	}
+	if !local {
+		return nil, nil, s.refuseNoCapacity(j)
+	}
+	v := admission.Decide(now, j.request.Deadline, s.estimate(now, j, l, d))
+	if !v.Queue {
+		return nil, nil, s.refuseLate(j, l, v)
+	}
+	s.explain(j, d, "queued")
+	return nil, s.enqueue(now, j, l, v), nil
+}
+
+// choose returns the best endpoint of the own region that may run the request.
+func (s *scheduler) choose(now time.Time, j *job) (routing.Decision, bool) {
+	if !residency.Allows(j.inventory, j.request.Subject(), s.self.Region) {
+		return routing.Decision{}, false
+	}
+	return s.chooser.Choose(now, &j.query)
+}
+
+// spare reports whether the region has more room than the share that is kept free.
+func (s *scheduler) spare(now time.Time, j *job) bool {
+	c := s.chooser.Capacity(now, j.query.Service, j.query.Model)
+	return c.Outstanding < c.Slots*(1-j.inventory.Rules().Headroom)
+}
+
+// estimate returns how long a request that waits is expected to take.
+func (s *scheduler) estimate(now time.Time, j *job, l *lane, d routing.Decision) admission.Estimate {
+	c := s.chooser.Capacity(now, j.query.Service, j.query.Model)
+	wait := d.Terms.Wait
+	if rate := l.rate.PerSecond(c.TokensPerSecond); rate > 0 {
+		wait += float64(l.queue.Ahead(j.class.Priority)) / rate
+	}
+	return admission.Estimate{Wait: seconds(wait), Prefill: seconds(d.Terms.Prefill), Decode: seconds(d.Terms.Decode)}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// sendAway sends the request to another region if its own lacks capacity: it has no endpoint for the request, or none
+// with room while the other region is expected to be better even so.
+func (s *scheduler) sendAway(now time.Time, j *job, l *lane, d routing.Decision, local bool) *placement {
+	if local && (d.Room || j.class.Deferrable) {
+		return nil
+	}
+	var least *routing.Terms
+	if local {
+		terms := d.Terms
+		e := s.estimate(now, j, l, d)
+		terms.Wait = e.Wait.Seconds()
+		terms.Score = j.query.Objective.Score(terms)
+		if now.Add(e.Total()).Before(j.request.Deadline) {
+			least = &terms
+		}
+	}
+	routes := j.routes(s.self.Region)
+	open := routes[:0]
+	for _, r := range routes {
+		if s.regionBreakers.State(now, r.Region) != retry.Open {
+			open = append(open, r)
+		}
+	}
+	away, ok := s.regions.Choose(now, &j.query, j.bytes(), open, least)
+	if !ok {
+		return nil
+	}
+	s.counts.SentAway++
+	s.explainAway(j, away, least)
+	return &placement{region: away.Region, away: s.regions.Start(now, away, &j.query, j.bytes()), terms: away.Terms, prompt: j.request.PromptTokens}
+}
+
+// enqueue lets the request wait.
+func (s *scheduler) enqueue(now time.Time, j *job, l *lane, v admission.Verdict) *admission.Waiting[*waiter] {
+	if l.queue.Len() == 0 {
+		l.rate.Begin(now)
+	}
+	weight := j.team.Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	w := &admission.Waiting[*waiter]{
+		Team:        j.request.Team,
+		Priority:    j.class.Priority,
+		Weight:      weight,
+		Tokens:      max(j.query.ExpectedTokens, 1),
+		Deferrable:  j.class.Deferrable,
+		Since:       now,
+		LatestStart: j.request.Deadline.Add(-v.Estimate.Prefill - v.Estimate.Decode),
+		Value:       &waiter{job: j, placed: make(chan *placement, 1)},
+	}
+	l.queue.Push(w)
+	s.counts.Queued++
+	return w
+}
+
+// pump starts waiting requests for which there is room.
+func (s *scheduler) pump(now time.Time) {
+	for _, l := range s.lanes {
+		for l.queue.Len() > 0 && s.startNext(now, l) {
+			continue
+		}
+	}
+}
+
+// startNext starts the next request of a lane, and reports false if there is no room for it.
+func (s *scheduler) startNext(now time.Time, l *lane) bool {
+	w, ok := l.queue.Next(now, true)
+	if ok && w.Deferrable && !s.spare(now, w.Value.job) {
+		w, ok = l.queue.Next(now, false)
+	}
+	if !ok {
+		return false
+	}
+	j := w.Value.job
+	d, ok := s.choose(now, j)
+	if !ok || !d.Room {
+		return false
+	}
+	l.queue.Remove(w, true)
+	l.rate.Started(now, w.Tokens)
+	l.audit.Started(now, w.Tokens)
+	s.explain(j, d, "startedFromQueue")
+	w.Value.placed <- s.start(now, j, d)
+	return true
+}
+
+// reconsider looks at a waiting request again: it is refused once it cannot be met, and sent away or refused if the
+// region has no endpoint for it any more.
+func (s *scheduler) reconsider(w *admission.Waiting[*waiter]) (*placement, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.refresh(now)
+	s.pump(now)
+	select {
+	case p := <-w.Value.placed:
+		return p, nil
+	default:
+	}
+	j := w.Value.job
+	l := s.lane(j)
+	if now.After(w.LatestStart) {
+		l.queue.Remove(w, false)
+		return nil, s.refuseLate(j, l, admission.Verdict{RetryAfter: retryAfterNoCapacity})
+	}
+	if _, local := s.choose(now, j); local {
+		return nil, nil
+	}
+	l.queue.Remove(w, false)
+	if p := s.sendAway(now, j, l, routing.Decision{}, false); p != nil {
+		return p, nil
+	}
+	return nil, s.refuseNoCapacity(j)
+}
+
+// abandon takes a request out whose caller has gone; a placement that it got by now is given back.
+func (s *scheduler) abandon(w *admission.Waiting[*waiter], cause error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if !s.lane(w.Value.job).queue.Remove(w, false) {
+		p := <-w.Value.placed
+		s.chooser.Done(now, p.ticket, false)
+		s.pump(now)
+	}
+	return cause
+}
+
+func (s *scheduler) refuseNoCapacity(j *job) error {
+	s.counts.Refused++
+	s.explainRefusal(j, problem.NoCapacity, admission.Verdict{RetryAfter: retryAfterNoCapacity})
+	return problem.New(problem.NoCapacity, http.StatusServiceUnavailable, "no endpoint of service %q is known for model %q", j.request.Service, j.request.Model).WithRetryAfter(retryAfterNoCapacity)
+}
+
+// refuseLate refuses a request that cannot be met within its patience.
+func (s *scheduler) refuseLate(j *job, l *lane, v admission.Verdict) error {
+	s.counts.Refused++
+	latest := j.request.Deadline.Add(-v.Estimate.Prefill - v.Estimate.Decode)
+	l.audit.Refused(l.queue.Ahead(j.class.Priority), latest)
+	s.explainRefusal(j, problem.PatienceExceeded, v)
+	return problem.New(problem.PatienceExceeded, http.StatusServiceUnavailable, "class %q cannot be served within its patience now", j.request.Class).WithRetryAfter(v.RetryAfter)
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -32,6 +32,10 @@
 	Via            []Hop
 	IdempotencyKey string
 	Epoch          string
+	// Prefixes are the hashes of the prompt's prefixes by whole blocks, the shortest first.
+	Prefixes []uint64
+	// Resume is where the answer begins, if an earlier attempt has sent a part of it.
+	Resume Attempt
 }
 
 // Subject returns what residency is decided for.
--- /dev/null
+++ b/dispatch/scheduler.go
@@ -0,0 +1,196 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"arbutusreel/admission"
+	"arbutusreel/membership"
+	"arbutusreel/retry"
+	"arbutusreel/routing"
+)
+
+// laneKey names the requests that wait for the same endpoints.
+type laneKey struct {
+	service string
+	model   string
+}
+
+// lane is the requests that wait for the endpoints of a service and model.
+type lane struct {
+	queue *admission.Queue[*waiter]
+	rate  admission.Rate
+	audit admission.Audit
+}
+
+// budgetKey names the requests that share a budget of retries.
+type budgetKey struct {
+	region string
+	class  string
+}
+
+// scheduler holds what the decisions of an instance share; it is safe for concurrent use.
+type scheduler struct {
+	mu             sync.Mutex
+	self           Hop
+	view           View
+	now            func() time.Time
+	log            zerolog.Logger
+	rng            *rand.Rand
+	chooser        Chooser
+	regions        *routing.Regions
+	uses           *admission.Uses
+	lanes          map[laneKey]*lane
+	breakers       *retry.Breakers[string]
+	regionBreakers *retry.Breakers[string]
+	budget         *retry.Budget[budgetKey]
+	counts         Counts
+	refreshed      time.Time
+}
+
+func newScheduler(self Hop, view View, chooser Chooser, now func() time.Time, source rand.Source, log zerolog.Logger) *scheduler {
+	rng := rand.New(source)
+	return &scheduler{
+		self:           self,
+		view:           view,
+		now:            now,
+		log:            log,
+		rng:            rng,
+		chooser:        chooser,
+		regions:        routing.NewRegions(now(), source),
+		uses:           admission.NewUses(),
+		lanes:          map[laneKey]*lane{},
+		breakers:       retry.NewBreakers[string](source),
+		regionBreakers: retry.NewBreakers[string](source),
+		budget:         retry.NewBudget[budgetKey](),
+	}
+}
+
+func (s *scheduler) lane(j *job) *lane {
+	k := laneKey{service: j.query.Service, model: j.query.Model}
+	l := s.lanes[k]
+	if l == nil {
+		l = &lane{queue: admission.NewQueue[*waiter]()}
+		s.lanes[k] = l
+	}
+	return l
+}
+
+// begin estimates what a new request will use.
+func (s *scheduler) begin(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	asked := j.request.MaxTokens
+	j.query.ExpectedTokens = s.uses.Mean(j.useKey(), asked)
+	j.query.ReserveTokens = j.request.PromptTokens + s.uses.Quantile(j.useKey(), j.inventory.Rules().ReservationQuantile, asked)
+	s.counts.Requests++
+	s.counts.AskedTokens += int64(asked)
+	s.counts.ReservedTokens += int64(j.query.ReserveTokens - j.request.PromptTokens)
+	s.budget.First(s.budgetKey(j), j.inventory.Rules().RetryBudget)
+}
+
+func (s *scheduler) budgetKey(j *job) budgetKey {
+	return budgetKey{region: s.self.Region, class: j.request.Class}
+}
+
+// refresh reads the known endpoints and regions again if they are old.
+func (s *scheduler) refresh(now time.Time) {
+	if !s.refreshed.IsZero() && now.Sub(s.refreshed) < refreshPeriod {
+		return
+	}
+	s.refreshed = now
+	endpoints := s.view.Endpoints()
+	s.chooser.Observe(now, endpoints)
+	s.regions.Observe(now, s.view.Summaries())
+	var gone []string
+	s.breakers.Keys(now, func(name string, state retry.State) {
+		if !slices.ContainsFunc(endpoints, func(e membership.Endpoint) bool { return e.Name == name }) {
+			gone = append(gone, name)
+		} else if state == retry.HalfOpen {
+			s.chooser.SetProbing(name)
+		}
+	})
+	for _, name := range gone {
+		s.breakers.Forget(name)
+	}
+}
+
+// start counts an attempt as sent to the decision's endpoint.
+func (s *scheduler) start(now time.Time, j *job, d routing.Decision) *placement {
+	ticket := s.chooser.Start(now, d, &j.query)
+	return &placement{endpoint: d.Candidate.Endpoint(), ticket: ticket, terms: d.Terms, prompt: j.request.PromptTokens}
+}
+
+// used trues the reservation of an attempt up; the first piece says that the prompt has been read.
+func (s *scheduler) used(p *placement, pieces int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.ticket == nil {
+		return
+	}
+	s.chooser.FirstToken(s.now(), p.ticket)
+	p.ticket.Use(p.prompt + pieces)
+}
+
+// finish ends an attempt, gives back what it held, and starts what waits for it.
+func (s *scheduler) finish(j *job, p *placement, err error, failure retry.Failure) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if p.region != "" {
+		s.regions.Done(now, p.away, err == nil)
+		s.record(now, s.regionBreakers, p.region, err, failure)
+	} else {
+		s.chooser.Done(now, p.ticket, err == nil)
+		s.recordEndpoint(now, p.endpoint.Name, err, failure)
+	}
+	if err == nil {
+		s.counts.Answered++
+		s.counts.UsedTokens += int64(j.pieces)
+		if j.request.Model != "" {
+			s.uses.Record(j.useKey(), j.pieces)
+		}
+	}
+	s.pump(now)
+}
+
+// recordEndpoint counts an endpoint's success or failure and opens or closes it for work.
+func (s *scheduler) recordEndpoint(now time.Time, name string, err error, failure retry.Failure) {
+	before := s.breakers.State(now, name)
+	after := s.record(now, s.breakers, name, err, failure)
+	if before == after {
+		return
+	}
+	s.chooser.SetTripped(name, after == retry.Open)
+	if before == retry.HalfOpen && after == retry.Closed {
+		s.chooser.SetTripped(name, true)
+		s.chooser.SetTripped(name, false)
+	}
+	s.log.Info().Str("endpoint", name).Str("state", after.String()).Msg("breakerChanged")
+}
+
+// record counts a success or failure; a failure that is the request's own counts as neither.
+func (s *scheduler) record(now time.Time, b *retry.Breakers[string], name string, err error, failure retry.Failure) retry.State {
+	switch {
+	case err == nil:
+		return b.Succeeded(now, name)
+	case failure == retry.Final:
+		return b.State(now, name)
+	}
+	return b.Failed(now, name)
+}
+
+// decide returns whether a failed request is tried again, and when.
+func (s *scheduler) decide(j *job, failure retry.Failure) (time.Duration, retry.Reason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delay, reason := retry.Decide(s.now(), j.attempts, failure, s.budget, s.budgetKey(j), s.rng)
+	if reason == retry.Retry {
+		s.counts.Retries++
+	}
+	return delay, reason
+}
--- a/endpoint/errors.go
+++ b/endpoint/errors.go
@@ -41,6 +41,9 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
+// NotRun returns true.
+func (e *NotSentError) NotRun() bool { return true }
+
 // DoubtError says that a call was sent, at least in part, and its outcome is not known.
 type DoubtError struct {
 	Endpoint string
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,7 +41,8 @@
 	s := newState(cfg.Self.Region, now)
 	p := newPeers(s, cfg.Self.Name)
 	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
-	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, routing.New(), log)
+	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, routing.New(routing.Expected{}, now(), newSource()), now, newSource(), log)
+	publishMetrics(d)
 	return &Entry{
 		cfg:        cfg,
 		log:        log,
--- a/entry/models.go
+++ b/entry/models.go
@@ -108,6 +108,7 @@
 		Method:        http.MethodPost,
 		Path:          r.URL.Path,
 		ContentType:   "application/json",
+		Prefixes:      completion.PrefixHashes(asked.Prompt),
 		Body:          body,
 		Streaming:     asked.Streaming,
 		PromptTokens:  asked.PromptTokens,
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return stream.End{}, err
 	}
-	order := stream.NewOrder(r.CorrelationID, 0, 0)
+	order := stream.NewOrder(r.CorrelationID, 0, r.Resume.Next)
 	for {
 		frame, err := frames.Recv()
 		if err != nil {
--- a/membership/endpoint.go
+++ b/membership/endpoint.go
@@ -36,6 +36,8 @@
 	Load          Load
 	CacheEvents   []CacheEvent
 	CacheSequence int64
+	// CacheTokens is the number of tokens that the cache holds for running requests; zero is not known.
+	CacheTokens int
 }
 
 // newer reports whether e replaces what is known as old.
--- a/retry/breaker.go
+++ b/retry/breaker.go
@@ -18,6 +18,18 @@
 	HalfOpen
 )
 
+// String returns the name of the state.
+func (s State) String() string {
+	switch s {
+	case Open:
+		return "open"
+	case HalfOpen:
+		return "halfOpen"
+	default:
+		return "closed"
+	}
+}
+
 // breaker is the state of one endpoint.
 type breaker struct {
 	state    State
--- /dev/null
+++ b/routing/candidate.go
@@ -0,0 +1,89 @@
+package routing
+
+import (
+	"time"
+
+	"arbutusreel/admission"
+	"arbutusreel/membership"
+)
+
+// Candidate is what a chooser knows of one endpoint.
+type Candidate struct {
+	endpoint membership.Endpoint
+	id       uint32
+	// epoch grows with each gap of the cache events.
+	epoch     uint16
+	nextEvent int64
+	tripped   bool
+	seen      uint64
+	load      load
+	slow      SlowStart
+	// pool is the endpoint's cache as far as own requests reserve it.
+	pool admission.Pool
+	// hold is the mean time of a request at the endpoint, in seconds; zero if none has ended.
+	hold float64
+	// own is the number of own requests outstanding.
+	own int
+}
+
+// Endpoint returns the endpoint as it last announced itself.
+func (c *Candidate) Endpoint() membership.Endpoint { return c.endpoint }
+
+// Name returns the endpoint's name.
+func (c *Candidate) Name() string { return c.endpoint.Name }
+
+// Own returns the number of the chooser's own requests outstanding at the endpoint.
+func (c *Candidate) Own() int { return c.own }
+
+// open reports whether the endpoint may get work.
+func (c *Candidate) open() bool { return !c.endpoint.Leaving && !c.tripped }
+
+func (c *Candidate) slots() float64 { return float64(max(c.endpoint.Slots, 1)) }
+
+// room reports whether a request with that many uncached prompt tokens and that reservation could start at once.
+func (c *Candidate) room(now time.Duration, mean float64, tokens, reserve int) bool {
+	return c.load.outstanding(now, mean)+1 <= c.slots() && c.slow.Room(tokens) && c.pool.Room(reserve)
+}
+
+// observe takes a newer announcement of the endpoint.
+func (c *Candidate) observe(now, reported time.Duration, e membership.Endpoint, x *index) {
+	c.endpoint = e
+	c.load.report(reported, float64(e.Load.Running+e.Load.Queued), float64(e.Load.QueuedTokens))
+	used := int(e.Load.CacheUse * float64(e.CacheTokens))
+	c.pool.SetCapacity(e.CacheTokens, max(used-c.pool.Reserved(), 0))
+	c.learn(now, e, x)
+}
+
+// learn enters the cache events into the index; events that were lost make what is known of the endpoint uncertain.
+func (c *Candidate) learn(now time.Duration, e membership.Endpoint, x *index) {
+	if len(e.CacheEvents) == 0 && e.CacheSequence <= c.nextEvent {
+		return
+	}
+	if e.CacheSequence > c.nextEvent {
+		c.epoch++
+	}
+	for i, event := range e.CacheEvents {
+		if e.CacheSequence+int64(i) < c.nextEvent {
+			continue
+		}
+		if event.Dropped {
+			x.drop(event.PrefixHash, c.id)
+			continue
+		}
+		x.put(event.PrefixHash, c.holder(now, true))
+	}
+	c.nextEvent = max(c.nextEvent, e.CacheSequence+int64(len(e.CacheEvents)))
+}
+
+func (c *Candidate) holder(now time.Duration, sure bool) holder {
+	return holder{id: c.id, at: uint32(now.Milliseconds()), epoch: c.epoch, sure: sure}
+}
+
+// ended takes the time that a request was at the endpoint into the mean.
+func (c *Candidate) ended(seconds float64) {
+	if c.hold == 0 {
+		c.hold = seconds
+		return
+	}
+	c.hold += holdShare * (seconds - c.hold)
+}
--- /dev/null
+++ b/routing/policy.go
@@ -0,0 +1,104 @@
+package routing
+
+import "time"
+
+// Terms are the parts of a score; a lower Score is better.
+type Terms struct {
+	// Wait is the expected time before the request starts, in seconds.
+	Wait float64
+	// Prefill is the expected time for the uncached part of the prompt and what is queued before it, in seconds.
+	Prefill float64
+	// Decode is the expected time from the first token to the last, in seconds.
+	Decode float64
+	// Cached is the expected number of cached prompt tokens.
+	Cached float64
+	// Travel is the time for two round trips and the transfer between regions, in seconds.
+	Travel float64
+	// Cost is the cost of the request against the same in the cheapest region.
+	Cost float64
+	// Away is 1 for another region.
+	Away float64
+	// Score is what the policy minimizes.
+	Score float64
+}
+
+// FirstToken returns the expected time to the first token, in seconds.
+func (t Terms) FirstToken() float64 { return t.Wait + t.Prefill + t.Travel }
+
+// Finish returns the expected time to the last token, in seconds.
+func (t Terms) Finish() float64 { return t.FirstToken() + t.Decode }
+
+// Policy scores candidates.
+type Policy interface {
+	// Samples returns how many of n candidates are scored.
+	Samples(n int) int
+	// Score returns the terms of a candidate for a request; mean is the mean load of the candidates and cached the
+	// expected number of cached prompt tokens.
+	Score(now time.Duration, c *Candidate, mean, cached float64, q *Query) Terms
+	// Informed reports whether the policy uses the reported load and the cached prefixes.
+	Informed() bool
+}
+
+// Expected scores by the expected times and the operators' objective.
+type Expected struct{}
+
+var _ Policy = Expected{}
+
+// Samples returns half of the candidates and one more, at most six, so that choosers with the same reports differ.
+func (Expected) Samples(n int) int { return min(n, n/2+1, maxSamples) }
+
+// Informed returns true.
+func (Expected) Informed() bool { return true }
+
+// Score returns the expected times weighed by the objective.
+func (Expected) Score(now time.Duration, c *Candidate, mean, cached float64, q *Query) Terms {
+	slots := c.slots()
+	outstanding := c.load.outstanding(now, mean)
+	t := Terms{Cached: cached, Cost: q.Cost}
+	report := &c.endpoint.Load
+	if report.TokensPerSecond > 0 {
+		t.Decode = float64(q.ExpectedTokens) / report.TokensPerSecond * (1 + contentionShare*min(outstanding/slots, 1))
+	}
+	if report.PrefillTokensPerSecond > 0 {
+		t.Prefill = (max(float64(q.PromptTokens)-cached, 0) + c.load.backlog(now)) / report.PrefillTokensPerSecond
+	}
+	if over := outstanding + 1 - slots; over > 0 {
+		hold := c.hold
+		if hold == 0 {
+			hold = t.Prefill + t.Decode
+		}
+		t.Wait = over / slots * hold
+	}
+	t.Score = q.Objective.Score(t)
+	return t
+}
+
+// LeastOutstanding scores by the chooser's own outstanding requests for each slot.
+type LeastOutstanding struct{}
+
+var _ Policy = LeastOutstanding{}
+
+// Samples returns n.
+func (LeastOutstanding) Samples(n int) int { return n }
+
+// Informed returns false.
+func (LeastOutstanding) Informed() bool { return false }
+
+// Score returns the own outstanding requests for each slot.
+func (LeastOutstanding) Score(_ time.Duration, c *Candidate, _, _ float64, _ *Query) Terms {
+	return Terms{Score: float64(c.own) / c.slots()}
+}
+
+// Random chooses without regard to the candidate.
+type Random struct{}
+
+var _ Policy = Random{}
+
+// Samples returns 1.
+func (Random) Samples(int) int { return 1 }
+
+// Informed returns false.
+func (Random) Informed() bool { return false }
+
+// Score returns no terms.
+func (Random) Score(time.Duration, *Candidate, float64, float64, *Query) Terms { return Terms{} }
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -47,6 +47,7 @@
 		},
 		CacheEvents:   mapAll(m.GetCacheEvents(), decodeCacheEvent),
 		CacheSequence: m.GetCacheSequence(),
+		CacheTokens:   int(m.GetCacheTokens()),
 	}, nil
 }
 
@@ -95,6 +96,7 @@
 		},
 		CacheEvents:   mapAll(e.CacheEvents, encodeCacheEvent),
 		CacheSequence: e.CacheSequence,
+		CacheTokens:   int64(e.CacheTokens),
 	}
 }
 
--- a/wire/forward.go
+++ b/wire/forward.go
@@ -28,6 +28,9 @@
 		MaxTokens:       int64(r.MaxTokens),
 		IdempotencyKey:  r.IdempotencyKey,
 		Epoch:           r.Epoch,
+		PrefixHashes:    r.Prefixes,
+		ResumePosition:  int64(r.Resume.Next),
+		ResumeText:      r.Resume.Text,
 	}
 	for _, h := range r.Via {
 		m.ViaInstances = append(m.ViaInstances, h.Instance)
@@ -55,6 +58,8 @@
 		Deadline:       now.Add(time.Duration(m.GetRemainingMillis()) * time.Millisecond),
 		IdempotencyKey: m.GetIdempotencyKey(),
 		Epoch:          m.GetEpoch(),
+		Prefixes:       m.GetPrefixHashes(),
+		Resume:         dispatch.Attempt{Next: int(m.GetResumePosition()), Text: m.GetResumeText()},
 	}
 	for i, instance := range m.GetViaInstances() {
 		hop := dispatch.Hop{Instance: instance}
