--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -42,7 +42,7 @@
 
 // room reports whether a request with that many uncached prompt tokens and that reservation could start at once.
 func (c *Candidate) room(now time.Duration, mean float64, tokens, reserve int) bool {
-	return c.load.outstanding(now, mean)+1 <= c.slots() && c.slow.Room(tokens) && c.pool.Room(reserve)
+	return c.load.outstanding(now, mean) <= c.slots()-slotShare && c.slow.Room(tokens) && c.pool.Room(reserve)
 }
 
 // observe takes a newer announcement of the endpoint.
--- a/routing/limits.go
+++ b/routing/limits.go
@@ -28,6 +28,9 @@
 	maxNominees = 4
 )
 
+// slotShare is the part of a slot that must be free, as the estimate of what is outstanding is no whole number.
+const slotShare = 0.5
+
 // Limits of the prefix index.
 const (
 	holdersPerPrefix = 4
