--- a/entry/forward.go
+++ b/entry/forward.go
@@ -18,13 +18,13 @@
 
 // ForwardModel sends a model request to an entry of the region; the next entry is tried while nothing of the answer came.
 func (p *peers) ForwardModel(ctx context.Context, region string, r dispatch.Request, sink stream.Sink) (stream.End, error) {
-	order := stream.NewOrder(r.CorrelationID, 0, 0)
+	order := stream.NewOrder(r.CorrelationID, 0, r.Resume.Next)
 	var end stream.End
 	err := p.each(ctx, region, r, func(frames forwardFrames) error {
 		var err error
 		end, err = readForward(frames, r.CorrelationID, order, sink)
 		return err
-	}, func(err error) bool { return order.Next() == 0 && ctx.Err() == nil && retriable(err) })
+	}, func(err error) bool { return order.Next() == r.Resume.Next && ctx.Err() == nil && retriable(err) })
 	return end, err
 }
 
