Give each test process its own loopback IP number, with ports below the outgoing ones

A port that was free a moment ago was taken by an outgoing connection of another process, and an entry could not listen: 1 of about 12 runs with four suites side by side.

--- a/systemtest/harness_test.go
+++ b/systemtest/harness_test.go
@@ -9,12 +9,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -346,13 +346,15 @@
 	return s.do(http.MethodGet, address, path, token, "").status
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
+// firstPort lies below the ports that the system gives to outgoing connections.
+const firstPort = 10000
+
+// ports counts the addresses that were given out.
+var ports atomic.Int32
+
+// freeAddress returns a loopback address that no other process uses: the IP number is that of this test process.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff, firstPort+ports.Add(1))
 }
