--- a/control/control.go
+++ b/control/control.go
@@ -31,12 +31,13 @@
 	hub    *relay.Hub
 	quorum *quorum
 	store  Store
+	direct *direct
 	done   chan struct{}
 }
 
 // New returns a control daemon that runs when Run is called.
 func New(cfg Config, log zerolog.Logger, now func() time.Time) *Control {
-	return &Control{cfg: cfg, log: log, now: now, hub: relay.NewHub(cfg.Name, now), done: make(chan struct{})}
+	return &Control{cfg: cfg, log: log, now: now, hub: relay.NewHub(cfg.Name, now), direct: newDirect(), done: make(chan struct{})}
 }
 
 // Done is closed when the daemon has stopped.
@@ -53,7 +54,7 @@
 		return err
 	}
 	defer func() { _ = folder.Close() }()
-	links := newLinks(work, c.log)
+	links := newLinks(work, c.cfg.Keys, c.log)
 	if err := c.open(folder, links); err != nil {
 		return err
 	}
@@ -151,11 +152,11 @@
 	}
 	s := &servers{
 		operators:        &http.Server{Handler: c.operatorHandler(), ReadHeaderTimeout: headerTimeout},
-		operatorListener: operators,
-		peers:            grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes)),
+		operatorListener: c.cfg.Keys.Listener(operators),
+		peers:            grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.Creds(c.cfg.Keys.Server())),
 		peerListener:     peers,
 	}
-	wiregen.RegisterConfigurationServer(s.peers, relay.NewServer(c.hub, done))
+	wiregen.RegisterConfigurationServer(s.peers, relay.NewServer(c.hub, c.heardFollower, done))
 	wiregen.RegisterConsensusServer(s.peers, c)
 	return s, nil
 }
--- a/control/instances.go
+++ b/control/instances.go
@@ -6,10 +6,11 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"arbutusreel/consensus"
 	"arbutusreel/distribution"
+	"arbutusreel/membership"
+	"arbutusreel/wire"
 	"arbutusreel/wiregen"
 )
 
@@ -18,8 +19,8 @@
 
 // Instances returns the instances that follow this voter, directly or through relays.
 func (c *Control) Instances(context.Context, *wiregen.InstancesRequest) (*wiregen.InstancesReply, error) {
-	reply := &wiregen.InstancesReply{}
 	now := c.now()
+	reply := &wiregen.InstancesReply{Entries: wire.EncodeEntries(c.direct.live(now))}
 	for _, i := range c.hub.Instances() {
 		reply.Instances = append(reply.Instances, &wiregen.ReportedInstance{
 			Name: i.Name, Region: i.Region, Revision: i.Revision, AgeMillis: now.Sub(i.At).Milliseconds(),
@@ -28,37 +29,45 @@
 	return reply, nil
 }
 
-// instances returns the newest report of each instance that any voter has.
-func (c *Control) instances(ctx context.Context) []distribution.Instance {
+// followed is what the voters together know of the entries.
+type followed struct {
+	instances []distribution.Instance
+	// entries are those that follow a voter directly, by name.
+	entries map[string]membership.Entry
+}
+
+// askVoters returns the newest report of each instance that any voter has, and the entries that follow any voter.
+func (c *Control) askVoters(ctx context.Context) followed {
 	ctx, cancel := context.WithTimeout(ctx, voterTimeout)
 	defer cancel()
-	newest := distribution.NewReports()
-	var mu sync.Mutex
+	status := c.store.Status()
+	replies := make([]*wiregen.InstancesReply, len(status.Members))
 	var wg sync.WaitGroup
-	for _, i := range c.hub.Instances() {
-		newest.Take(i)
+	for i, member := range status.Members {
+		wg.Go(func() { replies[i] = c.askVoter(ctx, member, status.Self) })
 	}
-	status := c.store.Status()
-	for _, member := range status.Members {
-		if member.ID == status.Self {
-			continue
+	wg.Wait()
+	newest := distribution.NewReports()
+	entries := map[string]membership.Entry{}
+	for _, reply := range replies {
+		for _, i := range reply.GetInstances() {
+			at := c.now().Add(-time.Duration(i.GetAgeMillis()) * time.Millisecond)
+			newest.Take(distribution.Instance{Name: i.GetName(), Region: i.GetRegion(), Revision: i.GetRevision(), At: at})
+		}
+		for _, e := range wire.DecodeEntries(reply.GetEntries()) {
+			entries[e.Name] = e
 		}
-		wg.Go(func() {
-			reported := c.ask(ctx, member)
-			mu.Lock()
-			defer mu.Unlock()
-			for _, i := range reported {
-				newest.Take(i)
-			}
-		})
 	}
-	wg.Wait()
-	return newest.All(time.Time{})
+	return followed{instances: newest.All(time.Time{}), entries: entries}
 }
 
-// ask returns the instances that follow another voter; one that does not answer has none.
-func (c *Control) ask(ctx context.Context, member consensus.Member) []distribution.Instance {
-	conn, err := grpc.NewClient("passthrough:///"+member.Address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+// askVoter returns what a voter knows of the entries; one that does not answer knows nothing.
+func (c *Control) askVoter(ctx context.Context, member consensus.Member, self consensus.ID) *wiregen.InstancesReply {
+	if member.ID == self {
+		reply, _ := c.Instances(ctx, nil)
+		return reply
+	}
+	conn, err := grpc.NewClient("passthrough:///"+member.Address, grpc.WithTransportCredentials(c.cfg.Keys.Client(member.ID.Name)))
 	if err != nil {
 		return nil
 	}
@@ -67,12 +76,7 @@
 	if err != nil {
 		c.log.Warn().Str("voter", member.ID.Name).Err(err).Msg("instancesUnknown")
 	}
-	var instances []distribution.Instance
-	for _, i := range reply.GetInstances() {
-		at := c.now().Add(-time.Duration(i.GetAgeMillis()) * time.Millisecond)
-		instances = append(instances, distribution.Instance{Name: i.GetName(), Region: i.GetRegion(), Revision: i.GetRevision(), At: at})
-	}
-	return instances
+	return reply
 }
 
 // lag returns the time since a higher revision than the instance's was accepted, or zero.
@@ -85,10 +89,10 @@
 }
 
 // identify returns the name and disk of the control daemon at an address.
-func identify(ctx context.Context, address string) (consensus.ID, error) {
+func (c *Control) identify(ctx context.Context, name, address string) (consensus.ID, error) {
 	ctx, cancel := context.WithTimeout(ctx, voterTimeout)
 	defer cancel()
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(c.cfg.Keys.Client(name)))
 	if err != nil {
 		return consensus.ID{}, err
 	}
--- a/control/links.go
+++ b/control/links.go
@@ -9,9 +9,11 @@
 
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"arbutusreel/consensus"
+	"arbutusreel/keys"
 	"arbutusreel/ring"
 	"arbutusreel/wiregen"
 )
@@ -27,16 +29,17 @@
 
 // links carries messages to the other voters, with one goroutine for each address.
 type links struct {
-	ctx context.Context
-	log zerolog.Logger
-	wg  sync.WaitGroup
+	ctx  context.Context
+	keys *keys.Source
+	log  zerolog.Logger
+	wg   sync.WaitGroup
 
 	mu    sync.Mutex
 	rings map[string]*ring.Ring[*wiregen.ConsensusMessage]
 }
 
-func newLinks(ctx context.Context, log zerolog.Logger) *links {
-	return &links{ctx: ctx, log: log, rings: map[string]*ring.Ring[*wiregen.ConsensusMessage]{}}
+func newLinks(ctx context.Context, source *keys.Source, log zerolog.Logger) *links {
+	return &links{ctx: ctx, keys: source, log: log, rings: map[string]*ring.Ring[*wiregen.ConsensusMessage]{}}
 }
 
 // send passes on a message; one for a link that is full is dropped, as consensus repeats what matters.
@@ -47,15 +50,15 @@
 	if r == nil {
 		r = ring.New[*wiregen.ConsensusMessage](linkMessages)
 		l.rings[m.ToAddress] = r
-		l.wg.Go(func() { l.run(m.ToAddress, r) })
+		l.wg.Go(func() { l.run(m.To.Name, m.ToAddress, r) })
 	}
 	r.Offer(encodeMessage(m))
 }
 
 // run keeps a stream to an address until the link has been idle or the links end.
-func (l *links) run(address string, r *ring.Ring[*wiregen.ConsensusMessage]) {
+func (l *links) run(name, address string, r *ring.Ring[*wiregen.ConsensusMessage]) {
 	for l.ctx.Err() == nil {
-		idle, err := l.stream(address, r)
+		idle, err := l.stream(name, address, r)
 		if err != nil && l.ctx.Err() == nil {
 			l.log.Debug().Str("voter", address).Err(err).Msg("voterUnreachable")
 		}
@@ -83,8 +86,8 @@
 }
 
 // stream sends the messages of one connection; idle says that it ended for want of messages.
-func (l *links) stream(address string, r *ring.Ring[*wiregen.ConsensusMessage]) (idle bool, err error) {
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+func (l *links) stream(name, address string, r *ring.Ring[*wiregen.ConsensusMessage]) (idle bool, err error) {
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(l.keys.Client(name)))
 	if err != nil {
 		return false, err
 	}
@@ -118,6 +121,9 @@
 		if err != nil {
 			return err
 		}
+		if err := c.checkVoter(messages.Context(), m.GetFrom()); err != nil {
+			return err
+		}
 		decoded := decodeMessage(m)
 		if err := c.quorum.input(messages.Context(), func(now time.Time) { c.quorum.node.Receive(now, decoded) }); err != nil {
 			return err
@@ -125,6 +131,16 @@
 	}
 }
 
+// checkVoter refuses a message whose sender has the certificate of another instance.
+func (c *Control) checkVoter(ctx context.Context, from *wiregen.VoterId) error {
+	identity, ok := keys.Peer(ctx)
+	if !c.cfg.Keys.Mutual() || ok && identity.Name == from.GetName() {
+		return nil
+	}
+	c.log.Warn().Str("claimed", from.GetName()).Str("certificate", identity.Name).Msg("peerRefused")
+	return status.Errorf(codes.PermissionDenied, "the certificate is not that of voter %q", from.GetName())
+}
+
 // Identify returns this daemon's name and disk.
 func (c *Control) Identify(context.Context, *wiregen.IdentifyRequest) (*wiregen.VoterId, error) {
 	return &wiregen.VoterId{Name: c.cfg.Name, Disk: c.quorum.disk.identity}, nil
--- a/control/members.go
+++ b/control/members.go
@@ -40,7 +40,7 @@
 	if err := c.store.Confirm(r.Context()); err != nil {
 		return nil, err
 	}
-	id, err := identify(r.Context(), m.GetAddress())
+	id, err := c.identify(r.Context(), m.GetName(), m.GetAddress())
 	if err != nil {
 		return nil, problem.New(problem.MemberUnreachable, http.StatusBadGateway, "no control daemon answers at %q", m.GetAddress())
 	}
--- a/control/operators.go
+++ b/control/operators.go
@@ -25,6 +25,8 @@
 	mux.HandleFunc("GET /v1/members", c.operator(c.members))
 	mux.HandleFunc("POST /v1/members/add", c.operator(c.addMember))
 	mux.HandleFunc("POST /v1/members/remove", c.operator(c.removeMember))
+	mux.HandleFunc("GET /v1/entries", c.operator(c.listEntries))
+	mux.HandleFunc("GET /v1/decisions/{kind}/{name}", c.operator(c.decisions))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", c.ready)
 	return mux
@@ -118,7 +120,7 @@
 		Name: c.cfg.Name, Leader: known.Leader.Name, Term: known.Term, Revision: c.store.Current().Revision,
 		Members: memberStatuses(known.Members), Current: err == nil,
 	}
-	for _, i := range c.instances(r.Context()) {
+	for _, i := range c.askVoters(r.Context()).instances {
 		reply.Instances = append(reply.Instances, &wiregen.InstanceStatus{
 			Name: i.Name, Region: i.Region, Revision: i.Revision,
 			AgeMillis: c.now().Sub(i.At).Milliseconds(),
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -65,12 +65,12 @@
 	reads   map[int64]chan<- error
 	tokens  int64
 
-	mu       sync.Mutex
-	current  Current
-	changed  chan struct{}
-	status   consensus.Status
-	lease    leaseState
-	accepts  map[int64]time.Time
+	mu      sync.Mutex
+	current Current
+	changed chan struct{}
+	status  consensus.Status
+	lease   leaseState
+	accepts map[int64]time.Time
 }
 
 var _ Store = (*quorum)(nil)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -15,9 +15,11 @@
 
 // Request is a checked request; it is not changed after its making.
 type Request struct {
-	CorrelationID  string
-	Team           string
-	Class          string
+	CorrelationID string
+	Team          string
+	Class         string
+	// Priority is the priority of the class; engines serve lower numbers first.
+	Priority       int
 	Labels         []string
 	Service        string
 	Model          string
@@ -32,6 +34,10 @@
 	Via            []Hop
 	IdempotencyKey string
 	Epoch          string
+	// Prefixes are the hashes of the prompt's prefixes by whole blocks, the shortest first.
+	Prefixes []uint64
+	// Resume is where the answer begins, if an earlier attempt has sent a part of it.
+	Resume Attempt
 }
 
 // Subject returns what residency is decided for.
@@ -55,6 +61,16 @@
 	return slices.ContainsFunc(r.Via, func(h Hop) bool { return h.Region != region })
 }
 
+// Attempt is one try of a model request; a resumed one begins after the text that earlier attempts have sent.
+type Attempt struct {
+	// Number counts the attempts of a request in an instance, from zero.
+	Number int
+	// Next is the position of the first piece that the attempt is to send.
+	Next int
+	// Text is the text of all pieces before Next.
+	Text string
+}
+
 // Reply is the whole answer of a plain service.
 type Reply struct {
 	Status      int
--- a/membership/endpoint.go
+++ b/membership/endpoint.go
@@ -4,9 +4,10 @@
 
 // Load is what an endpoint reported of its work.
 type Load struct {
-	Running                int
-	Queued                 int
-	QueuedTokens           int
+	Running      int
+	Queued       int
+	QueuedTokens int
+	// TokensPerSecond is what all slots together generate when all are busy.
 	TokensPerSecond        float64
 	PrefillTokensPerSecond float64
 	CacheUse               float64
@@ -36,6 +37,8 @@
 	Load          Load
 	CacheEvents   []CacheEvent
 	CacheSequence int64
+	// CacheTokens is the number of tokens that the cache holds for running requests; zero is not known.
+	CacheTokens int
 }
 
 // newer reports whether e replaces what is known as old.
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -58,6 +58,8 @@
 	MemberUnreachable  Code = "memberUnreachable"
 	ChangePending      Code = "changePending"
 	QuorumAtRisk       Code = "quorumAtRisk"
+	CallerGone         Code = "callerGone"
+	BodyTimeout        Code = "bodyTimeout"
 	Internal           Code = "internal"
 )
 
--- a/relay/follower.go
+++ b/relay/follower.go
@@ -8,7 +8,6 @@
 
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"arbutusreel/distribution"
 	"arbutusreel/wiregen"
@@ -29,30 +28,39 @@
 // maxUpdateBytes bounds one update on the wire.
 const maxUpdateBytes = 128 << 20
 
+// Instance is the instance that a follower keeps up to date.
+type Instance interface {
+	// Sources returns the addresses to follow, the preferred one first; there is at least one.
+	Sources() []string
+	// Dial returns a connection to a source.
+	Dial(address string) (*grpc.ClientConn, error)
+	// Adopt takes an encoded inventory into force.
+	Adopt(revision int64, whole []byte, source string) error
+	// Self returns the instance with the revision that it has in force.
+	Self() distribution.Instance
+	// Advert returns the instance's addresses.
+	Advert() *wiregen.EntryAdvert
+}
+
 // Follower keeps a hub up to date.
 type Follower struct {
-	hub *Hub
-	// sources returns the addresses to follow, the preferred one first.
-	sources func() []string
-	// adopt takes an encoded inventory into force at this instance.
-	adopt func(revision int64, whole []byte, source string) error
-	// self returns the instance with the revision that it has in force.
-	self func() distribution.Instance
-	log  zerolog.Logger
+	hub      *Hub
+	instance Instance
+	log      zerolog.Logger
 	// wantsWhole says that a delta did not fit, so that the next source is asked for the whole.
 	wantsWhole atomic.Bool
 }
 
-// NewFollower returns a follower of the sources; see the fields of Follower.
-func NewFollower(hub *Hub, sources func() []string, adopt func(int64, []byte, string) error, self func() distribution.Instance, log zerolog.Logger) *Follower {
-	return &Follower{hub: hub, sources: sources, adopt: adopt, self: self, log: log}
+// NewFollower returns a follower that keeps the instance and its hub up to date.
+func NewFollower(hub *Hub, instance Instance, log zerolog.Logger) *Follower {
+	return &Follower{hub: hub, instance: instance, log: log}
 }
 
 // Run asks all sources for the highest revision and then follows one after another until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	f.askAll(ctx, f.sources())
+	f.askAll(ctx, f.instance.Sources())
 	for ctx.Err() == nil {
-		f.followFirst(ctx, f.sources())
+		f.followFirst(ctx, f.instance.Sources())
 		pause(ctx, retryPeriod)
 	}
 }
@@ -99,26 +107,20 @@
 }
 
 func (f *Follower) ask(ctx context.Context, address string) (*wiregen.FollowUpdate, error) {
-	conn, err := dial(address)
+	conn, err := f.instance.Dial(address)
 	if err != nil {
 		return nil, err
 	}
 	defer conn.Close()
 	revision, checksum := f.held()
-	return wiregen.NewConfigurationClient(conn).Latest(ctx, &wiregen.LatestRequest{Revision: revision, Checksum: checksum})
-}
-
-func dial(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxUpdateBytes)))
+	return wiregen.NewConfigurationClient(conn).Latest(ctx, &wiregen.LatestRequest{Revision: revision, Checksum: checksum}, grpc.MaxCallRecvMsgSize(maxUpdateBytes))
 }
 
 // follow takes what one source sends. It returns nil when a preferred source
 // should be tried again, and an error when the stream ends, falls silent or
 // comes from a source without a leader.
 func (f *Follower) follow(ctx context.Context, address string) error {
-	conn, err := dial(address)
+	conn, err := f.instance.Dial(address)
 	if err != nil {
 		return err
 	}
@@ -127,7 +129,7 @@
 	defer cancel()
 	silence := time.AfterFunc(silenceLimit, cancel)
 	defer silence.Stop()
-	updates, err := wiregen.NewConfigurationClient(conn).Follow(ctx)
+	updates, err := wiregen.NewConfigurationClient(conn).Follow(ctx, grpc.MaxCallRecvMsgSize(maxUpdateBytes))
 	if err != nil {
 		return err
 	}
@@ -139,7 +141,7 @@
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() { f.report(ctx, sender, updates) })
-	for began := f.hub.now(); f.hub.now().Sub(began) < preferPeriod || f.sources()[0] == address; {
+	for began := f.hub.now(); f.hub.now().Sub(began) < preferPeriod || f.instance.Sources()[0] == address; {
 		update, err := updates.Recv()
 		if err != nil && !silence.Stop() {
 			return &SilentSourceError{Address: address, Limit: silenceLimit}
@@ -166,7 +168,7 @@
 	if err != nil || !changed {
 		return err
 	}
-	return f.adopt(m.GetRevision(), whole, m.GetSource())
+	return f.instance.Adopt(m.GetRevision(), whole, m.GetSource())
 }
 
 // held returns the revision in force and its checksum; zero as the checksum asks for the whole.
@@ -181,7 +183,7 @@
 func (f *Follower) firstReport(sender *distribution.Sender) *wiregen.FollowReport {
 	m := f.nextReport(sender)
 	if m == nil {
-		m = &wiregen.FollowReport{}
+		m = &wiregen.FollowReport{Sender: f.instance.Advert()}
 	}
 	m.Revision, m.Checksum = f.held()
 	return m
@@ -190,13 +192,15 @@
 // nextReport returns the report that is due, or nil.
 func (f *Follower) nextReport(sender *distribution.Sender) *wiregen.FollowReport {
 	now := f.hub.now()
-	self := f.self()
+	self := f.instance.Self()
 	f.hub.Report(self)
 	r, ok := sender.Next(now, self.Revision, f.hub.Instances(), reportPeriod)
 	if !ok {
 		return nil
 	}
-	return encodeReport(now, r)
+	m := encodeReport(now, r)
+	m.Sender = f.instance.Advert()
+	return m
 }
 
 // report sends reports until the stream ends.
--- a/relay/server.go
+++ b/relay/server.go
@@ -17,15 +17,18 @@
 type Server struct {
 	wiregen.UnimplementedConfigurationServer
 
-	hub  *Hub
-	done <-chan struct{}
+	hub *Hub
+	// heard is called with each report; an error from the first one refuses the follower.
+	heard func(ctx context.Context, m *wiregen.FollowReport) error
+	done  <-chan struct{}
 }
 
 var _ wiregen.ConfigurationServer = (*Server)(nil)
 
-// NewServer returns a server whose streams end when done is closed.
-func NewServer(hub *Hub, done <-chan struct{}) *Server {
-	return &Server{hub: hub, done: done}
+// NewServer returns a server whose streams end when done is closed; heard is
+// called with each report, and refuses a follower by an error on the first one.
+func NewServer(hub *Hub, heard func(context.Context, *wiregen.FollowReport) error, done <-chan struct{}) *Server {
+	return &Server{hub: hub, heard: heard, done: done}
 }
 
 // Latest returns what the asker lacks.
@@ -47,6 +50,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.heard(reports.Context(), first); err != nil {
+		return err
+	}
 	receiver := distribution.NewReceiver()
 	s.take(receiver, first)
 	go s.readReports(receiver, reports)
@@ -82,7 +88,7 @@
 func (s *Server) readReports(receiver *distribution.Receiver, reports grpc.BidiStreamingServer[wiregen.FollowReport, wiregen.FollowUpdate]) {
 	for {
 		m, err := reports.Recv()
-		if err != nil {
+		if err != nil || s.heard(reports.Context(), m) != nil {
 			return
 		}
 		s.take(receiver, m)
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -47,6 +47,7 @@
 		},
 		CacheEvents:   mapAll(m.GetCacheEvents(), decodeCacheEvent),
 		CacheSequence: m.GetCacheSequence(),
+		CacheTokens:   int(m.GetCacheTokens()),
 	}, nil
 }
 
@@ -95,6 +96,7 @@
 		},
 		CacheEvents:   mapAll(e.CacheEvents, encodeCacheEvent),
 		CacheSequence: e.CacheSequence,
+		CacheTokens:   int64(e.CacheTokens),
 	}
 }
 
@@ -110,7 +112,7 @@
 func DecodeEntries(ms []*wiregen.EntryAdvert) []membership.Entry { return mapAll(ms, decodeEntry) }
 
 // EncodeEntries returns the messages of the entries.
-func EncodeEntries(es []membership.Entry) []*wiregen.EntryAdvert { return mapAll(es, encodeEntry) }
+func EncodeEntries(es []membership.Entry) []*wiregen.EntryAdvert { return mapAll(es, EncodeEntry) }
 
 func decodeEntry(m *wiregen.EntryAdvert) membership.Entry {
 	return membership.Entry{
@@ -125,7 +127,8 @@
 	}
 }
 
-func encodeEntry(e membership.Entry) *wiregen.EntryAdvert {
+// EncodeEntry returns the message of an entry.
+func EncodeEntry(e membership.Entry) *wiregen.EntryAdvert {
 	return &wiregen.EntryAdvert{
 		Name:            e.Name,
 		Region:          e.Region,
