--- a/cmd/arbutusreel/main.go
+++ b/cmd/arbutusreel/main.go
@@ -70,6 +70,7 @@
 		applyCommand(),
 		getCommand(),
 		statusCommand(),
+		membersCommand(),
 		explainCommand(),
 		checkCommand(),
 		settingsCommand(),
--- a/operator/client.go
+++ b/operator/client.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
@@ -31,6 +33,27 @@
 // Unwrap returns the last cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
 
+// UndecidedError says that a change may or may not have been accepted.
+type UndecidedError struct {
+	ChangeID string
+	Cause    error
+}
+
+// Error names the change id and the last cause.
+func (e *UndecidedError) Error() string {
+	return fmt.Sprintf("outcomeUnknown: change %q may have been accepted; send it again with this change id: %v", e.ChangeID, e.Cause)
+}
+
+// Unwrap returns the last cause.
+func (e *UndecidedError) Unwrap() error { return e.Cause }
+
+const (
+	// attemptTimeout bounds the wait for one voter, which may be cut off.
+	attemptTimeout = 3 * time.Second
+	// roundPause is the time between two rounds over all voters.
+	roundPause = 200 * time.Millisecond
+)
+
 // Client asks one control voter after another until one answers.
 type Client struct {
 	controls []string
@@ -52,10 +75,18 @@
 	return &with
 }
 
-// Apply proposes a change; a refusal returns *problem.Problem, silence *UnreachableError.
+// Apply proposes a change. A refusal returns *problem.Problem; if no voter
+// decided before ctx ended it returns *UndecidedError when the change may have
+// been accepted, and *UnreachableError when it was not. The change id makes it
+// safe to send again.
 func (c *Client) Apply(ctx context.Context, m *wiregen.ApplyRequest) (*wiregen.ApplyReply, error) {
 	reply := &wiregen.ApplyReply{}
-	return reply, c.do(ctx, http.MethodPost, "/v1/inventory", m, reply)
+	err := c.do(ctx, http.MethodPost, "/v1/inventory", m, reply)
+	var undecided *UndecidedError
+	if errors.As(err, &undecided) {
+		undecided.ChangeID = m.GetChangeId()
+	}
+	return reply, err
 }
 
 // Inventory returns the inventory in force.
@@ -64,13 +95,60 @@
 	return reply, c.do(ctx, http.MethodGet, "/v1/inventory", nil, reply)
 }
 
-// Status returns the leader and the revision in force at each instance.
+// Members returns the members of the quorum.
+func (c *Client) Members(ctx context.Context) (*wiregen.MembersReply, error) {
+	reply := &wiregen.MembersReply{}
+	return reply, c.do(ctx, http.MethodGet, "/v1/members", nil, reply)
+}
+
+// AddMember adds a control daemon to the quorum; one that is a member already is a success.
+func (c *Client) AddMember(ctx context.Context, name, address string) (*wiregen.MembersReply, error) {
+	reply := &wiregen.MembersReply{}
+	return reply, c.do(ctx, http.MethodPost, "/v1/members/add", &wiregen.AddMemberRequest{Name: name, Address: address}, reply)
+}
+
+// RemoveMember removes the present member of the name from the quorum, but not one that took its place in the meantime.
+func (c *Client) RemoveMember(ctx context.Context, name string) (*wiregen.MembersReply, error) {
+	members, err := c.Members(ctx)
+	if err != nil {
+		return nil, err
+	}
+	m := &wiregen.RemoveMemberRequest{Name: name}
+	for _, member := range members.GetMembers() {
+		if member.GetName() == name {
+			m.Disk = member.GetDisk()
+		}
+	}
+	reply := &wiregen.MembersReply{}
+	return reply, c.do(ctx, http.MethodPost, "/v1/members/remove", m, reply)
+}
+
+// Status returns the leader and the revision in force at each instance, from the leader if it answers.
 func (c *Client) Status(ctx context.Context) (*wiregen.StatusReply, error) {
-	reply := &wiregen.StatusReply{}
-	return reply, c.do(ctx, http.MethodGet, "/v1/status", nil, reply)
+	var other *wiregen.StatusReply
+	var last error
+	for _, address := range c.controls {
+		reply := &wiregen.StatusReply{}
+		b, err := c.attempt(ctx, address, http.MethodGet, "/v1/status", nil)
+		if err == nil {
+			err = wire.DecodeJSON(b, reply)
+		}
+		if err != nil {
+			last = err
+			continue
+		}
+		if reply.GetCurrent() {
+			return reply, nil
+		}
+		other = reply
+	}
+	if other == nil {
+		return nil, &UnreachableError{Controls: c.controls, Cause: last}
+	}
+	return other, nil
 }
 
-// do sends a request to the voters in turn; one that is not the leader is passed over.
+// do sends a request to the voters in turn, round after round, until one decides or ctx ends.
 func (c *Client) do(ctx context.Context, method, path string, m, reply proto.Message) error {
 	var body []byte
 	if m != nil {
@@ -79,19 +157,66 @@
 			return err
 		}
 	}
-	var last error
-	for _, address := range c.controls {
-		b, err := c.ask(ctx, address, method, path, body)
-		if err == nil {
-			return wire.DecodeJSON(b, reply)
+	undecided := false
+	for {
+		var last error
+		for _, address := range c.controls {
+			b, err := c.attempt(ctx, address, method, path, body)
+			if err == nil {
+				return wire.DecodeJSON(b, reply)
+			}
+			var p *problem.Problem
+			if errors.As(err, &p) && !passing(p.Code) {
+				return p
+			}
+			undecided = undecided || method == http.MethodPost && mayHaveRun(err)
+			last = err
+		}
+		if pause(ctx, roundPause) {
+			continue
 		}
-		var p *problem.Problem
-		if errors.As(err, &p) && p.Code != problem.QuorumUnavailable {
-			return p
+		if undecided {
+			return &UndecidedError{Cause: last}
 		}
-		last = err
+		return &UnreachableError{Controls: c.controls, Cause: last}
 	}
-	return &UnreachableError{Controls: c.controls, Cause: last}
+}
+
+// passing reports whether another voter, or the same one later, may answer otherwise.
+func passing(code problem.Code) bool {
+	return code == problem.QuorumUnavailable || code == problem.ChangeUnknown || code == problem.ChangePending
+}
+
+// mayHaveRun reports whether a voter may have taken the request although it did not answer.
+func mayHaveRun(err error) bool {
+	var p *problem.Problem
+	if errors.As(err, &p) {
+		return p.Outcome == problem.Unknown
+	}
+	var dial *net.OpError
+	return !errors.As(err, &dial) || dial.Op != "dial"
+}
+
+// pause waits and reports whether there is time for another round.
+func pause(ctx context.Context, d time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
+		return false
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt asks one voter, for no longer than a part of the whole wait.
+func (c *Client) attempt(ctx context.Context, address, method, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return c.ask(ctx, address, method, path, body)
 }
 
 // ask returns the answer of one voter.
