--- a/keys/source_test.go
+++ b/keys/source_test.go
@@ -63,7 +63,7 @@
 // install writes a new certificate of the name and the authority.
 func (h *holder) install(t *testing.T, a *standin.Authority, name string) {
 	t.Helper()
-	certificate, key, err := a.Sign(keys.Identity{Name: name, Region: "lahore"}.URI())
+	certificate, key, err := a.Sign(keys.Identity{Name: name, Region: "lahore"}.URI(), net.IPv4(127, 0, 0, 1))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/authority.go
+++ b/standin/authority.go
@@ -54,15 +54,15 @@
 	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.certificate.Raw})
 }
 
-// Sign returns a certificate that bears the URI and holds for loopback, and its key.
-func (a *Authority) Sign(uri *url.URL) (certificate, key []byte, err error) {
+// Sign returns a certificate that bears the URI and holds for the IP numbers, and its key.
+func (a *Authority) Sign(uri *url.URL, numbers ...net.IP) (certificate, key []byte, err error) {
 	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, nil, err
 	}
 	template := a.template()
 	template.URIs = []*url.URL{uri}
-	template.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
+	template.IPAddresses = numbers
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, private.Public(), a.key)
--- a/systemtest/harness_test.go
+++ b/systemtest/harness_test.go
@@ -355,6 +355,11 @@
 // freeAddress returns a loopback address that no other process uses: the IP number is that of this test process.
 func freeAddress(t *testing.T) string {
 	t.Helper()
+	return fmt.Sprintf("%s:%d", ownNumber(), firstPort+ports.Add(1))
+}
+
+// ownNumber returns the loopback IP number of this test process.
+func ownNumber() string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff, firstPort+ports.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff)
 }
--- a/systemtest/keys_test.go
+++ b/systemtest/keys_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -49,7 +50,7 @@
 // sign writes a new certificate and key of an instance to the files that bear the prefix.
 func (c *certificates) sign(prefix, name, region string) keys.Files {
 	c.t.Helper()
-	certificate, key, err := c.authority.Sign(keys.Identity{Name: name, Region: region}.URI())
+	certificate, key, err := c.authority.Sign(keys.Identity{Name: name, Region: region}.URI(), net.ParseIP(ownNumber()))
 	if err != nil {
 		c.t.Fatal(err)
 	}
