Load by mixes, compare targets, and restart everything under load

The load tool sends open-loop arrivals of several mixes (team, class, model or service, streams, abandonment, asked maximum, shared prefixes), measures from the time at which a request was due, asks the entries which to use, moves a request that was not run to another entry, and writes a table and JSON. The subcommand experiment sends a file's load to several targets in turn and prints the difference.

TestDrain: a stream outlives two signals.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,14 +6,12 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
 
 	"arbutusreel/directory"
-	"arbutusreel/load"
 	"arbutusreel/standin"
 )
 
@@ -31,8 +29,7 @@
 	leaveNotice                                              time.Duration
 	engine                                                   standin.EngineConfig
 
-	load    load.Config
-	entries []string
+	load loadOptions
 }
 
 func main() {
@@ -48,13 +45,14 @@
 func run(ctx context.Context) error {
 	o := &options{slots: 8, leaveNotice: 2 * time.Second}
 	o.engine = standin.EngineConfig{TokenTime: 10 * time.Millisecond, PrefillTime: 200 * time.Microsecond, CacheBlocks: 4096, KVBytesPerSecond: 1e9, Seed: 1}
-	o.load = load.Config{Count: 20, Rate: 20, MaxTokens: 256, Seed: 1, KeyPrefix: "load"}
+	o.load = newLoadOptions()
 	parser := flaggy.NewParser("standin")
 	engine := o.subcommand("engine", "Runs a model engine.", o.engineFlags)
 	service := o.subcommand("service", "Runs an endpoint of a plain service.", o.endpointFlags)
 	dir := o.subcommand("directory", "Runs a directory.", o.endpointFlags)
-	generator := o.subcommand("load", "Sends load and prints a table.", o.loadFlags)
-	for _, sub := range []*flaggy.Subcommand{engine, service, dir, generator} {
+	generator := o.subcommand("load", "Sends load and prints a table.", o.load.flags)
+	experiment := o.subcommand("experiment", "Sends the load of a file to several targets and compares them.", o.load.experimentFlags)
+	for _, sub := range []*flaggy.Subcommand{engine, service, dir, generator, experiment} {
 		parser.AttachSubcommand(sub, 1)
 	}
 	if err := parser.ParseArgs(os.Args[1:]); err != nil {
@@ -68,7 +66,9 @@
 	case dir.Used:
 		return serve(ctx, o.address, standin.NewDirectory().Handler(), func(ctx context.Context) { <-ctx.Done() })
 	case generator.Used:
-		return o.runLoad(ctx)
+		return o.load.run(ctx)
+	case experiment.Used:
+		return o.load.runExperiment(ctx)
 	}
 	parser.ShowHelp()
 	return nil
@@ -110,20 +110,6 @@
 	sub.Float64(&e.Faults.RefuseShare, "", "refuseShare", "Share of requests that fail at once.")
 }
 
-func (o *options) loadFlags(sub *flaggy.Subcommand) {
-	sub.StringSlice(&o.entries, "", "entries", "Callers' addresses of entries.")
-	sub.String(&o.load.Token, "", "token", "Token of the team.")
-	sub.String(&o.load.Class, "", "class", "Class of the requests.")
-	sub.String(&o.load.Model, "", "model", "Model of the completions.")
-	sub.String(&o.load.Service, "", "service", "Plain service to call instead of completions.")
-	sub.Bool(&o.load.Stream, "", "stream", "Whether answers are streamed.")
-	sub.Int(&o.load.Count, "", "count", "Number of requests.")
-	sub.Float64(&o.load.Rate, "", "rate", "Requests a second.")
-	sub.Int(&o.load.MaxTokens, "", "maxTokens", "Tokens asked for.")
-	sub.UInt64(&o.load.Seed, "", "seed", "Seed of the load.")
-	sub.String(&o.load.KeyPrefix, "", "keyPrefix", "Text before the idempotency keys.")
-}
-
 // serve serves until ctx ends and announce has returned, and then waits for the requests in progress.
 func serve(ctx context.Context, address string, handler http.Handler, announce func(context.Context)) error {
 	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout}
@@ -172,11 +158,3 @@
 	}, directory.New(o.directory, http.DefaultClient))
 	return serve(ctx, o.address, s.Handler(), s.Run)
 }
-
-func (o *options) runLoad(ctx context.Context) error {
-	o.load.Entries = nil
-	for _, list := range o.entries {
-		o.load.Entries = append(o.load.Entries, strings.Split(list, ",")...)
-	}
-	return load.Run(ctx, o.load, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}).WriteTable(os.Stdout)
-}
--- a/load/table.go
+++ b/load/table.go
@@ -15,9 +15,11 @@
 // WriteTable writes the result as a table; a failed write is returned.
 func (r Result) WriteTable(w io.Writer) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "sent %d, whole %d, wrong %d, failed %s\n", r.Sent, r.Whole, r.Wrong, failures(r.Failed))
+	fmt.Fprintf(&b, "%s: sent %d, whole %d, wrong %d, abandoned %d, moved %d, failed %s, served %.4f, tokens asked %d and used %d\n",
+		r.Mix, r.Sent, r.Whole, r.Wrong, r.Abandoned, r.Moved, failures(r.Failed), r.ServedShare(), r.AskedTokens, r.UsedTokens)
 	fmt.Fprintf(&b, "%-14s %10s %10s %10s %10s\n", "milliseconds", "p50", "p95", "p99", "max")
 	writeRow(&b, "first token", r.FirstToken)
+	writeRow(&b, "between tokens", r.BetweenTokens)
 	writeRow(&b, "finish", r.Finish)
 	_, err := io.WriteString(w, b.String())
 	return err
@@ -27,11 +29,22 @@
 	if h.TotalCount() == 0 {
 		return
 	}
-	fmt.Fprintf(b, "%-14s %10.2f %10.2f %10.2f %10.2f\n", name,
-		float64(h.ValueAtQuantile(50))/microsPerMilli,
-		float64(h.ValueAtQuantile(95))/microsPerMilli,
-		float64(h.ValueAtQuantile(99))/microsPerMilli,
-		float64(h.Max())/microsPerMilli)
+	q := quantilesOf(h)
+	fmt.Fprintf(b, "%-14s %10.2f %10.2f %10.2f %10.2f\n", name, q.P50, q.P95, q.P99, q.Max)
+}
+
+// Quantiles are times in milliseconds.
+type Quantiles struct {
+	P50, P95, P99, Max float64
+}
+
+func quantilesOf(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{
+		P50: float64(h.ValueAtQuantile(50)) / microsPerMilli,
+		P95: float64(h.ValueAtQuantile(95)) / microsPerMilli,
+		P99: float64(h.ValueAtQuantile(99)) / microsPerMilli,
+		Max: float64(h.Max()) / microsPerMilli,
+	}
 }
 
 func failures(m map[string]int) string {
--- /dev/null
+++ b/systemtest/shutdown_test.go
@@ -0,0 +1,139 @@
+package systemtest
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"arbutusreel/load"
+)
+
+// underLoad sends streams, whole answers and calls to the entries until the work is done, and checks that none was cut.
+func (s *system) underLoad(work func()) {
+	s.t.Helper()
+	var seeds []string
+	for _, e := range s.entries {
+		seeds = append(seeds, e.caller)
+	}
+	base := load.Mix{Token: lahoreToken, Model: "dastarkhwan-menu", PerSecond: 20, Count: 20, MaxTokens: 256}
+	streams, whole, calls := base, base, base
+	streams.Name, streams.Stream = "streams", true
+	whole.Name = "whole"
+	calls.Name, calls.Model, calls.Service, calls.Class = "calls", "", "club-desk", "order"
+	mixes := []load.Mix{streams, whole, calls}
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+		sums := []load.Result{load.NewResult("streams"), load.NewResult("whole"), load.NewResult("calls")}
+		for seed := uint64(1); ; seed++ {
+			cfg := load.Config{Entries: seeds, Discover: true, Seed: seed, KeyPrefix: "roll", Mixes: mixes}
+			for i, r := range load.Run(s.t.Context(), cfg, client) {
+				sums[i] = sums[i].Merge(r)
+			}
+			select {
+			case <-done:
+				s.checkWhole(sums)
+				return
+			default:
+			}
+		}
+	})
+	work()
+	close(done)
+	wg.Wait()
+}
+
+// checkWhole fails the test if a request was cut, refused or answered wrong.
+func (s *system) checkWhole(results []load.Result) {
+	for _, r := range results {
+		var b bytes.Buffer
+		_ = r.WriteTable(&b)
+		s.t.Log(b.String())
+		if r.Whole != r.Sent {
+			s.t.Errorf("mix %s: %d of %d requests were answered whole, %d wrong, failed %v", r.Mix, r.Whole, r.Sent, r.Wrong, r.Failed)
+		}
+	}
+}
+
+// TestRollingRestart restarts every entry and every endpoint in turn under load.
+func TestRollingRestart(t *testing.T) {
+	s := newSystem(t, options{
+		regions:          []string{"lahore", "karachi"},
+		entriesPerRegion: 2,
+		inventory:        lunchClub,
+		entryArgs:        []string{"--drainNotice", "1500ms", "--announcementLease", "1s"},
+	})
+	for _, name := range []string{"engine-a", "engine-b"} {
+		s.engine(name, "lahore", "menu-model", "dastarkhwan-menu", "--slots", "32", "--tokenTime", "10ms")
+	}
+	for _, name := range []string{"desk-a", "desk-b"} {
+		s.service(name, "lahore", "club-desk")
+	}
+	s.until("plans and orders are answered", func() bool {
+		for _, e := range s.entries[:2] {
+			a := s.do(http.MethodPost, e.caller, orderPath, lahoreToken, "warm", "Idempotency-Key", "warm-"+e.name)
+			if !s.plans(e, lahoreToken) || a.status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	s.underLoad(func() {
+		for _, e := range s.entries {
+			e.stop()
+			e.start()
+			s.until(e.name+" is ready again", func() bool { return s.get(e.caller, "/readyz", "") == http.StatusOK })
+		}
+		for _, e := range s.endpoints {
+			e.stop()
+			e.start()
+			s.until(e.name+" serves again", func() bool { return s.serves(e) })
+		}
+	})
+}
+
+// serves reports whether the entries of an endpoint's region use it.
+func (s *system) serves(e *instance) bool {
+	for _, entry := range s.entries {
+		if entry.region == e.region {
+			s.plans(entry, lahoreToken)
+		}
+	}
+	return s.get(e.caller, "/counts", "") != 0 && s.counts(e).Requests > 0 || s.get(e.caller, "/ran", "") == http.StatusOK
+}
+
+// TestDrain stops an entry in mid-stream, twice: the stream is whole, and new requests are refused as not run.
+func TestDrain(t *testing.T) {
+	s := newSystem(t, options{regions: []string{"lahore"}, entriesPerRegion: 1, inventory: lunchClub})
+	lahore := s.entries[0]
+	s.engine("engine-a", "lahore", "menu-model", "dastarkhwan-menu", "--tokenTime", "50ms")
+	s.until("a plan is answered", func() bool { return s.plans(lahore, lahoreToken) })
+	lines, body := s.openStream(t.Context(), lahore, lahoreToken, longPlan)
+	defer body.Close()
+	lahore.signal(syscall.SIGTERM)
+	s.until("the entry says that it is leaving", func() bool {
+		a := s.do(http.MethodGet, lahore.caller, "/readyz", "", "")
+		return a.status == http.StatusServiceUnavailable && strings.Contains(a.body, `"leaving":true`)
+	})
+	var a answer
+	s.until("new requests are refused", func() bool {
+		a = s.do(http.MethodPost, lahore.caller, chatPath, lahoreToken, planBody)
+		return a.status == http.StatusServiceUnavailable
+	})
+	if code, outcome := a.problemCode(); code != "stopping" || outcome != "notRun" || a.header.Get("Retry-After") == "" {
+		t.Errorf("code %q, outcome %q, header %v", code, outcome, a.header)
+	}
+	lahore.signal(syscall.SIGTERM)
+	answer := rest(lines)
+	if got, whole := streamText(answer); !whole || got != wantPlan(longPlan) {
+		t.Errorf("whole %v, answer %q", whole, answer)
+	}
+	<-lahore.done
+	if code := lahore.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("the entry ended with exit code %d", code)
+	}
+}
--- a/systemtest/streams_test.go
+++ b/systemtest/streams_test.go
@@ -18,6 +18,12 @@
 	longPlan    = `{"model":"dastarkhwan-menu","max_tokens":200,"stream":true,"messages":[{"role":"user","content":"plan the whole week for forty elders"}]}`
 )
 
+// wantPlan returns the text that an engine gives to a plan.
+func wantPlan(body string) string {
+	r, _ := completion.Decode(completion.Chat, []byte(body))
+	return standin.Answer(r.Model, r.Prompt, r.MaxTokens)
+}
+
 // streamText returns the text of a streamed answer, and whether it has its end mark.
 func streamText(body string) (string, bool) {
 	var b strings.Builder
