--- a/entry/config.go
+++ b/entry/config.go
@@ -3,22 +3,29 @@
 import (
 	"time"
 
+	"arbutusreel/decision"
+	"arbutusreel/keys"
 	"arbutusreel/membership"
 )
 
 // Config is what an entry needs to know at its start.
 type Config struct {
-	Self              membership.Entry
-	Controls          []string
-	Peers             []string
-	DirectoryAddress  string
-	MaxBodyBytes      int64
-	MaxHeaderBytes    int
-	AnnouncementLease time.Duration
-	DrainNotice       time.Duration
-	DrainTimeout      time.Duration
-	ReaderTimeout     time.Duration
-	BodyTimeout       time.Duration
+	Self     membership.Entry
+	Controls []string
+	// ControlNames holds the names of the control voters by address.
+	ControlNames        map[string]string
+	Peers               []string
+	DirectoryAddress    string
+	MaxBodyBytes        int64
+	MaxHeaderBytes      int
+	AnnouncementLease   time.Duration
+	DrainNotice         time.Duration
+	DrainTimeout        time.Duration
+	ReaderTimeout       time.Duration
+	BodyTimeout         time.Duration
+	Keys                *keys.Source
+	Decisions           *decision.Store
+	OperatorTokenDigest string
 }
 
 // Periods and limits of the daemon's duties.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 // Entry is one entry daemon.
 type Entry struct {
 	wiregen.UnimplementedPeerServer
+	wiregen.UnimplementedPlacementServer
 
 	cfg        Config
 	log        zerolog.Logger
@@ -39,7 +40,7 @@
 // New returns an entry daemon that runs when Run is called.
 func New(cfg Config, log zerolog.Logger, now func() time.Time) *Entry {
 	s := newState(cfg.Self.Region, now)
-	p := newPeers(s, cfg.Self.Name)
+	p := newPeers(s, cfg.Self.Name, cfg.Keys)
 	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
 	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, routing.New(), log)
 	return &Entry{
@@ -64,6 +65,7 @@
 	if err != nil {
 		return err
 	}
+	listeners[0] = n.cfg.Keys.Listener(listeners[0])
 	requests, cut := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cut(nil)
 	servers := n.newServers(requests)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -44,6 +44,12 @@
 
 // each runs a forward to one entry of the region after another until one answers or next declines its failure.
 func (p *peers) each(ctx context.Context, region string, r dispatch.Request, run func(forwardFrames) error, next func(error) bool) error {
+	revision, err := p.checkLeaving(r, region)
+	if err != nil {
+		return err
+	}
+	m := wire.EncodeForward(r)
+	m.Revision = revision
 	last := error(problem.New(problem.HomeRegionRequired, http.StatusServiceUnavailable, "no entry of region %q can be reached", region).WithRetryAfter(retryAfterStopping))
 	for _, e := range p.state.live() {
 		if e.Region != region || e.Leaving || r.Passed(e.Name) {
@@ -53,7 +59,7 @@
 		if err != nil {
 			continue
 		}
-		err = forwardOnce(ctx, client, r, run)
+		err = forwardOnce(ctx, client, m, run)
 		if err == nil || !next(err) {
 			return err
 		}
@@ -63,12 +69,12 @@
 }
 
 // forwardOnce runs one forward and releases it.
-func forwardOnce(ctx context.Context, client wiregen.PeerClient, r dispatch.Request, run func(forwardFrames) error) error {
+func forwardOnce(ctx context.Context, client wiregen.PeerClient, m *wiregen.ForwardRequest, run func(forwardFrames) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	frames, err := client.Forward(ctx, wire.EncodeForward(r))
+	frames, err := client.Forward(ctx, m)
 	if err != nil {
-		return &stream.IncompleteError{RequestID: r.CorrelationID, Cause: err}
+		return &stream.IncompleteError{RequestID: m.GetCorrelationId(), Cause: err}
 	}
 	return run(frames)
 }
--- a/systemtest/streams_test.go
+++ b/systemtest/streams_test.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	lahoreToken = "lahore-demo-token"
-	longPlan    = `{"model":"dastarkhwan-menu","max_tokens":200,"stream":true,"messages":[{"role":"user","content":"plan the whole week for forty elders"}]}`
+	longPlan = `{"model":"dastarkhwan-menu","max_tokens":200,"stream":true,"messages":[{"role":"user","content":"plan the whole week for forty elders"}]}`
 )
 
 // wantPlan returns the text that an engine gives to a plan.
