Order adverts of entries by version, and forward to leaving entries last

Rolling two entries of a region one after the other left the other region with none to forward to for up to half a second: 3 of 220 forwarded streams were refused with homeRegionUnreachable (TestRollingRestart, mix away). The new process was still thought to leave while the next one left already. A forward now tries leaving entries after the others: they serve until their notice has passed.

EntryAdvert has incarnation and sequence; repeated adverts no longer keep a dead entry alive.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,7 +34,9 @@
 	leaving    atomic.Bool
 	closed     atomic.Bool
 	active     atomic.Int64
-	done       chan struct{}
+	// adverts counts the adverts of the own instance.
+	adverts atomic.Int64
+	done    chan struct{}
 }
 
 // New returns an entry daemon that runs when Run is called.
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 
 	"google.golang.org/grpc"
 
 	"arbutusreel/dispatch"
+	"arbutusreel/membership"
 	"arbutusreel/problem"
 	"arbutusreel/stream"
 	"arbutusreel/wire"
@@ -51,10 +53,7 @@
 	m := wire.EncodeForward(r)
 	m.Revision = revision
 	last := error(problem.New(problem.HomeRegionRequired, http.StatusServiceUnavailable, "no entry of region %q can be reached", region).WithRetryAfter(retryAfterStopping))
-	for _, e := range p.state.live() {
-		if e.Region != region || e.Leaving || r.Passed(e.Name) {
-			continue
-		}
+	for _, e := range p.targets(region, r) {
 		client, err := p.connected(ctx, e.PeerAddress)
 		if err != nil {
 			continue
@@ -68,6 +67,23 @@
 	return last
 }
 
+// targets returns the entries of the region that the request has not passed, leaving ones last: an entry that leaves
+// serves until its notice has passed, and one that has just started may be thought to leave still.
+func (p *peers) targets(region string, r dispatch.Request) []membership.Entry {
+	targets := slices.DeleteFunc(p.state.live(), func(e membership.Entry) bool { return e.Region != region || r.Passed(e.Name) })
+	slices.SortStableFunc(targets, func(a, b membership.Entry) int {
+		switch {
+		case a.Leaving == b.Leaving:
+			return 0
+		case a.Leaving:
+			return 1
+		default:
+			return -1
+		}
+	})
+	return targets
+}
+
 // forwardOnce runs one forward and releases it.
 func forwardOnce(ctx context.Context, client wiregen.PeerClient, m *wiregen.ForwardRequest, run func(forwardFrames) error) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -55,6 +55,10 @@
 	ctx, cancel := context.WithTimeout(ctx, peerConnectTimeout)
 	defer cancel()
 	conn.Connect()
+	if conn.GetState() == connectivity.TransientFailure {
+		conn.ResetConnectBackoff()
+		conn.WaitForStateChange(ctx, connectivity.TransientFailure)
+	}
 	for state := conn.GetState(); state != connectivity.Ready; state = conn.GetState() {
 		if state == connectivity.TransientFailure || !conn.WaitForStateChange(ctx, state) {
 			return nil, &PeerUnreachableError{Address: address}
--- a/entry/publish.go
+++ b/entry/publish.go
@@ -16,6 +16,8 @@
 func (n *Entry) self() membership.Entry {
 	e := n.cfg.Self
 	e.Leaving = !n.ready()
+	e.Incarnation = n.began.UnixNano()
+	e.Sequence = n.adverts.Add(1)
 	return e
 }
 
--- a/membership/entry.go
+++ b/membership/entry.go
@@ -16,6 +16,17 @@
 	PeerAddress     string
 	Weight          float64
 	Leaving         bool
+	// Incarnation grows at each start of the entry, and Sequence with each advert of one incarnation.
+	Incarnation int64
+	Sequence    int64
+}
+
+// newer reports whether e replaces what is known as old.
+func (e Entry) newer(old Entry) bool {
+	if e.Incarnation != old.Incarnation {
+		return e.Incarnation > old.Incarnation
+	}
+	return e.Sequence > old.Sequence
 }
 
 // Summary is what other regions need to know of one service of a region.
@@ -44,9 +55,11 @@
 	return &Entries{entries: map[string]Entry{}, heard: map[string]time.Time{}, ttl: ttl}
 }
 
-// Hear notes that the entry was alive at a time.
+// Hear notes an advert at a time; one that is not newer than what was heard within the time to live is dropped, so that
+// adverts that peers repeat neither undo a later one nor keep a dead entry alive.
 func (s *Entries) Hear(at time.Time, e Entry) {
-	if at.Before(s.heard[e.Name]) {
+	heard, ok := s.heard[e.Name]
+	if ok && at.Sub(heard) <= s.ttl && !e.newer(s.entries[e.Name]) {
 		return
 	}
 	s.entries[e.Name] = e
--- a/systemtest/shutdown_test.go
+++ b/systemtest/shutdown_test.go
@@ -11,6 +11,8 @@
 	"arbutusreel/load"
 )
 
+const dishBody = `{"model":"dish-check","max_tokens":1,"messages":[{"role":"user","content":"salt?"}]}`
+
 // underLoad sends streams, whole answers and calls to the entries until the work is done, and checks that none was cut.
 func (s *system) underLoad(work func()) {
 	s.t.Helper()
@@ -23,12 +25,17 @@
 	streams.Name, streams.Stream = "streams", true
 	whole.Name = "whole"
 	calls.Name, calls.Model, calls.Service, calls.Class = "calls", "", "club-desk", "order"
-	mixes := []load.Mix{streams, whole, calls}
+	away := streams
+	away.Name, away.Model = "away", "dish-check"
+	mixes := []load.Mix{streams, whole, calls, away}
 	done := make(chan struct{})
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
-		sums := []load.Result{load.NewResult("streams"), load.NewResult("whole"), load.NewResult("calls")}
+		sums := make([]load.Result, len(mixes))
+		for i, m := range mixes {
+			sums[i] = load.NewResult(m.Name)
+		}
 		for seed := uint64(1); ; seed++ {
 			cfg := load.Config{Entries: seeds, Discover: true, Seed: seed, KeyPrefix: "roll", Mixes: mixes}
 			for i, r := range load.Run(s.t.Context(), cfg, client) {
@@ -70,13 +77,17 @@
 	for _, name := range []string{"engine-a", "engine-b"} {
 		s.engine(name, "lahore", "menu-model", "dastarkhwan-menu", "--slots", "32", "--tokenTime", "10ms")
 	}
+	for _, name := range []string{"engine-c", "engine-d"} {
+		s.engine(name, "karachi", "menu-model", "dish-check", "--slots", "32", "--tokenTime", "10ms")
+	}
 	for _, name := range []string{"desk-a", "desk-b"} {
 		s.service(name, "lahore", "club-desk")
 	}
 	s.until("plans and orders are answered", func() bool {
 		for _, e := range s.entries[:2] {
 			a := s.do(http.MethodPost, e.caller, orderPath, lahoreToken, "warm", "Idempotency-Key", "warm-"+e.name)
-			if !s.plans(e, lahoreToken) || a.status != http.StatusOK {
+			dish := s.do(http.MethodPost, e.caller, chatPath, lahoreToken, dishBody)
+			if !s.plans(e, lahoreToken) || a.status != http.StatusOK || dish.status != http.StatusOK {
 				return false
 			}
 		}
@@ -98,12 +109,10 @@
 
 // serves reports whether the entries of an endpoint's region use it.
 func (s *system) serves(e *instance) bool {
-	for _, entry := range s.entries {
-		if entry.region == e.region {
-			s.plans(entry, lahoreToken)
-		}
+	if s.get(e.caller, "/ran", "") == http.StatusOK {
+		return true
 	}
-	return s.get(e.caller, "/counts", "") != 0 && s.counts(e).Requests > 0 || s.get(e.caller, "/ran", "") == http.StatusOK
+	return s.counts(e).Requests > 0
 }
 
 // TestDrain stops an entry in mid-stream, twice: the stream is whole, and new requests are refused as not run.
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -122,6 +122,8 @@
 		PeerAddress:     m.GetPeerAddress(),
 		Weight:          m.GetWeight(),
 		Leaving:         m.GetLeaving(),
+		Incarnation:     m.GetIncarnation(),
+		Sequence:        m.GetSequence(),
 	}
 }
 
@@ -136,6 +138,8 @@
 		PeerAddress:     e.PeerAddress,
 		Weight:          e.Weight,
 		Leaving:         e.Leaving,
+		Incarnation:     e.Incarnation,
+		Sequence:        e.Sequence,
 	}
 }
 
