--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -283,7 +282,8 @@
 	}
 	first := a.Entries[0].Index
 	kept := slices.DeleteFunc(slices.Clone(s.stored.Entries), func(e Entry) bool { return e.Index >= first })
-	s.stored.Entries = append(kept, a.Entries...)
+	kept = append(kept, a.Entries...)
+	s.stored.Entries = kept
 }
 
 func (c *cluster) apply(s *server, e Entry) {
@@ -495,7 +495,7 @@
 			continue
 		}
 		if other := made[o.answer.Revision]; other != nil {
-			return errors.New(fmt.Sprint("operations ", o.ID, " and ", other.ID, " made revision ", o.answer.Revision))
+			return fmt.Errorf("operations %d and %d made revision %d", o.ID, other.ID, o.answer.Revision)
 		}
 		made[o.answer.Revision] = o
 	}
@@ -505,7 +505,7 @@
 				continue
 			}
 			if b.answer.Revision < a.answer.Revision || b.answer.Accepted && b.answer.Revision == a.answer.Revision {
-				return errors.New(fmt.Sprintf("operation %d saw revision %d after %d had returned with %d", b.ID, b.answer.Revision, a.ID, a.answer.Revision))
+				return fmt.Errorf("operation %d saw revision %d after %d had returned with %d", b.ID, b.answer.Revision, a.ID, a.answer.Revision)
 			}
 		}
 	}
