Replicate a change as a delta against the revision that it expects

Ruled out: compression, which leaves some kilobytes and costs time on every voter.

A delta that does not fit stops the voter, as its state is not the others'.

--- a/configuration/state.go
+++ b/configuration/state.go
@@ -69,6 +69,12 @@
 // Inventory returns the inventory in force, or nil at revision zero.
 func (s *State) Inventory() *inventory.Inventory { return s.inventory }
 
+// Answered reports whether an answer to the change id is kept.
+func (s *State) Answered(id string) bool {
+	_, ok := s.answers[id]
+	return ok
+}
+
 // Apply decides a change and returns its answer; a change id seen before returns its first answer.
 func (s *State) Apply(c Change) Answer {
 	if answer, ok := s.answers[c.ID]; ok {
--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -181,6 +181,24 @@
 	}
 }
 
+// TestLateInstallKeepsEntries sends a follower a snapshot that is older than
+// entries which it has acknowledged, and which therefore may be committed.
+func TestLateInstallKeepsEntries(t *testing.T) {
+	self := ID{Name: "a"}
+	n := New(Config{Self: self, ElectionTimeout: testElection}, Restored{HardState: HardState{Term: 1}}, time.Unix(0, 0), rand.New(rand.NewPCG(1, 1)))
+	var entries []Entry
+	for i := range int64(5) {
+		entries = append(entries, Entry{Index: i + 1, Term: 1})
+	}
+	n.Receive(time.Unix(0, 0), Message{Kind: AppendRequest, To: self, Term: 1, Entries: entries, Commit: 2})
+	n.Actions()
+	n.Receive(time.Unix(0, 0), Message{Kind: InstallRequest, To: self, Term: 1, Snapshot: &Snapshot{Index: 3, Term: 1}})
+	a := n.Actions()
+	if a.Install != nil || n.log.last() != 5 || n.commit != 3 || len(a.Committed) != 1 {
+		t.Errorf("install %v, last index %d, commit %d, committed %v", a.Install, n.log.last(), n.commit, a.Committed)
+	}
+}
+
 // TestEntryOfOldTermIsNotCommitted has a leader replicate an entry of an
 // earlier term to a majority; it counts only with an entry of the leader's own.
 func TestEntryOfOldTermIsNotCommitted(t *testing.T) {
--- a/control/disk.go
+++ b/control/disk.go
@@ -15,6 +15,8 @@
 type disk struct {
 	journal  *journal.Journal
 	identity string
+	// compacted is the size of the journal after it was last replaced.
+	compacted int64
 }
 
 // openDisk opens the journal in the files and returns what the voter remembers; an empty one gets a random identity.
@@ -74,5 +76,12 @@
 
 // replace makes a snapshot and what follows it the whole journal.
 func (d *disk) replace(r consensus.Restored) error {
-	return d.journal.Compact(marshal(encodeSnapshot(r.Snapshot)), encodeRecord(&r.HardState, r.Entries))
+	if err := d.journal.Compact(marshal(encodeSnapshot(r.Snapshot)), encodeRecord(&r.HardState, r.Entries)); err != nil {
+		return err
+	}
+	d.compacted = d.journal.Size()
+	return nil
 }
+
+// grown returns the number of bytes that were appended since the journal was last replaced.
+func (d *disk) grown() int64 { return d.journal.Size() - d.compacted }
--- a/control/errors.go
+++ b/control/errors.go
@@ -24,3 +24,17 @@
 func (e *VoterMissingError) Error() string {
 	return fmt.Sprintf("setting %q: voter %q is missing in %q", "voters", e.Name, e.Voters)
 }
+
+// InventoryRefusedError says that this version does not accept an inventory that the quorum accepted.
+type InventoryRefusedError struct {
+	Revision int64
+	Cause    error
+}
+
+// Error names the revision and the cause.
+func (e *InventoryRefusedError) Error() string {
+	return fmt.Sprintf("the inventory of revision %d is not valid for this version: %v", e.Revision, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *InventoryRefusedError) Unwrap() error { return e.Cause }
--- a/control/machine.go
+++ b/control/machine.go
@@ -4,7 +4,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"arbutusreel/configuration"
+	"arbutusreel/distribution"
 	"arbutusreel/inventory"
+	"arbutusreel/relay"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
 )
@@ -17,29 +19,56 @@
 
 func newMachine() *machine { return &machine{state: configuration.NewState()} }
 
-func encodeCommand(c configuration.Change) []byte {
-	return marshal(&wiregen.ChangeCommand{
-		ChangeId:         c.ID,
-		ExpectedRevision: c.Expected,
-		Inventory:        marshal(wire.EncodeInventory(c.Inventory)),
-	})
+// encodeCommand returns the command of a change: a delta if it expects the
+// revision whose inventory is given, and else the whole.
+func encodeCommand(c configuration.Change, revision int64, whole []byte) []byte {
+	m := &wiregen.ChangeCommand{ChangeId: c.ID, ExpectedRevision: c.Expected}
+	next := marshal(wire.EncodeInventory(c.Inventory))
+	if c.Expected == revision && revision > 0 {
+		m.Delta = relay.EncodeDelta(distribution.NewDelta(revision+1, whole, next))
+	} else {
+		m.Inventory = next
+	}
+	return marshal(m)
 }
 
 // apply decides the change of a command. Whether an inventory is valid was
 // checked before it was proposed; here it plays no part in the decision, so
-// that voters of different versions decide alike.
+// that voters of different versions decide alike. A command that cannot be
+// read, or a delta that does not fit, returns *RecordError: the state is then
+// not that of the other voters.
 func (m *machine) apply(command []byte) (configuration.Answer, error) {
 	c := &wiregen.ChangeCommand{}
 	if err := proto.Unmarshal(command, c); err != nil {
 		return configuration.Answer{}, &RecordError{Record: "change", Cause: err}
 	}
-	before := m.state.Revision()
-	inv, err := decodeInventory(c.GetInventory())
+	if m.decides(c) {
+		return m.state.Apply(configuration.Change{ID: c.GetChangeId(), Expected: c.GetExpectedRevision()}), nil
+	}
+	whole := c.GetInventory()
+	if c.GetDelta() != nil {
+		var err error
+		if whole, err = relay.DecodeDelta(c.GetDelta()).Apply(m.whole); err != nil {
+			return configuration.Answer{}, &RecordError{Record: "change", Cause: err}
+		}
+	}
+	m.whole = whole
+	inv, err := decodeInventory(whole)
 	answer := m.state.Apply(configuration.Change{ID: c.GetChangeId(), Expected: c.GetExpectedRevision(), Inventory: inv})
-	if m.state.Revision() > before {
-		m.whole = c.GetInventory()
+	return answer, m.refused(err)
+}
+
+// decides reports whether the answer to a command is known before its inventory is looked at: a resend or a conflict.
+func (m *machine) decides(c *wiregen.ChangeCommand) bool {
+	return m.state.Answered(c.GetChangeId()) || c.GetExpectedRevision() != m.state.Revision()
+}
+
+// refused returns an error that the loop logs and outlives, or nil.
+func (m *machine) refused(err error) error {
+	if err == nil {
+		return nil
 	}
-	return answer, err
+	return &InventoryRefusedError{Revision: m.state.Revision(), Cause: err}
 }
 
 func decodeInventory(whole []byte) (*inventory.Inventory, error) {
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -24,6 +25,8 @@
 	ticksPerHeartbeat = 4
 	// retainedEntries is the number of entries before a snapshot that are kept for slow followers.
 	retainedEntries = 200
+	// maxJournalGrowth is the number of bytes after which a snapshot is taken, whatever the number of entries.
+	maxJournalGrowth = 16 << 20
 	// rememberedRevisions is the number of revisions whose time of acceptance is kept.
 	rememberedRevisions = 4096
 )
@@ -67,6 +70,7 @@
 
 	mu      sync.Mutex
 	current Current
+	whole   []byte
 	changed chan struct{}
 	status  consensus.Status
 	lease   leaseState
@@ -169,11 +173,13 @@
 		q.install(a.Install)
 	}
 	for _, e := range a.Committed {
-		q.apply(e)
+		if err := q.apply(e); err != nil {
+			return err
+		}
 	}
 	q.answerReads(a.Reads)
 	q.publish(q.now())
-	if q.applied-q.compact < int64(q.cfg.SnapshotEntries) {
+	if q.applied-q.compact < int64(q.cfg.SnapshotEntries) && q.disk.grown() < maxJournalGrowth {
 		return nil
 	}
 	q.compact = q.applied
@@ -191,12 +197,18 @@
 	q.accept()
 }
 
-func (q *quorum) apply(e consensus.Entry) {
+// apply applies an entry and answers who waits for it; an error says that this voter cannot go on.
+func (q *quorum) apply(e consensus.Entry) error {
 	q.applied = e.Index
 	result := changeResult{}
 	if e.Kind == consensus.CommandEntry {
 		var err error
-		if result.answer, err = q.machine.apply(e.Data); err != nil {
+		result.answer, err = q.machine.apply(e.Data)
+		var refused *InventoryRefusedError
+		if err != nil && !errors.As(err, &refused) {
+			return err
+		}
+		if err != nil {
 			q.log.Error().Err(err).Int64("index", e.Index).Msg("inventoryRefused")
 		}
 		q.accept()
@@ -213,6 +225,7 @@
 	default:
 		waiting.result <- result
 	}
+	return nil
 }
 
 func describe(members consensus.Members) []string {
@@ -236,6 +249,7 @@
 		return
 	}
 	q.current = Current{Inventory: q.machine.state.Inventory(), Revision: revision}
+	q.whole = q.machine.whole
 	q.accepts[revision] = q.now()
 	delete(q.accepts, revision-rememberedRevisions)
 	close(q.changed)
@@ -307,6 +321,13 @@
 	return current
 }
 
+// wholeInForce returns the encoded inventory in force at this voter.
+func (q *quorum) wholeInForce() (revision int64, whole []byte) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.current.Revision, q.whole
+}
+
 // Status returns what this voter knows of the quorum.
 func (q *quorum) Status() consensus.Status {
 	q.mu.Lock()
--- a/control/requests.go
+++ b/control/requests.go
@@ -56,7 +56,8 @@
 
 // Propose decides a change through the quorum.
 func (q *quorum) Propose(ctx context.Context, c configuration.Change) (configuration.Answer, error) {
-	command := encodeCommand(c)
+	revision, whole := q.wholeInForce()
+	command := encodeCommand(c, revision, whole)
 	return q.decide(ctx, func(now time.Time) (index, term int64, err error) { return q.node.Propose(now, command) })
 }
 
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -7,12 +7,24 @@
 	"arbutusreel/wiregen"
 )
 
+// EncodeDelta returns the message of a delta.
+func EncodeDelta(d distribution.Delta) *wiregen.InventoryDelta {
+	return &wiregen.InventoryDelta{
+		Revision: d.Revision, PrefixBytes: int64(d.Prefix), SuffixBytes: int64(d.Suffix), Middle: d.Middle, Checksum: d.Checksum,
+	}
+}
+
+// DecodeDelta returns the delta of a message; whether it fits is found when it is applied.
+func DecodeDelta(m *wiregen.InventoryDelta) distribution.Delta {
+	return distribution.Delta{
+		Revision: m.GetRevision(), Prefix: int(m.GetPrefixBytes()), Suffix: int(m.GetSuffixBytes()), Middle: m.GetMiddle(), Checksum: m.GetChecksum(),
+	}
+}
+
 func encodeUpdate(u distribution.Update) *wiregen.FollowUpdate {
 	m := &wiregen.FollowUpdate{Revision: u.Revision, Whole: u.Whole}
 	for _, d := range u.Deltas {
-		m.Deltas = append(m.Deltas, &wiregen.InventoryDelta{
-			Revision: d.Revision, PrefixBytes: int64(d.Prefix), SuffixBytes: int64(d.Suffix), Middle: d.Middle, Checksum: d.Checksum,
-		})
+		m.Deltas = append(m.Deltas, EncodeDelta(d))
 	}
 	return m
 }
@@ -23,9 +35,7 @@
 		u.Whole = m.GetWhole()
 	}
 	for _, d := range m.GetDeltas() {
-		u.Deltas = append(u.Deltas, distribution.Delta{
-			Revision: d.GetRevision(), Prefix: int(d.GetPrefixBytes()), Suffix: int(d.GetSuffixBytes()), Middle: d.GetMiddle(), Checksum: d.GetChecksum(),
-		})
+		u.Deltas = append(u.Deltas, DecodeDelta(d))
 	}
 	return u
 }
