Let settings choose a baseline of routing, and the seed

The baselines could be chosen in tests only, so that the real processes could not be measured against them. A setting may now have choices, which the log level uses too: a wrong level was found only after the settings had passed.

--- a/cmd/arbutusreel/daemons.go
+++ b/cmd/arbutusreel/daemons.go
@@ -101,6 +101,8 @@
 		DrainTimeout:        m.GetDrainTimeout().AsDuration(),
 		ReaderTimeout:       m.GetReaderTimeout().AsDuration(),
 		BodyTimeout:         m.GetBodyTimeout().AsDuration(),
+		RoutingPolicy:       m.GetRoutingPolicy(),
+		Seed:                uint64(m.GetSeed()),
 		OperatorTokenDigest: m.GetOperatorTokenDigest(),
 	}
 	cfg.ControlNames = map[string]string{}
--- a/entry/config.go
+++ b/entry/config.go
@@ -23,6 +23,8 @@
 	DrainTimeout        time.Duration
 	ReaderTimeout       time.Duration
 	BodyTimeout         time.Duration
+	RoutingPolicy       string
+	Seed                uint64
 	Keys                *keys.Source
 	Decisions           *decision.Store
 	OperatorTokenDigest string
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,7 +15,6 @@
 	"arbutusreel/dispatch"
 	"arbutusreel/endpoint"
 	"arbutusreel/ledger"
-	"arbutusreel/routing"
 	"arbutusreel/wiregen"
 )
 
@@ -44,7 +43,7 @@
 	s := newState(cfg.Self.Region, now)
 	p := newPeers(s, cfg.Self.Name, cfg.Keys)
 	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
-	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, routing.New(routing.Expected{}, now(), newSource()), now, newSource(), log)
+	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, newChooser(cfg.RoutingPolicy, now(), newSource(cfg.Seed)), now, newSource(cfg.Seed), log)
 	publishMetrics(d)
 	return &Entry{
 		cfg:        cfg,
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"expvar"
-	"math/rand/v2"
 
 	"arbutusreel/dispatch"
 )
@@ -16,8 +15,3 @@
 		expvar.Publish(dispatchVar, expvar.Func(func() any { return d.Metrics() }))
 	}
 }
-
-// newSource returns a random source with a seed of its own.
-func newSource() rand.Source {
-	return rand.NewPCG(rand.Uint64(), rand.Uint64())
-}
--- a/settings/load.go
+++ b/settings/load.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -83,6 +84,9 @@
 	}
 	switch field.Kind() {
 	case protoreflect.StringKind:
+		if reason := s.choice(text); reason != "" {
+			return protoreflect.Value{}, reason
+		}
 		return protoreflect.ValueOfString(text), check(s.Kind, text)
 	case protoreflect.BoolKind:
 		b, err := strconv.ParseBool(text)
@@ -130,6 +134,7 @@
 	Required bool
 	Min      int64
 	Max      int64
+	Choices  []string
 	Type     string
 }
 
@@ -144,6 +149,14 @@
 	return ""
 }
 
+// choice returns why the text is none of the choices, or "" if it is one or there are none.
+func (s Setting) choice(text string) string {
+	if len(s.Choices) == 0 || slices.Contains(s.Choices, text) {
+		return ""
+	}
+	return "the value is one of " + strings.Join(s.Choices, ", ")
+}
+
 // Describe returns the settings of m in the order of the schema.
 func Describe(m proto.Message) []Setting {
 	fields := m.ProtoReflect().Descriptor().Fields()
@@ -166,6 +179,7 @@
 		Required: options.GetRequired(),
 		Min:      options.GetMin(),
 		Max:      options.GetMax(),
+		Choices:  options.GetChoices(),
 		Type:     typeName(field, options.GetKind()),
 	}
 }
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -29,6 +29,7 @@
 		"controls":          "a=127.0.0.1:1,b=host:2",
 		"announcementLease": "1ms",
 		"maxBodyBytes":      "many",
+		"logLevel":          "loud",
 	})
 	err := Load(&wiregen.EntrySettings{}, flags, noEnv)
 	var faults Faults
@@ -39,7 +40,7 @@
 	for _, f := range faults {
 		got = append(got, f.Setting)
 	}
-	want := []string{"name", "failureDomain", "callerAddress", "controls", "maxBodyBytes", "announcementLease"}
+	want := []string{"name", "failureDomain", "callerAddress", "controls", "logLevel", "maxBodyBytes", "announcementLease"}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("settings at fault (-want +got):\n%s", diff)
 	}
--- a/settings/page.go
+++ b/settings/page.go
@@ -32,6 +32,9 @@
 }
 
 func (s Setting) boundsCell() string {
+	if len(s.Choices) > 0 {
+		return strings.Join(s.Choices, ", ")
+	}
 	if s.Min == 0 && s.Max == 0 {
 		return ""
 	}
