--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"arbutusreel/dispatch"
 	"arbutusreel/endpoint"
 	"arbutusreel/ledger"
+	"arbutusreel/relay"
 	"arbutusreel/wiregen"
 )
 
@@ -26,6 +27,7 @@
 	cfg        Config
 	log        zerolog.Logger
 	state      *state
+	hub        *relay.Hub
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
 	runner     *calls.Runner
@@ -49,6 +51,7 @@
 		cfg:        cfg,
 		log:        log,
 		state:      s,
+		hub:        relay.NewHub(cfg.Self.Name, now),
 		peers:      p,
 		dispatcher: d,
 		runner:     calls.New(ledger.New(), d, now),
@@ -71,6 +74,7 @@
 	requests, cut := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cut(nil)
 	servers := n.newServers(requests)
+	wiregen.RegisterConfigurationServer(servers.peers, relay.NewServer(n.hub, n.heardFollower, ctx.Done()))
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wg sync.WaitGroup
