--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,201 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"arbutusreel/inventory"
+)
+
+// pending is a change that its endpoint has not announced yet.
+type pending struct {
+	change  Change
+	expires time.Time
+}
+
+// Planner decides changes and follows them until they are announced; it is not safe for concurrent use.
+type Planner struct {
+	cfg     Config
+	pending map[string]pending
+	// rest is the time before which an endpoint is left alone.
+	rest map[string]time.Time
+	// storeFree is the time from which a region's weight store serves a new load.
+	storeFree map[string]time.Time
+	// since is when a need for a model was first seen without a break.
+	since map[spot]time.Time
+}
+
+// New returns a planner without pending changes.
+func New(cfg Config) *Planner {
+	return &Planner{
+		cfg:       cfg,
+		pending:   map[string]pending{},
+		rest:      map[string]time.Time{},
+		storeFree: map[string]time.Time{},
+		since:     map[spot]time.Time{},
+	}
+}
+
+// Pending returns the number of changes that are not announced yet.
+func (p *Planner) Pending() int { return len(p.pending) }
+
+// Failed forgets a change that its endpoint refused or never received, and leaves the endpoint alone for a while.
+func (p *Planner) Failed(now time.Time, endpoint string) {
+	delete(p.pending, endpoint)
+	p.rest[endpoint] = now.Add(p.cfg.Rest)
+}
+
+// Decide returns the changes to order now, the most urgent first, which count as pending from then on.
+func (p *Planner) Decide(now time.Time, v View) []Change {
+	p.settle(now, v.Endpoints)
+	groups := p.groups(now, v)
+	seen := map[spot]bool{}
+	var changes []Change
+	for len(p.pending) < v.Inventory.Rules().MaxPlacementChanges {
+		c, g, ok := p.choose(now, groups, seen)
+		if !ok {
+			break
+		}
+		p.order(now, v.Inventory, c, g)
+		p.refresh(now, groups, c.Region)
+		changes = append(changes, c)
+	}
+	for s := range p.since {
+		if !seen[s] {
+			delete(p.since, s)
+		}
+	}
+	return changes
+}
+
+// settle ends the pending changes that were announced or have taken too long.
+func (p *Planner) settle(now time.Time, endpoints []Endpoint) {
+	for _, e := range endpoints {
+		if c, ok := p.pending[e.Name]; ok && sameModels(e.Models, c.change.Models) {
+			delete(p.pending, e.Name)
+			p.rest[e.Name] = now.Add(p.cfg.Rest)
+		}
+	}
+	for name, c := range p.pending {
+		if !now.Before(c.expires) {
+			p.Failed(now, name)
+		}
+	}
+	for name, until := range p.rest {
+		if !now.Before(until) {
+			delete(p.rest, name)
+		}
+	}
+}
+
+// groups returns the endpoints of each service in each region with what they need.
+func (p *Planner) groups(now time.Time, v View) []*group {
+	need := needs(v)
+	var groups []*group
+	for _, s := range v.Inventory.Contents().Services {
+		if s.Kind != inventory.KindModel {
+			continue
+		}
+		for _, r := range v.Inventory.Contents().Regions {
+			g := newGroup(v.Inventory, s, r.Name, p.cfg)
+			g.storeBusy = now.Before(p.storeFree[r.Name])
+			for _, model := range g.models {
+				g.need[model] = need[spot{region: r.Name, service: s.Name, model: model}]
+			}
+			g.members = p.members(now, v.Endpoints, s.Name, r.Name)
+			g.sort()
+			g.proposed = g.proposals()
+			groups = append(groups, g)
+		}
+	}
+	return groups
+}
+
+// members returns the endpoints of one service in one region.
+func (p *Planner) members(now time.Time, endpoints []Endpoint, service, region string) []*member {
+	var members []*member
+	for _, e := range endpoints {
+		if e.Service != service || e.Region != region {
+			continue
+		}
+		m := &member{Endpoint: e, target: slices.Clone(e.Models)}
+		if c, ok := p.pending[e.Name]; ok {
+			m.target, m.changing = c.change.Models, true
+		}
+		m.free = !m.changing && !now.Before(p.rest[e.Name])
+		members = append(members, m)
+	}
+	return members
+}
+
+// choose returns the most urgent change of all groups whose need has lasted; seen notes every need.
+func (p *Planner) choose(now time.Time, groups []*group, seen map[spot]bool) (Change, *group, bool) {
+	var best Change
+	var at *group
+	for _, g := range groups {
+		for _, c := range g.proposed {
+			if !p.lasted(now, c, seen) {
+				continue
+			}
+			if at == nil || before(c, best) {
+				best, at = c, g
+			}
+		}
+	}
+	return best, at, at != nil
+}
+
+func before(a, b Change) bool {
+	if a.Reason != b.Reason {
+		return a.Reason.urgency() < b.Reason.urgency()
+	}
+	return a.Gain > b.Gain
+}
+
+// lasted reports whether the need behind a change has lasted long enough; what is not allowed never has to last.
+func (p *Planner) lasted(now time.Time, c Change, seen map[spot]bool) bool {
+	if c.Reason == NotAllowed {
+		return true
+	}
+	s := spot{region: c.Region, service: c.Service, model: c.Load}
+	seen[s] = true
+	if _, ok := p.since[s]; !ok {
+		p.since[s] = now
+	}
+	return now.Sub(p.since[s]) >= p.cfg.Persistence
+}
+
+// refresh proposes anew in the region of a change, whose services share the weight store.
+func (p *Planner) refresh(now time.Time, groups []*group, region string) {
+	for _, g := range groups {
+		if g.region == region {
+			g.storeBusy = now.Before(p.storeFree[region])
+			g.proposed = g.proposals()
+		}
+	}
+}
+
+// order notes a change as pending, in the group as well, and takes the weight store for its load.
+func (p *Planner) order(now time.Time, inv *inventory.Inventory, c Change, g *group) {
+	expires := now.Add(p.cfg.LoadGrace)
+	if model, ok := inv.Model(c.Load); ok {
+		load := loadTime(inv, model)
+		expires = expires.Add(load)
+		if load > 0 {
+			p.storeFree[c.Region] = now.Add(load)
+		}
+	}
+	p.pending[c.Endpoint] = pending{change: c, expires: expires}
+	for _, m := range g.members {
+		if m.Name == c.Endpoint {
+			m.target, m.changing, m.free = c.Models, true, false
+		}
+	}
+	g.sort()
+}
+
+// sameModels reports whether two lists hold the same models in any order.
+func sameModels(a, b []string) bool {
+	a, b = slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b))
+	return slices.Equal(a, b)
+}
