--- a/cmd/arbutusreel/daemons.go
+++ b/cmd/arbutusreel/daemons.go
@@ -100,6 +100,7 @@
 		DrainNotice:         m.GetDrainNotice().AsDuration(),
 		DrainTimeout:        m.GetDrainTimeout().AsDuration(),
 		ReaderTimeout:       m.GetReaderTimeout().AsDuration(),
+		BodyTimeout:         m.GetBodyTimeout().AsDuration(),
 		OperatorTokenDigest: m.GetOperatorTokenDigest(),
 	}
 	cfg.ControlNames = map[string]string{}
--- a/endpoint/errors.go
+++ b/endpoint/errors.go
@@ -41,6 +41,9 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
+// NotRun returns true.
+func (e *NotSentError) NotRun() bool { return true }
+
 // DoubtError says that a call was sent, at least in part, and its outcome is not known.
 type DoubtError struct {
 	Endpoint string
@@ -60,3 +63,25 @@
 
 // Error says what is missing.
 func (e *NoFinishReasonError) Error() string { return "the answer has no finish reason" }
+
+// NoPositionError says that a piece of an answer bears no position.
+type NoPositionError struct{}
+
+// Error says what is missing.
+func (e *NoPositionError) Error() string { return "a piece of the answer has no position" }
+
+// AfterEndError says that a new piece came after the end of the answer.
+type AfterEndError struct {
+	Position int
+}
+
+// Error names the position.
+func (e *AfterEndError) Error() string {
+	return fmt.Sprintf("position %d came after the end of the answer", e.Position)
+}
+
+// EngineError says that an engine ended an answer by an error event.
+type EngineError struct{}
+
+// Error says what happened.
+func (e *EngineError) Error() string { return "the engine ended the answer by an error event" }
--- a/endpoint/model.go
+++ b/endpoint/model.go
@@ -1,14 +1,12 @@
 package endpoint
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"arbutusreel/completion"
 	"arbutusreel/dispatch"
@@ -17,9 +15,6 @@
 	"arbutusreel/stream"
 )
 
-// maxEventBytes is the longest event of a streamed answer.
-const maxEventBytes = 1 << 20
-
 // maxProblemBytes is the longest body of a refusal that is read.
 const maxProblemBytes = 64 << 10
 
@@ -43,7 +38,7 @@
 
 // Generate sends the request to the engine and its pieces to the sink; a stream that stops early returns *stream.IncompleteError.
 func (m *Models) Generate(ctx context.Context, e membership.Endpoint, r dispatch.Request, attempt dispatch.Attempt, sink stream.Sink) (stream.End, error) {
-	body, err := engineBody(r.Body, attempt)
+	body, err := engineBody(r, attempt)
 	if err != nil {
 		return stream.End{}, err
 	}
@@ -64,32 +59,28 @@
 	if resp.StatusCode != http.StatusOK {
 		return stream.End{}, refusal(e, resp)
 	}
-	return readEvents(resp.Body, stream.NewOrder(r.CorrelationID, attempt.Number, attempt.Next), r.CorrelationID, attempt.Number, sink)
+	return newReader(r.CorrelationID, attempt.Number, attempt.Next, sink).read(resp.Body)
 }
 
-// resume asks an engine to go on after the text that an earlier attempt has sent.
-func resume(attempt dispatch.Attempt) ([]byte, error) {
-	text, err := json.Marshal(attempt.Text)
-	if err != nil {
-		return nil, &completion.MalformedError{Cause: err}
-	}
-	return json.Marshal(map[string]json.RawMessage{
-		"position": json.RawMessage(strconv.Itoa(attempt.Next)),
-		"text":     text,
-	})
+// resume asks an engine to go on after the text that earlier attempts have sent.
+type resume struct {
+	Position int    `json:"position"`
+	Text     string `json:"text"`
 }
 
 // engineBody returns the body with streaming asked for, whatever the caller asked, from the attempt's first piece on.
-func engineBody(body []byte, attempt dispatch.Attempt) ([]byte, error) {
+func engineBody(r dispatch.Request, attempt dispatch.Attempt) ([]byte, error) {
 	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil {
+	if err := json.Unmarshal(r.Body, &fields); err != nil {
 		return nil, &completion.MalformedError{Cause: err}
 	}
 	fields["stream"] = json.RawMessage("true")
+	fields["priority"] = json.RawMessage(strconv.Itoa(r.Priority))
+	delete(fields, "resume")
 	if attempt.Next > 0 {
-		from, err := resume(attempt)
+		from, err := json.Marshal(resume{Position: attempt.Next, Text: attempt.Text})
 		if err != nil {
-			return nil, err
+			return nil, &completion.MalformedError{Cause: err}
 		}
 		fields["resume"] = from
 	}
@@ -104,56 +95,3 @@
 	}
 	return &StatusError{Endpoint: e.Name, Status: resp.StatusCode}
 }
-
-// readEvents reads server-sent events until the end of the answer.
-func readEvents(body io.Reader, order *stream.Order, requestID string, attempt int, sink stream.Sink) (stream.End, error) {
-	scanner := bufio.NewScanner(body)
-	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
-	var end stream.End
-	for scanner.Scan() {
-		data, ok := strings.CutPrefix(scanner.Text(), "data:")
-		if !ok {
-			continue
-		}
-		data = strings.TrimSpace(data)
-		if data == completion.Done {
-			return finish(end, order, requestID)
-		}
-		event, err := completion.DecodeChunk([]byte(data))
-		if err != nil {
-			return stream.End{}, &stream.IncompleteError{RequestID: requestID, Pieces: order.Next(), Cause: err}
-		}
-		if err := deliver(event, order, attempt, sink); err != nil {
-			return stream.End{}, &stream.IncompleteError{RequestID: requestID, Pieces: order.Next(), Cause: err}
-		}
-		if event.FinishReason != "" {
-			end = stream.End{FinishReason: event.FinishReason, PromptTokens: event.PromptTokens, CachedTokens: event.CachedTokens}
-		}
-	}
-	cause := scanner.Err()
-	if cause == nil {
-		cause = io.ErrUnexpectedEOF
-	}
-	return stream.End{}, &stream.IncompleteError{RequestID: requestID, Pieces: order.Next(), Cause: cause}
-}
-
-// deliver gives the piece of an event to the sink if it is the next one.
-func deliver(event completion.Event, order *stream.Order, attempt int, sink stream.Sink) error {
-	if !event.HasPosition {
-		return nil
-	}
-	piece := stream.Piece{RequestID: event.ID, Attempt: attempt, Position: event.Position, Text: event.Text}
-	ok, err := order.Accept(piece)
-	if err != nil || !ok {
-		return err
-	}
-	return sink.Piece(piece)
-}
-
-func finish(end stream.End, order *stream.Order, requestID string) (stream.End, error) {
-	if end.FinishReason == "" {
-		return stream.End{}, &stream.IncompleteError{RequestID: requestID, Pieces: order.Next(), Cause: &NoFinishReasonError{}}
-	}
-	end.Pieces = order.Next()
-	return end, nil
-}
--- a/systemtest/residency_test.go
+++ b/systemtest/residency_test.go
@@ -20,9 +20,8 @@
 )
 
 const (
-	marker      = "marker-diet-record-7731"
-	markedBody  = `{"model":"dastarkhwan-menu","max_tokens":4,"stream":true,"messages":[{"role":"user","content":"` + marker + `"}]}`
-	lahoreToken = "lahore-demo-token"
+	marker     = "marker-diet-record-7731"
+	markedBody = `{"model":"dastarkhwan-menu","max_tokens":4,"stream":true,"messages":[{"role":"user","content":"` + marker + `"}]}`
 )
 
 // recorder is an entry of another region that keeps every byte that it receives.
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -47,6 +47,7 @@
 		},
 		CacheEvents:   mapAll(m.GetCacheEvents(), decodeCacheEvent),
 		CacheSequence: m.GetCacheSequence(),
+		CacheTokens:   int(m.GetCacheTokens()),
 	}, nil
 }
 
@@ -95,6 +96,7 @@
 		},
 		CacheEvents:   mapAll(e.CacheEvents, encodeCacheEvent),
 		CacheSequence: e.CacheSequence,
+		CacheTokens:   int64(e.CacheTokens),
 	}
 }
 
@@ -122,6 +124,8 @@
 		PeerAddress:     m.GetPeerAddress(),
 		Weight:          m.GetWeight(),
 		Leaving:         m.GetLeaving(),
+		Incarnation:     m.GetIncarnation(),
+		Sequence:        m.GetSequence(),
 	}
 }
 
@@ -136,6 +140,8 @@
 		PeerAddress:     e.PeerAddress,
 		Weight:          e.Weight,
 		Leaving:         e.Leaving,
+		Incarnation:     e.Incarnation,
+		Sequence:        e.Sequence,
 	}
 }
 
