Place models by demand and order engines under the leader lease

The leader asks entries for their endpoints and for what callers asked, forecasts it, and sends orders by HTTP. The lease and the clock are read again by the request's body at the moment the transport takes its bytes.

Additive in files of others: entry counts demand (models.go, entry.go), the emulated engine takes orders and refuses models that it does not hold (engine.go, generate.go).

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -104,6 +104,8 @@
 	sub.Float64(&e.CacheEventGap, "", "cacheEventGap", "Share of announcements whose cache events are lost.")
 	sub.Duration(&e.ReportLag, "", "reportLag", "Age of the load in an announcement.")
 	sub.Float64(&e.KVBytesPerSecond, "", "kvBytesPerSecond", "Rate of KV cache transfers.")
+	sub.Bool(&e.ChecksFencing, "", "checksFencing", "Whether orders with old fencing numbers are refused.")
+	sub.Duration(&e.LoadTime, "", "loadTime", "Time in which the weight store serves a model.")
 	sub.UInt64(&e.Seed, "", "seed", "Seed of the engine.")
 	sub.Int(&e.Faults.DieAfterTokens, "", "dieAfterTokens", "Tokens after which the process ends at once; 0 never.")
 	sub.Int(&e.Faults.StallAfterTokens, "", "stallAfterTokens", "Tokens after which a stream sends nothing more; 0 never.")
--- a/control/control.go
+++ b/control/control.go
@@ -75,6 +75,7 @@
 		}
 	})
 	wg.Go(func() { _ = peerServer.Serve(peers) })
+	wg.Go(func() { c.place(c.stopping) })
 	c.log.Info().Str("operatorAddress", c.cfg.OperatorAddress).Msg("started")
 	<-ctx.Done()
 	c.stop()
--- /dev/null
+++ b/control/orders.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"arbutusreel/wire"
+	"arbutusreel/wiregen"
+)
+
+// Limits of an order to an engine.
+const (
+	orderTimeout    = 2 * time.Second
+	maxOrderReply   = 64 << 10
+	ordersPath      = "/v1/orders"
+	orderMediaType  = "application/json"
+	orderDeadline   = time.Second
+	marginPart      = 5
+	maxReplyEntries = 2
+)
+
+// OrderStatusError says that an engine answered an order with a status of failure.
+type OrderStatusError struct {
+	Endpoint string
+	Status   int
+}
+
+// Error names the endpoint and the status.
+func (e *OrderStatusError) Error() string {
+	return fmt.Sprintf("endpoint %q answered an order with status %d", e.Endpoint, e.Status)
+}
+
+// OrderRefusedError says that an engine did not apply an order.
+type OrderRefusedError struct {
+	Endpoint string
+	Reason   string
+}
+
+// Error names the endpoint and the reason.
+func (e *OrderRefusedError) Error() string {
+	return fmt.Sprintf("endpoint %q refused an order: %s", e.Endpoint, e.Reason)
+}
+
+// orderSender sends orders to engines, each on a connection of its own.
+type orderSender struct {
+	client *http.Client
+}
+
+func newOrderSender() *orderSender {
+	dialer := &net.Dialer{Timeout: orderTimeout}
+	return &orderSender{client: &http.Client{
+		Timeout:   orderTimeout,
+		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}}
+}
+
+// guardedBody is a body whose bytes are given out only if a check allows it at that moment.
+//
+// The transport reads the body when the connection is made and the bytes are
+// about to be written, so the check is the last step before sending.
+type guardedBody struct {
+	check func() error
+	rest  *bytes.Reader
+}
+
+// Read checks before the first byte; its error ends the request before anything whole was sent.
+func (b *guardedBody) Read(p []byte) (int, error) {
+	if err := b.check(); err != nil {
+		return 0, err
+	}
+	return b.rest.Read(p)
+}
+
+// send sends an order once; check is called directly before the bytes go out, and its error is returned.
+func (s *orderSender) send(ctx context.Context, address string, m *wiregen.EngineOrder, check func() error) error {
+	body, err := protojson.Marshal(m)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+ordersPath, &guardedBody{check: check, rest: bytes.NewReader(body)})
+	if err != nil {
+		return err
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", orderMediaType)
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return &OrderStatusError{Endpoint: m.GetEndpoint(), Status: resp.StatusCode}
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxOrderReply))
+	if err != nil {
+		return err
+	}
+	reply := &wiregen.EngineOrderReply{}
+	if err := wire.DecodeJSON(b, reply); err != nil {
+		return err
+	}
+	if !reply.GetApplied() {
+		return &OrderRefusedError{Endpoint: m.GetEndpoint(), Reason: reply.GetReason()}
+	}
+	return nil
+}
--- a/control/regions.go
+++ b/control/regions.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"arbutusreel/decision"
+	"arbutusreel/inventory"
 	"arbutusreel/membership"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
@@ -21,7 +22,7 @@
 const regionTimeout = time.Second
 
 // askRegion returns what one entry knows of its region.
-func (c *Control) askRegion(ctx context.Context, e membership.Entry) (*wiregen.RegionReply, error) {
+func (c *Control) askRegion(ctx context.Context, e membership.Entry, m *wiregen.RegionRequest) (*wiregen.RegionReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, regionTimeout)
 	defer cancel()
 	conn, err := grpc.NewClient("passthrough:///"+e.PeerAddress, grpc.WithTransportCredentials(c.cfg.Keys.Client(e.Name)))
@@ -29,16 +30,19 @@
 		return nil, err
 	}
 	defer conn.Close()
-	return wiregen.NewPlacementClient(conn).Region(ctx, &wiregen.RegionRequest{})
+	return wiregen.NewPlacementClient(conn).Region(ctx, m)
 }
 
-// askRegions asks all of the entries at once; those that give no answer are left out.
+// askRegions asks all of the entries at once, the first ones of each region also for its endpoints; those that give no answer are left out.
 func (c *Control) askRegions(ctx context.Context, entries []membership.Entry) []*wiregen.RegionReply {
+	asked := map[string]int{}
 	replies := make([]*wiregen.RegionReply, len(entries))
 	var wg sync.WaitGroup
 	for i, e := range entries {
+		m := &wiregen.RegionRequest{Endpoints: !e.Leaving && asked[e.Region] < maxReplyEntries}
+		asked[e.Region]++
 		wg.Go(func() {
-			reply, err := c.askRegion(ctx, e)
+			reply, err := c.askRegion(ctx, e, m)
 			if err != nil {
 				c.log.Debug().Str("entry", e.Name).Err(err).Msg("entryUnreachable")
 				return
@@ -84,3 +88,13 @@
 	}
 	return reply, nil
 }
+
+// place runs the placement duty until ctx ends.
+func (c *Control) place(ctx context.Context) {
+	inForce := func() (*inventory.Inventory, int64) {
+		current := c.store.Current()
+		return current.Inventory, current.Revision
+	}
+	ask := func(ctx context.Context) []*wiregen.RegionReply { return c.askRegions(ctx, c.entries(ctx)) }
+	newPlacer(c.cfg, c.store, inForce, ask, c.log, c.now).run(ctx, c.cfg.PlacementPeriod)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,7 @@
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
 	runner     *calls.Runner
+	demands    *demands
 	began      time.Time
 	leaving    atomic.Bool
 	closed     atomic.Bool
@@ -52,6 +53,7 @@
 		state:      s,
 		peers:      p,
 		dispatcher: d,
+		demands:    newDemands(),
 		runner:     calls.New(ledger.New(), d, now),
 		began:      now(),
 		done:       make(chan struct{}),
--- a/entry/models.go
+++ b/entry/models.go
@@ -53,6 +53,7 @@
 		n.fail(w, c, err)
 		return
 	}
+	n.demands.arrive(c.inventory, req)
 	answer := completion.Answer{Kind: kind, ID: c.correlationID, Model: asked.Model}
 	sink := newWriter(r.Context(), w, answer, asked.Streaming, n.cfg.ReaderTimeout)
 	defer sink.stop()
@@ -66,6 +67,7 @@
 		n.failStream(w, c, sink, err)
 		return
 	}
+	n.demands.answered(asked.Model, end.Pieces)
 	n.log.Info().
 		Str("correlationId", c.correlationID).
 		Str("team", c.team.Name).
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -44,6 +44,10 @@
 	KVBytesPerSecond float64
 	// LeaveNotice is the time between the first announcement as leaving and the stop.
 	LeaveNotice time.Duration
+	// ChecksFencing makes the engine refuse orders with old fencing numbers.
+	ChecksFencing bool
+	// LoadTime is the time in which the weight store serves a model.
+	LoadTime    time.Duration
 	Incarnation int64
 	Seed        uint64
 	Faults      EngineFaults
@@ -57,9 +61,11 @@
 	cache     *cache
 	counts    counts
 	tokens    atomic.Int64
+	orders    orders
 
 	mu      sync.Mutex
 	models  []string
+	changes int
 	reports []report
 }
 
@@ -167,6 +173,8 @@
 	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, completion.Text) })
 	mux.HandleFunc("POST /v1/kv/export", e.exportKV)
 	mux.HandleFunc("POST /v1/kv/import", e.importKV)
+	mux.HandleFunc("POST /v1/orders", e.takeOrder)
+	mux.HandleFunc("GET /v1/orders", e.listOrders)
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Counts()) })
 	return mux
 }
--- a/standin/generate.go
+++ b/standin/generate.go
@@ -57,6 +57,10 @@
 		problem.Write(w, p, j.id)
 		return
 	}
+	if !e.serves(j.Model) {
+		problem.Write(w, problem.New(problem.NoCapacity, http.StatusServiceUnavailable, "endpoint %q does not hold model %q", e.cfg.Name, j.Model), j.id)
+		return
+	}
 	e.counts.add(func(c *Counts) { c.Requests++ })
 	if e.refuses(j) {
 		problem.Write(w, problem.New(problem.Internal, http.StatusInternalServerError, "the engine failed as it was told to").WithOutcome(problem.Unknown), j.id)
