--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,7 @@
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
 	runner     *calls.Runner
+	demands    *demands
 	began      time.Time
 	leaving    atomic.Bool
 	closed     atomic.Bool
@@ -54,6 +55,7 @@
 		hub:        relay.NewHub(cfg.Self.Name, now),
 		peers:      p,
 		dispatcher: d,
+		demands:    newDemands(),
 		runner:     calls.New(ledger.New(), d, now),
 		began:      now(),
 		done:       make(chan struct{}),
