--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -51,7 +51,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		capacity := rapid.IntRange(1, 2000).Draw(t, "capacity")
 		p := &Pool{}
-		p.SetCapacity(capacity, 0)
+		p.SetCapacity(capacity)
 		var open, released []*Reservation
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			switch rapid.IntRange(0, 3).Draw(t, "event") {
@@ -226,10 +226,11 @@
 
 func TestAudit(t *testing.T) {
 	a := &Audit{}
-	a.Refused(100, start.Add(time.Minute))
-	a.Refused(100, start.Add(time.Second))
+	a.Refused(100, 50, start.Add(time.Minute))
+	a.Refused(100, 50, start.Add(time.Second))
+	a.Refused(100, 50, start.Add(time.Minute))
 	a.Started(start.Add(2*time.Second), 100)
-	if all, wrong := a.Refusals(); all != 2 || wrong != 0 {
+	if all, wrong := a.Refusals(); all != 3 || wrong != 0 {
 		t.Errorf("%d of %d refusals are wrong", wrong, all)
 	}
 	a.Started(start.Add(3*time.Second), 1)
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -26,10 +26,12 @@
 	return Verdict{Queue: late <= 0, RetryAfter: max(late, minRetryAfter), Estimate: e}
 }
 
-// Rate learns how fast waiting work starts, in tokens a second.
+// Rate learns how fast waiting work starts, in tokens a second of the time in which work waits.
 type Rate struct {
 	perSecond float64
 	since     time.Time
+	waiting   bool
+	busy      time.Duration
 	tokens    int
 }
 
@@ -42,30 +44,45 @@
 }
 
 // Begin says that work begins to wait where none did before.
-func (r *Rate) Begin(now time.Time) { r.since, r.tokens = now, 0 }
+func (r *Rate) Begin(now time.Time) { r.since, r.waiting = now, true }
+
+// End says that no work waits any more.
+func (r *Rate) End(now time.Time) {
+	r.count(now)
+	r.waiting = false
+}
 
 // Started says that waiting work of that many tokens has started.
 func (r *Rate) Started(now time.Time, tokens int) {
 	r.tokens += tokens
-	elapsed := now.Sub(r.since)
-	if elapsed < rateWindow {
+	r.count(now)
+	if r.busy < rateWindow {
 		return
 	}
-	measured := float64(r.tokens) / elapsed.Seconds()
+	measured := float64(r.tokens) / r.busy.Seconds()
 	if r.perSecond == 0 {
 		r.perSecond = measured
 	}
 	r.perSecond += rateShare * (measured - r.perSecond)
-	r.Begin(now)
+	r.busy, r.tokens = 0, 0
+}
+
+func (r *Rate) count(now time.Time) {
+	if r.waiting {
+		r.busy += now.Sub(r.since)
+		r.since = now
+	}
 }
 
 // refused is a request that was refused, with the work that was to start before it.
 type refused struct {
 	target      int64
+	tokens      int
 	latestStart time.Time
 }
 
-// Audit follows refusals up: a refusal was wrong if the work before it has started in time for the request.
+// Audit follows refusals up: a refusal was wrong if the work before it, and what was refused before it and is still
+// followed up, would have started in time for the request.
 type Audit struct {
 	started  int64
 	refusals []refused
@@ -73,11 +90,14 @@
 	wrong    int
 }
 
-// Refused notes a refusal, with the tokens that waited before the request and its latest start.
-func (a *Audit) Refused(ahead int, latestStart time.Time) {
+// Refused notes the refusal of a request of that work, with the tokens that waited before it and its latest start.
+func (a *Audit) Refused(ahead, tokens int, latestStart time.Time) {
 	a.counted++
+	for _, r := range a.refusals {
+		ahead += r.tokens
+	}
 	if len(a.refusals) < maxRefused {
-		a.refusals = append(a.refusals, refused{target: a.started + int64(ahead), latestStart: latestStart})
+		a.refusals = append(a.refusals, refused{target: a.started + int64(ahead), tokens: tokens, latestStart: latestStart})
 	}
 }
 
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -9,6 +9,8 @@
 	minSamples      = 20
 	samplesPerDecay = 512
 	maxUses         = 2048
+	// priorShare is the part of what is asked that is expected to be used before anything is known.
+	priorShare = 0.25
 )
 
 // growthShare is the part of its reservation by which a request grows that has used all of it.
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -3,15 +3,12 @@
 // Pool is the tokens of one endpoint's cache that running requests may fill; a zero capacity is unbounded.
 type Pool struct {
 	capacity int
-	outside  int
 	reserved int
 	overrun  int
 }
 
-// SetCapacity sets the tokens that the endpoint holds, and how many of them others use.
-func (p *Pool) SetCapacity(capacity, outside int) {
-	p.capacity, p.outside = capacity, outside
-}
+// SetCapacity sets the tokens that the endpoint holds.
+func (p *Pool) SetCapacity(capacity int) { p.capacity = capacity }
 
 // Reserved returns the tokens that are reserved now.
 func (p *Pool) Reserved() int { return p.reserved }
@@ -21,7 +18,7 @@
 
 // Room reports whether the tokens can be reserved.
 func (p *Pool) Room(tokens int) bool {
-	return p.capacity == 0 || p.reserved+p.overrun+p.outside+tokens <= p.capacity
+	return p.capacity == 0 || p.reserved+p.overrun+tokens <= p.capacity
 }
 
 // Reserve takes the tokens; ok is false if there is no room for them.
--- a/admission/use.go
+++ b/admission/use.go
@@ -11,8 +11,10 @@
 	Model string
 }
 
-// anyTeam returns the key of all teams' requests of the class and model.
-func (k Key) anyTeam() Key { return Key{Class: k.Class, Model: k.Model} }
+// keys returns the key, that of all teams' requests of the class and model, and that of all requests of the model.
+func (k Key) keys() [3]Key {
+	return [3]Key{k, {Class: k.Class, Model: k.Model}, {Model: k.Model}}
+}
 
 // sketch is a histogram of the tokens that requests used, whose older half loses weight.
 type sketch struct {
@@ -63,12 +65,13 @@
 // Record notes that a request that was answered whole has used tokens.
 func (u *Uses) Record(k Key, tokens int) {
 	tokens = min(max(tokens, 1), maxTokens)
-	u.sketch(k).record(tokens)
-	u.sketch(k.anyTeam()).record(tokens)
+	for _, key := range k.keys() {
+		u.sketch(key).record(tokens)
+	}
 }
 
-// Quantile returns the quantile of what requests like this one have used, at most asked; before enough of the team's
-// requests are known it is that of all teams, and before those asked.
+// Quantile returns the quantile of what requests like this one have used, at most asked. Before enough of the team's
+// requests are known it is that of all teams' requests of the class, then of all of the model, and then asked.
 func (u *Uses) Quantile(k Key, q float64, asked int) int {
 	s := u.known(k)
 	if s == nil || q <= 0 {
@@ -77,17 +80,27 @@
 	return min(int(s.histogram.ValueAtQuantile(100*min(q, 1))), asked)
 }
 
-// Mean returns the mean of what requests like this one have used, at most asked.
+// Mean returns the mean of what requests like this one have used, at most asked; before anything is known it is a
+// quarter of asked.
 func (u *Uses) Mean(k Key, asked int) int {
 	s := u.known(k)
 	if s == nil {
-		return asked
+		return int(priorShare * float64(asked))
 	}
 	return min(int(s.total/int64(s.samples)), asked)
 }
 
+// Likely returns the quantile of what requests like this one have used as Quantile does; before anything is known it
+// is a quarter of asked.
+func (u *Uses) Likely(k Key, q float64, asked int) int {
+	if u.known(k) == nil {
+		return int(priorShare * float64(asked))
+	}
+	return u.Quantile(k, q, asked)
+}
+
 func (u *Uses) known(k Key) *sketch {
-	for _, key := range [...]Key{k, k.anyTeam()} {
+	for _, key := range k.keys() {
 		if s := u.sketches[key]; s != nil && s.samples >= minSamples {
 			u.clock++
 			s.usedAt = u.clock
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// Refresh reads what is known of endpoints and regions, and starts waiting requests for which there is room now. It is
+// called at least at the period of the endpoints' announcements, so that no cache event is missed.
+func (d *Dispatcher) Refresh() {
+	d.scheduler.mu.Lock()
+	defer d.scheduler.mu.Unlock()
+	now := d.now()
+	d.scheduler.refresh(now)
+	d.scheduler.pump(now)
+}
+
 // Generate answers a model request into the sink, in as many attempts as its class's budget and deadline allow. A
 // refusal is a *problem.Problem; any other failure is that of the last attempt.
 func (d *Dispatcher) Generate(ctx context.Context, r Request, sink stream.Sink) (stream.End, error) {
--- /dev/null
+++ b/dispatch/fake_test.go
@@ -0,0 +1,377 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"arbutusreel/inventory"
+	"arbutusreel/membership"
+	"arbutusreel/problem"
+	"arbutusreel/routing"
+	"arbutusreel/stream"
+)
+
+// fakeEngine is a model engine with slots, a cache of bounded tokens, serial prefill and a prefix cache; it is used in
+// virtual time.
+type fakeEngine struct {
+	mu          sync.Mutex
+	endpoint    membership.Endpoint
+	tokenTime   time.Duration
+	prefillTime time.Duration
+	cacheBlocks int
+
+	free    chan struct{}
+	prefill chan struct{}
+	running int
+	queued  int
+	used    int
+	// unread is the number of prompt tokens that wait for their prefill.
+	unread int
+	cached []uint64
+	events []membership.CacheEvent
+	// failAt cuts each stream before the piece of that position, if it is above zero; frozen streams send nothing.
+	failAt int
+	frozen bool
+	// fails tells which requests fail at their first attempt; ignoresResume tells that each answer begins at zero.
+	fails         func(r Request) bool
+	ignoresResume bool
+	requests      int
+	generated     int
+	wrongResumes  int
+}
+
+// swapTime is what a token takes if the cache is full.
+const swapTime = 100 * time.Millisecond
+
+func newFakeEngine(name, region string, slots, cacheTokens int) *fakeEngine {
+	g := &fakeEngine{
+		endpoint: membership.Endpoint{
+			Name: name, Incarnation: 1, Region: region, Service: "menu-model", Models: []string{"dastarkhwan-menu"},
+			Slots: slots, CacheTokens: cacheTokens,
+		},
+		tokenTime: 20 * time.Millisecond, prefillTime: 200 * time.Microsecond, cacheBlocks: 256,
+		free: make(chan struct{}, slots), prefill: make(chan struct{}, 1),
+	}
+	return g
+}
+
+// report publishes the engine's load at a time.
+func (g *fakeEngine) report(now time.Time) membership.Endpoint {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.endpoint.Sequence++
+	g.endpoint.CacheSequence += int64(len(g.endpoint.CacheEvents))
+	g.endpoint.CacheEvents, g.events = g.events, nil
+	g.endpoint.Load = membership.Load{
+		Running: g.running, Queued: g.queued, At: now,
+		QueuedTokens: g.unread, TokensPerSecond: 1 / g.step().Seconds(), PrefillTokensPerSecond: 1 / g.prefillTime.Seconds(),
+	}
+	if g.endpoint.CacheTokens > 0 {
+		g.endpoint.Load.CacheUse = float64(g.used) / float64(g.endpoint.CacheTokens)
+	}
+	return g.endpoint
+}
+
+func (g *fakeEngine) count(field *int, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	*field += n
+}
+
+// uncached returns the prompt tokens that are not cached and caches the prompt.
+func (g *fakeEngine) uncached(r Request) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	hits := 0
+	for hits < len(r.Prefixes) && slices.Contains(g.cached, r.Prefixes[hits]) {
+		hits++
+	}
+	for _, hash := range r.Prefixes {
+		if i := slices.Index(g.cached, hash); i >= 0 {
+			g.cached = append(slices.Delete(g.cached, i, i+1), hash)
+			continue
+		}
+		g.cached = append(g.cached, hash)
+		g.events = append(g.events, membership.CacheEvent{PrefixHash: hash, Tokens: routing.BlockTokens})
+	}
+	for len(g.cached) > g.cacheBlocks {
+		g.events = append(g.events, membership.CacheEvent{PrefixHash: g.cached[0], Dropped: true})
+		g.cached = g.cached[1:]
+	}
+	return max(r.PromptTokens-hits*routing.BlockTokens, 1)
+}
+
+func pauseFor(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func takeSlot(ctx context.Context, c chan struct{}) error {
+	select {
+	case c <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// answerTokens is the number of tokens that the fake engine answers to a request.
+func answerTokens(r Request) int {
+	n, _ := strconv.Atoi(string(r.Body))
+	return n
+}
+
+func pieceText(r Request, i int) string { return fmt.Sprintf("%s-%d ", r.CorrelationID, i) }
+
+func (g *fakeEngine) generate(ctx context.Context, r Request, a Attempt, sink stream.Sink) (stream.End, error) {
+	g.count(&g.requests, 1)
+	if a.Text != textBefore(r, a.Next) {
+		g.count(&g.wrongResumes, 1)
+	}
+	if g.ignoresResume {
+		a.Next = 0
+	}
+	if g.fails != nil && a.Number == 0 && g.fails(r) {
+		return stream.End{}, &stream.IncompleteError{RequestID: r.CorrelationID, Cause: context.Canceled}
+	}
+	g.count(&g.queued, 1)
+	err := takeSlot(ctx, g.free)
+	g.count(&g.queued, -1)
+	if err != nil {
+		return stream.End{}, err
+	}
+	g.count(&g.running, 1)
+	held := r.PromptTokens + a.Next
+	g.count(&g.used, held)
+	defer func() {
+		g.count(&g.used, -held)
+		g.count(&g.running, -1)
+		<-g.free
+	}()
+	if err := g.read(ctx, r, a); err != nil {
+		return stream.End{}, err
+	}
+	for i := a.Next; i < answerTokens(r); i++ {
+		if err := pauseFor(ctx, g.stepTime()); err != nil {
+			return stream.End{}, err
+		}
+		if g.failAt > 0 && i >= g.failAt {
+			return stream.End{}, &stream.IncompleteError{RequestID: r.CorrelationID, Pieces: i, Cause: context.Canceled}
+		}
+		if g.frozen {
+			<-ctx.Done()
+			return stream.End{}, ctx.Err()
+		}
+		held++
+		g.count(&g.used, 1)
+		g.count(&g.generated, 1)
+		if err := sink.Piece(stream.Piece{RequestID: r.CorrelationID, Attempt: a.Number, Position: i, Text: pieceText(r, i)}); err != nil {
+			return stream.End{}, err
+		}
+	}
+	return stream.End{FinishReason: "stop", Pieces: answerTokens(r)}, nil
+}
+
+// read does the prefill.
+func (g *fakeEngine) read(ctx context.Context, r Request, a Attempt) error {
+	tokens := g.uncached(r) + a.Next
+	g.count(&g.unread, tokens)
+	defer g.count(&g.unread, -tokens)
+	if err := takeSlot(ctx, g.prefill); err != nil {
+		return err
+	}
+	defer func() { <-g.prefill }()
+	return pauseFor(ctx, time.Duration(tokens)*g.prefillTime)
+}
+
+// stepTime is the time to the next token.
+func (g *fakeEngine) stepTime() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.step()
+}
+
+// step grows with the batch, and more so if the cache is full.
+func (g *fakeEngine) step() time.Duration {
+	d := g.tokenTime + g.tokenTime*time.Duration(g.running)/time.Duration(2*cap(g.free))
+	if g.endpoint.CacheTokens > 0 && g.used >= g.endpoint.CacheTokens {
+		d += swapTime
+	}
+	return d
+}
+
+// fakeRegion is a region's engines and instances; the instances see each report late.
+type fakeRegion struct {
+	name        string
+	engines     []*fakeEngine
+	dispatchers []*Dispatcher
+	lost        bool
+	reported    []membership.Endpoint
+	// forwards counts the requests that came from other regions.
+	forwards int
+}
+
+// world is all regions.
+type world struct {
+	mu        sync.Mutex
+	inventory *inventory.Inventory
+	regions   []*fakeRegion
+	rng       *rand.Rand
+}
+
+func (w *world) region(name string) *fakeRegion {
+	i := slices.IndexFunc(w.regions, func(r *fakeRegion) bool { return r.name == name })
+	return w.regions[i]
+}
+
+// newWorld returns regions with engines and instances, whose choosers are made by the policy.
+func newWorld(inv *inventory.Inventory, seed uint64, engines map[string][]*fakeEngine, instances int, chooser func(rand.Source) Chooser) *world {
+	w := &world{inventory: inv, rng: rand.New(rand.NewPCG(seed, 7))}
+	for _, region := range inv.Contents().Regions {
+		r := &fakeRegion{name: region.Name, engines: engines[region.Name]}
+		w.regions = append(w.regions, r)
+		for i := range instances {
+			source := func(n uint64) rand.Source { return rand.NewPCG(seed, uint64(i)*3+n) }
+			self := Hop{Instance: fmt.Sprintf("entry-%s-%d", region.Name, i), Region: region.Name}
+			d := New(self, fakeView{w: w, region: r}, fakeModels{w: w}, nil, fakeForwarder{w: w}, chooser(source(1)), time.Now, source(2), zerolog.Nop())
+			r.dispatchers = append(r.dispatchers, d)
+		}
+	}
+	w.publish()
+	return w
+}
+
+// publish makes every engine's load of now known.
+func (w *world) publish() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.regions {
+		r.reported = nil
+		for _, g := range r.engines {
+			if e := g.report(time.Now()); !r.lost {
+				r.reported = append(r.reported, e)
+			}
+		}
+	}
+}
+
+// publishEvery publishes at a period until ctx ends.
+func (w *world) publishEvery(ctx context.Context, period time.Duration) {
+	for pauseFor(ctx, period) == nil {
+		w.publish()
+		for _, r := range w.regions {
+			for _, d := range r.dispatchers {
+				d.Refresh()
+			}
+		}
+	}
+}
+
+// entry returns one of the region's instances.
+func (w *world) entry(region string) *Dispatcher {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := w.region(region).dispatchers
+	return list[w.rng.IntN(len(list))]
+}
+
+type fakeView struct {
+	w      *world
+	region *fakeRegion
+}
+
+func (v fakeView) Inventory() (*inventory.Inventory, int64) { return v.w.inventory, 1 }
+
+func (v fakeView) Endpoints() []membership.Endpoint {
+	v.w.mu.Lock()
+	defer v.w.mu.Unlock()
+	return v.region.reported
+}
+
+func (v fakeView) Summaries() []membership.Summary {
+	v.w.mu.Lock()
+	defer v.w.mu.Unlock()
+	var list []membership.Summary
+	for _, r := range v.w.regions {
+		if r != v.region && len(r.reported) > 0 {
+			list = append(list, membership.Summarize(r.reported[0].Load.At, r.name, r.reported)...)
+		}
+	}
+	return list
+}
+
+type fakeModels struct{ w *world }
+
+func (m fakeModels) Generate(ctx context.Context, e membership.Endpoint, r Request, a Attempt, sink stream.Sink) (stream.End, error) {
+	m.w.mu.Lock()
+	region := m.w.region(e.Region)
+	lost := region.lost
+	i := slices.IndexFunc(region.engines, func(g *fakeEngine) bool { return g.endpoint.Name == e.Name })
+	m.w.mu.Unlock()
+	if lost {
+		return stream.End{}, &stream.IncompleteError{RequestID: r.CorrelationID, Cause: context.Canceled}
+	}
+	return region.engines[i].generate(ctx, r, a, sink)
+}
+
+type fakeForwarder struct{ w *world }
+
+func (f fakeForwarder) ForwardModel(ctx context.Context, region string, r Request, sink stream.Sink) (stream.End, error) {
+	f.w.mu.Lock()
+	f.w.region(region).forwards++
+	f.w.mu.Unlock()
+	link, _ := f.w.inventory.Link(r.Via[len(r.Via)-1].Region, region)
+	if err := pauseFor(ctx, link.RoundTrip); err != nil {
+		return stream.End{}, err
+	}
+	return f.w.entry(region).Generate(ctx, r, sink)
+}
+
+func (f fakeForwarder) ForwardCall(context.Context, string, Request) (Reply, error) {
+	return Reply{}, problem.New(problem.NoCapacity, 503, "no plain service")
+}
+
+// collector is a caller's sink.
+type collector struct {
+	text  strings.Builder
+	first time.Time
+	limit int
+	n     int
+}
+
+func (c *collector) Piece(p stream.Piece) error {
+	if c.n == 0 {
+		c.first = time.Now()
+	}
+	if c.limit > 0 && c.n >= c.limit {
+		return context.Canceled
+	}
+	c.n++
+	c.text.WriteString(p.Text)
+	return nil
+}
+
+// wholeText is the answer that the request's caller must receive.
+func wholeText(r Request) string { return textBefore(r, answerTokens(r)) }
+
+func textBefore(r Request, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(pieceText(r, i))
+	}
+	return b.String()
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -29,6 +29,8 @@
 	// doubtful tells that an attempt may have run.
 	doubtful bool
 	pieces   int
+	// likely is the number of tokens that must fit into the patience.
+	likely int
 }
 
 // placement is where an attempt goes: to an endpoint, or to a region.
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -10,8 +10,13 @@
 	refreshPeriod = 50 * time.Millisecond
 	// waitPeriod is the period at which a waiting request looks at its state again.
 	waitPeriod = 50 * time.Millisecond
+	// minShortage is how long requests must have waited for endpoints before a region that has them sends others away,
+	// so that a stale report is no reason.
+	minShortage = 500 * time.Millisecond
 	// piecesPerUse is the number of pieces after which a reservation is trued up.
 	piecesPerUse = 16
+	// patienceQuantile is the quantile of learned use that must fit into the patience of a request.
+	patienceQuantile = 0.9
 	// wireBytesPerToken estimates the bytes that a token takes between regions.
 	wireBytesPerToken = 24
 	// wireBytesPerRequest estimates the bytes of a forwarded request besides its body and answer.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -93,7 +93,11 @@
 	if rate := l.rate.PerSecond(c.TokensPerSecond); rate > 0 {
 		wait += float64(l.queue.Ahead(j.class.Priority)) / rate
 	}
-	return admission.Estimate{Wait: seconds(wait), Prefill: seconds(d.Terms.Prefill), Decode: seconds(d.Terms.Decode)}
+	decode := d.Terms.Decode
+	if j.query.ExpectedTokens > 0 {
+		decode *= float64(j.likely) / float64(j.query.ExpectedTokens)
+	}
+	return admission.Estimate{Wait: seconds(wait), Prefill: seconds(d.Terms.Prefill), Decode: seconds(decode)}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -106,11 +110,15 @@
 	}
 	var least *routing.Terms
 	if local {
-		terms := d.Terms
 		e := s.estimate(now, j, l, d)
+		met := now.Add(e.Total()).Before(j.request.Deadline)
+		if met && !l.short(now) {
+			return nil
+		}
+		terms := d.Terms
 		terms.Wait = e.Wait.Seconds()
 		terms.Score = j.query.Objective.Score(terms)
-		if now.Add(e.Total()).Before(j.request.Deadline) {
+		if met {
 			least = &terms
 		}
 	}
@@ -134,6 +142,7 @@
 func (s *scheduler) enqueue(now time.Time, j *job, l *lane, v admission.Verdict) *admission.Waiting[*waiter] {
 	if l.queue.Len() == 0 {
 		l.rate.Begin(now)
+		l.since = now
 	}
 	weight := j.team.Weight
 	if weight <= 0 {
@@ -177,7 +186,7 @@
 	if !ok || !d.Room {
 		return false
 	}
-	l.queue.Remove(w, true)
+	l.remove(now, w, true)
 	l.rate.Started(now, w.Tokens)
 	l.audit.Started(now, w.Tokens)
 	s.explain(j, d, "startedFromQueue")
@@ -201,13 +210,13 @@
 	j := w.Value.job
 	l := s.lane(j)
 	if now.After(w.LatestStart) {
-		l.queue.Remove(w, false)
+		l.remove(now, w, false)
 		return nil, s.refuseLate(j, l, admission.Verdict{RetryAfter: retryAfterNoCapacity})
 	}
 	if _, local := s.choose(now, j); local {
 		return nil, nil
 	}
-	l.queue.Remove(w, false)
+	l.remove(now, w, false)
 	if p := s.sendAway(now, j, l, routing.Decision{}, false); p != nil {
 		return p, nil
 	}
@@ -219,7 +228,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if !s.lane(w.Value.job).queue.Remove(w, false) {
+	if !s.lane(w.Value.job).remove(now, w, false) {
 		p := <-w.Value.placed
 		s.chooser.Done(now, p.ticket, false)
 		s.pump(now)
@@ -237,7 +246,7 @@
 func (s *scheduler) refuseLate(j *job, l *lane, v admission.Verdict) error {
 	s.counts.Refused++
 	latest := j.request.Deadline.Add(-v.Estimate.Prefill - v.Estimate.Decode)
-	l.audit.Refused(l.queue.Ahead(j.class.Priority), latest)
+	l.audit.Refused(l.queue.Ahead(j.class.Priority), max(j.query.ExpectedTokens, 1), latest)
 	s.explainRefusal(j, problem.PatienceExceeded, v)
 	return problem.New(problem.PatienceExceeded, http.StatusServiceUnavailable, "class %q cannot be served within its patience now", j.request.Class).WithRetryAfter(v.RetryAfter)
 }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -25,6 +25,24 @@
 	queue *admission.Queue[*waiter]
 	rate  admission.Rate
 	audit admission.Audit
+	// since is when the queue was last empty.
+	since time.Time
+}
+
+// short reports whether requests have waited for long enough to say that capacity is short.
+func (l *lane) short(now time.Time) bool {
+	return l.queue.Len() > 0 && now.Sub(l.since) >= minShortage
+}
+
+// remove takes a request out of the queue, as it starts or has gone.
+func (l *lane) remove(now time.Time, w *admission.Waiting[*waiter], starts bool) bool {
+	if !l.queue.Remove(w, starts) {
+		return false
+	}
+	if l.queue.Len() == 0 {
+		l.rate.End(now)
+	}
+	return true
 }
 
 // budgetKey names the requests that share a budget of retries.
@@ -86,6 +104,7 @@
 	defer s.mu.Unlock()
 	asked := j.request.MaxTokens
 	j.query.ExpectedTokens = s.uses.Mean(j.useKey(), asked)
+	j.likely = s.uses.Likely(j.useKey(), patienceQuantile, asked)
 	j.query.ReserveTokens = j.request.PromptTokens + s.uses.Quantile(j.useKey(), j.inventory.Rules().ReservationQuantile, asked)
 	s.counts.Requests++
 	s.counts.AskedTokens += int64(asked)
--- a/routing/away.go
+++ b/routing/away.go
@@ -42,6 +42,7 @@
 	summary membership.Summary
 	load    load
 	slow    SlowStart
+	own     int
 	seen    uint64
 }
 
@@ -138,7 +139,7 @@
 // spare reports whether the region has slots to spare for requests from elsewhere.
 func (r *remote) spare(at time.Duration, q *Query) bool {
 	slots := float64(r.summary.Slots) * (1 - spareShare)
-	return r.load.outstanding(at, r.load.requests) < slots && r.slow.Room(q.PromptTokens)
+	return r.load.outstanding(at, r.own, r.load.others(r.own)) < slots && r.slow.Room(q.PromptTokens)
 }
 
 // score returns the terms of a request that is sent to the region.
@@ -151,7 +152,7 @@
 	slots := float64(max(r.summary.Slots, 1))
 	if r.summary.TokensPerSecond > 0 {
 		rate := r.summary.TokensPerSecond / float64(r.summary.Endpoints)
-		busy := min(r.load.outstanding(at, r.load.requests)/slots, 1)
+		busy := min(r.load.outstanding(at, r.own, r.load.others(r.own))/slots, 1)
 		t.Decode = float64(q.ExpectedTokens) / rate * (1 + contentionShare*busy)
 	}
 	t.Score = q.Objective.Score(t)
@@ -167,6 +168,7 @@
 // Start counts a request as sent to the decision's region.
 func (s *Regions) Start(now time.Time, d AwayDecision, q *Query, bytes int) *AwayTicket {
 	at := now.Sub(s.origin)
+	d.remote.own++
 	d.remote.load.add(at, 1, 0)
 	d.remote.slow.Begin(q.PromptTokens)
 	s.link(at, d.route).take(at, bytes)
@@ -178,6 +180,7 @@
 	if t.remote == nil {
 		return
 	}
+	t.remote.own--
 	t.remote.load.add(now.Sub(s.origin), -1, 0)
 	t.remote.slow.End(t.tokens, ok)
 	t.remote = nil
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -11,8 +11,8 @@
 type Candidate struct {
 	endpoint membership.Endpoint
 	id       uint32
-	// epoch grows with each gap of the cache events.
-	epoch     uint16
+	// lost is the number of cache events that were lost in gaps.
+	lost      uint32
 	nextEvent int64
 	tripped   bool
 	seen      uint64
@@ -40,17 +40,22 @@
 
 func (c *Candidate) slots() float64 { return float64(max(c.endpoint.Slots, 1)) }
 
-// room reports whether a request with that many uncached prompt tokens and that reservation could start at once.
-func (c *Candidate) room(now time.Duration, mean float64, tokens, reserve int) bool {
-	return c.load.outstanding(now, mean) <= c.slots()-slotShare && c.slow.Room(tokens) && c.pool.Room(reserve)
+// room reports whether a request with that many uncached prompt tokens and that reservation could start at once; the
+// requests of other instances are taken to reserve meanReserve each.
+func (c *Candidate) room(now time.Duration, mean, meanReserve float64, tokens, reserve int) bool {
+	outstanding := c.load.outstanding(now, c.own, mean)
+	if outstanding > c.slots()-slotShare || !c.slow.Room(tokens) {
+		return false
+	}
+	others := (outstanding - float64(c.own)) * meanReserve
+	return c.pool.Room(reserve + int(others))
 }
 
 // observe takes a newer announcement of the endpoint.
 func (c *Candidate) observe(now, reported time.Duration, e membership.Endpoint, x *index) {
 	c.endpoint = e
 	c.load.report(reported, float64(e.Load.Running+e.Load.Queued), float64(e.Load.QueuedTokens))
-	used := int(e.Load.CacheUse * float64(e.CacheTokens))
-	c.pool.SetCapacity(e.CacheTokens, max(used-c.pool.Reserved(), 0))
+	c.pool.SetCapacity(e.CacheTokens)
 	c.learn(now, e, x)
 }
 
@@ -60,7 +65,7 @@
 		return
 	}
 	if e.CacheSequence > c.nextEvent {
-		c.epoch++
+		c.lost += uint32(min(e.CacheSequence-c.nextEvent, maxLost))
 	}
 	for i, event := range e.CacheEvents {
 		if e.CacheSequence+int64(i) < c.nextEvent {
@@ -76,7 +81,7 @@
 }
 
 func (c *Candidate) holder(now time.Duration, sure bool) holder {
-	return holder{id: c.id, at: uint32(now.Milliseconds()), epoch: c.epoch, sure: sure}
+	return holder{id: c.id, at: uint32(now.Milliseconds()), lost: c.lost, sure: sure}
 }
 
 // ended takes the time that a request was at the endpoint into the mean.
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -17,7 +17,10 @@
 // table holds the candidates of a service and model that may get work.
 type table struct {
 	open []*Candidate
+	// mean is the mean number of others' requests at a candidate.
 	mean float64
+	// meanReserve is the mean reservation of own requests.
+	meanReserve float64
 	// order is a permutation of the indexes of open, from which samples are drawn.
 	order []int32
 }
@@ -147,7 +150,7 @@
 	for _, candidate := range t.open {
 		sum.Endpoints++
 		sum.Slots += candidate.slots()
-		sum.Outstanding += candidate.load.outstanding(now.Sub(c.origin), t.mean)
+		sum.Outstanding += candidate.load.outstanding(now.Sub(c.origin), candidate.own, t.mean)
 		sum.TokensPerSecond += candidate.slots() * candidate.endpoint.Load.TokensPerSecond
 	}
 	return sum
@@ -192,11 +195,11 @@
 	t.order = append(t.order, int32(len(t.order)))
 }
 
-// average renews the mean load of a candidate.
+// average renews the mean number of others' requests at a candidate.
 func (t *table) average() {
 	var sum float64
 	for _, candidate := range t.open {
-		sum += candidate.load.requests
+		sum += candidate.load.others(candidate.own)
 	}
 	t.mean = sum / float64(max(len(t.open), 1))
 }
@@ -240,7 +243,7 @@
 		if candidate == d.Candidate || candidate == d.RunnerUp {
 			continue
 		}
-		if d.Candidate == nil || candidate.room(at, t.mean, q.PromptTokens, q.ReserveTokens) {
+		if d.Candidate == nil || candidate.room(at, t.mean, t.meanReserve, q.PromptTokens, q.ReserveTokens) {
 			c.score(at, t, candidate, 0, q, d)
 		}
 	}
@@ -250,7 +253,7 @@
 	if q.excludes(candidate.endpoint.Name) {
 		return
 	}
-	room := !c.policy.Informed() || candidate.room(at, t.mean, q.PromptTokens-int(cached), q.ReserveTokens)
+	room := !c.policy.Informed() || candidate.room(at, t.mean, t.meanReserve, q.PromptTokens-int(cached), q.ReserveTokens)
 	d.offer(candidate, c.policy.Score(at, candidate, t.mean, cached, q), room)
 }
 
@@ -271,7 +274,7 @@
 			}
 			nominated[n] = candidate
 			n++
-			cached := float64(blocks*BlockTokens) * s.list[i].certainty(at, candidate.epoch)
+			cached := float64(blocks*BlockTokens) * s.list[i].certainty(at, candidate.lost)
 			c.score(at, t, candidate, min(cached, float64(q.PromptTokens)), q, d)
 		}
 	}
--- a/routing/chooser_test.go
+++ b/routing/chooser_test.go
@@ -72,18 +72,18 @@
 	d, _ := c.Choose(at(time.Second), q)
 	ticket := c.Start(at(time.Second), d, q)
 	candidate := c.byName["engine-000"]
-	if got := candidate.load.outstanding(at(time.Second).Sub(origin), 0); got != 1 {
+	if got := candidate.load.outstanding(at(time.Second).Sub(origin), candidate.own, 0); got != 1 {
 		t.Errorf("%v outstanding after one own dispatch", got)
 	}
 	e := engine(0, 1)
 	e.Sequence, e.Load.At = 2, at(2*time.Second)
 	c.Observe(at(3*time.Second), []membership.Endpoint{e})
-	if got := candidate.load.outstanding(2*time.Second, 0); got != 1 {
+	if got := candidate.load.outstanding(2*time.Second, candidate.own, 0); got != 1 {
 		t.Errorf("%v outstanding after a report that holds the dispatch", got)
 	}
 	c.Done(at(3*time.Second), ticket, true)
 	c.Done(at(3*time.Second), ticket, true)
-	if got := candidate.load.outstanding(2*time.Second, 0); got != 0 {
+	if got := candidate.load.outstanding(2*time.Second, candidate.own, 0); got != 0 {
 		t.Errorf("%v outstanding after the request ended", got)
 	}
 }
@@ -108,10 +108,10 @@
 		}
 	})
 	t.Run("gap makes uncertain", func(t *testing.T) {
-		list[7].Sequence, list[7].CacheSequence, list[7].CacheEvents = 2, 20, nil
+		list[7].Sequence, list[7].CacheSequence, list[7].CacheEvents = 2, 8+lostHalf, nil
 		c.Observe(origin, list)
 		gap, _ := c.Choose(origin, q)
-		if gap.Terms.Cached != 3*BlockTokens*gapCertainty {
+		if gap.Terms.Cached != 3*BlockTokens/2 {
 			t.Errorf("%v cached tokens after a gap", gap.Terms.Cached)
 		}
 	})
@@ -205,7 +205,7 @@
 			if candidate.own != len(open) {
 				t.Fatalf("%d own requests counted of %d", candidate.own, len(open))
 			}
-			if got := candidate.load.requests + float64(candidate.load.sinceRequests); sequence > 1 && got != float64(len(open)) {
+			if got := candidate.load.outstanding(now, candidate.own, 0); got != float64(len(open)) {
 				t.Fatalf("%v requests estimated of %d", got, len(open))
 			}
 		}
--- a/routing/index.go
+++ b/routing/index.go
@@ -5,10 +5,11 @@
 // holder is an endpoint that probably holds a prefix in its cache.
 type holder struct {
 	id uint32
-	// at is when the prefix was last known to be used, in milliseconds of the chooser's clock.
-	at    uint32
-	epoch uint16
-	sure  bool
+	// at is when the prefix was last known to be used, in milliseconds of the chooser's clock, and lost the number of
+	// the endpoint's cache events that were lost before.
+	at   uint32
+	lost uint32
+	sure bool
 }
 
 // holders are the endpoints that probably hold one prefix.
@@ -105,15 +106,12 @@
 	return low
 }
 
-// certainty returns the probability that a prefix is still held.
-func (h holder) certainty(now time.Duration, epoch uint16) float64 {
+// certainty returns the probability that a prefix is still held by an endpoint of which lost events are missing.
+func (h holder) certainty(now time.Duration, lost uint32) float64 {
 	age := max(now-time.Duration(h.at)*time.Millisecond, 0)
 	p := float64(cacheHalfLife) / float64(cacheHalfLife+age)
 	if !h.sure {
 		p *= ownCertainty
 	}
-	if h.epoch != epoch {
-		p *= gapCertainty
-	}
-	return p
+	return p * lostHalf / (lostHalf + float64(lost-h.lost))
 }
--- a/routing/limits.go
+++ b/routing/limits.go
@@ -5,13 +5,15 @@
 // Limits of what a chooser believes of a report.
 const (
 	// reportHalfLife is the age at which half of the difference between a report and the mean is believed.
-	reportHalfLife = 2 * time.Second
+	reportHalfLife = 4 * time.Second
 	// maxReportAge bounds the age of a report.
 	maxReportAge = time.Hour
 	// cacheHalfLife is the age at which a cached prefix is expected to remain with probability one half.
 	cacheHalfLife = 120 * time.Second
-	// gapCertainty is the factor of certainty for prefixes known from before a gap of the cache events.
-	gapCertainty = 0.5
+	// lostHalf is the number of lost cache events after which half of the prefixes known before are expected to remain.
+	lostHalf = 256
+	// maxLost bounds the lost events that one gap counts.
+	maxLost = 1 << 16
 	// ownCertainty is the certainty that an endpoint has cached the prompt of a request sent to it.
 	ownCertainty = 0.8
 )
@@ -49,6 +51,9 @@
 // contentionShare is the slowdown of decoding on an endpoint whose slots are all busy, against an idle one.
 const contentionShare = 0.2
 
+// loadSpread is the spread of an estimate of the requests at an endpoint.
+const loadSpread = 0.7
+
 // holdShare is the weight of a new holding time in the mean.
 const holdShare = 0.1
 
--- a/routing/load.go
+++ b/routing/load.go
@@ -61,9 +61,15 @@
 	return float64(reportHalfLife) / float64(reportHalfLife+age)
 }
 
-// outstanding returns the requests expected at the endpoint; mean is expected where nothing is known.
-func (l *load) outstanding(now time.Duration, mean float64) float64 {
-	return max(mean+(l.requests-mean)*l.weight(now)+float64(l.sinceRequests), 0)
+// others returns the requests of others that the report held; own is the number of own requests now.
+func (l *load) others(own int) float64 {
+	return max(l.requests-float64(own-l.sinceRequests), 0)
+}
+
+// outstanding returns the requests expected at the endpoint: the own ones and those of others, of which mean are
+// expected where nothing is known.
+func (l *load) outstanding(now time.Duration, own int, mean float64) float64 {
+	return float64(own) + mean + (l.others(own)-mean)*l.weight(now)
 }
 
 // backlog returns the prompt tokens that are expected to wait for their prefill.
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Terms are the parts of a score; a lower Score is better.
 type Terms struct {
@@ -53,7 +56,7 @@
 // Score returns the expected times weighed by the objective.
 func (Expected) Score(now time.Duration, c *Candidate, mean, cached float64, q *Query) Terms {
 	slots := c.slots()
-	outstanding := c.load.outstanding(now, mean)
+	outstanding := c.load.outstanding(now, c.own, mean)
 	t := Terms{Cached: cached, Cost: q.Cost}
 	report := &c.endpoint.Load
 	if report.TokensPerSecond > 0 {
@@ -62,17 +65,21 @@
 	if report.PrefillTokensPerSecond > 0 {
 		t.Prefill = (max(float64(q.PromptTokens)-cached, 0) + c.load.backlog(now)) / report.PrefillTokensPerSecond
 	}
-	if over := outstanding + 1 - slots; over > 0 {
-		hold := c.hold
-		if hold == 0 {
-			hold = t.Prefill + t.Decode
-		}
-		t.Wait = over / slots * hold
+	hold := c.hold
+	if hold == 0 {
+		hold = t.Prefill + t.Decode
 	}
+	t.Wait = waiting(outstanding+1-slots) / slots * hold
 	t.Score = q.Objective.Score(t)
 	return t
 }
 
+// waiting returns the expected number of requests that wait, if over more than the slots are expected and this is not
+// known exactly: a smooth maximum of zero and over.
+func waiting(over float64) float64 {
+	return (over + math.Sqrt(over*over+4*loadSpread*loadSpread)) / 2
+}
+
 // LeastOutstanding scores by the chooser's own outstanding requests for each slot.
 type LeastOutstanding struct{}
 
--- a/routing/ticket.go
+++ b/routing/ticket.go
@@ -21,6 +21,9 @@
 	at := now.Sub(c.origin)
 	tokens := max(q.PromptTokens-int(d.Terms.Cached), 0)
 	candidate := d.Candidate
+	if t := c.tables[tableKey{service: q.Service, model: q.Model}]; t != nil {
+		t.meanReserve += holdShare * (float64(q.ReserveTokens) - t.meanReserve)
+	}
 	candidate.own++
 	candidate.load.add(at, 1, tokens)
 	candidate.slow.Begin(tokens)
