Leave the region for capacity, or within a small share for latency

What remained was the wait for a slot at bursts, which only other regions can take: 1.5 in 100 requests may leave for a better region; all others leave only if the region cannot meet them or has let requests wait for 500 ms.

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -24,16 +24,15 @@
 }
 
 // explainAway logs that a request leaves the region; least is what the own region would take, if it could.
-func (s *scheduler) explainAway(j *job, d routing.AwayDecision, least *routing.Terms) {
+func (s *scheduler) explainAway(j *job, d routing.AwayDecision, least *routing.Terms, reason string) {
 	event := s.request(j).
 		Str("action", "sentAway").
+		Str("reason", reason).
 		Int("scored", d.Scored).
 		Str("region", d.Region).
 		Dict("terms", terms(d.Terms))
 	if least != nil {
-		event = event.Str("reason", "noRoom").Dict("ownTerms", terms(*least))
-	} else {
-		event = event.Str("reason", "cannotBeMetHere")
+		event = event.Dict("ownTerms", terms(*least))
 	}
 	event.Msg("routed")
 }
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -13,6 +13,10 @@
 	// minShortage is how long requests must have waited for endpoints before a region that has them sends others away,
 	// so that a stale report is no reason.
 	minShortage = 500 * time.Millisecond
+	// preferredShare is the share of the requests that may leave for a better region although the own one could serve
+	// them, and maxPreferred the number of them at once.
+	preferredShare = 0.015
+	maxPreferred   = 8
 	// piecesPerUse is the number of pieces after which a reservation is trued up.
 	piecesPerUse = 16
 	// patienceQuantile is the quantile of learned use that must fit into the patience of a request.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"arbutusreel/admission"
@@ -50,13 +51,13 @@
 	s.pump(now)
 	l := s.lane(j)
 	d, local := s.choose(now, j)
+	if p := s.sendAway(now, j, l, d, local); p != nil {
+		return p, nil, nil
+	}
 	if local && d.Room && l.queue.Ahead(j.class.Priority) == 0 && (!j.class.Deferrable || s.spare(now, j)) {
 		s.explain(j, d, "started")
 		return s.start(now, j, d), nil, nil
 	}
-	if p := s.sendAway(now, j, l, d, local); p != nil {
-		return p, nil, nil
-	}
 	if !local && len(j.query.Exclude) > 0 {
 		j.query.Exclude = nil
 		d, local = s.choose(now, j)
@@ -102,40 +103,61 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// sendAway sends the request to another region if its own lacks capacity: it has no endpoint for the request, or none
-// with room while the other region is expected to be better even so.
+// sendAway sends the request to another region if its own lacks capacity: it has no endpoint for the request, cannot
+// meet it, or has let requests wait for a time and the other region is expected to be better. A small share of the
+// requests may leave for a better region before that.
 func (s *scheduler) sendAway(now time.Time, j *job, l *lane, d routing.Decision, local bool) *placement {
-	if local && (d.Room || j.class.Deferrable) {
+	if local && j.class.Deferrable {
 		return nil
 	}
-	var least *routing.Terms
-	if local {
+	reason, least := s.reasonAway(now, j, l, d, local)
+	if reason == "" {
+		return nil
+	}
+	routes := slices.DeleteFunc(j.routes(s.self.Region), func(r routing.Route) bool {
+		return s.regionBreakers.State(now, r.Region) == retry.Open
+	})
+	away, ok := s.regions.Choose(now, &j.query, j.bytes(), routes, least)
+	if !ok {
+		return nil
+	}
+	s.counts.SentAway++
+	if reason == awayPreferred {
+		s.preferred--
+	}
+	s.explainAway(j, away, least, reason)
+	return &placement{region: away.Region, away: s.regions.Start(now, away, &j.query, j.bytes()), terms: away.Terms, prompt: j.request.PromptTokens}
+}
+
+// Reasons to send a request away.
+const (
+	awayNoEndpoint = "noEndpoint"
+	awayNotMet     = "cannotBeMet"
+	awayShort      = "capacityShort"
+	awayPreferred  = "better"
+)
+
+// reasonAway returns why the request may leave, or nothing, and what another region must be better than.
+func (s *scheduler) reasonAway(now time.Time, j *job, l *lane, d routing.Decision, local bool) (string, *routing.Terms) {
+	if !local {
+		return awayNoEndpoint, nil
+	}
+	terms := d.Terms
+	if !d.Room {
 		e := s.estimate(now, j, l, d)
-		met := now.Add(e.Total()).Before(j.request.Deadline)
-		if met && !l.short(now) {
-			return nil
+		if !now.Add(e.Total()).Before(j.request.Deadline) {
+			return awayNotMet, nil
 		}
-		terms := d.Terms
 		terms.Wait = e.Wait.Seconds()
 		terms.Score = j.query.Objective.Score(terms)
-		if met {
-			least = &terms
+		if l.short(now) {
+			return awayShort, &terms
 		}
 	}
-	routes := j.routes(s.self.Region)
-	open := routes[:0]
-	for _, r := range routes {
-		if s.regionBreakers.State(now, r.Region) != retry.Open {
-			open = append(open, r)
-		}
-	}
-	away, ok := s.regions.Choose(now, &j.query, j.bytes(), open, least)
-	if !ok {
-		return nil
+	if d.Informed && s.preferred >= 1 {
+		return awayPreferred, &terms
 	}
-	s.counts.SentAway++
-	s.explainAway(j, away, least)
-	return &placement{region: away.Region, away: s.regions.Start(now, away, &j.query, j.bytes()), terms: away.Terms, prompt: j.request.PromptTokens}
+	return "", nil
 }
 
 // enqueue lets the request wait.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -67,7 +67,9 @@
 	regionBreakers *retry.Breakers[string]
 	budget         *retry.Budget[budgetKey]
 	counts         Counts
-	refreshed      time.Time
+	// preferred is the number of requests that may leave although the region could serve them.
+	preferred float64
+	refreshed time.Time
 }
 
 func newScheduler(self Hop, view View, chooser Chooser, now func() time.Time, source rand.Source, log zerolog.Logger) *scheduler {
@@ -107,6 +109,8 @@
 	j.likely = s.uses.Likely(j.useKey(), patienceQuantile, asked)
 	j.query.ReserveTokens = j.request.PromptTokens + s.uses.Quantile(j.useKey(), j.inventory.Rules().ReservationQuantile, asked)
 	s.counts.Requests++
+	s.preferred = min(s.preferred+preferredShare, maxPreferred)
+	j.query.PrefillPerSecond = s.chooser.Capacity(s.now(), j.query.Service, j.query.Model).PrefillTokensPerSecond
 	s.counts.AskedTokens += int64(asked)
 	s.counts.ReservedTokens += int64(j.query.ReserveTokens - j.request.PromptTokens)
 	s.budget.First(s.budgetKey(j), j.inventory.Rules().RetryBudget)
--- a/routing/away.go
+++ b/routing/away.go
@@ -149,6 +149,9 @@
 	if route.BytesPerSecond > 0 {
 		t.Travel += float64(bytes) / (float64(route.BytesPerSecond) * linkShare)
 	}
+	if q.PrefillPerSecond > 0 {
+		t.Prefill = float64(q.PromptTokens) / q.PrefillPerSecond
+	}
 	slots := float64(max(r.summary.Slots, 1))
 	if r.summary.TokensPerSecond > 0 {
 		rate := r.summary.TokensPerSecond / float64(r.summary.Endpoints)
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -138,6 +138,8 @@
 	Outstanding float64
 	// TokensPerSecond is the rate at which all slots together generate.
 	TokensPerSecond float64
+	// PrefillTokensPerSecond is the mean rate at which a candidate reads a prompt.
+	PrefillTokensPerSecond float64
 }
 
 // Capacity returns what the open candidates can do.
@@ -152,7 +154,9 @@
 		sum.Slots += candidate.slots()
 		sum.Outstanding += candidate.load.outstanding(now.Sub(c.origin), candidate.own, t.mean)
 		sum.TokensPerSecond += candidate.slots() * candidate.endpoint.Load.TokensPerSecond
+		sum.PrefillTokensPerSecond += candidate.endpoint.Load.PrefillTokensPerSecond
 	}
+	sum.PrefillTokensPerSecond /= float64(max(sum.Endpoints, 1))
 	return sum
 }
 
@@ -213,7 +217,8 @@
 	}
 	at := now.Sub(c.origin)
 	d.Open = len(t.open)
-	if c.policy.Informed() {
+	d.Informed = c.policy.Informed()
+	if d.Informed {
 		c.nominate(at, t, q, &d)
 	}
 	c.sample(at, t, q, &d)
@@ -253,7 +258,7 @@
 	if q.excludes(candidate.endpoint.Name) {
 		return
 	}
-	room := !c.policy.Informed() || candidate.room(at, t.mean, t.meanReserve, q.PromptTokens-int(cached), q.ReserveTokens)
+	room := !d.Informed || candidate.room(at, t.mean, t.meanReserve, q.PromptTokens-int(cached), q.ReserveTokens)
 	d.offer(candidate, c.policy.Score(at, candidate, t.mean, cached, q), room)
 }
 
--- a/routing/query.go
+++ b/routing/query.go
@@ -38,6 +38,8 @@
 	ExpectedTokens int
 	// ReserveTokens is the part of an endpoint's cache that the request reserves.
 	ReserveTokens int
+	// PrefillPerSecond is the rate at which an endpoint of the own region reads prompt tokens, or zero.
+	PrefillPerSecond float64
 	// Exclude names the endpoints that have failed the request.
 	Exclude   []string
 	Objective Objective
@@ -53,6 +55,8 @@
 type Decision struct {
 	Candidate *Candidate
 	Terms     Terms
+	// Informed reports whether the policy uses the reported load.
+	Informed bool
 	// Room reports whether the candidate can start the request at once.
 	Room bool
 	// RunnerUp is the second best that was scored, or nil.
