--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,29 +6,30 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
 
 	"arbutusreel/directory"
-	"arbutusreel/load"
 	"arbutusreel/standin"
 )
 
 // headerTimeout bounds the reading of a request's header.
 const headerTimeout = 10 * time.Second
 
+// exitDied is the exit code of an engine that was told to die.
+const exitDied = 3
+
 // options are the flags of all subcommands.
 type options struct {
 	name, address, region, failureDomain, service, directory string
 	models                                                   []string
 	slots                                                    int
-	tokenTime, prefillTime                                   time.Duration
+	leaveNotice                                              time.Duration
+	engine                                                   standin.EngineConfig
 
-	load    load.Config
-	entries []string
+	load loadOptions
 }
 
 func main() {
@@ -42,14 +43,16 @@
 }
 
 func run(ctx context.Context) error {
-	o := &options{slots: 8, tokenTime: 10 * time.Millisecond, prefillTime: 200 * time.Microsecond}
-	o.load = load.Config{Count: 20, Rate: 20, MaxTokens: 256, Seed: 1, KeyPrefix: "load"}
+	o := &options{slots: 8, leaveNotice: 2 * time.Second}
+	o.engine = standin.EngineConfig{TokenTime: 10 * time.Millisecond, PrefillTime: 200 * time.Microsecond, CacheBlocks: 4096, KVBytesPerSecond: 1e9, Seed: 1}
+	o.load = newLoadOptions()
 	parser := flaggy.NewParser("standin")
-	engine := o.subcommand("engine", "Runs a model engine.", o.endpointFlags)
+	engine := o.subcommand("engine", "Runs a model engine.", o.engineFlags)
 	service := o.subcommand("service", "Runs an endpoint of a plain service.", o.endpointFlags)
 	dir := o.subcommand("directory", "Runs a directory.", o.endpointFlags)
-	generator := o.subcommand("load", "Sends load and prints a table.", o.loadFlags)
-	for _, sub := range []*flaggy.Subcommand{engine, service, dir, generator} {
+	generator := o.subcommand("load", "Sends load and prints a table.", o.load.flags)
+	experiment := o.subcommand("experiment", "Sends the load of a file to several targets and compares them.", o.load.experimentFlags)
+	for _, sub := range []*flaggy.Subcommand{engine, service, dir, generator, experiment} {
 		parser.AttachSubcommand(sub, 1)
 	}
 	if err := parser.ParseArgs(os.Args[1:]); err != nil {
@@ -63,7 +66,9 @@
 	case dir.Used:
 		return serve(ctx, o.address, standin.NewDirectory().Handler(), func(ctx context.Context) { <-ctx.Done() })
 	case generator.Used:
-		return o.runLoad(ctx)
+		return o.load.run(ctx)
+	case experiment.Used:
+		return o.load.runExperiment(ctx)
 	}
 	parser.ShowHelp()
 	return nil
@@ -85,22 +90,24 @@
 	sub.String(&o.directory, "", "directory", "Address of the directory.")
 	sub.StringSlice(&o.models, "", "models", "Models that are loaded.")
 	sub.Int(&o.slots, "", "slots", "Requests that run at once.")
-	sub.Duration(&o.tokenTime, "", "tokenTime", "Time between two tokens.")
-	sub.Duration(&o.prefillTime, "", "prefillTime", "Time of a token of the prompt.")
+	sub.Duration(&o.leaveNotice, "", "leaveNotice", "Time between the first announcement as leaving and the stop.")
 }
 
-func (o *options) loadFlags(sub *flaggy.Subcommand) {
-	sub.StringSlice(&o.entries, "", "entries", "Callers' addresses of entries.")
-	sub.String(&o.load.Token, "", "token", "Token of the team.")
-	sub.String(&o.load.Class, "", "class", "Class of the requests.")
-	sub.String(&o.load.Model, "", "model", "Model of the completions.")
-	sub.String(&o.load.Service, "", "service", "Plain service to call instead of completions.")
-	sub.Bool(&o.load.Stream, "", "stream", "Whether answers are streamed.")
-	sub.Int(&o.load.Count, "", "count", "Number of requests.")
-	sub.Float64(&o.load.Rate, "", "rate", "Requests a second.")
-	sub.Int(&o.load.MaxTokens, "", "maxTokens", "Tokens asked for.")
-	sub.UInt64(&o.load.Seed, "", "seed", "Seed of the load.")
-	sub.String(&o.load.KeyPrefix, "", "keyPrefix", "Text before the idempotency keys.")
+func (o *options) engineFlags(sub *flaggy.Subcommand) {
+	o.endpointFlags(sub)
+	e := &o.engine
+	sub.Duration(&e.TokenTime, "", "tokenTime", "Time between two tokens.")
+	sub.Float64(&e.BatchSlowdown, "", "batchSlowdown", "Share by which the token time grows when all slots run.")
+	sub.Duration(&e.PrefillTime, "", "prefillTime", "Time of a token of the prompt that is not cached.")
+	sub.Int(&e.CacheBlocks, "", "cacheBlocks", "Prefix blocks that the cache holds.")
+	sub.Duration(&e.CacheEventDelay, "", "cacheEventDelay", "Age at which a cache event is announced.")
+	sub.Float64(&e.CacheEventGap, "", "cacheEventGap", "Share of announcements whose cache events are lost.")
+	sub.Duration(&e.ReportLag, "", "reportLag", "Age of the load in an announcement.")
+	sub.Float64(&e.KVBytesPerSecond, "", "kvBytesPerSecond", "Rate of KV cache transfers.")
+	sub.UInt64(&e.Seed, "", "seed", "Seed of the engine.")
+	sub.Int(&e.Faults.DieAfterTokens, "", "dieAfterTokens", "Tokens after which the process ends at once; 0 never.")
+	sub.Int(&e.Faults.StallAfterTokens, "", "stallAfterTokens", "Tokens after which a stream sends nothing more; 0 never.")
+	sub.Float64(&e.Faults.RefuseShare, "", "refuseShare", "Share of requests that fail at once.")
 }
 
 // serve serves until ctx ends and announce has returned, and then waits for the requests in progress.
@@ -118,22 +125,23 @@
 		return err
 	case <-done:
 	}
+	server.SetKeepAlivesEnabled(false)
 	return server.Shutdown(context.WithoutCancel(ctx))
 }
 
 func (o *options) runEngine(ctx context.Context) error {
-	e := standin.NewEngine(standin.EngineConfig{
-		Name:          o.name,
-		Address:       o.address,
-		Region:        o.region,
-		FailureDomain: o.failureDomain,
-		Service:       o.service,
-		Models:        o.models,
-		Slots:         o.slots,
-		TokenTime:     o.tokenTime,
-		PrefillTime:   o.prefillTime,
-		Incarnation:   time.Now().UnixNano(),
-	}, directory.New(o.directory, http.DefaultClient))
+	cfg := o.engine
+	cfg.Name = o.name
+	cfg.Address = o.address
+	cfg.Region = o.region
+	cfg.FailureDomain = o.failureDomain
+	cfg.Service = o.service
+	cfg.Models = o.models
+	cfg.Slots = o.slots
+	cfg.LeaveNotice = o.leaveNotice
+	cfg.Incarnation = time.Now().UnixNano()
+	cfg.Faults.Die = func() { os.Exit(exitDied) }
+	e := standin.NewEngine(cfg, directory.New(o.directory, http.DefaultClient))
 	return serve(ctx, o.address, e.Handler(), e.Run)
 }
 
@@ -145,15 +153,8 @@
 		FailureDomain: o.failureDomain,
 		Service:       o.service,
 		Slots:         o.slots,
+		LeaveNotice:   o.leaveNotice,
 		Incarnation:   time.Now().UnixNano(),
 	}, directory.New(o.directory, http.DefaultClient))
 	return serve(ctx, o.address, s.Handler(), s.Run)
 }
-
-func (o *options) runLoad(ctx context.Context) error {
-	o.load.Entries = nil
-	for _, list := range o.entries {
-		o.load.Entries = append(o.load.Entries, strings.Split(list, ",")...)
-	}
-	return load.Run(ctx, o.load, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}).WriteTable(os.Stdout)
-}
--- a/control/config.go
+++ b/control/config.go
@@ -1,6 +1,11 @@
 package control
 
-import "time"
+import (
+	"time"
+
+	"arbutusreel/decision"
+	"arbutusreel/keys"
+)
 
 // Config is what a control daemon needs to know at its start.
 type Config struct {
@@ -18,4 +23,6 @@
 	ElectionTimeout     time.Duration
 	SnapshotEntries     int
 	PlacementPeriod     time.Duration
+	Keys                *keys.Source
+	Decisions           *decision.Store
 }
--- a/dispatch/fake_test.go
+++ b/dispatch/fake_test.go
@@ -72,7 +72,7 @@
 	g.endpoint.CacheEvents, g.events = g.events, nil
 	g.endpoint.Load = membership.Load{
 		Running: g.running, Queued: g.queued, At: now,
-		QueuedTokens: g.unread, TokensPerSecond: 1 / g.step().Seconds(), PrefillTokensPerSecond: 1 / g.prefillTime.Seconds(),
+		QueuedTokens: g.unread, TokensPerSecond: float64(cap(g.free)) / (g.tokenTime * 3 / 2).Seconds(), PrefillTokensPerSecond: 1 / g.prefillTime.Seconds(),
 	}
 	if g.endpoint.CacheTokens > 0 {
 		g.endpoint.Load.CacheUse = float64(g.used) / float64(g.endpoint.CacheTokens)
--- a/dispatch/measure_test.go
+++ b/dispatch/measure_test.go
@@ -197,7 +197,7 @@
 			})
 		}
 	}
-	t.Logf("engines for 99%%: %d if all that is asked is reserved, %d by learned use", needed[0], needed[0.9])
+	t.Logf("engines for 99%%, of those tried (%d is none): %d if all that is asked is reserved, %d by learned use", most+1, needed[0], needed[0.9])
 	if float64(needed[0.9]) > 0.8*float64(needed[0]) {
 		t.Errorf("the fleet by learned use is not 20%% cheaper: %v", needed)
 	}
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -153,7 +153,7 @@
 		sum.Endpoints++
 		sum.Slots += candidate.slots()
 		sum.Outstanding += candidate.load.outstanding(now.Sub(c.origin), candidate.own, t.mean)
-		sum.TokensPerSecond += candidate.slots() * candidate.endpoint.Load.TokensPerSecond
+		sum.TokensPerSecond += candidate.endpoint.Load.TokensPerSecond
 		sum.PrefillTokensPerSecond += candidate.endpoint.Load.PrefillTokensPerSecond
 	}
 	sum.PrefillTokensPerSecond /= float64(max(sum.Endpoints, 1))
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -112,7 +112,7 @@
 func DecodeEntries(ms []*wiregen.EntryAdvert) []membership.Entry { return mapAll(ms, decodeEntry) }
 
 // EncodeEntries returns the messages of the entries.
-func EncodeEntries(es []membership.Entry) []*wiregen.EntryAdvert { return mapAll(es, encodeEntry) }
+func EncodeEntries(es []membership.Entry) []*wiregen.EntryAdvert { return mapAll(es, EncodeEntry) }
 
 func decodeEntry(m *wiregen.EntryAdvert) membership.Entry {
 	return membership.Entry{
@@ -124,10 +124,13 @@
 		PeerAddress:     m.GetPeerAddress(),
 		Weight:          m.GetWeight(),
 		Leaving:         m.GetLeaving(),
+		Incarnation:     m.GetIncarnation(),
+		Sequence:        m.GetSequence(),
 	}
 }
 
-func encodeEntry(e membership.Entry) *wiregen.EntryAdvert {
+// EncodeEntry returns the message of an entry.
+func EncodeEntry(e membership.Entry) *wiregen.EntryAdvert {
 	return &wiregen.EntryAdvert{
 		Name:            e.Name,
 		Region:          e.Region,
@@ -137,6 +140,8 @@
 		PeerAddress:     e.PeerAddress,
 		Weight:          e.Weight,
 		Leaving:         e.Leaving,
+		Incarnation:     e.Incarnation,
+		Sequence:        e.Sequence,
 	}
 }
 
