--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -206,6 +206,26 @@
 	})
 }
 
+// TestStartWaitsForEndpoints sends a request to an instance that hears of its endpoints half a second later.
+func TestStartWaitsForEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(mustInventory(contents()), 1, fleet(1, 8, 0), 1, expected)
+		w.mu.Lock()
+		for _, r := range w.regions {
+			r.reported = nil
+		}
+		w.mu.Unlock()
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			w.publish()
+		}()
+		if _, err := run(w.entry("lahore"), request("r", 5, "plan", time.Minute)); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // TestLeaving checks that a leaving endpoint receives nothing once this is known.
 func TestLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -354,9 +374,9 @@
 	return views
 }
 
-// TestNoLoops sends a request into random topologies whose instances have stale and contradictory views and
+// TestStaleViewsForwardOnce sends a request into random topologies whose instances have stale and contradictory views and
 // inventories: it ends, each forward crosses to another region once, and it runs in allowed regions only.
-func TestNoLoops(t *testing.T) {
+func TestStaleViewsForwardOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		draw := newTopology(rt)
 		var failure string
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -62,6 +62,9 @@
 		j.query.Exclude = nil
 		d, local = s.choose(now, j)
 	}
+	if !local && s.learning(now, j) {
+		return nil, s.enqueue(now, j, l, admission.Verdict{Queue: true}), nil
+	}
 	if !local {
 		return nil, nil, s.refuseNoCapacity(j)
 	}
@@ -73,6 +76,12 @@
 	return nil, s.enqueue(now, j, l, v), nil
 }
 
+// learning reports whether the request may wait because the instance has just started and may not have heard of its
+// endpoints yet. A request from another region does not wait for this.
+func (s *scheduler) learning(now time.Time, j *job) bool {
+	return now.Sub(s.born) < learningTime && !j.request.Forwarded(s.self.Region)
+}
+
 // choose returns the best endpoint of the own region that may run the request.
 func (s *scheduler) choose(now time.Time, j *job) (routing.Decision, bool) {
 	if !residency.Allows(j.inventory, j.request.Subject(), s.self.Region) {
@@ -235,7 +244,7 @@
 		l.remove(now, w, false)
 		return nil, s.refuseLate(j, l, admission.Verdict{RetryAfter: retryAfterNoCapacity})
 	}
-	if _, local := s.choose(now, j); local {
+	if _, local := s.choose(now, j); local || s.learning(now, j) {
 		return nil, nil
 	}
 	l.remove(now, w, false)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -70,6 +70,7 @@
 	// preferred is the number of requests that may leave although the region could serve them.
 	preferred float64
 	refreshed time.Time
+	born      time.Time
 }
 
 func newScheduler(self Hop, view View, chooser Chooser, now func() time.Time, source rand.Source, log zerolog.Logger) *scheduler {
@@ -87,6 +88,7 @@
 		breakers:       retry.NewBreakers[string](source),
 		regionBreakers: retry.NewBreakers[string](source),
 		budget:         retry.NewBudget[budgetKey](),
+		born:           now(),
 	}
 }
 
