--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"arbutusreel/admission"
@@ -50,17 +51,20 @@
 	s.pump(now)
 	l := s.lane(j)
 	d, local := s.choose(now, j)
+	if p := s.sendAway(now, j, l, d, local); p != nil {
+		return p, nil, nil
+	}
 	if local && d.Room && l.queue.Ahead(j.class.Priority) == 0 && (!j.class.Deferrable || s.spare(now, j)) {
 		s.explain(j, d, "started")
 		return s.start(now, j, d), nil, nil
 	}
-	if p := s.sendAway(now, j, l, d, local); p != nil {
-		return p, nil, nil
-	}
 	if !local && len(j.query.Exclude) > 0 {
 		j.query.Exclude = nil
 		d, local = s.choose(now, j)
 	}
+	if !local && s.learning(now, j) {
+		return nil, s.enqueue(now, j, l, admission.Verdict{Queue: true}), nil
+	}
 	if !local {
 		return nil, nil, s.refuseNoCapacity(j)
 	}
@@ -72,6 +76,12 @@
 	return nil, s.enqueue(now, j, l, v), nil
 }
 
+// learning reports whether the request may wait because the instance has just started and may not have heard of its
+// endpoints yet. A request from another region does not wait for this.
+func (s *scheduler) learning(now time.Time, j *job) bool {
+	return now.Sub(s.born) < learningTime && !j.request.Forwarded(s.self.Region)
+}
+
 // choose returns the best endpoint of the own region that may run the request.
 func (s *scheduler) choose(now time.Time, j *job) (routing.Decision, bool) {
 	if !residency.Allows(j.inventory, j.request.Subject(), s.self.Region) {
@@ -93,47 +103,77 @@
 	if rate := l.rate.PerSecond(c.TokensPerSecond); rate > 0 {
 		wait += float64(l.queue.Ahead(j.class.Priority)) / rate
 	}
-	return admission.Estimate{Wait: seconds(wait), Prefill: seconds(d.Terms.Prefill), Decode: seconds(d.Terms.Decode)}
+	decode := d.Terms.Decode
+	if j.query.ExpectedTokens > 0 {
+		decode *= float64(j.likely) / float64(j.query.ExpectedTokens)
+	}
+	return admission.Estimate{Wait: seconds(wait), Prefill: seconds(d.Terms.Prefill), Decode: seconds(decode)}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// sendAway sends the request to another region if its own lacks capacity: it has no endpoint for the request, or none
-// with room while the other region is expected to be better even so.
+// sendAway sends the request to another region if its own lacks capacity: it has no endpoint for the request, cannot
+// meet it, or has let requests wait for a time and the other region is expected to be better. A small share of the
+// requests may leave for a better region before that.
 func (s *scheduler) sendAway(now time.Time, j *job, l *lane, d routing.Decision, local bool) *placement {
-	if local && (d.Room || j.class.Deferrable) {
+	if local && j.class.Deferrable {
 		return nil
 	}
-	var least *routing.Terms
-	if local {
-		terms := d.Terms
-		e := s.estimate(now, j, l, d)
-		terms.Wait = e.Wait.Seconds()
-		terms.Score = j.query.Objective.Score(terms)
-		if now.Add(e.Total()).Before(j.request.Deadline) {
-			least = &terms
-		}
-	}
-	routes := j.routes(s.self.Region)
-	open := routes[:0]
-	for _, r := range routes {
-		if s.regionBreakers.State(now, r.Region) != retry.Open {
-			open = append(open, r)
-		}
+	reason, least := s.reasonAway(now, j, l, d, local)
+	if reason == "" {
+		return nil
 	}
-	away, ok := s.regions.Choose(now, &j.query, j.bytes(), open, least)
+	routes := slices.DeleteFunc(j.routes(s.self.Region), func(r routing.Route) bool {
+		return s.regionBreakers.State(now, r.Region) == retry.Open
+	})
+	away, ok := s.regions.Choose(now, &j.query, j.bytes(), routes, least)
 	if !ok {
 		return nil
 	}
 	s.counts.SentAway++
-	s.explainAway(j, away, least)
+	if reason == awayPreferred {
+		s.preferred--
+	}
+	s.explainAway(j, away, least, reason)
 	return &placement{region: away.Region, away: s.regions.Start(now, away, &j.query, j.bytes()), terms: away.Terms, prompt: j.request.PromptTokens}
 }
 
+// Reasons to send a request away.
+const (
+	awayNoEndpoint = "noEndpoint"
+	awayNotMet     = "cannotBeMet"
+	awayShort      = "capacityShort"
+	awayPreferred  = "better"
+)
+
+// reasonAway returns why the request may leave, or nothing, and what another region must be better than.
+func (s *scheduler) reasonAway(now time.Time, j *job, l *lane, d routing.Decision, local bool) (string, *routing.Terms) {
+	if !local {
+		return awayNoEndpoint, nil
+	}
+	terms := d.Terms
+	if !d.Room {
+		e := s.estimate(now, j, l, d)
+		if !now.Add(e.Total()).Before(j.request.Deadline) {
+			return awayNotMet, nil
+		}
+		terms.Wait = e.Wait.Seconds()
+		terms.Score = j.query.Objective.Score(terms)
+		if l.short(now) {
+			return awayShort, &terms
+		}
+	}
+	if d.Informed && s.preferred >= 1 {
+		return awayPreferred, &terms
+	}
+	return "", nil
+}
+
 // enqueue lets the request wait.
 func (s *scheduler) enqueue(now time.Time, j *job, l *lane, v admission.Verdict) *admission.Waiting[*waiter] {
 	if l.queue.Len() == 0 {
 		l.rate.Begin(now)
+		l.since = now
 	}
 	weight := j.team.Weight
 	if weight <= 0 {
@@ -177,7 +217,7 @@
 	if !ok || !d.Room {
 		return false
 	}
-	l.queue.Remove(w, true)
+	l.remove(now, w, true)
 	l.rate.Started(now, w.Tokens)
 	l.audit.Started(now, w.Tokens)
 	s.explain(j, d, "startedFromQueue")
@@ -201,13 +241,13 @@
 	j := w.Value.job
 	l := s.lane(j)
 	if now.After(w.LatestStart) {
-		l.queue.Remove(w, false)
+		l.remove(now, w, false)
 		return nil, s.refuseLate(j, l, admission.Verdict{RetryAfter: retryAfterNoCapacity})
 	}
-	if _, local := s.choose(now, j); local {
+	if _, local := s.choose(now, j); local || s.learning(now, j) {
 		return nil, nil
 	}
-	l.queue.Remove(w, false)
+	l.remove(now, w, false)
 	if p := s.sendAway(now, j, l, routing.Decision{}, false); p != nil {
 		return p, nil
 	}
@@ -219,7 +259,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if !s.lane(w.Value.job).queue.Remove(w, false) {
+	if !s.lane(w.Value.job).remove(now, w, false) {
 		p := <-w.Value.placed
 		s.chooser.Done(now, p.ticket, false)
 		s.pump(now)
@@ -237,7 +277,7 @@
 func (s *scheduler) refuseLate(j *job, l *lane, v admission.Verdict) error {
 	s.counts.Refused++
 	latest := j.request.Deadline.Add(-v.Estimate.Prefill - v.Estimate.Decode)
-	l.audit.Refused(l.queue.Ahead(j.class.Priority), latest)
+	l.audit.Refused(l.queue.Ahead(j.class.Priority), max(j.query.ExpectedTokens, 1), latest)
 	s.explainRefusal(j, problem.PatienceExceeded, v)
 	return problem.New(problem.PatienceExceeded, http.StatusServiceUnavailable, "class %q cannot be served within its patience now", j.request.Class).WithRetryAfter(v.RetryAfter)
 }
