--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -32,6 +32,10 @@
 	Via            []Hop
 	IdempotencyKey string
 	Epoch          string
+	// Claimed says that the ledger of the caller's home region holds the claim of this call.
+	Claimed bool
+	// SendBy is when the first byte may be sent at the latest; zero sets no bound.
+	SendBy time.Time
 }
 
 // Subject returns what residency is decided for.
--- a/endpoint/errors.go
+++ b/endpoint/errors.go
@@ -1,6 +1,9 @@
 package endpoint
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // UnreachableError says that an endpoint gave no answer.
 type UnreachableError struct {
@@ -60,3 +63,32 @@
 
 // Error says what is missing.
 func (e *NoFinishReasonError) Error() string { return "the answer has no finish reason" }
+
+// LateError says that the time in which a call may be sent was over.
+type LateError struct {
+	SendBy time.Time
+}
+
+// Error says when the call had to be sent.
+func (e *LateError) Error() string { return "the call had to be sent by " + e.SendBy.String() }
+
+// ResendRefusedError says that a second connection was refused to a call.
+type ResendRefusedError struct {
+	Address string
+}
+
+// Error names the address.
+func (e *ResendRefusedError) Error() string {
+	return fmt.Sprintf("a second connection to %q for one call is refused", e.Address)
+}
+
+// AnswerTooLongError says that the answer of a plain service is longer than allowed.
+type AnswerTooLongError struct {
+	Endpoint string
+	Limit    int64
+}
+
+// Error names the endpoint and the limit in bytes.
+func (e *AnswerTooLongError) Error() string {
+	return fmt.Sprintf("the answer of endpoint %q has more than %d bytes", e.Endpoint, e.Limit)
+}
--- a/endpoint/plain.go
+++ b/endpoint/plain.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 
 	"arbutusreel/dispatch"
 	"arbutusreel/membership"
@@ -14,43 +12,52 @@
 // maxReplyBytes is the longest answer of a plain service.
 const maxReplyBytes = 8 << 20
 
-// Plain speaks to plain services, with a new connection for each call so that the transport never resends one.
-type Plain struct {
-	client *http.Client
-}
+// Plain speaks to plain services, with a transport and a connection for each call so that none is ever sent again.
+type Plain struct{}
 
 var _ dispatch.Plain = (*Plain)(nil)
 
 // NewPlain returns a client of plain services.
-func NewPlain() *Plain {
-	return &Plain{client: &http.Client{Transport: newTransport(false), CheckRedirect: refuseRedirect}}
-}
+func NewPlain() *Plain { return &Plain{} }
 
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // once is a body that can be read only once, so that it cannot be sent again.
 type once struct{ io.Reader }
 
-// Call sends the call once; it returns *NotSentError if no connection was made and *DoubtError if no whole answer came.
+// Call sends the call once; it returns *NotSentError if no byte was sent and *DoubtError if no whole answer came.
 func (p *Plain) Call(ctx context.Context, e membership.Endpoint, r dispatch.Request) (dispatch.Reply, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, "http://"+e.Address+r.Path, once{newBody(r.Body)})
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+e.Address+r.Path, once{newBody(r.Body)})
 	if err != nil {
 		return dispatch.Reply{}, &NotSentError{Endpoint: e.Name, Cause: err}
 	}
 	req.ContentLength = int64(len(r.Body))
+	if len(r.Body) == 0 {
+		req.Body = http.NoBody
+	}
 	req.Header.Set("Content-Type", r.ContentType)
 	req.Header.Set(requestIDHeader, r.CorrelationID)
-	resp, err := p.client.Do(req)
-	if err != nil && !connected.Load() {
+	g := &guard{sendBy: r.SendBy}
+	transport := g.transport()
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
+	resp, err := client.Do(req)
+	if err != nil && !g.end() {
 		return dispatch.Reply{}, &NotSentError{Endpoint: e.Name, Cause: err}
 	}
 	if err != nil {
 		return dispatch.Reply{}, &DoubtError{Endpoint: e.Name, Cause: err}
 	}
+	return readReply(e, resp)
+}
+
+// readReply reads a whole answer; a part of one returns *DoubtError.
+func readReply(e membership.Endpoint, resp *http.Response) (dispatch.Reply, error) {
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err == nil && len(body) > maxReplyBytes {
+		err = &AnswerTooLongError{Endpoint: e.Name, Limit: maxReplyBytes}
+	}
 	if err != nil {
 		return dispatch.Reply{}, &DoubtError{Endpoint: e.Name, Cause: err}
 	}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -17,6 +17,8 @@
 	NotRun Outcome = "notRun"
 	// Unknown says that an endpoint may have run the request, wholly or in part.
 	Unknown Outcome = "outcomeUnknown"
+	// Ran says that an endpoint ran the request and its answer cannot be given.
+	Ran Outcome = "ran"
 )
 
 // Code identifies a kind of problem.
@@ -44,6 +46,9 @@
 	KeyReused          Code = "idempotencyKeyReused"
 	CallInProgress     Code = "callInProgress"
 	CallUnknown        Code = "callOutcomeUnknown"
+	CallSettled        Code = "callSettled"
+	AnswerNotKept      Code = "answerNotKept"
+	EpochRequired      Code = "epochRequired"
 	LedgerUnavailable  Code = "ledgerUnavailable"
 	Stopping           Code = "stopping"
 	NotReady           Code = "notReady"
