--- a/calls/group.go
+++ b/calls/group.go
@@ -31,6 +31,9 @@
 // Name returns the name of the replica set.
 func (g *Group) Name() string { return g.name }
 
+// Slots returns the names of the replicas.
+func (g *Group) Slots() []string { return g.slots }
+
 // Len returns the number of replicas.
 func (g *Group) Len() int { return len(g.slots) }
 
--- a/cmd/arbutusreel/daemons.go
+++ b/cmd/arbutusreel/daemons.go
@@ -75,6 +75,12 @@
 		DrainNotice:       m.GetDrainNotice().AsDuration(),
 		DrainTimeout:      m.GetDrainTimeout().AsDuration(),
 		ReaderTimeout:     m.GetReaderTimeout().AsDuration(),
+
+		LedgerReplicas:      m.GetLedgerReplicas(),
+		DataFolder:          m.GetDataFolder(),
+		LedgerRetention:     m.GetLedgerRetention().AsDuration(),
+		LedgerMaxCalls:      int(m.GetLedgerMaxCalls()),
+		OperatorTokenDigest: m.GetOperatorTokenDigest(),
 	}
 	for _, member := range m.GetControls() {
 		_, address, _ := strings.Cut(member, "=")
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -44,6 +44,8 @@
 	mux.HandleFunc("POST /v1/chat/completions", n.authenticated(n.chat))
 	mux.HandleFunc("POST /v1/completions", n.authenticated(n.text))
 	mux.HandleFunc("/v1/services/{service}/{path...}", n.authenticated(n.service))
+	mux.HandleFunc("GET /v1/repair", n.operator(n.listDoubtful))
+	mux.HandleFunc("POST /v1/repair", n.operator(n.settleDoubtful))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", n.ready)
 	mux.Handle("GET /debug/vars", expvar.Handler())
@@ -182,7 +184,11 @@
 	if len(home) == 0 {
 		home = live
 	}
-	b, err := protojson.Marshal(&wiregen.EntriesReply{Entries: wire.EncodeEntries(home), TtlMillis: entriesTTL.Milliseconds()})
+	b, err := protojson.Marshal(&wiregen.EntriesReply{
+		Entries:   wire.EncodeEntries(home),
+		Epoch:     n.epochToken(c.team.HomeRegion),
+		TtlMillis: entriesTTL.Milliseconds(),
+	})
 	if err != nil {
 		n.fail(w, c, err)
 		return
--- a/entry/config.go
+++ b/entry/config.go
@@ -18,6 +18,13 @@
 	DrainNotice       time.Duration
 	DrainTimeout      time.Duration
 	ReaderTimeout     time.Duration
+	// LedgerReplicas are the region's ledger replicas, as name=address.
+	LedgerReplicas []string
+	// DataFolder keeps the own ledger replica; empty keeps it in memory.
+	DataFolder          string
+	LedgerRetention     time.Duration
+	LedgerMaxCalls      int
+	OperatorTokenDigest string
 }
 
 // Periods and limits of the daemon's duties.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,7 +15,6 @@
 	"arbutusreel/calls"
 	"arbutusreel/dispatch"
 	"arbutusreel/endpoint"
-	"arbutusreel/ledger"
 	"arbutusreel/routing"
 	"arbutusreel/wiregen"
 )
@@ -30,10 +29,13 @@
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
 	runner     *calls.Runner
-	leaving    atomic.Bool
-	closed     atomic.Bool
-	active     atomic.Int64
-	done       chan struct{}
+	// replica is nil on an instance that is no ledger replica.
+	replica     *calls.Replica
+	ledgerGroup *calls.Group
+	leaving     atomic.Bool
+	closed      atomic.Bool
+	active      atomic.Int64
+	done        chan struct{}
 }
 
 // New returns an entry daemon that runs when Run is called.
@@ -42,15 +44,18 @@
 	p := newPeers(s, cfg.Self.Name)
 	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
 	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, routing.New(), log)
-	return &Entry{
+	n := &Entry{
 		cfg:        cfg,
 		log:        log,
 		state:      s,
 		peers:      p,
 		dispatcher: d,
-		runner:     calls.New(ledger.New(), d, now),
 		done:       make(chan struct{}),
 	}
+	link := newLedgerLink(n, cfg.LedgerReplicas)
+	n.ledgerGroup = calls.NewGroup(link.slots(), link)
+	n.runner = calls.New(cfg.Self.Name, n.ledgerGroup, d, n.keepsAnswer, cfg.LedgerRetention, log, now)
+	return n
 }
 
 // Done is closed when the daemon has stopped.
@@ -59,6 +64,9 @@
 // Run serves until ctx ends and then stops gracefully; an address that cannot be served is returned as an error.
 func (n *Entry) Run(ctx context.Context) error {
 	defer close(n.done)
+	if err := n.openReplica(); err != nil {
+		return err
+	}
 	listeners, err := listen(ctx, n.cfg.Self.CallerAddress, n.cfg.Self.EndpointAddress, n.cfg.Self.PeerAddress)
 	if err != nil {
 		return err
@@ -67,6 +75,7 @@
 	endpoints := &http.Server{Handler: n.endpointHandler(), ReadHeaderTimeout: headerTimeout}
 	peerServer := grpc.NewServer()
 	wiregen.RegisterPeerServer(peerServer, n)
+	wiregen.RegisterLedgerServer(peerServer, &ledgerServer{entry: n})
 
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -78,6 +87,7 @@
 	wg.Go(func() { n.exchangeLoop(work) })
 	wg.Go(func() { n.publishLoop(work) })
 	wg.Go(func() { n.expireLoop(work) })
+	wg.Go(func() { n.keepLedger(work) })
 	n.log.Info().Str("callerAddress", n.cfg.Self.CallerAddress).Msg("started")
 
 	<-ctx.Done()
@@ -100,7 +110,7 @@
 	wait(ctx, n.cfg.DrainNotice)
 	n.closed.Store(true)
 	deadline := time.Now().Add(n.cfg.DrainTimeout)
-	for n.active.Load() > 0 && time.Now().Before(deadline) {
+	for n.active.Load()+n.runner.Active() > 0 && time.Now().Before(deadline) {
 		wait(ctx, drainPoll)
 	}
 	n.log.Info().Int64("active", n.active.Load()).Msg("drained")
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"arbutusreel/dispatch"
+	"arbutusreel/inventory"
 	"arbutusreel/problem"
 	"arbutusreel/stream"
 	"arbutusreel/wire"
@@ -32,17 +33,28 @@
 
 // client returns the client of the peer at the address, which is connected at its first use.
 func (p *peers) client(address string) (wiregen.PeerClient, error) {
+	conn, err := p.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return wiregen.NewPeerClient(conn), nil
+}
+
+// conn returns the connection to the address, which is made at its first use.
+func (p *peers) conn(address string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if conn := p.conns[address]; conn != nil {
-		return wiregen.NewPeerClient(conn), nil
+		return conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnectBackoff(), MinConnectTimeout: connectTimeout}))
 	if err != nil {
 		return nil, err
 	}
 	p.conns[address] = conn
-	return wiregen.NewPeerClient(conn), nil
+	return conn, nil
 }
 
 func (p *peers) close() {
@@ -86,33 +98,6 @@
 	}
 }
 
-// ForwardCall sends a call to an entry of the region.
-func (p *peers) ForwardCall(ctx context.Context, region string, r dispatch.Request) (dispatch.Reply, error) {
-	frames, err := p.open(ctx, region, r)
-	if err != nil {
-		return dispatch.Reply{}, err
-	}
-	var reply dispatch.Reply
-	for {
-		frame, err := frames.Recv()
-		if err != nil {
-			return dispatch.Reply{}, problem.New(problem.CallUnknown, http.StatusBadGateway, "region %q gave no answer", region).WithOutcome(problem.Unknown)
-		}
-		switch f := frame.GetFrame().(type) {
-		case *wiregen.ForwardFrame_Head:
-			reply.Status = int(f.Head.GetStatus())
-			reply.ContentType = f.Head.GetContentType()
-			reply.Endpoint = f.Head.GetEndpoint()
-		case *wiregen.ForwardFrame_Piece:
-			reply.Body = append(reply.Body, f.Piece.GetData()...)
-		case *wiregen.ForwardFrame_End:
-			return reply, nil
-		case *wiregen.ForwardFrame_Problem:
-			return dispatch.Reply{}, wire.DecodeProblem(f.Problem)
-		}
-	}
-}
-
 // open starts a forward to a live entry of the region.
 func (p *peers) open(ctx context.Context, region string, r dispatch.Request) (grpc.ServerStreamingClient[wiregen.ForwardFrame], error) {
 	for _, e := range p.state.live() {
@@ -172,7 +157,20 @@
 	if s.Idempotent {
 		return n.dispatcher.Call(ctx, r)
 	}
-	return n.runner.Run(ctx, r)
+	return n.forwardedOnce(ctx, inv, r)
+}
+
+// forwardedOnce runs a call that may not be repeated: through the ledger in its home region, and elsewhere if that has claimed it.
+func (n *Entry) forwardedOnce(ctx context.Context, inv *inventory.Inventory, r dispatch.Request) (dispatch.Reply, error) {
+	team, ok := inv.Team(r.Team)
+	switch {
+	case ok && team.HomeRegion == n.cfg.Self.Region:
+		return n.runner.Run(ctx, r)
+	case r.Claimed:
+		return n.dispatcher.Call(ctx, r)
+	default:
+		return dispatch.Reply{}, problem.New(problem.HomeRegionRequired, http.StatusServiceUnavailable, "region %q is not the home of team %q", n.cfg.Self.Region, r.Team).WithOutcome(problem.Unknown)
+	}
 }
 
 func sendReply(frames grpc.ServerStreamingServer[wiregen.ForwardFrame], reply dispatch.Reply) error {
--- a/entry/publish.go
+++ b/entry/publish.go
@@ -16,7 +16,7 @@
 func (n *Entry) self() membership.Entry {
 	e := n.cfg.Self
 	e.Leaving = n.leaving.Load()
-	return e
+	return n.withLedgerEpoch(e)
 }
 
 // publishLoop keeps the entry listed in the directory while it is not leaving.
--- a/entry/services.go
+++ b/entry/services.go
@@ -8,6 +8,7 @@
 	"arbutusreel/dispatch"
 	"arbutusreel/inventory"
 	"arbutusreel/problem"
+	"arbutusreel/residency"
 )
 
 // service answers a call of a plain service.
@@ -47,10 +48,22 @@
 	if home == n.cfg.Self.Region {
 		return n.runner.Run(ctx, req)
 	}
+	if !n.keepsBody(req, home) {
+		return dispatch.Reply{}, problem.New(problem.ResidencyRefused, http.StatusForbidden, "the request may not enter home region %q, whose ledger holds its key", home)
+	}
 	self := dispatch.Hop{Instance: n.cfg.Self.Name, Region: n.cfg.Self.Region}
 	return n.peers.ForwardCall(ctx, home, req.WithHop(self))
 }
 
+// keepsAnswer reports whether the own region may store the answer of a request.
+func (n *Entry) keepsAnswer(req dispatch.Request) bool { return n.keepsBody(req, n.cfg.Self.Region) }
+
+// keepsBody reports whether the data of a request may be in the region.
+func (n *Entry) keepsBody(req dispatch.Request, region string) bool {
+	inv, _ := n.state.Inventory()
+	return inv != nil && residency.Allows(inv, req.Subject(), region)
+}
+
 func (n *Entry) serviceRequest(w http.ResponseWriter, r *http.Request, c caller) (dispatch.Request, inventory.Service, error) {
 	s, ok := c.inventory.Service(r.PathValue("service"))
 	if !ok || s.Kind != inventory.KindPlain {
--- a/load/load.go
+++ b/load/load.go
@@ -78,8 +78,14 @@
 	client *http.Client
 	mu     sync.Mutex
 	result Result
+	// epoch is the token of the ledger for new keys, as it was told at epochAt.
+	epoch   string
+	epochAt time.Time
 }
 
+// epochPeriod is how long a token of the ledger is used for new keys.
+const epochPeriod = 2 * time.Second
+
 func (g *generator) one(ctx context.Context, i int, prompt string) {
 	address := g.cfg.Entries[i%len(g.cfg.Entries)]
 	began := time.Now()
@@ -158,6 +164,7 @@
 	}
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
+		req.Header.Set("Arbutusreel-Epoch", g.token(ctx, url))
 	}
 	resp, err := g.client.Do(req)
 	if err != nil {
@@ -170,6 +177,34 @@
 	return resp, ""
 }
 
+// token returns the token of the ledger from the entry of the URL, or the one told before if that gives none.
+func (g *generator) token(ctx context.Context, url string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch != "" && time.Since(g.epochAt) < epochPeriod {
+		return g.epoch
+	}
+	path := strings.Index(url, "/v1/")
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url[:path]+"/v1/entries", nil)
+	if err != nil {
+		return g.epoch
+	}
+	req.Header.Set("Authorization", "Bearer "+g.cfg.Token)
+	resp, err := g.client.Do(req)
+	if err != nil {
+		return g.epoch
+	}
+	defer resp.Body.Close()
+	var m struct {
+		Epoch string `json:"epoch"`
+	}
+	b, err := io.ReadAll(resp.Body)
+	if err == nil && json.Unmarshal(b, &m) == nil && m.Epoch != "" {
+		g.epoch, g.epochAt = m.Epoch, time.Now()
+	}
+	return g.epoch
+}
+
 func failureOf(resp *http.Response) string {
 	var m struct {
 		Code string `json:"code"`
--- a/membership/entry.go
+++ b/membership/entry.go
@@ -16,6 +16,8 @@
 	PeerAddress     string
 	Weight          float64
 	Leaving         bool
+	// LedgerEpoch is the epoch of the ledger of the region, as the entry's replica knows it.
+	LedgerEpoch string
 }
 
 // Summary is what other regions need to know of one service of a region.
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -46,6 +46,7 @@
 	KeyReused          Code = "idempotencyKeyReused"
 	CallInProgress     Code = "callInProgress"
 	CallUnknown        Code = "callOutcomeUnknown"
+	UnknownCall        Code = "unknownCall"
 	CallSettled        Code = "callSettled"
 	AnswerNotKept      Code = "answerNotKept"
 	EpochRequired      Code = "epochRequired"
--- a/systemtest/harness_test.go
+++ b/systemtest/harness_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -128,6 +129,8 @@
 	endpoints []*instance
 	inventory string
 	all       []*process
+	mu        sync.Mutex
+	epochs    map[string]string
 }
 
 // options describes a system; each region has one control voter.
@@ -172,13 +175,14 @@
 			e.process = &process{name: fmt.Sprintf("entry-%s-%d", r, j)}
 		}
 	}
+	replicas := ledgerReplicas(s.entries)
 	for i, e := range s.entries {
 		domain := string(rune('a' + i%o.entriesPerRegion))
 		args := []string{
 			"arbutusreel", "entry", "--name", e.name, "--region", e.region, "--failureDomain", e.region + "-" + domain,
 			"--callerAddress", e.caller, "--endpointAddress", e.endpoint, "--peerAddress", e.peer,
 			"--controls", strings.Join(voters, ","), "--peers", strings.Join(peers, ","), "--directoryAddress", s.directory,
-			"--drainNotice", "300ms", "--operatorTokenDigest", operatorDigest,
+			"--ledgerReplicas", replicas[e.region], "--drainNotice", "300ms", "--operatorTokenDigest", operatorDigest,
 		}
 		if o.dataFolders {
 			args = append(args, "--dataFolder", filepath.Join(s.dir, e.name))
@@ -314,6 +318,9 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
+	if key := req.Header.Get("Idempotency-Key"); key != "" && req.Header.Get("Arbutusreel-Epoch") == "" {
+		req.Header.Set("Arbutusreel-Epoch", s.epoch(address, token, key))
+	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
@@ -331,6 +338,41 @@
 	return s.do(http.MethodGet, address, path, token, "").status
 }
 
+// ledgerReplicas returns the setting of each region's ledger replicas: its first three entries.
+func ledgerReplicas(entries []*instance) map[string]string {
+	const most = 3
+	members := map[string][]string{}
+	for _, e := range entries {
+		if len(members[e.region]) < most {
+			members[e.region] = append(members[e.region], e.name+"="+e.peer)
+		}
+	}
+	settings := map[string]string{}
+	for region, list := range members {
+		settings[region] = strings.Join(list, ",")
+	}
+	return settings
+}
+
+// epoch returns the token of the ledger that goes with a key: the one that was told before its first try.
+func (s *system) epoch(address, token, key string) string {
+	s.mu.Lock()
+	known := s.epochs[token+key]
+	s.mu.Unlock()
+	if known != "" {
+		return known
+	}
+	var m struct{ Epoch string }
+	_ = json.Unmarshal([]byte(s.do(http.MethodGet, address, "/v1/entries", token, "").body), &m)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epochs == nil {
+		s.epochs = map[string]string{}
+	}
+	s.epochs[token+key] = m.Epoch
+	return m.Epoch
+}
+
 // freeAddress returns a loopback address whose port was free a moment ago.
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -122,6 +122,7 @@
 		PeerAddress:     m.GetPeerAddress(),
 		Weight:          m.GetWeight(),
 		Leaving:         m.GetLeaving(),
+		LedgerEpoch:     m.GetLedgerEpoch(),
 	}
 }
 
@@ -135,6 +136,7 @@
 		PeerAddress:     e.PeerAddress,
 		Weight:          e.Weight,
 		Leaving:         e.Leaving,
+		LedgerEpoch:     e.LedgerEpoch,
 	}
 }
 
--- a/wire/forward.go
+++ b/wire/forward.go
@@ -28,6 +28,10 @@
 		MaxTokens:       int64(r.MaxTokens),
 		IdempotencyKey:  r.IdempotencyKey,
 		Epoch:           r.Epoch,
+		Claimed:         r.Claimed,
+	}
+	if !r.SendBy.IsZero() {
+		m.SendWithinMillis = max(time.Until(r.SendBy).Milliseconds(), 1)
 	}
 	for _, h := range r.Via {
 		m.ViaInstances = append(m.ViaInstances, h.Instance)
@@ -55,6 +59,10 @@
 		Deadline:       now.Add(time.Duration(m.GetRemainingMillis()) * time.Millisecond),
 		IdempotencyKey: m.GetIdempotencyKey(),
 		Epoch:          m.GetEpoch(),
+		Claimed:        m.GetClaimed(),
+	}
+	if m.GetSendWithinMillis() > 0 {
+		r.SendBy = now.Add(time.Duration(m.GetSendWithinMillis()) * time.Millisecond)
 	}
 	for i, instance := range m.GetViaInstances() {
 		hop := dispatch.Hop{Instance: instance}
