--- a/ledger/record.go
+++ b/ledger/record.go
@@ -68,7 +68,7 @@
 	Key     Key
 	Digest  string
 	Service string
-	// Attempt is the unique id of the claim, and Owner the instance that made it.
+	// Attempt is the unique id of the claim, or empty if either of several may have won; Owner is the instance that made it.
 	Attempt   string
 	Owner     string
 	ClaimedAt time.Time
@@ -101,6 +101,11 @@
 	if best.Promised.Less(other.Promised) {
 		best.Promised = other.Promised
 	}
+	rival := !best.Withdrawn && !other.Withdrawn && best.Value.Ending == Open && best.Attempt != other.Attempt
+	if rival {
+		// No withdrawal of one claim may hide the other.
+		best.Attempt = ""
+	}
 	return best
 }
 
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -199,8 +199,7 @@
 func (r *Replica) claim(now time.Time, m Request) Reply {
 	k := m.Call.Key
 	old, ok := r.calls[k]
-	same := ok && old.Attempt == m.Call.Attempt && !old.Withdrawn && old.Value.Ending == Open && old.Promised == Ballot{}
-	if same {
+	if ok && acknowledged(old, m.Call.Attempt) {
 		return r.withCall(Accepted, k)
 	}
 	if ok && (!old.Withdrawn || old.Attempt == m.Call.Attempt) {
@@ -213,6 +212,11 @@
 	return r.withCall(Accepted, k)
 }
 
+// acknowledged reports whether the replica acknowledged the claim of the attempt and nothing has happened to it since.
+func acknowledged(c Record, attempt string) bool {
+	return c.Attempt == attempt && !c.Withdrawn && c.Value.Ending == Open && c.Promised == Ballot{}
+}
+
 // newClaim returns the record of a claim that was received now.
 func newClaim(now time.Time, c Record) Record {
 	return Record{Key: c.Key, Digest: c.Digest, Service: c.Service, Attempt: c.Attempt, Owner: c.Owner, ClaimedAt: now, Lease: c.Lease}
--- a/ledger/tally.go
+++ b/ledger/tally.go
@@ -1,5 +1,10 @@
 package ledger
 
+import (
+	"maps"
+	"slices"
+)
+
 // Tally counts the replies of n replicas to one request.
 type Tally struct {
 	n       int
@@ -55,11 +60,11 @@
 	return accepted+t.n-len(t.replies) < Quorum(t.n) || (t.Full() && !t.Won())
 }
 
-// Replies returns the replies so far.
+// Replies returns the replies so far in the order of the replicas.
 func (t *Tally) Replies() []Reply {
 	replies := make([]Reply, 0, len(t.replies))
-	for _, r := range t.replies {
-		replies = append(replies, r)
+	for _, slot := range slices.Sorted(maps.Keys(t.replies)) {
+		replies = append(replies, t.replies[slot])
 	}
 	return replies
 }
--- a/ledger/verdict.go
+++ b/ledger/verdict.go
@@ -43,7 +43,8 @@
 // strongest returns the record that says most; withdrawn claims and the attempt's own count as none.
 func strongest(now time.Time, attempt string, replies []Reply) (best Record, found bool) {
 	for _, r := range replies {
-		if !r.Found || r.Call.Withdrawn || r.Call.Attempt == attempt {
+		own := attempt != "" && r.Call.Attempt == attempt
+		if !r.Found || r.Call.Withdrawn || own {
 			continue
 		}
 		if !found || stronger(now, r.Call, best) {
