--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -331,6 +331,9 @@
 	}
 	m.dispatches[a.key]++
 	m.used["dispatched"]++
+	if m.chosen[a.key].Ending == SettledNotRun {
+		m.fail(a.key, "dispatched after an operator settled it as not run")
+	}
 	if m.dispatches[a.key] > 1 {
 		m.fail(a.key, "dispatched twice")
 	}
@@ -417,22 +420,13 @@
 				m.keep(s, rapid.SliceOfDistinct(slot, rapid.ID[string]).Draw(t, "reached"))
 			}
 		},
-		"keepStep": func(t *rapid.T) { m.step(slot.Draw(t, "slot")) },
-		"recoverAll": func(*rapid.T) {
-			for _, s := range m.slots {
-				for m.nodes[s].alive && len(m.nodes[s].todo) > 0 {
-					m.step(s)
-				}
-				if m.nodes[s].alive {
-					m.keep(s, m.slots)
-				}
-			}
-		},
+		"keepStep":   func(t *rapid.T) { m.step(slot.Draw(t, "slot")) },
+		"recoverAll": func(*rapid.T) { m.recoverAll() },
 		"settle": func(t *rapid.T) {
 			k := Key{Key: key.Draw(t, "key")}
 			ending := rapid.SampledFrom([]Ending{SettledRan, SettledNotRun}).Draw(t, "ending")
 			call, ok := m.nodes[slot.Draw(t, "slot")].calls[k]
-			if ok && call.Doubtful(m.now) {
+			if ok && call.Value.Ending == Open && !call.Withdrawn {
 				m.settle(call, Value{Ending: ending, By: "operator"})
 			}
 		},
@@ -442,6 +436,18 @@
 	}
 }
 
+// recoverAll lets the keeper of each replica run its steps and plan the next with all replicas reached.
+func (m *machine) recoverAll() {
+	for _, s := range m.slots {
+		for m.nodes[s].alive && len(m.nodes[s].todo) > 0 {
+			m.step(s)
+		}
+		if m.nodes[s].alive {
+			m.keep(s, m.slots)
+		}
+	}
+}
+
 // step runs one waiting step of a replica's keeper.
 func (m *machine) step(slot string) {
 	n := m.nodes[slot]
@@ -484,7 +490,7 @@
 				for range machinesPerCase {
 					m := newMachine(n, rapid.IntRange(0, n).Draw(t, "disks"))
 					for range 2*n + 2 {
-						m.actions()["recoverAll"](t)
+						m.recoverAll()
 					}
 					m.drive(t, 250)
 					for what, count := range m.used {
@@ -496,3 +502,38 @@
 		})
 	}
 }
+
+// TestLateClaimAfterRecovery lets a claim reach a replica after another one, which had acknowledged it, lost its memory and recovered.
+func TestLateClaimAfterRecovery(t *testing.T) {
+	m := newMachine(3, 0)
+	for range 3 {
+		m.recoverAll()
+	}
+	m.start("a")
+	claim := m.inFlight[0].request
+	first := m.attempts[0]
+	acknowledge := func(slot string, a *testAttempt, r Request) {
+		reply, _ := m.handle(slot, r)
+		a.Handle(Claiming, reply)
+	}
+	acknowledge("r0", first, claim)
+	m.crash("r0")
+	m.restart("r0")
+	m.recoverAll()
+	m.recoverAll()
+	if !m.nodes["r0"].active {
+		t.Fatal("r0 has not recovered")
+	}
+	acknowledge("r1", first, claim)
+	m.start("a")
+	second := m.attempts[1]
+	other, _ := second.Request()
+	acknowledge("r0", second, other)
+	acknowledge("r2", second, other)
+	if first.Claimed() && second.Claimed() {
+		t.Error("two attempts won the claim of one key")
+	}
+	if !second.Claimed() {
+		t.Error("the second attempt did not win the key")
+	}
+}
