--- a/cmd/arbutusreel/daemons.go
+++ b/cmd/arbutusreel/daemons.go
@@ -104,6 +104,10 @@
 		RoutingPolicy:       m.GetRoutingPolicy(),
 		Seed:                uint64(m.GetSeed()),
 		OperatorTokenDigest: m.GetOperatorTokenDigest(),
+		LedgerReplicas:      m.GetLedgerReplicas(),
+		DataFolder:          m.GetDataFolder(),
+		LedgerRetention:     m.GetLedgerRetention().AsDuration(),
+		LedgerMaxCalls:      int(m.GetLedgerMaxCalls()),
 	}
 	cfg.ControlNames = map[string]string{}
 	for _, member := range m.GetControls() {
--- a/entry/config.go
+++ b/entry/config.go
@@ -28,6 +28,12 @@
 	Keys                *keys.Source
 	Decisions           *decision.Store
 	OperatorTokenDigest string
+	// LedgerReplicas are the region's ledger replicas, as name=address.
+	LedgerReplicas []string
+	// DataFolder keeps the own ledger replica; empty keeps it in memory.
+	DataFolder      string
+	LedgerRetention time.Duration
+	LedgerMaxCalls  int
 }
 
 // Periods and limits of the daemon's duties.
--- a/entry/forwarded.go
+++ b/entry/forwarded.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 
 	"arbutusreel/dispatch"
+	"arbutusreel/inventory"
 	"arbutusreel/problem"
 	"arbutusreel/stream"
 	"arbutusreel/wire"
@@ -77,7 +78,20 @@
 	if s.Idempotent {
 		return n.dispatcher.Call(ctx, r)
 	}
-	return n.runner.Run(ctx, r)
+	return n.forwardedOnce(ctx, inv, r)
+}
+
+// forwardedOnce runs a call that may not be repeated: through the ledger in its home region, and elsewhere if that has claimed it.
+func (n *Entry) forwardedOnce(ctx context.Context, inv *inventory.Inventory, r dispatch.Request) (dispatch.Reply, error) {
+	team, ok := inv.Team(r.Team)
+	switch {
+	case ok && team.HomeRegion == n.cfg.Self.Region:
+		return n.runner.Run(ctx, r)
+	case r.Claimed:
+		return n.dispatcher.Call(ctx, r)
+	default:
+		return dispatch.Reply{}, problem.New(problem.HomeRegionRequired, http.StatusServiceUnavailable, "region %q is not the home of team %q", n.cfg.Self.Region, r.Team).WithOutcome(problem.Unknown)
+	}
 }
 
 func sendReply(frames grpc.ServerStreamingServer[wiregen.ForwardFrame], reply dispatch.Reply) error {
--- a/entry/publish.go
+++ b/entry/publish.go
@@ -18,7 +18,7 @@
 	e.Leaving = !n.ready()
 	e.Incarnation = n.began.UnixNano()
 	e.Sequence = n.adverts.Add(1)
-	return e
+	return n.withLedgerEpoch(e)
 }
 
 // publishLoop keeps the entry listed in the directory while it is ready.
