--- a/control/direct.go
+++ b/control/direct.go
@@ -39,12 +39,13 @@
 // heardFollower notes an entry that follows this voter; one whose certificate names another instance is refused.
 func (c *Control) heardFollower(ctx context.Context, m *wiregen.FollowReport) error {
 	sender := m.GetSender()
+	if sender == nil {
+		return nil
+	}
 	if err := c.cfg.Keys.CheckClaim(ctx, sender.GetName(), sender.GetRegion()); err != nil {
 		c.log.Warn().Err(err).Msg("peerRefused")
 		return status.Error(codes.PermissionDenied, err.Error())
 	}
-	if sender != nil {
-		c.direct.hear(c.now(), sender)
-	}
+	c.direct.hear(c.now(), sender)
 	return nil
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -74,5 +74,9 @@
 
 // heardFollower refuses a follower whose certificate names another instance than its report does.
 func (n *Entry) heardFollower(ctx context.Context, m *wiregen.FollowReport) error {
-	return n.cfg.Keys.CheckClaim(ctx, m.GetSender().GetName(), m.GetSender().GetRegion())
+	sender := m.GetSender()
+	if sender == nil {
+		return nil
+	}
+	return n.cfg.Keys.CheckClaim(ctx, sender.GetName(), sender.GetRegion())
 }
--- a/relay/follower.go
+++ b/relay/follower.go
@@ -21,6 +21,8 @@
 	latestTimeout = time.Second
 	reportCheck   = 200 * time.Millisecond
 	reportPeriod  = time.Second
+	// advertPeriod is the time after which a report names the sender's addresses again.
+	advertPeriod = 4 * time.Second
 	// preferPeriod is the time after which a follower goes back to a source that it prefers.
 	preferPeriod = 10 * time.Second
 )
@@ -49,6 +51,8 @@
 	log      zerolog.Logger
 	// wantsWhole says that a delta did not fit, so that the next source is asked for the whole.
 	wantsWhole atomic.Bool
+	// advertAt is when the addresses were last sent on the present stream.
+	advertAt time.Time
 }
 
 // NewFollower returns a follower that keeps the instance and its hub up to date.
@@ -181,10 +185,8 @@
 }
 
 func (f *Follower) firstReport(sender *distribution.Sender) *wiregen.FollowReport {
+	f.advertAt = time.Time{}
 	m := f.nextReport(sender)
-	if m == nil {
-		m = &wiregen.FollowReport{Sender: f.instance.Advert()}
-	}
 	m.Revision, m.Checksum = f.held()
 	return m
 }
@@ -199,7 +201,9 @@
 		return nil
 	}
 	m := encodeReport(now, r)
-	m.Sender = f.instance.Advert()
+	if now.Sub(f.advertAt) >= advertPeriod {
+		m.Sender, f.advertAt = f.instance.Advert(), now
+	}
 	return m
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"arbutusreel/distribution"
 	"arbutusreel/wiregen"
@@ -50,6 +52,9 @@
 	if err != nil {
 		return err
 	}
+	if first.GetSender() == nil {
+		return status.Error(codes.InvalidArgument, "the first report names no sender")
+	}
 	if err := s.heard(reports.Context(), first); err != nil {
 		return err
 	}
