--- a/operator/client.go
+++ b/operator/client.go
@@ -49,7 +49,7 @@
 
 const (
 	// attemptTimeout bounds the wait for one voter, which may be cut off.
-	attemptTimeout = 3 * time.Second
+	attemptTimeout = 1500 * time.Millisecond
 	// roundPause is the time between two rounds over all voters.
 	roundPause = 200 * time.Millisecond
 )
--- a/systemtest/configuration_test.go
+++ b/systemtest/configuration_test.go
@@ -206,7 +206,7 @@
 	s := voters(t, 1)
 	const changes = 300
 	// compactedLimit holds a snapshot with the answers to all changes, and forty entries.
-	const compactedLimit = 24 << 10
+	const compactedLimit = 16 << 10
 	leader := s.leader()
 	away := s.otherControls(leader)[0]
 	away.kill()
