--- a/systemtest/configuration_test.go
+++ b/systemtest/configuration_test.go
@@ -229,7 +229,7 @@
 	s.mustChange("change-7", 7)
 	s.mustChange("after", changes+1)
 	s.inForce(changes + 2)
-	info, err := os.Stat(filepath.Join(s.dir, away.name, "journal"))
+	info, err := os.Stat(filepath.Join(s.dir, leader.name, "journal"))
 	if err != nil {
 		t.Fatal(err)
 	}
