--- a/control/control.go
+++ b/control/control.go
@@ -67,6 +67,7 @@
 	failed := make(chan error, 1)
 	wg.Go(func() { failed <- c.quorum.run(work) })
 	wg.Go(func() { c.watchLeader(work) })
+	wg.Go(func() { c.place(work) })
 	c.log.Info().Str("operatorAddress", c.cfg.OperatorAddress).Str("disk", c.quorum.disk.identity).
 		Int64("revision", c.store.Current().Revision).Msg("started")
 	select {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,7 @@
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
 	runner     *calls.Runner
+	demands    *demands
 	began      time.Time
 	leaving    atomic.Bool
 	closed     atomic.Bool
@@ -54,6 +55,7 @@
 		hub:        relay.NewHub(cfg.Self.Name, now),
 		peers:      p,
 		dispatcher: d,
+		demands:    newDemands(),
 		runner:     calls.New(ledger.New(), d, now),
 		began:      now(),
 		done:       make(chan struct{}),
@@ -142,6 +144,7 @@
 
 func (n *Entry) expireLoop(ctx context.Context) {
 	every(ctx, expirePeriod, func() {
+		n.dispatcher.Refresh()
 		for _, e := range n.state.expire() {
 			n.log.Info().Str("endpoint", e.Name).Str("service", e.Service).Bool("leaving", e.Leaving).Msg("endpointExpired")
 		}
