Hold the limits of teams across entries

Entries ask the owners of a team's parts twice a second through their own gRPC service; the dispatcher takes the expected tokens of a request of its own callers at its start and settles to the real use at its end. Over its limit a team is refused at once with limitExceeded and Retry-After.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -66,6 +66,7 @@
 	plain     Plain
 	forward   Forwarder
 	scheduler *scheduler
+	limiter   Limiter
 	now       func() time.Time
 	log       zerolog.Logger
 }
@@ -101,6 +102,10 @@
 	if err != nil {
 		return stream.End{}, err
 	}
+	if err := d.spend(j); err != nil {
+		return stream.End{}, err
+	}
+	defer d.settle(j)
 	rec := newRecorder(sink, r.Resume)
 	for {
 		p, err := d.scheduler.place(ctx, j)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -31,6 +31,8 @@
 	pieces   int
 	// likely is the number of tokens that must fit into the patience.
 	likely int
+	// spent is what was taken of the team's limit.
+	spent int
 }
 
 // placement is where an attempt goes: to an endpoint, or to a region.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,7 @@
 	state      *state
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
+	rates      *rates
 	runner     *calls.Runner
 	began      time.Time
 	leaving    atomic.Bool
@@ -44,6 +45,8 @@
 	p := newPeers(s, cfg.Self.Name, cfg.Keys)
 	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
 	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, newChooser(cfg.RoutingPolicy, now(), newSource(cfg.Seed)), now, newSource(cfg.Seed), log)
+	r := newRates(cfg.Self, now)
+	d = d.WithLimiter(r)
 	publishMetrics(d)
 	return &Entry{
 		cfg:        cfg,
@@ -51,6 +54,7 @@
 		state:      s,
 		peers:      p,
 		dispatcher: d,
+		rates:      r,
 		runner:     calls.New(ledger.New(), d, now),
 		began:      now(),
 		done:       make(chan struct{}),
@@ -80,6 +84,7 @@
 	wg.Go(func() { n.follow(work) })
 	wg.Go(func() { n.exchangeLoop(work) })
 	wg.Go(func() { n.publishLoop(work) })
+	wg.Go(func() { n.lendLoop(work) })
 	wg.Go(func() { n.expireLoop(work) })
 	n.log.Info().Str("callerAddress", n.cfg.Self.CallerAddress).Msg("started")
 
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -50,6 +50,7 @@
 	}
 	wiregen.RegisterPeerServer(s.peers, n)
 	wiregen.RegisterPlacementServer(s.peers, n)
+	wiregen.RegisterLimitsServer(s.peers, limitsServer{rates: n.rates})
 	return s
 }
 
