--- /dev/null
+++ b/control/machine.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"arbutusreel/configuration"
+	"arbutusreel/distribution"
+	"arbutusreel/inventory"
+	"arbutusreel/relay"
+	"arbutusreel/wire"
+	"arbutusreel/wiregen"
+)
+
+// machine is the replicated state: the configuration and the encoded inventory in force.
+type machine struct {
+	state *configuration.State
+	whole []byte
+}
+
+func newMachine() *machine { return &machine{state: configuration.NewState()} }
+
+// encodeCommand returns the command of a change: a delta if it expects the
+// revision whose inventory is given, and else the whole.
+func encodeCommand(c configuration.Change, revision int64, whole []byte) []byte {
+	m := &wiregen.ChangeCommand{ChangeId: c.ID, ExpectedRevision: c.Expected}
+	next := marshal(wire.EncodeInventory(c.Inventory))
+	if c.Expected == revision && revision > 0 {
+		m.Delta = relay.EncodeDelta(distribution.NewDelta(revision+1, whole, next))
+	} else {
+		m.Inventory = next
+	}
+	return marshal(m)
+}
+
+// apply decides the change of a command. Whether an inventory is valid was
+// checked before it was proposed; here it plays no part in the decision, so
+// that voters of different versions decide alike. A command that cannot be
+// read, or a delta that does not fit, returns *RecordError: the state is then
+// not that of the other voters.
+func (m *machine) apply(command []byte) (configuration.Answer, error) {
+	c := &wiregen.ChangeCommand{}
+	if err := proto.Unmarshal(command, c); err != nil {
+		return configuration.Answer{}, &RecordError{Record: "change", Cause: err}
+	}
+	if m.decides(c) {
+		return m.state.Apply(configuration.Change{ID: c.GetChangeId(), Expected: c.GetExpectedRevision()}), nil
+	}
+	whole := c.GetInventory()
+	if c.GetDelta() != nil {
+		var err error
+		if whole, err = relay.DecodeDelta(c.GetDelta()).Apply(m.whole); err != nil {
+			return configuration.Answer{}, &RecordError{Record: "change", Cause: err}
+		}
+	}
+	m.whole = whole
+	inv, err := decodeInventory(whole)
+	answer := m.state.Apply(configuration.Change{ID: c.GetChangeId(), Expected: c.GetExpectedRevision(), Inventory: inv})
+	return answer, m.refused(err)
+}
+
+// decides reports whether the answer to a command is known before its inventory is looked at: a resend or a conflict.
+func (m *machine) decides(c *wiregen.ChangeCommand) bool {
+	return m.state.Answered(c.GetChangeId()) || c.GetExpectedRevision() != m.state.Revision()
+}
+
+// refused returns an error that the loop logs and outlives, or nil.
+func (m *machine) refused(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &InventoryRefusedError{Revision: m.state.Revision(), Cause: err}
+}
+
+func decodeInventory(whole []byte) (*inventory.Inventory, error) {
+	m := &wiregen.Inventory{}
+	if err := proto.Unmarshal(whole, m); err != nil {
+		return nil, &RecordError{Record: "inventory", Cause: err}
+	}
+	return wire.DecodeInventory(m)
+}
+
+// snapshot returns the encoded state; equal states have equal encodings.
+func (m *machine) snapshot() []byte {
+	s := &wiregen.ConfigurationSnapshot{Revision: m.state.Revision(), Inventory: m.whole}
+	for _, known := range m.state.Answers() {
+		s.Answers = append(s.Answers, &wiregen.ChangeAnswer{ChangeId: known.ID, Accepted: known.Answer.Accepted, Revision: known.Answer.Revision})
+	}
+	return marshal(s)
+}
+
+// restoreMachine returns the state of a snapshot; with an inventory that this version refuses, also the error.
+func restoreMachine(snapshot []byte) (*machine, error) {
+	s := &wiregen.ConfigurationSnapshot{}
+	if err := proto.Unmarshal(snapshot, s); err != nil {
+		return newMachine(), &RecordError{Record: "configuration snapshot", Cause: err}
+	}
+	answers := make([]configuration.KnownAnswer, 0, len(s.GetAnswers()))
+	for _, a := range s.GetAnswers() {
+		answers = append(answers, configuration.KnownAnswer{
+			ID: a.GetChangeId(), Answer: configuration.Answer{Accepted: a.GetAccepted(), Revision: a.GetRevision()},
+		})
+	}
+	var inv *inventory.Inventory
+	var err error
+	if s.GetRevision() > 0 {
+		inv, err = decodeInventory(s.GetInventory())
+	}
+	return &machine{state: configuration.RestoreState(s.GetRevision(), inv, answers), whole: s.GetInventory()}, err
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"arbutusreel/dispatch"
 	"arbutusreel/endpoint"
 	"arbutusreel/ledger"
+	"arbutusreel/relay"
 	"arbutusreel/wiregen"
 )
 
@@ -26,10 +27,12 @@
 	cfg        Config
 	log        zerolog.Logger
 	state      *state
+	hub        *relay.Hub
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
 	rates      *rates
 	runner     *calls.Runner
+	demands    *demands
 	began      time.Time
 	leaving    atomic.Bool
 	closed     atomic.Bool
@@ -52,9 +55,11 @@
 		cfg:        cfg,
 		log:        log,
 		state:      s,
+		hub:        relay.NewHub(cfg.Self.Name, now),
 		peers:      p,
 		dispatcher: d,
 		rates:      r,
+		demands:    newDemands(),
 		runner:     calls.New(ledger.New(), d, now),
 		began:      now(),
 		done:       make(chan struct{}),
@@ -75,6 +80,7 @@
 	requests, cut := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cut(nil)
 	servers := n.newServers(requests)
+	wiregen.RegisterConfigurationServer(servers.peers, relay.NewServer(n.hub, n.heardFollower, ctx.Done()))
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wg sync.WaitGroup
