--- a/routing/chooser_test.go
+++ b/routing/chooser_test.go
@@ -162,9 +162,13 @@
 
 func TestSampleSpreadsEqualChoosers(t *testing.T) {
 	chosen := map[string]int{}
+	list := engines(40)
+	for i := range list[1:] {
+		list[i+1].Load.Running = 3
+	}
 	for seed := range uint64(200) {
 		c := New(Expected{}, origin, rand.NewPCG(seed, 1))
-		c.Observe(origin, engines(40))
+		c.Observe(origin, list)
 		d, _ := c.Choose(origin, query())
 		chosen[d.Candidate.Name()]++
 	}
