--- a/dispatch/fake_test.go
+++ b/dispatch/fake_test.go
@@ -40,6 +40,8 @@
 	// failAt cuts each stream before the piece of that position, if it is above zero; frozen streams send nothing.
 	failAt int
 	frozen bool
+	// dead engines cut their streams and refuse connections.
+	dead bool
 	// fails tells which requests fail at their first attempt; ignoresResume tells that each answer begins at zero.
 	fails         func(r Request) bool
 	ignoresResume bool
@@ -169,7 +171,7 @@
 		if err := pauseFor(ctx, g.stepTime()); err != nil {
 			return stream.End{}, err
 		}
-		if g.failAt > 0 && i >= g.failAt {
+		if g.dead || g.failAt > 0 && i >= g.failAt {
 			return stream.End{}, &stream.IncompleteError{RequestID: r.CorrelationID, Pieces: i, Cause: context.Canceled}
 		}
 		if g.frozen {
@@ -219,8 +221,9 @@
 	name        string
 	engines     []*fakeEngine
 	dispatchers []*Dispatcher
-	lost        bool
-	reported    []membership.Endpoint
+	// lost tells that the announcements of the region's engines have ended.
+	lost     bool
+	reported []membership.Endpoint
 	// forwards counts the requests that came from other regions.
 	forwards int
 }
@@ -319,10 +322,9 @@
 func (m fakeModels) Generate(ctx context.Context, e membership.Endpoint, r Request, a Attempt, sink stream.Sink) (stream.End, error) {
 	m.w.mu.Lock()
 	region := m.w.region(e.Region)
-	lost := region.lost
 	i := slices.IndexFunc(region.engines, func(g *fakeEngine) bool { return g.endpoint.Name == e.Name })
 	m.w.mu.Unlock()
-	if lost {
+	if region.engines[i].dead {
 		return stream.End{}, &stream.IncompleteError{RequestID: r.CorrelationID, Cause: context.Canceled}
 	}
 	return region.engines[i].generate(ctx, r, a, sink)
--- a/dispatch/measure_test.go
+++ b/dispatch/measure_test.go
@@ -294,26 +294,41 @@
 	}
 }
 
-// TestMeasureRegionLost takes a region's engines away for a minute and brings them back with cold caches.
+// setDead kills the region's engines, or starts them again with cold caches.
+func (r *fakeRegion) setDead(dead bool) {
+	for _, g := range r.engines {
+		g.mu.Lock()
+		g.dead = dead
+		if !dead {
+			g.endpoint.Incarnation++
+			g.cached, g.events = nil, nil
+		}
+		g.mu.Unlock()
+	}
+}
+
+func (w *world) setLost(r *fakeRegion, lost bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r.lost = lost
+	if lost {
+		r.reported = nil
+	}
+}
+
+// TestMeasureRegionLost kills a region's engines for a minute; their leases end two seconds later.
 func TestMeasureRegionLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(mustInventory(tamarindContents()), measureSeed, fleet(6, 8, 0), 3, expected)
 		lahore := w.region("lahore")
 		go func() {
 			time.Sleep(time.Minute)
-			w.mu.Lock()
-			lahore.lost, lahore.reported = true, nil
-			w.mu.Unlock()
-			time.Sleep(time.Minute)
-			w.mu.Lock()
-			lahore.lost = false
-			for _, g := range lahore.engines {
-				g.mu.Lock()
-				g.endpoint.Incarnation++
-				g.cached, g.events = nil, nil
-				g.mu.Unlock()
-			}
-			w.mu.Unlock()
+			lahore.setDead(true)
+			time.Sleep(2 * time.Second)
+			w.setLost(lahore, true)
+			time.Sleep(58 * time.Second)
+			lahore.setDead(false)
+			w.setLost(lahore, false)
 		}()
 		res := offer(w, measureSeed, 3*time.Minute, []demand{
 			{"lahore", steady(7), familyRequest},
