--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,7 @@
 	hub        *relay.Hub
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
+	rates      *rates
 	runner     *calls.Runner
 	demands    *demands
 	// replica is nil on an instance that is no ledger replica.
@@ -49,6 +50,8 @@
 	p := newPeers(s, cfg.Self.Name, cfg.Keys)
 	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
 	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, newChooser(cfg.RoutingPolicy, now(), newSource(cfg.Seed)), now, newSource(cfg.Seed), log)
+	r := newRates(cfg.Self, now)
+	d = d.WithLimiter(r)
 	publishMetrics(d)
 	n := &Entry{
 		cfg:        cfg,
@@ -57,6 +60,7 @@
 		hub:        relay.NewHub(cfg.Self.Name, now),
 		peers:      p,
 		dispatcher: d,
+		rates:      r,
 		demands:    newDemands(),
 		began:      now(),
 		done:       make(chan struct{}),
@@ -95,6 +99,7 @@
 	wg.Go(func() { n.follow(work) })
 	wg.Go(func() { n.exchangeLoop(work) })
 	wg.Go(func() { n.publishLoop(work) })
+	wg.Go(func() { n.lendLoop(work) })
 	wg.Go(func() { n.expireLoop(work) })
 	wg.Go(func() { n.keepLedger(work) })
 	n.log.Info().Str("callerAddress", n.cfg.Self.CallerAddress).Msg("started")
