Refuse bad input with typed problems, bound slow senders, count per process

metrics.Set counts requests by code, tokens, requests in progress and the time added to the first token; the program lists it once, and /debug/vars leaves the command line out.

--- a/cmd/arbutusreel/daemons.go
+++ b/cmd/arbutusreel/daemons.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"io"
 	"os"
@@ -15,6 +16,7 @@
 	"arbutusreel/entry"
 	"arbutusreel/keys"
 	"arbutusreel/membership"
+	"arbutusreel/metrics"
 	"arbutusreel/wiregen"
 )
 
@@ -76,6 +78,8 @@
 			cfg := entryConfig(m)
 			cfg.Keys = source
 			cfg.Decisions = decisions
+			cfg.Metrics = metrics.New()
+			expvar.Publish("entry", cfg.Metrics)
 			return entry.New(cfg, log, time.Now).Run(ctx)
 		},
 	}
--- a/completion/request.go
+++ b/completion/request.go
@@ -56,13 +56,24 @@
 	return fmt.Sprintf("completion request: field %q is required", e.Field)
 }
 
+// RangeError says that a number of a request is too small.
+type RangeError struct {
+	Field string
+	Least int
+}
+
+// Error names the field and its least value.
+func (e *RangeError) Error() string {
+	return fmt.Sprintf("completion request: field %q is at least %d", e.Field, e.Least)
+}
+
 // message is a chat message on the wire.
 type message struct {
 	Role    string          `json:"role"`
 	Content json.RawMessage `json:"content"`
 }
 
-// Decode reads a caller's request; a fault returns *MalformedError or *MissingError.
+// Decode reads a caller's request; a fault returns *MalformedError, *MissingError or *RangeError.
 func Decode(kind Kind, body []byte) (Request, error) {
 	r := Request{Kind: kind, MaxTokens: defaultMaxTokens}
 	if err := json.Unmarshal(body, &r.Fields); err != nil {
@@ -84,6 +95,9 @@
 	if r.Model == "" {
 		return Request{}, &MissingError{Field: "model"}
 	}
+	if r.MaxTokens < 1 {
+		return Request{}, &RangeError{Field: "max_tokens", Least: 1}
+	}
 	if err := r.readPrompt(); err != nil {
 		return Request{}, err
 	}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -1,11 +1,9 @@
 package entry
 
 import (
-	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"expvar"
 	"io"
 	"net/http"
 	"os"
@@ -17,6 +15,7 @@
 
 	"arbutusreel/inventory"
 	"arbutusreel/membership"
+	"arbutusreel/metrics"
 	"arbutusreel/problem"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
@@ -34,9 +33,6 @@
 // retryAfterStopping is when a caller of a stopping entry may use another one.
 const retryAfterStopping = time.Second
 
-// correlationBytes is the length of a correlation id before its encoding.
-const correlationBytes = 12
-
 // callerHandler serves callers, health and metrics.
 func (n *Entry) callerHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -48,11 +44,9 @@
 	mux.HandleFunc("GET /v1/decisions/{kind}/{name}", n.operator(n.decisions))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", n.tellReady)
-	mux.Handle("GET /debug/vars", expvar.Handler())
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		problem.Write(w, problem.New(problem.UnknownRoute, http.StatusNotFound, "no route has the path %q", r.URL.Path), "")
-	})
-	return n.prepare(mux)
+	mux.HandleFunc("GET /debug/vars", metrics.Handler)
+	mux.HandleFunc("/", n.unknownRoute(mux))
+	return n.guard(mux)
 }
 
 // tellReady tells the revision in force, where it came from, and whether callers may use the entry.
@@ -72,17 +66,6 @@
 	_, _ = w.Write(b)
 }
 
-// prepare clears what an earlier request left on the connection, and closes the connection after a leaving entry's answer.
-func (n *Entry) prepare(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
-		if n.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
-	})
-}
-
 // caller is an authenticated request of a team.
 type caller struct {
 	team          inventory.Team
@@ -95,8 +78,9 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		n.active.Add(1)
 		defer n.active.Add(-1)
-		c := caller{correlationID: rand.Text()[:correlationBytes]}
-		w.Header().Set(correlationHeader, c.correlationID)
+		n.metrics.Begin()
+		defer n.metrics.End()
+		c := caller{correlationID: correlationOf(r.Context())}
 		if n.closed.Load() {
 			n.fail(w, c, n.stopping())
 			return
@@ -132,10 +116,14 @@
 func (n *Entry) fail(w http.ResponseWriter, c caller, err error) {
 	p := problem.From(err)
 	n.logFailure(c, p, err)
+	if p.Status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
 	problem.Write(w, p, c.correlationID)
 }
 
 func (n *Entry) logFailure(c caller, p *problem.Problem, err error) {
+	n.metrics.Count(string(p.Code))
 	event := n.log.Info()
 	if p.Code == problem.Internal {
 		event = n.log.Error().Err(err)
@@ -148,12 +136,9 @@
 		Msg("failed")
 }
 
-// body reads the whole body of a request within the bound.
+// body reads the whole body of a request within the bounds, and ends the time limit for it.
 func (n *Entry) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(n.cfg.BodyTimeout))
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, n.cfg.MaxBodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, problem.New(problem.BodyTimeout, http.StatusRequestTimeout, "a body is sent within %s", n.cfg.BodyTimeout)
 	}
@@ -164,6 +149,7 @@
 	if err != nil {
 		return nil, problem.New(problem.MalformedRequest, http.StatusBadRequest, "the body cannot be read")
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return b, nil
 }
 
--- a/entry/config.go
+++ b/entry/config.go
@@ -6,6 +6,7 @@
 	"arbutusreel/decision"
 	"arbutusreel/keys"
 	"arbutusreel/membership"
+	"arbutusreel/metrics"
 )
 
 // Config is what an entry needs to know at its start.
@@ -13,16 +14,18 @@
 	Self     membership.Entry
 	Controls []string
 	// ControlNames holds the names of the control voters by address.
-	ControlNames        map[string]string
-	Peers               []string
-	DirectoryAddress    string
-	MaxBodyBytes        int64
-	MaxHeaderBytes      int
-	AnnouncementLease   time.Duration
-	DrainNotice         time.Duration
-	DrainTimeout        time.Duration
-	ReaderTimeout       time.Duration
-	BodyTimeout         time.Duration
+	ControlNames      map[string]string
+	Peers             []string
+	DirectoryAddress  string
+	MaxBodyBytes      int64
+	MaxHeaderBytes    int
+	AnnouncementLease time.Duration
+	DrainNotice       time.Duration
+	DrainTimeout      time.Duration
+	ReaderTimeout     time.Duration
+	BodyTimeout       time.Duration
+	// Metrics counts what the entry does; nil counts for nobody.
+	Metrics             *metrics.Set
 	Keys                *keys.Source
 	Decisions           *decision.Store
 	OperatorTokenDigest string
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"net/http"
 	"sync"
@@ -15,6 +16,7 @@
 	"arbutusreel/dispatch"
 	"arbutusreel/endpoint"
 	"arbutusreel/ledger"
+	"arbutusreel/metrics"
 	"arbutusreel/routing"
 	"arbutusreel/wiregen"
 )
@@ -26,6 +28,7 @@
 
 	cfg        Config
 	log        zerolog.Logger
+	metrics    *metrics.Set
 	state      *state
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
@@ -44,11 +47,16 @@
 	s := newState(cfg.Self.Region, now)
 	p := newPeers(s, cfg.Self.Name, cfg.Keys)
 	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
-	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, routing.New(routing.Expected{}, now(), newSource()), now, newSource(), log)
-	publishMetrics(d)
+	d := dispatch.New(self, s, timedModels{models: endpoint.NewModels()}, endpoint.NewPlain(), p, routing.New(routing.Expected{}, now(), newSource()), now, newSource(), log)
+	counts := cfg.Metrics
+	if counts == nil {
+		counts = metrics.New()
+	}
+	counts.Add(dispatchVar, expvar.Func(func() any { return d.Metrics() }))
 	return &Entry{
 		cfg:        cfg,
 		log:        log,
+		metrics:    counts,
 		state:      s,
 		peers:      p,
 		dispatcher: d,
--- a/entry/models.go
+++ b/entry/models.go
@@ -56,7 +56,10 @@
 	answer := completion.Answer{Kind: kind, ID: c.correlationID, Model: asked.Model}
 	sink := newWriter(r.Context(), w, answer, asked.Streaming, n.cfg.ReaderTimeout)
 	defer sink.stop()
-	ctx, cancel := context.WithDeadline(sink.ctx, req.Deadline)
+	t := &timing{began: began}
+	sink.first = func() { t.note(&t.first) }
+	sink.written = func() { n.countAdded(t) }
+	ctx, cancel := context.WithDeadline(withTiming(sink.ctx, t), req.Deadline)
 	defer cancel()
 	end, err := n.dispatcher.Generate(ctx, req, sink)
 	if err == nil {
@@ -66,6 +69,8 @@
 		n.failStream(w, c, sink, err)
 		return
 	}
+	n.metrics.Count(answeredCode)
+	n.metrics.Tokens(end.Pieces)
 	n.log.Info().
 		Str("correlationId", c.correlationID).
 		Str("team", c.team.Name).
@@ -76,6 +81,13 @@
 		Msg("answered")
 }
 
+// countAdded notes the time that the entry added to the first token of an answer from its own region.
+func (n *Entry) countAdded(t *timing) {
+	if d, ok := t.added(time.Now()); ok {
+		n.metrics.Added(d)
+	}
+}
+
 // modelRequest checks a caller's completion request.
 func (n *Entry) modelRequest(w http.ResponseWriter, r *http.Request, c caller, kind completion.Kind) (dispatch.Request, completion.Request, error) {
 	labels, err := n.arrivalLabels(c, r)
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -35,7 +35,7 @@
 	s := servers{
 		callers: &http.Server{
 			Handler:           n.callerHandler(),
-			MaxHeaderBytes:    n.cfg.MaxHeaderBytes,
+			MaxHeaderBytes:    n.cfg.MaxHeaderBytes + headerSlack,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       callerIdleTimeout,
 			BaseContext:       func(net.Listener) context.Context { return requests },
--- a/entry/services.go
+++ b/entry/services.go
@@ -28,6 +28,7 @@
 	w.Header().Set("Content-Type", reply.ContentType)
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(reply.Body)
+	n.metrics.Count(answeredCode)
 	n.log.Info().
 		Str("correlationId", c.correlationID).
 		Str("team", c.team.Name).
--- a/entry/writer.go
+++ b/entry/writer.go
@@ -43,6 +43,8 @@
 	failure error
 	text    strings.Builder
 	pieces  int
+	// first is called when the first piece was taken, and written when it was written to the caller.
+	first, written func()
 }
 
 var _ stream.Sink = (*writer)(nil)
@@ -50,7 +52,7 @@
 // newWriter returns a sink whose context ends when the caller is gone or has not read for timeout.
 func newWriter(ctx context.Context, w http.ResponseWriter, answer completion.Answer, streaming bool, timeout time.Duration) *writer {
 	ctx, cancel := context.WithCancelCause(ctx)
-	return &writer{ctx: ctx, cancel: cancel, w: w, answer: answer, streaming: streaming, timeout: timeout}
+	return &writer{ctx: ctx, cancel: cancel, w: w, answer: answer, streaming: streaming, timeout: timeout, first: func() {}, written: func() {}}
 }
 
 // started reports whether a part of the answer is on its way to the caller.
@@ -59,6 +61,9 @@
 // Piece sends a piece of a streamed answer, waiting while the caller reads slowly, or keeps it for a whole one.
 func (s *writer) Piece(p stream.Piece) error {
 	s.pieces++
+	if s.pieces == 1 {
+		s.first()
+	}
 	if s.streaming {
 		return s.put(event{data: s.answer.Chunk(p)})
 	}
@@ -93,7 +98,7 @@
 // write writes events until the last one or a failure, which cancels the answer.
 func (s *writer) write() {
 	var b []byte
-	for {
+	for written := s.written; ; written = func() {} {
 		e, err := s.events.Take(s.ctx)
 		if err != nil {
 			return
@@ -109,6 +114,7 @@
 			s.cancel(s.failure)
 			return
 		}
+		written()
 	}
 }
 
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -54,6 +54,8 @@
 	ReaderStopped      Code = "readerStopped"
 	CallerGone         Code = "callerGone"
 	BodyTimeout        Code = "bodyTimeout"
+	HeaderTooLarge     Code = "headerTooLarge"
+	MethodNotAllowed   Code = "methodNotAllowed"
 	Internal           Code = "internal"
 )
 
--- a/systemtest/shutdown_test.go
+++ b/systemtest/shutdown_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"arbutusreel/load"
 )
@@ -115,6 +118,45 @@
 	return s.counts(e).Requests > 0
 }
 
+// withRetryBudget returns a file with the Lunch Club's inventory under another retry budget.
+func withRetryBudget(t *testing.T, budget string) string {
+	t.Helper()
+	b, err := os.ReadFile(lunchClub)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "inventory.json")
+	b = bytes.Replace(b, []byte(`"retryBudget": 0.1`), []byte(`"retryBudget": `+budget), 1)
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// TestEngineKilledUnderLoad kills one of two engines and starts it again, under load and with a budget for all retries.
+func TestEngineKilledUnderLoad(t *testing.T) {
+	s := newSystem(t, options{regions: []string{"lahore", "karachi"}, entriesPerRegion: 1, inventory: withRetryBudget(t, "1")})
+	for _, name := range []string{"engine-a", "engine-b"} {
+		s.engine(name, "lahore", "menu-model", "dastarkhwan-menu", "--slots", "32", "--tokenTime", "10ms")
+	}
+	s.engine("engine-c", "karachi", "menu-model", "dish-check", "--slots", "32", "--tokenTime", "10ms")
+	s.service("desk-a", "lahore", "club-desk")
+	s.until("plans, dishes and orders are answered", func() bool {
+		e := s.entries[0]
+		order := s.do(http.MethodPost, e.caller, orderPath, lahoreToken, "warm", "Idempotency-Key", "warm")
+		dish := s.do(http.MethodPost, e.caller, chatPath, lahoreToken, dishBody)
+		return s.plans(e, lahoreToken) && dish.status == http.StatusOK && order.status == http.StatusOK
+	})
+	s.underLoad(func() {
+		time.Sleep(time.Second)
+		for _, e := range s.endpoints[:2] {
+			e.kill()
+			e.start()
+			s.until(e.name+" serves again", func() bool { return s.counts(e).Requests > 0 })
+		}
+	})
+}
+
 // TestDrain stops an entry in mid-stream, twice: the stream is whole, and new requests are refused as not run.
 func TestDrain(t *testing.T) {
 	s := newSystem(t, options{regions: []string{"lahore"}, entriesPerRegion: 1, inventory: lunchClub})
--- a/systemtest/streams_test.go
+++ b/systemtest/streams_test.go
@@ -81,6 +81,28 @@
 	return s.do(http.MethodPost, e.caller, chatPath, token, body).status == http.StatusOK
 }
 
+// TestEngineKilledInStream kills the engine of a stream; the caller receives the whole answer all the same.
+func TestEngineKilledInStream(t *testing.T) {
+	s := newSystem(t, options{regions: []string{"lahore"}, entriesPerRegion: 1, inventory: lunchClub})
+	lahore := s.entries[0]
+	first := s.engine("engine-a", "lahore", "menu-model", "dastarkhwan-menu", "--tokenTime", "100ms")
+	s.until("a plan is answered", func() bool { return s.plans(lahore, lahoreToken) })
+	lines, body := s.openStream(t.Context(), lahore, lahoreToken, longPlan)
+	defer body.Close()
+	second := s.engine("engine-b", "lahore", "menu-model", "dastarkhwan-menu", "--tokenTime", "5ms")
+	s.until("the second engine is used", func() bool {
+		return s.plans(lahore, lahoreToken) && s.counts(second).Requests > 0
+	})
+	first.kill()
+	answer := rest(lines)
+	if got, whole := streamText(answer); !whole || got != wantPlan(longPlan) {
+		t.Errorf("whole %v, answer %q", whole, answer)
+	}
+	if s.counts(second).Resumed != 1 {
+		t.Errorf("the second engine resumed %d answers", s.counts(second).Resumed)
+	}
+}
+
 // TestForwardedStream cuts a stream that another region serves: by its caller, and by the death of the other entry.
 func TestForwardedStream(t *testing.T) {
 	s := newSystem(t, options{regions: []string{"lahore", "karachi"}, entriesPerRegion: 1, inventory: lunchClub})
