--- a/entry/config.go
+++ b/entry/config.go
@@ -26,6 +26,8 @@
 	BodyTimeout       time.Duration
 	// Metrics counts what the entry does; nil counts for nobody.
 	Metrics             *metrics.Set
+	RoutingPolicy       string
+	Seed                uint64
 	Keys                *keys.Source
 	Decisions           *decision.Store
 	OperatorTokenDigest string
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,7 +17,7 @@
 	"arbutusreel/endpoint"
 	"arbutusreel/ledger"
 	"arbutusreel/metrics"
-	"arbutusreel/routing"
+	"arbutusreel/relay"
 	"arbutusreel/wiregen"
 )
 
@@ -30,9 +30,11 @@
 	log        zerolog.Logger
 	metrics    *metrics.Set
 	state      *state
+	hub        *relay.Hub
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
 	runner     *calls.Runner
+	demands    *demands
 	began      time.Time
 	leaving    atomic.Bool
 	closed     atomic.Bool
@@ -47,7 +49,7 @@
 	s := newState(cfg.Self.Region, now)
 	p := newPeers(s, cfg.Self.Name, cfg.Keys)
 	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
-	d := dispatch.New(self, s, timedModels{models: endpoint.NewModels()}, endpoint.NewPlain(), p, routing.New(routing.Expected{}, now(), newSource()), now, newSource(), log)
+	d := dispatch.New(self, s, timedModels{models: endpoint.NewModels()}, endpoint.NewPlain(), p, newChooser(cfg.RoutingPolicy, now(), newSource(cfg.Seed)), now, newSource(cfg.Seed), log)
 	counts := cfg.Metrics
 	if counts == nil {
 		counts = metrics.New()
@@ -58,8 +60,10 @@
 		log:        log,
 		metrics:    counts,
 		state:      s,
+		hub:        relay.NewHub(cfg.Self.Name, now),
 		peers:      p,
 		dispatcher: d,
+		demands:    newDemands(),
 		runner:     calls.New(ledger.New(), d, now),
 		began:      now(),
 		done:       make(chan struct{}),
@@ -80,6 +84,7 @@
 	requests, cut := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cut(nil)
 	servers := n.newServers(requests)
+	wiregen.RegisterConfigurationServer(servers.peers, relay.NewServer(n.hub, n.heardFollower, ctx.Done()))
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wg sync.WaitGroup
@@ -147,6 +152,7 @@
 
 func (n *Entry) expireLoop(ctx context.Context) {
 	every(ctx, expirePeriod, func() {
+		n.dispatcher.Refresh()
 		for _, e := range n.state.expire() {
 			n.log.Info().Str("endpoint", e.Name).Str("service", e.Service).Bool("leaving", e.Leaving).Msg("endpointExpired")
 		}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,11 +16,6 @@
 // answeredCode is what an answered request counts as in the metrics.
 const answeredCode = "answered"
 
-// newSource returns a random source with a seed of its own.
-func newSource() rand.Source {
-	return rand.NewPCG(rand.Uint64(), rand.Uint64())
-}
-
 // timing is when a request began, was first sent to an engine, and got its first piece back.
 type timing struct {
 	mu    sync.Mutex
