--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"net/http"
 	"sync"
@@ -14,6 +15,7 @@
 	"arbutusreel/calls"
 	"arbutusreel/dispatch"
 	"arbutusreel/endpoint"
+	"arbutusreel/metrics"
 	"arbutusreel/relay"
 	"arbutusreel/wiregen"
 )
@@ -25,6 +27,7 @@
 
 	cfg        Config
 	log        zerolog.Logger
+	metrics    *metrics.Set
 	state      *state
 	hub        *relay.Hub
 	peers      *peers
@@ -49,13 +52,18 @@
 	s := newState(cfg.Self.Region, now)
 	p := newPeers(s, cfg.Self.Name, cfg.Keys)
 	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
-	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, newChooser(cfg.RoutingPolicy, now(), newSource(cfg.Seed)), now, newSource(cfg.Seed), log)
+	d := dispatch.New(self, s, timedModels{models: endpoint.NewModels()}, endpoint.NewPlain(), p, newChooser(cfg.RoutingPolicy, now(), newSource(cfg.Seed)), now, newSource(cfg.Seed), log)
 	r := newRates(cfg.Self, now)
 	d = d.WithLimiter(r)
-	publishMetrics(d)
+	counts := cfg.Metrics
+	if counts == nil {
+		counts = metrics.New()
+	}
+	counts.Add(dispatchVar, expvar.Func(func() any { return d.Metrics() }))
 	n := &Entry{
 		cfg:        cfg,
 		log:        log,
+		metrics:    counts,
 		state:      s,
 		hub:        relay.NewHub(cfg.Self.Name, now),
 		peers:      p,
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -66,6 +66,8 @@
 	QuorumAtRisk       Code = "quorumAtRisk"
 	CallerGone         Code = "callerGone"
 	BodyTimeout        Code = "bodyTimeout"
+	HeaderTooLarge     Code = "headerTooLarge"
+	MethodNotAllowed   Code = "methodNotAllowed"
 	Internal           Code = "internal"
 )
 
