Test calls that may not be repeated with real processes, and add the repair command

The plain service counts; bodies tell it to wait, to close or to end (standin, additive). Found by the tests: a lost claim was judged before the replica that held the ending had answered, so that a resend after two lost memories was told outcomeUnknown; it now waits for all replicas unless an ending was told.

--- a/cmd/arbutusreel/main.go
+++ b/cmd/arbutusreel/main.go
@@ -72,6 +72,7 @@
 		statusCommand(),
 		membersCommand(),
 		explainCommand(),
+		repairCommand(),
 		checkCommand(),
 		settingsCommand(),
 		versionCommand(),
--- a/cmd/arbutusreel/operators.go
+++ b/cmd/arbutusreel/operators.go
@@ -248,6 +248,7 @@
 		{"arbutusreel entry", &wiregen.EntrySettings{}},
 		{"arbutusreel control", &wiregen.ControlSettings{}},
 		{"operators' commands", &wiregen.OperatorSettings{}},
+		{"arbutusreel repair", &wiregen.RepairSettings{}},
 	}
 	for _, p := range pages {
 		if err := settings.WritePage(stdout, p.title, p.m); err != nil {
--- /dev/null
+++ b/cmd/arbutusreel/repair.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/integrii/flaggy"
+	"google.golang.org/protobuf/proto"
+
+	"arbutusreel/operator"
+	"arbutusreel/wire"
+	"arbutusreel/wiregen"
+)
+
+// RepairActionError says that the arguments of the repair command do not fit together.
+type RepairActionError struct {
+	Action string
+}
+
+// Error names the action.
+func (e *RepairActionError) Error() string {
+	return fmt.Sprintf("repair %q: want list, or settle with --team, --key, --finding and --operator", e.Action)
+}
+
+// repairFlags are the arguments of the repair command.
+type repairFlags struct {
+	action, team, key, finding, operator string
+	outcomeFile, contentType             string
+	status                               int
+}
+
+func (f *repairFlags) bind(sub *flaggy.Subcommand) {
+	sub.AddPositionalValue(&f.action, "action", 1, true, "Either list or settle.")
+	sub.String(&f.team, "", "team", "Team of the call.")
+	sub.String(&f.key, "", "key", "Idempotency key of the call.")
+	sub.String(&f.finding, "", "finding", "What was found out: ran or notRun.")
+	sub.String(&f.operator, "", "operator", "Name of the operator, which is kept with the call.")
+	sub.String(&f.outcomeFile, "", "outcomeFile", "File with the body of the answer of a call that ran, if it is known.")
+	sub.String(&f.contentType, "", "contentType", "Content type of the answer.")
+	sub.Int(&f.status, "", "status", "HTTP status of the answer.")
+}
+
+// request returns the finding; arguments that do not fit together return *RepairActionError.
+func (f *repairFlags) request() (*wiregen.RepairRequest, error) {
+	if f.team == "" || f.key == "" || f.finding == "" || f.operator == "" {
+		return nil, &RepairActionError{Action: f.action}
+	}
+	m := &wiregen.RepairRequest{Team: f.team, Key: f.key, Finding: f.finding, Operator: f.operator}
+	if f.outcomeFile == "" {
+		return m, nil
+	}
+	body, err := os.ReadFile(f.outcomeFile)
+	if err != nil {
+		return nil, err
+	}
+	m.Outcome = &wiregen.LedgerOutcome{Status: int64(f.status), ContentType: f.contentType, Body: body}
+	return m, nil
+}
+
+// repairCommand lists and settles the calls of a region that may have run.
+func repairCommand() *command {
+	m := &wiregen.RepairSettings{}
+	f := &repairFlags{status: 200}
+	return &command{
+		name:     "repair",
+		doc:      "Lists the calls of a region that may have run, or settles one: repair list, or repair settle.",
+		settings: m,
+		bind:     f.bind,
+		run: func(ctx context.Context, stdout io.Writer) error {
+			server := &wiregen.OperatorSettings{
+				Controls:         m.GetEntries(),
+				TokenFile:        m.GetTokenFile(),
+				Timeout:          m.GetTimeout(),
+				TlsAuthorityFile: m.GetTlsAuthorityFile(),
+			}
+			return withClient(ctx, server, func(ctx context.Context, c *operator.Client) error {
+				return f.run(ctx, c, stdout)
+			})
+		},
+	}
+}
+
+func (f *repairFlags) run(ctx context.Context, c *operator.Client, stdout io.Writer) error {
+	reply, err := f.ask(ctx, c)
+	if err != nil {
+		return err
+	}
+	b, err := wire.EncodeJSON(reply)
+	if err != nil {
+		return err
+	}
+	_, err = stdout.Write(b)
+	return err
+}
+
+func (f *repairFlags) ask(ctx context.Context, c *operator.Client) (proto.Message, error) {
+	switch f.action {
+	case "list":
+		return c.Doubtful(ctx)
+	case "settle":
+		m, err := f.request()
+		if err != nil {
+			return nil, err
+		}
+		return c.Settle(ctx, m)
+	default:
+		return nil, &RepairActionError{Action: f.action}
+	}
+}
--- a/ledger/attempt.go
+++ b/ledger/attempt.go
@@ -71,6 +71,8 @@
 }
 
 // Handle takes the reply of a replica to the request of a phase; replies to earlier phases are dropped.
+//
+// A lost claim waits for the replies that are missing, unless one has told an ending.
 func (a *Attempt) Handle(phase Phase, r Reply) {
 	if phase != a.phase {
 		return
@@ -79,7 +81,7 @@
 	switch {
 	case a.tally.Won():
 		a.decide(true)
-	case a.tally.Lost():
+	case a.tally.Full(), a.tally.Lost() && (a.phase != Claiming || a.tally.Ended()):
 		a.decide(false)
 	}
 }
--- a/ledger/tally.go
+++ b/ledger/tally.go
@@ -60,6 +60,16 @@
 	return accepted+t.n-len(t.replies) < Quorum(t.n) || (t.Full() && !t.Won())
 }
 
+// Ended reports whether a reply told the ending of the call.
+func (t *Tally) Ended() bool {
+	for _, r := range t.replies {
+		if r.Found && r.Call.Value.Ending != Open {
+			return true
+		}
+	}
+	return false
+}
+
 // Replies returns the replies so far in the order of the replicas.
 func (t *Tally) Replies() []Reply {
 	replies := make([]Reply, 0, len(t.replies))
--- a/standin/service.go
+++ b/standin/service.go
@@ -73,7 +73,9 @@
 		if err != nil {
 			return
 		}
-		writeJSON(w, serviceAnswer{Endpoint: s.cfg.Name, Ran: s.count(string(body))})
+		if ran, answered := s.run(w, string(body)); answered {
+			writeJSON(w, serviceAnswer{Endpoint: s.cfg.Name, Ran: ran})
+		}
 	})
 	return mux
 }
