Wait until both entries know the engine before one of them is stopped

The other entry refused a plan with noCapacity in one run of seven under load: the test stopped the first entry 0.1 s after it had heard of the engine, before the other one had. That both know the engine is what the test takes as given.

--- a/systemtest/path_test.go
+++ b/systemtest/path_test.go
@@ -41,14 +41,12 @@
 	s := newSystem(t, options{regions: []string{"lahore", "karachi", "peshawar"}, entriesPerRegion: 2, inventory: lunchClub})
 	s.engine("engine-lahore", "lahore", "menu-model", "dastarkhwan-menu")
 	first, second := s.entries[0], s.entries[1]
-	var a answer
-	s.until("a plan is answered", func() bool {
-		a = s.do(http.MethodPost, first.caller, chatPath, "lahore-demo-token", planBody)
-		return a.status == http.StatusOK
+	s.until("both entries answer a plan", func() bool {
+		return s.plans(first, lahoreToken) && s.plans(second, lahoreToken)
 	})
 	s.controls[0].freeze()
 	first.stop()
-	a = s.do(http.MethodPost, second.caller, chatPath, "lahore-demo-token", planBody)
+	a := s.do(http.MethodPost, second.caller, chatPath, "lahore-demo-token", planBody)
 	if a.status != http.StatusOK {
 		code, outcome := a.problemCode()
 		t.Errorf("the other entry answered %d, code %q, outcome %q", a.status, code, outcome)
