Find cut links soon, show the quorum's metrics, and measure a lag from the next known acceptance

A link between voters now pings after 10 s of silence and gives up a connect after 2 s; grpc's defaults would leave it cut for up to 20 s after a partition. A leader that had just restarted showed a lag of zero for every instance, since it remembered only the newest revision's time.

--- a/control/control.go
+++ b/control/control.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	"arbutusreel/journal"
 	"arbutusreel/relay"
@@ -95,6 +96,7 @@
 	accepted := func(revision int64, whole []byte) { c.hub.Put(revision, whole) }
 	c.quorum = newQuorum(c.cfg, d, restored, l, accepted, c.log, c.now)
 	c.store = c.quorum
+	c.publishMetrics()
 	return nil
 }
 
@@ -154,8 +156,12 @@
 	s := &servers{
 		operators:        &http.Server{Handler: c.operatorHandler(), ReadHeaderTimeout: headerTimeout},
 		operatorListener: c.cfg.Keys.Listener(operators),
-		peers:            grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.Creds(c.cfg.Keys.Server())),
-		peerListener:     peers,
+		peers: grpc.NewServer(
+			grpc.MaxRecvMsgSize(maxMessageBytes),
+			grpc.Creds(c.cfg.Keys.Server()),
+			grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: linkLeastPing, PermitWithoutStream: true}),
+		),
+		peerListener: peers,
 	}
 	wiregen.RegisterConfigurationServer(s.peers, relay.NewServer(c.hub, c.heardFollower, done))
 	wiregen.RegisterConsensusServer(s.peers, c)
--- a/control/links.go
+++ b/control/links.go
@@ -9,7 +9,9 @@
 
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"arbutusreel/consensus"
@@ -21,6 +23,12 @@
 const (
 	linkMessages = 256
 	linkBackoff  = 100 * time.Millisecond
+	// linkConnectTimeout bounds one attempt to connect, so that a link comes back soon after a partition.
+	linkConnectTimeout = 2 * time.Second
+	// linkPing and linkPingTimeout find a connection that a partition has cut.
+	linkPing        = 10 * time.Second
+	linkPingTimeout = 2 * time.Second
+	linkLeastPing   = 5 * time.Second
 	// maxMessageBytes bounds one message between voters, which may hold a snapshot.
 	maxMessageBytes = 128 << 20
 	// linkIdle is the time after which a link that has nothing to send is closed.
@@ -87,7 +95,10 @@
 
 // stream sends the messages of one connection; idle says that it ended for want of messages.
 func (l *links) stream(name, address string, r *ring.Ring[*wiregen.ConsensusMessage]) (idle bool, err error) {
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(l.keys.Client(name)))
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(l.keys.Client(name)),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: linkConnectTimeout}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: linkPing, Timeout: linkPingTimeout}))
 	if err != nil {
 		return false, err
 	}
--- a/control/operators.go
+++ b/control/operators.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"expvar"
 	"io"
 	"net/http"
 	"strings"
@@ -29,6 +30,7 @@
 	mux.HandleFunc("GET /v1/decisions/{kind}/{name}", c.operator(c.decisions))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", c.ready)
+	mux.Handle("GET /debug/vars", expvar.Handler())
 	return mux
 }
 
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -344,10 +345,15 @@
 	return q.lease.term, q.lease.end, q.lease.held && now.Before(q.lease.end)
 }
 
-// AcceptedAt returns when this voter learned that a revision was accepted.
+// AcceptedAt returns when this voter learned that a revision, or the lowest higher one that it remembers, was accepted.
 func (q *quorum) AcceptedAt(revision int64) (at time.Time, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	at, ok = q.accepts[revision]
+	lowest := int64(math.MaxInt64)
+	for accepted, when := range q.accepts {
+		if accepted >= revision && accepted < lowest {
+			lowest, at, ok = accepted, when, true
+		}
+	}
 	return at, ok
 }
--- /dev/null
+++ b/control/quorum_test.go
@@ -0,0 +1,151 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"arbutusreel/configuration"
+	"arbutusreel/journal"
+	"arbutusreel/keys"
+	"arbutusreel/problem"
+)
+
+// failingFiles are a folder whose files fail to sync after a number of syncs.
+type failingFiles struct {
+	*journal.Folder
+	syncs int
+}
+
+type failingFile struct {
+	journal.File
+	files *failingFiles
+}
+
+func (f *failingFiles) Append(name string) (journal.File, error) {
+	file, err := f.Folder.Append(name)
+	return failingFile{File: file, files: f}, err
+}
+
+func (f failingFile) Sync() error {
+	f.files.syncs--
+	if f.files.syncs < 0 {
+		return syscall.EIO
+	}
+	return f.File.Sync()
+}
+
+// single starts a quorum of one voter, and returns it with the result of its loop.
+func single(t testing.TB, syncs int) (*quorum, <-chan error) {
+	t.Helper()
+	folder, err := journal.OpenFolder(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, restored, err := openDisk(&failingFiles{Folder: folder, syncs: syncs})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cfg := Config{
+		Name: "a", Voters: []string{"a=127.0.0.1:1"}, SnapshotEntries: 100,
+		Heartbeat: 5 * time.Millisecond, ElectionTimeout: 20 * time.Millisecond,
+	}
+	q := newQuorum(cfg, d, restored, newLinks(ctx, keys.Plain(), zerolog.Nop()), func(int64, []byte) {}, zerolog.Nop(), time.Now)
+	failed, stopped := make(chan error, 1), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		failed <- q.run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-stopped
+		_ = folder.Close()
+	})
+	return q, failed
+}
+
+func (q *quorum) untilLed(t testing.TB) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if _, _, ok := q.Lease(time.Now()); ok {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("no lease")
+		}
+	}
+}
+
+func TestFailedSyncStopsVoter(t *testing.T) {
+	const syncsToLead = 2
+	q, failed := single(t, syncsToLead)
+	q.untilLed(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := q.Propose(ctx, configuration.Change{ID: "lost", Inventory: sized(t, 1, 1)})
+	var p *problem.Problem
+	if !errors.As(err, &p) || p.Code != problem.ChangeUnknown || p.Outcome != problem.Unknown {
+		t.Errorf("the change was answered %v", err)
+	}
+	var failure *journal.WriteError
+	if err := <-failed; !errors.As(err, &failure) {
+		t.Errorf("the loop ended with %v", err)
+	}
+	if q.Current().Revision != 0 {
+		t.Error("a change that was not synced is in force")
+	}
+}
+
+// BenchmarkPropose decides changes one after another, and many at once, in a quorum of one voter with a disk.
+func BenchmarkPropose(b *testing.B) {
+	inv := sized(b, 90, 1)
+	for _, parallel := range []int{1, 16} {
+		b.Run(fmt.Sprint(parallel), func(b *testing.B) {
+			q, _ := single(b, 1<<30)
+			q.untilLed(b)
+			b.SetParallelism(parallel)
+			b.ResetTimer()
+			n := make(chan int, b.N)
+			for i := range b.N {
+				n <- i
+			}
+			run := func() {
+				i := <-n
+				if _, err := q.Propose(b.Context(), configuration.Change{ID: fmt.Sprint(i), Expected: int64(i), Inventory: inv}); err != nil {
+					b.Error(err)
+				}
+			}
+			if parallel == 1 {
+				for range b.N {
+					run()
+				}
+				return
+			}
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					run()
+				}
+			})
+		})
+	}
+}
+
+func TestAcceptedAtFindsNextRemembered(t *testing.T) {
+	first, second := time.Unix(5, 0), time.Unix(9, 0)
+	q := &quorum{accepts: map[int64]time.Time{5: first, 9: second}}
+	for _, c := range []struct {
+		revision int64
+		want     time.Time
+		ok       bool
+	}{{3, first, true}, {5, first, true}, {6, second, true}, {10, time.Time{}, false}} {
+		if at, ok := q.AcceptedAt(c.revision); at != c.want || ok != c.ok {
+			t.Errorf("revision %d: %v, %v", c.revision, at, ok)
+		}
+	}
+}
--- a/control/store.go
+++ b/control/store.go
@@ -30,6 +30,7 @@
 	// Add and Remove change the quorum's members; a failure is a *problem.Problem.
 	Add(ctx context.Context, id consensus.ID, address string) error
 	Remove(ctx context.Context, id consensus.ID) error
-	// AcceptedAt returns when this voter learned that a revision was accepted; ok is false if it does not remember.
+	// AcceptedAt returns when this voter learned that a revision, or the lowest
+	// higher one that it remembers, was accepted; ok is false if none was.
 	AcceptedAt(revision int64) (at time.Time, ok bool)
 }
--- a/systemtest/configuration_test.go
+++ b/systemtest/configuration_test.go
@@ -25,15 +25,17 @@
 	})
 }
 
+type quorumMember struct {
+	Name, Disk string
+	Voter      bool
+}
+
 // quorumStatus is the part of the operators' status that the tests look at.
 type quorumStatus struct {
-	Leader   string
-	Revision string
-	Current  bool
-	Members  []struct {
-		Name, Disk string
-		Voter      bool
-	}
+	Leader    string
+	Revision  string
+	Current   bool
+	Members   []quorumMember
 	Instances []struct{ Name, Revision, LagMillis string }
 }
 
@@ -282,6 +284,44 @@
 	}
 }
 
+// TestJoinReplacesInstance adds a fourth voter, removes a first one, and loses another.
+func TestJoinReplacesInstance(t *testing.T) {
+	s := voters(t, 1)
+	old := s.controls[0]
+	joined := &instance{region: "karachi", peer: freeAddress(t), operator: freeAddress(t)}
+	args := append(slices.Clone(old.args),
+		"--name", "control-new", "--peerAddress", joined.peer, "--operatorAddress", joined.operator,
+		"--dataFolder", filepath.Join(s.dir, "control-new"), "--join", "true")
+	joined.process = s.run("control-new", args...)
+	s.controls = append(s.controls, joined)
+	s.until("the new voter is added", func() bool {
+		_, err := s.command("members", "add", "control-new="+joined.peer)
+		return err == nil
+	})
+	s.until("the new voter votes", func() bool {
+		return slices.ContainsFunc(s.status().Members, func(m quorumMember) bool { return m.Name == "control-new" && m.Voter })
+	})
+	if out, err := s.command("members", "remove", old.name); err != nil {
+		t.Fatalf("remove: %v: %s", err, out)
+	}
+	old.kill()
+	s.mustChange("replaced", 1)
+	s.controls[1].kill()
+	s.mustChange("one-less", 2)
+	s.inForce(3)
+}
+
+func TestRollingRestartOfVoters(t *testing.T) {
+	s := voters(t, 1)
+	for i, c := range s.controls {
+		c.stop()
+		s.mustChange(fmt.Sprint("without-", i), 2*i+1)
+		c.start()
+		s.mustChange(fmt.Sprint("with-", i), 2*i+2)
+	}
+	s.inForce(7)
+}
+
 func TestCutOffRegionRestartsFromPeers(t *testing.T) {
 	s := voters(t, 2)
 	s.mustChange("second", 1)
