--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -42,6 +42,8 @@
 	region   string
 	away     *routing.AwayTicket
 	terms    routing.Terms
+	// informed tells that the terms are expected times.
+	informed bool
 	// prompt is the number of prompt tokens, which the reservation holds as well.
 	prompt int
 }
@@ -166,13 +168,13 @@
 }
 
 // patience returns how long an attempt may send nothing at its beginning, and later. A request may wait in the queue of
-// another region.
+// another region, or of an endpoint whose load the policy does not look at.
 func (j *job) patience(now time.Time, p *placement) (first, later time.Duration) {
 	left := max(j.request.Deadline.Sub(now), 0)
 	expected := time.Duration(p.terms.FirstToken() * float64(time.Second))
 	first = max(firstPieceFactor*expected, minFirstPiece)
-	if p.region != "" {
-		first = max(first, time.Duration(float64(left)*awayShare))
+	if p.region != "" || !p.informed {
+		first = max(first, time.Duration(float64(left)*unknownShare))
 	}
 	return min(first, left), maxStall
 }
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -33,8 +33,8 @@
 const (
 	// firstPieceFactor bounds the time to the first piece by that many times the expected one.
 	firstPieceFactor = 4
-	minFirstPiece    = 3 * time.Second
+	minFirstPiece    = 5 * time.Second
 	maxStall         = 3 * time.Second
-	// awayShare is the part of the time left that another region may take for the first piece.
-	awayShare = 0.5
+	// unknownShare is the part of the time left that the first piece may take if its time is not known.
+	unknownShare = 0.5
 )
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -147,7 +147,7 @@
 // start counts an attempt as sent to the decision's endpoint.
 func (s *scheduler) start(now time.Time, j *job, d routing.Decision) *placement {
 	ticket := s.chooser.Start(now, d, &j.query)
-	return &placement{endpoint: d.Candidate.Endpoint(), ticket: ticket, terms: d.Terms, prompt: j.request.PromptTokens}
+	return &placement{endpoint: d.Candidate.Endpoint(), ticket: ticket, terms: d.Terms, informed: d.Informed, prompt: j.request.PromptTokens}
 }
 
 // used trues the reservation of an attempt up; the first piece says that the prompt has been read.
