Give each instance its share of full endpoints

Cause: an instance takes a slot again as soon as its own request ends; one that holds no slots learns of a free one from reports only, never sees one, and its callers wait (one of three entries sent 82 requests away, the others 222 and 214). An instance with less than its share of a full endpoint may now wait in that endpoint's queue. TestShareOfFullEndpoint failed first: room false for an instance that has 0 of its share of 2.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -45,6 +45,7 @@
 	Observe(now time.Time, endpoints []membership.Endpoint)
 	SetTripped(name string, tripped bool)
 	SetProbing(name string)
+	SetInstances(n int)
 	Capacity(now time.Time, service, model string) routing.Capacity
 	Choose(now time.Time, q *routing.Query) (routing.Decision, bool)
 	Start(now time.Time, d routing.Decision, q *routing.Query) *routing.Ticket
@@ -85,11 +86,13 @@
 	}
 }
 
-// Refresh reads what is known of endpoints and regions, and starts waiting requests for which there is room now. It is
-// called at least at the period of the endpoints' announcements, so that no cache event is missed.
-func (d *Dispatcher) Refresh() {
+// Refresh reads what is known of endpoints and regions, and starts waiting requests for which there is room now;
+// instances is the number of instances in the region. It is called at least at the period of the endpoints'
+// announcements, so that no cache event is missed.
+func (d *Dispatcher) Refresh(instances int) {
 	d.scheduler.mu.Lock()
 	defer d.scheduler.mu.Unlock()
+	d.scheduler.chooser.SetInstances(instances)
 	now := d.now()
 	d.scheduler.refresh(now)
 	d.scheduler.pump(now)
--- a/dispatch/fake_test.go
+++ b/dispatch/fake_test.go
@@ -278,7 +278,7 @@
 		w.publish()
 		for _, r := range w.regions {
 			for _, d := range r.dispatchers {
-				d.Refresh()
+				d.Refresh(len(r.dispatchers))
 			}
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -149,7 +149,7 @@
 
 func (n *Entry) expireLoop(ctx context.Context) {
 	every(ctx, expirePeriod, func() {
-		n.dispatcher.Refresh()
+		n.dispatcher.Refresh(n.instances())
 		for _, e := range n.state.expire() {
 			n.log.Info().Str("endpoint", e.Name).Str("service", e.Service).Bool("leaving", e.Leaving).Msg("endpointExpired")
 		}
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -139,3 +139,14 @@
 func (s limitsServer) Lend(_ context.Context, m *wiregen.LendRequest) (*wiregen.LendReply, error) {
 	return &wiregen.LendReply{Grants: s.rates.lend(m.GetAsks())}, nil
 }
+
+// instances returns the number of live entries of the own region that are not leaving.
+func (n *Entry) instances() int {
+	count := 0
+	for _, e := range n.state.live() {
+		if e.Region == n.cfg.Self.Region && !e.Leaving {
+			count++
+		}
+	}
+	return count
+}
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -41,16 +41,25 @@
 func (c *Candidate) slots() float64 { return float64(max(c.endpoint.Slots, 1)) }
 
 // room reports whether a request with that many uncached prompt tokens and that reservation could start at once; the
-// requests of other instances are taken to reserve meanReserve each.
-func (c *Candidate) room(now time.Duration, mean, meanReserve float64, tokens, reserve int) bool {
-	outstanding := c.load.outstanding(now, c.own, mean)
-	if outstanding > c.slots()-slotShare || !c.slow.Room(tokens) {
+// requests of other instances are taken to reserve as much as own ones.
+func (c *Candidate) room(now time.Duration, t *table, tokens, reserve int) bool {
+	outstanding := c.load.outstanding(now, c.own, t.mean)
+	if outstanding > c.slots()-slotShare && !c.underShare(outstanding, t.instances) {
 		return false
 	}
-	others := (outstanding - float64(c.own)) * meanReserve
+	if !c.slow.Room(tokens) {
+		return false
+	}
+	others := (outstanding - float64(c.own)) * t.meanReserve
 	return c.pool.Room(reserve + int(others))
 }
 
+// underShare reports whether the instance has less than its share of a full endpoint. It may then wait in the endpoint's
+// own queue, as the instances that hold the slots take each slot again as it is free.
+func (c *Candidate) underShare(outstanding float64, instances int) bool {
+	return instances > 1 && float64(c.own) < c.slots()/float64(instances) && outstanding < c.slots()*maxFull
+}
+
 // observe takes a newer announcement of the endpoint.
 func (c *Candidate) observe(now, reported time.Duration, e membership.Endpoint, x *index) {
 	c.endpoint = e
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -21,6 +21,8 @@
 	mean float64
 	// meanReserve is the mean reservation of own requests.
 	meanReserve float64
+	// instances is the number of instances of the region.
+	instances int
 	// order is a permutation of the indexes of open, from which samples are drawn.
 	order []int32
 }
@@ -36,6 +38,8 @@
 	index   index
 	lastID  uint32
 	refresh uint64
+	// instances is the number of instances of the region, or zero if it is not known.
+	instances int
 }
 
 // New returns a chooser without candidates; all times that it is given lie after origin.
@@ -72,9 +76,13 @@
 	}
 	for _, t := range c.tables {
 		t.average()
+		t.instances = c.instances
 	}
 }
 
+// SetInstances tells the number of instances in the region that share its endpoints.
+func (c *Chooser[P]) SetInstances(n int) { c.instances = n }
+
 // observeOne takes one endpoint and reports whether the tables must be built again.
 func (c *Chooser[P]) observeOne(at time.Duration, e membership.Endpoint) bool {
 	old := c.byName[e.Name]
@@ -248,7 +256,7 @@
 		if candidate == d.Candidate || candidate == d.RunnerUp {
 			continue
 		}
-		if d.Candidate == nil || candidate.room(at, t.mean, t.meanReserve, q.PromptTokens, q.ReserveTokens) {
+		if d.Candidate == nil || candidate.room(at, t, q.PromptTokens, q.ReserveTokens) {
 			c.score(at, t, candidate, 0, q, d)
 		}
 	}
@@ -258,7 +266,7 @@
 	if q.excludes(candidate.endpoint.Name) {
 		return
 	}
-	room := !d.Informed || candidate.room(at, t.mean, t.meanReserve, q.PromptTokens-int(cached), q.ReserveTokens)
+	room := !d.Informed || candidate.room(at, t, q.PromptTokens-int(cached), q.ReserveTokens)
 	d.offer(candidate, c.policy.Score(at, candidate, t.mean, cached, q), room)
 }
 
--- a/routing/chooser_test.go
+++ b/routing/chooser_test.go
@@ -160,6 +160,25 @@
 	}
 }
 
+// TestShareOfFullEndpoint checks that an instance may wait at an endpoint that others have filled, up to its share.
+func TestShareOfFullEndpoint(t *testing.T) {
+	c := newChooser([]membership.Endpoint{engine(0, 8)})
+	q := query()
+	q.PromptTokens = 1
+	if d, _ := c.Choose(origin, q); d.Room {
+		t.Error("a full endpoint has room for the only instance")
+	}
+	c.SetInstances(4)
+	c.Observe(origin, []membership.Endpoint{engine(0, 8)})
+	for sent := range 3 {
+		d, _ := c.Choose(origin, q)
+		if want := sent < 2; d.Room != want {
+			t.Fatalf("room %v for an instance that has %d of its share of 2", d.Room, sent)
+		}
+		c.Start(origin, d, q)
+	}
+}
+
 func TestSampleSpreadsEqualChoosers(t *testing.T) {
 	chosen := map[string]int{}
 	list := engines(40)
--- a/routing/limits.go
+++ b/routing/limits.go
@@ -33,6 +33,9 @@
 // slotShare is the part of a slot that must be free, as the estimate of what is outstanding is no whole number.
 const slotShare = 0.5
 
+// maxFull bounds the requests at an endpoint, for each slot, at which an instance below its share adds one.
+const maxFull = 1.5
+
 // Limits of the prefix index.
 const (
 	holdersPerPrefix = 4
