--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -38,6 +38,10 @@
 	Prefixes []uint64
 	// Resume is where the answer begins, if an earlier attempt has sent a part of it.
 	Resume Attempt
+	// Claimed says that the ledger of the caller's home region holds the claim of this call.
+	Claimed bool
+	// SendBy is when the first byte may be sent at the latest; zero sets no bound.
+	SendBy time.Time
 }
 
 // Subject returns what residency is decided for.
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -22,21 +22,21 @@
 	n.publish(ctx)
 	wait(ctx, n.cfg.DrainNotice)
 	n.closed.Store(true)
-	n.log.Info().Int64("active", n.active.Load()).Msg("refusing")
+	n.log.Info().Int64("active", n.inProgress()).Msg("refusing")
 	n.waitIdle(ctx, n.cfg.DrainTimeout)
-	if left := n.active.Load(); left > 0 {
+	if left := n.inProgress(); left > 0 {
 		n.log.Warn().Int64("active", left).Dur("timeout", n.cfg.DrainTimeout).Msg("drainTimeout")
 		cut(n.stopping().WithOutcome(problem.Unknown))
 		n.waitIdle(ctx, cutGrace)
 	}
-	n.log.Info().Int64("active", n.active.Load()).Msg("drained")
+	n.log.Info().Int64("active", n.inProgress()).Msg("drained")
 }
 
 // waitIdle returns when no request is in progress, or after the timeout.
 func (n *Entry) waitIdle(ctx context.Context, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	for n.active.Load() > 0 && ctx.Err() == nil {
+	for n.inProgress() > 0 && ctx.Err() == nil {
 		wait(ctx, drainPoll)
 	}
 }
@@ -54,3 +54,6 @@
 	}
 	return len(n.state.Endpoints()) > 0 || n.state.now().Sub(n.began) >= warmUp
 }
+
+// inProgress returns the number of requests in progress, with the calls whose ending is not recorded yet.
+func (n *Entry) inProgress() int64 { return n.active.Load() + n.runner.Active() }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,7 +14,6 @@
 	"arbutusreel/calls"
 	"arbutusreel/dispatch"
 	"arbutusreel/endpoint"
-	"arbutusreel/ledger"
 	"arbutusreel/relay"
 	"arbutusreel/wiregen"
 )
@@ -33,10 +32,13 @@
 	rates      *rates
 	runner     *calls.Runner
 	demands    *demands
-	began      time.Time
-	leaving    atomic.Bool
-	closed     atomic.Bool
-	active     atomic.Int64
+	// replica is nil on an instance that is no ledger replica.
+	replica     *calls.Replica
+	ledgerGroup *calls.Group
+	began       time.Time
+	leaving     atomic.Bool
+	closed      atomic.Bool
+	active      atomic.Int64
 	// adverts counts the adverts of the own instance.
 	adverts atomic.Int64
 	done    chan struct{}
@@ -51,7 +53,7 @@
 	r := newRates(cfg.Self, now)
 	d = d.WithLimiter(r)
 	publishMetrics(d)
-	return &Entry{
+	n := &Entry{
 		cfg:        cfg,
 		log:        log,
 		state:      s,
@@ -60,10 +62,13 @@
 		dispatcher: d,
 		rates:      r,
 		demands:    newDemands(),
-		runner:     calls.New(ledger.New(), d, now),
 		began:      now(),
 		done:       make(chan struct{}),
 	}
+	link := newLedgerLink(n, cfg.LedgerReplicas)
+	n.ledgerGroup = calls.NewGroup(link.slots(), link)
+	n.runner = calls.New(cfg.Self.Name, n.ledgerGroup, d, n.keepsAnswer, cfg.LedgerRetention, log, now)
+	return n
 }
 
 // Done is closed when the daemon has stopped.
@@ -72,6 +77,9 @@
 // Run serves until ctx ends and then stops gracefully; an address that cannot be served is returned as an error.
 func (n *Entry) Run(ctx context.Context) error {
 	defer close(n.done)
+	if err := n.openReplica(); err != nil {
+		return err
+	}
 	listeners, err := listen(ctx, n.cfg.Self.CallerAddress, n.cfg.Self.EndpointAddress, n.cfg.Self.PeerAddress)
 	if err != nil {
 		return err
@@ -80,6 +88,7 @@
 	requests, cut := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cut(nil)
 	servers := n.newServers(requests)
+	wiregen.RegisterLedgerServer(servers.peers, &ledgerServer{entry: n})
 	wiregen.RegisterConfigurationServer(servers.peers, relay.NewServer(n.hub, n.heardFollower, ctx.Done()))
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -92,6 +101,7 @@
 	wg.Go(func() { n.publishLoop(work) })
 	wg.Go(func() { n.lendLoop(work) })
 	wg.Go(func() { n.expireLoop(work) })
+	wg.Go(func() { n.keepLedger(work) })
 	n.log.Info().Str("callerAddress", n.cfg.Self.CallerAddress).Msg("started")
 
 	<-ctx.Done()
--- a/membership/entry.go
+++ b/membership/entry.go
@@ -19,6 +19,8 @@
 	// Incarnation grows at each start of the entry, and Sequence with each advert of one incarnation.
 	Incarnation int64
 	Sequence    int64
+	// LedgerEpoch is the epoch of the ledger of the region, as the entry's replica knows it.
+	LedgerEpoch string
 }
 
 // newer reports whether e replaces what is known as old.
--- a/wire/forward.go
+++ b/wire/forward.go
@@ -31,6 +31,10 @@
 		PrefixHashes:    r.Prefixes,
 		ResumePosition:  int64(r.Resume.Next),
 		ResumeText:      r.Resume.Text,
+		Claimed:         r.Claimed,
+	}
+	if !r.SendBy.IsZero() {
+		m.SendWithinMillis = max(time.Until(r.SendBy).Milliseconds(), 1)
 	}
 	for _, h := range r.Via {
 		m.ViaInstances = append(m.ViaInstances, h.Instance)
@@ -60,6 +64,10 @@
 		Epoch:          m.GetEpoch(),
 		Prefixes:       m.GetPrefixHashes(),
 		Resume:         dispatch.Attempt{Next: int(m.GetResumePosition()), Text: m.GetResumeText()},
+		Claimed:        m.GetClaimed(),
+	}
+	if m.GetSendWithinMillis() > 0 {
+		r.SendBy = now.Add(time.Duration(m.GetSendWithinMillis()) * time.Millisecond)
 	}
 	for i, instance := range m.GetViaInstances() {
 		hop := dispatch.Hop{Instance: instance}
