--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -46,14 +46,14 @@
 
 // gateway is an entry in the test's process without its daemon duties.
 type gateway struct {
-	t      *testing.T
+	t      testing.TB
 	entry  *Entry
 	server *httptest.Server
 	log    *syncBuffer
 }
 
 // newGateway returns an entry of lahore with the Lunch Club's inventory in force.
-func newGateway(t *testing.T, change func(*Config)) *gateway {
+func newGateway(t testing.TB, change func(*Config)) *gateway {
 	t.Helper()
 	cfg := Config{
 		Self:              membership.Entry{Name: "entry-lahore-0", Region: "lahore", FailureDomain: "lahore-a"},
