--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -126,6 +126,7 @@
 		Leaving:         m.GetLeaving(),
 		Incarnation:     m.GetIncarnation(),
 		Sequence:        m.GetSequence(),
+		LedgerEpoch:     m.GetLedgerEpoch(),
 	}
 }
 
@@ -142,6 +143,7 @@
 		Leaving:         e.Leaving,
 		Incarnation:     e.Incarnation,
 		Sequence:        e.Sequence,
+		LedgerEpoch:     e.LedgerEpoch,
 	}
 }
 
