--- /dev/null
+++ b/standin/engine_test.go
@@ -0,0 +1,134 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// TestBatch checks that slots are never exceeded and that the queue is served by priority, then by arrival.
+func TestBatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		b := newBatch(slots)
+		var waiting, running []*waiter
+		first := func() *waiter {
+			best := waiting[0]
+			for _, w := range waiting[1:] {
+				if w.priority < best.priority {
+					best = w
+				}
+			}
+			return best
+		}
+		take := func(w *waiter) {
+			for i := range waiting {
+				if waiting[i] == w {
+					waiting = append(waiting[:i:i], waiting[i+1:]...)
+					break
+				}
+			}
+		}
+		admit := func() {
+			for len(running) < slots && len(waiting) > 0 {
+				w := first()
+				take(w)
+				running = append(running, w)
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"enter", "leave", "release"}).Draw(t, "step") {
+			case "enter":
+				waiting = append(waiting, b.enter(rapid.IntRange(0, 2).Draw(t, "priority"), 1))
+			case "leave":
+				if len(waiting) > 0 {
+					w := waiting[rapid.IntRange(0, len(waiting)-1).Draw(t, "waiter")]
+					take(w)
+					b.leave(w)
+				}
+			case "release":
+				if len(running) > 0 {
+					running = running[1:]
+					b.release()
+				}
+			}
+			admit()
+			for _, w := range running {
+				select {
+				case <-w.admitted:
+				default:
+					t.Fatal("a request that should run waits")
+				}
+			}
+			gotRunning, gotQueued, gotTokens := b.load()
+			if gotRunning != len(running) || gotQueued != len(waiting) || gotTokens != len(waiting) {
+				t.Fatalf("running %d, queued %d, tokens %d; want %d and %d", gotRunning, gotQueued, gotTokens, len(running), len(waiting))
+			}
+		}
+	})
+}
+
+func TestAcquireCancelled(t *testing.T) {
+	b := newBatch(1)
+	b.enter(0, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if b.acquire(ctx, 0, 1) {
+		t.Error("a cancelled request got a slot")
+	}
+	if running, queued, _ := b.load(); running != 1 || queued != 0 {
+		t.Errorf("running %d, queued %d", running, queued)
+	}
+}
+
+func TestCache(t *testing.T) {
+	now := time.Unix(1000, 0)
+	long := strings.Repeat("a", 512) + strings.Repeat("b", 256)
+	tests := []struct {
+		name     string
+		capacity int
+		prompts  []string
+		want     []int
+	}{
+		{"a repeated prompt is cached", 8, []string{long, long}, []int{0, 192}},
+		{"a shared prefix is cached", 8, []string{long, long[:512] + strings.Repeat("c", 256)}, []int{0, 128}},
+		{"a small memory forgets the oldest blocks", 2, []string{long, long}, []int{0, 0}},
+		{"no memory caches nothing", 0, []string{long, long}, []int{0, 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCache(tt.capacity, 0, 0, rand.New(rand.NewPCG(1, 1)))
+			var got []int
+			for _, prompt := range tt.prompts {
+				got = append(got, c.use(now, prompt))
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestCacheEvents checks that events come late, and that lost ones leave a gap in the sequence.
+func TestCacheEvents(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, gap := range []float64{0, 1} {
+		c := newCache(8, time.Second, gap, rand.New(rand.NewPCG(1, 1)))
+		c.use(now, strings.Repeat("a", 512))
+		if events, sequence := c.announce(now); len(events) != 0 || sequence != 1 {
+			t.Errorf("gap %v: %d events from %d before they are due", gap, len(events), sequence)
+		}
+		events, sequence := c.announce(now.Add(time.Second))
+		if gap == 0 && (len(events) != 2 || sequence != 1) {
+			t.Errorf("%d events from %d", len(events), sequence)
+		}
+		if gap == 1 && (len(events) != 0 || sequence != 3) {
+			t.Errorf("%d events from %d after a loss", len(events), sequence)
+		}
+	}
+}
