--- a/completion/answer.go
+++ b/completion/answer.go
@@ -129,7 +129,7 @@
 	CachedTokens int
 }
 
-// DecodeChunk reads one event of a streamed answer; a fault returns *MalformedError.
+// DecodeChunk reads one event of a streamed answer; a fault returns *MalformedError or *RangeError.
 func DecodeChunk(b []byte) (Event, error) {
 	var c chunk
 	if err := json.Unmarshal(b, &c); err != nil {
@@ -161,5 +161,25 @@
 		e.PromptTokens = c.Usage.PromptTokens
 		e.CachedTokens = c.Usage.CachedTokens
 	}
-	return e, nil
+	return e, e.check()
+}
+
+// check returns *RangeError for a number below zero.
+func (e Event) check() error {
+	numbers := []struct {
+		field string
+		value int
+	}{
+		{"position", e.Position},
+		{"attempt", e.Attempt},
+		{"completion_tokens", e.Pieces},
+		{"prompt_tokens", e.PromptTokens},
+		{"cached_tokens", e.CachedTokens},
+	}
+	for _, n := range numbers {
+		if n.value < 0 {
+			return &RangeError{Field: n.field, Value: n.value}
+		}
+	}
+	return nil
 }
--- a/completion/request.go
+++ b/completion/request.go
@@ -56,13 +56,24 @@
 	return fmt.Sprintf("completion request: field %q is required", e.Field)
 }
 
+// RangeError says which number of a request or an event is too small.
+type RangeError struct {
+	Field string
+	Value int
+}
+
+// Error names the field and the number.
+func (e *RangeError) Error() string {
+	return fmt.Sprintf("completion: field %q: %d is too small", e.Field, e.Value)
+}
+
 // message is a chat message on the wire.
 type message struct {
 	Role    string          `json:"role"`
 	Content json.RawMessage `json:"content"`
 }
 
-// Decode reads a caller's request; a fault returns *MalformedError or *MissingError.
+// Decode reads a caller's request; a fault returns *MalformedError, *MissingError or *RangeError.
 func Decode(kind Kind, body []byte) (Request, error) {
 	r := Request{Kind: kind, MaxTokens: defaultMaxTokens}
 	if err := json.Unmarshal(body, &r.Fields); err != nil {
@@ -84,6 +95,9 @@
 	if r.Model == "" {
 		return Request{}, &MissingError{Field: "model"}
 	}
+	if r.MaxTokens <= 0 {
+		return Request{}, &RangeError{Field: "max_tokens", Value: r.MaxTokens}
+	}
 	if err := r.readPrompt(); err != nil {
 		return Request{}, err
 	}
--- a/inventory/check.go
+++ b/inventory/check.go
@@ -3,12 +3,17 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"math"
 	"regexp"
+	"time"
 )
 
 // digestBytes is the length of a SHA-256 digest.
 const digestBytes = 32
 
+// maxDuration bounds each duration of an inventory.
+const maxDuration = 30 * 24 * time.Hour
+
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-zA-Z0-9._-]{0,62})$`)
 
 // checker gathers the faults of one inventory.
@@ -72,8 +77,8 @@
 }
 
 func (c *checker) atLeastZero(path string, value float64) {
-	if !(value >= 0) {
-		c.add(path, fmt.Sprint(value), "the value is zero or more")
+	if !(value >= 0) || math.IsInf(value, 0) {
+		c.add(path, fmt.Sprint(value), "the value is zero or more and finite")
 	}
 }
 
@@ -107,6 +112,9 @@
 			c.add(path+".bytesPerSecond", fmt.Sprint(l.BytesPerSecond), "the value is greater than zero")
 		}
 		c.atLeastZero(path+".roundTripMillis", float64(l.RoundTrip))
+		if l.RoundTrip > maxDuration {
+			c.add(path+".roundTripMillis", fmt.Sprint(l.RoundTrip.Milliseconds()), "the value is at most thirty days")
+		}
 		c.atLeastZero(path+".costPerGigabyte", l.CostPerGigabyte)
 	}
 }
@@ -153,6 +161,9 @@
 		if v.Patience <= 0 {
 			c.add(path+".patienceMillis", fmt.Sprint(v.Patience.Milliseconds()), "the value is greater than zero")
 		}
+		if v.Patience > maxDuration {
+			c.add(path+".patienceMillis", fmt.Sprint(v.Patience.Milliseconds()), "the value is at most thirty days")
+		}
 		c.atLeastZero(path+".weight", v.Weight)
 	}
 }
--- a/problem/codec.go
+++ b/problem/codec.go
@@ -11,6 +11,9 @@
 // contentType is the media type of problem JSON (RFC 9457).
 const contentType = "application/problem+json"
 
+// maxStatus is the highest HTTP status.
+const maxStatus = 599
+
 // message is a problem on the wire.
 type message struct {
 	Type             string `json:"type"`
@@ -41,18 +44,28 @@
 	return b
 }
 
-// Decode returns the problem in b; ok is false if b is no problem JSON with a code.
+// maxRetryAfter is the longest wait that is taken from another's problem.
+const maxRetryAfter = 24 * time.Hour
+
+// Decode returns the problem in b; ok is false if b is no problem JSON with a code and a status of failure.
+//
+// An outcome that is not known counts as Unknown, and a wait is kept within a day.
 func Decode(b []byte) (p *Problem, ok bool) {
 	var m message
-	if json.Unmarshal(b, &m) != nil || m.Code == "" {
+	if json.Unmarshal(b, &m) != nil || m.Code == "" || m.Status < http.StatusBadRequest || m.Status > maxStatus {
 		return nil, false
 	}
+	outcome := Outcome(m.Outcome)
+	if outcome != NotRun {
+		outcome = Unknown
+	}
+	millis := min(max(m.RetryAfterMillis, 0), maxRetryAfter.Milliseconds())
 	return &Problem{
 		Code:       Code(m.Code),
 		Status:     m.Status,
 		Detail:     m.Detail,
-		Outcome:    Outcome(m.Outcome),
-		RetryAfter: time.Duration(m.RetryAfterMillis) * time.Millisecond,
+		Outcome:    outcome,
+		RetryAfter: time.Duration(millis) * time.Millisecond,
 	}, true
 }
 
--- a/settings/load.go
+++ b/settings/load.go
@@ -121,7 +121,19 @@
 	if err != nil {
 		return protoreflect.Value{}, "the value is a duration such as 250ms or 3s"
 	}
-	return protoreflect.ValueOfMessage(durationpb.New(d).ProtoReflect()), s.bounds(d.Milliseconds())
+	return protoreflect.ValueOfMessage(durationpb.New(d).ProtoReflect()), s.bounds(wholeMillis(d))
+}
+
+// wholeMillis returns d in milliseconds, rounded away from zero so that no part of one lies beyond a bound.
+func wholeMillis(d time.Duration) int64 {
+	n := d.Milliseconds()
+	switch {
+	case d > time.Duration(n)*time.Millisecond:
+		return n + 1
+	case d < time.Duration(n)*time.Millisecond:
+		return n - 1
+	}
+	return n
 }
 
 // Setting describes one setting of the schema.
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -8,6 +9,9 @@
 	"arbutusreel/wiregen"
 )
 
+// maxLoadAge is the greatest age of a load report.
+const maxLoadAge = 24 * time.Hour
+
 // InvalidAnnouncementError says that an announcement lacks a field or holds a wrong one.
 type InvalidAnnouncementError struct {
 	Field  string
@@ -43,7 +47,7 @@
 			TokensPerSecond:        load.GetTokensPerSecond(),
 			PrefillTokensPerSecond: load.GetPrefillTokensPerSecond(),
 			CacheUse:               load.GetCacheUse(),
-			At:                     now.Add(-time.Duration(load.GetAgeMillis()) * time.Millisecond),
+			At:                     now.Add(-ageOf(load)),
 		},
 		CacheEvents:   mapAll(m.GetCacheEvents(), decodeCacheEvent),
 		CacheSequence: m.GetCacheSequence(),
@@ -69,9 +73,35 @@
 	if m.GetSlots() <= 0 {
 		return &InvalidAnnouncementError{Field: "slots", Reason: "the value is greater than zero"}
 	}
+	return checkLoad(m.GetLoad())
+}
+
+// checkLoad refuses numbers that are negative or not finite, which would spoil the choice of endpoints.
+func checkLoad(m *wiregen.LoadReport) error {
+	numbers := []struct {
+		field string
+		value float64
+	}{
+		{"load.running", float64(m.GetRunning())},
+		{"load.queued", float64(m.GetQueued())},
+		{"load.queuedTokens", float64(m.GetQueuedTokens())},
+		{"load.tokensPerSecond", m.GetTokensPerSecond()},
+		{"load.prefillTokensPerSecond", m.GetPrefillTokensPerSecond()},
+		{"load.cacheUse", m.GetCacheUse()},
+	}
+	for _, n := range numbers {
+		if !(n.value >= 0) || math.IsInf(n.value, 0) {
+			return &InvalidAnnouncementError{Field: n.field, Reason: "the value is zero or more and finite"}
+		}
+	}
 	return nil
 }
 
+// ageOf returns the age of a load report, kept between zero and maxLoadAge.
+func ageOf(m *wiregen.LoadReport) time.Duration {
+	return time.Duration(min(max(m.GetAgeMillis(), 0), maxLoadAge.Milliseconds())) * time.Millisecond
+}
+
 // EncodeAnnouncement returns the message of an endpoint whose load report is aged by now.
 func EncodeAnnouncement(now time.Time, e membership.Endpoint) *wiregen.Announcement {
 	return &wiregen.Announcement{
--- a/wire/inventory.go
+++ b/wire/inventory.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"time"
 
 	"arbutusreel/inventory"
@@ -57,7 +58,7 @@
 		From:            m.GetFrom(),
 		To:              m.GetTo(),
 		BytesPerSecond:  m.GetBytesPerSecond(),
-		RoundTrip:       time.Duration(m.GetRoundTripMillis()) * time.Millisecond,
+		RoundTrip:       millis(m.GetRoundTripMillis()),
 		CostPerGigabyte: m.GetCostPerGigabyte(),
 	}
 }
@@ -137,7 +138,7 @@
 		Name:       m.GetName(),
 		Priority:   int(m.GetPriority()),
 		Weight:     m.GetWeight(),
-		Patience:   time.Duration(m.GetPatienceMillis()) * time.Millisecond,
+		Patience:   millis(m.GetPatienceMillis()),
 		Deferrable: m.GetDeferrable(),
 	}
 }
@@ -207,3 +208,11 @@
 		WeightStoreBytesPerSecond: r.WeightStoreBytesPerSecond,
 	}
 }
+
+// millis returns a number of milliseconds as a duration, the longest one if there are too many.
+func millis(n int64) time.Duration {
+	if n > math.MaxInt64/int64(time.Millisecond) {
+		return math.MaxInt64
+	}
+	return time.Duration(max(n, -1)) * time.Millisecond
+}
