--- a/control/regions.go
+++ b/control/regions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -54,13 +55,10 @@
 	return slices.DeleteFunc(replies, func(r *wiregen.RegionReply) bool { return r == nil })
 }
 
-// entries returns every entry that the direct followers know of, in the order of their names.
+// entries returns every entry that the voters' direct followers know of, in the order of their names.
 func (c *Control) entries(ctx context.Context) []membership.Entry {
-	direct := c.followers.direct(c.now())
-	known := map[string]membership.Entry{}
-	for _, e := range direct {
-		known[e.Name] = e
-	}
+	known := c.askVoters(ctx).entries
+	direct := slices.Collect(maps.Values(known))
 	for _, reply := range c.askRegions(ctx, direct) {
 		for _, e := range wire.DecodeEntries(reply.GetEntries()) {
 			known[e.Name] = e
