--- a/systemtest/placement_test.go
+++ b/systemtest/placement_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"arbutusreel/fencing"
 	"arbutusreel/standin"
 )
 
@@ -54,3 +55,69 @@
 		t.Errorf("explain placement: %v\n%s", err, out)
 	}
 }
+
+// twoKinds offers one model to engines that check numbers and one to engines that do not; the letter names the pair.
+func twoKinds(letter string) func(map[string]any) {
+	return func(m map[string]any) {
+		var models, services []any
+		for _, kind := range []string{"checking", "ignoring"} {
+			for _, l := range []string{"a", "b"} {
+				models = append(models, map[string]any{"name": kind + "-" + l, "weightBytes": 1})
+			}
+			services = append(services, map[string]any{
+				"name": kind, "kind": "model", "models": []any{kind + "-" + letter}, "minEndpointsPerModel": 1, "checksFencing": kind == "checking",
+			})
+		}
+		m["models"], m["services"] = models, services
+	}
+}
+
+// rise reports whether the numbers of the orders rise strictly.
+func rise(orders []standin.AppliedOrder) bool {
+	var last fencing.Number
+	for _, o := range orders {
+		n := fencing.Number{Term: o.Term, Sequence: o.Sequence}
+		if !n.Above(last) {
+			return false
+		}
+		last = n
+	}
+	return true
+}
+
+// TestFrozenPlacementLeader freezes the leader, lets its successor order both kinds of engines anew, and wakes the old one, whose inventory is older.
+func TestFrozenPlacementLeader(t *testing.T) {
+	s := newSystem(t, options{
+		regions: []string{"lahore", "karachi", "peshawar"}, entriesPerRegion: 1, inventory: editedInventory(t, twoKinds("a")),
+		controlArgs: []string{"--placementPeriod", "100ms"},
+	})
+	engines := map[string]*instance{
+		"checking": s.engine("engine-checking", "lahore", "checking", "checking-a", "--checksFencing"),
+		"ignoring": s.engine("engine-ignoring", "lahore", "ignoring", "ignoring-a"),
+	}
+	for _, letter := range []string{"b", "a"} {
+		var old *instance
+		s.until("there is a leader", func() bool {
+			old = s.leader()
+			return old != nil
+		})
+		old.freeze()
+		s.apply(editedInventory(t, twoKinds(letter)))
+		for kind, e := range engines {
+			s.until(kind+" engine holds "+letter, func() bool {
+				orders := s.ordersOf(e)
+				return len(orders) > 0 && slices.Equal(orders[len(orders)-1].Models, []string{kind + "-" + letter})
+			})
+		}
+		old.thaw()
+		s.until("the woken voter follows", func() bool {
+			return strings.Contains(tail(old.logged()), `"leads":false`) && s.leader() != nil && s.leader() != old
+		})
+		for kind, e := range engines {
+			orders := s.ordersOf(e)
+			if !rise(orders) || !slices.Equal(orders[len(orders)-1].Models, []string{kind + "-" + letter}) {
+				t.Fatalf("%s engine, %s in force: orders %+v", kind, letter, orders)
+			}
+		}
+	}
+}
