Keep cache events and resumes within their regions

Cause: exchanges told every region of all endpoints with their cache events, which hold hashes of prompts. Other regions now get summaries only. A forward is checked anew before each further entry that it is tried with.

Fails first: TestResumeStaysInItsRegions: "another region was told of 7 endpoints with their cache events"; with the checks of dispatch and entry removed: "a resumed request reached a region that its labels do not allow".

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -49,7 +49,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	reply, err := client.Exchange(ctx, n.exchangeRequest())
+	reply, err := client.Exchange(ctx, n.exchangeRequest(n.peers.regionAt(address)))
 	if err != nil {
 		return err
 	}
@@ -57,18 +57,22 @@
 	return nil
 }
 
-func (n *Entry) exchangeRequest() *wiregen.ExchangeRequest {
+// exchangeRequest returns what a peer of the region is told; endpoints with their cache events stay in their region.
+func (n *Entry) exchangeRequest(region string) *wiregen.ExchangeRequest {
 	now := n.state.now()
 	_, revision := n.state.Inventory()
 	endpoints := n.state.Endpoints()
-	return &wiregen.ExchangeRequest{
+	m := &wiregen.ExchangeRequest{
 		Sender:    n.cfg.Self.Name,
 		Region:    n.cfg.Self.Region,
 		Entries:   wire.EncodeEntries([]membership.Entry{n.self()}),
-		Endpoints: n.endpointStates(endpoints),
 		Summaries: wire.EncodeSummaries(now, membership.Summarize(now, n.cfg.Self.Region, endpoints)),
 		Revision:  revision,
 	}
+	if region == n.cfg.Self.Region {
+		m.Endpoints = n.endpointStates(endpoints)
+	}
+	return m
 }
 
 func (n *Entry) endpointStates(endpoints []membership.Endpoint) []*wiregen.EndpointState {
@@ -88,7 +92,7 @@
 		return nil, err
 	}
 	n.learn(m.GetEntries(), m.GetEndpoints(), m.GetSummaries())
-	own := n.exchangeRequest()
+	own := n.exchangeRequest(m.GetRegion())
 	return &wiregen.ExchangeReply{
 		Entries:   wire.EncodeEntries(n.state.live()),
 		Endpoints: own.GetEndpoints(),
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -46,18 +46,19 @@
 
 // each runs a forward to one entry of the region after another until one answers or next declines its failure.
 func (p *peers) each(ctx context.Context, region string, r dispatch.Request, run func(forwardFrames) error, next func(error) bool) error {
-	revision, err := p.checkLeaving(r, region)
-	if err != nil {
+	if _, err := p.checkLeaving(r, region); err != nil {
 		return err
 	}
 	m := wire.EncodeForward(r)
-	m.Revision = revision
 	last := error(problem.New(problem.HomeRegionRequired, http.StatusServiceUnavailable, "no entry of region %q can be reached", region).WithRetryAfter(retryAfterStopping))
 	for _, e := range p.targets(region, r) {
 		client, err := p.connected(ctx, e.PeerAddress)
 		if err != nil {
 			continue
 		}
+		if m.Revision, err = p.checkLeaving(r, region); err != nil {
+			return err
+		}
 		err = forwardOnce(ctx, client, m, run)
 		if err == nil || !next(err) {
 			return err
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -6,19 +6,24 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"arbutusreel/membership"
 	"arbutusreel/wiregen"
 )
 
-// nameAt returns the name of the entry that is known at a peer address, or "" if none is.
-func (p *peers) nameAt(address string) string {
+// entryAt returns the entry that is known at a peer address, or an empty one if none is.
+func (p *peers) entryAt(address string) membership.Entry {
 	for _, e := range p.state.live() {
 		if e.PeerAddress == address {
-			return e.Name
+			return e
 		}
 	}
-	return ""
+	return membership.Entry{}
 }
 
+func (p *peers) nameAt(address string) string { return p.entryAt(address).Name }
+
+func (p *peers) regionAt(address string) string { return p.entryAt(address).Region }
+
 // checkClaim refuses a peer whose certificate names another instance than the peer does.
 func (n *Entry) checkClaim(ctx context.Context, name, region string) error {
 	if err := n.cfg.Keys.CheckClaim(ctx, name, region); err != nil {
--- a/systemtest/residency_test.go
+++ b/systemtest/residency_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -35,6 +36,8 @@
 	mu       sync.Mutex
 	received bytes.Buffer
 	sequence uint64
+	// endpoints is the number of endpoints that the recorder was told of.
+	endpoints int
 }
 
 // newRecorder serves an entry of the region that says it has capacity for every service.
@@ -100,11 +103,24 @@
 }
 
 // Exchange tells of the recorder's region.
-func (r *recorder) Exchange(context.Context, *wiregen.ExchangeRequest) (*wiregen.ExchangeReply, error) {
+func (r *recorder) Exchange(_ context.Context, m *wiregen.ExchangeRequest) (*wiregen.ExchangeReply, error) {
+	r.hear(len(m.GetEndpoints()))
 	entries, summaries := r.adverts()
 	return &wiregen.ExchangeReply{Entries: entries, Summaries: summaries}, nil
 }
 
+func (r *recorder) hear(endpoints int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endpoints += endpoints
+}
+
+func (r *recorder) heard() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.endpoints
+}
+
 // Forward answers with one piece.
 func (r *recorder) Forward(_ *wiregen.ForwardRequest, frames grpc.ServerStreamingServer[wiregen.ForwardFrame]) error {
 	piece := &wiregen.ForwardFrame{Frame: &wiregen.ForwardFrame_Piece{Piece: &wiregen.ForwardPiece{Data: []byte("away ")}}}
@@ -133,9 +149,10 @@
 	go func() {
 		for ctx.Err() == nil {
 			entries, summaries := r.adverts()
-			_, _ = client.Exchange(ctx, &wiregen.ExchangeRequest{
+			reply, _ := client.Exchange(ctx, &wiregen.ExchangeRequest{
 				Sender: "a-recorder-" + r.region, Region: r.region, Entries: entries, Summaries: summaries,
 			})
+			r.hear(len(reply.GetEndpoints()))
 			time.Sleep(200 * time.Millisecond)
 		}
 	}()
@@ -208,6 +225,50 @@
 	}
 }
 
+// TestResumeStaysInItsRegions ends the only engine at home in the middle of a stream while another region has capacity.
+func TestResumeStaysInItsRegions(t *testing.T) {
+	s := newSystem(t, options{regions: []string{"lahore"}, entriesPerRegion: 1, inventory: editedInventory(t, unlabelled)})
+	forbidden := newRecorder(t, "peshawar", "menu-model")
+	lahore := s.entries[0]
+	engine := s.engine("engine-lahore", "lahore", "menu-model", "dastarkhwan-menu", "--dieAfterTokens", "3")
+	long := strings.Replace(markedBody, `"max_tokens":4`, `"max_tokens":64`, 1)
+	s.until("the engine is known", func() bool { return s.knows(lahore, "engine-lahore") })
+	forbidden.join(lahore)
+	s.until("the other region is known", func() bool {
+		a := s.do(http.MethodPost, lahore.caller, chatPath, lahoreToken, long)
+		return strings.Contains(a.body, "event: error") || a.status != http.StatusOK
+	})
+	<-engine.done
+	for range 3 {
+		s.do(http.MethodPost, lahore.caller, chatPath, lahoreToken, long)
+	}
+	s.until("an unbound request crosses", func() bool {
+		return s.do(http.MethodPost, lahore.caller, chatPath, "karachi-demo-token", planBody).status == http.StatusOK
+	})
+	if forbidden.holds(marker) {
+		t.Error("a resumed request reached a region that its labels do not allow")
+	}
+	if n := forbidden.heard(); n > 0 {
+		t.Errorf("another region was told of %d endpoints with their cache events", n)
+	}
+}
+
+// knows reports whether an entry knows an endpoint of its region.
+func (s *system) knows(e *instance, endpoint string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	conn, err := grpc.NewClient("passthrough:///"+e.peer, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	reply, err := wiregen.NewPlacementClient(conn).Region(ctx, &wiregen.RegionRequest{Endpoints: true})
+	if err != nil {
+		return false
+	}
+	return slices.ContainsFunc(reply.GetEndpoints(), func(m *wiregen.EndpointState) bool { return m.GetAnnouncement().GetName() == endpoint })
+}
+
 func TestArrivalInForbiddenRegionIsRefused(t *testing.T) {
 	s := newSystem(t, options{regions: []string{"lahore", "peshawar"}, entriesPerRegion: 1, inventory: lunchClub})
 	peshawar := s.entries[1]
