--- a/completion/answer.go
+++ b/completion/answer.go
@@ -178,7 +178,7 @@
 	}
 	for _, n := range numbers {
 		if n.value < 0 {
-			return &RangeError{Field: n.field, Value: n.value}
+			return &RangeError{Field: n.field, Least: 0}
 		}
 	}
 	return nil
--- a/completion/request.go
+++ b/completion/request.go
@@ -56,15 +56,15 @@
 	return fmt.Sprintf("completion request: field %q is required", e.Field)
 }
 
-// RangeError says which number of a request or an event is too small.
+// RangeError says that a number of a request or an event is too small.
 type RangeError struct {
 	Field string
-	Value int
+	Least int
 }
 
-// Error names the field and the number.
+// Error names the field and its least value.
 func (e *RangeError) Error() string {
-	return fmt.Sprintf("completion: field %q: %d is too small", e.Field, e.Value)
+	return fmt.Sprintf("completion request: field %q is at least %d", e.Field, e.Least)
 }
 
 // message is a chat message on the wire.
@@ -95,8 +95,8 @@
 	if r.Model == "" {
 		return Request{}, &MissingError{Field: "model"}
 	}
-	if r.MaxTokens <= 0 {
-		return Request{}, &RangeError{Field: "max_tokens", Value: r.MaxTokens}
+	if r.MaxTokens < 1 {
+		return Request{}, &RangeError{Field: "max_tokens", Least: 1}
 	}
 	if err := r.readPrompt(); err != nil {
 		return Request{}, err
--- a/entry/config.go
+++ b/entry/config.go
@@ -6,6 +6,7 @@
 	"arbutusreel/decision"
 	"arbutusreel/keys"
 	"arbutusreel/membership"
+	"arbutusreel/metrics"
 )
 
 // Config is what an entry needs to know at its start.
@@ -13,21 +14,29 @@
 	Self     membership.Entry
 	Controls []string
 	// ControlNames holds the names of the control voters by address.
-	ControlNames        map[string]string
-	Peers               []string
-	DirectoryAddress    string
-	MaxBodyBytes        int64
-	MaxHeaderBytes      int
-	AnnouncementLease   time.Duration
-	DrainNotice         time.Duration
-	DrainTimeout        time.Duration
-	ReaderTimeout       time.Duration
-	BodyTimeout         time.Duration
+	ControlNames      map[string]string
+	Peers             []string
+	DirectoryAddress  string
+	MaxBodyBytes      int64
+	MaxHeaderBytes    int
+	AnnouncementLease time.Duration
+	DrainNotice       time.Duration
+	DrainTimeout      time.Duration
+	ReaderTimeout     time.Duration
+	BodyTimeout       time.Duration
+	// Metrics counts what the entry does; nil counts for nobody.
+	Metrics             *metrics.Set
 	RoutingPolicy       string
 	Seed                uint64
 	Keys                *keys.Source
 	Decisions           *decision.Store
 	OperatorTokenDigest string
+	// LedgerReplicas are the region's ledger replicas, as name=address.
+	LedgerReplicas []string
+	// DataFolder keeps the own ledger replica; empty keeps it in memory.
+	DataFolder      string
+	LedgerRetention time.Duration
+	LedgerMaxCalls  int
 }
 
 // Periods and limits of the daemon's duties.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"net/http"
 	"sync"
@@ -14,7 +15,7 @@
 	"arbutusreel/calls"
 	"arbutusreel/dispatch"
 	"arbutusreel/endpoint"
-	"arbutusreel/ledger"
+	"arbutusreel/metrics"
 	"arbutusreel/relay"
 	"arbutusreel/wiregen"
 )
@@ -26,16 +27,21 @@
 
 	cfg        Config
 	log        zerolog.Logger
+	metrics    *metrics.Set
 	state      *state
 	hub        *relay.Hub
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
+	rates      *rates
 	runner     *calls.Runner
 	demands    *demands
-	began      time.Time
-	leaving    atomic.Bool
-	closed     atomic.Bool
-	active     atomic.Int64
+	// replica is nil on an instance that is no ledger replica.
+	replica     *calls.Replica
+	ledgerGroup *calls.Group
+	began       time.Time
+	leaving     atomic.Bool
+	closed      atomic.Bool
+	active      atomic.Int64
 	// adverts counts the adverts of the own instance.
 	adverts atomic.Int64
 	done    chan struct{}
@@ -46,20 +52,31 @@
 	s := newState(cfg.Self.Region, now)
 	p := newPeers(s, cfg.Self.Name, cfg.Keys)
 	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
-	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, newChooser(cfg.RoutingPolicy, now(), newSource(cfg.Seed)), now, newSource(cfg.Seed), log)
-	publishMetrics(d)
-	return &Entry{
+	d := dispatch.New(self, s, timedModels{models: endpoint.NewModels()}, endpoint.NewPlain(), p, newChooser(cfg.RoutingPolicy, now(), newSource(cfg.Seed)), now, newSource(cfg.Seed), log)
+	r := newRates(cfg.Self, now)
+	d = d.WithLimiter(r)
+	counts := cfg.Metrics
+	if counts == nil {
+		counts = metrics.New()
+	}
+	counts.Add(dispatchVar, expvar.Func(func() any { return d.Metrics() }))
+	n := &Entry{
 		cfg:        cfg,
 		log:        log,
+		metrics:    counts,
 		state:      s,
 		hub:        relay.NewHub(cfg.Self.Name, now),
 		peers:      p,
 		dispatcher: d,
+		rates:      r,
 		demands:    newDemands(),
-		runner:     calls.New(ledger.New(), d, now),
 		began:      now(),
 		done:       make(chan struct{}),
 	}
+	link := newLedgerLink(n, cfg.LedgerReplicas)
+	n.ledgerGroup = calls.NewGroup(link.slots(), link)
+	n.runner = calls.New(cfg.Self.Name, n.ledgerGroup, d, n.keepsAnswer, cfg.LedgerRetention, log, now)
+	return n
 }
 
 // Done is closed when the daemon has stopped.
@@ -68,6 +85,9 @@
 // Run serves until ctx ends and then stops gracefully; an address that cannot be served is returned as an error.
 func (n *Entry) Run(ctx context.Context) error {
 	defer close(n.done)
+	if err := n.openReplica(); err != nil {
+		return err
+	}
 	listeners, err := listen(ctx, n.cfg.Self.CallerAddress, n.cfg.Self.EndpointAddress, n.cfg.Self.PeerAddress)
 	if err != nil {
 		return err
@@ -76,6 +96,7 @@
 	requests, cut := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cut(nil)
 	servers := n.newServers(requests)
+	wiregen.RegisterLedgerServer(servers.peers, &ledgerServer{entry: n})
 	wiregen.RegisterConfigurationServer(servers.peers, relay.NewServer(n.hub, n.heardFollower, ctx.Done()))
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -86,7 +107,9 @@
 	wg.Go(func() { n.follow(work) })
 	wg.Go(func() { n.exchangeLoop(work) })
 	wg.Go(func() { n.publishLoop(work) })
+	wg.Go(func() { n.lendLoop(work) })
 	wg.Go(func() { n.expireLoop(work) })
+	wg.Go(func() { n.keepLedger(work) })
 	n.log.Info().Str("callerAddress", n.cfg.Self.CallerAddress).Msg("started")
 
 	<-ctx.Done()
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -35,7 +35,7 @@
 	s := servers{
 		callers: &http.Server{
 			Handler:           n.callerHandler(),
-			MaxHeaderBytes:    n.cfg.MaxHeaderBytes,
+			MaxHeaderBytes:    n.cfg.MaxHeaderBytes + headerSlack,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       callerIdleTimeout,
 			BaseContext:       func(net.Listener) context.Context { return requests },
@@ -50,6 +50,7 @@
 	}
 	wiregen.RegisterPeerServer(s.peers, n)
 	wiregen.RegisterPlacementServer(s.peers, n)
+	wiregen.RegisterLimitsServer(s.peers, limitsServer{rates: n.rates})
 	return s
 }
 
--- a/load/load.go
+++ b/load/load.go
@@ -54,6 +54,7 @@
 	entries *entries
 	mu      sync.Mutex
 	result  Result
+	epoch   epoch
 }
 
 // outcome is what became of one request.
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -156,6 +156,7 @@
 		Leaving:         m.GetLeaving(),
 		Incarnation:     m.GetIncarnation(),
 		Sequence:        m.GetSequence(),
+		LedgerEpoch:     m.GetLedgerEpoch(),
 	}
 }
 
@@ -172,6 +173,7 @@
 		Leaving:         e.Leaving,
 		Incarnation:     e.Incarnation,
 		Sequence:        e.Sequence,
+		LedgerEpoch:     e.LedgerEpoch,
 	}
 }
 
