--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build generate test demo lint
+.PHONY: build generate test demo lint fuzz
 
 build:
 	go build -o bin/ ./cmd/...
@@ -14,3 +14,6 @@
 
 demo: build
 	./scripts/demo
+
+fuzz:
+	./scripts/fuzz
