Try a source that failed last for a minute

A follower went back to its preferred source every 10 s even if that was frozen, and then waited 3 s for nothing each time. Pure: distribution.Failures.

--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -82,6 +82,25 @@
 	}
 }
 
+func TestFailedSourcesComeLast(t *testing.T) {
+	f := NewFailures()
+	now := time.Unix(0, 0)
+	f.Failed(now, "a")
+	f.Failed(now.Add(time.Second), "b")
+	for _, c := range []struct {
+		after time.Duration
+		want  []string
+	}{
+		{time.Second, []string{"c", "a", "b"}},
+		{avoidPeriod, []string{"a", "c", "b"}},
+		{2 * avoidPeriod, []string{"a", "b", "c"}},
+	} {
+		if diff := cmp.Diff(c.want, f.Order(now.Add(c.after), []string{"a", "b", "c"})); diff != "" {
+			t.Errorf("after %v: %s", c.after, diff)
+		}
+	}
+}
+
 // TestReportsReachTheTop sends the reports of a region through one stream and compares what arrives with what is.
 func TestReportsReachTheTop(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/relay/follower.go
+++ b/relay/follower.go
@@ -49,6 +49,7 @@
 	hub      *Hub
 	instance Instance
 	log      zerolog.Logger
+	failures *distribution.Failures
 	// wantsWhole says that a delta did not fit, so that the next source is asked for the whole.
 	wantsWhole atomic.Bool
 	// advertAt is when the addresses were last sent on the present stream.
@@ -57,18 +58,23 @@
 
 // NewFollower returns a follower that keeps the instance and its hub up to date.
 func NewFollower(hub *Hub, instance Instance, log zerolog.Logger) *Follower {
-	return &Follower{hub: hub, instance: instance, log: log}
+	return &Follower{hub: hub, instance: instance, log: log, failures: distribution.NewFailures()}
 }
 
 // Run asks all sources for the highest revision and then follows one after another until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.askAll(ctx, f.instance.Sources())
 	for ctx.Err() == nil {
-		f.followFirst(ctx, f.instance.Sources())
+		f.followFirst(ctx, f.sources())
 		pause(ctx, retryPeriod)
 	}
 }
 
+// sources returns the sources, those that failed lately at the end.
+func (f *Follower) sources() []string {
+	return f.failures.Order(f.hub.now(), f.instance.Sources())
+}
+
 // followFirst follows the first source that is connected to a leader.
 func (f *Follower) followFirst(ctx context.Context, sources []string) {
 	for _, address := range sources {
@@ -76,6 +82,7 @@
 		if err == nil || ctx.Err() != nil {
 			return
 		}
+		f.failures.Failed(f.hub.now(), address)
 		f.log.Warn().Str("source", address).Err(err).Msg("sourceLeft")
 		pause(ctx, retryPeriod)
 	}
@@ -145,7 +152,7 @@
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() { f.report(ctx, sender, updates) })
-	for began := f.hub.now(); f.hub.now().Sub(began) < preferPeriod || f.instance.Sources()[0] == address; {
+	for began := f.hub.now(); f.hub.now().Sub(began) < preferPeriod || f.sources()[0] == address; {
 		update, err := updates.Recv()
 		if err != nil && !silence.Stop() {
 			return &SilentSourceError{Address: address, Limit: silenceLimit}
