--- a/control/instances.go
+++ b/control/instances.go
@@ -15,7 +15,7 @@
 )
 
 // voterTimeout bounds the wait for another voter's answer.
-const voterTimeout = time.Second
+const voterTimeout = 700 * time.Millisecond
 
 // Instances returns the instances that follow this voter, directly or through relays.
 func (c *Control) Instances(context.Context, *wiregen.InstancesRequest) (*wiregen.InstancesReply, error) {
