--- a/load/send.go
+++ b/load/send.go
@@ -60,9 +60,13 @@
 
 // send sends a request to one entry after another while it is certain that none has run it.
 func (g *generator) send(ctx context.Context, path, key string, body []byte, o *outcome) *http.Response {
+	token := ""
+	if key != "" {
+		token = g.token(ctx)
+	}
 	for {
 		address := g.entries.take()
-		resp, notRun, failure := g.try(ctx, "http://"+address+path, key, body)
+		resp, notRun, failure := g.try(ctx, "http://"+address+path, key, token, body)
 		if failure == "" {
 			return resp
 		}
@@ -77,7 +81,7 @@
 }
 
 // try sends a request once; notRun says that another entry may be tried.
-func (g *generator) try(ctx context.Context, url, key string, body []byte) (resp *http.Response, notRun bool, failure string) {
+func (g *generator) try(ctx context.Context, url, key, token string, body []byte) (resp *http.Response, notRun bool, failure string) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, false, failureTransport
@@ -89,6 +93,7 @@
 	}
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
+		req.Header.Set("Arbutusreel-Epoch", token)
 	}
 	resp, err = g.client.Do(req)
 	if err != nil {
