Let refused connections cost no budget, and open the breaker at once

Cause: each refused connection took from the budget of retries that the cut streams needed, and a dead endpoint was tried three times before its breaker opened. A refused connection makes no work, which is what the budget bounds. TestRefusedConnections failed first: syscall.ECONNREFUSED after noBudget.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -149,6 +150,26 @@
 	})
 }
 
+// TestRefusedConnections sends requests while most endpoints refuse connections but are still known: all are answered.
+func TestRefusedConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := fleet(10, 8, 0)
+		for _, g := range engines["lahore"][1:] {
+			g.dead = true
+		}
+		w := newWorld(mustInventory(contents()), 1, engines, 3, expected)
+		var wg sync.WaitGroup
+		for i := range 30 {
+			wg.Go(func() {
+				if _, err := run(w.entry("lahore"), request(fmt.Sprint(i), 5, "plan", time.Minute)); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
+
 // TestCancelReleases checks that a caller who leaves at any time gives everything back at once.
 func TestCancelReleases(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/dispatch/fake_test.go
+++ b/dispatch/fake_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -325,7 +326,7 @@
 	i := slices.IndexFunc(region.engines, func(g *fakeEngine) bool { return g.endpoint.Name == e.Name })
 	m.w.mu.Unlock()
 	if region.engines[i].dead {
-		return stream.End{}, &stream.IncompleteError{RequestID: r.CorrelationID, Cause: context.Canceled}
+		return stream.End{}, syscall.ECONNREFUSED
 	}
 	return region.engines[i].generate(ctx, r, a, sink)
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"arbutusreel/admission"
@@ -191,7 +192,10 @@
 // again reports whether the request is tried again after a failure, and waits for the delay before it.
 func (d *Dispatcher) again(ctx context.Context, j *job, p *placement, err error, failure retry.Failure) bool {
 	j.attempts.Made++
-	j.doubtful = j.doubtful || failure != retry.NotRun
+	if failure == retry.Unreached {
+		j.attempts.Unreached++
+	}
+	j.doubtful = j.doubtful || failure == retry.Doubtful || failure == retry.Final
 	if p.region != "" {
 		j.excluded = append(j.excluded, p.region)
 	} else {
@@ -232,6 +236,9 @@
 	if errors.As(err, &p) {
 		return classifyProblem(p)
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return retry.Unreached
+	}
 	var n notRunner
 	if errors.As(err, &n) && n.NotRun() {
 		return retry.NotRun
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -205,6 +205,8 @@
 		return b.Succeeded(now, name)
 	case failure == retry.Final:
 		return b.State(now, name)
+	case failure == retry.Unreached:
+		return b.Unreached(now, name)
 	}
 	return b.Failed(now, name)
 }
--- a/retry/breaker.go
+++ b/retry/breaker.go
@@ -63,14 +63,19 @@
 
 // Failed counts a failure and returns the state after it. A breaker opens after three failures in a row, or when a
 // probe fails; it stays open twice as long each time, with jitter.
-func (s *Breakers[K]) Failed(now time.Time, k K) State {
+func (s *Breakers[K]) Failed(now time.Time, k K) State { return s.fail(now, k, 1) }
+
+// Unreached counts a failed connection, which opens the breaker at once, and returns the state after it.
+func (s *Breakers[K]) Unreached(now time.Time, k K) State { return s.fail(now, k, tripFailures) }
+
+func (s *Breakers[K]) fail(now time.Time, k K, failures int) State {
 	state := s.State(now, k)
 	b := s.breakers[k]
 	if b == nil {
 		b = &breaker{}
 		s.breakers[k] = b
 	}
-	b.failures++
+	b.failures += failures
 	if state == HalfOpen || state == Closed && b.failures >= tripFailures {
 		b.state = Open
 		b.until = now.Add(s.openTime(b.trips))
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -16,6 +16,8 @@
 	NotRun
 	// Doubtful says that the attempt may have run.
 	Doubtful
+	// Unreached says that no connection was made, so that the attempt made no work anywhere.
+	Unreached
 )
 
 // Reason tells why a request is tried again or not.
@@ -35,21 +37,26 @@
 type Attempts struct {
 	// Made is the number of attempts that have failed.
 	Made int
+	// Unreached is the number of those that reached nothing, the last one included.
+	Unreached int
 	// Repeatable tells whether the request may run more than once.
 	Repeatable bool
 	Deadline   time.Time
 }
 
 // Decide returns whether the request is tried again after the failure, and after which delay. It spends budget only
-// if it answers Retry.
+// if it answers Retry, and none for an attempt that reached nothing, as the budget bounds work.
 func Decide[K comparable](now time.Time, a Attempts, f Failure, b *Budget[K], k K, rng *rand.Rand) (time.Duration, Reason) {
+	if f == Unreached {
+		return decideUnreached(now, a)
+	}
 	delay := Backoff(a.Made, rng)
 	switch {
 	case f == Final:
 		return 0, FinalFailure
 	case f == Doubtful && !a.Repeatable:
 		return 0, NotRepeatable
-	case a.Made >= maxAttempts:
+	case a.Made-a.Unreached >= maxAttempts:
 		return 0, TooMany
 	case !now.Add(delay).Before(a.Deadline):
 		return 0, NoTime
@@ -59,6 +66,17 @@
 	return delay, Retry
 }
 
+// decideUnreached tries again at once, a bounded number of times.
+func decideUnreached(now time.Time, a Attempts) (time.Duration, Reason) {
+	switch {
+	case a.Unreached >= maxUnreached:
+		return 0, TooMany
+	case !now.Before(a.Deadline):
+		return 0, NoTime
+	}
+	return 0, Retry
+}
+
 // Backoff returns a delay drawn evenly from zero to a bound that doubles with each attempt (full jitter: Brooker,
 // "Exponential backoff and jitter", 2015).
 func Backoff(made int, rng *rand.Rand) time.Duration {
--- a/retry/limits.go
+++ b/retry/limits.go
@@ -4,9 +4,10 @@
 
 // Limits of the retries of a request.
 const (
-	maxAttempts = 4
-	firstDelay  = 20 * time.Millisecond
-	maxDelay    = time.Second
+	maxAttempts  = 4
+	maxUnreached = 16
+	firstDelay   = 20 * time.Millisecond
+	maxDelay     = time.Second
 )
 
 // Limits of a budget, in retries.
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -25,6 +25,9 @@
 		{"did not run", Attempts{Made: 1, Deadline: deadline}, NotRun, start, Retry},
 		{"final", Attempts{Made: 1, Repeatable: true, Deadline: deadline}, Final, start, FinalFailure},
 		{"too many", Attempts{Made: maxAttempts, Repeatable: true, Deadline: deadline}, NotRun, start, TooMany},
+		{"unreached costs no attempt", Attempts{Made: maxAttempts, Unreached: 1, Deadline: deadline}, Unreached, start, Retry},
+		{"unreached too often", Attempts{Made: maxUnreached, Unreached: maxUnreached, Deadline: deadline}, Unreached, start, TooMany},
+		{"unreached past the deadline", Attempts{Made: 1, Unreached: 1, Deadline: deadline}, Unreached, deadline, NoTime},
 		{"past the deadline", Attempts{Made: 1, Repeatable: true, Deadline: deadline}, NotRun, deadline, NoTime},
 	}
 	for _, tt := range tests {
