Bound the time in which a caller takes the answer of a call, and roll the voters too

An answer of a plain service or a refusal was written without a deadline: a caller that did not read held the request, and with it the drain, until drainTimeout. TestCallReaderStops without the deadline: gave up waiting: the entry holds nothing.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -118,6 +118,7 @@
 func (n *Entry) fail(w http.ResponseWriter, c caller, err error) {
 	p := problem.From(err)
 	n.logFailure(c, p, err)
+	n.limitWrite(w)
 	if p.Status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
--- a/entry/flow_test.go
+++ b/entry/flow_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -130,3 +131,30 @@
 		t.Errorf("answer %q", b.String())
 	}
 }
+
+// TestCallReaderStops does not read the answer of a call: it is given up, and does not hold up a stop.
+func TestCallReaderStops(t *testing.T) {
+	g := newGateway(t, func(cfg *Config) { cfg.ReaderTimeout = 200 * time.Millisecond })
+	handler := g.entry.authenticated(func(w http.ResponseWriter, _ *http.Request, _ caller) {
+		g.entry.limitWrite(w)
+		part := make([]byte, 1<<20)
+		for range 256 {
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+		}
+	})
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+teamToken)
+	resp, err := server.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	g.until("the entry holds nothing", func() bool { return g.entry.active.Load() == 0 })
+}
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -48,6 +48,11 @@
 	})
 }
 
+// limitWrite bounds the time in which the caller takes an answer that is written at once.
+func (n *Entry) limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(n.cfg.ReaderTimeout))
+}
+
 // headerBytes returns the size of a request's first line and header fields.
 func headerBytes(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI)
--- a/entry/services.go
+++ b/entry/services.go
@@ -28,6 +28,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", reply.ContentType)
+	n.limitWrite(w)
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(reply.Body)
 	n.metrics.Count(answeredCode)
--- a/systemtest/shutdown_test.go
+++ b/systemtest/shutdown_test.go
@@ -69,10 +69,10 @@
 	}
 }
 
-// TestRollingRestart restarts every entry and every endpoint in turn under load.
+// TestRollingRestart restarts every entry, every control voter and every endpoint in turn under load.
 func TestRollingRestart(t *testing.T) {
 	s := newSystem(t, options{
-		regions:          []string{"lahore", "karachi"},
+		regions:          []string{"lahore", "karachi", "peshawar"},
 		entriesPerRegion: 3,
 		inventory:        lunchClub,
 		entryArgs:        []string{"--drainNotice", "1500ms", "--announcementLease", "1s"},
@@ -102,6 +102,14 @@
 			e.start()
 			s.until(e.name+" is ready again", func() bool { return s.get(e.caller, "/readyz", "") == http.StatusOK })
 		}
+		for _, c := range s.controls {
+			c.stop()
+			c.start()
+			s.until(c.name+" knows a leader again", func() bool {
+				out, err := s.command("status", "--controls", c.operator)
+				return err == nil && strings.Contains(out, `"leader": "control-`)
+			})
+		}
 		for _, e := range s.endpoints {
 			e.stop()
 			e.start()
