--- a/systemtest/harness_test.go
+++ b/systemtest/harness_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -137,6 +138,9 @@
 	epochs        map[string]string
 }
 
+// placementFlag is the flag of the period of placement; without it in the options, engines keep their models.
+const placementFlag = "--placementPeriod"
+
 // options describes a system; each region has one control voter.
 type options struct {
 	regions          []string
@@ -175,6 +179,9 @@
 			"--peerAddress", c.peer, "--operatorAddress", c.operator, "--voters", strings.Join(voters, ","),
 			"--dataFolder", filepath.Join(s.dir, "control-"+c.region), "--operatorTokenDigest", operatorDigest,
 		}
+		if !slices.Contains(o.controlArgs, placementFlag) {
+			args = append(args, placementFlag, "1h")
+		}
 		args = append(args, o.certificates.args("control-"+c.region, c.region)...)
 		c.process = s.run("control-"+c.region, append(args, o.controlArgs...)...)
 	}
