Refuse peers of other regions at ledger replicas when TLS is on

Outcomes hold bodies, so a replica answers only instances whose certificate names its region. Fails first: TestMutualTLS: "ledger of another region: nil".

--- a/entry/keys.go
+++ b/entry/keys.go
@@ -6,6 +6,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"arbutusreel/keys"
 	"arbutusreel/membership"
 	"arbutusreel/wiregen"
 )
@@ -33,6 +34,16 @@
 	return nil
 }
 
+// checkRegion refuses a peer whose certificate names another region; without TLS it refuses none.
+func (n *Entry) checkRegion(ctx context.Context) error {
+	got, ok := keys.Peer(ctx)
+	if !n.cfg.Keys.Mutual() || (ok && got.Region == n.cfg.Self.Region) {
+		return nil
+	}
+	n.log.Warn().Str("peer", got.Name).Str("peerRegion", got.Region).Msg("peerRefused")
+	return status.Errorf(codes.PermissionDenied, "instance %q of region %q may not read the ledger of region %q", got.Name, got.Region, n.cfg.Self.Region)
+}
+
 // checkSender refuses a forward whose last instance passed is not the one that sent it.
 func (n *Entry) checkSender(ctx context.Context, m *wiregen.ForwardRequest) error {
 	var name, region string
--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -69,7 +69,12 @@
 }
 
 // Handle answers a request to the own replica; an instance that is none refuses it as one of another replica set.
-func (s *ledgerServer) Handle(_ context.Context, m *wiregen.LedgerRequest) (*wiregen.LedgerReply, error) {
+//
+// A peer whose certificate names another region is refused, since outcomes hold bodies.
+func (s *ledgerServer) Handle(ctx context.Context, m *wiregen.LedgerRequest) (*wiregen.LedgerReply, error) {
+	if err := s.entry.checkRegion(ctx); err != nil {
+		return nil, err
+	}
 	now := s.entry.state.now()
 	if s.entry.replica == nil {
 		refusal := ledger.Reply{Slot: s.entry.cfg.Self.Name, Refusal: ledger.RefusedGroup}
--- a/systemtest/keys_test.go
+++ b/systemtest/keys_test.go
@@ -107,6 +107,20 @@
 	return err
 }
 
+// askLedger asks a ledger replica as an instance of another region.
+func askLedger(t *testing.T, source *keys.Source, to *instance) error {
+	t.Helper()
+	conn, err := grpc.NewClient("passthrough:///"+to.peer, grpc.WithTransportCredentials(source.Client(to.name)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), callLimit)
+	defer cancel()
+	_, err = wiregen.NewLedgerClient(conn).Handle(ctx, &wiregen.LedgerRequest{})
+	return err
+}
+
 func TestMutualTLS(t *testing.T) {
 	c := newCertificates(t)
 	s := newSystem(t, options{regions: []string{"lahore", "karachi"}, entriesPerRegion: 1, inventory: lunchClub, certificates: c})
@@ -126,6 +140,8 @@
 	}
 	check("own name", exchange(t, own, lahore, lahore.name, "entry-test"), true)
 	check("claim of another name", exchange(t, own, lahore, lahore.name, "entry-karachi-0"), false)
+	check("ledger of another region", askLedger(t, own, lahore), false)
+	check("ledger of the own region", askLedger(t, c.source("entry-near", "lahore"), lahore), true)
 	check("the receiver has another name", exchange(t, own, lahore, "entry-karachi-0", "entry-test"), false)
 	check("plain", exchange(t, keys.Plain(), lahore, "", "entry-test"), false)
 	foreign := newCertificates(t).source("entry-test", "karachi")
