--- a/control/operators.go
+++ b/control/operators.go
@@ -1,16 +1,13 @@
 package control
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"io"
 	"net/http"
-	"strings"
 
 	"google.golang.org/protobuf/proto"
 
 	"arbutusreel/configuration"
+	"arbutusreel/operator"
 	"arbutusreel/problem"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
@@ -35,10 +32,8 @@
 // operator passes on a request that bears the operators' token.
 func (c *Control) operator(handle func(*http.Request) (proto.Message, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		digest := sha256.Sum256([]byte(token))
-		if subtle.ConstantTimeCompare([]byte(hex.EncodeToString(digest[:])), []byte(c.cfg.OperatorTokenDigest)) != 1 {
-			problem.Write(w, problem.New(problem.Unauthenticated, http.StatusUnauthorized, "the request does not bear the operators' token"), "")
+		if err := operator.Authorize(r, c.cfg.OperatorTokenDigest); err != nil {
+			problem.Write(w, problem.From(err), "")
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, c.cfg.MaxInventoryBytes)
--- a/control/orders.go
+++ b/control/orders.go
@@ -17,13 +17,16 @@
 
 // Limits of an order to an engine.
 const (
-	orderTimeout    = 2 * time.Second
-	maxOrderReply   = 64 << 10
-	ordersPath      = "/v1/orders"
-	orderMediaType  = "application/json"
-	orderDeadline   = time.Second
-	marginPart      = 5
-	maxReplyEntries = 2
+	orderTimeout  = 2 * time.Second
+	maxOrderReply = 64 << 10
+	// orderDeadline is the time from its receipt in which an engine may start an order.
+	orderDeadline = time.Second
+)
+
+// Parts of an order's request.
+const (
+	ordersPath     = "/v1/orders"
+	orderMediaType = "application/json"
 )
 
 // OrderStatusError says that an engine answered an order with a status of failure.
--- a/control/placement.go
+++ b/control/placement.go
@@ -13,6 +13,9 @@
 	"arbutusreel/wiregen"
 )
 
+// marginPart is the part of the election timeout that must be left of the lease when an order is sent.
+const marginPart = 5
+
 // placer decides placement and orders engines while this voter holds the leader lease.
 type placer struct {
 	log       zerolog.Logger
--- a/control/regions.go
+++ b/control/regions.go
@@ -19,6 +19,9 @@
 	"arbutusreel/wiregen"
 )
 
+// endpointReplies is the number of entries of each region that are asked for its endpoints.
+const endpointReplies = 2
+
 // regionTimeout bounds one question to an entry.
 const regionTimeout = time.Second
 
@@ -40,7 +43,7 @@
 	replies := make([]*wiregen.RegionReply, len(entries))
 	var wg sync.WaitGroup
 	for i, e := range entries {
-		m := &wiregen.RegionRequest{Endpoints: !e.Leaving && asked[e.Region] < maxReplyEntries}
+		m := &wiregen.RegionRequest{Endpoints: !e.Leaving && asked[e.Region] < endpointReplies}
 		asked[e.Region]++
 		wg.Go(func() {
 			reply, err := c.askRegion(ctx, e, m)
--- a/fencing/issuer.go
+++ b/fencing/issuer.go
@@ -66,6 +66,3 @@
 	}
 	return nil
 }
-
-// Deadline returns the time from its receipt in which an engine may start an order.
-func (x *Issuer) Deadline() time.Duration { return x.cfg.Deadline }
--- a/fencing/number.go
+++ b/fencing/number.go
@@ -26,6 +26,3 @@
 	}
 	return Gate{highest: n}, true
 }
-
-// Highest returns the highest number accepted.
-func (g Gate) Highest() Number { return g.highest }
--- a/residency/bench_test.go
+++ b/residency/bench_test.go
@@ -9,8 +9,8 @@
 	"arbutusreel/residency"
 )
 
-// BenchmarkCheckRun measures one check over inventories with a growing number of regions and teams.
-func BenchmarkCheckRun(b *testing.B) {
+// BenchmarkCheckData measures one check over inventories with a growing number of regions and teams.
+func BenchmarkCheckData(b *testing.B) {
 	for _, size := range []struct{ regions, teams int }{{3, 3}, {9, 60}, {21, 360}} {
 		c := inventory.Contents{
 			Classes:  []inventory.Class{{Name: "c", Patience: 1}},
@@ -33,11 +33,11 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		s := residency.Subject{Labels: []string{"lr1"}, Service: "s", Model: "m"}
+		labels := []string{"lr1"}
 		b.Run(fmt.Sprintf("regions=%d/teams=%d", size.regions, size.teams), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				if residency.CheckRun(inv, "t1", s, "r1") != nil {
+				if residency.CheckData(inv, "t1", labels, "r1") != nil {
 					b.Fatal("the region is refused")
 				}
 			}
--- a/residency/crossing.go
+++ b/residency/crossing.go
@@ -8,11 +8,9 @@
 
 // Kinds of what bounds data to regions.
 const (
-	kindTeam    = "team"
-	kindLabel   = "label"
-	kindService = "service"
-	kindModel   = "model"
-	kindRegion  = "region"
+	kindTeam   = "team"
+	kindLabel  = "label"
+	kindRegion = "region"
 )
 
 // Labels returns the request's labels with those that the inventory gives to its team; an unknown team returns *RefusedError.
@@ -53,17 +51,3 @@
 	}
 	return nil
 }
-
-// CheckRun returns *RefusedError unless the subject of the team may be run in the region.
-func CheckRun(inv *inventory.Inventory, team string, s Subject, region string) error {
-	if err := CheckData(inv, team, s.Labels, region); err != nil {
-		return err
-	}
-	if !serviceAllows(inv, s.Service, region) {
-		return &RefusedError{Region: region, Kind: kindService, Name: s.Service, Reason: "the service does not allow the region"}
-	}
-	if !modelAllows(inv, s.Model, region) {
-		return &RefusedError{Region: region, Kind: kindModel, Name: s.Model, Reason: "the model does not allow the region"}
-	}
-	return nil
-}
--- a/residency/oracle_test.go
+++ b/residency/oracle_test.go
@@ -130,7 +130,6 @@
 				t.Errorf("Allows(%+v, %q) = %v, oracle %v", s, region, got, want)
 			}
 			checkAgainst(t, residency.CheckData(inv, team, s.Labels, region), w.oracle(team, s, region, false), "CheckData", region)
-			checkAgainst(t, residency.CheckRun(inv, team, s, region), w.oracle(team, s, region, true), "CheckRun", region)
 			if got := slices.Contains(residency.Allowed(inv, s), region); got != w.oracle("", s, region, true) {
 				t.Errorf("Allowed(%+v) holds %q: %v", s, region, got)
 			}
@@ -157,8 +156,8 @@
 		team := rapid.SampledFrom([]string{"t0", "t1"}).Draw(t, "team")
 		region := rapid.SampledFrom(after.regions).Draw(t, "region")
 		sender, receiver := before.inventory(t), after.inventory(t)
-		allowed := residency.CheckRun(sender, team, s, region) == nil && residency.CheckRun(receiver, team, s, region) == nil
-		both := before.oracle(team, s, region, true) && after.oracle(team, s, region, true)
+		allowed := residency.CheckData(sender, team, s.Labels, region) == nil && residency.CheckData(receiver, team, s.Labels, region) == nil
+		both := before.oracle(team, s, region, false) && after.oracle(team, s, region, false)
 		if allowed != both {
 			t.Errorf("crossing allowed %v, oracle of both %v", allowed, both)
 		}
