--- a/control/operators.go
+++ b/control/operators.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"expvar"
 	"io"
 	"net/http"
 
@@ -26,6 +27,7 @@
 	mux.HandleFunc("GET /v1/decisions/{kind}/{name}", c.operator(c.decisions))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", c.ready)
+	mux.Handle("GET /debug/vars", expvar.Handler())
 	return mux
 }
 
