--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -70,6 +70,16 @@
 	})
 }
 
+func TestRefusedConnectionOpensAtOnce(t *testing.T) {
+	s := NewBreakers[string](rand.NewPCG(1, 1))
+	if got := s.Unreached(start, "e"); got != Open {
+		t.Errorf("state %v after a refused connection", got)
+	}
+	if got := s.Failed(start, "f"); got != Closed {
+		t.Errorf("state %v after one failure", got)
+	}
+}
+
 // TestBreaker checks the states of a breaker against a plain reading of its rules.
 func TestBreaker(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
