Let a request wait between two endpoints that are restarted in turn

Cause: TestRollingRestart lost 2 to 9 calls to noCapacity: the last known endpoint of a service left while an entry had not heard yet of the one that had come back, and the entry refused at once. Only a new instance waited for news. Ruled out: retries (nothing was sent) and leases (the endpoint had said that it leaves). Now an entry that knew an endpoint within 3 s waits, too, for at most what is left of these 3 s; later it refuses at once as before.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -247,6 +247,44 @@
 	})
 }
 
+// TestRestartInTurnIsWaitedFor checks that a request waits while the only endpoint that was known has gone and the next
+// one is not known yet, and is refused at once when none has been known for longer.
+func TestRestartInTurnIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(mustInventory(contents()), 1, fleet(1, 8, 0), 1, expected)
+		d := w.entry("lahore")
+		time.Sleep(2 * learningTime)
+		if _, err := run(d, request("first", 5, "plan", time.Minute)); err != nil {
+			t.Fatal(err)
+		}
+		w.mu.Lock()
+		for _, r := range w.regions {
+			r.reported = nil
+		}
+		w.mu.Unlock()
+		time.Sleep(2 * refreshPeriod)
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			w.publish()
+		}()
+		if _, err := run(d, request("between", 5, "plan", time.Minute)); err != nil {
+			t.Errorf("a request between two endpoints: %v", err)
+		}
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		for _, r := range w.regions {
+			r.reported = nil
+		}
+		w.mu.Unlock()
+		time.Sleep(2 * learningTime)
+		began := time.Now()
+		_, err := run(d, request("late", 5, "plan", time.Minute))
+		if problem.From(err).Code != problem.NoCapacity || time.Since(began) > 0 {
+			t.Errorf("a request long after the last endpoint: %v after %v", err, time.Since(began))
+		}
+	})
+}
+
 // TestLeaving checks that a leaving endpoint receives nothing once this is known.
 func TestLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -8,7 +8,8 @@
 	retryAfterNoCapacity = time.Second
 	// refreshPeriod is the age at which the known endpoints and regions are read again.
 	refreshPeriod = 50 * time.Millisecond
-	// learningTime is how long after its start an instance waits for endpoints that it has not heard of.
+	// learningTime is how long after its start, and after it last knew one, an instance waits for endpoints that it has
+	// not heard of.
 	learningTime = 3 * time.Second
 	// waitPeriod is the period at which a waiting request looks at its state again.
 	waitPeriod = 50 * time.Millisecond
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -62,7 +62,7 @@
 		j.query.Exclude = nil
 		d, local = s.choose(now, j)
 	}
-	if !local && s.learning(now, j) {
+	if !local && s.learning(now, j, l) {
 		return nil, s.enqueue(now, j, l, admission.Verdict{Queue: true}), nil
 	}
 	if !local {
@@ -76,10 +76,15 @@
 	return nil, s.enqueue(now, j, l, v), nil
 }
 
-// learning reports whether the request may wait because the instance has just started and may not have heard of its
-// endpoints yet. A request from another region does not wait for this.
-func (s *scheduler) learning(now time.Time, j *job) bool {
-	return now.Sub(s.born) < learningTime && !j.request.Forwarded(s.self.Region)
+// learning reports whether the request may wait because the instance may not have heard of its endpoints yet: it has
+// just started, or had one until a moment ago, as when endpoints are restarted in turn. A request from another region
+// does not wait for this.
+func (s *scheduler) learning(now time.Time, j *job, l *lane) bool {
+	latest := s.born
+	if l.used.After(latest) {
+		latest = l.used
+	}
+	return now.Sub(latest) < learningTime && !j.request.Forwarded(s.self.Region)
 }
 
 // choose returns the best endpoint of the own region that may run the request.
@@ -87,7 +92,11 @@
 	if !residency.Allows(j.inventory, j.request.Subject(), s.self.Region) {
 		return routing.Decision{}, false
 	}
-	return s.chooser.Choose(now, &j.query)
+	d, ok := s.chooser.Choose(now, &j.query)
+	if ok {
+		s.lane(j).used = now
+	}
+	return d, ok
 }
 
 // spare reports whether the region has more room than the share that is kept free.
@@ -244,7 +253,7 @@
 		l.remove(now, w, false)
 		return nil, s.refuseLate(j, l, admission.Verdict{RetryAfter: retryAfterNoCapacity})
 	}
-	if _, local := s.choose(now, j); local || s.learning(now, j) {
+	if _, local := s.choose(now, j); local || s.learning(now, j, l) {
 		return nil, nil
 	}
 	l.remove(now, w, false)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -27,6 +27,8 @@
 	audit admission.Audit
 	// since is when the queue was last empty.
 	since time.Time
+	// used is when an endpoint was last known for a request.
+	used time.Time
 }
 
 // short reports whether requests have waited for long enough to say that capacity is short.
