--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -25,6 +25,24 @@
 	queue *admission.Queue[*waiter]
 	rate  admission.Rate
 	audit admission.Audit
+	// since is when the queue was last empty.
+	since time.Time
+}
+
+// short reports whether requests have waited for long enough to say that capacity is short.
+func (l *lane) short(now time.Time) bool {
+	return l.queue.Len() > 0 && now.Sub(l.since) >= minShortage
+}
+
+// remove takes a request out of the queue, as it starts or has gone.
+func (l *lane) remove(now time.Time, w *admission.Waiting[*waiter], starts bool) bool {
+	if !l.queue.Remove(w, starts) {
+		return false
+	}
+	if l.queue.Len() == 0 {
+		l.rate.End(now)
+	}
+	return true
 }
 
 // budgetKey names the requests that share a budget of retries.
@@ -49,7 +67,10 @@
 	regionBreakers *retry.Breakers[string]
 	budget         *retry.Budget[budgetKey]
 	counts         Counts
-	refreshed      time.Time
+	// preferred is the number of requests that may leave although the region could serve them.
+	preferred float64
+	refreshed time.Time
+	born      time.Time
 }
 
 func newScheduler(self Hop, view View, chooser Chooser, now func() time.Time, source rand.Source, log zerolog.Logger) *scheduler {
@@ -67,6 +88,7 @@
 		breakers:       retry.NewBreakers[string](source),
 		regionBreakers: retry.NewBreakers[string](source),
 		budget:         retry.NewBudget[budgetKey](),
+		born:           now(),
 	}
 }
 
@@ -86,8 +108,11 @@
 	defer s.mu.Unlock()
 	asked := j.request.MaxTokens
 	j.query.ExpectedTokens = s.uses.Mean(j.useKey(), asked)
+	j.likely = s.uses.Likely(j.useKey(), patienceQuantile, asked)
 	j.query.ReserveTokens = j.request.PromptTokens + s.uses.Quantile(j.useKey(), j.inventory.Rules().ReservationQuantile, asked)
 	s.counts.Requests++
+	s.preferred = min(s.preferred+preferredShare, maxPreferred)
+	j.query.PrefillPerSecond = s.chooser.Capacity(s.now(), j.query.Service, j.query.Model).PrefillTokensPerSecond
 	s.counts.AskedTokens += int64(asked)
 	s.counts.ReservedTokens += int64(j.query.ReserveTokens - j.request.PromptTokens)
 	s.budget.First(s.budgetKey(j), j.inventory.Rules().RetryBudget)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,7 @@
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
 	runner     *calls.Runner
+	demands    *demands
 	// replica is nil on an instance that is no ledger replica.
 	replica     *calls.Replica
 	ledgerGroup *calls.Group
@@ -56,6 +57,7 @@
 		hub:        relay.NewHub(cfg.Self.Name, now),
 		peers:      p,
 		dispatcher: d,
+		demands:    newDemands(),
 		began:      now(),
 		done:       make(chan struct{}),
 	}
@@ -152,6 +154,7 @@
 
 func (n *Entry) expireLoop(ctx context.Context) {
 	every(ctx, expirePeriod, func() {
+		n.dispatcher.Refresh()
 		for _, e := range n.state.expire() {
 			n.log.Info().Str("endpoint", e.Name).Str("service", e.Service).Bool("leaving", e.Leaving).Msg("endpointExpired")
 		}
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -17,7 +17,10 @@
 // table holds the candidates of a service and model that may get work.
 type table struct {
 	open []*Candidate
+	// mean is the mean number of others' requests at a candidate.
 	mean float64
+	// meanReserve is the mean reservation of own requests.
+	meanReserve float64
 	// order is a permutation of the indexes of open, from which samples are drawn.
 	order []int32
 }
@@ -135,6 +138,8 @@
 	Outstanding float64
 	// TokensPerSecond is the rate at which all slots together generate.
 	TokensPerSecond float64
+	// PrefillTokensPerSecond is the mean rate at which a candidate reads a prompt.
+	PrefillTokensPerSecond float64
 }
 
 // Capacity returns what the open candidates can do.
@@ -147,9 +152,11 @@
 	for _, candidate := range t.open {
 		sum.Endpoints++
 		sum.Slots += candidate.slots()
-		sum.Outstanding += candidate.load.outstanding(now.Sub(c.origin), t.mean)
+		sum.Outstanding += candidate.load.outstanding(now.Sub(c.origin), candidate.own, t.mean)
 		sum.TokensPerSecond += candidate.endpoint.Load.TokensPerSecond
+		sum.PrefillTokensPerSecond += candidate.endpoint.Load.PrefillTokensPerSecond
 	}
+	sum.PrefillTokensPerSecond /= float64(max(sum.Endpoints, 1))
 	return sum
 }
 
@@ -192,11 +199,11 @@
 	t.order = append(t.order, int32(len(t.order)))
 }
 
-// average renews the mean load of a candidate.
+// average renews the mean number of others' requests at a candidate.
 func (t *table) average() {
 	var sum float64
 	for _, candidate := range t.open {
-		sum += candidate.load.requests
+		sum += candidate.load.others(candidate.own)
 	}
 	t.mean = sum / float64(max(len(t.open), 1))
 }
@@ -210,7 +217,8 @@
 	}
 	at := now.Sub(c.origin)
 	d.Open = len(t.open)
-	if c.policy.Informed() {
+	d.Informed = c.policy.Informed()
+	if d.Informed {
 		c.nominate(at, t, q, &d)
 	}
 	c.sample(at, t, q, &d)
@@ -240,7 +248,7 @@
 		if candidate == d.Candidate || candidate == d.RunnerUp {
 			continue
 		}
-		if d.Candidate == nil || candidate.room(at, t.mean, q.PromptTokens, q.ReserveTokens) {
+		if d.Candidate == nil || candidate.room(at, t.mean, t.meanReserve, q.PromptTokens, q.ReserveTokens) {
 			c.score(at, t, candidate, 0, q, d)
 		}
 	}
@@ -250,7 +258,7 @@
 	if q.excludes(candidate.endpoint.Name) {
 		return
 	}
-	room := !c.policy.Informed() || candidate.room(at, t.mean, q.PromptTokens-int(cached), q.ReserveTokens)
+	room := !d.Informed || candidate.room(at, t.mean, t.meanReserve, q.PromptTokens-int(cached), q.ReserveTokens)
 	d.offer(candidate, c.policy.Score(at, candidate, t.mean, cached, q), room)
 }
 
@@ -271,7 +279,7 @@
 			}
 			nominated[n] = candidate
 			n++
-			cached := float64(blocks*BlockTokens) * s.list[i].certainty(at, candidate.epoch)
+			cached := float64(blocks*BlockTokens) * s.list[i].certainty(at, candidate.lost)
 			c.score(at, t, candidate, min(cached, float64(q.PromptTokens)), q, d)
 		}
 	}
