--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"arbutusreel/membership"
@@ -12,13 +13,22 @@
 // exchangeTimeout bounds one exchange with a peer.
 const exchangeTimeout = time.Second
 
-// exchangeLoop swaps state with every known entry.
+// exchangeLoop swaps state with every known entry; one that does not answer holds up no other.
 func (n *Entry) exchangeLoop(ctx context.Context) {
+	var busy sync.Map
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	every(ctx, exchangePeriod, func() {
 		for _, address := range n.exchangeAddresses() {
-			if err := n.exchangeOne(ctx, address); err != nil && ctx.Err() == nil {
-				n.log.Debug().Str("peer", address).Err(err).Msg("peerUnreachable")
+			if _, loaded := busy.LoadOrStore(address, true); loaded {
+				continue
 			}
+			wg.Go(func() {
+				defer busy.Delete(address)
+				if err := n.exchangeOne(ctx, address); err != nil && ctx.Err() == nil {
+					n.log.Debug().Str("peer", address).Err(err).Msg("peerUnreachable")
+				}
+			})
 		}
 	})
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -12,22 +12,35 @@
 	expires  time.Time
 }
 
+// tombstoneTime is how long the table knows an endpoint whose lease has ended, so that a late message does not revive it.
+const tombstoneTime = 10 * time.Minute
+
+// maxTombstones is the most endpoints without a lease that the table knows.
+const maxTombstones = 20000
+
 // Table holds the endpoints of one region; it is not safe for concurrent use.
 type Table struct {
-	records map[string]record
+	records    map[string]record
+	tombstones map[string]record
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: map[string]record{}}
+	return &Table{records: map[string]record{}, tombstones: map[string]record{}}
 }
 
 // Announce takes an announcement with its lease and reports whether it was newer than what was known.
+//
+// An endpoint whose lease has ended comes back only by a newer announcement.
 func (t *Table) Announce(now time.Time, e Endpoint, lease time.Duration) bool {
 	old, ok := t.records[e.Name]
+	if !ok {
+		old, ok = t.tombstones[e.Name]
+	}
 	if ok && !e.newer(old.endpoint) {
 		return false
 	}
+	delete(t.tombstones, e.Name)
 	t.records[e.Name] = record{endpoint: e, expires: now.Add(lease)}
 	return true
 }
@@ -41,11 +54,30 @@
 		}
 		delete(t.records, name)
 		expired = append(expired, r.endpoint)
+		t.bury(now, r.endpoint)
 	}
+	t.forget(now)
 	slices.SortFunc(expired, byName)
 	return expired
 }
 
+// bury remembers which announcement of an endpoint was the last.
+func (t *Table) bury(now time.Time, e Endpoint) {
+	t.tombstones[e.Name] = record{
+		endpoint: Endpoint{Name: e.Name, Incarnation: e.Incarnation, Sequence: e.Sequence},
+		expires:  now.Add(tombstoneTime),
+	}
+}
+
+// forget drops the tombstones whose time is over, and others if there are too many.
+func (t *Table) forget(now time.Time) {
+	for name, r := range t.tombstones {
+		if !now.Before(r.expires) || len(t.tombstones) > maxTombstones {
+			delete(t.tombstones, name)
+		}
+	}
+}
+
 // Endpoints returns the endpoints under lease, leaving ones included, in the order of their names.
 func (t *Table) Endpoints(now time.Time) []Endpoint {
 	endpoints := make([]Endpoint, 0, len(t.records))
