--- /dev/null
+++ b/membership/share_test.go
@@ -0,0 +1,197 @@
+package membership
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+const shareTTL = 3 * time.Second
+
+// shares is a set of entries that spread values through messages that may be lost, doubled and late.
+type shares struct {
+	now    time.Time
+	names  []string
+	shares map[string]*Share[int]
+	told   map[string]map[string]int
+	starts int64
+	sent   []func()
+	// highest is the mark to which each entry has come for each origin.
+	highest map[string]Mark
+}
+
+func newShares(n int) *shares {
+	m := &shares{now: time.Unix(1000, 0), shares: map[string]*Share[int]{}, told: map[string]map[string]int{}, highest: map[string]Mark{}}
+	for i := range n {
+		m.names = append(m.names, fmt.Sprint("entry-", i))
+		m.restart(m.names[i])
+	}
+	return m
+}
+
+func (m *shares) restart(name string) {
+	m.starts++
+	m.shares[name] = NewShare[int](m.now, name, m.starts)
+	m.told[name] = map[string]int{}
+	for _, origin := range m.names {
+		delete(m.highest, name+"<"+origin)
+	}
+}
+
+// ask sends the marks of one entry to another, whose answer comes later.
+func (m *shares) ask(from, to string) {
+	marks := m.shares[from].Marks()
+	m.sent = append(m.sent, func() {
+		deltas := m.shares[to].Missing(marks)
+		m.sent = append(m.sent, func() { m.shares[from].Learn(m.now, deltas) })
+	})
+}
+
+// check fails if an entry went back in what it knows of an origin.
+func (m *shares) check(t *rapid.T) {
+	for _, name := range m.names {
+		for _, mark := range m.shares[name].Marks() {
+			before := m.highest[name+"<"+mark.Origin]
+			older := mark.Incarnation < before.Incarnation ||
+				(mark.Incarnation == before.Incarnation && (mark.Version < before.Version || mark.Beat < before.Beat))
+			if older {
+				t.Fatalf("%s went from %+v to %+v", name, before, mark)
+			}
+			m.highest[name+"<"+mark.Origin] = mark
+		}
+	}
+}
+
+// seen returns what an entry believes.
+func (m *shares) seen(name string) map[string]map[string]int {
+	seen := map[string]map[string]int{}
+	m.shares[name].Each(m.now, shareTTL, func(origin, key string, value int) {
+		if seen[origin] == nil {
+			seen[origin] = map[string]int{}
+		}
+		seen[origin][key] = value
+	})
+	return seen
+}
+
+func TestShareUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newShares(rapid.IntRange(2, 4).Draw(t, "entries"))
+		entry := rapid.SampledFrom(m.names)
+		key := rapid.SampledFrom([]string{"a", "b", "c"})
+		run := func(t *rapid.T, remove bool) {
+			if len(m.sent) == 0 {
+				return
+			}
+			i := rapid.IntRange(0, len(m.sent)-1).Draw(t, "message")
+			f := m.sent[i]
+			if remove {
+				m.sent = slices.Delete(m.sent, i, i+1)
+			}
+			f()
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				e, k, v := entry.Draw(t, "entry"), key.Draw(t, "key"), rapid.IntRange(0, 9).Draw(t, "value")
+				m.shares[e].Put(k, v)
+				m.told[e][k] = v
+			},
+			"drop": func(t *rapid.T) {
+				e, k := entry.Draw(t, "entry"), key.Draw(t, "key")
+				m.shares[e].Drop(k)
+				delete(m.told[e], k)
+			},
+			"beat":      func(t *rapid.T) { m.shares[entry.Draw(t, "entry")].Beat(m.now) },
+			"ask":       func(t *rapid.T) { m.ask(entry.Draw(t, "from"), entry.Draw(t, "to")) },
+			"deliver":   func(t *rapid.T) { run(t, true) },
+			"duplicate": func(t *rapid.T) { run(t, false) },
+			"lose": func(*rapid.T) {
+				if len(m.sent) > 0 {
+					m.sent = m.sent[1:]
+				}
+			},
+			"restart": func(t *rapid.T) { m.restart(entry.Draw(t, "entry")) },
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "millis")) * time.Millisecond)
+			},
+			"": m.check,
+		})
+		m.converge(t)
+		m.silence(t)
+	})
+}
+
+// converge lets all entries exchange without loss and checks that they agree.
+func (m *shares) converge(t *rapid.T) {
+	m.sent = nil
+	for _, name := range m.names {
+		m.shares[name].Beat(m.now)
+	}
+	for range len(m.names) {
+		for _, from := range m.names {
+			for _, to := range m.names {
+				m.ask(from, to)
+			}
+		}
+		for len(m.sent) > 0 {
+			f := m.sent[0]
+			m.sent = m.sent[1:]
+			f()
+		}
+	}
+	want := map[string]map[string]int{}
+	for origin, values := range m.told {
+		if len(values) > 0 {
+			want[origin] = maps.Clone(values)
+		}
+	}
+	for _, name := range m.names {
+		if diff := cmp.Diff(want, m.seen(name)); diff != "" {
+			t.Fatalf("%s believes otherwise (-told +seen):\n%s", name, diff)
+		}
+	}
+}
+
+// silence stops the first entry and checks that the others stop believing it, although they go on to exchange.
+func (m *shares) silence(t *rapid.T) {
+	silent := m.names[0]
+	for range 8 {
+		m.now = m.now.Add(shareTTL / 4)
+		for _, name := range m.names[1:] {
+			m.shares[name].Beat(m.now)
+			for _, other := range m.names[1:] {
+				m.shares[name].Learn(m.now, m.shares[other].Missing(m.shares[name].Marks()))
+			}
+		}
+	}
+	for _, name := range m.names[1:] {
+		if _, ok := m.seen(name)[silent]; ok {
+			t.Fatalf("%s still believes %s", name, silent)
+		}
+	}
+}
+
+func TestRendezvous(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	load := map[string]int{}
+	for i := range 1000 {
+		key := fmt.Sprint("engine-", i)
+		chosen := Rendezvous(key, names, 2)
+		load[chosen[0]]++
+		load[chosen[1]]++
+		fewer := Rendezvous(key, names[:4], 2)
+		if !slices.Contains(chosen, "e") && !slices.Equal(chosen, fewer) {
+			t.Errorf("%s moved from %v to %v although neither has gone", key, chosen, fewer)
+		}
+	}
+	for name, n := range load {
+		if n < 300 || n > 500 {
+			t.Errorf("%s has %d of 2000", name, n)
+		}
+	}
+}
