Exchange what entries know by differences with a few partners

Cause: each entry sent all that it knew to every entry each 500 ms. Entries of a region now ask one or two others for what they miss; two gateways of a region, by rendezvous hashing, speak for it to others; an origin vouches for its items by one beat; changes go at once, loads in turn within a bound; endpoints announce themselves to two entries by rendezvous hashing. A claim is tried for 2 s while too few replicas answer: TestRollingRestart had ended with ledgerUnavailable for 3 of 220 calls, with two replicas a region. residency_test.go: the recorder speaks the new messages, its checks unchanged.

--- a/calls/runner.go
+++ b/calls/runner.go
@@ -22,6 +22,9 @@
 const (
 	// sendWindow is how long after its claim the first byte of a call may be sent.
 	sendWindow = 3 * time.Second
+	// claimWindow and claimPeriod bound how long a claim is tried while too few replicas answer.
+	claimWindow = 2 * time.Second
+	claimPeriod = 100 * time.Millisecond
 	// leaseMargin covers the reading of the clock, and the recording of the ending.
 	leaseMargin = 2 * time.Second
 	// finishPeriod and finishTries bound how long an ending that was not agreed is proposed again.
@@ -101,8 +104,7 @@
 		done <- x.look(ctx, call, ok)
 		return
 	}
-	a := ledger.NewAttempt(x.group.Len(), x.group.Name(), token.Epoch, call)
-	x.phase(ctx, a)
+	a := x.claim(ctx, token.Epoch, call, began.Add(min(claimWindow, patience)))
 	x.logClaim(r, a)
 	if !a.Claimed() {
 		x.phase(ctx, a)
@@ -116,6 +118,21 @@
 	x.end(ctx, a, r, result{reply: reply, err: err}, done)
 }
 
+// claim claims the call; while too few replicas answer, the same attempt tries again until the time for it is over.
+func (x *Runner) claim(ctx context.Context, epoch string, call ledger.Record, end time.Time) *ledger.Attempt {
+	for {
+		a := ledger.NewAttempt(x.group.Len(), x.group.Name(), epoch, call)
+		x.phase(ctx, a)
+		if a.Claimed() || !x.now().Before(end) {
+			return a
+		}
+		if verdict, _ := ledger.Judge(x.now(), x.group.Len(), call.Attempt, call.Digest, a.Seen()); verdict != ledger.Unavailable {
+			return a
+		}
+		time.Sleep(claimPeriod)
+	}
+}
+
 func (x *Runner) logClaim(r dispatch.Request, a *ledger.Attempt) {
 	x.log.Info().
 		Str("correlationId", r.CorrelationID).
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -6,11 +6,15 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"arbutusreel/membership"
 	"arbutusreel/problem"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
 )
 
+// announceEntries is how many entries an endpoint announces itself to.
+const announceEntries = 2
+
 // endpointHandler serves the endpoints of the region.
 func (n *Entry) endpointHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -42,16 +46,19 @@
 	if n.state.announce(e, n.cfg.AnnouncementLease) {
 		n.log.Debug().Str("endpoint", e.Name).Bool("leaving", e.Leaving).Msg("announced")
 	}
-	n.replyAnnouncement(w)
+	n.replyAnnouncement(w, e.Name)
 }
 
-func (n *Entry) replyAnnouncement(w http.ResponseWriter) {
+// replyAnnouncement answers with the lease and the entries that take the endpoint's next announcements.
+func (n *Entry) replyAnnouncement(w http.ResponseWriter, endpoint string) {
 	reply := &wiregen.AnnouncementReply{LeaseMillis: n.cfg.AnnouncementLease.Milliseconds()}
+	var addresses []string
 	for _, e := range n.state.live() {
 		if e.Region == n.cfg.Self.Region && !e.Leaving {
-			reply.Entries = append(reply.Entries, e.EndpointAddress)
+			addresses = append(addresses, e.EndpointAddress)
 		}
 	}
+	reply.Entries = membership.Rendezvous(endpoint, addresses, announceEntries)
 	b, err := protojson.Marshal(reply)
 	if err != nil {
 		problem.Write(w, problem.From(err), "")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,7 +45,7 @@
 
 // New returns an entry daemon that runs when Run is called.
 func New(cfg Config, log zerolog.Logger, now func() time.Time) *Entry {
-	s := newState(cfg.Self.Region, now)
+	s := newState(cfg.Self, now)
 	p := newPeers(s, cfg.Self.Name, cfg.Keys)
 	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
 	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, newChooser(cfg.RoutingPolicy, now(), newSource(cfg.Seed)), now, newSource(cfg.Seed), log)
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,13 +15,17 @@
 // exchangeTimeout bounds one exchange with a peer.
 const exchangeTimeout = time.Second
 
-// exchangeLoop swaps state with every known entry; one that does not answer holds up no other.
+// exchangeLoop asks a few peers for what the instance does not know; one that does not answer holds up no other.
 func (n *Entry) exchangeLoop(ctx context.Context) {
+	rng := n.exchangeSource()
 	var busy sync.Map
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	every(ctx, exchangePeriod, func() {
-		for _, address := range n.exchangeAddresses() {
+		self := n.self()
+		n.state.hear(self)
+		n.state.tell(self)
+		for _, address := range n.state.partnerAddresses(self, n.cfg.Peers, rng) {
 			if _, loaded := busy.LoadOrStore(address, true); loaded {
 				continue
 			}
@@ -33,23 +39,15 @@
 	})
 }
 
-// exchangeAddresses returns the peers from the settings and those heard of, without the instance itself.
-func (n *Entry) exchangeAddresses() []string {
-	seen := map[string]bool{n.cfg.Self.PeerAddress: true}
-	var addresses []string
-	add := func(address string) {
-		if !seen[address] {
-			seen[address] = true
-			addresses = append(addresses, address)
-		}
-	}
-	for _, e := range n.state.live() {
-		add(e.PeerAddress)
-	}
-	for _, address := range n.cfg.Peers {
-		add(address)
+// exchangeSource returns the random source of the exchange, which differs between instances with one seed.
+func (n *Entry) exchangeSource() *rand.Rand {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(n.cfg.Self.Name))
+	seed := n.cfg.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
 	}
-	return addresses
+	return rand.New(rand.NewPCG(seed, h.Sum64()))
 }
 
 func (n *Entry) exchangeOne(ctx context.Context, address string) error {
@@ -63,64 +61,57 @@
 	if err != nil {
 		return err
 	}
-	n.learn(reply.GetEntries(), reply.GetEndpoints(), reply.GetSummaries())
+	n.learn(reply)
 	return nil
 }
 
 func (n *Entry) exchangeRequest() *wiregen.ExchangeRequest {
-	now := n.state.now()
-	_, revision := n.state.Inventory()
-	endpoints := n.state.Endpoints()
+	local, global := n.state.marks()
 	return &wiregen.ExchangeRequest{
-		Sender:    n.cfg.Self.Name,
-		Region:    n.cfg.Self.Region,
-		Entries:   wire.EncodeEntries([]membership.Entry{n.self()}),
-		Endpoints: n.endpointStates(endpoints),
-		Summaries: wire.EncodeSummaries(now, membership.Summarize(now, n.cfg.Self.Region, endpoints)),
-		Revision:  revision,
+		Sender:  n.cfg.Self.Name,
+		Region:  n.cfg.Self.Region,
+		Entries: []*wiregen.EntryAdvert{wire.EncodeEntry(n.self())},
+		Local:   wire.EncodeMarks(local),
+		Global:  wire.EncodeMarks(global),
 	}
 }
 
-func (n *Entry) endpointStates(endpoints []membership.Endpoint) []*wiregen.EndpointState {
-	states := make([]*wiregen.EndpointState, 0, len(endpoints))
-	for _, e := range endpoints {
-		states = append(states, &wiregen.EndpointState{
-			Announcement: wire.EncodeAnnouncement(n.state.now(), e),
-			LeaseMillis:  n.state.lease(e.Name).Milliseconds(),
-		})
-	}
-	return states
-}
-
-// Exchange answers a peer with the same state.
+// Exchange answers a peer with what it does not know; what entries of the region tell is for the region alone.
 func (n *Entry) Exchange(ctx context.Context, m *wiregen.ExchangeRequest) (*wiregen.ExchangeReply, error) {
 	if err := n.checkClaim(ctx, m.GetSender(), m.GetRegion()); err != nil {
 		return nil, err
 	}
-	n.learn(m.GetEntries(), m.GetEndpoints(), m.GetSummaries())
-	own := n.exchangeRequest()
-	return &wiregen.ExchangeReply{
-		Entries:   wire.EncodeEntries(n.state.live()),
-		Endpoints: own.GetEndpoints(),
-		Summaries: own.GetSummaries(),
-		Revision:  own.GetRevision(),
-	}, nil
+	for _, e := range wire.DecodeEntries(m.GetEntries()) {
+		n.state.hear(e)
+	}
+	local, global := n.state.missing(m)
+	now := n.state.now()
+	reply := &wiregen.ExchangeReply{
+		Entries: []*wiregen.EntryAdvert{wire.EncodeEntry(n.self())},
+		Global:  wire.EncodeDeltas(now, global),
+	}
+	if m.GetRegion() == n.cfg.Self.Region {
+		reply.Local = wire.EncodeDeltas(now, local)
+	}
+	return reply, nil
 }
 
-// learn takes what a peer knows; endpoints of other regions are left out.
-func (n *Entry) learn(entries []*wiregen.EntryAdvert, endpoints []*wiregen.EndpointState, summaries []*wiregen.RegionSummary) {
-	now := n.state.now()
-	for _, e := range wire.DecodeEntries(entries) {
+// learn takes what a peer told.
+func (n *Entry) learn(reply *wiregen.ExchangeReply) {
+	for _, e := range wire.DecodeEntries(reply.GetEntries()) {
 		n.state.hear(e)
 	}
-	for _, m := range endpoints {
-		e, err := wire.DecodeAnnouncement(now, m.GetAnnouncement())
-		if err != nil || e.Region != n.cfg.Self.Region {
-			continue
-		}
-		n.state.announce(e, time.Duration(m.GetLeaseMillis())*time.Millisecond)
-	}
-	for _, s := range wire.DecodeSummaries(now, summaries) {
-		n.state.learn(s)
+	n.state.learn(reply)
+}
+
+// endpointStates returns the messages of endpoints with what is left of their leases.
+func (n *Entry) endpointStates(endpoints []membership.Endpoint) []*wiregen.EndpointState {
+	states := make([]*wiregen.EndpointState, 0, len(endpoints))
+	for _, e := range endpoints {
+		states = append(states, &wiregen.EndpointState{
+			Announcement: wire.EncodeAnnouncement(n.state.now(), e),
+			LeaseMillis:  n.state.lease(e.Name).Milliseconds(),
+		})
 	}
+	return states
 }
--- a/entry/exchange_test.go
+++ b/entry/exchange_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -11,50 +13,149 @@
 	"arbutusreel/membership"
 )
 
-// newCrowd returns an entry of a system with regions of the same number of entries and endpoints.
-func newCrowd(regions, entries, endpoints int) *Entry {
-	now := time.Unix(1000, 0)
-	self := membership.Entry{Name: "entry-0-0", Region: "region-0", FailureDomain: "region-0-a", PeerAddress: "127.0.0.1:10000"}
-	n := New(Config{Self: self, Seed: 1}, zerolog.Nop(), func() time.Time { return now })
+// crowd is the entries of a system in one process, which exchange by calls and count their bytes.
+type crowd struct {
+	now       time.Time
+	entries   []*Entry
+	byAddress map[string]*Entry
+	bytes     map[*Entry]int
+	sources   map[*Entry]*rand.Rand
+	endpoints int
+	sequence  int64
+}
+
+// newCrowd returns regions with the same number of entries and endpoints.
+func newCrowd(regions, entries, endpoints int) *crowd {
+	c := &crowd{now: time.Unix(1000, 0), byAddress: map[string]*Entry{}, bytes: map[*Entry]int{}, sources: map[*Entry]*rand.Rand{}, endpoints: endpoints}
+	var seeds []string
 	for r := range regions {
 		for e := range entries {
-			name := fmt.Sprintf("entry-%d-%d", r, e)
-			n.state.hear(membership.Entry{
-				Name: name, Region: fmt.Sprint("region-", r), FailureDomain: fmt.Sprintf("region-%d-a", r),
-				CallerAddress: "10.100.200.30:8080", EndpointAddress: "10.100.200.30:8081", PeerAddress: fmt.Sprintf("10.100.%d.%d:8082", r, e),
-				Weight: 1, Incarnation: 1796334829000000000, Sequence: 1000, LedgerEpoch: "JEVRRG74TNRYJRYLWDSIOFQWE2",
-			})
+			address := fmt.Sprintf("10.100.%d.%d:8082", r, e)
+			self := membership.Entry{
+				Name: fmt.Sprintf("entry-%d-%d", r, e), Region: fmt.Sprint("region-", r), FailureDomain: fmt.Sprintf("region-%d-a", r),
+				CallerAddress: "10.100.200.30:8080", EndpointAddress: address, PeerAddress: address, Weight: 1,
+			}
+			if e == 0 {
+				seeds = append(seeds, address)
+			}
+			n := New(Config{Self: self, Seed: 1}, zerolog.Nop(), func() time.Time { return c.now })
+			c.entries = append(c.entries, n)
+			c.byAddress[address] = n
+			c.sources[n] = n.exchangeSource()
 		}
 	}
-	for i := range endpoints {
-		n.state.announce(membership.Endpoint{
-			Name: fmt.Sprint("engine-region-0-", i), Incarnation: 1796334829000000000, Sequence: 1000, Address: "10.100.200.30:9000",
-			Region: "region-0", FailureDomain: "region-0-a", Service: "reel-counsel", Models: []string{"arrangements-v1"}, Slots: 8,
-			Load: membership.Load{Running: 4, Queued: 2, QueuedTokens: 900, TokensPerSecond: 320, PrefillTokensPerSecond: 5000, CacheUse: 0.7, At: now},
-		}, 3*time.Second)
+	for _, n := range c.entries {
+		n.cfg.Peers = seeds
 	}
-	return n
+	return c
 }
 
-// BenchmarkExchange measures the time of one exchange's messages, and the bytes a second that the entry sends and receives.
+// announce lets the endpoints of each region announce themselves to their entries, with a changed load.
+func (c *crowd) announce() {
+	c.sequence++
+	byRegion := map[string][]string{}
+	for _, n := range c.entries {
+		byRegion[n.cfg.Self.Region] = append(byRegion[n.cfg.Self.Region], n.cfg.Self.PeerAddress)
+	}
+	for region, addresses := range byRegion {
+		for i := range c.endpoints {
+			e := membership.Endpoint{
+				Name: fmt.Sprint("engine-", region, "-", i), Incarnation: 1796334829000000000, Sequence: c.sequence, Address: "10.100.200.30:9000",
+				Region: region, FailureDomain: region + "-a", Service: "reel-counsel", Models: []string{"arrangements-v1"}, Slots: 8,
+				Load: membership.Load{Running: 4, Queued: int(c.sequence % 7), QueuedTokens: 900, TokensPerSecond: 320, PrefillTokensPerSecond: 5000, CacheUse: 0.7, At: c.now},
+			}
+			for _, address := range membership.Rendezvous(e.Name, addresses, announceEntries) {
+				c.byAddress[address].state.announce(e, 3*time.Second)
+			}
+		}
+	}
+}
+
+// period runs one period of every entry and counts the bytes of the messages without those of gRPC.
+func (c *crowd) period(tb testing.TB) {
+	for _, n := range c.entries {
+		self := n.self()
+		self.Leaving = false
+		n.state.hear(self)
+		n.state.tell(self)
+		for _, address := range n.state.partnerAddresses(self, n.cfg.Peers, c.sources[n]) {
+			request := n.exchangeRequest()
+			request.Entries[0].Leaving = false
+			peer := c.byAddress[address]
+			reply, err := peer.Exchange(tb.Context(), request)
+			if err != nil {
+				tb.Fatal(err)
+			}
+			reply.Entries[0].Leaving = false
+			n.learn(reply)
+			size := proto.Size(request) + proto.Size(reply)
+			c.bytes[n] += size
+			c.bytes[peer] += size
+		}
+	}
+	c.now = c.now.Add(exchangePeriod)
+}
+
+// run runs seconds of the system.
+func (c *crowd) run(tb testing.TB, seconds int) {
+	for range seconds {
+		c.announce()
+		c.period(tb)
+		c.period(tb)
+	}
+}
+
+func TestExchangeSpreads(t *testing.T) {
+	c := newCrowd(3, 5, 20)
+	c.run(t, 12)
+	for _, n := range c.entries {
+		if got := len(n.state.live()); got != 15 {
+			t.Errorf("%s knows %d entries, want 15", n.cfg.Self.Name, got)
+		}
+		if got := len(n.state.Endpoints()); got != 20 {
+			t.Errorf("%s knows %d endpoints, want 20", n.cfg.Self.Name, got)
+		}
+		if got := len(n.state.Summaries()); got != 2 {
+			t.Errorf("%s knows %d summaries of other regions, want 2", n.cfg.Self.Name, got)
+		}
+	}
+	// Endpoints that fall silent are gone everywhere some periods after their lease.
+	for range 14 {
+		c.period(t)
+	}
+	for _, n := range c.entries {
+		if got := len(n.state.Endpoints()); got != 0 {
+			t.Errorf("%s knows %d silent endpoints", n.cfg.Self.Name, got)
+		}
+	}
+}
+
+// BenchmarkExchange measures the bytes a second that an entry sends and receives, its time and its memory, after all is known.
 func BenchmarkExchange(b *testing.B) {
 	for _, size := range []struct{ regions, entries, endpoints int }{{3, 3, 10}, {7, 9, 100}, {21, 17, 295}} {
 		b.Run(fmt.Sprintf("regions=%d/entries=%d/endpoints=%d", size.regions, size.entries, size.endpoints), func(b *testing.B) {
-			n := newCrowd(size.regions, size.entries, size.endpoints)
-			bytes := 0
+			c := newCrowd(size.regions, size.entries, size.endpoints)
+			c.run(b, 60)
+			clear(c.bytes)
+			seconds := 0
 			for b.Loop() {
-				request := n.exchangeRequest()
-				reply, err := n.Exchange(b.Context(), request)
-				if err != nil {
-					b.Fatal(err)
-				}
-				bytes = proto.Size(request) + proto.Size(reply)
+				c.run(b, 1)
+				seconds++
+			}
+			var memory runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&memory)
+			total, most := 0, 0
+			for _, bytes := range c.bytes {
+				total += bytes
+				most = max(most, bytes)
 			}
-			peers := len(n.exchangeAddresses())
-			perSecond := float64(time.Second) / float64(exchangePeriod)
-			b.ReportMetric(2*float64(bytes*peers)*perSecond, "B/s")
+			count := float64(len(c.entries))
+			b.ReportMetric(float64(total)/count/float64(seconds), "B/s")
+			b.ReportMetric(float64(most)/float64(seconds), "mostB/s")
+			b.ReportMetric(b.Elapsed().Seconds()/float64(seconds)/count*100, "%core")
+			b.ReportMetric(float64(memory.HeapAlloc)/count/1024, "heapKB")
 			b.ReportMetric(0, "ns/op")
-			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)*float64(2*peers)*perSecond/1e9*100, "%core")
 		})
 	}
 }
--- /dev/null
+++ b/entry/share.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"arbutusreel/membership"
+)
+
+// Limits of what an entry tells.
+const (
+	// gateways is how many entries of a region speak to the other regions.
+	gateways = 2
+	// partners is how many entries of the region, and how many other regions, are asked in one period.
+	partners = 2
+	// seedPartners is how many addresses of the settings that are not known to be alive are asked in one period.
+	seedPartners = 4
+	// fewEntries is up to which number of entries of the region the exchange is fast.
+	fewEntries = 6
+	// loadsPerPeriod and slowLoadsPerPeriod are how many loads of endpoints the region's entries tell in one period together.
+	loadsPerPeriod     = 12
+	slowLoadsPerPeriod = 2
+	// slowLocalPeriods and slowGlobalPeriods are in which periods a large region exchanges at all, and what all regions tell.
+	slowLocalPeriods  = 2
+	slowGlobalPeriods = 8
+	// fewRegions is up to which number of regions summaries are told each summaryPeriod, and beyond each slowSummaryPeriod.
+	fewRegions        = 5
+	summaryPeriod     = time.Second
+	slowSummaryPeriod = 10 * time.Second
+	// originTTL is how long an origin without a beat is believed, longer by originTTLPerEntry for each live origin.
+	originTTL         = 3 * time.Second
+	originTTLPerEntry = 200 * time.Millisecond
+)
+
+// Prefixes of the keys of facts.
+const (
+	endpointKey = "p/"
+	entryKey    = "n/"
+	summaryKey  = "s/"
+)
+
+// facts is what the instance tells and hears: of its region to its region, and of all regions through gateways.
+type facts struct {
+	local  *membership.Share[membership.Fact]
+	global *membership.Share[membership.Fact]
+	// cursor is the last endpoint whose load was told, so that each has its turn.
+	cursor string
+	// credit is how many loads may be told.
+	credit float64
+	// period counts the periods.
+	period int
+}
+
+func newFacts(now time.Time, self membership.Entry) *facts {
+	incarnation := now.UnixNano()
+	return &facts{
+		local:  membership.NewShare[membership.Fact](now, self.Name, incarnation),
+		global: membership.NewShare[membership.Fact](now, self.Name, incarnation),
+	}
+}
+
+// ttl returns how long a silent origin of the share is believed.
+func ttl(s *membership.Share[membership.Fact]) time.Duration {
+	return originTTL + time.Duration(len(s.Marks()))*originTTLPerEntry
+}
+
+// believed returns what the live origins tell.
+func (f *facts) believed(now time.Time) (endpoints []membership.Endpoint, entries []membership.Entry, summaries []membership.Summary) {
+	take := func(_, _ string, fact membership.Fact) {
+		switch {
+		case fact.Endpoint != nil:
+			endpoints = append(endpoints, *fact.Endpoint)
+		case fact.Entry != nil:
+			entries = append(entries, *fact.Entry)
+		case fact.Summary != nil:
+			summaries = append(summaries, *fact.Summary)
+		}
+	}
+	f.local.Each(now, ttl(f.local), take)
+	f.global.Each(now, ttl(f.global), take)
+	return endpoints, entries, summaries
+}
+
+// tell brings what the instance tells up to date.
+func (s *state) tell(self membership.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.facts.local.Beat(now)
+	s.facts.global.Beat(now)
+	s.facts.tellEntry(s.facts.local, self)
+	s.facts.period++
+	s.facts.earn(len(s.regionEntries(now)))
+	s.facts.tellEndpoints(s.table.Endpoints(now))
+	if !s.isGateway(now, self.Name) {
+		for _, key := range s.facts.global.Keys() {
+			s.facts.global.Drop(key)
+		}
+		return
+	}
+	s.tellRegion(now)
+}
+
+// earn adds the instance's share of the loads that the entries of the region may tell in a period.
+func (f *facts) earn(entries int) {
+	loads := float64(loadsPerPeriod)
+	if entries > fewEntries {
+		loads = slowLoadsPerPeriod
+	}
+	f.credit = min(f.credit+loads/float64(entries), loads)
+}
+
+// tellEntry tells an advert if it says something new.
+func (f *facts) tellEntry(share *membership.Share[membership.Fact], e membership.Entry) {
+	told, ok := share.Told(entryKey + e.Name)
+	if !ok || e.Differs(*told.Entry) {
+		share.Put(entryKey+e.Name, membership.Fact{Entry: &e})
+	}
+}
+
+// tellEndpoints tells the endpoints that announce themselves here: changes at once, loads in turn.
+func (f *facts) tellEndpoints(endpoints []membership.Endpoint) {
+	present := map[string]bool{}
+	for _, e := range endpoints {
+		present[endpointKey+e.Name] = true
+	}
+	for _, key := range f.local.Keys() {
+		if strings.HasPrefix(key, endpointKey) && !present[key] {
+			f.local.Drop(key)
+		}
+	}
+	start, _ := slices.BinarySearchFunc(endpoints, f.cursor+"\x00", func(e membership.Endpoint, name string) int { return strings.Compare(e.Name, name) })
+	for i := range endpoints {
+		e := endpoints[(start+i)%len(endpoints)]
+		told, ok := f.local.Told(endpointKey + e.Name)
+		changed := !ok || e.Differs(*told.Endpoint)
+		newer := ok && e.Sequence > told.Endpoint.Sequence
+		if !changed && (!newer || f.credit < 1) {
+			continue
+		}
+		if !changed {
+			f.credit--
+			f.cursor = e.Name
+		}
+		f.local.Put(endpointKey+e.Name, membership.Fact{Endpoint: &e})
+	}
+}
+
+// tellRegion tells the other regions the entries and the summaries of the own one.
+func (s *state) tellRegion(now time.Time) {
+	keys := map[string]bool{}
+	for _, e := range s.regionEntries(now) {
+		keys[entryKey+e.Name] = true
+		s.facts.tellEntry(s.facts.global, e)
+	}
+	for _, summary := range membership.Summarize(now, s.region, s.endpointsNow(now)) {
+		key := summaryKey + summary.Service
+		keys[key] = true
+		told, ok := s.facts.global.Told(key)
+		if !ok || now.Sub(told.Summary.At) >= s.summaryPeriod(now) {
+			s.facts.global.Put(key, membership.Fact{Summary: &summary})
+		}
+	}
+	for _, key := range s.facts.global.Keys() {
+		if !keys[key] {
+			s.facts.global.Drop(key)
+		}
+	}
+}
+
+// summaryPeriod returns how often summaries are told.
+func (s *state) summaryPeriod(now time.Time) time.Duration {
+	regions := map[string]bool{}
+	for _, e := range s.liveNow(now) {
+		regions[e.Region] = true
+	}
+	if len(regions) <= fewRegions {
+		return summaryPeriod
+	}
+	return slowSummaryPeriod
+}
+
+// regionEntries returns the live entries of the own region; the lock is held.
+func (s *state) regionEntries(now time.Time) []membership.Entry {
+	entries := slices.DeleteFunc(s.liveNow(now), func(e membership.Entry) bool { return e.Region != s.region })
+	if len(entries) == 0 {
+		return []membership.Entry{{Region: s.region}}
+	}
+	return entries
+}
+
+// isGateway reports whether the entry speaks to the other regions; the lock is held.
+func (s *state) isGateway(now time.Time, name string) bool {
+	var names []string
+	for _, e := range s.regionEntries(now) {
+		names = append(names, e.Name)
+	}
+	return slices.Contains(membership.Rendezvous(s.region, names, gateways), name)
+}
+
+// partnerAddresses draws the peers of one exchange: entries of the region, of other regions if the instance is a gateway or
+// knows none of them, and addresses of the settings that are not known to be alive.
+func (s *state) partnerAddresses(self membership.Entry, seeds []string, rng *rand.Rand) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	known := map[string]bool{self.PeerAddress: true}
+	regions := map[string][]string{}
+	for _, e := range s.liveNow(now) {
+		known[e.PeerAddress] = true
+		if e.Name != self.Name {
+			regions[e.Region] = append(regions[e.Region], e.PeerAddress)
+		}
+	}
+	addresses := draw(regions[self.Region], s.localPartners(now), rng)
+	delete(regions, self.Region)
+	if s.isGateway(now, self.Name) && s.tellsGlobal(now) {
+		for _, region := range draw(slices.Sorted(maps.Keys(regions)), partners, rng) {
+			addresses = append(addresses, draw(regions[region], 1, rng)...)
+		}
+	}
+	unknown := slices.DeleteFunc(slices.Clone(seeds), func(address string) bool { return known[address] })
+	return append(addresses, draw(unknown, seedPartners, rng)...)
+}
+
+// localPartners returns how many entries of the region are asked in this period; the lock is held.
+func (s *state) localPartners(now time.Time) int {
+	switch {
+	case len(s.regionEntries(now)) <= fewEntries:
+		return partners
+	case s.facts.period%slowLocalPeriods == 0:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// tellsGlobal reports whether what all regions tell is asked for in this period; the lock is held.
+func (s *state) tellsGlobal(now time.Time) bool {
+	return len(s.regionEntries(now)) <= fewEntries || s.facts.period%slowGlobalPeriods == 0
+}
+
+// draw returns n of the items in random order.
+func draw(items []string, n int, rng *rand.Rand) []string {
+	drawn := slices.Clone(items)
+	rng.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	return drawn[:min(n, len(drawn))]
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -15,6 +15,9 @@
 // tombstoneTime is how long the table knows an endpoint whose lease has ended, so that a late message does not revive it.
 const tombstoneTime = 10 * time.Minute
 
+// leavingGrace is how much longer a leaving endpoint is listed, so that an entry that missed this cannot bring it back.
+const leavingGrace = 5 * time.Second
+
 // maxTombstones is the most endpoints without a lease that the table knows.
 const maxTombstones = 20000
 
@@ -41,6 +44,9 @@
 		return false
 	}
 	delete(t.tombstones, e.Name)
+	if e.Leaving {
+		lease += leavingGrace
+	}
 	t.records[e.Name] = record{endpoint: e, expires: now.Add(lease)}
 	return true
 }
--- a/standin/announcer.go
+++ b/standin/announcer.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"arbutusreel/directory"
+	"arbutusreel/membership"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
 )
@@ -87,12 +88,12 @@
 	}
 	var addresses []string
 	for _, e := range entries {
-		if e.Region == a.region && len(addresses) < announceCopies {
+		if e.Region == a.region {
 			addresses = append(addresses, e.EndpointAddress)
 		}
 	}
 	if len(addresses) > 0 {
-		a.addresses = addresses
+		a.addresses = membership.Rendezvous(a.describe().GetName(), addresses, announceCopies)
 	}
 }
 
--- a/systemtest/calls_test.go
+++ b/systemtest/calls_test.go
@@ -110,6 +110,11 @@
 		d.entries[i].kill()
 		_ = os.RemoveAll(filepath.Join(d.dir, d.entries[i].name))
 	}
+	d.startAgain(entries...)
+}
+
+// startAgain starts entries that were killed and waits until they are ready.
+func (d *desk) startAgain(entries ...int) {
 	for _, i := range entries {
 		d.entries[i].start()
 	}
@@ -278,9 +283,7 @@
 	for _, e := range d.entries {
 		e.kill()
 	}
-	for _, e := range d.entries {
-		e.start()
-	}
+	d.startAgain(0, 1, 2)
 	if a := d.settled(1, "k1", "lentils"); a.body != first.body {
 		t.Errorf("after a restart of all, the order was answered %d %q, first %q", a.status, a.body, first.body)
 	}
--- a/systemtest/residency_test.go
+++ b/systemtest/residency_test.go
@@ -102,7 +102,13 @@
 // Exchange tells of the recorder's region.
 func (r *recorder) Exchange(context.Context, *wiregen.ExchangeRequest) (*wiregen.ExchangeReply, error) {
 	entries, summaries := r.adverts()
-	return &wiregen.ExchangeReply{Entries: entries, Summaries: summaries}, nil
+	sequence := summaries[0].GetSequence()
+	origin := &wiregen.ShareDelta{Origin: entries[0].GetName(), Incarnation: 1, Version: sequence, Beat: sequence, Full: true}
+	origin.Items = append(origin.Items, &wiregen.ShareItem{Key: "n/" + entries[0].GetName(), Version: sequence, Fact: &wiregen.ShareItem_Entry{Entry: entries[0]}})
+	for _, s := range summaries {
+		origin.Items = append(origin.Items, &wiregen.ShareItem{Key: "s/" + s.GetService(), Version: sequence, Fact: &wiregen.ShareItem_Summary{Summary: s}})
+	}
+	return &wiregen.ExchangeReply{Entries: entries, Global: []*wiregen.ShareDelta{origin}}, nil
 }
 
 // Forward answers with one piece.
@@ -132,9 +138,9 @@
 	r.t.Cleanup(cancel)
 	go func() {
 		for ctx.Err() == nil {
-			entries, summaries := r.adverts()
+			entries, _ := r.adverts()
 			_, _ = client.Exchange(ctx, &wiregen.ExchangeRequest{
-				Sender: "a-recorder-" + r.region, Region: r.region, Entries: entries, Summaries: summaries,
+				Sender: "a-recorder-" + r.region, Region: r.region, Entries: entries,
 			})
 			time.Sleep(200 * time.Millisecond)
 		}
