--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"net/http"
 	"sync"
@@ -14,6 +15,7 @@
 	"arbutusreel/calls"
 	"arbutusreel/dispatch"
 	"arbutusreel/endpoint"
+	"arbutusreel/metrics"
 	"arbutusreel/relay"
 	"arbutusreel/wiregen"
 )
@@ -25,10 +27,12 @@
 
 	cfg        Config
 	log        zerolog.Logger
+	metrics    *metrics.Set
 	state      *state
 	hub        *relay.Hub
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
+	rates      *rates
 	runner     *calls.Runner
 	demands    *demands
 	// replica is nil on an instance that is no ledger replica.
@@ -48,15 +52,23 @@
 	s := newState(cfg.Self, now)
 	p := newPeers(s, cfg.Self.Name, cfg.Keys)
 	self := dispatch.Hop{Instance: cfg.Self.Name, Region: cfg.Self.Region}
-	d := dispatch.New(self, s, endpoint.NewModels(), endpoint.NewPlain(), p, newChooser(cfg.RoutingPolicy, now(), newSource(cfg.Seed)), now, newSource(cfg.Seed), log)
-	publishMetrics(d)
+	d := dispatch.New(self, s, timedModels{models: endpoint.NewModels()}, endpoint.NewPlain(), p, newChooser(cfg.RoutingPolicy, now(), newSource(cfg.Seed)), now, newSource(cfg.Seed), log)
+	r := newRates(cfg.Self, now)
+	d = d.WithLimiter(r)
+	counts := cfg.Metrics
+	if counts == nil {
+		counts = metrics.New()
+	}
+	counts.Add(dispatchVar, expvar.Func(func() any { return d.Metrics() }))
 	n := &Entry{
 		cfg:        cfg,
 		log:        log,
+		metrics:    counts,
 		state:      s,
 		hub:        relay.NewHub(cfg.Self.Name, now),
 		peers:      p,
 		dispatcher: d,
+		rates:      r,
 		demands:    newDemands(),
 		began:      now(),
 		done:       make(chan struct{}),
@@ -95,6 +107,7 @@
 	wg.Go(func() { n.follow(work) })
 	wg.Go(func() { n.exchangeLoop(work) })
 	wg.Go(func() { n.publishLoop(work) })
+	wg.Go(func() { n.lendLoop(work) })
 	wg.Go(func() { n.expireLoop(work) })
 	wg.Go(func() { n.keepLedger(work) })
 	n.log.Info().Str("callerAddress", n.cfg.Self.CallerAddress).Msg("started")
--- a/entry/exchange_test.go
+++ b/entry/exchange_test.go
@@ -82,6 +82,9 @@
 			request := n.exchangeRequest()
 			request.Entries[0].Leaving = false
 			peer := c.byAddress[address]
+			if peer == nil {
+				continue // The entry was killed.
+			}
 			reply, err := peer.Exchange(tb.Context(), request)
 			if err != nil {
 				tb.Fatal(err)
@@ -119,10 +122,18 @@
 			t.Errorf("%s knows %d summaries of other regions, want 2", n.cfg.Self.Name, got)
 		}
 	}
-	// Endpoints that fall silent are gone everywhere some periods after their lease.
-	for range 14 {
+	killed := c.entries[0]
+	c.entries = c.entries[1:]
+	delete(c.byAddress, killed.cfg.Self.PeerAddress)
+	for range 24 {
 		c.period(t)
 	}
+	for _, n := range c.entries {
+		if got := len(n.state.live()); got != 14 {
+			t.Errorf("%s knows %d entries after one was killed, want 14", n.cfg.Self.Name, got)
+		}
+	}
+	// Endpoints that fall silent are gone everywhere some periods after their lease.
 	for _, n := range c.entries {
 		if got := len(n.state.Endpoints()); got != 0 {
 			t.Errorf("%s knows %d silent endpoints", n.cfg.Self.Name, got)
--- a/entry/share.go
+++ b/entry/share.go
@@ -44,6 +44,7 @@
 
 // facts is what the instance tells and hears: of its region to its region, and of all regions through gateways.
 type facts struct {
+	region string
 	local  *membership.Share[membership.Fact]
 	global *membership.Share[membership.Fact]
 	// cursor is the last endpoint whose load was told, so that each has its turn.
@@ -57,6 +58,7 @@
 func newFacts(now time.Time, self membership.Entry) *facts {
 	incarnation := now.UnixNano()
 	return &facts{
+		region: self.Region,
 		local:  membership.NewShare[membership.Fact](now, self.Name, incarnation),
 		global: membership.NewShare[membership.Fact](now, self.Name, incarnation),
 	}
@@ -70,20 +72,34 @@
 // believed returns what the live origins tell.
 func (f *facts) believed(now time.Time) (endpoints []membership.Endpoint, entries []membership.Entry, summaries []membership.Summary) {
 	take := func(_, _ string, fact membership.Fact) {
-		switch {
-		case fact.Endpoint != nil:
-			endpoints = append(endpoints, *fact.Endpoint)
-		case fact.Entry != nil:
+		if f.ofRegion(fact) {
+			return
+		}
+		if fact.Entry != nil {
 			entries = append(entries, *fact.Entry)
-		case fact.Summary != nil:
+		}
+		if fact.Summary != nil {
 			summaries = append(summaries, *fact.Summary)
 		}
 	}
-	f.local.Each(now, ttl(f.local), take)
 	f.global.Each(now, ttl(f.global), take)
+	f.local.Each(now, ttl(f.local), func(_, _ string, fact membership.Fact) {
+		if fact.Endpoint != nil {
+			endpoints = append(endpoints, *fact.Endpoint)
+		}
+		if fact.Entry != nil {
+			entries = append(entries, *fact.Entry)
+		}
+	})
 	return endpoints, entries, summaries
 }
 
+// ofRegion reports whether a gateway's fact is of the own region: such a one is not believed, since gateways would keep a
+// dead entry alive by telling it to one another.
+func (f *facts) ofRegion(fact membership.Fact) bool {
+	return (fact.Entry != nil && fact.Entry.Region == f.region) || (fact.Summary != nil && fact.Summary.Region == f.region)
+}
+
 // tell brings what the instance tells up to date.
 func (s *state) tell(self membership.Entry) {
 	s.mu.Lock()
--- a/membership/share.go
+++ b/membership/share.go
@@ -165,7 +165,7 @@
 		d.Since = 0
 	}
 	for _, item := range o.items {
-		if item.Version > d.Since && !(d.Full && item.Dropped) {
+		if item.Version > d.Since && (!d.Full || !item.Dropped) {
 			d.Items = append(d.Items, item)
 		}
 	}
