--- a/completion/request.go
+++ b/completion/request.go
@@ -56,7 +56,7 @@
 	return fmt.Sprintf("completion request: field %q is required", e.Field)
 }
 
-// RangeError says that a number of a request is too small.
+// RangeError says that a number of a request or an event is too small.
 type RangeError struct {
 	Field string
 	Least int
--- a/systemtest/shutdown_test.go
+++ b/systemtest/shutdown_test.go
@@ -73,7 +73,7 @@
 func TestRollingRestart(t *testing.T) {
 	s := newSystem(t, options{
 		regions:          []string{"lahore", "karachi"},
-		entriesPerRegion: 2,
+		entriesPerRegion: 3,
 		inventory:        lunchClub,
 		entryArgs:        []string{"--drainNotice", "1500ms", "--announcementLease", "1s"},
 	})
@@ -87,7 +87,7 @@
 		s.service(name, "lahore", "club-desk")
 	}
 	s.until("plans and orders are answered", func() bool {
-		for _, e := range s.entries[:2] {
+		for _, e := range s.entries[:3] {
 			a := s.do(http.MethodPost, e.caller, orderPath, lahoreToken, "warm", "Idempotency-Key", "warm-"+e.name)
 			dish := s.do(http.MethodPost, e.caller, chatPath, lahoreToken, dishBody)
 			if !s.plans(e, lahoreToken) || a.status != http.StatusOK || dish.status != http.StatusOK {
