--- a/entry/keys.go
+++ b/entry/keys.go
@@ -22,8 +22,6 @@
 
 func (p *peers) nameAt(address string) string { return p.entryAt(address).Name }
 
-func (p *peers) regionAt(address string) string { return p.entryAt(address).Region }
-
 // checkClaim refuses a peer whose certificate names another instance than the peer does.
 func (n *Entry) checkClaim(ctx context.Context, name, region string) error {
 	if err := n.cfg.Keys.CheckClaim(ctx, name, region); err != nil {
