--- a/completion/fuzz_test.go
+++ b/completion/fuzz_test.go
@@ -13,6 +13,7 @@
 	f.Add(false, []byte(`{"model":"m","prompt":"hello","max_tokens":-1}`))
 	f.Add(false, []byte(`{"model":"m","prompt":"hello","max_tokens":null}`))
 	f.Add(false, []byte(`{"model":"m","prompt":"hello","max_tokens":1e30}`))
+	f.Add(false, []byte(`{"model":"m","prompt":"x","stream":null}`))
 	f.Add(true, []byte(`null`))
 	f.Add(true, []byte(`[]`))
 	f.Fuzz(func(t *testing.T, chat bool, b []byte) {
