--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -285,6 +285,26 @@
 	})
 }
 
+// TestWaitForNewsLeavesPatience checks that a request that waits for endpoints is refused while half of its patience is left.
+func TestWaitForNewsLeavesPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(mustInventory(contents()), 1, fleet(1, 8, 0), 1, expected)
+		w.mu.Lock()
+		for _, r := range w.regions {
+			r.reported = nil
+		}
+		w.mu.Unlock()
+		plan, _ := w.inventory.Class("plan")
+		patience := plan.Patience
+		r := request("r", 5, "plan", patience)
+		r.Deadline = time.Now().Add(patience/2 + 2*waitPeriod)
+		_, err := run(w.entry("lahore"), r)
+		if left := time.Until(r.Deadline); problem.From(err).Code != problem.NoCapacity || left < patience/2-2*waitPeriod {
+			t.Errorf("refused as %v with %v of %v left", err, left, patience)
+		}
+	})
+}
+
 // TestLeaving checks that a leaving endpoint receives nothing once this is known.
 func TestLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
