--- a/entry/forward.go
+++ b/entry/forward.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 
 	"arbutusreel/dispatch"
@@ -69,9 +70,14 @@
 }
 
 // targets returns the entries of the region that the request has not passed, leaving ones last: an entry that leaves
-// serves until its notice has passed, and one that has just started may be thought to leave still.
+// serves until its notice has passed, and one that has just started may be thought to leave still. The first one differs
+// from request to request.
 func (p *peers) targets(region string, r dispatch.Request) []membership.Entry {
 	targets := slices.DeleteFunc(p.state.live(), func(e membership.Entry) bool { return e.Region != region || r.Passed(e.Name) })
+	if len(targets) > 1 {
+		first := xxhash.Sum64String(r.CorrelationID) % uint64(len(targets))
+		targets = slices.Concat(targets[first:], targets[:first])
+	}
 	slices.SortStableFunc(targets, func(a, b membership.Entry) int {
 		switch {
 		case a.Leaving == b.Leaving:
