--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -11,7 +11,7 @@
 
 // TestTargetsDiffer checks that forwards to a region begin at each of its entries, and at a leaving one never.
 func TestTargetsDiffer(t *testing.T) {
-	s := newState("lahore", time.Now)
+	s := newState(membership.Entry{Name: "self", Region: "lahore"}, time.Now)
 	for i := range 3 {
 		s.hear(membership.Entry{Name: fmt.Sprint("entry-", i), Region: "karachi"})
 	}
