Wait in one place: clock.Sleep in place of seven copies, one printing of replies

The same timer and select stood in entry, relay, operator, standin, dispatch and twice in control; the JSON of a reply was written out in five places.

--- a/cmd/arbutusreel/operators.go
+++ b/cmd/arbutusreel/operators.go
@@ -134,6 +134,16 @@
 	return revision, nil
 }
 
+// printReply prints an answer as JSON.
+func printReply(stdout io.Writer, reply proto.Message) error {
+	b, err := wire.EncodeJSON(reply)
+	if err != nil {
+		return err
+	}
+	_, err = stdout.Write(b)
+	return err
+}
+
 // printCommand returns a command that prints one answer of the control voters.
 func printCommand(name, doc string, ask func(context.Context, *operator.Client) (proto.Message, error)) *command {
 	m := &wiregen.OperatorSettings{}
@@ -147,12 +157,7 @@
 				if err != nil {
 					return err
 				}
-				b, err := wire.EncodeJSON(reply)
-				if err != nil {
-					return err
-				}
-				_, err = stdout.Write(b)
-				return err
+				return printReply(stdout, reply)
 			})
 		},
 	}
@@ -187,12 +192,7 @@
 				if err != nil {
 					return err
 				}
-				b, err := wire.EncodeJSON(reply)
-				if err != nil {
-					return err
-				}
-				_, err = stdout.Write(b)
-				return err
+				return printReply(stdout, reply)
 			})
 		},
 	}
--- a/cmd/arbutusreel/repair.go
+++ b/cmd/arbutusreel/repair.go
@@ -10,7 +10,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"arbutusreel/operator"
-	"arbutusreel/wire"
 	"arbutusreel/wiregen"
 )
 
@@ -87,12 +86,7 @@
 	if err != nil {
 		return err
 	}
-	b, err := wire.EncodeJSON(reply)
-	if err != nil {
-		return err
-	}
-	_, err = stdout.Write(b)
-	return err
+	return printReply(stdout, reply)
 }
 
 func (f *repairFlags) ask(ctx context.Context, c *operator.Client) (proto.Message, error) {
--- a/control/control.go
+++ b/control/control.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
+	"arbutusreel/clock"
 	"arbutusreel/journal"
 	"arbutusreel/relay"
 	"arbutusreel/wiregen"
@@ -125,12 +126,7 @@
 	defer cancel()
 	c.quorum.transfer(ctx)
 	for c.store.Status().Leader.Name == "" && ctx.Err() == nil {
-		t := time.NewTimer(c.cfg.Heartbeat)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-		}
-		t.Stop()
+		clock.Sleep(ctx, c.cfg.Heartbeat)
 	}
 }
 
--- a/control/links.go
+++ b/control/links.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"arbutusreel/clock"
 	"arbutusreel/consensus"
 	"arbutusreel/keys"
 	"arbutusreel/ring"
@@ -73,12 +74,7 @@
 		if idle && l.forget(address, r) {
 			return
 		}
-		t := time.NewTimer(linkBackoff)
-		select {
-		case <-t.C:
-		case <-l.ctx.Done():
-		}
-		t.Stop()
+		clock.Sleep(l.ctx, linkBackoff)
 	}
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"arbutusreel/admission"
+	"arbutusreel/clock"
 	"arbutusreel/inventory"
 	"arbutusreel/membership"
 	"arbutusreel/problem"
@@ -214,14 +215,7 @@
 	if reason != retry.Retry {
 		return false
 	}
-	t := time.NewTimer(delay)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, delay)
 }
 
 // notRunner is a failure that knows whether the attempt may have run.
--- a/entry/decisions.go
+++ b/entry/decisions.go
@@ -6,7 +6,6 @@
 	"arbutusreel/decision"
 	"arbutusreel/operator"
 	"arbutusreel/problem"
-	"arbutusreel/wire"
 	"arbutusreel/wiregen"
 )
 
@@ -28,11 +27,5 @@
 	if n.cfg.Decisions != nil {
 		reply.Lines = n.cfg.Decisions.Lines(subject)
 	}
-	b, err := wire.EncodeJSON(reply)
-	if err != nil {
-		problem.Write(w, problem.From(err), "")
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(b)
+	writeReply(w, reply)
 }
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"arbutusreel/clock"
 	"arbutusreel/problem"
 )
 
@@ -20,7 +21,7 @@
 	n.log.Info().Dur("notice", n.cfg.DrainNotice).Msg("leaving")
 	n.state.hear(n.self())
 	n.publish(ctx)
-	wait(ctx, n.cfg.DrainNotice)
+	clock.Sleep(ctx, n.cfg.DrainNotice)
 	n.closed.Store(true)
 	n.log.Info().Int64("active", n.inProgress()).Msg("refusing")
 	n.waitIdle(ctx, n.cfg.DrainTimeout)
@@ -37,7 +38,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for n.inProgress() > 0 && ctx.Err() == nil {
-		wait(ctx, drainPoll)
+		clock.Sleep(ctx, drainPoll)
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -141,16 +141,6 @@
 	}
 }
 
-// wait returns after d or when ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // every calls f at the period until ctx ends.
 func every(ctx context.Context, period time.Duration, f func()) {
 	t := time.NewTicker(period)
--- a/entry/repair.go
+++ b/entry/repair.go
@@ -29,14 +29,19 @@
 			problem.Write(w, problem.From(err), "")
 			return
 		}
-		b, err := wire.EncodeJSON(reply)
-		if err != nil {
-			problem.Write(w, problem.From(err), "")
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write(b)
+		writeReply(w, reply)
+	}
+}
+
+// writeReply answers an operator with a message.
+func writeReply(w http.ResponseWriter, reply proto.Message) {
+	b, err := wire.EncodeJSON(reply)
+	if err != nil {
+		problem.Write(w, problem.From(err), "")
+		return
 	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(b)
 }
 
 // listDoubtful answers the region's calls that may have run.
--- a/operator/client.go
+++ b/operator/client.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"arbutusreel/clock"
 	"arbutusreel/problem"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
@@ -202,14 +203,7 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
 		return false
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, d)
 }
 
 // attempt asks one voter, for no longer than a part of the whole wait.
--- a/relay/follower.go
+++ b/relay/follower.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
+	"arbutusreel/clock"
 	"arbutusreel/distribution"
 	"arbutusreel/wiregen"
 )
@@ -66,7 +67,7 @@
 	f.askAll(ctx, f.instance.Sources())
 	for ctx.Err() == nil {
 		f.followFirst(ctx, f.sources())
-		pause(ctx, retryPeriod)
+		clock.Sleep(ctx, retryPeriod)
 	}
 }
 
@@ -84,7 +85,7 @@
 		}
 		f.failures.Failed(f.hub.now(), address)
 		f.log.Warn().Str("source", address).Err(err).Msg("sourceLeft")
-		pause(ctx, retryPeriod)
+		clock.Sleep(ctx, retryPeriod)
 	}
 }
 
@@ -217,19 +218,9 @@
 // report sends reports until the stream ends.
 func (f *Follower) report(ctx context.Context, sender *distribution.Sender, updates grpc.BidiStreamingClient[wiregen.FollowReport, wiregen.FollowUpdate]) {
 	for ctx.Err() == nil {
-		pause(ctx, reportCheck)
+		clock.Sleep(ctx, reportCheck)
 		if m := f.nextReport(sender); m != nil && updates.Send(m) != nil {
 			return
 		}
 	}
 }
-
-// pause returns after d or when ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/standin/announcer.go
+++ b/standin/announcer.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"arbutusreel/clock"
 	"arbutusreel/directory"
 	"arbutusreel/membership"
 	"arbutusreel/wire"
@@ -53,7 +54,7 @@
 	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), notice)
 	defer cancel()
 	a.announce(context.WithoutCancel(ctx), true)
-	for pause(leaving, leavingPeriod) {
+	for clock.Sleep(leaving, leavingPeriod) {
 		a.announce(leaving, true)
 	}
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutusreel/clock"
 	"arbutusreel/completion"
 	"arbutusreel/directory"
 	"arbutusreel/wiregen"
@@ -103,7 +104,7 @@
 
 // noteLoad keeps the reports that are younger than the lag.
 func (e *Engine) noteLoad(ctx context.Context) {
-	for pause(ctx, reportPeriod) {
+	for clock.Sleep(ctx, reportPeriod) {
 		now := time.Now()
 		e.mu.Lock()
 		e.reports = append(e.reports, report{at: now, load: e.load()})
@@ -179,21 +180,6 @@
 	return mux
 }
 
-// pause waits for d; it reports false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
--- a/standin/generate.go
+++ b/standin/generate.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"arbutusreel/clock"
 	"arbutusreel/completion"
 	"arbutusreel/problem"
 	"arbutusreel/stream"
@@ -150,13 +151,13 @@
 			c.Resumed++
 		}
 	})
-	return pause(ctx, time.Duration(j.PromptTokens-j.cached+j.from)*e.cfg.PrefillTime)
+	return clock.Sleep(ctx, time.Duration(j.PromptTokens-j.cached+j.from)*e.cfg.PrefillTime)
 }
 
 // token takes the time of one token and counts it.
 func (e *Engine) token(ctx context.Context) bool {
 	running, _, _ := e.batch.load()
-	if !pause(ctx, e.tokenTime(running)) {
+	if !clock.Sleep(ctx, e.tokenTime(running)) {
 		return false
 	}
 	e.counts.add(func(c *Counts) { c.Tokens++ })
--- a/standin/kv.go
+++ b/standin/kv.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"arbutusreel/clock"
 	"arbutusreel/completion"
 )
 
@@ -52,7 +53,7 @@
 	}
 	tokens := tokensOf(m.Prompt)
 	bytes := tokens * kvBytesPerToken
-	if e.cfg.KVBytesPerSecond > 0 && !pause(r.Context(), time.Duration(float64(bytes)/e.cfg.KVBytesPerSecond*float64(time.Second))) {
+	if e.cfg.KVBytesPerSecond > 0 && !clock.Sleep(r.Context(), time.Duration(float64(bytes)/e.cfg.KVBytesPerSecond*float64(time.Second))) {
 		return
 	}
 	writeJSON(w, kvReply{Tokens: tokens, Bytes: bytes})
