Let a forwarded request, too, wait between two endpoints that are restarted in turn

The receiving region's entry had not heard of the engine that had come back when the other one left, and only requests of its own callers waited for news. TestRestartInTurnIsWaitedFor failed first for the forwarded request: noCapacity.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -267,9 +267,16 @@
 			time.Sleep(500 * time.Millisecond)
 			w.publish()
 		}()
-		if _, err := run(d, request("between", 5, "plan", time.Minute)); err != nil {
-			t.Errorf("a request between two endpoints: %v", err)
+		forwarded := request("forwarded", 5, "plan", time.Minute).WithHop(Hop{Instance: "karachi-0", Region: "karachi"})
+		var wg sync.WaitGroup
+		for _, r := range []Request{request("between", 5, "plan", time.Minute), forwarded} {
+			wg.Go(func() {
+				if _, err := run(d, r); err != nil {
+					t.Errorf("request %s between two endpoints: %v", r.CorrelationID, err)
+				}
+			})
 		}
+		wg.Wait()
 		time.Sleep(time.Second)
 		w.mu.Lock()
 		for _, r := range w.regions {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -78,16 +78,15 @@
 
 // learning reports whether the request may wait because the instance may not have heard of its endpoints yet: it has
 // just started, or had one until a moment ago, as when endpoints are restarted in turn. A request from another region
-// does not wait for this, and none waits for more than half of its patience.
+// does not wait for an instance that has just started, and none waits for more than half of its patience.
 func (s *scheduler) learning(now time.Time, j *job, l *lane) bool {
-	latest := s.born
-	if l.used.After(latest) {
-		latest = l.used
-	}
 	if j.request.Deadline.Sub(now) < j.class.Patience/2 {
 		return false
 	}
-	return now.Sub(latest) < learningTime && !j.request.Forwarded(s.self.Region)
+	if now.Sub(l.used) < learningTime {
+		return true
+	}
+	return now.Sub(s.born) < learningTime && !j.request.Forwarded(s.self.Region)
 }
 
 // choose returns the best endpoint of the own region that may run the request.
