Let the desk's tests wait until each entry knows the service, not until one answered

The set-up sent one order with one key through every entry and took 200 for a sign that the entry knows the service; but a resend is answered from the ledger (its log says claimed: false and an empty endpoint), so it said nothing of the second and third entry. Ruled out: a lost announcement (the entry was 2.5 s old and within the exchange's delay); a wrong answer (notRun was true). Now each entry is asked with a key of its own, which only an entry that knows an endpoint can answer. Strictness is the same or more: each assertion stays.

--- a/systemtest/calls_test.go
+++ b/systemtest/calls_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -36,7 +37,8 @@
 	d := &desk{system: newSystem(t, o)}
 	d.service = d.system.service("desk-lahore", "lahore", "club-desk", "--slots", "8")
 	for i := range 3 {
-		d.until("an order is answered", func() bool { return d.order(i, "ready", "ready").status == http.StatusOK })
+		key := "ready-" + strconv.Itoa(i)
+		d.until("entry "+strconv.Itoa(i)+" knows the service", func() bool { return d.order(i, key, key).status == http.StatusOK })
 	}
 	return d
 }
