Gather the faults of settings and of inventories in one list type

Cause: settings.Faults and inventory.Faults were the same type with the same joining of lines, and LevelError in cmd/arbutusreel told a second time what the setting's choices refuse. Now both are fault.List of their own Fault, and an unknown log level is a fault of its setting.

--- a/cmd/arbutusreel/daemons.go
+++ b/cmd/arbutusreel/daemons.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"expvar"
-	"fmt"
 	"io"
 	"os"
 	"strings"
@@ -17,27 +16,18 @@
 	"arbutusreel/keys"
 	"arbutusreel/membership"
 	"arbutusreel/metrics"
+	"arbutusreel/settings"
 	"arbutusreel/wiregen"
 )
 
 // logTimeFormat is the time format of log lines: RFC 3339 with microseconds.
 const logTimeFormat = "2006-01-02T15:04:05.000000Z07:00"
 
-// LevelError says that a log level does not exist.
-type LevelError struct {
-	Level string
-}
-
-// Error names the level.
-func (e *LevelError) Error() string {
-	return fmt.Sprintf("setting %q: log level %q does not exist", "logLevel", e.Level)
-}
-
 // newLogger returns a logger of JSON lines that name the instance; lines that explain decisions are kept as well.
 func newLogger(level, role, name, region string, decisions *decision.Store) (zerolog.Logger, error) {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil {
-		return zerolog.Nop(), &LevelError{Level: level}
+		return zerolog.Nop(), settings.Faults{{Setting: "logLevel", Value: level, Reason: "is not a log level"}}
 	}
 	zerolog.TimeFieldFormat = logTimeFormat
 	return zerolog.New(zerolog.MultiLevelWriter(os.Stderr, decisions)).Level(parsed).With().Timestamp().
--- a/inventory/errors.go
+++ b/inventory/errors.go
@@ -2,7 +2,8 @@
 
 import (
 	"fmt"
-	"strings"
+
+	"arbutusreel/fault"
 )
 
 // Fault is one part of an inventory that is not valid; Path names it as in teams[2].homeRegion.
@@ -18,13 +19,4 @@
 }
 
 // Faults is every fault of an inventory.
-type Faults []Fault
-
-// Error lists every fault, one a line.
-func (f Faults) Error() string {
-	lines := make([]string, 0, len(f))
-	for _, fault := range f {
-		lines = append(lines, fault.Error())
-	}
-	return strings.Join(lines, "\n")
-}
+type Faults = fault.List[Fault]
--- a/settings/errors.go
+++ b/settings/errors.go
@@ -2,7 +2,8 @@
 
 import (
 	"fmt"
-	"strings"
+
+	"arbutusreel/fault"
 )
 
 // Fault is one setting whose text is not valid; Value is the text as given.
@@ -18,13 +19,4 @@
 }
 
 // Faults is every fault of a set of settings.
-type Faults []Fault
-
-// Error lists every fault, one a line.
-func (f Faults) Error() string {
-	lines := make([]string, 0, len(f))
-	for _, fault := range f {
-		lines = append(lines, fault.Error())
-	}
-	return strings.Join(lines, "\n")
-}
+type Faults = fault.List[Fault]
