--- /dev/null
+++ b/cmd/arbutusreel/client.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"arbutusreel/keys"
+	"arbutusreel/operator"
+	"arbutusreel/wire"
+	"arbutusreel/wiregen"
+)
+
+// withClient runs f with a client of the control voters, within the timeout.
+func withClient(ctx context.Context, m *wiregen.OperatorSettings, f func(context.Context, *operator.Client) error) error {
+	token, err := readToken(m.GetTokenFile())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.GetTimeout().AsDuration())
+	defer cancel()
+	c := operator.New(m.GetControls(), token, http.DefaultClient)
+	source, err := keys.New(keys.Files{Authority: m.GetTlsAuthorityFile()}, time.Now, func(error) {})
+	if err != nil {
+		return err
+	}
+	if cfg := source.HTTPClient(); cfg != nil {
+		c = c.WithTLS(cfg)
+	}
+	return f(ctx, c)
+}
+
+func readToken(file string) (string, error) {
+	if file == "" {
+		return os.Getenv("ARBUTUSREEL_TOKEN"), nil
+	}
+	b, err := os.ReadFile(file)
+	return strings.TrimSpace(string(b)), err
+}
+
+// printReply prints an answer as JSON.
+func printReply(stdout io.Writer, reply proto.Message) error {
+	b, err := wire.EncodeJSON(reply)
+	if err != nil {
+		return err
+	}
+	_, err = stdout.Write(b)
+	return err
+}
+
+func getCommand() *command {
+	m := &wiregen.OperatorSettings{}
+	return &command{
+		name:     "get",
+		doc:      "Prints the inventory in force and its revision; the apply command takes the edited output.",
+		settings: m,
+		run: func(ctx context.Context, stdout io.Writer) error {
+			return withClient(ctx, m, func(ctx context.Context, c *operator.Client) error {
+				reply, err := c.Inventory(ctx)
+				if err != nil {
+					return err
+				}
+				return printReply(stdout, reply)
+			})
+		},
+	}
+}
--- a/cmd/arbutusreel/main.go
+++ b/cmd/arbutusreel/main.go
@@ -73,6 +73,7 @@
 		membersCommand(),
 		explainCommand(),
 		repairCommand(),
+		diffCommand(),
 		checkCommand(),
 		settingsCommand(),
 		versionCommand(),
--- /dev/null
+++ b/cmd/arbutusreel/members.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"arbutusreel/operator"
+	"arbutusreel/wiregen"
+)
+
+// MembersActionError says that the arguments of the members command do not fit together.
+type MembersActionError struct {
+	Action string
+	Member string
+}
+
+// Error names the arguments.
+func (e *MembersActionError) Error() string {
+	return fmt.Sprintf("members %q %q: want list, add name=address, or remove name", e.Action, e.Member)
+}
+
+func membersCommand() *command {
+	m := &wiregen.OperatorSettings{}
+	var action, member string
+	return &command{
+		name:     "members",
+		doc:      "Prints, adds or removes members of the control quorum.",
+		settings: m,
+		bind: func(sub *flaggy.Subcommand) {
+			sub.AddPositionalValue(&action, "action", 1, false, "What to do: list, add or remove; without it list.")
+			sub.AddPositionalValue(&member, "member", 2, false, "Member: name=address to add, name to remove.")
+		},
+		run: func(ctx context.Context, stdout io.Writer) error {
+			return withClient(ctx, m, func(ctx context.Context, c *operator.Client) error {
+				reply, err := members(ctx, c, action, member)
+				if err != nil {
+					return err
+				}
+				return printReply(stdout, reply)
+			})
+		},
+	}
+}
+
+func members(ctx context.Context, c *operator.Client, action, member string) (*wiregen.MembersReply, error) {
+	name, address, ok := strings.Cut(member, "=")
+	switch {
+	case action == "" || action == "list":
+		return c.Members(ctx)
+	case action == "add" && ok:
+		return c.AddMember(ctx, name, address)
+	case action == "remove" && name != "" && !ok:
+		return c.RemoveMember(ctx, name)
+	default:
+		return nil, &MembersActionError{Action: action, Member: member}
+	}
+}
--- /dev/null
+++ b/cmd/arbutusreel/status.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"arbutusreel/operator"
+	"arbutusreel/wiregen"
+)
+
+func statusCommand() *command {
+	m := &wiregen.OperatorSettings{}
+	var table bool
+	return &command{
+		name:     "status",
+		doc:      "Prints the leader and the revision in force at each instance.",
+		settings: m,
+		bind: func(sub *flaggy.Subcommand) {
+			sub.Bool(&table, "", "table", "Prints a table in place of JSON.")
+		},
+		run: func(ctx context.Context, stdout io.Writer) error {
+			return withClient(ctx, m, func(ctx context.Context, c *operator.Client) error {
+				reply, err := c.Status(ctx)
+				if err != nil {
+					return err
+				}
+				if table {
+					return writeStatus(stdout, reply)
+				}
+				return printReply(stdout, reply)
+			})
+		},
+	}
+}
+
+// Columns of tables are separated by columnGap spaces at least.
+const columnGap = 2
+
+// writeStatus writes the quorum and the instances as two tables.
+func writeStatus(stdout io.Writer, m *wiregen.StatusReply) error {
+	source := "current"
+	if !m.GetCurrent() {
+		source = "may be behind"
+	}
+	fmt.Fprintf(stdout, "revision %d, leader %q, term %d, told by %q (%s)\n\n", m.GetRevision(), m.GetLeader(), m.GetTerm(), m.GetName(), source)
+	w := tabwriter.NewWriter(stdout, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintln(w, "MEMBER\tADDRESS\tDISK\tVOTER")
+	for _, member := range m.GetMembers() {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%t\n", member.GetName(), member.GetAddress(), member.GetDisk(), member.GetVoter())
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(stdout)
+	fmt.Fprintln(w, "INSTANCE\tREGION\tREVISION\tREPORTED\tLAGS")
+	for _, i := range m.GetInstances() {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s ago\t%s\n", i.GetName(), i.GetRegion(), i.GetRevision(), millis(i.GetAgeMillis()), lag(i))
+	}
+	return w.Flush()
+}
+
+// lag returns for how long a higher revision than the instance's has been accepted.
+func lag(i *wiregen.InstanceStatus) string {
+	if i.GetLagMillis() == 0 {
+		return "no"
+	}
+	return millis(i.GetLagMillis()).String()
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
