Serve operators through one guard in entries and control voters

Cause: entries and control voters each had their own copy of authorizing an operator, bounding the body, writing the reply or its problem, and answering with the kept decisions. operator.Guard does it once. Behaviour is as before: the tests of entry, control and of explain and refusals with real processes pass unchanged.

--- a/control/operators.go
+++ b/control/operators.go
@@ -17,47 +17,21 @@
 // operatorHandler serves operators and health.
 func (c *Control) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/inventory", c.operator(c.apply))
-	mux.HandleFunc("GET /v1/inventory", c.operator(c.get))
-	mux.HandleFunc("GET /v1/status", c.operator(c.status))
-	mux.HandleFunc("GET /v1/members", c.operator(c.members))
-	mux.HandleFunc("POST /v1/members/add", c.operator(c.addMember))
-	mux.HandleFunc("POST /v1/members/remove", c.operator(c.removeMember))
-	mux.HandleFunc("GET /v1/entries", c.operator(c.listEntries))
-	mux.HandleFunc("GET /v1/decisions/{kind}/{name}", c.operator(c.decisions))
+	guard := operator.NewGuard(c.cfg.OperatorTokenDigest, c.cfg.MaxInventoryBytes)
+	mux.HandleFunc("POST /v1/inventory", guard.Handle(c.apply))
+	mux.HandleFunc("GET /v1/inventory", guard.Handle(c.get))
+	mux.HandleFunc("GET /v1/status", guard.Handle(c.status))
+	mux.HandleFunc("GET /v1/members", guard.Handle(c.members))
+	mux.HandleFunc("POST /v1/members/add", guard.Handle(c.addMember))
+	mux.HandleFunc("POST /v1/members/remove", guard.Handle(c.removeMember))
+	mux.HandleFunc("GET /v1/entries", guard.Handle(c.listEntries))
+	mux.HandleFunc(operator.DecisionsRoute, guard.Handle(operator.Decisions(c.cfg.Decisions)))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", c.ready)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	return mux
 }
 
-// operator passes on a request that bears the operators' token.
-func (c *Control) operator(handle func(*http.Request) (proto.Message, error)) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		if err := operator.Authorize(r, c.cfg.OperatorTokenDigest); err != nil {
-			problem.Write(w, problem.From(err), "")
-			return
-		}
-		r.Body = http.MaxBytesReader(w, r.Body, c.cfg.MaxInventoryBytes)
-		reply, err := handle(r)
-		if err != nil {
-			problem.Write(w, problem.From(err), "")
-			return
-		}
-		writeMessage(w, reply)
-	}
-}
-
-func writeMessage(w http.ResponseWriter, m proto.Message) {
-	b, err := wire.EncodeJSON(m)
-	if err != nil {
-		problem.Write(w, problem.From(err), "")
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(b)
-}
-
 // decode reads a request's JSON into m.
 func (c *Control) decode(r *http.Request, m proto.Message) error {
 	b, err := io.ReadAll(r.Body)
--- a/control/regions.go
+++ b/control/regions.go
@@ -12,7 +12,6 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
-	"arbutusreel/decision"
 	"arbutusreel/inventory"
 	"arbutusreel/membership"
 	"arbutusreel/wire"
@@ -80,16 +79,6 @@
 	return &wiregen.EntriesReply{Entries: wire.EncodeEntries(c.entries(r.Context()))}, nil
 }
 
-// decisions answers the kept lines of a request or a placement.
-func (c *Control) decisions(r *http.Request) (proto.Message, error) {
-	reply := &wiregen.DecisionsReply{}
-	if c.cfg.Decisions != nil {
-		subject := decision.Subject{Kind: decision.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
-		reply.Lines = c.cfg.Decisions.Lines(subject)
-	}
-	return reply, nil
-}
-
 // place runs the placement duty until ctx ends.
 func (c *Control) place(ctx context.Context) {
 	inForce := func() (*inventory.Inventory, int64) {
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -16,6 +16,7 @@
 	"arbutusreel/inventory"
 	"arbutusreel/membership"
 	"arbutusreel/metrics"
+	"arbutusreel/operator"
 	"arbutusreel/problem"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
@@ -41,9 +42,10 @@
 	mux.HandleFunc("POST /v1/chat/completions", n.authenticated(n.chat))
 	mux.HandleFunc("POST /v1/completions", n.authenticated(n.text))
 	mux.HandleFunc("/v1/services/{service}/{path...}", n.authenticated(n.service))
-	mux.HandleFunc("GET /v1/repair", n.operator(n.answerRepair(n.listDoubtful)))
-	mux.HandleFunc("POST /v1/repair", n.operator(n.answerRepair(n.settleDoubtful)))
-	mux.HandleFunc("GET /v1/decisions/{kind}/{name}", n.operator(n.decisions))
+	guard := operator.NewGuard(n.cfg.OperatorTokenDigest, n.cfg.MaxBodyBytes)
+	mux.HandleFunc("GET /v1/repair", guard.Handle(n.listDoubtful))
+	mux.HandleFunc("POST /v1/repair", guard.Handle(n.settleDoubtful))
+	mux.HandleFunc(operator.DecisionsRoute, guard.Handle(operator.Decisions(n.cfg.Decisions)))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", n.tellReady)
 	mux.HandleFunc("GET /debug/vars", metrics.Handler)
--- a/entry/repair.go
+++ b/entry/repair.go
@@ -20,30 +20,6 @@
 	findingNotRun = "notRun"
 )
 
-// answerRepair answers an operator's request with the message that handle returns.
-func (n *Entry) answerRepair(handle func(*http.Request) (proto.Message, error)) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, n.cfg.MaxBodyBytes)
-		reply, err := handle(r)
-		if err != nil {
-			problem.Write(w, problem.From(err), "")
-			return
-		}
-		writeReply(w, reply)
-	}
-}
-
-// writeReply answers an operator with a message.
-func writeReply(w http.ResponseWriter, reply proto.Message) {
-	b, err := wire.EncodeJSON(reply)
-	if err != nil {
-		problem.Write(w, problem.From(err), "")
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(b)
-}
-
 // listDoubtful answers the region's calls that may have run.
 func (n *Entry) listDoubtful(r *http.Request) (proto.Message, error) {
 	doubtful, silent, epoch := n.runner.Doubtful(r.Context())
--- a/operator/doc.go
+++ b/operator/doc.go
@@ -1,2 +1,3 @@
-// Package operator is the client of the control daemons that the operators' commands use.
+// Package operator holds both sides of what operators ask of instances: the client of their commands, and the guard that
+// control voters and entries serve their requests with.
 package operator
