--- a/control/control.go
+++ b/control/control.go
@@ -95,7 +95,9 @@
 		return err
 	}
 	accepted := func(revision int64, whole []byte) { c.hub.Put(revision, whole) }
-	c.quorum = newQuorum(c.cfg, d, restored, l, accepted, c.log, c.now)
+	if c.quorum, err = newQuorum(c.cfg, d, restored, l, accepted, c.log, c.now); err != nil {
+		return err
+	}
 	c.store = c.quorum
 	c.publishMetrics()
 	return nil
--- a/control/machine.go
+++ b/control/machine.go
@@ -88,11 +88,12 @@
 	return marshal(s)
 }
 
-// restoreMachine returns the state of a snapshot; with an inventory that this version refuses, also the error.
+// restoreMachine returns the state of a snapshot. A snapshot that cannot be read returns *RecordError; one with an
+// inventory that this version refuses returns the state and *InventoryRefusedError.
 func restoreMachine(snapshot []byte) (*machine, error) {
 	s := &wiregen.ConfigurationSnapshot{}
 	if err := proto.Unmarshal(snapshot, s); err != nil {
-		return newMachine(), &RecordError{Record: "configuration snapshot", Cause: err}
+		return nil, &RecordError{Record: "configuration snapshot", Cause: err}
 	}
 	answers := make([]configuration.KnownAnswer, 0, len(s.GetAnswers()))
 	for _, a := range s.GetAnswers() {
@@ -105,5 +106,6 @@
 	if s.GetRevision() > 0 {
 		inv, err = decodeInventory(s.GetInventory())
 	}
-	return &machine{state: configuration.RestoreState(s.GetRevision(), inv, answers), whole: s.GetInventory()}, err
+	m := &machine{state: configuration.RestoreState(s.GetRevision(), inv, answers), whole: s.GetInventory()}
+	return m, m.refused(err)
 }
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -80,8 +80,8 @@
 
 var _ Store = (*quorum)(nil)
 
-// newQuorum returns the voter that the disk remembers, or a new one.
-func newQuorum(cfg Config, d *disk, r consensus.Restored, l *links, accepted func(int64, []byte), log zerolog.Logger, now func() time.Time) *quorum {
+// newQuorum returns the voter that the disk remembers, or a new one; a snapshot that cannot be read returns *RecordError.
+func newQuorum(cfg Config, d *disk, r consensus.Restored, l *links, accepted func(int64, []byte), log zerolog.Logger, now func() time.Time) (*quorum, error) {
 	q := &quorum{
 		cfg: cfg, log: log, now: now, links: l, accepted: accepted, disk: d,
 		inputs:  ring.New[func(time.Time)](quorumInputs),
@@ -91,8 +91,8 @@
 		changed: make(chan struct{}),
 		accepts: map[int64]time.Time{},
 	}
-	if r.Snapshot != nil {
-		q.install(r.Snapshot)
+	if err := q.install(r.Snapshot); err != nil {
+		return nil, err
 	}
 	q.node = consensus.New(consensus.Config{
 		Self:            consensus.ID{Name: cfg.Name, Disk: d.identity},
@@ -102,8 +102,9 @@
 		ElectionTimeout: cfg.ElectionTimeout,
 		RetainedEntries: retainedEntries,
 	}, r, now(), rand.New(rand.NewPCG(uint64(now().UnixNano()), rand.Uint64())))
+	q.accept()
 	q.publish(now())
-	return q
+	return q, nil
 }
 
 func founders(cfg Config) []consensus.Founder {
@@ -161,18 +162,20 @@
 	}
 }
 
-// carryOut persists, sends and applies what the node asks for, in this order.
+// carryOut persists, sends and applies what the node asks for, in this order; a snapshot that cannot be read is not
+// persisted.
 func (q *quorum) carryOut() error {
 	a := q.node.Actions()
+	if err := q.install(a.Install); err != nil {
+		return err
+	}
 	if err := q.disk.save(a, q.node.HardState()); err != nil {
 		return err
 	}
 	for _, m := range a.Messages {
 		q.links.send(m)
 	}
-	if a.Install != nil {
-		q.install(a.Install)
-	}
+	q.accept()
 	for _, e := range a.Committed {
 		if err := q.apply(e); err != nil {
 			return err
@@ -187,15 +190,29 @@
 	return q.disk.replace(q.node.Compact(q.applied, q.machine.snapshot()))
 }
 
-// install replaces the replicated state.
-func (q *quorum) install(s *consensus.Snapshot) {
+// install replaces the replicated state, which accept makes known; without a snapshot the state stays. A snapshot that
+// cannot be read returns *RecordError, after which this voter cannot go on.
+func (q *quorum) install(s *consensus.Snapshot) error {
+	if s == nil {
+		return nil
+	}
 	m, err := restoreMachine(s.Data)
-	if err != nil {
-		q.log.Error().Err(err).Int64("index", s.Index).Msg("snapshotRefused")
+	if err := q.outlive(err, s.Index); err != nil {
+		return err
 	}
 	q.machine = m
 	q.applied, q.compact = s.Index, s.Index
-	q.accept()
+	return nil
+}
+
+// outlive logs the refusal of an inventory that the quorum accepted, and returns any other error.
+func (q *quorum) outlive(err error, index int64) error {
+	var refused *InventoryRefusedError
+	if !errors.As(err, &refused) {
+		return err
+	}
+	q.log.Error().Err(err).Int64("index", index).Msg("inventoryRefused")
+	return nil
 }
 
 // apply applies an entry and answers who waits for it; an error says that this voter cannot go on.
@@ -205,13 +222,9 @@
 	if e.Kind == consensus.CommandEntry {
 		var err error
 		result.answer, err = q.machine.apply(e.Data)
-		var refused *InventoryRefusedError
-		if err != nil && !errors.As(err, &refused) {
+		if err := q.outlive(err, e.Index); err != nil {
 			return err
 		}
-		if err != nil {
-			q.log.Error().Err(err).Int64("index", e.Index).Msg("inventoryRefused")
-		}
 		q.accept()
 	}
 	if e.Kind == consensus.MembersEntry {
--- a/control/quorum_test.go
+++ b/control/quorum_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"arbutusreel/configuration"
+	"arbutusreel/consensus"
 	"arbutusreel/journal"
 	"arbutusreel/keys"
 	"arbutusreel/problem"
@@ -56,7 +57,10 @@
 		Name: "a", Voters: []string{"a=127.0.0.1:1"}, SnapshotEntries: 100,
 		Heartbeat: 5 * time.Millisecond, ElectionTimeout: 20 * time.Millisecond,
 	}
-	q := newQuorum(cfg, d, restored, newLinks(ctx, keys.Plain(), zerolog.Nop()), func(int64, []byte) {}, zerolog.Nop(), time.Now)
+	q, err := newQuorum(cfg, d, restored, newLinks(ctx, keys.Plain(), zerolog.Nop()), func(int64, []byte) {}, zerolog.Nop(), time.Now)
+	if err != nil {
+		t.Fatal(err)
+	}
 	failed, stopped := make(chan error, 1), make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -102,6 +106,31 @@
 	}
 }
 
+// TestUnreadableSnapshotStopsVoter installs a snapshot that cannot be read in a voter that has a revision in force.
+func TestUnreadableSnapshotStopsVoter(t *testing.T) {
+	q, _ := single(t, 1<<30)
+	q.untilLed(t)
+	if _, err := q.Propose(t.Context(), configuration.Change{ID: "kept", Inventory: sized(t, 1, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	installed := make(chan error, 1)
+	if err := q.input(t.Context(), func(time.Time) { installed <- q.install(&consensus.Snapshot{Index: 100, Data: []byte("unreadable")}) }); err != nil {
+		t.Fatal(err)
+	}
+	var unreadable *RecordError
+	if err := <-installed; !errors.As(err, &unreadable) {
+		t.Errorf("the snapshot was answered %v", err)
+	}
+	q.untilLed(t)
+	if revision, whole := q.wholeInForce(); revision != 1 || len(whole) == 0 {
+		t.Errorf("revision %d with %d bytes is in force", revision, len(whole))
+	}
+	restored := consensus.Restored{Snapshot: &consensus.Snapshot{Index: 100, Data: []byte("unreadable")}}
+	if _, err := newQuorum(q.cfg, q.disk, restored, q.links, q.accepted, zerolog.Nop(), time.Now); !errors.As(err, &unreadable) {
+		t.Errorf("a start from the snapshot was answered %v", err)
+	}
+}
+
 // BenchmarkPropose decides changes one after another, and many at once, in a quorum of one voter with a disk.
 func BenchmarkPropose(b *testing.B) {
 	inv := sized(b, 90, 1)
