Let operators patch parts of the inventory, merged one at a time by the leader

Cause: changes were whole inventories under compare-and-set, so that two operators who change different teams conflict. Now a patch puts and removes items by name; the leader confirms that it is current, answers a known change id, patches, checks the result and proposes it with the revision in force, deciding no other change meanwhile. Ruled out: merging at the client (races as before); merging when the entry is applied (two valid patches can make an invalid inventory, and versions would have to agree on validity); a revision for each item (changes what followers count on). Fails first, without deciding one at a time (TestRacingPatches, 8 operators, leader killed amid them): gave up waiting: patch 7 is accepted (and five others); revision 3 in place of 9 After: all eight in force, revision 9, each resend gets its first answer. A patch is compared with a map under rapid.

--- a/cmd/arbutusreel/change.go
+++ b/cmd/arbutusreel/change.go
@@ -61,6 +61,11 @@
 	sub.AddPositionalValue(&a.file, "file", 1, true, "File with the inventory in JSON, or what the get command printed.")
 }
 
+func (a *change) bindChange(sub *flaggy.Subcommand) {
+	sub.String(&a.changeID, "", "changeId", "Id of the change, by which a resend is known; without it a random one.")
+	sub.Bool(&a.wait, "", "wait", "Waits until the revision is in force at every live instance.")
+}
+
 func applyCommand() *command {
 	m := &wiregen.OperatorSettings{}
 	a := &change{}
@@ -71,8 +76,7 @@
 		bind: func(sub *flaggy.Subcommand) {
 			a.bindFile(sub)
 			sub.String(&a.expected, "", "expected", "Revision that must be in force; without it that of the file, or the present one.")
-			sub.String(&a.changeID, "", "changeId", "Id of the change, by which a resend is known; without it a random one.")
-			sub.Bool(&a.wait, "", "wait", "Waits until the revision is in force at every live instance.")
+			a.bindChange(sub)
 		},
 		run: func(ctx context.Context, stdout io.Writer) error {
 			f, err := readInventory(a.file)
@@ -91,13 +95,16 @@
 	if err != nil {
 		return err
 	}
-	if a.changeID == "" {
-		a.changeID = rand.Text()
-	}
+	a.identify()
 	reply, err := c.Apply(ctx, &wiregen.ApplyRequest{ExpectedRevision: revision, ChangeId: a.changeID, Inventory: f.inventory})
 	if err != nil {
 		return err
 	}
+	return a.report(ctx, c, reply, stdout)
+}
+
+// report prints an accepted change, and waits until it is in force if that is asked for.
+func (a *change) report(ctx context.Context, c *operator.Client, reply *wiregen.ApplyReply, stdout io.Writer) error {
 	fmt.Fprintf(stdout, "revision %d accepted, change %s\n", reply.GetRevision(), a.changeID)
 	if !a.wait {
 		return nil
@@ -110,6 +117,13 @@
 	return nil
 }
 
+// identify gives the change an id if it has none.
+func (a *change) identify() {
+	if a.changeID == "" {
+		a.changeID = rand.Text()
+	}
+}
+
 // expectedRevision returns the revision that must be in force: the one of the flag, of the file, or the present one.
 func (a *change) expectedRevision(ctx context.Context, c *operator.Client, f inventoryFile) (int64, error) {
 	if a.expected == "" && f.revision > 0 {
@@ -119,6 +133,14 @@
 		reply, err := c.Inventory(ctx)
 		return reply.GetRevision(), err
 	}
+	return a.flagRevision()
+}
+
+// flagRevision returns the revision of the flag, or zero without one.
+func (a *change) flagRevision() (int64, error) {
+	if a.expected == "" {
+		return 0, nil
+	}
 	revision, err := strconv.ParseInt(a.expected, 10, 64)
 	if err != nil {
 		return 0, &RevisionTextError{Text: a.expected}
--- a/cmd/arbutusreel/main.go
+++ b/cmd/arbutusreel/main.go
@@ -73,6 +73,7 @@
 		membersCommand(),
 		explainCommand(),
 		repairCommand(),
+		patchCommand(),
 		diffCommand(),
 		checkCommand(),
 		settingsCommand(),
--- /dev/null
+++ b/cmd/arbutusreel/patch.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"arbutusreel/operator"
+	"arbutusreel/wire"
+	"arbutusreel/wiregen"
+)
+
+// EmptyPatchError says that a patch neither puts nor removes anything.
+type EmptyPatchError struct{}
+
+// Error says what a patch needs.
+func (e *EmptyPatchError) Error() string {
+	return fmt.Sprintf("patch: a file with items, or the flag %q, is needed", "remove")
+}
+
+// patchArguments is the arguments of the patch command.
+type patchArguments struct {
+	change
+	remove string
+}
+
+func patchCommand() *command {
+	m := &wiregen.OperatorSettings{}
+	a := &patchArguments{}
+	return &command{
+		name:     "patch",
+		doc:      "Changes parts of the inventory in force and leaves the rest as it is.",
+		settings: m,
+		bind: func(sub *flaggy.Subcommand) {
+			sub.AddPositionalValue(&a.file, "file", 1, false, "File with a part of an inventory: items to add or to replace by name, rules to replace.")
+			sub.String(&a.remove, "", "remove", "Items to remove, as in teams[lahore-club],links[lahore-karachi].")
+			sub.String(&a.expected, "", "expected", "Revision that must be in force; without it any.")
+			a.bindChange(sub)
+		},
+		run: func(ctx context.Context, stdout io.Writer) error {
+			request, err := a.request()
+			if err != nil {
+				return err
+			}
+			return withClient(ctx, m, func(ctx context.Context, c *operator.Client) error {
+				reply, err := c.Patch(ctx, request)
+				if err != nil {
+					return err
+				}
+				return a.report(ctx, c, reply, stdout)
+			})
+		},
+	}
+}
+
+// request returns the patch; the result is checked where it is decided.
+func (a *patchArguments) request() (*wiregen.PatchRequest, error) {
+	if a.file == "" && a.remove == "" {
+		return nil, &EmptyPatchError{}
+	}
+	revision, err := a.flagRevision()
+	if err != nil {
+		return nil, err
+	}
+	a.identify()
+	request := &wiregen.PatchRequest{ChangeId: a.changeID, ExpectedRevision: revision}
+	if a.remove != "" {
+		request.Remove = strings.Split(a.remove, ",")
+	}
+	if a.file == "" {
+		return request, nil
+	}
+	b, err := os.ReadFile(a.file)
+	if err != nil {
+		return nil, err
+	}
+	request.Put = &wiregen.Inventory{}
+	return request, wire.DecodeJSON(b, request.Put)
+}
--- a/configuration/state.go
+++ b/configuration/state.go
@@ -69,10 +69,10 @@
 // Inventory returns the inventory in force, or nil at revision zero.
 func (s *State) Inventory() *inventory.Inventory { return s.inventory }
 
-// Answered reports whether an answer to the change id is kept.
-func (s *State) Answered(id string) bool {
-	_, ok := s.answers[id]
-	return ok
+// Answer returns the answer to a change id if it is kept.
+func (s *State) Answer(id string) (Answer, bool) {
+	answer, ok := s.answers[id]
+	return answer, ok
 }
 
 // Apply decides a change and returns its answer; a change id seen before returns its first answer.
--- a/control/control.go
+++ b/control/control.go
@@ -34,7 +34,9 @@
 	quorum *quorum
 	store  Store
 	direct *direct
-	done   chan struct{}
+	// changing is held for reading by a change of the whole inventory, and for writing by a patch, which is decided alone.
+	changing sync.RWMutex
+	done     chan struct{}
 }
 
 // New returns a control daemon that runs when Run is called.
--- a/control/machine.go
+++ b/control/machine.go
@@ -60,7 +60,8 @@
 
 // decides reports whether the answer to a command is known before its inventory is looked at: a resend or a conflict.
 func (m *machine) decides(c *wiregen.ChangeCommand) bool {
-	return m.state.Answered(c.GetChangeId()) || c.GetExpectedRevision() != m.state.Revision()
+	_, answered := m.state.Answer(c.GetChangeId())
+	return answered || c.GetExpectedRevision() != m.state.Revision()
 }
 
 // refused returns an error that the loop logs and outlives, or nil.
--- a/control/operators.go
+++ b/control/operators.go
@@ -7,7 +7,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"arbutusreel/configuration"
 	"arbutusreel/operator"
 	"arbutusreel/problem"
 	"arbutusreel/wire"
@@ -19,6 +18,7 @@
 	mux := http.NewServeMux()
 	guard := operator.NewGuard(c.cfg.OperatorTokenDigest, c.cfg.MaxInventoryBytes)
 	mux.HandleFunc("POST /v1/inventory", guard.Handle(c.apply))
+	mux.HandleFunc("POST /v1/patch", guard.Handle(c.patch))
 	mux.HandleFunc("GET /v1/inventory", guard.Handle(c.get))
 	mux.HandleFunc("GET /v1/status", guard.Handle(c.status))
 	mux.HandleFunc("GET /v1/members", guard.Handle(c.members))
@@ -44,31 +44,6 @@
 	return nil
 }
 
-// apply proposes a change of the inventory.
-func (c *Control) apply(r *http.Request) (proto.Message, error) {
-	m := &wiregen.ApplyRequest{}
-	if err := c.decode(r, m); err != nil {
-		return nil, err
-	}
-	if m.GetChangeId() == "" {
-		return nil, problem.New(problem.MalformedRequest, http.StatusBadRequest, "field %q is required", "changeId")
-	}
-	inv, err := wire.DecodeInventory(m.GetInventory())
-	if err != nil {
-		return nil, problem.New(problem.InvalidInventory, http.StatusUnprocessableEntity, "%s", err.Error())
-	}
-	answer, err := c.store.Propose(r.Context(), configuration.Change{ID: m.GetChangeId(), Expected: m.GetExpectedRevision(), Inventory: inv})
-	if err != nil {
-		return nil, err
-	}
-	c.log.Info().Str("changeId", m.GetChangeId()).Int64("expectedRevision", m.GetExpectedRevision()).
-		Bool("accepted", answer.Accepted).Int64("revision", answer.Revision).Msg("changeDecided")
-	if !answer.Accepted {
-		return nil, problem.New(problem.RevisionConflict, http.StatusConflict, "revision %d is in force, not %d", answer.Revision, m.GetExpectedRevision())
-	}
-	return &wiregen.ApplyReply{Revision: answer.Revision}, nil
-}
-
 // get answers the inventory in force, from the leader alone.
 func (c *Control) get(r *http.Request) (proto.Message, error) {
 	if err := c.store.Confirm(r.Context()); err != nil {
--- a/control/requests.go
+++ b/control/requests.go
@@ -61,6 +61,30 @@
 	return q.decide(ctx, func(now time.Time) (index, term int64, err error) { return q.node.Propose(now, command) })
 }
 
+// givenAnswer is the answer to a change id, if one was given.
+type givenAnswer struct {
+	answer configuration.Answer
+	ok     bool
+}
+
+// Answered returns the answer that was given to a change id as far as this voter has applied the log.
+func (q *quorum) Answered(ctx context.Context, changeID string) (configuration.Answer, bool, error) {
+	result := make(chan givenAnswer, 1)
+	err := q.input(ctx, func(time.Time) {
+		answer, ok := q.machine.state.Answer(changeID)
+		result <- givenAnswer{answer: answer, ok: ok}
+	})
+	if err != nil {
+		return configuration.Answer{}, false, q.notLeader()
+	}
+	select {
+	case given := <-result:
+		return given.answer, given.ok, nil
+	case <-ctx.Done():
+		return configuration.Answer{}, false, q.notLeader()
+	}
+}
+
 // Add adds a member; one that is there with the same disk is a success.
 func (q *quorum) Add(ctx context.Context, id consensus.ID, address string) error {
 	_, err := q.decide(ctx, func(now time.Time) (index, term int64, err error) { return q.node.Add(now, id, address) })
--- a/control/store.go
+++ b/control/store.go
@@ -21,6 +21,8 @@
 	Leadership
 	// Propose decides a change; a failure is a *problem.Problem.
 	Propose(ctx context.Context, c configuration.Change) (configuration.Answer, error)
+	// Answered returns the answer that was given to a change id, if one was; a failure is a *problem.Problem.
+	Answered(ctx context.Context, changeID string) (answer configuration.Answer, ok bool, err error)
 	// Confirm returns once Current holds every change accepted before the call; a failure is a *problem.Problem.
 	Confirm(ctx context.Context) error
 	// Current returns the inventory in force at this voter, which may be behind.
--- a/operator/client.go
+++ b/operator/client.go
@@ -76,16 +76,25 @@
 	return &with
 }
 
-// Apply proposes a change. A refusal returns *problem.Problem; if no voter
+// Apply proposes another inventory. A refusal returns *problem.Problem; if no voter
 // decided before ctx ended it returns *UndecidedError when the change may have
 // been accepted, and *UnreachableError when it was not. The change id makes it
 // safe to send again.
 func (c *Client) Apply(ctx context.Context, m *wiregen.ApplyRequest) (*wiregen.ApplyReply, error) {
+	return c.change(ctx, "/v1/inventory", m.GetChangeId(), m)
+}
+
+// Patch proposes a change of parts of the inventory; its failures are those of Apply.
+func (c *Client) Patch(ctx context.Context, m *wiregen.PatchRequest) (*wiregen.ApplyReply, error) {
+	return c.change(ctx, "/v1/patch", m.GetChangeId(), m)
+}
+
+func (c *Client) change(ctx context.Context, path, changeID string, m proto.Message) (*wiregen.ApplyReply, error) {
 	reply := &wiregen.ApplyReply{}
-	err := c.do(ctx, http.MethodPost, "/v1/inventory", m, reply)
+	err := c.do(ctx, http.MethodPost, path, m, reply)
 	var undecided *UndecidedError
 	if errors.As(err, &undecided) {
-		undecided.ChangeID = m.GetChangeId()
+		undecided.ChangeID = changeID
 	}
 	return reply, err
 }
--- a/wire/inventory.go
+++ b/wire/inventory.go
@@ -10,7 +10,20 @@
 
 // DecodeInventory returns the checked inventory of m; an invalid one returns inventory.Faults.
 func DecodeInventory(m *wiregen.Inventory) (*inventory.Inventory, error) {
-	return inventory.New(inventory.Contents{
+	return inventory.New(decodeContents(m))
+}
+
+// DecodePatch returns the patch of m.
+func DecodePatch(m *wiregen.PatchRequest) inventory.Patch {
+	p := inventory.Patch{Put: decodeContents(m.GetPut()), Remove: m.GetRemove()}
+	if m.GetPut().GetRules() != nil {
+		p.Rules = &p.Put.Rules
+	}
+	return p
+}
+
+func decodeContents(m *wiregen.Inventory) inventory.Contents {
+	return inventory.Contents{
 		Regions:  mapAll(m.GetRegions(), decodeRegion),
 		Links:    mapAll(m.GetLinks(), decodeLink),
 		Labels:   mapAll(m.GetLabels(), decodeLabel),
@@ -19,7 +32,7 @@
 		Classes:  mapAll(m.GetClasses(), decodeClass),
 		Teams:    mapAll(m.GetTeams(), decodeTeam),
 		Rules:    decodeRules(m.GetRules()),
-	})
+	}
 }
 
 // EncodeInventory returns the message of inv.
