Let a ledger replica that others do not count recover once more

Cause: an order in Peshawar was refused for good as ledgerUnavailable after ledgerEpochFounded and ledgerRecovered. The founder opens the new epoch at itself first. The other replica sees it active, announces its recovery (incarnation 2), and then gets the opening: it is active with incarnation 1, its recovery is left out (but logged), and its acknowledgements do not count. With two replicas no claim is ever won; with three, one failure less is survived. Nothing mended it.

An active replica that finds others with a higher incarnation of itself now recovers once more and keeps its records, and a recovery that overlaps an opening is carried through. A founder asks the replicas in order. ledgerRecovered is logged only if it was.

The random test ends each run with a healed group that must claim a new key. Ruled out: raising the incarnation alone (docs/design/ledger.md).

--- a/calls/keeper.go
+++ b/calls/keeper.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/rand"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -75,7 +77,13 @@
 		}
 		replies = append(replies, pages...)
 	}
-	k.replica.do(func(now time.Time, l *ledger.Replica) { l.Recover(now, plan.Epoch, plan.Incarnation, replies) })
+	recovered := false
+	k.replica.do(func(now time.Time, l *ledger.Replica) {
+		recovered = l.Recover(now, plan.Epoch, plan.Incarnation, replies)
+	})
+	if !recovered {
+		return
+	}
 	k.log.Warn().Str("epoch", plan.Epoch).Int64("incarnation", plan.Incarnation).Strs("from", plan.From).Int("calls", k.replica.Len()).Msg("ledgerRecovered")
 }
 
@@ -100,7 +108,8 @@
 	epoch := rand.Text()
 	var held []string
 	lost := 0
-	for slot, status := range statuses {
+	for _, slot := range slices.Sorted(maps.Keys(statuses)) {
+		status := statuses[slot]
 		reply, err := k.group.one(ctx, slot, ledger.Request{Op: ledger.OpFound, Group: k.group.name, Epoch: epoch, Nonce: status.Nonce})
 		if err == nil && reply.Refusal == ledger.Accepted {
 			held = append(held, slot)
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -493,6 +493,7 @@
 						m.recoverAll()
 					}
 					m.drive(t, 250)
+					m.checkServes()
 					for what, count := range m.used {
 						used[what] += count
 					}
@@ -503,6 +504,29 @@
 	}
 }
 
+// checkServes checks that the group claims a new key once every replica runs and reaches the others.
+func (m *machine) checkServes() {
+	for _, slot := range m.slots {
+		if !m.nodes[slot].alive {
+			m.restart(slot)
+		}
+	}
+	for range 2*len(m.slots) + 2 {
+		m.recoverAll()
+	}
+	m.runs++
+	call := Record{Key: Key{Key: "last"}, Digest: "digest", Attempt: fmt.Sprint("attempt", m.runs), Lease: testLease}
+	a := NewAttempt(len(m.slots), m.group, m.epoch(), call)
+	r, _ := a.Request()
+	for _, slot := range m.slots {
+		reply, _ := m.handle(slot, r)
+		a.Handle(Claiming, reply)
+	}
+	if !a.Claimed() {
+		m.fail("last", fmt.Sprintf("the healed group does not claim: %+v", a.Seen()))
+	}
+}
+
 // TestLateClaimAfterRecovery lets a claim reach a replica after another one, which had acknowledged it, lost its memory and recovered.
 func TestLateClaimAfterRecovery(t *testing.T) {
 	m := newMachine(3, 0)
--- a/ledger/recovery.go
+++ b/ledger/recovery.go
@@ -25,12 +25,17 @@
 	return r.page(now, m)
 }
 
-// Recover makes a replica that lost its memory active with what the other replicas told it; an active one is left as it is.
-func (r *Replica) Recover(now time.Time, epoch string, incarnation int64, replies []Reply) {
-	if r.active {
-		return
+// Recover makes a replica active under the incarnation that it announced, with what the other replicas told it, and reports whether it did.
+//
+// An active replica is left as it is, unless others count its acknowledgements from that incarnation on only.
+func (r *Replica) Recover(now time.Time, epoch string, incarnation int64, replies []Reply) bool {
+	if r.active && (r.memory.Epoch != epoch || r.memory.Incarnation >= incarnation) {
+		return false
 	}
 	vector := map[string]int64{}
+	if r.active {
+		raise(vector, r.memory.Vector)
+	}
 	for _, reply := range replies {
 		raise(vector, reply.Vector)
 		for _, call := range reply.Page {
@@ -39,6 +44,7 @@
 	}
 	vector[r.slot] = incarnation
 	r.enter(epoch, incarnation, vector)
+	return true
 }
 
 func (r *Replica) take(now time.Time, call Record) {
@@ -93,7 +99,7 @@
 const (
 	// StepNone needs nothing, or must wait for others.
 	StepNone Step = iota
-	// StepRecover reads the replicas of Plan.From and becomes active.
+	// StepRecover reads the replicas of Plan.From and becomes active under a new incarnation.
 	StepRecover
 	// StepAdopt enters the epoch of the majority.
 	StepAdopt
@@ -119,11 +125,14 @@
 	members := activeBy(statuses)
 	for _, epoch := range slices.Sorted(maps.Keys(members)) {
 		slots := members[epoch]
+		others := slices.DeleteFunc(slices.Clone(slots), func(slot string) bool { return slot == self })
 		switch {
 		case own.Active && own.Epoch != epoch && len(slots) >= Quorum(n):
 			return Plan{Step: StepAdopt, Epoch: epoch}
 		case !own.Active && len(slots) >= recoveryQuorum(n):
 			return Plan{Step: StepRecover, Epoch: epoch, Incarnation: nextIncarnation(self, statuses, slots), From: slots}
+		case own.Active && own.Epoch == epoch && len(others) >= recoveryQuorum(n) && disowned(self, statuses, others):
+			return Plan{Step: StepRecover, Epoch: epoch, Incarnation: nextIncarnation(self, statuses, others), From: others}
 		}
 	}
 	if founds(self, n, statuses, members) {
@@ -143,6 +152,13 @@
 	return members
 }
 
+// disowned reports whether others know a higher incarnation of self than it has, so that its acknowledgements do not count.
+//
+// A replica comes to this if an epoch is opened at it, or adopted by it, after it announced a recovery.
+func disowned(self string, statuses map[string]Reply, others []string) bool {
+	return nextIncarnation(self, statuses, others) > statuses[self].Incarnation+1
+}
+
 func nextIncarnation(self string, statuses map[string]Reply, slots []string) int64 {
 	highest := int64(firstIncarnation)
 	for _, slot := range slots {
