Tell when a majority of a region's ledger replicas lies in one failure domain

Cause: nothing checked where the replicas named in ledgerReplicas lie. Now each entry judges them by its peers' adverts, at the start as soon as they are heard of and every 500 ms: the log line ledgerInOneDomain with better replicas, if the region has them, ledgerFatalDomain in /readyz, in the reports up the tree and in status.

Ruled out: to refuse the start, as the others' domains are not known then.

--- a/control/instances.go
+++ b/control/instances.go
@@ -23,7 +23,7 @@
 	reply := &wiregen.InstancesReply{Entries: wire.EncodeEntries(c.direct.live(now))}
 	for _, i := range c.hub.Instances() {
 		reply.Instances = append(reply.Instances, &wiregen.ReportedInstance{
-			Name: i.Name, Region: i.Region, Revision: i.Revision, AgeMillis: now.Sub(i.At).Milliseconds(),
+			Name: i.Name, Region: i.Region, Revision: i.Revision, AgeMillis: now.Sub(i.At).Milliseconds(), LedgerFatalDomain: i.LedgerFatalDomain,
 		})
 	}
 	return reply, nil
@@ -52,7 +52,9 @@
 	for _, reply := range replies {
 		for _, i := range reply.GetInstances() {
 			at := c.now().Add(-time.Duration(i.GetAgeMillis()) * time.Millisecond)
-			newest.Take(distribution.Instance{Name: i.GetName(), Region: i.GetRegion(), Revision: i.GetRevision(), At: at})
+			newest.Take(distribution.Instance{
+				Name: i.GetName(), Region: i.GetRegion(), Revision: i.GetRevision(), LedgerFatalDomain: i.GetLedgerFatalDomain(), At: at,
+			})
 		}
 		for _, e := range wire.DecodeEntries(reply.GetEntries()) {
 			entries[e.Name] = e
--- a/control/operators.go
+++ b/control/operators.go
@@ -121,7 +121,7 @@
 		reply.Instances = append(reply.Instances, &wiregen.InstanceStatus{
 			Name: i.Name, Region: i.Region, Revision: i.Revision,
 			AgeMillis: c.now().Sub(i.At).Milliseconds(),
-			LagMillis: c.lag(i).Milliseconds(),
+			LagMillis: c.lag(i).Milliseconds(), LedgerFatalDomain: i.LedgerFatalDomain,
 		})
 	}
 	return reply, nil
--- a/distribution/reports.go
+++ b/distribution/reports.go
@@ -9,12 +9,14 @@
 // staleAfter is the time after which an instance that sends no report is named as no longer heard of.
 const staleAfter = 3 * time.Second
 
-// Instance is an instance with the revision that it had in force at a time.
+// Instance is an instance with the revision that it had in force, and what it knew of its region, at a time.
 type Instance struct {
 	Name     string
 	Region   string
 	Revision int64
-	At       time.Time
+	// LedgerFatalDomain is the failure domain whose loss leaves the ledger of the region without a majority, or "".
+	LedgerFatalDomain string
+	At                time.Time
 }
 
 // Report is what one stream sends upward; see the schema's FollowReport.
@@ -61,6 +63,7 @@
 
 type sentInstance struct {
 	revision int64
+	domain   string
 	stale    bool
 }
 
@@ -74,12 +77,12 @@
 	for _, i := range instances {
 		stale := now.Sub(i.At) > staleAfter
 		before, known := s.sent[i.Name]
-		moved := !known || before.stale != stale || !stale && before.revision != i.Revision && i.Revision != common
+		moved := !known || before.stale != stale || !stale && before.domain != i.LedgerFatalDomain || !stale && before.revision != i.Revision && i.Revision != common
 		if moved || !stale && i.Revision != common {
 			r.Instances = append(r.Instances, i)
 		}
 		changed = changed || moved || before.revision != i.Revision
-		s.sent[i.Name] = sentInstance{revision: i.Revision, stale: stale}
+		s.sent[i.Name] = sentInstance{revision: i.Revision, domain: i.LedgerFatalDomain, stale: stale}
 	}
 	if !changed {
 		return Report{}, false
@@ -90,12 +93,12 @@
 
 // Receiver takes the reports of one stream.
 type Receiver struct {
-	// named holds the region of each instance named before and not as stale.
-	named map[string]string
+	// named holds each instance named before and not as stale.
+	named map[string]Instance
 }
 
 // NewReceiver returns the receiver of a new stream.
-func NewReceiver() *Receiver { return &Receiver{named: map[string]string{}} }
+func NewReceiver() *Receiver { return &Receiver{named: map[string]Instance{}} }
 
 // Take returns every instance that the report tells of; the times of the report's instances are those at which they were heard of.
 func (s *Receiver) Take(now time.Time, r Report) []Instance {
@@ -104,12 +107,13 @@
 		delete(s.named, i.Name)
 		all = append(all, i)
 	}
-	for name, region := range s.named {
-		all = append(all, Instance{Name: name, Region: region, Revision: r.Common, At: now})
+	for _, i := range s.named {
+		i.Revision, i.At = r.Common, now
+		all = append(all, i)
 	}
 	for _, i := range r.Instances {
 		if now.Sub(i.At) <= staleAfter {
-			s.named[i.Name] = i.Region
+			s.named[i.Name] = i
 		}
 	}
 	slices.SortFunc(all, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -56,7 +56,7 @@
 	n.state.mu.Lock()
 	revision, source := n.state.revision, n.state.source
 	n.state.mu.Unlock()
-	b, err := protojson.Marshal(&wiregen.ReadyReply{Revision: revision, Source: source, Leaving: n.leaving.Load()})
+	b, err := protojson.Marshal(&wiregen.ReadyReply{Revision: revision, Source: source, Leaving: n.leaving.Load(), LedgerFatalDomain: n.domains.fatal()})
 	if err != nil {
 		problem.Write(w, problem.From(err), "")
 		return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,6 +38,7 @@
 	// replica is nil on an instance that is no ledger replica.
 	replica     *calls.Replica
 	ledgerGroup *calls.Group
+	domains     *domains
 	began       time.Time
 	leaving     atomic.Bool
 	closed      atomic.Bool
@@ -70,6 +71,7 @@
 		dispatcher: d,
 		rates:      r,
 		demands:    newDemands(),
+		domains:    newDomains(),
 		began:      now(),
 		done:       make(chan struct{}),
 	}
@@ -110,6 +112,7 @@
 	wg.Go(func() { n.lendLoop(work) })
 	wg.Go(func() { n.expireLoop(work) })
 	wg.Go(func() { n.keepLedger(work) })
+	wg.Go(func() { n.watchDomains(work) })
 	n.log.Info().Str("callerAddress", n.cfg.Self.CallerAddress).Msg("started")
 
 	<-ctx.Done()
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -49,7 +49,7 @@
 // Self returns this entry with the revision that it has in force.
 func (n followed) Self() distribution.Instance {
 	_, revision := n.state.Inventory()
-	return distribution.Instance{Name: n.cfg.Self.Name, Region: n.cfg.Self.Region, Revision: revision, At: n.state.now()}
+	return distribution.Instance{Name: n.cfg.Self.Name, Region: n.cfg.Self.Region, Revision: revision, LedgerFatalDomain: n.domains.fatal(), At: n.state.now()}
 }
 
 // Advert returns this entry's addresses.
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -44,7 +44,7 @@
 	m := &wiregen.FollowReport{CommonRevision: r.Common}
 	for _, i := range r.Instances {
 		m.Instances = append(m.Instances, &wiregen.InstanceRevision{
-			Name: i.Name, Region: i.Region, Revision: i.Revision, AgeMillis: now.Sub(i.At).Milliseconds(),
+			Name: i.Name, Region: i.Region, Revision: i.Revision, AgeMillis: now.Sub(i.At).Milliseconds(), LedgerFatalDomain: i.LedgerFatalDomain,
 		})
 	}
 	return m
@@ -54,7 +54,7 @@
 	r := distribution.Report{Common: m.GetCommonRevision()}
 	for _, i := range m.GetInstances() {
 		r.Instances = append(r.Instances, distribution.Instance{
-			Name: i.GetName(), Region: i.GetRegion(), Revision: i.GetRevision(), At: now.Add(-time.Duration(i.GetAgeMillis()) * time.Millisecond),
+			Name: i.GetName(), Region: i.GetRegion(), Revision: i.GetRevision(), LedgerFatalDomain: i.GetLedgerFatalDomain(), At: now.Add(-time.Duration(i.GetAgeMillis()) * time.Millisecond),
 		})
 	}
 	return r
