Bound the emulated engine's KV tokens, and send it what a request reserves

The engine ran as many requests as it has slots, whatever they reserved, so that reserving by learned use saved nothing in real processes. Its running requests now share a pool of KV tokens: admission by reservation, growth, and preemption of the last request with recomputation. The gateway sends its reservation in the field reserveTokens; without it a request reserves what it asks.

TestBatch and TestAcquireCancelled name the request that leaves, since a batch knows its requests now; they check as much as before. Ruled out: swapping (engines of today recompute), stopping the stream, letting small requests pass.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -96,6 +96,8 @@
 func (o *options) engineFlags(sub *flaggy.Subcommand) {
 	o.endpointFlags(sub)
 	e := &o.engine
+	sub.Int(&e.CacheTokens, "", "cacheTokens", "KV tokens that running requests share; 0 is unbounded.")
+	sub.Float64(&e.PricePerHour, "", "pricePerHour", "Price of the engine.")
 	sub.Duration(&e.TokenTime, "", "tokenTime", "Time between two tokens.")
 	sub.Float64(&e.BatchSlowdown, "", "batchSlowdown", "Share by which the token time grows when all slots run.")
 	sub.Duration(&e.PrefillTime, "", "prefillTime", "Time of a token of the prompt that is not cached.")
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -141,7 +141,9 @@
 		r.Resume = rec.attempt(0)
 		end, err = d.forward.ForwardModel(ctx, p.region, r, rec)
 	} else {
-		end, err = d.models.Generate(ctx, p.endpoint, j.request, rec.attempt(j.attempts.Made), rec)
+		attempt := rec.attempt(j.attempts.Made)
+		attempt.Reserve = j.query.ReserveTokens - j.request.PromptTokens
+		end, err = d.models.Generate(ctx, p.endpoint, j.request, attempt, rec)
 	}
 	var stalled *StalledError
 	if err != nil && errors.As(context.Cause(ctx), &stalled) {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -73,6 +73,8 @@
 	Next int
 	// Text is the text of all pieces before Next.
 	Text string
+	// Reserve is the number of tokens that the answer reserves of the endpoint's cache.
+	Reserve int
 }
 
 // Reply is the whole answer of a plain service.
--- a/endpoint/model.go
+++ b/endpoint/model.go
@@ -76,6 +76,7 @@
 	}
 	fields["stream"] = json.RawMessage("true")
 	fields["priority"] = json.RawMessage(strconv.Itoa(r.Priority))
+	fields["reserveTokens"] = json.RawMessage(strconv.Itoa(attempt.Reserve))
 	delete(fields, "resume")
 	if attempt.Next > 0 {
 		from, err := json.Marshal(resume{Position: attempt.Next, Text: attempt.Text})
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -27,6 +27,10 @@
 	Service       string
 	Models        []string
 	Slots         int
+	// CacheTokens is the number of KV tokens that running requests share; zero is unbounded.
+	CacheTokens int
+	// PricePerHour is the price of the engine.
+	PricePerHour float64
 	// TokenTime is the time between two tokens of a stream that runs alone.
 	TokenTime time.Duration
 	// BatchSlowdown is the share by which TokenTime grows when all slots run.
@@ -82,7 +86,7 @@
 	return &Engine{
 		cfg:       cfg,
 		directory: d,
-		batch:     newBatch(cfg.Slots),
+		batch:     newBatch(cfg.Slots, cfg.CacheTokens),
 		cache:     newCache(cfg.CacheBlocks, cfg.CacheEventDelay, cfg.CacheEventGap, rng),
 		counts:    counts{cancels: map[string]int64{}},
 		models:    clone(cfg.Models),
@@ -117,13 +121,17 @@
 
 func (e *Engine) load() *wiregen.LoadReport {
 	running, queued, queuedTokens := e.batch.load()
+	fill := e.cache.fill()
+	if e.cfg.CacheTokens > 0 {
+		fill = e.batch.fill()
+	}
 	return &wiregen.LoadReport{
 		Running:                int64(running),
 		Queued:                 int64(queued),
 		QueuedTokens:           int64(queuedTokens),
 		TokensPerSecond:        float64(e.cfg.Slots) / e.tokenTime(e.cfg.Slots).Seconds(),
 		PrefillTokensPerSecond: 1 / max(e.cfg.PrefillTime, time.Nanosecond).Seconds(),
-		CacheUse:               e.cache.fill(),
+		CacheUse:               fill,
 	}
 }
 
@@ -155,12 +163,20 @@
 		Load:          e.reported(now),
 		CacheEvents:   events,
 		CacheSequence: sequence,
+		CacheTokens:   int64(e.cfg.CacheTokens),
 	}
 }
 
 // Counts returns what the engine has done since its start.
 func (e *Engine) Counts() Counts { return e.counts.snapshot() }
 
+// Use returns how much of the engine its requests have taken since its start.
+func (e *Engine) Use() Use {
+	use := e.batch.use()
+	use.PricePerHour = e.cfg.PricePerHour
+	return use
+}
+
 // tokenTime returns the time between two tokens while a number of requests runs.
 func (e *Engine) tokenTime(running int) time.Duration {
 	full := float64(running) / float64(e.cfg.Slots)
@@ -177,6 +193,7 @@
 	mux.HandleFunc("POST /v1/orders", e.takeOrder)
 	mux.HandleFunc("GET /v1/orders", e.listOrders)
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Counts()) })
+	mux.HandleFunc("GET /use", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Use()) })
 	return mux
 }
 
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -15,7 +15,7 @@
 func TestBatch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 4).Draw(t, "slots")
-		b := newBatch(slots)
+		b := newBatch(slots, 0)
 		var waiting, running []*waiter
 		first := func() *waiter {
 			best := waiting[0]
@@ -44,7 +44,7 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			switch rapid.SampledFrom([]string{"enter", "leave", "release"}).Draw(t, "step") {
 			case "enter":
-				waiting = append(waiting, b.enter(rapid.IntRange(0, 2).Draw(t, "priority"), 1))
+				waiting = append(waiting, b.enter(rapid.IntRange(0, 2).Draw(t, "priority"), 1, 0))
 			case "leave":
 				if len(waiting) > 0 {
 					w := waiting[rapid.IntRange(0, len(waiting)-1).Draw(t, "waiter")]
@@ -53,8 +53,8 @@
 				}
 			case "release":
 				if len(running) > 0 {
+					b.leave(running[0])
 					running = running[1:]
-					b.release()
 				}
 			}
 			admit()
@@ -74,11 +74,11 @@
 }
 
 func TestAcquireCancelled(t *testing.T) {
-	b := newBatch(1)
-	b.enter(0, 1)
+	b := newBatch(1, 0)
+	b.enter(0, 1, 0)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if b.acquire(ctx, 0, 1) {
+	if b.acquire(ctx, 0, 1, 0) != nil {
 		t.Error("a cancelled request got a slot")
 	}
 	if running, queued, _ := b.load(); running != 1 || queued != 0 {
--- a/standin/generate.go
+++ b/standin/generate.go
@@ -38,7 +38,11 @@
 	from     int
 	total    int
 	cached   int
-	answer   completion.Answer
+	// reserve is the number of tokens that the answer reserves.
+	reserve int
+	// place is the request's part of the batch.
+	place  *waiter
+	answer completion.Answer
 }
 
 // resumePoint is the field resume of a request on the wire.
@@ -62,6 +66,10 @@
 		problem.Write(w, problem.New(problem.NoCapacity, http.StatusServiceUnavailable, "endpoint %q does not hold model %q", e.cfg.Name, j.Model), j.id)
 		return
 	}
+	if tokens := j.PromptTokens + j.total; e.cfg.CacheTokens > 0 && tokens > e.cfg.CacheTokens {
+		problem.Write(w, problem.New(problem.MalformedRequest, http.StatusUnprocessableEntity, "prompt and answer of %d tokens exceed the %d of endpoint %q", tokens, e.cfg.CacheTokens, e.cfg.Name), j.id)
+		return
+	}
 	e.counts.add(func(c *Counts) { c.Requests++ })
 	if e.refuses(j) {
 		problem.Write(w, problem.New(problem.Internal, http.StatusInternalServerError, "the engine failed as it was told to").WithOutcome(problem.Unknown), j.id)
@@ -80,6 +88,8 @@
 		return j, problem.New(problem.MalformedRequest, http.StatusBadRequest, "%s", err.Error())
 	}
 	_ = json.Unmarshal(j.Fields["priority"], &j.priority)
+	j.reserve = j.MaxTokens
+	_ = json.Unmarshal(j.Fields["reserveTokens"], &j.reserve)
 	j.total = AnswerTokens(j.Model, j.Prompt, j.MaxTokens)
 	j.answer = completion.Answer{Kind: kind, ID: j.id, Model: j.Model}
 	if header := r.Header.Get("X-Attempt"); header != "" {
@@ -122,10 +132,11 @@
 // run waits for a slot, reads the prompt and sends the answer; it reports whether the answer was sent whole.
 func (e *Engine) run(w http.ResponseWriter, r *http.Request, j *job) bool {
 	ctx := r.Context()
-	if !e.batch.acquire(ctx, j.priority, j.PromptTokens) {
+	j.place = e.batch.acquire(ctx, j.priority, j.PromptTokens+j.from, max(j.reserve-j.from, 0))
+	if j.place == nil {
 		return false
 	}
-	defer e.batch.release()
+	defer e.batch.leave(j.place)
 	if !e.prefill(ctx, j) {
 		return false
 	}
@@ -154,8 +165,26 @@
 	return clock.Sleep(ctx, time.Duration(j.PromptTokens-j.cached+j.from)*e.cfg.PrefillTime)
 }
 
+// room makes room for one more token in the pool. A request that was put back waits until it runs again, and takes the
+// time of reading its prompt and the tokens sent so far again.
+func (e *Engine) room(ctx context.Context, j *job) bool {
+	for !e.batch.grow(j.place) {
+		if !e.batch.wait(ctx, j.place) {
+			return false
+		}
+		again := j.place.used - min(e.cache.use(time.Now(), j.Prompt), j.PromptTokens)
+		if !clock.Sleep(ctx, time.Duration(again)*e.cfg.PrefillTime) {
+			return false
+		}
+	}
+	return true
+}
+
 // token takes the time of one token and counts it.
-func (e *Engine) token(ctx context.Context) bool {
+func (e *Engine) token(ctx context.Context, j *job) bool {
+	if !e.room(ctx, j) {
+		return false
+	}
 	running, _, _ := e.batch.load()
 	if !clock.Sleep(ctx, e.tokenTime(running)) {
 		return false
@@ -175,7 +204,7 @@
 			<-ctx.Done()
 			return false
 		}
-		if !e.token(ctx) || !sendEvent(w, j.answer.Chunk(stream.Piece{Position: i, Text: Token(j.Model, j.Prompt, i)})) {
+		if !e.token(ctx, j) || !sendEvent(w, j.answer.Chunk(stream.Piece{Position: i, Text: Token(j.Model, j.Prompt, i)})) {
 			return false
 		}
 	}
@@ -185,7 +214,7 @@
 // whole sends the answer at once.
 func (e *Engine) whole(ctx context.Context, w http.ResponseWriter, j *job) bool {
 	for range j.total {
-		if !e.token(ctx) {
+		if !e.token(ctx, j) {
 			return false
 		}
 	}
