--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -28,7 +28,9 @@
 	entries []string
 	engines []string
 	targets []string
+	idle    float64
 	file    string
+	files   []string
 	output  string
 }
 
@@ -56,17 +58,54 @@
 	sub.Duration(&o.mix.Patience, "", "patience", "Time within which an answer counts as served.")
 	sub.UInt64(&o.cfg.Seed, "", "seed", "Seed of the load.")
 	sub.String(&o.cfg.KeyPrefix, "", "keyPrefix", "Text before the idempotency keys.")
-	sub.StringSlice(&o.engines, "", "engines", "Addresses of emulated engines that are asked when they gave up abandoned requests.")
+	o.engineFlags(sub)
 	sub.String(&o.output, "", "output", "File for the result as JSON.")
 }
 
 func (o *loadOptions) experimentFlags(sub *flaggy.Subcommand) {
 	sub.String(&o.file, "", "file", "Experiment file.")
 	sub.StringSlice(&o.targets, "", "target", "System under load, as name=address,address.")
-	sub.StringSlice(&o.engines, "", "engines", "Addresses of emulated engines that are asked when they gave up abandoned requests.")
+	o.engineFlags(sub)
 	sub.String(&o.output, "", "output", "File for the result as JSON.")
 }
 
+func (o *loadOptions) engineFlags(sub *flaggy.Subcommand) {
+	sub.StringSlice(&o.engines, "", "engines", "Addresses of emulated engines whose use is measured, and which are asked when they gave up abandoned requests.")
+	sub.Float64(&o.idle, "", "idleShare", "Share of the engines that is kept free, which is added to the cost.")
+}
+
+func (o *loadOptions) summaryFlags(sub *flaggy.Subcommand) {
+	sub.StringSlice(&o.files, "", "files", "Results of experiments as JSON.")
+	sub.String(&o.output, "", "output", "File for the summary as JSON.")
+}
+
+// summarize writes the table of several results, and its file.
+func (o *loadOptions) summarize() error {
+	var reports [][]byte
+	for _, name := range split(o.files) {
+		b, err := os.ReadFile(name)
+		if err != nil {
+			return err
+		}
+		reports = append(reports, b)
+	}
+	s, err := load.Summarize(reports)
+	if err != nil {
+		return err
+	}
+	if err := s.WriteTable(os.Stdout); err != nil {
+		return err
+	}
+	if o.output == "" {
+		return nil
+	}
+	b, err := s.Encode()
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(o.output, b, reportMode)
+}
+
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}}
 }
@@ -101,6 +140,8 @@
 
 // measure runs an experiment, and writes its tables and its file.
 func (o *loadOptions) measure(ctx context.Context, e load.Experiment, targets []load.Target) error {
+	e.Engines = split(o.engines)
+	e.IdleShare = o.idle
 	results := e.Run(ctx, targets, newClient())
 	if err := load.WriteTables(os.Stdout, results); err != nil {
 		return err
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -52,7 +52,8 @@
 	dir := o.subcommand("directory", "Runs a directory.", o.endpointFlags)
 	generator := o.subcommand("load", "Sends load and prints a table.", o.load.flags)
 	experiment := o.subcommand("experiment", "Sends the load of a file to several targets and compares them.", o.load.experimentFlags)
-	for _, sub := range []*flaggy.Subcommand{engine, service, dir, generator, experiment} {
+	summary := o.subcommand("summary", "Compares the targets of several results of an experiment.", o.load.summaryFlags)
+	for _, sub := range []*flaggy.Subcommand{engine, service, dir, generator, experiment, summary} {
 		parser.AttachSubcommand(sub, 1)
 	}
 	if err := parser.ParseArgs(os.Args[1:]); err != nil {
@@ -69,6 +70,8 @@
 		return o.load.run(ctx)
 	case experiment.Used:
 		return o.load.runExperiment(ctx)
+	case summary.Used:
+		return o.load.summarize()
 	}
 	parser.ShowHelp()
 	return nil
--- a/load/experiment.go
+++ b/load/experiment.go
@@ -17,6 +17,10 @@
 	Name   string
 	Rounds int
 	Config Config
+	// Engines are the addresses of the emulated engines whose use is measured.
+	Engines []string
+	// IdleShare is the share of the engines that is kept free, which is added to the cost of what is held.
+	IdleShare float64
 }
 
 // Target is a system under load: its name and its callers' addresses.
@@ -84,6 +88,7 @@
 type TargetResult struct {
 	Target string
 	Mixes  []Result
+	Use    EngineUse
 }
 
 // Run loads the targets in turn, as often as there are rounds, and returns the sums of each.
@@ -95,18 +100,31 @@
 			cfg.Entries = t.Entries
 			cfg.Seed += uint64(round)
 			cfg.KeyPrefix = fmt.Sprintf("%s-%s-%d", e.Name, t.Name, round)
-			results[i] = results[i].add(t.Name, Run(ctx, cfg, client))
+			results[i] = results[i].add(e.run(ctx, t.Name, cfg, client))
 		}
 	}
 	return results
 }
 
-func (r TargetResult) add(target string, mixes []Result) TargetResult {
+// run loads one target and measures the engines from the beginning of the load to its last answer.
+func (e Experiment) run(ctx context.Context, target string, cfg Config, client *http.Client) TargetResult {
+	m := newMeter(e.Engines, client)
+	stop := m.begin(ctx)
+	r := TargetResult{Target: target, Mixes: Run(ctx, cfg, client)}
+	r.Use = stop()
+	r.Use.IdleShare = e.IdleShare
+	for _, mix := range r.Mixes {
+		r.Use.ServedTokens += mix.ServedTokens
+	}
+	return r
+}
+
+func (r TargetResult) add(other TargetResult) TargetResult {
 	if r.Mixes == nil {
-		return TargetResult{Target: target, Mixes: mixes}
+		return other
 	}
-	sum := TargetResult{Target: target}
-	for i, m := range mixes {
+	sum := TargetResult{Target: other.Target, Use: r.Use.add(other.Use)}
+	for i, m := range other.Mixes {
 		sum.Mixes = append(sum.Mixes, r.Mixes[i].Merge(m))
 	}
 	return sum
@@ -123,6 +141,9 @@
 				return err
 			}
 		}
+		if err := r.Use.writeTable(w); err != nil {
+			return err
+		}
 	}
 	if len(results) < 2 {
 		return nil
--- a/load/report.go
+++ b/load/report.go
@@ -11,7 +11,7 @@
 func EncodeReport(name string, seed uint64, results []TargetResult) ([]byte, error) {
 	m := &wiregen.LoadReportFile{Name: name, Seed: int64(seed)}
 	for _, r := range results {
-		target := &wiregen.LoadTarget{Target: r.Target}
+		target := &wiregen.LoadTarget{Target: r.Target, EngineUse: encodeUse(r.Use)}
 		for _, mix := range r.Mixes {
 			target.Mixes = append(target.Mixes, encodeResult(mix))
 		}
@@ -39,6 +39,24 @@
 		FirstToken:    encodeQuantiles(r.FirstToken),
 		BetweenTokens: encodeQuantiles(r.BetweenTokens),
 		Finish:        encodeQuantiles(r.Finish),
+		ServedTokens:  int64(r.ServedTokens),
+		ServedWeight:  r.Served,
+		AllWeight:     r.Weight,
+	}
+}
+
+func encodeUse(u EngineUse) *wiregen.EngineUse {
+	return &wiregen.EngineUse{
+		UpSeconds:              u.Up,
+		BusySeconds:            u.Busy,
+		HeldSeconds:            u.Held,
+		FleetPrice:             u.FleetPrice,
+		HeldPrice:              u.HeldPrice,
+		ServedTokens:           int64(u.ServedTokens),
+		CostPerThousandTokens:  u.CostPerThousand(),
+		FleetPerThousandTokens: u.FleetPerThousand(),
+		Preempted:              u.Preempted,
+		MostTokens:             u.MostTokens,
 	}
 }
 
--- a/load/result.go
+++ b/load/result.go
@@ -24,6 +24,8 @@
 	Failed      map[string]int
 	AskedTokens int
 	UsedTokens  int
+	// ServedTokens are the tokens of the requests served whole within the patience.
+	ServedTokens int
 	// Served and Weight are the weights of the requests served within the patience and of all requests.
 	Served float64
 	Weight float64
@@ -77,6 +79,7 @@
 	r.Weight += weight
 	if m.Patience == 0 || o.finish <= m.Patience {
 		r.Served += weight
+		r.ServedTokens += o.tokens
 	}
 	note(r.Finish, o.finish)
 	if o.first > 0 {
@@ -102,6 +105,7 @@
 		sum.Moved += part.Moved
 		sum.AskedTokens += part.AskedTokens
 		sum.UsedTokens += part.UsedTokens
+		sum.ServedTokens += part.ServedTokens
 		sum.Served += part.Served
 		sum.Weight += part.Weight
 		for code, n := range part.Failed {
--- a/wire/json.go
+++ b/wire/json.go
@@ -54,7 +54,7 @@
 		if field == nil {
 			return &UnknownFieldError{Path: itemPath}
 		}
-		if field.Message() == nil {
+		if field.Message() == nil || field.IsMap() {
 			continue
 		}
 		if err := checkItems(field, item, itemPath); err != nil {
