--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -52,7 +52,8 @@
 	dir := o.subcommand("directory", "Runs a directory.", o.endpointFlags)
 	generator := o.subcommand("load", "Sends load and prints a table.", o.load.flags)
 	experiment := o.subcommand("experiment", "Sends the load of a file to several targets and compares them.", o.load.experimentFlags)
-	for _, sub := range []*flaggy.Subcommand{engine, service, dir, generator, experiment} {
+	summary := o.subcommand("summary", "Compares the targets of several results of an experiment.", o.load.summaryFlags)
+	for _, sub := range []*flaggy.Subcommand{engine, service, dir, generator, experiment, summary} {
 		parser.AttachSubcommand(sub, 1)
 	}
 	if err := parser.ParseArgs(os.Args[1:]); err != nil {
@@ -69,6 +70,8 @@
 		return o.load.run(ctx)
 	case experiment.Used:
 		return o.load.runExperiment(ctx)
+	case summary.Used:
+		return o.load.summarize()
 	}
 	parser.ShowHelp()
 	return nil
@@ -96,6 +99,8 @@
 func (o *options) engineFlags(sub *flaggy.Subcommand) {
 	o.endpointFlags(sub)
 	e := &o.engine
+	sub.Int(&e.CacheTokens, "", "cacheTokens", "KV tokens that running requests share; 0 is unbounded.")
+	sub.Float64(&e.PricePerHour, "", "pricePerHour", "Price of the engine.")
 	sub.Duration(&e.TokenTime, "", "tokenTime", "Time between two tokens.")
 	sub.Float64(&e.BatchSlowdown, "", "batchSlowdown", "Share by which the token time grows when all slots run.")
 	sub.Duration(&e.PrefillTime, "", "prefillTime", "Time of a token of the prompt that is not cached.")
