--- a/cmd/arbutusreel/status.go
+++ b/cmd/arbutusreel/status.go
@@ -57,9 +57,9 @@
 		return err
 	}
 	fmt.Fprintln(stdout)
-	fmt.Fprintln(w, "INSTANCE\tREGION\tREVISION\tREPORTED\tLAGS")
+	fmt.Fprintln(w, "INSTANCE\tREGION\tREVISION\tREPORTED\tLAGS\tLEDGER LOST WITH")
 	for _, i := range m.GetInstances() {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%s ago\t%s\n", i.GetName(), i.GetRegion(), i.GetRevision(), millis(i.GetAgeMillis()), lag(i))
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s ago\t%s\t%s\n", i.GetName(), i.GetRegion(), i.GetRevision(), millis(i.GetAgeMillis()), lag(i), i.GetLedgerFatalDomain())
 	}
 	return w.Flush()
 }
