Say of a keyed call that only the ledger says it was not run

Cause: a call with an idempotency key that was refused before its home region's ledger was asked (a stopping entry, a wrong credential, class, label or service, a home entry without inventory) was told notRun, although an earlier try with its key may have run. A caller that believes it may order again under another key: the doubled order. Now these refusals are outcomeUnknown for a call with a key; a body that is too large stays notRun, since it was so at each try. Between entries the refusal still speaks of the forward, so that another entry of the home region is asked; the caller's entry widens it. The load tool sends a keyed call again to another entry when one is stopping, whatever the outcome. Ruled out: widening at the receiver, since the sender then asks no other entry. Fails first: keyed_test.go:37: problem {Code:stopping Outcome:notRun ...}, want stopping and outcomeUnknown and so for unauthenticated, unknownClass and unknownService After: passes, and with real processes TestRollingRestart, TestCall*, TestDrain, isolated and residency tests.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -86,12 +86,12 @@
 		defer n.metrics.End()
 		c := caller{correlationID: correlationOf(r.Context())}
 		if n.closed.Load() {
-			n.fail(w, c, n.stopping())
+			n.fail(w, c, beforeLedger(keyOf(r), n.stopping()))
 			return
 		}
 		var err error
 		if c.inventory, c.team, err = n.authenticate(r); err != nil {
-			n.fail(w, c, err)
+			n.fail(w, c, beforeLedger(keyOf(r), err))
 			return
 		}
 		handle(w, r, c)
--- a/entry/services.go
+++ b/entry/services.go
@@ -17,7 +17,7 @@
 	began := time.Now()
 	req, s, err := n.serviceRequest(w, r, c)
 	if err != nil {
-		n.fail(w, c, err)
+		n.fail(w, c, beforeLedger(keyOf(r), err))
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
@@ -52,20 +52,44 @@
 		return n.runner.Run(ctx, req)
 	}
 	if !n.keepsBody(req, home) {
-		return dispatch.Reply{}, problem.New(problem.ResidencyRefused, http.StatusForbidden, "the request may not enter home region %q, whose ledger holds its key", home)
+		err := problem.New(problem.ResidencyRefused, http.StatusForbidden, "the request may not enter home region %q, whose ledger holds its key", home)
+		return dispatch.Reply{}, beforeLedger(req.IdempotencyKey, err)
 	}
 	self := dispatch.Hop{Instance: n.cfg.Self.Name, Region: n.cfg.Self.Region}
 	reply, err := n.peers.ForwardCall(ctx, home, req.WithHop(self))
 	return reply, earlierTries(err)
 }
 
-// earlierTries widens a refusal that the home region's ledger did not give: an earlier try with the key may have run.
+// earlierTries widens a refusal of a forwarded call that the home region's ledger may not have been asked about.
 func earlierTries(err error) error {
 	var p *problem.Problem
-	if errors.As(err, &p) && (p.Code == problem.HomeRegionRequired || p.Code == problem.Stopping) {
+	if !errors.As(err, &p) {
+		return err
+	}
+	switch p.Code {
+	case problem.HomeRegionRequired, problem.Stopping, problem.NotReady, problem.UnknownService, problem.ResidencyRefused, problem.LoopRefused:
 		return p.WithOutcome(problem.Unknown)
+	default:
+		return err
+	}
+}
+
+// keyOf returns the idempotency key of a call of a plain service; requests on other routes have none.
+func keyOf(r *http.Request) string {
+	if r.PathValue("service") == "" {
+		return ""
+	}
+	return r.Header.Get(keyHeader)
+}
+
+// beforeLedger widens a refusal of a call that the ledger was not asked about: an earlier try with its key may have run.
+// A request that is too large was so at each try.
+func beforeLedger(key string, err error) error {
+	var p *problem.Problem
+	if key == "" || !errors.As(err, &p) || p.Code == problem.BodyTooLarge {
+		return err
 	}
-	return err
+	return p.WithOutcome(problem.Unknown)
 }
 
 // keepsAnswer reports whether the own region may store the answer of a request.
@@ -109,7 +133,7 @@
 		ContentType:    r.Header.Get("Content-Type"),
 		Body:           body,
 		Deadline:       time.Now().Add(class.Patience),
-		IdempotencyKey: r.Header.Get(keyHeader),
+		IdempotencyKey: keyOf(r),
 		Epoch:          r.Header.Get(epochHeader),
 	}, s, nil
 }
--- a/load/send.go
+++ b/load/send.go
@@ -58,7 +58,7 @@
 	return b
 }
 
-// send sends a request to one entry after another while it is certain that none has run it.
+// send sends a request to one entry after another while it is certain that none has run it, or that its key lets it run once.
 func (g *generator) send(ctx context.Context, path, key string, body []byte, o *outcome) *http.Response {
 	token := ""
 	if key != "" {
@@ -66,11 +66,11 @@
 	}
 	for {
 		address := g.entries.take()
-		resp, notRun, failure := g.try(ctx, "http://"+address+path, key, token, body)
+		resp, again, failure := g.try(ctx, "http://"+address+path, key, token, body)
 		if failure == "" {
 			return resp
 		}
-		if !notRun || o.moved == maxTries {
+		if !again || o.moved == maxTries {
 			o.failure = failure
 			return nil
 		}
@@ -80,8 +80,8 @@
 	}
 }
 
-// try sends a request once; notRun says that another entry may be tried.
-func (g *generator) try(ctx context.Context, url, key, token string, body []byte) (resp *http.Response, notRun bool, failure string) {
+// try sends a request once; again says that another entry may be tried.
+func (g *generator) try(ctx context.Context, url, key, token string, body []byte) (resp *http.Response, again bool, failure string) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, false, failureTransport
@@ -105,7 +105,7 @@
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
 	if p, ok := problem.Decode(b); ok && err == nil {
-		return nil, p.Code == problem.Stopping && p.Outcome == problem.NotRun, string(p.Code)
+		return nil, p.Code == problem.Stopping && (p.Outcome == problem.NotRun || key != ""), string(p.Code)
 	}
 	return nil, false, fmt.Sprintf("status%d", resp.StatusCode)
 }
