Let callers ask for an adapter, and operators bound it and put a version in force

The inventory's models had versions and adapters that nothing used. A name is now MODEL, MODEL:ADAPTER or MODEL@VERSION; the separators cannot stand in a name of the inventory, so that no old one changes its meaning.

- A service offers adapters in its list of models, each beside its model.
Inventories whose models merely list adapters stay valid and offer none.
- Adapters have an optional entry with their bytes and regions; without one an adapter follows its model and costs nothing.
(Turning the list of names in a model into messages was ruled out: it would break inventories that are stored.)
- A model's version in force is one of its versions.
Callers do not choose versions: during a rollout the same name is answered by either.
- What is not offered is a 404 unknownModel at the caller (UnknownNameError), and a fault with its path at check and apply.
- Routing takes an endpoint for an adapter only if it also announces the model.

The oracle test of residency failed first against the old rule: Allows({Labels:[] Service: Model:m0:x}, "r0") = false, oracle true

--- a/entry/models.go
+++ b/entry/models.go
@@ -30,8 +30,8 @@
 // listModels answers the models of the inventory.
 func (n *Entry) listModels(w http.ResponseWriter, _ *http.Request, c caller) {
 	list := modelList{Object: "list", Data: []modelItem{}}
-	for _, m := range c.inventory.Contents().Models {
-		list.Data = append(list.Data, modelItem{ID: m.Name, Object: "model"})
+	for _, name := range c.inventory.OfferedNames() {
+		list.Data = append(list.Data, modelItem{ID: name, Object: "model"})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(list)
@@ -104,8 +104,8 @@
 	if err != nil {
 		return dispatch.Request{}, asked, problem.New(problem.MalformedRequest, http.StatusBadRequest, "%s", err.Error())
 	}
-	if _, ok := c.inventory.Model(asked.Model); !ok {
-		return dispatch.Request{}, asked, problem.New(problem.UnknownModel, http.StatusNotFound, "no model has the name %q", asked.Model)
+	if _, err := c.inventory.Resolve(asked.Model); err != nil {
+		return dispatch.Request{}, asked, problem.New(problem.UnknownModel, http.StatusNotFound, "%s", err.Error())
 	}
 	services := c.inventory.ServicesOfModel(asked.Model)
 	if len(services) == 0 {
--- a/inventory/check.go
+++ b/inventory/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 	"time"
 )
 
@@ -28,6 +29,7 @@
 	c.links()
 	c.labels()
 	c.models()
+	c.adapters()
 	c.services()
 	c.classes()
 	c.teams()
@@ -138,6 +140,42 @@
 		c.names(path+".adapters", m.Adapters)
 		exist(c, path+".allowedRegions", "region", m.AllowedRegions, c.inv.regions)
 		c.atLeastZero(path+".weightBytes", float64(m.WeightBytes))
+		if m.Version != "" && !slices.Contains(m.Versions, m.Version) {
+			c.add(path+".version", m.Version, "no version of the model has this name")
+		}
+	}
+}
+
+func (c *checker) adapters() {
+	seen := map[string]bool{}
+	for i, a := range c.inv.contents.Adapters {
+		path := fmt.Sprintf("adapters[%d]", i)
+		exists(c, path+".model", kindModel, a.Model, c.inv.models)
+		if m, ok := c.inv.models[a.Model]; ok && !slices.Contains(m.Adapters, a.Name) {
+			c.add(path+".name", a.Name, "the model has no adapter of this name")
+		}
+		exist(c, path+".allowedRegions", "region", a.AllowedRegions, c.inv.regions)
+		c.atLeastZero(path+".weightBytes", float64(a.WeightBytes))
+		name := Name{Model: a.Model, Adapter: a.Name}.String()
+		if seen[name] {
+			c.add(path+".name", a.Name, "the adapter is listed twice")
+		}
+		seen[name] = true
+	}
+}
+
+// offers checks the names that a service offers: an adapter needs its model in the list.
+func (c *checker) offers(path string, names []string) {
+	for i, name := range names {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		n, err := c.inv.Resolve(name)
+		if err != nil {
+			c.add(at, name, err.Error())
+			continue
+		}
+		if n.Adapter != "" && !slices.Contains(names, n.Model) {
+			c.add(at, name, "the service does not offer the adapter's model")
+		}
 	}
 }
 
@@ -145,7 +183,7 @@
 	c.names("services", namesOf(c.inv.contents.Services, func(s Service) string { return s.Name }))
 	for i, s := range c.inv.contents.Services {
 		path := fmt.Sprintf("services[%d]", i)
-		exist(c, path+".models", "model", s.Models, c.inv.models)
+		c.offers(path+".models", s.Models)
 		exist(c, path+".allowedRegions", "region", s.AllowedRegions, c.inv.regions)
 		c.atLeastZero(path+".minEndpointsPerModel", float64(s.MinEndpointsPerModel))
 		if s.Kind == KindPlain && len(s.Models) > 0 {
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -9,6 +9,7 @@
 	links    map[[2]string]Link
 	labels   map[string]Label
 	models   map[string]Model
+	adapters map[string]Adapter
 	services map[string]Service
 	classes  map[string]Class
 	teams    map[string]Team
@@ -23,6 +24,7 @@
 		links:    map[[2]string]Link{},
 		labels:   index(c.Labels, func(v Label) string { return v.Name }),
 		models:   index(c.Models, func(v Model) string { return v.Name }),
+		adapters: index(c.Adapters, func(v Adapter) string { return Name{Model: v.Model, Adapter: v.Name}.String() }),
 		services: index(c.Services, func(v Service) string { return v.Name }),
 		classes:  index(c.Classes, func(v Class) string { return v.Name }),
 		teams:    index(c.Teams, func(v Team) string { return v.Name }),
@@ -79,6 +81,37 @@
 	return m, ok
 }
 
+// Adapter returns the adapter of the model; one without an entry of its own has no size and no bounds.
+func (inv *Inventory) Adapter(model, adapter string) (Adapter, bool) {
+	m, ok := inv.models[model]
+	if !ok || !slices.Contains(m.Adapters, adapter) {
+		return Adapter{}, false
+	}
+	name := Name{Model: model, Adapter: adapter}
+	if a, ok := inv.adapters[name.String()]; ok {
+		return a, true
+	}
+	return Adapter{Model: model, Name: adapter}, true
+}
+
+// Resolve returns the parts of a name that a caller asks for; a name that is not defined returns *UnknownNameError.
+func (inv *Inventory) Resolve(name string) (Name, error) {
+	n := ParseName(name)
+	if n.Version != "" {
+		return Name{}, &UnknownNameError{Kind: kindVersion, Name: n.Version, Model: n.Model}
+	}
+	if _, ok := inv.models[n.Model]; !ok {
+		return Name{}, &UnknownNameError{Kind: kindModel, Name: n.Model}
+	}
+	if n.Adapter == "" {
+		return n, nil
+	}
+	if _, ok := inv.Adapter(n.Model, n.Adapter); !ok {
+		return Name{}, &UnknownNameError{Kind: kindAdapter, Name: n.Adapter, Model: n.Model}
+	}
+	return n, nil
+}
+
 // Service returns the service of that name.
 func (inv *Inventory) Service(name string) (Service, bool) {
 	s, ok := inv.services[name]
@@ -117,6 +150,21 @@
 	return names
 }
 
+// OfferedNames returns the names of the models, each followed by those of its adapters that a service offers.
+func (inv *Inventory) OfferedNames() []string {
+	var names []string
+	for _, m := range inv.contents.Models {
+		names = append(names, m.Name)
+		for _, adapter := range m.Adapters {
+			name := Name{Model: m.Name, Adapter: adapter}.String()
+			if len(inv.ServicesOfModel(name)) > 0 {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
 // WithRules returns an inventory with other rules; invalid rules return Faults.
 func (inv *Inventory) WithRules(r Rules) (*Inventory, error) {
 	c := inv.contents
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -41,6 +41,19 @@
 		{name: "unknown region of a label", change: func(c *Contents) { c.Labels[0].AllowedRegions[0] = "west" }, want: []string{"labels[0].allowedRegions[0]"}},
 		{name: "label without a region", change: func(c *Contents) { c.Labels[0].AllowedRegions = nil }, want: []string{"labels[0].allowedRegions"}},
 		{name: "unknown model of a service", change: func(c *Contents) { c.Services[0].Models[0] = "x" }, want: []string{"services[0].models[0]"}},
+		{name: "version in force that is not listed", change: func(c *Contents) { c.Models[0].Version = "v1" }, want: []string{"models[0].version"}},
+		{name: "unknown adapter of a service", change: func(c *Contents) { c.Services[0].Models = []string{"m", "m:x"} }, want: []string{"services[0].models[1]"}},
+		{name: "version of a service", change: func(c *Contents) { c.Services[0].Models = []string{"m@v1"} }, want: []string{"services[0].models[0]"}},
+		{name: "adapter of a service without its model", change: func(c *Contents) {
+			c.Models[0].Adapters = []string{"x"}
+			c.Services[0].Models = []string{"m:x"}
+		}, want: []string{"services[0].models[0]"}},
+		{name: "adapter that its model lacks", change: func(c *Contents) { c.Adapters = []Adapter{{Model: "m", Name: "x"}} }, want: []string{"adapters[0].name"}},
+		{name: "adapter of an unknown model", change: func(c *Contents) { c.Adapters = []Adapter{{Model: "y", Name: "x"}} }, want: []string{"adapters[0].model"}},
+		{name: "adapter in an unknown region", change: func(c *Contents) {
+			c.Models[0].Adapters = []string{"x"}
+			c.Adapters = []Adapter{{Model: "m", Name: "x", AllowedRegions: []string{"west"}}}
+		}, want: []string{"adapters[0].allowedRegions[0]"}},
 		{name: "models of a plain service", change: func(c *Contents) { c.Services[1].Models = []string{"m"} }, want: []string{"services[1].models"}},
 		{name: "class without patience", change: func(c *Contents) { c.Classes[0].Patience = 0 }, want: []string{"classes[0].patienceMillis"}},
 		{name: "unknown home", change: func(c *Contents) { c.Teams[0].HomeRegion = "west" }, want: []string{"teams[0].homeRegion"}},
@@ -81,3 +94,35 @@
 		t.Errorf("services of the model are %q", got)
 	}
 }
+
+func TestResolve(t *testing.T) {
+	c := valid()
+	c.Models[0].Versions = []string{"v1"}
+	c.Models[0].Adapters = []string{"x"}
+	inv, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name string
+		want error
+	}{
+		{"m", nil},
+		{"m:x", nil},
+		{"n", &UnknownNameError{Kind: "model", Name: "n"}},
+		{"m:y", &UnknownNameError{Kind: "adapter", Name: "y", Model: "m"}},
+		{"m@v1", &UnknownNameError{Kind: "version", Name: "v1", Model: "m"}},
+		{"m:x@v1", &UnknownNameError{Kind: "version", Name: "v1", Model: "m"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := inv.Resolve(test.name)
+			if diff := cmp.Diff(test.want, err); diff != "" {
+				t.Errorf("error (-want +got):\n%s", diff)
+			}
+			if got := ParseName(test.name).String(); got != test.name {
+				t.Errorf("the name is written %q", got)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/inventory/name.go
@@ -0,0 +1,44 @@
+package inventory
+
+import "strings"
+
+// Separators of the parts of a name.
+const (
+	adapterSeparator = ":"
+	versionSeparator = "@"
+)
+
+// Name is what a caller asks for or an engine holds: MODEL, MODEL:ADAPTER or MODEL@VERSION.
+type Name struct {
+	Model   string
+	Adapter string
+	Version string
+}
+
+// ParseName returns the parts of a name; a part that is not there is empty.
+func ParseName(s string) Name {
+	model, version, _ := strings.Cut(s, versionSeparator)
+	model, adapter, _ := strings.Cut(model, adapterSeparator)
+	return Name{Model: model, Adapter: adapter, Version: version}
+}
+
+// String returns the name as it is written.
+func (n Name) String() string {
+	s := n.Model
+	if n.Adapter != "" {
+		s += adapterSeparator + n.Adapter
+	}
+	if n.Version != "" {
+		s += versionSeparator + n.Version
+	}
+	return s
+}
+
+// Served returns the name without its version, as callers ask for it.
+func (n Name) Served() string { return n.WithVersion("").String() }
+
+// WithVersion returns the name with another version.
+func (n Name) WithVersion(version string) Name {
+	n.Version = version
+	return n
+}
--- a/inventory/types.go
+++ b/inventory/types.go
@@ -35,13 +35,23 @@
 
 // Model is a set of weights with its versions and adapters; no AllowedRegions allows every region.
 type Model struct {
-	Name           string
-	Versions       []string
+	Name     string
+	Versions []string
+	// Version is the one in force; if it is empty, engines may hold any.
+	Version        string
 	Adapters       []string
 	AllowedRegions []string
 	WeightBytes    int64
 }
 
+// Adapter gives the size of a model's adapter and bounds its regions; no AllowedRegions adds no bound.
+type Adapter struct {
+	Model          string
+	Name           string
+	WeightBytes    int64
+	AllowedRegions []string
+}
+
 // Service is a deployment of endpoints that callers reach by one name; no AllowedRegions allows every region.
 type Service struct {
 	Name                 string
@@ -97,6 +107,7 @@
 	Links    []Link
 	Labels   []Label
 	Models   []Model
+	Adapters []Adapter
 	Services []Service
 	Classes  []Class
 	Teams    []Team
--- a/residency/allowed.go
+++ b/residency/allowed.go
@@ -6,7 +6,7 @@
 	"arbutusreel/inventory"
 )
 
-// Subject is what residency is decided for; an empty Service or Model adds no bound.
+// Subject is what residency is decided for; an empty Service or Model adds no bound, and Model may be MODEL:ADAPTER.
 type Subject struct {
 	Labels  []string
 	Service string
@@ -54,8 +54,16 @@
 	if name == "" {
 		return true
 	}
-	model, ok := inv.Model(name)
-	return ok && allowsRegion(model.AllowedRegions, region)
+	n := inventory.ParseName(name)
+	model, ok := inv.Model(n.Model)
+	if !ok || !allowsRegion(model.AllowedRegions, region) {
+		return false
+	}
+	if n.Adapter == "" {
+		return true
+	}
+	adapter, ok := inv.Adapter(n.Model, n.Adapter)
+	return ok && allowsRegion(adapter.AllowedRegions, region)
 }
 
 // allowsRegion reports whether a list holds the region; an empty list allows every region.
--- a/residency/oracle_test.go
+++ b/residency/oracle_test.go
@@ -15,15 +15,17 @@
 
 // world is an inventory as plain tables, from which the oracle decides.
 type world struct {
-	regions  []string
-	labels   map[string][]string
-	models   map[string][]string
+	regions []string
+	labels  map[string][]string
+	models  map[string][]string
+	// adapters bounds the adapter x of a model; a model without an entry has none.
+	adapters map[string][]string
 	services map[string][]string
 	teams    map[string][]string
 }
 
 func drawWorld(t *rapid.T) world {
-	w := world{labels: map[string][]string{}, models: map[string][]string{}, services: map[string][]string{}, teams: map[string][]string{}}
+	w := world{labels: map[string][]string{}, models: map[string][]string{}, adapters: map[string][]string{}, services: map[string][]string{}, teams: map[string][]string{}}
 	for i := range rapid.IntRange(1, 5).Draw(t, "regions") {
 		w.regions = append(w.regions, fmt.Sprintf("r%d", i))
 	}
@@ -39,6 +41,9 @@
 	for i := range rapid.IntRange(1, 3).Draw(t, "models") {
 		name := fmt.Sprintf("m%d", i)
 		w.models[name] = some(w.regions, 0, name)
+		if rapid.Bool().Draw(t, "adapted") {
+			w.adapters[name] = some(w.regions, 0, name+":x")
+		}
 		w.services["s"+name] = some(w.regions, 0, "s"+name)
 	}
 	for i := range rapid.IntRange(1, 3).Draw(t, "teams") {
@@ -57,7 +62,14 @@
 		c.Labels = append(c.Labels, inventory.Label{Name: name, AllowedRegions: regions})
 	}
 	for name, regions := range w.models {
-		c.Models = append(c.Models, inventory.Model{Name: name, AllowedRegions: regions})
+		m := inventory.Model{Name: name, AllowedRegions: regions}
+		if bounds, ok := w.adapters[name]; ok {
+			m.Adapters = []string{"x"}
+			if len(bounds) > 0 {
+				c.Adapters = append(c.Adapters, inventory.Adapter{Model: name, Name: "x", AllowedRegions: bounds})
+			}
+		}
+		c.Models = append(c.Models, m)
 		c.Services = append(c.Services, inventory.Service{Name: "s" + name, Models: []string{name}, AllowedRegions: w.services["s"+name]})
 	}
 	digit := 0
@@ -105,17 +117,23 @@
 		strike(w.services, s.Service, true)
 	}
 	if run && s.Model != "" {
-		strike(w.models, s.Model, true)
+		model, adapter, _ := strings.Cut(s.Model, ":")
+		strike(w.models, model, true)
+		if adapter != "" {
+			strike(w.adapters, model, true)
+		}
 	}
 	return open[region]
 }
 
+var modelNames = []string{"", "m0", "m1", "m2", "m0:x", "m1:x", "absent", "absent:x"}
+
 func drawSubject(t *rapid.T) residency.Subject {
 	names := []string{"l0", "l1", "l2", "l3", "absent"}
 	return residency.Subject{
 		Labels:  rapid.SliceOfN(rapid.SampledFrom(names), 0, 3).Draw(t, "subjectLabels"),
 		Service: rapid.SampledFrom([]string{"", "sm0", "sm1", "sm2", "absent"}).Draw(t, "service"),
-		Model:   rapid.SampledFrom([]string{"", "m0", "m1", "m2", "absent"}).Draw(t, "model"),
+		Model:   rapid.SampledFrom(modelNames).Draw(t, "model"),
 	}
 }
 
@@ -126,6 +144,12 @@
 		s := drawSubject(t)
 		team := rapid.SampledFrom([]string{"t0", "t1", "t2", "absent"}).Draw(t, "team")
 		for _, region := range append(slices.Clone(w.regions), "absent") {
+			for _, model := range modelNames {
+				bare := residency.Subject{Model: model}
+				if got, want := residency.Allows(inv, bare, region), w.oracle("", bare, region, true); got != want {
+					t.Errorf("Allows(%+v, %q) = %v, oracle %v", bare, region, got, want)
+				}
+			}
 			if got, want := residency.Allows(inv, s, region), w.oracle("", s, region, true); got != want {
 				t.Errorf("Allows(%+v, %q) = %v, oracle %v", s, region, got, want)
 			}
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -1,9 +1,11 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"arbutusreel/admission"
+	"arbutusreel/inventory"
 	"arbutusreel/membership"
 )
 
@@ -38,6 +40,15 @@
 // open reports whether the endpoint may get work.
 func (c *Candidate) open() bool { return !c.endpoint.Leaving && !c.tripped }
 
+// holds reports whether the endpoint serves the name; an adapter needs its model beside it.
+func (c *Candidate) holds(name string) bool {
+	if !slices.Contains(c.endpoint.Models, name) {
+		return false
+	}
+	n := inventory.ParseName(name)
+	return n.Adapter == "" || slices.Contains(c.endpoint.Models, n.Model)
+}
+
 func (c *Candidate) slots() float64 { return float64(max(c.endpoint.Slots, 1)) }
 
 // room reports whether a request with that many uncached prompt tokens and that reservation could start at once; the
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -186,7 +186,9 @@
 		}
 		c.enter(candidate, "")
 		for _, model := range candidate.endpoint.Models {
-			c.enter(candidate, model)
+			if candidate.holds(model) {
+				c.enter(candidate, model)
+			}
 		}
 	}
 	for k, t := range c.tables {
@@ -295,5 +297,5 @@
 
 // serves reports whether the candidate is open and serves the query's model.
 func (c *Candidate) serves(q *Query) bool {
-	return c.open() && c.endpoint.Service == q.Service && (q.Model == "" || slices.Contains(c.endpoint.Models, q.Model))
+	return c.open() && c.endpoint.Service == q.Service && (q.Model == "" || c.holds(q.Model))
 }
--- a/wire/inventory.go
+++ b/wire/inventory.go
@@ -15,6 +15,7 @@
 		Links:    mapAll(m.GetLinks(), decodeLink),
 		Labels:   mapAll(m.GetLabels(), decodeLabel),
 		Models:   mapAll(m.GetModels(), decodeModel),
+		Adapters: mapAll(m.GetAdapters(), decodeAdapter),
 		Services: mapAll(m.GetServices(), decodeService),
 		Classes:  mapAll(m.GetClasses(), decodeClass),
 		Teams:    mapAll(m.GetTeams(), decodeTeam),
@@ -30,6 +31,7 @@
 		Links:    mapAll(c.Links, encodeLink),
 		Labels:   mapAll(c.Labels, encodeLabel),
 		Models:   mapAll(c.Models, encodeModel),
+		Adapters: mapAll(c.Adapters, encodeAdapter),
 		Services: mapAll(c.Services, encodeService),
 		Classes:  mapAll(c.Classes, encodeClass),
 		Teams:    mapAll(c.Teams, encodeTeam),
@@ -85,6 +87,7 @@
 	return inventory.Model{
 		Name:           m.GetName(),
 		Versions:       m.GetVersions(),
+		Version:        m.GetVersion(),
 		Adapters:       m.GetAdapters(),
 		AllowedRegions: m.GetAllowedRegions(),
 		WeightBytes:    m.GetWeightBytes(),
@@ -95,12 +98,21 @@
 	return &wiregen.Model{
 		Name:           v.Name,
 		Versions:       v.Versions,
+		Version:        v.Version,
 		Adapters:       v.Adapters,
 		AllowedRegions: v.AllowedRegions,
 		WeightBytes:    v.WeightBytes,
 	}
 }
 
+func decodeAdapter(m *wiregen.Adapter) inventory.Adapter {
+	return inventory.Adapter{Model: m.GetModel(), Name: m.GetName(), WeightBytes: m.GetWeightBytes(), AllowedRegions: m.GetAllowedRegions()}
+}
+
+func encodeAdapter(a inventory.Adapter) *wiregen.Adapter {
+	return &wiregen.Adapter{Model: a.Model, Name: a.Name, WeightBytes: a.WeightBytes, AllowedRegions: a.AllowedRegions}
+}
+
 func decodeService(m *wiregen.Service) inventory.Service {
 	kind := inventory.KindModel
 	if m.GetKind() == wiregen.ServiceKind_plain {
