Let engines announce the versions that they hold and what they are loading

An announcement says which names an engine serves. It now also says the version of each model that knows its own, what an order has it load, and the number of the last order that it applied. An entry passes them on as a change of state.

The emulated engine loads models, versions and adapters by order, one after another in loadTime and adapterLoadTime; an adapter goes with the version of its model that it was loaded on.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -88,7 +88,7 @@
 	sub.String(&o.failureDomain, "", "failureDomain", "Failure domain of the endpoint.")
 	sub.String(&o.service, "", "service", "Service of the endpoint.")
 	sub.String(&o.directory, "", "directory", "Address of the directory.")
-	sub.StringSlice(&o.models, "", "models", "Models that are loaded.")
+	sub.StringSlice(&o.models, "", "models", "Names that are loaded: MODEL, MODEL@VERSION or MODEL:ADAPTER.")
 	sub.Int(&o.slots, "", "slots", "Requests that run at once.")
 	sub.Duration(&o.leaveNotice, "", "leaveNotice", "Time between the first announcement as leaving and the stop.")
 }
@@ -106,6 +106,7 @@
 	sub.Float64(&e.KVBytesPerSecond, "", "kvBytesPerSecond", "Rate of KV cache transfers.")
 	sub.Bool(&e.ChecksFencing, "", "checksFencing", "Whether orders with old fencing numbers are refused.")
 	sub.Duration(&e.LoadTime, "", "loadTime", "Time in which the weight store serves a model.")
+	sub.Duration(&e.AdapterLoadTime, "", "adapterLoadTime", "Time in which the weight store serves an adapter.")
 	sub.UInt64(&e.Seed, "", "seed", "Seed of the engine.")
 	sub.Int(&e.Faults.DieAfterTokens, "", "dieAfterTokens", "Tokens after which the process ends at once; 0 never.")
 	sub.Int(&e.Faults.StallAfterTokens, "", "stallAfterTokens", "Tokens after which a stream sends nothing more; 0 never.")
--- a/membership/endpoint.go
+++ b/membership/endpoint.go
@@ -39,6 +39,12 @@
 	CacheSequence int64
 	// CacheTokens is the number of tokens that the cache holds for running requests; zero is not known.
 	CacheTokens int
+	// Versions holds MODEL@VERSION of each model whose version the endpoint knows.
+	Versions []string
+	// Loading holds the names that the endpoint loads by the order of OrderTerm and OrderSequence and does not serve yet.
+	Loading       []string
+	OrderTerm     int64
+	OrderSequence int64
 }
 
 // newer reports whether e replaces what is known as old.
--- a/membership/fact.go
+++ b/membership/fact.go
@@ -15,7 +15,8 @@
 // Differs reports whether e says something else than old beside its load and its sequence.
 func (e Endpoint) Differs(old Endpoint) bool {
 	return e.Incarnation != old.Incarnation || e.Address != old.Address || e.Service != old.Service ||
-		e.Slots != old.Slots || e.Leaving != old.Leaving || e.FailureDomain != old.FailureDomain || !slices.Equal(e.Models, old.Models)
+		e.Slots != old.Slots || e.Leaving != old.Leaving || e.FailureDomain != old.FailureDomain || !slices.Equal(e.Models, old.Models) ||
+		!slices.Equal(e.Versions, old.Versions) || !slices.Equal(e.Loading, old.Loading) || e.OrderTerm != old.OrderTerm || e.OrderSequence != old.OrderSequence
 }
 
 // Differs reports whether e says something else than old beside its sequence.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -12,6 +12,7 @@
 	"arbutusreel/clock"
 	"arbutusreel/completion"
 	"arbutusreel/directory"
+	"arbutusreel/fencing"
 	"arbutusreel/wiregen"
 )
 
@@ -47,11 +48,12 @@
 	LeaveNotice time.Duration
 	// ChecksFencing makes the engine refuse orders with old fencing numbers.
 	ChecksFencing bool
-	// LoadTime is the time in which the weight store serves a model.
-	LoadTime    time.Duration
-	Incarnation int64
-	Seed        uint64
-	Faults      EngineFaults
+	// LoadTime is the time in which the weight store serves a model, and AdapterLoadTime that of an adapter.
+	LoadTime        time.Duration
+	AdapterLoadTime time.Duration
+	Incarnation     int64
+	Seed            uint64
+	Faults          EngineFaults
 }
 
 // Engine is an emulated model engine with continuous batching and a prefix cache.
@@ -66,6 +68,9 @@
 
 	mu      sync.Mutex
 	models  []string
+	loading []string
+	// number is that of the last order that was applied, and changes counts these.
+	number  fencing.Number
 	changes int
 	reports []report
 }
@@ -150,7 +155,11 @@
 		Region:        e.cfg.Region,
 		FailureDomain: e.cfg.FailureDomain,
 		Service:       e.cfg.Service,
-		Models:        clone(e.models),
+		Models:        servedNames(e.models),
+		Versions:      versionsOf(e.models),
+		Loading:       clone(e.loading),
+		OrderTerm:     e.number.Term,
+		OrderSequence: e.number.Sequence,
 		Slots:         int64(e.cfg.Slots),
 		Load:          e.reported(now),
 		CacheEvents:   events,
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"arbutusreel/fencing"
+	"arbutusreel/inventory"
 	"arbutusreel/problem"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
@@ -84,30 +85,75 @@
 	return ""
 }
 
-// change gives up what the order leaves out at once, and serves what it adds when the weight store has served it.
+// change gives up what the order leaves out at once, and serves what it adds when the weight store has served all of it.
 func (e *Engine) change(m *wiregen.EngineOrder) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.changes++
 	change := e.changes
-	e.models = slices.DeleteFunc(clone(e.models), func(name string) bool { return !slices.Contains(m.GetModels(), name) })
-	if len(e.models) == len(m.GetModels()) {
+	e.number = fencing.Number{Term: m.GetTerm(), Sequence: m.GetSequence()}
+	e.models = kept(e.models, m.GetModels())
+	e.loading = slices.DeleteFunc(clone(m.GetModels()), func(name string) bool { return slices.Contains(e.models, name) })
+	if len(e.loading) == 0 {
 		return
 	}
-	time.AfterFunc(e.cfg.LoadTime, func() {
+	time.AfterFunc(e.loadTime(), func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if e.changes == change {
 			e.models = clone(m.GetModels())
+			e.loading = nil
 		}
 	})
 }
 
-// serves reports whether the engine holds the model now; one that was started without models serves any.
-func (e *Engine) serves(model string) bool {
+// loadTime returns the time in which the weight store serves all that is being loaded, one after another.
+func (e *Engine) loadTime() time.Duration {
+	var total time.Duration
+	for _, name := range e.loading {
+		if inventory.ParseName(name).Adapter != "" {
+			total += e.cfg.AdapterLoadTime
+		} else {
+			total += e.cfg.LoadTime
+		}
+	}
+	return total
+}
+
+// kept returns what is held and ordered; an adapter goes with the version of its model that it was loaded on.
+func kept(held, ordered []string) []string {
+	left := slices.DeleteFunc(clone(held), func(name string) bool { return !slices.Contains(ordered, name) })
+	return slices.DeleteFunc(left, func(name string) bool {
+		n := inventory.ParseName(name)
+		return n.Adapter != "" && !slices.ContainsFunc(left, func(other string) bool { return isModel(other, n.Model) })
+	})
+}
+
+// isModel reports whether a held name is the model, in any version.
+func isModel(held, model string) bool {
+	n := inventory.ParseName(held)
+	return n.Model == model && n.Adapter == ""
+}
+
+// servedNames returns the names that requests may ask for.
+func servedNames(held []string) []string {
+	names := clone(held)
+	for i, name := range names {
+		names[i] = inventory.ParseName(name).Served()
+	}
+	return names
+}
+
+// versionsOf returns the held names that bear a version.
+func versionsOf(held []string) []string {
+	return slices.DeleteFunc(clone(held), func(name string) bool { return inventory.ParseName(name).Version == "" })
+}
+
+// serves reports whether the engine holds the name now; one that was started without models serves any.
+func (e *Engine) serves(name string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.cfg.Models) == 0 || slices.Contains(e.models, model)
+	return len(e.cfg.Models) == 0 || slices.Contains(servedNames(e.models), name)
 }
 
 // AppliedOrders returns the orders that were applied, oldest first.
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -52,6 +52,10 @@
 		CacheEvents:   mapAll(m.GetCacheEvents(), decodeCacheEvent),
 		CacheSequence: m.GetCacheSequence(),
 		CacheTokens:   int(m.GetCacheTokens()),
+		Versions:      m.GetVersions(),
+		Loading:       m.GetLoading(),
+		OrderTerm:     m.GetOrderTerm(),
+		OrderSequence: m.GetOrderSequence(),
 	}, nil
 }
 
@@ -127,6 +131,10 @@
 		CacheEvents:   mapAll(e.CacheEvents, encodeCacheEvent),
 		CacheSequence: e.CacheSequence,
 		CacheTokens:   int64(e.CacheTokens),
+		Versions:      e.Versions,
+		Loading:       e.Loading,
+		OrderTerm:     e.OrderTerm,
+		OrderSequence: e.OrderSequence,
 	}
 }
 
