Place adapters and versions, and decide over indexes in place of names

An adapter is one more name that a service offers: it is loaded where its model is, with it if need be, costs its own bytes and has its own demand, minimum and residency. A version in force is loaded in place of another one, engine by engine, where enough others serve the model and the engine's adapters in the meantime; if none can be spared, one more engine gets them first. It has a reason of its own, versionNotInForce, after belowMinimum.

The profile showed 65% in shares counted by maps of names and 11% in texts that tell which endpoints are alike. A group now numbers its names once, counts in slices, knows by a count how many copies serve, and names kinds by numbers. Incremental state between decisions was ruled out: without it the state is what was announced, and the target is met.

--- a/control/demand.go
+++ b/control/demand.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"arbutusreel/fencing"
+	"arbutusreel/inventory"
 	"arbutusreel/membership"
 	"arbutusreel/placement"
 	"arbutusreel/wire"
@@ -100,17 +102,41 @@
 	return endpoints
 }
 
-// known returns the endpoints as placement sees them; one holds as many models as it was ever seen to hold.
+// heldNames returns the names of what the endpoint serves, with the versions that it knows.
+func heldNames(e membership.Endpoint) []string {
+	names := slices.Clone(e.Models)
+	for _, held := range e.Versions {
+		if i := slices.Index(names, inventory.ParseName(held).Served()); i >= 0 {
+			names[i] = held
+		}
+	}
+	return names
+}
+
+// modelsOf returns the number of models among the names; adapters are left out.
+func modelsOf(names []string) int {
+	n := 0
+	for _, name := range names {
+		if inventory.ParseName(name).Adapter == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// known returns the endpoints as placement sees them; one holds as many models as it was ever seen to hold or load.
 func (p *placer) known(endpoints map[string]membership.Endpoint) []placement.Endpoint {
 	all := make([]placement.Endpoint, 0, len(endpoints))
 	for name, e := range endpoints {
-		p.size[name] = max(p.size[name], len(e.Models), 1)
+		p.size[name] = max(p.size[name], modelsOf(e.Models)+modelsOf(e.Loading), 1)
 		all = append(all, placement.Endpoint{
 			Name:            name,
 			Region:          e.Region,
 			FailureDomain:   e.FailureDomain,
 			Service:         e.Service,
-			Models:          e.Models,
+			Models:          heldNames(e),
+			Loading:         e.Loading,
+			Order:           fencing.Number{Term: e.OrderTerm, Sequence: e.OrderSequence},
 			Capacity:        p.size[name],
 			TokensPerSecond: e.Load.TokensPerSecond,
 			Leaving:         e.Leaving,
--- a/control/placement.go
+++ b/control/placement.go
@@ -29,7 +29,7 @@
 	config  placement.Config
 	demand  *demandLog
 	term    int64
-	// size is the most models that each endpoint was seen to hold.
+	// size is the most models that each endpoint was seen to hold or load.
 	size map[string]int
 	// mu guards the issuer, which is also asked while an order is being sent.
 	mu     sync.Mutex
@@ -159,6 +159,7 @@
 		Float64("supply", c.Supply).
 		Float64("gain", c.Gain).
 		Int("copies", c.Copies).
+		Dur("loadTime", c.LoadTime).
 		Int64("revision", revision).
 		Int64("term", n.Term).
 		Int64("sequence", n.Sequence).
--- a/placement/group.go
+++ b/placement/group.go
@@ -2,45 +2,30 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
-	"time"
 
 	"arbutusreel/inventory"
-	"arbutusreel/residency"
 )
 
-// member is an endpoint of a group with what it is to hold.
-type member struct {
-	Endpoint
-	// target is what the endpoint holds once its pending change is done.
-	target []string
-	// free says that the endpoint may be changed now.
-	free bool
-	// changing says that a change of the endpoint is pending.
-	changing bool
-}
-
-// holds reports whether the endpoint serves the model and will go on to.
-func (m *member) holds(model string) bool {
-	return !m.Leaving && slices.Contains(m.Models, model) && slices.Contains(m.target, model)
-}
-
-// alike returns a text that is equal for members of a group between which a change makes no difference.
-func (m *member) alike() string {
-	return fmt.Sprint(m.target, m.FailureDomain, m.Capacity, m.TokensPerSecond)
-}
-
 // group is the endpoints of one service in one region.
 type group struct {
 	region  string
 	service inventory.Service
-	// models are those of the service that may run in the region.
-	models  []string
+	// units are what the service may offer in the region.
+	units   []unit
 	members []*member
-	need    map[string]float64
-	// loadSeconds is the time that loading each model takes.
-	loadSeconds map[string]float64
+	// holdings knows each name that was seen.
+	holdings map[string]holding
+	// copies counts the endpoints that hold each unit once all changes are done.
+	copies []int
+	// serving counts the endpoints that serve each unit now and will go on to.
+	serving []int
+	// kinds numbers the kinds of members.
+	kinds map[kindKey]int
+	// tried marks the kinds that were tried since the last call of candidates.
+	tried []bool
+	// supplied is room for the supply of each unit.
+	supplied []float64
 	// storeBusy says that the region's weight store serves another load.
 	storeBusy bool
 	// proposed are the proposals for the present targets.
@@ -48,243 +33,151 @@
 	cfg      Config
 }
 
-// newGroup returns the group of the service's endpoints in the region.
+// newGroup returns the group of the service's endpoints in the region, without members.
 func newGroup(inv *inventory.Inventory, s inventory.Service, region string, cfg Config) *group {
-	g := &group{region: region, service: s, need: map[string]float64{}, loadSeconds: map[string]float64{}, cfg: cfg}
-	for _, name := range s.Models {
-		model, _ := inv.Model(name)
-		if residency.Allows(inv, residency.Subject{Service: s.Name, Model: name}, region) {
-			g.models = append(g.models, name)
-			g.loadSeconds[name] = loadTime(inv, model).Seconds()
-		}
+	units := unitsOf(inv, s, region)
+	return &group{
+		region:   region,
+		service:  s,
+		units:    units,
+		holdings: map[string]holding{},
+		copies:   make([]int, len(units)),
+		serving:  make([]int, len(units)),
+		kinds:    map[kindKey]int{},
+		supplied: make([]float64, len(units)),
+		cfg:      cfg,
 	}
-	return g
 }
 
-// loadTime returns how long the weight store takes to serve a model, or zero if its rate is not limited.
-func loadTime(inv *inventory.Inventory, m inventory.Model) time.Duration {
-	rate := inv.Rules().WeightStoreBytesPerSecond
-	if rate <= 0 {
-		return 0
+// holding returns what a name that an endpoint holds stands for.
+func (g *group) holding(held string) holding {
+	if h, ok := g.holdings[held]; ok {
+		return h
 	}
-	return time.Duration(float64(m.WeightBytes) / float64(rate) * float64(time.Second))
+	n := inventory.ParseName(held)
+	h := holding{held: held, unit: indexOf(g.units, n.Served()), adapter: n.Adapter != ""}
+	g.holdings[held] = h
+	return h
 }
 
-// sort puts the members with the fewest models first, and then in the order of their names.
-func (g *group) sort() {
+// held returns the holdings of a list of names.
+func (g *group) held(names []string) []holding {
+	holdings := make([]holding, len(names))
+	for i, name := range names {
+		holdings[i] = g.holding(name)
+	}
+	return holdings
+}
+
+// arrange sorts and counts the members after a change: those with the fewest names first, and then in the order of their names.
+func (g *group) arrange() {
 	slices.SortFunc(g.members, func(a, b *member) int {
 		return cmp.Or(cmp.Compare(len(a.target), len(b.target)), cmp.Compare(a.Name, b.Name))
 	})
-}
-
-// supply returns the tokens a second that the endpoints give to each model, with the least flexible endpoints first.
-func (g *group) supply() map[string]float64 {
-	supply := map[string]float64{}
+	clear(g.copies)
+	clear(g.serving)
 	for _, m := range g.members {
-		if !m.Leaving {
-			g.share(m, supply)
-		}
+		g.count(m)
 	}
-	return supply
+	g.tried = slices.Grow(g.tried[:0], len(g.kinds))[:len(g.kinds)]
 }
 
-// share divides the endpoint among its models by their unmet need, or evenly if all needs are met.
-func (g *group) share(m *member, supply map[string]float64) {
-	var unmet float64
-	for _, model := range m.target {
-		unmet += max(g.need[model]-supply[model], 0)
-	}
-	for _, model := range m.target {
-		part := 1 / float64(len(m.target))
-		if unmet > 0 {
-			part = max(g.need[model]-supply[model], 0) / unmet
-		}
-		supply[model] += part * m.TokensPerSecond
+// count adds a member to the counts and numbers its kind.
+func (g *group) count(m *member) {
+	k := m.kindKey()
+	kind, ok := g.kinds[k]
+	if !ok {
+		kind = len(g.kinds)
+		g.kinds[k] = kind
 	}
-}
-
-// met returns the demand that the endpoints can meet, in tokens a second.
-func (g *group) met() float64 {
-	supply := g.supply()
-	var met float64
-	for _, model := range g.models {
-		met += min(supply[model], g.need[model])
+	m.kind = kind
+	if m.Leaving {
+		return
 	}
-	return met
-}
-
-// copies returns the number of endpoints that hold the model once all changes are done.
-func (g *group) copies(model string) int {
-	n := 0
-	for _, m := range g.members {
-		if !m.Leaving && slices.Contains(m.target, model) {
-			n++
+	for i, h := range m.target {
+		if h.unit == notOffered || hasUnit(m.target[:i], h.unit) {
+			continue
 		}
-	}
-	return n
-}
-
-// minimum is the least number of endpoints that must go on to hold a model when one gives it up.
-func (g *group) minimum() int { return max(g.service.MinEndpointsPerModel, 1) }
-
-// spares reports whether others serve enough copies of the model for the endpoint to give it up now.
-func (g *group) spares(m *member, model string) bool {
-	n := 0
-	for _, other := range g.members {
-		if other != m && other.holds(model) {
-			n++
+		g.copies[h.unit]++
+		if m.serves(h.unit, g.units) {
+			g.serving[h.unit]++
 		}
 	}
-	return n >= g.minimum()
 }
 
-// proposals returns the best change for each reason that applies.
-func (g *group) proposals() []Change {
-	var changes []Change
-	for _, propose := range []func() (Change, bool){g.evict, g.fill, g.grow} {
-		if c, ok := propose(); ok {
-			changes = append(changes, c)
-		}
-	}
-	return changes
-}
-
-// evict proposes to unload models that may not be where they are.
-func (g *group) evict() (Change, bool) {
+// supply returns the tokens a second that the endpoints give to each unit, with the least flexible endpoints first; the
+// result is valid until the next call.
+func (g *group) supply() []float64 {
+	clear(g.supplied)
 	for _, m := range g.members {
-		var unload []string
-		for _, model := range m.target {
-			if !slices.Contains(g.models, model) {
-				unload = append(unload, model)
-			}
-		}
-		if len(unload) > 0 && !m.changing && !m.Leaving {
-			return g.change(m, "", unload, NotAllowed, 0), true
+		if !m.Leaving {
+			g.share(m)
 		}
 	}
-	return Change{}, false
+	return g.supplied
 }
 
-// fill proposes to load a model that too few endpoints hold.
-func (g *group) fill() (Change, bool) {
-	for _, model := range g.models {
-		if g.copies(model) >= g.service.MinEndpointsPerModel {
-			continue
-		}
-		if c, ok := g.best(model, BelowMinimum); ok {
-			return c, true
+// share divides the endpoint among what it holds by the unmet need, or evenly if all needs are met.
+func (g *group) share(m *member) {
+	if len(m.target) == 1 {
+		if u := m.target[0].unit; u != notOffered {
+			g.supplied[u] += m.TokensPerSecond
 		}
+		return
 	}
-	return Change{}, false
-}
-
-// grow proposes the load that meets the most unmet demand and pays for its load time.
-func (g *group) grow() (Change, bool) {
-	var best Change
-	supply := g.supply()
-	for _, model := range g.models {
-		if g.need[model] <= supply[model] {
+	var unmet float64
+	for _, h := range m.target {
+		unmet += g.unmet(h.unit)
+	}
+	for _, h := range m.target {
+		if h.unit == notOffered {
 			continue
 		}
-		if c, ok := g.best(model, Short); ok && c.Gain > best.Gain {
-			best = c
-		}
-	}
-	return best, best.Gain > 0
-}
-
-// best returns the change that loads the model with the greatest gain; equal gains go to a failure domain without it.
-func (g *group) best(model string, reason Reason) (Change, bool) {
-	if g.storeBusy && g.loadSeconds[model] > 0 {
-		return Change{}, false
-	}
-	before := g.met()
-	var best Change
-	var spread, found bool
-	for _, m := range g.candidates(model) {
-		for _, unload := range g.victims(m) {
-			c := g.change(m, model, unload, reason, g.gain(m, model, unload)-before)
-			if reason == Short && c.Gain < g.least(m, model) {
-				continue
-			}
-			apart := g.apart(m, model)
-			if !found || c.Gain > best.Gain || (c.Gain == best.Gain && apart && !spread) {
-				best, spread, found = c, apart, true
-			}
+		part := 1 / float64(len(m.target))
+		if unmet > 0 {
+			part = g.unmet(h.unit) / unmet
 		}
+		g.supplied[h.unit] += part * m.TokensPerSecond
 	}
-	return best, found
 }
 
-// candidates returns the members that may load the model, one of each kind that are alike.
-func (g *group) candidates(model string) []*member {
-	var candidates []*member
-	tried := map[string]bool{}
-	for _, m := range g.members {
-		if m.free && !m.Leaving && !slices.Contains(m.target, model) && !tried[m.alike()] {
-			tried[m.alike()] = true
-			candidates = append(candidates, m)
-		}
+func (g *group) unmet(u int) float64 {
+	if u == notOffered {
+		return 0
 	}
-	return candidates
+	return max(g.units[u].need-g.supplied[u], 0)
 }
 
-// victims returns what the endpoint may give up for one more model: nothing if it has room, else one model that others spare.
-func (g *group) victims(m *member) [][]string {
-	if len(m.target) < m.Capacity {
-		return [][]string{nil}
-	}
-	var victims [][]string
-	for _, model := range m.target {
-		if g.spares(m, model) {
-			victims = append(victims, []string{model})
-		}
+// met returns the demand that the endpoints can meet, in tokens a second.
+func (g *group) met() float64 {
+	var met float64
+	for u, supply := range g.supply() {
+		met += min(supply, g.units[u].need)
 	}
-	return victims
-}
-
-// gain returns the demand met if the endpoint loads one model and unloads others.
-func (g *group) gain(m *member, load string, unload []string) float64 {
-	before := m.target
-	m.target = changed(before, load, unload)
-	defer func() { m.target = before }()
-	return g.met()
-}
-
-// least returns the smallest gain that pays for the load.
-func (g *group) least(m *member, model string) float64 {
-	share := max(g.cfg.MinGain, g.loadSeconds[model]/g.cfg.Horizon.Seconds())
-	return share * m.TokensPerSecond
+	return met
 }
 
-// apart reports whether no endpoint of the same failure domain holds the model.
-func (g *group) apart(m *member, model string) bool {
-	return !slices.ContainsFunc(g.members, func(other *member) bool {
-		return other.FailureDomain == m.FailureDomain && slices.Contains(other.target, model)
-	})
-}
+// minimum is the least number of endpoints that must go on to hold a unit when one gives it up.
+func (g *group) minimum() int { return max(g.service.MinEndpointsPerModel, 1) }
 
-func (g *group) change(m *member, load string, unload []string, reason Reason, gain float64) Change {
-	return Change{
-		Endpoint: m.Name,
-		Region:   g.region,
-		Service:  g.service.Name,
-		Models:   changed(m.target, load, unload),
-		Load:     load,
-		Unload:   unload,
-		Reason:   reason,
-		Need:     g.need[load],
-		Supply:   g.supply()[load],
-		Gain:     gain,
-		Copies:   g.copies(load),
+// spares reports whether others serve enough copies of each holding for the endpoint to give all of them up now.
+func (g *group) spares(m *member, holdings []holding) bool {
+	for _, h := range holdings {
+		if h.unit == notOffered {
+			continue
+		}
+		others := g.serving[h.unit]
+		if m.serves(h.unit, g.units) {
+			others--
+		}
+		if others < g.minimum() {
+			return false
+		}
 	}
+	return true
 }
 
-// changed returns the models without some and with one more.
-func changed(models []string, load string, unload []string) []string {
-	after := slices.DeleteFunc(slices.Clone(models), func(m string) bool { return slices.Contains(unload, m) })
-	if load != "" {
-		after = append(after, load)
-	}
-	return after
+// stale reports whether a holding is another version than the one in force.
+func (g *group) stale(h holding) bool {
+	return h.unit != notOffered && g.units[h.unit].versioned && h.held != g.units[h.unit].held
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -9,7 +9,8 @@
 
 // pending is a change that its endpoint has not announced yet.
 type pending struct {
-	change  Change
+	// models are what the endpoint is to announce.
+	models  []string
 	expires time.Time
 }
 
@@ -56,7 +57,7 @@
 		if !ok {
 			break
 		}
-		p.order(now, v.Inventory, c, g)
+		p.order(now, c, g)
 		p.refresh(now, groups, c.Region)
 		changes = append(changes, c)
 	}
@@ -71,7 +72,7 @@
 // settle ends the pending changes that were announced or have taken too long.
 func (p *Planner) settle(now time.Time, endpoints []Endpoint) {
 	for _, e := range endpoints {
-		if c, ok := p.pending[e.Name]; ok && sameModels(e.Models, c.change.Models) {
+		if c, ok := p.pending[e.Name]; ok && sameModels(e.Models, c.models) {
 			delete(p.pending, e.Name)
 			p.rest[e.Name] = now.Add(p.cfg.Rest)
 		}
@@ -91,6 +92,12 @@
 // groups returns the endpoints of each service in each region with what they need.
 func (p *Planner) groups(now time.Time, v View) []*group {
 	need := needs(v)
+	members := map[spot][]*Endpoint{}
+	for i := range v.Endpoints {
+		e := &v.Endpoints[i]
+		at := spot{region: e.Region, service: e.Service}
+		members[at] = append(members[at], e)
+	}
 	var groups []*group
 	for _, s := range v.Inventory.Contents().Services {
 		if s.Kind != inventory.KindModel {
@@ -99,11 +106,10 @@
 		for _, r := range v.Inventory.Contents().Regions {
 			g := newGroup(v.Inventory, s, r.Name, p.cfg)
 			g.storeBusy = now.Before(p.storeFree[r.Name])
-			for _, model := range g.models {
-				g.need[model] = need[spot{region: r.Name, service: s.Name, model: model}]
+			for u := range g.units {
+				g.units[u].need = need[spot{region: r.Name, service: s.Name, model: g.units[u].name}]
 			}
-			g.members = p.members(now, v.Endpoints, s.Name, r.Name)
-			g.sort()
+			p.join(now, g, members[spot{region: r.Name, service: s.Name}])
 			g.proposed = g.proposals()
 			groups = append(groups, g)
 		}
@@ -111,21 +117,21 @@
 	return groups
 }
 
-// members returns the endpoints of one service in one region.
-func (p *Planner) members(now time.Time, endpoints []Endpoint, service, region string) []*member {
-	var members []*member
-	for _, e := range endpoints {
-		if e.Service != service || e.Region != region {
-			continue
-		}
-		m := &member{Endpoint: e, target: slices.Clone(e.Models)}
+// join makes the endpoints members of the group.
+func (p *Planner) join(now time.Time, g *group, endpoints []*Endpoint) {
+	members := make([]member, len(endpoints))
+	for i, e := range endpoints {
+		m := &members[i]
+		m.Endpoint = e
+		m.now = g.held(e.Models)
+		m.target = m.now
 		if c, ok := p.pending[e.Name]; ok {
-			m.target, m.changing = c.change.Models, true
+			m.target, m.changing = g.held(c.models), true
 		}
 		m.free = !m.changing && !now.Before(p.rest[e.Name])
-		members = append(members, m)
+		g.members = append(g.members, m)
 	}
-	return members
+	g.arrange()
 }
 
 // choose returns the most urgent change of all groups whose need has lasted; seen notes every need.
@@ -157,7 +163,7 @@
 	if c.Reason == NotAllowed {
 		return true
 	}
-	s := spot{region: c.Region, service: c.Service, model: c.Load}
+	s := spot{region: c.Region, service: c.Service, model: inventory.ParseName(c.Load).Served()}
 	seen[s] = true
 	if _, ok := p.since[s]; !ok {
 		p.since[s] = now
@@ -176,22 +182,22 @@
 }
 
 // order notes a change as pending, in the group as well, and takes the weight store for its load.
-func (p *Planner) order(now time.Time, inv *inventory.Inventory, c Change, g *group) {
-	expires := now.Add(p.cfg.LoadGrace)
-	if model, ok := inv.Model(c.Load); ok {
-		load := loadTime(inv, model)
-		expires = expires.Add(load)
-		if load > 0 {
-			p.storeFree[c.Region] = now.Add(load)
-		}
-	}
-	p.pending[c.Endpoint] = pending{change: c, expires: expires}
+func (p *Planner) order(now time.Time, c Change, g *group) {
+	p.wait(now, c.Endpoint, c.Region, c.Models, c.LoadTime)
 	for _, m := range g.members {
 		if m.Name == c.Endpoint {
-			m.target, m.changing, m.free = c.Models, true, false
+			m.target, m.changing, m.free = g.held(c.Models), true, false
 		}
 	}
-	g.sort()
+	g.arrange()
+}
+
+// wait notes that the endpoint is to announce the models, and takes the weight store for the load time.
+func (p *Planner) wait(now time.Time, endpoint, region string, models []string, load time.Duration) {
+	p.pending[endpoint] = pending{models: models, expires: now.Add(load + p.cfg.LoadGrace)}
+	if free := now.Add(load); load > 0 && free.After(p.storeFree[region]) {
+		p.storeFree[region] = free
+	}
 }
 
 // sameModels reports whether two lists hold the same models in any order.
--- a/placement/types.go
+++ b/placement/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"arbutusreel/fencing"
 	"arbutusreel/inventory"
 )
 
@@ -12,15 +13,19 @@
 	Region        string
 	FailureDomain string
 	Service       string
-	// Models are those that the endpoint serves now.
+	// Models are the names of what the endpoint serves now: MODEL, MODEL@VERSION if it knows the version, or MODEL:ADAPTER.
 	Models []string
-	// Capacity is the number of models that fit.
+	// Loading are the names that the endpoint loads by an order and does not serve yet.
+	Loading []string
+	// Order is the number of the last order that the endpoint applied.
+	Order fencing.Number
+	// Capacity is the number of models that fit; adapters need no room of their own.
 	Capacity        int
 	TokensPerSecond float64
 	Leaving         bool
 }
 
-// Demand is what callers in a region ask of a model; an empty AllowedRegions allows every region.
+// Demand is what callers in a region ask of a model or an adapter; an empty AllowedRegions allows every region.
 type Demand struct {
 	Region          string
 	Service         string
@@ -45,6 +50,8 @@
 	NotAllowed Reason = "modelNotAllowed"
 	// BelowMinimum says that fewer endpoints than the service's minimum hold the model.
 	BelowMinimum Reason = "belowMinimum"
+	// OldVersion says that an endpoint holds another version of the model than the one in force.
+	OldVersion Reason = "versionNotInForce"
 	// Short says that the endpoints that hold the model cannot meet its demand.
 	Short Reason = "demandAboveSupply"
 )
@@ -56,8 +63,10 @@
 		return 0
 	case BelowMinimum:
 		return 1
-	default:
+	case OldVersion:
 		return 2
+	default:
+		return 3
 	}
 }
 
@@ -66,16 +75,19 @@
 	Endpoint string
 	Region   string
 	Service  string
-	// Models are all that the endpoint is to hold.
+	// Models are the names of all that the endpoint is to hold, a model before its adapters.
 	Models []string
+	// Load is the name for the sake of which the change is made; an adapter's model may have to be loaded before it.
 	Load   string
 	Unload []string
 	Reason Reason
-	// Need and Supply are those of the model to load, and Gain is the demand that the change meets, in tokens a second.
+	// LoadTime is the time in which the weight store serves what is loaded.
+	LoadTime time.Duration
+	// Need and Supply are those of the name to load, and Gain is the demand that the change meets, in tokens a second.
 	Need   float64
 	Supply float64
 	Gain   float64
-	// Copies is the number of endpoints that hold the model to load, before the change.
+	// Copies is the number of endpoints that hold the name to load, before the change.
 	Copies int
 }
 
