Let a new placement leader learn the loads of its predecessor

Cause: a leader began with an empty list of pending changes, so that it ordered an engine again that was still loading, and started a load while the region's weight store still served the predecessor's.

Engines announce what they load and the number of the order. A load that this planner did not order becomes a pending change, and the weight store counts as taken for all of the load's time from then on, since its start is not known. Each order is taken once, so that an engine that never ends its load holds no place for ever. Weighed: entries that report outstanding orders (they are not told any), and orders in the voters' log (a commit for each order, and still no word of whether it was applied).

--- a/placement/planner.go
+++ b/placement/planner.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"arbutusreel/fencing"
 	"arbutusreel/inventory"
 )
 
@@ -22,6 +23,8 @@
 	rest map[string]time.Time
 	// storeFree is the time from which a region's weight store serves a new load.
 	storeFree map[string]time.Time
+	// loads holds the order of each load that was seen to be in progress.
+	loads map[string]fencing.Number
 	// since is when a need for a model was first seen without a break.
 	since map[spot]time.Time
 }
@@ -33,6 +36,7 @@
 		pending:   map[string]pending{},
 		rest:      map[string]time.Time{},
 		storeFree: map[string]time.Time{},
+		loads:     map[string]fencing.Number{},
 		since:     map[spot]time.Time{},
 	}
 }
@@ -49,6 +53,7 @@
 // Decide returns the changes to order now, the most urgent first, which count as pending from then on.
 func (p *Planner) Decide(now time.Time, v View) []Change {
 	p.settle(now, v.Endpoints)
+	p.adopt(now, v)
 	groups := p.groups(now, v)
 	seen := map[spot]bool{}
 	var changes []Change
@@ -89,6 +94,30 @@
 	}
 }
 
+// adopt takes a load that an endpoint announces and this planner did not order as a pending change: an earlier leader's. As
+// its start is not known, it has the weight store for all of its time from now on. Each order is adopted once, so that an
+// endpoint that never ends its load is left alone no longer than after an order of this planner.
+func (p *Planner) adopt(now time.Time, v View) {
+	before := p.loads
+	p.loads = map[string]fencing.Number{}
+	for _, e := range v.Endpoints {
+		if len(e.Loading) == 0 {
+			continue
+		}
+		known, ok := before[e.Name]
+		p.loads[e.Name] = e.Order
+		if _, ordered := p.pending[e.Name]; ordered || ok && known == e.Order {
+			continue
+		}
+		var seconds float64
+		for _, name := range e.Loading {
+			seconds += loadSeconds(v.Inventory, name)
+		}
+		load := time.Duration(seconds * float64(time.Second))
+		p.wait(now, e.Name, e.Region, slices.Concat(e.Models, e.Loading), load)
+	}
+}
+
 // groups returns the endpoints of each service in each region with what they need.
 func (p *Planner) groups(now time.Time, v View) []*group {
 	need := needs(v)
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -30,6 +30,8 @@
 				}
 			case 2:
 				w.drawVersions()
+			case 3:
+				w.planner = placement.New(placement.DefaultConfig(period))
 			}
 			w.step()
 		}
--- /dev/null
+++ b/systemtest/leaderload_test.go
@@ -0,0 +1,36 @@
+package systemtest
+
+import (
+	"net/http"
+	"testing"
+)
+
+// TestNewPlacementLeaderLearnsLoads kills the leader while an engine loads by its order; the next one must wait for that load.
+func TestNewPlacementLeaderLearnsLoads(t *testing.T) {
+	s := newSystem(t, options{
+		regions: []string{"lahore", "karachi", "peshawar"}, entriesPerRegion: 1, inventory: editedInventory(t, fastStore),
+		controlArgs: []string{"--placementPeriod", "100ms"},
+	})
+	lahore := s.entries[0]
+	load := []string{"--checksFencing", "--loadTime", "5s"}
+	engines := []*instance{
+		s.engine("engine-1", "lahore", "menu-model", "dastarkhwan-menu", load...),
+		s.engine("engine-2", "lahore", "menu-model", "dastarkhwan-menu", load...),
+		s.engine("engine-3", "lahore", "menu-model", "dastarkhwan-menu", load...),
+	}
+	applied := func() int {
+		n := 0
+		for _, e := range engines {
+			n += len(s.ordersOf(e))
+		}
+		return n
+	}
+	s.until("an engine is ordered to load", func() bool { return applied() > 0 })
+	s.leader().kill()
+	s.until("a dish is checked", func() bool {
+		return s.do(http.MethodPost, lahore.caller, chatPath, lahoreToken, dishCheckBody).status == http.StatusOK
+	})
+	if n := applied(); n != 1 {
+		t.Errorf("%d orders were applied, 1 load is needed", n)
+	}
+}
