--- a/inventory/patch.go
+++ b/inventory/patch.go
@@ -24,6 +24,9 @@
 	c.Links = patched(r, "links", c.Links, p.Put.Links, linkNames)
 	c.Labels = patched(r, "labels", c.Labels, p.Put.Labels, func(v Label) []string { return []string{v.Name} })
 	c.Models = patched(r, "models", c.Models, p.Put.Models, func(v Model) []string { return []string{v.Name} })
+	c.Adapters = patched(r, "adapters", c.Adapters, p.Put.Adapters, func(v Adapter) []string {
+		return []string{Name{Model: v.Model, Adapter: v.Name}.String()}
+	})
 	c.Services = patched(r, "services", c.Services, p.Put.Services, func(v Service) []string { return []string{v.Name} })
 	c.Classes = patched(r, "classes", c.Classes, p.Put.Classes, func(v Class) []string { return []string{v.Name} })
 	c.Teams = patched(r, "teams", c.Teams, p.Put.Teams, func(v Team) []string { return []string{v.Name} })
--- a/inventory/patch_test.go
+++ b/inventory/patch_test.go
@@ -73,6 +73,7 @@
 		{name: "nothing"},
 		{name: "link by its other direction", patch: Patch{Remove: []string{"links[south-north]"}}},
 		{name: "link put in the other direction", patch: Patch{Put: Contents{Links: []Link{{From: "south", To: "north", BytesPerSecond: 2}}}}},
+		{name: "adapter of an unknown model", patch: Patch{Put: Contents{Adapters: []Adapter{{Model: "x", Name: "a"}}}}, want: []string{"adapters[0].model"}},
 		{name: "unknown list", patch: Patch{Remove: []string{"people[t]"}}, want: []string{"remove[0]"}},
 		{name: "unknown item", patch: Patch{Remove: []string{"teams[t]", "teams[u]"}}, want: []string{"remove[1]"}},
 		{name: "item that others need", patch: Patch{Remove: []string{"classes[c]"}}, want: []string{"teams[0].defaultClass"}},
--- a/wire/difference.go
+++ b/wire/difference.go
@@ -9,6 +9,8 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"arbutusreel/inventory"
 )
 
 // Difference is one value that two messages of the same type do not share; an absent value is empty text.
@@ -93,16 +95,22 @@
 
 // Fields by which the items of a list are known.
 const (
-	nameField = "name"
-	fromField = "from"
-	toField   = "to"
+	nameField  = "name"
+	modelField = "model"
+	fromField  = "from"
+	toField    = "to"
 )
 
-// itemKey returns the name of an item, the ends of a link, or the position of an item that has neither.
+// itemKey returns the name of an item, with its model if it belongs to one, the ends of a link, or the position of an
+// item that has neither.
 func itemKey(item protoreflect.Message, position int) string {
 	fields := item.Descriptor().Fields()
-	if field := fields.ByName(nameField); field != nil {
-		return item.Get(field).String()
+	name, model := fields.ByName(nameField), fields.ByName(modelField)
+	switch {
+	case name != nil && model != nil:
+		return inventory.Name{Model: item.Get(model).String(), Adapter: item.Get(name).String()}.String()
+	case name != nil:
+		return item.Get(name).String()
 	}
 	from, to := fields.ByName(fromField), fields.ByName(toField)
 	if from != nil && to != nil {
--- a/wire/difference_test.go
+++ b/wire/difference_test.go
@@ -44,6 +44,15 @@
 				{Path: "regions[karachi]", Before: `{"name":"karachi"}`},
 			},
 		},
+		"adapters of one name": {
+			change: func(m *wiregen.Inventory) {
+				m.Adapters = []*wiregen.Adapter{{Model: "a", Name: "x"}, {Model: "b", Name: "x"}}
+			},
+			want: []wire.Difference{
+				{Path: "adapters[a:x]", After: `{"model":"a","name":"x"}`},
+				{Path: "adapters[b:x]", After: `{"model":"b","name":"x"}`},
+			},
+		},
 		"message removed": {
 			change: func(m *wiregen.Inventory) { m.Rules = nil },
 			want:   []wire.Difference{{Path: "rules.retryBudget", Before: "0.1"}},
