Bound the memory of requests in progress, shared between teams by moving thresholds

Cause: nothing bounded what waiting requests hold. A class with a patience of an hour queues as long as its wait can be met, so that bodies of up to 1 MiB each could take all memory of a small instance. Now requestBytes (64 MiB) bounds bodies and 48 KiB a request; a team may hold twice what stays free, half of that of what may be put off, all of that at most what stays free. Beyond it a request is refused at once as instanceFull, notRun, with Retry-After; the sender of a forward and the load tool ask another entry. The memory of a call that may not be repeated is held until its ending is recorded, also when the caller has gone. requestBytes under four times maxBodyBytes is refused at the start. Ruled out: a bound on the number (bodies differ a thousandfold), fixed parts (360 teams), first come (notices shut out orders), evicting (an accepted request is answered). Fails first, with thresholds out of the way: room_test.go:56: notices hold 4063920 bytes of 4 MiB TestRoom: {a true} holds 301 of 900 After: both pass. The 48 KiB are a bound still to be measured on a quiet machine.

--- a/calls/runner.go
+++ b/calls/runner.go
@@ -67,15 +67,19 @@
 //
 // A call that was claimed runs on when ctx ends, and its ending is recorded.
 func (x *Runner) Run(ctx context.Context, r dispatch.Request) (dispatch.Reply, error) {
-	if r.IdempotencyKey == "" {
-		return dispatch.Reply{}, problem.New(problem.KeyRequired, http.StatusBadRequest, "service %q needs the header Idempotency-Key", r.Service)
-	}
-	if x.group.Len() == 0 {
-		return dispatch.Reply{}, problem.New(problem.LedgerUnavailable, http.StatusServiceUnavailable, "instance %q has no setting %q", x.self, "ledgerReplicas")
+	return x.RunThen(ctx, r, func() {})
+}
+
+// RunThen is Run, and calls ended once the call runs no more and its ending is recorded.
+func (x *Runner) RunThen(ctx context.Context, r dispatch.Request, ended func()) (dispatch.Reply, error) {
+	if err := x.check(r); err != nil {
+		ended()
+		return dispatch.Reply{}, err
 	}
 	done := make(chan result, 1)
 	x.active.Add(1)
 	go func() {
+		defer ended()
 		defer x.active.Add(-1)
 		x.run(context.WithoutCancel(ctx), r, done)
 	}()
@@ -87,6 +91,17 @@
 	}
 }
 
+// check refuses a call that the ledger cannot hold.
+func (x *Runner) check(r dispatch.Request) error {
+	if r.IdempotencyKey == "" {
+		return problem.New(problem.KeyRequired, http.StatusBadRequest, "service %q needs the header Idempotency-Key", r.Service)
+	}
+	if x.group.Len() == 0 {
+		return problem.New(problem.LedgerUnavailable, http.StatusServiceUnavailable, "instance %q has no setting %q", x.self, "ledgerReplicas")
+	}
+	return nil
+}
+
 // run takes a call from its claim to its recorded ending; the result is told as soon as it is known.
 func (x *Runner) run(ctx context.Context, r dispatch.Request, done chan<- result) {
 	began := x.now()
--- a/cmd/arbutusreel/daemons.go
+++ b/cmd/arbutusreel/daemons.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"io"
 	"os"
 	"strings"
@@ -55,6 +56,7 @@
 		name:     "entry",
 		doc:      "Runs an entry, which serves callers.",
 		settings: m,
+		check:    func() error { return checkRequestBytes(m) },
 		run: func(ctx context.Context, _ io.Writer) error {
 			decisions := decision.New(int(m.GetDecisionBytes()))
 			log, err := newLogger(m.GetLogLevel(), "entry", m.GetName(), m.GetRegion(), decisions)
@@ -75,6 +77,18 @@
 	}
 }
 
+// bodiesInRoom is the least number of the largest bodies that the memory for requests must hold, so that each class can
+// have one.
+const bodiesInRoom = 4
+
+func checkRequestBytes(m *wiregen.EntrySettings) error {
+	if least := bodiesInRoom * m.GetMaxBodyBytes(); m.GetRequestBytes() < least {
+		reason := fmt.Sprintf("the value is at least %d, four times maxBodyBytes", least)
+		return settings.Faults{{Setting: "requestBytes", Value: fmt.Sprint(m.GetRequestBytes()), Reason: reason}}
+	}
+	return nil
+}
+
 func entryConfig(m *wiregen.EntrySettings) entry.Config {
 	cfg := entry.Config{
 		Self: membership.Entry{
@@ -89,6 +103,7 @@
 		Peers:               m.GetPeers(),
 		DirectoryAddress:    m.GetDirectoryAddress(),
 		MaxBodyBytes:        m.GetMaxBodyBytes(),
+		RequestBytes:        m.GetRequestBytes(),
 		MaxHeaderBytes:      int(m.GetMaxHeaderBytes()),
 		AnnouncementLease:   m.GetAnnouncementLease().AsDuration(),
 		DrainNotice:         m.GetDrainNotice().AsDuration(),
--- a/cmd/arbutusreel/main.go
+++ b/cmd/arbutusreel/main.go
@@ -30,6 +30,8 @@
 	settings proto.Message
 	flags    settings.Flags
 	bind     func(sub *flaggy.Subcommand)
+	// check returns settings.Faults if settings that are valid one by one do not fit together; nil checks nothing.
+	check func() error
 	run      func(ctx context.Context, stdout io.Writer) error
 	sub      *flaggy.Subcommand
 }
@@ -100,6 +102,12 @@
 			return exitUsage
 		}
 	}
+	if c.check != nil {
+		if err := c.check(); err != nil {
+			fmt.Fprintln(stderr, err)
+			return exitUsage
+		}
+	}
 	if err := c.run(ctx, stdout); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitFailure
--- a/entry/config.go
+++ b/entry/config.go
@@ -14,10 +14,12 @@
 	Self     membership.Entry
 	Controls []string
 	// ControlNames holds the names of the control voters by address.
-	ControlNames      map[string]string
-	Peers             []string
-	DirectoryAddress  string
-	MaxBodyBytes      int64
+	ControlNames     map[string]string
+	Peers            []string
+	DirectoryAddress string
+	MaxBodyBytes     int64
+	// RequestBytes is the memory for requests in progress.
+	RequestBytes      int64
 	MaxHeaderBytes    int
 	AnnouncementLease time.Duration
 	DrainNotice       time.Duration
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -38,7 +38,7 @@
 		var err error
 		reply, err = readReply(frames, region)
 		return err
-	}, func(err error) bool { return ctx.Err() == nil && isStopping(err) })
+	}, func(err error) bool { return ctx.Err() == nil && refusedByInstance(err) })
 	return reply, err
 }
 
@@ -105,13 +105,13 @@
 // retriable reports whether another entry may answer a model request of which nothing came.
 func retriable(err error) bool {
 	var incomplete *stream.IncompleteError
-	return errors.As(err, &incomplete) || isStopping(err)
+	return errors.As(err, &incomplete) || refusedByInstance(err)
 }
 
-// isStopping reports whether an entry refused a request because it stops.
-func isStopping(err error) bool {
+// refusedByInstance reports whether an entry refused a request because it stops or is full, so that another one may take it.
+func refusedByInstance(err error) bool {
 	var p *problem.Problem
-	return errors.As(err, &p) && p.Code == problem.Stopping && p.Outcome == problem.NotRun
+	return errors.As(err, &p) && (p.Code == problem.Stopping || p.Code == problem.InstanceFull) && p.Outcome == problem.NotRun
 }
 
 // readForward gives the pieces of a forwarded answer to the sink until its end.
--- a/entry/forwarded.go
+++ b/entry/forwarded.go
@@ -39,55 +39,57 @@
 	if err != nil {
 		return frames.Send(wire.ProblemFrame(problem.From(err)))
 	}
-	r = n.withPriority(r)
+	class := n.classOf(r)
+	r.Priority = class.Priority
+	held, err := n.holdBody(r.Team, class, int64(len(r.Body)))
+	if err != nil {
+		return frames.Send(wire.ProblemFrame(problem.From(err)))
+	}
 	ctx, cancel := context.WithDeadline(frames.Context(), r.Deadline)
 	defer cancel()
 	if r.Model != "" {
+		defer held.release()
 		end, err := n.dispatcher.Generate(ctx, r, frameSink{frames: frames})
 		if err != nil {
 			return frames.Send(wire.ProblemFrame(n.streamProblem(err)))
 		}
 		return frames.Send(wire.EndFrame(end))
 	}
-	reply, err := n.forwardedCall(ctx, r)
+	reply, err := n.forwardedCall(ctx, r, held.release)
 	if err != nil {
 		return frames.Send(wire.ProblemFrame(problem.From(err)))
 	}
 	return sendReply(frames, reply)
 }
 
-// withPriority returns the request with the priority that its class has here.
-func (n *Entry) withPriority(r dispatch.Request) dispatch.Request {
-	if inv, _ := n.state.Inventory(); inv != nil {
-		class, _ := inv.Class(r.Class)
-		r.Priority = class.Priority
+// classOf returns the class of a forwarded request as it is here; an unknown one has the highest priority.
+func (n *Entry) classOf(r dispatch.Request) inventory.Class {
+	inv, _ := n.state.Inventory()
+	if inv == nil {
+		return inventory.Class{Name: r.Class}
 	}
-	return r
+	class, _ := inv.Class(r.Class)
+	return class
 }
 
-// forwardedCall runs a call from another region, through the ledger if it may not be repeated.
-func (n *Entry) forwardedCall(ctx context.Context, r dispatch.Request) (dispatch.Reply, error) {
+// forwardedCall runs a call from another region, through the ledger if it may not be repeated; it calls release once the
+// call holds no memory any more.
+func (n *Entry) forwardedCall(ctx context.Context, r dispatch.Request, release func()) (dispatch.Reply, error) {
 	inv, _ := n.state.Inventory()
 	if inv == nil {
+		release()
 		return dispatch.Reply{}, problem.New(problem.NotReady, http.StatusServiceUnavailable, "instance %q has no inventory yet", n.cfg.Self.Name)
 	}
 	s, ok := inv.Service(r.Service)
-	if !ok {
-		return dispatch.Reply{}, problem.New(problem.UnknownService, http.StatusNotFound, "no plain service has the name %q", r.Service)
+	team, known := inv.Team(r.Team)
+	if ok && !s.Idempotent && known && team.HomeRegion == n.cfg.Self.Region {
+		return n.runner.RunThen(ctx, r, release)
 	}
-	if s.Idempotent {
-		return n.dispatcher.Call(ctx, r)
-	}
-	return n.forwardedOnce(ctx, inv, r)
-}
-
-// forwardedOnce runs a call that may not be repeated: through the ledger in its home region, and elsewhere if that has claimed it.
-func (n *Entry) forwardedOnce(ctx context.Context, inv *inventory.Inventory, r dispatch.Request) (dispatch.Reply, error) {
-	team, ok := inv.Team(r.Team)
+	defer release()
 	switch {
-	case ok && team.HomeRegion == n.cfg.Self.Region:
-		return n.runner.Run(ctx, r)
-	case r.Claimed:
+	case !ok:
+		return dispatch.Reply{}, problem.New(problem.UnknownService, http.StatusNotFound, "no plain service has the name %q", r.Service)
+	case s.Idempotent || r.Claimed:
 		return n.dispatcher.Call(ctx, r)
 	default:
 		return dispatch.Reply{}, problem.New(problem.HomeRegionRequired, http.StatusServiceUnavailable, "region %q is not the home of team %q", n.cfg.Self.Region, r.Team).WithOutcome(problem.Unknown)
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -58,6 +58,7 @@
 	cfg := Config{
 		Self:              membership.Entry{Name: "entry-lahore-0", Region: "lahore", FailureDomain: "lahore-a"},
 		MaxBodyBytes:      4096,
+		RequestBytes:      64 << 20,
 		MaxHeaderBytes:    4096,
 		AnnouncementLease: time.Hour,
 		ReaderTimeout:     10 * time.Second,
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -13,6 +13,9 @@
 // dispatchVar is the name of the dispatcher's counts in the metrics.
 const dispatchVar = "dispatch"
 
+// requestBytesVar is the name of the memory of requests in progress in the metrics.
+const requestBytesVar = "requestBytes"
+
 // answeredCode is what an answered request counts as in the metrics.
 const answeredCode = "answered"
 
--- a/entry/models.go
+++ b/entry/models.go
@@ -9,6 +9,7 @@
 
 	"arbutusreel/completion"
 	"arbutusreel/dispatch"
+	"arbutusreel/inventory"
 	"arbutusreel/problem"
 	"arbutusreel/stream"
 )
@@ -48,11 +49,18 @@
 // complete answers a completion, streamed or whole.
 func (n *Entry) complete(w http.ResponseWriter, r *http.Request, c caller, kind completion.Kind) {
 	began := time.Now()
-	req, asked, err := n.modelRequest(w, r, c, kind)
+	class, held, err := n.hold(c, r)
 	if err != nil {
 		n.fail(w, c, err)
 		return
 	}
+	defer held.release()
+	req, asked, err := n.modelRequest(w, r, c, class, kind)
+	if err != nil {
+		n.fail(w, c, err)
+		return
+	}
+	held.settle(int64(len(req.Body)))
 	n.demands.arrive(c.inventory, req)
 	answer := completion.Answer{Kind: kind, ID: c.correlationID, Model: asked.Model}
 	sink := newWriter(r.Context(), w, answer, asked.Streaming, n.cfg.ReaderTimeout)
@@ -91,7 +99,7 @@
 }
 
 // modelRequest checks a caller's completion request.
-func (n *Entry) modelRequest(w http.ResponseWriter, r *http.Request, c caller, kind completion.Kind) (dispatch.Request, completion.Request, error) {
+func (n *Entry) modelRequest(w http.ResponseWriter, r *http.Request, c caller, class inventory.Class, kind completion.Kind) (dispatch.Request, completion.Request, error) {
 	labels, err := n.arrivalLabels(c, r)
 	if err != nil {
 		return dispatch.Request{}, completion.Request{}, err
@@ -111,10 +119,6 @@
 	if len(services) == 0 {
 		return dispatch.Request{}, asked, problem.New(problem.UnknownModel, http.StatusNotFound, "no service offers the model %q", asked.Model)
 	}
-	class, err := c.class(r)
-	if err != nil {
-		return dispatch.Request{}, asked, err
-	}
 	return dispatch.Request{
 		CorrelationID: c.correlationID,
 		Team:          c.team.Name,
--- a/entry/services.go
+++ b/entry/services.go
@@ -15,14 +15,21 @@
 // service answers a call of a plain service.
 func (n *Entry) service(w http.ResponseWriter, r *http.Request, c caller) {
 	began := time.Now()
-	req, s, err := n.serviceRequest(w, r, c)
+	class, held, err := n.hold(c, r)
 	if err != nil {
 		n.fail(w, c, beforeLedger(keyOf(r), err))
 		return
 	}
+	req, s, err := n.serviceRequest(w, r, c, class)
+	if err != nil {
+		held.release()
+		n.fail(w, c, beforeLedger(keyOf(r), err))
+		return
+	}
+	held.settle(int64(len(req.Body)))
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
-	reply, err := n.call(ctx, req, s, c.team.HomeRegion)
+	reply, err := n.call(ctx, req, s, c.team.HomeRegion, held.release)
 	if err != nil {
 		n.fail(w, c, err)
 		return
@@ -43,14 +50,16 @@
 		Msg("answered")
 }
 
-// call sends a call; one that may not be repeated goes through the ledger of the caller's home region.
-func (n *Entry) call(ctx context.Context, req dispatch.Request, s inventory.Service, home string) (dispatch.Reply, error) {
+// call sends a call; one that may not be repeated goes through the ledger of the caller's home region. It calls release
+// once the call holds no memory any more, which may be after the caller has gone.
+func (n *Entry) call(ctx context.Context, req dispatch.Request, s inventory.Service, home string, release func()) (dispatch.Reply, error) {
+	if !s.Idempotent && home == n.cfg.Self.Region {
+		return n.runner.RunThen(ctx, req, release)
+	}
+	defer release()
 	if s.Idempotent {
 		return n.dispatcher.Call(ctx, req)
 	}
-	if home == n.cfg.Self.Region {
-		return n.runner.Run(ctx, req)
-	}
 	if !n.keepsBody(req, home) {
 		err := problem.New(problem.ResidencyRefused, http.StatusForbidden, "the request may not enter home region %q, whose ledger holds its key", home)
 		return dispatch.Reply{}, beforeLedger(req.IdempotencyKey, err)
@@ -67,7 +76,7 @@
 		return err
 	}
 	switch p.Code {
-	case problem.HomeRegionRequired, problem.Stopping, problem.NotReady, problem.UnknownService, problem.ResidencyRefused, problem.LoopRefused:
+	case problem.HomeRegionRequired, problem.Stopping, problem.InstanceFull, problem.NotReady, problem.UnknownService, problem.ResidencyRefused, problem.LoopRefused:
 		return p.WithOutcome(problem.Unknown)
 	default:
 		return err
@@ -101,7 +110,7 @@
 	return inv != nil && residency.Allows(inv, req.Subject(), region)
 }
 
-func (n *Entry) serviceRequest(w http.ResponseWriter, r *http.Request, c caller) (dispatch.Request, inventory.Service, error) {
+func (n *Entry) serviceRequest(w http.ResponseWriter, r *http.Request, c caller, class inventory.Class) (dispatch.Request, inventory.Service, error) {
 	s, ok := c.inventory.Service(r.PathValue("service"))
 	if !ok || s.Kind != inventory.KindPlain {
 		return dispatch.Request{}, s, problem.New(problem.UnknownService, http.StatusNotFound, "no plain service has the name %q", r.PathValue("service"))
@@ -114,10 +123,6 @@
 	if err != nil {
 		return dispatch.Request{}, s, err
 	}
-	class, err := c.class(r)
-	if err != nil {
-		return dispatch.Request{}, s, err
-	}
 	path := "/" + r.PathValue("path")
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
--- a/load/send.go
+++ b/load/send.go
@@ -105,11 +105,16 @@
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
 	if p, ok := problem.Decode(b); ok && err == nil {
-		return nil, p.Code == problem.Stopping && (p.Outcome == problem.NotRun || key != ""), string(p.Code)
+		return nil, ofInstance(p.Code) && (p.Outcome == problem.NotRun || key != ""), string(p.Code)
 	}
 	return nil, false, fmt.Sprintf("status%d", resp.StatusCode)
 }
 
+// ofInstance reports whether a refusal lies with the instance, so that another one may take the request.
+func ofInstance(code problem.Code) bool {
+	return code == problem.Stopping || code == problem.InstanceFull
+}
+
 // notConnected reports whether a request failed before a connection was made.
 func notConnected(err error) bool {
 	var failed *net.OpError
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -52,6 +52,7 @@
 	EpochRequired      Code = "epochRequired"
 	LedgerUnavailable  Code = "ledgerUnavailable"
 	Stopping           Code = "stopping"
+	InstanceFull       Code = "instanceFull"
 	NotReady           Code = "notReady"
 	RevisionConflict   Code = "revisionConflict"
 	InvalidInventory   Code = "invalidInventory"
--- a/systemtest/harness_test.go
+++ b/systemtest/harness_test.go
@@ -332,6 +332,11 @@
 func (s *system) do(method, address, path, token, body string, headers ...string) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
+	return s.doWithin(ctx, method, address, path, token, body, headers...)
+}
+
+// doWithin sends one request whose caller leaves when ctx ends.
+func (s *system) doWithin(ctx context.Context, method, address, path, token, body string, headers ...string) answer {
 	req, err := http.NewRequestWithContext(ctx, method, s.scheme()+address+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		s.t.Fatal(err)
