Give resumes of streams in mid-answer a budget of their own

Resumes took the budget of retries, a tenth of first tries, so that an engine's death cut most of the streams that it served. Also, admission refused a resume whose whole answer could no longer be met, although the rest could.

Weighed: a share of the budget for resumes (refuses all the same), no bound (a storm when engines flap), a budget that refuses. Now each stream brings one resume with it, open streams earn 0.1 a second each, and what lies beyond waits with jitter. Begun answers are not refused before their deadline, and are placed by what is left of them.

--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -9,7 +9,9 @@
 	// WrongRefusals are refusals for which there would have been room in time.
 	WrongRefusals int64
 	SentAway      int64
-	Retries       int64
+	// Retries are further attempts of requests without a piece, and Resumes those of streams in mid-answer.
+	Retries int64
+	Resumes int64
 	// AskedTokens, ReservedTokens and UsedTokens are the tokens that callers asked for, that were reserved for their
 	// answers, and that answered requests used.
 	AskedTokens    int64
@@ -51,6 +53,7 @@
 		"wrongRefusals":  c.WrongRefusals,
 		"sentAway":       c.SentAway,
 		"retries":        c.Retries,
+		"resumes":        c.Resumes,
 		"askedTokens":    c.AskedTokens,
 		"reservedTokens": c.ReservedTokens,
 		"usedTokens":     c.UsedTokens,
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -110,6 +110,16 @@
 	}
 	defer d.settle(j)
 	rec := newRecorder(sink, r.Resume)
+	rec.began = d.scheduler.opened
+	j.progressed(rec.next)
+	if j.begun() {
+		rec.begin()
+	}
+	defer func() {
+		if rec.begun {
+			d.scheduler.closed()
+		}
+	}()
 	for {
 		p, err := d.scheduler.place(ctx, j)
 		if err != nil {
@@ -147,7 +157,7 @@
 	if err != nil && errors.As(context.Cause(ctx), &stalled) {
 		err = stalled
 	}
-	j.pieces = rec.next
+	j.progressed(rec.next)
 	return end, err
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -181,6 +181,30 @@
 	return min(first, left), maxStall
 }
 
+// begun reports whether the caller has a part of the answer; such a request is not refused before its deadline.
+func (j *job) begun() bool { return j.pieces > 0 }
+
+// latestStart returns when the next attempt must start to be met.
+func (j *job) latestStart(e admission.Estimate) time.Time {
+	if j.begun() {
+		return j.request.Deadline
+	}
+	return j.request.Deadline.Add(-e.Prefill - e.Decode)
+}
+
+// progressed notes the pieces that the caller has: a further attempt reads them with its prompt and generates the rest.
+func (j *job) progressed(pieces int) {
+	added := pieces - j.pieces
+	if added <= 0 {
+		return
+	}
+	j.pieces = pieces
+	j.attempts.Fruitless = 0
+	j.query.PromptTokens += added
+	j.query.ExpectedTokens = max(j.query.ExpectedTokens-added, 1)
+	j.likely = max(j.likely-added, 1)
+}
+
 // outcome returns the failure of a request; one that may have run in part is not told as not run.
 func (j *job) outcome(err error) error {
 	var p *problem.Problem
@@ -193,6 +217,7 @@
 // again reports whether the request is tried again after a failure, and waits for the delay before it.
 func (d *Dispatcher) again(ctx context.Context, j *job, p *placement, err error, failure retry.Failure) bool {
 	j.attempts.Made++
+	j.attempts.Fruitless++
 	if failure == retry.Unreached {
 		j.attempts.Unreached++
 	}
@@ -202,7 +227,23 @@
 	} else {
 		j.query.Exclude = append(j.query.Exclude, p.endpoint.Name)
 	}
-	delay, reason := d.scheduler.decide(j, failure)
+	for {
+		delay, reason := d.scheduler.decide(j, failure)
+		d.explainFailure(j, p, err, delay, reason)
+		if reason != retry.Retry && reason != retry.Paced {
+			return false
+		}
+		if !clock.Sleep(ctx, delay) {
+			return false
+		}
+		if reason == retry.Retry {
+			return true
+		}
+	}
+}
+
+// explainFailure logs a failed attempt and what is done after it.
+func (d *Dispatcher) explainFailure(j *job, p *placement, err error, delay time.Duration, reason retry.Reason) {
 	d.log.Info().
 		Str("correlationId", j.request.CorrelationID).
 		Str("target", p.target()).
@@ -212,10 +253,6 @@
 		Dur("delay", delay).
 		Err(err).
 		Msg("attemptFailed")
-	if reason != retry.Retry {
-		return false
-	}
-	return clock.Sleep(ctx, delay)
 }
 
 // notRunner is a failure that knows whether the attempt may have run.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -69,7 +69,7 @@
 		return nil, nil, s.refuseNoCapacity(j)
 	}
 	v := admission.Decide(now, j.request.Deadline, s.estimate(now, j, l, d))
-	if !v.Queue {
+	if !v.Queue && !j.begun() {
 		return nil, nil, s.refuseLate(j, l, v)
 	}
 	s.explain(j, d, "queued")
@@ -197,7 +197,7 @@
 		Tokens:      max(j.query.ExpectedTokens, 1),
 		Deferrable:  j.class.Deferrable,
 		Since:       now,
-		LatestStart: j.request.Deadline.Add(-v.Estimate.Prefill - v.Estimate.Decode),
+		LatestStart: j.latestStart(v.Estimate),
 		Value:       &waiter{job: j, placed: make(chan *placement, 1)},
 	}
 	l.queue.Push(w)
@@ -287,8 +287,7 @@
 // refuseLate refuses a request that cannot be met within its patience.
 func (s *scheduler) refuseLate(j *job, l *lane, v admission.Verdict) error {
 	s.counts.Refused++
-	latest := j.request.Deadline.Add(-v.Estimate.Prefill - v.Estimate.Decode)
-	l.audit.Refused(l.queue.Ahead(j.class.Priority), max(j.query.ExpectedTokens, 1), latest)
+	l.audit.Refused(l.queue.Ahead(j.class.Priority), max(j.query.ExpectedTokens, 1), j.latestStart(v.Estimate))
 	s.explainRefusal(j, problem.PatienceExceeded, v)
 	return problem.New(problem.PatienceExceeded, http.StatusServiceUnavailable, "class %q cannot be served within its patience now", j.request.Class).WithRetryAfter(v.RetryAfter)
 }
--- a/dispatch/recorder.go
+++ b/dispatch/recorder.go
@@ -16,6 +16,9 @@
 	failed   bool
 	watching *watch
 	used     func(pieces int)
+	// began is called at the first piece, and begun tells that this was done.
+	began func()
+	begun bool
 }
 
 var _ stream.Sink = (*recorder)(nil)
@@ -44,6 +47,7 @@
 		r.failed = true
 		return err
 	}
+	r.begin()
 	r.next++
 	r.text.WriteString(p.Text)
 	r.watching.progress()
@@ -53,6 +57,15 @@
 	return nil
 }
 
+// begin notes that the answer has begun.
+func (r *recorder) begin() {
+	if r.begun || r.began == nil {
+		return
+	}
+	r.begun = true
+	r.began()
+}
+
 // watch begins an attempt.
 func (r *recorder) watch(w *watch, used func(int)) {
 	r.watching = w
--- /dev/null
+++ b/dispatch/resume_test.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// killUnderStreams opens streams at two engines of one region, kills the first in mid-answer, and returns how many
+// answers were whole, with what the dispatcher counted.
+func killUnderStreams(t *testing.T, slots, streams int, class string, patience time.Duration, learned int) (whole int, counts Counts) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		engines := map[string][]*fakeEngine{"lahore": fleet(2, slots, 0)["lahore"]}
+		w := newWorld(mustInventory(contents()), 1, engines, 1, expected)
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.publishEvery(ctx, 500*time.Millisecond)
+		for i := range min(learned, 30) {
+			if _, err := run(w.entry("lahore"), request(fmt.Sprint("learn", i), learned, class, time.Minute)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for i := range streams {
+			wg.Go(func() {
+				r := request(fmt.Sprint("s", i), 200, class, patience)
+				c, err := run(w.entry("lahore"), r)
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil && c.text.String() == wholeText(r) {
+					whole++
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		killed := engines["lahore"][0]
+		killed.mu.Lock()
+		killed.dead = true
+		killed.mu.Unlock()
+		wg.Wait()
+		cancel()
+		counts = w.entry("lahore").Counts()
+	})
+	return whole, counts
+}
+
+// TestEngineKilledUnderStreams kills an engine under 60 streams in mid-answer: all are answered whole by the rules that
+// bound retries to a tenth, also if the other engine has room for a part of them only, and if a new request would be
+// refused at once because its whole answer could not be met.
+func TestEngineKilledUnderStreams(t *testing.T) {
+	tests := []struct {
+		name     string
+		slots    int
+		class    string
+		patience time.Duration
+		// learned is what earlier answers used.
+		learned int
+	}{
+		{"room for all", 64, "plan", time.Minute, 0},
+		{"room for a part", 32, "plan", time.Minute, 0},
+		{"too late for a new request", 32, "dish", 15 * time.Second, 500},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			const streams = 60
+			whole, counts := killUnderStreams(t, tt.slots, streams, tt.class, tt.patience, tt.learned)
+			if whole != streams {
+				t.Errorf("%d of %d streams were answered whole", whole, streams)
+			}
+			t.Logf("%d of %d whole, counts %+v", whole, streams, counts)
+		})
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -68,6 +68,7 @@
 	breakers       *retry.Breakers[string]
 	regionBreakers *retry.Breakers[string]
 	budget         *retry.Budget[budgetKey]
+	resumes        *retry.Resumes
 	counts         Counts
 	// preferred is the number of requests that may leave although the region could serve them.
 	preferred float64
@@ -90,6 +91,7 @@
 		breakers:       retry.NewBreakers[string](source),
 		regionBreakers: retry.NewBreakers[string](source),
 		budget:         retry.NewBudget[budgetKey](),
+		resumes:        retry.NewResumes(now()),
 		born:           now(),
 	}
 }
@@ -152,6 +154,20 @@
 	return &placement{endpoint: d.Candidate.Endpoint(), ticket: ticket, terms: d.Terms, informed: d.Informed, prompt: j.request.PromptTokens}
 }
 
+// opened counts a stream whose answer has begun.
+func (s *scheduler) opened() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resumes.Open(s.now())
+}
+
+// closed counts the end of a stream whose answer had begun.
+func (s *scheduler) closed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resumes.Close(s.now())
+}
+
 // used trues the reservation of an attempt up; the first piece says that the prompt has been read.
 func (s *scheduler) used(p *placement, pieces int) {
 	s.mu.Lock()
@@ -217,9 +233,21 @@
 func (s *scheduler) decide(j *job, failure retry.Failure) (time.Duration, retry.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if j.begun() {
+		return s.decideResume(j, failure)
+	}
 	delay, reason := retry.Decide(s.now(), j.attempts, failure, s.budget, s.budgetKey(j), s.rng)
 	if reason == retry.Retry {
 		s.counts.Retries++
 	}
 	return delay, reason
 }
+
+// decideResume returns whether a stream in mid-answer is resumed, and when.
+func (s *scheduler) decideResume(j *job, failure retry.Failure) (time.Duration, retry.Reason) {
+	delay, reason := retry.DecideResume(s.now(), j.attempts, failure, s.resumes, s.rng)
+	if reason == retry.Retry {
+		s.counts.Resumes++
+	}
+	return delay, reason
+}
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -31,6 +31,8 @@
 	TooMany       Reason = "tooManyAttempts"
 	NoTime        Reason = "noTimeLeft"
 	NoBudget      Reason = "noBudget"
+	// Paced says that the request asks again after a delay.
+	Paced Reason = "paced"
 )
 
 // Attempts is a request's state between its attempts.
@@ -39,6 +41,8 @@
 	Made int
 	// Unreached is the number of those that reached nothing, the last one included.
 	Unreached int
+	// Fruitless is the number of failed attempts in a row that brought no new piece.
+	Fruitless int
 	// Repeatable tells whether the request may run more than once.
 	Repeatable bool
 	Deadline   time.Time
--- a/retry/limits.go
+++ b/retry/limits.go
@@ -10,6 +10,14 @@
 	maxDelay     = time.Second
 )
 
+// Limits of the resumes of streams; maxResumes is the number of attempts of one stream, and resumesPerSecond the rate at
+// which each open stream earns resumes.
+const (
+	maxResumes       = 64
+	resumeReserve    = 3
+	resumesPerSecond = 0.1
+)
+
 // Limits of a budget, in retries.
 const (
 	budgetReserve = 3
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -70,6 +70,51 @@
 	})
 }
 
+// TestResumes checks that resumes are at most one for each stream, the reserve, and what open streams earn, that a stream
+// that waits is let through in the end, and that none is resumed at or past its deadline.
+func TestResumes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		r := NewResumes(now)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		open, opened, resumed, earned := 0, 0, 0, 0.0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			gap := time.Duration(rapid.IntRange(0, 500).Draw(t, "gap")) * time.Millisecond
+			now = now.Add(gap)
+			earned += gap.Seconds() * float64(open) * resumesPerSecond
+			switch rapid.SampledFrom([]string{"open", "close", "resume", "resume", "resume"}).Draw(t, "event") {
+			case "open":
+				r.Open(now)
+				open, opened = open+1, opened+1
+			case "close":
+				if open > 0 {
+					r.Close(now)
+					open--
+				}
+			default:
+				deadline := now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "left")) * time.Millisecond)
+				delay, reason := DecideResume(now, Attempts{Made: 1, Fruitless: 1, Deadline: deadline}, Doubtful, r, rng)
+				if (reason == Retry || reason == Paced) && !now.Add(delay).Before(deadline) {
+					t.Fatalf("%s after %v of %v", reason, delay, deadline.Sub(now))
+				}
+				if reason == Retry {
+					resumed++
+				}
+				if most := float64(opened) + resumeReserve + earned; float64(resumed) > most+1e-6 {
+					t.Fatalf("%d resumes, more than %v", resumed, most)
+				}
+			}
+		}
+		if open == 0 {
+			return
+		}
+		wait := r.Wait(now)
+		if !r.Take(now.Add(wait)) {
+			t.Fatalf("no resume after the wait of %v", wait)
+		}
+	})
+}
+
 func TestRefusedConnectionOpensAtOnce(t *testing.T) {
 	s := NewBreakers[string](rand.NewPCG(1, 1))
 	if got := s.Unreached(start, "e"); got != Open {
--- a/systemtest/shutdown_test.go
+++ b/systemtest/shutdown_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -126,24 +124,9 @@
 	return s.counts(e).Requests > 0
 }
 
-// withRetryBudget returns a file with the Lunch Club's inventory under another retry budget.
-func withRetryBudget(t *testing.T, budget string) string {
-	t.Helper()
-	b, err := os.ReadFile(lunchClub)
-	if err != nil {
-		t.Fatal(err)
-	}
-	file := filepath.Join(t.TempDir(), "inventory.json")
-	b = bytes.Replace(b, []byte(`"retryBudget": 0.1`), []byte(`"retryBudget": `+budget), 1)
-	if err := os.WriteFile(file, b, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return file
-}
-
-// TestEngineKilledUnderLoad kills one of two engines and starts it again, under load and with a budget for all retries.
+// TestEngineKilledUnderLoad kills one of two engines and starts it again, under load and the default rules.
 func TestEngineKilledUnderLoad(t *testing.T) {
-	s := newSystem(t, options{regions: []string{"lahore", "karachi"}, entriesPerRegion: 1, inventory: withRetryBudget(t, "1")})
+	s := newSystem(t, options{regions: []string{"lahore", "karachi"}, entriesPerRegion: 1, inventory: lunchClub})
 	for _, name := range []string{"engine-a", "engine-b"} {
 		s.engine(name, "lahore", "menu-model", "dastarkhwan-menu", "--slots", "32", "--tokenTime", "10ms")
 	}
