Let a resume through after the wait that was told, in spite of rounding

go test ./retry -run TestResumes -rapid.seed=1 -rapid.checks=2000 found, after 1000 and more cases: no resume after the wait of 9.995s. The balance was one rounding short of 1, so that the stream waited once more. With the tolerance of 1e-9 it passes 5000 cases.

--- a/retry/limits.go
+++ b/retry/limits.go
@@ -16,6 +16,8 @@
 	maxResumes       = 64
 	resumeReserve    = 3
 	resumesPerSecond = 0.1
+	// wholeResume is a resume less the rounding of what was earned for it.
+	wholeResume = 1 - 1e-9
 )
 
 // Limits of a budget, in retries.
--- a/retry/resumes.go
+++ b/retry/resumes.go
@@ -35,7 +35,7 @@
 // made now.
 func (r *Resumes) Wait(now time.Time) time.Duration {
 	r.earn(now)
-	if r.balance >= 1 {
+	if r.balance >= wholeResume {
 		return 0
 	}
 	seconds := (1 - r.balance) / (resumesPerSecond * float64(max(r.open, 1)))
@@ -45,7 +45,7 @@
 // Take spends one resume, and reports false if there is none.
 func (r *Resumes) Take(now time.Time) bool {
 	r.earn(now)
-	if r.balance < 1 {
+	if r.balance < wholeResume {
 		return false
 	}
 	r.balance--
