Let one probe through to a region whose breaker is half open

A half open region took all that the sender had for it at once, so that its return began with a storm. Weighed: a share that grows (needs what other senders do; slow starts and summaries bound that after the probe), the end of a probe as its success (a stream lasts a minute). Now one request at a time is sent until the first piece of an answer comes back; a probe that never ends holds it for 10 s at most.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -43,7 +43,9 @@
 	ticket   *routing.Ticket
 	region   string
 	away     *routing.AwayTicket
-	terms    routing.Terms
+	// probe tells whether the attempt tries a region whose breaker is half open.
+	probe retry.Probe
+	terms routing.Terms
 	// informed tells that the terms are expected times.
 	informed bool
 	// prompt is the number of prompt tokens, which the reservation holds as well.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -9,7 +9,6 @@
 	"arbutusreel/admission"
 	"arbutusreel/problem"
 	"arbutusreel/residency"
-	"arbutusreel/retry"
 	"arbutusreel/routing"
 )
 
@@ -135,7 +134,7 @@
 		return nil
 	}
 	routes := slices.DeleteFunc(j.routes(s.self.Region), func(r routing.Route) bool {
-		return s.regionBreakers.State(now, r.Region) == retry.Open
+		return !s.regionBreakers.Allows(now, r.Region)
 	})
 	away, ok := s.regions.Choose(now, &j.query, j.bytes(), routes, least)
 	if !ok {
@@ -146,7 +145,13 @@
 		s.preferred--
 	}
 	s.explainAway(j, away, least, reason)
-	return &placement{region: away.Region, away: s.regions.Start(now, away, &j.query, j.bytes()), terms: away.Terms, prompt: j.request.PromptTokens}
+	return &placement{
+		region: away.Region,
+		away:   s.regions.Start(now, away, &j.query, j.bytes()),
+		probe:  s.regionBreakers.Begin(now, away.Region),
+		terms:  away.Terms,
+		prompt: j.request.PromptTokens,
+	}
 }
 
 // Reasons to send a request away.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -168,11 +168,13 @@
 	s.resumes.Close(s.now())
 }
 
-// used trues the reservation of an attempt up; the first piece says that the prompt has been read.
+// used trues the reservation of an attempt up; the first piece says that the prompt has been read, or that the region
+// answers.
 func (s *scheduler) used(p *placement, pieces int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.ticket == nil {
+	if p.region != "" {
+		s.regionBreakers.Answered(s.now(), p.region, p.probe)
 		return
 	}
 	s.chooser.FirstToken(s.now(), p.ticket)
@@ -186,6 +188,7 @@
 	now := s.now()
 	if p.region != "" {
 		s.regions.Done(now, p.away, err == nil)
+		s.regionBreakers.End(p.region, p.probe)
 		s.record(now, s.regionBreakers, p.region, err, failure)
 	} else {
 		s.chooser.Done(now, p.ticket, err == nil)
--- a/retry/breaker.go
+++ b/retry/breaker.go
@@ -36,12 +36,15 @@
 	failures int
 	trips    int
 	until    time.Time
+	probes   probes
 }
 
 // Breakers holds one breaker for each key that has failed.
 type Breakers[K comparable] struct {
 	rng      *rand.Rand
 	breakers map[K]*breaker
+	// probes numbers the probes of all keys.
+	probes uint64
 }
 
 // NewBreakers returns breakers that are all closed.
--- a/retry/limits.go
+++ b/retry/limits.go
@@ -32,4 +32,6 @@
 	firstOpenTime  = time.Second
 	maxOpenTime    = 30 * time.Second
 	openTimeJitter = 0.25
+	// probeTimeout is how long a probe that does not end keeps others from being sent.
+	probeTimeout = 10 * time.Second
 )
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -125,6 +125,63 @@
 	}
 }
 
+// TestProbes checks that at most one probe is under way while a breaker is half open, that one which never ends does not
+// hold it for longer than its time, and that a late end of a former probe lets no other one through.
+func TestProbes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewBreakers[string](rand.NewPCG(1, 1))
+		now := start
+		begun := map[Probe]time.Time{}
+		var former []Probe
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "gap")) * time.Millisecond)
+			state := s.State(now, "r")
+			live := 0
+			for _, at := range begun {
+				if now.Sub(at) < probeTimeout {
+					live++
+				}
+			}
+			want := state == Closed || state == HalfOpen && live == 0
+			if got := s.Allows(now, "r"); got != want {
+				t.Fatalf("allows %v in state %v with %d probes under way", got, state, live)
+			}
+			if want && state == HalfOpen {
+				begun[s.Begin(now, "r")] = now
+				continue
+			}
+			switch rapid.SampledFrom([]string{"unreached", "failed", "succeeded", "left", "late", "answered", "none"}).Draw(t, "event") {
+			case "unreached":
+				s.Unreached(now, "r")
+			case "failed":
+				s.Failed(now, "r")
+			case "succeeded":
+				s.Succeeded(now, "r")
+			case "left":
+				for p := range begun {
+					s.End("r", p)
+					delete(begun, p)
+				}
+			case "late":
+				for _, p := range former {
+					s.End("r", p)
+					s.Answered(now, "r", p)
+				}
+			case "answered":
+				for p := range begun {
+					s.Answered(now, "r", p)
+				}
+			}
+			for p := range begun {
+				if now.Sub(begun[p]) >= probeTimeout || s.State(now, "r") == Closed {
+					former = append(former, p)
+					delete(begun, p)
+				}
+			}
+		}
+	})
+}
+
 // TestBreaker checks the states of a breaker against a plain reading of its rules.
 func TestBreaker(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
