--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -68,6 +68,7 @@
 	breakers       *retry.Breakers[string]
 	regionBreakers *retry.Breakers[string]
 	budget         *retry.Budget[budgetKey]
+	resumes        *retry.Resumes
 	counts         Counts
 	// preferred is the number of requests that may leave although the region could serve them.
 	preferred float64
@@ -90,6 +91,7 @@
 		breakers:       retry.NewBreakers[string](source),
 		regionBreakers: retry.NewBreakers[string](source),
 		budget:         retry.NewBudget[budgetKey](),
+		resumes:        retry.NewResumes(now()),
 		born:           now(),
 	}
 }
@@ -152,11 +154,27 @@
 	return &placement{endpoint: d.Candidate.Endpoint(), ticket: ticket, terms: d.Terms, informed: d.Informed, prompt: j.request.PromptTokens}
 }
 
-// used trues the reservation of an attempt up; the first piece says that the prompt has been read.
+// opened counts a stream whose answer has begun.
+func (s *scheduler) opened() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resumes.Open(s.now())
+}
+
+// closed counts the end of a stream whose answer had begun.
+func (s *scheduler) closed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resumes.Close(s.now())
+}
+
+// used trues the reservation of an attempt up; the first piece says that the prompt has been read, or that the region
+// answers.
 func (s *scheduler) used(p *placement, pieces int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.ticket == nil {
+	if p.region != "" {
+		s.regionBreakers.Answered(s.now(), p.region, p.probe)
 		return
 	}
 	s.chooser.FirstToken(s.now(), p.ticket)
@@ -170,6 +188,7 @@
 	now := s.now()
 	if p.region != "" {
 		s.regions.Done(now, p.away, err == nil)
+		s.regionBreakers.End(p.region, p.probe)
 		s.record(now, s.regionBreakers, p.region, err, failure)
 	} else {
 		s.chooser.Done(now, p.ticket, err == nil)
@@ -217,9 +236,21 @@
 func (s *scheduler) decide(j *job, failure retry.Failure) (time.Duration, retry.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if j.begun() {
+		return s.decideResume(j, failure)
+	}
 	delay, reason := retry.Decide(s.now(), j.attempts, failure, s.budget, s.budgetKey(j), s.rng)
 	if reason == retry.Retry {
 		s.counts.Retries++
 	}
 	return delay, reason
 }
+
+// decideResume returns whether a stream in mid-answer is resumed, and when.
+func (s *scheduler) decideResume(j *job, failure retry.Failure) (time.Duration, retry.Reason) {
+	delay, reason := retry.DecideResume(s.now(), j.attempts, failure, s.resumes, s.rng)
+	if reason == retry.Retry {
+		s.counts.Resumes++
+	}
+	return delay, reason
+}
