Take an engine that names no version to hold the one in force

Cause: an engine that announces no versions would be ordered to load the version in force again and again, as no order changes what it announces. It is left alone now, and an order counts as done when the model is announced without its version. Ruled out: a setting of the service whether its engines know versions; what they announce tells it.

--- a/placement/group.go
+++ b/placement/group.go
@@ -177,7 +177,11 @@
 	return true
 }
 
-// stale reports whether a holding is another version than the one in force.
+// stale reports whether a holding is another version than the one in force; an endpoint that names no version is taken to
+// hold the right one, since an order would not change what it announces.
 func (g *group) stale(h holding) bool {
-	return h.unit != notOffered && g.units[h.unit].versioned && h.held != g.units[h.unit].held
+	if h.unit == notOffered || !g.units[h.unit].versioned {
+		return false
+	}
+	return h.held != g.units[h.unit].held && h.held != g.units[h.unit].name
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -77,7 +77,7 @@
 // settle ends the pending changes that were announced or have taken too long.
 func (p *Planner) settle(now time.Time, endpoints []Endpoint) {
 	for _, e := range endpoints {
-		if c, ok := p.pending[e.Name]; ok && sameModels(e.Models, c.models) {
+		if c, ok := p.pending[e.Name]; ok && announced(e.Models, c.models) {
 			delete(p.pending, e.Name)
 			p.rest[e.Name] = now.Add(p.cfg.Rest)
 		}
@@ -229,8 +229,9 @@
 	}
 }
 
-// sameModels reports whether two lists hold the same models in any order.
-func sameModels(a, b []string) bool {
-	a, b = slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b))
-	return slices.Equal(a, b)
+// announced reports whether the models are those that were ordered, in any order; a model may be announced without its version.
+func announced(models, ordered []string) bool {
+	return len(models) == len(ordered) && !slices.ContainsFunc(ordered, func(name string) bool {
+		return !slices.Contains(models, name) && !slices.Contains(models, inventory.ParseName(name).Served())
+	})
 }
