--- a/cmd/arbutusreel/main.go
+++ b/cmd/arbutusreel/main.go
@@ -32,8 +32,8 @@
 	bind     func(sub *flaggy.Subcommand)
 	// check returns settings.Faults if settings that are valid one by one do not fit together; nil checks nothing.
 	check func() error
-	run      func(ctx context.Context, stdout io.Writer) error
-	sub      *flaggy.Subcommand
+	run   func(ctx context.Context, stdout io.Writer) error
+	sub   *flaggy.Subcommand
 }
 
 func main() {
