--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -17,22 +17,28 @@
 
 // TestFaults drives a cluster through faults drawn at random and checks every invariant all the time.
 func TestFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		count := rapid.SampledFrom([]int{3, 4, 5}).Draw(t, "servers")
-		c := newCluster(t, count, rapid.Uint64().Draw(t, "seed"), drifting)
-		c.loss = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "loss")
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			s := c.servers[rapid.IntRange(0, count-1).Draw(t, "server")]
-			c.fault(s, rapid.IntRange(0, 9).Draw(t, "fault"))
-			c.run(time.Duration(rapid.SampledFrom([]int{0, 0, 20, 90, 250}).Draw(t, "quiet")) * time.Millisecond)
-			for range rapid.IntRange(0, 20).Draw(t, "calls") {
-				c.client()
-				c.run(time.Duration(c.rnd.IntN(12)) * time.Millisecond)
-			}
-			c.repair()
+	for _, count := range []int{3, 4, 5} {
+		t.Run(fmt.Sprint(count, " voters"), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) { driveFaults(t, count) })
+		})
+	}
+}
+
+// driveFaults draws the faults of one run, and checks at its end that nothing accepted was lost.
+func driveFaults(t *rapid.T, count int) {
+	c := newCluster(t, count, rapid.Uint64().Draw(t, "seed"), drifting)
+	c.loss = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "loss")
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		s := c.servers[rapid.IntRange(0, count-1).Draw(t, "server")]
+		c.fault(s, rapid.IntRange(0, 9).Draw(t, "fault"))
+		c.run(time.Duration(rapid.SampledFrom([]int{0, 0, 20, 90, 250}).Draw(t, "quiet")) * time.Millisecond)
+		for range rapid.IntRange(0, 20).Draw(t, "calls") {
+			c.client()
+			c.run(time.Duration(c.rnd.IntN(12)) * time.Millisecond)
 		}
-		c.settle()
-	})
+		c.repair()
+	}
+	c.settle()
 }
 
 // fault brings about one fault or its end.
