--- /dev/null
+++ b/consensus/check.go
@@ -0,0 +1,90 @@
+package consensus
+
+// maxNumber bounds terms, indices and rounds, so that none overflows.
+const maxNumber = 1 << 60
+
+// Check returns *MalformedError if no voter sends such a message.
+func (m Message) Check() error {
+	switch {
+	case m.Kind < FoundRequest || m.Kind > TimeoutNow:
+		return &MalformedError{What: "kind of the message"}
+	case m.From.Name == "":
+		return &MalformedError{What: "sender of the message"}
+	case !numbers(m.Term, m.Index, m.LogTerm, m.Commit, m.Match, m.Round, int64(m.SentAt)):
+		return &MalformedError{What: "number in the message"}
+	case m.Kind == InstallRequest && m.Snapshot == nil:
+		return &MalformedError{What: "snapshot of the message"}
+	}
+	if m.Snapshot != nil {
+		if err := m.Snapshot.check(m.Term); err != nil {
+			return err
+		}
+	}
+	return checkEntries(m.Entries, m.Index, m.LogTerm, m.Term)
+}
+
+// Check returns *MalformedError if no voter has written such a state.
+func (r Restored) Check() error {
+	if !numbers(r.HardState.Term) {
+		return &MalformedError{What: "term of the voter"}
+	}
+	if r.Snapshot == nil {
+		return checkEntries(r.Entries, 0, 0, r.HardState.Term)
+	}
+	if err := r.Snapshot.check(r.HardState.Term); err != nil {
+		return err
+	}
+	return checkEntries(r.Entries, r.Snapshot.Index, r.Snapshot.Term, r.HardState.Term)
+}
+
+// check refuses a snapshot without an index or voters, or of a term above the highest.
+func (s *Snapshot) check(highest int64) error {
+	if !numbers(s.Index, s.Term) || s.Index == 0 || s.Term > highest {
+		return &MalformedError{What: "place of the snapshot"}
+	}
+	return s.Members.check()
+}
+
+// checkEntries refuses entries that do not follow each other after an index and term, or whose term is above the highest.
+func checkEntries(entries []Entry, index, term, highest int64) error {
+	for _, e := range entries {
+		if e.Index != index+1 || e.Term < term || e.Term > highest {
+			return &MalformedError{What: "order of the entries"}
+		}
+		if e.Kind < CommandEntry || e.Kind > MembersEntry || (e.Index == 1 && e.Kind != MembersEntry) {
+			return &MalformedError{What: "kind of an entry"}
+		}
+		if e.Kind == MembersEntry {
+			if err := e.Members.check(); err != nil {
+				return err
+			}
+		}
+		index, term = e.Index, e.Term
+	}
+	return nil
+}
+
+// check refuses members without a voter, without a name, or twice of one name.
+func (m Members) check() error {
+	names := map[string]bool{"": true}
+	for _, one := range m {
+		if names[one.ID.Name] {
+			return &MalformedError{What: "names of the members"}
+		}
+		names[one.ID.Name] = true
+	}
+	if len(m.Voters()) == 0 {
+		return &MalformedError{What: "voters of the members"}
+	}
+	return nil
+}
+
+// numbers reports whether all lie between zero and maxNumber.
+func numbers(all ...int64) bool {
+	for _, n := range all {
+		if n < 0 || n > maxNumber {
+			return false
+		}
+	}
+	return true
+}
--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -103,6 +103,9 @@
 	if s.stored.Snapshot != nil {
 		s.restore(s.stored.Snapshot)
 	}
+	if err := s.stored.Check(); err != nil {
+		c.t.Fatalf("%s wrote what it refuses: %v", s.id, err)
+	}
 	s.waiting, s.reads = map[int64]waiting{}, map[int64]*op{}
 	s.node = New(cfg, s.stored, c.clock(s), c.rnd)
 }
@@ -168,6 +171,9 @@
 	if s.node == nil {
 		return
 	}
+	if err := m.Check(); err != nil {
+		c.t.Fatalf("%s refuses %+v: %v", s.id, m, err)
+	}
 	s.node.Receive(c.clock(s), m)
 	c.carryOut(s)
 }
--- a/consensus/errors.go
+++ b/consensus/errors.go
@@ -62,3 +62,11 @@
 func (e *QuorumAtRiskError) Error() string {
 	return fmt.Sprintf("without %q, %d of %d voters answer, which is no majority", e.Name, e.Live, e.Voters)
 }
+
+// MalformedError says that what was stored or received cannot come from a voter.
+type MalformedError struct {
+	What string
+}
+
+// Error names the part that is wrong.
+func (e *MalformedError) Error() string { return "the " + e.What + " is wrong" }
--- a/control/codec.go
+++ b/control/codec.go
@@ -76,12 +76,17 @@
 	}
 }
 
-func decodeMessage(m *wiregen.ConsensusMessage) consensus.Message {
-	return consensus.Message{
+// decodeMessage returns the message of another voter; one that no voter sends returns *RecordError.
+func decodeMessage(m *wiregen.ConsensusMessage) (consensus.Message, error) {
+	decoded := consensus.Message{
 		Kind: consensus.MessageKind(m.GetKind()), From: decodeID(m.GetFrom()), FromAddress: m.GetFromAddress(), To: decodeID(m.GetTo()), Term: m.GetTerm(),
 		Index: m.GetIndex(), LogTerm: m.GetLogTerm(), Commit: m.GetCommit(), Entries: decodeEntries(m.GetEntries()), Snapshot: decodeSnapshot(m.GetSnapshot()),
 		Granted: m.GetGranted(), Match: m.GetMatch(), Transfer: m.GetTransfer(), Round: m.GetRound(), SentAt: time.Duration(m.GetSentAtNanos()),
 	}
+	if err := decoded.Check(); err != nil {
+		return consensus.Message{}, &RecordError{Record: "message", Cause: err}
+	}
+	return decoded, nil
 }
 
 // marshal encodes m; messages made of scalars and messages always can be.
--- a/control/disk.go
+++ b/control/disk.go
@@ -29,6 +29,7 @@
 	return &disk{journal: j, identity: contents.Identity}, r, err
 }
 
+// restore returns what a journal holds; one that no voter has written returns *RecordError.
 func restore(contents journal.Contents) (consensus.Restored, error) {
 	var r consensus.Restored
 	if contents.Snapshot != nil {
@@ -48,6 +49,9 @@
 		}
 		r.Entries = replaceFrom(r.Entries, decodeEntries(m.GetEntries()))
 	}
+	if err := r.Check(); err != nil {
+		return r, &RecordError{Record: "journal", Cause: err}
+	}
 	return r, nil
 }
 
--- /dev/null
+++ b/control/disk_test.go
@@ -0,0 +1,38 @@
+package control
+
+import (
+	"errors"
+	"testing"
+
+	"arbutusreel/consensus"
+	"arbutusreel/journal"
+)
+
+// TestRestoreRefuses gives a voter journals that no voter has written, though each record can be read.
+func TestRestoreRefuses(t *testing.T) {
+	c := fuzzContents()
+	hard := &consensus.HardState{Term: 2}
+	tests := []struct {
+		name     string
+		snapshot []byte
+		record   []byte
+	}{
+		{"a gap after the snapshot", c.Snapshot, encodeRecord(hard, []consensus.Entry{{Index: 9, Term: 2}})},
+		{"no members at the beginning", nil, encodeRecord(hard, []consensus.Entry{{Index: 1, Term: 1}})},
+		{"members without a voter", nil, encodeRecord(hard, []consensus.Entry{{Index: 1, Term: 1, Kind: consensus.MembersEntry}})},
+		{"an entry of a term that the voter has not seen", c.Snapshot, encodeRecord(hard, []consensus.Entry{{Index: 4, Term: 3}})},
+		{"a snapshot without members", marshal(encodeSnapshot(&consensus.Snapshot{Index: 3, Term: 1})), encodeRecord(hard, nil)},
+		{"a negative term", nil, encodeRecord(&consensus.HardState{Term: -1}, nil)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := restore(journal.Contents{Snapshot: tt.snapshot, Records: [][]byte{tt.record}})
+			if !errors.As(err, new(*consensus.MalformedError)) {
+				t.Errorf("the journal was restored: %v", err)
+			}
+		})
+	}
+	if _, err := restore(c); err != nil {
+		t.Errorf("a voter's journal: %v", err)
+	}
+}
--- a/control/links.go
+++ b/control/links.go
@@ -131,7 +131,11 @@
 		if err := c.checkVoter(messages.Context(), m.GetFrom()); err != nil {
 			return err
 		}
-		decoded := decodeMessage(m)
+		decoded, err := decodeMessage(m)
+		if err != nil {
+			c.log.Error().Err(err).Str("voter", m.GetFrom().GetName()).Msg("messageRefused")
+			return status.Error(codes.InvalidArgument, err.Error())
+		}
 		if err := c.quorum.input(messages.Context(), func(now time.Time) { c.quorum.node.Receive(now, decoded) }); err != nil {
 			return err
 		}
