Log the loads that a new placement leader learns

Cause: a leader that waits for its predecessor's load seems to do nothing, as no line tells why. It logs loadLearned with the names and the order's number once for each load, which explain placement ENDPOINT shows.

--- a/control/placement.go
+++ b/control/placement.go
@@ -99,7 +99,11 @@
 	endpoints := endpointsOf(now, replies)
 	p.demand.observe(now, replies)
 	view := placement.View{Inventory: inv, Endpoints: p.known(endpoints), Demands: p.demand.forecast(now)}
-	for _, c := range p.planner.Decide(now, view) {
+	changes := p.planner.Decide(now, view)
+	for _, e := range p.planner.Learned() {
+		p.explainLearned(e)
+	}
+	for _, c := range changes {
 		service, _ := inv.Service(c.Service)
 		p.order(ctx, c, endpoints[c.Endpoint].Address, service.ChecksFencing, revision)
 	}
@@ -166,3 +170,16 @@
 		Bool("checksFencing", checks).
 		Msg("placed")
 }
+
+// explainLearned logs that the load of an earlier leader is waited for.
+func (p *placer) explainLearned(e placement.Endpoint) {
+	p.log.Info().
+		Str("placement", e.Name).
+		Str("endpointRegion", e.Region).
+		Str("service", e.Service).
+		Strs("models", e.Models).
+		Strs("loading", e.Loading).
+		Int64("term", e.Order.Term).
+		Int64("sequence", e.Order.Sequence).
+		Msg("loadLearned")
+}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -25,6 +25,8 @@
 	storeFree map[string]time.Time
 	// loads holds the order of each load that was seen to be in progress.
 	loads map[string]fencing.Number
+	// learned are the loads that the last decision adopted.
+	learned []Endpoint
 	// since is when a need for a model was first seen without a break.
 	since map[spot]time.Time
 }
@@ -44,6 +46,9 @@
 // Pending returns the number of changes that are not announced yet.
 func (p *Planner) Pending() int { return len(p.pending) }
 
+// Learned returns the endpoints whose loads the last decision took for those of an earlier leader.
+func (p *Planner) Learned() []Endpoint { return p.learned }
+
 // Failed forgets a change that its endpoint refused or never received, and leaves the endpoint alone for a while.
 func (p *Planner) Failed(now time.Time, endpoint string) {
 	delete(p.pending, endpoint)
@@ -100,6 +105,7 @@
 func (p *Planner) adopt(now time.Time, v View) {
 	before := p.loads
 	p.loads = map[string]fencing.Number{}
+	p.learned = nil
 	for _, e := range v.Endpoints {
 		if len(e.Loading) == 0 {
 			continue
@@ -115,6 +121,7 @@
 		}
 		load := time.Duration(seconds * float64(time.Second))
 		p.wait(now, e.Name, e.Region, slices.Concat(e.Models, e.Loading), load)
+		p.learned = append(p.learned, e)
 	}
 }
 
--- a/systemtest/leaderload_test.go
+++ b/systemtest/leaderload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -30,6 +31,14 @@
 	s.until("a dish is checked", func() bool {
 		return s.do(http.MethodPost, lahore.caller, chatPath, lahoreToken, dishCheckBody).status == http.StatusOK
 	})
+	for _, e := range engines {
+		if len(s.ordersOf(e)) == 0 {
+			continue
+		}
+		if out, err := s.command("explain", "placement", e.name); err != nil || !strings.Contains(out, "loadLearned") {
+			t.Errorf("explain placement %s: %v\n%s", e.name, err, out)
+		}
+	}
 	if n := applied(); n != 1 {
 		t.Errorf("%d orders were applied, 1 load is needed", n)
 	}
