--- a/cmd/arbutusreel/main.go
+++ b/cmd/arbutusreel/main.go
@@ -73,6 +73,8 @@
 		membersCommand(),
 		explainCommand(),
 		repairCommand(),
+		patchCommand(),
+		diffCommand(),
 		checkCommand(),
 		settingsCommand(),
 		versionCommand(),
--- a/control/machine.go
+++ b/control/machine.go
@@ -60,7 +60,8 @@
 
 // decides reports whether the answer to a command is known before its inventory is looked at: a resend or a conflict.
 func (m *machine) decides(c *wiregen.ChangeCommand) bool {
-	return m.state.Answered(c.GetChangeId()) || c.GetExpectedRevision() != m.state.Revision()
+	_, answered := m.state.Answer(c.GetChangeId())
+	return answered || c.GetExpectedRevision() != m.state.Revision()
 }
 
 // refused returns an error that the loop logs and outlives, or nil.
@@ -88,11 +89,12 @@
 	return marshal(s)
 }
 
-// restoreMachine returns the state of a snapshot; with an inventory that this version refuses, also the error.
+// restoreMachine returns the state of a snapshot. A snapshot that cannot be read returns *RecordError; one with an
+// inventory that this version refuses returns the state and *InventoryRefusedError.
 func restoreMachine(snapshot []byte) (*machine, error) {
 	s := &wiregen.ConfigurationSnapshot{}
 	if err := proto.Unmarshal(snapshot, s); err != nil {
-		return newMachine(), &RecordError{Record: "configuration snapshot", Cause: err}
+		return nil, &RecordError{Record: "configuration snapshot", Cause: err}
 	}
 	answers := make([]configuration.KnownAnswer, 0, len(s.GetAnswers()))
 	for _, a := range s.GetAnswers() {
@@ -105,5 +107,6 @@
 	if s.GetRevision() > 0 {
 		inv, err = decodeInventory(s.GetInventory())
 	}
-	return &machine{state: configuration.RestoreState(s.GetRevision(), inv, answers), whole: s.GetInventory()}, err
+	m := &machine{state: configuration.RestoreState(s.GetRevision(), inv, answers), whole: s.GetInventory()}
+	return m, m.refused(err)
 }
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -16,6 +16,7 @@
 	"arbutusreel/inventory"
 	"arbutusreel/membership"
 	"arbutusreel/metrics"
+	"arbutusreel/operator"
 	"arbutusreel/problem"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
@@ -41,9 +42,10 @@
 	mux.HandleFunc("POST /v1/chat/completions", n.authenticated(n.chat))
 	mux.HandleFunc("POST /v1/completions", n.authenticated(n.text))
 	mux.HandleFunc("/v1/services/{service}/{path...}", n.authenticated(n.service))
-	mux.HandleFunc("GET /v1/repair", n.operator(n.answerRepair(n.listDoubtful)))
-	mux.HandleFunc("POST /v1/repair", n.operator(n.answerRepair(n.settleDoubtful)))
-	mux.HandleFunc("GET /v1/decisions/{kind}/{name}", n.operator(n.decisions))
+	guard := operator.NewGuard(n.cfg.OperatorTokenDigest, n.cfg.MaxBodyBytes)
+	mux.HandleFunc("GET /v1/repair", guard.Handle(n.listDoubtful))
+	mux.HandleFunc("POST /v1/repair", guard.Handle(n.settleDoubtful))
+	mux.HandleFunc(operator.DecisionsRoute, guard.Handle(operator.Decisions(n.cfg.Decisions)))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", n.tellReady)
 	mux.HandleFunc("GET /debug/vars", metrics.Handler)
@@ -56,7 +58,7 @@
 	n.state.mu.Lock()
 	revision, source := n.state.revision, n.state.source
 	n.state.mu.Unlock()
-	b, err := protojson.Marshal(&wiregen.ReadyReply{Revision: revision, Source: source, Leaving: n.leaving.Load()})
+	b, err := protojson.Marshal(&wiregen.ReadyReply{Revision: revision, Source: source, Leaving: n.leaving.Load(), LedgerFatalDomain: n.domains.fatal()})
 	if err != nil {
 		problem.Write(w, problem.From(err), "")
 		return
@@ -84,12 +86,12 @@
 		defer n.metrics.End()
 		c := caller{correlationID: correlationOf(r.Context())}
 		if n.closed.Load() {
-			n.fail(w, c, n.stopping())
+			n.fail(w, c, beforeLedger(keyOf(r), n.stopping()))
 			return
 		}
 		var err error
 		if c.inventory, c.team, err = n.authenticate(r); err != nil {
-			n.fail(w, c, err)
+			n.fail(w, c, beforeLedger(keyOf(r), err))
 			return
 		}
 		handle(w, r, c)
