Leave origins that tell nothing out of the exchange, and ask gateways for what all regions tell

Cause: each entry was an origin of what all regions tell, since each takes itself for a gateway while it knows only itself, and beat there for ever: 357 marks in place of 42 in each request at 357 entries, and a silent gateway believed for 74 s. Origins that are silent or never told anything are kept in memory alone; a request says what it asks for; entries ask a gateway of their region, gateways ask those that tell of other regions. Ruled out: that repeated adverts of dead entries cause it (mended before).

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -25,14 +25,14 @@
 		self := n.self()
 		n.state.hear(self)
 		n.state.tell(self)
-		for _, address := range n.state.partnerAddresses(self, n.cfg.Peers, rng) {
-			if _, loaded := busy.LoadOrStore(address, true); loaded {
+		for _, p := range n.state.drawPartners(self, n.cfg.Peers, rng) {
+			if _, loaded := busy.LoadOrStore(p.address, true); loaded {
 				continue
 			}
 			wg.Go(func() {
-				defer busy.Delete(address)
-				if err := n.exchangeOne(ctx, address); err != nil && ctx.Err() == nil {
-					n.log.Debug().Str("peer", address).Err(err).Msg("peerUnreachable")
+				defer busy.Delete(p.address)
+				if err := n.exchangeOne(ctx, p); err != nil && ctx.Err() == nil {
+					n.log.Debug().Str("peer", p.address).Err(err).Msg("peerUnreachable")
 				}
 			})
 		}
@@ -50,14 +50,14 @@
 	return rand.New(rand.NewPCG(seed, h.Sum64()))
 }
 
-func (n *Entry) exchangeOne(ctx context.Context, address string) error {
-	client, err := n.peers.client(address)
+func (n *Entry) exchangeOne(ctx context.Context, p partner) error {
+	client, err := n.peers.client(p.address)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	reply, err := client.Exchange(ctx, n.exchangeRequest())
+	reply, err := client.Exchange(ctx, n.exchangeRequest(p))
 	if err != nil {
 		return err
 	}
@@ -65,14 +65,17 @@
 	return nil
 }
 
-func (n *Entry) exchangeRequest() *wiregen.ExchangeRequest {
-	local, global := n.state.marks()
+func (n *Entry) exchangeRequest(p partner) *wiregen.ExchangeRequest {
+	local, global := n.state.marks(p)
 	return &wiregen.ExchangeRequest{
 		Sender:  n.cfg.Self.Name,
 		Region:  n.cfg.Self.Region,
 		Entries: []*wiregen.EntryAdvert{wire.EncodeEntry(n.self())},
 		Local:   wire.EncodeMarks(local),
 		Global:  wire.EncodeMarks(global),
+
+		WithoutLocal:  !p.local,
+		WithoutGlobal: !p.global,
 	}
 }
 
--- a/entry/exchange_test.go
+++ b/entry/exchange_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,12 +22,13 @@
 	bytes     map[*Entry]int
 	sources   map[*Entry]*rand.Rand
 	endpoints int
+	regions   int
 	sequence  int64
 }
 
 // newCrowd returns regions with the same number of entries and endpoints.
 func newCrowd(regions, entries, endpoints int) *crowd {
-	c := &crowd{now: time.Unix(1000, 0), byAddress: map[string]*Entry{}, bytes: map[*Entry]int{}, sources: map[*Entry]*rand.Rand{}, endpoints: endpoints}
+	c := &crowd{now: time.Unix(1000, 0), byAddress: map[string]*Entry{}, bytes: map[*Entry]int{}, sources: map[*Entry]*rand.Rand{}, endpoints: endpoints, regions: regions}
 	var seeds []string
 	for r := range regions {
 		for e := range entries {
@@ -78,10 +80,10 @@
 		self.Leaving = false
 		n.state.hear(self)
 		n.state.tell(self)
-		for _, address := range n.state.partnerAddresses(self, n.cfg.Peers, c.sources[n]) {
-			request := n.exchangeRequest()
+		for _, p := range n.state.drawPartners(self, n.cfg.Peers, c.sources[n]) {
+			request := n.exchangeRequest(p)
 			request.Entries[0].Leaving = false
-			peer := c.byAddress[address]
+			peer := c.byAddress[p.address]
 			if peer == nil {
 				continue // The entry was killed.
 			}
@@ -141,6 +143,22 @@
 	}
 }
 
+// ages returns how old the loads, the summaries and the other regions' known entries are that all entries hold.
+func (c *crowd) ages() map[string][]time.Duration {
+	ages := map[string][]time.Duration{}
+	for _, n := range c.entries {
+		for _, e := range n.state.Endpoints() {
+			ages["load"] = append(ages["load"], c.now.Sub(e.Load.At))
+		}
+		for _, s := range n.state.Summaries() {
+			ages["summary"] = append(ages["summary"], c.now.Sub(s.At))
+		}
+		ages["unknownEntries"] = append(ages["unknownEntries"], time.Duration(len(c.entries)-len(n.state.live()))*time.Second)
+		ages["unknownSummaries"] = append(ages["unknownSummaries"], time.Duration(c.regions-1-len(n.state.Summaries()))*time.Second)
+	}
+	return ages
+}
+
 // BenchmarkExchange measures the bytes a second that an entry sends and receives, its time and its memory, after all is known.
 func BenchmarkExchange(b *testing.B) {
 	for _, size := range []struct{ regions, entries, endpoints int }{{3, 3, 10}, {7, 9, 100}, {21, 17, 295}} {
@@ -162,6 +180,11 @@
 				most = max(most, bytes)
 			}
 			count := float64(len(c.entries))
+			for name, ages := range c.ages() {
+				slices.Sort(ages)
+				b.ReportMetric(ages[len(ages)/2].Seconds(), name+"P50s")
+				b.ReportMetric(ages[len(ages)-1].Seconds(), name+"MaxS")
+			}
 			b.ReportMetric(float64(total)/count/float64(seconds), "B/s")
 			b.ReportMetric(float64(most)/float64(seconds), "mostB/s")
 			b.ReportMetric(b.Elapsed().Seconds()/float64(seconds)/count*100, "%core")
--- a/entry/share.go
+++ b/entry/share.go
@@ -25,7 +25,7 @@
 	slowLoadsPerPeriod = 2
 	// slowLocalPeriods and slowGlobalPeriods are in which periods a large region exchanges at all, and what all regions tell.
 	slowLocalPeriods  = 2
-	slowGlobalPeriods = 8
+	slowGlobalPeriods = 4
 	// fewRegions is up to which number of regions summaries are told each summaryPeriod, and beyond each slowSummaryPeriod.
 	fewRegions        = 5
 	summaryPeriod     = time.Second
@@ -33,6 +33,10 @@
 	// originTTL is how long an origin without a beat is believed, longer by originTTLPerEntry for each live origin.
 	originTTL         = 3 * time.Second
 	originTTLPerEntry = 200 * time.Millisecond
+	// fewGateways is up to which number of gateways that tell a silent one is believed no longer than an entry of the
+	// region, and beyond for slowGatewayTTL.
+	fewGateways    = 10
+	slowGatewayTTL = 40 * time.Second
 )
 
 // Prefixes of the keys of facts.
@@ -53,6 +57,9 @@
 	credit float64
 	// period counts the periods.
 	period int
+	// localOrigins and globalOrigins are how many origins were live in the last period.
+	localOrigins  int
+	globalOrigins int
 }
 
 func newFacts(now time.Time, self membership.Entry) *facts {
@@ -64,9 +71,23 @@
 	}
 }
 
-// ttl returns how long a silent origin of the share is believed.
-func ttl(s *membership.Share[membership.Fact]) time.Duration {
-	return originTTL + time.Duration(len(s.Marks()))*originTTLPerEntry
+// localTTL returns how long a silent entry of the region is believed.
+func (f *facts) localTTL() time.Duration {
+	return originTTL + time.Duration(f.localOrigins)*originTTLPerEntry
+}
+
+// globalTTL returns how long a silent gateway is believed.
+func (f *facts) globalTTL() time.Duration {
+	if f.globalOrigins <= fewGateways {
+		return originTTL + time.Duration(f.globalOrigins)*originTTLPerEntry
+	}
+	return slowGatewayTTL
+}
+
+// count notes how many origins are live, by which their time to live is reckoned.
+func (f *facts) count(now time.Time) {
+	f.localOrigins = len(f.local.Marks(now, f.localTTL()))
+	f.globalOrigins = len(f.global.Marks(now, f.globalTTL()))
 }
 
 // believed returns what the live origins tell.
@@ -82,8 +103,8 @@
 			summaries = append(summaries, *fact.Summary)
 		}
 	}
-	f.global.Each(now, ttl(f.global), take)
-	f.local.Each(now, ttl(f.local), func(_, _ string, fact membership.Fact) {
+	f.global.Each(now, f.globalTTL(), take)
+	f.local.Each(now, f.localTTL(), func(_, _ string, fact membership.Fact) {
 		if fact.Endpoint != nil {
 			endpoints = append(endpoints, *fact.Endpoint)
 		}
@@ -105,8 +126,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	s.facts.count(now)
 	s.facts.local.Beat(now)
-	s.facts.global.Beat(now)
 	s.facts.tellEntry(s.facts.local, self)
 	s.facts.period++
 	s.facts.earn(len(s.regionEntries(now)))
@@ -117,6 +138,7 @@
 		}
 		return
 	}
+	s.facts.global.Beat(now)
 	s.tellRegion(now)
 }
 
@@ -201,7 +223,7 @@
 
 // regionEntries returns the live entries of the own region; the lock is held.
 func (s *state) regionEntries(now time.Time) []membership.Entry {
-	entries := slices.DeleteFunc(s.liveNow(now), func(e membership.Entry) bool { return e.Region != s.region })
+	entries := slices.DeleteFunc(slices.Clone(s.liveNow(now)), func(e membership.Entry) bool { return e.Region != s.region })
 	if len(entries) == 0 {
 		return []membership.Entry{{Region: s.region}}
 	}
@@ -210,36 +232,80 @@
 
 // isGateway reports whether the entry speaks to the other regions; the lock is held.
 func (s *state) isGateway(now time.Time, name string) bool {
-	var names []string
-	for _, e := range s.regionEntries(now) {
+	return slices.Contains(membership.Rendezvous(s.region, entryNames(s.regionEntries(now)), gateways), name)
+}
+
+func entryNames(entries []membership.Entry) []string {
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
 		names = append(names, e.Name)
 	}
-	return slices.Contains(membership.Rendezvous(s.region, names, gateways), name)
+	return names
 }
 
-// partnerAddresses draws the peers of one exchange: entries of the region, of other regions if the instance is a gateway or
-// knows none of them, and addresses of the settings that are not known to be alive.
-func (s *state) partnerAddresses(self membership.Entry, seeds []string, rng *rand.Rand) []string {
+// partner is a peer that is asked, and for what.
+type partner struct {
+	address string
+	// local and global say whether what entries of the region tell, and what all regions tell, is asked for.
+	local, global bool
+}
+
+// drawPartners draws the peers of one exchange: entries of the region, one of its gateways for what all regions tell, gateways
+// of other regions if the instance is one, and addresses of the settings that are not known to be alive.
+func (s *state) drawPartners(self membership.Entry, seeds []string, rng *rand.Rand) []partner {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	known := map[string]bool{self.PeerAddress: true}
-	regions := map[string][]string{}
+	regions := map[string][]membership.Entry{}
 	for _, e := range s.liveNow(now) {
 		known[e.PeerAddress] = true
 		if e.Name != self.Name {
-			regions[e.Region] = append(regions[e.Region], e.PeerAddress)
+			regions[e.Region] = append(regions[e.Region], e)
 		}
 	}
-	addresses := draw(regions[self.Region], s.localPartners(now), rng)
-	delete(regions, self.Region)
-	if s.isGateway(now, self.Name) && s.tellsGlobal(now) {
-		for _, region := range draw(slices.Sorted(maps.Keys(regions)), partners, rng) {
-			addresses = append(addresses, draw(regions[region], 1, rng)...)
+	var drawn []partner
+	few := len(regions[self.Region]) < fewEntries
+	for _, e := range draw(regions[self.Region], s.localPartners(now), rng) {
+		drawn = append(drawn, partner{address: e.PeerAddress, local: true, global: few})
+	}
+	gateway := s.isGateway(now, self.Name)
+	switch {
+	case gateway && s.tellsGlobal(now):
+		drawn = append(drawn, s.drawGateways(now, self.Region, regions, rng)...)
+	case !gateway && s.tellsGlobal(now) && !few:
+		names := membership.Rendezvous(s.region, entryNames(s.regionEntries(now)), gateways)
+		own := slices.DeleteFunc(regions[self.Region], func(e membership.Entry) bool { return !slices.Contains(names, e.Name) })
+		for _, e := range draw(own, 1, rng) {
+			drawn = append(drawn, partner{address: e.PeerAddress, local: true, global: true})
 		}
 	}
 	unknown := slices.DeleteFunc(slices.Clone(seeds), func(address string) bool { return known[address] })
-	return append(addresses, draw(unknown, seedPartners, rng)...)
+	for _, address := range draw(unknown, seedPartners, rng) {
+		drawn = append(drawn, partner{address: address, local: true, global: true})
+	}
+	return drawn
+}
+
+// drawGateways draws other regions and of each an entry that tells what is known of it, or any entry; the lock is held.
+func (s *state) drawGateways(now time.Time, region string, regions map[string][]membership.Entry, rng *rand.Rand) []partner {
+	tells := map[string]bool{}
+	for _, name := range s.facts.global.Live(now, s.facts.globalTTL()) {
+		tells[name] = true
+	}
+	names := slices.Sorted(maps.Keys(regions))
+	names = slices.DeleteFunc(names, func(name string) bool { return name == region })
+	var drawn []partner
+	for _, name := range draw(names, partners, rng) {
+		tellers := slices.DeleteFunc(slices.Clone(regions[name]), func(e membership.Entry) bool { return !tells[e.Name] })
+		if len(tellers) == 0 {
+			tellers = regions[name]
+		}
+		for _, e := range draw(tellers, 1, rng) {
+			drawn = append(drawn, partner{address: e.PeerAddress, global: true})
+		}
+	}
+	return drawn
 }
 
 // localPartners returns how many entries of the region are asked in this period; the lock is held.
@@ -260,7 +326,7 @@
 }
 
 // draw returns n of the items in random order.
-func draw(items []string, n int, rng *rand.Rand) []string {
+func draw[T any](items []T, n int, rng *rand.Rand) []T {
 	drawn := slices.Clone(items)
 	rng.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
 	return drawn[:min(n, len(drawn))]
--- a/entry/state.go
+++ b/entry/state.go
@@ -27,11 +27,14 @@
 	entries *membership.Entries
 	facts   *facts
 	// view holds the endpoints as of viewAt.
-	view      []membership.Endpoint
-	viewAt    time.Time
-	inventory *inventory.Inventory
-	revision  int64
-	source    string
+	view   []membership.Endpoint
+	viewAt time.Time
+	// entryView holds the live entries as of entryViewAt.
+	entryView   []membership.Entry
+	entryViewAt time.Time
+	inventory   *inventory.Inventory
+	revision    int64
+	source      string
 }
 
 var _ dispatch.View = (*state)(nil)
@@ -97,7 +100,7 @@
 	if lease := s.table.Lease(s.now(), name); lease > 0 {
 		return lease
 	}
-	return ttl(s.facts.local)
+	return s.facts.localTTL()
 }
 
 func (s *state) expire() []membership.Endpoint {
@@ -116,13 +119,17 @@
 func (s *state) live() []membership.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.liveNow(s.now())
+	return slices.Clone(s.liveNow(s.now()))
 }
 
-// liveNow returns the live entries; the lock is held.
+// liveNow returns the live entries, which the caller does not change; the lock is held.
 func (s *state) liveNow(now time.Time) []membership.Entry {
-	_, entries, _ := s.facts.believed(now)
-	return membership.NewestEntries(append(entries, s.entries.Live(now)...))
+	if s.entryViewAt.IsZero() || now.Sub(s.entryViewAt) >= viewPeriod || now.Before(s.entryViewAt) {
+		_, entries, _ := s.facts.believed(now)
+		s.entryView = membership.NewestEntries(append(entries, s.entries.Live(now)...))
+		s.entryViewAt = now
+	}
+	return s.entryView
 }
 
 // Summaries returns what is known of the other regions, in the order of region and service.
@@ -137,37 +144,49 @@
 	})
 }
 
-// marks returns how far each origin is known; without global marks nothing that all regions tell is asked for.
-func (s *state) marks() (local, global []membership.Mark) {
+// marks returns how far each origin is known, of what the partner is asked for.
+func (s *state) marks(p partner) (local, global []membership.Mark) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.tellsGlobal(s.now()) {
-		return s.facts.local.Marks(), nil
+	now := s.now()
+	if p.local {
+		local = s.facts.local.Marks(now, s.facts.localTTL())
+	}
+	if p.global {
+		global = s.facts.global.Marks(now, s.facts.globalTTL())
 	}
-	return s.facts.local.Marks(), s.facts.global.Marks()
+	return local, global
 }
 
 // missing returns what the sender of a request does not know.
 func (s *state) missing(m *wiregen.ExchangeRequest) (local, global []membership.Delta[membership.Fact]) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	localMarks, globalMarks := s.facts.local.Marks(), s.facts.global.Marks()
-	local = s.facts.local.Missing(wire.DecodeMarks(m.GetLocal(), localMarks))
-	if len(m.GetGlobal()) == 0 {
-		return local, nil
+	now := s.now()
+	if !m.GetWithoutLocal() {
+		local = missing(now, s.facts.local, s.facts.localTTL(), m.GetLocal())
+	}
+	if !m.GetWithoutGlobal() {
+		global = missing(now, s.facts.global, s.facts.globalTTL(), m.GetGlobal())
 	}
-	global = s.facts.global.Missing(wire.DecodeMarks(m.GetGlobal(), globalMarks))
 	return local, global
 }
 
+func missing(now time.Time, share *membership.Share[membership.Fact], ttl time.Duration, marks []*wiregen.ShareMark) []membership.Delta[membership.Fact] {
+	return share.Missing(now, ttl, wire.DecodeMarks(marks, share.Marks(now, ttl)))
+}
+
 // learn takes what a peer told.
 func (s *state) learn(m *wiregen.ExchangeReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	s.facts.local.Learn(now, wire.DecodeDeltas(now, m.GetLocal(), s.facts.local.Marks()))
-	s.facts.global.Learn(now, wire.DecodeDeltas(now, m.GetGlobal(), s.facts.global.Marks()))
-	s.facts.local.Forget(now, ttl(s.facts.local))
-	s.facts.global.Forget(now, ttl(s.facts.global))
+	learn(now, s.facts.local, s.facts.localTTL(), m.GetLocal())
+	learn(now, s.facts.global, s.facts.globalTTL(), m.GetGlobal())
 	s.viewAt = time.Time{}
 }
+
+func learn(now time.Time, share *membership.Share[membership.Fact], ttl time.Duration, deltas []*wiregen.ShareDelta) {
+	share.Learn(now, wire.DecodeDeltas(now, deltas, share.Marks(now, ttl)))
+	share.Forget(now, ttl)
+}
--- a/membership/share.go
+++ b/membership/share.go
@@ -130,24 +130,37 @@
 	}
 }
 
-// Marks returns how far each origin is known, in the order of their names.
-func (s *Share[T]) Marks() []Mark {
+// Marks returns how far each origin that tells something and was heard within ttl is known, in the order of their names.
+func (s *Share[T]) Marks(now time.Time, ttl time.Duration) []Mark {
 	marks := make([]Mark, 0, len(s.origins))
 	for _, name := range slices.Sorted(maps.Keys(s.origins)) {
-		marks = append(marks, s.origins[name].mark)
+		if o := s.origins[name]; o.tells(now, ttl) {
+			marks = append(marks, o.mark)
+		}
 	}
 	return marks
 }
 
-// Missing returns what a partner with the marks does not know.
-func (s *Share[T]) Missing(marks []Mark) []Delta[T] {
+// tells reports whether the origin has something to tell and was heard within ttl.
+//
+// A silent origin is kept in memory alone, so that what others repeat of it does not revive it.
+func (o *origin[T]) tells(now time.Time, ttl time.Duration) bool {
+	return o.mark.Version > 0 && now.Sub(o.heard) <= ttl
+}
+
+// Missing returns what a partner with the marks does not know of the origins that were heard within ttl.
+func (s *Share[T]) Missing(now time.Time, ttl time.Duration, marks []Mark) []Delta[T] {
 	known := map[string]Mark{}
 	for _, m := range marks {
 		known[m.Origin] = m
 	}
 	var deltas []Delta[T]
 	for _, name := range slices.Sorted(maps.Keys(s.origins)) {
-		if d, ok := s.origins[name].missing(known[name]); ok {
+		o := s.origins[name]
+		if !o.tells(now, ttl) {
+			continue
+		}
+		if d, ok := o.missing(known[name]); ok {
 			deltas = append(deltas, d)
 		}
 	}
--- a/membership/share_test.go
+++ b/membership/share_test.go
@@ -45,9 +45,9 @@
 
 // ask sends the marks of one entry to another, whose answer comes later.
 func (m *shares) ask(from, to string) {
-	marks := m.shares[from].Marks()
+	marks := m.shares[from].Marks(m.now, shareTTL)
 	m.sent = append(m.sent, func() {
-		deltas := m.shares[to].Missing(marks)
+		deltas := m.shares[to].Missing(m.now, shareTTL, marks)
 		m.sent = append(m.sent, func() { m.shares[from].Learn(m.now, deltas) })
 	})
 }
@@ -55,7 +55,7 @@
 // check fails if an entry went back in what it knows of an origin.
 func (m *shares) check(t *rapid.T) {
 	for _, name := range m.names {
-		for _, mark := range m.shares[name].Marks() {
+		for _, mark := range m.shares[name].Marks(m.now, shareTTL) {
 			before := m.highest[name+"<"+mark.Origin]
 			older := mark.Incarnation < before.Incarnation ||
 				(mark.Incarnation == before.Incarnation && (mark.Version < before.Version || mark.Beat < before.Beat))
@@ -165,7 +165,7 @@
 		for _, name := range m.names[1:] {
 			m.shares[name].Beat(m.now)
 			for _, other := range m.names[1:] {
-				m.shares[name].Learn(m.now, m.shares[other].Missing(m.shares[name].Marks()))
+				m.shares[name].Learn(m.now, m.shares[other].Missing(m.now, shareTTL, m.shares[name].Marks(m.now, shareTTL)))
 			}
 		}
 	}
