Code marks in columns with short salted ids, and beats by their rise since the request

Cause: a mark took 17 bytes, a beat 20 and each message an advert of 180. Marks are now columns of a 14-bit id, version and beat (about 7 bytes); an origin that changed nothing takes 2 bytes: the position of its mark and the rise of its beat, under one check of the origins' full hashes. The salt changes with each request, so that two origins with one id are apart in the next one. Adverts go only to peers that may not know the sender; a peer that does not says so. The exchange within a region is each 500 ms in place of 1 s. Ruled out: a hash of all marks in place of them, since beats change each period and it would never agree; lists of origins that both sides hold, since they differ while an origin falls silent and would need a second round trip.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -57,29 +57,45 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	reply, err := client.Exchange(ctx, n.exchangeRequest(p))
+	request, marks := n.exchangeRequest(p)
+	reply, err := client.Exchange(ctx, request)
 	if err != nil {
 		return err
 	}
-	n.learn(reply)
+	n.learn(marks, reply)
 	return nil
 }
 
-func (n *Entry) exchangeRequest(p partner) *wiregen.ExchangeRequest {
-	local, global := n.state.marks(p)
-	return &wiregen.ExchangeRequest{
-		Sender:  n.cfg.Self.Name,
-		Region:  n.cfg.Self.Region,
-		Entries: []*wiregen.EntryAdvert{wire.EncodeEntry(n.self())},
-		Local:   wire.EncodeMarks(local),
-		Global:  wire.EncodeMarks(global),
+// asked is the marks of a request, which its reply refers to.
+type asked struct {
+	local, global []membership.Mark
+}
 
+// exchangeRequest returns a request and its marks; a partner that knows the instance gets no advert, but for one that leaves.
+func (n *Entry) exchangeRequest(p partner) (*wiregen.ExchangeRequest, asked) {
+	marks := n.state.marks(p)
+	self := n.self()
+	m := &wiregen.ExchangeRequest{
+		Sender:        n.cfg.Self.Name,
+		Region:        n.cfg.Self.Region,
 		WithoutLocal:  !p.local,
 		WithoutGlobal: !p.global,
 	}
+	if !p.knows || self.Leaving {
+		m.Entries = []*wiregen.EntryAdvert{wire.EncodeEntry(self)}
+	}
+	// The sequence of the advert is the salt: it differs between requests.
+	salt := uint64(self.Sequence)
+	if p.local {
+		m.Local = wire.EncodeMarks(salt, marks.local)
+	}
+	if p.global {
+		m.Global = wire.EncodeMarks(salt, marks.global)
+	}
+	return m, marks
 }
 
-// Exchange answers a peer with what it does not know; what entries of the region tell is for the region alone.
+// Exchange answers a peer with what it does not know.
 func (n *Entry) Exchange(ctx context.Context, m *wiregen.ExchangeRequest) (*wiregen.ExchangeReply, error) {
 	if err := n.checkClaim(ctx, m.GetSender(), m.GetRegion()); err != nil {
 		return nil, err
@@ -87,24 +103,20 @@
 	for _, e := range wire.DecodeEntries(m.GetEntries()) {
 		n.state.hear(e)
 	}
-	local, global := n.state.missing(m)
-	now := n.state.now()
-	reply := &wiregen.ExchangeReply{
-		Entries: []*wiregen.EntryAdvert{wire.EncodeEntry(n.self())},
-		Global:  wire.EncodeDeltas(now, global),
-	}
-	if m.GetRegion() == n.cfg.Self.Region {
-		reply.Local = wire.EncodeDeltas(now, local)
+	reply := &wiregen.ExchangeReply{}
+	if self := n.self(); len(m.GetEntries()) > 0 || self.Leaving {
+		reply.Entries = []*wiregen.EntryAdvert{wire.EncodeEntry(self)}
 	}
+	n.state.answer(m, reply)
 	return reply, nil
 }
 
 // learn takes what a peer told.
-func (n *Entry) learn(reply *wiregen.ExchangeReply) {
+func (n *Entry) learn(marks asked, reply *wiregen.ExchangeReply) {
 	for _, e := range wire.DecodeEntries(reply.GetEntries()) {
 		n.state.hear(e)
 	}
-	n.state.learn(reply)
+	n.state.learn(marks, reply)
 }
 
 // endpointStates returns the messages of endpoints with what is left of their leases.
--- a/entry/exchange_test.go
+++ b/entry/exchange_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"arbutusreel/membership"
+	"arbutusreel/wiregen"
 )
 
 // crowd is the entries of a system in one process, which exchange by calls and count their bytes.
@@ -81,8 +82,8 @@
 		n.state.hear(self)
 		n.state.tell(self)
 		for _, p := range n.state.drawPartners(self, n.cfg.Peers, c.sources[n]) {
-			request := n.exchangeRequest(p)
-			request.Entries[0].Leaving = false
+			request, marks := n.exchangeRequest(p)
+			request.Entries = serving(request.Entries, p.knows)
 			peer := c.byAddress[p.address]
 			if peer == nil {
 				continue // The entry was killed.
@@ -91,8 +92,8 @@
 			if err != nil {
 				tb.Fatal(err)
 			}
-			reply.Entries[0].Leaving = false
-			n.learn(reply)
+			reply.Entries = serving(reply.Entries, p.knows)
+			n.learn(marks, reply)
 			size := proto.Size(request) + proto.Size(reply)
 			c.bytes[n] += size
 			c.bytes[peer] += size
@@ -101,6 +102,17 @@
 	c.now = c.now.Add(exchangePeriod)
 }
 
+// serving undoes that an entry which does not serve says that it leaves, and leaves out adverts that one which serves does not send.
+func serving(adverts []*wiregen.EntryAdvert, knows bool) []*wiregen.EntryAdvert {
+	if knows {
+		return nil
+	}
+	for _, e := range adverts {
+		e.Leaving = false
+	}
+	return adverts
+}
+
 // run runs seconds of the system.
 func (c *crowd) run(tb testing.TB, seconds int) {
 	for range seconds {
--- a/entry/share.go
+++ b/entry/share.go
@@ -14,7 +14,7 @@
 const (
 	// gateways is how many entries of a region speak to the other regions.
 	gateways = 2
-	// partners is how many entries of the region, and how many other regions, are asked in one period.
+	// partners is how many entries of a small region, and how many other regions, are asked in one period.
 	partners = 2
 	// seedPartners is how many addresses of the settings that are not known to be alive are asked in one period.
 	seedPartners = 4
@@ -23,8 +23,9 @@
 	// loadsPerPeriod and slowLoadsPerPeriod are how many loads of endpoints the region's entries tell in one period together.
 	loadsPerPeriod     = 12
 	slowLoadsPerPeriod = 2
-	// slowLocalPeriods and slowGlobalPeriods are in which periods a large region exchanges at all, and what all regions tell.
-	slowLocalPeriods  = 2
+	// advertPeriods is in how many periods requests bear the advert of an entry that a peer of the region does not know.
+	advertPeriods = 10
+	// slowGlobalPeriods is in which periods a large region exchanges what all regions tell.
 	slowGlobalPeriods = 4
 	// fewRegions is up to which number of regions summaries are told each summaryPeriod, and beyond each slowSummaryPeriod.
 	fewRegions        = 5
@@ -57,6 +58,8 @@
 	credit float64
 	// period counts the periods.
 	period int
+	// adverts is in how many more periods requests bear the advert of the instance.
+	adverts int
 	// localOrigins and globalOrigins are how many origins were live in the last period.
 	localOrigins  int
 	globalOrigins int
@@ -130,6 +133,7 @@
 	s.facts.local.Beat(now)
 	s.facts.tellEntry(s.facts.local, self)
 	s.facts.period++
+	s.facts.adverts = max(s.facts.adverts-1, 0)
 	s.facts.earn(len(s.regionEntries(now)))
 	s.facts.tellEndpoints(s.table.Endpoints(now))
 	if !s.isGateway(now, self.Name) {
@@ -248,6 +252,8 @@
 	address string
 	// local and global say whether what entries of the region tell, and what all regions tell, is asked for.
 	local, global bool
+	// knows says that the peer needs no advert of the instance, since it hears of it by what entries and gateways tell.
+	knows bool
 }
 
 // drawPartners draws the peers of one exchange: entries of the region, one of its gateways for what all regions tell, gateways
@@ -256,18 +262,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	known := map[string]bool{self.PeerAddress: true}
+	live := map[string]bool{self.PeerAddress: true}
 	regions := map[string][]membership.Entry{}
 	for _, e := range s.liveNow(now) {
-		known[e.PeerAddress] = true
+		live[e.PeerAddress] = true
 		if e.Name != self.Name {
 			regions[e.Region] = append(regions[e.Region], e)
 		}
 	}
 	var drawn []partner
-	few := len(regions[self.Region]) < fewEntries
+	few := s.few(now)
+	known := s.known(now)
 	for _, e := range draw(regions[self.Region], s.localPartners(now), rng) {
-		drawn = append(drawn, partner{address: e.PeerAddress, local: true, global: few})
+		drawn = append(drawn, partner{address: e.PeerAddress, local: true, global: few, knows: known})
 	}
 	gateway := s.isGateway(now, self.Name)
 	switch {
@@ -277,16 +284,22 @@
 		names := membership.Rendezvous(s.region, entryNames(s.regionEntries(now)), gateways)
 		own := slices.DeleteFunc(regions[self.Region], func(e membership.Entry) bool { return !slices.Contains(names, e.Name) })
 		for _, e := range draw(own, 1, rng) {
-			drawn = append(drawn, partner{address: e.PeerAddress, local: true, global: true})
+			drawn = append(drawn, partner{address: e.PeerAddress, local: true, global: true, knows: known})
 		}
 	}
-	unknown := slices.DeleteFunc(slices.Clone(seeds), func(address string) bool { return known[address] })
+	unknown := slices.DeleteFunc(slices.Clone(seeds), func(address string) bool { return live[address] })
 	for _, address := range draw(unknown, seedPartners, rng) {
 		drawn = append(drawn, partner{address: address, local: true, global: true})
 	}
 	return drawn
 }
 
+// few reports whether the region has so few entries that the exchange is fast; the lock is held.
+func (s *state) few(now time.Time) bool { return len(s.regionEntries(now)) <= fewEntries }
+
+// known reports whether the peers of the region know the instance by what it tells; the lock is held.
+func (s *state) known(now time.Time) bool { return !s.few(now) && s.facts.adverts == 0 }
+
 // drawGateways draws other regions and of each an entry that tells what is known of it, or any entry; the lock is held.
 func (s *state) drawGateways(now time.Time, region string, regions map[string][]membership.Entry, rng *rand.Rand) []partner {
 	tells := map[string]bool{}
@@ -302,7 +315,7 @@
 			tellers = regions[name]
 		}
 		for _, e := range draw(tellers, 1, rng) {
-			drawn = append(drawn, partner{address: e.PeerAddress, global: true})
+			drawn = append(drawn, partner{address: e.PeerAddress, global: true, knows: s.known(now)})
 		}
 	}
 	return drawn
@@ -310,19 +323,15 @@
 
 // localPartners returns how many entries of the region are asked in this period; the lock is held.
 func (s *state) localPartners(now time.Time) int {
-	switch {
-	case len(s.regionEntries(now)) <= fewEntries:
+	if s.few(now) {
 		return partners
-	case s.facts.period%slowLocalPeriods == 0:
-		return 1
-	default:
-		return 0
 	}
+	return 1
 }
 
 // tellsGlobal reports whether what all regions tell is asked for in this period; the lock is held.
 func (s *state) tellsGlobal(now time.Time) bool {
-	return len(s.regionEntries(now)) <= fewEntries || s.facts.period%slowGlobalPeriods == 0
+	return s.few(now) || s.facts.period%slowGlobalPeriods == 0
 }
 
 // draw returns n of the items in random order.
--- a/entry/state.go
+++ b/entry/state.go
@@ -145,48 +145,55 @@
 }
 
 // marks returns how far each origin is known, of what the partner is asked for.
-func (s *state) marks(p partner) (local, global []membership.Mark) {
+func (s *state) marks(p partner) asked {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	var a asked
 	if p.local {
-		local = s.facts.local.Marks(now, s.facts.localTTL())
+		a.local = s.facts.local.Marks(now, s.facts.localTTL())
 	}
 	if p.global {
-		global = s.facts.global.Marks(now, s.facts.globalTTL())
+		a.global = s.facts.global.Marks(now, s.facts.globalTTL())
 	}
-	return local, global
+	return a
 }
 
-// missing returns what the sender of a request does not know.
-func (s *state) missing(m *wiregen.ExchangeRequest) (local, global []membership.Delta[membership.Fact]) {
+// answer adds to a reply what the sender of a request does not know; what entries of the region tell is for the region alone.
+func (s *state) answer(m *wiregen.ExchangeRequest, reply *wiregen.ExchangeReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if !m.GetWithoutLocal() {
-		local = missing(now, s.facts.local, s.facts.localTTL(), m.GetLocal())
+	if !m.GetWithoutLocal() && m.GetRegion() == s.region {
+		reply.UnknownSender = !slices.Contains(s.facts.local.Live(now, s.facts.localTTL()), m.GetSender())
+		reply.LocalBeats, reply.Local = missing(now, s.facts.local, s.facts.localTTL(), m.GetLocal())
 	}
 	if !m.GetWithoutGlobal() {
-		global = missing(now, s.facts.global, s.facts.globalTTL(), m.GetGlobal())
+		reply.GlobalBeats, reply.Global = missing(now, s.facts.global, s.facts.globalTTL(), m.GetGlobal())
 	}
-	return local, global
 }
 
-func missing(now time.Time, share *membership.Share[membership.Fact], ttl time.Duration, marks []*wiregen.ShareMark) []membership.Delta[membership.Fact] {
-	return share.Missing(now, ttl, wire.DecodeMarks(marks, share.Marks(now, ttl)))
+func missing(now time.Time, share *membership.Share[membership.Fact], ttl time.Duration, m *wiregen.ShareMarks) (*wiregen.ShareBeats, []*wiregen.ShareDelta) {
+	marks, positions := wire.DecodeMarks(m, share.Marks(now, ttl))
+	beats, deltas := wire.EncodeBeats(share.Missing(now, ttl, marks), m, positions)
+	return beats, wire.EncodeDeltas(now, deltas)
 }
 
-// learn takes what a peer told.
-func (s *state) learn(m *wiregen.ExchangeReply) {
+// learn takes what a peer answered to the marks.
+func (s *state) learn(a asked, m *wiregen.ExchangeReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	learn(now, s.facts.local, s.facts.localTTL(), m.GetLocal())
-	learn(now, s.facts.global, s.facts.globalTTL(), m.GetGlobal())
+	if m.GetUnknownSender() {
+		s.facts.adverts = advertPeriods
+	}
+	learn(now, s.facts.local, s.facts.localTTL(), a.local, m.GetLocalBeats(), m.GetLocal())
+	learn(now, s.facts.global, s.facts.globalTTL(), a.global, m.GetGlobalBeats(), m.GetGlobal())
 	s.viewAt = time.Time{}
 }
 
-func learn(now time.Time, share *membership.Share[membership.Fact], ttl time.Duration, deltas []*wiregen.ShareDelta) {
+func learn(now time.Time, share *membership.Share[membership.Fact], ttl time.Duration, marks []membership.Mark, beats *wiregen.ShareBeats, deltas []*wiregen.ShareDelta) {
+	share.Learn(now, wire.DecodeBeats(beats, marks))
 	share.Learn(now, wire.DecodeDeltas(now, deltas, share.Marks(now, ttl)))
 	share.Forget(now, ttl)
 }
--- a/wire/share.go
+++ b/wire/share.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/binary"
 	"strconv"
 	"time"
 
@@ -15,26 +16,97 @@
 	return xxhash.Sum64String(origin + "\x00" + strconv.FormatInt(incarnation, 10))
 }
 
-// EncodeMarks returns the messages of the marks.
-func EncodeMarks(marks []membership.Mark) []*wiregen.ShareMark {
-	return mapAll(marks, func(m membership.Mark) *wiregen.ShareMark {
-		return &wiregen.ShareMark{Id: originID(m.Origin, m.Incarnation), Version: m.Version, Beat: m.Beat}
-	})
+// markIDBits is the length of the short hash that names an origin within one message.
+const markIDBits = 14
+
+// markID names an origin's start within the message with the salt.
+func markID(salt, origin uint64) uint32 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], salt)
+	binary.LittleEndian.PutUint64(b[8:], origin)
+	return uint32(xxhash.Sum64(b[:]) >> (64 - markIDBits))
 }
 
-// DecodeMarks returns the marks of the messages whose origins are among the known ones; others are left out.
-func DecodeMarks(ms []*wiregen.ShareMark, known []membership.Mark) []membership.Mark {
-	origins := map[uint64]membership.Mark{}
+// EncodeMarks returns the message of the marks; salt differs between messages.
+func EncodeMarks(salt uint64, marks []membership.Mark) *wiregen.ShareMarks {
+	m := &wiregen.ShareMarks{Salt: salt}
+	for _, mark := range marks {
+		m.Ids = append(m.Ids, markID(salt, originID(mark.Origin, mark.Incarnation)))
+		m.Versions = append(m.Versions, mark.Version)
+		m.Beats = append(m.Beats, mark.Beat)
+	}
+	return m
+}
+
+// DecodeMarks returns the marks of the message whose origins are among the known ones, and their positions in it.
+//
+// An id may stand for another origin than the sender means. A delta that follows
+// on such a mark changes nothing there, and the beats are checked.
+func DecodeMarks(m *wiregen.ShareMarks, known []membership.Mark) (marks []membership.Mark, positions map[string]int) {
+	byID := map[uint32]int{}
+	for i, id := range m.GetIds() {
+		byID[id] = i
+	}
+	positions = map[string]int{}
 	for _, k := range known {
-		origins[originID(k.Origin, k.Incarnation)] = k
+		i, ok := byID[markID(m.GetSalt(), originID(k.Origin, k.Incarnation))]
+		if !ok || i >= len(m.GetVersions()) || i >= len(m.GetBeats()) {
+			continue
+		}
+		marks = append(marks, membership.Mark{Origin: k.Origin, Incarnation: k.Incarnation, Version: m.GetVersions()[i], Beat: m.GetBeats()[i]})
+		positions[k.Origin] = i
 	}
-	var marks []membership.Mark
-	for _, m := range ms {
-		if k, ok := origins[m.GetId()]; ok {
-			marks = append(marks, membership.Mark{Origin: k.Origin, Incarnation: k.Incarnation, Version: m.GetVersion(), Beat: m.GetBeat()})
+	return marks, positions
+}
+
+// EncodeBeats returns the beats of the deltas that hold nothing else and whose marks stand in a request, and the other deltas.
+func EncodeBeats(deltas []membership.Delta[membership.Fact], asked *wiregen.ShareMarks, positions map[string]int) (*wiregen.ShareBeats, []membership.Delta[membership.Fact]) {
+	m := &wiregen.ShareBeats{}
+	var rest []membership.Delta[membership.Fact]
+	var origins []uint64
+	for _, d := range deltas {
+		i, ok := positions[d.Mark.Origin]
+		if !ok || d.Full || len(d.Items) > 0 || d.Mark.Beat <= asked.GetBeats()[i] {
+			rest = append(rest, d)
+			continue
 		}
+		m.Positions = append(m.Positions, uint32(i))
+		m.Rises = append(m.Rises, d.Mark.Beat-asked.GetBeats()[i])
+		origins = append(origins, originID(d.Mark.Origin, d.Mark.Incarnation))
+	}
+	if len(origins) == 0 {
+		return nil, rest
+	}
+	m.Check = checkOf(origins)
+	return m, rest
+}
+
+// DecodeBeats returns the beats that answer the marks that were asked with, or nothing if the marks were misunderstood.
+func DecodeBeats(m *wiregen.ShareBeats, asked []membership.Mark) []membership.Delta[membership.Fact] {
+	var deltas []membership.Delta[membership.Fact]
+	var origins []uint64
+	for i, position := range m.GetPositions() {
+		if int(position) >= len(asked) || i >= len(m.GetRises()) {
+			return nil
+		}
+		mark := asked[position]
+		origins = append(origins, originID(mark.Origin, mark.Incarnation))
+		mark.Beat += m.GetRises()[i]
+		deltas = append(deltas, membership.Delta[membership.Fact]{Mark: mark, Since: mark.Version})
+	}
+	if m.GetCheck() != checkOf(origins) {
+		return nil
+	}
+	return deltas
+}
+
+// checkOf hashes the origins in their order.
+func checkOf(origins []uint64) uint64 {
+	b := make([]byte, 0, 8*len(origins))
+	for _, o := range origins {
+		b = binary.LittleEndian.AppendUint64(b, o)
 	}
-	return marks
+	return xxhash.Sum64(b)
 }
 
 // EncodeDeltas returns the messages of the deltas, whose loads are aged by now; a delta that follows on a mark names its origin by its id.
