--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -25,14 +25,14 @@
 		self := n.self()
 		n.state.hear(self)
 		n.state.tell(self)
-		for _, address := range n.state.partnerAddresses(self, n.cfg.Peers, rng) {
-			if _, loaded := busy.LoadOrStore(address, true); loaded {
+		for _, p := range n.state.drawPartners(self, n.cfg.Peers, rng) {
+			if _, loaded := busy.LoadOrStore(p.address, true); loaded {
 				continue
 			}
 			wg.Go(func() {
-				defer busy.Delete(address)
-				if err := n.exchangeOne(ctx, address); err != nil && ctx.Err() == nil {
-					n.log.Debug().Str("peer", address).Err(err).Msg("peerUnreachable")
+				defer busy.Delete(p.address)
+				if err := n.exchangeOne(ctx, p); err != nil && ctx.Err() == nil {
+					n.log.Debug().Str("peer", p.address).Err(err).Msg("peerUnreachable")
 				}
 			})
 		}
@@ -50,33 +50,52 @@
 	return rand.New(rand.NewPCG(seed, h.Sum64()))
 }
 
-func (n *Entry) exchangeOne(ctx context.Context, address string) error {
-	client, err := n.peers.client(address)
+func (n *Entry) exchangeOne(ctx context.Context, p partner) error {
+	client, err := n.peers.client(p.address)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	reply, err := client.Exchange(ctx, n.exchangeRequest())
+	request, marks := n.exchangeRequest(p)
+	reply, err := client.Exchange(ctx, request)
 	if err != nil {
 		return err
 	}
-	n.learn(reply)
+	n.learn(marks, reply)
 	return nil
 }
 
-func (n *Entry) exchangeRequest() *wiregen.ExchangeRequest {
-	local, global := n.state.marks()
-	return &wiregen.ExchangeRequest{
-		Sender:  n.cfg.Self.Name,
-		Region:  n.cfg.Self.Region,
-		Entries: []*wiregen.EntryAdvert{wire.EncodeEntry(n.self())},
-		Local:   wire.EncodeMarks(local),
-		Global:  wire.EncodeMarks(global),
+// asked is the marks of a request, which its reply refers to.
+type asked struct {
+	local, global []membership.Mark
+}
+
+// exchangeRequest returns a request and its marks; a partner that knows the instance gets no advert, but for one that leaves.
+func (n *Entry) exchangeRequest(p partner) (*wiregen.ExchangeRequest, asked) {
+	marks := n.state.marks(p)
+	self := n.self()
+	m := &wiregen.ExchangeRequest{
+		Sender:        n.cfg.Self.Name,
+		Region:        n.cfg.Self.Region,
+		WithoutLocal:  !p.local,
+		WithoutGlobal: !p.global,
+	}
+	if !p.knows || self.Leaving {
+		m.Entries = []*wiregen.EntryAdvert{wire.EncodeEntry(self)}
 	}
+	// The sequence of the advert is the salt: it differs between requests.
+	salt := uint64(self.Sequence)
+	if p.local {
+		m.Local = wire.EncodeMarks(salt, marks.local)
+	}
+	if p.global {
+		m.Global = wire.EncodeMarks(salt, marks.global)
+	}
+	return m, marks
 }
 
-// Exchange answers a peer with what it does not know; what entries of the region tell is for the region alone.
+// Exchange answers a peer with what it does not know.
 func (n *Entry) Exchange(ctx context.Context, m *wiregen.ExchangeRequest) (*wiregen.ExchangeReply, error) {
 	if err := n.checkClaim(ctx, m.GetSender(), m.GetRegion()); err != nil {
 		return nil, err
@@ -84,24 +103,20 @@
 	for _, e := range wire.DecodeEntries(m.GetEntries()) {
 		n.state.hear(e)
 	}
-	local, global := n.state.missing(m)
-	now := n.state.now()
-	reply := &wiregen.ExchangeReply{
-		Entries: []*wiregen.EntryAdvert{wire.EncodeEntry(n.self())},
-		Global:  wire.EncodeDeltas(now, global),
-	}
-	if m.GetRegion() == n.cfg.Self.Region {
-		reply.Local = wire.EncodeDeltas(now, local)
+	reply := &wiregen.ExchangeReply{}
+	if self := n.self(); len(m.GetEntries()) > 0 || self.Leaving {
+		reply.Entries = []*wiregen.EntryAdvert{wire.EncodeEntry(self)}
 	}
+	n.state.answer(m, reply)
 	return reply, nil
 }
 
 // learn takes what a peer told.
-func (n *Entry) learn(reply *wiregen.ExchangeReply) {
+func (n *Entry) learn(marks asked, reply *wiregen.ExchangeReply) {
 	for _, e := range wire.DecodeEntries(reply.GetEntries()) {
 		n.state.hear(e)
 	}
-	n.state.learn(reply)
+	n.state.learn(marks, reply)
 }
 
 // endpointStates returns the messages of endpoints with what is left of their leases.
--- a/entry/exchange_test.go
+++ b/entry/exchange_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"arbutusreel/membership"
+	"arbutusreel/wiregen"
 )
 
 // crowd is the entries of a system in one process, which exchange by calls and count their bytes.
@@ -21,12 +23,13 @@
 	bytes     map[*Entry]int
 	sources   map[*Entry]*rand.Rand
 	endpoints int
+	regions   int
 	sequence  int64
 }
 
 // newCrowd returns regions with the same number of entries and endpoints.
 func newCrowd(regions, entries, endpoints int) *crowd {
-	c := &crowd{now: time.Unix(1000, 0), byAddress: map[string]*Entry{}, bytes: map[*Entry]int{}, sources: map[*Entry]*rand.Rand{}, endpoints: endpoints}
+	c := &crowd{now: time.Unix(1000, 0), byAddress: map[string]*Entry{}, bytes: map[*Entry]int{}, sources: map[*Entry]*rand.Rand{}, endpoints: endpoints, regions: regions}
 	var seeds []string
 	for r := range regions {
 		for e := range entries {
@@ -78,10 +81,10 @@
 		self.Leaving = false
 		n.state.hear(self)
 		n.state.tell(self)
-		for _, address := range n.state.partnerAddresses(self, n.cfg.Peers, c.sources[n]) {
-			request := n.exchangeRequest()
-			request.Entries[0].Leaving = false
-			peer := c.byAddress[address]
+		for _, p := range n.state.drawPartners(self, n.cfg.Peers, c.sources[n]) {
+			request, marks := n.exchangeRequest(p)
+			request.Entries = serving(request.Entries, p.knows)
+			peer := c.byAddress[p.address]
 			if peer == nil {
 				continue // The entry was killed.
 			}
@@ -89,8 +92,8 @@
 			if err != nil {
 				tb.Fatal(err)
 			}
-			reply.Entries[0].Leaving = false
-			n.learn(reply)
+			reply.Entries = serving(reply.Entries, p.knows)
+			n.learn(marks, reply)
 			size := proto.Size(request) + proto.Size(reply)
 			c.bytes[n] += size
 			c.bytes[peer] += size
@@ -99,6 +102,17 @@
 	c.now = c.now.Add(exchangePeriod)
 }
 
+// serving undoes that an entry which does not serve says that it leaves, and leaves out adverts that one which serves does not send.
+func serving(adverts []*wiregen.EntryAdvert, knows bool) []*wiregen.EntryAdvert {
+	if knows {
+		return nil
+	}
+	for _, e := range adverts {
+		e.Leaving = false
+	}
+	return adverts
+}
+
 // run runs seconds of the system.
 func (c *crowd) run(tb testing.TB, seconds int) {
 	for range seconds {
@@ -141,6 +155,22 @@
 	}
 }
 
+// ages returns how old the loads, the summaries and the other regions' known entries are that all entries hold.
+func (c *crowd) ages() map[string][]time.Duration {
+	ages := map[string][]time.Duration{}
+	for _, n := range c.entries {
+		for _, e := range n.state.Endpoints() {
+			ages["load"] = append(ages["load"], c.now.Sub(e.Load.At))
+		}
+		for _, s := range n.state.Summaries() {
+			ages["summary"] = append(ages["summary"], c.now.Sub(s.At))
+		}
+		ages["unknownEntries"] = append(ages["unknownEntries"], time.Duration(len(c.entries)-len(n.state.live()))*time.Second)
+		ages["unknownSummaries"] = append(ages["unknownSummaries"], time.Duration(c.regions-1-len(n.state.Summaries()))*time.Second)
+	}
+	return ages
+}
+
 // BenchmarkExchange measures the bytes a second that an entry sends and receives, its time and its memory, after all is known.
 func BenchmarkExchange(b *testing.B) {
 	for _, size := range []struct{ regions, entries, endpoints int }{{3, 3, 10}, {7, 9, 100}, {21, 17, 295}} {
@@ -162,6 +192,11 @@
 				most = max(most, bytes)
 			}
 			count := float64(len(c.entries))
+			for name, ages := range c.ages() {
+				slices.Sort(ages)
+				b.ReportMetric(ages[len(ages)/2].Seconds(), name+"P50s")
+				b.ReportMetric(ages[len(ages)-1].Seconds(), name+"MaxS")
+			}
 			b.ReportMetric(float64(total)/count/float64(seconds), "B/s")
 			b.ReportMetric(float64(most)/float64(seconds), "mostB/s")
 			b.ReportMetric(b.Elapsed().Seconds()/float64(seconds)/count*100, "%core")
