Let an origin that starts again and tells nothing replace its earlier start

Cause: since origins that never told anything are left out of the exchange, a gateway that started again as no gateway was believed with what its earlier start told until its time to live ended (40 s among gateways).

--- a/membership/share.go
+++ b/membership/share.go
@@ -130,7 +130,7 @@
 	}
 }
 
-// Marks returns how far each origin that tells something and was heard within ttl is known, in the order of their names.
+// Marks returns how far each origin that was heard within ttl is known, in the order of their names.
 func (s *Share[T]) Marks(now time.Time, ttl time.Duration) []Mark {
 	marks := make([]Mark, 0, len(s.origins))
 	for _, name := range slices.Sorted(maps.Keys(s.origins)) {
@@ -141,12 +141,10 @@
 	return marks
 }
 
-// tells reports whether the origin has something to tell and was heard within ttl.
+// tells reports whether the origin was heard within ttl.
 //
 // A silent origin is kept in memory alone, so that what others repeat of it does not revive it.
-func (o *origin[T]) tells(now time.Time, ttl time.Duration) bool {
-	return o.mark.Version > 0 && now.Sub(o.heard) <= ttl
-}
+func (o *origin[T]) tells(now time.Time, ttl time.Duration) bool { return now.Sub(o.heard) <= ttl }
 
 // Missing returns what a partner with the marks does not know of the origins that were heard within ttl.
 func (s *Share[T]) Missing(now time.Time, ttl time.Duration, marks []Mark) []Delta[T] {
