Refuse an inventory in which two services offer one model

Cause: callers name a model and no service, and a request goes to the first service that offers it; the endpoints of a second one were never used, and nothing said so. Now it is a fault with its path at check and apply. Ruled out for now: routing over the endpoints of several services, as queues, learned use and placement go by service. Before: the inventory of the new case was accepted. After: services[2].models[0].

--- a/inventory/check.go
+++ b/inventory/check.go
@@ -179,11 +179,26 @@
 	}
 }
 
+// offeredOnce checks that no other service offers what a service offers, since callers name no service.
+func (c *checker) offeredOnce(path string, s Service, offered map[string]string) {
+	if s.Kind != KindModel {
+		return
+	}
+	for i, name := range s.Models {
+		if other, ok := offered[name]; ok {
+			c.add(fmt.Sprintf("%s[%d]", path, i), name, fmt.Sprintf("service %q offers it already", other))
+		}
+		offered[name] = s.Name
+	}
+}
+
 func (c *checker) services() {
 	c.names("services", namesOf(c.inv.contents.Services, func(s Service) string { return s.Name }))
+	offered := map[string]string{}
 	for i, s := range c.inv.contents.Services {
 		path := fmt.Sprintf("services[%d]", i)
 		c.offers(path+".models", s.Models)
+		c.offeredOnce(path+".models", s, offered)
 		exist(c, path+".allowedRegions", "region", s.AllowedRegions, c.inv.regions)
 		c.atLeastZero(path+".minEndpointsPerModel", float64(s.MinEndpointsPerModel))
 		if s.Kind == KindPlain && len(s.Models) > 0 {
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -54,6 +54,10 @@
 			c.Models[0].Adapters = []string{"x"}
 			c.Adapters = []Adapter{{Model: "m", Name: "x", AllowedRegions: []string{"west"}}}
 		}, want: []string{"adapters[0].allowedRegions[0]"}},
+		{name: "model of two services", change: func(c *Contents) {
+			c.Services = append(c.Services, Service{Name: "other", Models: []string{"m"}})
+		}, want: []string{"services[2].models[0]"}},
+		{name: "model listed twice", change: func(c *Contents) { c.Services[0].Models = []string{"m", "m"} }, want: []string{"services[0].models[1]"}},
 		{name: "models of a plain service", change: func(c *Contents) { c.Services[1].Models = []string{"m"} }, want: []string{"services[1].models"}},
 		{name: "class without patience", change: func(c *Contents) { c.Classes[0].Patience = 0 }, want: []string{"classes[0].patienceMillis"}},
 		{name: "unknown home", change: func(c *Contents) { c.Teams[0].HomeRegion = "west" }, want: []string{"teams[0].homeRegion"}},
