--- a/cmd/arbutusreel/change.go
+++ b/cmd/arbutusreel/change.go
@@ -15,16 +15,6 @@
 	"arbutusreel/wiregen"
 )
 
-// RevisionTextError says that the text of an expected revision is no number.
-type RevisionTextError struct {
-	Text string
-}
-
-// Error names the text.
-func (e *RevisionTextError) Error() string {
-	return fmt.Sprintf("flag %q: revision %q is not a whole number", "expected", e.Text)
-}
-
 // inventoryFile is an inventory and, if the file is what the get command printed, the revision it was made from.
 type inventoryFile struct {
 	inventory *wiregen.Inventory
--- a/cmd/arbutusreel/explain.go
+++ b/cmd/arbutusreel/explain.go
@@ -13,17 +13,6 @@
 	"arbutusreel/wiregen"
 )
 
-// NoDecisionError says that no instance that answered keeps a decision of the subject.
-type NoDecisionError struct {
-	Subject decision.Subject
-	Silent  []string
-}
-
-// Error names the subject and the instances that gave no answer.
-func (e *NoDecisionError) Error() string {
-	return fmt.Sprintf("no decision is kept for %s %q; no answer from %q", e.Subject.Kind, e.Subject.Name, e.Silent)
-}
-
 func explainCommand() *command {
 	m := &wiregen.OperatorSettings{}
 	var first, second, entries string
--- a/cmd/arbutusreel/members.go
+++ b/cmd/arbutusreel/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"strings"
 
@@ -12,17 +11,6 @@
 	"arbutusreel/wiregen"
 )
 
-// MembersActionError says that the arguments of the members command do not fit together.
-type MembersActionError struct {
-	Action string
-	Member string
-}
-
-// Error names the arguments.
-func (e *MembersActionError) Error() string {
-	return fmt.Sprintf("members %q %q: want list, add name=address, or remove name", e.Action, e.Member)
-}
-
 func membersCommand() *command {
 	m := &wiregen.OperatorSettings{}
 	var action, member string
--- a/cmd/arbutusreel/patch.go
+++ b/cmd/arbutusreel/patch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
 	"strings"
@@ -14,14 +13,6 @@
 	"arbutusreel/wiregen"
 )
 
-// EmptyPatchError says that a patch neither puts nor removes anything.
-type EmptyPatchError struct{}
-
-// Error says what a patch needs.
-func (e *EmptyPatchError) Error() string {
-	return fmt.Sprintf("patch: a file with items, or the flag %q, is needed", "remove")
-}
-
 // patchArguments is the arguments of the patch command.
 type patchArguments struct {
 	change
--- a/cmd/arbutusreel/repair.go
+++ b/cmd/arbutusreel/repair.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
 
@@ -13,16 +12,6 @@
 	"arbutusreel/wiregen"
 )
 
-// RepairActionError says that the arguments of the repair command do not fit together.
-type RepairActionError struct {
-	Action string
-}
-
-// Error names the action.
-func (e *RepairActionError) Error() string {
-	return fmt.Sprintf("repair %q: want list, or settle with --team, --key, --finding and --operator", e.Action)
-}
-
 // repairFlags are the arguments of the repair command.
 type repairFlags struct {
 	action, team, key, finding, operator string
--- a/operator/client.go
+++ b/operator/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -20,34 +19,6 @@
 	"arbutusreel/wiregen"
 )
 
-// UnreachableError says that no control voter answered.
-type UnreachableError struct {
-	Controls []string
-	Cause    error
-}
-
-// Error names the voters and the last cause.
-func (e *UnreachableError) Error() string {
-	return fmt.Sprintf("no control voter of %q answered: %v", e.Controls, e.Cause)
-}
-
-// Unwrap returns the last cause.
-func (e *UnreachableError) Unwrap() error { return e.Cause }
-
-// UndecidedError says that a change may or may not have been accepted.
-type UndecidedError struct {
-	ChangeID string
-	Cause    error
-}
-
-// Error names the change id and the last cause.
-func (e *UndecidedError) Error() string {
-	return fmt.Sprintf("outcomeUnknown: change %q may have been accepted; send it again with this change id: %v", e.ChangeID, e.Cause)
-}
-
-// Unwrap returns the last cause.
-func (e *UndecidedError) Unwrap() error { return e.Cause }
-
 const (
 	// attemptTimeout bounds the wait for one voter, which may be cut off.
 	attemptTimeout = 1500 * time.Millisecond
--- a/operator/force.go
+++ b/operator/force.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"arbutusreel/wiregen"
@@ -15,22 +14,6 @@
 	maxReportAge = 10 * time.Second
 )
 
-// NotInForceError says that a revision is accepted but was not seen in force at every live instance in time.
-type NotInForceError struct {
-	Revision int64
-	// Lagging are the instances that reported a lower revision.
-	Lagging []string
-	Cause   error
-}
-
-// Error names the revision and the instances.
-func (e *NotInForceError) Error() string {
-	return fmt.Sprintf("revision %d is accepted and will be in force; it was not seen yet at %q: %v", e.Revision, e.Lagging, e.Cause)
-}
-
-// Unwrap returns why the wait ended.
-func (e *NotInForceError) Unwrap() error { return e.Cause }
-
 // WaitInForce waits until every live instance reports the revision or a higher one, and returns their number. If ctx
 // ends before that it returns *NotInForceError.
 func (c *Client) WaitInForce(ctx context.Context, revision int64) (int, error) {
