Choose the next request among all models that an endpoint can serve

Queues were per service and model, and each event went through them in no order, so that a notice of one model took the slot for which an order of another model waited, and teams had shares only within a model. Weighed: one queue whose head blocks, one queue that is passed over, an order for each endpoint (docs/design/admission.md). Now the lanes of a service share their teams' tags, and the next request is the first of the lanes' heads; a head without room bars its endpoints for those behind it.

Endpoints are looked at for all waiting requests at each refresh (50 ms); the end of a request looks at the lanes of its endpoint's models only.

Outside dispatch: admission.Queue takes its tags from Shares; routing.Query has Behind, one condition in Chooser.score.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -25,6 +25,19 @@
 	queued bool
 }
 
+// work returns the request's work by the team's weight.
+func (w *Waiting[T]) work() float64 { return float64(w.Tokens) / w.Weight }
+
+// Before reports whether the request goes before another, which may wait in another queue of the same shares.
+func (w *Waiting[T]) Before(now time.Time, other *Waiting[T]) bool {
+	return before(w, w.urgent(now), other, other.urgent(now))
+}
+
+// GoesBefore reports whether the request goes before a new one of the priority.
+func (w *Waiting[T]) GoesBefore(now time.Time, priority int) bool {
+	return w.Priority <= priority || w.urgent(now)
+}
+
 // urgent reports whether the request must start soon to be met.
 func (w *Waiting[T]) urgent(now time.Time) bool {
 	patience := w.LatestStart.Sub(w.Since)
@@ -39,21 +52,23 @@
 
 type flow[T any] struct {
 	waiting []*Waiting[T]
-	finish  float64
 }
 
 // Queue holds waiting requests; within a priority it is fair over teams by their weights.
 type Queue[T any] struct {
-	flows   map[flowKey]*flow[T]
-	keys    []flowKey
-	virtual map[int]float64
-	tokens  map[int]int
-	length  int
+	flows  map[flowKey]*flow[T]
+	keys   []flowKey
+	shares *Shares
+	tokens map[int]int
+	length int
 }
 
-// NewQueue returns an empty queue.
-func NewQueue[T any]() *Queue[T] {
-	return &Queue[T]{flows: map[flowKey]*flow[T]{}, virtual: map[int]float64{}, tokens: map[int]int{}}
+// NewQueue returns an empty queue with shares of its own.
+func NewQueue[T any]() *Queue[T] { return NewSharedQueue[T](NewShares()) }
+
+// NewSharedQueue returns an empty queue, whose teams share with those of the other queues of the shares.
+func NewSharedQueue[T any](s *Shares) *Queue[T] {
+	return &Queue[T]{flows: map[flowKey]*flow[T]{}, shares: s, tokens: map[int]int{}}
 }
 
 // Len returns the number of waiting requests.
@@ -82,8 +97,7 @@
 		q.keys = append(q.keys, k)
 		slices.SortFunc(q.keys, compareFlows)
 	}
-	w.start = max(f.finish, q.virtual[w.Priority])
-	f.finish = w.start + float64(w.Tokens)/w.Weight
+	w.start = q.shares.start(k, w.work())
 	f.waiting = append(f.waiting, w)
 	w.queued = true
 	q.tokens[w.Priority] += w.Tokens
@@ -144,46 +158,32 @@
 	q.tokens[w.Priority] -= w.Tokens
 	q.length--
 	if starts {
-		q.virtual[w.Priority] = max(q.virtual[w.Priority], w.start)
+		q.shares.started(w.Priority, w.start)
 	} else {
-		q.retag(f, i, w)
+		q.retag(k, f, i, w)
 	}
-	if len(f.waiting) == 0 {
-		q.close(k, f)
+	empty := len(f.waiting) == 0
+	if empty {
+		q.close(k)
 	}
+	q.shares.leave(k, empty)
 	return true
 }
 
 // retag gives the work of a request that has gone back to the later ones of its team.
-func (q *Queue[T]) retag(f *flow[T], i int, gone *Waiting[T]) {
-	work := float64(gone.Tokens) / gone.Weight
+func (q *Queue[T]) retag(k flowKey, f *flow[T], i int, gone *Waiting[T]) {
 	for _, w := range f.waiting[i:] {
-		w.start = max(w.start-work, gone.start)
+		w.start = max(w.start-gone.work(), gone.start)
 	}
-	f.finish = max(f.finish-work, gone.start)
+	q.shares.giveBack(k, gone.work(), gone.start)
 }
 
-// close takes an empty flow out of turn; its finish tag is kept while it lies beyond the virtual time, so that a team
-// gains nothing by waiting with one request at a time.
-func (q *Queue[T]) close(k flowKey, f *flow[T]) {
+// close takes an empty flow out of turn.
+func (q *Queue[T]) close(k flowKey) {
 	i := slices.Index(q.keys, k)
 	q.keys = slices.Delete(q.keys, i, i+1)
+	delete(q.flows, k)
 	if q.tokens[k.priority] == 0 {
-		q.forget(k.priority)
-		return
-	}
-	if f.finish <= q.virtual[k.priority] {
-		delete(q.flows, k)
-	}
-}
-
-// forget begins anew with a priority at which nothing waits.
-func (q *Queue[T]) forget(priority int) {
-	for k := range q.flows {
-		if k.priority == priority {
-			delete(q.flows, k)
-		}
+		delete(q.tokens, k.priority)
 	}
-	delete(q.virtual, priority)
-	delete(q.tokens, priority)
 }
--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -34,7 +34,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.counts
-	for _, l := range s.lanes {
+	for _, l := range s.lanes.all {
 		_, wrong := l.audit.Refusals()
 		c.WrongRefusals += int64(wrong)
 		c.Waiting += int64(l.queue.Len())
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -93,9 +93,7 @@
 	d.scheduler.mu.Lock()
 	defer d.scheduler.mu.Unlock()
 	d.scheduler.chooser.SetInstances(instances)
-	now := d.now()
-	d.scheduler.refresh(now)
-	d.scheduler.pump(now)
+	d.scheduler.refresh(d.now())
 }
 
 // Generate answers a model request into the sink, in as many attempts as its class's budget and deadline allow. A
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -59,6 +59,17 @@
 	return p.endpoint.Name
 }
 
+// models returns the models that the attempt's endpoint serves, and nothing for a region.
+func (p *placement) models() []string {
+	if p.region != "" {
+		return []string{}
+	}
+	if len(p.endpoint.Models) == 0 {
+		return []string{""}
+	}
+	return p.endpoint.Models
+}
+
 // begin checks a request and learns what its query needs.
 func (d *Dispatcher) begin(r Request) (*job, error) {
 	inv, _ := d.view.Inventory()
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -47,8 +47,9 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	s.refresh(now)
-	s.pump(now)
 	l := s.lane(j)
+	j.query.Behind = s.before(now, l, j)
+	defer func() { j.query.Behind = nil }()
 	d, local := s.choose(now, j)
 	if p := s.sendAway(now, j, l, d, local); p != nil {
 		return p, nil, nil
@@ -205,42 +206,11 @@
 		LatestStart: j.latestStart(v.Estimate),
 		Value:       &waiter{job: j, placed: make(chan *placement, 1)},
 	}
-	l.queue.Push(w)
+	s.lanes.push(l, w)
 	s.counts.Queued++
 	return w
 }
 
-// pump starts waiting requests for which there is room.
-func (s *scheduler) pump(now time.Time) {
-	for _, l := range s.lanes {
-		for l.queue.Len() > 0 && s.startNext(now, l) {
-			continue
-		}
-	}
-}
-
-// startNext starts the next request of a lane, and reports false if there is no room for it.
-func (s *scheduler) startNext(now time.Time, l *lane) bool {
-	w, ok := l.queue.Next(now, true)
-	if ok && w.Deferrable && !s.spare(now, w.Value.job) {
-		w, ok = l.queue.Next(now, false)
-	}
-	if !ok {
-		return false
-	}
-	j := w.Value.job
-	d, ok := s.choose(now, j)
-	if !ok || !d.Room {
-		return false
-	}
-	l.remove(now, w, true)
-	l.rate.Started(now, w.Tokens)
-	l.audit.Started(now, w.Tokens)
-	s.explain(j, d, "startedFromQueue")
-	w.Value.placed <- s.start(now, j, d)
-	return true
-}
-
 // reconsider looks at a waiting request again: it is refused once it cannot be met, and sent away or refused if the
 // region has no endpoint for it any more.
 func (s *scheduler) reconsider(w *admission.Waiting[*waiter]) (*placement, error) {
@@ -248,7 +218,6 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	s.refresh(now)
-	s.pump(now)
 	select {
 	case p := <-w.Value.placed:
 		return p, nil
@@ -257,13 +226,13 @@
 	j := w.Value.job
 	l := s.lane(j)
 	if now.After(w.LatestStart) {
-		l.remove(now, w, false)
+		s.lanes.remove(now, l, w, false)
 		return nil, s.refuseLate(j, l, admission.Verdict{RetryAfter: retryAfterNoCapacity})
 	}
 	if _, local := s.choose(now, j); local || s.learning(now, j, l) {
 		return nil, nil
 	}
-	l.remove(now, w, false)
+	s.lanes.remove(now, l, w, false)
 	if p := s.sendAway(now, j, l, routing.Decision{}, false); p != nil {
 		return p, nil
 	}
@@ -275,10 +244,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if !s.lane(w.Value.job).remove(now, w, false) {
+	if !s.lanes.remove(now, s.lane(w.Value.job), w, false) {
 		p := <-w.Value.placed
 		s.chooser.Done(now, p.ticket, false)
-		s.pump(now)
+		s.pump(now, p.models())
 	}
 	return cause
 }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -14,39 +14,6 @@
 	"arbutusreel/routing"
 )
 
-// laneKey names the requests that wait for the same endpoints.
-type laneKey struct {
-	service string
-	model   string
-}
-
-// lane is the requests that wait for the endpoints of a service and model.
-type lane struct {
-	queue *admission.Queue[*waiter]
-	rate  admission.Rate
-	audit admission.Audit
-	// since is when the queue was last empty.
-	since time.Time
-	// used is when an endpoint was last known for a request.
-	used time.Time
-}
-
-// short reports whether requests have waited for long enough to say that capacity is short.
-func (l *lane) short(now time.Time) bool {
-	return l.queue.Len() > 0 && now.Sub(l.since) >= minShortage
-}
-
-// remove takes a request out of the queue, as it starts or has gone.
-func (l *lane) remove(now time.Time, w *admission.Waiting[*waiter], starts bool) bool {
-	if !l.queue.Remove(w, starts) {
-		return false
-	}
-	if l.queue.Len() == 0 {
-		l.rate.End(now)
-	}
-	return true
-}
-
 // budgetKey names the requests that share a budget of retries.
 type budgetKey struct {
 	region string
@@ -64,7 +31,7 @@
 	chooser        Chooser
 	regions        *routing.Regions
 	uses           *admission.Uses
-	lanes          map[laneKey]*lane
+	lanes          *lanes
 	breakers       *retry.Breakers[string]
 	regionBreakers *retry.Breakers[string]
 	budget         *retry.Budget[budgetKey]
@@ -87,7 +54,7 @@
 		chooser:        chooser,
 		regions:        routing.NewRegions(now(), source),
 		uses:           admission.NewUses(),
-		lanes:          map[laneKey]*lane{},
+		lanes:          newLanes(),
 		breakers:       retry.NewBreakers[string](source),
 		regionBreakers: retry.NewBreakers[string](source),
 		budget:         retry.NewBudget[budgetKey](),
@@ -96,16 +63,6 @@
 	}
 }
 
-func (s *scheduler) lane(j *job) *lane {
-	k := laneKey{service: j.query.Service, model: j.query.Model}
-	l := s.lanes[k]
-	if l == nil {
-		l = &lane{queue: admission.NewQueue[*waiter]()}
-		s.lanes[k] = l
-	}
-	return l
-}
-
 // begin estimates what a new request will use.
 func (s *scheduler) begin(j *job) {
 	s.mu.Lock()
@@ -126,7 +83,7 @@
 	return budgetKey{region: s.self.Region, class: j.request.Class}
 }
 
-// refresh reads the known endpoints and regions again if they are old.
+// refresh reads the known endpoints and regions again if they are old, and starts what has room then.
 func (s *scheduler) refresh(now time.Time) {
 	if !s.refreshed.IsZero() && now.Sub(s.refreshed) < refreshPeriod {
 		return
@@ -146,6 +103,7 @@
 	for _, name := range gone {
 		s.breakers.Forget(name)
 	}
+	s.pump(now, nil)
 }
 
 // start counts an attempt as sent to the decision's endpoint.
@@ -201,7 +159,7 @@
 			s.uses.Record(j.useKey(), j.pieces)
 		}
 	}
-	s.pump(now)
+	s.pump(now, p.models())
 }
 
 // recordEndpoint counts an endpoint's success or failure and opens or closes it for work.
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -266,7 +266,7 @@
 	if q.excludes(candidate.endpoint.Name) {
 		return
 	}
-	room := !d.Informed || candidate.room(at, t, q.PromptTokens-int(cached), q.ReserveTokens)
+	room := !q.yields(candidate) && (!d.Informed || candidate.room(at, t, q.PromptTokens-int(cached), q.ReserveTokens))
 	d.offer(candidate, c.policy.Score(at, candidate, t.mean, cached, q), room)
 }
 
--- a/routing/query.go
+++ b/routing/query.go
@@ -41,7 +41,9 @@
 	// PrefillPerSecond is the rate at which an endpoint of the own region reads prompt tokens, or zero.
 	PrefillPerSecond float64
 	// Exclude names the endpoints that have failed the request.
-	Exclude   []string
+	Exclude []string
+	// Behind are the waiting requests that go before this one; there is no room for it at an endpoint that serves one.
+	Behind    []*Query
 	Objective Objective
 	// Cost is the cost of the own region against the cheapest, at least 1.
 	Cost float64
@@ -51,6 +53,13 @@
 	return len(q.Exclude) > 0 && slices.Contains(q.Exclude, name)
 }
 
+// yields reports whether the candidate serves a request that goes before this one.
+func (q *Query) yields(c *Candidate) bool {
+	return slices.ContainsFunc(q.Behind, func(first *Query) bool {
+		return c.serves(first) && !first.excludes(c.endpoint.Name)
+	})
+}
+
 // Decision is a choice with the terms that led to it.
 type Decision struct {
 	Candidate *Candidate
