--- a/standin/orders.go
+++ b/standin/orders.go
@@ -93,7 +93,7 @@
 	change := e.changes
 	e.number = fencing.Number{Term: m.GetTerm(), Sequence: m.GetSequence()}
 	e.models = kept(e.models, m.GetModels())
-	e.loading = slices.DeleteFunc(clone(m.GetModels()), func(name string) bool { return slices.Contains(e.models, name) })
+	e.loading = slices.DeleteFunc(slices.Clone(m.GetModels()), func(name string) bool { return slices.Contains(e.models, name) })
 	if len(e.loading) == 0 {
 		return
 	}
@@ -101,7 +101,7 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if e.changes == change {
-			e.models = clone(m.GetModels())
+			e.models = slices.Clone(m.GetModels())
 			e.loading = nil
 		}
 	})
@@ -122,7 +122,7 @@
 
 // kept returns what is held and ordered; an adapter goes with the version of its model that it was loaded on.
 func kept(held, ordered []string) []string {
-	left := slices.DeleteFunc(clone(held), func(name string) bool { return !slices.Contains(ordered, name) })
+	left := slices.DeleteFunc(slices.Clone(held), func(name string) bool { return !slices.Contains(ordered, name) })
 	return slices.DeleteFunc(left, func(name string) bool {
 		n := inventory.ParseName(name)
 		return n.Adapter != "" && !slices.ContainsFunc(left, func(other string) bool { return isModel(other, n.Model) })
@@ -137,7 +137,7 @@
 
 // servedNames returns the names that requests may ask for.
 func servedNames(held []string) []string {
-	names := clone(held)
+	names := slices.Clone(held)
 	for i, name := range names {
 		names[i] = inventory.ParseName(name).Served()
 	}
@@ -146,7 +146,7 @@
 
 // versionsOf returns the held names that bear a version.
 func versionsOf(held []string) []string {
-	return slices.DeleteFunc(clone(held), func(name string) bool { return inventory.ParseName(name).Version == "" })
+	return slices.DeleteFunc(slices.Clone(held), func(name string) bool { return inventory.ParseName(name).Version == "" })
 }
 
 // serves reports whether the engine holds the name now; one that was started without models serves any.
