Keep the history of changes, and let operators put an earlier revision in force

Cause: nothing told who had changed what; the way back from a bad change was a file that somebody still had. Ruled out: whole inventories (51 kB each at 360 teams), a log from the first change on, a history beside the state at each voter (differs between them, ends with a lost disk).

--- a/cmd/arbutusreel/change.go
+++ b/cmd/arbutusreel/change.go
@@ -74,19 +74,24 @@
 				return err
 			}
 			return withClient(ctx, m, func(ctx context.Context, c *operator.Client) error {
-				return a.apply(ctx, c, f, stdout)
+				return a.apply(ctx, c, m.GetOperator(), f, stdout)
 			})
 		},
 	}
 }
 
-func (a *change) apply(ctx context.Context, c *operator.Client, f inventoryFile, stdout io.Writer) error {
+func (a *change) apply(ctx context.Context, c *operator.Client, by string, f inventoryFile, stdout io.Writer) error {
 	revision, err := a.expectedRevision(ctx, c, f)
 	if err != nil {
 		return err
 	}
+	return a.propose(ctx, c, by, revision, f.inventory, stdout)
+}
+
+// propose proposes an inventory in the name of an operator, if the expected revision is in force.
+func (a *change) propose(ctx context.Context, c *operator.Client, by string, expected int64, inv *wiregen.Inventory, stdout io.Writer) error {
 	a.identify()
-	reply, err := c.Apply(ctx, &wiregen.ApplyRequest{ExpectedRevision: revision, ChangeId: a.changeID, Inventory: f.inventory})
+	reply, err := c.Apply(ctx, &wiregen.ApplyRequest{ExpectedRevision: expected, ChangeId: a.changeID, Inventory: inv, Operator: by})
 	if err != nil {
 		return err
 	}
--- a/cmd/arbutusreel/client.go
+++ b/cmd/arbutusreel/client.go
@@ -52,21 +52,3 @@
 	_, err = stdout.Write(b)
 	return err
 }
-
-func getCommand() *command {
-	m := &wiregen.OperatorSettings{}
-	return &command{
-		name:     "get",
-		doc:      "Prints the inventory in force and its revision; the apply command takes the edited output.",
-		settings: m,
-		run: func(ctx context.Context, stdout io.Writer) error {
-			return withClient(ctx, m, func(ctx context.Context, c *operator.Client) error {
-				reply, err := c.Inventory(ctx)
-				if err != nil {
-					return err
-				}
-				return printReply(stdout, reply)
-			})
-		},
-	}
-}
--- a/cmd/arbutusreel/errors.go
+++ b/cmd/arbutusreel/errors.go
@@ -16,6 +16,16 @@
 	return fmt.Sprintf("flag %q: revision %q is not a whole number", "expected", e.Text)
 }
 
+// RevisionError says that the text of a revision is no whole number above zero.
+type RevisionError struct {
+	Text string
+}
+
+// Error names the text.
+func (e *RevisionError) Error() string {
+	return fmt.Sprintf("revision %q is not a whole number above zero", e.Text)
+}
+
 // MembersActionError says that the arguments of the members command do not fit together.
 type MembersActionError struct {
 	Action string
--- a/cmd/arbutusreel/main.go
+++ b/cmd/arbutusreel/main.go
@@ -77,6 +77,8 @@
 		repairCommand(),
 		patchCommand(),
 		diffCommand(),
+		historyCommand(),
+		rollbackCommand(),
 		checkCommand(),
 		settingsCommand(),
 		versionCommand(),
--- a/cmd/arbutusreel/patch.go
+++ b/cmd/arbutusreel/patch.go
@@ -38,6 +38,7 @@
 				return err
 			}
 			return withClient(ctx, m, func(ctx context.Context, c *operator.Client) error {
+				request.Operator = m.GetOperator()
 				reply, err := c.Patch(ctx, request)
 				if err != nil {
 					return err
--- /dev/null
+++ b/configuration/history_test.go
@@ -0,0 +1,42 @@
+package configuration
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"arbutusreel/distribution"
+)
+
+// TestHistoryFindsEveryKeptRevision compares a history with a list of all inventories.
+func TestHistoryFindsEveryKeptRevision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &History{}
+		all := [][]byte{{}}
+		count := rapid.IntRange(1, 2*maxRecords).Draw(t, "changes")
+		size := rapid.IntRange(1, 4<<10).Draw(t, "bytes")
+		for revision := int64(1); revision <= int64(count); revision++ {
+			whole := bytes.Repeat([]byte{byte(revision)}, 1+int(revision)*size%(4<<10))
+			h.Add(Record{Revision: revision, Undo: distribution.NewDelta(revision-1, whole, all[revision-1])})
+			all = append(all, whole)
+			if revision%97 == 0 {
+				h = RestoreHistory(h.Records())
+			}
+		}
+		inForce := all[len(all)-1]
+		oldest := h.Records()[0].Revision
+		if len(h.Records()) > maxRecords || h.undoBytes > maxUndoBytes {
+			t.Fatalf("%d records, %d bytes", len(h.Records()), h.undoBytes)
+		}
+		drawn := rapid.Int64Range(0, int64(count)).Draw(t, "revision")
+		for _, revision := range []int64{0, oldest - 1, oldest, drawn, int64(count)} {
+			whole, err := h.At(revision, inForce)
+			var forgotten *ForgottenRevisionError
+			if kept := revision >= oldest; kept != (err == nil) || !kept && !errors.As(err, &forgotten) || kept && !bytes.Equal(whole, all[revision]) {
+				t.Fatalf("revision %d of %d, oldest %d: %v", revision, count, oldest, err)
+			}
+		}
+	})
+}
--- a/configuration/state.go
+++ b/configuration/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"arbutusreel/inventory"
 )
@@ -14,6 +15,9 @@
 	ID        string
 	Expected  int64
 	Inventory *inventory.Inventory
+	// Operator is who made the change, as told by themselves; At is the leader's time. They play no part in the decision.
+	Operator string
+	At       time.Time
 }
 
 // Answer is the result of a change; if it was not accepted, Revision is the one in force.
--- a/control/changes.go
+++ b/control/changes.go
@@ -27,7 +27,9 @@
 	}
 	c.changing.RLock()
 	defer c.changing.RUnlock()
-	change := configuration.Change{ID: m.GetChangeId(), Expected: m.GetExpectedRevision(), Inventory: inv}
+	change := configuration.Change{
+		ID: m.GetChangeId(), Expected: m.GetExpectedRevision(), Inventory: inv, Operator: m.GetOperator(), At: c.now(),
+	}
 	answer, err := c.store.Propose(r.Context(), change)
 	return c.decided(change, answer, err)
 }
@@ -47,7 +49,7 @@
 	if err := c.store.Confirm(ctx); err != nil {
 		return nil, err
 	}
-	change := configuration.Change{ID: m.GetChangeId(), Expected: m.GetExpectedRevision()}
+	change := configuration.Change{ID: m.GetChangeId(), Expected: m.GetExpectedRevision(), Operator: m.GetOperator(), At: c.now()}
 	if answer, ok, err := c.store.Answered(ctx, change.ID); ok || err != nil {
 		return c.decided(change, answer, err)
 	}
@@ -93,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.log.Info().Str("changeId", change.ID).Int64("expectedRevision", change.Expected).
+	c.log.Info().Str("changeId", change.ID).Str("operator", change.Operator).Int64("expectedRevision", change.Expected).
 		Bool("accepted", answer.Accepted).Int64("revision", answer.Revision).Msg("changeDecided")
 	if !answer.Accepted {
 		return nil, problem.New(problem.RevisionConflict, http.StatusConflict, "revision %d is in force, not %d", answer.Revision, change.Expected)
--- a/control/machine.go
+++ b/control/machine.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"arbutusreel/configuration"
@@ -13,16 +15,19 @@
 
 // machine is the replicated state: the configuration and the encoded inventory in force.
 type machine struct {
-	state *configuration.State
-	whole []byte
+	state   *configuration.State
+	history *configuration.History
+	whole   []byte
 }
 
-func newMachine() *machine { return &machine{state: configuration.NewState()} }
+func newMachine() *machine {
+	return &machine{state: configuration.NewState(), history: &configuration.History{}}
+}
 
 // encodeCommand returns the command of a change: a delta if it expects the
 // revision whose inventory is given, and else the whole.
 func encodeCommand(c configuration.Change, revision int64, whole []byte) []byte {
-	m := &wiregen.ChangeCommand{ChangeId: c.ID, ExpectedRevision: c.Expected}
+	m := &wiregen.ChangeCommand{ChangeId: c.ID, ExpectedRevision: c.Expected, Operator: c.Operator, UnixMillis: c.At.UnixMilli()}
 	next := marshal(wire.EncodeInventory(c.Inventory))
 	if c.Expected == revision && revision > 0 {
 		m.Delta = relay.EncodeDelta(distribution.NewDelta(revision+1, whole, next))
@@ -52,9 +57,17 @@
 			return configuration.Answer{}, &RecordError{Record: "change", Cause: err}
 		}
 	}
+	before := m.whole
 	m.whole = whole
 	inv, err := decodeInventory(whole)
 	answer := m.state.Apply(configuration.Change{ID: c.GetChangeId(), Expected: c.GetExpectedRevision(), Inventory: inv})
+	m.history.Add(configuration.Record{
+		Revision: answer.Revision,
+		ChangeID: c.GetChangeId(),
+		Operator: c.GetOperator(),
+		At:       time.UnixMilli(c.GetUnixMillis()),
+		Undo:     distribution.NewDelta(answer.Revision-1, whole, before),
+	})
 	return answer, m.refused(err)
 }
 
@@ -86,6 +99,11 @@
 	for _, known := range m.state.Answers() {
 		s.Answers = append(s.Answers, &wiregen.ChangeAnswer{ChangeId: known.ID, Accepted: known.Answer.Accepted, Revision: known.Answer.Revision})
 	}
+	for _, r := range m.history.Records() {
+		s.Records = append(s.Records, &wiregen.ChangeRecord{
+			Revision: r.Revision, ChangeId: r.ChangeID, Operator: r.Operator, UnixMillis: r.At.UnixMilli(), Undo: relay.EncodeDelta(r.Undo),
+		})
+	}
 	return marshal(s)
 }
 
@@ -102,11 +120,22 @@
 			ID: a.GetChangeId(), Answer: configuration.Answer{Accepted: a.GetAccepted(), Revision: a.GetRevision()},
 		})
 	}
+	records := make([]configuration.Record, 0, len(s.GetRecords()))
+	for _, r := range s.GetRecords() {
+		records = append(records, configuration.Record{
+			Revision: r.GetRevision(), ChangeID: r.GetChangeId(), Operator: r.GetOperator(),
+			At: time.UnixMilli(r.GetUnixMillis()), Undo: relay.DecodeDelta(r.GetUndo()),
+		})
+	}
 	var inv *inventory.Inventory
 	var err error
 	if s.GetRevision() > 0 {
 		inv, err = decodeInventory(s.GetInventory())
 	}
-	m := &machine{state: configuration.RestoreState(s.GetRevision(), inv, answers), whole: s.GetInventory()}
+	m := &machine{
+		state:   configuration.RestoreState(s.GetRevision(), inv, answers),
+		history: configuration.RestoreHistory(records),
+		whole:   s.GetInventory(),
+	}
 	return m, m.refused(err)
 }
--- a/control/operators.go
+++ b/control/operators.go
@@ -20,6 +20,7 @@
 	mux.HandleFunc("POST /v1/inventory", guard.Handle(c.apply))
 	mux.HandleFunc("POST /v1/patch", guard.Handle(c.patch))
 	mux.HandleFunc("GET /v1/inventory", guard.Handle(c.get))
+	mux.HandleFunc("GET /v1/history", guard.Handle(c.tellHistory))
 	mux.HandleFunc("GET /v1/status", guard.Handle(c.status))
 	mux.HandleFunc("GET /v1/members", guard.Handle(c.members))
 	mux.HandleFunc("POST /v1/members/add", guard.Handle(c.addMember))
@@ -44,19 +45,6 @@
 	return nil
 }
 
-// get answers the inventory in force, from the leader alone.
-func (c *Control) get(r *http.Request) (proto.Message, error) {
-	if err := c.store.Confirm(r.Context()); err != nil {
-		return nil, err
-	}
-	current := c.store.Current()
-	reply := &wiregen.InventoryReply{Revision: current.Revision}
-	if current.Inventory != nil {
-		reply.Inventory = wire.EncodeInventory(current.Inventory)
-	}
-	return reply, nil
-}
-
 // status answers the leader and the revision in force at each instance; a
 // voter that is not known to be current answers what it knows, and says so.
 func (c *Control) status(r *http.Request) (proto.Message, error) {
--- a/control/requests.go
+++ b/control/requests.go
@@ -69,19 +69,39 @@
 
 // Answered returns the answer that was given to a change id as far as this voter has applied the log.
 func (q *quorum) Answered(ctx context.Context, changeID string) (configuration.Answer, bool, error) {
-	result := make(chan givenAnswer, 1)
-	err := q.input(ctx, func(time.Time) {
-		answer, ok := q.machine.state.Answer(changeID)
-		result <- givenAnswer{answer: answer, ok: ok}
+	given, err := look(ctx, q, func(m *machine) givenAnswer {
+		answer, ok := m.state.Answer(changeID)
+		return givenAnswer{answer: answer, ok: ok}
 	})
-	if err != nil {
-		return configuration.Answer{}, false, q.notLeader()
+	return given.answer, given.ok, err
+}
+
+// keptHistory is the history of a voter with the inventory in force.
+type keptHistory struct {
+	history *configuration.History
+	whole   []byte
+}
+
+// History returns the newest accepted changes as far as this voter has applied the log.
+func (q *quorum) History(ctx context.Context) (*configuration.History, []byte, error) {
+	kept, err := look(ctx, q, func(m *machine) keptHistory {
+		return keptHistory{history: configuration.RestoreHistory(m.history.Records()), whole: m.whole}
+	})
+	return kept.history, kept.whole, err
+}
+
+// look returns what f reads of the replicated state, between two inputs of the loop.
+func look[T any](ctx context.Context, q *quorum, f func(*machine) T) (T, error) {
+	result := make(chan T, 1)
+	var none T
+	if err := q.input(ctx, func(time.Time) { result <- f(q.machine) }); err != nil {
+		return none, q.notLeader()
 	}
 	select {
-	case given := <-result:
-		return given.answer, given.ok, nil
+	case found := <-result:
+		return found, nil
 	case <-ctx.Done():
-		return configuration.Answer{}, false, q.notLeader()
+		return none, q.notLeader()
 	}
 }
 
--- a/control/store.go
+++ b/control/store.go
@@ -27,6 +27,8 @@
 	Confirm(ctx context.Context) error
 	// Current returns the inventory in force at this voter, which may be behind.
 	Current() Current
+	// History returns the newest accepted changes and the encoded inventory in force with them; a failure is a *problem.Problem.
+	History(ctx context.Context) (*configuration.History, []byte, error)
 	// Status returns what this voter knows of the quorum.
 	Status() consensus.Status
 	// Add and Remove change the quorum's members; a failure is a *problem.Problem.
--- a/operator/client.go
+++ b/operator/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -76,6 +77,18 @@
 	return reply, c.do(ctx, http.MethodGet, "/v1/inventory", nil, reply)
 }
 
+// InventoryAt returns the inventory of an earlier revision and the revision in force.
+func (c *Client) InventoryAt(ctx context.Context, revision int64) (*wiregen.InventoryReply, error) {
+	reply := &wiregen.InventoryReply{}
+	return reply, c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/inventory?revision=%d", revision), nil, reply)
+}
+
+// History returns the newest accepted changes, at most count, the newest first.
+func (c *Client) History(ctx context.Context, count int) (*wiregen.HistoryReply, error) {
+	reply := &wiregen.HistoryReply{}
+	return reply, c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/history?count=%d", count), nil, reply)
+}
+
 // Members returns the members of the quorum.
 func (c *Client) Members(ctx context.Context) (*wiregen.MembersReply, error) {
 	reply := &wiregen.MembersReply{}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -55,6 +55,7 @@
 	InstanceFull       Code = "instanceFull"
 	NotReady           Code = "notReady"
 	RevisionConflict   Code = "revisionConflict"
+	UnknownRevision    Code = "unknownRevision"
 	InvalidInventory   Code = "invalidInventory"
 	QuorumUnavailable  Code = "quorumUnavailable"
 	HomeRegionRequired Code = "homeRegionUnreachable"
--- a/systemtest/commands_test.go
+++ b/systemtest/commands_test.go
@@ -118,3 +118,37 @@
 		t.Errorf("a patch that removes a label: %v: %s", err, out)
 	}
 }
+
+// TestHistoryAndRollback changes the inventory, restarts the voter from its snapshot, and puts an earlier revision in force.
+func TestHistoryAndRollback(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, options{regions: lunchRegions[:1], entriesPerRegion: 1, inventory: lunchClub, controlArgs: []string{"--snapshotEntries", "10"}})
+	must := func(want string, args ...string) {
+		t.Helper()
+		if out, err := s.command(args...); err != nil || !strings.Contains(out, want) {
+			t.Errorf("%v: %v: %s, want %s", args, err, out, want)
+		}
+	}
+	for revision := 2; revision <= 11; revision++ {
+		must(fmt.Sprintf("revision %d accepted", revision), "apply", lunchClub)
+	}
+	edited := filepath.Join(s.dir, "edited.json")
+	s.edit(edited)
+	must("revision 12 accepted", "apply", edited, "--operator", "amna")
+	label := filepath.Join(s.dir, "label.json")
+	if err := os.WriteFile(label, []byte(`{"labels": [{"name": "open", "allowedRegions": ["lahore"]}]}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	must("revision 13 accepted", "patch", label, "--operator", "bilal")
+	s.controls[0].kill()
+	s.controls[0].start()
+	must(`operator "bilal"`, "history", "--count", "1")
+	must(`rules.retryBudget: "0.1" -> "0.25"`, "history")
+	must(`"inForce": "13"`, "get", "--revision", "2")
+	must("revision 14 accepted", "rollback", "2", "--operator", "amna", "--wait")
+	must(`"retryBudget": 0.1`, "get")
+	must(`labels[open]: "{\"name\":\"open\",\"allowedRegions\":[\"lahore\"]}" -> ""`, "history", "--count", "1")
+	if out, err := s.command("rollback", "99"); err == nil || !strings.Contains(out, "unknownRevision") {
+		t.Errorf("an unknown revision was put in force: %v: %s", err, out)
+	}
+}
