--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -14,39 +14,6 @@
 	"arbutusreel/routing"
 )
 
-// laneKey names the requests that wait for the same endpoints.
-type laneKey struct {
-	service string
-	model   string
-}
-
-// lane is the requests that wait for the endpoints of a service and model.
-type lane struct {
-	queue *admission.Queue[*waiter]
-	rate  admission.Rate
-	audit admission.Audit
-	// since is when the queue was last empty.
-	since time.Time
-	// used is when an endpoint was last known for a request.
-	used time.Time
-}
-
-// short reports whether requests have waited for long enough to say that capacity is short.
-func (l *lane) short(now time.Time) bool {
-	return l.queue.Len() > 0 && now.Sub(l.since) >= minShortage
-}
-
-// remove takes a request out of the queue, as it starts or has gone.
-func (l *lane) remove(now time.Time, w *admission.Waiting[*waiter], starts bool) bool {
-	if !l.queue.Remove(w, starts) {
-		return false
-	}
-	if l.queue.Len() == 0 {
-		l.rate.End(now)
-	}
-	return true
-}
-
 // budgetKey names the requests that share a budget of retries.
 type budgetKey struct {
 	region string
@@ -64,10 +31,11 @@
 	chooser        Chooser
 	regions        *routing.Regions
 	uses           *admission.Uses
-	lanes          map[laneKey]*lane
+	lanes          *lanes
 	breakers       *retry.Breakers[string]
 	regionBreakers *retry.Breakers[string]
 	budget         *retry.Budget[budgetKey]
+	resumes        *retry.Resumes
 	counts         Counts
 	// preferred is the number of requests that may leave although the region could serve them.
 	preferred float64
@@ -86,24 +54,15 @@
 		chooser:        chooser,
 		regions:        routing.NewRegions(now(), source),
 		uses:           admission.NewUses(),
-		lanes:          map[laneKey]*lane{},
+		lanes:          newLanes(),
 		breakers:       retry.NewBreakers[string](source),
 		regionBreakers: retry.NewBreakers[string](source),
 		budget:         retry.NewBudget[budgetKey](),
+		resumes:        retry.NewResumes(now()),
 		born:           now(),
 	}
 }
 
-func (s *scheduler) lane(j *job) *lane {
-	k := laneKey{service: j.query.Service, model: j.query.Model}
-	l := s.lanes[k]
-	if l == nil {
-		l = &lane{queue: admission.NewQueue[*waiter]()}
-		s.lanes[k] = l
-	}
-	return l
-}
-
 // begin estimates what a new request will use.
 func (s *scheduler) begin(j *job) {
 	s.mu.Lock()
@@ -124,7 +83,7 @@
 	return budgetKey{region: s.self.Region, class: j.request.Class}
 }
 
-// refresh reads the known endpoints and regions again if they are old.
+// refresh reads the known endpoints and regions again if they are old, and starts what has room then.
 func (s *scheduler) refresh(now time.Time) {
 	if !s.refreshed.IsZero() && now.Sub(s.refreshed) < refreshPeriod {
 		return
@@ -144,6 +103,7 @@
 	for _, name := range gone {
 		s.breakers.Forget(name)
 	}
+	s.pump(now, nil)
 }
 
 // start counts an attempt as sent to the decision's endpoint.
@@ -152,11 +112,27 @@
 	return &placement{endpoint: d.Candidate.Endpoint(), ticket: ticket, terms: d.Terms, informed: d.Informed, prompt: j.request.PromptTokens}
 }
 
-// used trues the reservation of an attempt up; the first piece says that the prompt has been read.
+// opened counts a stream whose answer has begun.
+func (s *scheduler) opened() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resumes.Open(s.now())
+}
+
+// closed counts the end of a stream whose answer had begun.
+func (s *scheduler) closed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resumes.Close(s.now())
+}
+
+// used trues the reservation of an attempt up; the first piece says that the prompt has been read, or that the region
+// answers.
 func (s *scheduler) used(p *placement, pieces int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.ticket == nil {
+	if p.region != "" {
+		s.regionBreakers.Answered(s.now(), p.region, p.probe)
 		return
 	}
 	s.chooser.FirstToken(s.now(), p.ticket)
@@ -170,6 +146,7 @@
 	now := s.now()
 	if p.region != "" {
 		s.regions.Done(now, p.away, err == nil)
+		s.regionBreakers.End(p.region, p.probe)
 		s.record(now, s.regionBreakers, p.region, err, failure)
 	} else {
 		s.chooser.Done(now, p.ticket, err == nil)
@@ -182,7 +159,7 @@
 			s.uses.Record(j.useKey(), j.pieces)
 		}
 	}
-	s.pump(now)
+	s.pump(now, p.models())
 }
 
 // recordEndpoint counts an endpoint's success or failure and opens or closes it for work.
@@ -217,9 +194,21 @@
 func (s *scheduler) decide(j *job, failure retry.Failure) (time.Duration, retry.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if j.begun() {
+		return s.decideResume(j, failure)
+	}
 	delay, reason := retry.Decide(s.now(), j.attempts, failure, s.budget, s.budgetKey(j), s.rng)
 	if reason == retry.Retry {
 		s.counts.Retries++
 	}
 	return delay, reason
 }
+
+// decideResume returns whether a stream in mid-answer is resumed, and when.
+func (s *scheduler) decideResume(j *job, failure retry.Failure) (time.Duration, retry.Reason) {
+	delay, reason := retry.DecideResume(s.now(), j.attempts, failure, s.resumes, s.rng)
+	if reason == retry.Retry {
+		s.counts.Resumes++
+	}
+	return delay, reason
+}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -70,6 +70,51 @@
 	})
 }
 
+// TestResumes checks that resumes are at most one for each stream, the reserve, and what open streams earn, that a stream
+// that waits is let through in the end, and that none is resumed at or past its deadline.
+func TestResumes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		r := NewResumes(now)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		open, opened, resumed, earned := 0, 0, 0, 0.0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			gap := time.Duration(rapid.IntRange(0, 500).Draw(t, "gap")) * time.Millisecond
+			now = now.Add(gap)
+			earned += gap.Seconds() * float64(open) * resumesPerSecond
+			switch rapid.SampledFrom([]string{"open", "close", "resume", "resume", "resume"}).Draw(t, "event") {
+			case "open":
+				r.Open(now)
+				open, opened = open+1, opened+1
+			case "close":
+				if open > 0 {
+					r.Close(now)
+					open--
+				}
+			default:
+				deadline := now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "left")) * time.Millisecond)
+				delay, reason := DecideResume(now, Attempts{Made: 1, Fruitless: 1, Deadline: deadline}, Doubtful, r, rng)
+				if (reason == Retry || reason == Paced) && !now.Add(delay).Before(deadline) {
+					t.Fatalf("%s after %v of %v", reason, delay, deadline.Sub(now))
+				}
+				if reason == Retry {
+					resumed++
+				}
+				if most := float64(opened) + resumeReserve + earned; float64(resumed) > most+1e-6 {
+					t.Fatalf("%d resumes, more than %v", resumed, most)
+				}
+			}
+		}
+		if open == 0 {
+			return
+		}
+		wait := r.Wait(now)
+		if !r.Take(now.Add(wait)) {
+			t.Fatalf("no resume after the wait of %v", wait)
+		}
+	})
+}
+
 func TestRefusedConnectionOpensAtOnce(t *testing.T) {
 	s := NewBreakers[string](rand.NewPCG(1, 1))
 	if got := s.Unreached(start, "e"); got != Open {
@@ -80,6 +125,63 @@
 	}
 }
 
+// TestProbes checks that at most one probe is under way while a breaker is half open, that one which never ends does not
+// hold it for longer than its time, and that a late end of a former probe lets no other one through.
+func TestProbes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewBreakers[string](rand.NewPCG(1, 1))
+		now := start
+		begun := map[Probe]time.Time{}
+		var former []Probe
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "gap")) * time.Millisecond)
+			state := s.State(now, "r")
+			live := 0
+			for _, at := range begun {
+				if now.Sub(at) < probeTimeout {
+					live++
+				}
+			}
+			want := state == Closed || state == HalfOpen && live == 0
+			if got := s.Allows(now, "r"); got != want {
+				t.Fatalf("allows %v in state %v with %d probes under way", got, state, live)
+			}
+			if want && state == HalfOpen {
+				begun[s.Begin(now, "r")] = now
+				continue
+			}
+			switch rapid.SampledFrom([]string{"unreached", "failed", "succeeded", "left", "late", "answered", "none"}).Draw(t, "event") {
+			case "unreached":
+				s.Unreached(now, "r")
+			case "failed":
+				s.Failed(now, "r")
+			case "succeeded":
+				s.Succeeded(now, "r")
+			case "left":
+				for p := range begun {
+					s.End("r", p)
+					delete(begun, p)
+				}
+			case "late":
+				for _, p := range former {
+					s.End("r", p)
+					s.Answered(now, "r", p)
+				}
+			case "answered":
+				for p := range begun {
+					s.Answered(now, "r", p)
+				}
+			}
+			for p := range begun {
+				if now.Sub(begun[p]) >= probeTimeout || s.State(now, "r") == Closed {
+					former = append(former, p)
+					delete(begun, p)
+				}
+			}
+		}
+	})
+}
+
 // TestBreaker checks the states of a breaker against a plain reading of its rules.
 func TestBreaker(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
