Name the requests with the slowest first tokens

The table names the correlation ids of the eight slowest first tokens of a mix, to find them in the entries' logs; without them the cause of a tail could only be guessed from quantiles.

--- a/load/result.go
+++ b/load/result.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -12,6 +14,9 @@
 	histogramDigits = 3
 )
 
+// maxSlowest is the number of slowest requests that are named, to find them in the entries' logs.
+const maxSlowest = 8
+
 // Result is what the load of one mix measured; times are in microseconds.
 type Result struct {
 	Mix       string
@@ -33,6 +38,8 @@
 	FirstToken    *hdrhistogram.Histogram
 	BetweenTokens *hdrhistogram.Histogram
 	Finish        *hdrhistogram.Histogram
+	// Slowest are the requests with the latest first tokens, the slowest first.
+	Slowest []Slow
 	// Left is the time at which the caller left each abandoned stream, by correlation id, in microseconds since 1970.
 	Left map[string]int64
 }
@@ -84,12 +91,25 @@
 	note(r.Finish, o.finish)
 	if o.first > 0 {
 		note(r.FirstToken, o.first)
+		r.Slowest = slowest(append(r.Slowest, Slow{ID: o.id, First: o.first}))
 	}
 	for _, gap := range o.gaps {
 		note(r.BetweenTokens, gap)
 	}
 }
 
+// Slow is a request by its correlation id with the time to its first token.
+type Slow struct {
+	ID    string
+	First time.Duration
+}
+
+// slowest returns the slowest of the requests, maxSlowest at most.
+func slowest(list []Slow) []Slow {
+	slices.SortFunc(list, func(a, b Slow) int { return cmp.Compare(b.First, a.First) })
+	return list[:min(len(list), maxSlowest)]
+}
+
 func note(h *hdrhistogram.Histogram, d time.Duration) {
 	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxMicros))
 }
@@ -114,6 +134,7 @@
 		for id, at := range part.Left {
 			sum.Left[id] = at
 		}
+		sum.Slowest = slowest(append(sum.Slowest, part.Slowest...))
 		sum.FirstToken.Merge(part.FirstToken)
 		sum.BetweenTokens.Merge(part.BetweenTokens)
 		sum.Finish.Merge(part.Finish)
--- a/load/table.go
+++ b/load/table.go
@@ -21,6 +21,12 @@
 	writeRow(&b, "first token", r.FirstToken)
 	writeRow(&b, "between tokens", r.BetweenTokens)
 	writeRow(&b, "finish", r.Finish)
+	for i, slow := range r.Slowest {
+		fmt.Fprintf(&b, "%s%s %.0f", []string{"slowest first tokens: ", ", "}[min(i, 1)], slow.ID, slow.First.Seconds()*1000)
+	}
+	if len(r.Slowest) > 0 {
+		b.WriteByte('\n')
+	}
 	_, err := io.WriteString(w, b.String())
 	return err
 }
