Send a waiting request away at once when its region has lost its endpoints

Fails first: TestWaitingLeavesDeadRegion: a request that waited for a dead engine began 1.2653s after it was killed

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -236,8 +236,8 @@
 	return true
 }
 
-// reconsider looks at a waiting request again: it is refused once it cannot be met, and sent away or refused if the
-// region has no endpoint for it any more.
+// reconsider looks at a waiting request again: it is refused once it cannot be met, and sent away if the region has no
+// endpoint for it any more. If it cannot be sent away, it waits for a moment longer and is then refused.
 func (s *scheduler) reconsider(w *admission.Waiting[*waiter]) (*placement, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -255,11 +255,15 @@
 		l.remove(now, w, false)
 		return nil, s.refuseLate(j, l, admission.Verdict{RetryAfter: retryAfterNoCapacity})
 	}
-	if _, local := s.choose(now, j); local || s.learning(now, j, l) {
+	if _, local := s.choose(now, j); local {
+		return nil, nil
+	}
+	p := s.sendAway(now, j, l, routing.Decision{}, false)
+	if p == nil && s.learning(now, j, l) {
 		return nil, nil
 	}
 	l.remove(now, w, false)
-	if p := s.sendAway(now, j, l, routing.Decision{}, false); p != nil {
+	if p != nil {
 		return p, nil
 	}
 	return nil, s.refuseNoCapacity(j)
