Count 96 KiB for a request besides its body

Cause: the 48 KiB were a guess. With 64 MiB one team has 455 streams at an entry, where 195 are expected at the size aimed at, 350 in the largest region.

--- a/entry/room.go
+++ b/entry/room.go
@@ -11,7 +11,7 @@
 )
 
 // requestOverhead is the memory in bytes that a request in progress takes besides its body.
-const requestOverhead = 48 << 10
+const requestOverhead = 96 << 10
 
 // retryAfterFull is when a caller may come back that found no room in an instance.
 const retryAfterFull = time.Second
