Expect others' requests to change as the own ones since their reports

Each instance now adds to the others' reported requests what its own have changed by since, in the ratio of others' to own at the reports, at most one for each other instance.

--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -74,9 +74,12 @@
 	if changed {
 		c.rebuild()
 	}
-	for _, t := range c.tables {
+	for k, t := range c.tables {
 		t.average()
 		t.instances = c.instances
+		if k.model == "" {
+			t.drift()
+		}
 	}
 }
 
@@ -216,6 +219,21 @@
 	t.mean = sum / float64(max(len(t.open), 1))
 }
 
+// drift expects the requests of others to have changed since the reports in the same ratio as the own ones, as callers
+// spread over the instances: each would otherwise fill the same slots until the next reports after a burst.
+func (t *table) drift() {
+	own, since, others := 0, 0, 0.0
+	for _, candidate := range t.open {
+		own += candidate.own
+		since += candidate.load.sinceRequests
+		others += candidate.load.others(candidate.own)
+	}
+	ratio := min(others/float64(max(own-since, 1)), float64(max(t.instances-1, 0)))
+	for _, candidate := range t.open {
+		candidate.load.drift = ratio * float64(since) / float64(len(t.open))
+	}
+}
+
 // Choose returns the best of a sample of the open candidates; ok is false if there is none. The best of all is
 // returned without room if no candidate has room.
 func (c *Chooser[P]) Choose(now time.Time, q *Query) (d Decision, ok bool) {
--- a/routing/chooser_test.go
+++ b/routing/chooser_test.go
@@ -258,3 +258,33 @@
 		})
 	}
 }
+
+// TestOthersFollowBurst sends a burst through one of three instances between two reports: the others are expected to have
+// sent as much, as they had before, so that there is no room when three times the own requests fill the slots.
+func TestOthersFollowBurst(t *testing.T) {
+	c := New(Expected{}, origin, rand.NewPCG(1, 1))
+	c.SetInstances(3)
+	list := []membership.Endpoint{engine(0, 0), engine(1, 0)}
+	c.Observe(origin, list)
+	q := query()
+	send := func(n int) {
+		for range n {
+			d, _ := c.Choose(at(time.Second), q)
+			c.Start(at(time.Second), d, q)
+		}
+	}
+	send(2)
+	for i := range list {
+		list[i] = engine(i, 3)
+		list[i].Sequence, list[i].Load.At = 2, at(time.Second)
+	}
+	c.Observe(at(time.Second), list)
+	send(4)
+	c.Observe(at(time.Second), list)
+	if got := c.Capacity(at(time.Second), q.Service, q.Model).Outstanding; got != 18 {
+		t.Errorf("%v requests are expected after 2 of 6 and a burst of 4 own ones", got)
+	}
+	if d, _ := c.Choose(at(time.Second), q); d.Room {
+		t.Errorf("%q is expected to have room", d.Candidate.Name())
+	}
+}
--- a/routing/load.go
+++ b/routing/load.go
@@ -19,6 +19,8 @@
 	first         int
 	sinceRequests int
 	sinceTokens   int
+	// drift is what the requests of others are expected to have changed by since the report.
+	drift float64
 }
 
 // report takes a report that was true at a time; an older one than the last is dropped.
@@ -67,9 +69,9 @@
 }
 
 // outstanding returns the requests expected at the endpoint: the own ones and those of others, of which mean are
-// expected where nothing is known.
+// expected where nothing is known, and which have drifted since the report.
 func (l *load) outstanding(now time.Duration, own int, mean float64) float64 {
-	return float64(own) + mean + (l.others(own)-mean)*l.weight(now)
+	return float64(own) + max(mean+(l.others(own)-mean)*l.weight(now)+l.drift, 0)
 }
 
 // backlog returns the prompt tokens that are expected to wait for their prefill.
