--- /dev/null
+++ b/ledger/atmostonce_test.go
@@ -0,0 +1,88 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestAtMostOnce(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 4, 5} {
+		t.Run(fmt.Sprint(n, " replicas"), func(t *testing.T) {
+			used := map[string]int{}
+			rapid.Check(t, func(t *rapid.T) {
+				for range machinesPerCase {
+					m := newMachine(n, rapid.IntRange(0, n).Draw(t, "disks"))
+					for range 2*n + 2 {
+						m.recoverAll()
+					}
+					m.drive(t, 250)
+					m.checkServes()
+					for what, count := range m.used {
+						used[what] += count
+					}
+				}
+			})
+			t.Log(used)
+		})
+	}
+}
+
+// checkServes checks that the group claims a new key once every replica runs and reaches the others.
+func (m *machine) checkServes() {
+	for _, slot := range m.slots {
+		if !m.nodes[slot].alive {
+			m.restart(slot)
+		}
+	}
+	for range 2*len(m.slots) + 2 {
+		m.recoverAll()
+	}
+	m.runs++
+	call := Record{Key: Key{Key: "last"}, Digest: "digest", Attempt: fmt.Sprint("attempt", m.runs), Lease: testLease}
+	a := NewAttempt(len(m.slots), m.group, m.epoch(), call)
+	r, _ := a.Request()
+	for _, slot := range m.slots {
+		reply, _ := m.handle(slot, r)
+		a.Handle(Claiming, reply)
+	}
+	if !a.Claimed() {
+		m.fail("last", fmt.Sprintf("the healed group does not claim: %+v", a.Seen()))
+	}
+}
+
+// TestLateClaimAfterRecovery lets a claim reach a replica after another one, which had acknowledged it, lost its memory and recovered.
+func TestLateClaimAfterRecovery(t *testing.T) {
+	m := newMachine(3, 0)
+	for range 3 {
+		m.recoverAll()
+	}
+	m.start("a")
+	claim := m.inFlight[0].request
+	first := m.attempts[0]
+	acknowledge := func(slot string, a *testAttempt, r Request) {
+		reply, _ := m.handle(slot, r)
+		a.Handle(Claiming, reply)
+	}
+	acknowledge("r0", first, claim)
+	m.crash("r0")
+	m.restart("r0")
+	m.recoverAll()
+	m.recoverAll()
+	if !m.nodes["r0"].active {
+		t.Fatal("r0 has not recovered")
+	}
+	acknowledge("r1", first, claim)
+	m.start("a")
+	second := m.attempts[1]
+	other, _ := second.Request()
+	acknowledge("r0", second, other)
+	acknowledge("r2", second, other)
+	if first.Claimed() && second.Claimed() {
+		t.Error("two attempts won the claim of one key")
+	}
+	if !second.Claimed() {
+		t.Error("the second attempt did not win the key")
+	}
+}
--- a/systemtest/harness_test.go
+++ b/systemtest/harness_test.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"crypto/tls"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,8 +15,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -54,63 +51,6 @@
 	return m.Run()
 }
 
-// process is one program under test, which can be stopped, killed, frozen and started again with the same arguments.
-type process struct {
-	t    *testing.T
-	name string
-	args []string
-	env  []string
-	cmd  *exec.Cmd
-	log  string
-	done chan struct{}
-}
-
-// start starts the process; its output is appended to its log.
-func (p *process) start() {
-	p.t.Helper()
-	f, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	cmd := exec.Command(filepath.Join(programs, p.args[0]), p.args[1:]...)
-	cmd.Stdout, cmd.Stderr = f, f
-	cmd.Env = append(os.Environ(), p.env...)
-	if err := cmd.Start(); err != nil {
-		p.t.Fatal(err)
-	}
-	done := make(chan struct{})
-	p.cmd, p.done = cmd, done
-	go func() {
-		_ = cmd.Wait()
-		_ = f.Close()
-		close(done)
-	}()
-}
-
-func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
-
-// kill ends the process at once and waits for it.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.done
-}
-
-// stop asks for a graceful stop and waits for it.
-func (p *process) stop() {
-	p.signal(syscall.SIGTERM)
-	<-p.done
-}
-
-func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
-
-func (p *process) thaw() { p.signal(syscall.SIGCONT) }
-
-// logged returns what the process has written.
-func (p *process) logged() string {
-	b, _ := os.ReadFile(p.log)
-	return string(b)
-}
-
 // instance is an entry or control process with its addresses.
 type instance struct {
 	*process
@@ -215,15 +155,6 @@
 	return s
 }
 
-// run starts one process.
-func (s *system) run(name string, args ...string) *process {
-	s.t.Helper()
-	p := &process{t: s.t, name: name, args: args, log: filepath.Join(s.dir, name+".log")}
-	p.start()
-	s.all = append(s.all, p)
-	return p
-}
-
 // end kills every process and prints the logs of a failed test.
 func (s *system) end() {
 	for _, p := range s.all {
@@ -238,15 +169,6 @@
 	}
 }
 
-// tail returns the end of a long text.
-func tail(text string) string {
-	const limit = 4000
-	if len(text) > limit {
-		return "…" + text[len(text)-limit:]
-	}
-	return text
-}
-
 // operators returns the operators' addresses of the control voters.
 func (s *system) operators() string {
 	var addresses []string
@@ -314,27 +236,6 @@
 	}
 }
 
-// answer is a whole HTTP answer; status zero says that none came.
-type answer struct {
-	status int
-	body   string
-	header http.Header
-}
-
-// problemCode returns the code and outcome of an answer that is a problem.
-func (a answer) problemCode() (code, outcome string) {
-	var m struct{ Code, Outcome string }
-	_ = json.Unmarshal([]byte(a.body), &m)
-	return m.Code, m.Outcome
-}
-
-// do sends one request to an address as the team with the token.
-func (s *system) do(method, address, path, token, body string, headers ...string) answer {
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
-	defer cancel()
-	return s.doWithin(ctx, method, address, path, token, body, headers...)
-}
-
 // doWithin sends one request whose caller leaves when ctx ends.
 func (s *system) doWithin(ctx context.Context, method, address, path, token, body string, headers ...string) answer {
 	req, err := http.NewRequestWithContext(ctx, method, s.scheme()+address+path, bytes.NewReader([]byte(body)))
@@ -361,10 +262,6 @@
 	return answer{status: resp.StatusCode, body: string(b), header: resp.Header}
 }
 
-func (s *system) get(address, path, token string) int {
-	return s.do(http.MethodGet, address, path, token, "").status
-}
-
 // ledgerReplicas returns the setting of each region's ledger replicas: its first three entries.
 func ledgerReplicas(entries []*instance) map[string]string {
 	const most = 3
@@ -380,40 +277,3 @@
 	}
 	return settings
 }
-
-// epoch returns the token of the ledger that goes with a key: the one that was told before its first try.
-func (s *system) epoch(address, token, key string) string {
-	s.mu.Lock()
-	known := s.epochs[token+key]
-	s.mu.Unlock()
-	if known != "" {
-		return known
-	}
-	var m struct{ Epoch string }
-	_ = json.Unmarshal([]byte(s.do(http.MethodGet, address, "/v1/entries", token, "").body), &m)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.epochs == nil {
-		s.epochs = map[string]string{}
-	}
-	s.epochs[token+key] = m.Epoch
-	return m.Epoch
-}
-
-// firstPort lies below the ports that the system gives to outgoing connections.
-const firstPort = 10000
-
-// ports counts the addresses that were given out.
-var ports atomic.Int32
-
-// freeAddress returns a loopback address that no other process uses: the IP number is that of this test process.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	return fmt.Sprintf("%s:%d", ownNumber(), firstPort+ports.Add(1))
-}
-
-// ownNumber returns the loopback IP number of this test process.
-func ownNumber() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff)
-}
--- /dev/null
+++ b/systemtest/process_test.go
@@ -0,0 +1,84 @@
+package systemtest
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+)
+
+// process is one program under test, which can be stopped, killed, frozen and started again with the same arguments.
+type process struct {
+	t    *testing.T
+	name string
+	args []string
+	env  []string
+	cmd  *exec.Cmd
+	log  string
+	done chan struct{}
+}
+
+// start starts the process; its output is appended to its log.
+func (p *process) start() {
+	p.t.Helper()
+	f, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	cmd := exec.Command(filepath.Join(programs, p.args[0]), p.args[1:]...)
+	cmd.Stdout, cmd.Stderr = f, f
+	cmd.Env = append(os.Environ(), p.env...)
+	if err := cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		_ = cmd.Wait()
+		_ = f.Close()
+		close(done)
+	}()
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process at once and waits for it.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// stop asks for a graceful stop and waits for it.
+func (p *process) stop() {
+	p.signal(syscall.SIGTERM)
+	<-p.done
+}
+
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+
+func (p *process) thaw() { p.signal(syscall.SIGCONT) }
+
+// logged returns what the process has written.
+func (p *process) logged() string {
+	b, _ := os.ReadFile(p.log)
+	return string(b)
+}
+
+// run starts one process.
+func (s *system) run(name string, args ...string) *process {
+	s.t.Helper()
+	p := &process{t: s.t, name: name, args: args, log: filepath.Join(s.dir, name+".log")}
+	p.start()
+	s.all = append(s.all, p)
+	return p
+}
+
+// tail returns the end of a long text.
+func tail(text string) string {
+	const limit = 4000
+	if len(text) > limit {
+		return "…" + text[len(text)-limit:]
+	}
+	return text
+}
