Found a new epoch when all replicas have their memory but no majority one epoch

Cause: the random test's new end (a healed group must claim a new key) failed for four replicas: r0 and r1 active in one epoch, r2 and r3 in another. None adopts without a majority and none recovers, as all are active; founding waited for an epoch that could still get enough replicas. With two replicas one each does the same. Now such a split founds a new epoch; the replicas keep their memory, and tokens of the older epochs claim nothing any more.

Also takes in the new interface of the exchange.

--- a/ledger/atmostonce_test.go
+++ b/ledger/atmostonce_test.go
@@ -86,3 +86,21 @@
 		t.Error("the second attempt did not win the key")
 	}
 }
+
+// TestSplitGroupServes lets all replicas have their memory, but no majority of them one epoch.
+func TestSplitGroupServes(t *testing.T) {
+	for _, epochs := range [][]string{{"x", "y"}, {"x", "x", "y", "y"}, {"x", "x", "y", "y", "z"}} {
+		t.Run(fmt.Sprint(len(epochs), " replicas"), func(t *testing.T) {
+			m := newMachine(len(epochs), len(epochs))
+			for i, epoch := range epochs {
+				m.nodes[m.slots[i]].Adopt(epoch)
+			}
+			defer func() {
+				if cause := recover(); cause != nil {
+					t.Error(cause)
+				}
+			}()
+			m.checkServes()
+		})
+	}
+}
--- a/ledger/recovery.go
+++ b/ledger/recovery.go
@@ -167,12 +167,25 @@
 	return highest + 1
 }
 
+// split reports whether all replicas have their memory, but no majority one epoch, so that none can recover or adopt.
+func split(n int, members map[string][]string) bool {
+	active, most := 0, 0
+	for _, slots := range members {
+		active += len(slots)
+		most = max(most, len(slots))
+	}
+	return active == n && most < Quorum(n)
+}
+
 // founds reports whether no epoch can have enough active replicas any more, and self is the first that can see it.
 func founds(self string, n int, statuses map[string]Reply, members map[string][]string) bool {
 	first := slices.Min(slices.Collect(maps.Keys(statuses)))
 	if len(statuses) < Quorum(n) || first != self {
 		return false
 	}
+	if split(n, members) {
+		return true
+	}
 	unreachable := n - len(statuses)
 	if unreachable >= recoveryQuorum(n) {
 		return false
--- a/membership/late_test.go
+++ b/membership/late_test.go
@@ -10,11 +10,11 @@
 	start := time.Unix(1000, 0)
 	origin := NewShare[int](start, "origin", 1)
 	told := func(since uint64) []Delta[int] {
-		return origin.Missing([]Mark{{Origin: "origin", Incarnation: 1, Version: since}})
+		return origin.Missing(start, shareTTL, []Mark{{Origin: "origin", Incarnation: 1, Version: since}})
 	}
 	origin.Put("a", 1)
 	origin.Beat(start)
-	full := origin.Missing(nil)
+	full := origin.Missing(start, shareTTL, nil)
 	origin.Put("b", 2)
 	second := told(1)
 	origin.Put("a", 3)
