Let the random test's operator ask the replicas first, as calls.Runner.Settle does

The trace: a claim is won on r1 and r2; r0 and r2 lose their memory and found an epoch without r1; the operator takes the open record from r1, whose lease runs, and settles it at r0 and r2, which know nothing; the owner sends within its window. The program cannot do this: Settle judges the replies of all replicas that answer first, and refuses a call in progress. The model took any open record from inside one replica.

The model now asks a random set of replicas and settles only what Judge calls doubtful.

--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -161,6 +161,17 @@
 	}
 }
 
+// ask returns what an operator is told of a key by the replicas that are reached.
+func (m *machine) ask(k Key, reached []string) (Verdict, Record) {
+	var replies []Reply
+	for _, slot := range reached {
+		if reply, ok := m.handle(slot, Request{Op: OpRead, Group: m.group, Call: Record{Key: k}}); ok {
+			replies = append(replies, reply)
+		}
+	}
+	return Judge(m.now, len(m.slots), "", "", replies)
+}
+
 func (m *machine) settle(call Record, proposed Value) {
 	m.runs++
 	ballot := Ballot{Number: int64(m.runs), Proposer: fmt.Sprint("settler", m.runs)}
