--- a/entry/callers.go
+++ b/entry/callers.go
@@ -11,8 +11,6 @@
 	"strings"
 	"time"
 
-	"google.golang.org/protobuf/encoding/protojson"
-
 	"arbutusreel/inventory"
 	"arbutusreel/membership"
 	"arbutusreel/metrics"
@@ -58,16 +56,11 @@
 	n.state.mu.Lock()
 	revision, source := n.state.revision, n.state.source
 	n.state.mu.Unlock()
-	b, err := protojson.Marshal(&wiregen.ReadyReply{Revision: revision, Source: source, Leaving: n.leaving.Load(), LedgerFatalDomain: n.domains.fatal()})
-	if err != nil {
-		problem.Write(w, problem.From(err), "")
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
+	status := http.StatusOK
 	if !n.ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		status = http.StatusServiceUnavailable
 	}
-	_, _ = w.Write(b)
+	writeReply(w, status, &wiregen.ReadyReply{Revision: revision, Source: source, Leaving: n.leaving.Load(), LedgerFatalDomain: n.domains.fatal()})
 }
 
 // caller is an authenticated request of a team.
@@ -197,15 +190,9 @@
 	if len(home) == 0 {
 		home = live
 	}
-	b, err := protojson.Marshal(&wiregen.EntriesReply{
+	writeReply(w, http.StatusOK, &wiregen.EntriesReply{
 		Entries:   wire.EncodeEntries(home),
 		Epoch:     n.epochToken(c.team.HomeRegion),
 		TtlMillis: entriesTTL.Milliseconds(),
 	})
-	if err != nil {
-		n.fail(w, c, err)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(b)
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,7 +95,7 @@
 		batch:     newBatch(cfg.Slots, cfg.CacheTokens),
 		cache:     newCache(cfg.CacheBlocks, cfg.CacheEventDelay, cfg.CacheEventGap, rng),
 		counts:    counts{cancels: map[string]int64{}},
-		models:    clone(cfg.Models),
+		models:    slices.Clone(cfg.Models),
 	}
 }
 
@@ -165,7 +166,7 @@
 		Service:       e.cfg.Service,
 		Models:        servedNames(e.models),
 		Versions:      versionsOf(e.models),
-		Loading:       clone(e.loading),
+		Loading:       slices.Clone(e.loading),
 		OrderTerm:     e.number.Term,
 		OrderSequence: e.number.Sequence,
 		Slots:         int64(e.cfg.Slots),
