Hand over the parts of limits at a planned stop

After a planned stop of their owner the region's parts of the limits lay idle for 6 s. Weighed (docs/design/limits.md): a message that the owner sends (a late one cannot be told from a current one), moved loans, a stop that waits for the loans. Now the owner gives its parts up for good, and the next one asks it how long its loans last; what is lost falls back to 6 s.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -18,6 +18,7 @@
 // drain leaves the directory, waits for this to spread, refuses new requests, and waits for those in progress.
 func (n *Entry) drain(ctx context.Context, cut context.CancelCauseFunc) {
 	n.leaving.Store(true)
+	n.rates.leave()
 	n.log.Info().Dur("notice", n.cfg.DrainNotice).Msg("leaving")
 	n.state.hear(n.self())
 	n.publish(ctx)
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -72,6 +72,13 @@
 	return asks
 }
 
+// leave gives up the parts that the instance owns.
+func (s *rates) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.teams.Leave(s.now())
+}
+
 func (s *rates) take(grants []*wiregen.RateGrant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/limits/account.go
+++ b/limits/account.go
@@ -13,6 +13,8 @@
 	Number   uint64
 	// Rate is the rate that the borrower has use for, in tokens a second.
 	Rate float64
+	// Handover asks a leaving owner when its part is free, in place of a rate.
+	Handover bool
 }
 
 // Grant is a lender's answer to the ask of the same number; the borrower may use the rate for Duration after it asked.
@@ -23,6 +25,8 @@
 	Number   uint64
 	Rate     float64
 	Duration time.Duration
+	// Handover says that the lender has left its part, in which nothing is in use after Duration.
+	Handover bool
 }
 
 // loan is a rate that was lent until a time of the lender's clock.
@@ -54,8 +58,14 @@
 	debts   map[string]debt
 	asked   map[string]pending
 	number  uint64
-	bucket  bucket
-	demand  demand
+	// owner is the owner of the own region's part, and former the one before the instance became the owner itself.
+	owner  string
+	former string
+	// left tells that the instance owned a part when it left, and heir is the instance that it told so.
+	left   bool
+	heir   string
+	bucket bucket
+	demand demand
 	// idle is the rate that the instance keeps without demand, so that a first request finds tokens.
 	idle float64
 }
@@ -181,6 +191,10 @@
 	if !ok || p.number != g.Number || g.Borrower != a.self {
 		return
 	}
+	if g.Handover {
+		a.takeOver(now, p, g)
+		return
+	}
 	a.update(now)
 	a.debts[g.Lender] = debt{rate: g.Rate, ends: p.sentAt.Add(min(g.Duration, LeaseTime))}
 	a.update(now)
--- a/limits/teams.go
+++ b/limits/teams.go
@@ -28,6 +28,8 @@
 	limits   map[string]Limit
 	// owners are the owners of each team's parts that are known, by region.
 	owners map[string]map[string]string
+	// leaving tells that the instance owns nothing any more.
+	leaving bool
 }
 
 // New returns the accounts of an instance that knows no team.
@@ -101,7 +103,8 @@
 	}
 	t.owners[l.Team] = owners
 	own := 0.0
-	if owners[t.self.Region] == t.self.Instance {
+	a.setOwner(owners[t.self.Region])
+	if owners[t.self.Region] == t.self.Instance && !t.leaving {
 		own = Part(l, t.self.Region, regions)
 	}
 	a.idle = l.TokensPerSecond * idleShare / float64(max(len(members), 1))
@@ -119,6 +122,9 @@
 		if owner != "" && owner != t.self.Instance {
 			asks = append(asks, a.ask(now, owner, want))
 		}
+		if former, ok := a.awaits(now); ok {
+			asks = append(asks, a.askHandover(now, former))
+		}
 		lacking := max(a.demand.rate(now)*demandSpare-a.local(now, owner), 0)
 		for _, region := range slices.Sorted(maps.Keys(t.owners[team])) {
 			other := t.owners[team][region]
@@ -147,6 +153,9 @@
 	if a == nil || ask.Lender != t.self.Instance {
 		return Grant{}, false
 	}
+	if ask.Handover {
+		return a.handOver(now, ask)
+	}
 	return a.lend(now, ask), true
 }
 
--- a/systemtest/limits_test.go
+++ b/systemtest/limits_test.go
@@ -7,8 +7,11 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"arbutusreel/limits"
 )
 
 // limitedTokens is the limit of the team in tokens a second, and limitBurst the seconds of it that may be used at once.
@@ -59,6 +62,33 @@
 	}
 }
 
+// TestLimitStopHandsOver stops the entry that owns a limit and drives the one that is left: together they stay within the
+// limit. How much is used tells how soon the part was free.
+func TestLimitStopHandsOver(t *testing.T) {
+	s := newSystem(t, options{regions: []string{"lahore"}, entriesPerRegion: 2, inventory: limitedInventory(t), entryArgs: []string{"--drainNotice", "3s"}})
+	s.engine("engine-lahore", "lahore", "menu-model", "dastarkhwan-menu", "--slots", "64", "--tokenTime", "1ms")
+	var members []limits.Member
+	for _, e := range s.entries {
+		members = append(members, limits.Member{Instance: e.name, Region: "lahore"})
+		s.until(e.name+" has a part of the limit", func() bool {
+			return s.do(http.MethodPost, e.caller, chatPath, lahoreToken, wholeBody).status == http.StatusOK
+		})
+	}
+	name, _ := limits.Owner("lahore-club", "lahore", members)
+	owner, heir := s.entries[0], s.entries[1]
+	if heir.name == name {
+		owner, heir = heir, owner
+	}
+	s.drive(s.entries, 2*time.Second)
+	owner.signal(syscall.SIGTERM)
+	used, refused, elapsed := s.drive([]*instance{heir}, 6*time.Second)
+	t.Logf("%d tokens in %v after the owner's stop, %d requests refused", used, elapsed, refused)
+	if most := limitedTokens * (elapsed.Seconds() + limitBurst); float64(used) > most || used == 0 {
+		t.Errorf("%d tokens used in %v, more than %v", used, elapsed, most)
+	}
+	<-owner.done
+}
+
 const wholeBody = `{"model":"dastarkhwan-menu","max_tokens":40,"messages":[{"role":"user","content":"plan"}]}`
 
 // drive sends requests of one team through the entries for a time and returns the tokens of the answers, and the number
--- a/wire/limits.go
+++ b/wire/limits.go
@@ -12,7 +12,7 @@
 	list := make([]*wiregen.RateAsk, 0, len(asks))
 	for _, a := range asks {
 		list = append(list, &wiregen.RateAsk{
-			Team: a.Team, Lender: a.Lender, Borrower: a.Borrower, Number: a.Number, TokensPerSecond: a.Rate,
+			Team: a.Team, Lender: a.Lender, Borrower: a.Borrower, Number: a.Number, TokensPerSecond: a.Rate, Handover: a.Handover,
 		})
 	}
 	return list
@@ -22,6 +22,7 @@
 func DecodeAsk(m *wiregen.RateAsk) limits.Ask {
 	return limits.Ask{
 		Team: m.GetTeam(), Lender: m.GetLender(), Borrower: m.GetBorrower(), Number: m.GetNumber(), Rate: m.GetTokensPerSecond(),
+		Handover: m.GetHandover(),
 	}
 }
 
@@ -29,7 +30,7 @@
 func EncodeGrant(g limits.Grant) *wiregen.RateGrant {
 	return &wiregen.RateGrant{
 		Team: g.Team, Lender: g.Lender, Borrower: g.Borrower, Number: g.Number, TokensPerSecond: g.Rate,
-		DurationMillis: g.Duration.Milliseconds(),
+		DurationMillis: g.Duration.Milliseconds(), Handover: g.Handover,
 	}
 }
 
@@ -37,6 +38,6 @@
 func DecodeGrant(m *wiregen.RateGrant) limits.Grant {
 	return limits.Grant{
 		Team: m.GetTeam(), Lender: m.GetLender(), Borrower: m.GetBorrower(), Number: m.GetNumber(), Rate: m.GetTokensPerSecond(),
-		Duration: time.Duration(m.GetDurationMillis()) * time.Millisecond,
+		Duration: time.Duration(m.GetDurationMillis()) * time.Millisecond, Handover: m.GetHandover(),
 	}
 }
