--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"net/http"
-	"slices"
 	"time"
 
 	"arbutusreel/admission"
-	"arbutusreel/problem"
 	"arbutusreel/residency"
 	"arbutusreel/routing"
 )
@@ -51,29 +48,45 @@
 	j.query.Behind = s.before(now, l, j)
 	defer func() { j.query.Behind = nil }()
 	d, local := s.choose(now, j)
-	if p := s.sendAway(now, j, l, d, local); p != nil {
+	if p := s.startNow(now, j, l, d, local); p != nil {
 		return p, nil, nil
 	}
-	if local && d.Room && l.queue.Ahead(j.class.Priority) == 0 && (!j.class.Deferrable || s.spare(now, j)) {
-		s.explain(j, d, "started")
-		return s.start(now, j, d), nil, nil
+	w, err := s.waitOrRefuse(now, j, l, d, local)
+	return nil, w, err
+}
+
+// startNow starts the request in the own region or sends it away, or returns nil.
+func (s *scheduler) startNow(now time.Time, j *job, l *lane, d routing.Decision, local bool) *placement {
+	if p := s.sendAway(now, j, l, d, local); p != nil {
+		return p
+	}
+	free := local && d.Room && l.queue.Ahead(j.class.Priority) == 0
+	if !free || j.class.Deferrable && !s.spare(now, j) {
+		return nil
 	}
+	s.explain(j, d, "started")
+	return s.start(now, j, d)
+}
+
+// waitOrRefuse lets a request wait that cannot start now, or refuses it. If no other endpoint is known, one that has
+// failed the request may take it again.
+func (s *scheduler) waitOrRefuse(now time.Time, j *job, l *lane, d routing.Decision, local bool) (*admission.Waiting[*waiter], error) {
 	if !local && len(j.query.Exclude) > 0 {
 		j.query.Exclude = nil
 		d, local = s.choose(now, j)
 	}
 	if !local && s.learning(now, j, l) {
-		return nil, s.enqueue(now, j, l, admission.Verdict{Queue: true}), nil
+		return s.enqueue(now, j, l, admission.Verdict{Queue: true}), nil
 	}
 	if !local {
-		return nil, nil, s.refuseNoCapacity(j)
+		return nil, s.refuseNoCapacity(j)
 	}
 	v := admission.Decide(now, j.request.Deadline, s.estimate(now, j, l, d))
 	if !v.Queue && !j.begun() {
-		return nil, nil, s.refuseLate(j, l, v)
+		return nil, s.refuseLate(j, l, v)
 	}
 	s.explain(j, d, "queued")
-	return nil, s.enqueue(now, j, l, v), nil
+	return s.enqueue(now, j, l, v), nil
 }
 
 // learning reports whether the request may wait because the instance may not have heard of its endpoints yet: it has
@@ -123,69 +136,6 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// sendAway sends the request to another region if its own lacks capacity: it has no endpoint for the request, cannot
-// meet it, or has let requests wait for a time and the other region is expected to be better. A small share of the
-// requests may leave for a better region before that.
-func (s *scheduler) sendAway(now time.Time, j *job, l *lane, d routing.Decision, local bool) *placement {
-	if local && j.class.Deferrable {
-		return nil
-	}
-	reason, least := s.reasonAway(now, j, l, d, local)
-	if reason == "" {
-		return nil
-	}
-	routes := slices.DeleteFunc(j.routes(s.self.Region), func(r routing.Route) bool {
-		return !s.regionBreakers.Allows(now, r.Region)
-	})
-	away, ok := s.regions.Choose(now, &j.query, j.bytes(), routes, least)
-	if !ok {
-		return nil
-	}
-	s.counts.SentAway++
-	if reason == awayPreferred {
-		s.preferred--
-	}
-	s.explainAway(j, away, least, reason)
-	return &placement{
-		region: away.Region,
-		away:   s.regions.Start(now, away, &j.query, j.bytes()),
-		probe:  s.regionBreakers.Begin(now, away.Region),
-		terms:  away.Terms,
-		prompt: j.request.PromptTokens,
-	}
-}
-
-// Reasons to send a request away.
-const (
-	awayNoEndpoint = "noEndpoint"
-	awayNotMet     = "cannotBeMet"
-	awayShort      = "capacityShort"
-	awayPreferred  = "better"
-)
-
-// reasonAway returns why the request may leave, or nothing, and what another region must be better than.
-func (s *scheduler) reasonAway(now time.Time, j *job, l *lane, d routing.Decision, local bool) (string, *routing.Terms) {
-	if !local {
-		return awayNoEndpoint, nil
-	}
-	terms := d.Terms
-	if !d.Room {
-		e := s.estimate(now, j, l, d)
-		if !now.Add(e.Total()).Before(j.request.Deadline) {
-			return awayNotMet, nil
-		}
-		terms.Wait = e.Wait.Seconds()
-		terms.Score = j.query.Objective.Score(terms)
-		if l.short(now) {
-			return awayShort, &terms
-		}
-	}
-	if d.Informed && s.preferred >= 1 {
-		return awayPreferred, &terms
-	}
-	return "", nil
-}
-
 // enqueue lets the request wait.
 func (s *scheduler) enqueue(now time.Time, j *job, l *lane, v admission.Verdict) *admission.Waiting[*waiter] {
 	if l.queue.Len() == 0 {
@@ -251,17 +201,3 @@
 	}
 	return cause
 }
-
-func (s *scheduler) refuseNoCapacity(j *job) error {
-	s.counts.Refused++
-	s.explainRefusal(j, problem.NoCapacity, admission.Verdict{RetryAfter: retryAfterNoCapacity})
-	return problem.New(problem.NoCapacity, http.StatusServiceUnavailable, "no endpoint of service %q is known for model %q", j.request.Service, j.request.Model).WithRetryAfter(retryAfterNoCapacity)
-}
-
-// refuseLate refuses a request that cannot be met within its patience.
-func (s *scheduler) refuseLate(j *job, l *lane, v admission.Verdict) error {
-	s.counts.Refused++
-	l.audit.Refused(l.queue.Ahead(j.class.Priority), max(j.query.ExpectedTokens, 1), j.latestStart(v.Estimate))
-	s.explainRefusal(j, problem.PatienceExceeded, v)
-	return problem.New(problem.PatienceExceeded, http.StatusServiceUnavailable, "class %q cannot be served within its patience now", j.request.Class).WithRetryAfter(v.RetryAfter)
-}
--- a/dispatch/resume_test.go
+++ b/dispatch/resume_test.go
@@ -7,8 +7,47 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
+// TestResume cuts streams of random engines at random positions: the caller receives every piece once.
+func TestResume(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		failAt := rapid.SliceOfN(rapid.IntRange(0, 30), 3, 3).Draw(rt, "failAt")
+		frozen := rapid.IntRange(-1, 2).Draw(rt, "frozen")
+		tokens := rapid.IntRange(1, 40).Draw(rt, "tokens")
+		ignoring := rapid.IntRange(-1, 2).Draw(rt, "ignoring")
+		var failure string
+		synctest.Test(t, func(*testing.T) {
+			engines := fleet(3, 8, 0)
+			for i, g := range engines["lahore"] {
+				g.failAt, g.frozen, g.ignoresResume = failAt[i], i == frozen, i == ignoring
+			}
+			w := newWorld(mustInventory(contents()), 1, engines, 1, expected)
+			r := request("r", tokens, "plan", time.Minute)
+			c, err := run(w.entry("lahore"), r)
+			generated, wrong := 0, 0
+			for _, list := range engines {
+				for _, g := range list {
+					generated, wrong = generated+g.generated, wrong+g.wrongResumes
+				}
+			}
+			switch {
+			case err != nil:
+				failure = err.Error()
+			case c.text.String() != wholeText(r):
+				failure = "received " + c.text.String()
+			case wrong > 0 || ignoring < 0 && generated != tokens:
+				failure = fmt.Sprintf("%d wrong resumes, %d pieces generated of %d", wrong, generated, tokens)
+			}
+		})
+		if failure != "" {
+			rt.Fatal(failure)
+		}
+	})
+}
+
 // killUnderStreams opens streams at two engines of one region, kills the first in mid-answer, and returns how many
 // answers were whole, with what the dispatcher counted.
 func killUnderStreams(t *testing.T, slots, streams int, class string, patience time.Duration, learned int) (whole int, counts Counts) {
