Let one gateway of a large region tell, with a standby, and keep its region known while the standby takes over

Cause: two gateways of each region told the same adverts and summaries, so that each was sent twice, and 42 marks stood in each request at 357 entries. In regions of more than 6 entries the first gateway tells; the other asks and answers as a gateway and tells once the first is silent. A silent gateway is believed for 15 s and 1 s for each gateway that tells, longer than the takeover; a summary is used for 30 s there. One in four draws asks any entry of a region, since both gateways may end at once. Entries of a large region are believed for 5 s in place of 3 s, and 0.2 s for each: with 8 entries, 2 of them killed, a beat came after 4.5 s. TestGatewayTakesOver fails first: with the short time to live, entry-1-0 knows 5 entries of the region 3 s after its gateway was killed, want 7; when only gateways are asked, entry-1-7 knows 2 entries of region-0 after a kill of both, want 6; when only those that tell are asked, entry-1-0 knows 0 entries 17 s after its gateway was killed; with summaries of 10 s, entry-1-0 knows 1 summaries, want 2.

--- a/entry/share.go
+++ b/entry/share.go
@@ -16,6 +16,8 @@
 	gateways = 2
 	// partners is how many entries of a small region, and how many other regions, are asked in one period.
 	partners = 2
+	// anyEntryOneIn is in one of how many draws any entry is asked in place of a gateway.
+	anyEntryOneIn = 4
 	// seedPartners is how many addresses of the settings that are not known to be alive are asked in one period.
 	seedPartners = 4
 	// fewEntries is up to which number of entries of the region the exchange is fast.
@@ -32,12 +34,14 @@
 	summaryPeriod     = time.Second
 	slowSummaryPeriod = 10 * time.Second
 	// originTTL is how long an origin without a beat is believed, longer by originTTLPerEntry for each live origin.
+	// slowOriginTTL is that of a large region, whose entries ask one another less often.
 	originTTL         = 3 * time.Second
+	slowOriginTTL     = 5 * time.Second
 	originTTLPerEntry = 200 * time.Millisecond
-	// fewGateways is up to which number of gateways that tell a silent one is believed no longer than an entry of the
-	// region, and beyond for slowGatewayTTL.
-	fewGateways    = 10
-	slowGatewayTTL = 40 * time.Second
+	// slowGatewayTTL is how long a silent gateway is believed if a region exchanges slowly, longer by slowGatewayTTLPerGateway
+	// for each live one; it outlasts the time in which the standby takes its place.
+	slowGatewayTTL           = 15 * time.Second
+	slowGatewayTTLPerGateway = time.Second
 )
 
 // Prefixes of the keys of facts.
@@ -63,6 +67,8 @@
 	// localOrigins and globalOrigins are how many origins were live in the last period.
 	localOrigins  int
 	globalOrigins int
+	// slow says that a region has so many entries that it exchanges slowly.
+	slow bool
 }
 
 func newFacts(now time.Time, self membership.Entry) *facts {
@@ -76,19 +82,29 @@
 
 // localTTL returns how long a silent entry of the region is believed.
 func (f *facts) localTTL() time.Duration {
-	return originTTL + time.Duration(f.localOrigins)*originTTLPerEntry
+	ttl := originTTL
+	if f.localOrigins > fewEntries {
+		ttl = slowOriginTTL
+	}
+	return ttl + time.Duration(f.localOrigins)*originTTLPerEntry
 }
 
 // globalTTL returns how long a silent gateway is believed.
 func (f *facts) globalTTL() time.Duration {
-	if f.globalOrigins <= fewGateways {
-		return originTTL + time.Duration(f.globalOrigins)*originTTLPerEntry
+	if f.slow {
+		return slowGatewayTTL + time.Duration(f.globalOrigins)*slowGatewayTTLPerGateway
 	}
-	return slowGatewayTTL
+	return originTTL + time.Duration(f.globalOrigins)*originTTLPerEntry
 }
 
-// count notes how many origins are live, by which their time to live is reckoned.
-func (f *facts) count(now time.Time) {
+// count notes how many origins are live and whether a region is large, by which their time to live is reckoned.
+func (f *facts) count(now time.Time, live []membership.Entry) {
+	regions := map[string]int{}
+	f.slow = false
+	for _, e := range live {
+		regions[e.Region]++
+		f.slow = f.slow || regions[e.Region] > fewEntries
+	}
 	f.localOrigins = len(f.local.Marks(now, f.localTTL()))
 	f.globalOrigins = len(f.global.Marks(now, f.globalTTL()))
 }
@@ -129,14 +145,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	s.facts.count(now)
+	s.facts.count(now, s.liveNow(now))
 	s.facts.local.Beat(now)
 	s.facts.tellEntry(s.facts.local, self)
 	s.facts.period++
 	s.facts.adverts = max(s.facts.adverts-1, 0)
 	s.facts.earn(len(s.regionEntries(now)))
 	s.facts.tellEndpoints(s.table.Endpoints(now))
-	if !s.isGateway(now, self.Name) {
+	if !s.tellsRegion(now, self.Name) {
 		for _, key := range s.facts.global.Keys() {
 			s.facts.global.Drop(key)
 		}
@@ -239,6 +255,16 @@
 	return slices.Contains(membership.Rendezvous(s.region, entryNames(s.regionEntries(now)), gateways), name)
 }
 
+// tellsRegion reports whether the entry tells the other regions of its own: in a small region both gateways do, in a large one
+// the first of them, whose place the other takes when it is silent; the lock is held.
+func (s *state) tellsRegion(now time.Time, name string) bool {
+	tellers := 1
+	if s.few(now) {
+		tellers = gateways
+	}
+	return slices.Contains(membership.Rendezvous(s.region, entryNames(s.regionEntries(now)), tellers), name)
+}
+
 func entryNames(entries []membership.Entry) []string {
 	names := make([]string, 0, len(entries))
 	for _, e := range entries {
@@ -276,16 +302,12 @@
 	for _, e := range draw(regions[self.Region], s.localPartners(now), rng) {
 		drawn = append(drawn, partner{address: e.PeerAddress, local: true, global: few, knows: known})
 	}
-	gateway := s.isGateway(now, self.Name)
-	switch {
-	case gateway && s.tellsGlobal(now):
-		drawn = append(drawn, s.drawGateways(now, self.Region, regions, rng)...)
-	case !gateway && s.tellsGlobal(now) && !few:
-		names := membership.Rendezvous(s.region, entryNames(s.regionEntries(now)), gateways)
-		own := slices.DeleteFunc(regions[self.Region], func(e membership.Entry) bool { return !slices.Contains(names, e.Name) })
-		for _, e := range draw(own, 1, rng) {
-			drawn = append(drawn, partner{address: e.PeerAddress, local: true, global: true, knows: known})
-		}
+	switch gateway := s.isGateway(now, self.Name); {
+	case !s.tellsGlobal(now):
+	case gateway:
+		drawn = append(drawn, drawGateways(self.Region, regions, known, rng)...)
+	case !few:
+		drawn = append(drawn, drawGateway(self.Region, regions[self.Region], known, rng)...)
 	}
 	unknown := slices.DeleteFunc(slices.Clone(seeds), func(address string) bool { return live[address] })
 	for _, address := range draw(unknown, seedPartners, rng) {
@@ -300,23 +322,27 @@
 // known reports whether the peers of the region know the instance by what it tells; the lock is held.
 func (s *state) known(now time.Time) bool { return !s.few(now) && s.facts.adverts == 0 }
 
-// drawGateways draws other regions and of each an entry that tells what is known of it, or any entry; the lock is held.
-func (s *state) drawGateways(now time.Time, region string, regions map[string][]membership.Entry, rng *rand.Rand) []partner {
-	tells := map[string]bool{}
-	for _, name := range s.facts.global.Live(now, s.facts.globalTTL()) {
-		tells[name] = true
-	}
+// drawGateways draws other regions and of each one of its gateways, the standby included.
+func drawGateways(region string, regions map[string][]membership.Entry, known bool, rng *rand.Rand) []partner {
 	names := slices.Sorted(maps.Keys(regions))
 	names = slices.DeleteFunc(names, func(name string) bool { return name == region })
 	var drawn []partner
 	for _, name := range draw(names, partners, rng) {
-		tellers := slices.DeleteFunc(slices.Clone(regions[name]), func(e membership.Entry) bool { return !tells[e.Name] })
-		if len(tellers) == 0 {
-			tellers = regions[name]
-		}
-		for _, e := range draw(tellers, 1, rng) {
-			drawn = append(drawn, partner{address: e.PeerAddress, global: true, knows: s.known(now)})
-		}
+		drawn = append(drawn, drawGateway(name, regions[name], known, rng)...)
+	}
+	return drawn
+}
+
+// drawGateway draws one of the region's gateways.
+func drawGateway(region string, entries []membership.Entry, known bool, rng *rand.Rand) []partner {
+	names := membership.Rendezvous(region, entryNames(entries), gateways)
+	speaks := slices.DeleteFunc(slices.Clone(entries), func(e membership.Entry) bool { return !slices.Contains(names, e.Name) })
+	if rng.IntN(anyEntryOneIn) == 0 {
+		speaks = entries // Both gateways may have ended at once, and others have their places.
+	}
+	var drawn []partner
+	for _, e := range draw(speaks, 1, rng) {
+		drawn = append(drawn, partner{address: e.PeerAddress, global: true, knows: known})
 	}
 	return drawn
 }
--- a/entry/state.go
+++ b/entry/state.go
@@ -147,6 +147,10 @@
 	now := s.now()
 	_, _, summaries := s.facts.believed(now)
 	limit := max(summaryTTL, summaryAges*s.summaryPeriod(now))
+	if s.facts.slow {
+		// A summary is used until the standby of its gateway tells another.
+		limit = summaryAges * slowSummaryPeriod
+	}
 	return slices.DeleteFunc(membership.NewestSummaries(summaries), func(summary membership.Summary) bool {
 		return summary.Region == s.region || now.Sub(summary.At) > limit
 	})
