Let the entries of a large region ask their gateways each 4 s

Cause: the gateways answered 15 entries each 2 s with what all regions tell, most of a gateway's bytes.

--- a/entry/partners.go
+++ b/entry/partners.go
@@ -42,7 +42,7 @@
 	case !s.tellsGlobal(now):
 	case gateway:
 		drawn = append(drawn, drawGateways(self.Region, regions, known, rng)...)
-	case !few:
+	case !few && s.facts.period%slowEntryPeriods == 0:
 		drawn = append(drawn, drawGateway(self.Region, regions[self.Region], known, rng)...)
 	}
 	unknown := slices.DeleteFunc(slices.Clone(seeds), func(address string) bool { return live[address] })
--- a/entry/share.go
+++ b/entry/share.go
@@ -25,8 +25,10 @@
 	slowLoadsPerPeriod = 2
 	// advertPeriods is in how many periods requests bear the advert of an entry that a peer of the region does not know.
 	advertPeriods = 10
-	// slowGlobalPeriods is in which periods a large region exchanges what all regions tell.
+	// slowGlobalPeriods and slowEntryPeriods are in which periods the gateways and the other entries of a large region ask for
+	// what all regions tell.
 	slowGlobalPeriods = 4
+	slowEntryPeriods  = 8
 	// fewRegions is up to which number of regions summaries are told each summaryPeriod, and beyond each slowSummaryPeriod.
 	fewRegions        = 5
 	summaryPeriod     = time.Second
