--- a/entry/share.go
+++ b/entry/share.go
@@ -38,10 +38,10 @@
 	originTTL         = 3 * time.Second
 	slowOriginTTL     = 5 * time.Second
 	originTTLPerEntry = 200 * time.Millisecond
-	// slowGatewayTTL is how long a silent gateway is believed if a region exchanges slowly, longer by slowGatewayTTLPerGateway
-	// for each live one; it outlasts the time in which the standby takes its place.
-	slowGatewayTTL           = 15 * time.Second
-	slowGatewayTTLPerGateway = time.Second
+	// slowGatewayTTL is how long a silent gateway is believed if a region exchanges slowly, longer by slowGatewayTTLPerRegion
+	// for each region; it outlasts the time in which the standby takes its place.
+	slowGatewayTTL          = 15 * time.Second
+	slowGatewayTTLPerRegion = time.Second
 )
 
 // Prefixes of the keys of facts.
@@ -68,6 +68,8 @@
 	// localOrigins and globalOrigins are how many origins were live in the last period.
 	localOrigins  int
 	globalOrigins int
+	// regions is the number of regions that have live entries.
+	regions int
 	// slow says that a region has so many entries that it exchanges slowly.
 	slow bool
 }
@@ -93,7 +95,7 @@
 // globalTTL returns how long a silent gateway is believed.
 func (f *facts) globalTTL() time.Duration {
 	if f.slow {
-		return slowGatewayTTL + time.Duration(f.globalOrigins)*slowGatewayTTLPerGateway
+		return slowGatewayTTL + time.Duration(f.regions)*slowGatewayTTLPerRegion
 	}
 	return originTTL + time.Duration(f.globalOrigins)*originTTLPerEntry
 }
@@ -106,6 +108,7 @@
 		regions[e.Region]++
 		f.slow = f.slow || regions[e.Region] > fewEntries
 	}
+	f.regions = len(regions)
 	f.localOrigins = len(f.local.Marks(now, f.localTTL()))
 	f.globalOrigins = len(f.global.Marks(now, f.globalTTL()))
 }
