--- a/entry/share.go
+++ b/entry/share.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"maps"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -16,6 +14,8 @@
 	gateways = 2
 	// partners is how many entries of a small region, and how many other regions, are asked in one period.
 	partners = 2
+	// anyEntryOneIn is in one of how many draws any entry is asked in place of a gateway.
+	anyEntryOneIn = 4
 	// seedPartners is how many addresses of the settings that are not known to be alive are asked in one period.
 	seedPartners = 4
 	// fewEntries is up to which number of entries of the region the exchange is fast.
@@ -25,24 +25,29 @@
 	slowLoadsPerPeriod = 2
 	// advertPeriods is in how many periods requests bear the advert of an entry that a peer of the region does not know.
 	advertPeriods = 10
-	// slowGlobalPeriods is in which periods a large region exchanges what all regions tell.
+	// slowGlobalPeriods and slowEntryPeriods are in which periods the gateways and the other entries of a large region ask for
+	// what all regions tell.
 	slowGlobalPeriods = 4
+	slowEntryPeriods  = 8
 	// fewRegions is up to which number of regions summaries are told each summaryPeriod, and beyond each slowSummaryPeriod.
 	fewRegions        = 5
 	summaryPeriod     = time.Second
 	slowSummaryPeriod = 10 * time.Second
 	// originTTL is how long an origin without a beat is believed, longer by originTTLPerEntry for each live origin.
+	// slowOriginTTL is that of a large region, whose entries ask one another less often.
 	originTTL         = 3 * time.Second
+	slowOriginTTL     = 5 * time.Second
 	originTTLPerEntry = 200 * time.Millisecond
-	// fewGateways is up to which number of gateways that tell a silent one is believed no longer than an entry of the
-	// region, and beyond for slowGatewayTTL.
-	fewGateways    = 10
-	slowGatewayTTL = 40 * time.Second
+	// slowGatewayTTL is how long a silent gateway is believed if a region exchanges slowly, longer by slowGatewayTTLPerRegion
+	// for each region; it outlasts the time in which the standby takes its place.
+	slowGatewayTTL          = 15 * time.Second
+	slowGatewayTTLPerRegion = time.Second
 )
 
 // Prefixes of the keys of facts.
 const (
 	endpointKey = "p/"
+	loadKey     = "l/"
 	entryKey    = "n/"
 	summaryKey  = "s/"
 )
@@ -63,6 +68,10 @@
 	// localOrigins and globalOrigins are how many origins were live in the last period.
 	localOrigins  int
 	globalOrigins int
+	// regions is the number of regions that have live entries.
+	regions int
+	// slow says that a region has so many entries that it exchanges slowly.
+	slow bool
 }
 
 func newFacts(now time.Time, self membership.Entry) *facts {
@@ -76,19 +85,30 @@
 
 // localTTL returns how long a silent entry of the region is believed.
 func (f *facts) localTTL() time.Duration {
-	return originTTL + time.Duration(f.localOrigins)*originTTLPerEntry
+	ttl := originTTL
+	if f.localOrigins > fewEntries {
+		ttl = slowOriginTTL
+	}
+	return ttl + time.Duration(f.localOrigins)*originTTLPerEntry
 }
 
 // globalTTL returns how long a silent gateway is believed.
 func (f *facts) globalTTL() time.Duration {
-	if f.globalOrigins <= fewGateways {
-		return originTTL + time.Duration(f.globalOrigins)*originTTLPerEntry
+	if f.slow {
+		return slowGatewayTTL + time.Duration(f.regions)*slowGatewayTTLPerRegion
 	}
-	return slowGatewayTTL
+	return originTTL + time.Duration(f.globalOrigins)*originTTLPerEntry
 }
 
-// count notes how many origins are live, by which their time to live is reckoned.
-func (f *facts) count(now time.Time) {
+// count notes how many origins are live and whether a region is large, by which their time to live is reckoned.
+func (f *facts) count(now time.Time, live []membership.Entry) {
+	regions := map[string]int{}
+	f.slow = false
+	for _, e := range live {
+		regions[e.Region]++
+		f.slow = f.slow || regions[e.Region] > fewEntries
+	}
+	f.regions = len(regions)
 	f.localOrigins = len(f.local.Marks(now, f.localTTL()))
 	f.globalOrigins = len(f.global.Marks(now, f.globalTTL()))
 }
@@ -107,14 +127,22 @@
 		}
 	}
 	f.global.Each(now, f.globalTTL(), take)
-	f.local.Each(now, f.localTTL(), func(_, _ string, fact membership.Fact) {
-		if fact.Endpoint != nil {
+	loads := map[string]membership.EndpointLoad{}
+	var origins []string
+	f.local.Each(now, f.localTTL(), func(origin, key string, fact membership.Fact) {
+		switch {
+		case fact.Endpoint != nil:
 			endpoints = append(endpoints, *fact.Endpoint)
-		}
-		if fact.Entry != nil {
+			origins = append(origins, origin)
+		case fact.Load != nil:
+			loads[origin+"/"+key] = *fact.Load
+		case fact.Entry != nil:
 			entries = append(entries, *fact.Entry)
 		}
 	})
+	for i, e := range endpoints {
+		endpoints[i] = e.WithLoad(loads[origins[i]+"/"+loadKey+e.Name])
+	}
 	return endpoints, entries, summaries
 }
 
@@ -129,14 +157,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	s.facts.count(now)
+	s.facts.count(now, s.liveNow(now))
 	s.facts.local.Beat(now)
 	s.facts.tellEntry(s.facts.local, self)
 	s.facts.period++
 	s.facts.adverts = max(s.facts.adverts-1, 0)
 	s.facts.earn(len(s.regionEntries(now)))
 	s.facts.tellEndpoints(s.table.Endpoints(now))
-	if !s.isGateway(now, self.Name) {
+	if !s.tellsRegion(now, self.Name) {
 		for _, key := range s.facts.global.Keys() {
 			s.facts.global.Drop(key)
 		}
@@ -163,31 +191,54 @@
 	}
 }
 
-// tellEndpoints tells the endpoints that announce themselves here: changes at once, loads in turn.
+// tellEndpoints tells the endpoints that announce themselves here: changes and cache events at once, loads in turn.
 func (f *facts) tellEndpoints(endpoints []membership.Endpoint) {
-	present := map[string]bool{}
-	for _, e := range endpoints {
-		present[endpointKey+e.Name] = true
-	}
-	for _, key := range f.local.Keys() {
-		if strings.HasPrefix(key, endpointKey) && !present[key] {
-			f.local.Drop(key)
-		}
-	}
+	f.dropAbsent(endpoints)
 	start, _ := slices.BinarySearchFunc(endpoints, f.cursor+"\x00", func(e membership.Endpoint, name string) int { return strings.Compare(e.Name, name) })
 	for i := range endpoints {
 		e := endpoints[(start+i)%len(endpoints)]
 		told, ok := f.local.Told(endpointKey + e.Name)
-		changed := !ok || e.Differs(*told.Endpoint)
-		newer := ok && e.Sequence > told.Endpoint.Sequence
-		if !changed && (!newer || f.credit < 1) {
+		if !ok || e.Differs(*told.Endpoint) {
+			f.tellWhole(e)
 			continue
 		}
-		if !changed {
-			f.credit--
-			f.cursor = e.Name
+		sequence := told.Endpoint.Sequence
+		if later, ok := f.local.Told(loadKey + e.Name); ok {
+			sequence = later.Load.Sequence
+		}
+		if e.Sequence <= sequence || f.credit < 1 {
+			continue
+		}
+		f.credit--
+		f.cursor = e.Name
+		if e.CacheSequence+int64(len(e.CacheEvents)) != told.Endpoint.CacheSequence+int64(len(told.Endpoint.CacheEvents)) {
+			f.tellWhole(e)
+			continue
+		}
+		f.local.Put(loadKey+e.Name, membership.Fact{Load: &membership.EndpointLoad{Sequence: e.Sequence, Load: e.Load}})
+	}
+}
+
+// tellWhole tells all of an endpoint, in place of a load that was told before.
+func (f *facts) tellWhole(e membership.Endpoint) {
+	f.local.Put(endpointKey+e.Name, membership.Fact{Endpoint: &e})
+	f.local.Drop(loadKey + e.Name)
+}
+
+// dropAbsent takes back what was told of endpoints that no longer announce themselves here.
+func (f *facts) dropAbsent(endpoints []membership.Endpoint) {
+	present := map[string]bool{}
+	for _, e := range endpoints {
+		present[e.Name] = true
+	}
+	for _, key := range f.local.Keys() {
+		name, isEndpoint := strings.CutPrefix(key, endpointKey)
+		if !isEndpoint {
+			name, isEndpoint = strings.CutPrefix(key, loadKey)
+		}
+		if isEndpoint && !present[name] {
+			f.local.Drop(key)
 		}
-		f.local.Put(endpointKey+e.Name, membership.Fact{Endpoint: &e})
 	}
 }
 
@@ -239,6 +290,16 @@
 	return slices.Contains(membership.Rendezvous(s.region, entryNames(s.regionEntries(now)), gateways), name)
 }
 
+// tellsRegion reports whether the entry tells the other regions of its own: in a small region both gateways do, in a large one
+// the first of them, whose place the other takes when it is silent; the lock is held.
+func (s *state) tellsRegion(now time.Time, name string) bool {
+	tellers := 1
+	if s.few(now) {
+		tellers = gateways
+	}
+	return slices.Contains(membership.Rendezvous(s.region, entryNames(s.regionEntries(now)), tellers), name)
+}
+
 func entryNames(entries []membership.Entry) []string {
 	names := make([]string, 0, len(entries))
 	for _, e := range entries {
@@ -246,97 +307,3 @@
 	}
 	return names
 }
-
-// partner is a peer that is asked, and for what.
-type partner struct {
-	address string
-	// local and global say whether what entries of the region tell, and what all regions tell, is asked for.
-	local, global bool
-	// knows says that the peer needs no advert of the instance, since it hears of it by what entries and gateways tell.
-	knows bool
-}
-
-// drawPartners draws the peers of one exchange: entries of the region, one of its gateways for what all regions tell, gateways
-// of other regions if the instance is one, and addresses of the settings that are not known to be alive.
-func (s *state) drawPartners(self membership.Entry, seeds []string, rng *rand.Rand) []partner {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	live := map[string]bool{self.PeerAddress: true}
-	regions := map[string][]membership.Entry{}
-	for _, e := range s.liveNow(now) {
-		live[e.PeerAddress] = true
-		if e.Name != self.Name {
-			regions[e.Region] = append(regions[e.Region], e)
-		}
-	}
-	var drawn []partner
-	few := s.few(now)
-	known := s.known(now)
-	for _, e := range draw(regions[self.Region], s.localPartners(now), rng) {
-		drawn = append(drawn, partner{address: e.PeerAddress, local: true, global: few, knows: known})
-	}
-	gateway := s.isGateway(now, self.Name)
-	switch {
-	case gateway && s.tellsGlobal(now):
-		drawn = append(drawn, s.drawGateways(now, self.Region, regions, rng)...)
-	case !gateway && s.tellsGlobal(now) && !few:
-		names := membership.Rendezvous(s.region, entryNames(s.regionEntries(now)), gateways)
-		own := slices.DeleteFunc(regions[self.Region], func(e membership.Entry) bool { return !slices.Contains(names, e.Name) })
-		for _, e := range draw(own, 1, rng) {
-			drawn = append(drawn, partner{address: e.PeerAddress, local: true, global: true, knows: known})
-		}
-	}
-	unknown := slices.DeleteFunc(slices.Clone(seeds), func(address string) bool { return live[address] })
-	for _, address := range draw(unknown, seedPartners, rng) {
-		drawn = append(drawn, partner{address: address, local: true, global: true})
-	}
-	return drawn
-}
-
-// few reports whether the region has so few entries that the exchange is fast; the lock is held.
-func (s *state) few(now time.Time) bool { return len(s.regionEntries(now)) <= fewEntries }
-
-// known reports whether the peers of the region know the instance by what it tells; the lock is held.
-func (s *state) known(now time.Time) bool { return !s.few(now) && s.facts.adverts == 0 }
-
-// drawGateways draws other regions and of each an entry that tells what is known of it, or any entry; the lock is held.
-func (s *state) drawGateways(now time.Time, region string, regions map[string][]membership.Entry, rng *rand.Rand) []partner {
-	tells := map[string]bool{}
-	for _, name := range s.facts.global.Live(now, s.facts.globalTTL()) {
-		tells[name] = true
-	}
-	names := slices.Sorted(maps.Keys(regions))
-	names = slices.DeleteFunc(names, func(name string) bool { return name == region })
-	var drawn []partner
-	for _, name := range draw(names, partners, rng) {
-		tellers := slices.DeleteFunc(slices.Clone(regions[name]), func(e membership.Entry) bool { return !tells[e.Name] })
-		if len(tellers) == 0 {
-			tellers = regions[name]
-		}
-		for _, e := range draw(tellers, 1, rng) {
-			drawn = append(drawn, partner{address: e.PeerAddress, global: true, knows: s.known(now)})
-		}
-	}
-	return drawn
-}
-
-// localPartners returns how many entries of the region are asked in this period; the lock is held.
-func (s *state) localPartners(now time.Time) int {
-	if s.few(now) {
-		return partners
-	}
-	return 1
-}
-
-// tellsGlobal reports whether what all regions tell is asked for in this period; the lock is held.
-func (s *state) tellsGlobal(now time.Time) bool {
-	return s.few(now) || s.facts.period%slowGlobalPeriods == 0
-}
-
-// draw returns n of the items in random order.
-func draw[T any](items []T, n int, rng *rand.Rand) []T {
-	drawn := slices.Clone(items)
-	rng.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
-	return drawn[:min(n, len(drawn))]
-}
