--- a/cmd/arbutusreel/daemons.go
+++ b/cmd/arbutusreel/daemons.go
@@ -17,27 +17,18 @@
 	"arbutusreel/keys"
 	"arbutusreel/membership"
 	"arbutusreel/metrics"
+	"arbutusreel/settings"
 	"arbutusreel/wiregen"
 )
 
 // logTimeFormat is the time format of log lines: RFC 3339 with microseconds.
 const logTimeFormat = "2006-01-02T15:04:05.000000Z07:00"
 
-// LevelError says that a log level does not exist.
-type LevelError struct {
-	Level string
-}
-
-// Error names the level.
-func (e *LevelError) Error() string {
-	return fmt.Sprintf("setting %q: log level %q does not exist", "logLevel", e.Level)
-}
-
 // newLogger returns a logger of JSON lines that name the instance; lines that explain decisions are kept as well.
 func newLogger(level, role, name, region string, decisions *decision.Store) (zerolog.Logger, error) {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil {
-		return zerolog.Nop(), &LevelError{Level: level}
+		return zerolog.Nop(), settings.Faults{{Setting: "logLevel", Value: level, Reason: "is not a log level"}}
 	}
 	zerolog.TimeFieldFormat = logTimeFormat
 	return zerolog.New(zerolog.MultiLevelWriter(os.Stderr, decisions)).Level(parsed).With().Timestamp().
@@ -65,6 +56,7 @@
 		name:     "entry",
 		doc:      "Runs an entry, which serves callers.",
 		settings: m,
+		check:    func() error { return checkRequestBytes(m) },
 		run: func(ctx context.Context, _ io.Writer) error {
 			decisions := decision.New(int(m.GetDecisionBytes()))
 			log, err := newLogger(m.GetLogLevel(), "entry", m.GetName(), m.GetRegion(), decisions)
@@ -85,6 +77,18 @@
 	}
 }
 
+// bodiesInRoom is the least number of the largest bodies that the memory for requests must hold, so that each class can
+// have one.
+const bodiesInRoom = 4
+
+func checkRequestBytes(m *wiregen.EntrySettings) error {
+	if least := bodiesInRoom * m.GetMaxBodyBytes(); m.GetRequestBytes() < least {
+		reason := fmt.Sprintf("the value is at least %d, four times maxBodyBytes", least)
+		return settings.Faults{{Setting: "requestBytes", Value: fmt.Sprint(m.GetRequestBytes()), Reason: reason}}
+	}
+	return nil
+}
+
 func entryConfig(m *wiregen.EntrySettings) entry.Config {
 	cfg := entry.Config{
 		Self: membership.Entry{
@@ -99,6 +103,7 @@
 		Peers:               m.GetPeers(),
 		DirectoryAddress:    m.GetDirectoryAddress(),
 		MaxBodyBytes:        m.GetMaxBodyBytes(),
+		RequestBytes:        m.GetRequestBytes(),
 		MaxHeaderBytes:      int(m.GetMaxHeaderBytes()),
 		AnnouncementLease:   m.GetAnnouncementLease().AsDuration(),
 		DrainNotice:         m.GetDrainNotice().AsDuration(),
--- a/control/placement.go
+++ b/control/placement.go
@@ -29,7 +29,7 @@
 	config  placement.Config
 	demand  *demandLog
 	term    int64
-	// size is the most models that each endpoint was seen to hold.
+	// size is the most models that each endpoint was seen to hold or load.
 	size map[string]int
 	// mu guards the issuer, which is also asked while an order is being sent.
 	mu     sync.Mutex
@@ -99,7 +99,11 @@
 	endpoints := endpointsOf(now, replies)
 	p.demand.observe(now, replies)
 	view := placement.View{Inventory: inv, Endpoints: p.known(endpoints), Demands: p.demand.forecast(now)}
-	for _, c := range p.planner.Decide(now, view) {
+	changes := p.planner.Decide(now, view)
+	for _, e := range p.planner.Learned() {
+		p.explainLearned(e)
+	}
+	for _, c := range changes {
 		service, _ := inv.Service(c.Service)
 		p.order(ctx, c, endpoints[c.Endpoint].Address, service.ChecksFencing, revision)
 	}
@@ -159,9 +163,23 @@
 		Float64("supply", c.Supply).
 		Float64("gain", c.Gain).
 		Int("copies", c.Copies).
+		Dur("loadTime", c.LoadTime).
 		Int64("revision", revision).
 		Int64("term", n.Term).
 		Int64("sequence", n.Sequence).
 		Bool("checksFencing", checks).
 		Msg("placed")
 }
+
+// explainLearned logs that the load of an earlier leader is waited for.
+func (p *placer) explainLearned(e placement.Endpoint) {
+	p.log.Info().
+		Str("placement", e.Name).
+		Str("endpointRegion", e.Region).
+		Str("service", e.Service).
+		Strs("models", e.Models).
+		Strs("loading", e.Loading).
+		Int64("term", e.Order.Term).
+		Int64("sequence", e.Order.Sequence).
+		Msg("loadLearned")
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -93,9 +93,7 @@
 	d.scheduler.mu.Lock()
 	defer d.scheduler.mu.Unlock()
 	d.scheduler.chooser.SetInstances(instances)
-	now := d.now()
-	d.scheduler.refresh(now)
-	d.scheduler.pump(now)
+	d.scheduler.refresh(d.now())
 }
 
 // Generate answers a model request into the sink, in as many attempts as its class's budget and deadline allow. A
@@ -110,6 +108,16 @@
 	}
 	defer d.settle(j)
 	rec := newRecorder(sink, r.Resume)
+	rec.began = d.scheduler.opened
+	j.progressed(rec.next)
+	if j.begun() {
+		rec.begin()
+	}
+	defer func() {
+		if rec.begun {
+			d.scheduler.closed()
+		}
+	}()
 	for {
 		p, err := d.scheduler.place(ctx, j)
 		if err != nil {
@@ -141,13 +149,15 @@
 		r.Resume = rec.attempt(0)
 		end, err = d.forward.ForwardModel(ctx, p.region, r, rec)
 	} else {
-		end, err = d.models.Generate(ctx, p.endpoint, j.request, rec.attempt(j.attempts.Made), rec)
+		attempt := rec.attempt(j.attempts.Made)
+		attempt.Reserve = j.query.ReserveTokens - j.request.PromptTokens
+		end, err = d.models.Generate(ctx, p.endpoint, j.request, attempt, rec)
 	}
 	var stalled *StalledError
 	if err != nil && errors.As(context.Cause(ctx), &stalled) {
 		err = stalled
 	}
-	j.pieces = rec.next
+	j.progressed(rec.next)
 	return end, err
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -9,7 +9,6 @@
 	"arbutusreel/admission"
 	"arbutusreel/problem"
 	"arbutusreel/residency"
-	"arbutusreel/retry"
 	"arbutusreel/routing"
 )
 
@@ -48,8 +47,9 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	s.refresh(now)
-	s.pump(now)
 	l := s.lane(j)
+	j.query.Behind = s.before(now, l, j)
+	defer func() { j.query.Behind = nil }()
 	d, local := s.choose(now, j)
 	if p := s.sendAway(now, j, l, d, local); p != nil {
 		return p, nil, nil
@@ -69,7 +69,7 @@
 		return nil, nil, s.refuseNoCapacity(j)
 	}
 	v := admission.Decide(now, j.request.Deadline, s.estimate(now, j, l, d))
-	if !v.Queue {
+	if !v.Queue && !j.begun() {
 		return nil, nil, s.refuseLate(j, l, v)
 	}
 	s.explain(j, d, "queued")
@@ -135,7 +135,7 @@
 		return nil
 	}
 	routes := slices.DeleteFunc(j.routes(s.self.Region), func(r routing.Route) bool {
-		return s.regionBreakers.State(now, r.Region) == retry.Open
+		return !s.regionBreakers.Allows(now, r.Region)
 	})
 	away, ok := s.regions.Choose(now, &j.query, j.bytes(), routes, least)
 	if !ok {
@@ -146,7 +146,13 @@
 		s.preferred--
 	}
 	s.explainAway(j, away, least, reason)
-	return &placement{region: away.Region, away: s.regions.Start(now, away, &j.query, j.bytes()), terms: away.Terms, prompt: j.request.PromptTokens}
+	return &placement{
+		region: away.Region,
+		away:   s.regions.Start(now, away, &j.query, j.bytes()),
+		probe:  s.regionBreakers.Begin(now, away.Region),
+		terms:  away.Terms,
+		prompt: j.request.PromptTokens,
+	}
 }
 
 // Reasons to send a request away.
@@ -197,53 +203,21 @@
 		Tokens:      max(j.query.ExpectedTokens, 1),
 		Deferrable:  j.class.Deferrable,
 		Since:       now,
-		LatestStart: j.request.Deadline.Add(-v.Estimate.Prefill - v.Estimate.Decode),
+		LatestStart: j.latestStart(v.Estimate),
 		Value:       &waiter{job: j, placed: make(chan *placement, 1)},
 	}
-	l.queue.Push(w)
+	s.lanes.push(l, w)
 	s.counts.Queued++
 	return w
 }
 
-// pump starts waiting requests for which there is room.
-func (s *scheduler) pump(now time.Time) {
-	for _, l := range s.lanes {
-		for l.queue.Len() > 0 && s.startNext(now, l) {
-			continue
-		}
-	}
-}
-
-// startNext starts the next request of a lane, and reports false if there is no room for it.
-func (s *scheduler) startNext(now time.Time, l *lane) bool {
-	w, ok := l.queue.Next(now, true)
-	if ok && w.Deferrable && !s.spare(now, w.Value.job) {
-		w, ok = l.queue.Next(now, false)
-	}
-	if !ok {
-		return false
-	}
-	j := w.Value.job
-	d, ok := s.choose(now, j)
-	if !ok || !d.Room {
-		return false
-	}
-	l.remove(now, w, true)
-	l.rate.Started(now, w.Tokens)
-	l.audit.Started(now, w.Tokens)
-	s.explain(j, d, "startedFromQueue")
-	w.Value.placed <- s.start(now, j, d)
-	return true
-}
-
-// reconsider looks at a waiting request again: it is refused once it cannot be met, and sent away or refused if the
-// region has no endpoint for it any more.
+// reconsider looks at a waiting request again: it is refused once it cannot be met, and sent away if the region has no
+// endpoint for it any more. If it cannot be sent away, it waits for a moment longer and is then refused.
 func (s *scheduler) reconsider(w *admission.Waiting[*waiter]) (*placement, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	s.refresh(now)
-	s.pump(now)
 	select {
 	case p := <-w.Value.placed:
 		return p, nil
@@ -252,14 +226,18 @@
 	j := w.Value.job
 	l := s.lane(j)
 	if now.After(w.LatestStart) {
-		l.remove(now, w, false)
+		s.lanes.remove(now, l, w, false)
 		return nil, s.refuseLate(j, l, admission.Verdict{RetryAfter: retryAfterNoCapacity})
 	}
-	if _, local := s.choose(now, j); local || s.learning(now, j, l) {
+	if _, local := s.choose(now, j); local {
+		return nil, nil
+	}
+	p := s.sendAway(now, j, l, routing.Decision{}, false)
+	if p == nil && s.learning(now, j, l) {
 		return nil, nil
 	}
-	l.remove(now, w, false)
-	if p := s.sendAway(now, j, l, routing.Decision{}, false); p != nil {
+	s.lanes.remove(now, l, w, false)
+	if p != nil {
 		return p, nil
 	}
 	return nil, s.refuseNoCapacity(j)
@@ -270,10 +248,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if !s.lane(w.Value.job).remove(now, w, false) {
+	if !s.lanes.remove(now, s.lane(w.Value.job), w, false) {
 		p := <-w.Value.placed
 		s.chooser.Done(now, p.ticket, false)
-		s.pump(now)
+		s.pump(now, p.models())
 	}
 	return cause
 }
@@ -287,8 +265,7 @@
 // refuseLate refuses a request that cannot be met within its patience.
 func (s *scheduler) refuseLate(j *job, l *lane, v admission.Verdict) error {
 	s.counts.Refused++
-	latest := j.request.Deadline.Add(-v.Estimate.Prefill - v.Estimate.Decode)
-	l.audit.Refused(l.queue.Ahead(j.class.Priority), max(j.query.ExpectedTokens, 1), latest)
+	l.audit.Refused(l.queue.Ahead(j.class.Priority), max(j.query.ExpectedTokens, 1), j.latestStart(v.Estimate))
 	s.explainRefusal(j, problem.PatienceExceeded, v)
 	return problem.New(problem.PatienceExceeded, http.StatusServiceUnavailable, "class %q cannot be served within its patience now", j.request.Class).WithRetryAfter(v.RetryAfter)
 }
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -63,7 +63,7 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	writeReply(w, &wiregen.AnnouncementReply{WantsWhole: true})
+	writeReply(w, http.StatusOK, &wiregen.AnnouncementReply{WantsWhole: true})
 }
 
 // replyAnnouncement answers with the lease and the entries that take the endpoint's next announcements.
@@ -76,5 +76,5 @@
 		}
 	}
 	reply.Entries = membership.Rendezvous(endpoint, addresses, announceEntries)
-	writeReply(w, reply)
+	writeReply(w, http.StatusOK, reply)
 }
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -11,11 +11,10 @@
 	"strings"
 	"time"
 
-	"google.golang.org/protobuf/encoding/protojson"
-
 	"arbutusreel/inventory"
 	"arbutusreel/membership"
 	"arbutusreel/metrics"
+	"arbutusreel/operator"
 	"arbutusreel/problem"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
@@ -41,9 +40,10 @@
 	mux.HandleFunc("POST /v1/chat/completions", n.authenticated(n.chat))
 	mux.HandleFunc("POST /v1/completions", n.authenticated(n.text))
 	mux.HandleFunc("/v1/services/{service}/{path...}", n.authenticated(n.service))
-	mux.HandleFunc("GET /v1/repair", n.operator(n.answerRepair(n.listDoubtful)))
-	mux.HandleFunc("POST /v1/repair", n.operator(n.answerRepair(n.settleDoubtful)))
-	mux.HandleFunc("GET /v1/decisions/{kind}/{name}", n.operator(n.decisions))
+	guard := operator.NewGuard(n.cfg.OperatorTokenDigest, n.cfg.MaxBodyBytes)
+	mux.HandleFunc("GET /v1/repair", guard.Handle(n.listDoubtful))
+	mux.HandleFunc("POST /v1/repair", guard.Handle(n.settleDoubtful))
+	mux.HandleFunc(operator.DecisionsRoute, guard.Handle(operator.Decisions(n.cfg.Decisions)))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", n.tellReady)
 	mux.HandleFunc("GET /debug/vars", metrics.Handler)
@@ -56,16 +56,11 @@
 	n.state.mu.Lock()
 	revision, source := n.state.revision, n.state.source
 	n.state.mu.Unlock()
-	b, err := protojson.Marshal(&wiregen.ReadyReply{Revision: revision, Source: source, Leaving: n.leaving.Load()})
-	if err != nil {
-		problem.Write(w, problem.From(err), "")
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
+	status := http.StatusOK
 	if !n.ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		status = http.StatusServiceUnavailable
 	}
-	_, _ = w.Write(b)
+	writeReply(w, status, &wiregen.ReadyReply{Revision: revision, Source: source, Leaving: n.leaving.Load(), LedgerFatalDomain: n.domains.fatal()})
 }
 
 // caller is an authenticated request of a team.
@@ -84,12 +79,12 @@
 		defer n.metrics.End()
 		c := caller{correlationID: correlationOf(r.Context())}
 		if n.closed.Load() {
-			n.fail(w, c, n.stopping())
+			n.fail(w, c, beforeLedger(keyOf(r), n.stopping()))
 			return
 		}
 		var err error
 		if c.inventory, c.team, err = n.authenticate(r); err != nil {
-			n.fail(w, c, err)
+			n.fail(w, c, beforeLedger(keyOf(r), err))
 			return
 		}
 		handle(w, r, c)
@@ -195,15 +190,9 @@
 	if len(home) == 0 {
 		home = live
 	}
-	b, err := protojson.Marshal(&wiregen.EntriesReply{
+	writeReply(w, http.StatusOK, &wiregen.EntriesReply{
 		Entries:   wire.EncodeEntries(home),
 		Epoch:     n.epochToken(c.team.HomeRegion),
 		TtlMillis: entriesTTL.Milliseconds(),
 	})
-	if err != nil {
-		n.fail(w, c, err)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(b)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,11 +33,13 @@
 	peers      *peers
 	dispatcher *dispatch.Dispatcher
 	rates      *rates
+	room       *room
 	runner     *calls.Runner
 	demands    *demands
 	// replica is nil on an instance that is no ledger replica.
 	replica     *calls.Replica
 	ledgerGroup *calls.Group
+	domains     *domains
 	began       time.Time
 	leaving     atomic.Bool
 	closed      atomic.Bool
@@ -69,10 +71,13 @@
 		peers:      p,
 		dispatcher: d,
 		rates:      r,
+		room:       newRoom(cfg.RequestBytes),
 		demands:    newDemands(),
+		domains:    newDomains(),
 		began:      now(),
 		done:       make(chan struct{}),
 	}
+	counts.Add(requestBytesVar, expvar.Func(func() any { return n.room.used() }))
 	link := newLedgerLink(n, cfg.LedgerReplicas)
 	n.ledgerGroup = calls.NewGroup(link.slots(), link)
 	n.runner = calls.New(cfg.Self.Name, n.ledgerGroup, d, n.keepsAnswer, cfg.LedgerRetention, log, now)
@@ -110,6 +115,7 @@
 	wg.Go(func() { n.lendLoop(work) })
 	wg.Go(func() { n.expireLoop(work) })
 	wg.Go(func() { n.keepLedger(work) })
+	wg.Go(func() { n.watchDomains(work) })
 	n.log.Info().Str("callerAddress", n.cfg.Self.CallerAddress).Msg("started")
 
 	<-ctx.Done()
--- a/entry/services.go
+++ b/entry/services.go
@@ -15,14 +15,21 @@
 // service answers a call of a plain service.
 func (n *Entry) service(w http.ResponseWriter, r *http.Request, c caller) {
 	began := time.Now()
-	req, s, err := n.serviceRequest(w, r, c)
+	class, held, err := n.hold(c, r)
 	if err != nil {
-		n.fail(w, c, err)
+		n.fail(w, c, beforeLedger(keyOf(r), err))
 		return
 	}
+	req, s, err := n.serviceRequest(w, r, c, class)
+	if err != nil {
+		held.release()
+		n.fail(w, c, beforeLedger(keyOf(r), err))
+		return
+	}
+	held.settle(int64(len(req.Body)))
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
-	reply, err := n.call(ctx, req, s, c.team.HomeRegion)
+	reply, err := n.call(ctx, req, s, c.team.HomeRegion, held.release)
 	if err != nil {
 		n.fail(w, c, err)
 		return
@@ -43,29 +50,55 @@
 		Msg("answered")
 }
 
-// call sends a call; one that may not be repeated goes through the ledger of the caller's home region.
-func (n *Entry) call(ctx context.Context, req dispatch.Request, s inventory.Service, home string) (dispatch.Reply, error) {
+// call sends a call; one that may not be repeated goes through the ledger of the caller's home region. It calls release
+// once the call holds no memory any more, which may be after the caller has gone.
+func (n *Entry) call(ctx context.Context, req dispatch.Request, s inventory.Service, home string, release func()) (dispatch.Reply, error) {
+	if !s.Idempotent && home == n.cfg.Self.Region {
+		return n.runner.RunThen(ctx, req, release)
+	}
+	defer release()
 	if s.Idempotent {
 		return n.dispatcher.Call(ctx, req)
 	}
-	if home == n.cfg.Self.Region {
-		return n.runner.Run(ctx, req)
-	}
 	if !n.keepsBody(req, home) {
-		return dispatch.Reply{}, problem.New(problem.ResidencyRefused, http.StatusForbidden, "the request may not enter home region %q, whose ledger holds its key", home)
+		err := problem.New(problem.ResidencyRefused, http.StatusForbidden, "the request may not enter home region %q, whose ledger holds its key", home)
+		return dispatch.Reply{}, beforeLedger(req.IdempotencyKey, err)
 	}
 	self := dispatch.Hop{Instance: n.cfg.Self.Name, Region: n.cfg.Self.Region}
 	reply, err := n.peers.ForwardCall(ctx, home, req.WithHop(self))
 	return reply, earlierTries(err)
 }
 
-// earlierTries widens a refusal that the home region's ledger did not give: an earlier try with the key may have run.
+// earlierTries widens a refusal of a forwarded call that the home region's ledger may not have been asked about.
 func earlierTries(err error) error {
 	var p *problem.Problem
-	if errors.As(err, &p) && (p.Code == problem.HomeRegionRequired || p.Code == problem.Stopping) {
+	if !errors.As(err, &p) {
+		return err
+	}
+	switch p.Code {
+	case problem.HomeRegionRequired, problem.Stopping, problem.InstanceFull, problem.NotReady, problem.UnknownService, problem.ResidencyRefused, problem.LoopRefused:
 		return p.WithOutcome(problem.Unknown)
+	default:
+		return err
 	}
-	return err
+}
+
+// keyOf returns the idempotency key of a call of a plain service; requests on other routes have none.
+func keyOf(r *http.Request) string {
+	if r.PathValue("service") == "" {
+		return ""
+	}
+	return r.Header.Get(keyHeader)
+}
+
+// beforeLedger widens a refusal of a call that the ledger was not asked about: an earlier try with its key may have run.
+// A request that is too large was so at each try.
+func beforeLedger(key string, err error) error {
+	var p *problem.Problem
+	if key == "" || !errors.As(err, &p) || p.Code == problem.BodyTooLarge {
+		return err
+	}
+	return p.WithOutcome(problem.Unknown)
 }
 
 // keepsAnswer reports whether the own region may store the answer of a request.
@@ -77,7 +110,7 @@
 	return inv != nil && residency.Allows(inv, req.Subject(), region)
 }
 
-func (n *Entry) serviceRequest(w http.ResponseWriter, r *http.Request, c caller) (dispatch.Request, inventory.Service, error) {
+func (n *Entry) serviceRequest(w http.ResponseWriter, r *http.Request, c caller, class inventory.Class) (dispatch.Request, inventory.Service, error) {
 	s, ok := c.inventory.Service(r.PathValue("service"))
 	if !ok || s.Kind != inventory.KindPlain {
 		return dispatch.Request{}, s, problem.New(problem.UnknownService, http.StatusNotFound, "no plain service has the name %q", r.PathValue("service"))
@@ -90,10 +123,6 @@
 	if err != nil {
 		return dispatch.Request{}, s, err
 	}
-	class, err := c.class(r)
-	if err != nil {
-		return dispatch.Request{}, s, err
-	}
 	path := "/" + r.PathValue("path")
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
@@ -109,7 +138,7 @@
 		ContentType:    r.Header.Get("Content-Type"),
 		Body:           body,
 		Deadline:       time.Now().Add(class.Patience),
-		IdempotencyKey: r.Header.Get(keyHeader),
+		IdempotencyKey: keyOf(r),
 		Epoch:          r.Header.Get(epochHeader),
 	}, s, nil
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -4,12 +4,14 @@
 	"slices"
 	"time"
 
+	"arbutusreel/fencing"
 	"arbutusreel/inventory"
 )
 
 // pending is a change that its endpoint has not announced yet.
 type pending struct {
-	change  Change
+	// models are what the endpoint is to announce.
+	models  []string
 	expires time.Time
 }
 
@@ -21,6 +23,10 @@
 	rest map[string]time.Time
 	// storeFree is the time from which a region's weight store serves a new load.
 	storeFree map[string]time.Time
+	// loads holds the order of each load that was seen to be in progress.
+	loads map[string]fencing.Number
+	// learned are the loads that the last decision adopted.
+	learned []Endpoint
 	// since is when a need for a model was first seen without a break.
 	since map[spot]time.Time
 }
@@ -32,6 +38,7 @@
 		pending:   map[string]pending{},
 		rest:      map[string]time.Time{},
 		storeFree: map[string]time.Time{},
+		loads:     map[string]fencing.Number{},
 		since:     map[spot]time.Time{},
 	}
 }
@@ -39,6 +46,9 @@
 // Pending returns the number of changes that are not announced yet.
 func (p *Planner) Pending() int { return len(p.pending) }
 
+// Learned returns the endpoints whose loads the last decision took for those of an earlier leader.
+func (p *Planner) Learned() []Endpoint { return p.learned }
+
 // Failed forgets a change that its endpoint refused or never received, and leaves the endpoint alone for a while.
 func (p *Planner) Failed(now time.Time, endpoint string) {
 	delete(p.pending, endpoint)
@@ -48,6 +58,7 @@
 // Decide returns the changes to order now, the most urgent first, which count as pending from then on.
 func (p *Planner) Decide(now time.Time, v View) []Change {
 	p.settle(now, v.Endpoints)
+	p.adopt(now, v)
 	groups := p.groups(now, v)
 	seen := map[spot]bool{}
 	var changes []Change
@@ -56,7 +67,7 @@
 		if !ok {
 			break
 		}
-		p.order(now, v.Inventory, c, g)
+		p.order(now, c, g)
 		p.refresh(now, groups, c.Region)
 		changes = append(changes, c)
 	}
@@ -71,7 +82,7 @@
 // settle ends the pending changes that were announced or have taken too long.
 func (p *Planner) settle(now time.Time, endpoints []Endpoint) {
 	for _, e := range endpoints {
-		if c, ok := p.pending[e.Name]; ok && sameModels(e.Models, c.change.Models) {
+		if c, ok := p.pending[e.Name]; ok && announced(e.Models, c.models) {
 			delete(p.pending, e.Name)
 			p.rest[e.Name] = now.Add(p.cfg.Rest)
 		}
@@ -88,9 +99,41 @@
 	}
 }
 
+// adopt takes a load that an endpoint announces and this planner did not order as a pending change: an earlier leader's. As
+// its start is not known, it has the weight store for all of its time from now on. Each order is adopted once, so that an
+// endpoint that never ends its load is left alone no longer than after an order of this planner.
+func (p *Planner) adopt(now time.Time, v View) {
+	before := p.loads
+	p.loads = map[string]fencing.Number{}
+	p.learned = nil
+	for _, e := range v.Endpoints {
+		if len(e.Loading) == 0 {
+			continue
+		}
+		known, ok := before[e.Name]
+		p.loads[e.Name] = e.Order
+		if _, ordered := p.pending[e.Name]; ordered || ok && known == e.Order {
+			continue
+		}
+		var seconds float64
+		for _, name := range e.Loading {
+			seconds += loadSeconds(v.Inventory, name)
+		}
+		load := time.Duration(seconds * float64(time.Second))
+		p.wait(now, e.Name, e.Region, slices.Concat(e.Models, e.Loading), load)
+		p.learned = append(p.learned, e)
+	}
+}
+
 // groups returns the endpoints of each service in each region with what they need.
 func (p *Planner) groups(now time.Time, v View) []*group {
 	need := needs(v)
+	members := map[spot][]*Endpoint{}
+	for i := range v.Endpoints {
+		e := &v.Endpoints[i]
+		at := spot{region: e.Region, service: e.Service}
+		members[at] = append(members[at], e)
+	}
 	var groups []*group
 	for _, s := range v.Inventory.Contents().Services {
 		if s.Kind != inventory.KindModel {
@@ -99,11 +142,10 @@
 		for _, r := range v.Inventory.Contents().Regions {
 			g := newGroup(v.Inventory, s, r.Name, p.cfg)
 			g.storeBusy = now.Before(p.storeFree[r.Name])
-			for _, model := range g.models {
-				g.need[model] = need[spot{region: r.Name, service: s.Name, model: model}]
+			for u := range g.units {
+				g.units[u].need = need[spot{region: r.Name, service: s.Name, model: g.units[u].name}]
 			}
-			g.members = p.members(now, v.Endpoints, s.Name, r.Name)
-			g.sort()
+			p.join(now, g, members[spot{region: r.Name, service: s.Name}])
 			g.proposed = g.proposals()
 			groups = append(groups, g)
 		}
@@ -111,21 +153,21 @@
 	return groups
 }
 
-// members returns the endpoints of one service in one region.
-func (p *Planner) members(now time.Time, endpoints []Endpoint, service, region string) []*member {
-	var members []*member
-	for _, e := range endpoints {
-		if e.Service != service || e.Region != region {
-			continue
-		}
-		m := &member{Endpoint: e, target: slices.Clone(e.Models)}
+// join makes the endpoints members of the group.
+func (p *Planner) join(now time.Time, g *group, endpoints []*Endpoint) {
+	members := make([]member, len(endpoints))
+	for i, e := range endpoints {
+		m := &members[i]
+		m.Endpoint = e
+		m.now = g.held(e.Models)
+		m.target = m.now
 		if c, ok := p.pending[e.Name]; ok {
-			m.target, m.changing = c.change.Models, true
+			m.target, m.changing = g.held(c.models), true
 		}
 		m.free = !m.changing && !now.Before(p.rest[e.Name])
-		members = append(members, m)
+		g.members = append(g.members, m)
 	}
-	return members
+	g.arrange()
 }
 
 // choose returns the most urgent change of all groups whose need has lasted; seen notes every need.
@@ -157,7 +199,7 @@
 	if c.Reason == NotAllowed {
 		return true
 	}
-	s := spot{region: c.Region, service: c.Service, model: c.Load}
+	s := spot{region: c.Region, service: c.Service, model: inventory.ParseName(c.Load).Served()}
 	seen[s] = true
 	if _, ok := p.since[s]; !ok {
 		p.since[s] = now
@@ -176,26 +218,27 @@
 }
 
 // order notes a change as pending, in the group as well, and takes the weight store for its load.
-func (p *Planner) order(now time.Time, inv *inventory.Inventory, c Change, g *group) {
-	expires := now.Add(p.cfg.LoadGrace)
-	if model, ok := inv.Model(c.Load); ok {
-		load := loadTime(inv, model)
-		expires = expires.Add(load)
-		if load > 0 {
-			p.storeFree[c.Region] = now.Add(load)
-		}
-	}
-	p.pending[c.Endpoint] = pending{change: c, expires: expires}
+func (p *Planner) order(now time.Time, c Change, g *group) {
+	p.wait(now, c.Endpoint, c.Region, c.Models, c.LoadTime)
 	for _, m := range g.members {
 		if m.Name == c.Endpoint {
-			m.target, m.changing, m.free = c.Models, true, false
+			m.target, m.changing, m.free = g.held(c.Models), true, false
 		}
 	}
-	g.sort()
+	g.arrange()
+}
+
+// wait notes that the endpoint is to announce the models, and takes the weight store for the load time.
+func (p *Planner) wait(now time.Time, endpoint, region string, models []string, load time.Duration) {
+	p.pending[endpoint] = pending{models: models, expires: now.Add(load + p.cfg.LoadGrace)}
+	if free := now.Add(load); load > 0 && free.After(p.storeFree[region]) {
+		p.storeFree[region] = free
+	}
 }
 
-// sameModels reports whether two lists hold the same models in any order.
-func sameModels(a, b []string) bool {
-	a, b = slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b))
-	return slices.Equal(a, b)
+// announced reports whether the models are those that were ordered, in any order; a model may be announced without its version.
+func announced(models, ordered []string) bool {
+	return len(models) == len(ordered) && !slices.ContainsFunc(ordered, func(name string) bool {
+		return !slices.Contains(models, name) && !slices.Contains(models, inventory.ParseName(name).Served())
+	})
 }
--- a/standin/announcer.go
+++ b/standin/announcer.go
@@ -6,10 +6,10 @@
 	"io"
 	"math"
 	"net/http"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"arbutusreel/clock"
 	"arbutusreel/directory"
@@ -123,9 +123,14 @@
 
 // renews reports whether m says nothing that the last whole announcement did not say, beside load and cache events.
 func (a *announcer) renews(m *wiregen.Announcement) bool {
-	old := a.whole
-	return !m.GetLeaving() && !old.GetLeaving() && m.GetIncarnation() == old.GetIncarnation() && m.GetAddress() == old.GetAddress() &&
-		m.GetService() == old.GetService() && m.GetSlots() == old.GetSlots() && slices.Equal(m.GetModels(), old.GetModels())
+	return !m.GetLeaving() && proto.Equal(lasting(m), lasting(a.whole))
+}
+
+// lasting returns what an announcement says beside what each renewal tells anew.
+func lasting(m *wiregen.Announcement) *wiregen.Announcement {
+	m = proto.CloneOf(m)
+	m.Sequence, m.Load, m.CacheEvents, m.CacheSequence = 0, nil, nil, 0
+	return m
 }
 
 // renewal returns the message that renews the last whole announcement.
@@ -205,6 +210,3 @@
 		return reply, resp.StatusCode == http.StatusOK && wire.DecodeJSON(b, reply) == nil
 	}
 }
-
-// clone returns a copy of names that the receiver may keep.
-func clone(names []string) []string { return slices.Clone(names) }
