Test that models which an endpoint loads go whole

go test ./standin -run Announcer fails first when the comparison leaves loading out: models that are loaded go whole: the first entry took [0 4], want [4].

--- a/standin/announcer_test.go
+++ b/standin/announcer_test.go
@@ -64,9 +64,9 @@
 	}
 	order := membership.Rendezvous("engine", addresses, announceEntries)
 	first, second := byAddress[order[0]], byAddress[order[1]]
-	models := []string{"a"}
+	var models, loading []string
 	a := newAnnouncer(client, "lahore", func() *wiregen.Announcement {
-		return &wiregen.Announcement{Name: "engine", Region: "lahore", Models: models, Load: &wiregen.LoadReport{Running: 3}}
+		return &wiregen.Announcement{Name: "engine", Region: "lahore", Models: models, Loading: loading, Load: &wiregen.LoadReport{Running: 3}}
 	})
 	steps := []struct {
 		name    string
@@ -78,11 +78,12 @@
 		{"whole to one entry", func() {}, false, []int64{1}, nil},
 		{"renewal", func() {}, false, []int64{0, 2}, nil},
 		{"changed models go whole", func() { models = []string{"b"} }, false, []int64{3}, nil},
-		{"the entry forgot", func() { first.forgets = true }, false, []int64{0, 4, 5}, nil},
-		{"the entry ended", func() { first.ended = true }, false, nil, []int64{7}},
-		{"the fall-back holds while the entry is away", func() {}, false, nil, []int64{8}},
-		{"the entry is back", func() { first.ended, first.forgets = false, false }, false, []int64{9}, nil},
-		{"leaving goes whole", func() {}, true, []int64{10}, nil},
+		{"models that are loaded go whole", func() { loading = []string{"c"} }, false, []int64{4}, nil},
+		{"the entry forgot", func() { first.forgets = true }, false, []int64{0, 5, 6}, nil},
+		{"the entry ended", func() { first.ended = true }, false, nil, []int64{8}},
+		{"the fall-back holds while the entry is away", func() {}, false, nil, []int64{9}},
+		{"the entry is back", func() { first.ended, first.forgets = false, false }, false, []int64{10}, nil},
+		{"leaving goes whole", func() {}, true, []int64{11}, nil},
 	}
 	for _, step := range steps {
 		step.prepare()
