--- a/systemtest/configuration_test.go
+++ b/systemtest/configuration_test.go
@@ -12,6 +12,11 @@
 	"sync"
 	"testing"
 	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"arbutusreel/journal"
+	"arbutusreel/wiregen"
 )
 
 var lunchRegions = []string{"lahore", "karachi", "peshawar"}
@@ -207,8 +212,8 @@
 func TestRestartAfterHundredsOfChanges(t *testing.T) {
 	s := voters(t, 1)
 	const changes = 300
-	// compactedLimit holds a snapshot with the answers to all changes, and forty entries.
-	const compactedLimit = 16 << 10
+	// keptLimit is the number of entries after which the voters take a snapshot.
+	const keptLimit = 40
 	leader := s.leader()
 	away := s.otherControls(leader)[0]
 	away.kill()
@@ -231,13 +236,38 @@
 	s.mustChange("change-7", 7)
 	s.mustChange("after", changes+1)
 	s.inForce(changes + 2)
-	info, err := os.Stat(filepath.Join(s.dir, leader.name, "journal"))
+	leader.kill()
+	if n := leader.keptEntries(); n > keptLimit {
+		t.Errorf("the journal has %d entries and was not compacted", n)
+	}
+}
+
+// keptEntries returns the number of entries in the journal of a voter that has ended, of which it must have a snapshot.
+func (p *process) keptEntries() int {
+	p.t.Helper()
+	folder, err := journal.OpenFolder(p.args[slices.Index(p.args, "--dataFolder")+1])
 	if err != nil {
-		t.Fatal(err)
+		p.t.Fatal(err)
+	}
+	defer folder.Close()
+	j, contents, err := journal.Open(folder, "")
+	if err != nil {
+		p.t.Fatal(err)
 	}
-	if info.Size() > compactedLimit {
-		t.Errorf("the journal has %d bytes and was not compacted", info.Size())
+	defer j.Close()
+	if contents.Snapshot == nil {
+		p.t.Error("the journal has no snapshot")
+	}
+	n := 0
+	for _, record := range contents.Records {
+		m := &wiregen.JournalRecord{}
+		if err := proto.Unmarshal(record, m); err != nil {
+			p.t.Fatal(err)
+		}
+		n += len(m.GetEntries())
 	}
+	p.t.Logf("the journal has %d entries in %d records and a snapshot of %d bytes", n, len(contents.Records), len(contents.Snapshot))
+	return n
 }
 
 func TestSecondLossAfterRepair(t *testing.T) {
