--- a/configuration/state.go
+++ b/configuration/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"arbutusreel/inventory"
 )
@@ -14,6 +15,9 @@
 	ID        string
 	Expected  int64
 	Inventory *inventory.Inventory
+	// Operator is who made the change, as told by themselves; At is the leader's time. They play no part in the decision.
+	Operator string
+	At       time.Time
 }
 
 // Answer is the result of a change; if it was not accepted, Revision is the one in force.
@@ -69,10 +73,10 @@
 // Inventory returns the inventory in force, or nil at revision zero.
 func (s *State) Inventory() *inventory.Inventory { return s.inventory }
 
-// Answered reports whether an answer to the change id is kept.
-func (s *State) Answered(id string) bool {
-	_, ok := s.answers[id]
-	return ok
+// Answer returns the answer to a change id if it is kept.
+func (s *State) Answer(id string) (Answer, bool) {
+	answer, ok := s.answers[id]
+	return answer, ok
 }
 
 // Apply decides a change and returns its answer; a change id seen before returns its first answer.
--- a/control/control.go
+++ b/control/control.go
@@ -34,7 +34,9 @@
 	quorum *quorum
 	store  Store
 	direct *direct
-	done   chan struct{}
+	// changing is held for reading by a change of the whole inventory, and for writing by a patch, which is decided alone.
+	changing sync.RWMutex
+	done     chan struct{}
 }
 
 // New returns a control daemon that runs when Run is called.
@@ -95,7 +97,9 @@
 		return err
 	}
 	accepted := func(revision int64, whole []byte) { c.hub.Put(revision, whole) }
-	c.quorum = newQuorum(c.cfg, d, restored, l, accepted, c.log, c.now)
+	if c.quorum, err = newQuorum(c.cfg, d, restored, l, accepted, c.log, c.now); err != nil {
+		return err
+	}
 	c.store = c.quorum
 	c.publishMetrics()
 	return nil
--- a/control/requests.go
+++ b/control/requests.go
@@ -61,6 +61,50 @@
 	return q.decide(ctx, func(now time.Time) (index, term int64, err error) { return q.node.Propose(now, command) })
 }
 
+// givenAnswer is the answer to a change id, if one was given.
+type givenAnswer struct {
+	answer configuration.Answer
+	ok     bool
+}
+
+// Answered returns the answer that was given to a change id as far as this voter has applied the log.
+func (q *quorum) Answered(ctx context.Context, changeID string) (configuration.Answer, bool, error) {
+	given, err := look(ctx, q, func(m *machine) givenAnswer {
+		answer, ok := m.state.Answer(changeID)
+		return givenAnswer{answer: answer, ok: ok}
+	})
+	return given.answer, given.ok, err
+}
+
+// keptHistory is the history of a voter with the inventory in force.
+type keptHistory struct {
+	history *configuration.History
+	whole   []byte
+}
+
+// History returns the newest accepted changes as far as this voter has applied the log.
+func (q *quorum) History(ctx context.Context) (*configuration.History, []byte, error) {
+	kept, err := look(ctx, q, func(m *machine) keptHistory {
+		return keptHistory{history: configuration.RestoreHistory(m.history.Records()), whole: m.whole}
+	})
+	return kept.history, kept.whole, err
+}
+
+// look returns what f reads of the replicated state, between two inputs of the loop.
+func look[T any](ctx context.Context, q *quorum, f func(*machine) T) (T, error) {
+	result := make(chan T, 1)
+	var none T
+	if err := q.input(ctx, func(time.Time) { result <- f(q.machine) }); err != nil {
+		return none, q.notLeader()
+	}
+	select {
+	case found := <-result:
+		return found, nil
+	case <-ctx.Done():
+		return none, q.notLeader()
+	}
+}
+
 // Add adds a member; one that is there with the same disk is a success.
 func (q *quorum) Add(ctx context.Context, id consensus.ID, address string) error {
 	_, err := q.decide(ctx, func(now time.Time) (index, term int64, err error) { return q.node.Add(now, id, address) })
--- a/entry/state.go
+++ b/entry/state.go
@@ -27,11 +27,14 @@
 	entries *membership.Entries
 	facts   *facts
 	// view holds the endpoints as of viewAt.
-	view      []membership.Endpoint
-	viewAt    time.Time
-	inventory *inventory.Inventory
-	revision  int64
-	source    string
+	view   []membership.Endpoint
+	viewAt time.Time
+	// entryView holds the live entries as of entryViewAt.
+	entryView   []membership.Entry
+	entryViewAt time.Time
+	inventory   *inventory.Inventory
+	revision    int64
+	source      string
 }
 
 var _ dispatch.View = (*state)(nil)
@@ -90,6 +93,14 @@
 	return s.table.Announce(s.now(), e, lease)
 }
 
+// renew renews an endpoint's lease and reports whether the instance holds the whole announcement that is renewed.
+func (s *state) renew(r membership.Renewal, lease time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.viewAt = time.Time{}
+	return s.table.Renew(s.now(), r, lease)
+}
+
 // lease returns what is left of an endpoint's lease; that of one that announces itself elsewhere lasts as long as its entry is believed.
 func (s *state) lease(name string) time.Duration {
 	s.mu.Lock()
@@ -97,7 +108,7 @@
 	if lease := s.table.Lease(s.now(), name); lease > 0 {
 		return lease
 	}
-	return ttl(s.facts.local)
+	return s.facts.localTTL()
 }
 
 func (s *state) expire() []membership.Endpoint {
@@ -116,13 +127,17 @@
 func (s *state) live() []membership.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.liveNow(s.now())
+	return slices.Clone(s.liveNow(s.now()))
 }
 
-// liveNow returns the live entries; the lock is held.
+// liveNow returns the live entries, which the caller does not change; the lock is held.
 func (s *state) liveNow(now time.Time) []membership.Entry {
-	_, entries, _ := s.facts.believed(now)
-	return membership.NewestEntries(append(entries, s.entries.Live(now)...))
+	if s.entryViewAt.IsZero() || now.Sub(s.entryViewAt) >= viewPeriod || now.Before(s.entryViewAt) {
+		_, entries, _ := s.facts.believed(now)
+		s.entryView = membership.NewestEntries(append(entries, s.entries.Live(now)...))
+		s.entryViewAt = now
+	}
+	return s.entryView
 }
 
 // Summaries returns what is known of the other regions, in the order of region and service.
@@ -137,37 +152,56 @@
 	})
 }
 
-// marks returns how far each origin is known; without global marks nothing that all regions tell is asked for.
-func (s *state) marks() (local, global []membership.Mark) {
+// marks returns how far each origin is known, of what the partner is asked for.
+func (s *state) marks(p partner) asked {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.tellsGlobal(s.now()) {
-		return s.facts.local.Marks(), nil
+	now := s.now()
+	var a asked
+	if p.local {
+		a.local = s.facts.local.Marks(now, s.facts.localTTL())
+	}
+	if p.global {
+		a.global = s.facts.global.Marks(now, s.facts.globalTTL())
 	}
-	return s.facts.local.Marks(), s.facts.global.Marks()
+	return a
 }
 
-// missing returns what the sender of a request does not know.
-func (s *state) missing(m *wiregen.ExchangeRequest) (local, global []membership.Delta[membership.Fact]) {
+// answer adds to a reply what the sender of a request does not know; what entries of the region tell is for the region alone.
+func (s *state) answer(m *wiregen.ExchangeRequest, reply *wiregen.ExchangeReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	localMarks, globalMarks := s.facts.local.Marks(), s.facts.global.Marks()
-	local = s.facts.local.Missing(wire.DecodeMarks(m.GetLocal(), localMarks))
-	if len(m.GetGlobal()) == 0 {
-		return local, nil
+	now := s.now()
+	if !m.GetWithoutLocal() && m.GetRegion() == s.region {
+		reply.UnknownSender = !slices.Contains(s.facts.local.Live(now, s.facts.localTTL()), m.GetSender())
+		reply.LocalBeats, reply.Local = missing(now, s.facts.local, s.facts.localTTL(), m.GetLocal())
+	}
+	if !m.GetWithoutGlobal() {
+		reply.GlobalBeats, reply.Global = missing(now, s.facts.global, s.facts.globalTTL(), m.GetGlobal())
 	}
-	global = s.facts.global.Missing(wire.DecodeMarks(m.GetGlobal(), globalMarks))
-	return local, global
 }
 
-// learn takes what a peer told.
-func (s *state) learn(m *wiregen.ExchangeReply) {
+func missing(now time.Time, share *membership.Share[membership.Fact], ttl time.Duration, m *wiregen.ShareMarks) (*wiregen.ShareBeats, []*wiregen.ShareDelta) {
+	marks, positions := wire.DecodeMarks(m, share.Marks(now, ttl))
+	beats, deltas := wire.EncodeBeats(share.Missing(now, ttl, marks), m, positions)
+	return beats, wire.EncodeDeltas(now, deltas)
+}
+
+// learn takes what a peer answered to the marks.
+func (s *state) learn(a asked, m *wiregen.ExchangeReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	s.facts.local.Learn(now, wire.DecodeDeltas(now, m.GetLocal(), s.facts.local.Marks()))
-	s.facts.global.Learn(now, wire.DecodeDeltas(now, m.GetGlobal(), s.facts.global.Marks()))
-	s.facts.local.Forget(now, ttl(s.facts.local))
-	s.facts.global.Forget(now, ttl(s.facts.global))
+	if m.GetUnknownSender() {
+		s.facts.adverts = advertPeriods
+	}
+	learn(now, s.facts.local, s.facts.localTTL(), a.local, m.GetLocalBeats(), m.GetLocal())
+	learn(now, s.facts.global, s.facts.globalTTL(), a.global, m.GetGlobalBeats(), m.GetGlobal())
 	s.viewAt = time.Time{}
 }
+
+func learn(now time.Time, share *membership.Share[membership.Fact], ttl time.Duration, marks []membership.Mark, beats *wiregen.ShareBeats, deltas []*wiregen.ShareDelta) {
+	share.Learn(now, wire.DecodeBeats(beats, marks))
+	share.Learn(now, wire.DecodeDeltas(now, deltas, share.Marks(now, ttl)))
+	share.Forget(now, ttl)
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -20,34 +20,6 @@
 	"arbutusreel/wiregen"
 )
 
-// UnreachableError says that no control voter answered.
-type UnreachableError struct {
-	Controls []string
-	Cause    error
-}
-
-// Error names the voters and the last cause.
-func (e *UnreachableError) Error() string {
-	return fmt.Sprintf("no control voter of %q answered: %v", e.Controls, e.Cause)
-}
-
-// Unwrap returns the last cause.
-func (e *UnreachableError) Unwrap() error { return e.Cause }
-
-// UndecidedError says that a change may or may not have been accepted.
-type UndecidedError struct {
-	ChangeID string
-	Cause    error
-}
-
-// Error names the change id and the last cause.
-func (e *UndecidedError) Error() string {
-	return fmt.Sprintf("outcomeUnknown: change %q may have been accepted; send it again with this change id: %v", e.ChangeID, e.Cause)
-}
-
-// Unwrap returns the last cause.
-func (e *UndecidedError) Unwrap() error { return e.Cause }
-
 const (
 	// attemptTimeout bounds the wait for one voter, which may be cut off.
 	attemptTimeout = 1500 * time.Millisecond
@@ -76,16 +48,25 @@
 	return &with
 }
 
-// Apply proposes a change. A refusal returns *problem.Problem; if no voter
+// Apply proposes another inventory. A refusal returns *problem.Problem; if no voter
 // decided before ctx ended it returns *UndecidedError when the change may have
 // been accepted, and *UnreachableError when it was not. The change id makes it
 // safe to send again.
 func (c *Client) Apply(ctx context.Context, m *wiregen.ApplyRequest) (*wiregen.ApplyReply, error) {
+	return c.change(ctx, "/v1/inventory", m.GetChangeId(), m)
+}
+
+// Patch proposes a change of parts of the inventory; its failures are those of Apply.
+func (c *Client) Patch(ctx context.Context, m *wiregen.PatchRequest) (*wiregen.ApplyReply, error) {
+	return c.change(ctx, "/v1/patch", m.GetChangeId(), m)
+}
+
+func (c *Client) change(ctx context.Context, path, changeID string, m proto.Message) (*wiregen.ApplyReply, error) {
 	reply := &wiregen.ApplyReply{}
-	err := c.do(ctx, http.MethodPost, "/v1/inventory", m, reply)
+	err := c.do(ctx, http.MethodPost, path, m, reply)
 	var undecided *UndecidedError
 	if errors.As(err, &undecided) {
-		undecided.ChangeID = m.GetChangeId()
+		undecided.ChangeID = changeID
 	}
 	return reply, err
 }
@@ -96,6 +77,18 @@
 	return reply, c.do(ctx, http.MethodGet, "/v1/inventory", nil, reply)
 }
 
+// InventoryAt returns the inventory of an earlier revision and the revision in force.
+func (c *Client) InventoryAt(ctx context.Context, revision int64) (*wiregen.InventoryReply, error) {
+	reply := &wiregen.InventoryReply{}
+	return reply, c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/inventory?revision=%d", revision), nil, reply)
+}
+
+// History returns the newest accepted changes, at most count, the newest first.
+func (c *Client) History(ctx context.Context, count int) (*wiregen.HistoryReply, error) {
+	reply := &wiregen.HistoryReply{}
+	return reply, c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/history?count=%d", count), nil, reply)
+}
+
 // Members returns the members of the quorum.
 func (c *Client) Members(ctx context.Context) (*wiregen.MembersReply, error) {
 	reply := &wiregen.MembersReply{}
