Mark a fake engine as dead without a race

Cause: go test -race ./dispatch found that the fake engine's dead was written under the engine's lock and read without it. It is atomic now. Before: race detected during execution of TestMeasureRegionLost. After: it and the tests of resumes, lanes, probes and waiting pass under -race.

--- a/dispatch/away_test.go
+++ b/dispatch/away_test.go
@@ -31,7 +31,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 		g.mu.Lock()
-		g.dead = true
+		g.dead.Store(true)
 		g.mu.Unlock()
 		killed := time.Now()
 		wg.Wait()
--- a/dispatch/fake_test.go
+++ b/dispatch/fake_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,7 +43,7 @@
 	failAt int
 	frozen bool
 	// dead engines cut their streams and refuse connections.
-	dead bool
+	dead atomic.Bool
 	// fails tells which requests fail at their first attempt; ignoresResume tells that each answer begins at zero.
 	fails         func(r Request) bool
 	ignoresResume bool
@@ -172,7 +173,7 @@
 		if err := pauseFor(ctx, g.stepTime()); err != nil {
 			return stream.End{}, err
 		}
-		if g.dead || g.failAt > 0 && i >= g.failAt {
+		if g.dead.Load() || g.failAt > 0 && i >= g.failAt {
 			return stream.End{}, &stream.IncompleteError{RequestID: r.CorrelationID, Pieces: i, Cause: context.Canceled}
 		}
 		if g.frozen {
@@ -325,7 +326,7 @@
 	region := m.w.region(e.Region)
 	i := slices.IndexFunc(region.engines, func(g *fakeEngine) bool { return g.endpoint.Name == e.Name })
 	m.w.mu.Unlock()
-	if region.engines[i].dead {
+	if region.engines[i].dead.Load() {
 		return stream.End{}, syscall.ECONNREFUSED
 	}
 	return region.engines[i].generate(ctx, r, a, sink)
--- a/dispatch/measure_test.go
+++ b/dispatch/measure_test.go
@@ -298,7 +298,7 @@
 func (r *fakeRegion) setDead(dead bool) {
 	for _, g := range r.engines {
 		g.mu.Lock()
-		g.dead = dead
+		g.dead.Store(dead)
 		if !dead {
 			g.endpoint.Incarnation++
 			g.cached, g.events = nil, nil
--- a/dispatch/resume_test.go
+++ b/dispatch/resume_test.go
@@ -78,7 +78,7 @@
 		time.Sleep(2 * time.Second)
 		killed := engines["lahore"][0]
 		killed.mu.Lock()
-		killed.dead = true
+		killed.dead.Store(true)
 		killed.mu.Unlock()
 		wg.Wait()
 		cancel()
--- a/dispatch/retry_test.go
+++ b/dispatch/retry_test.go
@@ -49,7 +49,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		engines := fleet(10, 8, 0)
 		for _, g := range engines["lahore"][1:] {
-			g.dead = true
+			g.dead.Store(true)
 		}
 		w := newWorld(mustInventory(contents()), 1, engines, 3, expected)
 		var wg sync.WaitGroup
