Wait in the tests until a frozen process no longer runs

Cause: TestSilentEndpoint failed once on a machine with a load average of 70: 'sends nothing to an endpoint that is frozen' gave up. Its log shows the order answered 200 and then replayed by its key. SIGSTOP is sent and returns before every thread has stopped, so that the service could still answer; that this was the order of events is inferred. Now freeze waits until all threads are in state T, which makes each test that freezes a process surer of what it tests; no assertion changes.

--- a/systemtest/calls_test.go
+++ b/systemtest/calls_test.go
@@ -7,7 +7,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -303,7 +302,7 @@
 	}
 	for _, p := range d.all {
 		if strings.HasPrefix(p.name, "control") || strings.Contains(p.name, "karachi") {
-			p.signal(syscall.SIGSTOP)
+			p.freeze()
 		}
 	}
 	if a := d.order(0, "k2", "isolated"); a.status != http.StatusOK {
--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -1,11 +1,14 @@
 package systemtest
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // process is one program under test, which can be stopped, killed, frozen and started again with the same arguments.
@@ -55,7 +58,28 @@
 	<-p.done
 }
 
-func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+// freeze stops the process as it is and waits until it no longer runs.
+func (p *process) freeze() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	for deadline := time.Now().Add(startLimit); !p.frozen(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			p.t.Fatalf("gave up waiting: %s is frozen", p.name)
+		}
+	}
+}
+
+// frozen reports whether every thread of the process is stopped, by the state that follows each thread's name in brackets.
+func (p *process) frozen() bool {
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	for _, thread := range threads {
+		b, _ := os.ReadFile(thread)
+		if _, state, ok := strings.Cut(string(b), ") "); ok && !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return len(threads) > 0
+}
 
 func (p *process) thaw() { p.signal(syscall.SIGCONT) }
 
