Count only attempts that reached an endpoint as fruitless tries of a broken stream

One broke after 12 pieces, was refused a connection by four dead engines in turn, and then got a connection that was reset: tooManyAttempts, as the four had been counted as tries without a new piece. Attempts that reach nothing are bounded by themselves (16). Ruled out: the budget of resumes (it was not asked), admission, the region breaker.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -230,9 +230,10 @@
 // again reports whether the request is tried again after a failure, and waits for the delay before it.
 func (d *Dispatcher) again(ctx context.Context, j *job, p *placement, err error, failure retry.Failure) bool {
 	j.attempts.Made++
-	j.attempts.Fruitless++
 	if failure == retry.Unreached {
 		j.attempts.Unreached++
+	} else {
+		j.attempts.Fruitless++
 	}
 	j.doubtful = j.doubtful || failure == retry.Doubtful || failure == retry.Final
 	if p.region != "" {
--- a/dispatch/resume_test.go
+++ b/dispatch/resume_test.go
@@ -48,6 +48,29 @@
 	})
 }
 
+// TestResumeAfterUnreached breaks a stream in a region that has lost most of its engines: those that refuse connections do
+// not count as tries when the next engine breaks it again.
+func TestResumeAfterUnreached(t *testing.T) {
+	for seed := range uint64(400) {
+		synctest.Test(t, func(t *testing.T) {
+			engines := map[string][]*fakeEngine{"lahore": fleet(8, 8, 0)["lahore"]}
+			for i, g := range engines["lahore"] {
+				if i < 2 {
+					g.failAt = 10
+				} else if i < 7 {
+					g.dead.Store(true)
+				}
+			}
+			w := newWorld(mustInventory(contents()), seed, engines, 1, expected)
+			r := request("r", 40, "plan", time.Minute)
+			c, err := run(w.entry("lahore"), r)
+			if err != nil || c.text.String() != wholeText(r) {
+				t.Errorf("seed %d: %v, received %q", seed, err, c.text.String())
+			}
+		})
+	}
+}
+
 // killUnderStreams opens streams at two engines of one region, kills the first in mid-answer, and returns how many
 // answers were whole, with what the dispatcher counted.
 func killUnderStreams(t *testing.T, slots, streams int, class string, patience time.Duration, learned int) (whole int, counts Counts) {
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -41,7 +41,7 @@
 	Made int
 	// Unreached is the number of those that reached nothing, the last one included.
 	Unreached int
-	// Fruitless is the number of failed attempts in a row that brought no new piece.
+	// Fruitless is the number of failed attempts since the last new piece that reached an endpoint and brought none.
 	Fruitless int
 	// Repeatable tells whether the request may run more than once.
 	Repeatable bool
