--- /dev/null
+++ b/capacity/choose.go
@@ -0,0 +1,111 @@
+package capacity
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// failureCost is the expected cost of a failure, as a multiple of the objective.
+	failureCost = 2.0
+	// memoryShare is the part of an endpoint's token memory that is filled before it counts as full; beyond it running
+	// requests are preempted.
+	memoryShare = 0.92
+	// affinityTime is the advantage of the endpoint that a prompt's subject is hashed to, so that gateways that know
+	// nothing of one another's prompts agree.
+	affinityTime = 15 * time.Millisecond
+	// equalTime is the difference in expected time below which two endpoints count as equal.
+	equalTime = 2 * time.Millisecond
+)
+
+// Candidate is an endpoint that may take a request.
+type Candidate struct {
+	ID          string
+	Outstanding Outstanding
+	Health      Health
+	// Slots is the number of requests that it serves at once, and Memory the tokens that it holds; zero bounds nothing.
+	Slots  int
+	Memory int64
+	// KeptParts is the number of the request's first shared parts that it is believed to keep.
+	KeptParts int
+	// Detour is the added time of reaching it.
+	Detour time.Duration
+}
+
+// Choice is the endpoint that takes a request.
+type Choice struct {
+	Index int
+	// Expected is the time to the first piece.
+	Expected time.Duration
+	// Unread is the number of prompt tokens that the endpoint has to read.
+	Unread int64
+	// Full says that the endpoint has no slot or no memory left, so that the request waits for another one to end.
+	Full bool
+}
+
+// Expected returns the time to the first piece of w at c, and whether it has to wait for a slot or for memory.
+func Expected(c Candidate, w Work, s Speed) (d time.Duration, unread int64, full bool) {
+	unread = w.Unread(c.KeptParts)
+	d = s.Base + s.Token*time.Duration(c.Outstanding.PromptTokens+unread)
+	if c.Slots > 0 && c.Outstanding.Requests >= c.Slots {
+		full = true
+		waiting := c.Outstanding.Requests - c.Slots + 1
+		d += s.Whole * time.Duration(waiting) / time.Duration(c.Slots)
+	}
+	if c.Memory > 0 && float64(c.Outstanding.HeldTokens+unread+w.OutputTokens) > memoryShare*float64(c.Memory) {
+		full = true
+		d += s.Whole / 2
+	}
+	return time.Duration(float64(d)*c.Health.Factor) + c.Detour, unread, full
+}
+
+// Choose returns the candidate with the least expected cost, or false if there is none. Requests of one subject go to
+// one endpoint while its advantage lasts; draw in [0, 1) decides between equals.
+func Choose(candidates []Candidate, w Work, s Speed, objective time.Duration, draw float64) (Choice, bool) {
+	best := Choice{Index: -1}
+	var bestCost time.Duration
+	equals := 0
+	favourite := favourite(candidates, w)
+	for i, c := range candidates {
+		expected, unread, full := Expected(c, w, s)
+		cost := expected + time.Duration(c.Health.Failures*failureCost*float64(objective))
+		if i == favourite {
+			cost -= affinityTime
+		}
+		switch {
+		case best.Index < 0 || cost < bestCost-equalTime:
+			equals = 1
+		case cost < bestCost+equalTime:
+			// Reservoir sampling with one draw: each later equal replaces the choice with probability 1/n.
+			equals++
+			draw *= float64(equals)
+			replace := draw < 1
+			draw -= float64(int(draw))
+			if !replace {
+				continue
+			}
+		default:
+			continue
+		}
+		best = Choice{Index: i, Expected: expected, Unread: unread, Full: full}
+		bestCost = cost
+	}
+	return best, best.Index >= 0
+}
+
+// favourite returns the candidate to which the subject of a prompt, its last shared part, is hashed, or -1.
+func favourite(candidates []Candidate, w Work) int {
+	shared := w.Shared()
+	if len(shared) == 0 {
+		return -1
+	}
+	subject := shared[len(shared)-1].ID
+	best, highest := -1, uint64(0)
+	for i, c := range candidates {
+		if weight := xxhash.Sum64String(subject + "\x00" + c.ID); best < 0 || weight > highest {
+			best, highest = i, weight
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/capacity/speed.go
@@ -0,0 +1,82 @@
+package capacity
+
+import "time"
+
+const (
+	// Learned values move by this share towards each observation.
+	speedGain = 0.05
+	// factorGain is the same for an endpoint's own factor, which must follow a slowdown within seconds.
+	factorGain = 0.15
+	// initialTokenTime is the time to read one prompt token before any was observed; current engines read about 100
+	// tokens a millisecond and decode between chunks.
+	initialTokenTime = 14 * time.Microsecond
+	// initialBaseTime is the time to a first piece without any queue before one was observed.
+	initialBaseTime = 60 * time.Millisecond
+	leastFactor     = 0.5
+	greatestFactor  = 8.0
+	// leastTokensLearned is the number of unread tokens below which an observation tells of the base alone.
+	leastTokensLearned = 4000
+)
+
+// Speed is what was learned of a service's endpoints: an immutable value.
+type Speed struct {
+	// Base is the time to the first piece at an idle endpoint, and Token that of one more unread prompt token.
+	Base  time.Duration
+	Token time.Duration
+	// Whole is the time that a request takes in all.
+	Whole time.Duration
+}
+
+// NewSpeed returns the speed that is assumed before anything was observed.
+func NewSpeed() Speed {
+	return Speed{Base: initialBaseTime, Token: initialTokenTime, Whole: initialBaseTime}
+}
+
+func toward(from, to time.Duration, gain float64) time.Duration {
+	return from + time.Duration(gain*float64(to-from))
+}
+
+// WithFirst returns the speed after a first piece came, with the unread tokens that were before and in the request.
+func (s Speed) WithFirst(unread int64, took time.Duration) Speed {
+	if unread < leastTokensLearned {
+		expected := s.Token * time.Duration(unread)
+		s.Base = max(toward(s.Base, took-expected, speedGain), time.Millisecond)
+		return s
+	}
+	s.Token = max(toward(s.Token, (took-s.Base)/time.Duration(unread), speedGain), time.Microsecond)
+	return s
+}
+
+// WithWhole returns the speed after a whole answer.
+func (s Speed) WithWhole(took time.Duration) Speed {
+	s.Whole = toward(s.Whole, took, speedGain)
+	return s
+}
+
+// Health is what was learned of one endpoint: an immutable value.
+type Health struct {
+	// Factor is the ratio of observed to expected times.
+	Factor float64
+	// Failures is the recent share of requests that failed.
+	Failures float64
+}
+
+// NewHealth returns the health of an endpoint of which nothing is known.
+func NewHealth() Health { return Health{Factor: 1} }
+
+// WithFirst returns the health after a first piece was observed.
+func (h Health) WithFirst(expected, took time.Duration) Health {
+	ratio := min(max(float64(took)/float64(max(expected, time.Millisecond)), leastFactor), greatestFactor)
+	h.Factor += factorGain * (ratio - h.Factor)
+	return h
+}
+
+// WithOutcome returns the health after a request ended.
+func (h Health) WithOutcome(failed bool) Health {
+	observed := 0.0
+	if failed {
+		observed = 1
+	}
+	h.Failures += factorGain * (observed - h.Failures)
+	return h
+}
--- a/cmd/arbutusreel/main.go
+++ b/cmd/arbutusreel/main.go
@@ -48,7 +48,7 @@
 	parser := flaggy.NewParser("arbutusreel")
 	parser.Description = "A multi-region inference gateway."
 	parser.Version = version
-	commands := commands()
+	commands := append(commands(), platformCommands()...)
 	for _, c := range commands {
 		c.attach(parser)
 	}
--- /dev/null
+++ b/cmd/arbutusreel/platform.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"arbutusreel/logs"
+	"arbutusreel/platform"
+)
+
+// logTimeout bounds the writing of the last log lines at the end of a process.
+const logTimeout = 200 * time.Millisecond
+
+// platformCommand runs a daemon under the platform's settings file.
+func platformCommand(name, doc string, run func(context.Context, string, <-chan os.Signal, zerolog.Logger) error) *command {
+	return &command{
+		name: name,
+		doc:  doc,
+		run: func(ctx context.Context, stdout io.Writer) error {
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			defer signal.Stop(reload)
+			lines := logs.New(stdout)
+			defer lines.Close(logTimeout)
+			zerolog.TimeFieldFormat = logTimeFormat
+			return run(ctx, platform.SettingsPath(os.Getenv), reload, zerolog.New(lines).With().Timestamp().Logger())
+		},
+	}
+}
+
+func platformCommands() []*command {
+	return []*command{
+		platformCommand("platform-gateway", "Runs the gateway of an instance of the platform.", platform.Gateway),
+		platformCommand("platform-control", "Runs the control daemon of an instance of the platform.", platform.Control),
+	}
+}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -207,5 +207,14 @@
 	return s
 }
 
+// Silences returns, at a leader, the time since each other member answered last or, if it has not, since the term began.
+func (n *Node) Silences(now time.Time) map[ID]time.Duration {
+	silences := make(map[ID]time.Duration, len(n.progress))
+	for id, p := range n.progress {
+		silences[id] = min(now.Sub(p.ackedAt), now.Sub(n.ledSince))
+	}
+	return silences
+}
+
 // majority returns the number of voters that is a majority of count.
 func majority(count int) int { return count/2 + 1 }
--- a/control/control.go
+++ b/control/control.go
@@ -26,6 +26,7 @@
 // Control is one control daemon.
 type Control struct {
 	wiregen.UnimplementedConsensusServer
+	wiregen.UnimplementedFleetServer
 
 	cfg    Config
 	log    zerolog.Logger
@@ -34,6 +35,9 @@
 	quorum *quorum
 	store  Store
 	direct *direct
+	fleet  *fleetState
+	peers  *peers
+	joined joined
 	// changing is held for reading by a change of the whole inventory, and for writing by a patch, which is decided alone.
 	changing sync.RWMutex
 	done     chan struct{}
@@ -41,7 +45,7 @@
 
 // New returns a control daemon that runs when Run is called.
 func New(cfg Config, log zerolog.Logger, now func() time.Time) *Control {
-	return &Control{cfg: cfg, log: log, now: now, hub: relay.NewHub(cfg.Name, now), direct: newDirect(), done: make(chan struct{})}
+	return &Control{cfg: cfg, log: log, now: now, hub: relay.NewHub(cfg.Name, now), direct: newDirect(), fleet: newFleetState(now), done: make(chan struct{})}
 }
 
 // Done is closed when the daemon has stopped.
@@ -49,7 +53,10 @@
 
 // Run serves until ctx ends. An address that cannot be served, a data folder
 // that cannot be read and a disk that fails are returned as errors.
-func (c *Control) Run(ctx context.Context) error {
+func (c *Control) Run(ctx context.Context) error { return c.RunOpened(ctx, make(chan struct{})) }
+
+// RunOpened is Run; it closes opened once the daemon takes calls.
+func (c *Control) RunOpened(ctx context.Context, opened chan<- struct{}) error {
 	defer close(c.done)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -59,6 +66,8 @@
 	}
 	defer func() { _ = folder.Close() }()
 	links := newLinks(work, c.cfg.Keys, c.log)
+	c.peers = newPeers(c.cfg.Keys)
+	defer c.peers.close()
 	if err := c.open(folder, links); err != nil {
 		return err
 	}
@@ -72,8 +81,10 @@
 	wg.Go(func() { failed <- c.quorum.run(work) })
 	wg.Go(func() { c.watchLeader(work) })
 	wg.Go(func() { c.place(work) })
+	wg.Go(func() { c.runFleet(work) })
 	c.log.Info().Str("operatorAddress", c.cfg.OperatorAddress).Str("disk", c.quorum.disk.identity).
 		Int64("revision", c.store.Current().Revision).Msg("started")
+	close(opened)
 	select {
 	case <-ctx.Done():
 		c.handOver(work)
@@ -165,6 +176,7 @@
 	}
 	wiregen.RegisterConfigurationServer(s.peers, relay.NewServer(c.hub, c.heardFollower, done))
 	wiregen.RegisterConsensusServer(s.peers, c)
+	wiregen.RegisterFleetServer(s.peers, fleetServer{Control: c})
 	return s, nil
 }
 
--- a/control/machine.go
+++ b/control/machine.go
@@ -18,6 +18,7 @@
 	state   *configuration.State
 	history *configuration.History
 	whole   []byte
+	orders  configuration.Orders
 }
 
 func newMachine() *machine {
@@ -47,6 +48,10 @@
 	if err := proto.Unmarshal(command, c); err != nil {
 		return configuration.Answer{}, &RecordError{Record: "change", Cause: err}
 	}
+	if c.GetFleet() != nil {
+		m.orders = applyOrder(m.orders, c.GetFleet())
+		return configuration.Answer{Accepted: true, Revision: m.state.Revision()}, nil
+	}
 	if m.decides(c) {
 		return m.state.Apply(configuration.Change{ID: c.GetChangeId(), Expected: c.GetExpectedRevision()}), nil
 	}
@@ -104,6 +109,7 @@
 			Revision: r.Revision, ChangeId: r.ChangeID, Operator: r.Operator, UnixMillis: r.At.UnixMilli(), Undo: relay.EncodeDelta(r.Undo),
 		})
 	}
+	s.Fleet = encodeOrders(m.orders)
 	return marshal(s)
 }
 
@@ -136,6 +142,7 @@
 		state:   configuration.RestoreState(s.GetRevision(), inv, answers),
 		history: configuration.RestoreHistory(records),
 		whole:   s.GetInventory(),
+		orders:  decodeOrders(s.GetFleet()),
 	}
 	return m, m.refused(err)
 }
--- /dev/null
+++ b/control/operators_orders.go
@@ -0,0 +1,127 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"arbutusreel/configuration"
+	"arbutusreel/consensus"
+	"arbutusreel/problem"
+	"arbutusreel/wiregen"
+)
+
+// PutDocument decides a routing document, at the leader. A document whose version is not higher than the one in force
+// changes nothing and is a success. A failure is a *problem.Problem, after which the document may still be accepted.
+func (c *Control) PutDocument(ctx context.Context, d configuration.Document) error {
+	return c.order(ctx, &wiregen.FleetOrder{Document: &wiregen.RouteDocument{Version: d.Version, Content: d.Content}})
+}
+
+// Evacuate decides that the endpoints of a failure domain get nothing new, or withdraws that; a failure is a
+// *problem.Problem.
+func (c *Control) Evacuate(ctx context.Context, domain string, withdrawn bool) error {
+	return c.order(ctx, &wiregen.FleetOrder{Evacuation: &wiregen.EvacuationOrder{FailureDomain: domain, Withdrawn: withdrawn}})
+}
+
+// Newest returns the document that was accepted last before some time after the call; a failure is a *problem.Problem.
+func (c *Control) Newest(ctx context.Context) (configuration.Document, error) {
+	if c.quorum.Status().Leads {
+		if err := c.quorum.Confirm(ctx); err != nil {
+			return configuration.Document{}, err
+		}
+		return c.quorum.Orders().Document(), nil
+	}
+	leader, err := c.leader()
+	if err != nil {
+		return configuration.Document{}, err
+	}
+	m, err := callPeer(ctx, c.peers, leader.Address, func(ctx context.Context, conn grpc.ClientConnInterface) (*wiregen.RouteDocument, error) {
+		return wiregen.NewFleetClient(conn).Newest(ctx, &wiregen.NewestRequest{})
+	})
+	if err != nil {
+		return configuration.Document{}, leaderUnreachable(leader, err)
+	}
+	return decodeDocument(m), nil
+}
+
+func leaderUnreachable(leader consensus.Member, err error) *problem.Problem {
+	return problem.New(problem.QuorumUnavailable, http.StatusServiceUnavailable, "leader %q: %v", leader.ID.Name, err).
+		WithOutcome(problem.Unknown).WithRetryAfter(leaderRetry)
+}
+
+// leader returns the member that leads.
+func (c *Control) leader() (consensus.Member, error) {
+	s := c.quorum.Status()
+	member, ok := s.Members.Find(s.Leader.Name)
+	if !ok || member.ID.Name == c.cfg.Name {
+		return consensus.Member{}, c.quorum.notLeader()
+	}
+	return member, nil
+}
+
+// order decides an order here if this voter leads, and else at the leader.
+func (c *Control) order(ctx context.Context, m *wiregen.FleetOrder) error {
+	began := c.now()
+	err := c.decideOrder(ctx, m)
+	c.log.Info().Int64("version", m.GetDocument().GetVersion()).Str("evacuated", m.GetEvacuation().GetFailureDomain()).
+		Bool("withdrawn", m.GetEvacuation().GetWithdrawn()).Dur("took", c.now().Sub(began)).
+		Str("leader", c.quorum.Status().Leader.Name).Err(err).Msg("orderDecided")
+	return err
+}
+
+func (c *Control) decideOrder(ctx context.Context, m *wiregen.FleetOrder) error {
+	if c.quorum.Status().Leads {
+		return c.proposeOrder(ctx, m)
+	}
+	leader, err := c.leader()
+	if err != nil {
+		return err
+	}
+	_, err = callPeer(ctx, c.peers, leader.Address, func(ctx context.Context, conn grpc.ClientConnInterface) (*wiregen.FleetDecision, error) {
+		return wiregen.NewFleetClient(conn).Decide(ctx, m)
+	})
+	if err != nil {
+		return leaderUnreachable(leader, err)
+	}
+	return nil
+}
+
+// proposeOrder appends an order to the log, or confirms that it is in force already.
+func (c *Control) proposeOrder(ctx context.Context, m *wiregen.FleetOrder) error {
+	if d := m.GetDocument(); d != nil && d.GetVersion() <= c.quorum.Orders().Document().Version {
+		return c.quorum.Confirm(ctx)
+	}
+	command := marshal(&wiregen.ChangeCommand{Fleet: m, UnixMillis: c.now().UnixMilli()})
+	_, err := c.quorum.decide(ctx, func(now time.Time) (index, term int64, err error) { return c.quorum.node.Propose(now, command) })
+	return err
+}
+
+// Decide decides an order that another voter passes on.
+func (c *Control) Decide(ctx context.Context, m *wiregen.FleetOrder) (*wiregen.FleetDecision, error) {
+	if err := c.proposeOrder(ctx, m); err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &wiregen.FleetDecision{Accepted: true}, nil
+}
+
+// Newest answers another voter's read of the newest document.
+func (s fleetServer) Newest(ctx context.Context, _ *wiregen.NewestRequest) (*wiregen.RouteDocument, error) {
+	c := s.Control
+	if !c.quorum.Status().Leads {
+		return nil, status.Error(codes.Unavailable, c.quorum.notLeader().Error())
+	}
+	d, err := c.Newest(ctx)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &wiregen.RouteDocument{Version: d.Version, Content: d.Content}, nil
+}
+
+// fleetServer answers the calls whose names the daemon's own methods bear.
+type fleetServer struct {
+	*Control
+}
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -76,6 +76,9 @@
 	status  consensus.Status
 	lease   leaseState
 	accepts map[int64]time.Time
+	orders  configuration.Orders
+	// silences are the times since each other member answered this voter as the leader.
+	silences map[consensus.ID]time.Duration
 }
 
 var _ Store = (*quorum)(nil)
@@ -258,6 +261,7 @@
 func (q *quorum) accept() {
 	revision := q.machine.state.Revision()
 	q.mu.Lock()
+	q.orders = q.machine.orders
 	if revision == q.current.Revision {
 		q.mu.Unlock()
 		return
@@ -295,6 +299,7 @@
 	q.mu.Lock()
 	before := q.status
 	q.status = status
+	q.silences = q.node.Silences(now)
 	q.lease = leaseState{term: term, end: end, held: held}
 	q.mu.Unlock()
 	if before.Leader != status.Leader || before.Leads != status.Leads {
@@ -351,6 +356,25 @@
 	return status
 }
 
+// Orders returns the operators' orders in force at this voter, which may be behind.
+func (q *quorum) Orders() configuration.Orders {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.orders
+}
+
+// silentVoter returns a voter that has not answered this leader for a time.
+func (q *quorum) silentVoter(silence time.Duration) (consensus.ID, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, m := range q.status.Members {
+		if m.Voter && q.status.Leads && q.silences[m.ID] >= silence {
+			return m.ID, true
+		}
+	}
+	return consensus.ID{}, false
+}
+
 // Lease returns the leader lease.
 func (q *quorum) Lease(now time.Time) (term int64, end time.Time, ok bool) {
 	q.mu.Lock()
--- /dev/null
+++ b/gateway/placer.go
@@ -0,0 +1,374 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"arbutusreel/capacity"
+	"arbutusreel/fleet"
+	"arbutusreel/retry"
+	"arbutusreel/routes"
+	"arbutusreel/wiregen"
+)
+
+const (
+	// partMemory is how long a part of a prompt is believed to be kept after its last use.
+	partMemory = 20 * time.Second
+	// maxParts bounds the parts remembered for one endpoint.
+	maxParts = 4096
+	// peerLoadAge is the age after which what another gateway has outstanding is no longer counted: its reports come
+	// many times a second, so that it has ended or is cut off.
+	peerLoadAge = 2 * time.Second
+	// coldShare is the part of a cold endpoint's bound that is used, as two gateways' seconds do not begin together.
+	coldShare = 0.8
+	// budgetShare is the part of the common retry budget that is used, for the same reason.
+	budgetShare = 0.85
+	// regionSentMemory is how long what was sent to a region counts against the room that it told before.
+	regionSentMemory = time.Second
+	// noLocalEndpoint is the expected time where a region has no endpoint for a request.
+	noLocalEndpoint = time.Hour
+)
+
+// endpointState is what this gateway knows of an endpoint besides its record.
+type endpointState struct {
+	born   int64
+	own    capacity.Outstanding
+	health capacity.Health
+	parts  map[string]time.Time
+	cold   *capacity.Window
+	// coldUntil is the end of the cold time that the endpoint told in an answer.
+	coldUntil time.Time
+	// failedAt is when a connection to it failed; until a later heartbeat it may be a new incarnation.
+	failedAt time.Time
+}
+
+type peerLoad struct {
+	born  int64
+	heard time.Time
+	loads map[string]capacity.Outstanding
+}
+
+// placer decides where requests go; it does no I/O and is safe for concurrent use.
+type placer struct {
+	cfg Config
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	states    map[string]*endpointState
+	peers     map[string]*peerLoad
+	speeds    map[string]capacity.Speed
+	breakers  *retry.Breakers[string]
+	gateways  *retry.Breakers[string]
+	budgets   map[string]*retry.Allowance
+	sent      map[string][]sentTokens
+	changed   map[string]bool
+	mostPeers int
+}
+
+type sentTokens struct {
+	at     time.Time
+	tokens int64
+}
+
+func newPlacer(cfg Config, source rand.Source) *placer {
+	return &placer{
+		cfg: cfg, rng: rand.New(source), states: map[string]*endpointState{}, peers: map[string]*peerLoad{},
+		speeds: map[string]capacity.Speed{}, breakers: retry.NewBreakers[string](source), gateways: retry.NewBreakers[string](source),
+		budgets: map[string]*retry.Allowance{}, sent: map[string][]sentTokens{}, changed: map[string]bool{},
+	}
+}
+
+// query is a request that needs a place.
+type query struct {
+	route   *routes.Route
+	service *routes.Service
+	work    capacity.Work
+	asked   capacity.Asked
+	// tried are endpoints and gateways that are not tried again.
+	tried map[string]bool
+	// forwarded requests came from another region and do not leave this one.
+	forwarded bool
+	// must takes any endpoint, as a request in progress is better late than broken off.
+	must bool
+}
+
+// place is where a request goes: an endpoint, a gateway of another region, or nowhere.
+type place struct {
+	verdict  capacity.Verdict
+	endpoint fleet.Endpoint
+	gateway  fleet.Gateway
+	region   string
+	expected time.Duration
+	unread   int64
+	load     capacity.Outstanding
+	// backlog is the endpoint's outstanding work before the request.
+	backlog    capacity.Outstanding
+	candidates int
+	reason     string
+	retryAfter time.Duration
+	probe      retry.Probe
+}
+
+// Reasons why a request goes nowhere.
+const (
+	reasonNoEndpoint = "noEndpoint"
+	reasonBacklog    = "backlog"
+	reasonNotHome    = "notAllowedInRegion"
+)
+
+// decide returns the place of a request.
+func (p *placer) decide(now time.Time, v *view, q query) place {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	speed := p.speed(q.service.Name)
+	local, endpoints := p.local(now, v, q)
+	choice, ok := capacity.Choose(local, q.work, speed, q.route.Objective, p.rng.Float64())
+	here := place{verdict: capacity.Refuse, expected: noLocalEndpoint, reason: reasonNoEndpoint, candidates: len(local)}
+	if !q.route.Allows(p.cfg.Region) {
+		here.reason = reasonNotHome
+	}
+	if ok {
+		here.endpoint = endpoints[choice.Index]
+		here.expected, here.unread = choice.Expected, choice.Unread
+		here.backlog = local[choice.Index].Outstanding
+		here.load = q.work.Load(choice.Unread)
+		here.verdict = capacity.Admit(choice.Expected, q.asked)
+		here.reason = reasonBacklog
+		if q.must {
+			here.verdict = capacity.Take
+		}
+	}
+	if here.verdict != capacity.Take && !q.forwarded {
+		if there, ok := p.cross(now, v, q, speed, here); ok {
+			return there
+		}
+	}
+	if here.verdict == capacity.Refuse {
+		here.retryAfter = capacity.RetryAfter(min(here.expected, 2*q.route.Objective), q.asked, p.rng.Float64())
+	}
+	return here
+}
+
+// local returns the endpoints of this region that may take a request.
+func (p *placer) local(now time.Time, v *view, q query) ([]capacity.Candidate, []fleet.Endpoint) {
+	if !q.route.Allows(p.cfg.Region) {
+		return nil, nil
+	}
+	rank, n := v.rank(p.cfg.Region, p.cfg.Name)
+	var candidates []capacity.Candidate
+	var endpoints []fleet.Endpoint
+	for _, e := range v.endpoints[q.service.Name] {
+		s := p.state(e)
+		if q.tried[e.ID] || !p.breakers.Allows(now, e.ID) || !e.GoneAt.IsZero() {
+			continue
+		}
+		if p.isCold(e, s, now) && s.cold.Count(now) >= p.coldLimit(q.service, e, rank, n) {
+			continue
+		}
+		c := capacity.Candidate{ID: e.ID, Outstanding: p.total(now, e.ID, s), Health: s.health, Slots: e.Slots}
+		if q.service.Engine != nil {
+			c.Memory = q.service.Engine.CacheTokens
+			c.KeptParts = s.kept(now, q.work)
+		}
+		candidates, endpoints = append(candidates, c), append(endpoints, e)
+	}
+	return candidates, endpoints
+}
+
+// isCold reports whether an endpoint is cold, or may be without having told so yet.
+func (p *placer) isCold(e fleet.Endpoint, s *endpointState, now time.Time) bool {
+	return e.Cold(now) || now.Before(s.coldUntil) || s.failedAt.After(e.Heard)
+}
+
+// coldLimit returns the number of requests that this gateway may send to a cold endpoint in one second.
+func (p *placer) coldLimit(s *routes.Service, e fleet.Endpoint, rank, n int) int {
+	if s.ColdRate <= 0 {
+		return 1 << 30
+	}
+	whole := int(coldShare * (s.ColdRate*p.cfg.ColdBurst + p.cfg.ColdReserve))
+	// Each endpoint ranks the gateways from another start, so that the larger shares do not all fall to one.
+	return capacity.Share(whole, n, (rank+int(e.Born%int64(n)))%n)
+}
+
+func (p *placer) state(e fleet.Endpoint) *endpointState {
+	s := p.states[e.ID]
+	if s == nil || s.born != e.Born {
+		own := capacity.Outstanding{}
+		if s != nil {
+			own = s.own
+		}
+		s = &endpointState{born: e.Born, own: own, health: capacity.NewHealth(), parts: map[string]time.Time{}, cold: capacity.NewWindow(time.Second)}
+		p.states[e.ID] = s
+		p.breakers.Forget(e.ID)
+	}
+	return s
+}
+
+// total returns what all gateways of the region have outstanding at an endpoint.
+func (p *placer) total(now time.Time, id string, s *endpointState) capacity.Outstanding {
+	total := s.own
+	for _, peer := range p.peers {
+		if now.Sub(peer.heard) < peerLoadAge {
+			total = total.Plus(peer.loads[id])
+		}
+	}
+	return total
+}
+
+// kept returns the number of a prompt's first shared parts that the endpoint is believed to keep.
+func (s *endpointState) kept(now time.Time, w capacity.Work) int {
+	for i, part := range w.Shared() {
+		if used, ok := s.parts[part.ID]; !ok || now.Sub(used) > partMemory {
+			return i
+		}
+	}
+	return len(w.Shared())
+}
+
+func (p *placer) speed(service string) capacity.Speed {
+	s, ok := p.speeds[service]
+	if !ok {
+		return capacity.NewSpeed()
+	}
+	return s
+}
+
+// cross returns a gateway of another region, if a request is served earlier there.
+func (p *placer) cross(now time.Time, v *view, q query, speed capacity.Speed, here place) (place, bool) {
+	var rooms []capacity.Room
+	blind := map[string][]fleet.Gateway{}
+	for _, g := range v.gateways {
+		if g.Region == p.cfg.Region || !g.Ready || !q.route.Allows(g.Region) || q.tried[g.Name] || q.tried[g.Region] || !p.gateways.Allows(now, g.Name) {
+			continue
+		}
+		blind[g.Region] = append(blind[g.Region], g)
+	}
+	for region := range blind {
+		told, ok := v.rooms[region]
+		if !ok {
+			continue
+		}
+		room, ok := told.services[q.service.Name]
+		if !ok {
+			continue
+		}
+		room.Age = now.Sub(told.heard)
+		room.Sent = p.sentTo(now, region)
+		rooms = append(rooms, room)
+	}
+	region, expected, ok := capacity.Cross(rooms, q.work, speed, p.cfg.Detour, here.expected)
+	if !ok && here.expected == noLocalEndpoint {
+		region, ok = p.blindRegion(v, q, blind)
+		expected = speed.Base + p.cfg.Detour
+	}
+	if !ok {
+		return place{}, false
+	}
+	verdict := capacity.Admit(expected, q.asked)
+	if verdict == capacity.Refuse || verdict == capacity.TakeLate && here.verdict == capacity.TakeLate {
+		return place{}, false
+	}
+	g := blind[region][p.rng.IntN(len(blind[region]))]
+	p.sent[region] = append(p.sent[region], sentTokens{at: now, tokens: q.work.PromptTokens + 1})
+	return place{verdict: verdict, gateway: g, region: region, expected: expected, probe: p.gateways.Begin(now, g.Name)}, true
+}
+
+// blindRegion returns a region that has told nothing of its room, or false if all of them told that they are full.
+func (p *placer) blindRegion(v *view, q query, regions map[string][]fleet.Gateway) (string, bool) {
+	var silent []string
+	for region := range regions {
+		if _, told := v.rooms[region].services[q.service.Name]; !told {
+			silent = append(silent, region)
+		}
+	}
+	if len(silent) == 0 {
+		return "", false
+	}
+	return silent[p.rng.IntN(len(silent))], true
+}
+
+func (p *placer) sentTo(now time.Time, region string) int64 {
+	var kept []sentTokens
+	var total int64
+	for _, s := range p.sent[region] {
+		if now.Sub(s.at) < regionSentMemory {
+			kept = append(kept, s)
+			total += s.tokens
+		}
+	}
+	p.sent[region] = kept
+	return total
+}
+
+// room returns what this region's endpoints have left to give, by service.
+func (p *placer) room(now time.Time, v *view) []*wiregen.ServiceRoom {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []*wiregen.ServiceRoom
+	if v.table == nil {
+		return nil
+	}
+	for name, endpoints := range v.endpoints {
+		service := v.table.Service(name)
+		if service == nil {
+			continue
+		}
+		all = append(all, p.serviceRoom(now, service, endpoints))
+	}
+	return all
+}
+
+// roomObjective is the expected time up to which an endpoint counts as having room; the crossing takes some of the
+// objective of the routes, which begin at a few hundred milliseconds.
+const roomObjective = 400 * time.Millisecond
+
+func (p *placer) serviceRoom(now time.Time, service *routes.Service, endpoints []fleet.Endpoint) *wiregen.ServiceRoom {
+	speed := p.speed(service.Name)
+	m := &wiregen.ServiceRoom{Service: service.Name, WaitMillis: noLocalEndpoint.Milliseconds()}
+	for _, e := range endpoints {
+		s := p.state(e)
+		if p.breakers.State(now, e.ID) != retry.Closed || p.isCold(e, s, now) || !e.GoneAt.IsZero() {
+			continue
+		}
+		c := capacity.Candidate{ID: e.ID, Outstanding: p.total(now, e.ID, s), Health: s.health, Slots: e.Slots}
+		if service.Engine != nil {
+			c.Memory = service.Engine.CacheTokens
+		}
+		wait, _, full := capacity.Expected(c, capacity.Work{}, speed)
+		m.Endpoints++
+		m.WaitMillis = min(m.WaitMillis, wait.Milliseconds())
+		if !full && wait < roomObjective {
+			tokens := int64(roomObjective-wait) / int64(max(speed.Token, 1))
+			if c.Memory > 0 {
+				tokens = min(tokens, c.Memory-c.Outstanding.HeldTokens)
+			}
+			m.PromptTokens += max(tokens, 0)
+		}
+	}
+	return m
+}
+
+// roomsTold forgets what was sent to regions before they told their room again.
+func (p *placer) roomsTold(now time.Time, rooms []*wiregen.RegionRoom) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range rooms {
+		// A request that crossed just before the room was told is not in it yet.
+		told := now.Add(-time.Duration(m.GetAgeMillis())*time.Millisecond - p.cfg.Detour)
+		var kept []sentTokens
+		for _, s := range p.sent[m.GetRegion()] {
+			if s.at.After(told) {
+				kept = append(kept, s)
+			}
+		}
+		p.sent[m.GetRegion()] = kept
+	}
+}
+
+// draw returns a number in [0, 1) that decides among the services of a route.
+func (p *placer) draw() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rng.Float64()
+}
--- /dev/null
+++ b/gateway/progress.go
@@ -0,0 +1,221 @@
+package gateway
+
+import (
+	"time"
+
+	"arbutusreel/capacity"
+	"arbutusreel/fleet"
+	"arbutusreel/retry"
+	"arbutusreel/wiregen"
+)
+
+// flight is a request that was sent to an endpoint and has not ended.
+type flight struct {
+	placer   *placer
+	endpoint fleet.Endpoint
+	service  string
+	load     capacity.Outstanding
+	work     capacity.Work
+	// queued is the work that has to be read before the first piece, this request's included.
+	queued   int64
+	expected time.Duration
+	sent     time.Time
+	started  bool
+	probe    retry.Probe
+}
+
+// begin counts a request as sent.
+func (p *placer) begin(now time.Time, service string, w capacity.Work, at place) *flight {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(at.endpoint)
+	s.own = s.own.Plus(at.load)
+	s.cold.Add(now)
+	if at.unread < w.PromptTokens || len(w.Parts) > 0 {
+		s.remember(now, w)
+	}
+	p.changed[at.endpoint.ID] = true
+	return &flight{
+		placer: p, endpoint: at.endpoint, service: service, load: at.load, work: w, queued: at.backlog.PromptTokens + at.unread,
+		expected: at.expected, sent: now, probe: p.breakers.Begin(now, at.endpoint.ID),
+	}
+}
+
+func (s *endpointState) remember(now time.Time, w capacity.Work) {
+	if len(s.parts) > maxParts {
+		for id, used := range s.parts {
+			if now.Sub(used) > partMemory {
+				delete(s.parts, id)
+			}
+		}
+	}
+	for _, part := range w.Shared() {
+		s.parts[part.ID] = now
+	}
+}
+
+// first notes the first piece of the answer.
+func (f *flight) first(now time.Time) {
+	p := f.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f.started {
+		return
+	}
+	f.started = true
+	s := p.state(f.endpoint)
+	took := now.Sub(f.sent)
+	speed := p.speed(f.service)
+	expected := speed.Base + speed.Token*time.Duration(f.queued)
+	s.health = s.health.WithFirst(expected, took)
+	p.speeds[f.service] = speed.WithFirst(f.queued, took)
+	s.own.Unstarted--
+	s.own.PromptTokens -= f.load.PromptTokens
+	p.changed[f.endpoint.ID] = true
+	p.breakers.Answered(now, f.endpoint.ID, f.probe)
+}
+
+// ending tells how a request ended at an endpoint.
+type ending int
+
+const (
+	// succeeded: the answer was whole.
+	succeeded ending = iota
+	// rejected: the endpoint did not run it.
+	rejected
+	// failed: the endpoint's answer was a failure, broken, or did not come.
+	failed
+	// unreached: no connection was made.
+	unreached
+	// abandoned: the caller left, or time ran out at no fault of the endpoint.
+	abandoned
+	// ended: the endpoint's own failure answer, which says little of its health.
+	ended
+)
+
+// end counts the request as ended; it is called once.
+func (f *flight) end(now time.Time, how ending) {
+	p := f.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(f.endpoint)
+	s.own.Requests--
+	s.own.HeldTokens -= f.load.HeldTokens
+	if !f.started {
+		s.own.Unstarted--
+		s.own.PromptTokens -= f.load.PromptTokens
+	}
+	p.changed[f.endpoint.ID] = true
+	switch how {
+	case succeeded:
+		speed := p.speed(f.service)
+		p.speeds[f.service] = speed.WithWhole(now.Sub(f.sent))
+		s.health = s.health.WithOutcome(false)
+		p.breakers.Succeeded(now, f.endpoint.ID)
+	case failed:
+		s.health = s.health.WithOutcome(true)
+		p.breakers.Failed(now, f.endpoint.ID)
+	case unreached:
+		s.failedAt = now
+		s.health = s.health.WithOutcome(true)
+		p.breakers.Unreached(now, f.endpoint.ID)
+		clear(s.parts)
+	case rejected:
+		s.health = s.health.WithOutcome(true)
+	default:
+	}
+	p.breakers.End(f.endpoint.ID, f.probe)
+}
+
+// tellCold notes that an endpoint said in an answer that it is cold.
+func (p *placer) tellCold(now time.Time, e fleet.Endpoint, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.state(e); d > 0 {
+		s.coldUntil = now.Add(d)
+	}
+}
+
+// gatewayEnded notes how a request to another gateway ended.
+func (p *placer) gatewayEnded(now time.Time, at place, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ok {
+		p.gateways.Answered(now, at.gateway.Name, at.probe)
+		p.gateways.Succeeded(now, at.gateway.Name)
+	} else {
+		p.gateways.Unreached(now, at.gateway.Name)
+	}
+	p.gateways.End(at.gateway.Name, at.probe)
+}
+
+// firstTry counts a caller's request for a service.
+func (p *placer) firstTry(now time.Time, v *view, service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget(v, service).First(now)
+}
+
+// repeat reports whether the common budget allows one more arrival at a service's endpoints, and counts it.
+func (p *placer) repeat(now time.Time, v *view, service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget(v, service).Take(now)
+}
+
+// budget returns this gateway's part of the common retry budget of a service. The reserve is divided by the largest
+// number of gateways ever seen, as those that cannot be seen now may still use theirs.
+func (p *placer) budget(v *view, service string) *retry.Allowance {
+	a := p.budgets[service]
+	if a == nil {
+		a = retry.NewAllowance(p.cfg.RetryWindow, p.cfg.RetryRatio*budgetShare)
+		p.budgets[service] = a
+	}
+	p.mostPeers = max(p.mostPeers, len(v.gateways), 1)
+	a.SetReserve(p.cfg.RetryReserve * budgetShare / float64(p.mostPeers))
+	return a
+}
+
+// outstandingChanges returns the loads that changed since the last call, or all of them.
+func (p *placer) outstandingChanges(all bool) []*wiregen.EndpointOutstanding {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var changes []*wiregen.EndpointOutstanding
+	for id, s := range p.states {
+		if !all && !p.changed[id] || all && s.own == (capacity.Outstanding{}) {
+			continue
+		}
+		changes = append(changes, &wiregen.EndpointOutstanding{
+			Endpoint: id, Requests: int32(s.own.Requests), Unstarted: int32(s.own.Unstarted),
+			PromptTokens: s.own.PromptTokens, HeldTokens: s.own.HeldTokens,
+		})
+	}
+	if !all {
+		clear(p.changed)
+	}
+	return changes
+}
+
+// peerTold takes what another gateway has outstanding; whole replaces all that it told before.
+func (p *placer) peerTold(now time.Time, m *wiregen.OutstandingReport, whole bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer := p.peers[m.GetGateway()]
+	if peer == nil || whole || peer.born != m.GetBorn() {
+		peer = &peerLoad{born: m.GetBorn(), loads: map[string]capacity.Outstanding{}}
+		p.peers[m.GetGateway()] = peer
+	}
+	peer.heard = now
+	for _, o := range m.GetOutstanding() {
+		peer.loads[o.GetEndpoint()] = capacity.Outstanding{
+			Requests: int(o.GetRequests()), Unstarted: int(o.GetUnstarted()), PromptTokens: o.GetPromptTokens(), HeldTokens: o.GetHeldTokens(),
+		}
+	}
+}
+
+// peerGone forgets what another gateway had outstanding.
+func (p *placer) peerGone(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.peers, name)
+}
--- /dev/null
+++ b/gateway/send.go
@@ -0,0 +1,217 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"arbutusreel/exchange"
+	"arbutusreel/problem"
+	"arbutusreel/routes"
+)
+
+const (
+	// maxPlainBytes bounds an answer that is held until it is whole.
+	maxPlainBytes = 16 << 20
+	// forwardMargin is taken from the time left that another gateway is told, so that its answer is in time here.
+	forwardMargin = 90 * time.Millisecond
+	// leastFirstPatience and firstPatienceFactor bound the wait for a first piece before another endpoint is tried: that
+	// many times what was expected.
+	leastFirstPatience  = 900 * time.Millisecond
+	firstPatienceFactor = 3
+	// gapPatience is the silence in a stream after which it goes on elsewhere; callers leave after two seconds.
+	gapPatience = 1200 * time.Millisecond
+)
+
+// plain is an answer that was received whole.
+type plain struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// send sends the request to an endpoint of this region.
+func (j *job) send(at place) next {
+	g := j.g
+	now := time.Now()
+	j.tried[at.endpoint.ID] = true
+	f := g.placer.begin(now, j.service.Name, j.call.Work, at)
+	h := copyHeader(j.r.Header)
+	g.cfg.Dialect.Prepare(h, Order{Instance: at.endpoint.ID, Left: j.deadline.Sub(now), Urgency: j.urgency(at.verdict), LastEvent: j.lastEvent()})
+	ctx, cancel := context.WithCancelCause(j.ctx)
+	defer cancel(nil)
+	patience := j.firstPatience(at, ctx, cancel)
+	answer, err := g.pool.Send(ctx, at.endpoint.Address, &exchange.Request{
+		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Repeatable: j.repeatable(),
+		Owns: func(a *http.Response, fresh bool) bool {
+			return g.cfg.Dialect.Owns(a.Header, a.StatusCode, j.call.ID, fresh)
+		},
+	})
+	if err != nil {
+		patience.Stop()
+		f.end(time.Now(), j.endingOf(ctx, err))
+		return j.failed(ctx, err, exchange.Outcome(err))
+	}
+	defer answer.Close()
+	j.sends++
+	verdict := g.cfg.Dialect.Verdict(answer.Header, answer.Status)
+	if verdict.ColdFor > 0 {
+		g.placer.tellCold(time.Now(), at.endpoint, verdict.ColdFor)
+	}
+	if verdict.Rejected {
+		patience.Stop()
+		// A short body is read so that the connection can be kept.
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRejectionBytes))
+		f.end(time.Now(), rejected)
+		j.log("rejected").Int("status", answer.Status).Msg("attemptFailed")
+		return again
+	}
+	how, step := j.carry(ctx, answer, verdict, f, patience)
+	f.end(time.Now(), how)
+	return step
+}
+
+// maxRejectionBytes bounds the body of a rejection that is read.
+const maxRejectionBytes = 4 << 10
+
+// firstPatience cancels the attempt of a request that may be repeated if its first piece does not come in time.
+func (j *job) firstPatience(at place, ctx context.Context, cancel context.CancelCauseFunc) *time.Timer {
+	limit := max(leastFirstPatience, firstPatienceFactor*at.expected, 3*j.route.Objective/2)
+	if !j.route.Repeatable() || ctx.Err() != nil || j.runs+1 >= j.maxRuns() {
+		limit = j.route.Timeout + time.Second
+	}
+	return time.AfterFunc(limit, func() { cancel(&SilentStreamError{Limit: limit}) })
+}
+
+// endingOf tells how an attempt ended whose exchange failed.
+func (j *job) endingOf(ctx context.Context, err error) ending {
+	var silent *SilentStreamError
+	var failure *exchange.Error
+	switch {
+	case errors.As(context.Cause(ctx), &silent):
+		return failed
+	case j.r.Context().Err() != nil:
+		return abandoned
+	case errors.As(err, &failure) && failure.Stage == exchange.Connecting:
+		return unreached
+	default:
+		return failed
+	}
+}
+
+// failed notes a failed attempt and returns what is next.
+func (j *job) failed(ctx context.Context, err error, o problem.Outcome) next {
+	j.lastErr = err
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(err, cause) {
+		j.lastErr = errors.Join(cause, err)
+	}
+	var failure *exchange.Error
+	if !errors.As(err, &failure) || failure.Stage != exchange.Connecting {
+		j.sends++
+	}
+	j.doubt(o)
+	j.log(string(o)).Err(j.lastErr).Msg("attemptFailed")
+	return again
+}
+
+// carry passes an answer on to the caller.
+func (j *job) carry(ctx context.Context, answer *exchange.Answer, verdict Verdict, f *flight, patience *time.Timer) (ending, next) {
+	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
+	if success && (!verdict.Signed || answer.Header.Get("Content-Encoding") != "") {
+		return failed, j.failed(ctx, &UnsignedAnswerError{Status: answer.Status}, problem.Unknown)
+	}
+	if success && j.route.Kind == routes.Stream && isEvents(answer.Header) {
+		return j.carryStream(ctx, answer, f, patience)
+	}
+	defer patience.Stop()
+	whole, err := readPlain(answer)
+	if err != nil {
+		return j.endingOf(ctx, err), j.failed(ctx, err, problem.Unknown)
+	}
+	if f != nil {
+		f.first(time.Now())
+	}
+	if j.stream != nil && j.stream.begun {
+		// A stream that goes on cannot take a plain answer.
+		return failed, j.failed(ctx, &UnsignedAnswerError{Status: answer.Status}, problem.Ran)
+	}
+	if !success && answer.Status >= http.StatusInternalServerError {
+		j.held = whole
+		j.runs++
+		j.outcome = problem.Ran
+		if j.worthRepeating() {
+			j.log(string(problem.Ran)).Int("status", answer.Status).Msg("attemptFailed")
+			return ended, again
+		}
+		j.answerPlain(whole)
+		return ended, answered
+	}
+	j.answerPlain(whole)
+	return succeeded, answered
+}
+
+// worthRepeating reports whether another attempt may do better than an endpoint's own failure.
+func (j *job) worthRepeating() bool {
+	return j.route.Repeatable() && j.runs < j.maxRuns() && j.attempts < maxPlaces && time.Until(j.deadline) > leastTimeLeft
+}
+
+func isEvents(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
+
+func readPlain(answer *exchange.Answer) (*plain, error) {
+	var b bytes.Buffer
+	if _, err := b.ReadFrom(io.LimitReader(answer, maxPlainBytes)); err != nil {
+		return nil, &exchange.Error{Stage: exchange.Reading, Outcome: problem.Unknown, Cause: err}
+	}
+	return &plain{status: answer.Status, header: answer.Header, body: b.Bytes()}, nil
+}
+
+// answerPlain gives the caller a whole answer as the endpoint gave it.
+func (j *job) answerPlain(a *plain) {
+	h := j.w.Header()
+	giveHeader(h, a.header)
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	j.answered = a.status
+	j.g.cfg.Metrics.Count("answered")
+	if j.firstAt.IsZero() {
+		j.firstAt = time.Now()
+	}
+	j.log("answered").Int("status", a.status).Msg("served")
+	j.w.WriteHeader(a.status)
+	_, _ = j.w.Write(a.body)
+}
+
+// connectionHeaders concern one connection alone.
+func connectionHeaders() []string {
+	return []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
+}
+
+// copyHeader returns a copy of a header without what concerns one connection.
+func copyHeader(h http.Header) http.Header {
+	c := h.Clone()
+	for _, named := range h.Values("Connection") {
+		for name := range strings.SplitSeq(named, ",") {
+			c.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders() {
+		c.Del(name)
+	}
+	for _, name := range []string{outcomeHeader, attemptsHeader, drawHeader, ageHeader} {
+		c.Del(name)
+	}
+	return c
+}
+
+// giveHeader copies the header of an answer for the caller.
+func giveHeader(to, from http.Header) {
+	for name, values := range copyHeader(from) {
+		to[name] = values
+	}
+}
--- /dev/null
+++ b/gateway/session.go
@@ -0,0 +1,316 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+
+	"arbutusreel/capacity"
+	"arbutusreel/clock"
+	"arbutusreel/configuration"
+	"arbutusreel/fleet"
+	"arbutusreel/wire"
+	"arbutusreel/wiregen"
+)
+
+const (
+	// sessionSilence is the silence after which a control daemon is given up: three of its signs of life.
+	sessionSilence = 1500 * time.Millisecond
+	// raceTime is how long sessions with all control daemons compete before one that is not current is taken.
+	raceTime = time.Second
+	// staleTime is how long a session is kept whose control daemon has lost the leader.
+	staleTime = time.Second
+	// reportPeriod is how often a gateway reports; the one that tells its region's load does so more often.
+	reportPeriod     = 500 * time.Millisecond
+	roomReportPeriod = 200 * time.Millisecond
+	// changeCheck is how often a gateway looks whether its report has changed.
+	changeCheck = 50 * time.Millisecond
+	// staleDocumentTime is how long a gateway without any document waits for a control daemon that is current.
+	staleDocumentTime = 2 * time.Second
+)
+
+type attendance = grpc.BidiStreamingClient[wiregen.GatewayReport, wiregen.FleetUpdate]
+
+// candidate is a session that competes to be the gateway's.
+type candidate struct {
+	address string
+	conn    *grpc.ClientConn
+	stream  attendance
+	cancel  context.CancelFunc
+	first   *wiregen.FleetUpdate
+}
+
+func (c *candidate) close() {
+	c.cancel()
+	_ = c.conn.Close()
+}
+
+func dialPeer(cfg Config, address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(cfg.Keys.Client(address)),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
+			MinConnectTimeout: time.Second,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxUpdateBytes)))
+}
+
+// maxUpdateBytes bounds one update, which may hold a large document.
+const maxUpdateBytes = 64 << 20
+
+// attend keeps a session with one control daemon until ctx ends.
+func (g *Gateway) attend(ctx context.Context) {
+	for ctx.Err() == nil {
+		c := g.race(ctx)
+		if c == nil {
+			clock.Sleep(ctx, changeCheck)
+			continue
+		}
+		g.log.Info().Str("control", c.address).Bool("current", c.first.GetCurrent()).Msg("controlAttended")
+		err := g.follow(ctx, c)
+		c.close()
+		g.log.Warn().Str("control", c.address).Err(err).Msg("controlLost")
+	}
+}
+
+// race opens sessions with all known control daemons and returns the first that is current, or any after a while.
+func (g *Gateway) race(ctx context.Context) *candidate {
+	ctx, cancel := context.WithTimeout(ctx, raceTime)
+	defer cancel()
+	addresses := g.controlAddresses()
+	arrived := make(chan *candidate, len(addresses))
+	for _, address := range addresses {
+		go func() { arrived <- g.open(ctx, address) }()
+	}
+	var best *candidate
+	for range addresses {
+		c := <-arrived
+		if c == nil {
+			continue
+		}
+		if best != nil && (best.first.GetCurrent() || !c.first.GetCurrent()) {
+			c.close()
+			continue
+		}
+		if best != nil {
+			best.close()
+		}
+		best = c
+		if c.first.GetCurrent() {
+			cancel()
+		}
+	}
+	return best
+}
+
+// open opens a session and returns it once its first update has arrived, or nil.
+func (g *Gateway) open(race context.Context, address string) *candidate {
+	conn, err := dialPeer(g.cfg, address)
+	if err != nil {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(g.work)
+	c := &candidate{address: address, conn: conn, cancel: cancel}
+	lost := context.AfterFunc(race, cancel)
+	c.stream, err = wiregen.NewFleetClient(conn).Attend(ctx)
+	if err == nil {
+		err = c.stream.Send(g.report(time.Now(), false))
+	}
+	if err == nil {
+		c.first, err = c.stream.Recv()
+	}
+	if err != nil || !lost() {
+		c.close()
+		return nil
+	}
+	return c
+}
+
+// controlAddresses returns the control daemons that are known.
+func (g *Gateway) controlAddresses() []string {
+	g.controlsMu.Lock()
+	defer g.controlsMu.Unlock()
+	all := slices.Concat(g.controls, g.cfg.Controls)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// follow takes updates and sends reports until the session ends, falls silent or its control daemon is behind.
+func (g *Gateway) follow(ctx context.Context, c *candidate) error {
+	// What an earlier control daemon told of gateways that have gone since would never be taken back.
+	clear(g.beliefs.gateways)
+	g.take(c.address, c.first)
+	updates := make(chan *wiregen.FleetUpdate, 16)
+	failed := make(chan error, 1)
+	go func() {
+		for {
+			u, err := c.stream.Recv()
+			if err != nil {
+				failed <- err
+				return
+			}
+			updates <- u
+		}
+	}()
+	defer func() {
+		go func() {
+			for range updates {
+				continue
+			}
+		}()
+	}()
+	check := time.NewTicker(changeCheck)
+	defer check.Stop()
+	heard, currentAt, reported := time.Now(), time.Now(), time.Time{}
+	lastReady := false
+	for {
+		select {
+		case u := <-updates:
+			g.take(c.address, u)
+			heard = time.Now()
+			if u.GetCurrent() {
+				currentAt = heard
+			}
+		case err := <-failed:
+			return err
+		case now := <-check.C:
+			if now.Sub(heard) > sessionSilence {
+				return &SilentControlError{Address: c.address, Silence: now.Sub(heard)}
+			}
+			if now.Sub(currentAt) > staleTime && g.betterControl(ctx) {
+				return &StaleControlError{Address: c.address, Behind: now.Sub(currentAt)}
+			}
+			tells := g.tellsRoom()
+			due := now.Sub(reported) >= reportPeriod || tells && now.Sub(reported) >= roomReportPeriod
+			if ready := g.Ready(); due || ready != lastReady {
+				lastReady, reported = ready, now
+				if err := c.stream.Send(g.report(now, tells)); err != nil {
+					return err
+				}
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// betterControl reports whether a search for a control daemon that is current is due; searches are spaced out.
+func (g *Gateway) betterControl(context.Context) bool {
+	now := time.Now()
+	if now.Sub(g.searched) < 2*raceTime {
+		return false
+	}
+	g.searched = now
+	return true
+}
+
+func (g *Gateway) report(now time.Time, tells bool) *wiregen.GatewayReport {
+	v := g.view.Load()
+	m := wire.EncodeGateway(fleet.Gateway{
+		Name: g.cfg.Name, Born: g.born, CallerAddress: g.cfg.CallerAddress, LoadAddress: g.cfg.LoadAddress,
+		ForwardAddress: g.cfg.ForwardAddress, FailureDomain: g.cfg.FailureDomain, Region: g.cfg.Region, Ready: g.Ready(),
+	})
+	m.RouteVersion = v.version()
+	if tells {
+		m.Room = g.placer.room(now, v)
+	}
+	return m
+}
+
+// tellsRoom reports whether this gateway tells its region's load: the first by name that is ready.
+func (g *Gateway) tellsRoom() bool {
+	if !g.Ready() {
+		return false
+	}
+	for _, peer := range g.view.Load().peers(g.cfg.Region, g.cfg.Name) {
+		if peer.Ready && peer.Name < g.cfg.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// take brings the beliefs up to date.
+func (g *Gateway) take(control string, u *wiregen.FleetUpdate) {
+	now := time.Now()
+	b := g.beliefs
+	for _, m := range u.GetEndpoints() {
+		e := wire.DecodeFleetEndpoint(now, m)
+		if b.takeEndpoint(e) {
+			g.log.Info().Str("endpoint", e.ID).Str("service", e.Service).Str("state", e.State.String()).Str("address", e.Address).
+				Dur("silent", now.Sub(e.Heard)).Bool("cold", e.Cold(now)).Str("control", control).Msg("endpointBelieved")
+		}
+		if e.State == fleet.Gone {
+			g.pool.Drop(e.Address)
+		}
+	}
+	for _, m := range u.GetGateways() {
+		gw := wire.DecodeGateway(now.Add(-time.Duration(m.GetSilentMillis())*time.Millisecond), m.GetReport())
+		if m.GetGone() {
+			if known := b.gateways[gw.Name]; known.Born <= gw.Born {
+				delete(b.gateways, gw.Name)
+				g.log.Info().Str("gateway", gw.Name).Str("control", control).Msg("gatewayGone")
+			}
+			continue
+		}
+		b.gateways[gw.Name] = gw
+	}
+	if u.GetEvacuationsTold() && (u.GetCurrent() || len(b.evacuated) == 0) {
+		if !slices.Equal(b.evacuated, u.GetEvacuated()) {
+			g.log.Info().Strs("evacuated", u.GetEvacuated()).Str("control", control).Msg("evacuationsChanged")
+		}
+		b.takeEvacuations(now, u.GetEvacuated())
+	}
+	for _, m := range u.GetRooms() {
+		b.rooms[m.GetRegion()] = decodeRoom(now, m)
+	}
+	if len(u.GetControls()) > 0 {
+		g.controlsMu.Lock()
+		g.controls = u.GetControls()
+		g.controlsMu.Unlock()
+	}
+	g.takeDocument(now, u)
+	before := g.view.Load()
+	v := b.view(now, &view{heard: now, current: u.GetCurrent(), control: control})
+	if len(u.GetRooms()) > 0 {
+		g.placer.roomsTold(now, u.GetRooms())
+	}
+	g.view.Store(v)
+	if before.table == nil && v.table != nil {
+		g.log.Info().Int64("routeVersion", v.version()).Msg("ready")
+	}
+}
+
+// takeDocument takes the document of an update. A gateway that has none yet waits for a while for a control daemon that
+// is current, since another may be behind.
+func (g *Gateway) takeDocument(now time.Time, u *wiregen.FleetUpdate) {
+	b := g.beliefs
+	if m := u.GetDocument(); m != nil {
+		g.offered = configuration.Document{Version: m.GetVersion(), Content: m.GetContent()}
+	}
+	if g.offered.Version == 0 || !u.GetCurrent() && now.Sub(g.started) < staleDocumentTime {
+		return
+	}
+	changed, err := b.takeDocument(g.offered)
+	if err != nil {
+		g.log.Error().Err(err).Int64("routeVersion", g.offered.Version).Msg("documentUnreadable")
+	}
+	if changed {
+		g.log.Info().Int64("routeVersion", g.offered.Version).Bool("current", u.GetCurrent()).Msg("documentInForce")
+	}
+	g.offered = configuration.Document{}
+}
+
+func decodeRoom(now time.Time, m *wiregen.RegionRoom) regionRoom {
+	room := regionRoom{heard: now.Add(-time.Duration(m.GetAgeMillis()) * time.Millisecond), services: map[string]capacity.Room{}}
+	for _, s := range m.GetRoom() {
+		room.services[s.GetService()] = capacity.Room{
+			Region: m.GetRegion(), Wait: time.Duration(s.GetWaitMillis()) * time.Millisecond,
+			PromptTokens: s.GetPromptTokens(), Endpoints: int(s.GetEndpoints()),
+		}
+	}
+	return room
+}
--- /dev/null
+++ b/logs/writer_test.go
@@ -0,0 +1,60 @@
+package logs
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// stuckReader is a file whose reader has stopped until it is released.
+type stuckReader struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (s *stuckReader) Write(b []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(b)
+}
+
+// TestStoppedReader logs far more lines than wait while nobody reads: no write blocks, memory stays bounded, and the
+// number of lost lines is told.
+func TestStoppedReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lines = 10 * maxLines
+		s := &stuckReader{release: make(chan struct{})}
+		w := New(s)
+		line := strings.Repeat("x", 200)
+		for i := range lines {
+			if n, err := fmt.Fprintf(w, "%d %s\n", i, line); err != nil || n == 0 {
+				t.Fatalf("line %d: %d bytes, %v", i, n, err)
+			}
+			if i%maxLines == 0 {
+				time.Sleep(2 * flushDelay)
+			}
+		}
+		if w.lines.Len() > maxLines {
+			t.Errorf("%d lines wait", w.lines.Len())
+		}
+		dropped := w.Dropped()
+		if dropped == 0 {
+			t.Error("no line was dropped")
+		}
+		close(s.release)
+		w.Close(time.Minute)
+		written := strings.Count(s.got.String(), line)
+		if int64(written)+dropped != lines {
+			t.Errorf("%d lines were written and %d dropped, of %d", written, dropped, lines)
+		}
+		if !strings.Contains(s.got.String(), "logLinesDropped") {
+			t.Error("the lost lines are not told")
+		}
+	})
+}
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -43,5 +43,16 @@
 	}
 }
 
+// Poll removes the oldest item and reports false at once if the ring is empty.
+func (r *Ring[T]) Poll() (T, bool) {
+	select {
+	case item := <-r.items:
+		return item, true
+	default:
+		var zero T
+		return zero, false
+	}
+}
+
 // Len returns the number of items in the ring.
 func (r *Ring[T]) Len() int { return len(r.items) }
--- /dev/null
+++ b/routes/table.go
@@ -0,0 +1,204 @@
+package routes
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind tells what may be done with a request of a route.
+type Kind int
+
+// Kinds of routes.
+const (
+	// Unsafe requests run at most once.
+	Unsafe Kind = iota
+	// Safe requests may run any number of times.
+	Safe
+	// Stream requests are answered by a series of events, and run at most once unless the route is resumable.
+	Stream
+)
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	switch k {
+	case Safe:
+		return "safe"
+	case Stream:
+		return "stream"
+	default:
+		return "unsafe"
+	}
+}
+
+// Backend is a service that serves a share of a route's requests.
+type Backend struct {
+	Service string
+	Weight  int64
+}
+
+// Route tells how requests under a host and a path prefix are handled.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Kind       Kind
+	Backends   []Backend
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// Objective is the time within which an answer, or a stream's first event, should begin.
+	Objective time.Duration
+	// Gap is the longest pause between two events of a stream that is on time; zero bounds nothing.
+	Gap time.Duration
+	// Priority ranks the route among those of its service; zero is the most urgent.
+	Priority int
+	// MaxAttempts is the number of endpoints that one request may be sent to.
+	MaxAttempts int
+	// Resumable streams may go on at another endpoint after the last event that was passed on.
+	Resumable bool
+	// Affinity says that requests name the parts of their prompt, which endpoints cache.
+	Affinity bool
+	// Homes are the regions in which requests may be served; empty allows every region.
+	Homes []string
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool { return r.Kind == Safe || r.Kind == Stream && r.Resumable }
+
+// Allows reports whether requests of the route may be served in a region.
+func (r *Route) Allows(region string) bool {
+	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// BatchSlots is the number of requests that an engine decodes at once.
+	BatchSlots int
+	// CacheTokens is the number of tokens that an engine's memory holds.
+	CacheTokens int64
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
+}
+
+// Service is a set of endpoints that serve the same requests.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int
+	// ColdTime is how long an endpoint stays cold after it starts.
+	ColdTime time.Duration
+	// ColdRate is the number of requests a second that a cold endpoint bears; zero bounds nothing.
+	ColdRate float64
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Limits bound what a caller may send, and how long it may take or stay idle.
+type Limits struct {
+	HeaderBytes   int64
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Table is a whole routing configuration.
+type Table struct {
+	version  int64
+	limits   Limits
+	services map[string]*Service
+	hosts    map[string][]*Route
+}
+
+// New returns the table of a version; faults in the routes return Faults.
+func New(version int64, all []Route, services []Service, limits Limits) (*Table, error) {
+	t := &Table{version: version, limits: limits, services: map[string]*Service{}, hosts: map[string][]*Route{}}
+	var faults Faults
+	for _, s := range services {
+		if t.services[s.Name] != nil {
+			faults = append(faults, &Fault{Service: s.Name, Reason: "the service is listed twice"})
+		}
+		t.services[s.Name] = &s
+	}
+	for _, r := range all {
+		faults = append(faults, t.add(&r)...)
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	for _, of := range t.hosts {
+		slices.SortFunc(of, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	return t, nil
+}
+
+func (t *Table) add(r *Route) Faults {
+	var faults Faults
+	fault := func(reason string) { faults = append(faults, &Fault{Route: r.Name, Reason: reason}) }
+	if r.Host == "" {
+		fault("the host is missing")
+	}
+	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		fault("the path prefix does not begin and end with a slash")
+	}
+	if r.Timeout <= 0 {
+		fault("the timeout is not greater than zero")
+	}
+	if r.MaxAttempts < 1 {
+		fault("the number of attempts is not greater than zero")
+	}
+	var weight int64
+	for _, b := range r.Backends {
+		if t.services[b.Service] == nil {
+			fault("the service " + b.Service + " does not exist")
+		}
+		if b.Weight < 0 {
+			fault("the weight of " + b.Service + " is negative")
+		}
+		weight += b.Weight
+	}
+	if weight <= 0 {
+		fault("the weights add up to zero")
+	}
+	host := strings.ToLower(r.Host)
+	if slices.ContainsFunc(t.hosts[host], func(other *Route) bool { return other.PathPrefix == r.PathPrefix }) {
+		fault("another route has the same host and path prefix")
+	}
+	t.hosts[host] = append(t.hosts[host], r)
+	return faults
+}
+
+// Version returns the table's version.
+func (t *Table) Version() int64 { return t.version }
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Service returns a service, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Match returns the route of a host, with or without a port, and an escaped path; it returns nil if there is none.
+func (t *Table) Match(host, path string) *Route {
+	name, _, _ := strings.Cut(strings.ToLower(host), ":")
+	for _, r := range t.hosts[name] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Choose returns the service for a draw in [0, 1), by the weights of the backends.
+func (r *Route) Choose(draw float64) string {
+	var total int64
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
+	left := draw * float64(total)
+	for _, b := range r.Backends {
+		if left < float64(b.Weight) {
+			return b.Service
+		}
+		left -= float64(b.Weight)
+	}
+	return r.Backends[len(r.Backends)-1].Service
+}
--- /dev/null
+++ b/wire/fleet.go
@@ -0,0 +1,59 @@
+package wire
+
+import (
+	"time"
+
+	"arbutusreel/fleet"
+	"arbutusreel/wiregen"
+)
+
+// notTold is the remaining time of an endpoint that told none.
+const notTold = -1
+
+// EncodeFleetEndpoint returns the message of an endpoint's record at a time; times travel as ages and remainders, as
+// the clocks of two instances may differ.
+func EncodeFleetEndpoint(now time.Time, e fleet.Endpoint) *wiregen.EndpointRecord {
+	m := &wiregen.EndpointRecord{
+		Id: e.ID, Born: e.Born, Sequence: e.Sequence, Service: e.Service, Address: e.Address, FailureDomain: e.FailureDomain,
+		Slots: int32(e.Slots), State: int32(e.State), RemainingMillis: notTold, SilentMillis: now.Sub(e.Heard).Milliseconds(),
+	}
+	if e.Cold(now) {
+		m.ColdMillis = e.ColdUntil.Sub(now).Milliseconds()
+	}
+	if !e.GoneAt.IsZero() {
+		m.RemainingMillis = max(e.GoneAt.Sub(now).Milliseconds(), 0)
+	}
+	return m
+}
+
+// DecodeFleetEndpoint returns the record of a message that was received at a time.
+func DecodeFleetEndpoint(now time.Time, m *wiregen.EndpointRecord) fleet.Endpoint {
+	e := fleet.Endpoint{
+		ID: m.GetId(), Born: m.GetBorn(), Sequence: m.GetSequence(), Service: m.GetService(), Address: m.GetAddress(),
+		FailureDomain: m.GetFailureDomain(), Slots: int(m.GetSlots()), State: fleet.State(m.GetState()),
+		Heard: now.Add(-time.Duration(m.GetSilentMillis()) * time.Millisecond),
+	}
+	if m.GetColdMillis() > 0 {
+		e.ColdUntil = now.Add(time.Duration(m.GetColdMillis()) * time.Millisecond)
+	}
+	if m.GetRemainingMillis() != notTold {
+		e.GoneAt = now.Add(time.Duration(m.GetRemainingMillis()) * time.Millisecond)
+	}
+	return e
+}
+
+// EncodeGateway returns the report of a gateway.
+func EncodeGateway(g fleet.Gateway) *wiregen.GatewayReport {
+	return &wiregen.GatewayReport{
+		Name: g.Name, CallerAddress: g.CallerAddress, LoadAddress: g.LoadAddress, ForwardAddress: g.ForwardAddress,
+		FailureDomain: g.FailureDomain, Region: g.Region, Ready: g.Ready, Born: g.Born,
+	}
+}
+
+// DecodeGateway returns the gateway of a report that was true at a time.
+func DecodeGateway(at time.Time, m *wiregen.GatewayReport) fleet.Gateway {
+	return fleet.Gateway{
+		Name: m.GetName(), CallerAddress: m.GetCallerAddress(), LoadAddress: m.GetLoadAddress(), ForwardAddress: m.GetForwardAddress(),
+		FailureDomain: m.GetFailureDomain(), Region: m.GetRegion(), Ready: m.GetReady(), Born: m.GetBorn(), Heard: at,
+	}
+}
