Renew gateways at other control daemons apart from their other news

Cause: the period of gateways' renewals was counted from the last message of any kind; rooms come every 200 ms, so gateways were never renewed and their leases ended at every control daemon but their own.

--- a/control/share.go
+++ b/control/share.go
@@ -69,8 +69,10 @@
 	endpoints int64
 	gateways  int64
 	renewed   time.Time
-	rooms     map[string]time.Time
-	sentAt    time.Time
+	// gatewaysRenewed is when every gateway was told last; their leases are shorter than those of endpoints.
+	gatewaysRenewed time.Time
+	rooms           map[string]time.Time
+	sentAt          time.Time
 }
 
 func (v *peerView) next(now time.Time) *wiregen.FleetUpdate {
@@ -85,7 +87,8 @@
 		endpoints = append(endpoints, f.endpoints.Heard(v.renewed)...)
 		v.renewed = now
 	}
-	if now.Sub(v.sentAt) >= fleetSignOfLife {
+	if now.Sub(v.gatewaysRenewed) >= fleetSignOfLife {
+		v.gatewaysRenewed = now
 		for _, g := range f.gateways.Live() {
 			gateways = append(gateways, fleet.GatewayChange{Gateway: g})
 		}
