--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -18,7 +18,7 @@
 	j.tried[at.gateway.Name] = true
 	h := copyHeader(j.r.Header)
 	g.cfg.Dialect.Forward(h, j.deadline.Sub(now)-forwardMargin)
-	if j.stream != nil && j.stream.begun {
+	if j.streaming() {
 		g.cfg.Dialect.Prepare(h, Order{Left: j.deadline.Sub(now) - forwardMargin, Urgency: -1, LastEvent: j.lastEvent()})
 	}
 	h.Set(attemptsHeader, strconv.Itoa(max(j.maxRuns()-j.runs, 1)))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -23,9 +23,12 @@
 	last int64
 }
 
+// streaming reports whether the caller has the beginning of a stream, after which no other answer can be given.
+func (j *job) streaming() bool { return j.stream != nil && j.stream.begun }
+
 // lastEvent returns the last event that the caller has.
 func (j *job) lastEvent() int64 {
-	if j.stream != nil && j.stream.begun {
+	if j.streaming() {
 		return j.stream.last
 	}
 	return j.call.LastEvent
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -49,7 +49,7 @@
 		}
 		at := j.g.placer.decide(now, j.view, query{
 			route: j.route, service: j.service, work: j.call.Work, asked: j.asked(now), tried: j.tried,
-			forwarded: j.forwarded, must: j.stream != nil && j.stream.begun,
+			forwarded: j.forwarded, must: j.streaming(),
 		})
 		j.place = at
 		if at.verdict == capacity.Refuse {
@@ -89,7 +89,7 @@
 
 // refusePlace answers a request for which there is no place.
 func (j *job) refusePlace(at place) {
-	if j.held != nil {
+	if j.held != nil && !j.streaming() {
 		j.answerPlain(j.held)
 		return
 	}
@@ -115,7 +115,7 @@
 		j.g.cfg.Metrics.Count("callerLeft")
 		panic(http.ErrAbortHandler)
 	}
-	if j.held != nil {
+	if j.held != nil && !j.streaming() {
 		j.answerPlain(j.held)
 		return
 	}
@@ -172,7 +172,7 @@
 	switch {
 	case j.service.Engine == nil:
 		return -1
-	case j.stream != nil && j.stream.begun:
+	case j.streaming():
 		return 0
 	case v == capacity.TakeLate:
 		return late
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -136,7 +136,7 @@
 	if f != nil {
 		f.first(time.Now())
 	}
-	if j.stream != nil && j.stream.begun {
+	if j.streaming() {
 		// A stream that goes on cannot take a plain answer.
 		return failed, j.failed(ctx, &UnsignedAnswerError{Status: answer.Status}, problem.Ran)
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -179,7 +179,7 @@
 
 // refuse answers with the gateway's own failure. A request that may have run never gets a status that says otherwise.
 func (j *job) refuse(p *problem.Problem) {
-	if j.stream != nil && j.stream.begun {
+	if j.streaming() {
 		j.log("streamBroken").Str("reason", string(p.Code)).Err(j.lastErr).Msg("served")
 		panic(http.ErrAbortHandler)
 	}
