--- a/consensus/check.go
+++ b/consensus/check.go
@@ -25,7 +25,7 @@
 
 // Check returns *MalformedError if no voter has written such a state.
 func (r Restored) Check() error {
-	if !numbers(r.HardState.Term) {
+	if !numbers(r.HardState.Term, r.Commit) {
 		return &MalformedError{What: "term of the voter"}
 	}
 	if r.Snapshot == nil {
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -43,6 +43,9 @@
 	n.role = preCandidate
 	n.leader = ID{}
 	n.votes = map[ID]bool{n.cfg.Self: true}
+	// A refused pre-vote harms nobody, so that it is repeated sooner than an election: after a restart of all voters the
+	// promises of the last ones to start end a little later.
+	n.electionAt = now.Add(n.cfg.ElectionTimeout/2 + time.Duration(n.rnd.Int64N(int64(n.cfg.ElectionTimeout/2))))
 	if n.wonVotes() {
 		n.campaign(now, false)
 		return
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -51,6 +51,7 @@
 	if r.Snapshot != nil {
 		n.commit, n.applied = r.Snapshot.Index, r.Snapshot.Index
 	}
+	n.commit = max(n.commit, min(r.Commit, n.log.last()))
 	// A restarted voter may have promised a leader not to vote for another one.
 	n.heard = now
 	n.resetElection(now)
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -107,6 +107,8 @@
 	HardState HardState
 	Snapshot  *Snapshot
 	Entries   []Entry
+	// Commit is the highest index that was known to be committed, or lower; what it covers is in force at once.
+	Commit int64
 }
 
 // Founder is a voter of the founding quorum, whose disk is not known yet.
--- a/control/codec.go
+++ b/control/codec.go
@@ -98,8 +98,8 @@
 	return b
 }
 
-func encodeRecord(hard *consensus.HardState, entries []consensus.Entry) []byte {
-	m := &wiregen.JournalRecord{Entries: encodeEntries(entries)}
+func encodeRecord(hard *consensus.HardState, entries []consensus.Entry, commit int64) []byte {
+	m := &wiregen.JournalRecord{Entries: encodeEntries(entries), Commit: commit}
 	if hard != nil {
 		m.HardState = &wiregen.HardStateRecord{Term: hard.Term, Vote: encodeID(hard.Vote)}
 	}
--- a/control/disk.go
+++ b/control/disk.go
@@ -15,6 +15,8 @@
 type disk struct {
 	journal  *journal.Journal
 	identity string
+	// commit is the highest committed index that was written.
+	commit int64
 	// compacted is the size of the journal after it was last replaced.
 	compacted int64
 }
@@ -48,6 +50,7 @@
 			r.HardState = consensus.HardState{Term: hard.GetTerm(), Vote: decodeID(hard.GetVote())}
 		}
 		r.Entries = replaceFrom(r.Entries, decodeEntries(m.GetEntries()))
+		r.Commit = max(r.Commit, m.GetCommit())
 	}
 	if err := r.Check(); err != nil {
 		return r, &RecordError{Record: "journal", Cause: err}
@@ -64,23 +67,28 @@
 	return append(entries[:n:n], with...)
 }
 
-// save makes what must be persisted last.
-func (d *disk) save(a consensus.Actions, hard consensus.HardState) error {
+// save makes what must be persisted last. A higher committed index is written along, and without a sync if there is
+// nothing else: a restarted voter that does not know it learns it from the next leader.
+func (d *disk) save(a consensus.Actions, hard consensus.HardState, commit int64) error {
 	if a.Install != nil {
 		return d.replace(consensus.Restored{HardState: hard, Snapshot: a.Install, Entries: a.Entries})
 	}
-	if !a.Persists() {
+	if !a.Persists() && commit == d.commit {
 		return nil
 	}
-	if err := d.journal.Append(encodeRecord(a.HardState, a.Entries)); err != nil {
+	if err := d.journal.Append(encodeRecord(a.HardState, a.Entries, commit)); err != nil {
 		return err
 	}
+	d.commit = commit
+	if !a.Persists() {
+		return nil
+	}
 	return d.journal.Sync()
 }
 
 // replace makes a snapshot and what follows it the whole journal.
 func (d *disk) replace(r consensus.Restored) error {
-	if err := d.journal.Compact(marshal(encodeSnapshot(r.Snapshot)), encodeRecord(&r.HardState, r.Entries)); err != nil {
+	if err := d.journal.Compact(marshal(encodeSnapshot(r.Snapshot)), encodeRecord(&r.HardState, r.Entries, r.Commit)); err != nil {
 		return err
 	}
 	d.compacted = d.journal.Size()
--- a/control/fuzz_test.go
+++ b/control/fuzz_test.go
@@ -32,7 +32,7 @@
 func fuzzContents() journal.Contents {
 	s := &consensus.Snapshot{Index: 3, Term: 1, Members: fuzzMembers(), Data: newMachine().snapshot()}
 	entries := []consensus.Entry{{Index: 4, Term: 2, Kind: consensus.TermEntry}, {Index: 5, Term: 2, Data: []byte("x")}}
-	return journal.Contents{Snapshot: marshal(encodeSnapshot(s)), Records: [][]byte{encodeRecord(&consensus.HardState{Term: 2}, entries)}}
+	return journal.Contents{Snapshot: marshal(encodeSnapshot(s)), Records: [][]byte{encodeRecord(&consensus.HardState{Term: 2}, entries, 0)}}
 }
 
 // restart returns a voter with what is in the journal; ok is false if the journal is refused.
@@ -52,9 +52,9 @@
 func FuzzRestore(f *testing.F) {
 	c := fuzzContents()
 	f.Add(c.Snapshot, c.Records[0])
-	f.Add([]byte{}, encodeRecord(&consensus.HardState{Term: 1}, []consensus.Entry{{Index: 1, Term: 1, Kind: consensus.MembersEntry, Members: fuzzMembers()}}))
-	f.Add(c.Snapshot, encodeRecord(nil, []consensus.Entry{{Index: 9, Term: 2}}))
-	f.Add([]byte{}, encodeRecord(nil, []consensus.Entry{{Index: 1, Term: 1, Kind: consensus.MembersEntry}}))
+	f.Add([]byte{}, encodeRecord(&consensus.HardState{Term: 1}, []consensus.Entry{{Index: 1, Term: 1, Kind: consensus.MembersEntry, Members: fuzzMembers()}}, 0))
+	f.Add(c.Snapshot, encodeRecord(nil, []consensus.Entry{{Index: 9, Term: 2}}, 0))
+	f.Add([]byte{}, encodeRecord(nil, []consensus.Entry{{Index: 1, Term: 1, Kind: consensus.MembersEntry}}, 0))
 	f.Add(marshal(&wiregen.ConsensusSnapshot{Index: -1}), []byte{})
 	f.Fuzz(func(_ *testing.T, snapshot, record []byte) {
 		c := journal.Contents{Records: [][]byte{record}}
@@ -111,7 +111,7 @@
 				c.Snapshot, c.Records = marshal(encodeSnapshot(a.Install)), nil
 			}
 			hard := n.HardState()
-			c.Records = append(c.Records, encodeRecord(&hard, a.Entries))
+			c.Records = append(c.Records, encodeRecord(&hard, a.Entries, 0))
 			if _, err := restore(c); err != nil {
 				t.Fatalf("the voter wrote what it cannot read: %v", err)
 			}
--- a/control/machine_test.go
+++ b/control/machine_test.go
@@ -136,7 +136,7 @@
 		{Entries: []consensus.Entry{entry(5, 1), entry(6, 1), entry(7, 1)}},
 		{HardState: &hard, Entries: []consensus.Entry{entry(6, 3)}},
 	} {
-		if err := d.save(a, consensus.HardState{Term: 2}); err != nil {
+		if err := d.save(a, consensus.HardState{Term: 2}, 0); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -172,7 +172,7 @@
 	if err := q.install(a.Install); err != nil {
 		return err
 	}
-	if err := q.disk.save(a, q.node.HardState()); err != nil {
+	if err := q.disk.save(a, q.node.HardState(), q.node.Status(q.now()).Commit); err != nil {
 		return err
 	}
 	for _, m := range a.Messages {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,10 +59,9 @@
 	wg      sync.WaitGroup
 	done    chan struct{}
 
-	// beliefs, offered and searched belong to the session's goroutine.
-	beliefs  *beliefs
-	offered  configuration.Document
-	searched time.Time
+	// beliefs and offered belong to the session's goroutine.
+	beliefs *beliefs
+	offered configuration.Document
 
 	controlsMu sync.Mutex
 	controls   []string
--- /dev/null
+++ b/gateway/serve_test.go
@@ -0,0 +1,272 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"arbutusreel/fleet"
+	"arbutusreel/routes"
+)
+
+// TestBrokenStreamAfterFailure breaks a stream whose first endpoint had answered with a failure of its own: the caller
+// must not get that failure as the end of its stream.
+func TestBrokenStreamAfterFailure(t *testing.T) {
+	a := newEndpoint(t, "a", func(c *endpointConn, _ *http.Request, _ int) bool {
+		c.plain("request-1", 500, "failed")
+		return true
+	})
+	b := newEndpoint(t, "b", func(c *endpointConn, _ *http.Request, _ int) bool {
+		c.head("request-1")
+		c.event(0)
+		time.Sleep(50 * time.Millisecond)
+		return c.reset()
+	})
+	g := newGateway(t, testTable(t, nil), a, b)
+	got := g.call(t.Context(), "POST", "/stream/x", nil)
+	if got.whole || got.body != pieces(0, 0) {
+		t.Errorf("whole %v, body %q", got.whole, got.body)
+	}
+	if len(a.requests()) != 1 || len(b.requests()) != 1 {
+		t.Errorf("%d and %d requests", len(a.requests()), len(b.requests()))
+	}
+}
+
+// TestResume breaks a stream at each place of an event; it goes on at another endpoint, after the last whole event.
+func TestResume(t *testing.T) {
+	cases := map[string]func(c *endpointConn) bool{
+		"between events":        func(c *endpointConn) bool { return c.reset() },
+		"in an event":           func(c *endpointConn) bool { c.chunk("id: 2\ndata: pie"); return false },
+		"in the end of a event": func(c *endpointConn) bool { c.chunk("id: 2\ndata: piece 2\n"); return false },
+		"in a chunk":            func(c *endpointConn) bool { fmt.Fprint(c, "1f\r\nid: 2\nda"); return c.reset() },
+		"ended as whole within an event": func(c *endpointConn) bool {
+			c.chunk("id: 2\ndata: pie")
+			c.end()
+			return false
+		},
+	}
+	for name, broken := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := newEndpoint(t, "a", func(c *endpointConn, _ *http.Request, _ int) bool {
+				c.head("request-1")
+				c.event(0)
+				c.event(1)
+				time.Sleep(20 * time.Millisecond)
+				return broken(c)
+			})
+			b := newEndpoint(t, "b", func(c *endpointConn, r *http.Request, _ int) bool {
+				c.head("request-1")
+				for n := len(r.Header.Get("Last")) + 1; n < 5; n++ {
+					c.event(n)
+				}
+				c.end()
+				return true
+			})
+			g := newGateway(t, testTable(t, nil), a, b)
+			got := g.call(t.Context(), "POST", "/stream/x", nil)
+			if !got.whole || got.body != pieces(0, 4) {
+				t.Errorf("whole %v, body %q", got.whole, got.body)
+			}
+			if got.header.Get("Signed") != "a" {
+				t.Errorf("signed by %q", got.header.Get("Signed"))
+			}
+			if last := b.requests()[0].Header.Get("Last"); last != "1" {
+				t.Errorf("resumed after %q", last)
+			}
+		})
+	}
+}
+
+// TestOutcomes checks the status of a request that fails at an endpoint: only one that surely has not run is answered
+// as such, and one that may have run is not sent again.
+func TestOutcomes(t *testing.T) {
+	long := func(c *endpointConn, body string) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: request-1\r\nSigned: a\r\nContent-Length: 100\r\n\r\n%s", body)
+		return false
+	}
+	cases := []struct {
+		name   string
+		path   string
+		script endpointScript
+		// want is the status; second is the number of requests at the other endpoint.
+		want, second int
+	}{
+		{"unsafe, reset after it was read", "/unsafe/x", func(c *endpointConn, _ *http.Request, _ int) bool { return c.reset() }, 502, 0},
+		{"unsafe, closed after it was read", "/unsafe/x", func(*endpointConn, *http.Request, int) bool { return false }, 502, 0},
+		{"unsafe, cut answer", "/unsafe/x", func(c *endpointConn, _ *http.Request, _ int) bool { return long(c, "part") }, 502, 0},
+		{"unsafe, no answer of the protocol", "/unsafe/x", func(c *endpointConn, _ *http.Request, _ int) bool {
+			fmt.Fprint(c, "nonsense\r\n\r\n")
+			return false
+		}, 502, 0},
+		{"unsafe, unsigned success", "/unsafe/x", func(c *endpointConn, _ *http.Request, _ int) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: request-1\r\nContent-Length: 2\r\n\r\nok")
+			return true
+		}, 502, 0},
+		{"unsafe, encoded success", "/unsafe/x", func(c *endpointConn, _ *http.Request, _ int) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: request-1\r\nSigned: a\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok")
+			return true
+		}, 502, 0},
+		{"unsafe, rejected", "/unsafe/x", func(c *endpointConn, _ *http.Request, _ int) bool {
+			fmt.Fprint(c, "HTTP/1.1 503 Full\r\nRejected: 1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}, 200, 1},
+		{"unsafe, own failure", "/unsafe/x", func(c *endpointConn, _ *http.Request, _ int) bool {
+			c.plain("request-1", 500, "failed")
+			return true
+		}, 500, 0},
+		{"safe, reset", "/safe/x", func(c *endpointConn, _ *http.Request, _ int) bool { return c.reset() }, 200, 1},
+		{"safe, cut answer", "/safe/x", func(c *endpointConn, _ *http.Request, _ int) bool { return long(c, "part") }, 200, 1},
+		{"safe, own failure", "/safe/x", func(c *endpointConn, _ *http.Request, _ int) bool {
+			c.plain("request-1", 500, "failed")
+			return true
+		}, 200, 1},
+		{"safe, answer without length, reset", "/safe/x", func(c *endpointConn, _ *http.Request, _ int) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: request-1\r\nSigned: a\r\n\r\npart")
+			time.Sleep(30 * time.Millisecond)
+			return c.reset()
+		}, 200, 1},
+		{"safe, informational answer first", "/safe/x", func(c *endpointConn, _ *http.Request, _ int) bool {
+			fmt.Fprint(c, "HTTP/1.1 103 Early Hints\r\n\r\n")
+			c.plain("request-1", 200, "a")
+			return true
+		}, 200, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := newEndpoint(t, "a", c.script)
+			b := newEndpoint(t, "b", func(c *endpointConn, _ *http.Request, _ int) bool {
+				c.plain("request-1", 200, "b")
+				return true
+			})
+			g := newGateway(t, testTable(t, nil), a, b)
+			got := g.call(t.Context(), "POST", c.path, map[string]string{"Idempotency-Key": "key"})
+			if got.err != nil || got.status != c.want || len(a.requests()) != 1 || len(b.requests()) != c.second {
+				t.Errorf("status %d, %d and %d requests, %v; want %d, 1 and %d", got.status, len(a.requests()), len(b.requests()), got.err, c.want, c.second)
+			}
+		})
+	}
+}
+
+// TestRefusalNotRun has no endpoint that can be reached: the request has surely not run, and may come back.
+func TestRefusalNotRun(t *testing.T) {
+	gone := &testEndpoint{id: "gone", address: "127.0.0.1:1"}
+	g := newGateway(t, testTable(t, nil), gone)
+	for _, kind := range []string{"unsafe", "safe", "stream"} {
+		got := g.call(t.Context(), "POST", "/"+kind+"/x", nil)
+		if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || got.header.Get("Signed") != "" {
+			t.Errorf("%s: status %d, header %v, %v", kind, got.status, got.header, got.err)
+		}
+	}
+}
+
+// TestForeignAnswers sends an answer twice; the second one waits on the kept connection and is not given to the next
+// request.
+func TestForeignAnswers(t *testing.T) {
+	for _, delay := range []time.Duration{0, 30 * time.Millisecond} {
+		a := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, n int) bool {
+			c.plain(r.Header.Get("Id"), 200, r.Header.Get("Id"))
+			if n == 0 {
+				time.Sleep(delay)
+				c.plain(r.Header.Get("Id"), 200, r.Header.Get("Id"))
+			}
+			return true
+		})
+		g := newGateway(t, testTable(t, nil), a)
+		for _, id := range []string{"first", "second", "third"} {
+			if got := g.call(t.Context(), "POST", "/unsafe/x", map[string]string{"Id": id}); got.body != id {
+				t.Errorf("delay %v: request %q got %d %q, %v", delay, id, got.status, got.body, got.err)
+			}
+		}
+	}
+}
+
+// TestStaleConnection closes a kept connection while a request is under way: it is never sent a second time, although
+// it has no body or an idempotency key.
+func TestStaleConnection(t *testing.T) {
+	a := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, n int) bool {
+		if n > 0 {
+			return c.reset()
+		}
+		c.plain(r.Header.Get("Id"), 200, "ok")
+		return true
+	})
+	g := newGateway(t, testTable(t, nil), a)
+	if got := g.call(t.Context(), "POST", "/unsafe/x", nil); got.status != http.StatusOK {
+		t.Fatal(got)
+	}
+	got := g.call(t.Context(), "POST", "/unsafe/x", map[string]string{"Idempotency-Key": "key"})
+	if got.status != http.StatusBadGateway || len(a.requests()) != 2 {
+		t.Errorf("status %d, %d requests", got.status, len(a.requests()))
+	}
+}
+
+// TestCallerLeaves closes the caller's connection; the endpoint's connection is closed, which stops its work.
+func TestCallerLeaves(t *testing.T) {
+	working := make(chan struct{})
+	a := newEndpoint(t, "a", func(c *endpointConn, _ *http.Request, _ int) bool {
+		close(working)
+		// The endpoint works until its connection ends.
+		_, err := c.Read(make([]byte, 1))
+		return err == nil
+	})
+	g := newGateway(t, testTable(t, nil), a)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-working
+		cancel()
+	}()
+	if got := g.call(ctx, "POST", "/unsafe/x", nil); got.err == nil {
+		t.Error("the caller got an answer")
+	}
+	select {
+	case <-a.closed:
+	case <-time.After(10 * time.Second):
+		t.Error("the endpoint still works")
+	}
+}
+
+// TestTimeout keeps an endpoint silent beyond the route's timeout.
+func TestTimeout(t *testing.T) {
+	a := newEndpoint(t, "a", func(c *endpointConn, _ *http.Request, _ int) bool {
+		_, err := c.Read(make([]byte, 1))
+		return err == nil
+	})
+	g := newGateway(t, testTable(t, func(r *routes.Route) { r.Timeout = 200 * time.Millisecond }), a)
+	if got := g.call(t.Context(), "POST", "/unsafe/x", nil); got.status != http.StatusGatewayTimeout {
+		t.Errorf("status %d, %v", got.status, got.err)
+	}
+}
+
+// TestForward sends a request whose route is not allowed in the region to a gateway of another one, once.
+func TestForward(t *testing.T) {
+	homes := func(r *routes.Route) { r.Homes = []string{"there"} }
+	a := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+		c.head(r.Header.Get("Id"))
+		c.event(0)
+		c.event(1)
+		c.end()
+		return true
+	})
+	there := newGateway(t, testTable(t, homes), a)
+	there.cfg.Region, there.placer.cfg.Region = "there", "there"
+	forwards := newForwardServer(t, there)
+	here := newGateway(t, testTable(t, homes))
+	v := *here.view.Load()
+	v.gateways = []fleet.Gateway{{Name: "gateway-b", Region: "there", ForwardAddress: forwards, Ready: true}}
+	here.view.Store(&v)
+	got := here.call(t.Context(), "POST", "/stream/x", nil)
+	if !got.whole || got.body != pieces(0, 1) || got.header.Get("Signed") != "a" {
+		t.Errorf("%+v", got)
+	}
+	if r := a.requests()[0]; r.Header.Get(ageHeader) != "" || r.Header.Get(drawHeader) != "" {
+		t.Errorf("the endpoint got %v", r.Header)
+	}
+	// A gateway that cannot serve the request either must not send it on.
+	v.gateways[0].ForwardAddress = newForwardServer(t, here)
+	here.view.Store(&v)
+	if got := here.call(t.Context(), "POST", "/stream/x", nil); got.status != http.StatusServiceUnavailable {
+		t.Errorf("a request went in a loop: %+v", got)
+	}
+}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -20,8 +20,10 @@
 	// sessionSilence is the silence after which a control daemon is given up: three of its signs of life.
 	sessionSilence = 1500 * time.Millisecond
 	// raceTime is how long sessions with all control daemons compete before one that is not current is taken.
-	raceTime = time.Second
-	// staleTime is how long a session is kept whose control daemon has lost the leader.
+	raceTime = 500 * time.Millisecond
+	// searchPeriod is how often a gateway looks for a control daemon that is current while its own is not.
+	searchPeriod = 2 * time.Second
+	// staleTime is how long a control daemon may be without a leader before another one is looked for.
 	staleTime = time.Second
 	// reportPeriod is how often a gateway reports; the one that tells its region's load does so more often.
 	reportPeriod     = 500 * time.Millisecond
@@ -29,7 +31,7 @@
 	// changeCheck is how often a gateway looks whether its report has changed.
 	changeCheck = 50 * time.Millisecond
 	// staleDocumentTime is how long a gateway without any document waits for a control daemon that is current.
-	staleDocumentTime = 2 * time.Second
+	staleDocumentTime = 500 * time.Millisecond
 )
 
 type attendance = grpc.BidiStreamingClient[wiregen.GatewayReport, wiregen.FleetUpdate]
@@ -43,7 +45,11 @@
 	first   *wiregen.FleetUpdate
 }
 
+// close ends the session; a nil candidate has none.
 func (c *candidate) close() {
+	if c == nil {
+		return
+	}
 	c.cancel()
 	_ = c.conn.Close()
 }
@@ -63,16 +69,23 @@
 
 // attend keeps a session with one control daemon until ctx ends.
 func (g *Gateway) attend(ctx context.Context) {
+	var c *candidate
 	for ctx.Err() == nil {
-		c := g.race(ctx)
+		if c == nil {
+			c = g.race(ctx)
+		}
 		if c == nil {
 			clock.Sleep(ctx, changeCheck)
 			continue
 		}
 		g.log.Info().Str("control", c.address).Bool("current", c.first.GetCurrent()).Msg("controlAttended")
-		err := g.follow(ctx, c)
+		better, err := g.follow(ctx, c)
+		c.close()
+		g.log.Warn().Str("control", c.address).Bool("replaced", better != nil).Err(err).Msg("controlLost")
+		c = better
+	}
+	if c != nil {
 		c.close()
-		g.log.Warn().Str("control", c.address).Err(err).Msg("controlLost")
 	}
 }
 
@@ -138,8 +151,9 @@
 	return slices.Compact(all)
 }
 
-// follow takes updates and sends reports until the session ends, falls silent or its control daemon is behind.
-func (g *Gateway) follow(ctx context.Context, c *candidate) error {
+// follow takes updates and sends reports until the session ends or falls silent. While its control daemon has no leader
+// it looks for one that has, and returns that.
+func (g *Gateway) follow(ctx context.Context, c *candidate) (better *candidate, err error) {
 	// What an earlier control daemon told of gateways that have gone since would never be taken back.
 	clear(g.beliefs.gateways)
 	g.take(c.address, c.first)
@@ -164,8 +178,15 @@
 	}()
 	check := time.NewTicker(changeCheck)
 	defer check.Stop()
-	heard, currentAt, reported := time.Now(), time.Now(), time.Time{}
+	heard, currentAt, reported, searched := time.Now(), time.Now(), time.Time{}, time.Time{}
 	lastReady := false
+	found := make(chan *candidate, 1)
+	searching := false
+	defer func() {
+		if searching {
+			go func() { (<-found).close() }()
+		}
+	}()
 	for {
 		select {
 		case u := <-updates:
@@ -175,38 +196,35 @@
 				currentAt = heard
 			}
 		case err := <-failed:
-			return err
+			return nil, err
+		case other := <-found:
+			searching = false
+			if other != nil && other.first.GetCurrent() && time.Since(currentAt) > staleTime {
+				return other, &StaleControlError{Address: c.address, Behind: time.Since(currentAt)}
+			}
+			other.close()
 		case now := <-check.C:
 			if now.Sub(heard) > sessionSilence {
-				return &SilentControlError{Address: c.address, Silence: now.Sub(heard)}
+				return nil, &SilentControlError{Address: c.address, Silence: now.Sub(heard)}
 			}
-			if now.Sub(currentAt) > staleTime && g.betterControl(ctx) {
-				return &StaleControlError{Address: c.address, Behind: now.Sub(currentAt)}
+			if now.Sub(currentAt) > staleTime && now.Sub(searched) > searchPeriod && !searching {
+				searched, searching = now, true
+				go func() { found <- g.race(ctx) }()
 			}
 			tells := g.tellsRoom()
 			due := now.Sub(reported) >= reportPeriod || tells && now.Sub(reported) >= roomReportPeriod
 			if ready := g.Ready(); due || ready != lastReady {
 				lastReady, reported = ready, now
 				if err := c.stream.Send(g.report(now, tells)); err != nil {
-					return err
+					return nil, err
 				}
 			}
 		case <-ctx.Done():
-			return ctx.Err()
+			return nil, ctx.Err()
 		}
 	}
 }
 
-// betterControl reports whether a search for a control daemon that is current is due; searches are spaced out.
-func (g *Gateway) betterControl(context.Context) bool {
-	now := time.Now()
-	if now.Sub(g.searched) < 2*raceTime {
-		return false
-	}
-	g.searched = now
-	return true
-}
-
 func (g *Gateway) report(now time.Time, tells bool) *wiregen.GatewayReport {
 	v := g.view.Load()
 	m := wire.EncodeGateway(fleet.Gateway{
