--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -12,9 +12,9 @@
 	// memoryShare is the part of an endpoint's token memory that is filled before it counts as full; beyond it running
 	// requests are preempted.
 	memoryShare = 0.92
-	// affinityTime is the advantage of the endpoint that a prompt's subject is hashed to, so that gateways that know
-	// nothing of one another's prompts agree.
-	affinityTime = 15 * time.Millisecond
+	// sharedCost is the cost of reading a shared part that another endpoint keeps, as a multiple of the time that it takes:
+	// the time is also lost to everything that waits behind it, and the copy takes memory from other parts.
+	sharedCost = 3.0
 	// equalTime is the difference in expected time below which two endpoints count as equal.
 	equalTime = 2 * time.Millisecond
 )
@@ -27,7 +27,7 @@
 	// Slots is the number of requests that it serves at once, and Memory the tokens that it holds; zero bounds nothing.
 	Slots  int
 	Memory int64
-	// KeptParts is the number of the request's first shared parts that it is believed to keep.
+	// KeptParts is the number of the request's first shared parts that it was seen to read lately.
 	KeptParts int
 	// Detour is the added time of reaching it.
 	Detour time.Duration
@@ -40,6 +40,8 @@
 	Expected time.Duration
 	// Unread is the number of prompt tokens that the endpoint has to read.
 	Unread int64
+	// Favourite says that the request's subject is hashed to the endpoint.
+	Favourite bool
 	// Full says that the endpoint has no slot or no memory left, so that the request waits for another one to end.
 	Full bool
 }
@@ -61,18 +63,21 @@
 }
 
 // Choose returns the candidate with the least expected cost, or false if there is none. Requests of one subject go to
-// one endpoint while its advantage lasts; draw in [0, 1) decides between equals.
+// the endpoint that the subject is hashed to, so that its shared parts are read once, until its backlog costs more than
+// to read them again elsewhere; draw in [0, 1) decides between equals.
 func Choose(candidates []Candidate, w Work, s Speed, objective time.Duration, draw float64) (Choice, bool) {
 	best := Choice{Index: -1}
 	var bestCost time.Duration
 	equals := 0
 	favourite := favourite(candidates, w)
 	for i, c := range candidates {
-		expected, unread, full := Expected(c, w, s)
-		cost := expected + time.Duration(c.Health.Failures*failureCost*float64(objective))
 		if i == favourite {
-			cost -= affinityTime
+			// All gateways agree on the favourite, so that it keeps the parts although this one may not have seen it.
+			c.KeptParts = len(w.Shared())
 		}
+		expected, unread, full := Expected(c, w, s)
+		again := unread - w.Unread(len(w.Shared()))
+		cost := expected + time.Duration(sharedCost*float64(s.Token)*float64(again)) + time.Duration(c.Health.Failures*failureCost*float64(objective))
 		switch {
 		case best.Index < 0 || cost < bestCost-equalTime:
 			equals = 1
@@ -88,7 +93,7 @@
 		default:
 			continue
 		}
-		best = Choice{Index: i, Expected: expected, Unread: unread, Full: full}
+		best = Choice{Index: i, Expected: expected, Unread: unread, Favourite: i == favourite, Full: full}
 		bestCost = cost
 	}
 	return best, best.Index >= 0
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -105,6 +105,7 @@
 	// backlog is the endpoint's outstanding work before the request.
 	backlog    capacity.Outstanding
 	candidates int
+	favourite  bool
 	reason     string
 	retryAfter time.Duration
 	probe      retry.Probe
@@ -130,7 +131,7 @@
 	}
 	if ok {
 		here.endpoint = endpoints[choice.Index]
-		here.expected, here.unread = choice.Expected, choice.Unread
+		here.expected, here.unread, here.favourite = choice.Expected, choice.Unread, choice.Favourite
 		here.backlog = local[choice.Index].Outstanding
 		here.load = q.work.Load(choice.Unread)
 		here.verdict = capacity.Admit(choice.Expected, q.asked)
