--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -59,7 +59,7 @@
 		full = true
 		d += s.Whole / 2
 	}
-	return time.Duration(float64(d)*c.Health.Factor) + c.Detour, unread, full
+	return time.Duration(float64(d)*c.Health.Slowdown()) + c.Detour, unread, full
 }
 
 // Choose returns the candidate with the least expected cost, or false if there is none. Requests of one subject go to
--- a/capacity/speed.go
+++ b/capacity/speed.go
@@ -12,6 +12,8 @@
 	initialTokenTime = 14 * time.Microsecond
 	// initialBaseTime is the time to a first piece without any queue before one was observed.
 	initialBaseTime = 60 * time.Millisecond
+	// ordinaryFactor is the factor up to which an endpoint counts as like the others: single times vary that much.
+	ordinaryFactor  = 1.5
 	leastFactor     = 0.5
 	greatestFactor  = 8.0
 	// leastTokensLearned is the number of unread tokens below which an observation tells of the base alone.
@@ -64,6 +66,9 @@
 // NewHealth returns the health of an endpoint of which nothing is known.
 func NewHealth() Health { return Health{Factor: 1} }
 
+// Slowdown returns how many times slower than the others the endpoint is, at least one.
+func (h Health) Slowdown() float64 { return max(1, h.Factor/ordinaryFactor) }
+
 // WithFirst returns the health after a first piece was observed.
 func (h Health) WithFirst(expected, took time.Duration) Health {
 	ratio := min(max(float64(took)/float64(max(expected, time.Millisecond)), leastFactor), greatestFactor)
