--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -26,6 +26,10 @@
 	budgetShare = 0.85
 	// regionSentMemory is how long what was sent to a region counts against the room that it told before.
 	regionSentMemory = time.Second
+	// crossAdvantage is the time that a request must gain to leave its region although it would be on time here: it pays for
+	// what was told of the other region being a few hundred milliseconds old. Where a region is short of capacity its
+	// backlog slows every stream in it, long before the first pieces are late.
+	crossAdvantage = 60 * time.Millisecond
 	// noLocalEndpoint is the expected time where a region has no endpoint for a request.
 	noLocalEndpoint = time.Hour
 )
@@ -140,7 +144,7 @@
 			here.verdict = capacity.Take
 		}
 	}
-	if here.verdict != capacity.Take && !q.forwarded {
+	if !q.forwarded && (here.verdict != capacity.Take || here.expected > p.cfg.Detour+crossAdvantage) {
 		if there, ok := p.cross(now, v, q, speed, here); ok {
 			return there
 		}
@@ -270,6 +274,9 @@
 	if verdict == capacity.Refuse || verdict == capacity.TakeLate && here.verdict == capacity.TakeLate {
 		return place{}, false
 	}
+	if here.verdict == capacity.Take && (verdict != capacity.Take || expected+crossAdvantage > here.expected) {
+		return place{}, false
+	}
 	g := blind[region][p.rng.IntN(len(blind[region]))]
 	p.sent[region] = append(p.sent[region], sentTokens{at: now, tokens: q.work.PromptTokens + 1})
 	return place{verdict: verdict, gateway: g, region: region, expected: expected, probe: p.gateways.Begin(now, g.Name)}, true
