--- a/capacity/speed.go
+++ b/capacity/speed.go
@@ -13,9 +13,9 @@
 	// initialBaseTime is the time to a first piece without any queue before one was observed.
 	initialBaseTime = 60 * time.Millisecond
 	// ordinaryFactor is the factor up to which an endpoint counts as like the others: single times vary that much.
-	ordinaryFactor  = 1.5
-	leastFactor     = 0.5
-	greatestFactor  = 8.0
+	ordinaryFactor = 1.5
+	leastFactor    = 0.5
+	greatestFactor = 8.0
 	// leastTokensLearned is the number of unread tokens below which an observation tells of the base alone.
 	leastTokensLearned = 4000
 )
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -72,7 +72,9 @@
 	FailureDomain  string
 	Region         string
 	Ready          bool
-	Heard          time.Time
+	// Lingering gateways are stopping, and still take what no other gateway of their region can.
+	Lingering bool
+	Heard     time.Time
 }
 
 // sameWord reports whether two records of one gateway tell other instances the same.
--- /dev/null
+++ b/fleet/nearest_test.go
@@ -0,0 +1,36 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestNearest names gateways while those of the caller's region are stopped in turn: while one of them still takes
+// requests, callers are not sent to another region.
+func TestNearest(t *testing.T) {
+	gateway := func(name, region string, ready, lingering bool) Gateway {
+		return Gateway{Name: name, Region: region, Ready: ready, Lingering: lingering}
+	}
+	cases := []struct {
+		name string
+		all  []Gateway
+		want []string
+	}{
+		{"ready in the region", []Gateway{gateway("a", "here", true, false), gateway("b", "here", false, true), gateway("c", "there", true, false)}, []string{"a"}},
+		{"only a lingering one in the region", []Gateway{gateway("a", "here", false, false), gateway("b", "here", false, true), gateway("c", "there", true, false)}, []string{"b"}},
+		{"none in the region", []Gateway{gateway("a", "here", false, false), gateway("c", "there", true, false), gateway("d", "there", false, true)}, []string{"c"}},
+		{"none", []Gateway{gateway("a", "here", false, false)}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var got []string
+			for _, g := range Nearest(c.all, "here", 9) {
+				got = append(got, g.Name)
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,7 +30,10 @@
 	trimPeriod     = time.Second
 	// lingerTime is how long a gateway that stops still takes callers that were told of it: the time of a directory's
 	// answer, three times over, and the way of the word that it leaves.
-	lingerTime = 4 * time.Second
+	lingerTime = 3500 * time.Millisecond
+	// namedTime is how long it may still be named to callers if its region has no other gateway; what they ask then is
+	// taken within lastStreams.
+	namedTime = 1800 * time.Millisecond
 	// lastStreams is how long it still takes streams, which may outlast the grace.
 	lastStreams = 2800 * time.Millisecond
 	// stopMargin is kept at the end of the grace for closing connections.
@@ -91,6 +94,12 @@
 // Ready reports whether callers should come here.
 func (g *Gateway) Ready() bool { return g.stopping.Load() == 0 && g.view.Load().table != nil }
 
+// lingering reports whether a stopping gateway may still be named to callers.
+func (g *Gateway) lingering(now time.Time) bool {
+	stopping := g.stoppingFor(now)
+	return stopping > 0 && stopping < namedTime && g.view.Load().table != nil
+}
+
 // Run serves until ctx ends, and then until what was taken has been answered or the grace is over.
 func (g *Gateway) Run(ctx context.Context) error {
 	defer close(g.done)
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -179,7 +179,7 @@
 	check := time.NewTicker(changeCheck)
 	defer check.Stop()
 	heard, currentAt, reported, searched := time.Now(), time.Now(), time.Time{}, time.Time{}
-	lastReady := false
+	lastReady, lastLingering := false, false
 	found := make(chan *candidate, 1)
 	searching := false
 	defer func() {
@@ -213,8 +213,8 @@
 			}
 			tells := g.tellsRoom()
 			due := now.Sub(reported) >= reportPeriod || tells && now.Sub(reported) >= roomReportPeriod
-			if ready := g.Ready(); due || ready != lastReady {
-				lastReady, reported = ready, now
+			if ready, lingering := g.Ready(), g.lingering(now); due || ready != lastReady || lingering != lastLingering {
+				lastReady, lastLingering, reported = ready, lingering, now
 				if err := c.stream.Send(g.report(now, tells)); err != nil {
 					return nil, err
 				}
@@ -229,7 +229,7 @@
 	v := g.view.Load()
 	m := wire.EncodeGateway(fleet.Gateway{
 		Name: g.cfg.Name, Born: g.born, CallerAddress: g.cfg.CallerAddress, LoadAddress: g.cfg.LoadAddress,
-		ForwardAddress: g.cfg.ForwardAddress, FailureDomain: g.cfg.FailureDomain, Region: g.cfg.Region, Ready: g.Ready(),
+		ForwardAddress: g.cfg.ForwardAddress, FailureDomain: g.cfg.FailureDomain, Region: g.cfg.Region, Ready: g.Ready(), Lingering: g.lingering(now),
 	})
 	m.RouteVersion = v.version()
 	if tells {
