Count the runs that another gateway used, and serve from restarted control daemons at once

A gateway now tells how many endpoints may have run what it was asked; one that does not answer counts for all that it was allowed. TestForwardedRuns fails without the change.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -16,12 +16,13 @@
 	g := j.g
 	now := time.Now()
 	j.tried[at.gateway.Name] = true
+	j.charge = max(j.maxRuns()-j.runs, 1)
 	h := copyHeader(j.r.Header)
 	g.cfg.Dialect.Forward(h, j.deadline.Sub(now)-forwardMargin)
 	if j.streaming() {
 		g.cfg.Dialect.Prepare(h, Order{Left: j.deadline.Sub(now) - forwardMargin, Urgency: -1, LastEvent: j.lastEvent()})
 	}
-	h.Set(attemptsHeader, strconv.Itoa(max(j.maxRuns()-j.runs, 1)))
+	h.Set(attemptsHeader, strconv.Itoa(j.charge))
 	h.Set(drawHeader, strconv.FormatFloat(j.draw, 'g', -1, 64))
 	h.Set(ageHeader, strconv.FormatInt((j.age+now.Sub(j.received)+g.cfg.Detour/2).Milliseconds(), 10))
 	ctx, cancel := context.WithCancelCause(j.ctx)
@@ -40,6 +41,9 @@
 	}
 	defer answer.Close()
 	g.placer.gatewayEnded(time.Now(), at, true)
+	if runs, err := strconv.Atoi(answer.Header.Get(runsHeader)); err == nil && !isEvents(answer.Header) {
+		j.charge = runs
+	}
 	if outcome := problem.Outcome(answer.Header.Get(outcomeHeader)); outcome != "" {
 		patience.Stop()
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRejectionBytes))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -151,12 +151,12 @@
 	return e
 }
 
-// doubt notes that an endpoint may have run the request, or has.
+// doubt notes that endpoints may have run the request, or have.
 func (j *job) doubt(o problem.Outcome) {
 	if o == problem.NotRun {
 		return
 	}
-	j.runs++
+	j.runs += max(j.charge, 1)
 	if j.outcome != problem.Ran {
 		j.outcome = o
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -40,6 +40,7 @@
 	g := j.g
 	now := time.Now()
 	j.tried[at.endpoint.ID] = true
+	j.charge = 1
 	f := g.placer.begin(now, j.service.Name, j.call.Work, at)
 	h := copyHeader(j.r.Header)
 	g.cfg.Dialect.Prepare(h, Order{Instance: at.endpoint.ID, Left: j.deadline.Sub(now), Urgency: j.urgency(at.verdict), LastEvent: j.lastEvent()})
@@ -142,8 +143,7 @@
 	}
 	if !success && answer.Status >= http.StatusInternalServerError {
 		j.held = whole
-		j.runs++
-		j.outcome = problem.Ran
+		j.doubt(problem.Ran)
 		if j.worthRepeating() {
 			j.log(string(problem.Ran)).Int("status", answer.Status).Msg("attemptFailed")
 			return ended, again
@@ -177,6 +177,7 @@
 	h := j.w.Header()
 	giveHeader(h, a.header)
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	j.tellRuns(h)
 	j.answered = a.status
 	j.g.cfg.Metrics.Count("answered")
 	if j.firstAt.IsZero() {
@@ -203,7 +204,7 @@
 	for _, name := range connectionHeaders() {
 		c.Del(name)
 	}
-	for _, name := range []string{outcomeHeader, attemptsHeader, drawHeader, ageHeader} {
+	for _, name := range []string{outcomeHeader, attemptsHeader, drawHeader, runsHeader, ageHeader} {
 		c.Del(name)
 	}
 	return c
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -21,6 +21,8 @@
 	attemptsHeader = "Arbutusreel-Attempts"
 	// drawHeader hands the draw among a route's services on, so that both gateways choose the same one.
 	drawHeader = "Arbutusreel-Draw"
+	// runsHeader tells the gateway that asked how many endpoints may have run a request.
+	runsHeader = "Arbutusreel-Runs"
 	// ageHeader tells another gateway for how many milliseconds the request has been in the system.
 	ageHeader = "Arbutusreel-Age"
 	// notReadyRetryAfter is when a caller comes back to a gateway that has no table yet.
@@ -50,6 +52,9 @@
 	tried    map[string]bool
 	// sends counts the endpoints that the request was sent to, and runs those that may have run it.
 	sends, runs int
+	// charge is the number of runs that the present attempt counts for if it fails: all that were left to it if another
+	// gateway has not told how many it used.
+	charge int
 	// allowed is the number of endpoints that another gateway left to this one; zero if it was not told.
 	allowed  int
 	attempts int
@@ -177,6 +182,13 @@
 	}
 }
 
+// tellRuns tells another gateway how many endpoints may have run the request.
+func (j *job) tellRuns(h http.Header) {
+	if j.forwarded {
+		h.Set(runsHeader, strconv.Itoa(j.runs))
+	}
+}
+
 // refuse answers with the gateway's own failure. A request that may have run never gets a status that says otherwise.
 func (j *job) refuse(p *problem.Problem) {
 	if j.streaming() {
@@ -185,6 +197,7 @@
 	}
 	h := j.w.Header()
 	h.Set(outcomeHeader, string(p.Outcome))
+	j.tellRuns(h)
 	if p.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(p.RetryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -270,3 +270,25 @@
 		t.Errorf("a request went in a loop: %+v", got)
 	}
 }
+
+// TestForwardedRuns lets every endpoint fail: the runs that another gateway used count for the gateway that asked it.
+func TestForwardedRuns(t *testing.T) {
+	fails := func(c *endpointConn, r *http.Request, _ int) bool {
+		c.plain(r.Header.Get("Id"), 500, "failed")
+		return true
+	}
+	homes := func(r *routes.Route) { r.Homes = []string{"there"} }
+	a, b, c := newEndpoint(t, "a", fails), newEndpoint(t, "b", fails), newEndpoint(t, "c", fails)
+	there := newGateway(t, testTable(t, homes), a, b, c)
+	there.cfg.Region, there.placer.cfg.Region = "there", "there"
+	here := newGateway(t, testTable(t, homes))
+	v := *here.view.Load()
+	for _, name := range []string{"gateway-b", "gateway-c"} {
+		v.gateways = append(v.gateways, fleet.Gateway{Name: name, Region: "there", ForwardAddress: newForwardServer(t, there), Ready: true})
+	}
+	here.view.Store(&v)
+	got := here.call(t.Context(), "POST", "/safe/x", nil)
+	if runs := len(a.requests()) + len(b.requests()) + len(c.requests()); runs != 2 || got.status != 500 || got.body != "failed" {
+		t.Errorf("%d runs of at most 2, %+v", runs, got)
+	}
+}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -21,6 +21,8 @@
 	sessionSilence = 1500 * time.Millisecond
 	// raceTime is how long sessions with all control daemons compete before one that is not current is taken.
 	raceTime = 500 * time.Millisecond
+	// settleTime is how long a race goes on for one that is current once another was found.
+	settleTime = 150 * time.Millisecond
 	// searchPeriod is how often a gateway looks for a control daemon that is current while its own is not.
 	searchPeriod = 2 * time.Second
 	// staleTime is how long a control daemon may be without a leader before another one is looked for.
@@ -104,6 +106,7 @@
 		if c == nil {
 			continue
 		}
+		time.AfterFunc(settleTime, cancel)
 		if best != nil && (best.first.GetCurrent() || !c.first.GetCurrent()) {
 			c.close()
 			continue
