--- a/exchange/send.go
+++ b/exchange/send.go
@@ -94,7 +94,7 @@
 		}
 		return nil, fail(Writing, outcome, err)
 	}
-	response, err := await(c, r, !kept)
+	response, err := await(c, r, !kept) //nolint:bodyclose // Answer.Close closes the connection, and with it the body.
 	if err != nil {
 		return nil, fail(Awaiting, problem.Unknown, err)
 	}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -241,47 +241,59 @@
 
 // cross returns a gateway of another region, if a request is served earlier there.
 func (p *placer) cross(now time.Time, v *view, q query, speed capacity.Speed, here place) (place, bool) {
-	var rooms []capacity.Room
-	blind := map[string][]fleet.Gateway{}
-	for _, g := range v.gateways {
-		if g.Region == p.cfg.Region || !g.Ready || !q.route.Allows(g.Region) || q.tried[g.Name] || q.tried[g.Region] || !p.gateways.Allows(now, g.Name) {
-			continue
-		}
-		blind[g.Region] = append(blind[g.Region], g)
-	}
-	for region := range blind {
-		told, ok := v.rooms[region]
-		if !ok {
-			continue
-		}
-		room, ok := told.services[q.service.Name]
-		if !ok {
-			continue
-		}
-		room.Age = now.Sub(told.heard)
-		room.Sent = p.sentTo(now, region)
-		rooms = append(rooms, room)
-	}
-	region, expected, ok := capacity.Cross(rooms, q.work, speed, p.cfg.Detour, here.expected)
+	open := p.openGateways(now, v, q)
+	region, expected, ok := capacity.Cross(p.roomsOf(now, v, q, open), q.work, speed, p.cfg.Detour, here.expected)
 	if !ok && here.expected == noLocalEndpoint {
-		region, ok = p.blindRegion(v, q, blind)
+		region, ok = p.blindRegion(v, q, open)
 		expected = speed.Base + p.cfg.Detour
 	}
-	if !ok {
-		return place{}, false
-	}
 	verdict := capacity.Admit(expected, q.asked)
-	if verdict == capacity.Refuse || verdict == capacity.TakeLate && here.verdict == capacity.TakeLate {
-		return place{}, false
-	}
-	if here.verdict == capacity.Take && (verdict != capacity.Take || expected+crossAdvantage > here.expected) {
+	if !ok || !worthCrossing(here, expected, verdict) {
 		return place{}, false
 	}
-	g := blind[region][p.rng.IntN(len(blind[region]))]
+	g := open[region][p.rng.IntN(len(open[region]))]
 	p.sent[region] = append(p.sent[region], sentTokens{at: now, tokens: q.work.PromptTokens + 1})
 	return place{verdict: verdict, gateway: g, region: region, expected: expected, probe: p.gateways.Begin(now, g.Name)}, true
 }
 
+// worthCrossing reports whether a request goes to another region, where its first piece is expected after a time.
+func worthCrossing(here place, there time.Duration, verdict capacity.Verdict) bool {
+	switch here.verdict {
+	case capacity.Take:
+		return verdict == capacity.Take && there+crossAdvantage <= here.expected
+	case capacity.TakeLate:
+		return verdict == capacity.Take
+	default:
+		return verdict != capacity.Refuse
+	}
+}
+
+// openGateways returns the gateways of other regions that may be asked, by region.
+func (p *placer) openGateways(now time.Time, v *view, q query) map[string][]fleet.Gateway {
+	open := map[string][]fleet.Gateway{}
+	for _, g := range v.gateways {
+		if g.Region == p.cfg.Region || !g.Ready || !q.route.Allows(g.Region) || q.tried[g.Name] || q.tried[g.Region] || !p.gateways.Allows(now, g.Name) {
+			continue
+		}
+		open[g.Region] = append(open[g.Region], g)
+	}
+	return open
+}
+
+// roomsOf returns what regions told of the room for a service.
+func (p *placer) roomsOf(now time.Time, v *view, q query, open map[string][]fleet.Gateway) []capacity.Room {
+	var rooms []capacity.Room
+	for region := range open {
+		told := v.rooms[region]
+		if room, ok := told.services[q.service.Name]; ok {
+			room.Age = now.Sub(told.heard)
+			room.Sent = p.sentTo(now, region)
+			rooms = append(rooms, room)
+		}
+	}
+	return rooms
+}
+
 // blindRegion returns a region that has told nothing of its room, or false if all of them told that they are full.
 func (p *placer) blindRegion(v *view, q query, regions map[string][]fleet.Gateway) (string, bool) {
 	var silent []string
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -57,13 +57,7 @@
 			return
 		}
 		j.attempts++
-		step := again
-		if at.region != "" {
-			step = j.forward(at)
-		} else {
-			step = j.send(at)
-		}
-		if step == answered {
+		if at.region != "" && j.forward(at) == answered || at.region == "" && j.send(at) == answered {
 			return
 		}
 	}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -160,67 +160,30 @@
 	// What an earlier control daemon told of gateways that have gone since would never be taken back.
 	clear(g.beliefs.gateways)
 	g.take(c.address, c.first)
-	updates := make(chan *wiregen.FleetUpdate, 16)
-	failed := make(chan error, 1)
-	go func() {
-		for {
-			u, err := c.stream.Recv()
-			if err != nil {
-				failed <- err
-				return
-			}
-			updates <- u
-		}
-	}()
-	defer func() {
-		go func() {
-			for range updates {
-				continue
-			}
-		}()
-	}()
+	now := time.Now()
+	s := &session{
+		gateway: g, candidate: c, updates: make(chan *wiregen.FleetUpdate, queuedUpdates), failed: make(chan error, 1),
+		found: make(chan *candidate, 1), heard: now, currentAt: now,
+	}
+	go s.receive()
+	defer s.leave()
 	check := time.NewTicker(changeCheck)
 	defer check.Stop()
-	heard, currentAt, reported, searched := time.Now(), time.Now(), time.Time{}, time.Time{}
-	lastReady, lastLingering := false, false
-	found := make(chan *candidate, 1)
-	searching := false
-	defer func() {
-		if searching {
-			go func() { (<-found).close() }()
-		}
-	}()
 	for {
 		select {
-		case u := <-updates:
-			g.take(c.address, u)
-			heard = time.Now()
-			if u.GetCurrent() {
-				currentAt = heard
-			}
-		case err := <-failed:
+		case u := <-s.updates:
+			s.take(u)
+		case err := <-s.failed:
 			return nil, err
-		case other := <-found:
-			searching = false
-			if other != nil && other.first.GetCurrent() && time.Since(currentAt) > staleTime {
-				return other, &StaleControlError{Address: c.address, Behind: time.Since(currentAt)}
+		case other := <-s.found:
+			s.searching = false
+			if other != nil && other.first.GetCurrent() && time.Since(s.currentAt) > staleTime {
+				return other, &StaleControlError{Address: c.address, Behind: time.Since(s.currentAt)}
 			}
 			other.close()
 		case now := <-check.C:
-			if now.Sub(heard) > sessionSilence {
-				return nil, &SilentControlError{Address: c.address, Silence: now.Sub(heard)}
-			}
-			if now.Sub(currentAt) > staleTime && now.Sub(searched) > searchPeriod && !searching {
-				searched, searching = now, true
-				go func() { found <- g.race(ctx) }()
-			}
-			tells := g.tellsRoom()
-			due := now.Sub(reported) >= reportPeriod || tells && now.Sub(reported) >= roomReportPeriod
-			if ready, lingering := g.Ready(), g.lingering(now); due || ready != lastReady || lingering != lastLingering {
-				lastReady, lastLingering, reported = ready, lingering, now
-				if err := c.stream.Send(g.report(now, tells)); err != nil {
-					return nil, err
-				}
+			if err := s.check(ctx, now); err != nil {
+				return nil, err
 			}
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -228,6 +191,82 @@
 	}
 }
 
+// queuedUpdates is the number of updates that wait to be taken.
+const queuedUpdates = 16
+
+// session is what a gateway knows of its session with a control daemon.
+type session struct {
+	gateway   *Gateway
+	candidate *candidate
+	updates   chan *wiregen.FleetUpdate
+	failed    chan error
+	// found brings the result of a search for a control daemon that is current.
+	found     chan *candidate
+	searching bool
+	searched  time.Time
+	heard     time.Time
+	currentAt time.Time
+	reported  time.Time
+	// ready and lingering are what was reported last.
+	ready, lingering bool
+}
+
+// receive hands updates over until the stream ends.
+func (s *session) receive() {
+	for {
+		u, err := s.candidate.stream.Recv()
+		if err != nil {
+			s.failed <- err
+			close(s.updates)
+			return
+		}
+		s.updates <- u
+	}
+}
+
+// leave frees what still runs for the session; closing the candidate ends its stream.
+func (s *session) leave() {
+	go func() {
+		for range s.updates {
+			continue
+		}
+	}()
+	if s.searching {
+		go func() { (<-s.found).close() }()
+	}
+}
+
+func (s *session) take(u *wiregen.FleetUpdate) {
+	if u == nil {
+		return
+	}
+	s.gateway.take(s.candidate.address, u)
+	s.heard = time.Now()
+	if u.GetCurrent() {
+		s.currentAt = s.heard
+	}
+}
+
+// check returns an error if the control daemon is silent; it begins a search if it is behind, and reports if that is due.
+func (s *session) check(ctx context.Context, now time.Time) error {
+	g := s.gateway
+	if now.Sub(s.heard) > sessionSilence {
+		return &SilentControlError{Address: s.candidate.address, Silence: now.Sub(s.heard)}
+	}
+	if now.Sub(s.currentAt) > staleTime && now.Sub(s.searched) > searchPeriod && !s.searching {
+		s.searched, s.searching = now, true
+		go func() { s.found <- g.race(ctx) }()
+	}
+	tells := g.tellsRoom()
+	ready, lingering := g.Ready(), g.lingering(now)
+	due := now.Sub(s.reported) >= reportPeriod || tells && now.Sub(s.reported) >= roomReportPeriod
+	if !due && ready == s.ready && lingering == s.lingering {
+		return nil
+	}
+	s.ready, s.lingering, s.reported = ready, lingering, now
+	return s.candidate.stream.Send(g.report(now, tells))
+}
+
 func (g *Gateway) report(now time.Time, tells bool) *wiregen.GatewayReport {
 	v := g.view.Load()
 	m := wire.EncodeGateway(fleet.Gateway{
@@ -258,27 +297,8 @@
 func (g *Gateway) take(control string, u *wiregen.FleetUpdate) {
 	now := time.Now()
 	b := g.beliefs
-	for _, m := range u.GetEndpoints() {
-		e := wire.DecodeFleetEndpoint(now, m)
-		if b.takeEndpoint(e) {
-			g.log.Info().Str("endpoint", e.ID).Str("service", e.Service).Str("state", e.State.String()).Str("address", e.Address).
-				Dur("silent", now.Sub(e.Heard)).Bool("cold", e.Cold(now)).Str("control", control).Msg("endpointBelieved")
-		}
-		if e.State == fleet.Gone {
-			g.pool.Drop(e.Address)
-		}
-	}
-	for _, m := range u.GetGateways() {
-		gw := wire.DecodeGateway(now.Add(-time.Duration(m.GetSilentMillis())*time.Millisecond), m.GetReport())
-		if m.GetGone() {
-			if known := b.gateways[gw.Name]; known.Born <= gw.Born {
-				delete(b.gateways, gw.Name)
-				g.log.Info().Str("gateway", gw.Name).Str("control", control).Msg("gatewayGone")
-			}
-			continue
-		}
-		b.gateways[gw.Name] = gw
-	}
+	g.takeEndpoints(now, control, u.GetEndpoints())
+	g.takeGateways(now, control, u.GetGateways())
 	if u.GetEvacuationsTold() && (u.GetCurrent() || len(b.evacuated) == 0) {
 		if !slices.Equal(b.evacuated, u.GetEvacuated()) {
 			g.log.Info().Strs("evacuated", u.GetEvacuated()).Str("control", control).Msg("evacuationsChanged")
@@ -305,6 +325,34 @@
 	}
 }
 
+func (g *Gateway) takeEndpoints(now time.Time, control string, records []*wiregen.EndpointRecord) {
+	for _, m := range records {
+		e := wire.DecodeFleetEndpoint(now, m)
+		if g.beliefs.takeEndpoint(e) {
+			g.log.Info().Str("endpoint", e.ID).Str("service", e.Service).Str("state", e.State.String()).Str("address", e.Address).
+				Dur("silent", now.Sub(e.Heard)).Bool("cold", e.Cold(now)).Str("control", control).Msg("endpointBelieved")
+		}
+		if e.State == fleet.Gone {
+			g.pool.Drop(e.Address)
+		}
+	}
+}
+
+func (g *Gateway) takeGateways(now time.Time, control string, records []*wiregen.GatewayRecord) {
+	known := g.beliefs.gateways
+	for _, m := range records {
+		told := wire.DecodeGateway(now.Add(-time.Duration(m.GetSilentMillis())*time.Millisecond), m.GetReport())
+		if !m.GetGone() {
+			known[told.Name] = told
+			continue
+		}
+		if known[told.Name].Born <= told.Born {
+			delete(known, told.Name)
+			g.log.Info().Str("gateway", told.Name).Str("control", control).Msg("gatewayGone")
+		}
+	}
+}
+
 // takeDocument takes the document of an update. A gateway that has none yet waits for a while for a control daemon that
 // is current, since another may be behind.
 func (g *Gateway) takeDocument(now time.Time, u *wiregen.FleetUpdate) {
