Count engines' busy time in the choice of endpoint and region

Cause: a region whose engines read prompts without a pause (120 ms an event) kept its streams although others stood idle (35 ms), as first pieces were still on time there; streams above 75 events then ran into their deadlines.

--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -7,6 +7,11 @@
 )
 
 const (
+	// chunkTime is how much longer an output token takes while an engine reads a chunk of a prompt in each step: chunks of
+	// 1,024 tokens at about 100 a millisecond.
+	chunkTime = 10 * time.Millisecond
+	// decodeWeight is the worth of a sooner end of a stream, as a part of that of a sooner beginning.
+	decodeWeight = 0.1
 	// failureCost is the expected cost of a failure, as a multiple of the objective.
 	failureCost = 2.0
 	// memoryShare is the part of an endpoint's token memory that is filled before it counts as full; beyond it running
@@ -29,15 +34,16 @@
 	Memory int64
 	// KeptParts is the number of the request's first shared parts that it was seen to read lately.
 	KeptParts int
-	// Detour is the added time of reaching it.
-	Detour time.Duration
+	// Busy is the share of its time for which it reads prompts.
+	Busy float64
 }
 
 // Choice is the endpoint that takes a request.
 type Choice struct {
 	Index int
-	// Expected is the time to the first piece.
+	// Expected is the time to the first piece, and Cost the same with all else that counts against the endpoint.
 	Expected time.Duration
+	Cost     time.Duration
 	// Unread is the number of prompt tokens that the endpoint has to read.
 	Unread int64
 	// Favourite says that the request's subject is hashed to the endpoint.
@@ -59,7 +65,12 @@
 		full = true
 		d += s.Whole / 2
 	}
-	return time.Duration(float64(d)*c.Health.Slowdown()) + c.Detour, unread, full
+	return time.Duration(float64(d) * c.Health.Slowdown()), unread, full
+}
+
+// DecodeCost returns what the later end of a stream costs at engines that read prompts for a share of their time.
+func DecodeCost(w Work, busy float64) time.Duration {
+	return time.Duration(decodeWeight * busy * float64(w.OutputTokens) * float64(chunkTime))
 }
 
 // Choose returns the candidate with the least expected cost, or false if there is none. Requests of one subject go to
@@ -77,7 +88,7 @@
 		}
 		expected, unread, full := Expected(c, w, s)
 		again := unread - w.Unread(len(w.Shared()))
-		cost := expected + time.Duration(sharedCost*float64(s.Token)*float64(again)) + time.Duration(c.Health.Failures*failureCost*float64(objective))
+		cost := expected + DecodeCost(w, c.Busy) + time.Duration(sharedCost*float64(s.Token)*float64(again)) + time.Duration(c.Health.Failures*failureCost*float64(objective))
 		switch {
 		case best.Index < 0 || cost < bestCost-equalTime:
 			equals = 1
@@ -93,7 +104,7 @@
 		default:
 			continue
 		}
-		best = Choice{Index: i, Expected: expected, Unread: unread, Favourite: i == favourite, Full: full}
+		best = Choice{Index: i, Expected: expected, Cost: cost, Unread: unread, Favourite: i == favourite, Full: full}
 		bestCost = cost
 	}
 	return best, best.Index >= 0
--- a/capacity/regions.go
+++ b/capacity/regions.go
@@ -10,6 +10,8 @@
 	// PromptTokens can be taken before the wait reaches the objective.
 	PromptTokens int64
 	Endpoints    int
+	// Busy is the share of their time for which the endpoints read prompts.
+	Busy float64
 	// Age is the time since it was told, and Sent the prompt tokens that were sent there since.
 	Age  time.Duration
 	Sent int64
@@ -18,17 +20,26 @@
 // maxRoomAge is the age after which what a region told is no longer believed.
 const maxRoomAge = 3 * time.Second
 
-// Cross returns the region to which a request goes instead of waiting here, or false. Crossing takes detour in both
-// directions together; a region is worth it only if the first piece is expected earlier than here.
-func Cross(rooms []Room, w Work, s Speed, detour, here time.Duration) (region string, expected time.Duration, ok bool) {
+// Crossing is the region to which a request may go.
+type Crossing struct {
+	Region string
+	// Expected is the time to the first piece, and Cost the same with the cost of a later end.
+	Expected time.Duration
+	Cost     time.Duration
+}
+
+// Cross returns the region that serves a request at the least cost, if that is less than here. Crossing takes detour in
+// both directions together. What was sent there since it told its room is added to its load.
+func Cross(rooms []Room, w Work, s Speed, detour, here time.Duration) (best Crossing, ok bool) {
 	for _, r := range rooms {
 		if r.Age > maxRoomAge || r.Endpoints == 0 || r.Sent+w.PromptTokens > r.PromptTokens {
 			continue
 		}
-		there := r.Wait + detour + s.Token*time.Duration(w.PromptTokens+r.Sent/int64(r.Endpoints))
-		if there < here && (!ok || there < expected) {
-			region, expected, ok = r.Region, there, true
+		expected := r.Wait + detour + s.Token*time.Duration(w.PromptTokens+r.Sent/int64(r.Endpoints))
+		cost := expected + DecodeCost(w, min(r.Busy+s.Busy(float64(r.Sent)/float64(r.Endpoints)), 1))
+		if cost < here && (!ok || cost < best.Cost) {
+			best, ok = Crossing{Region: r.Region, Expected: expected, Cost: cost}, true
 		}
 	}
-	return region, expected, ok
+	return best, ok
 }
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -42,8 +42,8 @@
 				streams[name] = g.openLoads(ctx, peer.LoadAddress)
 			}
 		}
-		changes := g.placer.outstandingChanges(false)
 		now := time.Now()
+		changes := g.placer.outstandingChanges(now, false)
 		if len(changes) == 0 && now.Sub(all) < loadSignOfLife {
 			continue
 		}
@@ -112,7 +112,7 @@
 		defer stuck.Stop()
 		return stream.Send(m)
 	}
-	if err := send(&wiregen.OutstandingReport{Gateway: g.cfg.Name, Born: g.born, Outstanding: g.placer.outstandingChanges(true)}); err != nil {
+	if err := send(&wiregen.OutstandingReport{Gateway: g.cfg.Name, Born: g.born, Outstanding: g.placer.outstandingChanges(time.Now(), true)}); err != nil {
 		return err
 	}
 	for {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -38,6 +38,7 @@
 type endpointState struct {
 	born   int64
 	own    capacity.Outstanding
+	recent capacity.Recent
 	health capacity.Health
 	parts  map[string]time.Time
 	cold   *capacity.Window
@@ -51,6 +52,8 @@
 	born  int64
 	heard time.Time
 	loads map[string]capacity.Outstanding
+	// recent is what it sent lately.
+	recent map[string]capacity.Recent
 }
 
 // placer decides where requests go; it does no I/O and is safe for concurrent use.
@@ -104,8 +107,10 @@
 	gateway  fleet.Gateway
 	region   string
 	expected time.Duration
-	unread   int64
-	load     capacity.Outstanding
+	// cost is the expected time with all else that counts against the place.
+	cost   time.Duration
+	unread int64
+	load   capacity.Outstanding
 	// backlog is the endpoint's outstanding work before the request.
 	backlog    capacity.Outstanding
 	candidates int
@@ -129,13 +134,13 @@
 	speed := p.speed(q.service.Name)
 	local, endpoints := p.local(now, v, q)
 	choice, ok := capacity.Choose(local, q.work, speed, q.route.Objective, p.rng.Float64())
-	here := place{verdict: capacity.Refuse, expected: noLocalEndpoint, reason: reasonNoEndpoint, candidates: len(local)}
+	here := place{verdict: capacity.Refuse, expected: noLocalEndpoint, cost: noLocalEndpoint, reason: reasonNoEndpoint, candidates: len(local)}
 	if !q.route.Allows(p.cfg.Region) {
 		here.reason = reasonNotHome
 	}
 	if ok {
 		here.endpoint = endpoints[choice.Index]
-		here.expected, here.unread, here.favourite = choice.Expected, choice.Unread, choice.Favourite
+		here.expected, here.cost, here.unread, here.favourite = choice.Expected, choice.Cost, choice.Unread, choice.Favourite
 		here.backlog = local[choice.Index].Outstanding
 		here.load = q.work.Load(choice.Unread)
 		here.verdict = capacity.Admit(choice.Expected, q.asked)
@@ -144,7 +149,7 @@
 			here.verdict = capacity.Take
 		}
 	}
-	if !q.forwarded && (here.verdict != capacity.Take || here.expected > p.cfg.Detour+crossAdvantage) {
+	if !q.forwarded && (here.verdict != capacity.Take || here.cost > p.cfg.Detour+crossAdvantage) {
 		if there, ok := p.cross(now, v, q, speed, here); ok {
 			return there
 		}
@@ -171,7 +176,9 @@
 		if p.isCold(e, s, now) && s.cold.Count(now) >= p.coldLimit(q.service, e, rank, n) {
 			continue
 		}
-		c := capacity.Candidate{ID: e.ID, Outstanding: p.total(now, e.ID, s), Health: s.health, Slots: e.Slots}
+		c := capacity.Candidate{
+			ID: e.ID, Outstanding: p.total(now, e.ID, s), Health: s.health, Slots: e.Slots, Busy: p.busy(now, q.service.Name, e.ID, s),
+		}
 		if q.service.Engine != nil {
 			c.Memory = q.service.Engine.CacheTokens
 			c.KeptParts = s.kept(now, q.work)
@@ -221,6 +228,15 @@
 	return total
 }
 
+// busy returns the share of its time for which an endpoint reads prompts, by what all gateways sent lately.
+func (p *placer) busy(now time.Time, service, id string, s *endpointState) float64 {
+	tokens := s.recent.Tokens(now)
+	for _, peer := range p.peers {
+		tokens += peer.recent[id].Tokens(now)
+	}
+	return p.speed(service).Busy(tokens)
+}
+
 // kept returns the number of a prompt's first shared parts that the endpoint is believed to keep.
 func (s *endpointState) kept(now time.Time, w capacity.Work) int {
 	for i, part := range w.Shared() {
@@ -242,25 +258,27 @@
 // cross returns a gateway of another region, if a request is served earlier there.
 func (p *placer) cross(now time.Time, v *view, q query, speed capacity.Speed, here place) (place, bool) {
 	open := p.openGateways(now, v, q)
-	region, expected, ok := capacity.Cross(p.roomsOf(now, v, q, open), q.work, speed, p.cfg.Detour, here.expected)
+	there, ok := capacity.Cross(p.roomsOf(now, v, q, open), q.work, speed, p.cfg.Detour, here.cost)
 	if !ok && here.expected == noLocalEndpoint {
-		region, ok = p.blindRegion(v, q, open)
-		expected = speed.Base + p.cfg.Detour
+		there.Region, ok = p.blindRegion(v, q, open)
+		there.Expected = speed.Base + p.cfg.Detour
 	}
-	verdict := capacity.Admit(expected, q.asked)
-	if !ok || !worthCrossing(here, expected, verdict) {
+	verdict := capacity.Admit(there.Expected, q.asked)
+	if !ok || !worthCrossing(here, there.Cost, verdict) {
 		return place{}, false
 	}
-	g := open[region][p.rng.IntN(len(open[region]))]
-	p.sent[region] = append(p.sent[region], sentTokens{at: now, tokens: q.work.PromptTokens + 1})
-	return place{verdict: verdict, gateway: g, region: region, expected: expected, probe: p.gateways.Begin(now, g.Name)}, true
+	g := open[there.Region][p.rng.IntN(len(open[there.Region]))]
+	p.sent[there.Region] = append(p.sent[there.Region], sentTokens{at: now, tokens: q.work.PromptTokens + 1})
+	return place{
+		verdict: verdict, gateway: g, region: there.Region, expected: there.Expected, cost: there.Cost, probe: p.gateways.Begin(now, g.Name),
+	}, true
 }
 
-// worthCrossing reports whether a request goes to another region, where its first piece is expected after a time.
-func worthCrossing(here place, there time.Duration, verdict capacity.Verdict) bool {
+// worthCrossing reports whether a request goes to another region, at a cost and with a verdict there.
+func worthCrossing(here place, cost time.Duration, verdict capacity.Verdict) bool {
 	switch here.verdict {
 	case capacity.Take:
-		return verdict == capacity.Take && there+crossAdvantage <= here.expected
+		return verdict == capacity.Take && cost+crossAdvantage <= here.cost
 	case capacity.TakeLate:
 		return verdict == capacity.Take
 	default:
@@ -339,6 +357,8 @@
 	return all
 }
 
+const permille = 1000
+
 // roomObjective is the expected time up to which an endpoint counts as having room; the crossing takes some of the
 // objective of the routes, which begin at a few hundred milliseconds.
 const roomObjective = 400 * time.Millisecond
@@ -346,6 +366,7 @@
 func (p *placer) serviceRoom(now time.Time, service *routes.Service, endpoints []fleet.Endpoint) *wiregen.ServiceRoom {
 	speed := p.speed(service.Name)
 	m := &wiregen.ServiceRoom{Service: service.Name, WaitMillis: noLocalEndpoint.Milliseconds()}
+	busy := 0.0
 	for _, e := range endpoints {
 		s := p.state(e)
 		if p.breakers.State(now, e.ID) != retry.Closed || p.isCold(e, s, now) || !e.GoneAt.IsZero() {
@@ -357,6 +378,7 @@
 		}
 		wait, _, full := capacity.Expected(c, capacity.Work{}, speed)
 		m.Endpoints++
+		busy += p.busy(now, service.Name, e.ID, s)
 		m.WaitMillis = min(m.WaitMillis, wait.Milliseconds())
 		if !full && wait < roomObjective {
 			tokens := int64(roomObjective-wait) / int64(max(speed.Token, 1))
@@ -366,6 +388,7 @@
 			m.PromptTokens += max(tokens, 0)
 		}
 	}
+	m.BusyPermille = int32(permille * busy / float64(max(m.Endpoints, 1)))
 	return m
 }
 
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -31,6 +31,7 @@
 	s := p.state(at.endpoint)
 	s.own = s.own.Plus(at.load)
 	s.cold.Add(now)
+	s.recent = s.recent.With(now, at.unread)
 	if at.unread < w.PromptTokens || len(w.Parts) > 0 {
 		s.remember(now, w)
 	}
@@ -177,7 +178,7 @@
 }
 
 // outstandingChanges returns the loads that changed since the last call, or all of them.
-func (p *placer) outstandingChanges(all bool) []*wiregen.EndpointOutstanding {
+func (p *placer) outstandingChanges(now time.Time, all bool) []*wiregen.EndpointOutstanding {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var changes []*wiregen.EndpointOutstanding
@@ -187,7 +188,7 @@
 		}
 		changes = append(changes, &wiregen.EndpointOutstanding{
 			Endpoint: id, Requests: int32(s.own.Requests), Unstarted: int32(s.own.Unstarted),
-			PromptTokens: s.own.PromptTokens, HeldTokens: s.own.HeldTokens,
+			PromptTokens: s.own.PromptTokens, HeldTokens: s.own.HeldTokens, RecentTokens: s.recent.Tokens(now),
 		})
 	}
 	if !all {
@@ -202,11 +203,12 @@
 	defer p.mu.Unlock()
 	peer := p.peers[m.GetGateway()]
 	if peer == nil || whole || peer.born != m.GetBorn() {
-		peer = &peerLoad{born: m.GetBorn(), loads: map[string]capacity.Outstanding{}}
+		peer = &peerLoad{born: m.GetBorn(), loads: map[string]capacity.Outstanding{}, recent: map[string]capacity.Recent{}}
 		p.peers[m.GetGateway()] = peer
 	}
 	peer.heard = now
 	for _, o := range m.GetOutstanding() {
+		peer.recent[o.GetEndpoint()] = capacity.NewRecent(now, o.GetRecentTokens())
 		peer.loads[o.GetEndpoint()] = capacity.Outstanding{
 			Requests: int(o.GetRequests()), Unstarted: int(o.GetUnstarted()), PromptTokens: o.GetPromptTokens(), HeldTokens: o.GetHeldTokens(),
 		}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -379,6 +379,7 @@
 		room.services[s.GetService()] = capacity.Room{
 			Region: m.GetRegion(), Wait: time.Duration(s.GetWaitMillis()) * time.Millisecond,
 			PromptTokens: s.GetPromptTokens(), Endpoints: int(s.GetEndpoints()),
+			Busy: float64(s.GetBusyPermille()) / permille,
 		}
 	}
 	return room
