Let the cost of telling loads grow with the number of gateways, not with its square

The period is now 7 ms for each gateway of the region; what the others told is summed once for each endpoint, and views are made anew only for news.

--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// loadPeriod is how often changed loads are told to the other gateways of the region.
-	loadPeriod = 25 * time.Millisecond
+	// loadPeriod is how often changed loads are told to the other gateways of the region at least, and loadPeriodEach the
+	// time for each of them: what all of them send then grows with their number, not with its square.
+	loadPeriod     = 25 * time.Millisecond
+	loadPeriodEach = 7 * time.Millisecond
 	// loadSignOfLife is how often a gateway without changes says that it is alive.
 	loadSignOfLife = 500 * time.Millisecond
 	// loadStuck is how long one report may take before the stream is given up.
@@ -26,7 +28,7 @@
 func (g *Gateway) tellLoads(ctx context.Context) {
 	streams := map[string]*loadStream{}
 	all := time.Time{}
-	for clock.Sleep(ctx, loadPeriod) {
+	for clock.Sleep(ctx, max(loadPeriod, time.Duration(len(streams))*loadPeriodEach)) {
 		peers := map[string]fleet.Gateway{}
 		for _, peer := range g.view.Load().peers(g.cfg.Region, g.cfg.Name) {
 			peers[peer.Name] = peer
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -71,6 +71,16 @@
 	sent      map[string][]sentTokens
 	changed   map[string]bool
 	mostPeers int
+	// sums caches what the other gateways have at an endpoint until one of them tells something new.
+	sums map[string]peerSum
+	// swept is when peers that fell silent were looked for last.
+	swept time.Time
+}
+
+// peerSum is what the other gateways of the region have outstanding at an endpoint, and sent there lately.
+type peerSum struct {
+	outstanding capacity.Outstanding
+	recent      capacity.Recent
 }
 
 type sentTokens struct {
@@ -82,7 +92,7 @@
 	return &placer{
 		cfg: cfg, rng: rand.New(source), states: map[string]*endpointState{}, peers: map[string]*peerLoad{},
 		speeds: map[string]capacity.Speed{}, breakers: retry.NewBreakers[string](source), gateways: retry.NewBreakers[string](source),
-		budgets: map[string]*retry.Allowance{}, sent: map[string][]sentTokens{}, changed: map[string]bool{},
+		sums: map[string]peerSum{}, budgets: map[string]*retry.Allowance{}, sent: map[string][]sentTokens{}, changed: map[string]bool{},
 	}
 }
 
@@ -219,22 +229,43 @@
 
 // total returns what all gateways of the region have outstanding at an endpoint.
 func (p *placer) total(now time.Time, id string, s *endpointState) capacity.Outstanding {
-	total := s.own
+	return s.own.Plus(p.peerSum(now, id).outstanding)
+}
+
+// peerSum returns what the other gateways have at an endpoint.
+func (p *placer) peerSum(now time.Time, id string) peerSum {
+	p.sweep(now)
+	sum, ok := p.sums[id]
+	if ok {
+		return sum
+	}
+	tokens := 0.0
 	for _, peer := range p.peers {
-		if now.Sub(peer.heard) < peerLoadAge {
-			total = total.Plus(peer.loads[id])
+		sum.outstanding = sum.outstanding.Plus(peer.loads[id])
+		tokens += peer.recent[id].Tokens(now)
+	}
+	sum.recent = capacity.NewRecent(now, tokens)
+	p.sums[id] = sum
+	return sum
+}
+
+// sweep forgets gateways that have been silent for too long.
+func (p *placer) sweep(now time.Time) {
+	if now.Sub(p.swept) < peerLoadAge/4 {
+		return
+	}
+	p.swept = now
+	for name, peer := range p.peers {
+		if now.Sub(peer.heard) > peerLoadAge {
+			delete(p.peers, name)
+			clear(p.sums)
 		}
 	}
-	return total
 }
 
 // busy returns the share of its time for which an endpoint reads prompts, by what all gateways sent lately.
 func (p *placer) busy(now time.Time, service, id string, s *endpointState) float64 {
-	tokens := s.recent.Tokens(now)
-	for _, peer := range p.peers {
-		tokens += peer.recent[id].Tokens(now)
-	}
-	return p.speed(service).Busy(tokens)
+	return p.speed(service).Busy(s.recent.Tokens(now) + p.peerSum(now, id).recent.Tokens(now))
 }
 
 // kept returns the number of a prompt's first shared parts that the endpoint is believed to keep.
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -205,9 +205,11 @@
 	if peer == nil || whole || peer.born != m.GetBorn() {
 		peer = &peerLoad{born: m.GetBorn(), loads: map[string]capacity.Outstanding{}, recent: map[string]capacity.Recent{}}
 		p.peers[m.GetGateway()] = peer
+		clear(p.sums)
 	}
 	peer.heard = now
 	for _, o := range m.GetOutstanding() {
+		delete(p.sums, o.GetEndpoint())
 		peer.recent[o.GetEndpoint()] = capacity.NewRecent(now, o.GetRecentTokens())
 		peer.loads[o.GetEndpoint()] = capacity.Outstanding{
 			Requests: int(o.GetRequests()), Unstarted: int(o.GetUnstarted()), PromptTokens: o.GetPromptTokens(), HeldTokens: o.GetHeldTokens(),
@@ -220,4 +222,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.peers, name)
+	clear(p.sums)
 }
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -315,7 +315,8 @@
 	}
 	g.takeDocument(now, u)
 	before := g.view.Load()
-	v := b.view(now, &view{heard: now, current: u.GetCurrent(), control: control})
+	v := b.refresh(now, u, before)
+	v.heard, v.current, v.control = now, u.GetCurrent(), control
 	if len(u.GetRooms()) > 0 {
 		g.placer.roomsTold(now, u.GetRooms())
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -8,6 +9,7 @@
 	"arbutusreel/configuration"
 	"arbutusreel/fleet"
 	"arbutusreel/routes"
+	"arbutusreel/wiregen"
 )
 
 // view is what a gateway believes of the fleet; it is immutable.
@@ -15,8 +17,6 @@
 	table *routes.Table
 	// endpoints are those of this region by service, without those that are gone or whose domain is evacuated.
 	endpoints map[string][]fleet.Endpoint
-	// draining holds the ids of endpoints that get nothing new.
-	draining  map[string]bool
 	evacuated []string
 	gateways  []fleet.Gateway
 	rooms     map[string]regionRoom
@@ -68,6 +68,8 @@
 	rooms     map[string]regionRoom
 	document  configuration.Document
 	table     *routes.Table
+	// viewed is when a whole view was made last.
+	viewed time.Time
 }
 
 func newBeliefs(cfg Config) *beliefs {
@@ -114,11 +116,26 @@
 // forgetAfter is the silence after which an endpoint that the control daemons no longer name is forgotten.
 const forgetAfter = 2 * time.Minute
 
+// refreshPeriod is how often a whole view is made although nothing was told that asks for it: cold times end.
+const refreshPeriod = 500 * time.Millisecond
+
+// refresh returns the view after an update. One that tells of rooms alone, as most do, needs no other table made anew.
+func (b *beliefs) refresh(now time.Time, u *wiregen.FleetUpdate, before *view) *view {
+	news := len(u.GetEndpoints()) > 0 || len(u.GetGateways()) > 0 || u.GetEvacuationsTold() || before.table != b.table
+	if news || now.Sub(b.viewed) > refreshPeriod {
+		b.viewed = now
+		return b.view(now)
+	}
+	v := *before
+	v.rooms = maps.Clone(b.rooms)
+	return &v
+}
+
 // view returns what is believed now.
-func (b *beliefs) view(now time.Time, before *view) *view {
+func (b *beliefs) view(now time.Time) *view {
 	v := &view{
-		table: b.table, endpoints: map[string][]fleet.Endpoint{}, draining: map[string]bool{}, evacuated: b.evacuated,
-		rooms: map[string]regionRoom{}, heard: before.heard, current: before.current, control: before.control,
+		table: b.table, endpoints: map[string][]fleet.Endpoint{}, evacuated: b.evacuated,
+		rooms: maps.Clone(b.rooms),
 	}
 	for id, e := range b.endpoints {
 		if now.Sub(e.Heard) > forgetAfter {
@@ -126,7 +143,6 @@
 			continue
 		}
 		if e.State != fleet.Ready {
-			v.draining[id] = true
 			continue
 		}
 		if b.cfg.Regions[e.FailureDomain] != b.cfg.Region || slices.Contains(b.evacuated, e.FailureDomain) {
@@ -141,9 +157,6 @@
 		v.gateways = append(v.gateways, g)
 	}
 	slices.SortFunc(v.gateways, func(x, y fleet.Gateway) int { return compare(x.Name, y.Name) })
-	for region, room := range b.rooms {
-		v.rooms[region] = room
-	}
 	return v
 }
 
