--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -55,7 +55,7 @@
 // Expected returns the time to the first piece of w at c, and whether it has to wait for a slot or for memory.
 func Expected(c Candidate, w Work, s Speed) (d time.Duration, unread int64, full bool) {
 	unread = w.Unread(c.KeptParts)
-	d = s.Base + s.Token*time.Duration(c.Outstanding.PromptTokens+unread)
+	d = s.Base + s.Token*time.Duration(c.Outstanding.PromptTokens.Before(w.Rank)+unread)
 	if c.Slots > 0 && c.Outstanding.Requests >= c.Slots {
 		full = true
 		waiting := c.Outstanding.Requests - c.Slots + 1
--- a/capacity/choose_test.go
+++ b/capacity/choose_test.go
@@ -51,7 +51,7 @@
 		stays   bool
 	}{{2_000, true}, {10_000, true}, {60_000, false}} {
 		all := candidates(5)
-		all[favourite.Index].Outstanding = Outstanding{Requests: 5, Unstarted: 5, PromptTokens: c.backlog}
+		all[favourite.Index].Outstanding = Outstanding{Requests: 5, Unstarted: 5, PromptTokens: Backlog{c.backlog}}
 		got, _ := Choose(all, w, NewSpeed(), time.Second, 0)
 		if (got.Index == favourite.Index) != c.stays {
 			t.Errorf("backlog %d: engine %d, favourite %d", c.backlog, got.Index, favourite.Index)
@@ -67,7 +67,7 @@
 		"no slot":     func(c *Candidate) { c.Outstanding.Requests = 200 },
 		"no memory":   func(c *Candidate) { c.Outstanding.HeldTokens = 499_000 },
 		"busy":        func(c *Candidate) { c.Busy = 1 },
-		"long queue":  func(c *Candidate) { c.Outstanding.PromptTokens = 50_000 },
+		"long queue":  func(c *Candidate) { c.Outstanding.PromptTokens[0] = 50_000 },
 		"all at once": func(c *Candidate) { c.Health = Health{Factor: 3, Failures: 0.2}; c.Busy = 0.5 },
 	}
 	for name, spoil := range bad {
@@ -127,12 +127,31 @@
 	})
 }
 
+// waits returns the same wait for every rank.
+func waits(d time.Duration) (w [Ranks]time.Duration) {
+	for rank := range w {
+		w[rank] = d
+	}
+	return w
+}
+
+// TestRanks queues plans at an engine: an urgent request does not wait for them, and one of their own rank does.
+func TestRanks(t *testing.T) {
+	c := candidates(1)[0]
+	c.Outstanding = Outstanding{Requests: 8, Unstarted: 8, PromptTokens: Backlog{2: 80_000}}
+	urgent, _, _ := Expected(c, Work{PromptTokens: 1000, Rank: 0}, NewSpeed())
+	plan, _, _ := Expected(c, Work{PromptTokens: 1000, Rank: 2}, NewSpeed())
+	if alone, _, _ := Expected(candidates(1)[0], Work{PromptTokens: 1000}, NewSpeed()); urgent != alone || plan < 3*urgent {
+		t.Errorf("urgent %v, plan %v, alone %v", urgent, plan, alone)
+	}
+}
+
 // TestCross sends a burst away from a region while others have room, and stops at the room that they told.
 func TestCross(t *testing.T) {
 	const detour = 160 * time.Millisecond
 	w := Work{PromptTokens: 1000, OutputTokens: 300}
-	idle := Room{Region: "idle", Wait: 60 * time.Millisecond, PromptTokens: 10_000, Endpoints: 2}
-	busy := Room{Region: "busy", Wait: 300 * time.Millisecond, PromptTokens: 10_000, Endpoints: 2, Busy: 1}
+	idle := Room{Region: "idle", Wait: waits(60 * time.Millisecond), PromptTokens: 10_000, Endpoints: 2}
+	busy := Room{Region: "busy", Wait: waits(300 * time.Millisecond), PromptTokens: 10_000, Endpoints: 2, Busy: 1}
 	sent, last := int64(0), ""
 	for n := range 20 {
 		room := idle
@@ -150,9 +169,9 @@
 		t.Errorf("%d tokens were sent to a region with room for %d", sent, idle.PromptTokens)
 	}
 	for name, room := range map[string]Room{
-		"old":          {Region: "old", Wait: 1, PromptTokens: 1 << 40, Endpoints: 9, Age: time.Minute},
-		"no endpoints": {Region: "empty", Wait: 1, PromptTokens: 1 << 40},
-		"no better":    {Region: "far", Wait: 700 * time.Millisecond, PromptTokens: 1 << 40, Endpoints: 1},
+		"old":          {Region: "old", Wait: waits(1), PromptTokens: 1 << 40, Endpoints: 9, Age: time.Minute},
+		"no endpoints": {Region: "empty", Wait: waits(1), PromptTokens: 1 << 40},
+		"no better":    {Region: "far", Wait: waits(700 * time.Millisecond), PromptTokens: 1 << 40, Endpoints: 1},
 	} {
 		if got, ok := Cross([]Room{room}, w, NewSpeed(), detour, 800*time.Millisecond); ok {
 			t.Errorf("%s: crossed to %+v", name, got)
--- a/capacity/outstanding.go
+++ b/capacity/outstanding.go
@@ -1,12 +1,52 @@
 package capacity
 
+// Ranks is the number of ranks of urgency that are told apart; the last one is that of requests that will be late.
+const Ranks = 4
+
+// Rank returns the rank of a request by its route's priority, zero first, and of one that will be late.
+func Rank(priority int, late bool) int {
+	if late {
+		return Ranks - 1
+	}
+	return min(max(priority, 0), Ranks-2)
+}
+
+// Backlog is prompt tokens by rank.
+type Backlog [Ranks]int64
+
+// Plus returns the sum.
+func (b Backlog) Plus(other Backlog) Backlog {
+	for rank, tokens := range other {
+		b[rank] += tokens
+	}
+	return b
+}
+
+// Minus returns the difference.
+func (b Backlog) Minus(other Backlog) Backlog {
+	for rank, tokens := range other {
+		b[rank] -= tokens
+	}
+	return b
+}
+
+// Before returns the tokens that are read before or along with those of a request of a rank: engines take the more
+// urgent requests first.
+func (b Backlog) Before(rank int) int64 {
+	var tokens int64
+	for _, t := range b[:rank+1] {
+		tokens += t
+	}
+	return tokens
+}
+
 // Outstanding is what was sent to an endpoint and has not ended.
 type Outstanding struct {
 	Requests int
 	// Unstarted requests have not brought their first piece.
 	Unstarted int
 	// PromptTokens are those of unstarted requests that the endpoint has to read.
-	PromptTokens int64
+	PromptTokens Backlog
 	// HeldTokens is the memory that the requests take until they end.
 	HeldTokens int64
 }
@@ -15,7 +55,7 @@
 func (o Outstanding) Plus(other Outstanding) Outstanding {
 	return Outstanding{
 		Requests: o.Requests + other.Requests, Unstarted: o.Unstarted + other.Unstarted,
-		PromptTokens: o.PromptTokens + other.PromptTokens, HeldTokens: o.HeldTokens + other.HeldTokens,
+		PromptTokens: o.PromptTokens.Plus(other.PromptTokens), HeldTokens: o.HeldTokens + other.HeldTokens,
 	}
 }
 
@@ -32,6 +72,8 @@
 	// PromptTokens are all tokens of the prompt, and OutputTokens those expected of the answer.
 	PromptTokens int64
 	OutputTokens int64
+	// Rank is the request's rank of urgency.
+	Rank int
 }
 
 // Shared returns the parts that other requests have as well.
@@ -53,5 +95,7 @@
 
 // Load returns the outstanding work of one unstarted request that reads unread tokens.
 func (w Work) Load(unread int64) Outstanding {
-	return Outstanding{Requests: 1, Unstarted: 1, PromptTokens: unread, HeldTokens: unread + w.OutputTokens}
+	o := Outstanding{Requests: 1, Unstarted: 1, HeldTokens: unread + w.OutputTokens}
+	o.PromptTokens[w.Rank] = unread
+	return o
 }
--- a/capacity/regions.go
+++ b/capacity/regions.go
@@ -5,8 +5,8 @@
 // Room is what the endpoints of a service in another region have left to give, as told by a gateway there.
 type Room struct {
 	Region string
-	// Wait is the expected time to the first piece of a small request.
-	Wait time.Duration
+	// Wait is the expected time to the first piece of a small request, by rank.
+	Wait [Ranks]time.Duration
 	// PromptTokens can be taken before the wait reaches the objective.
 	PromptTokens int64
 	Endpoints    int
@@ -35,7 +35,7 @@
 		if r.Age > maxRoomAge || r.Endpoints == 0 || r.Sent+w.PromptTokens > r.PromptTokens {
 			continue
 		}
-		expected := r.Wait + detour + s.Token*time.Duration(w.PromptTokens+r.Sent/int64(r.Endpoints))
+		expected := r.Wait[w.Rank] + detour + s.Token*time.Duration(w.PromptTokens+r.Sent/int64(r.Endpoints))
 		cost := expected + DecodeCost(w, min(r.Busy+s.Busy(float64(r.Sent)/float64(r.Endpoints)), 1))
 		if cost < here && (!ok || cost < best.Cost) {
 			best, ok = Crossing{Region: r.Region, Expected: expected, Cost: cost}, true
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -125,6 +125,8 @@
 	backlog    capacity.Outstanding
 	candidates int
 	favourite  bool
+	// rank is that of the request's urgency.
+	rank       int
 	reason     string
 	retryAfter time.Duration
 	probe      retry.Probe
@@ -142,6 +144,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	speed := p.speed(q.service.Name)
+	q.work.Rank = capacity.Rank(q.route.Priority, false)
 	local, endpoints := p.local(now, v, q)
 	choice, ok := capacity.Choose(local, q.work, speed, q.route.Objective, p.rng.Float64())
 	here := place{verdict: capacity.Refuse, expected: noLocalEndpoint, cost: noLocalEndpoint, reason: reasonNoEndpoint, candidates: len(local)}
@@ -152,12 +155,17 @@
 		here.endpoint = endpoints[choice.Index]
 		here.expected, here.cost, here.unread, here.favourite = choice.Expected, choice.Cost, choice.Unread, choice.Favourite
 		here.backlog = local[choice.Index].Outstanding
-		here.load = q.work.Load(choice.Unread)
+		here.load, here.rank = q.work.Load(choice.Unread), q.work.Rank
 		here.verdict = capacity.Admit(choice.Expected, q.asked)
 		here.reason = reasonBacklog
 		if q.must {
 			here.verdict = capacity.Take
 		}
+		if here.verdict == capacity.TakeLate {
+			late := q.work
+			late.Rank = capacity.Rank(q.route.Priority, true)
+			here.load, here.rank = late.Load(choice.Unread), late.Rank
+		}
 	}
 	if !q.forwarded && (here.verdict != capacity.Take || here.cost > p.cfg.Detour+crossAdvantage) {
 		if there, ok := p.cross(now, v, q, speed, here); ok {
@@ -396,7 +404,10 @@
 
 func (p *placer) serviceRoom(now time.Time, service *routes.Service, endpoints []fleet.Endpoint) *wiregen.ServiceRoom {
 	speed := p.speed(service.Name)
-	m := &wiregen.ServiceRoom{Service: service.Name, WaitMillis: noLocalEndpoint.Milliseconds()}
+	m := &wiregen.ServiceRoom{Service: service.Name}
+	for range capacity.Ranks {
+		m.WaitMillis = append(m.WaitMillis, noLocalEndpoint.Milliseconds())
+	}
 	busy := 0.0
 	for _, e := range endpoints {
 		s := p.state(e)
@@ -407,10 +418,13 @@
 		if service.Engine != nil {
 			c.Memory = service.Engine.CacheTokens
 		}
-		wait, _, full := capacity.Expected(c, capacity.Work{}, speed)
+		for rank := range capacity.Ranks {
+			wait, _, _ := capacity.Expected(c, capacity.Work{Rank: rank}, speed)
+			m.WaitMillis[rank] = min(m.WaitMillis[rank], wait.Milliseconds())
+		}
+		wait, _, full := capacity.Expected(c, capacity.Work{Rank: capacity.Ranks - 1}, speed)
 		m.Endpoints++
 		busy += p.busy(now, service.Name, e.ID, s)
-		m.WaitMillis = min(m.WaitMillis, wait.Milliseconds())
 		if !full && wait < roomObjective {
 			tokens := int64(roomObjective-wait) / int64(max(speed.Token, 1))
 			if c.Memory > 0 {
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -37,7 +37,7 @@
 	}
 	p.changed[at.endpoint.ID] = true
 	return &flight{
-		placer: p, endpoint: at.endpoint, service: service, load: at.load, work: w, queued: at.backlog.PromptTokens + at.unread,
+		placer: p, endpoint: at.endpoint, service: service, load: at.load, work: w, queued: at.backlog.PromptTokens.Before(at.rank) + at.unread,
 		expected: at.expected, sent: now, probe: p.breakers.Begin(now, at.endpoint.ID),
 	}
 }
@@ -71,7 +71,7 @@
 	s.health = s.health.WithFirst(expected, took)
 	p.speeds[f.service] = speed.WithFirst(f.queued, took)
 	s.own.Unstarted--
-	s.own.PromptTokens -= f.load.PromptTokens
+	s.own.PromptTokens = s.own.PromptTokens.Minus(f.load.PromptTokens)
 	p.changed[f.endpoint.ID] = true
 	p.breakers.Answered(now, f.endpoint.ID, f.probe)
 }
@@ -104,7 +104,7 @@
 	s.own.HeldTokens -= f.load.HeldTokens
 	if !f.started {
 		s.own.Unstarted--
-		s.own.PromptTokens -= f.load.PromptTokens
+		s.own.PromptTokens = s.own.PromptTokens.Minus(f.load.PromptTokens)
 	}
 	p.changed[f.endpoint.ID] = true
 	switch how {
@@ -188,7 +188,7 @@
 		}
 		changes = append(changes, &wiregen.EndpointOutstanding{
 			Endpoint: id, Requests: int32(s.own.Requests), Unstarted: int32(s.own.Unstarted),
-			PromptTokens: s.own.PromptTokens, HeldTokens: s.own.HeldTokens, RecentTokens: s.recent.Tokens(now),
+			PromptTokens: s.own.PromptTokens[:], HeldTokens: s.own.HeldTokens, RecentTokens: s.recent.Tokens(now),
 		})
 	}
 	if !all {
@@ -211,9 +211,9 @@
 	for _, o := range m.GetOutstanding() {
 		delete(p.sums, o.GetEndpoint())
 		peer.recent[o.GetEndpoint()] = capacity.NewRecent(now, o.GetRecentTokens())
-		peer.loads[o.GetEndpoint()] = capacity.Outstanding{
-			Requests: int(o.GetRequests()), Unstarted: int(o.GetUnstarted()), PromptTokens: o.GetPromptTokens(), HeldTokens: o.GetHeldTokens(),
-		}
+		load := capacity.Outstanding{Requests: int(o.GetRequests()), Unstarted: int(o.GetUnstarted()), HeldTokens: o.GetHeldTokens()}
+		copy(load.PromptTokens[:], o.GetPromptTokens())
+		peer.loads[o.GetEndpoint()] = load
 	}
 }
 
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -377,11 +377,13 @@
 func decodeRoom(now time.Time, m *wiregen.RegionRoom) regionRoom {
 	room := regionRoom{heard: now.Add(-time.Duration(m.GetAgeMillis()) * time.Millisecond), services: map[string]capacity.Room{}}
 	for _, s := range m.GetRoom() {
-		room.services[s.GetService()] = capacity.Room{
-			Region: m.GetRegion(), Wait: time.Duration(s.GetWaitMillis()) * time.Millisecond,
-			PromptTokens: s.GetPromptTokens(), Endpoints: int(s.GetEndpoints()),
-			Busy: float64(s.GetBusyPermille()) / permille,
+		told := capacity.Room{
+			Region: m.GetRegion(), PromptTokens: s.GetPromptTokens(), Endpoints: int(s.GetEndpoints()), Busy: float64(s.GetBusyPermille()) / permille,
 		}
+		for rank, wait := range s.GetWaitMillis()[:min(len(s.GetWaitMillis()), capacity.Ranks)] {
+			told.Wait[rank] = time.Duration(wait) * time.Millisecond
+		}
+		room.services[s.GetService()] = told
 	}
 	return room
 }
