--- a/gateway/session.go
+++ b/gateway/session.go
@@ -19,14 +19,15 @@
 const (
 	// sessionSilence is the silence after which a control daemon is given up: three of its signs of life.
 	sessionSilence = 1500 * time.Millisecond
-	// raceTime is how long sessions with all control daemons compete before one that is not current is taken.
-	raceTime = 500 * time.Millisecond
-	// settleTime is how long a race goes on for one that is current once another was found.
+	// raceTime is how long sessions with all control daemons compete. The first word of one in another region takes three
+	// round trips.
+	raceTime = time.Second
+	// settleTime is how long a gateway without a session waits for one that is current once it has found another.
 	settleTime = 150 * time.Millisecond
 	// searchPeriod is how often a gateway looks for a control daemon that is current while its own is not.
-	searchPeriod = 2 * time.Second
+	searchPeriod = 1200 * time.Millisecond
 	// staleTime is how long a control daemon may be without a leader before another one is looked for.
-	staleTime = time.Second
+	staleTime = 600 * time.Millisecond
 	// reportPeriod is how often a gateway reports; the one that tells its region's load does so more often.
 	reportPeriod     = 500 * time.Millisecond
 	roomReportPeriod = 200 * time.Millisecond
@@ -74,7 +75,7 @@
 	var c *candidate
 	for ctx.Err() == nil {
 		if c == nil {
-			c = g.race(ctx)
+			c = g.race(ctx, false)
 		}
 		if c == nil {
 			clock.Sleep(ctx, changeCheck)
@@ -91,8 +92,9 @@
 	}
 }
 
-// race opens sessions with all known control daemons and returns the first that is current, or any after a while.
-func (g *Gateway) race(ctx context.Context) *candidate {
+// race opens sessions with all known control daemons and returns the first that is current. If any will do, it returns
+// another one soon after it was found.
+func (g *Gateway) race(ctx context.Context, onlyCurrent bool) *candidate {
 	ctx, cancel := context.WithTimeout(ctx, raceTime)
 	defer cancel()
 	addresses := g.controlAddresses()
@@ -106,7 +108,13 @@
 		if c == nil {
 			continue
 		}
-		time.AfterFunc(settleTime, cancel)
+		if onlyCurrent && !c.first.GetCurrent() {
+			c.close()
+			continue
+		}
+		if !onlyCurrent {
+			time.AfterFunc(settleTime, cancel)
+		}
 		if best != nil && (best.first.GetCurrent() || !c.first.GetCurrent()) {
 			c.close()
 			continue
@@ -255,7 +263,7 @@
 	}
 	if now.Sub(s.currentAt) > staleTime && now.Sub(s.searched) > searchPeriod && !s.searching {
 		s.searched, s.searching = now, true
-		go func() { s.found <- g.race(ctx) }()
+		go func() { s.found <- g.race(ctx, true) }()
 	}
 	tells := g.tellsRoom()
 	ready, lingering := g.Ready(), g.lingering(now)
