Do not break off a stream for its endpoint's silence

Silence after the first event now ends nothing; a connection that is dead is found by the kernel's timeout. A request at another gateway is left to that one's patience. TestSilentStream fails without the change.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -34,7 +34,8 @@
 	return j.call.LastEvent
 }
 
-// carryStream passes events on as they come. A stream that breaks may go on at another endpoint.
+// carryStream passes events on as they come. A stream that breaks may go on at another endpoint. Silence after the first
+// event breaks none: an engine that lacks memory puts a stream off and goes on with it later.
 func (j *job) carryStream(ctx context.Context, answer *exchange.Answer, f *flight, patience *time.Timer) (ending, next) {
 	defer patience.Stop()
 	if j.stream == nil {
@@ -60,7 +61,7 @@
 		if j.firstAt.IsZero() {
 			j.firstAt = now
 		}
-		j.rearm(patience)
+		patience.Stop()
 		if err := j.pass(e, answer); err != nil {
 			j.lastErr = err
 			j.log("callerLeft").Err(err).Msg("served")
@@ -70,15 +71,6 @@
 	}
 }
 
-// rearm bounds the silence before the next event of a stream that can go on elsewhere.
-func (j *job) rearm(patience *time.Timer) {
-	if j.route.Repeatable() && j.runs+1 < j.maxRuns() {
-		patience.Reset(max(gapPatience, 4*j.route.Gap))
-		return
-	}
-	patience.Stop()
-}
-
 // follows checks that an event of a resumed stream is the one after the last that has gone out.
 func (s *relay) follows(e event, resumed bool) error {
 	if resumed && e.id >= 0 && s.last >= 0 && e.id != s.last+1 {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -24,8 +24,6 @@
 	// many times what was expected.
 	leastFirstPatience  = 900 * time.Millisecond
 	firstPatienceFactor = 3
-	// gapPatience is the silence in a stream after which it goes on elsewhere; callers leave after two seconds.
-	gapPatience = 1200 * time.Millisecond
 )
 
 // plain is an answer that was received whole.
@@ -80,10 +78,11 @@
 // maxRejectionBytes bounds the body of a rejection that is read.
 const maxRejectionBytes = 4 << 10
 
-// firstPatience cancels the attempt of a request that may be repeated if its first piece does not come in time.
+// firstPatience cancels the attempt of a request that may be repeated if its first piece does not come in time. A request
+// at another gateway is left to that gateway's patience.
 func (j *job) firstPatience(at place, ctx context.Context, cancel context.CancelCauseFunc) *time.Timer {
 	limit := max(leastFirstPatience, firstPatienceFactor*at.expected, 3*j.route.Objective/2)
-	if !j.route.Repeatable() || ctx.Err() != nil || j.runs+1 >= j.maxRuns() {
+	if !j.route.Repeatable() || ctx.Err() != nil || j.streaming() || j.runs+j.charge >= j.maxRuns() {
 		limit = j.route.Timeout + time.Second
 	}
 	return time.AfterFunc(limit, func() { cancel(&SilentStreamError{Limit: limit}) })
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -292,3 +292,43 @@
 		t.Errorf("%d runs of at most 2, %+v", runs, got)
 	}
 }
+
+// TestSilentStream pauses a stream for longer than any first piece is waited for, at an endpoint and behind another
+// gateway: it is not broken off, as engines that lack memory pause.
+func TestSilentStream(t *testing.T) {
+	const pause = 1600 * time.Millisecond
+	slow := func(c *endpointConn, r *http.Request, _ int) bool {
+		c.head(r.Header.Get("Id"))
+		c.event(0)
+		time.Sleep(pause)
+		c.event(1)
+		c.end()
+		return true
+	}
+	quick := func(r *routes.Route) { r.Objective = 100 * time.Millisecond }
+	check := func(t *testing.T, g *testGateway, a, b *testEndpoint) {
+		t.Helper()
+		got := g.call(t.Context(), "POST", "/stream/x", nil)
+		if !got.whole || got.body != pieces(0, 1) || len(a.requests())+len(b.requests()) != 1 {
+			t.Errorf("%d and %d requests, %+v", len(a.requests()), len(b.requests()), got)
+		}
+	}
+	t.Run("here", func(t *testing.T) {
+		a, b := newEndpoint(t, "a", slow), newEndpoint(t, "b", slow)
+		check(t, newGateway(t, testTable(t, quick), a, b), a, b)
+	})
+	t.Run("there", func(t *testing.T) {
+		homes := func(r *routes.Route) {
+			quick(r)
+			r.Homes = []string{"there"}
+		}
+		a, b := newEndpoint(t, "a", slow), newEndpoint(t, "b", slow)
+		there := newGateway(t, testTable(t, homes), a, b)
+		there.cfg.Region, there.placer.cfg.Region = "there", "there"
+		here := newGateway(t, testTable(t, homes))
+		v := *here.view.Load()
+		v.gateways = []fleet.Gateway{{Name: "gateway-b", Region: "there", ForwardAddress: newForwardServer(t, there), Ready: true}}
+		here.view.Store(&v)
+		check(t, here, a, b)
+	})
+}
