Take a request late rather than refuse it twice, and fewer late ones at first

A request that came back after a refusal is taken while it can still finish; on its first visit it is taken late only within one and a half of its objective.

--- a/capacity/admit.go
+++ b/capacity/admit.go
@@ -7,9 +7,14 @@
 	// as on time.
 	onTimeShare = 0.9
 	// lateFactor is the multiple of the objective within which a request that will be late is still taken.
-	lateFactor = 2.5
+	lateFactor = 1.5
+	// returnedLateFactor is the same for a request that was refused before and has come back: a second refusal would be
+	// its last answer.
+	returnedLateFactor = 5.0
 	// finishShare is the part of the time left that a late first piece may take, so that the rest of the answer fits.
-	finishShare     = 0.5
+	finishShare = 0.5
+	// returnedShare is the part of the longest time that callers of a route have below which a request counts as returned.
+	returnedShare   = 0.95
 	leastRetryAfter = 150 * time.Millisecond
 )
 
@@ -45,6 +50,14 @@
 	Left      time.Duration
 	// WholeObjective is the route's objective.
 	WholeObjective time.Duration
+	// Returned says that the request was refused before.
+	Returned bool
+}
+
+// Returned reports whether a caller with so much time left has been refused before, by the longest time that callers of
+// its route were seen to have: they count from their first attempt.
+func Returned(left, longest time.Duration) bool {
+	return float64(left) < returnedShare*float64(longest)
 }
 
 // Admit decides whether a request is taken whose first piece is expected after a time.
@@ -52,7 +65,11 @@
 	if expected <= time.Duration(onTimeShare*float64(a.Objective)) {
 		return Take
 	}
-	if expected <= time.Duration(lateFactor*float64(a.WholeObjective)) && expected <= time.Duration(finishShare*float64(a.Left)) {
+	late := lateFactor
+	if a.Returned {
+		late = returnedLateFactor
+	}
+	if expected <= time.Duration(late*float64(a.WholeObjective)) && expected <= time.Duration(finishShare*float64(a.Left)) {
 		return TakeLate
 	}
 	return Refuse
--- a/capacity/choose_test.go
+++ b/capacity/choose_test.go
@@ -146,6 +146,18 @@
 	}
 }
 
+// TestReturned refuses a request whose wait is three times its objective, and takes it when it comes back.
+func TestReturned(t *testing.T) {
+	first := Asked{Objective: 800 * time.Millisecond, WholeObjective: 800 * time.Millisecond, Left: 10 * time.Second}
+	again := first
+	again.Left = 9 * time.Second
+	again.Objective = 0
+	again.Returned = Returned(again.Left, first.Left)
+	if Admit(2400*time.Millisecond, first) != Refuse || Admit(2400*time.Millisecond, again) != TakeLate || Returned(first.Left, first.Left) {
+		t.Errorf("first %v, again %v", Admit(2400*time.Millisecond, first), Admit(2400*time.Millisecond, again))
+	}
+}
+
 // TestCross sends a burst away from a region while others have room, and stops at the room that they told.
 func TestCross(t *testing.T) {
 	const detour = 160 * time.Millisecond
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -71,6 +71,8 @@
 	sent      map[string][]sentTokens
 	changed   map[string]bool
 	mostPeers int
+	// longest is the longest time that callers of a route were seen to have.
+	longest map[string]time.Duration
 	// sums caches what the other gateways have at an endpoint until one of them tells something new.
 	sums map[string]peerSum
 	// swept is when peers that fell silent were looked for last.
@@ -92,7 +94,7 @@
 	return &placer{
 		cfg: cfg, rng: rand.New(source), states: map[string]*endpointState{}, peers: map[string]*peerLoad{},
 		speeds: map[string]capacity.Speed{}, breakers: retry.NewBreakers[string](source), gateways: retry.NewBreakers[string](source),
-		sums: map[string]peerSum{}, budgets: map[string]*retry.Allowance{}, sent: map[string][]sentTokens{}, changed: map[string]bool{},
+		longest: map[string]time.Duration{}, sums: map[string]peerSum{}, budgets: map[string]*retry.Allowance{}, sent: map[string][]sentTokens{}, changed: map[string]bool{},
 	}
 }
 
@@ -460,3 +462,11 @@
 	defer p.mu.Unlock()
 	return p.rng.Float64()
 }
+
+// returned reports whether a caller of a route with so much time was refused before.
+func (p *placer) returned(route string, patience time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.longest[route] = max(p.longest[route], patience)
+	return patience > 0 && capacity.Returned(patience, p.longest[route])
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -44,7 +44,9 @@
 	draw      float64
 	received  time.Time
 	// age is for how long the request was at another gateway before.
-	age      time.Duration
+	age time.Duration
+	// returned says that the caller was refused before.
+	returned bool
 	deadline time.Time
 	route    *routes.Route
 	service  *routes.Service
@@ -114,6 +116,7 @@
 		patience = min(patience, call.Patience)
 	}
 	j.deadline = j.received.Add(patience)
+	j.returned = j.g.placer.returned(j.route.Name, j.call.Patience+j.age)
 	if stopping := j.g.stoppingFor(j.received); stopping > lastStreams && j.route.Kind == routes.Stream {
 		return problem.New(problem.Stopping, http.StatusServiceUnavailable, "the gateway is stopping").WithRetryAfter(stoppingRetryAfter)
 	}
@@ -179,6 +182,7 @@
 func (j *job) asked(now time.Time) capacity.Asked {
 	return capacity.Asked{
 		Objective: j.route.Objective - j.age - now.Sub(j.received), Left: j.deadline.Sub(now), WholeObjective: j.route.Objective,
+		Returned: j.returned,
 	}
 }
 
