Let an endpoint that answers again take all requests again

It now counts as cold for three seconds, or until it answers. TestReachedAgain fails without the change; tests of cold shares and of loads that gateways tell each other.

--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -20,6 +20,9 @@
 	// peerLoadAge is the age after which what another gateway has outstanding is no longer counted: its reports come
 	// many times a second, so that it has ended or is cut off.
 	peerLoadAge = 2 * time.Second
+	// rebirthTime is how long an endpoint that could not be reached counts as cold when it can be again: it may have
+	// started anew under the same id, which its heartbeat tells within that time.
+	rebirthTime = 3 * time.Second
 	// coldShare is the part of a cold endpoint's bound that is used, as two gateways' seconds do not begin together.
 	coldShare = 0.8
 	// budgetShare is the part of the common retry budget that is used, for the same reason.
@@ -44,7 +47,7 @@
 	cold   *capacity.Window
 	// coldUntil is the end of the cold time that the endpoint told in an answer.
 	coldUntil time.Time
-	// failedAt is when a connection to it failed; until a later heartbeat it may be a new incarnation.
+	// failedAt is when a connection to it failed last; zero once it has answered since.
 	failedAt time.Time
 }
 
@@ -210,7 +213,7 @@
 
 // isCold reports whether an endpoint is cold, or may be without having told so yet.
 func (p *placer) isCold(e fleet.Endpoint, s *endpointState, now time.Time) bool {
-	return e.Cold(now) || now.Before(s.coldUntil) || s.failedAt.After(e.Heard)
+	return e.Cold(now) || now.Before(s.coldUntil) || !s.failedAt.IsZero() && now.Sub(s.failedAt) < rebirthTime
 }
 
 // coldLimit returns the number of requests that this gateway may send to a cold endpoint in one second.
--- /dev/null
+++ b/gateway/placer_test.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"arbutusreel/capacity"
+	"arbutusreel/fleet"
+	"arbutusreel/routes"
+	"arbutusreel/wiregen"
+)
+
+const coldRate = 4.0
+
+// newPlacers returns placers of gateways in one region that see the same endpoints.
+func newPlacers(t *testing.T, n int, endpoints ...fleet.Endpoint) ([]*placer, *view, *routes.Route, *routes.Service) {
+	t.Helper()
+	engine := &routes.Engine{BatchSlots: 128, CacheTokens: 500_000, EventTokens: 8}
+	table, err := routes.New(1, []routes.Route{{
+		Name: "r", Host: testHost, PathPrefix: "/", Kind: routes.Stream, Backends: []routes.Backend{{Service: "model", Weight: 1}},
+		Timeout: 10 * time.Second, Objective: time.Second, MaxAttempts: 2, Resumable: true,
+	}}, []routes.Service{{Name: "model", Engine: engine, ColdTime: 3 * time.Second, ColdRate: coldRate}}, routes.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := &view{table: table, endpoints: map[string][]fleet.Endpoint{"model": endpoints}}
+	var all []*placer
+	for i := range n {
+		cfg := testConfig()
+		cfg.Name, cfg.ColdBurst, cfg.ColdReserve = fmt.Sprintf("gateway-%d", i), 1.5, 3
+		v.gateways = append(v.gateways, fleet.Gateway{Name: cfg.Name, Region: cfg.Region, Ready: true})
+		all = append(all, newPlacer(cfg, rand.NewPCG(uint64(i), 1)))
+	}
+	return all, v, table.Match(testHost, "/"), table.Service("model")
+}
+
+func ask(r *routes.Route, s *routes.Service) query {
+	return query{
+		route: r, service: s, work: capacity.Work{PromptTokens: 1000, OutputTokens: 100}, tried: map[string]bool{},
+		asked: capacity.Asked{Objective: r.Objective, WholeObjective: r.Objective, Left: r.Timeout},
+	}
+}
+
+// TestColdShares sends as much as the gateways allow to a cold endpoint: in no second does it get more than it bears,
+// over all gateways.
+func TestColdShares(t *testing.T) {
+	for _, n := range []int{1, 3, 9, 28} {
+		now := time.Unix(1000, 0)
+		e := fleet.Endpoint{ID: "cold", Born: 7, Service: "model", Slots: 128, State: fleet.Ready, ColdUntil: now.Add(time.Hour)}
+		placers, v, r, s := newPlacers(t, n, e)
+		var sent []time.Time
+		for step := range 300 {
+			at := now.Add(time.Duration(step) * 20 * time.Millisecond)
+			for _, p := range placers {
+				if place := p.decide(at, v, ask(r, s)); place.endpoint.ID == "cold" {
+					p.begin(at, "model", capacity.Work{}, place).end(at, succeeded)
+					sent = append(sent, at)
+				}
+			}
+		}
+		for i := range sent {
+			count := 0
+			for _, at := range sent[i:] {
+				if at.Sub(sent[i]) < time.Second {
+					count++
+				}
+			}
+			if bound := coldRate*1.5 + 3; float64(count) > bound {
+				t.Fatalf("%d gateways: %d requests in a second, at most %v", n, count, bound)
+			}
+		}
+		if len(sent) == 0 {
+			t.Errorf("%d gateways sent nothing", n)
+		}
+	}
+}
+
+// TestReachedAgain fails one connection to each endpoint: when they answer again, or a few seconds later, they take all
+// requests again, without a new record of them.
+func TestReachedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := fleet.Endpoint{ID: "a", Born: 7, Service: "model", Slots: 128, State: fleet.Ready, Heard: now.Add(-time.Minute)}
+	for name, answers := range map[string]bool{"answered": true, "later": false} {
+		t.Run(name, func(t *testing.T) {
+			placers, v, r, s := newPlacers(t, 3, e)
+			p := placers[0]
+			p.begin(now, "model", capacity.Work{}, p.decide(now, v, ask(r, s))).end(now, unreached)
+			at := now.Add(10 * time.Second)
+			if answers {
+				at = now.Add(2 * time.Second)
+				f := p.begin(at, "model", capacity.Work{}, p.decide(at, v, ask(r, s)))
+				f.first(at)
+				f.end(at, succeeded)
+			}
+			for i := range 50 {
+				place := p.decide(at, v, ask(r, s))
+				if place.verdict != capacity.Take {
+					t.Fatalf("request %d: %v, %s", i, place.verdict, place.reason)
+				}
+				f := p.begin(at, "model", capacity.Work{}, place)
+				f.first(at)
+				f.end(at, succeeded)
+			}
+		})
+	}
+}
+
+// TestLoadsToldToPeers places requests at two gateways that tell each other their loads: the busiest of like endpoints
+// has at most 1.2 times the mean.
+func TestLoadsToldToPeers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var endpoints []fleet.Endpoint
+	for i := range 4 {
+		endpoints = append(endpoints, fleet.Endpoint{ID: fmt.Sprintf("engine-%d", i), Born: 7, Service: "model", Slots: 128, State: fleet.Ready})
+	}
+	placers, v, r, s := newPlacers(t, 2, endpoints...)
+	counts := map[string]int{}
+	const requests = 200
+	for i := range requests {
+		p, other := placers[i%2], placers[(i+1)%2]
+		place := p.decide(now, v, ask(r, s))
+		if place.verdict == capacity.Refuse {
+			t.Fatalf("request %d was refused: %s", i, place.reason)
+		}
+		p.begin(now, "model", ask(r, s).work, place).first(now.Add(50 * time.Millisecond))
+		counts[place.endpoint.ID]++
+		other.peerTold(now, reportOf(p, now), false)
+		now = now.Add(5 * time.Millisecond)
+	}
+	for id, n := range counts {
+		if n*len(endpoints)*5 > requests*6 {
+			t.Errorf("%s got %d of %d", id, n, requests)
+		}
+	}
+}
+
+func reportOf(p *placer, now time.Time) *wiregen.OutstandingReport {
+	return &wiregen.OutstandingReport{Gateway: p.cfg.Name, Born: 1, Outstanding: p.outstandingChanges(now, true)}
+}
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -65,6 +65,7 @@
 	}
 	f.started = true
 	s := p.state(f.endpoint)
+	s.answered(f.sent)
 	took := now.Sub(f.sent)
 	speed := p.speed(f.service)
 	expected := speed.Base + speed.Token*time.Duration(f.queued)
@@ -76,6 +77,13 @@
 	p.breakers.Answered(now, f.endpoint.ID, f.probe)
 }
 
+// answered notes that the endpoint answered a request that was sent at a time, and so was warm enough.
+func (s *endpointState) answered(sent time.Time) {
+	if sent.After(s.failedAt) {
+		s.failedAt = time.Time{}
+	}
+}
+
 // ending tells how a request ended at an endpoint.
 type ending int
 
