--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -403,9 +403,9 @@
 
 const permille = 1000
 
-// roomObjective is the expected time up to which an endpoint counts as having room; the crossing takes some of the
-// objective of the routes, which begin at a few hundred milliseconds.
-const roomObjective = 400 * time.Millisecond
+// roomObjective is the expected time up to which an endpoint counts as having room, the longest objective of the
+// deployments' routes. Whether a request that crosses is on time is decided from the wait that is told along.
+const roomObjective = time.Second
 
 func (p *placer) serviceRoom(now time.Time, service *routes.Service, endpoints []fleet.Endpoint) *wiregen.ServiceRoom {
 	speed := p.speed(service.Name)
