--- /dev/null
+++ b/control/fleet_test.go
@@ -0,0 +1,212 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"arbutusreel/configuration"
+	"arbutusreel/decision"
+	"arbutusreel/fleet"
+	"arbutusreel/keys"
+	"arbutusreel/problem"
+)
+
+// daemon is a control daemon that can be stopped and started again.
+type daemon struct {
+	*Control
+	cfg  Config
+	stop func()
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start runs a daemon in a data folder until the test ends or it is stopped.
+func start(t *testing.T, cfg Config) *daemon {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := New(cfg, zerolog.Nop(), time.Now)
+	opened := make(chan struct{})
+	go func() { _ = c.RunOpened(ctx, opened) }()
+	<-opened
+	d := &daemon{Control: c, cfg: cfg, stop: func() {
+		cancel()
+		<-c.Done()
+	}}
+	t.Cleanup(d.stop)
+	return d
+}
+
+// system returns the settings of daemons that know the same seeds, of which the first founders found the quorum.
+func system(t *testing.T, founders, joiners int) []Config {
+	t.Helper()
+	var all []Config
+	var seeds, voters []string
+	for i := range founders + joiners {
+		address := freeAddress(t)
+		name := string(rune('a' + i))
+		if i < founders {
+			seeds, voters = append(seeds, address), append(voters, name+"="+address)
+		}
+		all = append(all, Config{
+			Name: name, Region: "r", FailureDomain: "d", PeerAddress: address, OperatorAddress: freeAddress(t), DataFolder: t.TempDir(),
+			Join: i >= founders, Heartbeat: 10 * time.Millisecond, ElectionTimeout: 60 * time.Millisecond, SnapshotEntries: 8,
+			PlacementPeriod: time.Second, Keys: keys.Plain(), Decisions: decision.New(1 << 16), ToleratedDisks: 1,
+		})
+	}
+	for i := range all {
+		all[i].Seeds, all[i].Voters = seeds, voters
+	}
+	return all
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func put(t *testing.T, d *daemon, version int64, content string) {
+	t.Helper()
+	until(t, "document decided", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		return d.PutDocument(ctx, configuration.Document{Version: version, Content: []byte(content)}) == nil
+	})
+}
+
+func newest(t *testing.T, d *daemon) configuration.Document {
+	t.Helper()
+	var got configuration.Document
+	until(t, "document read", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var err error
+		got, err = d.Newest(ctx)
+		return err == nil
+	})
+	return got
+}
+
+func (d *daemon) voters() int { return len(d.quorum.Status().Members.Voters()) }
+
+// TestQuorumFromSeeds founds a quorum from three seeds while two more daemons ask to join. Documents go by the highest
+// version, through any daemon; a daemon that lost its disk is a voter again, and knows what was accepted; and all know it
+// after all of them have restarted.
+func TestQuorumFromSeeds(t *testing.T) {
+	cfgs := system(t, 3, 2)
+	daemons := make([]*daemon, len(cfgs))
+	for i := len(cfgs) - 1; i >= 0; i-- {
+		daemons[i] = start(t, cfgs[i])
+	}
+	until(t, "five voters everywhere", func() bool {
+		for _, d := range daemons {
+			if d.voters() != len(cfgs) || !d.Current() {
+				return false
+			}
+		}
+		return true
+	})
+	for i, d := range daemons {
+		put(t, d, int64(10+i), "newer")
+		put(t, d, int64(10+i), "other content under the same version")
+		put(t, d, 3, "older")
+		if got := newest(t, daemons[(i+1)%len(daemons)]); got.Version != int64(10+i) || string(got.Content) != "newer" {
+			t.Errorf("version %d %q", got.Version, got.Content)
+		}
+	}
+	until(t, "evacuation decided", func() bool { return daemons[4].Evacuate(t.Context(), "d", false) == nil })
+
+	daemons[1].stop()
+	lost := cfgs[1]
+	lost.DataFolder, lost.Join = t.TempDir(), true
+	daemons[1] = start(t, lost)
+	until(t, "the emptied daemon is a voter and current", func() bool {
+		return daemons[1].voters() == len(cfgs) && daemons[1].Current() && daemons[1].quorum.Orders().Document().Version == 14
+	})
+
+	for _, d := range daemons {
+		d.stop()
+	}
+	for i, d := range daemons {
+		daemons[i] = start(t, d.cfg)
+	}
+	for _, d := range daemons {
+		if got := newest(t, d); got.Version != 14 || string(got.Content) != "newer" {
+			t.Errorf("after a restart of all: version %d %q", got.Version, got.Content)
+		}
+		until(t, "the evacuation is known", func() bool { return len(d.quorum.Orders().Evacuated()) == 1 })
+	}
+}
+
+// TestRestartKnowsCommitted restarts one of three voters alone: without a quorum it answers no read, but has in force what
+// it knew to be accepted, for gateways that have nothing else.
+func TestRestartKnowsCommitted(t *testing.T) {
+	cfgs := system(t, 3, 0)
+	var daemons []*daemon
+	for _, cfg := range cfgs {
+		daemons = append(daemons, start(t, cfg))
+	}
+	put(t, daemons[0], 7, "accepted")
+	until(t, "the document is in force everywhere", func() bool {
+		return daemons[0].quorum.Orders().Document().Version == 7 && daemons[1].quorum.Orders().Document().Version == 7 && daemons[2].quorum.Orders().Document().Version == 7
+	})
+	for _, d := range daemons {
+		d.stop()
+	}
+	alone := start(t, cfgs[2])
+	until(t, "the document is in force", func() bool { return alone.quorum.Orders().Document().Version == 7 })
+	_, err := alone.Newest(t.Context())
+	var p *problem.Problem
+	if !errors.As(err, &p) || p.Status != http.StatusServiceUnavailable {
+		t.Errorf("a read without a quorum was answered %v", err)
+	}
+	if alone.Current() {
+		t.Error("a voter without a leader calls itself current")
+	}
+}
+
+// TestSharedHeartbeats announces an endpoint at one daemon: all know it, and that it left.
+func TestSharedHeartbeats(t *testing.T) {
+	cfgs := system(t, 3, 0)
+	var daemons []*daemon
+	for _, cfg := range cfgs {
+		daemons = append(daemons, start(t, cfg))
+	}
+	state := func(d *daemon) fleet.State {
+		d.fleet.mu.Lock()
+		defer d.fleet.mu.Unlock()
+		e, ok := d.fleet.endpoints.Get("e")
+		if !ok {
+			return -1
+		}
+		return e.State
+	}
+	for sequence, want := range []fleet.State{fleet.Ready, fleet.Draining} {
+		daemons[0].Announce(fleet.Endpoint{ID: "e", Born: 1, Sequence: int64(sequence), Service: "s", Address: "10.0.0.1:1", State: want, Heard: time.Now()})
+		until(t, want.String()+" everywhere", func() bool { return state(daemons[1]) == want && state(daemons[2]) == want })
+	}
+	daemons[1].Depart("e", 0)
+	until(t, "gone everywhere", func() bool { return state(daemons[0]) == fleet.Gone && state(daemons[2]) == fleet.Gone })
+	// A heartbeat that was held up does not bring it back.
+	daemons[2].Announce(fleet.Endpoint{ID: "e", Born: 1, Sequence: 9, Service: "s", Address: "10.0.0.1:1", Heard: time.Now()})
+	if state(daemons[2]) != fleet.Gone {
+		t.Error("a late heartbeat brought an endpoint back")
+	}
+}
--- /dev/null
+++ b/fleet/table_test.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func endpoint(id string, born, sequence int64, state State) Endpoint {
+	return Endpoint{ID: id, Born: born, Sequence: sequence, Service: "s", Address: "10.0.0.1:1", State: state, Heard: time.Unix(1000, 0)}
+}
+
+// TestLateHeartbeats delivers the heartbeats of one id's incarnations in any order: the record is always that of the
+// newest word heard, and an incarnation that left does not come back.
+func TestLateHeartbeats(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewEndpoints()
+		var newest Endpoint
+		known := false
+		for range rapid.IntRange(1, 40).Draw(t, "words") {
+			e := endpoint("e", rapid.Int64Range(1, 3).Draw(t, "born"), rapid.Int64Range(1, 9).Draw(t, "sequence"), Ready)
+			if rapid.Bool().Draw(t, "leaves") && known {
+				table.Depart(time.Unix(1000, 0), "e", e.Born)
+				if e.Born >= newest.Born {
+					newest.State = Gone
+				}
+				continue
+			}
+			table.Announce(e)
+			if !known || e.Born > newest.Born || e.Born == newest.Born && newest.State != Gone && e.Sequence > newest.Sequence {
+				newest, known = e, true
+			}
+			got, _ := table.Get("e")
+			if got.Born != newest.Born || got.State != newest.State || got.Sequence != newest.Sequence {
+				t.Fatalf("record %+v, newest word %+v", got, newest)
+			}
+		}
+	})
+}
+
+// TestReusedAddress starts another endpoint at an address: the one before is gone, and its late heartbeat is dropped.
+func TestReusedAddress(t *testing.T) {
+	table := NewEndpoints()
+	table.Announce(endpoint("old", 1, 5, Ready))
+	table.Announce(endpoint("new", 2, 1, Ready))
+	table.Announce(endpoint("old", 1, 6, Ready))
+	for id, want := range map[string]State{"old": Gone, "new": Ready} {
+		if e, _ := table.Get(id); e.State != want {
+			t.Errorf("%s is %v", id, e.State)
+		}
+	}
+}
+
+// TestSince follows a table by its changes alone and ends with the same records.
+func TestSince(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, copied := NewEndpoints(), map[string]Endpoint{}
+		var change int64
+		for i := range rapid.IntRange(1, 60).Draw(t, "words") {
+			id := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "id"))
+			e := endpoint(id, 1, int64(i), State(rapid.IntRange(0, 1).Draw(t, "state")))
+			e.Address = "10.0.0.1:" + id
+			table.Announce(e)
+			if rapid.Bool().Draw(t, "read") {
+				var changed []Endpoint
+				changed, change = table.Since(change)
+				for _, e := range changed {
+					copied[e.ID] = e
+				}
+			}
+		}
+		changed, _ := table.Since(change)
+		for _, e := range changed {
+			copied[e.ID] = e
+		}
+		for id, e := range copied {
+			if got, _ := table.Get(id); got.State != e.State {
+				t.Fatalf("%s is %v, told as %v", id, got.State, e.State)
+			}
+		}
+	})
+}
+
+func TestGatewayLease(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewGateways(3 * time.Second)
+	table.Announce(Gateway{Name: "a", Born: 1, Heard: now})
+	table.Announce(Gateway{Name: "b", Born: 1, Heard: now})
+	table.Announce(Gateway{Name: "a", Born: 1, Heard: now.Add(2 * time.Second)})
+	table.Expire(now.Add(4 * time.Second))
+	names := func() (names []string) {
+		for _, g := range table.Live() {
+			names = append(names, g.Name)
+		}
+		return names
+	}
+	if diff := cmp.Diff([]string{"a"}, names()); diff != "" {
+		t.Error(diff)
+	}
+	table.Leave("a", 2)
+	if diff := cmp.Diff([]string{"a"}, names()); diff != "" {
+		t.Errorf("the farewell of another incarnation: %s", diff)
+	}
+	table.Announce(Gateway{Name: "b", Born: 1, Heard: now.Add(5 * time.Second)})
+	if diff := cmp.Diff([]string{"a", "b"}, names()); diff != "" {
+		t.Error(diff)
+	}
+}
