Give up an endpoint's silence only for one that has room

The attempt now goes on until another endpoint would be on time. TestFirstPatience fails without the change.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -27,7 +27,7 @@
 	h.Set(ageHeader, strconv.FormatInt((j.age+now.Sub(j.received)+g.cfg.Detour/2).Milliseconds(), 10))
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	defer cancel(nil)
-	patience := j.firstPatience(at, ctx, cancel)
+	patience := j.firstPatience(at, cancel)
 	answer, err := g.peers.Send(ctx, at.gateway.ForwardAddress, &exchange.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Repeatable: j.repeatable(),
 		Owns: func(a *http.Response, _ bool) bool {
@@ -35,7 +35,7 @@
 		},
 	})
 	if err != nil {
-		patience.Stop()
+		patience.stop()
 		g.placer.gatewayEnded(time.Now(), at, j.r.Context().Err() != nil)
 		return j.failed(ctx, err, exchange.Outcome(err))
 	}
@@ -45,7 +45,7 @@
 		j.charge = runs
 	}
 	if outcome := problem.Outcome(answer.Header.Get(outcomeHeader)); outcome != "" {
-		patience.Stop()
+		patience.stop()
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRejectionBytes))
 		return j.refusedThere(at, answer, outcome)
 	}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -183,6 +183,16 @@
 	return here
 }
 
+// hasRoom reports whether an endpoint of this region would take a request on time.
+func (p *placer) hasRoom(now time.Time, v *view, q query) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q.work.Rank = capacity.Rank(q.route.Priority, false)
+	local, _ := p.local(now, v, q)
+	choice, ok := capacity.Choose(local, q.work, p.speed(q.service.Name), q.route.Objective, 0)
+	return ok && capacity.Admit(choice.Expected, q.asked) == capacity.Take
+}
+
 // local returns the endpoints of this region that may take a request.
 func (p *placer) local(now time.Time, v *view, q query) ([]capacity.Candidate, []fleet.Endpoint) {
 	if !q.route.Allows(p.cfg.Region) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -36,8 +36,8 @@
 
 // carryStream passes events on as they come. A stream that breaks may go on at another endpoint. Silence after the first
 // event breaks none: an engine that lacks memory puts a stream off and goes on with it later.
-func (j *job) carryStream(ctx context.Context, answer *exchange.Answer, f *flight, patience *time.Timer) (ending, next) {
-	defer patience.Stop()
+func (j *job) carryStream(ctx context.Context, answer *exchange.Answer, f *flight, patience *patience) (ending, next) {
+	defer patience.stop()
 	if j.stream == nil {
 		j.stream = &relay{w: j.w, last: j.call.LastEvent}
 	}
@@ -61,7 +61,7 @@
 		if j.firstAt.IsZero() {
 			j.firstAt = now
 		}
-		patience.Stop()
+		patience.stop()
 		if err := j.pass(e, answer); err != nil {
 			j.lastErr = err
 			j.log("callerLeft").Err(err).Msg("served")
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -47,10 +47,7 @@
 			j.giveUp(problem.EndpointFailed, reason)
 			return
 		}
-		at := j.g.placer.decide(now, j.view, query{
-			route: j.route, service: j.service, work: j.call.Work, asked: j.asked(now), tried: j.tried,
-			forwarded: j.forwarded, must: j.streaming(),
-		})
+		at := j.g.placer.decide(now, j.view, j.query(now))
 		j.place = at
 		if at.verdict == capacity.Refuse {
 			j.refusePlace(at)
@@ -63,6 +60,14 @@
 	}
 }
 
+// query returns what the placer has to know of the request.
+func (j *job) query(now time.Time) query {
+	return query{
+		route: j.route, service: j.service, work: j.call.Work, asked: j.asked(now), tried: j.tried,
+		forwarded: j.forwarded, must: j.streaming(),
+	}
+}
+
 // mayRepeat reports whether the request may be sent once more.
 func (j *job) mayRepeat(now time.Time) (reason string, ok bool) {
 	switch {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"arbutusreel/exchange"
@@ -44,7 +46,7 @@
 	g.cfg.Dialect.Prepare(h, Order{Instance: at.endpoint.ID, Left: j.deadline.Sub(now), Urgency: j.urgency(at.verdict), LastEvent: j.lastEvent()})
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	defer cancel(nil)
-	patience := j.firstPatience(at, ctx, cancel)
+	patience := j.firstPatience(at, cancel)
 	answer, err := g.pool.Send(ctx, at.endpoint.Address, &exchange.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Repeatable: j.repeatable(),
 		Owns: func(a *http.Response, fresh bool) bool {
@@ -52,7 +54,7 @@
 		},
 	})
 	if err != nil {
-		patience.Stop()
+		patience.stop()
 		f.end(time.Now(), j.endingOf(ctx, err))
 		return j.failed(ctx, err, exchange.Outcome(err))
 	}
@@ -63,7 +65,7 @@
 		g.placer.tellCold(time.Now(), at.endpoint, verdict.ColdFor)
 	}
 	if verdict.Rejected {
-		patience.Stop()
+		patience.stop()
 		// A short body is read so that the connection can be kept.
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRejectionBytes))
 		f.end(time.Now(), rejected)
@@ -78,14 +80,52 @@
 // maxRejectionBytes bounds the body of a rejection that is read.
 const maxRejectionBytes = 4 << 10
 
-// firstPatience cancels the attempt of a request that may be repeated if its first piece does not come in time. A request
-// at another gateway is left to that gateway's patience.
-func (j *job) firstPatience(at place, ctx context.Context, cancel context.CancelCauseFunc) *time.Timer {
+// firstPatience cancels the attempt of a request that may be repeated if its first piece does not come in time and
+// another endpoint would bring it on time from then on; until one would, the attempt goes on. A request at another
+// gateway is left to that gateway's patience.
+func (j *job) firstPatience(at place, cancel context.CancelCauseFunc) *patience {
 	limit := max(leastFirstPatience, firstPatienceFactor*at.expected, 3*j.route.Objective/2)
-	if !j.route.Repeatable() || ctx.Err() != nil || j.streaming() || j.runs+j.charge >= j.maxRuns() {
-		limit = j.route.Timeout + time.Second
+	p := &patience{}
+	if !j.route.Repeatable() || j.streaming() || j.runs+j.charge >= j.maxRuns() {
+		return p
+	}
+	q := j.query(time.Now())
+	q.tried = maps.Clone(j.tried)
+	q.asked.Objective = j.route.Objective
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.timer = time.AfterFunc(limit, func() {
+		if j.g.placer.hasRoom(time.Now(), j.g.view.Load(), q) {
+			cancel(&SilentStreamError{Limit: limit})
+			return
+		}
+		p.again(limit / 2)
+	})
+	return p
+}
+
+// patience is a timer that may be armed again by its own function until it is stopped.
+type patience struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+func (p *patience) again(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.stopped {
+		p.timer.Reset(d)
+	}
+}
+
+func (p *patience) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = true
+	if p.timer != nil {
+		p.timer.Stop()
 	}
-	return time.AfterFunc(limit, func() { cancel(&SilentStreamError{Limit: limit}) })
 }
 
 // endingOf tells how an attempt ended whose exchange failed.
@@ -120,7 +160,7 @@
 }
 
 // carry passes an answer on to the caller.
-func (j *job) carry(ctx context.Context, answer *exchange.Answer, verdict Verdict, f *flight, patience *time.Timer) (ending, next) {
+func (j *job) carry(ctx context.Context, answer *exchange.Answer, verdict Verdict, f *flight, patience *patience) (ending, next) {
 	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
 	if success && (!verdict.Signed || answer.Header.Get("Content-Encoding") != "") {
 		return failed, j.failed(ctx, &UnsignedAnswerError{Status: answer.Status}, problem.Unknown)
@@ -128,7 +168,7 @@
 	if success && j.route.Kind == routes.Stream && isEvents(answer.Header) {
 		return j.carryStream(ctx, answer, f, patience)
 	}
-	defer patience.Stop()
+	defer patience.stop()
 	whole, err := readPlain(answer)
 	if err != nil {
 		return j.endingOf(ctx, err), j.failed(ctx, err, problem.Unknown)
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -332,3 +332,32 @@
 		check(t, here, a, b)
 	})
 }
+
+// TestFirstPatience keeps an endpoint silent for longer than a first piece is waited for: the request goes to another one
+// only if that has room.
+func TestFirstPatience(t *testing.T) {
+	for name, backlog := range map[string]int64{"room elsewhere": 0, "no room elsewhere": 1 << 30} {
+		t.Run(name, func(t *testing.T) {
+			answer := func(pause time.Duration) endpointScript {
+				return func(c *endpointConn, r *http.Request, _ int) bool {
+					time.Sleep(pause)
+					c.head(r.Header.Get("Id"))
+					c.event(0)
+					c.end()
+					return true
+				}
+			}
+			a, b := newEndpoint(t, "a", answer(1500*time.Millisecond)), newEndpoint(t, "b", answer(0))
+			g := newGateway(t, testTable(t, func(r *routes.Route) { r.Objective = 300 * time.Millisecond }), a, b)
+			g.placer.states["b"].own.PromptTokens[0] = backlog
+			got := g.call(t.Context(), "POST", "/stream/x", nil)
+			want := "a"
+			if backlog == 0 {
+				want = "b"
+			}
+			if !got.whole || got.header.Get("Signed") != want {
+				t.Errorf("%+v, want an answer of %q", got, want)
+			}
+		})
+	}
+}
