--- a/cmd/arbutusreel/platform.go
+++ b/cmd/arbutusreel/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"io"
 	"os"
 	"os/signal"
@@ -28,6 +29,7 @@
 			defer signal.Stop(reload)
 			lines := logs.New(stdout)
 			defer lines.Close(logTimeout)
+			expvar.Publish("logLinesDropped", expvar.Func(func() any { return lines.Dropped() }))
 			zerolog.TimeFieldFormat = logTimeFormat
 			return run(ctx, platform.SettingsPath(os.Getenv), reload, zerolog.New(lines).With().Timestamp().Logger())
 		},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,7 @@
 	pool    *exchange.Pool
 	peers   *exchange.Pool
 	placer  *placer
+	times   *times
 	view    atomic.Pointer[view]
 	// work ends when the daemon has stopped.
 	work    context.Context
@@ -84,6 +85,7 @@
 		peers: exchange.NewPool(exchange.Idle{Repeatable: idleTimeout / 2, Once: idleTimeout / 2}, time.Now),
 		work:  work, endWork: endWork, done: make(chan struct{}),
 	}
+	g.times = newTimes(cfg.Metrics, g.pool)
 	g.view.Store(&view{})
 	return g
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -130,6 +130,8 @@
 	backlog    capacity.Outstanding
 	candidates int
 	favourite  bool
+	// full says that the endpoint had no slot or no memory left.
+	full bool
 	// rank is that of the request's urgency.
 	rank       int
 	reason     string
@@ -158,7 +160,8 @@
 	}
 	if ok {
 		here.endpoint = endpoints[choice.Index]
-		here.expected, here.cost, here.unread, here.favourite = choice.Expected, choice.Cost, choice.Unread, choice.Favourite
+		here.expected, here.cost, here.unread = choice.Expected, choice.Cost, choice.Unread
+		here.favourite, here.full = choice.Favourite, choice.Full
 		here.backlog = local[choice.Index].Outstanding
 		here.load, here.rank = q.work.Load(choice.Unread), q.work.Rank
 		here.verdict = capacity.Admit(choice.Expected, q.asked)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -106,6 +106,10 @@
 		j.w.WriteHeader(status)
 		j.stream.begun = true
 	}
+	if j.firstAt.IsZero() {
+		j.firstAt = time.Now()
+	}
+	j.g.times.note(j.route.Kind, j.received, j.firstAt)
 	j.g.cfg.Metrics.Count("answered")
 	j.log("answered").Int("status", status).Int64("lastEvent", j.stream.last).Msg("served")
 	return succeeded, answered
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -133,7 +133,7 @@
 func (j *job) log(outcome string) *zerolog.Event {
 	e := j.g.log.Info().Str("request", j.call.ID).Str("outcome", outcome).Int("attempts", j.attempts).Int("runs", j.runs).
 		Dur("took", time.Since(j.received)).Dur("expected", j.place.expected).Str("verdict", j.place.verdict.String()).
-		Int("candidates", j.place.candidates).Int64("prompt", j.call.Work.PromptTokens).Int64("output", j.call.Work.OutputTokens).Int64("unread", j.place.unread).Bool("favourite", j.place.favourite).Int64("queuedTokens", j.place.backlog.PromptTokens.Before(capacity.Ranks-1)).Int("outstanding", j.place.backlog.Requests).
+		Int("candidates", j.place.candidates).Int64("prompt", j.call.Work.PromptTokens).Int64("output", j.call.Work.OutputTokens).Int64("unread", j.place.unread).Bool("favourite", j.place.favourite).Bool("full", j.place.full).Int64("queuedTokens", j.place.backlog.PromptTokens.Before(capacity.Ranks-1)).Int("outstanding", j.place.backlog.Requests).
 		Str("endpoint", j.place.endpoint.ID).Int64("routeVersion", j.view.version()).Dur("viewAge", time.Since(j.view.heard)).Bool("current", j.view.current)
 	if j.place.region != "" {
 		e = e.Str("toRegion", j.place.region).Str("gateway", j.place.gateway.Name)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -222,6 +222,7 @@
 	if j.firstAt.IsZero() {
 		j.firstAt = time.Now()
 	}
+	j.g.times.note(j.route.Kind, j.received, j.firstAt)
 	j.log("answered").Int("status", a.status).Msg("served")
 	j.w.WriteHeader(a.status)
 	_, _ = j.w.Write(a.body)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -74,6 +74,8 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, forwarded bool) {
 	now := time.Now()
 	g.inFlight.Add(1)
+	g.cfg.Metrics.Begin()
+	defer g.cfg.Metrics.End()
 	g.lastTaken.Store(now.UnixNano())
 	defer g.inFlight.Add(-1)
 	if g.stopping.Load() != 0 {
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -361,3 +362,25 @@
 		})
 	}
 }
+
+// TestLatencies checks that answers are counted with their times, by kind of route.
+func TestLatencies(t *testing.T) {
+	a := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+		c.plain(r.Header.Get("Id"), 200, "ok")
+		return true
+	})
+	g := newGateway(t, testTable(t, nil), a)
+	g.call(t.Context(), "POST", "/safe/x", nil)
+	var got map[string]any
+	if err := json.Unmarshal([]byte(g.cfg.Metrics.String()), &got); err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]float64{"safeFirstMicros": 1, "safeWholeMicros": 1, "unsafeFirstMicros": 0} {
+		if times, ok := got[name].(map[string]any); !ok || times["count"] != want {
+			t.Errorf("%s is %v", name, got[name])
+		}
+	}
+	if got["connectionsOpened"] != 1.0 {
+		t.Errorf("%v connections", got["connectionsOpened"])
+	}
+}
--- a/metrics/set.go
+++ b/metrics/set.go
@@ -24,18 +24,18 @@
 	requests expvar.Map
 	tokens   expvar.Int
 	active   expvar.Int
-	added    Times
+	added    *Times
 }
 
 var _ expvar.Var = (*Set)(nil)
 
 // New returns a set whose counts are zero.
 func New() *Set {
-	s := &Set{added: Times{histogram: hdrhistogram.New(1, maxMicros, histogramDigits)}}
+	s := &Set{added: NewTimes()}
 	s.vars.Set("requests", &s.requests)
 	s.vars.Set("tokens", &s.tokens)
 	s.vars.Set("active", &s.active)
-	s.vars.Set("addedMicros", &s.added)
+	s.vars.Set("addedMicros", s.added)
 	return s
 }
 
@@ -58,7 +58,7 @@
 func (s *Set) Tokens(n int) { s.tokens.Add(int64(n)) }
 
 // Added notes the time that the process itself added to the first token of an answer.
-func (s *Set) Added(d time.Duration) { s.added.note(d) }
+func (s *Set) Added(d time.Duration) { s.added.Note(d) }
 
 // Times is a histogram of times; its zero value is not ready for use.
 type Times struct {
@@ -66,9 +66,13 @@
 	histogram *hdrhistogram.Histogram
 }
 
+// NewTimes returns an empty histogram.
+func NewTimes() *Times { return &Times{histogram: hdrhistogram.New(1, maxMicros, histogramDigits)} }
+
 var _ expvar.Var = (*Times)(nil)
 
-func (t *Times) note(d time.Duration) {
+// Note counts a time; it is kept within a microsecond and ten seconds.
+func (t *Times) Note(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	_ = t.histogram.RecordValue(min(max(d.Microseconds(), 1), maxMicros))
