--- a/control/peers.go
+++ b/control/peers.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 
 	"arbutusreel/keys"
 )
@@ -24,26 +22,13 @@
 	return &peers{keys: source, connections: map[string]*grpc.ClientConn{}}
 }
 
-// peerBackoff bounds the waits between attempts to connect, so that a peer is found soon after a partition.
-func peerBackoff() backoff.Config {
-	return backoff.Config{BaseDelay: linkBackoff, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}
-}
-
-// dialPeer returns a connection to a control daemon that reconnects by itself.
-func dialPeer(source *keys.Source, address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(source.Client(address)),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: peerBackoff(), MinConnectTimeout: linkConnectTimeout}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)))
-}
-
 func (p *peers) get(address string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if conn := p.connections[address]; conn != nil {
 		return conn, nil
 	}
-	conn, err := dialPeer(p.keys, address)
+	conn, err := p.keys.Dial(address, maxMessageBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/control/share.go
+++ b/control/share.go
@@ -34,7 +34,7 @@
 }
 
 func (c *Control) shareOnce(ctx context.Context, address string, reached func()) error {
-	conn, err := dialPeer(c.cfg.Keys, address)
+	conn, err := c.cfg.Keys.Dial(address, maxMessageBytes)
 	if err != nil {
 		return err
 	}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -98,7 +98,7 @@
 }
 
 func (g *Gateway) runLoads(ctx context.Context, s *loadStream) error {
-	conn, err := dialPeer(g.cfg, s.address)
+	conn, err := g.cfg.Keys.Dial(s.address, maxUpdateBytes)
 	if err != nil {
 		return err
 	}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 
 	"arbutusreel/capacity"
 	"arbutusreel/clock"
@@ -57,16 +56,6 @@
 	_ = c.conn.Close()
 }
 
-func dialPeer(cfg Config, address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(cfg.Keys.Client(address)),
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
-			MinConnectTimeout: time.Second,
-		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxUpdateBytes)))
-}
-
 // maxUpdateBytes bounds one update, which may hold a large document.
 const maxUpdateBytes = 64 << 20
 
@@ -132,7 +121,7 @@
 
 // open opens a session and returns it once its first update has arrived, or nil.
 func (g *Gateway) open(race context.Context, address string) *candidate {
-	conn, err := dialPeer(g.cfg, address)
+	conn, err := g.cfg.Keys.Dial(address, maxUpdateBytes)
 	if err != nil {
 		return nil
 	}
--- /dev/null
+++ b/keys/dial.go
@@ -0,0 +1,30 @@
+package keys
+
+import (
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+)
+
+const (
+	// firstDialDelay and maxDialDelay bound the waits between attempts to connect, so that a peer is found soon after a
+	// partition.
+	firstDialDelay = 100 * time.Millisecond
+	maxDialDelay   = time.Second
+	dialMultiplier = 1.6
+	dialJitter     = 0.2
+	// dialTimeout bounds one attempt to connect.
+	dialTimeout = 2 * time.Second
+)
+
+// Dial returns a connection to another process of the system that reconnects by itself; maxBytes bounds one message.
+func (s *Source) Dial(address string, maxBytes int) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(s.Client(address)),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: firstDialDelay, Multiplier: dialMultiplier, Jitter: dialJitter, MaxDelay: maxDialDelay},
+			MinConnectTimeout: dialTimeout,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxBytes)))
+}
