--- a/journal/fake_test.go
+++ b/journal/fake_test.go
@@ -20,6 +20,8 @@
 	disk    *disk
 	data    []byte
 	durable []byte
+	// unsynced holds where writes since the last sync began.
+	unsynced []int
 }
 
 var (
@@ -87,26 +89,44 @@
 	return nil
 }
 
-// crash returns the disk after a power failure that kept extra bytes of each file's unsynced tail.
-func (d *disk) crash(extra int) *disk {
+// crash returns the disk after a power failure that kept extra bytes of each file's unsynced tail, without the unsynced
+// writes whose bit is set in lost.
+func (d *disk) crash(extra int, lost ...uint64) *disk {
 	after := newDisk()
 	for name, f := range d.synced {
 		kept := slices.Clone(f.durable)
 		if len(f.data) > len(kept) {
 			kept = append(kept, f.data[len(kept):min(len(f.data), len(kept)+extra)]...)
 		}
+		for _, bits := range lost {
+			f.lose(kept, bits)
+		}
 		after.files[name] = &memoryFile{disk: after, data: kept, durable: kept}
 		after.synced[name] = after.files[name]
 	}
 	return after
 }
 
+// lose clears the unsynced writes whose bit is set.
+func (f *memoryFile) lose(b []byte, bits uint64) {
+	for i, from := range f.unsynced {
+		to := len(b)
+		if i+1 < len(f.unsynced) {
+			to = min(to, f.unsynced[i+1])
+		}
+		if bits>>(i%64)&1 == 1 && from < to {
+			clear(b[from:to])
+		}
+	}
+}
+
 func (f *memoryFile) Write(b []byte) (int, error) {
 	n := len(b)
 	if f.disk.room >= 0 {
 		n = min(n, f.disk.room)
 		f.disk.room -= n
 	}
+	f.unsynced = append(f.unsynced, len(f.data))
 	f.data = append(f.data, b[:n]...)
 	if n < len(b) {
 		return n, syscall.ENOSPC
@@ -118,7 +138,7 @@
 	if err := f.disk.sync(); err != nil {
 		return err
 	}
-	f.durable = slices.Clone(f.data)
+	f.durable, f.unsynced = slices.Clone(f.data), nil
 	return nil
 }
 
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"encoding/binary"
 	"errors"
 	"io/fs"
 )
@@ -18,7 +19,7 @@
 	Snapshot []byte
 	// Records are those appended since, in order.
 	Records [][]byte
-	// Cut is the number of bytes of an incomplete record that were cut off.
+	// Cut is the number of bytes that were cut off, from the first record that a crash left incomplete.
 	Cut int64
 }
 
@@ -28,12 +29,14 @@
 	file     File
 	identity string
 	size     int64
-	buffer   []byte
-	failure  error
+	// synced is the length of the file that lasts, and told the length that the last record tells.
+	synced, told int64
+	buffer       []byte
+	failure      error
 }
 
-// Open reads the journal of the folder and cuts off an incomplete record at
-// its end; an empty folder becomes a journal with the new identity. A damaged
+// Open reads the journal of the folder and cuts off what follows the last
+// record that a crash left whole; an empty folder becomes a journal with the new identity. A damaged
 // file returns *CorruptError, one that cannot be read *ReadError, and one that
 // cannot be written *WriteError.
 func Open(files Files, identity string) (*Journal, Contents, error) {
@@ -59,7 +62,7 @@
 	return j, c, j.reopen(c.Cut > 0)
 }
 
-// parse returns the contents of a file and the offset after the last whole record.
+// parse returns the contents of a file and the offset after the last whole record that no damage precedes.
 func parse(b []byte) (c Contents, end int64, err error) {
 	for end < int64(len(b)) {
 		p, torn, reason := readPart(b[end:])
@@ -69,6 +72,9 @@
 		if torn {
 			reason = "the identity is incomplete"
 		}
+		if reason != "" && c.Identity != "" && leftByCrash(b, end) {
+			return c, end, nil
+		}
 		if reason == "" {
 			reason = c.add(p)
 		}
@@ -94,6 +100,8 @@
 		c.Snapshot = p.payload
 	case p.kind == recordKind:
 		c.Records = append(c.Records, p.payload)
+	case p.kind == syncedRecordKind && len(p.payload) >= syncedSize:
+		c.Records = append(c.Records, p.payload[syncedSize:])
 	default:
 		return "a part stands at the wrong place"
 	}
@@ -129,7 +137,12 @@
 	}
 	j.buffer = j.buffer[:0]
 	for _, record := range records {
-		j.buffer = appendPart(j.buffer, recordKind, record)
+		if j.synced == j.told {
+			j.buffer = appendPart(j.buffer, recordKind, record)
+			continue
+		}
+		j.told = j.synced
+		j.buffer = appendPart(j.buffer, syncedRecordKind, append(binary.LittleEndian.AppendUint64(nil, uint64(j.synced)), record...))
 	}
 	return j.write(fileName, j.buffer)
 }
@@ -142,6 +155,7 @@
 	if err := j.file.Sync(); err != nil {
 		return j.fail("sync", fileName, err)
 	}
+	j.synced = j.size
 	return nil
 }
 
@@ -178,6 +192,7 @@
 	if err := j.files.Sync(); err != nil {
 		return j.fail("sync", "the folder", err)
 	}
+	j.synced, j.told = j.size, 0
 	return nil
 }
 
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -81,6 +81,51 @@
 	}
 }
 
+// TestHoles loses writes that were not synced while a later one is kept: the journal opens with what precedes them.
+func TestHoles(t *testing.T) {
+	d := newDisk()
+	j, _ := mustOpen(t, d)
+	sizes := []int64{j.Size()}
+	if err := errors.Join(j.Append([]byte("synced")), j.Sync()); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range []string{"first", "second", "third"} {
+		sizes = append(sizes, j.Size())
+		if err := j.Append([]byte(r)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b := d.files[fileName].data
+	for _, c := range []struct {
+		lost int
+		want []string
+	}{{1, []string{"synced"}}, {2, []string{"synced", "first"}}} {
+		for from := sizes[c.lost]; from < sizes[c.lost+1]; from++ {
+			damaged := slices.Clone(b)
+			clear(damaged[from:sizes[c.lost+1]])
+			if string(damaged) == string(b) {
+				continue
+			}
+			after := diskWith(damaged)
+			j, got := mustOpen(t, after)
+			if diff := cmp.Diff(c.want, texts(got.Records)); diff != "" {
+				t.Fatalf("write %d lost from byte %d on: %s", c.lost, from, diff)
+			}
+			if err := errors.Join(j.Append([]byte("next")), j.Sync()); err != nil {
+				t.Fatal(err)
+			}
+			if _, got = mustOpen(t, after.crash(0)); !slices.Equal(texts(got.Records), append(slices.Clone(c.want), "next")) {
+				t.Fatalf("after an append: %v", texts(got.Records))
+			}
+		}
+	}
+	clear(b[sizes[0]:sizes[1]])
+	var corrupt *CorruptError
+	if _, _, err := Open(diskWith(b), "disk-new"); !errors.As(err, &corrupt) || corrupt.Offset != sizes[0] {
+		t.Errorf("a synced record was lost: error %v", err)
+	}
+}
+
 func TestFullDisk(t *testing.T) {
 	b, before := written(t, "first", "second")
 	for room := range len(b) - before {
@@ -185,7 +230,7 @@
 				})...)
 				durable = len(records)
 			case 3:
-				d = d.crash(rapid.IntRange(0, 80).Draw(t, "kept"))
+				d = d.crash(rapid.IntRange(0, 80).Draw(t, "kept"), rapid.Uint64().Draw(t, "lost"))
 				var c Contents
 				j, c, err = Open(d, "disk-2")
 				if c.Identity != "disk-1" || string(c.Snapshot) != snapshot {
