Pass on long plain answers whole, and remove what nothing uses

An answer beyond 1 MB is now passed on as it comes; one that breaks off cuts the caller's connection. TestLongAnswer fails before: 16,777,216 of 17,825,791 bytes came as a whole answer.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -29,7 +29,7 @@
 	defer cancel(nil)
 	patience := j.firstPatience(at, cancel)
 	answer, err := g.peers.Send(ctx, at.gateway.ForwardAddress, &exchange.Request{
-		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Repeatable: j.repeatable(),
+		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Repeatable: j.route.Repeatable(),
 		Owns: func(a *http.Response, _ bool) bool {
 			return a.Header.Get(outcomeHeader) != "" || g.cfg.Dialect.Owns(a.Header, a.StatusCode, j.call.ID, false)
 		},
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -15,13 +15,11 @@
 	endpoint fleet.Endpoint
 	service  string
 	load     capacity.Outstanding
-	work     capacity.Work
 	// queued is the work that has to be read before the first piece, this request's included.
-	queued   int64
-	expected time.Duration
-	sent     time.Time
-	started  bool
-	probe    retry.Probe
+	queued  int64
+	sent    time.Time
+	started bool
+	probe   retry.Probe
 }
 
 // begin counts a request as sent.
@@ -37,8 +35,8 @@
 	}
 	p.changed[at.endpoint.ID] = true
 	return &flight{
-		placer: p, endpoint: at.endpoint, service: service, load: at.load, work: w, queued: at.backlog.PromptTokens.Before(at.rank) + at.unread,
-		expected: at.expected, sent: now, probe: p.breakers.Begin(now, at.endpoint.ID),
+		placer: p, endpoint: at.endpoint, service: service, load: at.load, queued: at.backlog.PromptTokens.Before(at.rank) + at.unread,
+		sent: now, probe: p.breakers.Begin(now, at.endpoint.ID),
 	}
 }
 
@@ -185,7 +183,8 @@
 	return a
 }
 
-// outstandingChanges returns the loads that changed since the last call, or all of them.
+// outstandingChanges returns the loads that changed since the last call, or all of them. Changes that are told with all
+// of them are told again, so that a report that waited while a stream was opened is soon replaced.
 func (p *placer) outstandingChanges(now time.Time, all bool) []*wiregen.EndpointOutstanding {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,7 +10,6 @@
 
 	"arbutusreel/capacity"
 	"arbutusreel/problem"
-	"arbutusreel/routes"
 )
 
 const (
@@ -28,6 +27,8 @@
 	answered next = iota
 	// again: another place is tried if there is one.
 	again
+	// broken: the caller has a part of its answer, and the rest cannot be had.
+	broken
 )
 
 // run places the request until it is answered.
@@ -54,12 +55,26 @@
 			return
 		}
 		j.attempts++
-		if at.region != "" && j.forward(at) == answered || at.region == "" && j.send(at) == answered {
+		var step next
+		if at.region != "" {
+			step = j.forward(at)
+		} else {
+			step = j.send(at)
+		}
+		if !j.goesOn(step) {
 			return
 		}
 	}
 }
 
+// goesOn reports whether another place is tried. An answer that broke off must not look complete: its connection is cut.
+func (j *job) goesOn(step next) bool {
+	if step == broken {
+		panic(http.ErrAbortHandler)
+	}
+	return step == again
+}
+
 // query returns what the placer has to know of the request.
 func (j *job) query(now time.Time) query {
 	return query{
@@ -89,7 +104,7 @@
 // refusePlace answers a request for which there is no place.
 func (j *job) refusePlace(at place) {
 	if j.held != nil && !j.streaming() {
-		j.answerPlain(j.held)
+		j.goesOn(j.answerHeld())
 		return
 	}
 	if j.outcome != problem.NotRun {
@@ -115,7 +130,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if j.held != nil && !j.streaming() {
-		j.answerPlain(j.held)
+		j.goesOn(j.answerHeld())
 		return
 	}
 	p := problem.New(code, http.StatusBadGateway, "%s", reason).WithOutcome(j.outcome)
@@ -129,15 +144,13 @@
 	j.refuse(p)
 }
 
-// log begins the line of a decision on this request.
+// log begins the line of a decision on this request: its outcome, the place with what decided it, and the age of the view.
 func (j *job) log(outcome string) *zerolog.Event {
 	e := j.g.log.Info().Str("request", j.call.ID).Str("outcome", outcome).Int("attempts", j.attempts).Int("runs", j.runs).
-		Dur("took", time.Since(j.received)).Dur("expected", j.place.expected).Str("verdict", j.place.verdict.String()).
-		Int("candidates", j.place.candidates).Int64("prompt", j.call.Work.PromptTokens).Int64("output", j.call.Work.OutputTokens).Int64("unread", j.place.unread).Bool("favourite", j.place.favourite).Bool("full", j.place.full).Int64("queuedTokens", j.place.backlog.PromptTokens.Before(capacity.Ranks-1)).Int("outstanding", j.place.backlog.Requests).
-		Str("endpoint", j.place.endpoint.ID).Int64("routeVersion", j.view.version()).Dur("viewAge", time.Since(j.view.heard)).Bool("current", j.view.current)
-	if j.place.region != "" {
-		e = e.Str("toRegion", j.place.region).Str("gateway", j.place.gateway.Name)
-	}
+		Dur("took", time.Since(j.received)).
+		Int64("prompt", j.call.Work.PromptTokens).Int64("output", j.call.Work.OutputTokens).
+		Int64("routeVersion", j.view.version()).Dur("viewAge", time.Since(j.view.heard)).Bool("current", j.view.current)
+	e = j.place.log(e)
 	if j.route != nil {
 		e = e.Str("route", j.route.Name).Str("kind", j.route.Kind.String())
 	}
@@ -150,6 +163,18 @@
 	return e
 }
 
+// log adds a place and what decided it to a line.
+func (at place) log(e *zerolog.Event) *zerolog.Event {
+	e = e.Dur("expected", at.expected).Str("verdict", at.verdict.String()).Int("candidates", at.candidates).
+		Int64("unread", at.unread).Bool("favourite", at.favourite).Bool("full", at.full).
+		Int64("queuedTokens", at.backlog.PromptTokens.Before(capacity.Ranks-1)).Int("outstanding", at.backlog.Requests).
+		Str("endpoint", at.endpoint.ID)
+	if at.region != "" {
+		e = e.Str("toRegion", at.region).Str("gateway", at.gateway.Name)
+	}
+	return e
+}
+
 // doubt notes that endpoints may have run the request, or have.
 func (j *job) doubt(o problem.Outcome) {
 	if o == problem.NotRun {
@@ -180,9 +205,6 @@
 	}
 }
 
-// repeatable reports whether a connection may be reused although the endpoint may have closed it.
-func (j *job) repeatable() bool { return j.route.Repeatable() || j.route.Kind == routes.Safe }
-
 // maxRuns returns the number of endpoints that may run the request.
 func (j *job) maxRuns() int {
 	if j.allowed > 0 {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// maxPlainBytes bounds an answer that is held until it is whole.
-	maxPlainBytes = 16 << 20
+	// heldBytes bounds the part of an answer that is held, so that another endpoint may be tried if it breaks off; a longer
+	// one is passed on as it comes.
+	heldBytes = 1 << 20
 	// forwardMargin is taken from the time left that another gateway is told, so that its answer is in time here.
 	forwardMargin = 90 * time.Millisecond
 	// leastFirstPatience and firstPatienceFactor bound the wait for a first piece before another endpoint is tried: that
@@ -28,11 +29,13 @@
 	firstPatienceFactor = 3
 )
 
-// plain is an answer that was received whole.
+// plain is an answer that was received whole, or the beginning of a long one.
 type plain struct {
 	status int
 	header http.Header
 	body   []byte
+	// rest is what follows the body of a long answer; nil if the body is whole.
+	rest io.Reader
 }
 
 // send sends the request to an endpoint of this region.
@@ -48,7 +51,7 @@
 	defer cancel(nil)
 	patience := j.firstPatience(at, cancel)
 	answer, err := g.pool.Send(ctx, at.endpoint.Address, &exchange.Request{
-		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Repeatable: j.repeatable(),
+		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Repeatable: j.route.Repeatable(),
 		Owns: func(a *http.Response, fresh bool) bool {
 			return g.cfg.Dialect.Owns(a.Header, a.StatusCode, j.call.ID, fresh)
 		},
@@ -180,17 +183,18 @@
 		// A stream that goes on cannot take a plain answer.
 		return failed, j.failed(ctx, &UnsignedAnswerError{Status: answer.Status}, problem.Ran)
 	}
-	if !success && answer.Status >= http.StatusInternalServerError {
+	if whole.rest == nil && answer.Status >= http.StatusInternalServerError {
 		j.held = whole
 		j.doubt(problem.Ran)
 		if j.worthRepeating() {
 			j.log(string(problem.Ran)).Int("status", answer.Status).Msg("attemptFailed")
 			return ended, again
 		}
-		j.answerPlain(whole)
-		return ended, answered
+		return ended, j.answerHeld()
+	}
+	if err := j.answerPlain(whole); err != nil {
+		return j.endingOf(ctx, err), broken
 	}
-	j.answerPlain(whole)
 	return succeeded, answered
 }
 
@@ -205,19 +209,33 @@
 
 func readPlain(answer *exchange.Answer) (*plain, error) {
 	var b bytes.Buffer
-	if _, err := b.ReadFrom(io.LimitReader(answer, maxPlainBytes)); err != nil {
+	n, err := b.ReadFrom(io.LimitReader(answer, heldBytes))
+	if err != nil {
 		return nil, &exchange.Error{Stage: exchange.Reading, Outcome: problem.Unknown, Cause: err}
 	}
-	return &plain{status: answer.Status, header: answer.Header, body: b.Bytes()}, nil
+	a := &plain{status: answer.Status, header: answer.Header, body: b.Bytes()}
+	if n == heldBytes {
+		a.rest = answer
+	}
+	return a, nil
+}
+
+// answerHeld gives the caller an endpoint's own failure.
+func (j *job) answerHeld() next {
+	if err := j.answerPlain(j.held); err != nil {
+		return broken
+	}
+	return answered
 }
 
-// answerPlain gives the caller a whole answer as the endpoint gave it.
-func (j *job) answerPlain(a *plain) {
+// answerPlain gives the caller an answer as the endpoint gave it; an error says that the caller does not have all of it.
+func (j *job) answerPlain(a *plain) error {
 	h := j.w.Header()
 	giveHeader(h, a.header)
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	if a.rest == nil {
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
 	j.tellRuns(h)
-	j.answered = a.status
 	j.g.cfg.Metrics.Count("answered")
 	if j.firstAt.IsZero() {
 		j.firstAt = time.Now()
@@ -225,7 +243,15 @@
 	j.g.times.note(j.route.Kind, j.received, j.firstAt)
 	j.log("answered").Int("status", a.status).Msg("served")
 	j.w.WriteHeader(a.status)
-	_, _ = j.w.Write(a.body)
+	_, err := j.w.Write(a.body)
+	if err == nil && a.rest != nil {
+		_, err = io.Copy(j.w, a.rest)
+	}
+	if err != nil {
+		j.lastErr = err
+		j.log("answerBroken").Err(err).Msg("served")
+	}
+	return err
 }
 
 // connectionHeaders concern one connection alone.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -64,11 +64,10 @@
 	outcome problem.Outcome
 	stream  *relay
 	// held is an endpoint's own failure, which is the answer if no other endpoint does better.
-	held     *plain
-	place    place
-	firstAt  time.Time
-	lastErr  error
-	answered int
+	held    *plain
+	place   place
+	firstAt time.Time
+	lastErr error
 }
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, forwarded bool) {
@@ -208,7 +207,6 @@
 		h.Set("Retry-After", strconv.FormatFloat(p.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Type", "application/problem+json")
-	j.answered = p.Status
 	j.g.cfg.Metrics.Count(string(p.Code))
 	j.log(string(p.Outcome)).Str("reason", string(p.Code)).Str("detail", p.Detail).Dur("retryAfter", p.RetryAfter).Err(j.lastErr).Msg("refused")
 	j.w.WriteHeader(p.Status)
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -162,6 +163,29 @@
 	}
 }
 
+// TestLongAnswer gives an answer that is longer than what a gateway holds: it arrives whole, and one that breaks off does
+// not look complete.
+func TestLongAnswer(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 17<<16)
+	for name, sent := range map[string]string{"whole": body, "broken off": body[:len(body)-1], "short": body[:1<<20]} {
+		t.Run(name, func(t *testing.T) {
+			a := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+				length := len(sent)
+				if name == "broken off" {
+					length++
+				}
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: a\r\nContent-Length: %d\r\n\r\n", r.Header.Get("Id"), length)
+				_, err := c.Write([]byte(sent))
+				return err == nil && length == len(sent)
+			})
+			got := newGateway(t, testTable(t, nil), a).call(t.Context(), "POST", "/unsafe/x", nil)
+			if got.whole != (name != "broken off") || got.whole && got.body != sent {
+				t.Errorf("whole %v, %d bytes of %d", got.whole, len(got.body), len(sent))
+			}
+		})
+	}
+}
+
 // TestForeignAnswers sends an answer twice; the second one waits on the kept connection and is not given to the next
 // request.
 func TestForeignAnswers(t *testing.T) {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"arbutusreel/capacity"
@@ -17,7 +18,6 @@
 	table *routes.Table
 	// endpoints are those of this region by service, without those that are gone or whose domain is evacuated.
 	endpoints map[string][]fleet.Endpoint
-	evacuated []string
 	gateways  []fleet.Gateway
 	rooms     map[string]regionRoom
 	// heard is when the control daemon said something last, and current whether it had heard of the leader.
@@ -134,8 +134,7 @@
 // view returns what is believed now.
 func (b *beliefs) view(now time.Time) *view {
 	v := &view{
-		table: b.table, endpoints: map[string][]fleet.Endpoint{}, evacuated: b.evacuated,
-		rooms: maps.Clone(b.rooms),
+		table: b.table, endpoints: map[string][]fleet.Endpoint{}, rooms: maps.Clone(b.rooms),
 	}
 	for id, e := range b.endpoints {
 		if now.Sub(e.Heard) > forgetAfter {
@@ -151,12 +150,12 @@
 		v.endpoints[e.Service] = append(v.endpoints[e.Service], b.chill(e))
 	}
 	for _, all := range v.endpoints {
-		slices.SortFunc(all, func(x, y fleet.Endpoint) int { return compare(x.ID, y.ID) })
+		slices.SortFunc(all, func(x, y fleet.Endpoint) int { return strings.Compare(x.ID, y.ID) })
 	}
 	for _, g := range b.gateways {
 		v.gateways = append(v.gateways, g)
 	}
-	slices.SortFunc(v.gateways, func(x, y fleet.Gateway) int { return compare(x.Name, y.Name) })
+	slices.SortFunc(v.gateways, func(x, y fleet.Gateway) int { return strings.Compare(x.Name, y.Name) })
 	return v
 }
 
@@ -175,14 +174,3 @@
 	}
 	return e
 }
-
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
