Place a request without allocating for each endpoint

Cause: a decision copied each candidate's record into new slices and summed the other gateways' loads twice. What is left are map look-ups by endpoint.

--- /dev/null
+++ b/gateway/bench_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"arbutusreel/fleet"
+)
+
+// BenchmarkStream passes streams of different lengths through a gateway.
+func BenchmarkStream(b *testing.B) {
+	for _, events := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint(events), func(b *testing.B) {
+			a := newEndpoint(b, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+				c.head(r.Header.Get("Id"))
+				for n := range events {
+					c.event(n)
+				}
+				c.end()
+				return true
+			})
+			g := newGateway(b, testTable(b, nil), a)
+			for b.Loop() {
+				if got := g.call(b.Context(), "POST", "/stream/x", nil); !got.whole {
+					b.Fatal(got.err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkDecide places a request among the endpoints of a region, with what the other gateways told.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{10, 46, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			var endpoints []fleet.Endpoint
+			for i := range n {
+				endpoints = append(endpoints, fleet.Endpoint{ID: fmt.Sprintf("engine-%d", i), Born: 7, Service: "model", Slots: 32, State: fleet.Ready})
+			}
+			placers, v, r, s := newPlacers(b, 2, endpoints...)
+			q := ask(r, s)
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				placers[0].decide(now, v, q)
+			}
+		})
+	}
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -105,7 +105,7 @@
 	return e.seen
 }
 
-func newEndpoint(t *testing.T, id string, script endpointScript) *testEndpoint {
+func newEndpoint(t testing.TB, id string, script endpointScript) *testEndpoint {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -189,7 +189,7 @@
 }
 
 // newGateway returns a gateway that believes in the endpoints, which are chosen in the order of their ids.
-func newGateway(t *testing.T, table *routes.Table, endpoints ...*testEndpoint) *testGateway {
+func newGateway(t testing.TB, table *routes.Table, endpoints ...*testEndpoint) *testGateway {
 	t.Helper()
 	g := New(testConfig(), zerolog.Nop(), rand.NewPCG(1, 1))
 	v := &view{table: table, endpoints: map[string][]fleet.Endpoint{}, heard: time.Now(), current: true}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -78,6 +78,9 @@
 	longest map[string]time.Duration
 	// sums caches what the other gateways have at an endpoint until one of them tells something new.
 	sums map[string]peerSum
+	// candidates and endpoints are reused by each decision.
+	candidates []capacity.Candidate
+	endpoints  []*fleet.Endpoint
 	// swept is when peers that fell silent were looked for last.
 	swept time.Time
 }
@@ -159,7 +162,7 @@
 		here.reason = reasonNotHome
 	}
 	if ok {
-		here.endpoint = endpoints[choice.Index]
+		here.endpoint = *endpoints[choice.Index]
 		here.expected, here.cost, here.unread = choice.Expected, choice.Cost, choice.Unread
 		here.favourite, here.full = choice.Favourite, choice.Full
 		here.backlog = local[choice.Index].Outstanding
@@ -196,15 +199,18 @@
 	return ok && capacity.Admit(choice.Expected, q.asked) == capacity.Take
 }
 
-// local returns the endpoints of this region that may take a request.
-func (p *placer) local(now time.Time, v *view, q query) ([]capacity.Candidate, []fleet.Endpoint) {
+// local returns the endpoints of this region that may take a request, which are valid until the next call.
+func (p *placer) local(now time.Time, v *view, q query) ([]capacity.Candidate, []*fleet.Endpoint) {
 	if !q.route.Allows(p.cfg.Region) {
 		return nil, nil
 	}
+	p.sweep(now)
 	rank, n := v.rank(p.cfg.Region, p.cfg.Name)
-	var candidates []capacity.Candidate
-	var endpoints []fleet.Endpoint
-	for _, e := range v.endpoints[q.service.Name] {
+	speed := p.speed(q.service.Name)
+	p.candidates, p.endpoints = p.candidates[:0], p.endpoints[:0]
+	all := v.endpoints[q.service.Name]
+	for i := range all {
+		e := &all[i]
 		s := p.state(e)
 		if q.tried[e.ID] || !p.breakers.Allows(now, e.ID) || !e.GoneAt.IsZero() {
 			continue
@@ -212,25 +218,26 @@
 		if p.isCold(e, s, now) && s.cold.Count(now) >= p.coldLimit(q.service, e, rank, n) {
 			continue
 		}
+		peers := p.peerSum(now, e.ID)
 		c := capacity.Candidate{
-			ID: e.ID, Outstanding: p.total(now, e.ID, s), Health: s.health, Slots: e.Slots, Busy: p.busy(now, q.service.Name, e.ID, s),
+			ID: e.ID, Outstanding: s.own.Plus(peers.outstanding), Health: s.health, Slots: e.Slots, Busy: s.busy(now, speed, peers),
 		}
 		if q.service.Engine != nil {
 			c.Memory = q.service.Engine.CacheTokens
 			c.KeptParts = s.kept(now, q.work)
 		}
-		candidates, endpoints = append(candidates, c), append(endpoints, e)
+		p.candidates, p.endpoints = append(p.candidates, c), append(p.endpoints, e)
 	}
-	return candidates, endpoints
+	return p.candidates, p.endpoints
 }
 
 // isCold reports whether an endpoint is cold, or may be without having told so yet.
-func (p *placer) isCold(e fleet.Endpoint, s *endpointState, now time.Time) bool {
+func (p *placer) isCold(e *fleet.Endpoint, s *endpointState, now time.Time) bool {
 	return e.Cold(now) || now.Before(s.coldUntil) || !s.failedAt.IsZero() && now.Sub(s.failedAt) < rebirthTime
 }
 
 // coldLimit returns the number of requests that this gateway may send to a cold endpoint in one second.
-func (p *placer) coldLimit(s *routes.Service, e fleet.Endpoint, rank, n int) int {
+func (p *placer) coldLimit(s *routes.Service, e *fleet.Endpoint, rank, n int) int {
 	if s.ColdRate <= 0 {
 		return 1 << 30
 	}
@@ -239,7 +246,7 @@
 	return capacity.Share(whole, n, (rank+int(e.Born%int64(n)))%n)
 }
 
-func (p *placer) state(e fleet.Endpoint) *endpointState {
+func (p *placer) state(e *fleet.Endpoint) *endpointState {
 	s := p.states[e.ID]
 	if s == nil || s.born != e.Born {
 		own := capacity.Outstanding{}
@@ -253,14 +260,8 @@
 	return s
 }
 
-// total returns what all gateways of the region have outstanding at an endpoint.
-func (p *placer) total(now time.Time, id string, s *endpointState) capacity.Outstanding {
-	return s.own.Plus(p.peerSum(now, id).outstanding)
-}
-
 // peerSum returns what the other gateways have at an endpoint.
 func (p *placer) peerSum(now time.Time, id string) peerSum {
-	p.sweep(now)
 	sum, ok := p.sums[id]
 	if ok {
 		return sum
@@ -290,8 +291,8 @@
 }
 
 // busy returns the share of its time for which an endpoint reads prompts, by what all gateways sent lately.
-func (p *placer) busy(now time.Time, service, id string, s *endpointState) float64 {
-	return p.speed(service).Busy(s.recent.Tokens(now) + p.peerSum(now, id).recent.Tokens(now))
+func (s *endpointState) busy(now time.Time, speed capacity.Speed, peers peerSum) float64 {
+	return speed.Busy(s.recent.Tokens(now) + peers.recent.Tokens(now))
 }
 
 // kept returns the number of a prompt's first shared parts that the endpoint is believed to keep.
@@ -421,18 +422,21 @@
 const roomObjective = time.Second
 
 func (p *placer) serviceRoom(now time.Time, service *routes.Service, endpoints []fleet.Endpoint) *wiregen.ServiceRoom {
+	p.sweep(now)
 	speed := p.speed(service.Name)
 	m := &wiregen.ServiceRoom{Service: service.Name}
 	for range capacity.Ranks {
 		m.WaitMillis = append(m.WaitMillis, noLocalEndpoint.Milliseconds())
 	}
 	busy := 0.0
-	for _, e := range endpoints {
+	for i := range endpoints {
+		e := &endpoints[i]
 		s := p.state(e)
 		if p.breakers.State(now, e.ID) != retry.Closed || p.isCold(e, s, now) || !e.GoneAt.IsZero() {
 			continue
 		}
-		c := capacity.Candidate{ID: e.ID, Outstanding: p.total(now, e.ID, s), Health: s.health, Slots: e.Slots}
+		peers := p.peerSum(now, e.ID)
+		c := capacity.Candidate{ID: e.ID, Outstanding: s.own.Plus(peers.outstanding), Health: s.health, Slots: e.Slots}
 		if service.Engine != nil {
 			c.Memory = service.Engine.CacheTokens
 		}
@@ -442,7 +446,7 @@
 		}
 		wait, _, full := capacity.Expected(c, capacity.Work{Rank: capacity.Ranks - 1}, speed)
 		m.Endpoints++
-		busy += p.busy(now, service.Name, e.ID, s)
+		busy += s.busy(now, speed, peers)
 		if !full && wait < roomObjective {
 			tokens := int64(roomObjective-wait) / int64(max(speed.Token, 1))
 			if c.Memory > 0 {
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -15,7 +15,7 @@
 const coldRate = 4.0
 
 // newPlacers returns placers of gateways in one region that see the same endpoints.
-func newPlacers(t *testing.T, n int, endpoints ...fleet.Endpoint) ([]*placer, *view, *routes.Route, *routes.Service) {
+func newPlacers(t testing.TB, n int, endpoints ...fleet.Endpoint) ([]*placer, *view, *routes.Route, *routes.Service) {
 	t.Helper()
 	engine := &routes.Engine{BatchSlots: 128, CacheTokens: 500_000, EventTokens: 8}
 	table, err := routes.New(1, []routes.Route{{
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -26,7 +26,7 @@
 func (p *placer) begin(now time.Time, service string, w capacity.Work, at place) *flight {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(at.endpoint)
+	s := p.state(&at.endpoint)
 	s.own = s.own.Plus(at.load)
 	s.cold.Add(now)
 	s.recent = s.recent.With(now, at.unread)
@@ -62,7 +62,7 @@
 		return
 	}
 	f.started = true
-	s := p.state(f.endpoint)
+	s := p.state(&f.endpoint)
 	s.answered(f.sent)
 	took := now.Sub(f.sent)
 	speed := p.speed(f.service)
@@ -105,7 +105,7 @@
 	p := f.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(f.endpoint)
+	s := p.state(&f.endpoint)
 	s.own.Requests--
 	s.own.HeldTokens -= f.load.HeldTokens
 	if !f.started {
@@ -138,7 +138,7 @@
 func (p *placer) tellCold(now time.Time, e fleet.Endpoint, d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s := p.state(e); d > 0 {
+	if s := p.state(&e); d > 0 {
 		s.coldUntil = now.Add(d)
 	}
 }
