--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// connectTimeout bounds one attempt to connect: a dropped opening packet is sent again after one second.
-	connectTimeout = 900 * time.Millisecond
 	// userTimeout is how long sent bytes may stay unacknowledged before the connection counts as dead.
 	userTimeout = 3 * time.Second
 	// probeIdle, probeInterval and probeCount find a silent peer within about two seconds.
@@ -34,9 +32,9 @@
 	idleLimit time.Duration
 }
 
-func dial(ctx context.Context, address string) (*connection, error) {
+func dial(ctx context.Context, address string, timeout time.Duration) (*connection, error) {
 	d := net.Dialer{
-		Timeout:         connectTimeout,
+		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var option error
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -18,7 +18,9 @@
 // Pool holds the kept connections to endpoints; it is safe for concurrent use.
 type Pool struct {
 	idle Idle
-	now  func() time.Time
+	// connectTime bounds one attempt to connect.
+	connectTime time.Duration
+	now         func() time.Time
 
 	mu     sync.Mutex
 	kept   map[string][]*connection
@@ -26,9 +28,9 @@
 	opened atomic.Int64
 }
 
-// NewPool returns an empty pool.
-func NewPool(idle Idle, now func() time.Time) *Pool {
-	return &Pool{idle: idle, now: now, kept: map[string][]*connection{}}
+// NewPool returns an empty pool whose attempts to connect end after connectTime.
+func NewPool(idle Idle, connectTime time.Duration, now func() time.Time) *Pool {
+	return &Pool{idle: idle, connectTime: connectTime, now: now, kept: map[string][]*connection{}}
 }
 
 // Opened returns the number of connections that were opened.
@@ -68,7 +70,7 @@
 		return c, nil
 	}
 	p.opened.Add(1)
-	return dial(ctx, address)
+	return dial(ctx, address, p.connectTime)
 }
 
 // give keeps a connection for a later request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,11 @@
 	keptRepeatable = 4 * time.Second
 	keptOnce       = 1500 * time.Millisecond
 	trimPeriod     = time.Second
+	// endpointConnectTime and peerConnectTime bound an attempt to connect to an endpoint of the region and to a gateway of
+	// another region. They are a hundred and three round trips; a dropped opening packet is sent again only after a second,
+	// and a request that was not sent can go elsewhere.
+	endpointConnectTime = 250 * time.Millisecond
+	peerConnectTime     = 500 * time.Millisecond
 	// lingerTime is how long a gateway that stops still takes callers that were told of it: the time of a directory's
 	// answer, three times over, and the way of the word that it leaves.
 	lingerTime = 3500 * time.Millisecond
@@ -81,8 +86,8 @@
 	work, endWork := context.WithCancel(context.Background())
 	g := &Gateway{
 		cfg: cfg, log: log, started: now, born: now.UnixMilli(), placer: newPlacer(cfg, source), beliefs: newBeliefs(cfg),
-		pool:  exchange.NewPool(exchange.Idle{Repeatable: keptRepeatable, Once: keptOnce}, time.Now),
-		peers: exchange.NewPool(exchange.Idle{Repeatable: idleTimeout / 2, Once: idleTimeout / 2}, time.Now),
+		pool:  exchange.NewPool(exchange.Idle{Repeatable: keptRepeatable, Once: keptOnce}, endpointConnectTime, time.Now),
+		peers: exchange.NewPool(exchange.Idle{Repeatable: idleTimeout / 2, Once: idleTimeout / 2}, peerConnectTime, time.Now),
 		work:  work, endWork: endWork, done: make(chan struct{}),
 	}
 	g.times = newTimes(cfg.Metrics, g.pool)
