Count the wait for a slot by urgency

Cause: an endpoint whose slots were taken counted every request outstanding there as ahead of a new one, whatever its urgency, while engines take the more urgent first. The time of a slot also held the wait for it. What waits is now told by rank, and a slot's time begins when the request is read. Ruled out: prompts waiting to be read; their part of the expected time was below 300 ms. Tests: TestSlotsByRank, TestHeld.

--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -56,10 +56,9 @@
 func Expected(c Candidate, w Work, s Speed) (d time.Duration, unread int64, full bool) {
 	unread = w.Unread(c.KeptParts)
 	d = s.Base + s.Token*time.Duration(c.Outstanding.PromptTokens.Before(w.Rank)+unread)
-	if c.Slots > 0 && c.Outstanding.Requests >= c.Slots {
+	if wait := slotWait(c, w.Rank, s); wait > 0 {
 		full = true
-		waiting := c.Outstanding.Requests - c.Slots + 1
-		d += s.Whole * time.Duration(waiting) / time.Duration(c.Slots)
+		d += wait
 	}
 	if c.Memory > 0 && float64(c.Outstanding.HeldTokens+unread+w.OutputTokens) > memoryShare*float64(c.Memory) {
 		full = true
@@ -68,6 +67,17 @@
 	return time.Duration(float64(d) * c.Health.Slowdown()), unread, full
 }
 
+// slotWait returns the time until a request of a rank gets a slot: those that run have to end, and those that wait with
+// the same or a more urgent rank go first.
+func slotWait(c Candidate, rank int, s Speed) time.Duration {
+	running := int64(c.Outstanding.Requests) - c.Outstanding.Waiting.All()
+	before := running + c.Outstanding.Waiting.Before(rank) - int64(c.Slots) + 1
+	if c.Slots == 0 || before <= 0 {
+		return 0
+	}
+	return s.Whole * time.Duration(before) / time.Duration(c.Slots)
+}
+
 // DecodeCost returns what the later end of a stream costs at engines that read prompts for a share of their time.
 func DecodeCost(w Work, busy float64) time.Duration {
 	return time.Duration(decodeWeight * busy * float64(w.OutputTokens) * float64(chunkTime))
--- a/capacity/choose_test.go
+++ b/capacity/choose_test.go
@@ -51,7 +51,7 @@
 		stays   bool
 	}{{2_000, true}, {10_000, true}, {60_000, false}} {
 		all := candidates(5)
-		all[favourite.Index].Outstanding = Outstanding{Requests: 5, Unstarted: 5, PromptTokens: Backlog{c.backlog}}
+		all[favourite.Index].Outstanding = Outstanding{Requests: 5, Waiting: Backlog{5}, PromptTokens: Backlog{c.backlog}}
 		got, _ := Choose(all, w, NewSpeed(), time.Second, 0)
 		if (got.Index == favourite.Index) != c.stays {
 			t.Errorf("backlog %d: engine %d, favourite %d", c.backlog, got.Index, favourite.Index)
@@ -138,7 +138,7 @@
 // TestRanks queues plans at an engine: an urgent request does not wait for them, and one of their own rank does.
 func TestRanks(t *testing.T) {
 	c := candidates(1)[0]
-	c.Outstanding = Outstanding{Requests: 8, Unstarted: 8, PromptTokens: Backlog{2: 80_000}}
+	c.Outstanding = Outstanding{Requests: 8, Waiting: Backlog{2: 8}, PromptTokens: Backlog{2: 80_000}}
 	urgent, _, _ := Expected(c, Work{PromptTokens: 1000, Rank: 0}, NewSpeed())
 	plan, _, _ := Expected(c, Work{PromptTokens: 1000, Rank: 2}, NewSpeed())
 	if alone, _, _ := Expected(candidates(1)[0], Work{PromptTokens: 1000}, NewSpeed()); urgent != alone || plan < 3*urgent {
@@ -146,6 +146,34 @@
 	}
 }
 
+// TestSlotsByRank fills the slots of an engine and queues plans behind them: an urgent request waits for the next slot
+// alone, and one of the plans' rank for all of them.
+func TestSlotsByRank(t *testing.T) {
+	c := candidates(1)[0]
+	s := NewSpeed().WithWhole(60 * time.Second)
+	c.Outstanding = Outstanding{Requests: 160, Waiting: Backlog{2: 32}}
+	urgent, _, full := Expected(c, Work{Rank: 0}, s)
+	planned, _, _ := Expected(c, Work{Rank: 2}, s)
+	if next := s.Base + s.Whole/128; urgent != next || planned != s.Base+s.Whole*33/128 || !full {
+		t.Errorf("urgent %v, want %v; planned %v; full %v", urgent, next, planned, full)
+	}
+	c.Outstanding.Requests = 100
+	if free, _, full := Expected(c, Work{Rank: 2}, s); free != s.Base || full {
+		t.Errorf("%v with slots left, full %v", free, full)
+	}
+}
+
+// TestHeld takes the wait before the first piece from the time of a slot.
+func TestHeld(t *testing.T) {
+	s := NewSpeed()
+	reading := s.Base + 1000*s.Token
+	for waited, want := range map[time.Duration]time.Duration{0: 2 * time.Second, time.Second: time.Second} {
+		if got := s.Held(2*time.Second, reading+waited, 1000); got != want {
+			t.Errorf("waited %v: held %v, want %v", waited, got, want)
+		}
+	}
+}
+
 // TestReturned refuses a request whose wait is three times its objective, and takes it when it comes back.
 func TestReturned(t *testing.T) {
 	first := Asked{Objective: 800 * time.Millisecond, WholeObjective: 800 * time.Millisecond, Left: 10 * time.Second}
--- a/capacity/outstanding.go
+++ b/capacity/outstanding.go
@@ -11,7 +11,7 @@
 	return min(max(priority, 0), Ranks-2)
 }
 
-// Backlog is prompt tokens by rank.
+// Backlog counts prompt tokens or requests by rank.
 type Backlog [Ranks]int64
 
 // Plus returns the sum.
@@ -30,21 +30,23 @@
 	return b
 }
 
-// Before returns the tokens that are read before or along with those of a request of a rank: engines take the more
-// urgent requests first.
+// Before returns what comes before or along with a request of a rank: engines take the more urgent requests first.
 func (b Backlog) Before(rank int) int64 {
-	var tokens int64
-	for _, t := range b[:rank+1] {
-		tokens += t
+	var n int64
+	for _, one := range b[:rank+1] {
+		n += one
 	}
-	return tokens
+	return n
 }
 
+// All returns the sum over all ranks.
+func (b Backlog) All() int64 { return b.Before(Ranks - 1) }
+
 // Outstanding is what was sent to an endpoint and has not ended.
 type Outstanding struct {
 	Requests int
-	// Unstarted requests have not brought their first piece.
-	Unstarted int
+	// Waiting requests have not brought their first piece.
+	Waiting Backlog
 	// PromptTokens are those of unstarted requests that the endpoint has to read.
 	PromptTokens Backlog
 	// HeldTokens is the memory that the requests take until they end.
@@ -54,11 +56,17 @@
 // Plus returns the sum.
 func (o Outstanding) Plus(other Outstanding) Outstanding {
 	return Outstanding{
-		Requests: o.Requests + other.Requests, Unstarted: o.Unstarted + other.Unstarted,
+		Requests: o.Requests + other.Requests, Waiting: o.Waiting.Plus(other.Waiting),
 		PromptTokens: o.PromptTokens.Plus(other.PromptTokens), HeldTokens: o.HeldTokens + other.HeldTokens,
 	}
 }
 
+// WithBegun returns what is outstanding after the first piece came of a request with a load.
+func (o Outstanding) WithBegun(load Outstanding) Outstanding {
+	o.Waiting, o.PromptTokens = o.Waiting.Minus(load.Waiting), o.PromptTokens.Minus(load.PromptTokens)
+	return o
+}
+
 // Part is a part of a prompt, which endpoints cache.
 type Part struct {
 	ID     string
@@ -95,7 +103,7 @@
 
 // Load returns the outstanding work of one unstarted request that reads unread tokens.
 func (w Work) Load(unread int64) Outstanding {
-	o := Outstanding{Requests: 1, Unstarted: 1, HeldTokens: unread + w.OutputTokens}
-	o.PromptTokens[w.Rank] = unread
+	o := Outstanding{Requests: 1, HeldTokens: unread + w.OutputTokens}
+	o.Waiting[w.Rank], o.PromptTokens[w.Rank] = 1, unread
 	return o
 }
--- a/capacity/speed.go
+++ b/capacity/speed.go
@@ -25,7 +25,7 @@
 	// Base is the time to the first piece at an idle endpoint, and Token that of one more unread prompt token.
 	Base  time.Duration
 	Token time.Duration
-	// Whole is the time that a request takes in all.
+	// Whole is the time for which a request holds its slot.
 	Whole time.Duration
 }
 
@@ -49,12 +49,19 @@
 	return s
 }
 
-// WithWhole returns the speed after a whole answer.
+// WithWhole returns the speed after a whole answer whose request held its slot for a time.
 func (s Speed) WithWhole(took time.Duration) Speed {
 	s.Whole = toward(s.Whole, took, speedGain)
 	return s
 }
 
+// Held returns for how long a request held its slot that took so long in all, with the first piece after first and
+// unread tokens of its own: what the first piece took beyond their reading was spent waiting.
+func (s Speed) Held(took, first time.Duration, unread int64) time.Duration {
+	waited := first - s.Base - s.Token*time.Duration(unread)
+	return took - max(waited, 0)
+}
+
 // Health is what was learned of one endpoint: an immutable value.
 type Health struct {
 	// Factor is the ratio of observed to expected times.
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -16,9 +16,12 @@
 	service  string
 	load     capacity.Outstanding
 	// queued is the work that has to be read before the first piece, this request's included.
-	queued  int64
-	sent    time.Time
-	started bool
+	queued int64
+	// unread is the part of it that is this request's own.
+	unread int64
+	sent   time.Time
+	// firstAt is when the first piece came; zero before.
+	firstAt time.Time
 	probe   retry.Probe
 }
 
@@ -36,7 +39,7 @@
 	p.changed[at.endpoint.ID] = true
 	return &flight{
 		placer: p, endpoint: at.endpoint, service: service, load: at.load, queued: at.backlog.PromptTokens.Before(at.rank) + at.unread,
-		sent: now, probe: p.breakers.Begin(now, at.endpoint.ID),
+		unread: at.unread, sent: now, probe: p.breakers.Begin(now, at.endpoint.ID),
 	}
 }
 
@@ -58,10 +61,10 @@
 	p := f.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if f.started {
+	if !f.firstAt.IsZero() {
 		return
 	}
-	f.started = true
+	f.firstAt = now
 	s := p.state(&f.endpoint)
 	s.answered(f.sent)
 	took := now.Sub(f.sent)
@@ -69,8 +72,7 @@
 	expected := speed.Base + speed.Token*time.Duration(f.queued)
 	s.health = s.health.WithFirst(expected, took)
 	p.speeds[f.service] = speed.WithFirst(f.queued, took)
-	s.own.Unstarted--
-	s.own.PromptTokens = s.own.PromptTokens.Minus(f.load.PromptTokens)
+	s.own = s.own.WithBegun(f.load)
 	p.changed[f.endpoint.ID] = true
 	p.breakers.Answered(now, f.endpoint.ID, f.probe)
 }
@@ -108,15 +110,14 @@
 	s := p.state(&f.endpoint)
 	s.own.Requests--
 	s.own.HeldTokens -= f.load.HeldTokens
-	if !f.started {
-		s.own.Unstarted--
-		s.own.PromptTokens = s.own.PromptTokens.Minus(f.load.PromptTokens)
+	if f.firstAt.IsZero() {
+		s.own = s.own.WithBegun(f.load)
 	}
 	p.changed[f.endpoint.ID] = true
 	switch how {
 	case succeeded:
 		speed := p.speed(f.service)
-		p.speeds[f.service] = speed.WithWhole(now.Sub(f.sent))
+		p.speeds[f.service] = speed.WithWhole(speed.Held(now.Sub(f.sent), f.firstAt.Sub(f.sent), f.unread))
 		s.health = s.health.WithOutcome(false)
 		p.breakers.Succeeded(now, f.endpoint.ID)
 	case failed:
@@ -194,7 +195,7 @@
 			continue
 		}
 		changes = append(changes, &wiregen.EndpointOutstanding{
-			Endpoint: id, Requests: int32(s.own.Requests), Unstarted: int32(s.own.Unstarted),
+			Endpoint: id, Requests: int32(s.own.Requests), Waiting: s.own.Waiting[:],
 			PromptTokens: s.own.PromptTokens[:], HeldTokens: s.own.HeldTokens, RecentTokens: s.recent.Tokens(now),
 		})
 	}
@@ -218,7 +219,8 @@
 	for _, o := range m.GetOutstanding() {
 		delete(p.sums, o.GetEndpoint())
 		peer.recent[o.GetEndpoint()] = capacity.NewRecent(now, o.GetRecentTokens())
-		load := capacity.Outstanding{Requests: int(o.GetRequests()), Unstarted: int(o.GetUnstarted()), HeldTokens: o.GetHeldTokens()}
+		load := capacity.Outstanding{Requests: int(o.GetRequests()), HeldTokens: o.GetHeldTokens()}
+		copy(load.Waiting[:], o.GetWaiting())
 		copy(load.PromptTokens[:], o.GetPromptTokens())
 		peer.loads[o.GetEndpoint()] = load
 	}
