Expect waits to be stretched by more urgent requests

What waits is stretched by the share of slots and of reading time that more urgent requests take (Cobham's formula), measured by each gateway from what it sends itself, times the gateways of its region. A request that would be late is judged by its wait behind everything, so that it is taken only where time is left. Speeds are no longer learned from requests that waited for a slot. Test: TestOvertaken.

--- a/capacity/admit.go
+++ b/capacity/admit.go
@@ -9,8 +9,8 @@
 	// lateFactor is the multiple of the objective within which a request that will be late is still taken.
 	lateFactor = 1.5
 	// returnedLateFactor is the same for a request that was refused before and has come back: a second refusal would be
-	// its last answer.
-	returnedLateFactor = 5.0
+	// its last answer. Callers leave a silent stream after four times the objective.
+	returnedLateFactor = 3.5
 	// finishShare is the part of the time left that a late first piece may take, so that the rest of the answer fits.
 	finishShare = 0.5
 	// returnedShare is the part of the longest time that callers of a route have below which a request counts as returned.
@@ -60,16 +60,17 @@
 	return float64(left) < returnedShare*float64(longest)
 }
 
-// Admit decides whether a request is taken whose first piece is expected after a time.
-func Admit(expected time.Duration, a Asked) Verdict {
+// Admit decides whether a request is taken whose first piece is expected after a time, or after the time late if it is
+// sent behind all that can be on time.
+func Admit(expected, late time.Duration, a Asked) Verdict {
 	if expected <= time.Duration(onTimeShare*float64(a.Objective)) {
 		return Take
 	}
-	late := lateFactor
+	factor := lateFactor
 	if a.Returned {
-		late = returnedLateFactor
+		factor = returnedLateFactor
 	}
-	if expected <= time.Duration(late*float64(a.WholeObjective)) && expected <= time.Duration(finishShare*float64(a.Left)) {
+	if late <= time.Duration(factor*float64(a.WholeObjective)) && late <= time.Duration(finishShare*float64(a.Left)) {
 		return TakeLate
 	}
 	return Refuse
--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -55,7 +55,7 @@
 // Expected returns the time to the first piece of w at c, and whether it has to wait for a slot or for memory.
 func Expected(c Candidate, w Work, s Speed) (d time.Duration, unread int64, full bool) {
 	unread = w.Unread(c.KeptParts)
-	d = s.Base + s.Token*time.Duration(c.Outstanding.PromptTokens.Before(w.Rank)+unread)
+	d = s.Base + stretched(s.Token*time.Duration(c.Outstanding.PromptTokens.Before(w.Rank)+unread), s.Overtaking.Reading[w.Rank])
 	if wait := slotWait(c, w.Rank, s); wait > 0 {
 		full = true
 		d += wait
@@ -75,7 +75,7 @@
 	if c.Slots == 0 || before <= 0 {
 		return 0
 	}
-	return s.Whole * time.Duration(before) / time.Duration(c.Slots)
+	return stretched(s.Whole*time.Duration(before)/time.Duration(c.Slots), s.Overtaking.Slots[rank])
 }
 
 // DecodeCost returns what the later end of a stream costs at engines that read prompts for a share of their time.
--- a/capacity/choose_test.go
+++ b/capacity/choose_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -110,7 +111,7 @@
 		a := Asked{WholeObjective: ms("objective", 2000) + 1, Left: ms("left", 20_000)}
 		a.Objective = a.WholeObjective - ms("spent", 1000)
 		expected := ms("expected", 10_000)
-		v := Admit(expected, a)
+		v := Admit(expected, expected, a)
 		if v == Refuse && expected <= a.Objective/2 {
 			t.Fatalf("refused although it would be on time: %v of %v", expected, a.Objective)
 		}
@@ -150,7 +151,7 @@
 // alone, and one of the plans' rank for all of them.
 func TestSlotsByRank(t *testing.T) {
 	c := candidates(1)[0]
-	s := NewSpeed().WithWhole(60 * time.Second)
+	s := NewSpeed().WithWhole(0, 60*time.Second)
 	c.Outstanding = Outstanding{Requests: 160, Waiting: Backlog{2: 32}}
 	urgent, _, full := Expected(c, Work{Rank: 0}, s)
 	planned, _, _ := Expected(c, Work{Rank: 2}, s)
@@ -163,6 +164,37 @@
 	}
 }
 
+// TestOvertaken sends urgent requests that take half of the engines' slots and a quarter of their time: a plan waits twice
+// as long for a slot, and a third longer for the engine to read what is before it, and an urgent one no longer.
+func TestOvertaken(t *testing.T) {
+	const gateways, engines, slots, perSecond = 3, 2, 256, 100
+	now := time.Unix(1000, 0)
+	s := NewSpeed()
+	s.holds[0] = 0.5 * slots * time.Second / perSecond / gateways
+	s.Whole = 40 * time.Second
+	tokens := int64(0.25 * engines / perSecond / gateways / s.Token.Seconds())
+	var d Demand
+	for range 60 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		d = d.With(now, 0, tokens, s)
+	}
+	o := d.Overtaking(now, gateways, engines, slots)
+	if o.Slots[0] != 0 || o.Reading[0] != 0 || math.Abs(o.Slots[2]-0.5) > 0.01 || math.Abs(o.Reading[2]-0.25) > 0.01 {
+		t.Fatalf("%+v", o)
+	}
+	c := candidates(1)[0]
+	c.Outstanding = Outstanding{Requests: 150, Waiting: Backlog{0: 2, 2: 10}, PromptTokens: Backlog{2: 80_000}}
+	for rank, want := range map[int]time.Duration{0: s.Whole * 13 / 128, 2: 2*s.Whole*23/128 + 80_000*s.Token*4/3} {
+		expected, _, _ := Expected(c, Work{Rank: rank}, s.WithOvertaking(o))
+		if ratio := float64(expected) / float64(s.Base+want); math.Abs(ratio-1) > 0.03 {
+			t.Errorf("rank %d: %v, want about %v", rank, expected, s.Base+want)
+		}
+	}
+	if later := d.Overtaking(now.Add(time.Minute), gateways, engines, slots); later.Slots[2] > 0.001 {
+		t.Errorf("a minute later still %+v", later)
+	}
+}
+
 // TestHeld takes the wait before the first piece from the time of a slot.
 func TestHeld(t *testing.T) {
 	s := NewSpeed()
@@ -181,8 +213,8 @@
 	again.Left = 9 * time.Second
 	again.Objective = 0
 	again.Returned = Returned(again.Left, first.Left)
-	if Admit(2400*time.Millisecond, first) != Refuse || Admit(2400*time.Millisecond, again) != TakeLate || Returned(first.Left, first.Left) {
-		t.Errorf("first %v, again %v", Admit(2400*time.Millisecond, first), Admit(2400*time.Millisecond, again))
+	if Admit(2400*time.Millisecond, 2400*time.Millisecond, first) != Refuse || Admit(2400*time.Millisecond, 2400*time.Millisecond, again) != TakeLate || Returned(first.Left, first.Left) {
+		t.Errorf("first %v, again %v", Admit(2400*time.Millisecond, 2400*time.Millisecond, first), Admit(2400*time.Millisecond, 2400*time.Millisecond, again))
 	}
 }
 
--- a/capacity/regions.go
+++ b/capacity/regions.go
@@ -23,8 +23,10 @@
 // Crossing is the region to which a request may go.
 type Crossing struct {
 	Region string
-	// Expected is the time to the first piece, and Cost the same with the cost of a later end.
+	// Expected is the time to the first piece, Late the same behind all that can be on time, and Cost the first with the
+	// cost of a later end.
 	Expected time.Duration
+	Late     time.Duration
 	Cost     time.Duration
 }
 
@@ -38,7 +40,8 @@
 		expected := r.Wait[w.Rank] + detour + s.Token*time.Duration(w.PromptTokens+r.Sent/int64(r.Endpoints))
 		cost := expected + DecodeCost(w, min(r.Busy+s.Busy(float64(r.Sent)/float64(r.Endpoints)), 1))
 		if cost < here && (!ok || cost < best.Cost) {
-			best, ok = Crossing{Region: r.Region, Expected: expected, Cost: cost}, true
+			late := expected - r.Wait[w.Rank] + r.Wait[Ranks-1]
+			best, ok = Crossing{Region: r.Region, Expected: expected, Late: late, Cost: cost}, true
 		}
 	}
 	return best, ok
--- a/capacity/speed.go
+++ b/capacity/speed.go
@@ -25,8 +25,11 @@
 	// Base is the time to the first piece at an idle endpoint, and Token that of one more unread prompt token.
 	Base  time.Duration
 	Token time.Duration
-	// Whole is the time for which a request holds its slot.
+	// Whole is the time for which a request holds its slot, and holds the same by rank; zero if none was observed.
 	Whole time.Duration
+	holds [Ranks]time.Duration
+	// Overtaking is what more urgent requests take of the endpoints' time now.
+	Overtaking Overtaking
 }
 
 // NewSpeed returns the speed that is assumed before anything was observed.
@@ -49,9 +52,24 @@
 	return s
 }
 
-// WithWhole returns the speed after a whole answer whose request held its slot for a time.
-func (s Speed) WithWhole(took time.Duration) Speed {
-	s.Whole = toward(s.Whole, took, speedGain)
+// Hold returns for how long requests of a rank hold their slots.
+func (s Speed) Hold(rank int) time.Duration {
+	if s.holds[rank] == 0 {
+		return s.Whole
+	}
+	return s.holds[rank]
+}
+
+// WithWhole returns the speed after a whole answer whose request of a rank held its slot for a time.
+func (s Speed) WithWhole(rank int, held time.Duration) Speed {
+	s.holds[rank] = toward(s.Hold(rank), held, speedGain)
+	s.Whole = toward(s.Whole, held, speedGain)
+	return s
+}
+
+// WithOvertaking returns the speed with what more urgent requests take now.
+func (s Speed) WithOvertaking(o Overtaking) Speed {
+	s.Overtaking = o
 	return s
 }
 
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -68,6 +68,7 @@
 	states    map[string]*endpointState
 	peers     map[string]*peerLoad
 	speeds    map[string]capacity.Speed
+	demands   map[string]capacity.Demand
 	breakers  *retry.Breakers[string]
 	gateways  *retry.Breakers[string]
 	budgets   map[string]*retry.Allowance
@@ -99,7 +100,7 @@
 func newPlacer(cfg Config, source rand.Source) *placer {
 	return &placer{
 		cfg: cfg, rng: rand.New(source), states: map[string]*endpointState{}, peers: map[string]*peerLoad{},
-		speeds: map[string]capacity.Speed{}, breakers: retry.NewBreakers[string](source), gateways: retry.NewBreakers[string](source),
+		speeds: map[string]capacity.Speed{}, demands: map[string]capacity.Demand{}, breakers: retry.NewBreakers[string](source), gateways: retry.NewBreakers[string](source),
 		longest: map[string]time.Duration{}, sums: map[string]peerSum{}, budgets: map[string]*retry.Allowance{}, sent: map[string][]sentTokens{}, changed: map[string]bool{},
 	}
 }
@@ -135,8 +136,9 @@
 	favourite  bool
 	// full says that the endpoint had no slot or no memory left.
 	full bool
-	// rank is that of the request's urgency.
+	// rank is that of the request's urgency, and overtaken the share of the endpoint's time that more urgent ones take.
 	rank       int
+	overtaken  float64
 	reason     string
 	retryAfter time.Duration
 	probe      retry.Probe
@@ -153,7 +155,7 @@
 func (p *placer) decide(now time.Time, v *view, q query) place {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	speed := p.speed(q.service.Name)
+	speed := p.speedNow(now, v, q.service.Name)
 	q.work.Rank = capacity.Rank(q.route.Priority, false)
 	local, endpoints := p.local(now, v, q)
 	choice, ok := capacity.Choose(local, q.work, speed, q.route.Objective, p.rng.Float64())
@@ -167,16 +169,18 @@
 		here.favourite, here.full = choice.Favourite, choice.Full
 		here.backlog = local[choice.Index].Outstanding
 		here.load, here.rank = q.work.Load(choice.Unread), q.work.Rank
-		here.verdict = capacity.Admit(choice.Expected, q.asked)
+		late := q.work
+		late.Rank = capacity.Rank(q.route.Priority, true)
+		lateExpected, _, _ := capacity.Expected(local[choice.Index], late, speed)
+		here.verdict = capacity.Admit(choice.Expected, lateExpected, q.asked)
 		here.reason = reasonBacklog
 		if q.must {
 			here.verdict = capacity.Take
 		}
 		if here.verdict == capacity.TakeLate {
-			late := q.work
-			late.Rank = capacity.Rank(q.route.Priority, true)
 			here.load, here.rank = late.Load(choice.Unread), late.Rank
 		}
+		here.overtaken = speed.Overtaking.Reading[here.rank]
 	}
 	if !q.forwarded && (here.verdict != capacity.Take || here.cost > p.cfg.Detour+crossAdvantage) {
 		if there, ok := p.cross(now, v, q, speed, here); ok {
@@ -195,8 +199,8 @@
 	defer p.mu.Unlock()
 	q.work.Rank = capacity.Rank(q.route.Priority, false)
 	local, _ := p.local(now, v, q)
-	choice, ok := capacity.Choose(local, q.work, p.speed(q.service.Name), q.route.Objective, 0)
-	return ok && capacity.Admit(choice.Expected, q.asked) == capacity.Take
+	choice, ok := capacity.Choose(local, q.work, p.speedNow(now, v, q.service.Name), q.route.Objective, 0)
+	return ok && capacity.Admit(choice.Expected, choice.Expected, q.asked) == capacity.Take
 }
 
 // local returns the endpoints of this region that may take a request, which are valid until the next call.
@@ -313,6 +317,16 @@
 	return s
 }
 
+// speedNow returns the speed of a service's endpoints with what more urgent requests take of their time.
+func (p *placer) speedNow(now time.Time, v *view, service string) capacity.Speed {
+	_, gateways := v.rank(p.cfg.Region, p.cfg.Name)
+	endpoints, slots := v.endpoints[service], 0
+	for i := range endpoints {
+		slots += endpoints[i].Slots
+	}
+	return p.speed(service).WithOvertaking(p.demands[service].Overtaking(now, gateways, len(endpoints), slots))
+}
+
 // cross returns a gateway of another region, if a request is served earlier there.
 func (p *placer) cross(now time.Time, v *view, q query, speed capacity.Speed, here place) (place, bool) {
 	open := p.openGateways(now, v, q)
@@ -320,8 +334,9 @@
 	if !ok && here.expected == noLocalEndpoint {
 		there.Region, ok = p.blindRegion(v, q, open)
 		there.Expected = speed.Base + p.cfg.Detour
+		there.Late = there.Expected
 	}
-	verdict := capacity.Admit(there.Expected, q.asked)
+	verdict := capacity.Admit(there.Expected, there.Late, q.asked)
 	if !ok || !worthCrossing(here, there.Cost, verdict) {
 		return place{}, false
 	}
@@ -410,7 +425,7 @@
 		if service == nil {
 			continue
 		}
-		all = append(all, p.serviceRoom(now, service, endpoints))
+		all = append(all, p.serviceRoom(now, v, service, endpoints))
 	}
 	return all
 }
@@ -421,9 +436,9 @@
 // deployments' routes. Whether a request that crosses is on time is decided from the wait that is told along.
 const roomObjective = time.Second
 
-func (p *placer) serviceRoom(now time.Time, service *routes.Service, endpoints []fleet.Endpoint) *wiregen.ServiceRoom {
+func (p *placer) serviceRoom(now time.Time, v *view, service *routes.Service, endpoints []fleet.Endpoint) *wiregen.ServiceRoom {
 	p.sweep(now)
-	speed := p.speed(service.Name)
+	speed := p.speedNow(now, v, service.Name)
 	m := &wiregen.ServiceRoom{Service: service.Name}
 	for range capacity.Ranks {
 		m.WaitMillis = append(m.WaitMillis, noLocalEndpoint.Milliseconds())
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -19,7 +19,12 @@
 	queued int64
 	// unread is the part of it that is this request's own.
 	unread int64
-	sent   time.Time
+	rank   int
+	// full says that the request had to wait for a slot or for memory, of which no speed can be learned.
+	full bool
+	// overtaken is the share of the endpoint's time that more urgent requests took when it was sent.
+	overtaken float64
+	sent      time.Time
 	// firstAt is when the first piece came; zero before.
 	firstAt time.Time
 	probe   retry.Probe
@@ -33,13 +38,14 @@
 	s.own = s.own.Plus(at.load)
 	s.cold.Add(now)
 	s.recent = s.recent.With(now, at.unread)
+	p.demands[service] = p.demands[service].With(now, at.rank, at.unread, p.speed(service))
 	if at.unread < w.PromptTokens || len(w.Parts) > 0 {
 		s.remember(now, w)
 	}
 	p.changed[at.endpoint.ID] = true
 	return &flight{
 		placer: p, endpoint: at.endpoint, service: service, load: at.load, queued: at.backlog.PromptTokens.Before(at.rank) + at.unread,
-		unread: at.unread, sent: now, probe: p.breakers.Begin(now, at.endpoint.ID),
+		unread: at.unread, rank: at.rank, full: at.full, overtaken: at.overtaken, sent: now, probe: p.breakers.Begin(now, at.endpoint.ID),
 	}
 }
 
@@ -68,10 +74,12 @@
 	s := p.state(&f.endpoint)
 	s.answered(f.sent)
 	took := now.Sub(f.sent)
-	speed := p.speed(f.service)
-	expected := speed.Base + speed.Token*time.Duration(f.queued)
-	s.health = s.health.WithFirst(expected, took)
-	p.speeds[f.service] = speed.WithFirst(f.queued, took)
+	if !f.full {
+		speed := p.speed(f.service)
+		queued := int64(float64(f.queued) / (1 - f.overtaken))
+		s.health = s.health.WithFirst(speed.Base+speed.Token*time.Duration(queued), took)
+		p.speeds[f.service] = speed.WithFirst(queued, took)
+	}
 	s.own = s.own.WithBegun(f.load)
 	p.changed[f.endpoint.ID] = true
 	p.breakers.Answered(now, f.endpoint.ID, f.probe)
@@ -117,7 +125,7 @@
 	switch how {
 	case succeeded:
 		speed := p.speed(f.service)
-		p.speeds[f.service] = speed.WithWhole(speed.Held(now.Sub(f.sent), f.firstAt.Sub(f.sent), f.unread))
+		p.speeds[f.service] = speed.WithWhole(f.rank, speed.Held(now.Sub(f.sent), f.firstAt.Sub(f.sent), f.unread))
 		s.health = s.health.WithOutcome(false)
 		p.breakers.Succeeded(now, f.endpoint.ID)
 	case failed:
