--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -20,6 +20,13 @@
 	// sharedCost is the cost of reading a shared part that another endpoint keeps, as a multiple of the time that it takes:
 	// the time is also lost to everything that waits behind it, and the copy takes memory from other parts.
 	sharedCost = 3.0
+	// fetchShare is the cost of fetching a shared part from the endpoint that keeps it, as a part of that of reading it
+	// again: it takes a few per cent of the time, but occupies links and memory.
+	fetchShare = 0.15
+	// unsoundFailures and unsoundSlowdown are the share of failures and the slowdown beyond which nothing is fetched from
+	// an endpoint.
+	unsoundFailures = 0.3
+	unsoundSlowdown = 2
 	// equalTime is the difference in expected time below which two endpoints count as equal.
 	equalTime = 2 * time.Millisecond
 )
@@ -46,25 +53,32 @@
 	Cost     time.Duration
 	// Unread is the number of prompt tokens that the endpoint has to read.
 	Unread int64
+	// Keeper is the candidate from which the endpoint fetches the shared parts of the prompt; negative if none.
+	Keeper int
 	// Favourite says that the request's subject is hashed to the endpoint.
 	Favourite bool
 	// Full says that the endpoint has no slot or no memory left, so that the request waits for another one to end.
 	Full bool
 }
 
-// Expected returns the time to the first piece of w at c, and whether it has to wait for a slot or for memory.
-func Expected(c Candidate, w Work, s Speed) (d time.Duration, unread int64, full bool) {
-	unread = w.Unread(c.KeptParts)
-	d = s.Base + stretched(s.Token*time.Duration(c.Outstanding.PromptTokens.Before(w.Rank)+unread), s.Overtaking.Reading[w.Rank])
-	if wait := slotWait(c, w.Rank, s); wait > 0 {
-		full = true
-		d += wait
-	}
-	if c.Memory > 0 && float64(c.Outstanding.HeldTokens+unread+w.OutputTokens) > memoryShare*float64(c.Memory) {
-		full = true
+// Wait is what a request meets at an endpoint.
+type Wait struct {
+	// Wait is the time to the first piece.
+	Wait time.Duration
+	// Full says that the request waits for a slot or for memory.
+	Full bool
+}
+
+// Expected returns what w meets at c, where it makes the endpoint read so many tokens.
+func Expected(c Candidate, w Work, unread int64, s Speed) Wait {
+	d := s.Base + stretched(s.Token*time.Duration(c.Outstanding.PromptTokens.Before(w.Rank)+unread), s.Overtaking.Reading[w.Rank])
+	slot := slotWait(c, w.Rank, s)
+	d += slot
+	crowded := c.Memory > 0 && float64(c.Outstanding.HeldTokens+unread+w.OutputTokens) > memoryShare*float64(c.Memory)
+	if crowded {
 		d += s.Whole / 2
 	}
-	return time.Duration(float64(d) * c.Health.Slowdown()), unread, full
+	return Wait{Wait: time.Duration(float64(d) * c.Health.Slowdown()), Full: slot > 0 || crowded}
 }
 
 // slotWait returns the time until a request of a rank gets a slot: those that run have to end, and those that wait with
@@ -85,20 +99,27 @@
 
 // Choose returns the candidate with the least expected cost, or false if there is none. Requests of one subject go to
 // the endpoint that the subject is hashed to, so that its shared parts are read once, until its backlog costs more than
-// to read them again elsewhere; draw in [0, 1) decides between equals.
-func Choose(candidates []Candidate, w Work, s Speed, objective time.Duration, draw float64) (Choice, bool) {
+// to fetch them from there, a token in fetch, or to read them again; draw in [0, 1) decides between equals.
+func Choose(candidates []Candidate, w Work, s Speed, fetch, objective time.Duration, draw float64) (Choice, bool) {
 	best := Choice{Index: -1}
 	var bestCost time.Duration
 	equals := 0
 	favourite := favourite(candidates, w)
+	keeps := favourite >= 0 && fetch > 0 && candidates[favourite].sound()
+	whole := w.Unread(len(w.Shared()))
 	for i, c := range candidates {
-		if i == favourite {
+		unread, keeper := w.Unread(c.KeptParts), -1
+		extra := time.Duration(sharedCost * float64(s.Token) * float64(unread-whole))
+		switch {
+		case i == favourite:
 			// All gateways agree on the favourite, so that it keeps the parts although this one may not have seen it.
-			c.KeptParts = len(w.Shared())
+			unread, extra = whole, 0
+		case keeps && unread > whole:
+			extra = time.Duration(fetchShare*float64(extra)) + fetch*time.Duration(unread-whole)
+			unread, keeper = whole, favourite
 		}
-		expected, unread, full := Expected(c, w, s)
-		again := unread - w.Unread(len(w.Shared()))
-		cost := expected + DecodeCost(w, c.Busy) + time.Duration(sharedCost*float64(s.Token)*float64(again)) + time.Duration(c.Health.Failures*failureCost*float64(objective))
+		e := Expected(c, w, unread, s)
+		cost := e.Wait + DecodeCost(w, c.Busy) + extra + time.Duration(c.Health.Failures*failureCost*float64(objective))
 		switch {
 		case best.Index < 0 || cost < bestCost-equalTime:
 			equals = 1
@@ -114,12 +135,17 @@
 		default:
 			continue
 		}
-		best = Choice{Index: i, Expected: expected, Cost: cost, Unread: unread, Favourite: i == favourite, Full: full}
+		best = Choice{Index: i, Expected: e.Wait, Cost: cost, Unread: unread, Keeper: keeper, Favourite: i == favourite, Full: e.Full}
 		bestCost = cost
 	}
 	return best, best.Index >= 0
 }
 
+// sound reports whether others may fetch from the endpoint: one that fails or is slow would hold them up.
+func (c Candidate) sound() bool {
+	return c.Health.Failures < unsoundFailures && c.Health.Slowdown() <= unsoundSlowdown
+}
+
 // favourite returns the candidate to which the subject of a prompt, its last shared part, is hashed, or -1.
 func favourite(candidates []Candidate, w Work) int {
 	shared := w.Shared()
--- a/capacity/choose_test.go
+++ b/capacity/choose_test.go
@@ -31,12 +31,12 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	for subject := range 50 {
 		w := plan(fmt.Sprintf("subject-%d", subject))
-		first, ok := Choose(candidates(5), w, NewSpeed(), time.Second, rng.Float64())
+		first, ok := Choose(candidates(5), w, NewSpeed(), 0, time.Second, rng.Float64())
 		if !ok || !first.Favourite {
 			t.Fatalf("subject %d: %+v", subject, first)
 		}
 		for range 10 {
-			if again, _ := Choose(candidates(5), w, NewSpeed(), time.Second, rng.Float64()); again.Index != first.Index {
+			if again, _ := Choose(candidates(5), w, NewSpeed(), 0, time.Second, rng.Float64()); again.Index != first.Index {
 				t.Fatalf("subject %d went to %d and to %d", subject, first.Index, again.Index)
 			}
 		}
@@ -46,20 +46,47 @@
 // TestSubjectSpills fills the engine of a subject: a little backlog does not cost it the subject, a long one does.
 func TestSubjectSpills(t *testing.T) {
 	w := plan("subject")
-	favourite, _ := Choose(candidates(5), w, NewSpeed(), time.Second, 0)
+	favourite, _ := Choose(candidates(5), w, NewSpeed(), 0, time.Second, 0)
 	for _, c := range []struct {
 		backlog int64
 		stays   bool
 	}{{2_000, true}, {10_000, true}, {60_000, false}} {
 		all := candidates(5)
 		all[favourite.Index].Outstanding = Outstanding{Requests: 5, Waiting: Backlog{5}, PromptTokens: Backlog{c.backlog}}
-		got, _ := Choose(all, w, NewSpeed(), time.Second, 0)
+		got, _ := Choose(all, w, NewSpeed(), 0, time.Second, 0)
 		if (got.Index == favourite.Index) != c.stays {
 			t.Errorf("backlog %d: engine %d, favourite %d", c.backlog, got.Index, favourite.Index)
 		}
 	}
 }
 
+// TestSubjectFetched fills the engine of a subject: its parts are fetched from there by the engine that takes the request,
+// unless it fails or is slow.
+func TestSubjectFetched(t *testing.T) {
+	const fetch = 255 * time.Nanosecond
+	w := plan("subject")
+	favourite, _ := Choose(candidates(5), w, NewSpeed(), fetch, time.Second, 0)
+	if favourite.Keeper >= 0 || !favourite.Favourite {
+		t.Fatalf("idle: %+v", favourite)
+	}
+	for name, c := range map[string]struct {
+		health  Health
+		fetches bool
+	}{"sound": {NewHealth(), true}, "failing": {Health{Factor: 1, Failures: 0.5}, false}, "slow": {Health{Factor: 6}, false}} {
+		all := candidates(5)
+		all[favourite.Index].Outstanding = Outstanding{Requests: 5, Waiting: Backlog{5}, PromptTokens: Backlog{60_000}}
+		all[favourite.Index].Health = c.health
+		got, _ := Choose(all, w, NewSpeed(), fetch, time.Second, 0)
+		want := Choice{Unread: w.PromptTokens, Keeper: -1}
+		if c.fetches {
+			want = Choice{Unread: 6610, Keeper: favourite.Index}
+		}
+		if got.Index == favourite.Index || got.Keeper != want.Keeper || got.Unread != want.Unread {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+}
+
 // TestSlowAndFailingEngines makes one engine slow, failing, full or busy: requests go elsewhere.
 func TestSlowAndFailingEngines(t *testing.T) {
 	bad := map[string]func(*Candidate){
@@ -77,7 +104,7 @@
 			for i := range 20 {
 				all := candidates(4)
 				spoil(&all[i%4])
-				if got, ok := Choose(all, w, NewSpeed(), time.Second, float64(i)/20); !ok || got.Index == i%4 {
+				if got, ok := Choose(all, w, NewSpeed(), 0, time.Second, float64(i)/20); !ok || got.Index == i%4 {
 					t.Fatalf("engine %d was chosen", got.Index)
 				}
 			}
@@ -91,7 +118,7 @@
 	const engines, requests = 8, 8000
 	counts := make([]int, engines)
 	for range requests {
-		got, _ := Choose(candidates(engines), Work{PromptTokens: 100}, NewSpeed(), time.Second, rng.Float64())
+		got, _ := Choose(candidates(engines), Work{PromptTokens: 100}, NewSpeed(), 0, time.Second, rng.Float64())
 		counts[got.Index]++
 	}
 	for i, n := range counts {
@@ -140,9 +167,9 @@
 func TestRanks(t *testing.T) {
 	c := candidates(1)[0]
 	c.Outstanding = Outstanding{Requests: 8, Waiting: Backlog{2: 8}, PromptTokens: Backlog{2: 80_000}}
-	urgent, _, _ := Expected(c, Work{PromptTokens: 1000, Rank: 0}, NewSpeed())
-	plan, _, _ := Expected(c, Work{PromptTokens: 1000, Rank: 2}, NewSpeed())
-	if alone, _, _ := Expected(candidates(1)[0], Work{PromptTokens: 1000}, NewSpeed()); urgent != alone || plan < 3*urgent {
+	urgent := Expected(c, Work{Rank: 0}, 1000, NewSpeed()).Wait
+	plan := Expected(c, Work{Rank: 2}, 1000, NewSpeed()).Wait
+	if alone := Expected(candidates(1)[0], Work{}, 1000, NewSpeed()).Wait; urgent != alone || plan < 3*urgent {
 		t.Errorf("urgent %v, plan %v, alone %v", urgent, plan, alone)
 	}
 }
@@ -153,14 +180,13 @@
 	c := candidates(1)[0]
 	s := NewSpeed().WithWhole(0, 60*time.Second)
 	c.Outstanding = Outstanding{Requests: 160, Waiting: Backlog{2: 32}}
-	urgent, _, full := Expected(c, Work{Rank: 0}, s)
-	planned, _, _ := Expected(c, Work{Rank: 2}, s)
-	if next := s.Base + s.Whole/128; urgent != next || planned != s.Base+s.Whole*33/128 || !full {
-		t.Errorf("urgent %v, want %v; planned %v; full %v", urgent, next, planned, full)
+	urgent, planned := Expected(c, Work{Rank: 0}, 0, s), Expected(c, Work{Rank: 2}, 0, s)
+	if next := s.Base + s.Whole/128; urgent.Wait != next || planned.Wait != s.Base+s.Whole*33/128 || !urgent.Full {
+		t.Errorf("urgent %+v, want %v; planned %+v", urgent, next, planned)
 	}
 	c.Outstanding.Requests = 100
-	if free, _, full := Expected(c, Work{Rank: 2}, s); free != s.Base || full {
-		t.Errorf("%v with slots left, full %v", free, full)
+	if free := Expected(c, Work{Rank: 2}, 0, s); free.Wait != s.Base || free.Full {
+		t.Errorf("%+v with slots left", free)
 	}
 }
 
@@ -185,7 +211,7 @@
 	c := candidates(1)[0]
 	c.Outstanding = Outstanding{Requests: 150, Waiting: Backlog{0: 2, 2: 10}, PromptTokens: Backlog{2: 80_000}}
 	for rank, want := range map[int]time.Duration{0: s.Whole * 13 / 128, 2: 2*s.Whole*23/128 + 80_000*s.Token*4/3} {
-		expected, _, _ := Expected(c, Work{Rank: rank}, s.WithOvertaking(o))
+		expected := Expected(c, Work{Rank: rank}, 0, s.WithOvertaking(o)).Wait
 		if ratio := float64(expected) / float64(s.Base+want); math.Abs(ratio-1) > 0.03 {
 			t.Errorf("rank %d: %v, want about %v", rank, expected, s.Base+want)
 		}
@@ -284,7 +310,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			all, w := candidates(n), plan("subject")
 			for b.Loop() {
-				Choose(all, w, NewSpeed(), time.Second, 0.5)
+				Choose(all, w, NewSpeed(), 0, time.Second, 0.5)
 			}
 		})
 	}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -59,6 +59,8 @@
 type Order struct {
 	// Instance is the id that the endpoint must have.
 	Instance string
+	// FetchFrom is the address of an engine that keeps shared parts of the prompt; empty if none are to be fetched.
+	FetchFrom string
 	// Left is the time until the answer is of no use.
 	Left time.Duration
 	// Urgency ranks the request at a model engine, zero first; negative sets none.
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -134,6 +134,8 @@
 	backlog    capacity.Outstanding
 	candidates int
 	favourite  bool
+	// fetchFrom is the address of the engine that keeps the prompt's shared parts, if they are fetched from it.
+	fetchFrom string
 	// full says that the endpoint had no slot or no memory left.
 	full bool
 	// rank is that of the request's urgency, and overtaken the share of the endpoint's time that more urgent ones take.
@@ -158,21 +160,23 @@
 	speed := p.speedNow(now, v, q.service.Name)
 	q.work.Rank = capacity.Rank(q.route.Priority, false)
 	local, endpoints := p.local(now, v, q)
-	choice, ok := capacity.Choose(local, q.work, speed, q.route.Objective, p.rng.Float64())
+	choice, ok := capacity.Choose(local, q.work, speed, fetchTime(q.service), q.route.Objective, p.rng.Float64())
 	here := place{verdict: capacity.Refuse, expected: noLocalEndpoint, cost: noLocalEndpoint, reason: reasonNoEndpoint, candidates: len(local)}
 	if !q.route.Allows(p.cfg.Region) {
 		here.reason = reasonNotHome
 	}
 	if ok {
 		here.endpoint = *endpoints[choice.Index]
+		if choice.Keeper >= 0 {
+			here.fetchFrom = endpoints[choice.Keeper].Address
+		}
 		here.expected, here.cost, here.unread = choice.Expected, choice.Cost, choice.Unread
 		here.favourite, here.full = choice.Favourite, choice.Full
 		here.backlog = local[choice.Index].Outstanding
 		here.load, here.rank = q.work.Load(choice.Unread), q.work.Rank
 		late := q.work
 		late.Rank = capacity.Rank(q.route.Priority, true)
-		lateExpected, _, _ := capacity.Expected(local[choice.Index], late, speed)
-		here.verdict = capacity.Admit(choice.Expected, lateExpected, q.asked)
+		here.verdict = capacity.Admit(choice.Expected, capacity.Expected(local[choice.Index], late, choice.Unread, speed).Wait, q.asked)
 		here.reason = reasonBacklog
 		if q.must {
 			here.verdict = capacity.Take
@@ -193,13 +197,21 @@
 	return here
 }
 
+// fetchTime returns the time to fetch one token of a prompt from another endpoint of a service, or zero.
+func fetchTime(s *routes.Service) time.Duration {
+	if s.Engine == nil {
+		return 0
+	}
+	return s.Engine.FetchTime
+}
+
 // hasRoom reports whether an endpoint of this region would take a request on time.
 func (p *placer) hasRoom(now time.Time, v *view, q query) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q.work.Rank = capacity.Rank(q.route.Priority, false)
 	local, _ := p.local(now, v, q)
-	choice, ok := capacity.Choose(local, q.work, p.speedNow(now, v, q.service.Name), q.route.Objective, 0)
+	choice, ok := capacity.Choose(local, q.work, p.speedNow(now, v, q.service.Name), fetchTime(q.service), q.route.Objective, 0)
 	return ok && capacity.Admit(choice.Expected, choice.Expected, q.asked) == capacity.Take
 }
 
@@ -456,14 +468,14 @@
 			c.Memory = service.Engine.CacheTokens
 		}
 		for rank := range capacity.Ranks {
-			wait, _, _ := capacity.Expected(c, capacity.Work{Rank: rank}, speed)
+			wait := capacity.Expected(c, capacity.Work{Rank: rank}, 0, speed).Wait
 			m.WaitMillis[rank] = min(m.WaitMillis[rank], wait.Milliseconds())
 		}
-		wait, _, full := capacity.Expected(c, capacity.Work{Rank: capacity.Ranks - 1}, speed)
+		last := capacity.Expected(c, capacity.Work{Rank: capacity.Ranks - 1}, 0, speed)
 		m.Endpoints++
 		busy += s.busy(now, speed, peers)
-		if !full && wait < roomObjective {
-			tokens := int64(roomObjective-wait) / int64(max(speed.Token, 1))
+		if !last.Full && last.Wait < roomObjective {
+			tokens := int64(roomObjective-last.Wait) / int64(max(speed.Token, 1))
 			if c.Memory > 0 {
 				tokens = min(tokens, c.Memory-c.Outstanding.HeldTokens)
 			}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -166,7 +166,7 @@
 // log adds a place and what decided it to a line.
 func (at place) log(e *zerolog.Event) *zerolog.Event {
 	e = e.Dur("expected", at.expected).Str("verdict", at.verdict.String()).Int("candidates", at.candidates).
-		Int64("unread", at.unread).Bool("favourite", at.favourite).Bool("full", at.full).
+		Int64("unread", at.unread).Bool("favourite", at.favourite).Bool("full", at.full).Str("fetchFrom", at.fetchFrom).
 		Int64("queuedTokens", at.backlog.PromptTokens.Before(capacity.Ranks-1)).Int("outstanding", at.backlog.Requests).
 		Str("endpoint", at.endpoint.ID)
 	if at.region != "" {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -46,7 +46,7 @@
 	j.charge = 1
 	f := g.placer.begin(now, j.service.Name, j.call.Work, at)
 	h := copyHeader(j.r.Header)
-	g.cfg.Dialect.Prepare(h, Order{Instance: at.endpoint.ID, Left: j.deadline.Sub(now), Urgency: j.urgency(at.verdict), LastEvent: j.lastEvent()})
+	g.cfg.Dialect.Prepare(h, Order{Instance: at.endpoint.ID, FetchFrom: at.fetchFrom, Left: j.deadline.Sub(now), Urgency: j.urgency(at.verdict), LastEvent: j.lastEvent()})
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	defer cancel(nil)
 	patience := j.firstPatience(at, cancel)
--- a/routes/table.go
+++ b/routes/table.go
@@ -78,6 +78,8 @@
 	CacheTokens int64
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int
+	// FetchTime is the time to fetch one token of a prompt from another engine that keeps it; zero if engines cannot.
+	FetchTime time.Duration
 }
 
 // Service is a set of endpoints that serve the same requests.
