--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -22,7 +22,7 @@
 	sharedCost = 3.0
 	// fetchShare is the cost of fetching a shared part from the endpoint that keeps it, as a part of that of reading it
 	// again: it takes a few per cent of the time, but occupies links and memory.
-	fetchShare = 0.15
+	fetchShare = 0.7
 	// unsoundFailures and unsoundSlowdown are the share of failures and the slowdown beyond which nothing is fetched from
 	// an endpoint.
 	unsoundFailures = 0.3
