--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -27,6 +27,8 @@
 	// an endpoint.
 	unsoundFailures = 0.3
 	unsoundSlowdown = 2
+	// remoteCost is the cost of a byte that crosses failure domains: links between them are shared by all traffic.
+	remoteCost = 1500 * time.Nanosecond
 	// equalTime is the difference in expected time below which two endpoints count as equal.
 	equalTime = 2 * time.Millisecond
 )
@@ -43,6 +45,8 @@
 	KeptParts int
 	// Busy is the share of its time for which it reads prompts.
 	Busy float64
+	// Remote says that it lies in another failure domain than the gateway.
+	Remote bool
 }
 
 // Choice is the endpoint that takes a request.
@@ -119,6 +123,9 @@
 			unread, keeper = whole, favourite
 		}
 		e := Expected(c, w, unread, s)
+		if c.Remote {
+			extra += remoteCost * time.Duration(w.Bytes)
+		}
 		cost := e.Wait + DecodeCost(w, c.Busy) + extra + time.Duration(c.Health.Failures*failureCost*float64(objective))
 		switch {
 		case best.Index < 0 || cost < bestCost-equalTime:
--- a/capacity/choose_test.go
+++ b/capacity/choose_test.go
@@ -87,6 +87,27 @@
 	}
 }
 
+// TestOwnDomain places requests among idle engines of two failure domains: they stay in their own, until its engines are
+// busier by more than crossing costs.
+func TestOwnDomain(t *testing.T) {
+	w := Work{PromptTokens: 700, OutputTokens: 300, Bytes: 4_000}
+	for _, c := range []struct {
+		backlog int64
+		stays   bool
+	}{{0, true}, {200, true}, {2_000, false}} {
+		for i := range 20 {
+			all := candidates(4)
+			all[0].Remote, all[1].Remote = true, true
+			for near := 2; near < 4; near++ {
+				all[near].Outstanding.PromptTokens[0] = c.backlog
+			}
+			if got, _ := Choose(all, w, NewSpeed(), 0, time.Second, float64(i)/20); (got.Index >= 2) != c.stays {
+				t.Fatalf("backlog %d: engine %d", c.backlog, got.Index)
+			}
+		}
+	}
+}
+
 // TestSlowAndFailingEngines makes one engine slow, failing, full or busy: requests go elsewhere.
 func TestSlowAndFailingEngines(t *testing.T) {
 	bad := map[string]func(*Candidate){
--- a/capacity/outstanding.go
+++ b/capacity/outstanding.go
@@ -80,6 +80,8 @@
 	// PromptTokens are all tokens of the prompt, and OutputTokens those expected of the answer.
 	PromptTokens int64
 	OutputTokens int64
+	// Bytes is the size of the request and of its expected answer.
+	Bytes int64
 	// Rank is the request's rank of urgency.
 	Rank int
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -237,6 +237,7 @@
 		peers := p.peerSum(now, e.ID)
 		c := capacity.Candidate{
 			ID: e.ID, Outstanding: s.own.Plus(peers.outstanding), Health: s.health, Slots: e.Slots, Busy: s.busy(now, speed, peers),
+			Remote: e.FailureDomain != p.cfg.FailureDomain,
 		}
 		if q.service.Engine != nil {
 			c.Memory = q.service.Engine.CacheTokens
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -21,6 +21,9 @@
 	begun bool
 	// last is the number of the last event that has gone out.
 	last int64
+	// lastAt is when it went out, and pause the longest time between two events.
+	lastAt time.Time
+	pause  time.Duration
 }
 
 // streaming reports whether the caller has the beginning of a stream, after which no other answer can be given.
@@ -93,6 +96,11 @@
 	if e.id >= 0 {
 		s.last = e.id
 	}
+	now := time.Now()
+	if !s.lastAt.IsZero() {
+		s.pause = max(s.pause, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
 		return &CallerError{Cause: err}
 	}
@@ -111,7 +119,7 @@
 	}
 	j.g.times.note(j.route.Kind, j.received, j.firstAt)
 	j.g.cfg.Metrics.Count("answered")
-	j.log("answered").Int("status", status).Int64("lastEvent", j.stream.last).Msg("served")
+	j.log("answered").Int("status", status).Int64("lastEvent", j.stream.last).Dur("longestPause", j.stream.pause).Msg("served")
 	return succeeded, answered
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,6 +10,7 @@
 
 	"arbutusreel/capacity"
 	"arbutusreel/problem"
+	"arbutusreel/routes"
 )
 
 const (
@@ -77,12 +78,28 @@
 
 // query returns what the placer has to know of the request.
 func (j *job) query(now time.Time) query {
+	work := j.call.Work
+	work.Bytes = int64(len(j.body)) + answerBytes(j.service, work.OutputTokens)
 	return query{
-		route: j.route, service: j.service, work: j.call.Work, asked: j.asked(now), tried: j.tried,
+		route: j.route, service: j.service, work: work, asked: j.asked(now), tried: j.tried,
 		forwarded: j.forwarded, must: j.streaming(),
 	}
 }
 
+const (
+	// plainAnswerBytes is the usual size of a plain answer, and eventBytes that of an event of a stream with its framing.
+	plainAnswerBytes = 1 << 10
+	eventBytes       = 128
+)
+
+// answerBytes returns the expected size of an answer with so many output tokens.
+func answerBytes(s *routes.Service, outputTokens int64) int64 {
+	if s.Engine == nil || s.Engine.EventTokens <= 0 {
+		return plainAnswerBytes
+	}
+	return outputTokens / int64(s.Engine.EventTokens) * eventBytes
+}
+
 // mayRepeat reports whether the request may be sent once more.
 func (j *job) mayRepeat(now time.Time) (reason string, ok bool) {
 	switch {
