--- a/capacity/regions.go
+++ b/capacity/regions.go
@@ -17,8 +17,12 @@
 	Sent int64
 }
 
-// maxRoomAge is the age after which what a region told is no longer believed.
-const maxRoomAge = 3 * time.Second
+// maxRoomAge is the age after which what a region told is no longer believed: it is told five times a second, so that
+// the way to the region is cut or slow.
+const maxRoomAge = 1200 * time.Millisecond
+
+// Current reports whether what the region told is still believed.
+func (r Room) Current() bool { return r.Age <= maxRoomAge }
 
 // Crossing is the region to which a request may go.
 type Crossing struct {
@@ -34,7 +38,7 @@
 // both directions together. What was sent there since it told its room is added to its load.
 func Cross(rooms []Room, w Work, s Speed, detour, here time.Duration) (best Crossing, ok bool) {
 	for _, r := range rooms {
-		if r.Age > maxRoomAge || r.Endpoints == 0 || r.Sent+w.PromptTokens > r.PromptTokens {
+		if !r.Current() || r.Endpoints == 0 || r.Sent+w.PromptTokens > r.PromptTokens {
 			continue
 		}
 		expected := r.Wait[w.Rank] + detour + s.Token*time.Duration(w.PromptTokens+r.Sent/int64(r.Endpoints))
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -63,14 +63,17 @@
 type placer struct {
 	cfg Config
 
-	mu        sync.Mutex
-	rng       *rand.Rand
-	states    map[string]*endpointState
-	peers     map[string]*peerLoad
-	speeds    map[string]capacity.Speed
-	demands   map[string]capacity.Demand
-	breakers  *retry.Breakers[string]
-	gateways  *retry.Breakers[string]
+	mu       sync.Mutex
+	rng      *rand.Rand
+	states   map[string]*endpointState
+	peers    map[string]*peerLoad
+	speeds   map[string]capacity.Speed
+	demands  map[string]capacity.Demand
+	breakers *retry.Breakers[string]
+	gateways *retry.Breakers[string]
+	// ways are the breakers of the ways to other regions: when several gateways of a region cannot be reached, the others
+	// are not tried one after the other.
+	ways      *retry.Breakers[string]
 	budgets   map[string]*retry.Allowance
 	sent      map[string][]sentTokens
 	changed   map[string]bool
@@ -100,7 +103,7 @@
 func newPlacer(cfg Config, source rand.Source) *placer {
 	return &placer{
 		cfg: cfg, rng: rand.New(source), states: map[string]*endpointState{}, peers: map[string]*peerLoad{},
-		speeds: map[string]capacity.Speed{}, demands: map[string]capacity.Demand{}, breakers: retry.NewBreakers[string](source), gateways: retry.NewBreakers[string](source),
+		speeds: map[string]capacity.Speed{}, demands: map[string]capacity.Demand{}, breakers: retry.NewBreakers[string](source), gateways: retry.NewBreakers[string](source), ways: retry.NewBreakers[string](source),
 		longest: map[string]time.Duration{}, sums: map[string]peerSum{}, budgets: map[string]*retry.Allowance{}, sent: map[string][]sentTokens{}, changed: map[string]bool{},
 	}
 }
@@ -144,6 +147,7 @@
 	reason     string
 	retryAfter time.Duration
 	probe      retry.Probe
+	wayProbe   retry.Probe
 }
 
 // Reasons why a request goes nowhere.
@@ -345,7 +349,7 @@
 	open := p.openGateways(now, v, q)
 	there, ok := capacity.Cross(p.roomsOf(now, v, q, open), q.work, speed, p.cfg.Detour, here.cost)
 	if !ok && here.expected == noLocalEndpoint {
-		there.Region, ok = p.blindRegion(v, q, open)
+		there.Region, ok = p.blindRegion(now, v, q, open)
 		there.Expected = speed.Base + p.cfg.Detour
 		there.Late = there.Expected
 	}
@@ -357,6 +361,7 @@
 	p.sent[there.Region] = append(p.sent[there.Region], sentTokens{at: now, tokens: q.work.PromptTokens + 1})
 	return place{
 		verdict: verdict, gateway: g, region: there.Region, expected: there.Expected, cost: there.Cost, probe: p.gateways.Begin(now, g.Name),
+		wayProbe: p.ways.Begin(now, there.Region),
 	}, true
 }
 
@@ -376,7 +381,8 @@
 func (p *placer) openGateways(now time.Time, v *view, q query) map[string][]fleet.Gateway {
 	open := map[string][]fleet.Gateway{}
 	for _, g := range v.gateways {
-		if g.Region == p.cfg.Region || !g.Ready || !q.route.Allows(g.Region) || q.tried[g.Name] || q.tried[g.Region] || !p.gateways.Allows(now, g.Name) {
+		if g.Region == p.cfg.Region || !g.Ready || !q.route.Allows(g.Region) || q.tried[g.Name] || q.tried[g.Region] ||
+			!p.ways.Allows(now, g.Region) || !p.gateways.Allows(now, g.Name) {
 			continue
 		}
 		open[g.Region] = append(open[g.Region], g)
@@ -398,11 +404,13 @@
 	return rooms
 }
 
-// blindRegion returns a region that has told nothing of its room, or false if all of them told that they are full.
-func (p *placer) blindRegion(v *view, q query, regions map[string][]fleet.Gateway) (string, bool) {
+// blindRegion returns a region that has told nothing of its room lately, or false if all of them told that they are full.
+func (p *placer) blindRegion(now time.Time, v *view, q query, regions map[string][]fleet.Gateway) (string, bool) {
 	var silent []string
 	for region := range regions {
-		if _, told := v.rooms[region].services[q.service.Name]; !told {
+		room, told := v.rooms[region].services[q.service.Name]
+		room.Age = now.Sub(v.rooms[region].heard)
+		if !told || !room.Current() {
 			silent = append(silent, region)
 		}
 	}
@@ -487,11 +495,21 @@
 	return m
 }
 
-// roomsTold forgets what was sent to regions before they told their room again.
-func (p *placer) roomsTold(now time.Time, rooms []*wiregen.RegionRoom) {
+// roomsTold forgets what was sent to regions before they told their room again. The way to one that was not heard of for
+// a while, and is now, is open again.
+func (p *placer) roomsTold(now time.Time, v *view, rooms []*wiregen.RegionRoom) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range rooms {
+		before := capacity.Room{Age: now.Sub(v.rooms[m.GetRegion()].heard)}
+		if now := (capacity.Room{Age: time.Duration(m.GetAgeMillis()) * time.Millisecond}); !before.Current() && now.Current() {
+			p.ways.Forget(m.GetRegion())
+			for _, g := range v.gateways {
+				if g.Region == m.GetRegion() {
+					p.gateways.Forget(g.Name)
+				}
+			}
+		}
 		// A request that crossed just before the room was told is not in it yet.
 		told := now.Add(-time.Duration(m.GetAgeMillis())*time.Millisecond - p.cfg.Detour)
 		var kept []sentTokens
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -139,3 +139,70 @@
 func reportOf(p *placer, now time.Time) *wiregen.OutstandingReport {
 	return &wiregen.OutstandingReport{Gateway: p.cfg.Name, Born: 1, Outstanding: p.outstandingChanges(now, true)}
 }
+
+// TestCutRegion cuts a region off whose gateways are many: after a few failures the others are not tried, nor is the
+// region when it has not told its room for a while. When it tells it again, it gets requests at once.
+func TestCutRegion(t *testing.T) {
+	const gateways = 20
+	now := time.Unix(1000, 0)
+	placers, v, r, s := newPlacers(t, 1)
+	p := placers[0]
+	for i := range gateways {
+		v.gateways = append(v.gateways, fleet.Gateway{Name: fmt.Sprintf("there-%d", i), Region: "there", Ready: true})
+	}
+	room := capacity.Room{Region: "there", Endpoints: 9, PromptTokens: 1 << 40}
+	v.rooms = map[string]regionRoom{"there": {heard: now, services: map[string]capacity.Room{"model": room}}}
+	crosses := func() bool {
+		at := p.decide(now, v, ask(r, s))
+		if at.region == "" {
+			return false
+		}
+		p.gatewayEnded(now, at, false)
+		return true
+	}
+	tried := 0
+	for range gateways {
+		if crosses() {
+			tried++
+		}
+	}
+	if tried == 0 || tried > 3 {
+		t.Errorf("%d gateways of a region that is cut off were tried", tried)
+	}
+	now = now.Add(10 * time.Second)
+	update := []*wiregen.RegionRoom{{Region: "there"}}
+	p.roomsTold(now, v, update)
+	v.rooms["there"] = regionRoom{heard: now, services: v.rooms["there"].services}
+	if !crosses() {
+		t.Error("the region told its room again and gets nothing")
+	}
+}
+
+// TestSilentRegion leaves requests in a busy region when the other one has not told its room for a while, and sends them
+// there if there is no endpoint here at all.
+func TestSilentRegion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name      string
+		endpoints []fleet.Endpoint
+		age       time.Duration
+		crosses   bool
+	}{
+		{"busy, room told", []fleet.Endpoint{{ID: "busy", Service: "model", Slots: 128}}, 300 * time.Millisecond, true},
+		{"busy, silent", []fleet.Endpoint{{ID: "busy", Service: "model", Slots: 128}}, 2 * time.Second, false},
+		{"no endpoint, silent", nil, 2 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			placers, v, r, s := newPlacers(t, 1, c.endpoints...)
+			v.gateways = append(v.gateways, fleet.Gateway{Name: "there-0", Region: "there", Ready: true})
+			room := capacity.Room{Region: "there", Endpoints: 9, PromptTokens: 1 << 40}
+			v.rooms = map[string]regionRoom{"there": {heard: now.Add(-c.age), services: map[string]capacity.Room{"model": room}}}
+			if len(c.endpoints) > 0 {
+				placers[0].state(&c.endpoints[0]).own.PromptTokens[0] = 50_000
+			}
+			if got := placers[0].decide(now, v, ask(r, s)); (got.region != "") != c.crosses {
+				t.Errorf("region %q, verdict %v", got.region, got.verdict)
+			}
+		})
+	}
+}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -315,7 +315,7 @@
 	v := b.refresh(now, u, before)
 	v.heard, v.current, v.control = now, u.GetCurrent(), control
 	if len(u.GetRooms()) > 0 {
-		g.placer.roomsTold(now, u.GetRooms())
+		g.placer.roomsTold(now, before, u.GetRooms())
 	}
 	g.view.Store(v)
 	if before.table == nil && v.table != nil {
