--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -30,6 +30,11 @@
 	flaggy.Int(&first, "", "seed", "First seed.")
 	flaggy.Int(&count, "", "count", "Number of seeds.")
 	flaggy.Float64(&seconds, "", "seconds", "Time of faults for each seed, in seconds.")
+	var sizes soak.Options
+	flaggy.Int(&sizes.Controls, "", "controls", "Number of control daemons, at least three; zero is the usual number.")
+	flaggy.Int(&sizes.Gateways, "", "gateways", "Number of gateways; zero is the usual number.")
+	flaggy.Int(&sizes.Endpoints, "", "endpoints", "Number of endpoints; zero is the usual number.")
+	flaggy.Int(&sizes.Callers, "", "callers", "Number of callers; zero is the usual number.")
 	flaggy.Parse()
 	if dir == "" {
 		made, err := os.MkdirTemp("", "soak")
@@ -44,7 +49,8 @@
 		seed := first + i
 		o := soak.Options{
 			Program: program, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: uint64(seed), First: 1 + seed%most, Recovery: recovery,
-			Faults: time.Duration(seconds * float64(time.Second)),
+			Faults: time.Duration(seconds * float64(time.Second)), Controls: sizes.Controls, Gateways: sizes.Gateways,
+			Endpoints: sizes.Endpoints, Callers: sizes.Callers,
 		}
 		judge, err := soak.Run(context.Background(), o)
 		if err != nil {
