Leave an endpoint that fails more of its requests than the others do

Each gateway counts how requests ended lately, tells the others, and a share of failures that exceeds that of the best endpoint, or of a quarter, by more than chance brings counts as the cost of failing. What all endpoints fail alike, as look-ups do, counts nothing.

--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -45,6 +45,8 @@
 	KeptParts int
 	// Busy is the share of its time for which it reads prompts.
 	Busy float64
+	// Failing is the share of requests that failed there lately, at all gateways.
+	Failing float64
 	// Remote says that it lies in another failure domain than the gateway.
 	Remote bool
 }
@@ -111,6 +113,7 @@
 	favourite := favourite(candidates, w)
 	keeps := favourite >= 0 && fetch > 0 && candidates[favourite].sound()
 	whole := w.Unread(len(w.Shared()))
+	usual := usualFailing(candidates)
 	for i, c := range candidates {
 		unread, keeper := w.Unread(c.KeptParts), -1
 		extra := time.Duration(sharedCost * float64(s.Token) * float64(unread-whole))
@@ -126,7 +129,7 @@
 		if c.Remote {
 			extra += remoteCost * time.Duration(w.Bytes)
 		}
-		cost := e.Wait + DecodeCost(w, c.Busy) + extra + time.Duration(c.Health.Failures*failureCost*float64(objective))
+		cost := e.Wait + DecodeCost(w, c.Busy) + extra + time.Duration((c.Health.Failures+c.excess(usual))*failureCost*float64(objective))
 		switch {
 		case best.Index < 0 || cost < bestCost-equalTime:
 			equals = 1
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -43,8 +43,10 @@
 	own    capacity.Outstanding
 	recent capacity.Recent
 	health capacity.Health
-	parts  map[string]time.Time
-	cold   *capacity.Window
+	// outcomes are those of this gateway's requests, the endpoint's own failures among them.
+	outcomes capacity.Outcomes
+	parts    map[string]time.Time
+	cold     *capacity.Window
 	// coldUntil is the end of the cold time that the endpoint told in an answer.
 	coldUntil time.Time
 	// failedAt is when a connection to it failed last; zero once it has answered since.
@@ -57,6 +59,8 @@
 	loads map[string]capacity.Outstanding
 	// recent is what it sent lately.
 	recent map[string]capacity.Recent
+	// outcomes are those that it saw lately.
+	outcomes map[string]capacity.Outcomes
 }
 
 // placer decides where requests go; it does no I/O and is safe for concurrent use.
@@ -93,6 +97,7 @@
 type peerSum struct {
 	outstanding capacity.Outstanding
 	recent      capacity.Recent
+	outcomes    capacity.Outcomes
 }
 
 type sentTokens struct {
@@ -241,7 +246,7 @@
 		peers := p.peerSum(now, e.ID)
 		c := capacity.Candidate{
 			ID: e.ID, Outstanding: s.own.Plus(peers.outstanding), Health: s.health, Slots: e.Slots, Busy: s.busy(now, speed, peers),
-			Remote: e.FailureDomain != p.cfg.FailureDomain,
+			Failing: s.outcomes.Plus(now, peers.outcomes).Failing(now), Remote: e.FailureDomain != p.cfg.FailureDomain,
 		}
 		if q.service.Engine != nil {
 			c.Memory = q.service.Engine.CacheTokens
@@ -291,6 +296,7 @@
 	for _, peer := range p.peers {
 		sum.outstanding = sum.outstanding.Plus(peer.loads[id])
 		tokens += peer.recent[id].Tokens(now)
+		sum.outcomes = sum.outcomes.Plus(now, peer.outcomes[id])
 	}
 	sum.recent = capacity.NewRecent(now, tokens)
 	p.sums[id] = sum
@@ -472,6 +478,9 @@
 			continue
 		}
 		peers := p.peerSum(now, e.ID)
+		if s.outcomes.Plus(now, peers.outcomes).Failing(now) > capacity.FailingShare {
+			continue
+		}
 		c := capacity.Candidate{ID: e.ID, Outstanding: s.own.Plus(peers.outstanding), Health: s.health, Slots: e.Slots}
 		if service.Engine != nil {
 			c.Memory = service.Engine.CacheTokens
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -206,3 +206,46 @@
 		})
 	}
 }
+
+// TestLyingEndpoint lets one of three endpoints fail every request at once, so that it never has any outstanding: three
+// gateways that tell each other soon send nearly nothing there. Where all fail alike, requests are shared as before.
+func TestLyingEndpoint(t *testing.T) {
+	for name, fails := range map[string]func(id string, i int) bool{
+		"one":  func(id string, _ int) bool { return id == "a" },
+		"none": func(_ string, i int) bool { return i%7 == 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			var endpoints []fleet.Endpoint
+			for _, id := range []string{"a", "b", "c"} {
+				endpoints = append(endpoints, fleet.Endpoint{ID: id, Born: 7, Service: "model", Slots: 6, State: fleet.Ready})
+			}
+			placers, v, r, s := newPlacers(t, 3, endpoints...)
+			counts := map[string]int{}
+			const requests = 600
+			for i := range requests {
+				p := placers[i%len(placers)]
+				q := ask(r, s)
+				q.work = capacity.Work{}
+				at := p.decide(now, v, q)
+				f := p.begin(now, "model", q.work, at)
+				how := succeeded
+				if fails(at.endpoint.ID, i) {
+					how = ended
+				}
+				f.first(now.Add(30 * time.Millisecond))
+				f.end(now.Add(30*time.Millisecond), how)
+				counts[at.endpoint.ID]++
+				for _, other := range placers {
+					if other != p {
+						other.peerTold(now, reportOf(p, now), false)
+					}
+				}
+				now = now.Add(10 * time.Millisecond)
+			}
+			if n := counts["a"]; name == "one" && n > requests/20 || name == "none" && n < requests/5 {
+				t.Errorf("%v of %d", counts, requests)
+			}
+		})
+	}
+}
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -106,7 +106,7 @@
 	unreached
 	// abandoned: the caller left, or time ran out at no fault of the endpoint.
 	abandoned
-	// ended: the endpoint's own failure answer, which says little of its health.
+	// ended: the endpoint's own failure answer, which speaks against it only if others fail less often.
 	ended
 )
 
@@ -122,6 +122,9 @@
 		s.own = s.own.WithBegun(f.load)
 	}
 	p.changed[f.endpoint.ID] = true
+	if how == succeeded || how == failed || how == ended {
+		s.outcomes = s.outcomes.With(now, how != succeeded)
+	}
 	switch how {
 	case succeeded:
 		speed := p.speed(f.service)
@@ -206,10 +209,14 @@
 		if !all && !p.changed[id] || all && s.own == (capacity.Outstanding{}) {
 			continue
 		}
-		changes = append(changes, &wiregen.EndpointOutstanding{
+		change := &wiregen.EndpointOutstanding{
 			Endpoint: id, Requests: int32(s.own.Requests), Waiting: s.own.Waiting[:],
 			PromptTokens: s.own.PromptTokens[:], HeldTokens: s.own.HeldTokens, RecentTokens: s.recent.Tokens(now),
-		})
+		}
+		if o := s.outcomes.Now(now); o.Failed > leastToldFailures {
+			change.RecentEnded, change.RecentFailed = o.Ended, o.Failed
+		}
+		changes = append(changes, change)
 	}
 	if !all {
 		clear(p.changed)
@@ -217,13 +224,16 @@
 	return changes
 }
 
+// leastToldFailures is the count of recent failures below which they are not told.
+const leastToldFailures = 0.1
+
 // peerTold takes what another gateway has outstanding; whole replaces all that it told before.
 func (p *placer) peerTold(now time.Time, m *wiregen.OutstandingReport, whole bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	peer := p.peers[m.GetGateway()]
 	if peer == nil || whole || peer.born != m.GetBorn() {
-		peer = &peerLoad{born: m.GetBorn(), loads: map[string]capacity.Outstanding{}, recent: map[string]capacity.Recent{}}
+		peer = &peerLoad{born: m.GetBorn(), loads: map[string]capacity.Outstanding{}, recent: map[string]capacity.Recent{}, outcomes: map[string]capacity.Outcomes{}}
 		p.peers[m.GetGateway()] = peer
 		clear(p.sums)
 	}
@@ -231,6 +241,7 @@
 	for _, o := range m.GetOutstanding() {
 		delete(p.sums, o.GetEndpoint())
 		peer.recent[o.GetEndpoint()] = capacity.NewRecent(now, o.GetRecentTokens())
+		peer.outcomes[o.GetEndpoint()] = capacity.Outcomes{Ended: o.GetRecentEnded(), Failed: o.GetRecentFailed(), At: now}
 		load := capacity.Outstanding{Requests: int(o.GetRequests()), HeldTokens: o.GetHeldTokens()}
 		copy(load.Waiting[:], o.GetWaiting())
 		copy(load.PromptTokens[:], o.GetPromptTokens())
