Attend restarted control daemons sooner, and tell callers when a started gateway is ready

Sessions are now begun three times within a race, and the time to come back is when a gateway that has just started usually is ready, spread. Tests: TestRaceStartsAgain (nil before), TestNotReady.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -25,7 +25,9 @@
 	runsHeader = "Arbutusreel-Runs"
 	// ageHeader tells another gateway for how many milliseconds the request has been in the system.
 	ageHeader = "Arbutusreel-Age"
-	// notReadyRetryAfter is when a caller comes back to a gateway that has no table yet.
+	// startTime is within how long after its start a gateway usually has a table, and notReadyRetryAfter the least time after
+	// which a caller comes back to one that has none.
+	startTime          = 1200 * time.Millisecond
 	notReadyRetryAfter = 250 * time.Millisecond
 	// defaultBodyBytes bounds a body if the table does not.
 	defaultBodyBytes = 4 << 20
@@ -99,7 +101,8 @@
 // read matches the request, and reads its headers and its body.
 func (j *job) read() *problem.Problem {
 	if j.view.table == nil {
-		return problem.New(problem.NotReady, http.StatusServiceUnavailable, "no routing document is in force yet").WithRetryAfter(notReadyRetryAfter)
+		return problem.New(problem.NotReady, http.StatusServiceUnavailable, "no routing document is in force yet").
+			WithRetryAfter(j.g.notReadyRetryAfter(j.received))
 	}
 	call, err := j.g.cfg.Dialect.Call(j.r.Header)
 	if err != nil {
@@ -124,6 +127,13 @@
 	return j.readBody()
 }
 
+// notReadyRetryAfter returns when a caller comes back: when the gateway will have a table, spread so that not all come
+// back together.
+func (g *Gateway) notReadyRetryAfter(now time.Time) time.Duration {
+	ready := max(startTime-now.Sub(g.started), notReadyRetryAfter)
+	return ready + time.Duration(g.placer.draw()*float64(ready)/2)
+}
+
 func (j *job) readForwarded() {
 	h := j.r.Header
 	if draw, err := strconv.ParseFloat(h.Get(drawHeader), 64); err == nil && draw >= 0 && draw < 1 {
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -21,6 +21,10 @@
 	// raceTime is how long sessions with all control daemons compete. The first word of one in another region takes three
 	// round trips.
 	raceTime = time.Second
+	// raceStarts is how often a session with each control daemon is begun in a race, raceStagger apart: an opening packet
+	// that met a machine without power is sent again only after a second.
+	raceStarts  = 3
+	raceStagger = 250 * time.Millisecond
 	// settleTime is how long a gateway without a session waits for one that is current once it has found another.
 	settleTime = 150 * time.Millisecond
 	// searchPeriod is how often a gateway looks for a control daemon that is current while its own is not.
@@ -86,13 +90,21 @@
 func (g *Gateway) race(ctx context.Context, onlyCurrent bool) *candidate {
 	ctx, cancel := context.WithTimeout(ctx, raceTime)
 	defer cancel()
-	addresses := g.controlAddresses()
-	arrived := make(chan *candidate, len(addresses))
+	addresses, starts := g.controlAddresses(), raceStarts
+	if onlyCurrent {
+		starts = 1
+	}
+	arrived := make(chan *candidate, len(addresses)*starts)
 	for _, address := range addresses {
-		go func() { arrived <- g.open(ctx, address) }()
+		for i := range starts {
+			go func() {
+				clock.Sleep(ctx, time.Duration(i)*raceStagger)
+				arrived <- g.open(ctx, address)
+			}()
+		}
 	}
 	var best *candidate
-	for range addresses {
+	for range len(addresses) * starts {
 		c := <-arrived
 		if c == nil {
 			continue
@@ -121,6 +133,9 @@
 
 // open opens a session and returns it once its first update has arrived, or nil.
 func (g *Gateway) open(race context.Context, address string) *candidate {
+	if race.Err() != nil {
+		return nil
+	}
 	conn, err := g.cfg.Keys.Dial(address, maxUpdateBytes)
 	if err != nil {
 		return nil
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,10 +19,16 @@
 	address string
 	delay   time.Duration
 	current bool
+	// silent is the number of first sessions that get no word.
+	silent atomic.Int32
 }
 
 func (c *testControl) Attend(session grpc.BidiStreamingServer[wiregen.GatewayReport, wiregen.FleetUpdate]) error {
 	time.Sleep(c.delay)
+	if c.silent.Add(-1) >= 0 {
+		<-session.Context().Done()
+		return session.Context().Err()
+	}
 	for {
 		if err := session.Send(&wiregen.FleetUpdate{Current: c.current, Sender: c.address}); err != nil {
 			return err
@@ -68,3 +76,31 @@
 		t.Errorf("the gateway follows %s", got)
 	}
 }
+
+// TestRaceStartsAgain loses the first two sessions with the only control daemon, which starts later than the gateway:
+// one race finds it all the same.
+func TestRaceStartsAgain(t *testing.T) {
+	late := newControl(t, 0, true)
+	late.silent.Store(raceStarts - 1)
+	g := newGateway(t, testTable(t, nil))
+	g.cfg.Controls = []string{late.address}
+	c := g.race(t.Context(), false)
+	defer c.close()
+	if c == nil {
+		t.Error("the race found no control daemon")
+	}
+}
+
+// TestNotReady refuses what comes before there is a table: it may come back when there is one.
+func TestNotReady(t *testing.T) {
+	g := newGateway(t, testTable(t, nil))
+	g.view.Store(&view{})
+	for _, c := range []struct{ uptime, least time.Duration }{{0, startTime}, {startTime / 2, startTime / 2}, {time.Minute, notReadyRetryAfter}} {
+		if got := g.notReadyRetryAfter(g.started.Add(c.uptime)); got < c.least || got > 2*c.least {
+			t.Errorf("%v after the start: come back after %v, want about %v", c.uptime, got, c.least)
+		}
+	}
+	if got := g.call(t.Context(), "POST", "/unsafe/x", nil); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("%+v", got)
+	}
+}
