Know how long requests hold their slots from the length expected of their answers

Cause: what more urgent requests will take was learned from whole answers, the first of which ends three seconds after the load begins, and no request counted for more than a mean of its rank. A replay of a region at 1.4 times what its engines serve, in virtual time (TestReplayOverload), shows it: 66 of 503 plans were taken as on time and left after four silent seconds. A request now counts by its expected answer and by the learned time of a slot for each token of it. Tests: TestReplayOverload (fails before), TestHold.

--- a/capacity/overtaking.go
+++ b/capacity/overtaking.go
@@ -32,11 +32,10 @@
 	return d
 }
 
-// With returns the demand with a request that is sent at a time, reads so many tokens and then holds its slot as others
-// of its rank do.
-func (d Demand) With(now time.Time, rank int, unread int64, s Speed) Demand {
+// With returns the demand with a request of a rank that is sent at a time and makes an endpoint read so many tokens.
+func (d Demand) With(now time.Time, rank int, w Work, unread int64, s Speed) Demand {
 	d = d.decayed(now)
-	d.slots[rank] += s.Hold(rank).Seconds() / demandTime.Seconds()
+	d.slots[rank] += s.Hold(w, unread).Seconds() / demandTime.Seconds()
 	d.reading[rank] += (s.Token * time.Duration(unread)).Seconds() / demandTime.Seconds()
 	return d
 }
--- a/capacity/speed.go
+++ b/capacity/speed.go
@@ -12,6 +12,9 @@
 	initialTokenTime = 14 * time.Microsecond
 	// initialBaseTime is the time to a first piece without any queue before one was observed.
 	initialBaseTime = 60 * time.Millisecond
+	// initialPace is the time to make one token of an answer before any was observed: a step of a half full batch, with some
+	// prompts to read in between.
+	initialPace = 8 * time.Millisecond
 	// ordinaryFactor is the factor up to which an endpoint counts as like the others: single times vary that much.
 	ordinaryFactor = 1.5
 	leastFactor    = 0.5
@@ -25,16 +28,18 @@
 	// Base is the time to the first piece at an idle endpoint, and Token that of one more unread prompt token.
 	Base  time.Duration
 	Token time.Duration
-	// Whole is the time for which a request holds its slot, and holds the same by rank; zero if none was observed.
+	// Pace is the time for which a request holds its slot for each token that is expected of its answer.
+	Pace time.Duration
+	// Whole is the time for which a usual request holds its slot, and seen says that it was learned from one.
 	Whole time.Duration
-	holds [Ranks]time.Duration
+	seen  bool
 	// Overtaking is what more urgent requests take of the endpoints' time now.
 	Overtaking Overtaking
 }
 
 // NewSpeed returns the speed that is assumed before anything was observed.
 func NewSpeed() Speed {
-	return Speed{Base: initialBaseTime, Token: initialTokenTime, Whole: initialBaseTime}
+	return Speed{Base: initialBaseTime, Token: initialTokenTime, Pace: initialPace, Whole: initialBaseTime}
 }
 
 func toward(from, to time.Duration, gain float64) time.Duration {
@@ -52,18 +57,38 @@
 	return s
 }
 
-// Hold returns for how long requests of a rank hold their slots.
-func (s Speed) Hold(rank int) time.Duration {
-	if s.holds[rank] == 0 {
+// Hold returns for how long a request will hold its slot that makes an endpoint read so many tokens.
+func (s Speed) Hold(w Work, unread int64) time.Duration {
+	if w.OutputTokens == 0 {
 		return s.Whole
 	}
-	return s.holds[rank]
+	return s.Token*time.Duration(unread) + s.Pace*time.Duration(w.OutputTokens)
 }
 
-// WithWhole returns the speed after a whole answer whose request of a rank held its slot for a time.
-func (s Speed) WithWhole(rank int, held time.Duration) Speed {
-	s.holds[rank] = toward(s.Hold(rank), held, speedGain)
-	s.Whole = toward(s.Whole, held, speedGain)
+// WithSent returns the speed after a request was sent whose answer's length is expected.
+func (s Speed) WithSent(w Work, unread int64) Speed {
+	if w.OutputTokens > 0 {
+		return s.withUsual(s.Hold(w, unread))
+	}
+	return s
+}
+
+// WithWhole returns the speed after a whole answer, whose request held its slot for a time.
+func (s Speed) WithWhole(w Work, unread int64, held time.Duration) Speed {
+	if w.OutputTokens == 0 {
+		return s.withUsual(held)
+	}
+	made := max(held-s.Token*time.Duration(unread), 0) / time.Duration(w.OutputTokens)
+	s.Pace = max(toward(s.Pace, made, speedGain), time.Millisecond)
+	return s
+}
+
+// withUsual returns the speed after one more time of a slot was seen.
+func (s Speed) withUsual(held time.Duration) Speed {
+	if !s.seen {
+		s.Whole = held
+	}
+	s.Whole, s.seen = toward(s.Whole, held, speedGain), true
 	return s
 }
 
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -15,11 +15,11 @@
 	endpoint fleet.Endpoint
 	service  string
 	load     capacity.Outstanding
+	work     capacity.Work
 	// queued is the work that has to be read before the first piece, this request's included.
 	queued int64
 	// unread is the part of it that is this request's own.
 	unread int64
-	rank   int
 	// full says that the request had to wait for a slot or for memory, of which no speed can be learned.
 	full bool
 	// overtaken is the share of the endpoint's time that more urgent requests took when it was sent.
@@ -38,14 +38,15 @@
 	s.own = s.own.Plus(at.load)
 	s.cold.Add(now)
 	s.recent = s.recent.With(now, at.unread)
-	p.demands[service] = p.demands[service].With(now, at.rank, at.unread, p.speed(service))
+	p.demands[service] = p.demands[service].With(now, at.rank, w, at.unread, p.speed(service))
+	p.speeds[service] = p.speed(service).WithSent(w, at.unread)
 	if at.unread < w.PromptTokens || len(w.Parts) > 0 {
 		s.remember(now, w)
 	}
 	p.changed[at.endpoint.ID] = true
 	return &flight{
-		placer: p, endpoint: at.endpoint, service: service, load: at.load, queued: at.backlog.PromptTokens.Before(at.rank) + at.unread,
-		unread: at.unread, rank: at.rank, full: at.full, overtaken: at.overtaken, sent: now, probe: p.breakers.Begin(now, at.endpoint.ID),
+		placer: p, endpoint: at.endpoint, service: service, load: at.load, work: w, queued: at.backlog.PromptTokens.Before(at.rank) + at.unread,
+		unread: at.unread, full: at.full, overtaken: at.overtaken, sent: now, probe: p.breakers.Begin(now, at.endpoint.ID),
 	}
 }
 
@@ -128,7 +129,7 @@
 	switch how {
 	case succeeded:
 		speed := p.speed(f.service)
-		p.speeds[f.service] = speed.WithWhole(f.rank, speed.Held(now.Sub(f.sent), f.firstAt.Sub(f.sent), f.unread))
+		p.speeds[f.service] = speed.WithWhole(f.work, f.unread, speed.Held(now.Sub(f.sent), f.firstAt.Sub(f.sent), f.unread))
 		s.health = s.health.WithOutcome(false)
 		p.breakers.Succeeded(now, f.endpoint.ID)
 	case failed:
