--- a/capacity/speed.go
+++ b/capacity/speed.go
@@ -42,18 +42,19 @@
 	return Speed{Base: initialBaseTime, Token: initialTokenTime, Pace: initialPace, Whole: initialBaseTime}
 }
 
-func toward(from, to time.Duration, gain float64) time.Duration {
-	return from + time.Duration(gain*float64(to-from))
+// toward returns a learned value after an observation.
+func toward(from, to time.Duration) time.Duration {
+	return from + time.Duration(speedGain*float64(to-from))
 }
 
 // WithFirst returns the speed after a first piece came, with the unread tokens that were before and in the request.
 func (s Speed) WithFirst(unread int64, took time.Duration) Speed {
 	if unread < leastTokensLearned {
 		expected := s.Token * time.Duration(unread)
-		s.Base = max(toward(s.Base, took-expected, speedGain), time.Millisecond)
+		s.Base = max(toward(s.Base, took-expected), time.Millisecond)
 		return s
 	}
-	s.Token = max(toward(s.Token, (took-s.Base)/time.Duration(unread), speedGain), time.Microsecond)
+	s.Token = max(toward(s.Token, (took-s.Base)/time.Duration(unread)), time.Microsecond)
 	return s
 }
 
@@ -79,7 +80,7 @@
 		return s.withUsual(held)
 	}
 	made := max(held-s.Token*time.Duration(unread), 0) / time.Duration(w.OutputTokens)
-	s.Pace = max(toward(s.Pace, made, speedGain), time.Millisecond)
+	s.Pace = max(toward(s.Pace, made), time.Millisecond)
 	return s
 }
 
@@ -88,7 +89,7 @@
 	if !s.seen {
 		s.Whole = held
 	}
-	s.Whole, s.seen = toward(s.Whole, held, speedGain), true
+	s.Whole, s.seen = toward(s.Whole, held), true
 	return s
 }
 
