--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -25,6 +25,12 @@
 	rebirthTime = 3 * time.Second
 	// coldShare is the part of a cold endpoint's bound that is used, as two gateways' seconds do not begin together.
 	coldShare = 0.8
+	// settleCold is how long a gateway that has just started sends nothing to cold endpoints: until then the others know of
+	// it, and the last second in which they used its share is over.
+	settleCold = 1500 * time.Millisecond
+	// holderMemory is how long a gateway that is no longer named keeps its share of cold endpoints' rates: it may be at the
+	// other side of a cut.
+	holderMemory = 20 * time.Second
 	// budgetShare is the part of the common retry budget that is used, for the same reason.
 	budgetShare = 0.85
 	// regionSentMemory is how long what was sent to a region counts against the room that it told before.
@@ -89,6 +95,10 @@
 	// candidates and endpoints are reused by each decision.
 	candidates []capacity.Candidate
 	endpoints  []*fleet.Endpoint
+	// began is when the first request was placed, and holders when each gateway of the region was named last, in view seen.
+	began   time.Time
+	holders map[string]time.Time
+	seen    *view
 	// swept is when peers that fell silent were looked for last.
 	swept time.Time
 }
@@ -108,7 +118,7 @@
 func newPlacer(cfg Config, source rand.Source) *placer {
 	return &placer{
 		cfg: cfg, rng: rand.New(source), states: map[string]*endpointState{}, peers: map[string]*peerLoad{},
-		speeds: map[string]capacity.Speed{}, demands: map[string]capacity.Demand{}, breakers: retry.NewBreakers[string](source), gateways: retry.NewBreakers[string](source), ways: retry.NewBreakers[string](source),
+		speeds: map[string]capacity.Speed{}, demands: map[string]capacity.Demand{}, holders: map[string]time.Time{}, breakers: retry.NewBreakers[string](source), gateways: retry.NewBreakers[string](source), ways: retry.NewBreakers[string](source),
 		longest: map[string]time.Duration{}, sums: map[string]peerSum{}, budgets: map[string]*retry.Allowance{}, sent: map[string][]sentTokens{}, changed: map[string]bool{},
 	}
 }
@@ -230,7 +240,7 @@
 		return nil, nil
 	}
 	p.sweep(now)
-	rank, n := v.rank(p.cfg.Region, p.cfg.Name)
+	rank, n := p.share(now, v)
 	speed := p.speed(q.service.Name)
 	p.candidates, p.endpoints = p.candidates[:0], p.endpoints[:0]
 	all := v.endpoints[q.service.Name]
@@ -240,7 +250,7 @@
 		if q.tried[e.ID] || !p.breakers.Allows(now, e.ID) || !e.GoneAt.IsZero() {
 			continue
 		}
-		if p.isCold(e, s, now) && s.cold.Count(now) >= p.coldLimit(q.service, e, rank, n) {
+		if p.isCold(e, s, now) && s.cold.Count(now) >= p.coldLimit(now, q.service, e, rank, n) {
 			continue
 		}
 		peers := p.peerSum(now, e.ID)
@@ -263,15 +273,47 @@
 }
 
 // coldLimit returns the number of requests that this gateway may send to a cold endpoint in one second.
-func (p *placer) coldLimit(s *routes.Service, e *fleet.Endpoint, rank, n int) int {
+func (p *placer) coldLimit(now time.Time, s *routes.Service, e *fleet.Endpoint, rank, n int) int {
 	if s.ColdRate <= 0 {
 		return 1 << 30
 	}
+	if now.Sub(p.began) < settleCold {
+		return 0
+	}
 	whole := int(coldShare * (s.ColdRate*p.cfg.ColdBurst + p.cfg.ColdReserve))
 	// Each endpoint ranks the gateways from another start, so that the larger shares do not all fall to one.
 	return capacity.Share(whole, n, (rank+int(e.Born%int64(n)))%n)
 }
 
+// share returns the place of this gateway among those of its region that may send to cold endpoints, and their number.
+func (p *placer) share(now time.Time, v *view) (rank, n int) {
+	if p.began.IsZero() {
+		p.began = now
+	}
+	if p.seen != v {
+		p.seen = v
+		for _, g := range v.gateways {
+			if g.Region == p.cfg.Region {
+				p.holders[g.Name] = now
+			}
+		}
+	}
+	n = 1
+	for name, seen := range p.holders {
+		switch {
+		case name == p.cfg.Name:
+		case now.Sub(seen) > holderMemory:
+			delete(p.holders, name)
+		default:
+			n++
+			if name < p.cfg.Name {
+				rank++
+			}
+		}
+	}
+	return rank, n
+}
+
 func (p *placer) state(e *fleet.Endpoint) *endpointState {
 	s := p.states[e.ID]
 	if s == nil || s.born != e.Born {
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -77,6 +77,59 @@
 	}
 }
 
+// TestColdSharesAtStart starts the gateways of a region one after the other, each of which is named to the others a tenth
+// of a second later, and cuts them into two halves afterwards: a cold endpoint never gets more than it bears.
+func TestColdSharesAtStart(t *testing.T) {
+	const (
+		gateways = 4
+		apart    = 450 * time.Millisecond
+		naming   = 100 * time.Millisecond
+		cutAt    = 5 * time.Second
+	)
+	start := time.Unix(1000, 0)
+	e := fleet.Endpoint{ID: "cold", Born: 7, Service: "model", Slots: 128, State: fleet.Ready, ColdUntil: start.Add(time.Hour)}
+	placers, all, r, s := newPlacers(t, gateways, e)
+	// named returns what a gateway is told of the others at a time.
+	named := func(i int, at time.Duration) *view {
+		v := *all
+		v.gateways = nil
+		for j := range gateways {
+			cut := at > cutAt && i/2 != j/2
+			if at >= time.Duration(j)*apart+naming && !cut {
+				v.gateways = append(v.gateways, all.gateways[j])
+			}
+		}
+		return &v
+	}
+	var sent []time.Duration
+	for at := time.Duration(0); at < 8*time.Second; at += 10 * time.Millisecond {
+		now := start.Add(at)
+		for i, p := range placers {
+			if at < time.Duration(i)*apart {
+				continue
+			}
+			if place := p.decide(now, named(i, at), ask(r, s)); place.endpoint.ID == "cold" {
+				p.begin(now, "model", capacity.Work{}, place).end(now, succeeded)
+				sent = append(sent, at)
+			}
+		}
+	}
+	for i := range sent {
+		count := 0
+		for _, at := range sent[i:] {
+			if at-sent[i] < time.Second {
+				count++
+			}
+		}
+		if bound := coldRate*1.5 + 3; float64(count) > bound {
+			t.Fatalf("%d requests in the second from %v, at most %v", count, sent[i], bound)
+		}
+	}
+	if len(sent) < 20 {
+		t.Errorf("only %d requests were sent", len(sent))
+	}
+}
+
 // TestReachedAgain fails one connection to each endpoint: when they answer again, or a few seconds later, they take all
 // requests again, without a new record of them.
 func TestReachedAgain(t *testing.T) {
--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -38,7 +38,9 @@
 	done := make(chan struct{})
 	p.cmd, p.done = cmd, done
 	go func() {
+		// How it ended is told with the log: a process that is killed writes nothing itself.
 		_ = cmd.Wait()
+		_, _ = fmt.Fprintf(f, "ended: %v\n", cmd.ProcessState)
 		_ = f.Close()
 		close(done)
 	}()
