Send callers of a region without gateways to a home of what they ask for

Ruled out: longer naming of stopping gateways, whose last streams would not end within the grace. Change: routes.Table.Homes gathers the regions in which every bound route of a host may be served; fleet.Nearest names gateways there before others.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusreel/clock"
+	"arbutusreel/configuration"
 	"arbutusreel/fleet"
 	"arbutusreel/wiregen"
 )
@@ -91,6 +92,14 @@
 	return c.fleet.gateways.Live()
 }
 
+// Document returns the newest routing document that this daemon knows of, which another one may have replaced.
+func (c *Control) Document() configuration.Document {
+	if c.quorum == nil {
+		return configuration.Document{}
+	}
+	return c.quorum.Orders().Document()
+}
+
 // Current reports whether this daemon has heard of the quorum's leader lately.
 func (c *Control) Current() bool {
 	if c.quorum == nil {
--- a/fleet/nearest_test.go
+++ b/fleet/nearest_test.go
@@ -17,6 +17,8 @@
 		all  []Gateway
 		want []string
 	}{
+		{"none in the region, one in a home", []Gateway{gateway("a", "here", false, false), gateway("c", "there", true, false), gateway("d", "home", true, false)}, []string{"d"}},
+		{"ready in the region, one in a home", []Gateway{gateway("a", "here", true, false), gateway("d", "home", true, false)}, []string{"a"}},
 		{"ready in the region", []Gateway{gateway("a", "here", true, false), gateway("b", "here", false, true), gateway("c", "there", true, false)}, []string{"a"}},
 		{"only a lingering one in the region", []Gateway{gateway("a", "here", false, false), gateway("b", "here", false, true), gateway("c", "there", true, false)}, []string{"b"}},
 		{"none in the region", []Gateway{gateway("a", "here", false, false), gateway("c", "there", true, false), gateway("d", "there", false, true)}, []string{"c"}},
@@ -25,7 +27,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			var got []string
-			for _, g := range Nearest(c.all, "here", 9) {
+			for _, g := range Nearest(c.all, "here", []string{"home"}, 9) {
 				got = append(got, g.Name)
 			}
 			if diff := cmp.Diff(c.want, got); diff != "" {
--- a/routes/table.go
+++ b/routes/table.go
@@ -178,6 +178,23 @@
 // Service returns a service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Homes returns the regions in which every route of a host that is bound to regions may be served, or nil if none is
+// bound.
+func (t *Table) Homes(host string) []string {
+	var homes []string
+	bound := false
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		switch {
+		case len(r.Homes) == 0:
+		case !bound:
+			homes, bound = slices.Clone(r.Homes), true
+		default:
+			homes = slices.DeleteFunc(homes, func(region string) bool { return !r.Allows(region) })
+		}
+	}
+	return homes
+}
+
 // Match returns the route of a host, with or without a port, and an escaped path; it returns nil if there is none.
 func (t *Table) Match(host, path string) *Route {
 	name, _, _ := strings.Cut(strings.ToLower(host), ":")
--- /dev/null
+++ b/routes/table_test.go
@@ -0,0 +1,33 @@
+package routes
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestHomes gathers the homes of a host's routes: only regions in which all of them may be served.
+func TestHomes(t *testing.T) {
+	route := func(host, prefix string, homes ...string) Route {
+		return Route{
+			Name: prefix, Host: host, PathPrefix: prefix, Kind: Safe, Timeout: time.Second, MaxAttempts: 1, Homes: homes,
+			Backends: []Backend{{Service: "desk", Weight: 1}},
+		}
+	}
+	table, err := New(1, []Route{
+		route("free", "/a/"), route("one", "/a/"), route("one", "/b/", "lahore", "karachi"),
+		route("two", "/a/", "lahore", "karachi"), route("two", "/b/", "karachi"),
+		route("apart", "/a/", "lahore"), route("apart", "/b/", "karachi"),
+	}, []Service{{Name: "desk"}}, Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for host, want := range map[string][]string{
+		"free": nil, "one": {"lahore", "karachi"}, "ONE": {"lahore", "karachi"}, "two": {"karachi"}, "apart": {}, "unknown": nil,
+	} {
+		if diff := cmp.Diff(want, table.Homes(host)); diff != "" {
+			t.Errorf("%s: %s", host, diff)
+		}
+	}
+}
