--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -163,14 +163,14 @@
 	if ok {
 		p.gateways.Answered(now, at.gateway.Name, at.probe)
 		p.gateways.Succeeded(now, at.gateway.Name)
-		p.ways.Answered(now, at.region, at.wayProbe)
-		p.ways.Succeeded(now, at.region)
+		p.regions.Answered(now, at.region, at.regionProbe)
+		p.regions.Succeeded(now, at.region)
 	} else {
 		p.gateways.Unreached(now, at.gateway.Name)
-		p.ways.Failed(now, at.region)
+		p.regions.Failed(now, at.region)
 	}
 	p.gateways.End(at.gateway.Name, at.probe)
-	p.ways.End(at.region, at.wayProbe)
+	p.regions.End(at.region, at.regionProbe)
 }
 
 // firstTry counts a caller's request for a service.
