--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -36,7 +36,9 @@
 	})
 	if err != nil {
 		patience.stop()
-		g.placer.gatewayEnded(time.Now(), at, j.r.Context().Err() != nil)
+		if g.placer.gatewayEnded(time.Now(), at, j.r.Context().Err() != nil) {
+			g.log.Warn().Str("region", at.region).Str("gateway", at.gateway.Name).Err(err).Msg("regionLeft")
+		}
 		return j.failed(ctx, err, exchange.Outcome(err))
 	}
 	defer answer.Close()
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -97,9 +97,21 @@
 
 func newPlacer(cfg Config, source rand.Source) *placer {
 	return &placer{
-		cfg: cfg, rng: rand.New(source), states: map[string]*endpointState{}, peers: map[string]*peerLoad{},
-		speeds: map[string]capacity.Speed{}, demands: map[string]capacity.Demand{}, holders: map[string]time.Time{}, breakers: retry.NewBreakers[string](source), gateways: retry.NewBreakers[string](source), regions: retry.NewBreakers[string](source),
-		longest: map[string]time.Duration{}, sums: map[string]peerSum{}, budgets: map[string]*retry.Allowance{}, sent: map[string][]sentTokens{}, changed: map[string]bool{},
+		cfg:      cfg,
+		rng:      rand.New(source),
+		states:   map[string]*endpointState{},
+		peers:    map[string]*peerLoad{},
+		speeds:   map[string]capacity.Speed{},
+		demands:  map[string]capacity.Demand{},
+		breakers: retry.NewBreakers[string](source),
+		gateways: retry.NewBreakers[string](source),
+		regions:  retry.NewBreakers[string](source),
+		budgets:  map[string]*retry.Allowance{},
+		sent:     map[string][]sentTokens{},
+		changed:  map[string]bool{},
+		longest:  map[string]time.Duration{},
+		sums:     map[string]peerSum{},
+		holders:  map[string]time.Time{},
 	}
 }
 
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -156,8 +156,8 @@
 	}
 }
 
-// gatewayEnded notes how a request to another gateway ended.
-func (p *placer) gatewayEnded(now time.Time, at place, ok bool) {
+// gatewayEnded notes how a request to another gateway ended, and reports whether its region is left for a while.
+func (p *placer) gatewayEnded(now time.Time, at place, ok bool) (left bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if ok {
@@ -167,10 +167,11 @@
 		p.regions.Succeeded(now, at.region)
 	} else {
 		p.gateways.Unreached(now, at.gateway.Name)
-		p.regions.Failed(now, at.region)
+		left = p.regions.Failed(now, at.region) == retry.Open
 	}
 	p.gateways.End(at.gateway.Name, at.probe)
 	p.regions.End(at.region, at.regionProbe)
+	return left
 }
 
 // firstTry counts a caller's request for a service.
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -176,13 +176,14 @@
 }
 
 // roomsTold forgets what was sent to regions before they told their room again. One that was not heard of for a while, and
-// is now, is tried again.
-func (p *placer) roomsTold(now time.Time, v *view, rooms []*wiregen.RegionRoom) {
+// is now, is tried again; their names are returned.
+func (p *placer) roomsTold(now time.Time, v *view, rooms []*wiregen.RegionRoom) (regained []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range rooms {
 		before := capacity.Room{Age: now.Sub(v.rooms[m.GetRegion()].heard)}
 		if now := (capacity.Room{Age: time.Duration(m.GetAgeMillis()) * time.Millisecond}); !before.Current() && now.Current() {
+			regained = append(regained, m.GetRegion())
 			p.regions.Forget(m.GetRegion())
 			for _, g := range v.gateways {
 				if g.Region == m.GetRegion() {
@@ -200,4 +201,5 @@
 		}
 		p.sent[m.GetRegion()] = kept
 	}
+	return regained
 }
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -330,7 +330,9 @@
 	v := b.refresh(now, u, before)
 	v.heard, v.current, v.control = now, u.GetCurrent(), control
 	if len(u.GetRooms()) > 0 {
-		g.placer.roomsTold(now, before, u.GetRooms())
+		if regained := g.placer.roomsTold(now, before, u.GetRooms()); len(regained) > 0 {
+			g.log.Info().Strs("regions", regained).Str("control", control).Msg("regionsHeardAgain")
+		}
 	}
 	g.view.Store(v)
 	if before.table == nil && v.table != nil {
