--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -21,7 +21,8 @@
 	// the time is also lost to everything that waits behind it, and the copy takes memory from other parts.
 	sharedCost = 3.0
 	// fetchShare is the cost of fetching a shared part from the endpoint that keeps it, as a part of that of reading it
-	// again: it takes a few per cent of the time, but occupies links and memory.
+	// again. It takes a few per cent of the time, but an endpoint whose requests go elsewhere soon loses the parts, and
+	// there is nothing left to fetch.
 	fetchShare = 0.7
 	// unsoundFailures and unsoundSlowdown are the share of failures and the slowdown beyond which nothing is fetched from
 	// an endpoint.
@@ -67,8 +68,8 @@
 	Full bool
 }
 
-// Wait is what a request meets at an endpoint.
-type Wait struct {
+// Prospect is what a request meets at an endpoint.
+type Prospect struct {
 	// Wait is the time to the first piece.
 	Wait time.Duration
 	// Full says that the request waits for a slot or for memory.
@@ -76,7 +77,7 @@
 }
 
 // Expected returns what w meets at c, where it makes the endpoint read so many tokens.
-func Expected(c Candidate, w Work, unread int64, s Speed) Wait {
+func Expected(c Candidate, w Work, unread int64, s Speed) Prospect {
 	d := s.Base + stretched(s.Token*time.Duration(c.Outstanding.PromptTokens.Before(w.Rank)+unread), s.Overtaking.Reading[w.Rank])
 	slot := slotWait(c, w.Rank, s)
 	d += slot
@@ -84,7 +85,7 @@
 	if crowded {
 		d += s.Whole / 2
 	}
-	return Wait{Wait: time.Duration(float64(d) * c.Health.Slowdown()), Full: slot > 0 || crowded}
+	return Prospect{Wait: time.Duration(float64(d) * c.Health.Slowdown()), Full: slot > 0 || crowded}
 }
 
 // slotWait returns the time until a request of a rank gets a slot: those that run have to end, and those that wait with
