Leave endpoints that announce their departure, and pause for those that ask for it

Cause: a worker that leaves says so in its answers (Server-Leaving: 1), and one that turns a request away may ask for a pause (503 with Retry-After). Both were passed on and not heeded: the gateway went on sending until control reported the endpoint as draining, and repeated the request at full endpoints within the pause.

Change: fleet.Departures holds the announcements by id and incarnation; gateways tell them to each other with their loads, a whole report holds all of them. A departed incarnation is no candidate, whatever later heartbeats or answers say; a new one is. A pause belongs to the gateway that was asked for it: until its end the endpoint is no candidate, and if all of a region are paused, the request goes to another region or is refused at once with the earliest end, spread, as its Retry-After. The state of an endpoint is no longer replaced by an answer of an earlier incarnation that arrives late.

Tests: TestLeavingEndpoint, TestLeavingAnswers, TestPausedEndpoint, TestPausingAnswers, TestDepartures, TestParsePause; the first four fail without the change.

--- a/capacity/admit.go
+++ b/capacity/admit.go
@@ -87,3 +87,10 @@
 	excess := max(expected-budget.RouteObjective/2, minRetryAfter)
 	return min(excess/2+time.Duration(draw*float64(excess)), max(budget.Remaining/3, minRetryAfter))
 }
+
+// RetryAfterPause returns the time after which a request should be retried that was refused because its endpoints want
+// no requests for the time pause: the pause plus the draw in [0, 1) times half of it, but at least times minRetryAfter,
+// so that the retries do not all arrive at its end.
+func RetryAfterPause(pause time.Duration, draw float64) time.Duration {
+	return pause + time.Duration(draw*float64(max(pause/2, minRetryAfter)))
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -75,9 +75,12 @@
 	}
 	a.firstAt = now
 	s := p.state(&a.endpoint)
-	s.recordAnswer(a.sent)
 	took := now.Sub(a.sent)
-	if !a.full {
+	latest := s.born == a.endpoint.Born
+	if latest {
+		s.recordAnswer(a.sent)
+	}
+	if !a.full && latest {
 		speed := p.speed(a.service)
 		queued := int64(float64(a.queuedTokens) / (1 - a.preemptedShare))
 		s.health = s.health.WithFirst(speed.Base+speed.PrefillTokenTime*time.Duration(queued), took)
@@ -127,6 +130,11 @@
 		s.outstanding = s.outstanding.WithBegun(a.load)
 	}
 	p.changedEndpoints[a.endpoint.ID] = true
+	if s.born != a.endpoint.Born {
+		// The outcome says nothing about the incarnation that has started since.
+		p.endpointBreakers.End(a.endpoint.ID, a.probe)
+		return
+	}
 	if how == succeeded || how == failed || how == errorAnswer {
 		s.outcomes = s.outcomes.With(now, how != succeeded)
 	}
@@ -151,13 +159,35 @@
 	p.endpointBreakers.End(a.endpoint.ID, a.probe)
 }
 
-// recordCold records the remaining cold time that an endpoint announced in an answer.
-func (p *placer) recordCold(now time.Time, e fleet.Endpoint, d time.Duration) {
+// recordVerdict records what an endpoint announced about itself in an answer, and reports whether its departure is
+// new.
+func (p *placer) recordVerdict(now time.Time, e fleet.Endpoint, v Verdict) (departs bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s := p.state(&e); d > 0 {
-		s.coldUntil = now.Add(d)
+	if v.Leaving {
+		departure := fleet.Departure{ID: e.ID, Born: e.Born}
+		if departs = p.departures.Add(now, departure); departs {
+			p.newDepartures = append(p.newDepartures, departure)
+		}
+	}
+	s := p.state(&e)
+	if s.born != e.Born {
+		return departs
+	}
+	if v.ColdFor > 0 {
+		s.coldUntil = now.Add(v.ColdFor)
+	}
+	if v.PauseFor > 0 {
+		s.pausedUntil = laterOf(s.pausedUntil, now.Add(v.PauseFor))
 	}
+	return departs
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // recordForward records whether a request to another gateway got through, and reports whether this opened the breaker
@@ -206,13 +236,23 @@
 	return a
 }
 
-// outstandingChanges returns the loads that changed since the last call, or if all is set, those that are not zero. The
-// latter does not clear the changes: on a reopened stream, older reports that waited in its queue follow the full
-// report, and the next changes correct what they overwrite.
-func (p *placer) outstandingChanges(now time.Time, all bool) []*wiregen.EndpointOutstanding {
+// loadReport returns a report of the loads that changed and the departures that were announced since the last call, or
+// if all is set, of the loads that are not zero and all known departures. The latter does not clear the changes: on a
+// reopened stream, older reports that waited in its queue follow the full report, and the next changes correct what they
+// overwrite.
+func (p *placer) loadReport(now time.Time, born int64, all bool) *wiregen.OutstandingReport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var changes []*wiregen.EndpointOutstanding
+	m := &wiregen.OutstandingReport{Gateway: p.cfg.Name, Born: born}
+	departures := p.newDepartures
+	if all {
+		departures = p.departures.All()
+	} else {
+		p.newDepartures = nil
+	}
+	for _, d := range departures {
+		m.Departures = append(m.Departures, &wiregen.EndpointDeparture{Endpoint: d.ID, Born: d.Born})
+	}
 	for id, s := range p.states {
 		if !all && !p.changedEndpoints[id] || all && s.outstanding == (capacity.Outstanding{}) {
 			continue
@@ -224,12 +264,12 @@
 		if o := s.outcomes.Now(now); o.Failed > minReportedFailures {
 			change.RecentEnded, change.RecentFailed = o.Ended, o.Failed
 		}
-		changes = append(changes, change)
+		m.Outstanding = append(m.Outstanding, change)
 	}
 	if !all {
 		clear(p.changedEndpoints)
 	}
-	return changes
+	return m
 }
 
 // minReportedFailures is the count of recent failures up to which they are not reported.
@@ -246,6 +286,9 @@
 		clear(p.peerSums)
 	}
 	peer.receivedAt = now
+	for _, d := range m.GetDepartures() {
+		p.departures.Add(now, fleet.Departure{ID: d.GetEndpoint(), Born: d.GetBorn()})
+	}
 	for _, o := range m.GetOutstanding() {
 		delete(p.peerSums, o.GetEndpoint())
 		peer.recent[o.GetEndpoint()] = capacity.NewRecentTokens(now, o.GetRecentTokens())
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -79,6 +79,10 @@
 	Signed bool
 	// ColdFor is how long the endpoint stays cold; zero if not given.
 	ColdFor time.Duration
+	// Leaving reports that the endpoint is about to end and must get no new requests.
+	Leaving bool
+	// PauseFor is how long the endpoint wants no requests from this gateway; zero if not given.
+	PauseFor time.Duration
 }
 
 // HeaderCodec reads and writes the headers of callers and endpoints.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -57,7 +57,11 @@
 }
 
 func (testHeaderCodec) Verdict(h http.Header, _ int) Verdict {
-	return Verdict{Rejected: h.Get("Rejected") != "", Signed: h.Get("Signed") != ""}
+	v := Verdict{Rejected: h.Get("Rejected") != "", Signed: h.Get("Signed") != "", Leaving: h.Get("Leaving") != ""}
+	if n, err := strconv.Atoi(h.Get("Pause")); err == nil {
+		v.PauseFor = time.Duration(n) * time.Millisecond
+	}
+	return v
 }
 
 // endpointScript writes the answer to the n-th request of an endpoint on any connection, counted from 0. It returns
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -46,12 +46,11 @@
 			}
 		}
 		now := time.Now()
-		changes := g.placer.outstandingChanges(now, false)
-		if len(changes) == 0 && now.Sub(lastSent) < loadHeartbeatPeriod {
+		m := g.placer.loadReport(now, g.born, false)
+		if len(m.GetOutstanding()) == 0 && len(m.GetDepartures()) == 0 && now.Sub(lastSent) < loadHeartbeatPeriod {
 			continue
 		}
 		lastSent = now
-		m := &wiregen.OutstandingReport{Gateway: g.cfg.Name, Born: g.born, Outstanding: changes}
 		for _, s := range streams {
 			s.enqueue(m)
 		}
@@ -118,7 +117,7 @@
 		defer timer.Stop()
 		return stream.Send(m)
 	}
-	if err := send(&wiregen.OutstandingReport{Gateway: g.cfg.Name, Born: g.born, Outstanding: g.placer.outstandingChanges(time.Now(), true)}); err != nil {
+	if err := send(g.placer.loadReport(time.Now(), g.born, true)); err != nil {
 		return err
 	}
 	for {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -39,6 +39,8 @@
 	coldUntil time.Time
 	// connectFailedAt is the time of the last failed connection; zero once the endpoint has answered since.
 	connectFailedAt time.Time
+	// pausedUntil is the end of the pause that the endpoint asked this gateway for.
+	pausedUntil time.Time
 }
 
 // peerLoad is the load reported by another gateway of the region.
@@ -75,6 +77,10 @@
 	longestPatience map[string]time.Duration
 	// peerSums caches the load of the other gateways by endpoint until one of them sends a new report.
 	peerSums map[string]peerSum
+	// departures are the endpoints that announced to any gateway of the region that they are leaving, and
+	// newDepartures those announced to this gateway that have not been reported to the others.
+	departures    *fleet.Departures
+	newDepartures []fleet.Departure
 	// candidates and endpoints are buffers that are reused by each decision.
 	candidates []capacity.Candidate
 	endpoints  []*fleet.Endpoint
@@ -83,7 +89,7 @@
 	firstDecisionAt time.Time
 	shareHolders    map[string]time.Time
 	holdersView     *view
-	// sweptAt is when expired peers were last removed.
+	// sweptAt is when expired peers and departures were last removed.
 	sweptAt time.Time
 }
 
@@ -115,6 +121,7 @@
 		changedEndpoints: map[string]bool{},
 		longestPatience:  map[string]time.Duration{},
 		peerSums:         map[string]peerSum{},
+		departures:       fleet.NewDepartures(),
 		shareHolders:     map[string]time.Time{},
 	}
 }
@@ -165,8 +172,10 @@
 
 // Reasons for a refusal.
 const (
-	reasonNoEndpoint         = "noEndpoint"
-	reasonBacklog            = "backlog"
+	reasonNoEndpoint = "noEndpoint"
+	reasonBacklog    = "backlog"
+	// reasonPaused: all endpoints of the region have asked this gateway to pause.
+	reasonPaused             = "paused"
 	reasonNotAllowedInRegion = "notAllowedInRegion"
 )
 
@@ -176,9 +185,12 @@
 	defer p.mu.Unlock()
 	speed := p.currentSpeed(now, v, q.service.Name)
 	q.work.Rank = capacity.Rank(q.route.Priority, false)
-	local, endpoints := p.localCandidates(now, v, q)
+	local, endpoints, pauseEnd := p.localCandidates(now, v, q)
 	choice, ok := capacity.Choose(local, q.work, speed, fetchTimePerToken(q.service), q.route.Objective, p.rng.Float64())
 	here := decision{verdict: capacity.Refuse, expected: noEndpointTime, cost: noEndpointTime, reason: reasonNoEndpoint, candidates: len(local)}
+	if !pauseEnd.IsZero() {
+		here.expected, here.reason = pauseEnd.Sub(now)+speed.Base, reasonPaused
+	}
 	if !q.route.Allows(p.cfg.Region) {
 		here.reason = reasonNotAllowedInRegion
 	}
@@ -210,6 +222,12 @@
 	}
 	if here.verdict == capacity.Refuse {
 		here.retryAfter = capacity.RetryAfter(min(here.expected, 2*q.route.Objective), q.budget, p.rng.Float64())
+		if !pauseEnd.IsZero() {
+			pause := capacity.RetryAfterPause(pauseEnd.Sub(now), p.rng.Float64())
+			if !ok || pause < here.retryAfter {
+				here.retryAfter = pause
+			}
+		}
 	}
 	return here
 }
@@ -228,18 +246,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q.work.Rank = capacity.Rank(q.route.Priority, false)
-	local, _ := p.localCandidates(now, v, q)
+	local, _, _ := p.localCandidates(now, v, q)
 	choice, ok := capacity.Choose(local, q.work, p.currentSpeed(now, v, q.service.Name), fetchTimePerToken(q.service), q.route.Objective, 0)
 	return ok && capacity.Admit(choice.Expected, choice.Expected, q.budget) == capacity.Take
 }
 
-// localCandidates returns the endpoints of this region that may take a request. The slices are valid until the next
-// call.
-func (p *placer) localCandidates(now time.Time, v *view, q query) ([]capacity.Candidate, []*fleet.Endpoint) {
+// localCandidates returns the endpoints of this region that may take a request, and the earliest end of the pauses that
+// others asked for, or zero if none did. The slices are valid until the next call.
+func (p *placer) localCandidates(now time.Time, v *view, q query) (_ []capacity.Candidate, _ []*fleet.Endpoint, pauseEnd time.Time) {
 	if !q.route.Allows(p.cfg.Region) {
-		return nil, nil
+		return nil, nil, time.Time{}
 	}
-	p.expirePeers(now)
+	p.expire(now, v)
 	rank, n := p.coldShareRank(now, v)
 	speed := p.speed(q.service.Name)
 	p.candidates, p.endpoints = p.candidates[:0], p.endpoints[:0]
@@ -247,7 +265,16 @@
 	for i := range all {
 		e := &all[i]
 		s := p.state(e)
-		if q.tried[e.ID] || !p.endpointBreakers.Allows(now, e.ID) || !e.TerminatesAt.IsZero() {
+		if q.tried[e.ID] || !e.TerminatesAt.IsZero() || p.departures.Contains(e.ID, e.Born) {
+			continue
+		}
+		if now.Before(s.pausedUntil) {
+			if pauseEnd.IsZero() || s.pausedUntil.Before(pauseEnd) {
+				pauseEnd = s.pausedUntil
+			}
+			continue
+		}
+		if !p.endpointBreakers.Allows(now, e.ID) {
 			continue
 		}
 		if p.isCold(e, s, now) && s.coldWindow.Count(now) >= p.coldLimit(now, q.service, e, rank, n) {
@@ -264,14 +291,14 @@
 		}
 		p.candidates, p.endpoints = append(p.candidates, c), append(p.endpoints, e)
 	}
-	return p.candidates, p.endpoints
+	return p.candidates, p.endpoints, pauseEnd
 }
 
-// state returns the tracked state of an endpoint. A new incarnation starts afresh, except for the requests still
-// outstanding.
+// state returns the tracked state of the latest known incarnation of an endpoint. A new incarnation starts afresh,
+// except for the requests still outstanding.
 func (p *placer) state(e *fleet.Endpoint) *endpointState {
 	s := p.states[e.ID]
-	if s == nil || s.born != e.Born {
+	if s == nil || s.born < e.Born {
 		own := capacity.Outstanding{}
 		if s != nil {
 			own = s.outstanding
@@ -300,12 +327,13 @@
 	return sum
 }
 
-// expirePeers removes gateways whose last report is older than peerLoadTTL.
-func (p *placer) expirePeers(now time.Time) {
+// expire removes gateways whose last report is older than peerLoadTTL, and departures of endpoints that have ended.
+func (p *placer) expire(now time.Time, v *view) {
 	if now.Sub(p.sweptAt) < peerLoadTTL/4 {
 		return
 	}
 	p.sweptAt = now
+	p.departures.Expire(now, v.lists)
 	for name, peer := range p.peers {
 		if now.Sub(peer.receivedAt) > peerLoadTTL {
 			delete(p.peers, name)
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -191,7 +191,7 @@
 }
 
 func reportOf(p *placer, now time.Time) *wiregen.OutstandingReport {
-	return &wiregen.OutstandingReport{Gateway: p.cfg.Name, Born: 1, Outstanding: p.outstandingChanges(now, true)}
+	return p.loadReport(now, 1, true)
 }
 
 // TestPartitionedRegion makes all gateways of a region unreachable: after a few failures the other gateways of the
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -27,7 +27,7 @@
 func (p *placer) crossRegion(now time.Time, v *view, q query, speed capacity.Speed, here decision) (decision, bool) {
 	available := p.availableGateways(now, v, q)
 	there, ok := capacity.ChooseRegion(p.capacitiesOf(now, v, q, available), q.work, speed, p.cfg.RegionRoundTrip, here.cost)
-	if !ok && here.expected == noEndpointTime {
+	if !ok && here.candidates == 0 {
 		there.Region, ok = p.staleRegion(now, v, q, available)
 		there.Expected = speed.Base + p.cfg.RegionRoundTrip
 		there.Late = there.Expected
@@ -143,7 +143,7 @@
 // serviceCapacity returns the free capacity of one service's endpoints. Endpoints that are cold, gone or failing, or
 // whose circuit breaker is not closed, are left out.
 func (p *placer) serviceCapacity(now time.Time, v *view, service *routes.Service, endpoints []fleet.Endpoint) *wiregen.ServiceRoom {
-	p.expirePeers(now)
+	p.expire(now, v)
 	speed := p.currentSpeed(now, v, service.Name)
 	m := &wiregen.ServiceRoom{Service: service.Name}
 	for range capacity.Ranks {
@@ -153,7 +153,8 @@
 	for i := range endpoints {
 		e := &endpoints[i]
 		s := p.state(e)
-		if p.endpointBreakers.State(now, e.ID) != retry.Closed || p.isCold(e, s, now) || !e.TerminatesAt.IsZero() {
+		if p.endpointBreakers.State(now, e.ID) != retry.Closed || p.isCold(e, s, now) || !e.TerminatesAt.IsZero() ||
+			p.departures.Contains(e.ID, e.Born) || now.Before(s.pausedUntil) {
 			continue
 		}
 		peers := p.peerSum(now, e.ID)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -66,9 +66,7 @@
 	defer answer.Close()
 	j.sends++
 	verdict := g.cfg.Headers.Verdict(answer.Header, answer.Status)
-	if verdict.ColdFor > 0 {
-		g.placer.recordCold(time.Now(), d.endpoint, verdict.ColdFor)
-	}
+	j.recordVerdict(d, verdict)
 	if verdict.Rejected {
 		timer.stop()
 		// A short body is read to its end so that the connection can be reused.
@@ -82,6 +80,18 @@
 	return step
 }
 
+// recordVerdict records what an endpoint announced about itself, and logs the start of a departure or a pause.
+func (j *job) recordVerdict(d decision, verdict Verdict) {
+	departs := j.g.placer.recordVerdict(time.Now(), d.endpoint, verdict)
+	if departs {
+		j.g.log.Info().Str("request", j.call.ID).Str("endpoint", d.endpoint.ID).Int64("born", d.endpoint.Born).
+			Str("address", d.endpoint.Address).Msg("endpoint is leaving")
+	}
+	if verdict.PauseFor > 0 {
+		j.g.log.Info().Str("request", j.call.ID).Str("endpoint", d.endpoint.ID).Dur("pause", verdict.PauseFor).Msg("endpoint paused")
+	}
+}
+
 // maxRejectionBytes bounds the part of a rejection's body that is read.
 const maxRejectionBytes = 4 << 10
 
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -41,6 +41,16 @@
 	return v.table.Version()
 }
 
+// lists reports whether an endpoint of this region with the ID is listed as ready.
+func (v *view) lists(id string) bool {
+	for _, endpoints := range v.endpoints {
+		if slices.ContainsFunc(endpoints, func(e fleet.Endpoint) bool { return e.ID == id }) {
+			return true
+		}
+	}
+	return false
+}
+
 // peers returns the other gateways of a region.
 func (v *view) peers(region, except string) []fleet.Gateway {
 	return slices.DeleteFunc(slices.Clone(v.gateways), func(g fleet.Gateway) bool { return g.Region != region || g.Name == except })
