Forward to one partner gateway in each other region, over connections that are already open

Cause: a forward goes to a random gateway of the other region. With n gateways on one side and m on the other each of the n*m pairs forwards too seldom to find an idle connection (kept for 4 s), so a new one is opened: one more round trip between regions.

Change: fleet.Partner picks the gateway by rendezvous hashing; exchange.Pool.KeepWarm holds two to eight idle connections to it, by the forwards of the last second, and replaces each that is taken.

--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -13,6 +13,8 @@
 	Repeatable time.Duration
 	// NonRepeatable applies to requests that may not run again.
 	NonRepeatable time.Duration
+	// Unannounced applies to connections whose endpoint announces no limit of its own; zero selects defaultIdleLimit.
+	Unannounced time.Duration
 }
 
 // Pool holds idle connections to endpoints. It is safe for concurrent use.
@@ -24,13 +26,21 @@
 
 	mu        sync.Mutex
 	idleConns map[string][]*connection
+	// warmConns is the number of idle connections to keep to an address, and opening the number of those being opened.
+	warmConns map[string]int
+	opening   map[string]int
 	closed    bool
 	opened    atomic.Int64
 }
 
 // NewPool returns an empty pool. An attempt to connect fails after connectTimeout.
 func NewPool(idle IdleLimits, connectTimeout time.Duration, now func() time.Time) *Pool {
-	return &Pool{idleLimits: idle, connectTimeout: connectTimeout, now: now, idleConns: map[string][]*connection{}}
+	if idle.Unannounced == 0 {
+		idle.Unannounced = defaultIdleLimit
+	}
+	return &Pool{
+		idleLimits: idle, connectTimeout: connectTimeout, now: now, idleConns: map[string][]*connection{}, opening: map[string]int{},
+	}
 }
 
 // Opened returns the number of connections opened so far, including failed attempts.
@@ -47,6 +57,7 @@
 		p.mu.Lock()
 		conns := p.idleConns[address]
 		if len(conns) == 0 {
+			p.replenish(address)
 			p.mu.Unlock()
 			return nil
 		}
@@ -57,6 +68,7 @@
 			return nil
 		}
 		p.idleConns[address] = conns[:len(conns)-1]
+		p.replenish(address)
 		p.mu.Unlock()
 		if idle <= min(limit, c.idleLimit) && c.reusable() {
 			return c
@@ -74,6 +86,50 @@
 	return dial(ctx, address, p.connectTimeout)
 }
 
+// KeepWarm sets the number of idle connections to keep to each address, so that requests need not wait for a
+// connection. It replaces the numbers set before. A connection that is taken is replaced at once; failed attempts are
+// repeated at the next call.
+func (p *Pool) KeepWarm(conns map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.warmConns = conns
+	for address := range conns {
+		p.replenish(address)
+	}
+}
+
+// replenish opens the connections that are missing to an address. The caller holds the lock.
+func (p *Pool) replenish(address string) {
+	for range p.warmConns[address] - len(p.idleConns[address]) - p.opening[address] {
+		if p.closed {
+			return
+		}
+		p.opening[address]++
+		p.opened.Add(1)
+		go p.open(address)
+	}
+}
+
+// open opens a connection that replenish has counted as being opened.
+func (p *Pool) open(address string) {
+	c, err := dial(context.Background(), address, p.connectTimeout)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.opening[address]--; p.opening[address] == 0 {
+		delete(p.opening, address)
+	}
+	if err != nil {
+		return
+	}
+	if p.closed {
+		_ = c.Close()
+		return
+	}
+	c.idleSince, c.idleLimit = p.now(), p.idleLimits.Unannounced
+	// Connections that have carried a request are used first, as they are known to work.
+	p.idleConns[address] = append([]*connection{c}, p.idleConns[address]...)
+}
+
 // putIdle adds a connection to the idle ones, for a later request.
 func (p *Pool) putIdle(c *connection) {
 	c.requestCount++
@@ -109,6 +165,7 @@
 		if len(left) == 0 {
 			delete(p.idleConns, address)
 		}
+		p.replenish(address)
 	}
 }
 
--- a/exchange/pool_test.go
+++ b/exchange/pool_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -58,3 +60,58 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// TestKeepWarm sends requests to an address to which connections are kept: each finds an idle one, and the one that it
+// takes is replaced while it is in use.
+func TestKeepWarm(t *testing.T) {
+	var accepted atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			accepted.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
+	p := NewPool(IdleLimits{Repeatable: time.Minute, NonRepeatable: time.Minute, Unannounced: time.Minute}, time.Second, time.Now)
+	t.Cleanup(p.Close)
+	idle := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.idleConns[address])
+	}
+	waitIdle := func(n int) {
+		t.Helper()
+		for deadline := time.Now().Add(5 * time.Second); idle() != n; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%d idle connections, want %d", idle(), n)
+			}
+		}
+	}
+	p.KeepWarm(map[string]int{address: 2})
+	waitIdle(2)
+	var taken []*connection
+	for range 3 {
+		c := p.getIdle(address, false)
+		if c == nil {
+			t.Fatal("no idle connection")
+		}
+		taken = append(taken, c)
+		waitIdle(2)
+	}
+	for _, c := range taken {
+		p.putIdle(c)
+	}
+	waitIdle(5)
+	p.KeepWarm(nil)
+	for range 5 {
+		if c := p.getIdle(address, false); c == nil || c.Close() != nil {
+			t.Fatal("no idle connection")
+		}
+	}
+	waitIdle(0)
+	if n := accepted.Load(); n != 5 {
+		t.Errorf("%d connections were opened", n)
+	}
+}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -177,7 +177,7 @@
 		_ = r.conn.Close()
 		return
 	}
-	r.conn.idleLimit = idleLimit(r.Header)
+	r.conn.idleLimit = idleLimit(r.Header, r.pool.idleLimits.Unannounced)
 	r.pool.putIdle(r.conn)
 }
 
@@ -192,8 +192,9 @@
 	_ = r.conn.Close()
 }
 
-// idleLimit returns how long an idle connection may be kept, according to the Keep-Alive header of the response.
-func idleLimit(h http.Header) time.Duration {
+// idleLimit returns how long an idle connection may be kept, according to the Keep-Alive header of the response, or
+// unannounced without one.
+func idleLimit(h http.Header, unannounced time.Duration) time.Duration {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
 		seconds, err := strconv.Atoi(value)
@@ -201,5 +202,5 @@
 			return time.Duration(float64(seconds) * idleLimitFraction * float64(time.Second))
 		}
 	}
-	return defaultIdleLimit
+	return unannounced
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,7 +95,7 @@
 	g := &Gateway{
 		cfg: cfg, log: log, started: now, born: now.UnixMilli(), placer: newPlacer(cfg, source), state: newFleetState(cfg),
 		pool:    exchange.NewPool(exchange.IdleLimits{Repeatable: repeatableIdleTimeout, NonRepeatable: nonRepeatableIdleTimeout}, endpointConnectTimeout, time.Now),
-		peers:   exchange.NewPool(exchange.IdleLimits{Repeatable: idleTimeout / 2, NonRepeatable: idleTimeout / 2}, peerConnectTimeout, time.Now),
+		peers:   exchange.NewPool(exchange.IdleLimits{Repeatable: idleTimeout / 2, NonRepeatable: idleTimeout / 2, Unannounced: idleTimeout / 2}, peerConnectTimeout, time.Now),
 		workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
 	}
 	g.latencies = newLatencies(cfg.Metrics, g.pool)
@@ -145,6 +145,7 @@
 	g.wg.Go(func() { g.subscribe(g.workCtx) })
 	g.wg.Go(func() { g.reportLoads(g.workCtx) })
 	g.wg.Go(func() { g.closeExpiredConns(g.workCtx) })
+	g.wg.Go(func() { g.keepPartnersWarm(g.workCtx) })
 	g.log.Info().Str("callerAddress", g.cfg.CallerAddress).Str("domain", g.cfg.FailureDomain).Strs("controls", g.cfg.Controls).Msg("started")
 	<-ctx.Done()
 	g.stop()
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -68,9 +68,11 @@
 	gatewayBreakers  *retry.Breakers[string]
 	// regionBreakers are the circuit breakers of whole regions: once several gateways of a region have been
 	// unreachable, the others are not tried one after the other.
-	regionBreakers   *retry.Breakers[string]
-	retryBudgets     map[string]*retry.Allowance
-	sentToRegion     map[string][]sentTokens
+	regionBreakers *retry.Breakers[string]
+	retryBudgets   map[string]*retry.Allowance
+	sentToRegion   map[string][]sentTokens
+	// forwards counts the recent requests forwarded to each region.
+	forwards         map[string]*capacity.Window
 	changedEndpoints map[string]bool
 	maxGateways      int
 	// longestPatience is the longest time limit seen from the callers of each route.
@@ -118,6 +120,7 @@
 		regionBreakers:   retry.NewBreakers[string](source),
 		retryBudgets:     map[string]*retry.Allowance{},
 		sentToRegion:     map[string][]sentTokens{},
+		forwards:         map[string]*capacity.Window{},
 		changedEndpoints: map[string]bool{},
 		longestPatience:  map[string]time.Duration{},
 		peerSums:         map[string]peerSum{},
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -304,3 +304,34 @@
 		})
 	}
 }
+
+// TestForwardPartner forwards the requests of a region without endpoints: all go to one gateway of the other region, to
+// which idle connections are kept, and to another one when the first cannot be reached.
+func TestForwardPartner(t *testing.T) {
+	now := time.Unix(1000, 0)
+	placers, v, r, s := newPlacers(t, 1)
+	p := placers[0]
+	for i := range 20 {
+		v.gateways = append(v.gateways, fleet.Gateway{Name: fmt.Sprintf("there-%d", i), Region: "there", Ready: true})
+	}
+	there := capacity.RegionCapacity{Region: "there", Endpoints: 9, PromptTokens: 1 << 40}
+	v.capacities = map[string]regionCapacity{"there": {reportedAt: now, services: map[string]capacity.RegionCapacity{"model": there}}}
+	chosen := map[string]int{}
+	for range 20 {
+		d := p.decide(now, v, testQuery(r, s))
+		chosen[d.gateway.Name]++
+		p.recordForward(now, d, true)
+	}
+	kept := p.partners(now, v)
+	if len(chosen) != 1 || len(kept) != 1 || chosen[kept[0].gateway.Name] != 20 {
+		t.Fatalf("forwarded to %v, connections kept to %+v", chosen, kept)
+	}
+	if kept[0].conns != maxWarmConns {
+		t.Errorf("%d connections are kept at 20 forwards a second", kept[0].conns)
+	}
+	d := p.decide(now, v, testQuery(r, s))
+	p.recordForward(now, d, false)
+	if next := p.decide(now, v, testQuery(r, s)); next.gateway.Name == d.gateway.Name || next.gateway.Name != p.partners(now, v)[0].gateway.Name {
+		t.Errorf("forwarded to %s after %s could not be reached", next.gateway.Name, d.gateway.Name)
+	}
+}
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -36,7 +36,8 @@
 	if !ok || !shouldCrossRegion(here, there.Cost, verdict) {
 		return decision{}, false
 	}
-	g := available[there.Region][p.rng.IntN(len(available[there.Region]))]
+	g, _ := fleet.Partner(p.cfg.Name, available[there.Region])
+	p.countForward(now, there.Region)
 	p.sentToRegion[there.Region] = append(p.sentToRegion[there.Region], sentTokens{at: now, tokens: q.work.PromptTokens + 1})
 	return decision{
 		verdict: verdict, gateway: g, region: there.Region, expected: there.Expected, cost: there.Cost, probe: p.gatewayBreakers.Begin(now, g.Name),
--- a/systemtest/residency_test.go
+++ b/systemtest/residency_test.go
@@ -253,11 +253,17 @@
 	long := strings.Replace(markedBody, `"max_tokens":4`, `"max_tokens":64`, 1)
 	s.until("the engine is known", func() bool { return s.hasEndpoint(lahore, "engine-lahore") })
 	forbidden.announceTo(lahore)
-	s.until("the other region is known", func() bool {
-		a := s.do(http.MethodPost, lahore.caller, chatPath, lahoreToken, long)
-		return strings.Contains(a.body, "event: error") || a.status != http.StatusOK
+	// The entry refuses requests until its dispatcher has read the endpoint, so a refusal does not mean that the engine
+	// got the request.
+	s.until("a stream ends with its engine", func() bool {
+		s.do(http.MethodPost, lahore.caller, chatPath, lahoreToken, long)
+		select {
+		case <-engine.done:
+			return true
+		default:
+			return false
+		}
 	})
-	<-engine.done
 	for range 3 {
 		s.do(http.MethodPost, lahore.caller, chatPath, lahoreToken, long)
 	}
