Report loads along a grid of gateways instead of to every other one

Cause: each gateway reported to every other one of its region, at an interval of 7 ms for each, so that the messages of a region stayed bounded: 168 ms at 25 gateways, 448 ms at 64. In that time as many gateways as choose an engine that looks idle do so before the first of them is heard of.

Change: gateways of a failure domain form a grid by name. A gateway sends its changes along its row and column and to one gateway of each other domain of the region, at least every 25 ms; receivers pass them on along their column, or along row and column when they crossed domains. Reports are numbered, an older one is dropped, and a whole one each second replaces all. The sums by endpoint are kept up incrementally (they were added up anew for each decision after a change).

--- a/capacity/outcomes.go
+++ b/capacity/outcomes.go
@@ -50,6 +50,12 @@
 	return Outcomes{Ended: o.Ended + other.Ended, Failed: o.Failed + other.Failed, At: now}
 }
 
+// Minus returns the difference of the outcomes, decayed to now, without negative counts.
+func (o Outcomes) Minus(now time.Time, other Outcomes) Outcomes {
+	o, other = o.Now(now), other.Now(now)
+	return Outcomes{Ended: max(o.Ended-other.Ended, 0), Failed: max(o.Failed-other.Failed, 0), At: now}
+}
+
 // FailureRate returns the share of failed requests, in [0, 1).
 func (o Outcomes) FailureRate(now time.Time) float64 {
 	o = o.Now(now)
--- a/capacity/outstanding.go
+++ b/capacity/outstanding.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// Minus returns the difference.
+func (o Outstanding) Minus(other Outstanding) Outstanding {
+	return Outstanding{
+		Requests: o.Requests - other.Requests, Waiting: o.Waiting.Minus(other.Waiting),
+		PromptTokens: o.PromptTokens.Minus(other.PromptTokens), HeldTokens: o.HeldTokens - other.HeldTokens,
+	}
+}
+
 // WithBegun returns the outstanding work after the first chunk of a request that was counted with the given load.
 func (o Outstanding) WithBegun(load Outstanding) Outstanding {
 	o.Waiting, o.PromptTokens = o.Waiting.Minus(load.Waiting), o.PromptTokens.Minus(load.PromptTokens)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,7 +6,6 @@
 	"arbutusreel/capacity"
 	"arbutusreel/fleet"
 	"arbutusreel/retry"
-	"arbutusreel/wiregen"
 )
 
 // attempt is a request that was sent to an endpoint and has not ended.
@@ -235,75 +234,3 @@
 	a.SetReserve(p.cfg.RetryReserve * retryBudgetShare / float64(p.maxGateways))
 	return a
 }
-
-// loadReport returns a report of the loads that changed and the departures that were announced since the last call, or
-// if all is set, of the loads that are not zero and all known departures. The latter does not clear the changes: on a
-// reopened stream, older reports that waited in its queue follow the full report, and the next changes correct what they
-// overwrite.
-func (p *placer) loadReport(now time.Time, born int64, all bool) *wiregen.OutstandingReport {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m := &wiregen.OutstandingReport{Gateway: p.cfg.Name, Born: born}
-	departures := p.newDepartures
-	if all {
-		departures = p.departures.All()
-	} else {
-		p.newDepartures = nil
-	}
-	for _, d := range departures {
-		m.Departures = append(m.Departures, &wiregen.EndpointDeparture{Endpoint: d.ID, Born: d.Born})
-	}
-	for id, s := range p.states {
-		if !all && !p.changedEndpoints[id] || all && s.outstanding == (capacity.Outstanding{}) {
-			continue
-		}
-		change := &wiregen.EndpointOutstanding{
-			Endpoint: id, Requests: int32(s.outstanding.Requests), Waiting: s.outstanding.Waiting[:],
-			PromptTokens: s.outstanding.PromptTokens[:], HeldTokens: s.outstanding.HeldTokens, RecentTokens: s.recent.Tokens(now),
-		}
-		if o := s.outcomes.Now(now); o.Failed > minReportedFailures {
-			change.RecentEnded, change.RecentFailed = o.Ended, o.Failed
-		}
-		m.Outstanding = append(m.Outstanding, change)
-	}
-	if !all {
-		clear(p.changedEndpoints)
-	}
-	return m
-}
-
-// minReportedFailures is the count of recent failures up to which they are not reported.
-const minReportedFailures = 0.1
-
-// updatePeer stores the load reported by another gateway; a whole report replaces all earlier ones.
-func (p *placer) updatePeer(now time.Time, m *wiregen.OutstandingReport, whole bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	peer := p.peers[m.GetGateway()]
-	if peer == nil || whole || peer.born != m.GetBorn() {
-		peer = &peerLoad{born: m.GetBorn(), loads: map[string]capacity.Outstanding{}, recent: map[string]capacity.RecentTokens{}, outcomes: map[string]capacity.Outcomes{}}
-		p.peers[m.GetGateway()] = peer
-		clear(p.peerSums)
-	}
-	peer.receivedAt = now
-	for _, d := range m.GetDepartures() {
-		p.departures.Add(now, fleet.Departure{ID: d.GetEndpoint(), Born: d.GetBorn()})
-	}
-	for _, o := range m.GetOutstanding() {
-		delete(p.peerSums, o.GetEndpoint())
-		peer.recent[o.GetEndpoint()] = capacity.NewRecentTokens(now, o.GetRecentTokens())
-		peer.outcomes[o.GetEndpoint()] = capacity.Outcomes{Ended: o.GetRecentEnded(), Failed: o.GetRecentFailed(), At: now}
-		load := capacity.Outstanding{Requests: int(o.GetRequests()), HeldTokens: o.GetHeldTokens()}
-		copy(load.Waiting[:], o.GetWaiting())
-		copy(load.PromptTokens[:], o.GetPromptTokens())
-		peer.loads[o.GetEndpoint()] = load
-	}
-}
-
-// removePeer drops the load of another gateway.
-func (p *placer) removePeer(name string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.peers, name)
-	clear(p.peerSums)
-}
--- a/gateway/departure_test.go
+++ b/gateway/departure_test.go
@@ -67,14 +67,14 @@
 		{"the other gateway starts later", func(told, peer *placer) {
 			told.recordVerdict(now, leaving, Verdict{Leaving: true})
 			told.loadReport(now, 1, false)
-			peer.updatePeer(now, told.loadReport(now, 1, true), true)
+			peer.updatePeer(now, told.loadReport(now, 1, true))
 		}, leaving, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			placers, v, r, s := newPlacers(t, 2, c.listed, other)
 			c.announce(placers[0], placers[1])
-			placers[1].updatePeer(now, placers[0].loadReport(now, 1, false), false)
+			placers[1].updatePeer(now, placers[0].loadReport(now, 1, false))
 			// The placers forget departures of endpoints that are no longer listed, and this one is.
 			for _, at := range []time.Duration{0, time.Hour} {
 				for i, p := range placers {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,7 @@
 	pool      *exchange.Pool
 	peers     *exchange.Pool
 	placer    *placer
+	relay     reportRelay
 	latencies *latencies
 	view      atomic.Pointer[view]
 	// workCtx ends when the daemon has stopped.
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -15,44 +15,32 @@
 
 const (
 	// loadReportPeriod is the least interval at which changed loads are reported to the other gateways of the region.
-	// With more of them the interval is loadReportPeriodPerPeer times their number, so that the total traffic grows with
-	// the number of gateways and not with its square.
+	// With more links the interval is loadReportPeriodPerLink times their number, which bounds the messages of a
+	// gateway.
 	loadReportPeriod        = 25 * time.Millisecond
-	loadReportPeriodPerPeer = 7 * time.Millisecond
-	// loadHeartbeatPeriod is the interval of empty reports from a gateway whose loads do not change.
-	loadHeartbeatPeriod = 500 * time.Millisecond
+	loadReportPeriodPerLink = 3 * time.Millisecond
+	// wholeReportPeriod is the interval of whole reports, which replace what earlier ones said.
+	wholeReportPeriod = time.Second
 	// loadSendTimeout bounds the sending of one report, after which the stream is closed.
 	loadSendTimeout = time.Second
 )
 
-// reportLoads keeps a load stream to each other gateway of the region until ctx ends.
+// reportLoads keeps a load stream to each gateway that this one is linked to until ctx ends.
 func (g *Gateway) reportLoads(ctx context.Context) {
 	streams := map[string]*loadStream{}
-	lastSent := time.Time{}
-	for clock.Sleep(ctx, max(loadReportPeriod, time.Duration(len(streams))*loadReportPeriodPerPeer)) {
-		peers := map[string]fleet.Gateway{}
-		for _, peer := range g.view.Load().peers(g.cfg.Region, g.cfg.Name) {
-			peers[peer.Name] = peer
-		}
-		for name, s := range streams {
-			if peer, ok := peers[name]; !ok || peer.LoadAddress != s.address {
-				s.cancel()
-				delete(streams, name)
-			}
-		}
-		for name, peer := range peers {
-			if streams[name] == nil {
-				streams[name] = g.openLoadStream(ctx, peer.LoadAddress)
-			}
-		}
+	var lastWhole time.Time
+	for clock.Sleep(ctx, max(loadReportPeriod, time.Duration(len(streams))*loadReportPeriodPerLink)) {
+		g.updateLoadStreams(ctx, streams)
 		now := time.Now()
-		m := g.placer.loadReport(now, g.born, false)
-		if len(m.GetOutstanding()) == 0 && len(m.GetDepartures()) == 0 && now.Sub(lastSent) < loadHeartbeatPeriod {
-			continue
+		whole := now.Sub(lastWhole) >= wholeReportPeriod
+		if whole {
+			lastWhole = now
 		}
-		lastSent = now
+		messages := g.relay.take(g.placer.loadReport(now, g.born, whole))
 		for _, s := range streams {
-			s.enqueue(m)
+			if m := messages[s.link]; m != nil {
+				s.enqueue(m)
+			}
 		}
 	}
 	for _, s := range streams {
@@ -60,10 +48,38 @@
 	}
 }
 
-// loadStream sends reports to one gateway. If its queue is full, the report is dropped and the stream is reopened,
-// which starts with a full report.
+// updateLoadStreams opens and closes streams according to the present links.
+func (g *Gateway) updateLoadStreams(ctx context.Context, streams map[string]*loadStream) {
+	self := fleet.Gateway{Name: g.cfg.Name, FailureDomain: g.cfg.FailureDomain}
+	links := fleet.NewLinks(self, g.view.Load().peers(g.cfg.Region, g.cfg.Name))
+	linked := map[string]bool{}
+	for link, peers := range map[wiregen.ReportLink][]fleet.Gateway{
+		wiregen.ReportLink_row: links.Row, wiregen.ReportLink_column: links.Column, wiregen.ReportLink_domain: links.Domains,
+	} {
+		for _, peer := range peers {
+			linked[peer.LoadAddress] = true
+			s := streams[peer.LoadAddress]
+			if s == nil {
+				s = g.openLoadStream(ctx, peer.LoadAddress)
+				streams[peer.LoadAddress] = s
+			}
+			s.link = link
+		}
+	}
+	for address, s := range streams {
+		if !linked[address] {
+			s.cancel()
+			delete(streams, address)
+		}
+	}
+}
+
+// loadStream sends reports to one gateway. If its queue is full, the report is dropped and the stream is reopened; the
+// next whole reports make up for it.
 type loadStream struct {
 	address string
+	// link is the link that the stream serves. Only the goroutine of reportLoads uses it.
+	link    wiregen.ReportLink
 	reports chan *wiregen.OutstandingReport
 	cancel  context.CancelFunc
 	restart chan struct{}
@@ -99,7 +115,7 @@
 	return s
 }
 
-// runLoadStream sends a full report and then the queued ones, until an error or a requested restart.
+// runLoadStream sends the queued reports, until an error or a requested restart.
 func (g *Gateway) runLoadStream(ctx context.Context, s *loadStream) error {
 	conn, err := g.cfg.Keys.Dial(s.address, maxUpdateBytes)
 	if err != nil {
@@ -112,18 +128,13 @@
 	if err != nil {
 		return err
 	}
-	send := func(m *wiregen.OutstandingReport) error {
-		timer := time.AfterFunc(loadSendTimeout, cancel)
-		defer timer.Stop()
-		return stream.Send(m)
-	}
-	if err := send(g.placer.loadReport(time.Now(), g.born, true)); err != nil {
-		return err
-	}
 	for {
 		select {
 		case m := <-s.reports:
-			if err := send(m); err != nil {
+			timer := time.AfterFunc(loadSendTimeout, cancel)
+			err := stream.Send(m)
+			timer.Stop()
+			if err != nil {
 				return err
 			}
 		case <-s.restart:
@@ -134,21 +145,16 @@
 	}
 }
 
-// Tell receives the load reports of another gateway.
+// Tell receives the load reports that another gateway sends or passes on.
 func (g *Gateway) Tell(stream grpc.ClientStreamingServer[wiregen.OutstandingReport, wiregen.OutstandingReply]) error {
-	name := ""
 	for {
 		m, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return stream.SendAndClose(&wiregen.OutstandingReply{})
+		}
 		if err != nil {
-			if name != "" {
-				g.placer.removePeer(name)
-			}
-			if errors.Is(err, io.EOF) {
-				return stream.SendAndClose(&wiregen.OutstandingReply{})
-			}
 			return err
 		}
-		g.placer.updatePeer(time.Now(), m, name == "")
-		name = m.GetGateway()
+		receiveReports(time.Now(), g.placer, &g.relay, m)
 	}
 }
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"time"
+
+	"arbutusreel/capacity"
+	"arbutusreel/fleet"
+	"arbutusreel/wiregen"
+)
+
+const (
+	// peerLoadTTL is the age after which the load reported by another gateway is no longer counted. Each gateway reports
+	// at least once in wholeReportPeriod, so that one without reports has ended or is unreachable.
+	peerLoadTTL = 3 * time.Second
+	// unlistedPeerTTL is the same for gateways that control daemons do not list, which have ended or just started.
+	unlistedPeerTTL = 500 * time.Millisecond
+)
+
+// endpointLoad is the load that one gateway reported for an endpoint.
+type endpointLoad struct {
+	outstanding capacity.Outstanding
+	// recent holds the prompt tokens that it sent recently.
+	recent capacity.RecentTokens
+	// outcomes holds the recent results of its requests.
+	outcomes capacity.Outcomes
+}
+
+// plus returns the sum of two loads.
+func (l endpointLoad) plus(now time.Time, other endpointLoad) endpointLoad {
+	return endpointLoad{
+		outstanding: l.outstanding.Plus(other.outstanding),
+		recent:      capacity.NewRecentTokens(now, l.recent.Tokens(now)+other.recent.Tokens(now)),
+		outcomes:    l.outcomes.Plus(now, other.outcomes),
+	}
+}
+
+// minus returns the difference of two loads, of which the other is a part of this one.
+func (l endpointLoad) minus(now time.Time, other endpointLoad) endpointLoad {
+	return endpointLoad{
+		outstanding: l.outstanding.Minus(other.outstanding),
+		recent:      capacity.NewRecentTokens(now, max(l.recent.Tokens(now)-other.recent.Tokens(now), 0)),
+		outcomes:    l.outcomes.Minus(now, other.outcomes),
+	}
+}
+
+// peerLoad is the load reported by another gateway of the region.
+type peerLoad struct {
+	born       int64
+	sequence   int64
+	receivedAt time.Time
+	loads      map[string]endpointLoad
+}
+
+// peerLoads holds the loads reported by the other gateways of the region, and their sums by endpoint.
+type peerLoads struct {
+	gateways map[string]*peerLoad
+	sums     map[string]endpointLoad
+}
+
+func newPeerLoads() *peerLoads {
+	return &peerLoads{gateways: map[string]*peerLoad{}, sums: map[string]endpointLoad{}}
+}
+
+// sum returns the load of the other gateways at an endpoint.
+func (p *peerLoads) sum(endpoint string) endpointLoad { return p.sums[endpoint] }
+
+// update stores a report and reports whether it is newer than the last one of its gateway. Reports may arrive by several
+// ways and out of order; a report that an older one overtakes is completed by the next whole report.
+func (p *peerLoads) update(now time.Time, m *wiregen.OutstandingReport) bool {
+	peer := p.gateways[m.GetGateway()]
+	if peer != nil && (m.GetBorn() < peer.born || m.GetBorn() == peer.born && m.GetSequence() != 0 && m.GetSequence() <= peer.sequence) {
+		return false
+	}
+	if peer == nil || m.GetWhole() || peer.born != m.GetBorn() {
+		p.remove(now, m.GetGateway())
+		peer = &peerLoad{born: m.GetBorn(), loads: map[string]endpointLoad{}}
+		p.gateways[m.GetGateway()] = peer
+	}
+	peer.sequence, peer.receivedAt = m.GetSequence(), now
+	for _, o := range m.GetOutstanding() {
+		p.set(now, peer, o.GetEndpoint(), decodeEndpointLoad(now, o))
+	}
+	return true
+}
+
+func decodeEndpointLoad(now time.Time, o *wiregen.EndpointOutstanding) endpointLoad {
+	load := endpointLoad{
+		outstanding: capacity.Outstanding{Requests: int(o.GetRequests()), HeldTokens: o.GetHeldTokens()},
+		recent:      capacity.NewRecentTokens(now, o.GetRecentTokens()),
+		outcomes:    capacity.Outcomes{Ended: o.GetRecentEnded(), Failed: o.GetRecentFailed(), At: now},
+	}
+	copy(load.outstanding.Waiting[:], o.GetWaiting())
+	copy(load.outstanding.PromptTokens[:], o.GetPromptTokens())
+	return load
+}
+
+// set replaces the load of a gateway at an endpoint.
+func (p *peerLoads) set(now time.Time, peer *peerLoad, endpoint string, load endpointLoad) {
+	p.sums[endpoint] = p.sums[endpoint].minus(now, peer.loads[endpoint]).plus(now, load)
+	peer.loads[endpoint] = load
+}
+
+// remove drops the load of a gateway.
+func (p *peerLoads) remove(now time.Time, name string) {
+	peer := p.gateways[name]
+	if peer == nil {
+		return
+	}
+	for endpoint, load := range peer.loads {
+		p.sums[endpoint] = p.sums[endpoint].minus(now, load)
+	}
+	delete(p.gateways, name)
+}
+
+// expire drops the gateways that have not reported for peerLoadTTL, or for unlistedPeerTTL if they are not among the
+// listed ones, and the sums of endpoints that no gateway has reported.
+func (p *peerLoads) expire(now time.Time, listed []fleet.Gateway) {
+	live := map[string]bool{}
+	for _, g := range listed {
+		live[g.Name] = true
+	}
+	reported := map[string]bool{}
+	for name, peer := range p.gateways {
+		silence := now.Sub(peer.receivedAt)
+		if silence > peerLoadTTL || !live[name] && silence > unlistedPeerTTL {
+			p.remove(now, name)
+			continue
+		}
+		for endpoint := range peer.loads {
+			reported[endpoint] = true
+		}
+	}
+	for endpoint := range p.sums {
+		if !reported[endpoint] {
+			delete(p.sums, endpoint)
+		}
+	}
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -16,9 +16,6 @@
 	cachedPartTTL = 20 * time.Second
 	// maxCachedParts is the number of tracked parts of one endpoint above which expired ones are removed.
 	maxCachedParts = 4096
-	// peerLoadTTL is the age after which the load reported by another gateway is no longer counted. Reports arrive many
-	// times a second, so that a gateway without any has ended or is unreachable.
-	peerLoadTTL = 2 * time.Second
 	// retryBudgetShare is the share of the common retry budget that is used. It leaves a reserve because the windows of
 	// the gateways are not aligned.
 	retryBudgetShare = 0.85
@@ -43,17 +40,6 @@
 	pausedUntil time.Time
 }
 
-// peerLoad is the load reported by another gateway of the region.
-type peerLoad struct {
-	born       int64
-	receivedAt time.Time
-	loads      map[string]capacity.Outstanding
-	// recent holds the prompt tokens that it sent recently, by endpoint.
-	recent map[string]capacity.RecentTokens
-	// outcomes holds the recent results of its requests, by endpoint.
-	outcomes map[string]capacity.Outcomes
-}
-
 // placer selects the endpoint or the region for each request. It does no I/O and is safe for concurrent use.
 type placer struct {
 	cfg Config
@@ -61,7 +47,7 @@
 	mu               sync.Mutex
 	rng              *rand.Rand
 	states           map[string]*endpointState
-	peers            map[string]*peerLoad
+	peers            *peerLoads
 	speeds           map[string]capacity.Speed
 	demands          map[string]capacity.Demand
 	endpointBreakers *retry.Breakers[string]
@@ -77,8 +63,8 @@
 	maxGateways      int
 	// longestPatience is the longest time limit seen from the callers of each route.
 	longestPatience map[string]time.Duration
-	// peerSums caches the load of the other gateways by endpoint until one of them sends a new report.
-	peerSums map[string]peerSum
+	// reportSequence is the number of the last load report.
+	reportSequence int64
 	// departures are the endpoints that announced to any gateway of the region that they are leaving, and
 	// newDepartures those announced to this gateway that have not been reported to the others.
 	departures    *fleet.Departures
@@ -95,13 +81,6 @@
 	sweptAt time.Time
 }
 
-// peerSum is the outstanding and recent load of the other gateways of the region at an endpoint.
-type peerSum struct {
-	outstanding capacity.Outstanding
-	recent      capacity.RecentTokens
-	outcomes    capacity.Outcomes
-}
-
 type sentTokens struct {
 	at     time.Time
 	tokens int64
@@ -112,7 +91,7 @@
 		cfg:              cfg,
 		rng:              rand.New(source),
 		states:           map[string]*endpointState{},
-		peers:            map[string]*peerLoad{},
+		peers:            newPeerLoads(),
 		speeds:           map[string]capacity.Speed{},
 		demands:          map[string]capacity.Demand{},
 		endpointBreakers: retry.NewBreakers[string](source),
@@ -123,7 +102,6 @@
 		forwards:         map[string]*capacity.Window{},
 		changedEndpoints: map[string]bool{},
 		longestPatience:  map[string]time.Duration{},
-		peerSums:         map[string]peerSum{},
 		departures:       fleet.NewDepartures(),
 		shareHolders:     map[string]time.Time{},
 	}
@@ -283,7 +261,7 @@
 		if p.isCold(e, s, now) && s.coldWindow.Count(now) >= p.coldLimit(now, q.service, e, rank, n) {
 			continue
 		}
-		peers := p.peerSum(now, e.ID)
+		peers := p.peers.sum(e.ID)
 		c := capacity.Candidate{
 			ID: e.ID, Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health, Slots: e.Slots, Busy: s.prefillShare(now, speed, peers),
 			FailureRate: s.outcomes.Plus(now, peers.outcomes).FailureRate(now), Remote: e.FailureDomain != p.cfg.FailureDomain,
@@ -313,41 +291,22 @@
 	return s
 }
 
-// peerSum returns the load of the other gateways at an endpoint.
-func (p *placer) peerSum(now time.Time, id string) peerSum {
-	sum, ok := p.peerSums[id]
-	if ok {
-		return sum
-	}
-	tokens := 0.0
-	for _, peer := range p.peers {
-		sum.outstanding = sum.outstanding.Plus(peer.loads[id])
-		tokens += peer.recent[id].Tokens(now)
-		sum.outcomes = sum.outcomes.Plus(now, peer.outcomes[id])
-	}
-	sum.recent = capacity.NewRecentTokens(now, tokens)
-	p.peerSums[id] = sum
-	return sum
-}
+// sweepPeriod is the interval at which expired state is removed.
+const sweepPeriod = 500 * time.Millisecond
 
-// expire removes gateways whose last report is older than peerLoadTTL, and departures of endpoints that have ended.
+// expire removes the loads of gateways that have ended, and departures of endpoints that have ended.
 func (p *placer) expire(now time.Time, v *view) {
-	if now.Sub(p.sweptAt) < peerLoadTTL/4 {
+	if now.Sub(p.sweptAt) < sweepPeriod {
 		return
 	}
 	p.sweptAt = now
 	p.departures.Expire(now, v.lists)
-	for name, peer := range p.peers {
-		if now.Sub(peer.receivedAt) > peerLoadTTL {
-			delete(p.peers, name)
-			clear(p.peerSums)
-		}
-	}
+	p.peers.expire(now, v.gateways)
 }
 
 // prefillShare returns the share of its time that an endpoint spends on prefill, from the tokens that all gateways sent
 // recently.
-func (s *endpointState) prefillShare(now time.Time, speed capacity.Speed, peers peerSum) float64 {
+func (s *endpointState) prefillShare(now time.Time, speed capacity.Speed, peers endpointLoad) float64 {
 	return speed.Busy(s.recent.Tokens(now) + peers.recent.Tokens(now))
 }
 
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -180,7 +180,7 @@
 		}
 		p.begin(now, "model", testQuery(r, s).work, place).recordFirst(now.Add(50 * time.Millisecond))
 		counts[place.endpoint.ID]++
-		other.updatePeer(now, reportOf(p, now), false)
+		other.updatePeer(now, reportOf(p, now))
 		now = now.Add(5 * time.Millisecond)
 	}
 	for id, n := range counts {
@@ -293,7 +293,7 @@
 				counts[at.endpoint.ID]++
 				for _, other := range placers {
 					if other != p {
-						other.updatePeer(now, reportOf(p, now), false)
+						other.updatePeer(now, reportOf(p, now))
 					}
 				}
 				now = now.Add(10 * time.Millisecond)
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -158,7 +158,7 @@
 			p.departures.Contains(e.ID, e.Born) || now.Before(s.pausedUntil) {
 			continue
 		}
-		peers := p.peerSum(now, e.ID)
+		peers := p.peers.sum(e.ID)
 		if s.outcomes.Plus(now, peers.outcomes).FailureRate(now) > capacity.MaxFailureRate {
 			continue
 		}
--- /dev/null
+++ b/gateway/replay_region_test.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// largeRegion is a region of many gateways before engines of few slots, at the given load for each engine.
+func largeRegion(perEngine float64, report func(p *replay, now time.Duration)) replaySite {
+	const engines = 58
+	return replaySite{
+		engines: engines, slots: 16, queue: 48, chunks: 4, gap: 300 * time.Millisecond, gateways: 64, cacheTokens: 455_580, duration: 6 * time.Second,
+		rate: func(time.Duration) float64 { return perEngine * engines }, report: report,
+		kinds: []replayKind{
+			{name: "check", share: 0.5, priority: 0, prompt: 1800, output: 23, objective: 600 * time.Millisecond, patience: 3 * time.Second, worth: 1.2, subjects: 1807, shared: 568},
+			{name: "notice", share: 0.25, priority: 1, prompt: 628, output: 290, objective: 600 * time.Millisecond, patience: 8 * time.Second, worth: 2.1, subjects: 892, shared: 198},
+			{name: "plan", share: 0.25, priority: 2, prompt: 6610, output: 380, objective: 800 * time.Millisecond, patience: 10 * time.Second, worth: 2.5, subjects: 893, shared: 5382},
+		},
+	}
+}
+
+// reportChanges lets each gateway report its changes to all others once in each period, one gateway after the other.
+func reportChanges(period time.Duration) func(p *replay, now time.Duration) {
+	return func(p *replay, now time.Duration) {
+		for i, from := range p.placers {
+			phase := (period * time.Duration(i) / time.Duration(len(p.placers))).Truncate(time.Millisecond)
+			if (now-phase)%period != 0 {
+				continue
+			}
+			m := from.loadReport(replayStart.Add(now), 1, false)
+			for _, to := range p.placers {
+				if to != from {
+					to.updatePeer(replayStart.Add(now), m)
+				}
+			}
+		}
+	}
+}
+
+// reportLinked lets each gateway report its changes along its links once in each period, one gateway after the other, and
+// its whole load once a second.
+func reportLinked(period time.Duration) func(p *replay, now time.Duration) {
+	var linked []*linkedPlacer
+	return func(p *replay, now time.Duration) {
+		if linked == nil {
+			linked = linkPlacers(p.placers)
+		}
+		for i, l := range linked {
+			phase := (period * time.Duration(i) / time.Duration(len(linked))).Truncate(time.Millisecond)
+			if (now-phase)%period == 0 {
+				l.report(replayStart.Add(now), (now-phase)%(period*30) == 0)
+			}
+		}
+	}
+}
+
+// meanLoadError returns the mean difference between the believed and the actual number of requests at the chosen engines.
+func (p *replay) meanLoadError() float64 {
+	sum := 0.0
+	for _, e := range p.loadErrors {
+		sum += e
+	}
+	return sum / float64(max(len(p.loadErrors), 1))
+}
+
+// TestReplayLargeRegion offers 64 gateways a load that the engines of their region can serve. When each gateway reports
+// to all others every 448 ms, as many as choose an engine that looks idle before the first of them is heard of; reports
+// along links keep nearly all requests on time.
+func TestReplayLargeRegion(t *testing.T) {
+	const (
+		perEngine = 9
+		want      = 0.97
+	)
+	direct := newReplay(t, largeRegion(perEngine, reportChanges(448*time.Millisecond)), byPlacer)
+	linked := newReplay(t, largeRegion(perEngine, reportLinked(33*time.Millisecond)), byPlacer)
+	for name, p := range map[string]*replay{"direct": direct, "linked": linked} {
+		p.run()
+		for _, kind := range p.site.kinds {
+			t.Logf("%s: %s: %+v", name, kind.name, *p.results[kind.name])
+		}
+		t.Logf("%s: worth on time %.3f, load error %.1f requests", name, p.worth(), p.meanLoadError())
+	}
+	if linked.worth() < want {
+		t.Errorf("worth on time %.3f, want %.2f", linked.worth(), want)
+	}
+	if linked.meanLoadError() > direct.meanLoadError()/2 {
+		t.Errorf("load error %.1f requests, with direct reports %.1f", linked.meanLoadError(), direct.meanLoadError())
+	}
+}
--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -17,19 +18,47 @@
 // as they do in production, the engines batch as those of the deployments do, and callers leave a stream that stays
 // silent.
 
-const (
-	replayEngines  = 8
-	replaySlots    = 32
-	replayGateways = 4
-	replaySeed     = 1
-	// replayOverload is the offered load as a multiple of the engines' capacity: at 130 requests a second of this mix,
-	// all of them prefill and decode without a pause.
-	replayOverload = 1.4
-	replayRate     = 130 * replayOverload
-	replayTime     = 12 * time.Second
-	// replayReportPeriod is the interval of the load reports between gateways.
-	replayReportPeriod = 100 * time.Millisecond
-)
+const replaySeed = 1
+
+// replaySite describes a region and its load.
+type replaySite struct {
+	engines, slots, gateways int
+	// queue is the number of requests that an engine lets wait beyond its slots before it rejects them; zero means no
+	// limit.
+	queue int
+	// cacheTokens is the memory of an engine that is shared by running requests and cached parts of prompts.
+	cacheTokens int64
+	// chunks is the number of prompts of which an engine reads a chunk in one step, and gap the longest pause between
+	// the events of a stream that is on time; zero means one chunk and no limit.
+	chunks int
+	gap    time.Duration
+	// rate is the number of requests a second at a time.
+	rate     func(now time.Duration) float64
+	duration time.Duration
+	kinds    []replayKind
+	// report exchanges the loads of the gateways; it is called each millisecond.
+	report func(p *replay, now time.Duration)
+}
+
+// reportAll reports the loads of all gateways to all others at once in each period.
+func reportAll(period time.Duration) func(p *replay, now time.Duration) {
+	var reported time.Duration
+	return func(p *replay, now time.Duration) {
+		if now-reported >= period {
+			reported = now
+			p.report(replayStart.Add(now))
+		}
+	}
+}
+
+// overloadedSite is a small region that is offered 1.4 times the load of its engines: at 130 requests a second of this
+// mix, all of them prefill and decode without a pause.
+func overloadedSite() replaySite {
+	return replaySite{
+		engines: 8, slots: 32, gateways: 4, cacheTokens: 500_000, duration: 12 * time.Second, kinds: replayKinds(),
+		rate: func(time.Duration) float64 { return 130 * 1.4 }, report: reportAll(100 * time.Millisecond),
+	}
+}
 
 // replayKind is a kind of request.
 type replayKind struct {
@@ -40,13 +69,17 @@
 	objective      time.Duration
 	patience       time.Duration
 	worth          float64
+	// subjects is the number of shared parts of prompts, of which each request has one in addition to its own prompt,
+	// with shared tokens each; zero for none.
+	subjects int
+	shared   int64
 }
 
 func replayKinds() []replayKind {
 	return []replayKind{
-		{"check", 0.445, 0, 1800, 22, 600 * time.Millisecond, 3 * time.Second, 1.4},
-		{"notice", 0.315, 1, 630, 290, 600 * time.Millisecond, 10 * time.Second, 1.9},
-		{"plan", 0.24, 2, 6600, 380, time.Second, 12 * time.Second, 2.7},
+		{name: "check", share: 0.445, priority: 0, prompt: 1800, output: 22, objective: 600 * time.Millisecond, patience: 3 * time.Second, worth: 1.4},
+		{name: "notice", share: 0.315, priority: 1, prompt: 630, output: 290, objective: 600 * time.Millisecond, patience: 10 * time.Second, worth: 1.9},
+		{name: "plan", share: 0.24, priority: 2, prompt: 6600, output: 380, objective: time.Second, patience: 12 * time.Second, worth: 2.7},
 	}
 }
 
@@ -59,10 +92,22 @@
 	urgency      int
 	arrived      time.Duration
 	firstAt      time.Duration
+	// eventAt is the time of the last event, and gap the longest time between two events.
+	eventAt, gap time.Duration
 	gateway      int
 	attempt      *attempt
 	engine       *replayEngine
 	done         bool
+	// subject is the id of the shared part of the prompt; empty for none.
+	subject string
+}
+
+// parts returns the parts of the prompt for the placer.
+func (r *replayRequest) parts() []capacity.Part {
+	if r.subject == "" {
+		return nil
+	}
+	return []capacity.Part{{ID: r.subject, Tokens: r.kind.shared}, {ID: "own", Tokens: int64(r.prompt) - r.kind.shared}}
 }
 
 func (r *replayRequest) before(other *replayRequest) int {
@@ -73,40 +118,99 @@
 // priority for them, and in each step prefills a chunk of prompts and generates a token for each request whose prompt
 // has been read.
 type replayEngine struct {
+	slots, queue     int
+	chunks           int
+	cacheTokens      int64
 	running, waiting []*replayRequest
 	nextStepAt       time.Duration
+	// cached maps the shared parts in the cache to the time of their last use; readAgain counts the tokens of shared
+	// parts that were read.
+	cached    map[string]time.Duration
+	readAgain int64
+}
+
+// offer adds a request to the queue, or returns false if the queue is full.
+func (e *replayEngine) offer(r *replayRequest) bool {
+	if e.queue > 0 && len(e.waiting)+len(e.running) >= e.queue+e.slots {
+		return false
+	}
+	e.waiting = append(e.waiting, r)
+	return true
 }
 
-func (e *replayEngine) admit() {
+// readShared reads the shared part of a prompt from the cache, or counts it as read and stores it. The least recently
+// used parts are evicted to keep within the memory that running requests leave.
+func (e *replayEngine) readShared(r *replayRequest, now time.Duration) {
+	if r.subject == "" {
+		return
+	}
+	if _, ok := e.cached[r.subject]; ok {
+		r.left -= int(r.kind.shared)
+	} else {
+		e.readAgain += r.kind.shared
+	}
+	e.cached[r.subject] = now
+	free := e.cacheTokens
+	for _, other := range e.running {
+		free -= int64(other.prompt + other.made)
+	}
+	// The own parts of ended requests take up memory until they are evicted, too; half of it is assumed to be theirs.
+	for int64(len(e.cached))*r.kind.shared > max(free/2, 0) {
+		oldest := r.subject
+		for id, used := range e.cached {
+			if used < e.cached[oldest] || used == e.cached[oldest] && id < oldest {
+				oldest = id
+			}
+		}
+		delete(e.cached, oldest)
+	}
+}
+
+func (e *replayEngine) admit(now time.Duration) {
 	slices.SortFunc(e.waiting, (*replayRequest).before)
 	slices.SortFunc(e.running, (*replayRequest).before)
 	for len(e.waiting) > 0 {
 		first := e.waiting[0]
-		if len(e.running) == replaySlots {
-			last := e.running[replaySlots-1]
+		if len(e.running) == e.slots {
+			last := e.running[e.slots-1]
 			if first.urgency >= last.urgency {
 				return
 			}
 			last.left = last.prompt + last.made
-			e.running, e.waiting = e.running[:replaySlots-1], append(e.waiting, last)
+			e.running, e.waiting = e.running[:e.slots-1], append(e.waiting, last)
 		}
 		e.waiting, e.running = e.waiting[1:], append(e.running, first)
+		if first.made == 0 && first.left == first.prompt {
+			e.readShared(first, now)
+		}
 		slices.SortFunc(e.running, (*replayRequest).before)
 	}
 }
 
-// step returns the requests that got their first token, those that ended, and the duration of the step.
-func (e *replayEngine) step() (first, ended []*replayRequest, took time.Duration) {
+// step returns the requests that got their first token, those whose next event is due, those that ended, and the duration
+// of the step.
+func (e *replayEngine) step(now time.Duration) (first, events, ended []*replayRequest, took time.Duration) {
+	const eventTokens = 9
 	const chunk, tokensPerMilli, stepMillis, slotMillis = 1024, 112, 3.23, 0.0483
-	e.admit()
-	free := chunk
+	e.admit(now)
+	prefilling := 0
+	for _, r := range e.running {
+		if r.left > 0 {
+			prefilling++
+		}
+	}
+	budget := chunk * max(min(prefilling, e.chunks), 1)
+	free := budget
 	for _, r := range e.running {
 		if r.left > 0 {
-			read := min(r.left, free)
+			read := min(r.left, free, chunk)
 			r.left, free = r.left-read, free-read
 			continue
 		}
 		r.made++
+		if r.made%eventTokens == 0 || r.made == r.output {
+			events = append(events, r)
+		}
 		if r.made == 1 {
 			first = append(first, r)
 		}
@@ -114,8 +218,8 @@
 			ended = append(ended, r)
 		}
 	}
-	millis := stepMillis + slotMillis*float64(len(e.running)) + float64(chunk-free)/tokensPerMilli
-	return first, ended, time.Duration(millis * float64(time.Millisecond))
+	millis := stepMillis + slotMillis*float64(len(e.running)) + float64(budget-free)/tokensPerMilli
+	return first, events, ended, time.Duration(millis * float64(time.Millisecond))
 }
 
 func (e *replayEngine) remove(r *replayRequest) {
@@ -126,10 +230,13 @@
 // replayResult counts the requests of a kind by how they ended; left counts those whose callers disconnected.
 type replayResult struct {
 	asked, onTime, late, refused, left int
+	// rejected counts the attempts at engines whose queue was full.
+	rejected int
 }
 
 // replay is the state of one simulation.
 type replay struct {
+	site     replaySite
 	rng      *rand.Rand
 	placers  []*placer
 	view     *view
@@ -137,39 +244,44 @@
 	engines  map[string]*replayEngine
 	inFlight []*replayRequest
 	results  map[string]*replayResult
-	// decide places a request, or returns nil if it is refused.
-	decide func(p *replay, r *replayRequest, now time.Time) *replayEngine
+	// decide places a request and reports whether an engine has taken it; otherwise it is refused.
+	decide func(p *replay, r *replayRequest, now time.Time) bool
+	// reported is the time of each gateway's last report.
+	reported []time.Duration
+	// loadErrors are the differences between the believed and the actual number of requests at the chosen engine.
+	loadErrors []float64
 }
 
 var replayStart = time.Unix(1000, 0)
 
-func newReplay(t *testing.T, decide func(p *replay, r *replayRequest, now time.Time) *replayEngine) *replay {
+func newReplay(t testing.TB, site replaySite, decide func(p *replay, r *replayRequest, now time.Time) bool) *replay {
 	t.Helper()
 	p := &replay{
+		site: site, reported: make([]time.Duration, site.gateways),
 		rng: rand.New(rand.NewPCG(replaySeed, 1)), engines: map[string]*replayEngine{}, results: map[string]*replayResult{}, decide: decide,
 	}
 	var all []routes.Route
-	for _, kind := range replayKinds() {
+	for _, kind := range site.kinds {
 		p.results[kind.name] = &replayResult{}
 		all = append(all, routes.Route{
 			Name: kind.name, Host: testHost, PathPrefix: "/" + kind.name + "/", Kind: routes.Stream, MaxAttempts: 1, Priority: kind.priority,
 			Backends: []routes.Backend{{Service: "model", Weight: 1}}, Timeout: kind.patience, Objective: kind.objective,
 		})
 	}
-	engine := &routes.Engine{BatchSlots: replaySlots, CacheTokens: 500_000, EventTokens: 10}
+	engine := &routes.Engine{BatchSlots: site.slots, CacheTokens: site.cacheTokens, EventTokens: 10}
 	table, err := routes.New(1, all, []routes.Service{{Name: "model", Engine: engine}}, routes.Limits{})
 	if err != nil {
 		t.Fatal(err)
 	}
 	p.table = table
 	var endpoints []fleet.Endpoint
-	for i := range replayEngines {
+	for i := range site.engines {
 		id := fmt.Sprintf("engine-%d", i)
-		p.engines[id] = &replayEngine{}
-		endpoints = append(endpoints, fleet.Endpoint{ID: id, Born: 7, Service: "model", Slots: replaySlots, State: fleet.Ready})
+		p.engines[id] = &replayEngine{slots: site.slots, chunks: site.chunks, queue: site.queue, cacheTokens: site.cacheTokens, cached: map[string]time.Duration{}}
+		endpoints = append(endpoints, fleet.Endpoint{ID: id, Born: 7, Service: "model", Slots: site.slots, State: fleet.Ready})
 	}
 	p.view = &view{table: table, endpoints: map[string][]fleet.Endpoint{"model": endpoints}}
-	for i := range replayGateways {
+	for i := range site.gateways {
 		cfg := testConfig()
 		cfg.Name = fmt.Sprintf("gateway-%d", i)
 		p.view.gateways = append(p.view.gateways, fleet.Gateway{Name: cfg.Name, Region: cfg.Region, Ready: true})
@@ -181,11 +293,15 @@
 // run offers the load and returns when all requests have ended.
 func (p *replay) run() {
 	const tick = time.Millisecond
-	var reported time.Duration
-	for now := time.Duration(0); now < replayTime || len(p.inFlight) > 0; now += tick {
-		at := replayStart.Add(now)
-		if now < replayTime && p.rng.Float64() < replayRate*tick.Seconds() {
-			p.arrive(now)
+	for now := time.Duration(0); now < p.site.duration || len(p.inFlight) > 0; now += tick {
+		if now < p.site.duration {
+			expected := p.site.rate(now) * tick.Seconds()
+			for ; expected >= 1; expected-- {
+				p.arrive(now)
+			}
+			if p.rng.Float64() < expected {
+				p.arrive(now)
+			}
 		}
 		for _, id := range p.view.endpoints["model"] {
 			if e := p.engines[id.ID]; e.nextStepAt <= now && len(e.running)+len(e.waiting) > 0 {
@@ -193,16 +309,13 @@
 			}
 		}
 		p.abandon(now)
-		if now-reported >= replayReportPeriod {
-			reported = now
-			p.report(at)
-		}
+		p.site.report(p, now)
 	}
 }
 
 func (p *replay) arrive(now time.Duration) {
 	draw := p.rng.Float64()
-	kinds := replayKinds()
+	kinds := p.site.kinds
 	kind := &kinds[len(kinds)-1]
 	for i := range kinds {
 		if draw < kinds[i].share {
@@ -214,22 +327,31 @@
 	size := 0.5 + p.rng.Float64()
 	r := &replayRequest{
 		kind: kind, prompt: int(size * kind.prompt), output: max(int((0.5+p.rng.Float64())*kind.output), 1), arrived: now,
-		gateway: p.rng.IntN(replayGateways),
+		gateway: p.rng.IntN(p.site.gateways),
+	}
+	if kind.subjects > 0 {
+		r.subject = fmt.Sprintf("%s-%d", kind.name, p.rng.IntN(kind.subjects))
+		r.prompt += int(kind.shared)
 	}
 	r.left = r.prompt
 	result := p.results[kind.name]
 	result.asked++
-	if r.engine = p.decide(p, r, replayStart.Add(now)); r.engine == nil {
+	if !p.decide(p, r, replayStart.Add(now)) {
 		result.refused++
 		return
 	}
-	r.engine.waiting = append(r.engine.waiting, r)
 	p.inFlight = append(p.inFlight, r)
 }
 
 func (p *replay) step(e *replayEngine, now time.Duration) {
-	first, ended, took := e.step()
+	first, events, ended, took := e.step(now)
 	e.nextStepAt = now + took
+	for _, r := range events {
+		if r.eventAt > 0 {
+			r.gap = max(r.gap, e.nextStepAt-r.eventAt)
+		}
+		r.eventAt = e.nextStepAt
+	}
 	for _, r := range first {
 		if r.firstAt = e.nextStepAt; r.attempt != nil {
 			r.attempt.recordFirst(replayStart.Add(e.nextStepAt))
@@ -238,7 +360,7 @@
 	for _, r := range ended {
 		p.end(r, e.nextStepAt, succeeded)
 		result := p.results[r.kind.name]
-		if r.firstAt-r.arrived <= r.kind.objective && e.nextStepAt-r.arrived <= r.kind.patience {
+		if r.firstAt-r.arrived <= r.kind.objective && e.nextStepAt-r.arrived <= r.kind.patience && (p.site.gap == 0 || r.gap <= p.site.gap) {
 			result.onTime++
 		} else {
 			result.late++
@@ -272,7 +394,7 @@
 		m := reportOf(from, now)
 		for _, to := range p.placers {
 			if to != from {
-				to.updatePeer(now, m, true)
+				to.updatePeer(now, m)
 			}
 		}
 	}
@@ -281,7 +403,7 @@
 // worth returns the share of the offered worth that was served on time.
 func (p *replay) worth() float64 {
 	var earned, owed float64
-	for _, kind := range replayKinds() {
+	for _, kind := range p.site.kinds {
 		earned += kind.worth * float64(p.results[kind.name].onTime)
 		owed += kind.worth * float64(p.results[kind.name].asked)
 	}
@@ -289,42 +411,52 @@
 }
 
 // byPlacer places requests as gateways do.
-func byPlacer(p *replay, r *replayRequest, now time.Time) *replayEngine {
+func byPlacer(p *replay, r *replayRequest, now time.Time) bool {
 	route := p.table.Match(testHost, "/"+r.kind.name+"/x")
 	q := query{
 		route: route, service: p.table.Service("model"), tried: map[string]bool{},
-		work:   capacity.Work{PromptTokens: int64(r.prompt), OutputTokens: int64(r.output)},
+		work:   capacity.Work{PromptTokens: int64(r.prompt), OutputTokens: int64(r.output), Parts: r.parts()},
 		budget: capacity.TimeBudget{Objective: route.Objective, RouteObjective: route.Objective, Remaining: route.Timeout},
 	}
-	at := p.placers[r.gateway].decide(now, p.view, q)
-	if at.verdict == capacity.Refuse {
-		return nil
+	for range maxAttempts {
+		at := p.placers[r.gateway].decide(now, p.view, q)
+		if at.verdict == capacity.Refuse {
+			return false
+		}
+		q.tried[at.endpoint.ID] = true
+		r.engine, r.urgency = p.engines[at.endpoint.ID], at.rank
+		p.loadErrors = append(p.loadErrors, math.Abs(float64(at.backlog.Requests-len(r.engine.running)-len(r.engine.waiting))))
+		r.attempt = p.placers[r.gateway].begin(now, "model", q.work, at)
+		if r.engine.offer(r) {
+			return true
+		}
+		p.results[r.kind.name].rejected++
+		r.attempt.end(now, rejected)
 	}
-	r.urgency = at.rank
-	r.attempt = p.placers[r.gateway].begin(now, "model", q.work, at)
-	return p.engines[at.endpoint.ID]
+	return false
 }
 
 // byOutstanding sends each request to the engine with the fewest requests, first come first served.
-func byOutstanding(p *replay, _ *replayRequest, _ time.Time) *replayEngine {
+func byOutstanding(p *replay, r *replayRequest, _ time.Time) bool {
 	var best *replayEngine
 	for _, e := range p.view.endpoints["model"] {
 		if engine := p.engines[e.ID]; best == nil || len(engine.running)+len(engine.waiting) < len(best.running)+len(best.waiting) {
 			best = engine
 		}
 	}
-	return best
+	r.engine = best
+	return best.offer(r)
 }
 
 // TestReplayOverload offers 1.4 times what a region's engines can serve: more worth is served on time than by sending
 // to the engine with the fewest requests, no kind is served less often than one of lower priority, and few callers wait
 // in vain instead of being refused at once.
 func TestReplayOverload(t *testing.T) {
-	placed, plain := newReplay(t, byPlacer), newReplay(t, byOutstanding)
+	placed, plain := newReplay(t, overloadedSite(), byPlacer), newReplay(t, overloadedSite(), byOutstanding)
 	placed.run()
 	plain.run()
 	for name, p := range map[string]*replay{"placed": placed, "fewest outstanding": plain} {
-		for _, kind := range replayKinds() {
+		for _, kind := range p.site.kinds {
 			t.Logf("%s: %s: %+v", name, kind.name, *p.results[kind.name])
 		}
 		t.Logf("%s: worth on time %.3f", name, p.worth())
--- /dev/null
+++ b/gateway/reports.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"time"
+
+	"arbutusreel/capacity"
+	"arbutusreel/fleet"
+	"arbutusreel/wiregen"
+)
+
+// minReportedFailures is the count of recent failures up to which they are not reported.
+const minReportedFailures = 0.1
+
+// loadReport returns a report of the loads that changed and the departures that were announced since the last one, or
+// if whole is set, of all loads that are not zero and all known departures. It returns nil if nothing changed.
+func (p *placer) loadReport(now time.Time, born int64, whole bool) *wiregen.OutstandingReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !whole && len(p.changedEndpoints) == 0 && len(p.newDepartures) == 0 {
+		return nil
+	}
+	p.reportSequence++
+	m := &wiregen.OutstandingReport{Gateway: p.cfg.Name, Born: born, Sequence: p.reportSequence, Whole: whole}
+	departures := p.newDepartures
+	if whole {
+		departures = p.departures.All()
+	}
+	for _, d := range departures {
+		m.Departures = append(m.Departures, &wiregen.EndpointDeparture{Endpoint: d.ID, Born: d.Born})
+	}
+	if whole {
+		for id, s := range p.states {
+			if s.outstanding != (capacity.Outstanding{}) || s.recent.Tokens(now) >= 1 {
+				m.Outstanding = append(m.Outstanding, encodeLoad(now, id, s))
+			}
+		}
+	}
+	for id := range p.changedEndpoints {
+		if s := p.states[id]; s != nil && !whole {
+			m.Outstanding = append(m.Outstanding, encodeLoad(now, id, s))
+		}
+	}
+	p.newDepartures = nil
+	clear(p.changedEndpoints)
+	return m
+}
+
+func encodeLoad(now time.Time, id string, s *endpointState) *wiregen.EndpointOutstanding {
+	m := &wiregen.EndpointOutstanding{
+		Endpoint: id, Requests: int32(s.outstanding.Requests), HeldTokens: s.outstanding.HeldTokens, RecentTokens: s.recent.Tokens(now),
+	}
+	if s.outstanding.Waiting != (capacity.Backlog{}) {
+		m.Waiting = s.outstanding.Waiting[:]
+	}
+	if s.outstanding.PromptTokens != (capacity.Backlog{}) {
+		m.PromptTokens = s.outstanding.PromptTokens[:]
+	}
+	if o := s.outcomes.Now(now); o.Failed > minReportedFailures {
+		m.RecentEnded, m.RecentFailed = o.Ended, o.Failed
+	}
+	return m
+}
+
+// updatePeer stores the report of another gateway, and reports whether it is newer than the last one.
+func (p *placer) updatePeer(now time.Time, m *wiregen.OutstandingReport) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if name := m.GetGateway(); name == "" || name == p.cfg.Name || !p.peers.update(now, m) {
+		return false
+	}
+	for _, d := range m.GetDepartures() {
+		p.departures.Add(now, fleet.Departure{ID: d.GetEndpoint(), Born: d.GetBorn()})
+	}
+	return true
+}
