Report loads only when something changed

Cause: whole reports of idle gateways were passed on each second, and the links were worked out and a timer fired at every interval, so that an idle region exchanged as many messages as a busy one.

Change: the loop waits for a change of the gateway's own loads or of what it passes on; an empty whole report is sent once; links are checked every 200 ms; 4 ms of interval for each link instead of 3.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,7 +43,7 @@
 	if d.uncachedTokens < w.PromptTokens || len(w.Parts) > 0 {
 		s.recordParts(now, w)
 	}
-	p.changedEndpoints[d.endpoint.ID] = true
+	p.markChanged(d.endpoint.ID)
 	return &attempt{
 		placer: p, endpoint: d.endpoint, service: service, load: d.addedLoad, work: w, queuedTokens: d.backlog.PromptTokens.Before(d.rank) + d.uncachedTokens,
 		uncachedTokens: d.uncachedTokens, full: d.full, preemptedShare: d.preemptedShare, sent: now, probe: p.endpointBreakers.Begin(now, d.endpoint.ID),
@@ -86,7 +86,7 @@
 		p.speeds[a.service] = speed.WithFirst(queued, took)
 	}
 	s.outstanding = s.outstanding.WithBegun(a.load)
-	p.changedEndpoints[a.endpoint.ID] = true
+	p.markChanged(a.endpoint.ID)
 	p.endpointBreakers.Answered(now, a.endpoint.ID, a.probe)
 }
 
@@ -128,7 +128,7 @@
 	if a.firstAt.IsZero() {
 		s.outstanding = s.outstanding.WithBegun(a.load)
 	}
-	p.changedEndpoints[a.endpoint.ID] = true
+	p.markChanged(a.endpoint.ID)
 	if s.born != a.endpoint.Born {
 		// The outcome says nothing about the incarnation that has started since.
 		p.endpointBreakers.End(a.endpoint.ID, a.probe)
@@ -167,6 +167,7 @@
 		departure := fleet.Departure{ID: e.ID, Born: e.Born}
 		if departs = p.departures.Add(now, departure); departs {
 			p.newDepartures = append(p.newDepartures, departure)
+			signal(p.loadsChanged)
 		}
 	}
 	s := p.state(&e)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,7 +66,7 @@
 	pool      *exchange.Pool
 	peers     *exchange.Pool
 	placer    *placer
-	relay     reportRelay
+	relay     *reportRelay
 	latencies *latencies
 	view      atomic.Pointer[view]
 	// workCtx ends when the daemon has stopped.
@@ -94,7 +94,7 @@
 	now := time.Now()
 	workCtx, cancelWork := context.WithCancel(context.Background())
 	g := &Gateway{
-		cfg: cfg, log: log, started: now, born: now.UnixMilli(), placer: newPlacer(cfg, source), state: newFleetState(cfg),
+		cfg: cfg, log: log, started: now, born: now.UnixMilli(), placer: newPlacer(cfg, source), relay: newReportRelay(), state: newFleetState(cfg),
 		pool:    exchange.NewPool(exchange.IdleLimits{Repeatable: repeatableIdleTimeout, NonRepeatable: nonRepeatableIdleTimeout}, endpointConnectTimeout, time.Now),
 		peers:   exchange.NewPool(exchange.IdleLimits{Repeatable: idleTimeout / 2, NonRepeatable: idleTimeout / 2, Unannounced: idleTimeout / 2}, peerConnectTimeout, time.Now),
 		workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -18,34 +18,54 @@
 	// With more links the interval is loadReportPeriodPerLink times their number, which bounds the messages of a
 	// gateway.
 	loadReportPeriod        = 25 * time.Millisecond
-	loadReportPeriodPerLink = 3 * time.Millisecond
+	loadReportPeriodPerLink = 4 * time.Millisecond
 	// wholeReportPeriod is the interval of whole reports, which replace what earlier ones said.
 	wholeReportPeriod = time.Second
+	// linkCheckPeriod is the interval at which the links are compared with the gateways of the region.
+	linkCheckPeriod = 200 * time.Millisecond
 	// loadSendTimeout bounds the sending of one report, after which the stream is closed.
 	loadSendTimeout = time.Second
 )
 
-// reportLoads keeps a load stream to each gateway that this one is linked to until ctx ends.
+// reportLoads keeps a load stream to each gateway that this one is linked to until ctx ends. It sends nothing while there
+// is nothing to report.
 func (g *Gateway) reportLoads(ctx context.Context) {
 	streams := map[string]*loadStream{}
-	var lastWhole time.Time
-	for clock.Sleep(ctx, max(loadReportPeriod, time.Duration(len(streams))*loadReportPeriodPerLink)) {
-		g.updateLoadStreams(ctx, streams)
+	var sentAt, wholeAt, linkedAt time.Time
+	check := time.NewTicker(linkCheckPeriod)
+	defer check.Stop()
+	for {
+		select {
+		case <-g.relay.changed:
+		case <-g.placer.loadsChanged:
+		case <-check.C:
+		case <-ctx.Done():
+			return
+		}
+		period := max(loadReportPeriod, time.Duration(len(streams))*loadReportPeriodPerLink)
+		if !clock.Sleep(ctx, period-time.Since(sentAt)) {
+			return
+		}
 		now := time.Now()
-		whole := now.Sub(lastWhole) >= wholeReportPeriod
+		if now.Sub(linkedAt) >= linkCheckPeriod {
+			linkedAt = now
+			g.updateLoadStreams(ctx, streams)
+		}
+		whole := now.Sub(wholeAt) >= wholeReportPeriod
 		if whole {
-			lastWhole = now
+			wholeAt = now
 		}
 		messages := g.relay.take(g.placer.loadReport(now, g.born, whole))
+		if len(messages) == 0 {
+			continue
+		}
+		sentAt = now
 		for _, s := range streams {
 			if m := messages[s.link]; m != nil {
 				s.enqueue(m)
 			}
 		}
 	}
-	for _, s := range streams {
-		s.cancel()
-	}
 }
 
 // updateLoadStreams opens and closes streams according to the present links.
@@ -155,6 +175,6 @@
 		if err != nil {
 			return err
 		}
-		receiveReports(time.Now(), g.placer, &g.relay, m)
+		receiveReports(time.Now(), g.placer, g.relay, m)
 	}
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// peerLoadTTL is the age after which the load reported by another gateway is no longer counted. Each gateway reports
-	// at least once in wholeReportPeriod, so that one without reports has ended or is unreachable.
+	// peerLoadTTL is the age after which the load reported by another gateway is no longer counted. A gateway that has any
+	// reports it at least once in wholeReportPeriod, so that one without reports has ended or is unreachable.
 	peerLoadTTL = 3 * time.Second
 	// unlistedPeerTTL is the same for gateways that control daemons do not list, which have ended or just started.
 	unlistedPeerTTL = 500 * time.Millisecond
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -60,11 +60,15 @@
 	// forwards counts the recent requests forwarded to each region.
 	forwards         map[string]*capacity.Window
 	changedEndpoints map[string]bool
-	maxGateways      int
+	// loadsChanged receives a value when changedEndpoints or newDepartures has grown.
+	loadsChanged chan struct{}
+	maxGateways  int
 	// longestPatience is the longest time limit seen from the callers of each route.
 	longestPatience map[string]time.Duration
 	// reportSequence is the number of the last load report.
 	reportSequence int64
+	// reportedEmpty reports whether the last report was a whole one without any load.
+	reportedEmpty bool
 	// departures are the endpoints that announced to any gateway of the region that they are leaving, and
 	// newDepartures those announced to this gateway that have not been reported to the others.
 	departures    *fleet.Departures
@@ -101,6 +105,7 @@
 		sentToRegion:     map[string][]sentTokens{},
 		forwards:         map[string]*capacity.Window{},
 		changedEndpoints: map[string]bool{},
+		loadsChanged:     make(chan struct{}, 1),
 		longestPatience:  map[string]time.Duration{},
 		departures:       fleet.NewDepartures(),
 		shareHolders:     map[string]time.Time{},
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -13,13 +13,30 @@
 
 // reportRelay collects the load reports that a gateway passes on along its links. It is safe for concurrent use.
 type reportRelay struct {
+	// changed receives a value when reports have been collected.
+	changed chan struct{}
+
 	mu sync.Mutex
 	// row and column hold the reports to be passed on along them.
 	row, column []*wiregen.OutstandingReport
 }
 
+func newReportRelay() *reportRelay { return &reportRelay{changed: make(chan struct{}, 1)} }
+
+// signal wakes the receiver of a channel of capacity one, unless it has not received the last value yet.
+func signal(changed chan<- struct{}) {
+	select {
+	case changed <- struct{}{}:
+	default:
+	}
+}
+
 // add collects a report that arrived over a link.
 func (r *reportRelay) add(link wiregen.ReportLink, m *wiregen.OutstandingReport) {
+	if link == wiregen.ReportLink_column {
+		return
+	}
+	signal(r.changed)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch link {
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -11,12 +11,20 @@
 // minReportedFailures is the count of recent failures up to which they are not reported.
 const minReportedFailures = 0.1
 
+// markChanged notes that the load at an endpoint has changed since the last report.
+func (p *placer) markChanged(endpoint string) {
+	p.changedEndpoints[endpoint] = true
+	signal(p.loadsChanged)
+}
+
 // loadReport returns a report of the loads that changed and the departures that were announced since the last one, or
-// if whole is set, of all loads that are not zero and all known departures. It returns nil if nothing changed.
+// if whole is set, of all loads that are not zero and all known departures. It returns nil if nothing changed, or if the
+// last whole report was empty and so is this one.
 func (p *placer) loadReport(now time.Time, born int64, whole bool) *wiregen.OutstandingReport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !whole && len(p.changedEndpoints) == 0 && len(p.newDepartures) == 0 {
+	unchanged := len(p.changedEndpoints) == 0 && len(p.newDepartures) == 0
+	if unchanged && (!whole || p.reportedEmpty) {
 		return nil
 	}
 	p.reportSequence++
@@ -35,6 +43,7 @@
 			}
 		}
 	}
+	p.reportedEmpty = whole && len(m.Outstanding) == 0 && len(m.Departures) == 0
 	for id := range p.changedEndpoints {
 		if s := p.states[id]; s != nil && !whole {
 			m.Outstanding = append(m.Outstanding, encodeLoad(now, id, s))
