Share the pace of endpoints among the gateways of a region

In a region of 64 gateways and 58 engines a gateway sees an engine once in ten seconds, so an engine that turns slow for six seconds keeps its whole share of the load. A gateway also kept a wrong factor for as long as it sent nothing there.

Slower decoding at a slow endpoint counts by the expected length of the answer.

Tests: TestReplaySlowEngines, TestPace.

--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -107,9 +107,10 @@
 	return inflateWait(s.SlotTime*time.Duration(ahead)/time.Duration(c.Slots), s.Overtaking.Slots[rank])
 }
 
-// DecodeCost returns the cost of slower decoding at an endpoint that spends the fraction busy of its time on prefill.
-func DecodeCost(w Work, busy float64) time.Duration {
-	return time.Duration(decodeWeight * busy * float64(w.OutputTokens) * float64(prefillChunkTime))
+// DecodeCost returns the cost of slower decoding at an endpoint that spends the fraction busy of its time on prefill and
+// is slower than the others by the given factor.
+func DecodeCost(w Work, busy, slowdown float64) time.Duration {
+	return time.Duration(decodeWeight * (busy*slowdown + slowdown - 1) * float64(w.OutputTokens) * float64(prefillChunkTime))
 }
 
 // Choose returns the candidate with the least expected cost, or false if there is none. Requests with the same last
@@ -140,7 +141,7 @@
 		if c.Remote {
 			extra += remoteByteCost * time.Duration(w.Bytes)
 		}
-		cost := e.Wait + DecodeCost(w, c.Busy) + extra +
+		cost := e.Wait + DecodeCost(w, c.Busy, c.Health.Slowdown()) + extra +
 			time.Duration((c.Health.FailureRate+c.excessFailureRate(baseline))*failureCost*float64(objective))
 		switch {
 		case best.Index < 0 || cost < bestCost-tieThreshold:
--- a/capacity/regions.go
+++ b/capacity/regions.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		expected := r.Wait[w.Rank] + roundTrip + s.PrefillTokenTime*time.Duration(w.PromptTokens+r.Sent/int64(r.Endpoints))
-		cost := expected + DecodeCost(w, min(r.Busy+s.Busy(float64(r.Sent)/float64(r.Endpoints)), 1))
+		cost := expected + DecodeCost(w, min(r.Busy+s.Busy(float64(r.Sent)/float64(r.Endpoints)), 1), 1)
 		if cost < localCost && (!ok || cost < best.Cost) {
 			late := expected - r.Wait[w.Rank] + r.Wait[Ranks-1]
 			best, ok = RegionChoice{Region: r.Region, Expected: expected, Late: late, Cost: cost}, true
--- a/capacity/speed.go
+++ b/capacity/speed.go
@@ -113,27 +113,26 @@
 	return took - max(waited, 0)
 }
 
-// Health holds the learned slowdown and failure rate of one endpoint. It is an immutable value.
+// Health holds the recent slowdown and failure rate of one endpoint. It is an immutable value.
 type Health struct {
-	// Factor is the average ratio of observed to expected times.
+	// Factor is the mean ratio of observed to expected times, over all gateways.
 	Factor float64
 	// FailureRate is the recent share of failed requests, as observed by one gateway.
 	FailureRate float64
 }
 
+// WithPace returns the health with the factor of the endpoint's pace.
+func (h Health) WithPace(now time.Time, p Pace) Health {
+	h.Factor = p.Factor(now)
+	return h
+}
+
 // NewHealth returns the health assumed before the first observation.
 func NewHealth() Health { return Health{Factor: 1} }
 
 // Slowdown returns how many times slower the endpoint is than the others, at least 1.
 func (h Health) Slowdown() float64 { return max(1, h.Factor/maxNormalFactor) }
 
-// WithFirst returns the health after a first chunk was observed.
-func (h Health) WithFirst(expected, took time.Duration) Health {
-	ratio := min(max(float64(took)/float64(max(expected, time.Millisecond)), minFactor), maxFactor)
-	h.Factor += healthGain * (ratio - h.Factor)
-	return h
-}
-
 // WithOutcome returns the health after a request ended.
 func (h Health) WithOutcome(failed bool) Health {
 	observed := 0.0
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -82,7 +82,7 @@
 	if !a.full && latest {
 		speed := p.speed(a.service)
 		queued := int64(float64(a.queuedTokens) / (1 - a.preemptedShare))
-		s.health = s.health.WithFirst(speed.Base+speed.PrefillTokenTime*time.Duration(queued), took)
+		s.pace = s.pace.With(now, speed.Base+speed.PrefillTokenTime*time.Duration(queued), took)
 		p.speeds[a.service] = speed.WithFirst(queued, took)
 	}
 	s.outstanding = s.outstanding.WithBegun(a.load)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -201,7 +201,7 @@
 		v.endpoints["desk"] = append(v.endpoints["desk"], fleet.Endpoint{ID: e.id, Born: 1, Service: "desk", Address: e.address, Slots: 8, LastSeen: time.Now()})
 		// The latency factor rises from one endpoint to the next, so that the order of attempts is fixed.
 		g.placer.states[e.id] = &endpointState{
-			born: 1, health: capacity.Health{Factor: 2 + 2*float64(i)}, cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second),
+			born: 1, pace: capacity.Pace{Ratios: (2 + 2*float64(i)) * 1e9, Count: 1e9, At: time.Now()}, cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second),
 		}
 	}
 	g.view.Store(v)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -21,8 +21,9 @@
 	outstanding capacity.Outstanding
 	// recent holds the prompt tokens that it sent recently.
 	recent capacity.RecentTokens
-	// outcomes holds the recent results of its requests.
+	// outcomes holds the recent results of its requests, and pace their times.
 	outcomes capacity.Outcomes
+	pace     capacity.Pace
 }
 
 // plus returns the sum of two loads.
@@ -31,6 +32,7 @@
 		outstanding: l.outstanding.Plus(other.outstanding),
 		recent:      capacity.NewRecentTokens(now, l.recent.Tokens(now)+other.recent.Tokens(now)),
 		outcomes:    l.outcomes.Plus(now, other.outcomes),
+		pace:        l.pace.Plus(now, other.pace),
 	}
 }
 
@@ -40,6 +42,7 @@
 		outstanding: l.outstanding.Minus(other.outstanding),
 		recent:      capacity.NewRecentTokens(now, max(l.recent.Tokens(now)-other.recent.Tokens(now), 0)),
 		outcomes:    l.outcomes.Minus(now, other.outcomes),
+		pace:        l.pace.Minus(now, other.pace),
 	}
 }
 
@@ -88,6 +91,7 @@
 		outstanding: capacity.Outstanding{Requests: int(o.GetRequests()), HeldTokens: o.GetHeldTokens()},
 		recent:      capacity.NewRecentTokens(now, o.GetRecentTokens()),
 		outcomes:    capacity.Outcomes{Ended: o.GetRecentEnded(), Failed: o.GetRecentFailed(), At: now},
+		pace:        capacity.Pace{Ratios: float64(o.GetPaceRatios()), Count: float64(o.GetPaceCount()), At: now},
 	}
 	copy(load.outstanding.Waiting[:], o.GetWaiting())
 	copy(load.outstanding.PromptTokens[:], o.GetPromptTokens())
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -27,6 +27,8 @@
 	outstanding capacity.Outstanding
 	recent      capacity.RecentTokens
 	health      capacity.Health
+	// pace is the endpoint's pace in this gateway's requests.
+	pace capacity.Pace
 	// outcomes counts the results of this gateway's requests, the endpoint's own error answers included.
 	outcomes capacity.Outcomes
 	// cachedParts maps the ID of a prompt part to the time of its last use.
@@ -268,7 +270,8 @@
 		}
 		peers := p.peers.sum(e.ID)
 		c := capacity.Candidate{
-			ID: e.ID, Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health, Slots: e.Slots, Busy: s.prefillShare(now, speed, peers),
+			ID: e.ID, Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health.WithPace(now, s.pace.Plus(now, peers.pace)), Slots: e.Slots,
+			Busy:        s.prefillShare(now, speed, peers),
 			FailureRate: s.outcomes.Plus(now, peers.outcomes).FailureRate(now), Remote: e.FailureDomain != p.cfg.FailureDomain,
 		}
 		if q.service.Engine != nil {
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -162,7 +162,7 @@
 		if s.outcomes.Plus(now, peers.outcomes).FailureRate(now) > capacity.MaxFailureRate {
 			continue
 		}
-		c := capacity.Candidate{ID: e.ID, Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health, Slots: e.Slots}
+		c := capacity.Candidate{ID: e.ID, Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health.WithPace(now, s.pace.Plus(now, peers.pace)), Slots: e.Slots}
 		if service.Engine != nil {
 			c.Memory = service.Engine.CacheTokens
 		}
--- a/gateway/replay_region_test.go
+++ b/gateway/replay_region_test.go
@@ -87,3 +87,37 @@
 		t.Errorf("load error %.1f requests, with direct reports %.1f", linked.meanLoadError(), direct.meanLoadError())
 	}
 }
+
+// TestReplaySlowEngines makes a sixth of the engines of a large region slower by 3.5, of which each gateway sees a request
+// every ten seconds: the gateways learn it together, and send them less than half of their share.
+func TestReplaySlowEngines(t *testing.T) {
+	const (
+		perEngine = 6
+		slowAfter = time.Second
+		want      = 0.9
+	)
+	slow := func(engine int) bool { return engine%6 == 0 }
+	site := largeRegion(perEngine, reportLinked(44*time.Millisecond))
+	site.slowdown = func(engine int, now time.Duration) float64 {
+		if slow(engine) && now >= slowAfter {
+			return 3.5
+		}
+		return 1
+	}
+	p := newReplay(t, site, byPlacer)
+	p.run()
+	for _, kind := range site.kinds {
+		t.Logf("%s: %+v", kind.name, *p.results[kind.name])
+	}
+	taken := map[bool]int{}
+	engines := map[bool]int{}
+	for i, e := range p.view.endpoints["model"] {
+		taken[slow(i)] += p.engines[e.ID].taken
+		engines[slow(i)]++
+	}
+	share := float64(taken[true]) / float64(engines[true]) / (float64(taken[false]) / float64(engines[false]))
+	t.Logf("worth on time %.3f, a slow engine got %.2f of what another one got", p.worth(), share)
+	if p.worth() < want || share > 0.5 {
+		t.Errorf("worth on time %.3f, want %.2f; a slow engine got %.2f of what another one got", p.worth(), want, share)
+	}
+}
--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -32,6 +32,8 @@
 	// the events of a stream that is on time; zero means one chunk and no limit.
 	chunks int
 	gap    time.Duration
+	// slowdown is the factor by which an engine's steps take longer at a time; nil for none.
+	slowdown func(engine int, now time.Duration) float64
 	// rate is the number of requests a second at a time.
 	rate     func(now time.Duration) float64
 	duration time.Duration
@@ -118,9 +120,13 @@
 // priority for them, and in each step prefills a chunk of prompts and generates a token for each request whose prompt
 // has been read.
 type replayEngine struct {
-	slots, queue     int
-	chunks           int
-	cacheTokens      int64
+	slots, queue int
+	chunks       int
+	// slowdown is the factor by which steps take longer; zero means one.
+	slowdown    float64
+	cacheTokens int64
+	// taken counts the requests that were offered.
+	taken            int
 	running, waiting []*replayRequest
 	nextStepAt       time.Duration
 	// cached maps the shared parts in the cache to the time of their last use; readAgain counts the tokens of shared
@@ -135,6 +141,7 @@
 		return false
 	}
 	e.waiting = append(e.waiting, r)
+	e.taken++
 	return true
 }
 
@@ -219,7 +226,7 @@
 		}
 	}
 	millis := stepMillis + slotMillis*float64(len(e.running)) + float64(budget-free)/tokensPerMilli
-	return first, events, ended, time.Duration(millis * float64(time.Millisecond))
+	return first, events, ended, time.Duration(millis * max(e.slowdown, 1) * float64(time.Millisecond))
 }
 
 func (e *replayEngine) remove(r *replayRequest) {
@@ -303,8 +310,11 @@
 				p.arrive(now)
 			}
 		}
-		for _, id := range p.view.endpoints["model"] {
+		for i, id := range p.view.endpoints["model"] {
 			if e := p.engines[id.ID]; e.nextStepAt <= now && len(e.running)+len(e.waiting) > 0 {
+				if p.site.slowdown != nil {
+					e.slowdown = p.site.slowdown(i, now)
+				}
 				p.step(e, now)
 			}
 		}
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -11,6 +11,9 @@
 // minReportedFailures is the count of recent failures up to which they are not reported.
 const minReportedFailures = 0.1
 
+// minReportedPace is the number of recent observations of an endpoint's pace up to which they are not reported.
+const minReportedPace = 0.1
+
 // markChanged notes that the load at an endpoint has changed since the last report.
 func (p *placer) markChanged(endpoint string) {
 	p.changedEndpoints[endpoint] = true
@@ -64,6 +67,9 @@
 	if s.outstanding.PromptTokens != (capacity.Backlog{}) {
 		m.PromptTokens = s.outstanding.PromptTokens[:]
 	}
+	if pace := s.pace.Now(now); pace.Count > minReportedPace {
+		m.PaceRatios, m.PaceCount = float32(pace.Ratios), float32(pace.Count)
+	}
 	if o := s.outcomes.Now(now); o.Failed > minReportedFailures {
 		m.RecentEnded, m.RecentFailed = o.Ended, o.Failed
 	}
