Leave slots of engines free for more urgent requests

Cause: an engine without a free slot takes the slot of the newest least urgent request for a more urgent one, and reads the former again from the beginning.

The factor of an endpoint's pace is relative to the mean of the region's endpoints, since under overload all of them are slower than expected.

--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -52,6 +52,8 @@
 	Busy float64
 	// FailureRate is the recent share of failed requests at the endpoint, over all gateways.
 	FailureRate float64
+	// Preempts reports whether a more urgent request takes the slot of a running one if none is free.
+	Preempts bool
 	// Remote reports whether the endpoint is in another failure domain than the gateway.
 	Remote bool
 }
@@ -71,6 +73,8 @@
 	Preferred bool
 	// Full reports whether the endpoint has no free slot or memory, so that the request waits for another one to end.
 	Full bool
+	// Crowded reports whether the request would take a slot that is left free for more urgent ones.
+	Crowded bool
 }
 
 // WaitEstimate is the expected wait of a request at an endpoint.
@@ -138,6 +142,10 @@
 			uncached, source = minUncached, preferred
 		}
 		e := EstimateWait(c, w, uncached, s)
+		crowded := c.Crowded(w.Rank, s)
+		if crowded {
+			extra += crowdedCost(objective)
+		}
 		if c.Remote {
 			extra += remoteByteCost * time.Duration(w.Bytes)
 		}
@@ -160,6 +168,7 @@
 		}
 		best = Choice{
 			Index: i, Expected: e.Wait, Cost: cost, UncachedTokens: uncached, FetchFrom: source, Preferred: i == preferred, Full: e.Full,
+			Crowded: crowded,
 		}
 		bestCost = cost
 	}
--- a/capacity/pace.go
+++ b/capacity/pace.go
@@ -55,3 +55,16 @@
 	p = p.Now(now)
 	return (p.Ratios + priorPace) / (p.Count + priorPace)
 }
+
+// NormalizePace divides the factors of the candidates by their mean, so that a factor says how much slower than the others
+// an endpoint is. Under overload all endpoints are slower than expected, and none of them need be avoided.
+func NormalizePace(candidates []Candidate) {
+	sum := 0.0
+	for i := range candidates {
+		sum += candidates[i].Health.Factor
+	}
+	mean := sum / float64(max(len(candidates), 1))
+	for i := range candidates {
+		candidates[i].Health.Factor /= max(mean, 1)
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -82,7 +82,8 @@
 	if !a.full && latest {
 		speed := p.speed(a.service)
 		queued := int64(float64(a.queuedTokens) / (1 - a.preemptedShare))
-		s.pace = s.pace.With(now, speed.Base+speed.PrefillTokenTime*time.Duration(queued), took)
+		expected := speed.Base + speed.PrefillTokenTime*time.Duration(queued)
+		s.pace = s.pace.With(now, expected, took)
 		p.speeds[a.service] = speed.WithFirst(queued, took)
 	}
 	s.outstanding = s.outstanding.WithBegun(a.load)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -162,6 +162,8 @@
 const (
 	reasonNoEndpoint = "noEndpoint"
 	reasonBacklog    = "backlog"
+	// reasonCrowded: the free slots of all endpoints are left for more urgent requests.
+	reasonCrowded = "crowded"
 	// reasonPaused: all endpoints of the region have asked this gateway to pause.
 	reasonPaused             = "paused"
 	reasonNotAllowedInRegion = "notAllowedInRegion"
@@ -195,6 +197,9 @@
 		late.Rank = capacity.Rank(q.route.Priority, true)
 		here.verdict = capacity.Admit(choice.Expected, capacity.EstimateWait(local[choice.Index], late, choice.UncachedTokens, speed).Wait, q.budget)
 		here.reason = reasonBacklog
+		if choice.Crowded {
+			here.verdict, here.reason = capacity.Refuse, reasonCrowded
+		}
 		if q.mustPlace {
 			here.verdict = capacity.Take
 		}
@@ -209,17 +214,25 @@
 		}
 	}
 	if here.verdict == capacity.Refuse {
-		here.retryAfter = capacity.RetryAfter(min(here.expected, 2*q.route.Objective), q.budget, p.rng.Float64())
-		if !pauseEnd.IsZero() {
-			pause := capacity.RetryAfterPause(pauseEnd.Sub(now), p.rng.Float64())
-			if !ok || pause < here.retryAfter {
-				here.retryAfter = pause
-			}
-		}
+		here.retryAfter = p.retryAfter(now, q, here, pauseEnd)
 	}
 	return here
 }
 
+// retryAfter returns when the caller of a refused request may return. pauseEnd is the earliest end of the pauses that
+// endpoints asked for, or zero if none did.
+func (p *placer) retryAfter(now time.Time, q query, refused decision, pauseEnd time.Time) time.Duration {
+	d := capacity.RetryAfter(min(refused.expected, 2*q.route.Objective), q.budget, p.rng.Float64())
+	if pauseEnd.IsZero() {
+		return d
+	}
+	pause := capacity.RetryAfterPause(pauseEnd.Sub(now), p.rng.Float64())
+	if refused.candidates == 0 || pause < d {
+		return pause
+	}
+	return d
+}
+
 // fetchTimePerToken returns the time to fetch one prompt token from another endpoint's prefix cache, or zero if the
 // service's engines cannot do so.
 func fetchTimePerToken(s *routes.Service) time.Duration {
@@ -275,11 +288,12 @@
 			FailureRate: s.outcomes.Plus(now, peers.outcomes).FailureRate(now), Remote: e.FailureDomain != p.cfg.FailureDomain,
 		}
 		if q.service.Engine != nil {
-			c.Memory = q.service.Engine.CacheTokens
+			c.Memory, c.Preempts = q.service.Engine.CacheTokens, true
 			c.CachedParts = s.cachedPartCount(now, q.work)
 		}
 		p.candidates, p.endpoints = append(p.candidates, c), append(p.endpoints, e)
 	}
+	capacity.NormalizePace(p.candidates)
 	return p.candidates, p.endpoints, pauseEnd
 }
 
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -39,22 +39,30 @@
 	for _, d := range departures {
 		m.Departures = append(m.Departures, &wiregen.EndpointDeparture{Endpoint: d.ID, Born: d.Born})
 	}
-	if whole {
+	m.Outstanding = p.reportedLoads(now, whole)
+	p.reportedEmpty = whole && len(m.Outstanding) == 0 && len(m.Departures) == 0
+	p.newDepartures = nil
+	clear(p.changedEndpoints)
+	return m
+}
+
+// reportedLoads returns the loads that changed since the last report, or all that are not zero.
+func (p *placer) reportedLoads(now time.Time, all bool) []*wiregen.EndpointOutstanding {
+	var loads []*wiregen.EndpointOutstanding
+	if all {
 		for id, s := range p.states {
 			if s.outstanding != (capacity.Outstanding{}) || s.recent.Tokens(now) >= 1 {
-				m.Outstanding = append(m.Outstanding, encodeLoad(now, id, s))
+				loads = append(loads, encodeLoad(now, id, s))
 			}
 		}
+		return loads
 	}
-	p.reportedEmpty = whole && len(m.Outstanding) == 0 && len(m.Departures) == 0
 	for id := range p.changedEndpoints {
-		if s := p.states[id]; s != nil && !whole {
-			m.Outstanding = append(m.Outstanding, encodeLoad(now, id, s))
+		if s := p.states[id]; s != nil {
+			loads = append(loads, encodeLoad(now, id, s))
 		}
 	}
-	p.newDepartures = nil
-	clear(p.changedEndpoints)
-	return m
+	return loads
 }
 
 func encodeLoad(now time.Time, id string, s *endpointState) *wiregen.EndpointOutstanding {
