Report a quantile of a region's waits and the share of its slots that are taken

Cause: a region reported the least wait of its endpoints. As long as one engine had a free slot, the gateways of other regions all saw no wait until the next report.

Tests: TestReportedWait, TestChooseFreerRegion.

--- a/capacity/choose_test.go
+++ b/capacity/choose_test.go
@@ -362,3 +362,16 @@
 		})
 	}
 }
+
+// TestChooseFreerRegion offers a request to two regions with equal waits in both orders: the one with more free slots gets
+// it.
+func TestChooseFreerRegion(t *testing.T) {
+	w := Work{PromptTokens: 1000, OutputTokens: 300}
+	free := RegionCapacity{Region: "free", Wait: waits(60 * time.Millisecond), PromptTokens: 1 << 40, Endpoints: 36, Occupied: 0.5}
+	full := RegionCapacity{Region: "full", Wait: waits(60 * time.Millisecond), PromptTokens: 1 << 40, Endpoints: 22, Occupied: 0.95}
+	for _, regions := range [][]RegionCapacity{{free, full}, {full, free}} {
+		if got, ok := ChooseRegion(regions, w, NewSpeed(), 160*time.Millisecond, time.Second); !ok || got.Region != "free" {
+			t.Errorf("%+v, %v", got, ok)
+		}
+	}
+}
--- a/capacity/regions.go
+++ b/capacity/regions.go
@@ -5,18 +5,27 @@
 // RegionCapacity is the spare capacity of a service's endpoints in another region, as reported by a gateway there.
 type RegionCapacity struct {
 	Region string
-	// Wait is the expected time to the first chunk of a small request, by rank.
+	// Wait is the expected time to the first chunk of a small request, by rank, at the endpoint below which the share
+	// ReportedQuantile of the endpoints wait.
 	Wait [Ranks]time.Duration
 	// PromptTokens is the number of prompt tokens that can be sent before the wait reaches the objective.
 	PromptTokens int64
 	Endpoints    int
-	// Busy is the share of time that the endpoints spend on prefill.
-	Busy float64
+	// Busy is the share of time that the endpoints spend on prefill, and Occupied the share of their slots that are taken.
+	Busy     float64
+	Occupied float64
 	// Age is the time since the report, and Sent the prompt tokens that were sent to the region since.
 	Age  time.Duration
 	Sent int64
 }
 
+// ReportedQuantile is the quantile of the endpoints' waits that a region reports. The least wait would attract the
+// requests of all gateways of another region until the next report.
+const ReportedQuantile = 0.25
+
+// occupiedCost is the difference in cost between a region whose slots are all taken and an idle one with equal waits.
+const occupiedCost = 100 * time.Millisecond
+
 // maxCapacityAge is the age above which a report is stale. Reports are sent five times a second, so an older one means
 // that the connection to the region is cut or slow.
 const maxCapacityAge = 1200 * time.Millisecond
@@ -34,17 +43,21 @@
 	Cost     time.Duration
 }
 
-// ChooseRegion returns the region that serves a request at the least cost, if that is less than localCost. roundTrip is
+// ChooseRegion returns the region that serves a request at the least cost, if that is less than localCost; of regions with
+// equal costs, one with more free slots is preferred. roundTrip is
 // the round-trip time to another region. The tokens sent to a region since its report are added to its load.
 func ChooseRegion(capacities []RegionCapacity, w Work, s Speed, roundTrip, localCost time.Duration) (best RegionChoice, ok bool) {
+	var bestRanking time.Duration
 	for _, r := range capacities {
 		if !r.Fresh() || r.Endpoints == 0 || r.Sent+w.PromptTokens > r.PromptTokens {
 			continue
 		}
 		expected := r.Wait[w.Rank] + roundTrip + s.PrefillTokenTime*time.Duration(w.PromptTokens+r.Sent/int64(r.Endpoints))
 		cost := expected + DecodeCost(w, min(r.Busy+s.Busy(float64(r.Sent)/float64(r.Endpoints)), 1), 1)
-		if cost < localCost && (!ok || cost < best.Cost) {
+		ranking := cost + time.Duration(r.Occupied*float64(occupiedCost))
+		if cost < localCost && (!ok || ranking < bestRanking) {
 			late := expected - r.Wait[w.Rank] + r.Wait[Ranks-1]
+			bestRanking = ranking
 			best, ok = RegionChoice{Region: r.Region, Expected: expected, Late: late, Cost: cost}, true
 		}
 	}
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -335,3 +335,27 @@
 		t.Errorf("forwarded to %s after %s could not be reached", next.gateway.Name, d.gateway.Name)
 	}
 }
+
+// TestReportedWait fills all endpoints of a region but one in eight: the region does not report the wait at that one, which
+// the gateways of other regions would all choose until the next report.
+func TestReportedWait(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		idle int
+		free bool
+	}{{1, false}, {4, true}} {
+		endpoints := modelEndpoints("a", "b", "c", "d", "e", "f", "g", "h")
+		placers, v, _, s := newPlacers(t, 1, endpoints...)
+		for i := range endpoints[c.idle:] {
+			placers[0].state(&endpoints[c.idle+i]).outstanding = capacity.Outstanding{Requests: endpoints[i].Slots + 20}
+		}
+		m := placers[0].serviceCapacity(now, v, s, endpoints)
+		wait := time.Duration(m.GetWaitMillis()[0]) * time.Millisecond
+		if free := wait <= capacity.NewSpeed().Base; free != c.free {
+			t.Errorf("%d of 8 endpoints are idle: wait %v", c.idle, wait)
+		}
+		if want := int32(permille * (8 - c.idle) / 8); m.GetOccupiedPermille() != want {
+			t.Errorf("%d of 8 endpoints are idle: occupied %d, want %d", c.idle, m.GetOccupiedPermille(), want)
+		}
+	}
+}
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"arbutusreel/capacity"
@@ -147,10 +148,8 @@
 	p.expire(now, v)
 	speed := p.currentSpeed(now, v, service.Name)
 	m := &wiregen.ServiceRoom{Service: service.Name}
-	for range capacity.Ranks {
-		m.WaitMillis = append(m.WaitMillis, noEndpointTime.Milliseconds())
-	}
-	busy := 0.0
+	var waits [capacity.Ranks][]int64
+	busy, requests, slots := 0.0, 0, 0
 	for i := range endpoints {
 		e := &endpoints[i]
 		s := p.state(e)
@@ -162,14 +161,18 @@
 		if s.outcomes.Plus(now, peers.outcomes).FailureRate(now) > capacity.MaxFailureRate {
 			continue
 		}
-		c := capacity.Candidate{ID: e.ID, Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health.WithPace(now, s.pace.Plus(now, peers.pace)), Slots: e.Slots}
+		c := capacity.Candidate{ID: e.ID, Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health, Slots: e.Slots}
 		if service.Engine != nil {
-			c.Memory = service.Engine.CacheTokens
+			c.Memory, c.Preempts = service.Engine.CacheTokens, true
 		}
 		for rank := range capacity.Ranks {
 			wait := capacity.EstimateWait(c, capacity.Work{Rank: rank}, 0, speed).Wait
-			m.WaitMillis[rank] = min(m.WaitMillis[rank], wait.Milliseconds())
+			if c.Crowded(rank, speed) {
+				wait += capacityObjective
+			}
+			waits[rank] = append(waits[rank], wait.Milliseconds())
 		}
+		requests, slots = requests+min(c.Outstanding.Requests, c.Slots), slots+c.Slots
 		last := capacity.EstimateWait(c, capacity.Work{Rank: capacity.Ranks - 1}, 0, speed)
 		m.Endpoints++
 		busy += s.prefillShare(now, speed, peers)
@@ -182,9 +185,22 @@
 		}
 	}
 	m.BusyPermille = int32(permille * busy / float64(max(m.Endpoints, 1)))
+	m.OccupiedPermille = int32(permille * requests / max(slots, 1))
+	for rank := range waits {
+		m.WaitMillis = append(m.WaitMillis, reportedWait(waits[rank]))
+	}
 	return m
 }
 
+// reportedWait returns the quantile of the endpoints' waits that is reported, in milliseconds.
+func reportedWait(waits []int64) int64 {
+	if len(waits) == 0 {
+		return noEndpointTime.Milliseconds()
+	}
+	slices.Sort(waits)
+	return waits[int(capacity.ReportedQuantile*float64(len(waits)))]
+}
+
 // updateRegionCapacities drops the tokens sent to regions that a newer report already includes. It resets the breakers
 // of a region that reports again after its capacity was stale, and returns the names of those regions.
 func (p *placer) updateRegionCapacities(now time.Time, v *view, reports []*wiregen.RegionRoom) (regained []string) {
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -408,6 +408,7 @@
 	for _, s := range m.GetRoom() {
 		sc := capacity.RegionCapacity{
 			Region: m.GetRegion(), PromptTokens: s.GetPromptTokens(), Endpoints: int(s.GetEndpoints()), Busy: float64(s.GetBusyPermille()) / permille,
+			Occupied: float64(s.GetOccupiedPermille()) / permille,
 		}
 		for rank, wait := range s.GetWaitMillis()[:min(len(s.GetWaitMillis()), capacity.Ranks)] {
 			sc.Wait[rank] = time.Duration(wait) * time.Millisecond
