Follow a request and count losses from the logs of several gateways

arbutusreel trace REQUEST FILE,... prints the lines about a request and what was known of its endpoints, over all gateways in the order of time; arbutusreel losses FILE,... counts how the requests of each route ended. No daemon changed.

--- a/cmd/arbutusreel/errors.go
+++ b/cmd/arbutusreel/errors.go
@@ -66,3 +66,14 @@
 func (e *NoDecisionError) Error() string {
 	return fmt.Sprintf("no decision is kept for %s %q; no answer from %q", e.Subject.Kind, e.Subject.Name, e.Unreachable)
 }
+
+// NoLinesError reports a request that no log line is about.
+type NoLinesError struct {
+	Request string
+	Files   string
+}
+
+// Error returns a message with the request and the files.
+func (e *NoLinesError) Error() string {
+	return fmt.Sprintf("no line about request %q in %s", e.Request, e.Files)
+}
--- a/cmd/arbutusreel/main.go
+++ b/cmd/arbutusreel/main.go
@@ -74,6 +74,8 @@
 		statusCommand(),
 		membersCommand(),
 		explainCommand(),
+		traceCommand(),
+		lossesCommand(),
 		repairCommand(),
 		patchCommand(),
 		diffCommand(),
