Start processes under test in groups of their own

When the last member of a process group whose parent is in another group of the session ends, the kernel sends SIGHUP and SIGCONT to the group if a member is stopped. Reproduced: a stopped sleep in such a group ends when the shell does.

TestProcessGroup fails without it.

--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -32,6 +32,8 @@
 	cmd := exec.Command(filepath.Join(binDir, p.args[0]), p.args[1:]...)
 	cmd.Stdout, cmd.Stderr = f, f
 	cmd.Env = append(os.Environ(), p.env...)
+	// In the group of the shell that started the tests, the kernel sends SIGHUP to a frozen process when that shell ends.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
@@ -109,3 +111,18 @@
 	}
 	return text
 }
+
+// TestProcessGroup checks that a process under test has a process group of its own: the kernel sends SIGHUP and SIGCONT
+// to all members of a group that has a stopped member when the last member with a parent in another group of the session
+// ends.
+func TestProcessGroup(t *testing.T) {
+	dir := t.TempDir()
+	p := &process{
+		t: t, name: "directory", args: []string{"standin", "directory", "--address", freeAddress(t)}, logFile: filepath.Join(dir, "directory.log"),
+	}
+	p.start()
+	defer p.kill()
+	if group, err := syscall.Getpgid(p.cmd.Process.Pid); err != nil || group != p.cmd.Process.Pid {
+		t.Errorf("process %d is in group %d, %v", p.cmd.Process.Pid, group, err)
+	}
+}
