--- a/capacity/outstanding.go
+++ b/capacity/outstanding.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// Minus returns the difference.
+// Minus returns the work that is left after the other work, a part of this one, has been subtracted.
 func (o Outstanding) Minus(other Outstanding) Outstanding {
 	return Outstanding{
 		Requests: o.Requests - other.Requests, Waiting: o.Waiting.Minus(other.Waiting),
--- a/gateway/departure_test.go
+++ b/gateway/departure_test.go
@@ -75,7 +75,7 @@
 			placers, v, r, s := newPlacers(t, 2, c.listed, other)
 			c.announce(placers[0], placers[1])
 			placers[1].updatePeer(now, placers[0].loadReport(now, 1, false))
-			// The placers forget departures of endpoints that are no longer listed, and this one is.
+			// A departure is kept for as long as its endpoint is listed as ready.
 			for _, at := range []time.Duration{0, time.Hour} {
 				for i, p := range placers {
 					if chosen := chosenEndpoints(p, now.Add(at), v, testQuery(r, s)); chosen["a"] != c.chosen || !chosen["b"] {
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -165,7 +165,7 @@
 	}
 }
 
-// Tell receives the load reports that another gateway sends or passes on.
+// Tell serves the stream of load reports from another gateway, which holds its own reports and those it relays.
 func (g *Gateway) Tell(stream grpc.ClientStreamingServer[wiregen.OutstandingReport, wiregen.OutstandingReply]) error {
 	for {
 		m, err := stream.Recv()
--- a/gateway/partners.go
+++ b/gateway/partners.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// partnerCheckPeriod is the interval at which the partners and the numbers of idle connections to them are chosen.
+	// partnerCheckPeriod is the interval at which the partners and the number of idle connections to each are updated.
 	partnerCheckPeriod = 500 * time.Millisecond
 	// forwardWindow is the time over which forwards are counted to choose the number of idle connections.
 	forwardWindow = time.Second
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -12,7 +12,7 @@
 	// peerLoadTTL is the age after which the load reported by another gateway is no longer counted. A gateway that has any
 	// reports it at least once in wholeReportPeriod, so that one without reports has ended or is unreachable.
 	peerLoadTTL = 3 * time.Second
-	// unlistedPeerTTL is the same for gateways that control daemons do not list, which have ended or just started.
+	// unlistedPeerTTL replaces peerLoadTTL for a gateway that the control daemons do not list: it has ended or just started.
 	unlistedPeerTTL = 500 * time.Millisecond
 )
 
--- a/gateway/replay_region_test.go
+++ b/gateway/replay_region_test.go
@@ -54,7 +54,8 @@
 	}
 }
 
-// meanLoadError returns the mean difference between the believed and the actual number of requests at the chosen engines.
+// meanLoadError returns the mean absolute difference between the reported and the actual number of requests at
+// the chosen engines.
 func (p *replay) meanLoadError() float64 {
 	sum := 0.0
 	for _, e := range p.loadErrors {
@@ -64,7 +65,7 @@
 }
 
 // TestReplayLargeRegion offers 64 gateways a load that the engines of their region can serve. When each gateway reports
-// to all others every 448 ms, as many as choose an engine that looks idle before the first of them is heard of; reports
+// to all others every 448 ms, many gateways choose the same idle engine before the first of them has reported it; reports
 // along links keep nearly all requests on time.
 func TestReplayLargeRegion(t *testing.T) {
 	const (
--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -270,7 +270,7 @@
 	decide func(p *replay, r *replayRequest, now time.Time) bool
 	// reported is the time of each gateway's last report.
 	reported []time.Duration
-	// loadErrors are the differences between the believed and the actual number of requests at the chosen engine.
+	// loadErrors are the absolute differences between the reported and the actual number of requests at the chosen engine.
 	loadErrors []float64
 }
 
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -8,7 +8,7 @@
 	"arbutusreel/wiregen"
 )
 
-// minReportedFailures is the count of recent failures up to which they are not reported.
+// minReportedFailures is the decayed number of failures at an endpoint above which its outcomes are reported.
 const minReportedFailures = 0.1
 
 // minReportedPace is the number of recent observations of an endpoint's pace up to which they are not reported.
--- a/gateway/reports_test.go
+++ b/gateway/reports_test.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// TestReportOrder delivers reports late, twice and out of order: an older one changes nothing, and a whole report
-// replaces all.
+// TestReportOrder delivers reports late, twice and out of order: an older one is ignored, and a whole report
+// replaces all earlier loads of its gateway.
 func TestReportOrder(t *testing.T) {
 	now := time.Unix(1000, 0)
 	report := func(born, sequence int64, whole bool, requests ...int32) *wiregen.OutstandingReport {
--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -112,9 +112,8 @@
 	return text
 }
 
-// TestProcessGroup checks that a process under test has a process group of its own: the kernel sends SIGHUP and SIGCONT
-// to all members of a group that has a stopped member when the last member with a parent in another group of the session
-// ends.
+// TestProcessGroup checks that each process under test has its own process group. In a shared group, a frozen process
+// receives SIGHUP from the kernel when the group becomes orphaned, for example because the shell that started it exits.
 func TestProcessGroup(t *testing.T) {
 	dir := t.TempDir()
 	p := &process{
