Log which failed requests are repeats of one another, and check crashes of plain endpoints

The logs name requests by IDs, which are new with each repeat, and crashes were looked into for prompts only, so that the hypotheses could not be told apart. Failed attempts log a digest of service, caller, method, host, path and body; the body is not logged. A connection that broke before an answer is followed up for every request. Decisions are unchanged.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -47,6 +47,8 @@
 // Call holds what a caller's headers say about its request.
 type Call struct {
 	ID string
+	// Caller identifies the caller; empty if not given.
+	Caller string
 	// Patience is how long the caller waits for the answer; zero if not given.
 	Patience time.Duration
 	Work     capacity.Work
--- a/gateway/crashchecks.go
+++ b/gateway/crashchecks.go
@@ -27,11 +27,21 @@
 	j.g.examineEndpoint(a.endpoint, j.call.Work)
 }
 
+// digest returns the identifier of the request and its repeats among the parts of prompts.
+func (j *job) digest() crash.Part {
+	if j.requestDigest == 0 {
+		j.requestDigest = crash.Identity{
+			Service: j.service.Name, Caller: j.call.Caller, Method: j.r.Method, Host: j.r.Host, Target: j.r.RequestURI, Body: j.body,
+		}.Digest()
+	}
+	return j.requestDigest
+}
+
 // examineEndpoint has an endpoint checked for a crash that may have been caused by a prompt.
 func (g *Gateway) examineEndpoint(e fleet.Endpoint, w capacity.Work) {
 	suspects := g.crashes.suspects(e.Service, w)
 	key := crash.Endpoint{ID: e.ID, Born: e.Born}
-	if len(suspects) == 0 || !g.crashes.beginCheck(key, suspects) {
+	if !g.crashes.beginCheck(key, suspects) {
 		return
 	}
 	select {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -142,6 +142,7 @@
 		return r
 	}
 	c.seen.Add(1)
+	// A report without suspects is no evidence.
 	if added, ok := c.evidence.Add(now, r); ok {
 		c.publish(crash.Facts{Reports: []crash.Report{added}})
 	}
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -30,7 +30,7 @@
 type crashFleet struct {
 	t     *testing.T
 	table *routes.Table
-	// crashing holds the parts that crash endpoints.
+	// crashing holds the parts and the paths that crash endpoints.
 	crashing map[string]bool
 	// begins is how long an endpoint works before its first event.
 	begins   time.Duration
@@ -110,7 +110,7 @@
 // answer writes a stream of three events, or crashes the endpoint before the first one.
 func (f *crashFleet) answer(w http.ResponseWriter, r *http.Request, e *crashEndpoint) {
 	parts := strings.Split(r.Header.Get("Parts"), ",")
-	crashes := false
+	crashes := f.crashing[r.URL.Path]
 	for _, part := range parts {
 		crashes = crashes || f.crashing[part]
 	}
@@ -125,6 +125,10 @@
 	}
 	w.Header().Set("Id", r.Header.Get("Id"))
 	w.Header().Set("Signed", e.ID)
+	if !strings.HasPrefix(r.URL.Path, "/stream/") {
+		fmt.Fprint(w, "answer")
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	fmt.Fprint(w, pieces(0, 2))
 }
@@ -184,6 +188,14 @@
 	return g.call(ctx, http.MethodPost, "/stream/x", map[string]string{"Id": fmt.Sprintf("request-%d", n), "Parts": parts})
 }
 
+// repeat sends a request without a prompt, which is the same each time but for its ID.
+func (f *crashFleet) repeat(g *testGateway, path string) result {
+	n := f.calls.Add(1)
+	ctx, cancel := context.WithTimeout(f.t.Context(), 5*time.Second)
+	defer cancel()
+	return g.call(ctx, http.MethodPost, path, map[string]string{"Id": fmt.Sprintf("request-%d", n)})
+}
+
 // evidenceTime is more than the time in which all gateways know of a crash.
 const evidenceTime = 2 * time.Second
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -182,7 +182,7 @@
 		j.sends++
 	}
 	j.recordOutcome(o)
-	j.log(string(o)).Err(j.lastErr).Msg("attemptFailed")
+	j.log(string(o)).Str("digest", j.digest().String()).Err(j.lastErr).Msg("attemptFailed")
 	return tryNext
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"arbutusreel/capacity"
+	"arbutusreel/crash"
 	"arbutusreel/origin"
 	"arbutusreel/problem"
 	"arbutusreel/routes"
@@ -50,6 +51,8 @@
 	call      Call
 	path      string
 	body      []byte
+	// requestDigest identifies the request and its repeats among the parts of prompts; zero before digest has computed it.
+	requestDigest crash.Part
 	// draw is the random number in [0, 1) that selects one of the route's services.
 	draw     float64
 	received time.Time
@@ -202,7 +205,7 @@
 		}
 	}
 	j.view, j.route = v, route
-	j.service = v.table.Service(service)
+	j.service, j.requestDigest = v.table.Service(service), 0
 	return j.service != nil
 }
 
