Block requests under which endpoints crash, like prompts

Cause: crashes were put down to shared parts of prompts. A request without a prompt has none, so that nothing was recorded.

A request in progress at a crash and never answered is suspect: its repeats are sent one at a time at each gateway, from the second crash on only when the evidence counts, and after two crashes under its own attempts it is given up (before, one request could end all endpoints of a service). The count of crashes goes along with forwards.

TestBlockedPromptRepeated sent its request right after the evidence had arrived, and asked that it be sent. Such a request is now held back. The test now has the evidence arrive while the request is in progress, which is what it is about; what it asks of the answers is unchanged.

--- a/crash/evidence.go
+++ b/crash/evidence.go
@@ -27,13 +27,21 @@
 	// sound holds parts of reports under which an answer has begun.
 	sound *Set[Part]
 	// suspects holds the parts of all reports; nil after a change.
-	suspects map[Part]struct{}
+	suspects map[Part]Suspicion
 
 	signatures []Signature
 	// judgeAt is when the signatures have to be judged anew; zero if nothing has changed.
 	judgeAt time.Time
 }
 
+// Suspicion is what speaks against a part.
+type Suspicion struct {
+	// Crashes is the number of crashes that were reported under the part.
+	Crashes int
+	// SettlesAt is when the last one of them counts.
+	SettlesAt time.Time
+}
+
 // entry is a report with the times of its retention.
 type entry struct {
 	report Report
@@ -109,17 +117,25 @@
 }
 
 // Suspects reports whether a crash was reported under a part that is not known to be sound.
-func (e *Evidence) Suspects(part Part) bool {
+func (e *Evidence) Suspects(part Part) bool { return e.Suspicion(part).Crashes > 0 }
+
+// Suspicion returns what speaks against a part.
+func (e *Evidence) Suspicion(part Part) Suspicion {
 	if e.suspects == nil {
-		e.suspects = map[Part]struct{}{}
+		e.suspects = map[Part]Suspicion{}
 		for _, known := range e.reports {
+			settlesAt := known.knownAt.Add(settleTime)
 			for _, p := range known.report.parts() {
-				e.suspects[p] = struct{}{}
+				s := e.suspects[p]
+				s.Crashes++
+				if settlesAt.After(s.SettlesAt) {
+					s.SettlesAt = settlesAt
+				}
+				e.suspects[p] = s
 			}
 		}
 	}
-	_, ok := e.suspects[part]
-	return ok
+	return e.suspects[part]
 }
 
 // Len returns the number of crashes in the evidence.
@@ -149,6 +165,7 @@
 		switch wait := settleTime - now.Sub(known.knownAt); {
 		case now.Sub(known.usedAt) > Retention || now.Sub(known.firstAt) > maxRetention:
 			delete(e.reports, endpoint)
+			e.suspects = nil
 		case wait > 0:
 			e.change(now.Add(wait))
 		default:
--- a/crash/report.go
+++ b/crash/report.go
@@ -8,12 +8,13 @@
 )
 
 const (
-	// maxPrompts and maxParts bound the prompts in the report of one crash, and their parts together.
-	maxPrompts = 64
-	maxParts   = 512
+	// maxPrompts and maxParts bound the prompts in the report of one crash, and their parts together. An endpoint may have as
+	// many requests in progress.
+	maxPrompts = 128
+	maxParts   = 1024
 )
 
-// Part identifies a part of the prompts of one service.
+// Part identifies a part of the prompts of one service, or one of its requests with all its repeats.
 type Part uint64
 
 // NewPart returns the identifier of a service's part.
@@ -35,7 +36,7 @@
 	Born int64
 }
 
-// Prompt holds parts of one prompt in ascending order.
+// Prompt holds parts of one prompt, and the identifier of its request, in ascending order.
 type Prompt []Part
 
 // NewPrompt returns the prompt with the given parts.
--- a/gateway/crashchecks.go
+++ b/gateway/crashchecks.go
@@ -8,7 +8,6 @@
 
 	"github.com/rs/zerolog"
 
-	"arbutusreel/capacity"
 	"arbutusreel/crash"
 	"arbutusreel/exchange"
 	"arbutusreel/fleet"
@@ -24,31 +23,39 @@
 	if errors.As(err, &failure) && failure.Stage == exchange.Connecting || context.Cause(ctx) != nil || !a.firstAt.IsZero() {
 		return
 	}
-	j.g.examineEndpoint(a.endpoint, j.call.Work)
+	j.crashCheck = j.g.examineEndpoint(a.endpoint, j.traits())
 }
 
-// digest returns the identifier of the request and its repeats among the parts of prompts.
-func (j *job) digest() crash.Part {
-	if j.requestDigest == 0 {
-		j.requestDigest = crash.Identity{
-			Service: j.service.Name, Caller: j.call.Caller, Method: j.r.Method, Host: j.r.Host, Target: j.r.RequestURI, Body: j.body,
-		}.Digest()
-	}
-	return j.requestDigest
-}
-
-// examineEndpoint has an endpoint checked for a crash that may have been caused by a prompt.
-func (g *Gateway) examineEndpoint(e fleet.Endpoint, w capacity.Work) {
-	suspects := g.crashes.suspects(e.Service, w)
+// examineEndpoint has an endpoint checked for a crash that may have been caused by a request. It returns the check.
+func (g *Gateway) examineEndpoint(e fleet.Endpoint, t traits) *crashCheck {
 	key := crash.Endpoint{ID: e.ID, Born: e.Born}
-	if !g.crashes.beginCheck(key, suspects) {
-		return
+	check, first := g.crashes.beginCheck(key, g.crashes.suspects(t))
+	if !first {
+		return check
 	}
 	select {
 	case g.broken <- e:
 	default:
 		g.crashes.endCheck(time.Now(), key, false)
 	}
+	return check
+}
+
+// countCrash waits until it is known whether the endpoint that broke off the last attempt has crashed, for a limited time, and
+// counts its crash. It returns false if no further endpoint may get the request.
+func (j *job) countCrash() bool {
+	if check := j.crashCheck; check != nil {
+		j.crashCheck = nil
+		j.awaitProgress(check.done, crash.MaxHoldTime)
+		select {
+		case <-check.done:
+			if check.crashed {
+				j.crashes++
+			}
+		default:
+		}
+	}
+	return j.crashes < crash.MaxCrashes
 }
 
 // checkCrashes checks endpoints whose connections broke, until ctx ends.
@@ -118,7 +125,7 @@
 	}
 	current := strings.Join(all, ",")
 	if current != logged {
-		g.log.Warn().Array("parts", list).Int("crashes", g.crashes.known()).Msg("blocked prompts changed")
+		g.log.Warn().Array("parts", list).Int("crashes", g.crashes.known()).Msg("blocked requests changed")
 	}
 	return current
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"arbutusreel/capacity"
 	"arbutusreel/crash"
 	"arbutusreel/metrics"
 	"arbutusreel/wire"
@@ -15,6 +14,8 @@
 const (
 	// maxBegunParts is the number of parts under which an answer has begun here that a gateway remembers at least.
 	maxBegunParts = 1 << 15
+	// maxBegunRequests is the same for requests, of which there are more.
+	maxBegunRequests = 1 << 16
 	// maxWaitingCrashes bounds the news that wait to be sent over the links of one kind; beyond it all evidence is sent.
 	maxWaitingCrashes = 256
 	// maxOwnCrashes is the number of this gateway's own news that are kept for other regions; a stream that lags further
@@ -32,22 +33,35 @@
 
 	mu       sync.Mutex
 	evidence *crash.Evidence
-	// begun holds the parts under which an answer has begun at this gateway.
-	begun *crash.Set[crash.Part]
+	// begun holds the parts under which an answer has begun at this gateway, and begunRequests the requests.
+	begun, begunRequests *crash.Set[crash.Part]
 	// waiting holds the news for the links of each kind.
 	waiting map[wiregen.ReportLink]crash.Facts
 	// own holds the latest news of this gateway for other regions, numbered from ownFirst.
 	own      []crash.Facts
 	ownFirst int
-	// checks holds the prompts of requests that broke off at endpoints which may have crashed.
-	checks map[crash.Endpoint]crash.Report
+	// checks are those of endpoints that may have crashed.
+	checks map[crash.Endpoint]*crashCheck
+	// trials are the suspect requests in progress, and progress is closed and replaced when a trial or a check has ended.
+	trials   *crash.Trials
+	progress chan struct{}
+}
+
+// crashCheck is the check of an endpoint that broke off requests.
+type crashCheck struct {
+	// report holds the requests.
+	report crash.Report
+	// done is closed when the check has ended, after crashed was set.
+	done    chan struct{}
+	crashed bool
 }
 
 // newCrashes returns an empty collection and adds its counters to a metrics set.
 func newCrashes(set *metrics.Set) *crashes {
 	c := &crashes{
 		changed: make(chan struct{}, 1), evidence: crash.NewEvidence(), begun: crash.NewSet[crash.Part](maxBegunParts),
-		waiting: map[wiregen.ReportLink]crash.Facts{}, checks: map[crash.Endpoint]crash.Report{},
+		begunRequests: crash.NewSet[crash.Part](maxBegunRequests),
+		waiting:       map[wiregen.ReportLink]crash.Facts{}, checks: map[crash.Endpoint]*crashCheck{}, trials: crash.NewTrials(), progress: make(chan struct{}),
 	}
 	set.Publish("crashesSeen", &c.seen)
 	set.Publish("crashesKnown", expvar.Func(func() any { return c.known() }))
@@ -68,33 +82,34 @@
 	return c.evidence.Signatures(now)
 }
 
-// blocks returns the signature by which a service's prompt is blocked, and false if there is none.
-func (c *crashes) blocks(now time.Time, service string, w capacity.Work) (crash.Signature, bool) {
+// blocks returns the signature by which a request is blocked, and false if there is none.
+func (c *crashes) blocks(now time.Time, t traits) (crash.Signature, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.evidence.Signatures(now)) == 0 {
 		return crash.Signature{}, false
 	}
-	return c.evidence.Blocks(now, crash.NewPrompt(sharedParts(service, w)))
+	return c.evidence.Blocks(now, t.prompt())
 }
 
-// sharedParts returns the parts that a service's prompt may share with others.
-func sharedParts(service string, w capacity.Work) []crash.Part {
-	var parts []crash.Part
-	for _, part := range w.Shared() {
-		parts = append(parts, crash.NewPart(service, part.ID))
-	}
-	return parts
+// hasBegun reports whether an answer to a request, or under a part, has begun at this gateway.
+func (c *crashes) hasBegun(part crash.Part) bool {
+	return c.begun.Has(part) || c.begunRequests.Has(part)
 }
 
-// recordBegun records that an answer has begun, so that its prompt's shared parts are sound.
-func (c *crashes) recordBegun(now time.Time, service string, w capacity.Work) {
-	parts := sharedParts(service, w)
+// recordBegun records that the answer to a request has begun, so that it is sound, and the shared parts of its prompt are.
+func (c *crashes) recordBegun(now time.Time, t traits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var news crash.Facts
-	for _, part := range parts {
+	for _, part := range t.shared {
 		c.begun.Add(part)
+	}
+	c.begunRequests.Add(t.request)
+	if c.evidence.Len() == 0 {
+		return
+	}
+	var news crash.Facts
+	for _, part := range t.prompt() {
 		if c.evidence.Suspects(part) && c.evidence.Clear(now, part) {
 			news.Sound = append(news.Sound, part)
 		}
@@ -102,51 +117,58 @@
 	c.publish(news)
 }
 
-// suspects returns the shared parts of a prompt under which no answer has begun as far as this gateway knows. The first
-// part, which all prompts of a kind may have, is left out if there are others.
-func (c *crashes) suspects(service string, w capacity.Work) crash.Prompt {
+// suspects returns the traits of a request under which no answer has begun as far as this gateway knows. The first
+// part, which all prompts of a kind may have, is left out if there are other parts.
+func (c *crashes) suspects(t traits) crash.Prompt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var suspects []crash.Part
-	for i, part := range sharedParts(service, w) {
+	for i, part := range t.shared {
 		if c.begun.Has(part) {
 			continue
 		}
-		if i > 0 && len(suspects) == 1 && suspects[0] == crash.NewPart(service, w.Parts[0].ID) {
+		if i > 0 && len(suspects) == 1 && suspects[0] == t.shared[0] {
 			suspects = suspects[:0]
 		}
 		suspects = append(suspects, part)
 	}
+	if !c.begunRequests.Has(t.request) {
+		suspects = append(suspects, t.request)
+	}
 	return crash.NewPrompt(suspects)
 }
 
-// beginCheck adds a prompt to those that broke off at an endpoint, and reports whether it is the first one, so that it is
+// beginCheck adds a request to those that broke off at an endpoint, and reports whether it is the first one, so that it is
 // to be found out whether the endpoint has crashed.
-func (c *crashes) beginCheck(e crash.Endpoint, p crash.Prompt) (first bool) {
+func (c *crashes) beginCheck(e crash.Endpoint, p crash.Prompt) (check *crashCheck, first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r, checking := c.checks[e]
-	r.Endpoint = e
-	r, _ = r.With(p)
-	c.checks[e] = r
-	return !checking
+	check = c.checks[e]
+	if first = check == nil; first {
+		check = &crashCheck{report: crash.Report{Endpoint: e}, done: make(chan struct{})}
+		c.checks[e] = check
+	}
+	check.report, _ = check.report.With(p)
+	return check, first
 }
 
 // endCheck ends the check of an endpoint, and reports its crash to other gateways if it has crashed.
 func (c *crashes) endCheck(now time.Time, e crash.Endpoint, crashed bool) crash.Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := c.checks[e]
+	check := c.checks[e]
 	delete(c.checks, e)
+	check.crashed = crashed
+	close(check.done)
+	c.signalProgress()
 	if !crashed {
-		return r
+		return check.report
 	}
 	c.seen.Add(1)
-	// A report without suspects is no evidence.
-	if added, ok := c.evidence.Add(now, r); ok {
+	if added, ok := c.evidence.Add(now, check.report); ok {
 		c.publish(crash.Facts{Reports: []crash.Report{added}})
 	}
-	return r
+	return check.report
 }
 
 // receive adds evidence that arrived over a link, passes on what is new of it, and answers which of its parts are sound as
@@ -172,7 +194,7 @@
 		relayed.Reports = append(relayed.Reports, added)
 		for _, prompt := range added.Prompts {
 			for _, part := range prompt {
-				if c.begun.Has(part) && c.evidence.Clear(now, part) {
+				if c.hasBegun(part) && c.evidence.Clear(now, part) {
 					own.Sound = append(own.Sound, part)
 				}
 			}
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -32,8 +32,8 @@
 	table *routes.Table
 	// crashing holds the parts and the paths that crash endpoints.
 	crashing map[string]bool
-	// begins is how long an endpoint works before its first event.
-	begins   time.Duration
+	// begins is how long an endpoint works before its first event, in nanoseconds.
+	begins   atomic.Int64
 	gateways []*testGateway
 	// endpoints holds the endpoints of each region.
 	endpoints map[string][]*crashEndpoint
@@ -66,7 +66,8 @@
 // newCrashFleet returns a system with a number of gateways and endpoints in each region.
 func newCrashFleet(t *testing.T, regions []string, gateways, endpoints int, crashing ...string) *crashFleet {
 	t.Helper()
-	f := &crashFleet{t: t, table: testTable(t, nil), crashing: map[string]bool{}, begins: 5 * time.Millisecond, endpoints: map[string][]*crashEndpoint{}}
+	f := &crashFleet{t: t, table: testTable(t, nil), crashing: map[string]bool{}, endpoints: map[string][]*crashEndpoint{}}
+	f.setBegins(5 * time.Millisecond)
 	for _, part := range crashing {
 		f.crashing[part] = true
 	}
@@ -83,6 +84,8 @@
 	return f
 }
 
+func (f *crashFleet) setBegins(d time.Duration) { f.begins.Store(int64(d)) }
+
 func (f *crashFleet) newEndpoint(region string, i int) *crashEndpoint {
 	f.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -117,7 +120,7 @@
 	if crashes {
 		f.reached.Add(1)
 	}
-	time.Sleep(f.begins)
+	time.Sleep(time.Duration(f.begins.Load()))
 	if crashes {
 		f.crashed.Add(1)
 		e.crash()
@@ -241,7 +244,7 @@
 // parts are at the same endpoints, and some endpoints crash for another cause.
 func TestTwoPartsCrashedEndpointsAtOnce(t *testing.T) {
 	f := newCrashFleet(t, []string{"here", "there"}, 3, 24, "bad", "worse")
-	f.begins = 20 * time.Millisecond
+	f.setBegins(20 * time.Millisecond)
 	var wg sync.WaitGroup
 	for round := range 8 {
 		for i, g := range f.gateways {
@@ -303,7 +306,7 @@
 			if c.begun {
 				f.call(f.gateways[3], "first", "part")
 			}
-			f.begins = 100 * time.Millisecond
+			f.setBegins(100 * time.Millisecond)
 			for i := range 4 {
 				var wg sync.WaitGroup
 				for _, g := range f.gateways {
@@ -334,11 +337,13 @@
 func TestBlockedPromptRepeated(t *testing.T) {
 	f := newCrashFleet(t, []string{"here"}, 1, 6, "bad")
 	g := f.gateways[0]
-	for i := range 3 {
-		r, _ := crash.Report{Endpoint: crash.Endpoint{ID: fmt.Sprint("gone-", i)}}.With(crash.NewPrompt([]crash.Part{crash.NewPart("desk", "bad")}))
-		g.crashes.receive(time.Now(), wiregen.ReportLink_column, wire.EncodeCrashes(crash.Facts{Reports: []crash.Report{r}}))
-	}
-	f.begins = 700 * time.Millisecond
+	f.setBegins(time.Second)
+	time.AfterFunc(200*time.Millisecond, func() {
+		for i := range 3 {
+			r, _ := crash.Report{Endpoint: crash.Endpoint{ID: fmt.Sprint("gone-", i)}}.With(crash.NewPrompt([]crash.Part{crash.NewPart("desk", "bad")}))
+			g.crashes.receive(time.Now(), wiregen.ReportLink_column, wire.EncodeCrashes(crash.Facts{Reports: []crash.Report{r}}))
+		}
+	})
 	got := f.call(g, "first", "bad")
 	if got.status != http.StatusBadGateway || got.header.Get(outcomeHeader) == string(problem.NotRun) || f.reached.Load() != 1 {
 		t.Errorf("a request that ran: status %d, %s, sent %d times", got.status, got.header.Get(outcomeHeader), f.reached.Load())
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -25,6 +25,9 @@
 		h.Set(originHeader, formatOrigin(*j.began))
 	}
 	h.Set(attemptsHeader, strconv.Itoa(j.chargedRuns))
+	if j.crashes > 0 {
+		h.Set(crashesHeader, strconv.Itoa(j.crashes))
+	}
 	h.Set(drawHeader, strconv.FormatFloat(j.draw, 'g', -1, 64))
 	h.Set(ageHeader, strconv.FormatInt((j.age+now.Sub(j.received)+g.cfg.RegionRoundTrip/2).Milliseconds(), 10))
 	ctx, cancel := context.WithCancelCause(j.ctx)
@@ -67,10 +70,13 @@
 		j.sends++
 	}
 	j.recordOutcome(o)
+	if crashed, err := strconv.Atoi(answer.Header.Get(crashesHeader)); err == nil {
+		j.crashes = max(j.crashes, crashed)
+	}
 	code := problem.Code(answer.Header.Get(codeHeader))
 	j.log(string(o)).Int("status", answer.Status).Str("code", string(code)).Msg("attemptFailed")
-	if code == problem.PromptBlocked && !j.streaming() {
-		j.giveUpBlocked(newPromptBlocked("region %q has blocked parts of the prompt, under which endpoints crashed", d.region))
+	if isBlocked(code) && !j.streaming() {
+		j.giveUpBlocked(newBlocked(code, "region %q has blocked the request or parts of its prompt, under which endpoints crashed", d.region))
 		return answered
 	}
 	return tryNext
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -71,7 +71,8 @@
 		}
 		if j.firstAt.IsZero() {
 			j.firstAt = now
-			j.g.crashes.recordBegun(now, j.service.Name, j.call.Work)
+			j.g.crashes.recordBegun(now, j.traits())
+			j.endTrial()
 		}
 		timer.stop()
 		if err := j.writeEvent(e, answer, of); err != nil {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -35,7 +35,9 @@
 // run attempts the request until it is answered or refused.
 func (j *job) run() {
 	j.g.placer.recordFirstTry(j.received, j.view, j.service.Name)
+	defer j.endTrial()
 	for {
+		suspect := !j.mayTry()
 		now := time.Now()
 		if v := j.g.view.Load(); v != j.view && v.table != nil && !j.match(v) {
 			j.giveUp(problem.UnknownRoute, "the route or the service was removed while the request was in progress")
@@ -45,10 +47,14 @@
 			j.giveUp(problem.PatienceExceeded, "the deadline of the request has passed")
 			return
 		}
-		if p := j.promptBlocked(now); p != nil {
+		if p := j.blocked(now); p != nil {
 			j.giveUpBlocked(p)
 			return
 		}
+		if suspect {
+			j.giveUpSuspect()
+			return
+		}
 		if reason, ok := j.mayRetry(now); !ok {
 			j.giveUp(problem.EndpointFailed, reason)
 			return
@@ -66,6 +72,7 @@
 		} else {
 			step = j.send(d)
 		}
+		j.endTrial()
 		if !j.shouldContinue(step) {
 			return
 		}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -182,7 +182,7 @@
 		j.sends++
 	}
 	j.recordOutcome(o)
-	j.log(string(o)).Str("digest", j.digest().String()).Err(j.lastErr).Msg("attemptFailed")
+	j.log(string(o)).Str("digest", j.traits().request.String()).Err(j.lastErr).Msg("attemptFailed")
 	return tryNext
 }
 
@@ -203,7 +203,7 @@
 	if a != nil {
 		a.recordFirst(time.Now())
 	}
-	j.recordBegunParts(success)
+	j.recordBegunAnswer(success)
 	if j.streaming() {
 		// A stream in progress cannot be continued by an answer that is not a stream.
 		return failed, j.recordFailure(ctx, &UnusableAnswerError{Status: answer.Status}, problem.Ran)
@@ -300,7 +300,7 @@
 	for _, name := range connectionHeaders() {
 		c.Del(name)
 	}
-	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, ageHeader, originHeader} {
+	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, crashesHeader, ageHeader, originHeader} {
 		c.Del(name)
 	}
 	return c
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -29,6 +29,8 @@
 	drawHeader = "Arbutusreel-Draw"
 	// runsHeader carries the number of endpoints that may have run a request back to the forwarding gateway.
 	runsHeader = "Arbutusreel-Runs"
+	// crashesHeader carries the number of endpoints that crashed under a request between gateways, both ways.
+	crashesHeader = "Arbutusreel-Crashes"
 	// originHeader carries what began a stream: to another gateway that is to go on with it, and back with the stream.
 	originHeader = "Arbutusreel-Origin"
 	// ageHeader carries the time in milliseconds that the request has spent in the system to another gateway.
@@ -51,8 +53,13 @@
 	call      Call
 	path      string
 	body      []byte
-	// requestDigest identifies the request and its repeats among the parts of prompts; zero before digest has computed it.
-	requestDigest crash.Part
+	// knownTraits are the traits of the request; nil before they are needed.
+	knownTraits *traits
+	// trial is the request's trial; nil if it is not suspect. crashCheck is the check of the endpoint that broke off the last
+	// attempt, nil if there is none, and crashes counts the endpoints that crashed under the request.
+	trial      *crash.Trial
+	crashCheck *crashCheck
+	crashes    int
 	// draw is the random number in [0, 1) that selects one of the route's services.
 	draw     float64
 	received time.Time
@@ -186,6 +193,9 @@
 	if allowed, err := strconv.Atoi(h.Get(attemptsHeader)); err == nil && allowed > 0 {
 		j.allowedRuns = allowed
 	}
+	if crashed, err := strconv.Atoi(h.Get(crashesHeader)); err == nil && crashed > 0 {
+		j.crashes = crashed
+	}
 	if age, err := strconv.ParseInt(h.Get(ageHeader), 10, 64); err == nil && age > 0 {
 		j.age = time.Duration(age) * time.Millisecond
 	}
@@ -205,7 +215,7 @@
 		}
 	}
 	j.view, j.route = v, route
-	j.service, j.requestDigest = v.table.Service(service), 0
+	j.service, j.knownTraits = v.table.Service(service), nil
 	return j.service != nil
 }
 
@@ -253,6 +263,9 @@
 func (j *job) setRunsHeader(h http.Header) {
 	if j.forwarded {
 		h.Set(runsHeader, strconv.Itoa(j.runs))
+		if j.crashes > 0 {
+			h.Set(crashesHeader, strconv.Itoa(j.crashes))
+		}
 	}
 }
 
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -43,6 +43,8 @@
 	EndpointFailed     Code = "endpointFailed"
 	VersionUnavailable Code = "versionUnavailable"
 	PromptBlocked      Code = "promptBlocked"
+	// RequestBlocked: endpoints crashed under the request itself.
+	RequestBlocked     Code = "requestBlocked"
 	AnswerIncomplete   Code = "answerIncomplete"
 	KeyRequired        Code = "idempotencyKeyRequired"
 	KeyReused          Code = "idempotencyKeyReused"
