Block calls that crash endpoints in the product's own entry path, and hold suspects back there

Entries judge prefixes of prompts and requests as one, by the digest of team, path and body. Suspect requests are held back as at gateways: one at a time, and from the second crash on only when the evidence counts.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -24,17 +24,24 @@
 	maxBegunPrefixes = 1 << 16
 	// crashCheckTime is how long after an attempt broke off it may be found out that its endpoint has crashed.
 	crashCheckTime = 10 * time.Second
-	// maxSuspectBreaks is the number of attempts of one request that may break off at endpoints before its answer has begun
-	// and while its prompt is suspect. What all instances know would come too late for more attempts in quick succession.
-	maxSuspectBreaks = 2
+	// maxBegunRequests is the number of answered requests that an instance remembers at least.
+	maxBegunRequests = 1 << 16
+	// holdPollPeriod is the interval at which a request that is held back is looked at again.
+	holdPollPeriod = 20 * time.Millisecond
+	// suspectRetryAfter is the retry delay given to the caller of a request that was held back for too long.
+	suspectRetryAfter = time.Second
 )
 
-// crashes holds what this instance knows about crashes of endpoints, by the prefixes of prompts. It is safe for concurrent
-// use.
+// crashes holds what this instance knows about crashes of endpoints, by the prefixes of prompts and by requests. It is safe
+// for concurrent use.
 type crashes struct {
 	mu       sync.Mutex
 	evidence *crash.Evidence
-	begun    *crash.Set[crash.Part]
+	// begun holds the prefixes under which an answer has begun here, and begunRequests the requests.
+	begun, begunRequests *crash.Set[crash.Part]
+	trials               *crash.Trials
+	// checking holds the endpoints for which it is being found out whether they have crashed.
+	checking map[crash.Endpoint]bool
 	// broken holds the reports of endpoints that may have crashed, and brokenAt when an attempt first broke off there.
 	broken   map[crash.Endpoint]crash.Report
 	brokenAt map[crash.Endpoint]time.Time
@@ -45,6 +52,7 @@
 func newCrashes() *crashes {
 	return &crashes{
 		evidence: crash.NewEvidence(), begun: crash.NewSet[crash.Part](maxBegunPrefixes),
+		begunRequests: crash.NewSet[crash.Part](maxBegunRequests), trials: crash.NewTrials(), checking: map[crash.Endpoint]bool{},
 		broken: map[crash.Endpoint]crash.Report{}, brokenAt: map[crash.Endpoint]time.Time{},
 	}
 }
@@ -58,23 +66,86 @@
 	return parts
 }
 
+// digest returns the identifier of a request and its repeats.
+func digest(r Request) crash.Part {
+	return crash.Identity{Service: r.Service, Caller: r.Team, Method: r.Method, Target: r.Path, Body: r.Body}.Digest()
+}
+
+// traits returns the prefixes of a request's prompt and the identifier of the request.
+func traits(r Request) crash.Prompt { return crash.NewPrompt(append(sharedPrefixes(r), digest(r))) }
+
 func incarnationOf(e membership.Endpoint) crash.Endpoint {
 	return crash.Endpoint{ID: e.Name, Born: e.Incarnation}
 }
 
-// recordBegun records that an answer has begun, so that the prefixes of its prompt are sound.
+// recordBegun records that an answer has begun, so that the request and the prefixes of its prompt are sound.
 func (c *crashes) recordBegun(now time.Time, r Request) {
-	parts := sharedPrefixes(r)
+	parts, request := sharedPrefixes(r), digest(r)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, part := range parts {
 		c.begun.Add(part)
+	}
+	c.begunRequests.Add(request)
+	for _, part := range append(parts, request) {
 		if c.evidence.Suspects(part) && c.evidence.Clear(now, part) {
 			c.revision++
 		}
 	}
 }
 
+func (c *crashes) hasBegun(part crash.Part) bool {
+	return c.begun.Has(part) || c.begunRequests.Has(part)
+}
+
+// beginTrial begins the trial of a suspect request, or returns why it is to be held back. It returns neither for a request
+// that is not suspect.
+func (c *crashes) beginTrial(now time.Time, r Request) (*crash.Trial, *crash.Hold) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evidence.Len() == 0 && len(c.checking) == 0 {
+		return nil, nil
+	}
+	var unknown crash.Prompt
+	for _, part := range traits(r) {
+		if !c.hasBegun(part) {
+			unknown = append(unknown, part)
+		}
+	}
+	if c.underCheck(unknown) {
+		return nil, &crash.Hold{Crashes: 1}
+	}
+	return c.trials.Begin(now, c.evidence, unknown)
+}
+
+// underCheck reports whether an endpoint is being checked that broke off a request with one of the parts.
+func (c *crashes) underCheck(parts crash.Prompt) bool {
+	for e := range c.checking {
+		for _, p := range c.broken[e].Prompts {
+			if slices.ContainsFunc(parts, func(part crash.Part) bool { return p.Contains([]crash.Part{part}) }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *crashes) endTrial(t *crash.Trial) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.trials.End(t)
+}
+
+// endCheck records whether an endpoint that broke off requests has crashed, as far as that can be told from its address.
+func (c *crashes) endCheck(now time.Time, e crash.Endpoint, crashed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.checking, e)
+	if crashed {
+		c.confirmLocked(now, e)
+	}
+}
+
 // recordAttempt records a failed attempt at an endpoint. One that broke off before the answer began may have crashed it; a
 // refused connection shows that it has. It reports whether the prompt is suspect, and whether the endpoint is to be
 // checked.
@@ -97,15 +168,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	suspects := slices.DeleteFunc(parts, c.begun.Has)
+	suspects = suspects[:min(len(suspects), maxSuspectPrefixes)]
+	if request := digest(r); !c.begunRequests.Has(request) {
+		suspects = append(suspects, request)
+	}
 	report, known := c.broken[e]
 	report.Endpoint = e
-	report, added = report.With(crash.NewPrompt(suspects[:min(len(suspects), maxSuspectPrefixes)]))
+	report, added = report.With(crash.NewPrompt(suspects))
 	if !added {
 		return len(suspects) > 0, false
 	}
 	c.broken[e] = report
 	if !known {
-		c.brokenAt[e] = now
+		c.brokenAt[e], c.checking[e] = now, true
 	}
 	return true, !known
 }
@@ -131,6 +206,7 @@
 func (c *crashes) forget(e crash.Endpoint) {
 	delete(c.broken, e)
 	delete(c.brokenAt, e)
+	delete(c.checking, e)
 }
 
 // observe finds out from the known endpoints which of those where attempts broke off have crashed: they are listed with a
@@ -149,25 +225,29 @@
 	}
 }
 
-// refusal returns a refusal if the request's prompt is blocked, or nil.
+// refusal returns a refusal if the request or its prompt is blocked, or nil.
 func (c *crashes) refusal(now time.Time, r Request) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.evidence.Signatures(now)) == 0 {
 		return nil
 	}
-	signature, blocked := c.evidence.Blocks(now, crash.NewPrompt(sharedPrefixes(r)))
+	signature, blocked := c.evidence.Blocks(now, traits(r))
 	if !blocked {
 		return nil
 	}
-	return problem.New(problem.PromptBlocked, http.StatusServiceUnavailable, "endpoints of service %q crashed %d times under the beginning of the prompt", r.Service, signature.Crashes).
+	code := problem.PromptBlocked
+	if slices.Contains(signature.Parts, digest(r)) {
+		code = problem.RequestBlocked
+	}
+	return problem.New(code, http.StatusServiceUnavailable, "endpoints of service %q crashed %d times under the request or the beginning of its prompt", r.Service, signature.Crashes).
 		WithRetryAfter(crash.Retention)
 }
 
-// isPromptBlocked reports whether an error is the refusal of a blocked prompt.
-func isPromptBlocked(err error) bool {
+// isBlocked reports whether an error is the refusal of a blocked request.
+func isBlocked(err error) bool {
 	var p *problem.Problem
-	return errors.As(err, &p) && p.Code == problem.PromptBlocked
+	return errors.As(err, &p) && (p.Code == problem.PromptBlocked || p.Code == problem.RequestBlocked)
 }
 
 // CrashFacts returns what this instance knows about crashes, and a number that increases when it changes.
@@ -197,7 +277,7 @@
 		c.revision++
 		for _, p := range added.Prompts {
 			for _, part := range p {
-				if c.begun.Has(part) {
+				if c.hasBegun(part) {
 					c.evidence.Clear(now, part)
 				}
 			}
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -1,14 +1,22 @@
 package dispatch
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net/http"
 	"slices"
+	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"arbutusreel/crash"
 	"arbutusreel/membership"
 	"arbutusreel/problem"
 	"arbutusreel/retry"
@@ -108,7 +116,7 @@
 		exchange()
 		before := crashed()
 		for i := range 12 {
-			if err := send(200+i, 1, 2, 3); crashed() == before && !isPromptBlocked(err) {
+			if err := send(200+i, 1, 2, 3); crashed() == before && !isBlocked(err) {
 				t.Errorf("not refused as blocked: %v", err)
 			}
 			if err := send(300+i, 1, 2); err != nil {
@@ -200,3 +208,64 @@
 		})
 	}
 }
+
+// crashingPlain is a plain service whose endpoints crash under calls with one body, and refuse connections from then on.
+type crashingPlain struct {
+	mu      sync.Mutex
+	deadly  string
+	crashed map[string]bool
+	// reached counts the calls with that body.
+	reached int
+}
+
+func (p *crashingPlain) Call(_ context.Context, e membership.Endpoint, r Request) (Reply, error) {
+	time.Sleep(15 * time.Millisecond)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.crashed[e.Name] {
+		return Reply{}, syscall.ECONNREFUSED
+	}
+	if string(r.Body) != p.deadly {
+		return Reply{Status: http.StatusOK}, nil
+	}
+	p.reached++
+	p.crashed[e.Name] = true
+	return Reply{}, io.ErrUnexpectedEOF
+}
+
+func (p *crashingPlain) RefusesConnections(_ context.Context, e membership.Endpoint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crashed[e.Name]
+}
+
+// TestCallCrashedEndpointsOneAfterTheOther has one call of a plain service, which comes again and again, crash each endpoint that
+// gets it: after three crashes it reaches none, and calls with other bodies stay served.
+func TestCallCrashedEndpointsOneAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		plain := &crashingPlain{deadly: "deadly", crashed: map[string]bool{}}
+		view := staticView{inv: mustInventory(contents())}
+		for i := range 8 {
+			view.endpoints = append(view.endpoints, membership.Endpoint{Name: fmt.Sprint("desk-", i), Region: "lahore", Service: "club-desk", Slots: 4})
+		}
+		d := New(Hop{Instance: "entry", Region: "lahore"}, view, nil, plain, nil, expected(rand.NewPCG(1, 1)), time.Now, rand.NewPCG(1, 2), zerolog.Nop())
+		call := func(body string) error {
+			_, err := d.Call(t.Context(), Request{Service: "club-desk", Class: "dish", Team: "lahore-club", Path: "/orders", Body: []byte(body), Deadline: time.Now().Add(10 * time.Second)})
+			return err
+		}
+		for range 10 {
+			_ = call(plain.deadly)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		if err := call(plain.deadly); !isBlocked(err) {
+			t.Errorf("not refused as blocked: %v", err)
+		}
+		if err := call("order"); err != nil {
+			t.Errorf("a sound call failed: %v", err)
+		}
+		if plain.reached > crash.MinCrashes {
+			t.Errorf("%d endpoints crashed", plain.reached)
+		}
+	})
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,12 +4,16 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"arbutusreel/clock"
+	"arbutusreel/crash"
 	"arbutusreel/inventory"
 	"arbutusreel/membership"
+	"arbutusreel/problem"
 	"arbutusreel/retry"
 	"arbutusreel/routing"
 	"arbutusreel/stream"
@@ -27,17 +31,23 @@
 
 // ModelCaller runs one attempt of a request on a model engine and passes the pieces of the answer to the sink.
 type ModelCaller interface {
+	CrashChecker
 	Generate(ctx context.Context, e membership.Endpoint, r Request, attempt Attempt, sink stream.Sink) (stream.End, error)
-	// RefusesConnections reports whether no process listens at the endpoint's address any more, after a connection to it
-	// broke.
-	RefusesConnections(ctx context.Context, e membership.Endpoint) bool
 }
 
 // PlainCaller sends a call to an endpoint of a plain service, without retries.
 type PlainCaller interface {
+	CrashChecker
 	Call(ctx context.Context, e membership.Endpoint, r Request) (Reply, error)
 }
 
+// CrashChecker finds out whether an endpoint has crashed.
+type CrashChecker interface {
+	// RefusesConnections reports whether no process listens at the endpoint's address any more, after a connection to it
+	// broke.
+	RefusesConnections(ctx context.Context, e membership.Endpoint) bool
+}
+
 // Forwarder forwards a request to an entry instance of another region.
 type Forwarder interface {
 	ForwardModel(ctx context.Context, region string, r Request, sink stream.Sink) (stream.End, error)
@@ -129,21 +139,16 @@
 		}
 	}()
 	for {
-		p, err := d.scheduler.place(ctx, j)
+		trial, err := d.awaitTrial(ctx, j)
 		if err != nil {
 			return stream.End{}, j.finalError(err)
 		}
-		before := j.pieces
-		end, err := d.generate(ctx, j, p, rec)
-		failure := classify(ctx, err, rec.sinkFailed)
-		d.scheduler.finish(j, p, err, failure)
+		end, again, err := d.tryGenerate(ctx, j, rec)
+		d.scheduler.crashes.endTrial(trial)
 		if err == nil {
 			return end, nil
 		}
-		if p.region == "" && d.recordAttempt(ctx, p.endpoint, r, j.pieces > before, err, failure) {
-			j.suspectBreaks++
-		}
-		if isPromptBlocked(err) || j.suspectBreaks >= maxSuspectBreaks || !d.awaitRetry(ctx, j, p, err, failure) {
+		if !again {
 			return stream.End{}, j.finalError(err)
 		}
 		if err := d.blockedRetry(j); err != nil {
@@ -152,6 +157,59 @@
 	}
 }
 
+// tryGenerate places a model request and makes one attempt. After a failure it reports whether the request is tried again,
+// after the wait for that.
+func (d *Dispatcher) tryGenerate(ctx context.Context, j *job, rec *recorder) (end stream.End, again bool, err error) {
+	p, err := d.scheduler.place(ctx, j)
+	if err != nil {
+		return stream.End{}, false, err
+	}
+	before := j.pieces
+	end, err = d.generate(ctx, j, p, rec)
+	failure := classify(ctx, err, rec.sinkFailed)
+	d.scheduler.finish(j, p, err, failure)
+	if err == nil {
+		return end, false, nil
+	}
+	d.countBreak(ctx, j, p, j.pieces > before, err, failure)
+	again = !isBlocked(err) && j.suspectBreaks < crash.MaxCrashes && d.awaitRetry(ctx, j, p, err, failure)
+	return stream.End{}, again, err
+}
+
+// countBreak counts a failed attempt if it broke off and the request may have crashed its endpoint.
+func (d *Dispatcher) countBreak(ctx context.Context, j *job, p *placement, began bool, err error, failure retry.Failure) {
+	if p.region == "" && d.recordAttempt(ctx, p.endpoint, j.request, began, err, failure) {
+		j.suspectBreaks++
+	}
+}
+
+// awaitTrial begins a trial if the request is suspect, after holding it back for as long as others with the same prefixes are
+// tried or the evidence settles. It returns a refusal if the request must not be sent.
+func (d *Dispatcher) awaitTrial(ctx context.Context, j *job) (*crash.Trial, error) {
+	if j.answerStarted() {
+		return nil, nil
+	}
+	c := d.scheduler.crashes
+	deadline := d.now().Add(crash.MaxHoldTime)
+	for {
+		now := d.now()
+		trial, hold := c.beginTrial(now, j.request)
+		if hold == nil || !now.Before(deadline) && hold.Crashes < crash.SettledCrashes {
+			return trial, nil
+		}
+		if !now.Before(deadline) || now.Add(holdPollPeriod).After(j.request.Deadline) {
+			return nil, problem.New(problem.NoCapacity, http.StatusServiceUnavailable, "endpoints of service %q crashed under the request or the beginning of its prompt", j.request.Service).
+				WithRetryAfter(suspectRetryAfter)
+		}
+		if !clock.Sleep(ctx, holdPollPeriod) {
+			return nil, ctx.Err()
+		}
+		if err := c.refusal(d.now(), j.request); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // recordAttempt records a failed attempt at an endpoint, and has the endpoint checked if it may have crashed. It reports
 // whether the prompt may have caused that.
 func (d *Dispatcher) recordAttempt(ctx context.Context, e membership.Endpoint, r Request, began bool, err error, failure retry.Failure) (suspect bool) {
@@ -161,10 +219,13 @@
 		return suspect
 	}
 	ctx = context.WithoutCancel(ctx)
+	var checker CrashChecker = d.plain
+	if r.Model != "" {
+		checker = d.models
+	}
 	go func() {
-		if d.models.RefusesConnections(ctx, e) {
-			c.confirm(d.now(), incarnationOf(e))
-		}
+		crashed := checker.RefusesConnections(ctx, e)
+		c.endCheck(d.now(), incarnationOf(e), crashed)
 	}()
 	return suspect
 }
@@ -215,21 +276,46 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	if err := d.scheduler.crashes.refusal(d.now(), r); err != nil {
+		return Reply{}, err
+	}
 	for {
-		p, err := d.scheduler.place(ctx, j)
+		trial, err := d.awaitTrial(ctx, j)
 		if err != nil {
 			return Reply{}, j.finalError(err)
 		}
-		reply, err := d.call(ctx, j, p)
-		failure := classify(ctx, err, false)
-		d.scheduler.finish(j, p, err, failure)
+		reply, again, err := d.tryCall(ctx, j)
+		d.scheduler.crashes.endTrial(trial)
 		if err == nil {
 			return reply, nil
 		}
-		if !d.awaitRetry(ctx, j, p, err, failure) {
+		if !again {
 			return Reply{}, j.finalError(err)
 		}
+		if err := d.blockedRetry(j); err != nil {
+			return Reply{}, j.finalError(err)
+		}
+	}
+}
+
+// tryCall is tryGenerate for a call of a plain service.
+func (d *Dispatcher) tryCall(ctx context.Context, j *job) (reply Reply, again bool, err error) {
+	p, err := d.scheduler.place(ctx, j)
+	if err != nil {
+		return Reply{}, false, err
+	}
+	reply, err = d.call(ctx, j, p)
+	failure := classify(ctx, err, false)
+	d.scheduler.finish(j, p, err, failure)
+	if err == nil {
+		if reply.Status < http.StatusInternalServerError {
+			d.scheduler.crashes.recordBegun(d.now(), j.request)
+		}
+		return reply, false, nil
 	}
+	d.countBreak(ctx, j, p, false, err, failure)
+	again = !isBlocked(err) && j.suspectBreaks < crash.MaxCrashes && d.awaitRetry(ctx, j, p, err, failure)
+	return Reply{}, again, err
 }
 
 func (d *Dispatcher) call(ctx context.Context, j *job, p *placement) (Reply, error) {
--- a/dispatch/retry_test.go
+++ b/dispatch/retry_test.go
@@ -78,6 +78,8 @@
 	calls  int
 }
 
+func (s *scriptedPlain) RefusesConnections(context.Context, membership.Endpoint) bool { return false }
+
 func (s *scriptedPlain) Call(context.Context, membership.Endpoint, Request) (Reply, error) {
 	s.calls++
 	if s.calls <= len(s.script) && s.script[s.calls-1] != nil {
--- a/endpoint/plain.go
+++ b/endpoint/plain.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"arbutusreel/dispatch"
+	"arbutusreel/exchange"
 	"arbutusreel/membership"
 )
 
@@ -21,6 +22,11 @@
 // NewPlainClient returns a client of plain services.
 func NewPlainClient() *PlainClient { return &PlainClient{} }
 
+// RefusesConnections reports whether no process listens at the endpoint's address any more, after a connection to it broke.
+func (p *PlainClient) RefusesConnections(ctx context.Context, e membership.Endpoint) bool {
+	return exchange.RefusesConnections(ctx, e.Address, connectTimeout)
+}
+
 func rejectRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // singleReadBody is a body that can be read only once, so that it cannot be sent again.
