List a failing test: a gateway that is cut off reports sound endpoints as crashed

A gateway that lost its connections by resets, and whose new ones were refused, reported four sound endpoints as crashed to all gateways; these blocked the part that its requests had in common, though they reached the endpoints all the while.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -37,6 +37,8 @@
 	gateways []*testGateway
 	// endpoints holds the endpoints of each region.
 	endpoints map[string][]*crashEndpoint
+	// links holds the links of gateways that are not connected directly, by gateway and endpoint.
+	links map[string]map[string]*link
 	// reached counts the requests with crashing parts that reached endpoints, crashed the endpoints that have crashed,
 	// and calls the requests of callers.
 	reached, crashed, calls atomic.Int32
@@ -175,13 +177,37 @@
 	for _, g := range f.gateways {
 		v := &view{table: f.table, endpoints: map[string][]fleet.Endpoint{}, software: newSoftwareVersions(), gateways: all, updatedAt: time.Now(), current: true}
 		for _, e := range f.endpoints[g.cfg.Region] {
-			v.endpoints["desk"] = append(v.endpoints["desk"], e.Endpoint)
+			listed := e.Endpoint
+			if l := f.links[g.cfg.Name][e.ID]; l != nil {
+				listed.Address = l.address
+			}
+			v.endpoints["desk"] = append(v.endpoints["desk"], listed)
 			v.software.add(e.Endpoint, g.cfg.Region, true)
 		}
 		g.view.Store(v)
 	}
 }
 
+// connect has a gateway reach the endpoints of its region over links.
+func (f *crashFleet) connect(g *testGateway) {
+	f.t.Helper()
+	if f.links == nil {
+		f.links = map[string]map[string]*link{}
+	}
+	f.links[g.cfg.Name] = map[string]*link{}
+	for _, e := range f.endpoints[g.cfg.Region] {
+		f.links[g.cfg.Name][e.ID] = newLink(f.t, e.Address)
+	}
+	f.publish()
+}
+
+// cut cuts all links of a gateway.
+func (f *crashFleet) cut(g *testGateway, kind cutKind) {
+	for _, l := range f.links[g.cfg.Name] {
+		l.cut(kind)
+	}
+}
+
 // call sends a stream request whose prompt has the shared parts and one of its own.
 func (f *crashFleet) call(g *testGateway, shared ...string) result {
 	n := f.calls.Add(1)
