--- a/control/gateways_test.go
+++ b/control/gateways_test.go
@@ -6,6 +6,7 @@
 
 	"arbutusreel/fleet"
 	"arbutusreel/wire"
+	"arbutusreel/wiregen"
 )
 
 // TestRegionTakenForLostWithoutQuorum has two of three control daemons end, so that the third gets neither reports of the
@@ -106,3 +107,36 @@
 		})
 	}
 }
+
+// TestHeardOlderIncarnation asks a control daemon when it last heard from an endpoint: a heartbeat of another incarnation says
+// nothing about it, and the latest one of its own counts.
+func TestHeardOlderIncarnation(t *testing.T) {
+	d := start(t, newConfigs(t, 1, 0)[0])
+	now := time.Now()
+	heard := func(id string, born int64) (bool, time.Duration) {
+		a, err := d.Heard(t.Context(), &wiregen.EndpointQuery{Endpoint: id, Born: born})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a.GetKnown(), time.Duration(a.GetSilentMillis()) * time.Millisecond
+	}
+	announce := func(born, sequence int64, age time.Duration) {
+		d.Announce(fleet.Endpoint{ID: "e", Born: born, Sequence: sequence, Service: "s", Address: "10.0.0.1:1", LastSeen: now.Add(-age)})
+	}
+	announce(5, 1, time.Minute)
+	if known, silence := heard("e", 5); !known || silence < time.Minute {
+		t.Errorf("silent for %v, known: %v", silence, known)
+	}
+	announce(5, 2, time.Second)
+	if _, silence := heard("e", 5); silence >= time.Minute {
+		t.Errorf("silent for %v after a heartbeat", silence)
+	}
+	for _, c := range []struct {
+		id   string
+		born int64
+	}{{"e", 4}, {"e", 6}, {"f", 5}} {
+		if known, _ := heard(c.id, c.born); known {
+			t.Errorf("heard from %s, born at %d", c.id, c.born)
+		}
+	}
+}
--- a/gateway/crashchecks.go
+++ b/gateway/crashchecks.go
@@ -73,10 +73,12 @@
 // checkCrash finds out whether an endpoint has crashed, and reports it to all gateways. The end of one that is leaving is
 // planned.
 func (g *Gateway) checkCrash(ctx context.Context, e fleet.Endpoint) {
-	crashed := exchange.RefusesConnections(ctx, e.Address, endpointConnectTimeout)
+	began := time.Now()
+	refused := exchange.RefusesConnections(ctx, e.Address, endpointConnectTimeout)
 	planned := !g.view.Load().serves(e) || g.placer.departs(e)
-	report := g.crashes.endCheck(time.Now(), crash.Endpoint{ID: e.ID, Born: e.Born}, crashed && !planned)
-	g.log.Info().Str("endpoint", e.ID).Int64("born", e.Born).Str("address", e.Address).Bool("crashed", crashed).Bool("planned", planned).
+	crashed := refused && !planned && g.confirmCrash(ctx, e, began)
+	report := g.crashes.endCheck(time.Now(), crash.Endpoint{ID: e.ID, Born: e.Born}, crashed)
+	g.log.Info().Str("endpoint", e.ID).Int64("born", e.Born).Str("address", e.Address).Bool("refused", refused).Bool("crashed", crashed).Bool("planned", planned).
 		Strs("suspects", formatPrompts(report.Prompts)).Msg("connections to endpoint broke")
 }
 
--- /dev/null
+++ b/gateway/crashconfirm.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"arbutusreel/clock"
+	"arbutusreel/exchange"
+	"arbutusreel/fleet"
+	"arbutusreel/wiregen"
+)
+
+const (
+	// reachTimeout bounds the question to other gateways of the region whether they reach an endpoint: its own attempts to connect
+	// and a round trip.
+	reachTimeout = 2*endpointConnectTimeout + 100*time.Millisecond
+	// maxReachProbes is the number of other endpoints that are tried to find out whether this gateway reaches any.
+	maxReachProbes = 3
+	// heartbeatWait is how long after a break an endpoint that goes on has sent a heartbeat: two of their usual intervals.
+	heartbeatWait = 2500 * time.Millisecond
+	// heardTimeout bounds the question to the control daemons for an endpoint's heartbeats.
+	heardTimeout = time.Second
+)
+
+// confirmCrash reports whether an endpoint that refuses connections since the given time has ended. A gateway that is cut off
+// from endpoints is refused connections, too, so that another gateway of the region decides, or else whether other endpoints are
+// reached from here, or else the endpoint's heartbeats.
+func (g *Gateway) confirmCrash(ctx context.Context, e fleet.Endpoint, since time.Time) bool {
+	reached, ended := g.askReach(ctx, e)
+	switch {
+	case reached:
+		return false
+	case ended || g.reachesAnother(ctx, e.ID):
+		return true
+	default:
+		return g.isSilent(ctx, e, since)
+	}
+}
+
+// askReach asks other gateways of the region whether they reach an endpoint, and whether it has ended.
+func (g *Gateway) askReach(ctx context.Context, e fleet.Endpoint) (reached, ended bool) {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	clients := g.originPeers.regionClients(g.cfg.Region)
+	answers := make(chan *wiregen.EndpointReach, len(clients))
+	for _, client := range clients {
+		go func() {
+			a, err := client.Reach(ctx, &wiregen.EndpointQuery{Endpoint: e.ID, Born: e.Born})
+			if err != nil {
+				a = nil
+			}
+			answers <- a
+		}()
+	}
+	for range clients {
+		a := <-answers
+		reached, ended = reached || a.GetReached(), ended || a.GetEnded()
+	}
+	return reached, ended
+}
+
+// Reach tells another gateway of the region whether this one reaches an endpoint.
+func (g *Gateway) Reach(ctx context.Context, m *wiregen.EndpointQuery) (*wiregen.EndpointReach, error) {
+	e, ok := g.view.Load().find(m.GetEndpoint())
+	if !ok || e.Born < m.GetBorn() {
+		return &wiregen.EndpointReach{}, nil
+	}
+	if e.Born > m.GetBorn() {
+		return &wiregen.EndpointReach{Ended: true}, nil
+	}
+	connected, refused := exchange.Probe(ctx, e.Address, endpointConnectTimeout)
+	return &wiregen.EndpointReach{Reached: connected, Ended: refused && g.reachesAnother(ctx, e.ID)}, nil
+}
+
+// find returns the endpoint of this region with an ID if it is listed as ready.
+func (v *view) find(id string) (fleet.Endpoint, bool) {
+	for _, endpoints := range v.endpoints {
+		for _, e := range endpoints {
+			if e.ID == id {
+				return e, true
+			}
+		}
+	}
+	return fleet.Endpoint{}, false
+}
+
+// reachesAnother reports whether this gateway can connect to another endpoint of the region than the one with the ID.
+func (g *Gateway) reachesAnother(ctx context.Context, except string) bool {
+	var others []fleet.Endpoint
+	for _, endpoints := range g.view.Load().endpoints {
+		for _, e := range endpoints {
+			if e.ID != except {
+				others = append(others, e)
+			}
+		}
+	}
+	others = g.placer.sample(others, maxReachProbes)
+	results := make(chan bool, len(others))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, e := range others {
+		go func() {
+			connected, _ := exchange.Probe(ctx, e.Address, endpointConnectTimeout)
+			results <- connected
+		}()
+	}
+	for range others {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
+
+// sample returns at most n of the endpoints, drawn at random.
+func (p *placer) sample(endpoints []fleet.Endpoint, n int) []fleet.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rng.Shuffle(len(endpoints), func(i, k int) { endpoints[i], endpoints[k] = endpoints[k], endpoints[i] })
+	return endpoints[:min(n, len(endpoints))]
+}
+
+// isSilent reports whether an endpoint has sent no heartbeat since a time, once it should have, or has started anew. It returns
+// false if no control daemon knows.
+func (g *Gateway) isSilent(ctx context.Context, e fleet.Endpoint, since time.Time) bool {
+	if !clock.Sleep(ctx, heartbeatWait-time.Since(since)) {
+		return false
+	}
+	if listed, ok := g.view.Load().find(e.ID); ok && listed.Born > e.Born {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, heardTimeout)
+	defer cancel()
+	addresses := g.controlAddresses()
+	answers := make(chan *wiregen.EndpointHeard, len(addresses))
+	for _, address := range addresses {
+		go func() { answers <- g.askHeard(ctx, address, e) }()
+	}
+	known := false
+	for range addresses {
+		a := <-answers
+		if !a.GetKnown() {
+			continue
+		}
+		known = true
+		if time.Duration(a.GetSilentMillis())*time.Millisecond < time.Since(since) {
+			return false
+		}
+	}
+	return known
+}
+
+// askHeard asks a control daemon when it last heard from an endpoint, and returns nil if it doesn't answer.
+func (g *Gateway) askHeard(ctx context.Context, address string, e fleet.Endpoint) *wiregen.EndpointHeard {
+	conn, err := g.cfg.Keys.Dial(address, maxUpdateBytes)
+	if err != nil {
+		return nil
+	}
+	defer conn.Close()
+	a, err := wiregen.NewFleetClient(conn).Heard(ctx, &wiregen.EndpointQuery{Endpoint: e.ID, Born: e.Born})
+	if err != nil {
+		return nil
+	}
+	return a
+}
--- a/gateway/originpeers.go
+++ b/gateway/originpeers.go
@@ -62,6 +62,19 @@
 	return all
 }
 
+// regionClients returns clients of the peers in a region.
+func (p *originPeers) regionClients(region string) []wiregen.OutstandingClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []wiregen.OutstandingClient
+	for _, peer := range p.peers {
+		if peer.gateway.Region == region {
+			all = append(all, wiregen.NewOutstandingClient(peer.conn))
+		}
+	}
+	return all
+}
+
 // update opens and closes connections so that the peers are the chosen gateways. It calls begin for each new one, with a
 // context that ends with the peer or with ctx.
 func (p *originPeers) update(ctx context.Context, chosen []fleet.Gateway, begin func(ctx context.Context, peer *originPeer)) error {
