List a failing test: gateways cut off from all endpoints refuse their callers

Two of three gateways of a region, cut off silently or by resets, served 0 of 285 to 291 requests each; the third one reached all endpoints.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -149,6 +149,7 @@
 	cfg.Name, cfg.Region, cfg.FailureDomain, cfg.LoadAddress = name, region, region+"-a", l.Addr().String()
 	g := &testGateway{Gateway: New(cfg, zerolog.Nop(), rand.NewPCG(1, uint64(len(f.gateways))))}
 	g.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, false) }))
+	g.cfg.ForwardAddress = newForwardServer(f.t, g)
 	server := grpc.NewServer(grpc.Creds(cfg.Keys.Server()))
 	wiregen.RegisterOutstandingServer(server, g)
 	go func() { _ = server.Serve(l) }()
@@ -171,7 +172,8 @@
 	var all []fleet.Gateway
 	for _, g := range f.gateways {
 		all = append(all, fleet.Gateway{
-			Name: g.cfg.Name, Region: g.cfg.Region, FailureDomain: g.cfg.FailureDomain, LoadAddress: g.cfg.LoadAddress, Born: g.born, Ready: true,
+			Name: g.cfg.Name, Region: g.cfg.Region, FailureDomain: g.cfg.FailureDomain, LoadAddress: g.cfg.LoadAddress,
+			ForwardAddress: g.cfg.ForwardAddress, Born: g.born, Ready: true,
 		})
 	}
 	for _, g := range f.gateways {
