Hand requests to gateways of the region that reach its endpoints

Cause: a gateway judged endpoints by its own links, and forwarded to other regions only, never to a gateway of its own region that reached the endpoints. What a region has left was reported by its first gateway by name, cut off or not, so that the other regions took it for empty. The class: a fault of the observer taken for one of the observed.

Now a gateway tells its own reach from the endpoints' health (gateway/reach.go). When two endpoints in a row can't be connected to, or nothing arrives while requests wait, it connects to some others; if it reaches none and another gateway does, it is stranded. Whole requests, streams and resumes go to gateways of the region that reach endpoints, one hop, with deadline, attempts, crashes and cancellation carried as for forwards; other regions come after. It stays ready, probes two endpoints a second, and takes its requests back over two seconds. Its state goes with the gateways' reports: others forward past it, another one reports the region's capacity, its shares of limits and cold endpoints fall to others, and the failures that it told of endpoints are withdrawn.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -80,6 +80,8 @@
 	Lingering bool
 	// Closing gateways are stopping, and accept only requests that end before they do.
 	Closing bool
+	// Stranded gateways reach no endpoint of their region; they accept callers, and hand requests to other gateways.
+	Stranded bool
 	// LastSeen is the time of the last report.
 	LastSeen time.Time
 }
--- a/fleet/nearest.go
+++ b/fleet/nearest.go
@@ -123,3 +123,11 @@
 	}
 	return nil
 }
+
+// Reaching returns the gateways that are not stranded, or all if all are.
+func Reaching(gateways []Gateway) []Gateway {
+	if reaching := slices.DeleteFunc(slices.Clone(gateways), func(g Gateway) bool { return g.Stranded }); len(reaching) > 0 {
+		return reaching
+	}
+	return gateways
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"arbutusreel/capacity"
@@ -28,6 +29,8 @@
 	// firstAt is the time of the first piece; zero before.
 	firstAt time.Time
 	probe   retry.Probe
+	// endpointHeardNanos is when anything last arrived from the endpoint.
+	endpointHeardNanos *atomic.Int64
 }
 
 // begin records a request as sent.
@@ -47,6 +50,7 @@
 	return &attempt{
 		placer: p, endpoint: d.endpoint, service: service, load: d.addedLoad, work: w, queuedTokens: d.backlog.PromptTokens.Before(d.rank) + d.uncachedTokens,
 		uncachedTokens: d.uncachedTokens, full: d.full, preemptedShare: d.preemptedShare, sent: now, probe: p.endpointBreakers.Begin(now, d.endpoint.ID),
+		endpointHeardNanos: &s.heardNanos,
 	}
 }
 
@@ -130,6 +134,10 @@
 		s.outstanding = s.outstanding.WithBegun(a.load)
 	}
 	p.markChanged(a.endpoint.ID)
+	delete(p.reach.waiting, a)
+	if how == unreached {
+		p.reach.recordUnconnected(a.endpoint.ID, p.holdersView.listedCount())
+	}
 	if s.born != a.endpoint.Born {
 		// The outcome says nothing about the incarnation that has started since.
 		p.endpointBreakers.End(a.endpoint.ID, a.probe)
@@ -200,13 +208,19 @@
 	if ok {
 		p.gatewayBreakers.Answered(now, d.gateway.Name, d.probe)
 		p.gatewayBreakers.Succeeded(now, d.gateway.Name)
+	} else {
+		p.gatewayBreakers.Unreached(now, d.gateway.Name)
+	}
+	p.gatewayBreakers.End(d.gateway.Name, d.probe)
+	if d.handed {
+		return false
+	}
+	if ok {
 		p.regionBreakers.Answered(now, d.region, d.regionProbe)
 		p.regionBreakers.Succeeded(now, d.region)
 	} else {
-		p.gatewayBreakers.Unreached(now, d.gateway.Name)
 		regionOpened = p.regionBreakers.Failed(now, d.region) == retry.Open
 	}
-	p.gatewayBreakers.End(d.gateway.Name, d.probe)
 	p.regionBreakers.End(d.region, d.regionProbe)
 	return regionOpened
 }
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -34,7 +34,7 @@
 	if s.ColdRate <= 0 {
 		return 1 << 30
 	}
-	if now.Sub(p.firstDecisionAt) < coldHoldoffTime {
+	if p.reach.stranded || now.Sub(p.firstDecisionAt) < coldHoldoffTime {
 		return 0
 	}
 	total := int(coldRateShare * (s.ColdRate*p.cfg.ColdBurst + p.cfg.ColdReserve))
@@ -55,9 +55,14 @@
 	}
 	if p.holdersView != v {
 		p.holdersView = v
+		clear(p.strandedHolders)
 		for _, g := range v.gateways {
-			if g.Region == p.cfg.Region {
-				p.shareHolders[g.Name] = now
+			if g.Region != p.cfg.Region {
+				continue
+			}
+			p.shareHolders[g.Name] = now
+			if g.Stranded {
+				p.strandedHolders[g.Name] = true
 			}
 		}
 	}
@@ -67,6 +72,8 @@
 		case name == p.cfg.Name:
 		case now.Sub(seen) > coldShareTTL && !v.listsGateway(name):
 			delete(p.shareHolders, name)
+		case p.strandedHolders[name]:
+			// It sends nothing, and waits for coldHoldoffTime once it reaches endpoints again.
 		default:
 			n++
 			if name < p.cfg.Name {
--- a/gateway/crashconfirm.go
+++ b/gateway/crashconfirm.go
@@ -86,25 +86,21 @@
 
 // reachesAnother reports whether this gateway can connect to another endpoint of the region than the one with the ID.
 func (g *Gateway) reachesAnother(ctx context.Context, except string) bool {
-	var others []fleet.Endpoint
-	for _, endpoints := range g.view.Load().endpoints {
-		for _, e := range endpoints {
-			if e.ID != except {
-				others = append(others, e)
-			}
-		}
-	}
-	others = g.placer.sample(others, maxReachProbes)
-	results := make(chan bool, len(others))
+	return connectsToAny(ctx, sample(g.placer, g.view.Load().listed(except), maxReachProbes))
+}
+
+// connectsToAny reports whether a connection to one of the endpoints succeeds. It tries all at once.
+func connectsToAny(ctx context.Context, endpoints []fleet.Endpoint) bool {
+	results := make(chan bool, len(endpoints))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	for _, e := range others {
+	for _, e := range endpoints {
 		go func() {
 			connected, _ := exchange.Probe(ctx, e.Address, endpointConnectTimeout)
 			results <- connected
 		}()
 	}
-	for range others {
+	for range endpoints {
 		if <-results {
 			return true
 		}
@@ -112,12 +108,12 @@
 	return false
 }
 
-// sample returns at most n of the endpoints, drawn at random.
-func (p *placer) sample(endpoints []fleet.Endpoint, n int) []fleet.Endpoint {
+// sample returns at most n of the elements, drawn at random by the placer's source. It changes their order.
+func sample[T any](p *placer, all []T, n int) []T {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.rng.Shuffle(len(endpoints), func(i, k int) { endpoints[i], endpoints[k] = endpoints[k], endpoints[i] })
-	return endpoints[:min(n, len(endpoints))]
+	p.rng.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
+	return all[:min(n, len(all))]
 }
 
 // isSilent reports whether an endpoint has sent no heartbeat since a time, once it should have, or has started anew. It returns
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -158,6 +158,7 @@
 	g.wg.Go(func() { g.reportLoads(g.workCtx) })
 	g.wg.Go(func() { g.keepOriginPeers(g.workCtx) })
 	g.wg.Go(func() { g.checkCrashes(g.workCtx) })
+	g.wg.Go(func() { g.keepReach(g.workCtx) })
 	f.t.Cleanup(func() {
 		g.server.Close()
 		g.cancelWork()
@@ -173,7 +174,7 @@
 	for _, g := range f.gateways {
 		all = append(all, fleet.Gateway{
 			Name: g.cfg.Name, Region: g.cfg.Region, FailureDomain: g.cfg.FailureDomain, LoadAddress: g.cfg.LoadAddress,
-			ForwardAddress: g.cfg.ForwardAddress, Born: g.born, Ready: true,
+			ForwardAddress: g.cfg.ForwardAddress, Born: g.born, Ready: true, Stranded: g.placer.isStranded(),
 		})
 	}
 	for _, g := range f.gateways {
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -64,6 +64,12 @@
 	return fmt.Sprintf("the endpoint sent nothing for %v", e.Limit)
 }
 
+// StrandedError reports that no endpoint of the region is reached from here.
+type StrandedError struct{}
+
+// Error says what is not reached.
+func (e *StrandedError) Error() string { return "no endpoint of the region is reached from here" }
+
 // EventOrderError reports that an event of a resumed stream does not follow the one before it.
 type EventOrderError struct {
 	Want, Got int64
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -10,16 +10,23 @@
 	"arbutusreel/problem"
 )
 
-// forward sends the request to a gateway of another region.
+// peerMargin is what forwardMargin is for a gateway of the same region.
+const peerMargin = 10 * time.Millisecond
+
+// forward sends the request to another gateway, of this region if it is handed over or else of another one.
 func (j *job) forward(d decision) nextStep {
 	g := j.g
 	now := time.Now()
 	j.tried[d.gateway.Name] = true
 	j.chargedRuns = max(j.maxRuns()-j.runs, 1)
+	margin, oneWay := forwardMargin, g.cfg.RegionRoundTrip/2
+	if d.handed {
+		margin, oneWay = peerMargin, 0
+	}
 	h := copyHeader(j.r.Header)
-	g.cfg.Headers.Forward(h, j.deadline.Sub(now)-forwardMargin)
+	g.cfg.Headers.Forward(h, j.deadline.Sub(now)-margin)
 	if j.streaming() {
-		g.cfg.Headers.Prepare(h, EndpointHeaders{TimeLeft: j.deadline.Sub(now) - forwardMargin, Urgency: -1, LastEvent: j.lastEvent()})
+		g.cfg.Headers.Prepare(h, EndpointHeaders{TimeLeft: j.deadline.Sub(now) - margin, Urgency: -1, LastEvent: j.lastEvent()})
 	}
 	if j.began != nil {
 		h.Set(originHeader, formatOrigin(*j.began))
@@ -29,7 +36,7 @@
 		h.Set(crashesHeader, strconv.Itoa(j.crashes))
 	}
 	h.Set(drawHeader, strconv.FormatFloat(j.draw, 'g', -1, 64))
-	h.Set(ageHeader, strconv.FormatInt((j.age+now.Sub(j.received)+g.cfg.RegionRoundTrip/2).Milliseconds(), 10))
+	h.Set(ageHeader, strconv.FormatInt((j.age+now.Sub(j.received)+oneWay).Milliseconds(), 10))
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	defer cancel(nil)
 	timer := j.startFirstTimer(d, cancel)
@@ -62,10 +69,12 @@
 	return step
 }
 
-// recordForwardFailure records a failure that the gateway of another region reported itself, without the answer of an
-// endpoint. Its region is not tried again.
+// recordForwardFailure records a failure that another gateway reported itself, without the answer of an endpoint. Its region is not
+// tried again, unless it is only that gateway which reaches no endpoint.
 func (j *job) recordForwardFailure(d decision, answer *exchange.Response, o problem.Outcome) nextStep {
-	j.tried[d.region] = true
+	if problem.Code(answer.Header.Get(codeHeader)) != problem.Stranded {
+		j.tried[d.region] = true
+	}
 	if o != problem.NotRun {
 		j.sends++
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,6 +126,7 @@
 		crashes: newCrashes(cfg.Metrics), broken: make(chan fleet.Endpoint, maxCrashChecks),
 		workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
 	}
+	cfg.Metrics.Publish("stranded", expvar.Func(func() any { return g.placer.isStranded() }))
 	cfg.Metrics.Publish("limitedEndpoints", expvar.Func(func() any { return g.placer.limitedEndpoints() }))
 	g.latencies = newLatencies(cfg.Metrics, g.pool)
 	g.view.Store(&view{})
@@ -206,6 +207,7 @@
 	g.wg.Go(func() { g.keepOriginPeers(g.workCtx) })
 	g.wg.Go(func() { g.fetchOrigins(g.workCtx) })
 	g.wg.Go(func() { g.checkCrashes(g.workCtx) })
+	g.wg.Go(func() { g.keepReach(g.workCtx) })
 	g.wg.Go(func() { g.closeExpiredConns(g.workCtx) })
 	g.wg.Go(func() { g.keepPartnersWarm(g.workCtx) })
 	g.log.Info().Str("callerAddress", g.cfg.CallerAddress).Str("domain", g.cfg.FailureDomain).Strs("controls", g.cfg.Controls).Msg("started")
--- a/gateway/limited.go
+++ b/gateway/limited.go
@@ -73,7 +73,7 @@
 	if !l.named {
 		return true
 	}
-	if now.Sub(p.firstDecisionAt) < coldHoldoffTime {
+	if p.reach.stranded || now.Sub(p.firstDecisionAt) < coldHoldoffTime {
 		return false
 	}
 	frame := frameOf(now)
--- a/gateway/link_test.go
+++ b/gateway/link_test.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
-	"io"
 	"net"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // link is the network path between one gateway and one endpoint, which may be cut.
@@ -20,8 +20,11 @@
 	conns map[net.Conn]net.Conn
 	// silent links carry no bytes.
 	silent bool
-	// queued fills the queue of new connections of a silent link.
-	queued []net.Conn
+	// queued fills the queue of new connections of a silent link, and silentListener is its socket.
+	queued         []net.Conn
+	silentListener int
+	// resumed is closed and replaced when a silence ends.
+	resumed chan struct{}
 }
 
 // cutKind is how a link is cut.
@@ -41,14 +44,19 @@
 // newLink returns a link to an endpoint's address.
 func newLink(t testing.TB, target string) *link {
 	t.Helper()
-	l := &link{t: t, target: target, conns: map[net.Conn]net.Conn{}}
+	l := &link{t: t, target: target, conns: map[net.Conn]net.Conn{}, resumed: make(chan struct{})}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	l.address = listener.Addr().String()
 	l.serve(listener)
-	t.Cleanup(func() { l.cut(resetCut) })
+	t.Cleanup(func() {
+		l.cut(resetCut)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.endSilence()
+	})
 	return l
 }
 
@@ -85,11 +93,14 @@
 	for {
 		n, err := from.Read(buffer)
 		l.mu.Lock()
-		silent := l.silent
+		silent, resumed := l.silent, l.resumed
 		l.mu.Unlock()
 		if silent {
-			_, _ = io.Copy(io.Discard, from)
-			return
+			select {
+			case <-resumed:
+			case <-l.t.Context().Done():
+				return
+			}
 		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
@@ -127,6 +138,37 @@
 	}
 }
 
+// restore ends a silent cut: what the open connections held up arrives, and new ones succeed.
+func (l *link) restore() {
+	l.mu.Lock()
+	l.endSilence()
+	close(l.resumed)
+	l.resumed = make(chan struct{})
+	l.mu.Unlock()
+	var listener net.Listener
+	var err error
+	for range 50 {
+		if listener, err = net.Listen("tcp", l.address); err == nil {
+			l.serve(listener)
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	l.t.Error(err)
+}
+
+// endSilence closes the listener of a silent link.
+func (l *link) endSilence() {
+	for _, conn := range l.queued {
+		_ = conn.Close()
+	}
+	l.queued = nil
+	if l.silentListener > 0 {
+		_ = syscall.Close(l.silentListener)
+		l.silentListener = 0
+	}
+}
+
 // listenSilently lets new connections hang: the queue of the listener is full.
 func (l *link) listenSilently() {
 	address, err := net.ResolveTCPAddr("tcp", l.address)
@@ -150,12 +192,11 @@
 		l.t.Error(err)
 		return
 	}
-	l.t.Cleanup(func() { _ = syscall.Close(fd) })
+	l.silentListener = fd
 	conn, err := net.Dial("tcp", l.address)
 	if err != nil {
 		l.t.Error(err)
 		return
 	}
 	l.queued = append(l.queued, conn)
-	l.t.Cleanup(func() { _ = conn.Close() })
 }
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -56,6 +56,7 @@
 			linkedAt = now
 			g.updateLoadStreams(ctx, streams)
 			logged = g.logSignatures(now, logged)
+			g.placer.checkSilence(now)
 		}
 		whole := now.Sub(wholeAt) >= wholeReportPeriod
 		if whole {
--- a/gateway/partners.go
+++ b/gateway/partners.go
@@ -34,7 +34,7 @@
 	defer p.mu.Unlock()
 	reachable := map[string][]fleet.Gateway{}
 	for _, g := range v.gateways {
-		if g.Region != p.cfg.Region && p.gatewayBreakers.State(now, g.Name) == retry.Closed &&
+		if g.Region != p.cfg.Region && !g.Stranded && p.gatewayBreakers.State(now, g.Name) == retry.Closed &&
 			p.regionBreakers.State(now, g.Region) == retry.Closed {
 			reachable[g.Region] = append(reachable[g.Region], g)
 		}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutusreel/capacity"
@@ -42,6 +43,8 @@
 	// pausedUntil is the end of the pause that the endpoint asked this gateway for.
 	pausedUntil time.Time
 	limit       endpointLimit
+	// heardNanos is when anything last arrived from the endpoint, in Unix time.
+	heardNanos atomic.Int64
 }
 
 // placer selects the endpoint or the region for each request. It does no I/O and is safe for concurrent use.
@@ -85,10 +88,12 @@
 	candidates []capacity.Candidate
 	endpoints  []*fleet.Endpoint
 	// firstDecisionAt is the time of the first decision. shareHolders maps each gateway of the region to the time when
-	// it was last listed, as of holdersView.
+	// it was last listed, as of holdersView, and strandedHolders those that reach no endpoint.
 	firstDecisionAt time.Time
 	shareHolders    map[string]time.Time
+	strandedHolders map[string]bool
 	holdersView     *view
+	reach           *reach
 	// sweptAt is when expired peers and departures were last removed.
 	sweptAt time.Time
 }
@@ -119,6 +124,9 @@
 		changedLimits:    map[string]bool{},
 		returns:          map[string]*returns{},
 		shareHolders:     map[string]time.Time{},
+		strandedHolders:  map[string]bool{},
+		holdersView:      &view{},
+		reach:            newReach(),
 	}
 }
 
@@ -149,12 +157,14 @@
 	return q.route.Allows(region) && (q.began == nil || v.software.serves(region, *q.began))
 }
 
-// decision is the result of a query: an endpoint of this region, a gateway of another region, or a refusal.
+// decision is the result of a query: an endpoint of this region, a gateway of this or another region, or a refusal.
 type decision struct {
 	verdict  capacity.Verdict
 	endpoint fleet.Endpoint
 	gateway  fleet.Gateway
+	// region is that of the gateway; empty if there is none. handed reports that it is this one.
 	region   string
+	handed   bool
 	expected time.Duration
 	// cost is the expected time plus the penalties of the candidate.
 	cost           time.Duration
@@ -187,7 +197,9 @@
 	// reasonPaused: all endpoints of the region have asked this gateway to pause.
 	reasonPaused = "paused"
 	// reasonLimited: the limits of all endpoints of the region leave this gateway no request now.
-	reasonLimited            = "limited"
+	reasonLimited = "limited"
+	// reasonStranded: no endpoint of the region is reached from here, and no other gateway of it may take the request.
+	reasonStranded           = "stranded"
 	reasonNotAllowedInRegion = "notAllowedInRegion"
 )
 
@@ -197,7 +209,8 @@
 	defer p.mu.Unlock()
 	speed := p.currentSpeed(now, v, q.service.Name)
 	q.work.Rank = capacity.Rank(q.route.Priority, false)
-	local, endpoints, held := p.localCandidates(now, v, q)
+	peers := p.peersToHandTo(now, v, q)
+	local, endpoints, held := p.localCandidates(now, v, q, len(peers) > 0)
 	choice, ok := capacity.Choose(local, q.work, speed, fetchTimePerToken(q.service), q.route.Objective, p.rng.Float64())
 	here := decision{verdict: capacity.Refuse, expected: noEndpointTime, cost: noEndpointTime, reason: reasonNoEndpoint, candidates: len(local)}
 	switch {
@@ -206,6 +219,9 @@
 	case !held.pauseEnd.IsZero():
 		here.expected, here.reason = held.pauseEnd.Sub(now)+speed.Base, reasonPaused
 	}
+	if p.reach.stranded && !ok {
+		here.reason = reasonStranded
+	}
 	if !q.route.Allows(p.cfg.Region) {
 		here.reason = reasonNotAllowedInRegion
 	}
@@ -238,16 +254,54 @@
 			return there
 		}
 	}
-	if here.verdict == capacity.Refuse {
+	switch {
+	case here.verdict == capacity.Refuse:
 		here.retryAfter = p.retryAfter(now, q, here, held)
-	} else {
+	case len(peers) > 0:
+		return p.handTo(now, peers, here)
+	default:
 		p.state(&here.endpoint).limit.take(now)
 	}
 	return here
 }
 
+// peersToHandTo returns the gateways of this region to which a request is handed instead of being sent to an endpoint: those that
+// reach endpoints, if this one doesn't or may not. It returns none for a request that was forwarded or handed over before, or that
+// another gateway of the region has refused.
+func (p *placer) peersToHandTo(now time.Time, v *view, q query) []fleet.Gateway {
+	if q.forwarded || q.tried[p.cfg.Region] || !q.route.Allows(p.cfg.Region) {
+		return nil
+	}
+	if !p.reach.handsOver(now, p.rng) && !p.reach.doubtful(v.listedCount()) {
+		return nil
+	}
+	return p.reachingPeers(now, v, q.tried)
+}
+
+// listedCount returns the number of ready endpoints of the region.
+func (v *view) listedCount() int {
+	n := 0
+	for _, endpoints := range v.endpoints {
+		n += len(endpoints)
+	}
+	return n
+}
+
+// handTo returns the decision to hand a request that an endpoint of the region may take to one of the peers, which chooses the
+// endpoint.
+func (p *placer) handTo(now time.Time, peers []fleet.Gateway, here decision) decision {
+	g := peers[p.rng.IntN(len(peers))]
+	return decision{
+		verdict: here.verdict, gateway: g, region: p.cfg.Region, handed: true, expected: here.expected, cost: here.cost,
+		candidates: here.candidates, probe: p.gatewayBreakers.Begin(now, g.Name),
+	}
+}
+
 // retryAfter returns when the caller of a refused request may return.
 func (p *placer) retryAfter(now time.Time, q query, refused decision, held withheld) time.Duration {
+	if refused.reason == reasonStranded {
+		return strandedRetryAfter + time.Duration(p.rng.Float64()*float64(strandedRetryAfter)/2)
+	}
 	if refused.reason == reasonLimited {
 		after := p.limitedWait(now, q.service.Name, held)
 		p.returnsOf(q.service.Name).add(now, after)
@@ -278,14 +332,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q.work.Rank = capacity.Rank(q.route.Priority, false)
-	local, _, _ := p.localCandidates(now, v, q)
+	local, _, _ := p.localCandidates(now, v, q, len(p.peersToHandTo(now, v, q)) > 0)
 	choice, ok := capacity.Choose(local, q.work, p.currentSpeed(now, v, q.service.Name), fetchTimePerToken(q.service), q.route.Objective, 0)
 	return ok && capacity.Admit(choice.Expected, choice.Expected, q.budget) == capacity.Take
 }
 
-// localCandidates returns the endpoints of this region that may take a request, and what keeps others from it. The slices
-// are valid until the next call.
-func (p *placer) localCandidates(now time.Time, v *view, q query) (_ []capacity.Candidate, _ []*fleet.Endpoint, held withheld) {
+// localCandidates returns the endpoints of this region that may take a request, and what keeps others from it. If another gateway is
+// to send the request, what keeps this one from sending it does not count. The slices are valid until the next call.
+func (p *placer) localCandidates(now time.Time, v *view, q query, byOther bool) (_ []capacity.Candidate, _ []*fleet.Endpoint, held withheld) {
 	if !q.route.Allows(p.cfg.Region) {
 		return nil, nil, withheld{}
 	}
@@ -297,21 +351,10 @@
 	for i := range all {
 		e := &all[i]
 		s := p.state(e)
-		if q.tried[e.ID] || !e.TerminatesAt.IsZero() || p.departures.Contains(e.ID, e.Born) || !q.mayServe(e) {
-			continue
-		}
-		if now.Before(s.pausedUntil) {
-			held.addPause(s.pausedUntil)
+		if !e.TerminatesAt.IsZero() || p.departures.Contains(e.ID, e.Born) || !q.mayServe(e) {
 			continue
 		}
-		if !p.endpointBreakers.Allows(now, e.ID) {
-			continue
-		}
-		if !p.mayTake(now, e, &s.limit, rank, n) {
-			held.addLimited(s.limit.perSecond)
-			continue
-		}
-		if p.isCold(e, s, now) && s.coldWindow.Count(now) >= p.coldLimit(now, q.service, e, rank, n) {
+		if !byOther && !p.maySend(now, q, e, s, rank, n, &held) {
 			continue
 		}
 		peers := p.peers.sum(e.ID)
@@ -330,6 +373,24 @@
 	return p.candidates, p.endpoints, held
 }
 
+// maySend reports whether this gateway may send a request to an endpoint now, and adds what keeps it from that to held.
+func (p *placer) maySend(now time.Time, q query, e *fleet.Endpoint, s *endpointState, rank, n int, held *withheld) bool {
+	switch {
+	case q.tried[e.ID]:
+		return false
+	case now.Before(s.pausedUntil):
+		held.addPause(s.pausedUntil)
+		return false
+	case !p.endpointBreakers.Allows(now, e.ID):
+		return false
+	case !p.mayTake(now, e, &s.limit, rank, n):
+		held.addLimited(s.limit.perSecond)
+		return false
+	default:
+		return !p.isCold(e, s, now) || s.coldWindow.Count(now) < p.coldLimit(now, q.service, e, rank, n)
+	}
+}
+
 // state returns the tracked state of the latest known incarnation of an endpoint. A new incarnation starts afresh,
 // except for the requests still outstanding.
 func (p *placer) state(e *fleet.Endpoint) *endpointState {
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -72,7 +72,7 @@
 func (p *placer) availableGateways(now time.Time, v *view, q query) map[string][]fleet.Gateway {
 	available := map[string][]fleet.Gateway{}
 	for _, g := range v.gateways {
-		if g.Region != p.cfg.Region && q.mayServeIn(v, g.Region) && !q.tried[g.Region] && p.regionBreakers.Allows(now, g.Region) {
+		if g.Region != p.cfg.Region && !g.Stranded && q.mayServeIn(v, g.Region) && !q.tried[g.Region] && p.regionBreakers.Allows(now, g.Region) {
 			available[g.Region] = append(available[g.Region], g)
 		}
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -63,11 +63,12 @@
 			err = j.stream.checkOrder(e, resumed)
 		}
 		if err != nil {
-			return j.recordBrokenStream(ctx, err)
+			return j.recordBrokenStream(ctx, a, err)
 		}
 		now := time.Now()
 		if a != nil {
 			a.recordFirst(now)
+			a.heard(now)
 		}
 		if j.firstAt.IsZero() {
 			j.firstAt = now
@@ -135,9 +136,9 @@
 }
 
 // recordBrokenStream records that a stream broke off.
-func (j *job) recordBrokenStream(ctx context.Context, err error) (ending, nextStep) {
+func (j *job) recordBrokenStream(ctx context.Context, a *attempt, err error) (ending, nextStep) {
 	broken := &BrokenStreamError{LastEvent: j.stream.lastEvent, Cause: err}
-	how := j.endingOf(ctx, err)
+	how := j.endingOf(ctx, a, err)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		how = abandoned
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -146,8 +146,11 @@
 		return
 	}
 	code := problem.NoCapacity
-	if d.reason == reasonNotAllowedInRegion {
+	switch d.reason {
+	case reasonNotAllowedInRegion:
 		code = problem.ResidencyRefused
+	case reasonStranded:
+		code = problem.Stranded
 	}
 	j.refuse(problem.New(code, http.StatusServiceUnavailable, "%s: expected wait %v", d.reason, d.expected.Round(time.Millisecond)).WithRetryAfter(d.retryAfter))
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -53,6 +53,9 @@
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	defer cancel(nil)
 	timer := j.startFirstTimer(d, cancel)
+	if j.route.Repeatable() {
+		g.placer.watch(a, cancel)
+	}
 	answer, err := g.pool.Send(ctx, d.endpoint.Address, &exchange.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Repeatable: j.route.Repeatable(),
 		Matches: func(a *http.Response, fresh bool) bool {
@@ -61,12 +64,16 @@
 	})
 	if err != nil {
 		timer.stop()
-		a.end(time.Now(), j.endingOf(ctx, err))
+		a.end(time.Now(), j.endingOf(ctx, a, err))
 		j.examineBreak(ctx, a, err)
 		return j.recordFailure(ctx, err, exchange.Outcome(err))
 	}
 	defer answer.Close()
 	j.sends++
+	a.heard(time.Now())
+	if answer.Fresh {
+		g.placer.recordConnected(time.Now())
+	}
 	verdict := g.cfg.Headers.Verdict(answer.Header, answer.Status)
 	j.recordVerdict(d, verdict)
 	if verdict.Rejected {
@@ -155,12 +162,16 @@
 	}
 }
 
-// endingOf returns how an attempt ended whose exchange failed with err.
-func (j *job) endingOf(ctx context.Context, err error) ending {
+// endingOf returns how an attempt ended whose exchange failed with err. The attempt is nil for a forwarded request.
+func (j *job) endingOf(ctx context.Context, a *attempt, err error) ending {
 	var silent *SilentEndpointError
+	var stranded *StrandedError
 	var failure *exchange.Error
+	cause := context.Cause(ctx)
 	switch {
-	case errors.As(context.Cause(ctx), &silent):
+	case errors.As(cause, &stranded):
+		return abandoned
+	case errors.As(cause, &silent):
 		return failed
 	case j.r.Context().Err() != nil:
 		return abandoned
@@ -198,7 +209,7 @@
 	defer timer.stop()
 	buffered, err := readAnswer(answer, verdict.Signed)
 	if err != nil {
-		return j.endingOf(ctx, err), j.recordFailure(ctx, err, problem.Unknown)
+		return j.endingOf(ctx, a, err), j.recordFailure(ctx, err, problem.Unknown)
 	}
 	if a != nil {
 		a.recordFirst(time.Now())
@@ -218,7 +229,7 @@
 		return errorAnswer, j.writeBufferedError()
 	}
 	if err := j.writeAnswer(buffered); err != nil {
-		return j.endingOf(ctx, err), truncated
+		return j.endingOf(ctx, a, err), truncated
 	}
 	return succeeded, answered
 }
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -226,8 +226,8 @@
 	updatedAt  time.Time
 	currentAt  time.Time
 	reportedAt time.Time
-	// ready, lingering and closing are the values in the last report.
-	ready, lingering, closing bool
+	// ready, lingering, closing and stranded are the values in the last report.
+	ready, lingering, closing, stranded bool
 }
 
 // receive queues updates until the stream ends.
@@ -280,12 +280,12 @@
 		go func() { s.found <- g.connectAny(ctx, true) }()
 	}
 	withCapacity := g.reportsCapacity(now)
-	ready, lingering, closing := g.Ready(), g.lingering(now), g.closing(now)
+	ready, lingering, closing, stranded := g.Ready(), g.lingering(now), g.closing(now), g.placer.isStranded()
 	due := now.Sub(s.reportedAt) >= reportPeriod || withCapacity && now.Sub(s.reportedAt) >= capacityReportPeriod
-	if !due && ready == s.ready && lingering == s.lingering && closing == s.closing {
+	if !due && ready == s.ready && lingering == s.lingering && closing == s.closing && stranded == s.stranded {
 		return nil
 	}
-	s.ready, s.lingering, s.closing, s.reportedAt = ready, lingering, closing, now
+	s.ready, s.lingering, s.closing, s.stranded, s.reportedAt = ready, lingering, closing, stranded, now
 	return s.control.stream.Send(g.report(now, withCapacity))
 }
 
@@ -296,7 +296,7 @@
 	g.reportSequence++
 	m := wire.EncodeGateway(fleet.Gateway{
 		Name: g.cfg.Name, Born: g.born, Sequence: g.reportSequence, CallerAddress: g.cfg.CallerAddress, LoadAddress: g.cfg.LoadAddress,
-		ForwardAddress: g.cfg.ForwardAddress, FailureDomain: g.cfg.FailureDomain, Region: g.cfg.Region, Ready: g.Ready(), Lingering: g.lingering(now), Closing: g.closing(now),
+		ForwardAddress: g.cfg.ForwardAddress, FailureDomain: g.cfg.FailureDomain, Region: g.cfg.Region, Ready: g.Ready(), Lingering: g.lingering(now), Closing: g.closing(now), Stranded: g.placer.isStranded(),
 	})
 	g.reportMu.Unlock()
 	m.RouteVersion = v.version()
@@ -307,10 +307,10 @@
 }
 
 // reportsCapacity reports whether this gateway reports its region's capacity: of the region's gateways that accept
-// requests, the first in the order of names does.
+// requests, the first in the order of names does, and one that reaches endpoints rather than a stranded one.
 func (g *Gateway) reportsCapacity(now time.Time) bool {
-	self := fleet.Gateway{Name: g.cfg.Name, Ready: g.Ready(), Lingering: g.lingering(now), Closing: g.closing(now)}
-	all := fleet.Accepting(append(g.view.Load().peers(g.cfg.Region, g.cfg.Name), self))
+	self := fleet.Gateway{Name: g.cfg.Name, Ready: g.Ready(), Lingering: g.lingering(now), Closing: g.closing(now), Stranded: g.placer.isStranded()}
+	all := fleet.Reaching(fleet.Accepting(append(g.view.Load().peers(g.cfg.Region, g.cfg.Name), self)))
 	return slices.ContainsFunc(all, func(a fleet.Gateway) bool { return a.Name == self.Name }) &&
 		!slices.ContainsFunc(all, func(a fleet.Gateway) bool { return a.Name < self.Name })
 }
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -44,7 +44,9 @@
 	VersionUnavailable Code = "versionUnavailable"
 	PromptBlocked      Code = "promptBlocked"
 	// RequestBlocked: endpoints crashed under the request itself.
-	RequestBlocked     Code = "requestBlocked"
+	RequestBlocked Code = "requestBlocked"
+	// Stranded: no endpoint is reached from the instance, and no other instance may serve the request.
+	Stranded           Code = "stranded"
 	AnswerIncomplete   Code = "answerIncomplete"
 	KeyRequired        Code = "idempotencyKeyRequired"
 	KeyReused          Code = "idempotencyKeyReused"
--- a/wire/fleet.go
+++ b/wire/fleet.go
@@ -46,7 +46,7 @@
 func EncodeGateway(g fleet.Gateway) *wiregen.GatewayReport {
 	return &wiregen.GatewayReport{
 		Name: g.Name, CallerAddress: g.CallerAddress, LoadAddress: g.LoadAddress, ForwardAddress: g.ForwardAddress,
-		FailureDomain: g.FailureDomain, Region: g.Region, Ready: g.Ready, Lingering: g.Lingering, Closing: g.Closing, Born: g.Born, Sequence: g.Sequence,
+		FailureDomain: g.FailureDomain, Region: g.Region, Ready: g.Ready, Lingering: g.Lingering, Closing: g.Closing, Stranded: g.Stranded, Born: g.Born, Sequence: g.Sequence,
 	}
 }
 
@@ -54,7 +54,7 @@
 func DecodeGateway(at time.Time, m *wiregen.GatewayReport) fleet.Gateway {
 	return fleet.Gateway{
 		Name: m.GetName(), CallerAddress: m.GetCallerAddress(), LoadAddress: m.GetLoadAddress(), ForwardAddress: m.GetForwardAddress(),
-		FailureDomain: m.GetFailureDomain(), Region: m.GetRegion(), Ready: m.GetReady(), Lingering: m.GetLingering(), Closing: m.GetClosing(),
+		FailureDomain: m.GetFailureDomain(), Region: m.GetRegion(), Ready: m.GetReady(), Lingering: m.GetLingering(), Closing: m.GetClosing(), Stranded: m.GetStranded(),
 		Born: m.GetBorn(), Sequence: m.GetSequence(), LastSeen: at,
 	}
 }
