Don't take an endpoint that is silent for a moment for one that failed or starts anew

An endpoint may fall silent for a second and go on. An attempt to connect that nobody answered counted like a refused one: the endpoint was taken for cold, with a few requests a second, for three seconds, and for unhealthy, and its cached prefixes for lost; requests that waited for it counted as its failures, which all gateways of the region add up and leave it for.

Now only the circuit breaker sees such an attempt, and a request cancelled for its endpoint's silence counts against it only once that has lasted 1.5 s, or if it answered others meanwhile.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -113,8 +113,10 @@
 	rejected
 	// failed: there was no answer, or it was invalid or broke off.
 	failed
-	// unreached: no connection was established.
+	// unreached: connections were refused.
 	unreached
+	// unanswered: there was no answer to the attempt to connect. The endpoint may be silent for a moment, or out of reach.
+	unanswered
 	// abandoned: the caller disconnected, or time ran out through no fault of the endpoint.
 	abandoned
 	// errorAnswer: the endpoint answered with an error of its own, which counts against it only if others fail less
@@ -135,7 +137,7 @@
 	}
 	p.markChanged(a.endpoint.ID)
 	delete(p.reach.waiting, a)
-	if how == unreached {
+	if how == unreached || how == unanswered {
 		p.reach.recordUnconnected(a.endpoint.ID, p.holdersView.listedCount())
 	}
 	if s.born != a.endpoint.Born {
@@ -155,6 +157,8 @@
 	case failed:
 		s.health = s.health.WithOutcome(true)
 		p.endpointBreakers.Failed(now, a.endpoint.ID)
+	case unanswered:
+		p.endpointBreakers.Unreached(now, a.endpoint.ID)
 	case unreached:
 		s.connectFailedAt = now
 		s.health = s.health.WithOutcome(true)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -162,6 +163,9 @@
 	}
 }
 
+// forgivenSilence is how long an endpoint may be silent before it is blamed for that.
+const forgivenSilence = 1500 * time.Millisecond
+
 // endingOf returns how an attempt ended whose exchange failed with err. The attempt is nil for a forwarded request.
 func (j *job) endingOf(ctx context.Context, a *attempt, err error) ending {
 	var silent *SilentEndpointError
@@ -172,16 +176,33 @@
 	case errors.As(cause, &stranded):
 		return abandoned
 	case errors.As(cause, &silent):
+		if a != nil && a.forgiven(time.Now()) {
+			return abandoned
+		}
 		return failed
 	case j.r.Context().Err() != nil:
 		return abandoned
 	case errors.As(err, &failure) && failure.Stage == exchange.Connecting:
+		if isTimeout(err) {
+			return unanswered
+		}
 		return unreached
 	default:
 		return failed
 	}
 }
 
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// forgiven reports whether the endpoint has sent nothing since the attempt, and may go on: it has not been silent for long.
+func (a *attempt) forgiven(now time.Time) bool {
+	heard := time.Unix(0, a.endpointHeardNanos.Load())
+	return !heard.After(a.sent) && now.Sub(heard) < forgivenSilence
+}
+
 // recordFailure records a failed attempt and returns the next step.
 func (j *job) recordFailure(ctx context.Context, err error, o problem.Outcome) nextStep {
 	j.lastErr = err
