Count a forwarded request once towards the common retry budget

The gateway that gets the request counts it, unless the other one has sent it to an endpoint before. Found while handing requests over within a region, where most requests of a gateway may be forwarded.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -236,6 +236,14 @@
 	p.retryBudget(v, service).First(now)
 }
 
+// moveFirstTry has the gateway to which a request is forwarded count it towards the retry budget instead of this one, as it makes
+// the retries.
+func (p *placer) moveFirstTry(now time.Time, v *view, service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retryBudget(v, service).MoveFirst(now)
+}
+
 // takeRetry reports whether the common budget allows one more retry at a service's endpoints, and counts it.
 func (p *placer) takeRetry(now time.Time, v *view, service string) bool {
 	p.mu.Lock()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -32,6 +32,12 @@
 		h.Set(originHeader, formatOrigin(*j.began))
 	}
 	h.Set(attemptsHeader, strconv.Itoa(j.chargedRuns))
+	if j.sends == 0 && !j.firstMoved {
+		j.firstMoved = true
+		g.placer.moveFirstTry(now, j.view, j.service.Name)
+	} else {
+		h.Set(countedHeader, "1")
+	}
 	if j.crashes > 0 {
 		h.Set(crashesHeader, strconv.Itoa(j.crashes))
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -34,7 +34,9 @@
 
 // run attempts the request until it is answered or refused.
 func (j *job) run() {
-	j.g.placer.recordFirstTry(j.received, j.view, j.service.Name)
+	if !j.counted {
+		j.g.placer.recordFirstTry(j.received, j.view, j.service.Name)
+	}
 	defer j.endTrial()
 	for {
 		suspect := !j.mayTry()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -332,7 +332,7 @@
 	for _, name := range connectionHeaders() {
 		c.Del(name)
 	}
-	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, crashesHeader, ageHeader, originHeader} {
+	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, crashesHeader, countedHeader, ageHeader, originHeader} {
 		c.Del(name)
 	}
 	return c
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -31,6 +31,8 @@
 	runsHeader = "Arbutusreel-Runs"
 	// crashesHeader carries the number of endpoints that crashed under a request between gateways, both ways.
 	crashesHeader = "Arbutusreel-Crashes"
+	// countedHeader is set if the forwarding gateway counts the request towards its retry budget.
+	countedHeader = "Arbutusreel-Counted"
 	// originHeader carries what began a stream: to another gateway that is to go on with it, and back with the stream.
 	originHeader = "Arbutusreel-Origin"
 	// ageHeader carries the time in milliseconds that the request has spent in the system to another gateway.
@@ -60,6 +62,9 @@
 	trial      *crash.Trial
 	crashCheck *crashCheck
 	crashes    int
+	// firstMoved reports that another gateway counts the request towards its retry budget, and counted that the one that
+	// forwarded it does.
+	firstMoved, counted bool
 	// draw is the random number in [0, 1) that selects one of the route's services.
 	draw     float64
 	received time.Time
@@ -196,6 +201,7 @@
 	if crashed, err := strconv.Atoi(h.Get(crashesHeader)); err == nil && crashed > 0 {
 		j.crashes = crashed
 	}
+	j.counted = h.Get(countedHeader) != ""
 	if age, err := strconv.ParseInt(h.Get(ageHeader), 10, 64); err == nil && age > 0 {
 		j.age = time.Duration(age) * time.Millisecond
 	}
--- a/retry/allowance.go
+++ b/retry/allowance.go
@@ -49,6 +49,9 @@
 // First counts a first attempt.
 func (a *Allowance) First(now time.Time) { a.currentBucket(now).firstAttempts++ }
 
+// MoveFirst withdraws a first attempt that another holder of the common allowance counts.
+func (a *Allowance) MoveFirst(now time.Time) { a.currentBucket(now).firstAttempts-- }
+
 // Take counts a retry if it is allowed, and reports whether it is.
 func (a *Allowance) Take(now time.Time) bool {
 	bucket := a.currentBucket(now)
