--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -212,42 +212,9 @@
 	peers := p.peersToHandTo(now, v, q)
 	local, endpoints, held := p.localCandidates(now, v, q, len(peers) > 0)
 	choice, ok := capacity.Choose(local, q.work, speed, fetchTimePerToken(q.service), q.route.Objective, p.rng.Float64())
-	here := decision{verdict: capacity.Refuse, expected: noEndpointTime, cost: noEndpointTime, reason: reasonNoEndpoint, candidates: len(local)}
-	switch {
-	case held.limited > 0:
-		here.expected, here.reason = p.limitedWait(now, q.service.Name, held)+speed.Base, reasonLimited
-	case !held.pauseEnd.IsZero():
-		here.expected, here.reason = held.pauseEnd.Sub(now)+speed.Base, reasonPaused
-	}
-	if p.reach.stranded && !ok {
-		here.reason = reasonStranded
-	}
-	if !q.route.Allows(p.cfg.Region) {
-		here.reason = reasonNotAllowedInRegion
-	}
+	here := p.withoutChoice(now, q, speed, len(local), held)
 	if ok {
-		here.endpoint = *endpoints[choice.Index]
-		if choice.FetchFrom >= 0 {
-			here.fetchFrom = endpoints[choice.FetchFrom].Address
-		}
-		here.expected, here.cost, here.uncachedTokens = choice.Expected, choice.Cost, choice.UncachedTokens
-		here.affinity, here.full = choice.Preferred, choice.Full
-		here.backlog = local[choice.Index].Outstanding
-		here.addedLoad, here.rank = q.work.Load(choice.UncachedTokens), q.work.Rank
-		late := q.work
-		late.Rank = capacity.Rank(q.route.Priority, true)
-		here.verdict = capacity.Admit(choice.Expected, capacity.EstimateWait(local[choice.Index], late, choice.UncachedTokens, speed).Wait, q.budget)
-		here.reason = reasonBacklog
-		if choice.Crowded {
-			here.verdict, here.reason = capacity.Refuse, reasonCrowded
-		}
-		if q.mustPlace {
-			here.verdict = capacity.Take
-		}
-		if here.verdict == capacity.TakeLate {
-			here.addedLoad, here.rank = late.Load(choice.UncachedTokens), late.Rank
-		}
-		here.preemptedShare = speed.Overtaking.Prefill[here.rank]
+		here = p.withChoice(q, speed, local, endpoints, choice)
 	}
 	if !q.forwarded && (here.verdict != capacity.Take || here.cost > p.cfg.RegionRoundTrip+minCrossRegionGain) {
 		if there, ok := p.crossRegion(now, v, q, speed, here); ok {
@@ -265,6 +232,48 @@
 	return here
 }
 
+// withoutChoice returns the decision about a request that no endpoint of this region may get.
+func (p *placer) withoutChoice(now time.Time, q query, speed capacity.Speed, candidates int, held withheld) decision {
+	here := decision{verdict: capacity.Refuse, expected: noEndpointTime, cost: noEndpointTime, reason: reasonNoEndpoint, candidates: candidates}
+	switch {
+	case !q.route.Allows(p.cfg.Region):
+		here.reason = reasonNotAllowedInRegion
+	case p.reach.stranded:
+		here.reason = reasonStranded
+	case held.limited > 0:
+		here.expected, here.reason = p.limitedWait(now, q.service.Name, held)+speed.Base, reasonLimited
+	case !held.pauseEnd.IsZero():
+		here.expected, here.reason = held.pauseEnd.Sub(now)+speed.Base, reasonPaused
+	}
+	return here
+}
+
+// withChoice returns the decision about a request that the chosen one of the candidates may get.
+func (p *placer) withChoice(q query, speed capacity.Speed, local []capacity.Candidate, endpoints []*fleet.Endpoint, choice capacity.Choice) decision {
+	here := decision{
+		endpoint: *endpoints[choice.Index], reason: reasonBacklog, candidates: len(local),
+		expected: choice.Expected, cost: choice.Cost, uncachedTokens: choice.UncachedTokens, affinity: choice.Preferred, full: choice.Full,
+		backlog: local[choice.Index].Outstanding, addedLoad: q.work.Load(choice.UncachedTokens), rank: q.work.Rank,
+	}
+	if choice.FetchFrom >= 0 {
+		here.fetchFrom = endpoints[choice.FetchFrom].Address
+	}
+	late := q.work
+	late.Rank = capacity.Rank(q.route.Priority, true)
+	here.verdict = capacity.Admit(choice.Expected, capacity.EstimateWait(local[choice.Index], late, choice.UncachedTokens, speed).Wait, q.budget)
+	if choice.Crowded {
+		here.verdict, here.reason = capacity.Refuse, reasonCrowded
+	}
+	if q.mustPlace {
+		here.verdict = capacity.Take
+	}
+	if here.verdict == capacity.TakeLate {
+		here.addedLoad, here.rank = late.Load(choice.UncachedTokens), late.Rank
+	}
+	here.preemptedShare = speed.Overtaking.Prefill[here.rank]
+	return here
+}
+
 // peersToHandTo returns the gateways of this region to which a request is handed instead of being sent to an endpoint: those that
 // reach endpoints, if this one doesn't or may not. It returns none for a request that was forwarded or handed over before, or that
 // another gateway of the region has refused.
