Deal out the free slots of brittle endpoints among all gateways

A back end that says Server-Brittle: N falls over if it has to turn more than N requests a second away for want of room. The header was read nowhere; each gateway sent by the load as it knew it, 25 to 150 ms old, so that many gateways sent for the same free slot.

The number reaches all gateways of the region with the load reports, like limits, and a text that is no decimal number is logged once.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -29,6 +29,8 @@
 	// firstAt is the time of the first piece; zero before.
 	firstAt time.Time
 	probe   retry.Probe
+	// grantFrame is the frame in which a brittle endpoint's free slot was granted; zero if none was.
+	grantFrame int64
 	// endpointHeardNanos is when anything last arrived from the endpoint.
 	endpointHeardNanos *atomic.Int64
 }
@@ -50,7 +52,7 @@
 	return &attempt{
 		placer: p, endpoint: d.endpoint, service: service, load: d.addedLoad, work: w, queuedTokens: d.backlog.PromptTokens.Before(d.rank) + d.uncachedTokens,
 		uncachedTokens: d.uncachedTokens, full: d.full, preemptedShare: d.preemptedShare, sent: now, probe: p.endpointBreakers.Begin(now, d.endpoint.ID),
-		endpointHeardNanos: &s.heardNanos,
+		grantFrame: d.grantFrame, endpointHeardNanos: &s.heardNanos,
 	}
 }
 
@@ -145,6 +147,7 @@
 		p.endpointBreakers.End(a.endpoint.ID, a.probe)
 		return
 	}
+	s.brittle.end(now, a.grantFrame, how)
 	if how == succeeded || how == failed || how == errorAnswer {
 		s.outcomes = s.outcomes.With(now, how != succeeded)
 	}
@@ -171,30 +174,35 @@
 	p.endpointBreakers.End(a.endpoint.ID, a.probe)
 }
 
-// recordVerdict records what an endpoint announced about itself in an answer, and reports whether its departure and what
-// it says of its limit are new.
-func (p *placer) recordVerdict(now time.Time, e fleet.Endpoint, v Verdict) (departs, limitChanged bool) {
+// verdictNews tells what of an endpoint's announcements about itself is new.
+type verdictNews struct {
+	departs, limit, brittle bool
+}
+
+// recordVerdict records what an endpoint announced about itself in an answer, and returns what of that is new.
+func (p *placer) recordVerdict(now time.Time, e fleet.Endpoint, v Verdict) (news verdictNews) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if v.Leaving {
 		departure := fleet.Departure{ID: e.ID, Born: e.Born}
-		if departs = p.departures.Add(now, departure); departs {
+		if news.departs = p.departures.Add(now, departure); news.departs {
 			p.newDepartures = append(p.newDepartures, departure)
 			signal(p.loadsChanged)
 		}
 	}
 	s := p.state(&e)
 	if s.born != e.Born {
-		return departs, false
+		return news
 	}
-	limitChanged = p.recordLimit(now, s, e.ID, v.Limit)
+	news.limit = p.recordLimit(now, s, e.ID, v.Limit)
+	news.brittle = p.recordBrittle(now, s, e.ID, v.Brittle)
 	if v.ColdFor > 0 {
 		s.coldUntil = now.Add(v.ColdFor)
 	}
 	if v.PauseFor > 0 {
 		s.pausedUntil = laterOf(s.pausedUntil, now.Add(v.PauseFor))
 	}
-	return departs, limitChanged
+	return news
 }
 
 func laterOf(a, b time.Time) time.Time {
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -89,9 +89,11 @@
 	PauseFor time.Duration
 	// Limit is what the answer says of the requests that the endpoint takes.
 	Limit Limit
+	// Brittle is what it says of the requests that the endpoint may have to reject before it falls over.
+	Brittle Limit
 }
 
-// Limit is what an answer of an endpoint says of the requests that it takes from all gateways together. The zero value
+// Limit is what an answer of an endpoint says of the requests a second that it takes, or bears to reject, from all gateways together. The zero value
 // names none.
 type Limit struct {
 	// Named reports that the answer names a limit of PerSecond requests a second.
--- a/gateway/limited.go
+++ b/gateway/limited.go
@@ -40,6 +40,8 @@
 	sent []int64
 	// invalid is the last text that should have named a limit.
 	invalid string
+	// keepsNone reports that unused turns are not kept for later frames.
+	keepsNone bool
 }
 
 // update replaces what is known by what was said at a time, and reports whether it was later and whether it changed.
@@ -93,6 +95,9 @@
 
 // firstFrame returns the earliest frame whose unused turns may be used in a frame.
 func (l *endpointLimit) firstFrame(frame int64) int64 {
+	if l.keepsNone {
+		return frame
+	}
 	return frame - int64(min(keptTurns/max(l.perSecond, minLimitPerSecond), maxKeptFrames))
 }
 
@@ -146,6 +151,8 @@
 	// limits.
 	limited   int
 	perSecond float64
+	// brittle is the number of brittle endpoints for which this gateway has no grant left.
+	brittle int
 }
 
 func (w *withheld) addPause(end time.Time) {
@@ -176,19 +183,21 @@
 	return changed
 }
 
-// reportedLimits returns the limits that changed since the last report, or all known ones.
-func (p *placer) reportedLimits(now time.Time, all bool) []*wiregen.EndpointLimit {
-	var reported []*wiregen.EndpointLimit
+// reportLimits adds the limits that changed since the last report to a report, or if whole is set, all known ones.
+func (p *placer) reportLimits(now time.Time, m *wiregen.OutstandingReport, whole bool) {
 	add := func(id string) {
 		s := p.states[id]
-		if s == nil || s.limit.at.IsZero() || !s.limit.named && now.Sub(s.limit.at) > endedLimitTime {
+		if s == nil {
 			return
 		}
-		reported = append(reported, &wiregen.EndpointLimit{
-			Endpoint: id, Born: s.born, Named: s.limit.named, PerSecond: s.limit.perSecond, AgeMillis: now.Sub(s.limit.at).Milliseconds(),
-		})
+		if reported := s.limit.encode(now, id, s.born); reported != nil {
+			m.Limits = append(m.Limits, reported)
+		}
+		if reported := s.brittle.rejections.encode(now, id, s.born); reported != nil {
+			m.Brittle = append(m.Brittle, reported)
+		}
 	}
-	if all {
+	if whole {
 		for id := range p.states {
 			add(id)
 		}
@@ -198,27 +207,42 @@
 		}
 	}
 	clear(p.changedLimits)
-	return reported
+}
+
+// encode returns the message for the limit of an incarnation of an endpoint, or nil if none was named, or it ended long ago.
+func (l *endpointLimit) encode(now time.Time, id string, born int64) *wiregen.EndpointLimit {
+	if l.at.IsZero() || !l.named && now.Sub(l.at) > endedLimitTime {
+		return nil
+	}
+	return &wiregen.EndpointLimit{Endpoint: id, Born: born, Named: l.named, PerSecond: l.perSecond, AgeMillis: now.Sub(l.at).Milliseconds()}
 }
 
 // updateLimits stores the limits that another gateway reported.
-func (p *placer) updateLimits(now time.Time, reported []*wiregen.EndpointLimit) {
-	for _, m := range reported {
-		s := p.state(&fleet.Endpoint{ID: m.GetEndpoint(), Born: m.GetBorn()})
-		if s.born == m.GetBorn() {
-			at := now.Add(-time.Duration(m.GetAgeMillis())*time.Millisecond - limitDelay)
-			if later, _ := s.limit.update(at, m.GetNamed(), m.GetPerSecond()); later {
+func (p *placer) updateLimits(now time.Time, m *wiregen.OutstandingReport) {
+	update := func(reported []*wiregen.EndpointLimit, update func(s *endpointState, at time.Time, l *wiregen.EndpointLimit) (later bool)) {
+		for _, l := range reported {
+			s := p.state(&fleet.Endpoint{ID: l.GetEndpoint(), Born: l.GetBorn()})
+			at := now.Add(-time.Duration(l.GetAgeMillis())*time.Millisecond - limitDelay)
+			if s.born == l.GetBorn() && update(s, at, l) {
 				p.reportedEmpty = false
 			}
 		}
 	}
+	update(m.GetLimits(), func(s *endpointState, at time.Time, l *wiregen.EndpointLimit) bool {
+		later, _ := s.limit.update(at, l.GetNamed(), l.GetPerSecond())
+		return later
+	})
+	update(m.GetBrittle(), func(s *endpointState, at time.Time, l *wiregen.EndpointLimit) bool {
+		later, _ := s.brittle.update(at, l.GetNamed(), l.GetPerSecond())
+		return later
+	})
 }
 
 // forgetLimits removes the limits of endpoints that are no longer listed.
 func (p *placer) forgetLimits(v *view) {
 	for id, s := range p.states {
-		if !s.limit.at.IsZero() && !v.lists(id) {
-			s.limit = endpointLimit{}
+		if (!s.limit.at.IsZero() || !s.brittle.rejections.at.IsZero()) && !v.lists(id) {
+			s.limit, s.brittle = endpointLimit{}, brittleness{}
 		}
 	}
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -43,6 +43,7 @@
 	// pausedUntil is the end of the pause that the endpoint asked this gateway for.
 	pausedUntil time.Time
 	limit       endpointLimit
+	brittle     brittleness
 	// heardNanos is when anything last arrived from the endpoint, in Unix time.
 	heardNanos atomic.Int64
 }
@@ -173,6 +174,8 @@
 	// backlog is the outstanding work of the endpoint before this request.
 	backlog    capacity.Outstanding
 	candidates int
+	// grantFrame is the frame in which the request was granted a free slot of a brittle endpoint; zero if none was needed.
+	grantFrame int64
 	affinity   bool
 	// fetchFrom is the address of the engine from which the cached prefix of the prompt is fetched; empty for none.
 	fetchFrom string
@@ -198,6 +201,8 @@
 	reasonPaused = "paused"
 	// reasonLimited: the limits of all endpoints of the region leave this gateway no request now.
 	reasonLimited = "limited"
+	// reasonBrittle: this gateway has no grant left for the endpoints of the region, which fall over if they must reject requests.
+	reasonBrittle = "brittle"
 	// reasonStranded: no endpoint of the region is reached from here, and no other gateway of it may take the request.
 	reasonStranded           = "stranded"
 	reasonNotAllowedInRegion = "notAllowedInRegion"
@@ -227,7 +232,9 @@
 	case len(peers) > 0:
 		return p.handTo(now, peers, here)
 	default:
-		p.state(&here.endpoint).limit.take(now)
+		s := p.state(&here.endpoint)
+		s.limit.take(now)
+		here.grantFrame = s.brittle.start(now)
 	}
 	return here
 }
@@ -242,6 +249,8 @@
 		here.reason = reasonStranded
 	case held.limited > 0:
 		here.expected, here.reason = p.limitedWait(now, q.service.Name, held)+speed.Base, reasonLimited
+	case held.brittle > 0:
+		here.expected, here.reason = p.brittleWait()+speed.Base, reasonBrittle
 	case !held.pauseEnd.IsZero():
 		here.expected, here.reason = held.pauseEnd.Sub(now)+speed.Base, reasonPaused
 	}
@@ -311,6 +320,9 @@
 	if refused.reason == reasonStranded {
 		return strandedRetryAfter + time.Duration(p.rng.Float64()*float64(strandedRetryAfter)/2)
 	}
+	if refused.reason == reasonBrittle {
+		return p.brittleWait()
+	}
 	if refused.reason == reasonLimited {
 		after := p.limitedWait(now, q.service.Name, held)
 		p.returnsOf(q.service.Name).add(now, after)
@@ -395,6 +407,9 @@
 	case !p.mayTake(now, e, &s.limit, rank, n):
 		held.addLimited(s.limit.perSecond)
 		return false
+	case !p.mayStart(now, e, s, s.outstanding.Requests+p.peers.sum(e.ID).outstanding.Requests, rank, n):
+		held.brittle++
+		return false
 	default:
 		return !p.isCold(e, s, now) || s.coldWindow.Count(now) < p.coldLimit(now, q.service, e, rank, n)
 	}
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -40,8 +40,8 @@
 		m.Departures = append(m.Departures, &wiregen.EndpointDeparture{Endpoint: d.ID, Born: d.Born})
 	}
 	m.Outstanding = p.reportedLoads(now, whole)
-	m.Limits = p.reportedLimits(now, whole)
-	p.reportedEmpty = whole && len(m.Outstanding) == 0 && len(m.Departures) == 0 && len(m.Limits) == 0
+	p.reportLimits(now, m, whole)
+	p.reportedEmpty = whole && len(m.Outstanding) == 0 && len(m.Departures) == 0 && len(m.Limits) == 0 && len(m.Brittle) == 0
 	p.newDepartures = nil
 	clear(p.changedEndpoints)
 	return m
@@ -95,6 +95,6 @@
 	for _, d := range m.GetDepartures() {
 		p.departures.Add(now, fleet.Departure{ID: d.GetEndpoint(), Born: d.GetBorn()})
 	}
-	p.updateLimits(now, m.GetLimits())
+	p.updateLimits(now, m)
 	return true
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -94,14 +94,20 @@
 
 // recordVerdict records what an endpoint announced about itself, and logs the start of a departure or a pause.
 func (j *job) recordVerdict(d decision, verdict Verdict) {
-	departs, limitChanged := j.g.placer.recordVerdict(time.Now(), d.endpoint, verdict)
-	if departs {
+	news := j.g.placer.recordVerdict(time.Now(), d.endpoint, verdict)
+	if news.departs {
 		j.g.log.Info().Str("request", j.call.ID).Str("endpoint", d.endpoint.ID).Int64("born", d.endpoint.Born).
 			Str("address", d.endpoint.Address).Msg("endpoint is leaving")
 	}
-	if limitChanged {
-		j.g.log.Info().Str("request", j.call.ID).Str("endpoint", d.endpoint.ID).Bool("named", verdict.Limit.Named).Float64("perSecond", verdict.Limit.PerSecond).
-			Str("invalid", verdict.Limit.Invalid).Msg("limit of endpoint changed")
+	logLimit := func(l Limit, message string) {
+		j.g.log.Info().Str("request", j.call.ID).Str("endpoint", d.endpoint.ID).Bool("named", l.Named).Float64("perSecond", l.PerSecond).
+			Str("invalid", l.Invalid).Msg(message)
+	}
+	if news.limit {
+		logLimit(verdict.Limit, "limit of endpoint changed")
+	}
+	if news.brittle {
+		logLimit(verdict.Brittle, "brittleness of endpoint changed")
 	}
 	if verdict.PauseFor > 0 {
 		j.g.log.Info().Str("request", j.call.ID).Str("endpoint", d.endpoint.ID).Dur("pause", verdict.PauseFor).Msg("endpoint paused")
