Keep the work for suspect requests independent of the number of crashes

Since requests are evidence, too, a crash is reported with all requests that it broke off, and each of them that is answered later is cleared. Each clearing went through all reports, rebuilt the table of suspects and had the signatures judged anew at the next request. Reports are now indexed by their parts, and signatures are judged only when a part that enough crashes have in common has changed.

Also: while a gateway reaches no endpoint, a broken connection doesn't count as the endpoint's failure.

--- a/crash/evidence.go
+++ b/crash/evidence.go
@@ -26,8 +26,9 @@
 	reports map[Endpoint]*entry
 	// sound holds parts of reports under which an answer has begun.
 	sound *Set[Part]
-	// suspects holds the parts of all reports; nil after a change.
-	suspects map[Part]Suspicion
+	// byPart holds the reports of each part, and common is the number of parts that MinCrashes reports or more have.
+	byPart map[Part]map[Endpoint]*entry
+	common int
 
 	signatures []Signature
 	// judgeAt is when the signatures have to be judged anew; zero if nothing has changed.
@@ -52,7 +53,7 @@
 
 // NewEvidence returns evidence without any crash.
 func NewEvidence() *Evidence {
-	return &Evidence{reports: map[Endpoint]*entry{}, sound: NewSet[Part](maxSound)}
+	return &Evidence{reports: map[Endpoint]*entry{}, sound: NewSet[Part](maxSound), byPart: map[Part]map[Endpoint]*entry{}}
 }
 
 // Add adds a report and returns what was new in it, without the parts that are known to be sound; ok is false if
@@ -68,6 +69,7 @@
 		if grown, isNew := known.report.With(suspect); isNew {
 			known.report = grown
 			added.Prompts = append(added.Prompts, suspect)
+			e.index(known, suspect)
 		}
 	}
 	if len(added.Prompts) == 0 {
@@ -86,12 +88,43 @@
 	oldest := slices.MinFunc(slices.Collect(maps.Values(e.reports)), func(a, b *entry) int {
 		return cmp.Or(a.usedAt.Compare(b.usedAt), cmp.Compare(a.report.ID, b.report.ID))
 	})
-	delete(e.reports, oldest.report.Endpoint)
+	e.drop(oldest)
+}
+
+// drop removes a report.
+func (e *Evidence) drop(known *entry) {
+	delete(e.reports, known.report.Endpoint)
+	for _, part := range known.report.parts() {
+		reports := e.byPart[part]
+		if len(reports) == MinCrashes {
+			e.common--
+		}
+		if delete(reports, known.report.Endpoint); len(reports) == 0 {
+			delete(e.byPart, part)
+		}
+	}
+}
+
+// index adds a report to those of the parts.
+func (e *Evidence) index(known *entry, parts Prompt) {
+	for _, part := range parts {
+		reports := e.byPart[part]
+		if reports == nil {
+			reports = map[Endpoint]*entry{}
+			e.byPart[part] = reports
+		}
+		if _, ok := reports[known.report.Endpoint]; ok {
+			continue
+		}
+		reports[known.report.Endpoint] = known
+		if len(reports) == MinCrashes {
+			e.common++
+		}
+	}
 }
 
 // change notes that the signatures have to be judged at the given time.
 func (e *Evidence) change(at time.Time) {
-	e.suspects = nil
 	if e.judgeAt.IsZero() || at.Before(e.judgeAt) {
 		e.judgeAt = at
 	}
@@ -103,15 +136,17 @@
 		return false
 	}
 	e.sound.Add(part)
-	for endpoint, known := range e.reports {
-		if !known.report.has(part) {
-			continue
-		}
+	reports := e.byPart[part]
+	delete(e.byPart, part)
+	if len(reports) >= MinCrashes {
+		e.common--
+		e.change(now)
+	}
+	for endpoint, known := range reports {
 		known.report = known.report.without(part)
 		if len(known.report.Prompts) == 0 {
 			delete(e.reports, endpoint)
 		}
-		e.change(now)
 	}
 	return true
 }
@@ -121,21 +156,14 @@
 
 // Suspicion returns what speaks against a part.
 func (e *Evidence) Suspicion(part Part) Suspicion {
-	if e.suspects == nil {
-		e.suspects = map[Part]Suspicion{}
-		for _, known := range e.reports {
-			settlesAt := known.knownAt.Add(settleTime)
-			for _, p := range known.report.parts() {
-				s := e.suspects[p]
-				s.Crashes++
-				if settlesAt.After(s.SettlesAt) {
-					s.SettlesAt = settlesAt
-				}
-				e.suspects[p] = s
-			}
+	reports := e.byPart[part]
+	s := Suspicion{Crashes: len(reports)}
+	for _, known := range reports {
+		if at := known.knownAt.Add(settleTime); at.After(s.SettlesAt) {
+			s.SettlesAt = at
 		}
 	}
-	return e.suspects[part]
+	return s
 }
 
 // Len returns the number of crashes in the evidence.
@@ -161,18 +189,20 @@
 	}
 	e.judgeAt = time.Time{}
 	var settled []Report
-	for endpoint, known := range e.reports {
+	for _, known := range e.reports {
 		switch wait := settleTime - now.Sub(known.knownAt); {
 		case now.Sub(known.usedAt) > Retention || now.Sub(known.firstAt) > maxRetention:
-			delete(e.reports, endpoint)
-			e.suspects = nil
+			e.drop(known)
 		case wait > 0:
 			e.change(now.Add(wait))
 		default:
 			settled = append(settled, known.report)
 		}
 	}
-	e.signatures = Judge(settled)
+	e.signatures = nil
+	if e.common > 0 {
+		e.signatures = Judge(settled)
+	}
 	if len(e.reports) > 0 {
 		e.change(now.Add(Retention / 10))
 	}
--- a/crash/report.go
+++ b/crash/report.go
@@ -91,7 +91,9 @@
 func (r Report) without(part Part) Report {
 	reduced := Report{Endpoint: r.Endpoint}
 	for _, p := range r.Prompts {
-		reduced, _ = reduced.With(p.without(part))
+		if p = p.without(part); len(p) > 0 {
+			reduced.Prompts = append(reduced.Prompts, p)
+		}
 	}
 	return reduced
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -138,10 +138,7 @@
 		s.outstanding = s.outstanding.WithBegun(a.load)
 	}
 	p.markChanged(a.endpoint.ID)
-	delete(p.reach.waiting, a)
-	if how == unreached || how == unanswered {
-		p.reach.recordUnconnected(a.endpoint.ID, p.holdersView.listedCount())
-	}
+	how = p.recordReach(a, how)
 	if s.born != a.endpoint.Born {
 		// The outcome says nothing about the incarnation that has started since.
 		p.endpointBreakers.End(a.endpoint.ID, a.probe)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -407,7 +407,7 @@
 	case !p.mayTake(now, e, &s.limit, rank, n):
 		held.addLimited(s.limit.perSecond)
 		return false
-	case !p.mayStart(now, e, s, s.outstanding.Requests+p.peers.sum(e.ID).outstanding.Requests, rank, n):
+	case s.brittle.rejections.named && !p.mayStart(now, e, s, s.outstanding.Requests+p.peers.sum(e.ID).outstanding.Requests, rank, n):
 		held.brittle++
 		return false
 	default:
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -77,6 +77,22 @@
 	return len(r.failed) > 0 && len(r.failed) >= min(doubtfulFailures, max(listed, 1))
 }
 
+// recordReach records how an attempt ended as far as the links are concerned, and returns how it ended for the endpoint: while none is
+// reached, the links may be at fault for a failure.
+func (p *placer) recordReach(a *attempt, how ending) ending {
+	delete(p.reach.waiting, a)
+	switch how {
+	case unreached, unanswered:
+		p.reach.recordUnconnected(a.endpoint.ID, p.holdersView.listedCount())
+	case failed:
+		if p.reach.dark {
+			return abandoned
+		}
+	default:
+	}
+	return how
+}
+
 // recordConnected records a new connection to an endpoint.
 func (p *placer) recordConnected(now time.Time) {
 	p.mu.Lock()
