Don't take a cut for crashes in the product's own entry path

An entry that lost its connections to all engines by resets reported them as crashed to all entries: refused connections were taken for a crash without asking whether the entry is cut off.

Now a refused connection shows a crash only if a connection to another engine of the region succeeds; else one that has started later is the evidence, as before.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -28,6 +28,8 @@
 	maxBegunRequests = 1 << 16
 	// holdPollPeriod is the interval at which a request that is held back is looked at again.
 	holdPollPeriod = 20 * time.Millisecond
+	// maxReachProbes is the number of other endpoints that are connected to when one may have crashed.
+	maxReachProbes = 4
 	// suspectRetryAfter is the retry delay given to the caller of a request that was held back for too long.
 	suspectRetryAfter = time.Second
 )
@@ -146,16 +148,12 @@
 	}
 }
 
-// recordAttempt records a failed attempt at an endpoint. One that broke off before the answer began may have crashed it; a
-// refused connection shows that it has. It reports whether the prompt is suspect, and whether the endpoint is to be
-// checked.
+// recordAttempt records a failed attempt at an endpoint. One that broke off before the answer began may have crashed it. It reports
+// whether the request is suspect, and whether the endpoint is to be checked.
 func (c *crashes) recordAttempt(now time.Time, e membership.Endpoint, r Request, began bool, err error, failure retry.Failure) (suspect, check bool) {
 	var p *problem.Problem
 	var stalled *StalledError
-	switch {
-	case failure == retry.Unreached:
-		c.confirm(now, incarnationOf(e))
-	case failure == retry.Doubtful && !began && !errors.As(err, &p) && !errors.As(err, &stalled):
+	if failure == retry.Doubtful && !began && !errors.As(err, &p) && !errors.As(err, &stalled) {
 		return c.addBroken(now, incarnationOf(e), r)
 	}
 	return false, false
@@ -185,13 +183,7 @@
 	return true, !known
 }
 
-// confirm adds the crash of an endpoint to the evidence if an attempt broke off there before.
-func (c *crashes) confirm(now time.Time, e crash.Endpoint) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.confirmLocked(now, e)
-}
-
+// confirmLocked adds the crash of an endpoint to the evidence if an attempt broke off there before; c.mu must be held.
 func (c *crashes) confirmLocked(now time.Time, e crash.Endpoint) {
 	report, ok := c.broken[e]
 	if !ok {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -46,6 +47,8 @@
 	// RefusesConnections reports whether no process listens at the endpoint's address any more, after a connection to it
 	// broke.
 	RefusesConnections(ctx context.Context, e membership.Endpoint) bool
+	// Connects reports whether a connection to the endpoint succeeds.
+	Connects(ctx context.Context, e membership.Endpoint) bool
 }
 
 // Forwarder forwards a request to an entry instance of another region.
@@ -106,6 +109,7 @@
 func (d *Dispatcher) Refresh(instances int) {
 	d.scheduler.mu.Lock()
 	defer d.scheduler.mu.Unlock()
+	d.scheduler.instances = instances
 	d.scheduler.chooser.SetInstances(instances)
 	d.scheduler.refresh(d.now())
 }
@@ -224,12 +228,31 @@
 		checker = d.models
 	}
 	go func() {
-		crashed := checker.RefusesConnections(ctx, e)
+		// An instance that is cut off from the endpoints is refused by all of them.
+		crashed := checker.RefusesConnections(ctx, e) && d.reachesAnother(ctx, checker, e)
 		c.endCheck(d.now(), incarnationOf(e), crashed)
 	}()
 	return suspect
 }
 
+// reachesAnother reports whether a connection to another endpoint of the region succeeds.
+func (d *Dispatcher) reachesAnother(ctx context.Context, checker CrashChecker, e membership.Endpoint) bool {
+	others := slices.DeleteFunc(slices.Clone(d.view.Endpoints()), func(other membership.Endpoint) bool { return other.Name == e.Name })
+	others = d.scheduler.sample(others, maxReachProbes)
+	results := make(chan bool, len(others))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, other := range others {
+		go func() { results <- checker.Connects(ctx, other) }()
+	}
+	for range others {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
+
 // blockedRetry returns a refusal if a request that is tried again has a prompt that was blocked meanwhile. An answer that
 // has begun goes on, as its prompt is sound.
 func (d *Dispatcher) blockedRetry(j *job) error {
--- a/dispatch/forward_test.go
+++ b/dispatch/forward_test.go
@@ -61,6 +61,8 @@
 
 func (refusingModels) RefusesConnections(context.Context, membership.Endpoint) bool { return false }
 
+func (refusingModels) Connects(context.Context, membership.Endpoint) bool { return true }
+
 // instanceView is what a randomly drawn instance knows of endpoints and regions.
 type instanceView struct {
 	hasEngine    bool
--- a/dispatch/retry_test.go
+++ b/dispatch/retry_test.go
@@ -80,6 +80,8 @@
 
 func (s *scriptedPlain) RefusesConnections(context.Context, membership.Endpoint) bool { return false }
 
+func (s *scriptedPlain) Connects(context.Context, membership.Endpoint) bool { return true }
+
 func (s *scriptedPlain) Call(context.Context, membership.Endpoint, Request) (Reply, error) {
 	s.calls++
 	if s.calls <= len(s.script) && s.script[s.calls-1] != nil {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -35,8 +35,10 @@
 	// optionalForwards is the number of requests that may be forwarded now although the region could serve them. Each
 	// new request adds optionalForwardShare, up to maxOptionalForwards, and each such forward takes one.
 	optionalForwards float64
-	refreshedAt      time.Time
-	startedAt        time.Time
+	// instances is the number of instances in the region.
+	instances   int
+	refreshedAt time.Time
+	startedAt   time.Time
 }
 
 func newScheduler(self Hop, view View, chooser Chooser, now func() time.Time, source rand.Source, log zerolog.Logger) *scheduler {
@@ -101,6 +103,14 @@
 	s.startWaiting(now, nil)
 }
 
+// sample returns at most n of the endpoints, drawn at random. It changes their order.
+func (s *scheduler) sample(endpoints []membership.Endpoint, n int) []membership.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rng.Shuffle(len(endpoints), func(i, k int) { endpoints[i], endpoints[k] = endpoints[k], endpoints[i] })
+	return endpoints[:min(n, len(endpoints))]
+}
+
 // start records an attempt as sent to the decision's endpoint.
 func (s *scheduler) start(now time.Time, j *job, d routing.Decision) *placement {
 	ticket := s.chooser.Start(now, d, &j.query)
--- a/endpoint/model.go
+++ b/endpoint/model.go
@@ -64,6 +64,12 @@
 	return newAnswerReader(r.CorrelationID, attempt.Number, attempt.Next, sink).read(resp.Body)
 }
 
+// Connects reports whether a connection to the endpoint succeeds.
+func (m *ModelClient) Connects(ctx context.Context, e membership.Endpoint) bool {
+	connected, _ := exchange.Probe(ctx, e.Address, connectTimeout)
+	return connected
+}
+
 // RefusesConnections reports whether no process listens at the engine's address any more, after a connection to it broke.
 func (m *ModelClient) RefusesConnections(ctx context.Context, e membership.Endpoint) bool {
 	return exchange.RefusesConnections(ctx, e.Address, connectTimeout)
--- a/endpoint/plain.go
+++ b/endpoint/plain.go
@@ -22,6 +22,12 @@
 // NewPlainClient returns a client of plain services.
 func NewPlainClient() *PlainClient { return &PlainClient{} }
 
+// Connects reports whether a connection to the endpoint succeeds.
+func (p *PlainClient) Connects(ctx context.Context, e membership.Endpoint) bool {
+	connected, _ := exchange.Probe(ctx, e.Address, connectTimeout)
+	return connected
+}
+
 // RefusesConnections reports whether no process listens at the endpoint's address any more, after a connection to it broke.
 func (p *PlainClient) RefusesConnections(ctx context.Context, e membership.Endpoint) bool {
 	return exchange.RefusesConnections(ctx, e.Address, connectTimeout)
--- a/entry/forwarded.go
+++ b/entry/forwarded.go
@@ -31,7 +31,7 @@
 	return s.frames.Send(wire.PieceFrame(p))
 }
 
-// Forward runs a request that an entry of another region has forwarded.
+// Forward runs a request that another entry has forwarded or handed over.
 func (n *Entry) Forward(m *wiregen.ForwardRequest, frames grpc.ServerStreamingServer[wiregen.ForwardFrame]) error {
 	n.active.Add(1)
 	defer n.active.Add(-1)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -72,3 +72,8 @@
 func (m timedModelCaller) RefusesConnections(ctx context.Context, e membership.Endpoint) bool {
 	return m.next.RefusesConnections(ctx, e)
 }
+
+// Connects passes the question on.
+func (m timedModelCaller) Connects(ctx context.Context, e membership.Endpoint) bool {
+	return m.next.Connects(ctx, e)
+}
