Hand requests to entries of the region that reach its engines

An entry that is cut off from all engines of its region refused its callers, 40 of 40 in TestStrandedInstanceRefusedCallers, while other entries reached the engines; what was in progress broke off. The same cause as at the platform's gateways: requests were forwarded to other regions only.

If engines are known and the circuit breakers of all are open, a request that may be repeated goes to another entry of the region, once at most; other regions come after. Calls that may not be repeated are not handed over, as the ledger holds their claim for the entry that took them.

--- a/dispatch/crossregion.go
+++ b/dispatch/crossregion.go
@@ -16,6 +16,11 @@
 	if hasEndpoint && j.class.Deferrable {
 		return nil
 	}
+	if !hasEndpoint {
+		if p := s.tryHandOver(now, j); p != nil {
+			return p
+		}
+	}
 	reason, localTerms := s.forwardReason(now, j, q, d, hasEndpoint)
 	if reason == "" {
 		return nil
