Treat an endpoint as one that may have restarted after a long silence

Cause: since an attempt to connect that nobody answered is no failure of the endpoint any more, it also no longer counts as a sign of a restart. After more than 1.5 s without anything from an endpoint, such an attempt again makes it count as cold until it has answered. TestSilentEndpointRestarted.

Also an order that crashes the endpoints of a service, in the system tests of the product's own entries.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -158,6 +158,7 @@
 		s.health = s.health.WithOutcome(true)
 		p.endpointBreakers.Failed(now, a.endpoint.ID)
 	case unanswered:
+		s.unansweredAt = now
 		p.endpointBreakers.Unreached(now, a.endpoint.ID)
 	case unreached:
 		s.connectFailedAt = now
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -40,6 +40,8 @@
 	coldUntil time.Time
 	// connectFailedAt is the time of the last failed connection; zero once the endpoint has answered since.
 	connectFailedAt time.Time
+	// unansweredAt is the time of the last attempt to connect that nobody answered.
+	unansweredAt time.Time
 	// pausedUntil is the end of the pause that the endpoint asked this gateway for.
 	pausedUntil time.Time
 	limit       endpointLimit
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -105,7 +105,7 @@
 	// The failures before were those of the links.
 	p.reach.stranded, p.reach.regainedAt, p.firstDecisionAt = false, now, now
 	for id, s := range p.states {
-		s.connectFailedAt = time.Time{}
+		s.connectFailedAt, s.unansweredAt = time.Time{}, time.Time{}
 		p.endpointBreakers.Forget(id)
 	}
 }
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"arbutusreel/capacity"
 	"arbutusreel/retry"
 )
 
@@ -47,3 +48,33 @@
 
 // retryAfterSilence is more than the time for which the circuit breaker of an endpoint is open first.
 const retryAfterSilence = 1500 * time.Millisecond
+
+// TestSilentEndpointRestarted has an endpoint be silent for longer than a sound one is, and be reached again before its heartbeat tells whether
+// it has started anew: until it has answered it gets no more than a cold endpoint. After a short silence it gets as much as before.
+func TestSilentEndpointRestarted(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		silence time.Duration
+		cold    bool
+	}{{time.Second, false}, {2 * time.Second, true}} {
+		placers, v, r, s := newPlacers(t, 1, modelEndpoints("a")...)
+		p, now := placers[0], start.Add(c.silence)
+		p.decide(start.Add(-time.Minute), v, testQuery(r, s))
+		heard := p.begin(start, "model", capacity.Work{}, p.decide(start, v, testQuery(r, s)))
+		heard.heard(start)
+		heard.end(start, succeeded)
+		failed := p.begin(start, "model", capacity.Work{}, p.decide(start, v, testQuery(r, s)))
+		failed.end(start.Add(c.silence/2), unanswered)
+		p.endpointBreakers.Forget("a")
+		sent := 0
+		for range 40 {
+			if d := p.decide(now, v, testQuery(r, s)); d.endpoint.ID == "a" {
+				p.begin(now, "model", capacity.Work{}, d)
+				sent++
+			}
+		}
+		if got := sent < 40; got != c.cold {
+			t.Errorf("after a silence of %v: %d of 40 requests were sent", c.silence, sent)
+		}
+	}
+}
--- a/systemtest/crashes_test.go
+++ b/systemtest/crashes_test.go
@@ -54,3 +54,45 @@
 		t.Errorf("%d engines run, %d before", n, before)
 	}
 }
+
+// TestOrderCrashedServicesOneAfterTheOther has one order, which comes again and again under new keys, end each endpoint that runs it: after
+// three it is refused at both entries, and other orders are answered.
+func TestOrderCrashedServicesOneAfterTheOther(t *testing.T) {
+	s := newSystem(t, options{regions: []string{"lahore"}, entriesPerRegion: 2, inventory: lunchClubInventory})
+	const endpoints, deadly = 8, "exit"
+	var all []*instance
+	for i := range endpoints {
+		all = append(all, s.service(fmt.Sprint("desk-", i), "lahore", "club-desk", "--slots", "8"))
+	}
+	n := 0
+	order := func(body string) response {
+		n++
+		return s.do(http.MethodPost, s.entries[n%2].caller, orderPath, lahoreToken, body, "Idempotency-Key", fmt.Sprint("key-", n), "Arbutusreel-Class", "order")
+	}
+	running := func() int {
+		alive := 0
+		for _, e := range all {
+			select {
+			case <-e.done:
+			default:
+				alive++
+			}
+		}
+		return alive
+	}
+	s.until("orders are answered", func() bool { return order(fmt.Sprint("lentils ", n)).status == http.StatusOK })
+	s.until("the order is blocked", func() bool { return strings.Contains(order(deadly).body, string(problem.RequestBlocked)) })
+	time.Sleep(2 * time.Second)
+	before := running()
+	for range 6 {
+		if got := order(deadly); got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, string(problem.RequestBlocked)) {
+			t.Errorf("status %d: %s", got.status, got.body)
+		}
+		if got := order(fmt.Sprint("rice ", n)); got.status != http.StatusOK {
+			t.Errorf("a sound order: status %d: %s", got.status, got.body)
+		}
+	}
+	if left := running(); left != before || left == 0 {
+		t.Errorf("%d endpoints run, %d before", left, before)
+	}
+}
