--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -13,7 +13,8 @@
 const (
 	// userTimeout is how long sent data may stay unacknowledged before the connection is considered dead.
 	userTimeout = 3 * time.Second
-	// probeIdle, probeInterval and probeCount detect an unresponsive peer within about two seconds.
+	// probeIdle, probeInterval and probeCount detect a peer that does not answer while it owes data. The count would do so within
+	// 2.5 s; as userTimeout is set, the kernel goes by it instead, and gives up at the first probe after it.
 	probeIdle     = time.Second
 	probeInterval = 500 * time.Millisecond
 	probeCount    = 3
