Check the links when all circuit breakers are open, and don't take a late answer for a new connection

TestStrandedGatewayRefusedCallers failed in two of nine runs beside other work: a gateway without links refused half of its requests as noEndpoint, or as stranded after another one without links had refused them for want of capacity. Traced by reading: the answer over a connection from before the cut was recorded after it, and ended the state in which no endpoint is reached; by then the circuit breakers of all endpoints were open, so that no further failure showed the cut until they let probes through, seconds later. Such answers no longer count, and a decision that finds all breakers open has the links checked. TestLateAnswerTakenForReach.

Also: a region none of whose gateways is known to reach an endpoint no longer passes requests around (TestUnreachedRegionHandedOver), and the end of a handed request's time isn't taken for a failure of the gateway that got it.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -54,7 +54,9 @@
 	})
 	if err != nil {
 		timer.stop()
-		if g.placer.recordForward(time.Now(), d, j.r.Context().Err() != nil) {
+		// Within the region a gateway that fails is noticed sooner than the deadline of a request.
+		ended := j.r.Context().Err() != nil || d.handed && j.ctx.Err() != nil
+		if g.placer.recordForward(time.Now(), d, ended) {
 			g.log.Warn().Str("region", d.region).Str("gateway", d.gateway.Name).Err(err).Msg("region circuit breaker opened")
 		}
 		return j.recordFailure(ctx, err, exchange.Outcome(err))
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -220,6 +220,10 @@
 	local, endpoints, held := p.localCandidates(now, v, q, len(peers) > 0)
 	choice, ok := capacity.Choose(local, q.work, speed, fetchTimePerToken(q.service), q.route.Objective, p.rng.Float64())
 	here := p.withoutChoice(now, q, speed, len(local), held)
+	if !ok && held == (withheld{}) && len(v.endpoints[q.service.Name]) > 0 && !p.reach.dark {
+		// All circuit breakers are open, so that no further failure would show that this gateway is cut off.
+		signal(p.reach.doubted)
+	}
 	if ok {
 		here = p.withChoice(q, speed, local, endpoints, choice)
 	}
@@ -287,12 +291,13 @@
 
 // peersToHandTo returns the gateways of this region to which a request is handed instead of being sent to an endpoint: those that
 // reach endpoints, if this one doesn't or may not. It returns none for a request that was forwarded or handed over before, or that
-// another gateway of the region has refused.
+// another gateway of the region has refused, and none if no gateway of the region is known to reach an endpoint.
 func (p *placer) peersToHandTo(now time.Time, v *view, q query) []fleet.Gateway {
 	if q.forwarded || q.tried[p.cfg.Region] || !q.route.Allows(p.cfg.Region) {
 		return nil
 	}
-	if !p.reach.handsOver(now, p.rng) && !p.reach.doubtful(v.listedCount()) {
+	inDoubt := p.reach.doubtful(v.listedCount()) && !p.reach.dark
+	if !inDoubt && !p.reach.handsOver(now, p.rng) {
 		return nil
 	}
 	return p.reachingPeers(now, v, q.tried)
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -39,9 +39,9 @@
 	// failed holds the endpoints that could not be connected to since the last connection.
 	failed map[string]bool
 	// dark reports that no endpoint of the region can be connected to from here, and stranded that this is so while other gateways
-	// of the region reach them. regainedAt is when the latter last ended.
-	dark, stranded bool
-	regainedAt     time.Time
+	// of the region reach them. darkAt is when the former last began, and regainedAt when the latter last ended.
+	dark, stranded     bool
+	darkAt, regainedAt time.Time
 	// doubted receives a value when the links are to be checked.
 	doubted chan struct{}
 	// waiting holds the attempts that may be sent elsewhere if their endpoint is out of reach.
@@ -93,10 +93,14 @@
 	return how
 }
 
-// recordConnected records a new connection to an endpoint.
-func (p *placer) recordConnected(now time.Time) {
+// recordConnected records a new connection to an endpoint for which the attempt began at the given time. One from before the loss of
+// all links says nothing of them.
+func (p *placer) recordConnected(now, began time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.reach.dark && began.Before(p.reach.darkAt) {
+		return
+	}
 	clear(p.reach.failed)
 	p.reach.dark = false
 	if !p.reach.stranded {
@@ -111,10 +115,10 @@
 }
 
 // recordDark records that no endpoint of the region is reached.
-func (p *placer) recordDark() {
+func (p *placer) recordDark(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reach.dark = true
+	p.reach.dark, p.reach.darkAt = true, now
 }
 
 // recordStranded records that no endpoint of the region is reached while other gateways reach them, and reports whether that is
@@ -204,9 +208,10 @@
 		case <-ctx.Done():
 			return
 		}
+		began := time.Now()
 		switch connected, listed := g.probeEndpoints(ctx, maxReachProbes); {
 		case connected:
-			g.placer.recordConnected(time.Now())
+			g.placer.recordConnected(time.Now(), began)
 			clock.Sleep(ctx, doubtPeriod)
 		case listed && ctx.Err() == nil:
 			g.awaitReach(ctx)
@@ -218,7 +223,7 @@
 // may be at fault.
 func (g *Gateway) awaitReach(ctx context.Context) {
 	began := time.Now()
-	g.placer.recordDark()
+	g.placer.recordDark(began)
 	g.log.Warn().Msg("no endpoint is reached")
 	for g.placer.isDark() {
 		g.placer.cancelSilent(time.Now())
@@ -228,8 +233,9 @@
 		if !clock.Sleep(ctx, strandedProbePeriod) {
 			return
 		}
+		probed := time.Now()
 		if connected, _ := g.probeEndpoints(ctx, strandedProbes); connected {
-			g.placer.recordConnected(time.Now())
+			g.placer.recordConnected(time.Now(), probed)
 		}
 	}
 	g.log.Info().Dur("after", time.Since(began)).Msg("endpoints are reached again")
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -73,7 +73,7 @@
 	j.sends++
 	a.heard(time.Now())
 	if answer.Fresh {
-		g.placer.recordConnected(time.Now())
+		g.placer.recordConnected(time.Now(), now)
 	}
 	verdict := g.cfg.Headers.Verdict(answer.Header, answer.Status)
 	j.recordVerdict(d, verdict)
--- a/gateway/stranded_test.go
+++ b/gateway/stranded_test.go
@@ -19,6 +19,8 @@
 // outcomes counts the answers to requests.
 type outcomes struct {
 	sent, served atomic.Int32
+	// failure is one of the answers that were no success.
+	failure atomic.Value
 }
 
 // load sends plain requests and streams through a gateway, one of each every few milliseconds, until d has passed.
@@ -32,6 +34,8 @@
 				got := f.repeat(g, fmt.Sprint(path, f.calls.Add(1)))
 				if got.status == http.StatusOK && got.whole && got.err == nil {
 					o.served.Add(1)
+				} else {
+					o.failure.Store(fmt.Sprintf("%s: %d %s %v", path, got.status, got.body, got.err))
 				}
 			})
 		}
@@ -65,7 +69,7 @@
 			for _, g := range f.gateways[:2] {
 				o := f.load(g, time.Second)
 				if served, sent := o.served.Load(), o.sent.Load(); served < sent*98/100 {
-					t.Errorf("%s served %d of %d requests while cut off", g.cfg.Name, served, sent)
+					t.Errorf("%s served %d of %d requests while cut off; %v", g.cfg.Name, served, sent, o.failure.Load())
 				}
 				if !g.Ready() {
 					t.Errorf("%s isn't ready", g.cfg.Name)
@@ -145,7 +149,7 @@
 	for _, p := range placers {
 		p.decide(now.Add(-time.Minute), v, testQuery(r, s))
 	}
-	placers[0].recordDark()
+	placers[0].recordDark(now)
 	placers[0].recordStranded()
 	known := *v
 	known.gateways = slices.Clone(v.gateways)
@@ -188,7 +192,7 @@
 	if counts := handed(now, q); len(counts) > 0 {
 		t.Errorf("handed over within a region that is no home: %v", counts)
 	}
-	p.recordConnected(now)
+	p.recordConnected(now, now)
 	before := 0
 	for _, after := range []time.Duration{0, returnTime / 2, returnTime} {
 		n := handed(now.Add(after), testQuery(r, s))["endpoint"]
@@ -209,7 +213,7 @@
 		d := cutOff.decide(now, v, testQuery(r, s))
 		cutOff.begin(now, "model", capacity.Work{}, d).end(now, failed)
 	}
-	cutOff.recordDark()
+	cutOff.recordDark(now)
 	cutOff.recordStranded()
 	report := cutOff.loadReport(now, 1, true)
 	if report == nil {
@@ -235,7 +239,7 @@
 	if cutOff.mayTake(now, &v.endpoints["model"][0], limit, 0, 3) {
 		t.Error("a stranded gateway takes a turn")
 	}
-	cutOff.recordConnected(now)
+	cutOff.recordConnected(now, now)
 	if cutOff.mayTake(now, &v.endpoints["model"][0], limit, 0, 3) || !cutOff.mayTake(now.Add(coldHoldoffTime), &v.endpoints["model"][0], limit, 0, 3) {
 		t.Error("a gateway takes turns before others know of its return, or not after")
 	}
@@ -256,10 +260,59 @@
 	if got := reporters(); got != "here-0" {
 		t.Errorf("reported by %q", got)
 	}
-	f.gateways[0].placer.recordDark()
+	f.gateways[0].placer.recordDark(time.Now())
 	f.gateways[0].placer.recordStranded()
 	f.publish()
 	if got := reporters(); got != "here-1" {
 		t.Errorf("reported by %q while here-0 is cut off", got)
 	}
 }
+
+// TestUnreachedRegionHandedOver has a gateway reach no endpoint: while it is doubtful whose fault that is, requests go to other gateways;
+// once none of the region is known to reach one, they are no longer passed around in it.
+func TestUnreachedRegionHandedOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	placers, v, r, s := newPlacers(t, 3, modelEndpoints("a", "b")...)
+	p := placers[0]
+	p.decide(now, v, testQuery(r, s))
+	for _, id := range []string{"a", "b"} {
+		p.reach.recordUnconnected(id, 2)
+	}
+	if d := p.decide(now, v, testQuery(r, s)); !d.handed {
+		t.Errorf("in doubt: %+v", d)
+	}
+	p.recordDark(now)
+	if d := p.decide(now, v, testQuery(r, s)); d.handed {
+		t.Errorf("handed to %q, which reaches no endpoint either", d.gateway.Name)
+	}
+}
+
+// TestLateAnswerTakenForReach has the answer over a connection from before the cut arrive once no endpoint is reached: it does not end that,
+// and a gateway whose circuit breakers are all open checks its links.
+func TestLateAnswerTakenForReach(t *testing.T) {
+	now := time.Unix(1000, 0)
+	placers, v, r, s := newPlacers(t, 2, modelEndpoints("a", "b")...)
+	p := placers[0]
+	p.recordDark(now)
+	p.recordStranded()
+	p.recordConnected(now.Add(time.Second), now.Add(-time.Millisecond))
+	if !p.isStranded() {
+		t.Error("an answer from before the cut ended it")
+	}
+	p.recordConnected(now.Add(time.Second), now.Add(time.Millisecond))
+	if p.isStranded() {
+		t.Error("a new connection did not end the cut")
+	}
+	now = now.Add(time.Minute)
+	p.decide(now, v, testQuery(r, s))
+	for _, id := range []string{"a", "b"} {
+		p.endpointBreakers.Unreached(now, id)
+	}
+	for len(p.reach.doubted) > 0 {
+		<-p.reach.doubted
+	}
+	p.decide(now, v, testQuery(r, s))
+	if len(p.reach.doubted) == 0 {
+		t.Error("the links are not checked")
+	}
+}
