--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,7 +31,7 @@
 	probe   retry.Probe
 	// grantFrame is the frame in which a brittle endpoint's free slot was granted; zero if none was.
 	grantFrame int64
-	// endpointHeardNanos is when anything last arrived from the endpoint.
+	// endpointHeardNanos is when a piece of an answer last arrived from the endpoint.
 	endpointHeardNanos *atomic.Int64
 }
 
@@ -79,6 +79,7 @@
 		return
 	}
 	a.firstAt = now
+	a.heard(now)
 	s := p.state(&a.endpoint)
 	took := now.Sub(a.sent)
 	latest := s.born == a.endpoint.Born
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -46,7 +46,7 @@
 	pausedUntil time.Time
 	limit       endpointLimit
 	brittle     brittleness
-	// heardNanos is when anything last arrived from the endpoint, in Unix time.
+	// heardNanos is when a piece of an answer last arrived from the endpoint, in Unix time.
 	heardNanos atomic.Int64
 }
 
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -158,11 +158,14 @@
 	p.reach.waiting[a] = cancel
 }
 
-// heard records that something has arrived from the attempt's endpoint.
+// heard records that something has arrived from an endpoint.
+func (r *reach) heard(now time.Time) { r.heardNanos.Store(now.UnixNano()) }
+
+// heard records that a piece of an answer has arrived from the attempt's endpoint. The head of an answer may be a rejection, which says
+// nothing about whether the endpoint has started anew.
 func (a *attempt) heard(now time.Time) {
-	nanos := now.UnixNano()
-	a.endpointHeardNanos.Store(nanos)
-	a.placer.reach.heardNanos.Store(nanos)
+	a.endpointHeardNanos.Store(now.UnixNano())
+	a.placer.reach.heard(now)
 }
 
 // silentFor returns for how long nothing has arrived from any endpoint while at least one attempt was waiting; zero if none is.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -71,7 +71,7 @@
 	}
 	defer answer.Close()
 	j.sends++
-	a.heard(time.Now())
+	g.placer.reach.heard(time.Now())
 	if answer.Fresh {
 		g.placer.recordConnected(time.Now(), now)
 	}
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -66,6 +66,8 @@
 		failed := p.begin(start, "model", capacity.Work{}, p.decide(start, v, testQuery(r, s)))
 		failed.end(start.Add(c.silence/2), unanswered)
 		p.endpointBreakers.Forget("a")
+		// A rejection is no sign that the endpoint is the one from before.
+		p.reach.heard(now)
 		sent := 0
 		for range 40 {
 			if d := p.decide(now, v, testQuery(r, s)); d.endpoint.ID == "a" {
