Don't take the end of many endpoints for a cut of the own links

Its logs show the cause: nine endpoints of a zone ended at once, and six gateways of the region that tried three endpoints, all ended, took themselves for cut off, as others reached one that was left. The shares of the rates of cold endpoints were then divided among different gateways by those that knew of the stranded ones and those that didn't yet, and summed to more.

Before none counts as reached, up to 64 endpoints are tried now (TestZoneOfEndpointsTakenForCut). The shares of stranded gateways in the rates of cold endpoints stay unused, while those in limits and grants still fall to the others.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -53,9 +53,20 @@
 	return slices.ContainsFunc(v.gateways, func(g fleet.Gateway) bool { return g.Name == name })
 }
 
-// coldShareRank returns the rank of this gateway among those of its region that hold a share of the cold endpoints'
-// rates, and their number.
-func (p *placer) coldShareRank(now time.Time, v *view) (rank, n int) {
+// holders is the position of a gateway among those of its region that share a rate, and their number.
+type holders struct {
+	rank, n int
+}
+
+// sharers is the position of a gateway among all that hold a share of the cold endpoints' rates, and among those of them that reach
+// endpoints, which share limits and grants. The shares of stranded gateways in the rates of cold endpoints stay unused: a cold endpoint
+// must not get more while some gateways know of one that is stranded and others don't.
+type sharers struct {
+	all, reaching holders
+}
+
+// sharersOf returns this gateway's position among the sharers of its region.
+func (p *placer) sharersOf(now time.Time, v *view) sharers {
 	if p.firstDecisionAt.IsZero() {
 		p.firstDecisionAt = now
 	}
@@ -72,20 +83,23 @@
 			}
 		}
 	}
-	n = 1
+	all, reaching := holders{n: 1}, holders{n: 1}
 	for name, seen := range p.shareHolders {
 		switch {
 		case name == p.cfg.Name:
 		case now.Sub(seen) > coldShareTTL && !v.listsGateway(name):
 			delete(p.shareHolders, name)
-		case p.strandedHolders[name]:
-			// It sends nothing, and waits for coldHoldoffTime once it reaches endpoints again.
 		default:
-			n++
+			before := 0
 			if name < p.cfg.Name {
-				rank++
+				before = 1
+			}
+			all.n, all.rank = all.n+1, all.rank+before
+			// One that is stranded sends nothing, and waits for coldHoldoffTime once it reaches endpoints again.
+			if !p.strandedHolders[name] {
+				reaching.n, reaching.rank = reaching.n+1, reaching.rank+before
 			}
 		}
 	}
-	return rank, n
+	return sharers{all: all, reaching: reaching}
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -372,7 +372,7 @@
 		return nil, nil, withheld{}
 	}
 	p.expire(now, v)
-	rank, n := p.coldShareRank(now, v)
+	sharers := p.sharersOf(now, v)
 	speed := p.speed(q.service.Name)
 	p.candidates, p.endpoints = p.candidates[:0], p.endpoints[:0]
 	all := v.endpoints[q.service.Name]
@@ -382,7 +382,7 @@
 		if !e.TerminatesAt.IsZero() || p.departures.Contains(e.ID, e.Born) || !q.mayServe(e) {
 			continue
 		}
-		if !byOther && !p.maySend(now, q, e, s, rank, n, &held) {
+		if !byOther && !p.maySend(now, q, e, s, sharers, &held) {
 			continue
 		}
 		peers := p.peers.sum(e.ID)
@@ -402,7 +402,7 @@
 }
 
 // maySend reports whether this gateway may send a request to an endpoint now, and adds what keeps it from that to held.
-func (p *placer) maySend(now time.Time, q query, e *fleet.Endpoint, s *endpointState, rank, n int, held *withheld) bool {
+func (p *placer) maySend(now time.Time, q query, e *fleet.Endpoint, s *endpointState, by sharers, held *withheld) bool {
 	switch {
 	case q.tried[e.ID]:
 		return false
@@ -411,14 +411,14 @@
 		return false
 	case !p.endpointBreakers.Allows(now, e.ID):
 		return false
-	case !p.mayTake(now, e, &s.limit, rank, n):
+	case !p.mayTake(now, e, &s.limit, by.reaching.rank, by.reaching.n):
 		held.addLimited(s.limit.perSecond)
 		return false
-	case s.brittle.rejections.named && !p.mayStart(now, e, s, s.outstanding.Requests+p.peers.sum(e.ID).outstanding.Requests, rank, n):
+	case s.brittle.rejections.named && !p.mayStart(now, e, s, s.outstanding.Requests+p.peers.sum(e.ID).outstanding.Requests, by.reaching.rank, by.reaching.n):
 		held.brittle++
 		return false
 	default:
-		return !p.isCold(e, s, now) || s.coldWindow.Count(now) < p.coldLimit(now, q.service, e, rank, n)
+		return !p.isCold(e, s, now) || s.coldWindow.Count(now) < p.coldLimit(now, q.service, e, by.all.rank, by.all.n)
 	}
 }
 
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -23,6 +23,8 @@
 	// probes of one that reaches none.
 	doubtPeriod         = 500 * time.Millisecond
 	strandedProbePeriod = time.Second
+	// maxDarkProbes is the number of endpoints that are tried before none counts as reached.
+	maxDarkProbes = 64
 	// maxReachPeers is the number of other gateways that are asked at once whether they reach an endpoint.
 	maxReachPeers = 4
 	// strandedProbes is the number of endpoints that are probed at once then.
@@ -212,7 +214,7 @@
 			return
 		}
 		began := time.Now()
-		switch connected, listed := g.probeEndpoints(ctx, maxReachProbes); {
+		switch connected, listed := g.reachesAny(ctx); {
 		case connected:
 			g.placer.recordConnected(time.Now(), began)
 			clock.Sleep(ctx, doubtPeriod)
@@ -278,6 +280,16 @@
 	return err == nil && a.GetReached()
 }
 
+// reachesAny reports whether an endpoint of the region can be connected to, and whether any is listed. Many may have ended at once, so
+// that all are tried if the first ones fail.
+func (g *Gateway) reachesAny(ctx context.Context) (connected, listed bool) {
+	connected, listed = g.probeEndpoints(ctx, maxReachProbes)
+	if !connected && listed {
+		connected, _ = g.probeEndpoints(ctx, maxDarkProbes)
+	}
+	return connected, listed
+}
+
 // probeEndpoints tries to connect to some endpoints of the region, and reports whether one was reached and whether any is listed.
 func (g *Gateway) probeEndpoints(ctx context.Context, n int) (connected, listed bool) {
 	chosen := g.placer.probeTargets(g.view.Load().listed(""), n)
--- a/gateway/stranded_test.go
+++ b/gateway/stranded_test.go
@@ -231,8 +231,8 @@
 	known.gateways = slices.Clone(v.gateways)
 	known.gateways[0].Stranded = true
 	for _, p := range placers[1:] {
-		if _, n := p.coldShareRank(now, &known); n != 2 {
-			t.Errorf("%d gateways share limits", n)
+		if by := p.sharersOf(now, &known); by.reaching.n != 2 || by.all.n != 3 {
+			t.Errorf("%d gateways share limits, and %d the rates of cold endpoints", by.reaching.n, by.all.n)
 		}
 	}
 	limit := &endpointLimit{named: true, perSecond: 100}
@@ -316,3 +316,19 @@
 		t.Error("the links are not checked")
 	}
 }
+
+// TestZoneOfEndpointsTakenForCut has most endpoints of a region end at once: a gateway that by chance tries ended ones first does not take
+// itself for cut off.
+func TestZoneOfEndpointsTakenForCut(t *testing.T) {
+	const endpoints = 12
+	f := newCrashFleet(t, []string{"here"}, 2, endpoints)
+	for _, e := range f.endpoints["here"][1:] {
+		e.crash()
+	}
+	g := f.gateways[0]
+	for range 20 {
+		if connected, listed := g.reachesAny(t.Context()); !connected || !listed {
+			t.Fatalf("connected: %v, listed: %v", connected, listed)
+		}
+	}
+}
