--- a/systemtest/crashes_test.go
+++ b/systemtest/crashes_test.go
@@ -10,6 +10,19 @@
 	"arbutusreel/problem"
 )
 
+// running returns the number of instances whose process runs.
+func running(all []*instance) int {
+	alive := 0
+	for _, e := range all {
+		select {
+		case <-e.done:
+		default:
+			alive++
+		}
+	}
+	return alive
+}
+
 // TestPromptCrashedEnginesOneAfterTheOther has prompts with the same beginning end each engine that is about to answer them, seen by
 // two entries: once both know, these are refused, and others with the rest of the beginning are answered.
 func TestPromptCrashedEnginesOneAfterTheOther(t *testing.T) {
@@ -27,21 +40,10 @@
 		return s.do(http.MethodPost, s.entries[n%2].caller, chatPath, lahoreToken,
 			fmt.Sprintf(`{"model":"dastarkhwan-menu","max_tokens":2,"messages":[{"role":"user","content":%q}]}`, content))
 	}
-	running := func() int {
-		alive := 0
-		for _, e := range all {
-			select {
-			case <-e.done:
-			default:
-				alive++
-			}
-		}
-		return alive
-	}
 	s.until("plans are answered", func() bool { return ask("boil the rice").status == http.StatusOK })
 	s.until("the prompt is blocked", func() bool { return strings.Contains(ask(deadly).body, string(problem.PromptBlocked)) })
 	time.Sleep(2 * time.Second)
-	before := running()
+	before := running(all)
 	for range 10 {
 		if got := ask(deadly); got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, string(problem.PromptBlocked)) {
 			t.Errorf("status %d: %s", got.status, got.body)
@@ -50,7 +52,7 @@
 			t.Errorf("a sound request: status %d: %s", got.status, got.body)
 		}
 	}
-	if n := running(); n != before || n == 0 {
+	if n := running(all); n != before || n == 0 {
 		t.Errorf("%d engines run, %d before", n, before)
 	}
 }
@@ -69,21 +71,10 @@
 		n++
 		return s.do(http.MethodPost, s.entries[n%2].caller, orderPath, lahoreToken, body, "Idempotency-Key", fmt.Sprint("key-", n), "Arbutusreel-Class", "order")
 	}
-	running := func() int {
-		alive := 0
-		for _, e := range all {
-			select {
-			case <-e.done:
-			default:
-				alive++
-			}
-		}
-		return alive
-	}
 	s.until("orders are answered", func() bool { return order(fmt.Sprint("lentils ", n)).status == http.StatusOK })
 	s.until("the order is blocked", func() bool { return strings.Contains(order(deadly).body, string(problem.RequestBlocked)) })
 	time.Sleep(2 * time.Second)
-	before := running()
+	before := running(all)
 	for range 6 {
 		if got := order(deadly); got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, string(problem.RequestBlocked)) {
 			t.Errorf("status %d: %s", got.status, got.body)
@@ -92,7 +83,7 @@
 			t.Errorf("a sound order: status %d: %s", got.status, got.body)
 		}
 	}
-	if left := running(); left != before || left == 0 {
+	if left := running(all); left != before || left == 0 {
 		t.Errorf("%d endpoints run, %d before", left, before)
 	}
 }
