--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -27,7 +27,7 @@
 	maxDarkProbes = 64
 	// maxReachPeers is the number of other gateways that are asked at once whether they reach an endpoint.
 	maxReachPeers = 4
-	// strandedProbes is the number of endpoints that are probed at once then.
+	// strandedProbes is the number of endpoints that a gateway which reaches none probes at once.
 	strandedProbes = 2
 	// returnTime is how long after the first connection a gateway still hands a decreasing share of its requests to others.
 	returnTime = 2 * time.Second
