Test calls in progress at three crashes of other causes

The postmortem said that they stay served; the test had two crashes in each region, and no call that isn't repeated. A call that was answered before them, or elsewhere after them, stays served at all gateways.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -39,6 +39,8 @@
 	endpoints map[string][]*crashEndpoint
 	// links holds the links of gateways that are not connected directly, by gateway and endpoint.
 	links map[string]map[string]*link
+	// running holds the endpoint that runs the last request for each path.
+	running sync.Map
 	// reached counts the requests with crashing parts that reached endpoints, crashed the endpoints that have crashed,
 	// and calls the requests of callers.
 	reached, crashed, calls atomic.Int32
@@ -122,6 +124,7 @@
 	if crashes {
 		f.reached.Add(1)
 	}
+	f.running.Store(r.URL.Path, e)
 	time.Sleep(time.Duration(f.begins.Load()))
 	if crashes {
 		f.crashed.Add(1)
--- a/gateway/crashingrequest_test.go
+++ b/gateway/crashingrequest_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"arbutusreel/capacity"
 	"arbutusreel/crash"
 	"arbutusreel/routes"
 )
@@ -107,3 +109,50 @@
 		t.Errorf("%d of %d endpoints crashed", n, endpoints)
 	}
 }
+
+// TestAnsweredCallBlockedAfterThreeCrashes has a call that may not be repeated be in progress at three crashes of other causes, and an
+// answer to it before them or at another gateway: it stays served at all gateways.
+func TestAnsweredCallBlockedAfterThreeCrashes(t *testing.T) {
+	const path = "/unsafe/orders/7"
+	for _, answeredFirst := range []bool{true, false} {
+		t.Run(fmt.Sprint("answered first: ", answeredFirst), func(t *testing.T) {
+			f := newCrashFleet(t, []string{"here", "there"}, 2, 8)
+			if answeredFirst {
+				f.repeat(f.gateways[3], path)
+			}
+			f.setBegins(150 * time.Millisecond)
+			for range crash.MinCrashes {
+				done := make(chan struct{})
+				f.running.Delete(path)
+				go func() {
+					defer close(done)
+					f.repeat(f.gateways[0], path)
+				}()
+				for {
+					if e, ok := f.running.Load(path); ok {
+						e.(*crashEndpoint).crash()
+						break
+					}
+					time.Sleep(time.Millisecond)
+				}
+				<-done
+			}
+			f.setBegins(time.Millisecond)
+			time.Sleep(evidenceTime)
+			if !answeredFirst {
+				if n := f.gateways[3].crashes.known(); n != crash.MinCrashes {
+					t.Fatalf("%d crashes are known", n)
+				}
+				f.gateways[3].crashes.recordBegun(time.Now(), newTraits(crash.Identity{
+					Service: "desk", Method: http.MethodPost, Host: testHost, Target: path,
+				}, capacity.Work{}))
+			}
+			time.Sleep(evidenceTime)
+			for _, g := range f.gateways {
+				if got := f.repeat(g, path); got.status != http.StatusOK {
+					t.Errorf("%s: status %d, %s", g.cfg.Name, got.status, got.body)
+				}
+			}
+		})
+	}
+}
