--- a/gateway/brittle_test.go
+++ b/gateway/brittle_test.go
@@ -19,7 +19,7 @@
 	route   *routes.Route
 	service *routes.Service
 	rng     *rand.Rand
-	// slots is the number of slots of each endpoint, and bears the number of rejections a second that it bears.
+	// slots is the number of slots of each endpoint, and bears the number of rejections a second above which it crashes.
 	slots int
 	bears float64
 	now   time.Time
@@ -29,8 +29,7 @@
 	ends       []brittleEnd
 	reports    []brittleReports
 	// taken holds the longest time that a request takes; most take a tenth of it.
-	taken                time.Duration
-	sent, refused, again int
+	taken time.Duration
 }
 
 type brittleEnd struct {
@@ -113,11 +112,9 @@
 	for range 2 {
 		d := p.decide(b.now, b.v, q)
 		if d.verdict == capacity.Refuse {
-			b.refused++
 			return
 		}
 		id := d.endpoint.ID
-		b.sent++
 		q.tried[id] = true
 		a := p.begin(b.now, "model", capacity.Work{}, d)
 		p.recordVerdict(b.now, d.endpoint, Verdict{Brittle: Limit{Named: true, PerSecond: b.bears}})
@@ -133,7 +130,6 @@
 		}
 		b.rejections[id] = append(b.rejections[id], b.now)
 		a.end(b.now, rejected)
-		b.again++
 	}
 }
 
@@ -156,49 +152,71 @@
 	return most
 }
 
-// TestBrittleEndpointsRejectedMore has few or many gateways offer brittle endpoints more than these have slots for: from the
-// window on no endpoint rejects more than it bears in any second, and a good part of the slots is used.
+// brittleCase is a region of gateways before brittle endpoints.
+type brittleCase struct {
+	gateways, endpoints, slots int
+	bears                      float64
+}
+
+func (c brittleCase) String() string {
+	return fmt.Sprintf("%d gateways, %d endpoints of %d slots that bear %v", c.gateways, c.endpoints, c.slots, c.bears)
+}
+
+func brittleCases() []brittleCase {
+	return []brittleCase{{1, 2, 6, 1}, {3, 1, 6, 2}, {3, 5, 128, 3}, {8, 2, 16, 1}, {8, 4, 64, 0}, {64, 8, 16, 2.5}, {64, 4, 64, 5}, {300, 16, 16, 4}}
+}
+
+// overload sends the region 1.5 times what its endpoints serve, and returns it with the time from which on the endpoints count.
+func (c brittleCase) overload(t *testing.T) (b *brittleRegion, from time.Time) {
+	t.Helper()
+	b = newBrittleRegion(t, c.gateways, c.endpoints, c.slots, c.bears)
+	period, delay := 100*time.Millisecond, 50*time.Millisecond
+	if c.gateways >= 300 {
+		period = 200 * time.Millisecond
+	}
+	// The mean time of a request is 0.28 of the longest one.
+	capacityPerSecond := float64(c.endpoints*c.slots) / (0.28 * b.taken.Seconds())
+	b.run(connectivityWindow, capacityPerSecond/2, period, delay)
+	from = b.now
+	b.run(2*time.Second, capacityPerSecond, period, delay)
+	b.run(6*time.Second, 1.5*capacityPerSecond, period, delay)
+	return b, from
+}
+
+// TestBrittleEndpointsRejectedMore sends brittle endpoints more requests than they have slots, through few or many gateways: from the
+// window on no endpoint rejects more in any second than it bears.
 func TestBrittleEndpointsRejectedMore(t *testing.T) {
-	for _, c := range []struct {
-		gateways, endpoints, slots int
-		bears                      float64
-	}{{1, 2, 6, 1}, {3, 1, 6, 2}, {3, 5, 128, 3}, {8, 2, 16, 1}, {8, 4, 64, 0}, {64, 8, 16, 2.5}, {64, 4, 64, 5}, {300, 16, 16, 4}} {
-		t.Run(fmt.Sprintf("%d gateways, %d endpoints of %d slots that bear %v", c.gateways, c.endpoints, c.slots, c.bears), func(t *testing.T) {
-			b := newBrittleRegion(t, c.gateways, c.endpoints, c.slots, c.bears)
-			period, delay := 100*time.Millisecond, 50*time.Millisecond
-			if c.gateways >= 300 {
-				period = 200 * time.Millisecond
-			}
-			// The mean time of a request is 0.28 of the longest one.
-			capacityPerSecond := float64(c.endpoints*c.slots) / (0.28 * b.taken.Seconds())
-			b.run(connectivityWindow, capacityPerSecond/2, period, delay)
-			from := b.now
-			b.run(2*time.Second, capacityPerSecond, period, delay)
-			b.sent, b.refused, b.again = 0, 0, 0
-			b.run(6*time.Second, 1.5*capacityPerSecond, period, delay)
-			if n := b.mostRejections(from); float64(n) > c.bears {
+	for _, c := range brittleCases() {
+		t.Run(c.String(), func(t *testing.T) {
+			b, from := c.overload(t)
+			n := b.mostRejections(from)
+			t.Logf("%d rejections in a second at most", n)
+			if float64(n) > c.bears {
 				t.Errorf("%d rejections in a second", n)
 			}
+		})
+	}
+}
+
+// TestBrittleSlotsUnused has the same load: at least half of the slots are in use at its end.
+func TestBrittleSlotsUnused(t *testing.T) {
+	for _, c := range brittleCases() {
+		t.Run(c.String(), func(t *testing.T) {
+			b, _ := c.overload(t)
 			used := 0
 			for _, n := range b.running {
 				used += n
 			}
-			t.Logf("%d sent, %d refused, %d again; %d of %d slots in use", b.sent, b.refused, b.again, used, c.endpoints*c.slots)
-			// Beside hundreds of gateways a grant may lie at one that has no request.
-			least := c.endpoints * c.slots / 2
-			if c.gateways > 100 {
-				least = c.endpoints * c.slots / 3
-			}
-			if used < least {
-				t.Errorf("%d of %d slots are used", used, c.endpoints*c.slots)
+			if all := c.endpoints * c.slots; used < all/2 {
+				t.Errorf("%d of %d slots are used", used, all)
 			}
 		})
 	}
 }
 
-// TestBrittleLearnedByAll has one gateway hear that an endpoint is brittle, and later that it no longer is: the others learn of
-// both, and a text that is no number changes nothing.
-func TestBrittleLearnedByAll(t *testing.T) {
+// TestBrittleReportedToAll has one gateway receive answers in which an endpoint is brittle and, later, no longer is: load reports carry
+// both to other gateways, and a text that is no number changes nothing.
+func TestBrittleReportedToAll(t *testing.T) {
 	now := time.Unix(1000, 0)
 	placers, v, _, _ := newPlacers(t, 2, modelEndpoints("a")...)
 	e := v.endpoints["model"][0]
