--- a/control/gateways.go
+++ b/control/gateways.go
@@ -70,16 +70,16 @@
 	return nil
 }
 
-// Heard returns when this control daemon last heard from an incarnation of an endpoint.
-func (c *Control) Heard(_ context.Context, m *wiregen.EndpointQuery) (*wiregen.EndpointHeard, error) {
+// LastHeartbeat returns the age of the last heartbeat that this control daemon received from an incarnation of an endpoint.
+func (c *Control) LastHeartbeat(_ context.Context, m *wiregen.EndpointQuery) (*wiregen.HeartbeatAge, error) {
 	f := c.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, ok := f.endpoints.Get(m.GetEndpoint())
 	if !ok || e.Born != m.GetBorn() {
-		return &wiregen.EndpointHeard{}, nil
+		return &wiregen.HeartbeatAge{}, nil
 	}
-	return &wiregen.EndpointHeard{Known: true, SilentMillis: c.now().Sub(e.LastSeen).Milliseconds()}, nil
+	return &wiregen.HeartbeatAge{Known: true, SilentMillis: c.now().Sub(e.LastSeen).Milliseconds()}, nil
 }
 
 func (c *Control) updateGateway(report *wiregen.GatewayReport) {
--- a/control/gateways_test.go
+++ b/control/gateways_test.go
@@ -108,13 +108,12 @@
 	}
 }
 
-// TestHeardOlderIncarnation asks a control daemon when it last heard from an endpoint: a heartbeat of another incarnation says
-// nothing about it, and the latest one of its own counts.
-func TestHeardOlderIncarnation(t *testing.T) {
+// TestHeartbeatOfOtherIncarnation requests the age of an endpoint's last heartbeat: only heartbeats of the same incarnation count.
+func TestHeartbeatOfOtherIncarnation(t *testing.T) {
 	d := start(t, newConfigs(t, 1, 0)[0])
 	now := time.Now()
 	heard := func(id string, born int64) (bool, time.Duration) {
-		a, err := d.Heard(t.Context(), &wiregen.EndpointQuery{Endpoint: id, Born: born})
+		a, err := d.LastHeartbeat(t.Context(), &wiregen.EndpointQuery{Endpoint: id, Born: born})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/crash/trials.go
+++ b/crash/trials.go
@@ -23,7 +23,7 @@
 	parts []Part
 }
 
-// Hold tells why a suspect request is not sent now.
+// Hold is the reason for which a suspect request is delayed.
 type Hold struct {
 	// Until is when the evidence counts; zero if the request waits for the end of another trial.
 	Until time.Time
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -138,7 +138,7 @@
 	c.trials.End(t)
 }
 
-// endCheck records whether an endpoint that broke off requests has crashed, as far as that can be told from its address.
+// endCheck records the result of connecting again to an endpoint whose connection broke.
 func (c *crashes) endCheck(now time.Time, e crash.Endpoint, crashed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,8 +31,8 @@
 	probe   retry.Probe
 	// grantFrame is the frame in which a brittle endpoint's free slot was granted; zero if none was.
 	grantFrame int64
-	// endpointHeardNanos is when a piece of an answer last arrived from the endpoint.
-	endpointHeardNanos *atomic.Int64
+	// endpointReceivedNanos is when a piece of an answer last arrived from the endpoint.
+	endpointReceivedNanos *atomic.Int64
 }
 
 // begin records a request as sent.
@@ -52,7 +52,7 @@
 	return &attempt{
 		placer: p, endpoint: d.endpoint, service: service, load: d.addedLoad, work: w, queuedTokens: d.backlog.PromptTokens.Before(d.rank) + d.uncachedTokens,
 		uncachedTokens: d.uncachedTokens, full: d.full, preemptedShare: d.preemptedShare, sent: now, probe: p.endpointBreakers.Begin(now, d.endpoint.ID),
-		grantFrame: d.grantFrame, endpointHeardNanos: &s.heardNanos,
+		grantFrame: d.grantFrame, endpointReceivedNanos: &s.receivedNanos,
 	}
 }
 
@@ -79,7 +79,7 @@
 		return
 	}
 	a.firstAt = now
-	a.heard(now)
+	a.recordReceived(now)
 	s := p.state(&a.endpoint)
 	took := now.Sub(a.sent)
 	latest := s.born == a.endpoint.Born
@@ -173,13 +173,13 @@
 	p.endpointBreakers.End(a.endpoint.ID, a.probe)
 }
 
-// verdictNews tells what of an endpoint's announcements about itself is new.
-type verdictNews struct {
+// verdictChanges holds which announcements in an answer differ from earlier ones.
+type verdictChanges struct {
 	departs, limit, brittle bool
 }
 
 // recordVerdict records what an endpoint announced about itself in an answer, and returns what of that is new.
-func (p *placer) recordVerdict(now time.Time, e fleet.Endpoint, v Verdict) (news verdictNews) {
+func (p *placer) recordVerdict(now time.Time, e fleet.Endpoint, v Verdict) (news verdictChanges) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if v.Leaving {
@@ -243,8 +243,8 @@
 	p.retryBudget(v, service).First(now)
 }
 
-// moveFirstTry has the gateway to which a request is forwarded count it towards the retry budget instead of this one, as it makes
-// the retries.
+// moveFirstTry removes a first attempt from the retry budget of this gateway. The gateway that the request is forwarded to counts it, as it
+// makes the retries.
 func (p *placer) moveFirstTry(now time.Time, v *view, service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/blocked.go
+++ b/gateway/blocked.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// isBlocked reports whether a code is that of a blocked request.
+// isBlocked reports whether a problem code means that a request was blocked.
 func isBlocked(code problem.Code) bool {
 	return code == problem.PromptBlocked || code == problem.RequestBlocked
 }
--- a/gateway/brittle.go
+++ b/gateway/brittle.go
@@ -18,8 +18,8 @@
 	// riskedShare is the share of the rejections that a brittle endpoint bears which gateways risk by requests beyond their
 	// grants. The rest is left for what they know too late.
 	riskedShare = 0.4
-	// minRisked is the rate of such requests below which none is sent.
-	minRisked = 0.1
+	// minRiskedRate is the rate of requests beyond the grants, in requests a second, below which none is sent.
+	minRiskedRate = 0.1
 	// rejectedPause is how long a gateway sends nothing to a brittle endpoint that has rejected one of its requests.
 	rejectedPause = time.Second
 )
@@ -56,7 +56,7 @@
 	later, changed = b.rejections.update(at, named, perSecond)
 	if changed {
 		risked := riskedShare * b.rejections.perSecond
-		b.risked = endpointLimit{named: named && risked >= minRisked, perSecond: risked, keepsNone: true}
+		b.risked = endpointLimit{named: named && risked >= minRiskedRate, perSecond: risked, keepsNone: true}
 	}
 	return later, changed
 }
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -27,12 +27,12 @@
 // isCold reports whether an endpoint is cold, or may have restarted without having reported it yet.
 func (p *placer) isCold(e *fleet.Endpoint, s *endpointState, now time.Time) bool {
 	return e.Cold(now) || now.Before(s.coldUntil) || !s.connectFailedAt.IsZero() && now.Sub(s.connectFailedAt) < restartDetectionTime ||
-		!s.unansweredAt.IsZero() && now.Sub(s.unansweredAt) < restartDetectionTime && !s.heardWithin(now, forgivenSilence)
+		!s.unansweredAt.IsZero() && now.Sub(s.unansweredAt) < restartDetectionTime && !s.receivedWithin(now, maxSilence)
 }
 
-// heardWithin reports whether anything has arrived from the endpoint within a time.
-func (s *endpointState) heardWithin(now time.Time, d time.Duration) bool {
-	return now.Sub(time.Unix(0, s.heardNanos.Load())) < d
+// receivedWithin reports whether anything has arrived from the endpoint within a time.
+func (s *endpointState) receivedWithin(now time.Time, d time.Duration) bool {
+	return now.Sub(time.Unix(0, s.receivedNanos.Load())) < d
 }
 
 // coldLimit returns the number of requests that this gateway may send to a cold endpoint in one second.
--- a/gateway/crashconfirm.go
+++ b/gateway/crashconfirm.go
@@ -18,15 +18,15 @@
 	maxReachProbes = 3
 	// heartbeatWait is how long after a break an endpoint that goes on has sent a heartbeat: two of their usual intervals.
 	heartbeatWait = 2500 * time.Millisecond
-	// heardTimeout bounds the question to the control daemons for an endpoint's heartbeats.
-	heardTimeout = time.Second
+	// heartbeatQueryTimeout bounds the question to the control daemons for an endpoint's heartbeats.
+	heartbeatQueryTimeout = time.Second
 )
 
 // confirmCrash reports whether an endpoint that refuses connections since the given time has ended. A gateway that is cut off
 // from endpoints is refused connections, too, so that another gateway of the region decides, or else whether other endpoints are
 // reached from here, or else the endpoint's heartbeats.
 func (g *Gateway) confirmCrash(ctx context.Context, e fleet.Endpoint, since time.Time) bool {
-	reached, ended := g.askReach(ctx, e)
+	reached, ended := g.askProbe(ctx, e)
 	switch {
 	case reached:
 		return false
@@ -37,15 +37,15 @@
 	}
 }
 
-// askReach asks other gateways of the region whether they reach an endpoint, and whether it has ended.
-func (g *Gateway) askReach(ctx context.Context, e fleet.Endpoint) (reached, ended bool) {
+// askProbe asks other gateways of the region whether they reach an endpoint, and whether it has ended.
+func (g *Gateway) askProbe(ctx context.Context, e fleet.Endpoint) (reached, ended bool) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	clients := g.originPeers.regionClients(g.cfg.Region)
-	answers := make(chan *wiregen.EndpointReach, len(clients))
+	answers := make(chan *wiregen.EndpointProbe, len(clients))
 	for _, client := range clients {
 		go func() {
-			a, err := client.Reach(ctx, &wiregen.EndpointQuery{Endpoint: e.ID, Born: e.Born})
+			a, err := client.ProbeEndpoint(ctx, &wiregen.EndpointQuery{Endpoint: e.ID, Born: e.Born})
 			if err != nil {
 				a = nil
 			}
@@ -59,17 +59,17 @@
 	return reached, ended
 }
 
-// Reach tells another gateway of the region whether this one reaches an endpoint.
-func (g *Gateway) Reach(ctx context.Context, m *wiregen.EndpointQuery) (*wiregen.EndpointReach, error) {
+// ProbeEndpoint returns to another gateway of the region whether this one can connect to an endpoint.
+func (g *Gateway) ProbeEndpoint(ctx context.Context, m *wiregen.EndpointQuery) (*wiregen.EndpointProbe, error) {
 	e, ok := g.view.Load().find(m.GetEndpoint())
 	if !ok || e.Born < m.GetBorn() {
-		return &wiregen.EndpointReach{}, nil
+		return &wiregen.EndpointProbe{}, nil
 	}
 	if e.Born > m.GetBorn() {
-		return &wiregen.EndpointReach{Ended: true}, nil
+		return &wiregen.EndpointProbe{Ended: true}, nil
 	}
 	connected, refused := exchange.Probe(ctx, e.Address, endpointConnectTimeout)
-	return &wiregen.EndpointReach{Reached: connected, Ended: refused && g.reachesAnother(ctx, e.ID)}, nil
+	return &wiregen.EndpointProbe{Reached: connected, Ended: refused && g.reachesAnother(ctx, e.ID)}, nil
 }
 
 // find returns the endpoint of this region with an ID if it is listed as ready.
@@ -125,12 +125,12 @@
 	if listed, ok := g.view.Load().find(e.ID); ok && listed.Born > e.Born {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, heardTimeout)
+	ctx, cancel := context.WithTimeout(ctx, heartbeatQueryTimeout)
 	defer cancel()
 	addresses := g.controlAddresses()
-	answers := make(chan *wiregen.EndpointHeard, len(addresses))
+	answers := make(chan *wiregen.HeartbeatAge, len(addresses))
 	for _, address := range addresses {
-		go func() { answers <- g.askHeard(ctx, address, e) }()
+		go func() { answers <- g.askLastHeartbeat(ctx, address, e) }()
 	}
 	known := false
 	for range addresses {
@@ -146,14 +146,14 @@
 	return known
 }
 
-// askHeard asks a control daemon when it last heard from an endpoint, and returns nil if it doesn't answer.
-func (g *Gateway) askHeard(ctx context.Context, address string, e fleet.Endpoint) *wiregen.EndpointHeard {
+// askLastHeartbeat requests the age of an endpoint's last heartbeat from a control daemon. It returns nil on failure.
+func (g *Gateway) askLastHeartbeat(ctx context.Context, address string, e fleet.Endpoint) *wiregen.HeartbeatAge {
 	conn, err := g.cfg.Keys.Dial(address, maxUpdateBytes)
 	if err != nil {
 		return nil
 	}
 	defer conn.Close()
-	a, err := wiregen.NewFleetClient(conn).Heard(ctx, &wiregen.EndpointQuery{Endpoint: e.ID, Born: e.Born})
+	a, err := wiregen.NewFleetClient(conn).LastHeartbeat(ctx, &wiregen.EndpointQuery{Endpoint: e.ID, Born: e.Born})
 	if err != nil {
 		return nil
 	}
--- a/gateway/link_test.go
+++ b/gateway/link_test.go
@@ -23,7 +23,7 @@
 	// queued fills the queue of new connections of a silent link, and silentListener is its socket.
 	queued         []net.Conn
 	silentListener int
-	// resumed is closed and replaced when a silence ends.
+	// resumed is closed when the link carries data again, and then replaced.
 	resumed chan struct{}
 }
 
@@ -118,7 +118,7 @@
 	}
 }
 
-// cut cuts the link.
+// cut interrupts the link in the given way.
 func (l *link) cut(kind cutKind) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -46,8 +46,8 @@
 	pausedUntil time.Time
 	limit       endpointLimit
 	brittle     brittleness
-	// heardNanos is when a piece of an answer last arrived from the endpoint, in Unix time.
-	heardNanos atomic.Int64
+	// receivedNanos is the Unix time of the last piece of an answer from the endpoint, in nanoseconds.
+	receivedNanos atomic.Int64
 }
 
 // placer selects the endpoint or the region for each request. It does no I/O and is safe for concurrent use.
@@ -220,7 +220,7 @@
 	local, endpoints, held := p.localCandidates(now, v, q, len(peers) > 0)
 	choice, ok := capacity.Choose(local, q.work, speed, fetchTimePerToken(q.service), q.route.Objective, p.rng.Float64())
 	here := p.withoutChoice(now, q, speed, len(local), held)
-	if !ok && held == (withheld{}) && len(v.endpoints[q.service.Name]) > 0 && !p.reach.dark {
+	if !ok && held == (withheld{}) && len(v.endpoints[q.service.Name]) > 0 && !p.reach.unreachable {
 		// All circuit breakers are open, so that no further failure would show that this gateway is cut off.
 		signal(p.reach.doubted)
 	}
@@ -263,7 +263,7 @@
 	return here
 }
 
-// withChoice returns the decision about a request that the chosen one of the candidates may get.
+// withChoice returns the decision about a request, given the chosen candidate.
 func (p *placer) withChoice(q query, speed capacity.Speed, local []capacity.Candidate, endpoints []*fleet.Endpoint, choice capacity.Choice) decision {
 	here := decision{
 		endpoint: *endpoints[choice.Index], reason: reasonBacklog, candidates: len(local),
@@ -296,7 +296,7 @@
 	if q.forwarded || q.tried[p.cfg.Region] || !q.route.Allows(p.cfg.Region) {
 		return nil
 	}
-	inDoubt := p.reach.doubtful(v.listedCount()) && !p.reach.dark
+	inDoubt := p.reach.doubtful(v.listedCount()) && !p.reach.unreachable
 	if !inDoubt && !p.reach.handsOver(now, p.rng) {
 		return nil
 	}
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -23,8 +23,8 @@
 	// probes of one that reaches none.
 	doubtPeriod         = 500 * time.Millisecond
 	strandedProbePeriod = time.Second
-	// maxDarkProbes is the number of endpoints that are tried before none counts as reached.
-	maxDarkProbes = 64
+	// maxUnreachableProbes is the number of endpoints that are tried before none counts as reached.
+	maxUnreachableProbes = 64
 	// maxReachPeers is the number of other gateways that are asked at once whether they reach an endpoint.
 	maxReachPeers = 4
 	// strandedProbes is the number of endpoints that a gateway which reaches none probes at once.
@@ -36,20 +36,20 @@
 )
 
 // reach is what a gateway knows of its own links to the endpoints of its region, as opposed to the endpoints' health. The placer's
-// lock protects it, but for heardNanos.
+// lock protects it, but for receivedNanos.
 type reach struct {
 	// failed holds the endpoints that could not be connected to since the last connection.
 	failed map[string]bool
 	// dark reports that no endpoint of the region can be connected to from here, and stranded that this is so while other gateways
-	// of the region reach them. darkAt is when the former last began, and regainedAt when the latter last ended.
-	dark, stranded     bool
-	darkAt, regainedAt time.Time
+	// of the region reach them. unreachableAt is when the former last began, and regainedAt when the latter last ended.
+	unreachable, stranded     bool
+	unreachableAt, regainedAt time.Time
 	// doubted receives a value when the links are to be checked.
 	doubted chan struct{}
 	// waiting holds the attempts that may be sent elsewhere if their endpoint is out of reach.
 	waiting map[*attempt]context.CancelCauseFunc
-	// heardNanos is when anything last arrived from any endpoint.
-	heardNanos atomic.Int64
+	// receivedNanos is when anything last arrived from any endpoint.
+	receivedNanos atomic.Int64
 }
 
 func newReach() *reach {
@@ -69,7 +69,7 @@
 // recordUnconnected records a failed attempt to connect to an endpoint, one of listed ones in the region.
 func (r *reach) recordUnconnected(id string, listed int) {
 	r.failed[id] = true
-	if r.doubtful(listed) && !r.dark {
+	if r.doubtful(listed) && !r.unreachable {
 		signal(r.doubted)
 	}
 }
@@ -87,7 +87,7 @@
 	case unreached, unanswered:
 		p.reach.recordUnconnected(a.endpoint.ID, p.holdersView.listedCount())
 	case failed:
-		if p.reach.dark {
+		if p.reach.unreachable {
 			return abandoned
 		}
 	default:
@@ -100,11 +100,11 @@
 func (p *placer) recordConnected(now, began time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.reach.dark && began.Before(p.reach.darkAt) {
+	if p.reach.unreachable && began.Before(p.reach.unreachableAt) {
 		return
 	}
 	clear(p.reach.failed)
-	p.reach.dark = false
+	p.reach.unreachable = false
 	if !p.reach.stranded {
 		return
 	}
@@ -116,19 +116,19 @@
 	}
 }
 
-// recordDark records that no endpoint of the region is reached.
-func (p *placer) recordDark(now time.Time) {
+// recordUnreachable records that no endpoint of the region is reached.
+func (p *placer) recordUnreachable(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reach.dark, p.reach.darkAt = true, now
+	p.reach.unreachable, p.reach.unreachableAt = true, now
 }
 
 // recordStranded records that no endpoint of the region is reached while other gateways reach them, and reports whether that is
-// new. What this gateway told others of the endpoints' failures is withdrawn.
+// new. It resets the failures of endpoints that this gateway reports to others.
 func (p *placer) recordStranded() (began bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.reach.stranded || !p.reach.dark {
+	if p.reach.stranded || !p.reach.unreachable {
 		return false
 	}
 	p.reach.stranded = true
@@ -139,11 +139,11 @@
 	return true
 }
 
-// isDark reports whether no endpoint of the region is reached.
-func (p *placer) isDark() bool {
+// isUnreachable reports whether no endpoint of the region is reached.
+func (p *placer) isUnreachable() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.reach.dark
+	return p.reach.unreachable
 }
 
 // isStranded reports whether no endpoint of the region is reached while other gateways reach them.
@@ -160,14 +160,14 @@
 	p.reach.waiting[a] = cancel
 }
 
-// heard records that something has arrived from an endpoint.
-func (r *reach) heard(now time.Time) { r.heardNanos.Store(now.UnixNano()) }
+// recordReceived records the time of the last bytes from any endpoint.
+func (r *reach) recordReceived(now time.Time) { r.receivedNanos.Store(now.UnixNano()) }
 
-// heard records that a piece of an answer has arrived from the attempt's endpoint. The head of an answer may be a rejection, which says
-// nothing about whether the endpoint has started anew.
-func (a *attempt) heard(now time.Time) {
-	a.endpointHeardNanos.Store(now.UnixNano())
-	a.placer.reach.heard(now)
+// recordReceived records the time of the last piece of an answer from the attempt's endpoint. The head of an answer does not count: a
+// rejection may come from a later incarnation.
+func (a *attempt) recordReceived(now time.Time) {
+	a.endpointReceivedNanos.Store(now.UnixNano())
+	a.placer.reach.recordReceived(now)
 }
 
 // silentFor returns for how long nothing has arrived from any endpoint while at least one attempt was waiting; zero if none is.
@@ -180,7 +180,7 @@
 			oldest = a.sent
 		}
 	}
-	return now.Sub(laterOf(oldest, time.Unix(0, p.reach.heardNanos.Load())))
+	return now.Sub(laterOf(oldest, time.Unix(0, p.reach.receivedNanos.Load())))
 }
 
 // checkSilence has the links checked if nothing arrives from endpoints although requests wait.
@@ -228,9 +228,9 @@
 // may be at fault.
 func (g *Gateway) awaitReach(ctx context.Context) {
 	began := time.Now()
-	g.placer.recordDark(began)
+	g.placer.recordUnreachable(began)
 	g.log.Warn().Msg("no endpoint is reached")
-	for g.placer.isDark() {
+	for g.placer.isUnreachable() {
 		g.placer.cancelSilent(time.Now())
 		if !g.placer.isStranded() && g.othersReachAny(ctx) && g.placer.recordStranded() {
 			g.log.Warn().Msg("requests are handed to gateways that reach endpoints")
@@ -259,7 +259,7 @@
 	peers = sample(g.placer, peers, maxReachPeers)
 	answers := make(chan bool, len(peers))
 	for _, peer := range peers {
-		go func() { answers <- g.askReachAt(ctx, peer.LoadAddress, endpoints[0]) }()
+		go func() { answers <- g.askProbeAt(ctx, peer.LoadAddress, endpoints[0]) }()
 	}
 	for range peers {
 		if <-answers {
@@ -269,14 +269,14 @@
 	return false
 }
 
-// askReachAt reports whether the gateway at an address reaches an endpoint.
-func (g *Gateway) askReachAt(ctx context.Context, address string, e fleet.Endpoint) bool {
+// askProbeAt reports whether the gateway at an address reaches an endpoint.
+func (g *Gateway) askProbeAt(ctx context.Context, address string, e fleet.Endpoint) bool {
 	conn, err := g.cfg.Keys.Dial(address, maxUpdateBytes)
 	if err != nil {
 		return false
 	}
 	defer conn.Close()
-	a, err := wiregen.NewOutstandingClient(conn).Reach(ctx, &wiregen.EndpointQuery{Endpoint: e.ID, Born: e.Born})
+	a, err := wiregen.NewOutstandingClient(conn).ProbeEndpoint(ctx, &wiregen.EndpointQuery{Endpoint: e.ID, Born: e.Born})
 	return err == nil && a.GetReached()
 }
 
@@ -285,7 +285,7 @@
 func (g *Gateway) reachesAny(ctx context.Context) (connected, listed bool) {
 	connected, listed = g.probeEndpoints(ctx, maxReachProbes)
 	if !connected && listed {
-		connected, _ = g.probeEndpoints(ctx, maxDarkProbes)
+		connected, _ = g.probeEndpoints(ctx, maxUnreachableProbes)
 	}
 	return connected, listed
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -68,7 +68,7 @@
 		now := time.Now()
 		if a != nil {
 			a.recordFirst(now)
-			a.heard(now)
+			a.recordReceived(now)
 		}
 		if j.firstAt.IsZero() {
 			j.firstAt = now
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -71,7 +71,7 @@
 	}
 	defer answer.Close()
 	j.sends++
-	g.placer.reach.heard(time.Now())
+	g.placer.reach.recordReceived(time.Now())
 	if answer.Fresh {
 		g.placer.recordConnected(time.Now(), now)
 	}
@@ -169,8 +169,8 @@
 	}
 }
 
-// forgivenSilence is how long an endpoint may be silent before it is blamed for that.
-const forgivenSilence = 1500 * time.Millisecond
+// maxSilence is how long an endpoint may be silent before it is blamed for that.
+const maxSilence = 1500 * time.Millisecond
 
 // endingOf returns how an attempt ended whose exchange failed with err. The attempt is nil for a forwarded request.
 func (j *job) endingOf(ctx context.Context, a *attempt, err error) ending {
@@ -182,7 +182,7 @@
 	case errors.As(cause, &stranded):
 		return abandoned
 	case errors.As(cause, &silent):
-		if a != nil && a.forgiven(time.Now()) {
+		if a != nil && a.brieflySilent(time.Now()) {
 			return abandoned
 		}
 		return failed
@@ -203,10 +203,10 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// forgiven reports whether the endpoint has sent nothing since the attempt, and may go on: it has not been silent for long.
-func (a *attempt) forgiven(now time.Time) bool {
-	heard := time.Unix(0, a.endpointHeardNanos.Load())
-	return !heard.After(a.sent) && now.Sub(heard) < forgivenSilence
+// brieflySilent reports whether the endpoint has sent nothing since the attempt began, but for no longer than maxSilence.
+func (a *attempt) brieflySilent(now time.Time) bool {
+	heard := time.Unix(0, a.endpointReceivedNanos.Load())
+	return !heard.After(a.sent) && now.Sub(heard) < maxSilence
 }
 
 // recordFailure records a failed attempt and returns the next step.
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -41,7 +41,7 @@
 	if state := g.placer.endpointBreakers.State(now, silent.ID); state == retry.Open {
 		t.Errorf("the circuit breaker is %v", state)
 	}
-	if g.placer.reach.dark {
+	if g.placer.reach.unreachable {
 		t.Error("the gateway takes itself for cut off")
 	}
 }
@@ -49,8 +49,8 @@
 // retryAfterSilence is more than the time for which the circuit breaker of an endpoint is open first.
 const retryAfterSilence = 1500 * time.Millisecond
 
-// TestSilentEndpointRestarted has an endpoint be silent for longer than a sound one is, and be reached again before its heartbeat tells whether
-// it has started anew: until it has answered it gets no more than a cold endpoint. After a short silence it gets as much as before.
+// TestSilentEndpointRestarted has an endpoint send nothing for longer than maxSilence, and accept connections again before its heartbeat
+// arrives. It is limited like a cold endpoint until it has answered. After a shorter time it is not limited.
 func TestSilentEndpointRestarted(t *testing.T) {
 	start := time.Unix(1000, 0)
 	for _, c := range []struct {
@@ -61,13 +61,13 @@
 		p, now := placers[0], start.Add(c.silence)
 		p.decide(start.Add(-time.Minute), v, testQuery(r, s))
 		heard := p.begin(start, "model", capacity.Work{}, p.decide(start, v, testQuery(r, s)))
-		heard.heard(start)
+		heard.recordReceived(start)
 		heard.end(start, succeeded)
 		failed := p.begin(start, "model", capacity.Work{}, p.decide(start, v, testQuery(r, s)))
 		failed.end(start.Add(c.silence/2), unanswered)
 		p.endpointBreakers.Forget("a")
 		// A rejection is no sign that the endpoint is the one from before.
-		p.reach.heard(now)
+		p.reach.recordReceived(now)
 		sent := 0
 		for range 40 {
 			if d := p.decide(now, v, testQuery(r, s)); d.endpoint.ID == "a" {
--- a/gateway/stranded_test.go
+++ b/gateway/stranded_test.go
@@ -149,7 +149,7 @@
 	for _, p := range placers {
 		p.decide(now.Add(-time.Minute), v, testQuery(r, s))
 	}
-	placers[0].recordDark(now)
+	placers[0].recordUnreachable(now)
 	placers[0].recordStranded()
 	known := *v
 	known.gateways = slices.Clone(v.gateways)
@@ -213,7 +213,7 @@
 		d := cutOff.decide(now, v, testQuery(r, s))
 		cutOff.begin(now, "model", capacity.Work{}, d).end(now, failed)
 	}
-	cutOff.recordDark(now)
+	cutOff.recordUnreachable(now)
 	cutOff.recordStranded()
 	report := cutOff.loadReport(now, 1, true)
 	if report == nil {
@@ -260,7 +260,7 @@
 	if got := reporters(); got != "here-0" {
 		t.Errorf("reported by %q", got)
 	}
-	f.gateways[0].placer.recordDark(time.Now())
+	f.gateways[0].placer.recordUnreachable(time.Now())
 	f.gateways[0].placer.recordStranded()
 	f.publish()
 	if got := reporters(); got != "here-1" {
@@ -281,7 +281,7 @@
 	if d := p.decide(now, v, testQuery(r, s)); !d.handed {
 		t.Errorf("in doubt: %+v", d)
 	}
-	p.recordDark(now)
+	p.recordUnreachable(now)
 	if d := p.decide(now, v, testQuery(r, s)); d.handed {
 		t.Errorf("handed to %q, which reaches no endpoint either", d.gateway.Name)
 	}
@@ -293,7 +293,7 @@
 	now := time.Unix(1000, 0)
 	placers, v, r, s := newPlacers(t, 2, modelEndpoints("a", "b")...)
 	p := placers[0]
-	p.recordDark(now)
+	p.recordUnreachable(now)
 	p.recordStranded()
 	p.recordConnected(now.Add(time.Second), now.Add(-time.Millisecond))
 	if !p.isStranded() {
@@ -317,9 +317,9 @@
 	}
 }
 
-// TestZoneOfEndpointsTakenForCut has most endpoints of a region end at once: a gateway that by chance tries ended ones first does not take
+// TestEndedEndpointsTakenForCut has most endpoints of a region end at once: a gateway that by chance tries ended ones first does not take
 // itself for cut off.
-func TestZoneOfEndpointsTakenForCut(t *testing.T) {
+func TestEndedEndpointsTakenForCut(t *testing.T) {
 	const endpoints = 12
 	f := newCrashFleet(t, []string{"here"}, 2, endpoints)
 	for _, e := range f.endpoints["here"][1:] {
--- a/gateway/trials.go
+++ b/gateway/trials.go
@@ -59,8 +59,8 @@
 	c.progress = make(chan struct{})
 }
 
-// mayTry reports whether the request may be sent, as far as it may be what crashes endpoints. It waits for what is found out
-// about that.
+// mayTry reports whether the request may be sent, given the crashes that it may have caused. It waits for pending crash checks and
+// trials.
 func (j *job) mayTry() bool {
 	switch {
 	case j.streaming():
