--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -40,7 +40,7 @@
 type reach struct {
 	// failed holds the endpoints that could not be connected to since the last connection.
 	failed map[string]bool
-	// dark reports that no endpoint of the region can be connected to from here, and stranded that this is so while other gateways
+	// unreachable reports that no endpoint of the region can be connected to from here, and stranded that this is so while other gateways
 	// of the region reach them. unreachableAt is when the former last began, and regainedAt when the latter last ended.
 	unreachable, stranded     bool
 	unreachableAt, regainedAt time.Time
