Teams with credentials in the routing table, and interfaces of the parts that use them

A routing document may hold tenants with keys, homes, a priority and an allotment; nothing read them. routes.Team keeps digests of keys; the gateway authenticates before it reads a body, names the team to endpoints and to other gateways in place of the key, and lets the team's priority and homes count.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -52,6 +52,10 @@
 	// Patience is how long the caller waits for the answer; zero if not given.
 	Patience time.Duration
 	Work     capacity.Work
+	// MaxOutputTokens is the caller's bound on the number of output tokens, which Work.OutputTokens estimates.
+	MaxOutputTokens int64
+	// Credential is that of the caller's key; nil if none was sent.
+	Credential *routes.Credential
 	// LastEvent is the ID of the last event that the caller received of a stream that it resumes; negative for a new
 	// stream.
 	LastEvent int64
@@ -73,6 +77,10 @@
 	// Urgency is the scheduling priority at a model engine, where lower goes first; negative sets none.
 	Urgency   int
 	LastEvent int64
+	// Team is the name of the caller's team; empty for none.
+	Team string
+	// HideCredential removes the caller's key.
+	HideCredential bool
 }
 
 // Verdict is the meaning of an endpoint's answer for the request.
@@ -91,6 +99,18 @@
 	Limit Limit
 	// Brittle is what it says of the requests that the endpoint may have to reject before it falls over.
 	Brittle Limit
+	// Load is what it says of the endpoint's present load.
+	Load Load
+}
+
+// Load is an endpoint's own report of its load at one moment. The zero value reports none.
+type Load struct {
+	// Known reports that the answer held a valid report.
+	Known bool
+	// Running, Waiting and Slots are numbers of requests.
+	Running, Waiting, Slots int
+	// Pace is how long work takes on the endpoint's machine relative to the usual time; zero if not given.
+	Pace float64
 }
 
 // Limit is what an answer of an endpoint says of the requests a second that it takes, or bears to reject, from all gateways together. The zero value
@@ -109,8 +129,9 @@
 	Call(h http.Header) (Call, error)
 	// Prepare removes the headers that callers may not set from a copy of their headers, and sets those of e.
 	Prepare(h http.Header, e EndpointHeaders)
-	// Forward sets the time left in headers that are sent to another gateway.
-	Forward(h http.Header, left time.Duration)
+	// Forward sets the time left in headers that are sent to another gateway, and removes the caller's key if hideCredential is
+	// set.
+	Forward(h http.Header, left time.Duration, hideCredential bool)
 	// Matches reports whether an answer belongs to the request with the ID; fresh means that its connection is new.
 	Matches(h http.Header, status int, id string, fresh bool) bool
 	// Verdict reads an endpoint's answer.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-func (testHeaderCodec) Forward(h http.Header, left time.Duration) {
+func (testHeaderCodec) Forward(h http.Header, left time.Duration, _ bool) {
 	h.Set("Patience", strconv.FormatInt(left.Milliseconds(), 10))
 }
 
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -135,7 +135,9 @@
 
 // query describes a request for which an endpoint or a region is selected.
 type query struct {
-	route   *routes.Route
+	route *routes.Route
+	// team is that of the caller; nil if there is none.
+	team    *routes.Team
 	service *routes.Service
 	work    capacity.Work
 	budget  capacity.TimeBudget
@@ -157,7 +159,7 @@
 
 // mayServeIn reports whether another region may serve the request, by the route's homes and the region's software versions.
 func (q query) mayServeIn(v *view, region string) bool {
-	return q.route.Allows(region) && (q.began == nil || v.software.serves(region, *q.began))
+	return q.allows(region) && (q.began == nil || v.software.serves(region, *q.began))
 }
 
 // decision is the result of a query: an endpoint of this region, a gateway of this or another region, or a refusal.
@@ -215,7 +217,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	speed := p.currentSpeed(now, v, q.service.Name)
-	q.work.Rank = capacity.Rank(q.route.Priority, false)
+	q.work.Rank = capacity.Rank(q.priority(), false)
 	peers := p.peersToHandTo(now, v, q)
 	local, endpoints, held := p.localCandidates(now, v, q, len(peers) > 0)
 	choice, ok := capacity.Choose(local, q.work, speed, fetchTimePerToken(q.service), q.route.Objective, p.rng.Float64())
@@ -249,7 +251,7 @@
 func (p *placer) withoutChoice(now time.Time, q query, speed capacity.Speed, candidates int, held withheld) decision {
 	here := decision{verdict: capacity.Refuse, expected: noEndpointTime, cost: noEndpointTime, reason: reasonNoEndpoint, candidates: candidates}
 	switch {
-	case !q.route.Allows(p.cfg.Region):
+	case !q.allows(p.cfg.Region):
 		here.reason = reasonNotAllowedInRegion
 	case p.reach.stranded:
 		here.reason = reasonStranded
@@ -274,7 +276,7 @@
 		here.fetchFrom = endpoints[choice.FetchFrom].Address
 	}
 	late := q.work
-	late.Rank = capacity.Rank(q.route.Priority, true)
+	late.Rank = capacity.Rank(q.priority(), true)
 	here.verdict = capacity.Admit(choice.Expected, capacity.EstimateWait(local[choice.Index], late, choice.UncachedTokens, speed).Wait, q.budget)
 	if choice.Crowded {
 		here.verdict, here.reason = capacity.Refuse, reasonCrowded
@@ -293,7 +295,7 @@
 // reach endpoints, if this one doesn't or may not. It returns none for a request that was forwarded or handed over before, or that
 // another gateway of the region has refused, and none if no gateway of the region is known to reach an endpoint.
 func (p *placer) peersToHandTo(now time.Time, v *view, q query) []fleet.Gateway {
-	if q.forwarded || q.tried[p.cfg.Region] || !q.route.Allows(p.cfg.Region) {
+	if q.forwarded || q.tried[p.cfg.Region] || !q.allows(p.cfg.Region) {
 		return nil
 	}
 	inDoubt := p.reach.doubtful(v.listedCount()) && !p.reach.unreachable
@@ -359,7 +361,7 @@
 func (p *placer) canServeOnTime(now time.Time, v *view, q query) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	q.work.Rank = capacity.Rank(q.route.Priority, false)
+	q.work.Rank = capacity.Rank(q.priority(), false)
 	local, _, _ := p.localCandidates(now, v, q, len(p.peersToHandTo(now, v, q)) > 0)
 	choice, ok := capacity.Choose(local, q.work, p.currentSpeed(now, v, q.service.Name), fetchTimePerToken(q.service), q.route.Objective, 0)
 	return ok && capacity.Admit(choice.Expected, choice.Expected, q.budget) == capacity.Take
@@ -368,7 +370,7 @@
 // localCandidates returns the endpoints of this region that may take a request, and what keeps others from it. If another gateway is
 // to send the request, what keeps this one from sending it does not count. The slices are valid until the next call.
 func (p *placer) localCandidates(now time.Time, v *view, q query, byOther bool) (_ []capacity.Candidate, _ []*fleet.Endpoint, held withheld) {
-	if !q.route.Allows(p.cfg.Region) {
+	if !q.allows(p.cfg.Region) {
 		return nil, nil, withheld{}
 	}
 	p.expire(now, v)
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -64,7 +64,7 @@
 // versionServes reports whether any endpoint in the regions of the route may go on with the stream.
 func (j *job) versionServes() bool {
 	for _, region := range j.view.software.ready[*j.began] {
-		if j.route.Allows(region) {
+		if j.route.Allows(region) && j.team.Allows(region) {
 			return true
 		}
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -41,8 +41,8 @@
 	for {
 		suspect := !j.mayTry()
 		now := time.Now()
-		if v := j.g.view.Load(); v != j.view && v.table != nil && !j.match(v) {
-			j.giveUp(problem.UnknownRoute, "the route or the service was removed while the request was in progress")
+		if code, reason := j.adoptView(); code != "" {
+			j.giveUp(code, reason)
 			return
 		}
 		if j.ctx.Err() != nil || j.deadline.Sub(now) < minTimeLeft {
@@ -81,6 +81,22 @@
 	}
 }
 
+// adoptView matches the request again if the view has changed since. It returns a code and a reason if the request may no
+// longer be served.
+func (j *job) adoptView() (code problem.Code, reason string) {
+	v := j.g.view.Load()
+	if v == j.view || v.table == nil {
+		return "", ""
+	}
+	if !j.match(v) {
+		return problem.UnknownRoute, "the route or the service was removed while the request was in progress"
+	}
+	if j.authenticate() != nil {
+		return problem.Unauthenticated, "the credential was revoked while the request was in progress"
+	}
+	return "", ""
+}
+
 // shouldContinue reports whether another attempt follows. It panics with http.ErrAbortHandler after a truncated answer,
 // so that the connection is aborted and the answer does not look complete.
 func (j *job) shouldContinue(step nextStep) bool {
@@ -95,7 +111,7 @@
 	work := j.call.Work
 	work.Bytes = int64(len(j.body)) + answerBytes(j.service, work.OutputTokens)
 	return query{
-		route: j.route, service: j.service, work: work, budget: j.timeBudget(now), tried: j.tried,
+		route: j.route, team: j.team, service: j.service, work: work, budget: j.timeBudget(now), tried: j.tried,
 		forwarded: j.forwarded, began: j.began, mustPlace: j.streaming() || j.bound(),
 	}
 }
@@ -246,7 +262,7 @@
 	case v == capacity.TakeLate:
 		return late
 	default:
-		return min(mostUrgent+j.route.Priority, leastUrgentOnTime)
+		return min(mostUrgent+priorityOf(j.route, j.team), leastUrgentOnTime)
 	}
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -50,7 +50,7 @@
 	j.chargedRuns = 1
 	a := g.placer.begin(now, j.service.Name, j.call.Work, d)
 	h := copyHeader(j.r.Header)
-	g.cfg.Headers.Prepare(h, EndpointHeaders{Instance: d.endpoint.ID, FetchFrom: d.fetchFrom, TimeLeft: j.deadline.Sub(now), Urgency: j.urgency(d.verdict), LastEvent: j.lastEvent()})
+	g.cfg.Headers.Prepare(h, EndpointHeaders{Instance: d.endpoint.ID, FetchFrom: d.fetchFrom, TimeLeft: j.deadline.Sub(now), Urgency: j.urgency(d.verdict), LastEvent: j.lastEvent(), Team: j.teamName(), HideCredential: j.view.table.HasTeams()})
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	defer cancel(nil)
 	timer := j.startFirstTimer(d, cancel)
@@ -338,7 +338,7 @@
 	for _, name := range connectionHeaders() {
 		c.Del(name)
 	}
-	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, crashesHeader, countedHeader, ageHeader, originHeader} {
+	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, crashesHeader, countedHeader, ageHeader, originHeader, teamHeader} {
 		c.Del(name)
 	}
 	return c
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -37,6 +37,8 @@
 	originHeader = "Arbutusreel-Origin"
 	// ageHeader carries the time in milliseconds that the request has spent in the system to another gateway.
 	ageHeader = "Arbutusreel-Age"
+	// teamHeader names the caller's team to another gateway, which does not get the credential.
+	teamHeader = "Arbutusreel-Team"
 	// startupTime is the time after its start within which a gateway usually has a routing table. notReadyRetryAfter is
 	// the least retry delay given to callers before that.
 	startupTime        = 1200 * time.Millisecond
@@ -75,8 +77,10 @@
 	deadline      time.Time
 	route         *routes.Route
 	service       *routes.Service
-	view          *view
-	tried         map[string]bool
+	// team is that of the caller; nil if the routing table has no teams, or the route is public and no credential was sent.
+	team  *routes.Team
+	view  *view
+	tried map[string]bool
 	// sends counts the endpoints that the request was sent to, and runs those that may have run it.
 	sends, runs int
 	// chargedRuns is the number of runs that the present attempt counts for if it fails: all that remained for a
@@ -145,6 +149,9 @@
 		}
 		return problem.New(problem.UnknownRoute, http.StatusNotFound, "no route for host %q and path %q", j.r.Host, j.path)
 	}
+	if refusal := j.authenticate(); refusal != nil {
+		return refusal
+	}
 	patience := j.route.Timeout - j.age
 	if call.Patience > 0 {
 		patience = min(patience, call.Patience)
--- a/gateway/traits.go
+++ b/gateway/traits.go
@@ -33,7 +33,7 @@
 func (j *job) traits() traits {
 	if j.knownTraits == nil {
 		t := newTraits(crash.Identity{
-			Service: j.service.Name, Caller: j.call.Caller, Method: j.r.Method, Host: j.r.Host, Target: j.r.RequestURI, Body: j.body,
+			Service: j.service.Name, Caller: j.callerIdentity(), Method: j.r.Method, Host: j.r.Host, Target: j.r.RequestURI, Body: j.body,
 		}, j.call.Work)
 		j.knownTraits = &t
 	}
--- a/routes/table.go
+++ b/routes/table.go
@@ -60,6 +60,8 @@
 	Affinity bool
 	// HomeRegions are the regions in which requests may be served; empty allows every region.
 	HomeRegions []string
+	// Public routes need no credential.
+	Public bool
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -110,6 +112,9 @@
 	limits   Limits
 	services map[string]*Service
 	hosts    map[string][]*Route
+	// teams and credentials are nil if the configuration has no teams.
+	teams       map[string]*Team
+	credentials map[Credential]*Team
 }
 
 // New returns the table of a version, or Faults if a route or service is not valid.
