--- a/gateway/teams.go
+++ b/gateway/teams.go
@@ -70,10 +70,10 @@
 	return j.call.Caller
 }
 
-// priorityOf returns the priority of a request: that of its team if it has one, else that of its route.
+// priorityOf returns the scheduling level of a request, by its team and its route.
 func priorityOf(route *routes.Route, team *routes.Team) int {
-	if team != nil && team.HasPriority {
-		return team.Priority
+	if team != nil {
+		return team.Level(route.Priority)
 	}
 	return route.Priority
 }
--- a/routes/teams.go
+++ b/routes/teams.go
@@ -1,7 +1,9 @@
 package routes
 
 import (
+	"cmp"
 	"crypto/sha256"
+	"maps"
 	"math"
 	"slices"
 )
@@ -59,6 +61,25 @@
 	// HomeRegions are the regions in which the team's requests may be served; empty allows every region.
 	HomeRegions []string
 	Allotment   Allotment
+	// levels maps the priorities of routes to the scheduling levels of the team's requests.
+	levels map[int]int
+}
+
+// Level returns the scheduling level of the team's requests on a route with the given priority; zero is the most urgent. The team's
+// priority decides first, and the route's among teams of equal priority, so that the routes of one team keep their order.
+func (t *Team) Level(routePriority int) int {
+	if level, ok := t.levels[routePriority]; ok {
+		return level
+	}
+	return t.primary(routePriority)
+}
+
+// primary returns the priority that decides first.
+func (t *Team) primary(routePriority int) int {
+	if t.HasPriority {
+		return t.Priority
+	}
+	return routePriority
 }
 
 // Allows reports whether requests of the team may be served in a region; those without a team may be served in every one.
@@ -93,9 +114,38 @@
 	if len(faults) > 0 {
 		return nil, faults
 	}
+	c.assignLevels()
 	return &c, nil
 }
 
+// assignLevels numbers the pairs of priorities of teams and of routes that need a credential in their order.
+func (t *Table) assignLevels() {
+	type pair struct{ primary, route int }
+	routePriorities := map[int]bool{}
+	for _, all := range t.hosts {
+		for _, r := range all {
+			if !r.Public {
+				routePriorities[r.Priority] = true
+			}
+		}
+	}
+	inUse := map[pair]bool{}
+	for _, team := range t.teams {
+		for p := range routePriorities {
+			inUse[pair{team.primary(p), p}] = true
+		}
+	}
+	ordered := slices.SortedFunc(maps.Keys(inUse), func(a, b pair) int {
+		return cmp.Or(cmp.Compare(a.primary, b.primary), cmp.Compare(a.route, b.route))
+	})
+	for _, team := range t.teams {
+		team.levels = map[int]int{}
+		for p := range routePriorities {
+			team.levels[p] = slices.Index(ordered, pair{team.primary(p), p})
+		}
+	}
+}
+
 // HasTeams reports whether callers need a credential on routes that are not public.
 func (t *Table) HasTeams() bool { return t.teams != nil }
 
