Learn endpoints' decode pace, and place streams by their expected pauses and end

Each gateway measures the time between events, at most four times a second for a stream, and reports the sums with its loads. A placement counts what long pauses and a late end cost the stream and those that run at the endpoint. With equal paces the choice is as before.

Load reports hold copies of the counters by rank, which other calls changed while the report was encoded.

--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -50,6 +50,8 @@
 	CachedParts int
 	// Busy is the share of time that the endpoint spends on prefill.
 	Busy float64
+	// Decode is the endpoint's time per output token relative to the usual one.
+	Decode DecodeEstimate
 	// FailureRate is the recent share of failed requests at the endpoint, over all gateways.
 	FailureRate float64
 	// Preempts reports whether a more urgent request takes the slot of a running one if none is free.
@@ -75,6 +77,10 @@
 	Full bool
 	// Crowded reports whether the request would take a slot that is left free for more urgent ones.
 	Crowded bool
+	// End is the expected time to the end of the response; zero if its length is not known.
+	End time.Duration
+	// Unfinished reports that the response is expected to end too late at every candidate.
+	Unfinished bool
 }
 
 // WaitEstimate is the expected wait of a request at an endpoint.
@@ -129,7 +135,9 @@
 	fetchable := preferred >= 0 && fetch > 0 && candidates[preferred].canServeFetches()
 	minUncached := w.UncachedTokens(len(w.Shared()))
 	baseline := baselineFailureRate(candidates)
-	for i, c := range candidates {
+	finish := newFinisher(candidates, w, s, objective)
+	for i := range candidates {
+		c := &candidates[i]
 		uncached, source := w.UncachedTokens(c.CachedParts), -1
 		extra := time.Duration(sharedPrefixCost * float64(s.PrefillTokenTime) * float64(uncached-minUncached))
 		switch {
@@ -141,16 +149,14 @@
 			extra = time.Duration(fetchCostShare*float64(extra)) + fetch*time.Duration(uncached-minUncached)
 			uncached, source = minUncached, preferred
 		}
-		e := EstimateWait(c, w, uncached, s)
+		e := EstimateWait(*c, w, uncached, s)
 		crowded := c.Crowded(w.Rank, s)
-		if crowded {
-			extra += crowdedCost(objective)
-		}
-		if c.Remote {
-			extra += remoteByteCost * time.Duration(w.Bytes)
-		}
-		cost := e.Wait + DecodeCost(w, c.Busy, c.Health.Slowdown()) + extra +
+		cost := e.Wait + DecodeCost(w, c.Busy, c.Health.Slowdown()) + extra + c.detourCost(w, crowded, objective) +
 			time.Duration((c.Health.FailureRate+c.excessFailureRate(baseline))*failureCost*float64(objective))
+		if best.Index < 0 || cost < bestCost+tieThreshold {
+			// The cost of the pauses and the end is never negative, so that it need not be known of the others.
+			cost += finish.cost(c, uncached, e.Wait)
+		}
 		switch {
 		case best.Index < 0 || cost < bestCost-tieThreshold:
 			ties = 1
@@ -172,7 +178,23 @@
 		}
 		bestCost = cost
 	}
-	return best, best.Index >= 0
+	if best.Index < 0 {
+		return best, false
+	}
+	best.End = finish.end(&candidates[best.Index], best.Expected)
+	best.Unfinished = finish.unfinished(candidates, w, s, minUncached, best.End)
+	return best, true
+}
+
+// detourCost returns the cost of taking a slot that is left free for others, and of crossing to another failure domain.
+func (c *Candidate) detourCost(w Work, crowded bool, objective time.Duration) (cost time.Duration) {
+	if crowded {
+		cost += crowdedCost(objective)
+	}
+	if c.Remote {
+		cost += remoteByteCost * time.Duration(w.Bytes)
+	}
+	return cost
 }
 
 // canServeFetches reports whether other endpoints may fetch from the endpoint; a failing or slow one would delay them.
--- a/capacity/outstanding.go
+++ b/capacity/outstanding.go
@@ -94,6 +94,8 @@
 	Bytes int64
 	// Rank is the request's rank.
 	Rank int
+	// Stream holds the targets of a response that is a stream.
+	Stream Stream
 }
 
 // Shared returns the parts that the prompt may share with other requests.
--- a/capacity/speed.go
+++ b/capacity/speed.go
@@ -38,6 +38,8 @@
 	slotTimeLearned bool
 	// Overtaking is the current share of the endpoints' time that more urgent requests take.
 	Overtaking Overtaking
+	// Decode is the usual time per output token.
+	Decode DecodeSpeed
 }
 
 // NewSpeed returns the service times assumed before the first observation.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,6 +33,8 @@
 	grantFrame int64
 	// endpointReceivedNanos is when a piece of an answer last arrived from the endpoint.
 	endpointReceivedNanos *atomic.Int64
+	// intervals measures the time between the events of a stream.
+	intervals eventIntervals
 }
 
 // begin records a request as sent.
@@ -195,6 +197,7 @@
 	}
 	news.limit = p.recordLimit(now, s, e.ID, v.Limit)
 	news.brittle = p.recordBrittle(now, s, e.ID, v.Brittle)
+	p.recordReportedPace(now, s, e.ID, v.Load)
 	if v.ColdFor > 0 {
 		s.coldUntil = now.Add(v.ColdFor)
 	}
--- /dev/null
+++ b/gateway/decode_test.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"arbutusreel/capacity"
+	"arbutusreel/fleet"
+)
+
+// unevenPaces are the constant paces of the engines of the replay, which take turns.
+var unevenPaces = []float64{0.6, 1, 1.6}
+
+// machineSpells returns when each engine's machine is busy with other work, at 15 of 100 of the time: the pace is then 2.5
+// times the constant one.
+func machineSpells(engines int, duration time.Duration) func(engine int, now time.Duration) float64 {
+	const share, factor, length = 0.15, 2.5, 300 * time.Millisecond
+	rng := rand.New(rand.NewPCG(replaySeed, 2))
+	spells := make([][][2]time.Duration, engines)
+	for i := range spells {
+		for at := time.Duration(0); at < 2*duration; {
+			at += time.Duration(rng.ExpFloat64() * float64(length) * (1 - share) / share)
+			end := at + time.Duration(rng.ExpFloat64()*float64(length))
+			spells[i] = append(spells[i], [2]time.Duration{at, end})
+			at = end
+		}
+	}
+	return func(engine int, now time.Duration) float64 {
+		pace := unevenPaces[engine%len(unevenPaces)]
+		n, _ := slices.BinarySearchFunc(spells[engine], now, func(s [2]time.Duration, t time.Duration) int { return int(s[1] - t) })
+		if n < len(spells[engine]) && spells[engine][n][0] <= now {
+			return pace * factor
+		}
+		return pace
+	}
+}
+
+// unevenSite is a region of engines of three paces before which long and short answers compete.
+func unevenSite(rate float64) replaySite {
+	const engines, duration = 24, 30 * time.Second
+	return replaySite{
+		engines: engines, slots: 64, gateways: 8, cacheTokens: 452_000, duration: duration, eventTokens: 10, tick: 250 * time.Microsecond,
+		stepTime: func(running int, prefill bool) time.Duration {
+			step := 3030*time.Microsecond + time.Duration(running)*121*time.Microsecond
+			if prefill {
+				step += 11 * time.Millisecond
+			}
+			return step
+		},
+		slowdown: machineSpells(engines, duration),
+		rate:     func(time.Duration) float64 { return rate },
+		report:   reportAll(100 * time.Millisecond),
+		kinds: []replayKind{
+			{name: "short", share: 0.5, prompt: 4000, output: 40, objective: 800 * time.Millisecond, patience: 5 * time.Second, gap: 400 * time.Millisecond, worth: 1},
+			{name: "middle", share: 0.2, prompt: 6000, output: 200, objective: time.Second, patience: 8 * time.Second, gap: 400 * time.Millisecond, worth: 1},
+			{name: "long", share: 0.3, prompt: 4000, output: 700, objective: time.Second, patience: 12 * time.Second, gap: 400 * time.Millisecond, worth: 1},
+		},
+	}
+}
+
+// value returns the mean value of an answer, of which a late one has 0.3.
+func (p *replay) value() float64 {
+	var value, asked float64
+	for _, r := range p.results {
+		value += float64(r.onTime) + 0.3*float64(r.late)
+		asked += float64(r.asked)
+	}
+	return value / asked
+}
+
+// byPace places requests by the whole answer. If known is set, the placers are told the constant paces of the engines.
+func byPace(known bool) func(p *replay, r *replayRequest, now time.Time) bool {
+	return func(p *replay, r *replayRequest, now time.Time) bool {
+		if known {
+			for i, e := range p.view.endpoints["model"] {
+				p.placers[r.gateway].state(&e).decode.pace = knownPace(now, unevenPaces[i%len(unevenPaces)])
+			}
+		}
+		return placeByWhole(p, r, now)
+	}
+}
+
+// knownPace returns the pace of an engine as if it had been observed very often.
+func knownPace(now time.Time, constant float64) capacity.DecodePace {
+	const often, share, factor = 1e6, 0.15, 2.5
+	mean, square := constant*(1-share+share*factor), constant*constant*(1-share+share*factor*factor)
+	return capacity.DecodePace{
+		Ratios: often * mean, Squares: often * square, Count: often, SlowRatios: often * mean, SlowCount: often, At: now,
+	}
+}
+
+// TestReplayUneven guards against late long answers at engines of uneven paces: at least half of the value that knowing the
+// paces brings over the rule without them is gained by learning them.
+func TestReplayUneven(t *testing.T) {
+	for _, rate := range []float64{90, 120} {
+		var values []float64
+		for i, decide := range []func(*replay, *replayRequest, time.Time) bool{byPlacer, byPace(false), byPace(true)} {
+			p := newReplay(t, unevenSite(rate), decide)
+			p.run()
+			values = append(values, p.value())
+			for _, kind := range p.site.kinds {
+				t.Logf("rate %v, rule %d: %s: %+v", rate, i, kind.name, *p.results[kind.name])
+			}
+		}
+		before, learned, known := values[0], values[1], values[2]
+		t.Logf("rate %v: value %.3f without paces, %.3f learned, %.3f known", rate, before, learned, known)
+		if learned-before < 0.5*(known-before) {
+			t.Errorf("rate %v: value %.3f, of %.3f without paces and %.3f with known ones", rate, learned, before, known)
+		}
+	}
+}
+
+// TestLoadReportKeepsState guards against a report that changes with the load after it was made, as it is encoded outside
+// the lock.
+func TestLoadReportKeepsState(t *testing.T) {
+	now := time.Unix(1000, 0)
+	placers, v, r, s := newPlacers(t, 1, fleet.Endpoint{ID: "engine", Born: 7, Service: "model", Slots: 64, State: fleet.Ready})
+	begin := func() {
+		placers[0].begin(now, "model", testQuery(r, s).work, placers[0].decide(now, v, testQuery(r, s)))
+	}
+	begin()
+	m := placers[0].loadReport(now, 1, false)
+	before := proto.Clone(m)
+	begin()
+	if !proto.Equal(m, before) {
+		t.Errorf("report %v, later %v", before, m)
+	}
+}
+
+// TestDecodePaceReported guards against paces that only the gateway with the stream knows.
+func TestDecodePaceReported(t *testing.T) {
+	now := time.Unix(1000, 0)
+	placers, v, r, s := newPlacers(t, 2, fleet.Endpoint{ID: "engine", Born: 7, Service: "model", Slots: 64, State: fleet.Ready})
+	a := placers[0].begin(now, "model", testQuery(r, s).work, placers[0].decide(now, v, testQuery(r, s)))
+	a.intervals.eventTokens = 10
+	for range 200 {
+		a.recordEvent(now.Add(90*time.Millisecond), now)
+		now = now.Add(90 * time.Millisecond)
+	}
+	placers[1].updatePeer(now, placers[0].loadReport(now, 1, true))
+	own := placers[0].states["engine"].decode.pace.Estimate(now)
+	told := placers[1].peers.sum("engine").decode.Estimate(now)
+	if own.Factor < 1.2 || own.Factor > 3.5 || max(own.Factor/told.Factor, told.Factor/own.Factor) > 1.001 {
+		t.Errorf("own factor %.3f, that told to the other gateway %.3f", own.Factor, told.Factor)
+	}
+	if n := own.Count; n > 4*18 {
+		t.Errorf("%.0f observations of one stream in 18 s", n)
+	}
+}
+
+// TestEventIntervals guards against intervals that a slowly reading caller makes long.
+func TestEventIntervals(t *testing.T) {
+	for name, c := range map[string]struct {
+		written time.Duration
+		want    time.Duration
+	}{"quick caller": {time.Millisecond, 6 * time.Millisecond}, "slow caller": {50 * time.Millisecond, 0}} {
+		i, now, wrote, got := eventIntervals{eventTokens: 10}, time.Unix(1000, 0), time.Time{}, time.Duration(0)
+		for range 20 {
+			got = max(got, i.next(now, wrote))
+			wrote, now = now.Add(c.written), now.Add(60*time.Millisecond)
+		}
+		if got != c.want {
+			t.Errorf("%s: %v per token, want %v", name, got, c.want)
+		}
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -24,6 +24,8 @@
 	// outcomes holds the recent results of its requests, and pace their times.
 	outcomes capacity.Outcomes
 	pace     capacity.Pace
+	// decode holds the pace between the events of its streams.
+	decode capacity.DecodePace
 }
 
 // plus returns the sum of two loads.
@@ -33,6 +35,7 @@
 		recent:      capacity.NewRecentTokens(now, l.recent.Tokens(now)+other.recent.Tokens(now)),
 		outcomes:    l.outcomes.Plus(now, other.outcomes),
 		pace:        l.pace.Plus(now, other.pace),
+		decode:      l.decode.Plus(now, other.decode),
 	}
 }
 
@@ -43,6 +46,7 @@
 		recent:      capacity.NewRecentTokens(now, max(l.recent.Tokens(now)-other.recent.Tokens(now), 0)),
 		outcomes:    l.outcomes.Minus(now, other.outcomes),
 		pace:        l.pace.Minus(now, other.pace),
+		decode:      l.decode.Minus(now, other.decode),
 	}
 }
 
@@ -92,6 +96,7 @@
 		recent:      capacity.NewRecentTokens(now, o.GetRecentTokens()),
 		outcomes:    capacity.Outcomes{Ended: o.GetRecentEnded(), Failed: o.GetRecentFailed(), At: now},
 		pace:        capacity.Pace{Ratios: float64(o.GetPaceRatios()), Count: float64(o.GetPaceCount()), At: now},
+		decode:      decodeDecodePace(now, o),
 	}
 	copy(load.outstanding.Waiting[:], o.GetWaiting())
 	copy(load.outstanding.PromptTokens[:], o.GetPromptTokens())
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -31,6 +31,8 @@
 	health      capacity.Health
 	// pace is the endpoint's pace in this gateway's requests.
 	pace capacity.Pace
+	// decode is its pace between the events of this gateway's streams.
+	decode decodePace
 	// outcomes counts the results of this gateway's requests, the endpoint's own error answers included.
 	outcomes capacity.Outcomes
 	// cachedParts maps the ID of a prompt part to the time of its last use.
@@ -201,6 +203,8 @@
 	reasonBacklog    = "backlog"
 	// reasonCrowded: the free slots of all endpoints are left for more urgent requests.
 	reasonCrowded = "crowded"
+	// reasonUnfinished: no endpoint of the region is expected to complete the answer in time.
+	reasonUnfinished = "unfinished"
 	// reasonPaused: all endpoints of the region have asked this gateway to pause.
 	reasonPaused = "paused"
 	// reasonLimited: the limits of all endpoints of the region leave this gateway no request now.
@@ -281,6 +285,9 @@
 	if choice.Crowded {
 		here.verdict, here.reason = capacity.Refuse, reasonCrowded
 	}
+	if choice.Unfinished {
+		here.verdict, here.reason = capacity.Refuse, reasonUnfinished
+	}
 	if q.mustPlace {
 		here.verdict = capacity.Take
 	}
@@ -389,7 +396,7 @@
 		}
 		peers := p.peers.sum(e.ID)
 		c := capacity.Candidate{
-			ID: e.ID, Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health.WithPace(now, s.pace.Plus(now, peers.pace)), Slots: e.Slots,
+			ID: e.ID, Decode: s.decode.pace.Plus(now, peers.decode).Estimate(now), Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health.WithPace(now, s.pace.Plus(now, peers.pace)), Slots: e.Slots,
 			Busy:        s.prefillShare(now, speed, peers),
 			FailureRate: s.outcomes.Plus(now, peers.outcomes).FailureRate(now), Remote: e.FailureDomain != p.cfg.FailureDomain,
 		}
--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -32,6 +32,11 @@
 	// the events of a stream that is on time; zero means one chunk and no limit.
 	chunks int
 	gap    time.Duration
+	// stepTime is the duration of an engine's step with the given number of running requests, with or without prefill; nil for
+	// the usual one. An event holds eventTokens tokens, 9 if it is zero, and tick is the unit of time, a millisecond if zero.
+	stepTime    func(running int, prefill bool) time.Duration
+	eventTokens int
+	tick        time.Duration
 	// slowdown is the factor by which an engine's steps take longer at a time; nil for none.
 	slowdown func(engine int, now time.Duration) float64
 	// rate is the number of requests a second at a time.
@@ -73,6 +78,8 @@
 	objective      time.Duration
 	patience       time.Duration
 	worth          float64
+	// gap is the route's target for pauses; zero for none.
+	gap time.Duration
 	// subjects is the number of shared parts of prompts, of which each request has one in addition to its own prompt,
 	// with shared tokens each; zero for none.
 	subjects int
@@ -130,6 +137,8 @@
 type replayEngine struct {
 	slots, queue int
 	chunks       int
+	stepTime     func(running int, prefill bool) time.Duration
+	eventTokens  int
 	// slowdown is the factor by which steps take longer; zero means one.
 	slowdown    float64
 	cacheTokens int64
@@ -207,7 +216,7 @@
 // step returns the requests that got their first token, those whose next event is due, those that ended, and the duration
 // of the step.
 func (e *replayEngine) step(now time.Duration) (first, events, ended []*replayRequest, took time.Duration) {
-	const eventTokens = 9
+	eventTokens := cmp.Or(e.eventTokens, 9)
 	const chunk, tokensPerMilli, stepMillis, slotMillis = 1024, 112, 3.23, 0.0483
 	e.admit(now)
 	prefilling := 0
@@ -236,6 +245,9 @@
 		}
 	}
 	millis := stepMillis + slotMillis*float64(len(e.running)) + float64(budget-free)/tokensPerMilli
+	if e.stepTime != nil {
+		millis = e.stepTime(len(e.running), budget > free).Seconds() * 1000
+	}
 	return first, events, ended, time.Duration(millis * max(e.slowdown, 1) * float64(time.Millisecond))
 }
 
@@ -287,7 +299,7 @@
 		p.results[kind.name] = &replayResult{}
 		all = append(all, routes.Route{
 			Name: kind.name, Host: testHost, PathPrefix: "/" + kind.name + "/", Kind: routes.Stream, MaxAttempts: 1, Priority: kind.priority,
-			Backends: []routes.Backend{{Service: "model", Weight: 1}}, Timeout: kind.patience, Objective: kind.objective,
+			Backends: []routes.Backend{{Service: "model", Weight: 1}}, Timeout: kind.patience, Objective: kind.objective, GapObjective: kind.gap,
 		})
 	}
 	engine := &routes.Engine{BatchSlots: site.slots, CacheTokens: site.cacheTokens, EventTokens: 10}
@@ -299,7 +311,7 @@
 	var endpoints []fleet.Endpoint
 	for i := range site.engines {
 		id := fmt.Sprintf("engine-%d", i)
-		p.engines[id] = &replayEngine{slots: site.slots, chunks: site.chunks, queue: site.queue, cacheTokens: site.cacheTokens, cached: map[string]time.Duration{}}
+		p.engines[id] = &replayEngine{slots: site.slots, chunks: site.chunks, stepTime: site.stepTime, eventTokens: site.eventTokens, queue: site.queue, cacheTokens: site.cacheTokens, cached: map[string]time.Duration{}}
 		endpoints = append(endpoints, fleet.Endpoint{ID: id, Born: 7, Service: "model", Slots: site.slots, State: fleet.Ready})
 	}
 	p.view = &view{table: table, endpoints: map[string][]fleet.Endpoint{"model": endpoints}}
@@ -314,7 +326,7 @@
 
 // run offers the load and returns when all requests have ended.
 func (p *replay) run() {
-	const tick = time.Millisecond
+	tick := cmp.Or(p.site.tick, time.Millisecond)
 	for now := time.Duration(0); now < p.site.duration || len(p.inFlight)+len(p.returning) > 0; now += tick {
 		if now < p.site.duration {
 			expected := p.site.rate(now) * tick.Seconds()
@@ -398,6 +410,9 @@
 			r.gap = max(r.gap, e.nextStepAt-r.eventAt)
 		}
 		r.eventAt = e.nextStepAt
+		if r.attempt != nil && r.attempt.intervals.eventTokens > 0 {
+			r.attempt.recordEvent(replayStart.Add(e.nextStepAt), time.Time{})
+		}
 	}
 	for _, r := range first {
 		if r.firstAt = e.nextStepAt; r.attempt != nil {
@@ -407,7 +422,7 @@
 	for _, r := range ended {
 		p.end(r, e.nextStepAt, succeeded)
 		result := p.results[r.kind.name]
-		if r.firstAt-r.arrived <= r.kind.objective && e.nextStepAt-r.arrived <= r.kind.patience && (p.site.gap == 0 || r.gap <= p.site.gap) {
+		if r.firstAt-r.arrived <= r.kind.objective && e.nextStepAt-r.arrived <= r.kind.patience && (p.site.gap == 0 || r.gap <= p.site.gap) && (r.kind.gap == 0 || r.gap <= r.kind.gap) {
 			result.onTime++
 		} else {
 			result.late++
@@ -464,10 +479,20 @@
 
 // byPlacer places requests as gateways do.
 func byPlacer(p *replay, r *replayRequest, now time.Time) bool {
+	return placeWith(p, r, now, capacity.Stream{})
+}
+
+// placeByWhole places requests as gateways do that know what streams have to meet.
+func placeByWhole(p *replay, r *replayRequest, now time.Time) bool {
+	left := r.kind.patience - (now.Sub(replayStart) - r.arrived)
+	return placeWith(p, r, now, capacity.Stream{Gap: r.kind.gap, EventTokens: p.site.eventTokens, Remaining: left})
+}
+
+func placeWith(p *replay, r *replayRequest, now time.Time, stream capacity.Stream) bool {
 	route := p.table.Match(testHost, "/"+r.kind.name+"/x")
 	q := query{
 		route: route, service: p.table.Service("model"), tried: map[string]bool{},
-		work: capacity.Work{PromptTokens: int64(r.prompt), OutputTokens: int64(r.output), Parts: r.parts()},
+		work: capacity.Work{PromptTokens: int64(r.prompt), OutputTokens: int64(r.output), Parts: r.parts(), Stream: stream},
 	}
 	waited := now.Sub(replayStart) - r.arrived
 	q.budget = capacity.TimeBudget{Objective: route.Objective - waited, RouteObjective: route.Objective, Remaining: route.Timeout - waited, Retried: r.refused}
@@ -484,6 +509,7 @@
 		r.engine, r.urgency = p.engines[at.endpoint.ID], at.rank
 		p.loadErrors = append(p.loadErrors, math.Abs(float64(at.backlog.Requests-len(r.engine.running)-len(r.engine.waiting))))
 		r.attempt = p.placers[r.gateway].begin(now, "model", q.work, at)
+		r.attempt.intervals.eventTokens = stream.EventTokens
 		if r.engine.offer(r) {
 			return true
 		}
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"arbutusreel/capacity"
@@ -52,7 +53,7 @@
 	var loads []*wiregen.EndpointOutstanding
 	if all {
 		for id, s := range p.states {
-			if s.outstanding != (capacity.Outstanding{}) || s.recent.Tokens(now) >= 1 {
+			if s.outstanding != (capacity.Outstanding{}) || s.recent.Tokens(now) >= 1 || s.decode.pace.Now(now).SlowCount > minReportedPace {
 				loads = append(loads, encodeLoad(now, id, s))
 			}
 		}
@@ -71,14 +72,15 @@
 		Endpoint: id, Requests: int32(s.outstanding.Requests), HeldTokens: s.outstanding.HeldTokens, RecentTokens: s.recent.Tokens(now),
 	}
 	if s.outstanding.Waiting != (capacity.Backlog{}) {
-		m.Waiting = s.outstanding.Waiting[:]
+		m.Waiting = slices.Clone(s.outstanding.Waiting[:])
 	}
 	if s.outstanding.PromptTokens != (capacity.Backlog{}) {
-		m.PromptTokens = s.outstanding.PromptTokens[:]
+		m.PromptTokens = slices.Clone(s.outstanding.PromptTokens[:])
 	}
 	if pace := s.pace.Now(now); pace.Count > minReportedPace {
 		m.PaceRatios, m.PaceCount = float32(pace.Ratios), float32(pace.Count)
 	}
+	encodeDecodePace(m, s.decode.pace.Now(now))
 	if o := s.outcomes.Now(now); o.Failed > minReportedFailures {
 		m.RecentEnded, m.RecentFailed = o.Ended, o.Failed
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -109,6 +109,7 @@
 // query returns the description of the request for the placer.
 func (j *job) query(now time.Time) query {
 	work := j.call.Work
+	work.Stream = j.streamTargets(now)
 	work.Bytes = int64(len(j.body)) + answerBytes(j.service, work.OutputTokens)
 	return query{
 		route: j.route, team: j.team, service: j.service, work: work, budget: j.timeBudget(now), tried: j.tried,
