Decide in package access who may use a route, and test teams and credentials

The check of credentials stood in gateway, answered revoked requests with 503 in place of 401, and used the code of the operators' tokens. The directory intersects the homes of routes with those of the teams if all teams have some.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"arbutusreel/access"
 	"arbutusreel/capacity"
 	"arbutusreel/configuration"
 	"arbutusreel/keys"
@@ -40,8 +41,10 @@
 	Grace time.Duration
 	// RegionRoundTrip is the round-trip time between two regions.
 	RegionRoundTrip time.Duration
-	Keys            *keys.Source
-	Metrics         *metrics.Set
+	// Access is what the gateway does while it may have missed revocations of credentials.
+	Access  access.Policy
+	Keys    *keys.Source
+	Metrics *metrics.Set
 }
 
 // Call holds what a caller's headers say about its request.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -38,6 +38,10 @@
 	if n, err := strconv.ParseInt(h.Get("Tokens"), 10, 64); err == nil {
 		c.Work = capacity.Work{PromptTokens: n}
 	}
+	if key := h.Get("Key"); key != "" {
+		credential := routes.NewCredential(key)
+		c.Caller, c.Credential = key, &credential
+	}
 	for part := range strings.SplitSeq(h.Get("Parts"), ",") {
 		if part != "" {
 			c.Work.Parts = append(c.Work.Parts, capacity.Part{ID: part, Tokens: 10})
@@ -48,12 +52,22 @@
 
 func (testHeaderCodec) Prepare(h http.Header, e EndpointHeaders) {
 	h.Set("Instance", e.Instance)
+	h.Del("Team")
+	if e.Team != "" {
+		h.Set("Team", e.Team)
+	}
+	if e.HideCredential {
+		h.Del("Key")
+	}
 	if e.LastEvent >= 0 {
 		h.Set("Last", strconv.FormatInt(e.LastEvent, 10))
 	}
 }
 
-func (testHeaderCodec) Forward(h http.Header, left time.Duration, _ bool) {
+func (testHeaderCodec) Forward(h http.Header, left time.Duration, hideCredential bool) {
+	if hideCredential {
+		h.Del("Key")
+	}
 	h.Set("Patience", strconv.FormatInt(left.Milliseconds(), 10))
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -41,8 +41,7 @@
 	for {
 		suspect := !j.mayTry()
 		now := time.Now()
-		if code, reason := j.adoptView(); code != "" {
-			j.giveUp(code, reason)
+		if !j.adoptView() {
 			return
 		}
 		if j.ctx.Err() != nil || j.deadline.Sub(now) < minTimeLeft {
@@ -81,20 +80,22 @@
 	}
 }
 
-// adoptView matches the request again if the view has changed since. It returns a code and a reason if the request may no
-// longer be served.
-func (j *job) adoptView() (code problem.Code, reason string) {
+// adoptView matches the request again, and checks its credential again, if the view has changed since. It answers the request
+// and returns false if it may no longer be served.
+func (j *job) adoptView() bool {
 	v := j.g.view.Load()
 	if v == j.view || v.table == nil {
-		return "", ""
+		return true
 	}
 	if !j.match(v) {
-		return problem.UnknownRoute, "the route or the service was removed while the request was in progress"
+		j.giveUp(problem.UnknownRoute, "the route or the service was removed while the request was in progress")
+		return false
 	}
-	if j.authenticate() != nil {
-		return problem.Unauthenticated, "the credential was revoked while the request was in progress"
+	if p := j.authenticate(); p != nil {
+		j.giveUpRevoked(p)
+		return false
 	}
-	return "", ""
+	return true
 }
 
 // shouldContinue reports whether another attempt follows. It panics with http.ErrAbortHandler after a truncated answer,
@@ -210,6 +211,9 @@
 	if j.route != nil {
 		e = e.Str("route", j.route.Name).Str("kind", j.route.Kind.String())
 	}
+	if j.team != nil {
+		e = e.Str("team", j.team.Name)
+	}
 	if j.forwarded {
 		e = e.Bool("forwarded", true)
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -77,7 +77,8 @@
 	deadline      time.Time
 	route         *routes.Route
 	service       *routes.Service
-	// team is that of the caller; nil if the routing table has no teams, or the route is public and no credential was sent.
+	// team is that of the caller; nil if the routing table has no teams, or the route is public and no credential was sent. If
+	// its credential was revoked, it is the last one.
 	team  *routes.Team
 	view  *view
 	tried map[string]bool
@@ -123,6 +124,7 @@
 		j.refuse(refusal)
 		return
 	}
+	j.countTeam(admittedCode)
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	j.ctx = ctx
@@ -297,6 +299,7 @@
 	}
 	h.Set("Content-Type", "application/problem+json")
 	j.g.cfg.Metrics.Count(string(p.Code))
+	j.countTeam(string(p.Code))
 	j.log(string(p.Outcome)).Str("reason", string(p.Code)).Str("detail", p.Detail).Dur("retryAfter", p.RetryAfter).Err(j.lastErr).Msg("refused")
 	j.w.WriteHeader(p.Status)
 	_, _ = j.w.Write(problem.Encode(p, j.call.ID))
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -339,6 +339,10 @@
 	before := g.view.Load()
 	v := st.refresh(now, u, before)
 	v.updatedAt, v.current, v.completeFor, v.control = now, u.GetCurrent(), time.Duration(u.GetCompleteMillis())*time.Millisecond, control
+	v.currentAt = before.currentAt
+	if v.current {
+		v.currentAt = now
+	}
 	if len(u.GetRooms()) > 0 {
 		if regained := g.placer.updateRegionCapacities(now, before, u.GetRooms()); len(regained) > 0 {
 			g.log.Info().Strs("regions", regained).Str("control", control).Msg("region capacity reports resumed")
--- a/gateway/teams.go
+++ b/gateway/teams.go
@@ -3,48 +3,58 @@
 import (
 	"net/http"
 	"net/url"
+	"time"
 
+	"arbutusreel/access"
 	"arbutusreel/problem"
 	"arbutusreel/routes"
 )
 
+// admittedCode is the code under which the requests of a team that passed the checks at their arrival are counted.
+const admittedCode = "admitted"
+
 // authenticate finds the team of the caller by its credential, or by the name that the forwarding gateway gives. It returns
-// a refusal if the routing table has teams and the caller may not use the route.
+// a refusal if the caller may not use the route; the team then stays what it was, for the log.
 func (j *job) authenticate() *problem.Problem {
-	table := j.view.table
-	j.team = nil
-	if !table.HasTeams() {
-		return nil
-	}
+	now := time.Now()
+	r := access.Request{Route: j.route, Credential: j.call.Credential, Forwarded: j.forwarded}
 	if j.forwarded {
-		return j.authenticateForwarded()
-	}
-	switch {
-	case j.call.Credential != nil:
-		if j.team = table.Team(*j.call.Credential); j.team == nil {
-			return problem.New(problem.Unauthenticated, http.StatusUnauthorized, "the credential is not known")
+		name, err := url.QueryUnescape(j.r.Header.Get(teamHeader))
+		if err != nil {
+			return unknownTeam()
 		}
-	case !j.route.Public:
-		return problem.New(problem.Unauthenticated, http.StatusUnauthorized, "the request has no credential")
+		r.Team = name
 	}
-	return nil
-}
-
-// authenticateForwarded finds the team that another gateway named. That gateway has checked the credential by its own routing
-// table, which may be newer than this one.
-func (j *job) authenticateForwarded() *problem.Problem {
-	name, err := url.QueryUnescape(j.r.Header.Get(teamHeader))
-	if name == "" && j.route.Public {
+	team, result := j.g.cfg.Access.Check(now, j.view.currentAt, j.view.table, r)
+	switch result {
+	case access.Allowed:
+		j.team = team
 		return nil
+	case access.NoCredential:
+		return problem.New(problem.UnknownCredential, http.StatusUnauthorized, "the request has no credential")
+	case access.UnknownCredential:
+		return problem.New(problem.UnknownCredential, http.StatusUnauthorized, "the credential is not known")
+	case access.Outdated:
+		return problem.New(problem.NotReady, http.StatusServiceUnavailable, "revoked credentials may not be known here").
+			WithRetryAfter(j.g.notReadyRetryAfter(now))
+	default:
+		return unknownTeam()
 	}
-	if err == nil {
-		j.team = j.view.table.TeamNamed(name)
-	}
-	if j.team == nil {
-		return problem.New(problem.NotReady, http.StatusServiceUnavailable, "the team %q is not known here yet", name).
-			WithRetryAfter(notReadyRetryAfter)
+}
+
+// unknownTeam refuses a request of another gateway whose team the routing table lacks.
+func unknownTeam() *problem.Problem {
+	return problem.New(problem.NotReady, http.StatusServiceUnavailable, "the team is not known here").WithRetryAfter(notReadyRetryAfter)
+}
+
+// giveUpRevoked answers a request whose credential the newer routing table lacks. If nothing was sent, the caller learns that
+// the request was not run.
+func (j *job) giveUpRevoked(p *problem.Problem) {
+	if j.sends > 0 || j.outcome != problem.NotRun || j.r.Context().Err() != nil {
+		j.giveUp(p.Code, "the credential was revoked while the request was in progress")
+		return
 	}
-	return nil
+	j.refuse(p)
 }
 
 // setTeamHeader names the team to another gateway.
@@ -54,6 +64,13 @@
 	}
 }
 
+// countTeam counts an event of a request for its team, at the gateway that the caller is connected to.
+func (j *job) countTeam(code string) {
+	if j.team != nil && !j.forwarded {
+		j.g.cfg.Metrics.CountTeam(j.team.Name, code)
+	}
+}
+
 // teamName returns the name of the caller's team, or an empty string.
 func (j *job) teamName() string {
 	if j.team == nil {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -28,6 +28,8 @@
 	// leader, and control its address.
 	updatedAt time.Time
 	current   bool
+	// currentAt is the time of the last update from a control daemon in contact with the leader; zero if there was none.
+	currentAt time.Time
 	control   string
 }
 
--- a/metrics/set.go
+++ b/metrics/set.go
@@ -25,6 +25,7 @@
 	tokens   expvar.Int
 	active   expvar.Int
 	added    *Histogram
+	teams    teams
 }
 
 var _ expvar.Var = (*Set)(nil)
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -29,6 +29,7 @@
 	MalformedRequest   Code = "malformedRequest"
 	BodyTooLarge       Code = "bodyTooLarge"
 	Unauthenticated    Code = "unauthenticated"
+	UnknownCredential  Code = "unknownCredential"
 	Forbidden          Code = "forbidden"
 	UnknownModel       Code = "unknownModel"
 	UnknownService     Code = "unknownService"
--- a/routes/table.go
+++ b/routes/table.go
@@ -115,6 +115,8 @@
 	// teams and credentials are nil if the configuration has no teams.
 	teams       map[string]*Team
 	credentials map[Credential]*Team
+	// teamHomes are the homes of the teams.
+	teamHomes teamHomes
 }
 
 // New returns the table of a version, or Faults if a route or service is not valid.
@@ -189,7 +191,8 @@
 func (t *Table) Serves(host string) bool { return len(t.hosts[strings.ToLower(host)]) > 0 }
 
 // HomeRegions returns the home regions of the routes of a host that have any: shared holds the regions that all of these
-// routes allow, and some those that any of them allows. It returns false if no route of the host has home regions.
+// routes allow, and some those that any of them allows. If all teams have home regions, only those that all of them allow, or
+// any of them, remain. It returns false if neither routes nor teams restrict the regions.
 func (t *Table) HomeRegions(host string) (shared, some []string, restricted bool) {
 	for _, r := range t.hosts[strings.ToLower(host)] {
 		if len(r.HomeRegions) == 0 {
@@ -206,7 +209,13 @@
 			}
 		}
 	}
-	return shared, some, restricted
+	if !t.Serves(host) || !t.teamHomes.restricted {
+		return shared, some, restricted
+	}
+	if !restricted {
+		return slices.Clone(t.teamHomes.shared), slices.Clone(t.teamHomes.some), true
+	}
+	return intersect(shared, t.teamHomes.shared), intersect(some, t.teamHomes.some), true
 }
 
 // Match returns the route of a host, with or without a port, and an escaped path; it returns nil if there is none.
--- a/routes/teams.go
+++ b/routes/teams.go
@@ -9,8 +9,14 @@
 // Credential is the SHA-256 digest of a caller's key. Keys themselves are not kept.
 type Credential [sha256.Size]byte
 
+// maxStackKey is the length in bytes up to which the credential of a key is computed without an allocation.
+const maxStackKey = 128
+
 // NewCredential returns the credential of a key.
-func NewCredential(key string) Credential { return sha256.Sum256([]byte(key)) }
+func NewCredential(key string) Credential {
+	var buffer [maxStackKey]byte
+	return sha256.Sum256(append(buffer[:0], key...))
+}
 
 // Unit is what an allotment is counted in.
 type Unit int
@@ -70,6 +76,7 @@
 func (t *Table) WithTeams(teams []Team) (*Table, error) {
 	c := *t
 	c.teams, c.credentials = make(map[string]*Team, len(teams)), map[Credential]*Team{}
+	c.teamHomes = newTeamHomes(teams)
 	var faults Faults
 	for _, team := range teams {
 		addFault := func(reason string) { faults = append(faults, &Fault{Team: team.Name, Reason: reason}) }
@@ -104,3 +111,35 @@
 
 // TeamNamed returns the team of a name, or nil.
 func (t *Table) TeamNamed(name string) *Team { return t.teams[name] }
+
+// teamHomes are the home regions of all teams of a table.
+type teamHomes struct {
+	// restricted reports that there are teams, and that each of them has home regions.
+	restricted bool
+	// shared holds the regions that all teams allow, and some those that any of them allows.
+	shared, some []string
+}
+
+func newTeamHomes(teams []Team) teamHomes {
+	h := teamHomes{restricted: len(teams) > 0}
+	for i, team := range teams {
+		if len(team.HomeRegions) == 0 {
+			return teamHomes{}
+		}
+		if i == 0 {
+			h.shared = slices.Clone(team.HomeRegions)
+		}
+		h.shared = intersect(h.shared, team.HomeRegions)
+		for _, region := range team.HomeRegions {
+			if !slices.Contains(h.some, region) {
+				h.some = append(h.some, region)
+			}
+		}
+	}
+	return h
+}
+
+// intersect returns the elements of a that b holds, in the order of a. It overwrites a.
+func intersect(a, b []string) []string {
+	return slices.DeleteFunc(a, func(s string) bool { return !slices.Contains(b, s) })
+}
