--- a/gateway/config.go
+++ b/gateway/config.go
@@ -7,6 +7,7 @@
 	"arbutusreel/capacity"
 	"arbutusreel/configuration"
 	"arbutusreel/keys"
+	"arbutusreel/limits"
 	"arbutusreel/metrics"
 	"arbutusreel/routes"
 )
@@ -36,6 +37,8 @@
 	// ColdReserve is added to the product.
 	ColdBurst   float64
 	ColdReserve float64
+	// Quota bounds what a team may use of its allotment in a window over all gateways.
+	Quota limits.Rule
 	// Grace is the time between a planned stop and the end of the process.
 	Grace time.Duration
 	// RegionRoundTrip is the round-trip time between two regions.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,8 @@
 	origins   *origins
 	crashes   *crashes
 	latencies *latencies
+	// allotments holds the teams' allotments.
+	allotments *allotments
 	// broken receives the endpoints that may have crashed.
 	broken chan fleet.Endpoint
 	// originPeers are asked for unknown origins; originLookups holds a value for each lookup in progress.
@@ -129,6 +131,7 @@
 	cfg.Metrics.Publish("stranded", expvar.Func(func() any { return g.placer.isStranded() }))
 	cfg.Metrics.Publish("limitedEndpoints", expvar.Func(func() any { return g.placer.limitedEndpoints() }))
 	g.latencies = newLatencies(cfg.Metrics, g.pool)
+	g.allotments = newAllotments(cfg, log, workCtx, now)
 	g.view.Store(&view{})
 	return g
 }
@@ -220,6 +223,7 @@
 	loadServer.Stop()
 	g.pool.Close()
 	g.peers.Close()
+	g.allotments.close()
 	g.wg.Wait()
 	g.log.Info().Int64("inFlight", g.inFlight.Load()).Msg("stopped")
 	return nil
@@ -259,6 +263,7 @@
 func (g *Gateway) stop() {
 	began := time.Now()
 	g.stopBeganNanos.Store(began.UnixNano())
+	g.allotments.leave(began)
 	g.log.Info().Int64("inFlight", g.inFlight.Load()).Dur("grace", g.cfg.Grace).Msg("stopping")
 	var withdrawnAt time.Time
 	for time.Since(began) < g.cfg.Grace-stopMargin {
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -43,7 +43,8 @@
 		case <-g.placer.loadsChanged:
 		case <-g.origins.changed:
 		case <-g.crashes.changed:
-		case <-check.C:
+		case now := <-check.C:
+			g.allotments.touch(now)
 		case <-ctx.Done():
 			return
 		}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -182,6 +182,7 @@
 	if errors.Is(j.r.Context().Err(), context.Canceled) {
 		j.log(string(j.outcome)).Err(j.lastErr).Msg("callerLeft")
 		j.g.cfg.Metrics.Count("callerLeft")
+		j.returnCharge()
 		panic(http.ErrAbortHandler)
 	}
 	if j.bufferedError != nil && !j.streaming() {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 
 	"arbutusreel/capacity"
 	"arbutusreel/crash"
+	"arbutusreel/limits"
 	"arbutusreel/origin"
 	"arbutusreel/problem"
 	"arbutusreel/routes"
@@ -78,9 +79,11 @@
 	route         *routes.Route
 	service       *routes.Service
 	// team is that of the caller; nil if the routing table has no teams, or the route is public and no credential was sent.
-	team  *routes.Team
-	view  *view
-	tried map[string]bool
+	team *routes.Team
+	// charge is what the request has taken of the team's allotment; nil if nothing.
+	charge *limits.Charge
+	view   *view
+	tried  map[string]bool
 	// sends counts the endpoints that the request was sent to, and runs those that may have run it.
 	sends, runs int
 	// chargedRuns is the number of runs that the present attempt counts for if it fails: all that remained for a
@@ -119,7 +122,11 @@
 		g: g, w: w, r: r, forwarded: forwarded, path: path, received: now, view: v, tried: map[string]bool{}, outcome: problem.NotRun,
 		draw: g.placer.draw(),
 	}
-	if refusal := j.read(); refusal != nil {
+	refusal := j.read()
+	if refusal == nil {
+		refusal = j.chargeAllotment()
+	}
+	if refusal != nil {
 		j.refuse(refusal)
 		return
 	}
@@ -288,6 +295,9 @@
 		j.log("streamBroken").Str("reason", string(p.Code)).Err(j.lastErr).Msg("served")
 		panic(http.ErrAbortHandler)
 	}
+	if p.Outcome == problem.NotRun {
+		j.returnCharge()
+	}
 	h := j.w.Header()
 	h.Set(outcomeHeader, string(p.Outcome))
 	h.Set(codeHeader, string(p.Code))
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -345,6 +345,7 @@
 		}
 	}
 	g.view.Store(v)
+	g.allotments.observe(now, v)
 	if before.table == nil && v.table != nil {
 		g.log.Info().Int64("routeVersion", v.version()).Msg("ready")
 	}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -39,6 +39,8 @@
 	LoopRefused        Code = "loopRefused"
 	PatienceExceeded   Code = "patienceExceeded"
 	LimitExceeded      Code = "limitExceeded"
+	OverAllotment      Code = "overAllotment"
+	AllotmentUnknown   Code = "allotmentUnknown"
 	NoCapacity         Code = "noCapacity"
 	EndpointFailed     Code = "endpointFailed"
 	VersionUnavailable Code = "versionUnavailable"
--- a/routes/teams.go
+++ b/routes/teams.go
@@ -2,6 +2,8 @@
 
 import (
 	"crypto/sha256"
+	"iter"
+	"maps"
 	"math"
 	"slices"
 )
@@ -104,3 +106,6 @@
 
 // TeamNamed returns the team of a name, or nil.
 func (t *Table) TeamNamed(name string) *Team { return t.teams[name] }
+
+// Teams returns the teams in no particular order.
+func (t *Table) Teams() iter.Seq[*Team] { return maps.Values(t.teams) }
