--- a/limits/pool.go
+++ b/limits/pool.go
@@ -122,11 +122,12 @@
 	return true
 }
 
-// depth returns what a bucket holds at most: the burst, and at least the largest recent request as far as the slack allows.
+// depth returns what a bucket holds at most: the burst, and room for one large request as far as the slack allows, without which the remains
+// in the regions would often all be too small for a request.
 func (p *Pool) depth(now time.Time, s *share) float64 {
 	depth := s.allotment.shareBurst()
 	if now.Sub(s.largestAt) < time.Minute {
-		depth = max(depth, min(s.largest, p.rule.Slack*depthSlackFraction/float64(max(len(s.allotment.Regions), 1))))
+		depth += min(s.largest, p.rule.Slack*depthSlackFraction/float64(max(len(s.allotment.Regions), 1)))
 	}
 	return depth
 }
@@ -345,7 +346,7 @@
 	return lenders
 }
 
-// borrowLimit returns the level up to which an owner borrows: its demand of borrowTime, and a request of the usual size.
+// borrowLimit returns the level up to which an owner borrows: its demand of borrowTime, and a large request.
 func (p *Pool) borrowLimit(now time.Time, s *share) float64 {
 	return max(min(s.demand.recent(now), s.allotment.Rate)*borrowTime.Seconds(), min(s.largest, p.depth(now, s)))
 }
