--- a/routes/teams.go
+++ b/routes/teams.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"crypto/sha256"
+	"iter"
 	"maps"
 	"math"
 	"slices"
@@ -193,3 +194,6 @@
 func intersect(a, b []string) []string {
 	return slices.DeleteFunc(a, func(s string) bool { return !slices.Contains(b, s) })
 }
+
+// Teams returns the teams in no particular order.
+func (t *Table) Teams() iter.Seq[*Team] { return maps.Values(t.teams) }
