--- a/capacity/outstanding.go
+++ b/capacity/outstanding.go
@@ -1,7 +1,8 @@
 package capacity
 
-// Ranks is the number of scheduling ranks. Rank 0 is the most urgent; the last one holds requests that will be late.
-const Ranks = 4
+// Ranks is the number of scheduling ranks. Rank 0 is the most urgent; the last one holds requests that will be late. The others suffice
+// for two priorities of teams with three priorities of routes each; with fewer, most requests shared one rank.
+const Ranks = 8
 
 // Rank returns the rank of a request from its route's priority, of which zero is the most urgent, or the last rank if
 // it will be late.
