--- a/gateway/allotments.go
+++ b/gateway/allotments.go
@@ -260,28 +260,38 @@
 // answers tells which owners have answered: that of the own region, and any.
 type answers struct{ own, any bool }
 
-// drawAll completes a charge by draws from the owner of the own region and then from the others, one after the other. a.mu is locked, but
-// not during the calls.
+// drawAll completes a charge by draws from the owner of the own region, then from the others, one after the other, and from the own one again.
+// a.mu is locked, but not during the calls.
 func (a *allotments) drawAll(ctx context.Context, now time.Time, b *limits.Balance, allotted limits.Allotted, c *limits.Charge) (wait time.Duration, got answers, ok bool) {
 	if c.Missing <= 0 {
 		return 0, got, true
 	}
+	var ownWait time.Duration
+	asked := false
 	for _, region := range a.ownersInOrder(allotted) {
 		expected, short := b.Short(now, region, c)
 		if !short {
+			asked = asked || region != a.self.Region
 			if expected, short, ok = a.drawFrom(ctx, region, b, allotted.Team, c); ok {
 				return 0, got, true
 			}
 		}
 		if short {
 			got.any = true
-			got.own = got.own || region == a.self.Region
+			if region == a.self.Region {
+				got.own, ownWait = true, expected
+			}
 			if wait == 0 || expected < wait {
 				wait = expected
 			}
 		}
 		now = time.Now()
 	}
+	if asked && b.Again(ownWait) {
+		if _, _, ok = a.drawFrom(ctx, a.self.Region, b, allotted.Team, c); ok {
+			return 0, got, true
+		}
+	}
 	return wait, got, false
 }
 
--- a/limits/allotment.go
+++ b/limits/allotment.go
@@ -120,6 +120,7 @@
 
 // Owners finds the owners of the shares among the ready gateways of the last view of a current control daemon.
 type Owners struct {
+	ready   []Member
 	members map[string][]Member
 	// before holds the members before the last change.
 	before map[string][]Member
@@ -133,24 +134,19 @@
 // NewOwners returns the owners of a fleet without gateways.
 func NewOwners() *Owners { return &Owners{cache: map[ownerKey]string{}} }
 
-// Update replaces the ready gateways and reports whether they have changed.
+// Update replaces the ready gateways, in the order of their names, and reports whether they have changed. It keeps the slice.
 func (o *Owners) Update(ready []Member) (changed bool) {
+	if slices.Equal(ready, o.ready) {
+		return false
+	}
 	members := map[string][]Member{}
-	n := 0
 	for _, m := range ready {
 		members[m.Region] = append(members[m.Region], m)
-		n++
-	}
-	o.most = max(o.most, n)
-	changed = len(members) != len(o.members)
-	for region, all := range members {
-		changed = changed || !slices.Equal(all, o.members[region])
-	}
-	if changed {
-		o.members, o.before = members, o.members
-		clear(o.cache)
 	}
-	return changed
+	o.most = max(o.most, len(ready))
+	o.ready, o.members, o.before = ready, members, o.members
+	clear(o.cache)
+	return true
 }
 
 // Of returns the owner of a region's share of a team's allotment; empty if the region has no ready gateway.
--- a/limits/allotments_test.go
+++ b/limits/allotments_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +10,8 @@
 	"time"
 )
 
+var simSeed = flag.Uint64("simSeed", 0, "added to the seeds of the simulations of allotments")
+
 // Delays of the simulated network and of the control daemons.
 const (
 	simOwnTrip   = time.Millisecond
@@ -255,57 +258,78 @@
 	s.on(g, func() {
 		c := g.balance.Charge(s.now, cost)
 		order := append([]string{g.self.Region}, slices.DeleteFunc(slices.Clone(regions), func(r string) bool { return r == g.self.Region })...)
-		s.try(g, &c, order, answersOf{})
+		s.try(&simRequest{g: g, c: &c, left: order})
 	})
 }
 
-type answersOf struct{ own, any bool }
+// simRequest is a request that is being charged.
+type simRequest struct {
+	g       *simGateway
+	c       *Charge
+	left    []string
+	ownWait time.Duration
+	// own and any are set if the own region's owner and any owner has answered, and asked if another region's owner was asked.
+	own, any, asked, again bool
+}
 
-func (s *simulation) try(g *simGateway, c *Charge, left []string, got answersOf) {
-	if c.Missing <= 0 || len(left) == 0 && !got.own && g.balance.Reserve(s.now, g.owners.Gateways(), c) {
-		s.used = append(s.used, lot{amount: c.Cost, at: s.now})
-		return
+// answer goes on after an owner's answer, or without one.
+func (s *simulation) answer(r *simRequest, region string, short bool, wait time.Duration) {
+	if own := region == r.g.self.Region; own && short {
+		r.own, r.ownWait = true, wait
+	}
+	r.any = r.any || short
+	r.left = r.left[1:]
+	s.try(r)
+}
+
+func (s *simulation) try(r *simRequest) {
+	g, c := r.g, r.c
+	if len(r.left) == 0 && c.Missing > 0 && r.asked && !r.again && g.balance.Again(r.ownWait) {
+		r.again, r.left = true, []string{g.self.Region}
 	}
-	if len(left) == 0 {
-		if got.any {
+	switch {
+	case c.Missing <= 0 || len(r.left) == 0 && !r.own && g.balance.Reserve(s.now, g.owners.Gateways(), c):
+		s.used = append(s.used, lot{amount: c.Cost, at: s.now})
+	case len(r.left) > 0:
+		s.draw(r, r.left[0])
+	default:
+		if r.any {
 			s.refused++
 		} else {
 			s.unknown++
 		}
 		g.balance.Return(s.now, c)
-		return
-	}
-	region := left[0]
-	own := region == g.self.Region
-	answer := func(short bool) {
-		s.try(g, c, left[1:], answersOf{got.own || own && short, got.any || short})
 	}
-	if _, short := g.balance.Short(s.now, region, c); short {
-		answer(true)
+}
+
+// draw draws what a request is missing from the owner of a region.
+func (s *simulation) draw(r *simRequest, region string) {
+	g, c := r.g, r.c
+	if wait, short := g.balance.Short(s.now, region, c); short && !r.again {
+		s.answer(r, region, true, wait)
 		return
 	}
+	r.asked = r.asked || region != g.self.Region
 	owner, sentAt := g.owners.Of(s.team.Team, region), s.now
 	d := g.balance.Draw(s.now, g.self, c)
+	accept := func(reply Drawn, ok bool) {
+		if !ok {
+			g.silent[owner] = s.now.Add(300 * time.Millisecond)
+		}
+		short := ok && !g.balance.Accept(s.now, sentAt, region, c, reply) && !reply.NotOwner
+		s.answer(r, region, short, reply.Wait)
+	}
 	switch {
 	case owner == g.self.Instance:
-		r := g.pool.Draw(s.now, d)
+		reply := g.pool.Draw(s.now, d)
 		s.borrow(g)
-		answer(!g.balance.Accept(s.now, sentAt, region, c, r) && !r.NotOwner)
+		accept(reply, true)
 	case owner == "" || s.now.Before(g.silent[owner]):
-		answer(false)
+		s.answer(r, region, false, 0)
+	case region == g.self.Region:
+		s.call(g, owner, 150*time.Millisecond, d, accept)
 	default:
-		timeout := 400 * time.Millisecond
-		if own {
-			timeout = 150 * time.Millisecond
-		}
-		s.call(g, owner, timeout, d, func(r Drawn, ok bool) {
-			if !ok {
-				g.silent[owner] = s.now.Add(300 * time.Millisecond)
-				answer(false)
-				return
-			}
-			answer(!g.balance.Accept(s.now, sentAt, region, c, r) && !r.NotOwner)
-		})
+		s.call(g, owner, 400*time.Millisecond, d, accept)
 	}
 }
 
@@ -370,7 +394,7 @@
 						continue // The other numbers of gateways have it; simulating it takes long.
 					}
 					t.Run(fmt.Sprint(name, " ", n, " gateways, rate ", rate, ", demand ", over), func(t *testing.T) {
-						s := newSimulation(7, n, rate, rate)
+						s := newSimulation(*simSeed+7, n, rate, rate)
 						s.run(12 * time.Second)
 						s.load(rate*over, 9000, choose)
 						s.run(time.Second)
@@ -394,7 +418,7 @@
 // TestAllotmentStart guards against refusals of a team within its allotment while all gateways start together.
 func TestAllotmentStart(t *testing.T) {
 	for _, idle := range []time.Duration{time.Second, 2 * time.Second, 8 * time.Second} {
-		s := newSimulation(3, 84, 1_000_000, 1_000_000)
+		s := newSimulation(*simSeed+3, 84, 1_000_000, 1_000_000)
 		s.run(idle)
 		s.load(800_000, 9000, anyGateway)
 		s.run(20 * time.Second)
@@ -497,7 +521,7 @@
 					if n < 3 && name != "restarted at once" {
 						return
 					}
-					s := newSimulation(11, n, rate, rate)
+					s := newSimulation(*simSeed+11, n, rate, rate)
 					s.run(10 * time.Second)
 					s.load(rate*2, min(max(rate/200, 5000), 12_000), anyGateway)
 					s.run(3 * time.Second)
@@ -523,7 +547,7 @@
 
 // TestAllotmentLowered guards against a lowered limit that does not bind one window after all gateways have it.
 func TestAllotmentLowered(t *testing.T) {
-	s := newSimulation(5, 84, 1_000_000, 1_000_000)
+	s := newSimulation(*simSeed+5, 84, 1_000_000, 1_000_000)
 	s.run(10 * time.Second)
 	s.load(2_000_000, 9000, anyGateway)
 	s.run(5 * time.Second)
