--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -43,8 +43,8 @@
 		case <-g.placer.loadsChanged:
 		case <-g.origins.changed:
 		case <-g.crashes.changed:
-		case now := <-check.C:
-			g.allotments.touch(now)
+		case <-check.C:
+			g.allotments.touch(time.Now())
 		case <-ctx.Done():
 			return
 		}
--- a/limits/pool.go
+++ b/limits/pool.go
@@ -202,7 +202,7 @@
 		reply.NotOwner = d.Needed == 0 || reply.Amount == 0
 		return reply
 	}
-	if !(d.Needed >= 0 && d.Wanted >= d.Needed) || own && d.Needed == 0 {
+	if !(d.Needed >= 0 && d.Wanted >= d.Needed && d.Demand >= 0) || own && d.Needed == 0 {
 		return reply
 	}
 	p.fill(now, s)
