--- a/limits/allotments_test.go
+++ b/limits/allotments_test.go
@@ -83,10 +83,15 @@
 	byName   map[string]*simGateway
 	used     []lot
 	ideal    centralBucket
-	refused  int
-	unknown  int
-	calls    int
-	requests int
+	// controlLost stops the views, and loss and late are the parts of messages that are lost and that take up to a second.
+	controlLost bool
+	// paused stops the load.
+	paused     bool
+	loss, late float64
+	refused    int
+	unknown    int
+	calls      int
+	requests   int
 }
 
 func newSimulation(seed uint64, gateways int, rate, burst float64) *simulation {
@@ -165,6 +170,9 @@
 
 // control publishes the ready gateways, without those that have been silent, to all on its side.
 func (s *simulation) control() {
+	if s.controlLost {
+		return
+	}
 	var ready []Member
 	for _, g := range s.gateways {
 		if !g.down && !g.frozen && g.side == 0 {
@@ -194,6 +202,17 @@
 	}
 }
 
+// send delivers a message, unless it is lost.
+func (s *simulation) send(trip time.Duration, deliver func()) {
+	switch p := s.rng.Float64(); {
+	case p < s.loss:
+		return
+	case p < s.loss+s.late:
+		trip += time.Duration(s.rng.IntN(1000)) * time.Millisecond
+	}
+	s.at(s.now.Add(trip), deliver)
+}
+
 // call sends a draw from one gateway to another, and done gets the answer, or false after the timeout.
 func (s *simulation) call(from *simGateway, to string, timeout time.Duration, d Draw, done func(Drawn, bool)) {
 	s.calls++
@@ -211,14 +230,14 @@
 		})
 	}
 	s.at(s.now.Add(timeout), func() { finish(Drawn{Team: d.Team}, false) })
-	s.at(s.now.Add(trip), func() {
+	s.send(trip, func() {
 		s.on(target, func() {
 			if target.side != from.side {
 				return
 			}
 			r := target.pool.Draw(s.now, d)
 			s.borrow(target)
-			s.at(s.now.Add(trip), func() {
+			s.send(trip, func() {
 				if target.side == from.side {
 					finish(r, true)
 				}
@@ -343,7 +362,9 @@
 	}
 	var next func()
 	next = func() {
-		s.request(at[s.rng.IntN(len(at))], cost*(0.2+1.6*s.rng.Float64()))
+		if !s.paused {
+			s.request(at[s.rng.IntN(len(at))], cost*(0.2+1.6*s.rng.Float64()))
+		}
 		s.at(s.now.Add(time.Duration(s.rng.ExpFloat64()*cost/rate*float64(time.Second))), next)
 	}
 	next()
@@ -502,6 +523,22 @@
 				s.run(4 * time.Second)
 			}
 		},
+		"control daemons lost": func(s *simulation) {
+			s.controlLost = true
+			s.run(15 * time.Second)
+			s.controlLost = false
+		},
+		"messages lost and late": func(s *simulation) {
+			s.loss, s.late = 0.1, 0.1
+			s.run(15 * time.Second)
+		},
+		"idle, then ten times the allotment": func(s *simulation) {
+			s.paused = true
+			s.run(15 * time.Second)
+			s.paused = false
+			s.load(10*s.team.Rate, max(s.team.Rate/100, 5000), anyGateway)
+			s.run(2 * time.Second)
+		},
 		"crashes of owners": func(s *simulation) {
 			for range 3 {
 				for _, region := range regions {
