Deal out the last slots of plain endpoints, and use stale capacity reports for requests that would be late

At 84 gateways before 6 endpoints of 6 slots, reports of loads are older than a request takes. A region that sheds load reports no free capacity, so that no two regions forward to each other.

--- /dev/null
+++ b/capacity/plain.go
@@ -0,0 +1,117 @@
+package capacity
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// plainTimeConstant is the time constant with which the count of a gateway's requests decays: long enough to count some
+	// requests at each of 84 gateways, and short compared with the time in which load changes.
+	plainTimeConstant = 2 * time.Second
+	// plainNearFull is the share of the slots of plain endpoints above which the last free ones are dealt out.
+	plainNearFull = 0.6
+	// plainFull is the share of the slots above which a rejected request is not sent to another endpoint.
+	plainFull = 0.85
+	// plainFilled is the share of the slots that the dealt out requests fill on average. Endpoints that are chosen by reports
+	// which are older than a request takes reject some requests before all slots are taken.
+	plainFilled = 1.2
+	// plainMinRoom is the room that an endpoint counts at least as, as the reports about it may be older than its requests take.
+	plainMinRoom = 0.25
+	// maxPlainReport is the age up to which an endpoint's own report of its load counts.
+	maxPlainReport = 30 * time.Millisecond
+)
+
+// PlainDemand counts the recent requests of a gateway for a service without engines. It is an immutable value.
+type PlainDemand struct {
+	asked float64
+	at    time.Time
+	// credit is the part of a request that is left of the shares of earlier ones.
+	credit float64
+}
+
+// decayed returns the count of requests decayed to now.
+func (d PlainDemand) decayed(now time.Time) float64 {
+	return d.asked * math.Exp(-float64(now.Sub(d.at))/float64(plainTimeConstant))
+}
+
+// Rate returns the requests per second.
+func (d PlainDemand) Rate(now time.Time) float64 { return d.decayed(now) / plainTimeConstant.Seconds() }
+
+// With returns the demand with one more request.
+func (d PlainDemand) With(now time.Time) PlainDemand {
+	d.asked, d.at = d.decayed(now)+1, now
+	return d
+}
+
+// Deal returns whether a request may be sent if the given share of all may, and the demand after it. Of a gateway's requests
+// every nth is sent, which varies less than a draw for each of them.
+func (d PlainDemand) Deal(share float64) (PlainDemand, bool) {
+	d.credit += share
+	if d.credit < 1 {
+		return d, false
+	}
+	d.credit = min(d.credit-1, 1)
+	return d, true
+}
+
+// PlainRoom describes the plain endpoints of a service in a region.
+type PlainRoom struct {
+	// Slots is the number of requests that they serve at once, and Outstanding the number of those sent and not ended.
+	Slots, Outstanding int
+	// Hold is how long a request takes.
+	Hold time.Duration
+	// Gateways is the number of gateways that share them.
+	Gateways int
+}
+
+// Share returns the share of its requests that a gateway with a rate of requests may send: one, unless all gateways with that
+// rate would fill more than plainFilled of the slots.
+func (r PlainRoom) Share(rate float64) float64 {
+	offered := rate * float64(r.Gateways) * r.Hold.Seconds()
+	slots := float64(r.Slots)
+	if float64(r.Outstanding) < plainNearFull*slots/2 || offered <= plainFilled*slots {
+		return 1
+	}
+	return plainFilled * slots / offered
+}
+
+// NearFull reports whether the endpoints are so full that requests are placed by free slots.
+func (r PlainRoom) NearFull() bool { return float64(r.Outstanding) >= plainNearFull*float64(r.Slots)/2 }
+
+// Full reports whether so few slots are free that a request which was rejected would mostly be rejected again.
+func (r PlainRoom) Full() bool { return float64(r.Outstanding) >= plainFull*float64(r.Slots) }
+
+// PlainReport is an endpoint's own report of the requests that it runs or lets wait.
+type PlainReport struct {
+	Requests int
+	At       time.Time
+}
+
+// Room returns the free slots of a plain endpoint, at least plainMinRoom. The endpoint's own report counts while it is fresh.
+func (r PlainReport) Room(now time.Time, outstanding, slots int) float64 {
+	if age := now.Sub(r.At); age >= 0 && age <= maxPlainReport {
+		outstanding = max(outstanding, min(r.Requests, slots))
+		if r.Requests >= slots {
+			return 0
+		}
+	}
+	return max(float64(slots-outstanding), plainMinRoom)
+}
+
+// ChoosePlain returns the index of an endpoint, drawn by its room, or -1 if none has any. Gateways that all chose
+// the one with the most room would fill it before they learn of one another.
+func ChoosePlain(rooms []float64, draw float64) int {
+	sum := 0.0
+	for _, room := range rooms {
+		sum += room
+	}
+	draw *= sum
+	for i, room := range rooms {
+		if draw < room {
+			return i
+		}
+		draw -= room
+	}
+	return -1
+}
--- a/gateway/limited.go
+++ b/gateway/limited.go
@@ -153,6 +153,8 @@
 	perSecond float64
 	// brittle is the number of brittle endpoints for which this gateway has no grant left.
 	brittle int
+	// full is the number of endpoints without engines whose free slots are left to other requests.
+	full int
 }
 
 func (w *withheld) addPause(end time.Time) {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -46,6 +46,7 @@
 	pausedUntil time.Time
 	limit       endpointLimit
 	brittle     brittleness
+	plain       capacity.PlainReport
 	// receivedNanos is the Unix time of the last piece of an answer from the endpoint, in nanoseconds.
 	receivedNanos atomic.Int64
 }
@@ -60,6 +61,7 @@
 	peers            *peerLoads
 	speeds           map[string]capacity.Speed
 	demands          map[string]capacity.Demand
+	plainDemands     map[string]capacity.PlainDemand
 	endpointBreakers *retry.Breakers[string]
 	gatewayBreakers  *retry.Breakers[string]
 	// regionBreakers are the circuit breakers of whole regions: once several gateways of a region have been
@@ -67,6 +69,8 @@
 	regionBreakers *retry.Breakers[string]
 	retryBudgets   map[string]*retry.Allowance
 	sentToRegion   map[string][]sentTokens
+	// sheds holds the forwards because of this region's load, by service.
+	sheds map[string]capacity.Forwards
 	// forwards counts the recent requests forwarded to each region.
 	forwards         map[string]*capacity.Window
 	changedEndpoints map[string]bool
@@ -114,11 +118,13 @@
 		peers:            newPeerLoads(),
 		speeds:           map[string]capacity.Speed{},
 		demands:          map[string]capacity.Demand{},
+		plainDemands:     map[string]capacity.PlainDemand{},
 		endpointBreakers: retry.NewBreakers[string](source),
 		gatewayBreakers:  retry.NewBreakers[string](source),
 		regionBreakers:   retry.NewBreakers[string](source),
 		retryBudgets:     map[string]*retry.Allowance{},
 		sentToRegion:     map[string][]sentTokens{},
+		sheds:            map[string]capacity.Forwards{},
 		forwards:         map[string]*capacity.Window{},
 		changedEndpoints: map[string]bool{},
 		loadsChanged:     make(chan struct{}, 1),
@@ -207,6 +213,8 @@
 	reasonLimited = "limited"
 	// reasonBrittle: this gateway has no grant left for the endpoints of the region, which fall over if they must reject requests.
 	reasonBrittle = "brittle"
+	// reasonFull: the free slots of the endpoints, which have no engines, are left to other requests.
+	reasonFull = "full"
 	// reasonStranded: no endpoint of the region is reached from here, and no other gateway of it may take the request.
 	reasonStranded           = "stranded"
 	reasonNotAllowedInRegion = "notAllowedInRegion"
@@ -220,6 +228,7 @@
 	q.work.Rank = capacity.Rank(q.priority(), false)
 	peers := p.peersToHandTo(now, v, q)
 	local, endpoints, held := p.localCandidates(now, v, q, len(peers) > 0)
+	local, endpoints = p.plainCandidates(now, q, local, endpoints, &held)
 	choice, ok := capacity.Choose(local, q.work, speed, fetchTimePerToken(q.service), q.route.Objective, p.rng.Float64())
 	here := p.withoutChoice(now, q, speed, len(local), held)
 	if !ok && held == (withheld{}) && len(v.endpoints[q.service.Name]) > 0 && !p.reach.unreachable {
@@ -257,6 +266,8 @@
 		here.reason = reasonStranded
 	case held.limited > 0:
 		here.expected, here.reason = p.limitedWait(now, q.service.Name, held)+speed.Base, reasonLimited
+	case held.full > 0:
+		here.reason = reasonFull
 	case held.brittle > 0:
 		here.expected, here.reason = p.brittleWait()+speed.Base, reasonBrittle
 	case !held.pauseEnd.IsZero():
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -28,7 +28,7 @@
 // the tokens of a forwarded request against the reported capacity of the other region.
 func (p *placer) crossRegion(now time.Time, v *view, q query, speed capacity.Speed, here decision) (decision, bool) {
 	available := p.availableGateways(now, v, q)
-	there, ok := capacity.ChooseRegion(p.capacitiesOf(now, v, q, available), q.work, speed, p.cfg.RegionRoundTrip, here.cost)
+	there, ok := capacity.ChooseRegion(p.capacitiesOf(now, v, q, available, here.verdict != capacity.Take), q.work, speed, p.cfg.RegionRoundTrip, here.cost)
 	if !ok && here.candidates == 0 {
 		there.Region, ok = p.staleRegion(now, v, q, available)
 		there.Expected = speed.Base + p.cfg.RegionRoundTrip
@@ -46,6 +46,7 @@
 	}
 	g, _ := fleet.Partner(p.cfg.Name, available[there.Region])
 	p.countForward(now, there.Region)
+	p.recordShed(now, q, here)
 	p.sentToRegion[there.Region] = append(p.sentToRegion[there.Region], sentTokens{at: now, tokens: q.work.PromptTokens + 1})
 	return decision{
 		verdict: verdict, gateway: g, region: there.Region, expected: there.Expected, cost: there.Cost, probe: p.gatewayBreakers.Begin(now, g.Name),
@@ -99,14 +100,18 @@
 	return !known || reported.services[service].Endpoints > 0
 }
 
-// capacitiesOf returns the reported capacities of regions for a service.
-func (p *placer) capacitiesOf(now time.Time, v *view, q query, available map[string][]fleet.Gateway) []capacity.RegionCapacity {
+// capacitiesOf returns the reported capacities of regions for a service. If aged is set, stale reports count for less instead of being
+// left out.
+func (p *placer) capacitiesOf(now time.Time, v *view, q query, available map[string][]fleet.Gateway, aged bool) []capacity.RegionCapacity {
 	var capacities []capacity.RegionCapacity
 	for region := range available {
 		reported := v.capacities[region]
 		if rc, ok := reported.services[q.service.Name]; ok {
 			rc.Age = now.Sub(reported.reportedAt)
 			rc.Sent = p.tokensSentTo(now, region)
+			if aged {
+				rc, _ = rc.Aged()
+			}
 			capacities = append(capacities, rc)
 		}
 	}
@@ -224,6 +229,7 @@
 	for rank := range waits {
 		m.WaitMillis = append(m.WaitMillis, reportedWait(waits[rank]))
 	}
+	p.withholdCapacity(now, v, m)
 	return m
 }
 
--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -102,12 +102,14 @@
 	// refused before.
 	returnsAt time.Duration
 	refused   bool
-	// preempted reports whether the request lost its slot to another.
-	preempted bool
-	gateway   int
-	attempt   *attempt
-	engine    *replayEngine
-	done      bool
+	// preempted reports whether the request lost its slot to another, and forwarded whether it was sent to another region.
+	preempted, forwarded bool
+	// home is the region to which the caller connected; nil if there is only one.
+	home    *replay
+	gateway int
+	attempt *attempt
+	engine  *replayEngine
+	done    bool
 	// subject is the id of the shared part of the prompt; empty for none.
 	subject string
 }
@@ -130,6 +132,8 @@
 type replayEngine struct {
 	slots, queue int
 	chunks       int
+	// limited reports that running requests must fit in the memory, and selects the slower model of a step.
+	limited bool
 	// slowdown is the factor by which steps take longer; zero means one.
 	slowdown    float64
 	cacheTokens int64
@@ -186,6 +190,9 @@
 	slices.SortFunc(e.running, (*replayRequest).before)
 	for len(e.waiting) > 0 {
 		first := e.waiting[0]
+		if e.limited && len(e.running) > 0 && e.held()+int64(first.prompt) > e.cacheTokens {
+			return
+		}
 		if len(e.running) == e.slots {
 			last := e.running[e.slots-1]
 			if first.urgency >= last.urgency {
@@ -204,11 +211,41 @@
 	}
 }
 
+// held returns the tokens in memory that the running requests hold; a shared part counts once.
+func (e *replayEngine) held() int64 {
+	var n int64
+	counted := map[string]bool{}
+	for _, r := range e.running {
+		n += int64(r.prompt + r.made)
+		if r.subject != "" && counted[r.subject] {
+			n -= r.kind.shared
+		}
+		counted[r.subject] = true
+	}
+	return n
+}
+
+// evict preempts the newest of the least urgent requests while the running ones hold more than the memory.
+func (e *replayEngine) evict() {
+	slices.SortFunc(e.running, (*replayRequest).before)
+	for len(e.running) > 1 && e.held() > e.cacheTokens {
+		last := e.running[len(e.running)-1]
+		last.left, last.preempted = last.prompt+last.made, true
+		e.preempted++
+		e.running, e.waiting = e.running[:len(e.running)-1], append(e.waiting, last)
+	}
+}
+
 // step returns the requests that got their first token, those whose next event is due, those that ended, and the duration
 // of the step.
 func (e *replayEngine) step(now time.Duration) (first, events, ended []*replayRequest, took time.Duration) {
 	const eventTokens = 9
-	const chunk, tokensPerMilli, stepMillis, slotMillis = 1024, 112, 3.23, 0.0483
+	const chunk, stepMillis = 1024, 3.23
+	tokensPerMilli, slotMillis := 112.0, 0.0483
+	if e.limited {
+		tokensPerMilli, slotMillis = 92, 0.12
+		e.evict()
+	}
 	e.admit(now)
 	prefilling := 0
 	for _, r := range e.running {
@@ -316,27 +353,32 @@
 func (p *replay) run() {
 	const tick = time.Millisecond
 	for now := time.Duration(0); now < p.site.duration || len(p.inFlight)+len(p.returning) > 0; now += tick {
-		if now < p.site.duration {
-			expected := p.site.rate(now) * tick.Seconds()
-			for ; expected >= 1; expected-- {
-				p.arrive(now)
-			}
-			if p.rng.Float64() < expected {
-				p.arrive(now)
-			}
+		p.tick(now, tick)
+		p.site.report(p, now)
+	}
+}
+
+// tick simulates the time from now until a tick later.
+func (p *replay) tick(now, tick time.Duration) {
+	if now < p.site.duration {
+		expected := p.site.rate(now) * tick.Seconds()
+		for ; expected >= 1; expected-- {
+			p.arrive(now)
+		}
+		if p.rng.Float64() < expected {
+			p.arrive(now)
 		}
-		for i, id := range p.view.endpoints["model"] {
-			if e := p.engines[id.ID]; e.nextStepAt <= now && len(e.running)+len(e.waiting) > 0 {
-				if p.site.slowdown != nil {
-					e.slowdown = p.site.slowdown(i, now)
-				}
-				p.step(e, now)
+	}
+	for i, id := range p.view.endpoints["model"] {
+		if e := p.engines[id.ID]; e.nextStepAt <= now && len(e.running)+len(e.waiting) > 0 {
+			if p.site.slowdown != nil {
+				e.slowdown = p.site.slowdown(i, now)
 			}
+			p.step(e, now)
 		}
-		p.placeReturned(now)
-		p.abandon(now)
-		p.site.report(p, now)
 	}
+	p.placeReturned(now)
+	p.abandon(now)
 }
 
 func (p *replay) arrive(now time.Duration) {
@@ -369,7 +411,9 @@
 func (p *replay) place(r *replayRequest, now time.Duration) {
 	switch {
 	case p.decide(p, r, replayStart.Add(now)):
-		p.inFlight = append(p.inFlight, r)
+		if !r.forwarded {
+			p.inFlight = append(p.inFlight, r)
+		}
 	case r.returnsAt > now:
 		p.returning = append(p.returning, r)
 	default:
@@ -406,7 +450,7 @@
 	}
 	for _, r := range ended {
 		p.end(r, e.nextStepAt, succeeded)
-		result := p.results[r.kind.name]
+		result := p.resultOf(r)
 		if r.firstAt-r.arrived <= r.kind.objective && e.nextStepAt-r.arrived <= r.kind.patience && (p.site.gap == 0 || r.gap <= p.site.gap) {
 			result.onTime++
 		} else {
@@ -427,12 +471,20 @@
 		waited := now - r.arrived
 		if !r.done && (waited > r.kind.patience || r.firstAt == 0 && waited > 4*r.kind.objective) {
 			p.end(r, now, abandoned)
-			p.results[r.kind.name].left++
+			p.resultOf(r).left++
 		}
 	}
 	p.inFlight = slices.DeleteFunc(p.inFlight, func(r *replayRequest) bool { return r.done })
 }
 
+// resultOf returns the result that counts a request: that of the region to which its caller connected.
+func (p *replay) resultOf(r *replayRequest) *replayResult {
+	if r.home != nil {
+		p = r.home
+	}
+	return p.results[r.kind.name]
+}
+
 func (p *replay) end(r *replayRequest, now time.Duration, how ending) {
 	r.done = true
 	r.engine.remove(r)
