--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"arbutusreel/capacity"
+	"arbutusreel/fairness"
 	"arbutusreel/fleet"
 	"arbutusreel/origin"
 	"arbutusreel/retry"
@@ -70,7 +71,8 @@
 	retryBudgets   map[string]*retry.Allowance
 	sentToRegion   map[string][]sentTokens
 	// sheds holds the forwards because of this region's load, by service.
-	sheds map[string]capacity.Forwards
+	sheds    map[string]capacity.Forwards
+	fairness *fairness.State
 	// forwards counts the recent requests forwarded to each region.
 	forwards         map[string]*capacity.Window
 	changedEndpoints map[string]bool
@@ -125,6 +127,7 @@
 		retryBudgets:     map[string]*retry.Allowance{},
 		sentToRegion:     map[string][]sentTokens{},
 		sheds:            map[string]capacity.Forwards{},
+		fairness:         fairness.New(),
 		forwards:         map[string]*capacity.Window{},
 		changedEndpoints: map[string]bool{},
 		loadsChanged:     make(chan struct{}, 1),
@@ -243,7 +246,10 @@
 			return there
 		}
 	}
+	here = p.applyFairness(now, q, speed, here)
+	p.recordFairness(now, q, here)
 	switch {
+	case here.reason == reasonOverShare:
 	case here.verdict == capacity.Refuse:
 		here.retryAfter = p.retryAfter(now, q, here, held)
 	case len(peers) > 0:
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -26,7 +26,7 @@
 func (p *placer) loadReport(now time.Time, born int64, whole bool) *wiregen.OutstandingReport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	unchanged := len(p.changedEndpoints) == 0 && len(p.newDepartures) == 0 && len(p.changedLimits) == 0
+	unchanged := len(p.changedEndpoints) == 0 && len(p.newDepartures) == 0 && len(p.changedLimits) == 0 && !p.fairness.Changed()
 	if unchanged && (!whole || p.reportedEmpty) {
 		return nil
 	}
@@ -41,7 +41,8 @@
 	}
 	m.Outstanding = p.reportedLoads(now, whole)
 	p.reportLimits(now, m, whole)
-	p.reportedEmpty = whole && len(m.Outstanding) == 0 && len(m.Departures) == 0 && len(m.Limits) == 0 && len(m.Brittle) == 0
+	p.reportTeams(now, m, whole)
+	p.reportedEmpty = whole && len(m.Outstanding) == 0 && len(m.Departures) == 0 && len(m.Limits) == 0 && len(m.Brittle) == 0 && len(m.TeamUsage) == 0
 	p.newDepartures = nil
 	clear(p.changedEndpoints)
 	return m
@@ -96,5 +97,6 @@
 		p.departures.Add(now, fleet.Departure{ID: d.GetEndpoint(), Born: d.GetBorn()})
 	}
 	p.updateLimits(now, m)
+	p.updateTeams(now, m)
 	return true
 }
