--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -79,6 +79,10 @@
 	Crowded bool
 	// End is the expected time to the end of the response; zero if its length is not known.
 	End time.Duration
+	// Pace is the endpoint's pace between events relative to the usual one; zero if it is not known.
+	Pace float64
+	// WaitFactor is the factor of the pace in Expected, one if the paces of the candidates are equal.
+	WaitFactor float64
 	// Unfinished reports that the response is expected to end too late at every candidate.
 	Unfinished bool
 }
@@ -150,6 +154,7 @@
 			uncached, source = minUncached, preferred
 		}
 		e := EstimateWait(*c, w, uncached, s)
+		e.Wait = time.Duration(float64(e.Wait) * finish.waitFactor(c))
 		crowded := c.Crowded(w.Rank, s)
 		cost := e.Wait + DecodeCost(w, c.Busy, c.Health.Slowdown()) + extra + c.detourCost(w, crowded, objective) +
 			time.Duration((c.Health.FailureRate+c.excessFailureRate(baseline))*failureCost*float64(objective))
@@ -181,6 +186,7 @@
 	if best.Index < 0 {
 		return best, false
 	}
+	best.Pace, best.WaitFactor = candidates[best.Index].Decode.Factor, finish.waitFactor(&candidates[best.Index])
 	best.End = finish.end(&candidates[best.Index], best.Expected)
 	best.Unfinished = finish.unfinished(candidates, w, s, minUncached, best.End)
 	return best, true
--- a/capacity/decode.go
+++ b/capacity/decode.go
@@ -40,8 +40,11 @@
 	if p.SlowCount == 0 {
 		return DecodePace{At: now}
 	}
-	age := float64(now.Sub(p.At))
-	quick, slow := math.Exp(-age/float64(quickDecayTime)), math.Exp(-age/float64(slowDecayTime))
+	age := now.Sub(p.At)
+	if age == 0 {
+		return p
+	}
+	quick, slow := math.Exp(-float64(age)/float64(quickDecayTime)), math.Exp(-float64(age)/float64(slowDecayTime))
 	return DecodePace{
 		Ratios: p.Ratios * quick, Squares: p.Squares * quick, Count: p.Count * quick,
 		SlowRatios: p.SlowRatios * slow, SlowCount: p.SlowCount * slow, At: now,
--- a/capacity/finish.go
+++ b/capacity/finish.go
@@ -20,11 +20,17 @@
 	// gapMargin is the share of the pause objective around it in which the probability of missing it goes from zero to
 	// one.
 	gapMargin = 0.3
-	// finishMargin is the same for the time left, which allows for the uncertain length of the response.
+	// finishMargin is the same for the time left, which allows for the uncertain length of the response, and firstMargin for
+	// the first chunk.
 	finishMargin = 0.5
+	firstMargin  = 0.5
+	// unknownLoss is the value that is assumed to be lost at an endpoint of unknown pace at which triedRequests run, so that
+	// such an endpoint gets few requests until its pace is known.
+	unknownLoss   = 0.5
+	triedRequests = 4.0
 	// unfinishedFactor is the multiple of the time left that the expected end at every endpoint must exceed before a
 	// request is refused: the hinted length is right only at the median.
-	unfinishedFactor = 1.5
+	unfinishedFactor = 2
 	// affectedShare is the share of the running requests at an endpoint that lose value by longer pauses: some have no
 	// pause objective, end soon or have missed it before.
 	affectedShare = 0.5
@@ -45,8 +51,10 @@
 	// Gap is the target for the longest pause between two events, and EventTokens the number of tokens of an event.
 	Gap         time.Duration
 	EventTokens int
-	// Remaining is the time left until the stream has to be complete.
-	Remaining time.Duration
+	// First is the time left until the first chunk should arrive, and Remaining that until the stream has to be complete.
+	First, Remaining time.Duration
+	// Tokens is the expected number of output tokens; zero stands for that of the work.
+	Tokens int64
 }
 
 // finisher estimates the pauses and the end of a response at each candidate.
@@ -56,8 +64,8 @@
 	idle, each float64
 	// calm and spell are the paces of a machine without and with other work, relative to its mean.
 	calm, spell float64
-	// scale is the cost of losing the value of a response; zero if the paces are equal.
-	scale float64
+	// uneven is the weight of the paces, zero if they are equal, and scale the cost of losing the value of a response.
+	uneven, scale float64
 }
 
 func newFinisher(candidates []Candidate, w Work, s Speed, objective time.Duration) finisher {
@@ -65,9 +73,12 @@
 	if w.OutputTokens == 0 || w.Stream == (Stream{}) {
 		return f
 	}
+	if w.Stream.Tokens > 0 {
+		f.output = float64(w.Stream.Tokens)
+	}
 	f.idle, f.each = s.Decode.line()
 	uneven, spread := unevenness(candidates)
-	f.scale = uneven * lossCost * float64(objective)
+	f.uneven, f.scale = uneven, uneven*lossCost*float64(objective)
 	deviation := math.Sqrt(spread / (spellShare * (1 - spellShare)))
 	f.calm = max(1-spellShare*deviation, minDecodeRatio)
 	f.spell = f.calm + deviation
@@ -100,9 +111,7 @@
 }
 
 // miss returns the probability that a pause of the length misses the objective.
-func (f *finisher) miss(pause float64) float64 {
-	return min(max((pause/float64(f.stream.Gap)-1)/gapMargin+0.5, 0), 1)
-}
+func (f *finisher) miss(pause float64) float64 { return over(pause, f.stream.Gap, gapMargin) }
 
 // pausesAt returns the probabilities of too long pauses at an endpoint that takes step for a token without prefill.
 func (f *finisher) pausesAt(step, pace float64) pauses {
@@ -154,13 +163,22 @@
 	}
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Decode.Count < minKnownCount || f.end(c, EstimateWait(*c, w, uncached, s).Wait) <= limit {
+		wait := float64(EstimateWait(*c, w, uncached, s).Wait) * f.waitFactor(c)
+		if c.Decode.Count < minKnownCount || f.end(c, time.Duration(wait)) <= limit {
 			return false
 		}
 	}
 	return true
 }
 
+// waitFactor returns the factor of the candidate's pace in its time to the first chunk, one if the paces are equal.
+func (f *finisher) waitFactor(c *Candidate) float64 {
+	if f.uneven == 0 || c.Decode.Factor <= 0 {
+		return 1
+	}
+	return 1 + f.uneven*(c.Decode.Factor-1)
+}
+
 // cost returns the cost of the expected pauses and end of the response at a candidate that has to prefill the given number of
 // tokens, including what the request costs those that run there.
 func (f *finisher) cost(c *Candidate, uncached int64, wait time.Duration) time.Duration {
@@ -168,23 +186,38 @@
 		return 0
 	}
 	p := f.place(c)
-	lost := 0.0
-	if f.stream.Remaining > 0 {
-		lost = min(max(((float64(wait)+p.took)/float64(f.stream.Remaining)-1)/finishMargin+0.5, 0), 1)
-	}
+	broken := over(float64(wait)+p.took, f.stream.Remaining, finishMargin)
+	late := over(float64(wait), f.stream.First, firstMargin)
+	harm := 0.0
 	if f.stream.Gap > 0 && f.stream.EventTokens > 0 {
-		lost += f.lostByPauses(p, uncached) * (1 - lost)
+		var paused float64
+		paused, harm = f.lostByPauses(p, uncached)
+		late = 1 - (1-late)*(1-paused)
+	}
+	lost := broken + (1-broken)*lateLoss*late + harm
+	if c.Decode.Count < minKnownCount {
+		lost += unknownLoss * min(p.others/triedRequests, 1)
 	}
 	return time.Duration(f.scale * lost)
 }
 
-// lostByPauses returns the value that the response and the others at the endpoint lose by too long pauses.
-func (f *finisher) lostByPauses(p placed, uncached int64) float64 {
+// over returns the probability that an expected time exceeds a limit, which goes from zero to one within the margin around
+// it. A limit of zero is never exceeded.
+func over(expected float64, limit time.Duration, margin float64) float64 {
+	if limit <= 0 {
+		return 0
+	}
+	return min(max((expected/float64(limit)-1)/margin+0.5, 0), 1)
+}
+
+// lostByPauses returns the probability that the response misses the pause objective, and the value that the requests that run at
+// the endpoint lose by longer pauses.
+func (f *finisher) lostByPauses(p placed, uncached int64) (paused, harm float64) {
 	with, without := f.pausesAt(p.step, p.pace), f.pausesAt(p.step-f.each, p.pace)
 	exposures := p.took / float64(exposureTime)
 	own := exposures * (with.idle + p.busy*(with.reading-with.idle))
 	more := max((with.idle-without.idle)*(1-p.busy)+p.busy*(with.reading-without.reading), 0)
 	read := float64(uncached) / tokensPerChunk * p.pace * (p.step + float64(prefillStepTime)) / float64(exposureTime)
-	harm := exposures*more + min(read, 1)*(with.reading-with.idle)
-	return lateLoss * (own/(1+own) + affectedShare*p.others*harm/(1+own))
+	missed := exposures*more + min(read, 1)*(with.reading-with.idle)
+	return own / (1 + own), lateLoss * affectedShare * p.others * missed / (1 + own)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,8 @@
 	grantFrame int64
 	// endpointReceivedNanos is when a piece of an answer last arrived from the endpoint.
 	endpointReceivedNanos *atomic.Int64
+	// waitFactor is the endpoint's constant pace as it was counted in the expected time to the first piece.
+	waitFactor float64
 	// intervals measures the time between the events of a stream.
 	intervals eventIntervals
 }
@@ -54,7 +57,7 @@
 	return &attempt{
 		placer: p, endpoint: d.endpoint, service: service, load: d.addedLoad, work: w, queuedTokens: d.backlog.PromptTokens.Before(d.rank) + d.uncachedTokens,
 		uncachedTokens: d.uncachedTokens, full: d.full, preemptedShare: d.preemptedShare, sent: now, probe: p.endpointBreakers.Begin(now, d.endpoint.ID),
-		grantFrame: d.grantFrame, endpointReceivedNanos: &s.receivedNanos,
+		grantFrame: d.grantFrame, endpointReceivedNanos: &s.receivedNanos, waitFactor: cmp.Or(d.waitFactor, 1),
 	}
 }
 
@@ -92,8 +95,10 @@
 		speed := p.speed(a.service)
 		queued := int64(float64(a.queuedTokens) / (1 - a.preemptedShare))
 		expected := speed.Base + speed.PrefillTokenTime*time.Duration(queued)
-		s.pace = s.pace.With(now, expected, took)
-		p.speeds[a.service] = speed.WithFirst(queued, took)
+		// The expected time of the decision held the constant pace of the machine, so that s.pace holds the rest.
+		usual := time.Duration(float64(took) / a.waitFactor)
+		s.pace = s.pace.With(now, expected, usual)
+		p.speeds[a.service] = speed.WithFirst(queued, usual)
 	}
 	s.outstanding = s.outstanding.WithBegun(a.load)
 	p.markChanged(a.endpoint.ID)
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -15,6 +15,8 @@
 	// maxWriteTime is the longest time that writing an event to the caller may take for the interval to count. A caller
 	// that reads slowly delays the reading of the endpoint's events.
 	maxWriteTime = 20 * time.Millisecond
+	// minIdlePace is the number of observations of the pace of an endpoint without load above which whole reports hold it.
+	minIdlePace = 4.0
 	// reportedPaceInterval is the shortest time between two reports of an endpoint's pace that count.
 	reportedPaceInterval = 500 * time.Millisecond
 )
@@ -34,6 +36,8 @@
 	// events since startedAt.
 	startedAt, lastAt time.Time
 	events            int
+	// total is the number of all events of the stream.
+	total int
 }
 
 // next adds an event that arrived now, after the one before had been written to the caller at wroteAt. It returns the time
@@ -42,6 +46,7 @@
 	if i.eventTokens <= 0 {
 		return 0
 	}
+	i.total++
 	last := i.lastAt
 	i.lastAt = now
 	if last.IsZero() || wroteAt.Sub(last) > maxWriteTime {
@@ -58,6 +63,17 @@
 	return perToken
 }
 
+// recordArrival records the arrival of an event of a stream; wroteAt is when the one before was written to the caller. The
+// attempt is nil for a forwarded request.
+func (a *attempt) recordArrival(now, wroteAt time.Time) {
+	if a == nil {
+		return
+	}
+	a.recordFirst(now)
+	a.recordReceived(now)
+	a.recordEvent(now, wroteAt)
+}
+
 // recordEvent records an event of a stream; wroteAt is when the one before was written to the caller.
 func (a *attempt) recordEvent(now, wroteAt time.Time) {
 	took := a.intervals.next(now, wroteAt)
@@ -78,12 +94,50 @@
 		running = min(running, a.endpoint.Slots)
 	}
 	speed := p.speed(a.service)
-	pace := s.decode.pace.Plus(now, peers.decode).Estimate(now).Factor
+	pace := p.constantPace(now, s, a.endpoint.ID)
 	busy := min(s.prefillShare(now, speed, peers)*pace, 1)
 	s.decode.pace = s.decode.pace.With(now, speed.Decode.TokenTime(running, busy), took)
 	speed.Decode = speed.Decode.With(running, busy, pace, took)
 	p.speeds[a.service] = speed
-	p.changedEndpoints[a.endpoint.ID] = true
+	// The observation is reported with the next change of the load or the next whole report. A report of each one would
+	// multiply the traffic between gateways.
+}
+
+// constantPace returns the slow part of an endpoint's pace as all gateways know it.
+func (p *placer) constantPace(now time.Time, s *endpointState, endpoint string) float64 {
+	return s.decode.pace.Plus(now, p.peers.sum(endpoint).decode).Estimate(now).Factor
+}
+
+// expectedTokens returns the expected length of a route's answer with a hint and a bound.
+func (p *placer) expectedTokens(route string, hinted, bound int64) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lengths[route].Expected(hinted, bound)
+}
+
+// recordLength records the length of a complete stream that one attempt served from its beginning. The attempt is nil for a
+// forwarded request.
+func (j *job) recordLength(a *attempt, resumed bool) {
+	if a == nil || resumed || j.call.LastEvent != NoEvent || a.intervals.total == 0 {
+		return
+	}
+	p := j.g.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lengths[j.route.Name] = p.lengths[j.route.Name].With(j.call.Work.OutputTokens, int64(a.intervals.total*a.intervals.eventTokens))
+}
+
+// paces returns the believed pace of each endpoint with a known one.
+func (p *placer) paces(now time.Time) map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := map[string]float64{}
+	for id, s := range p.states {
+		if e := s.decode.pace.Plus(now, p.peers.sum(id).decode).Estimate(now); e.Count >= 1 {
+			known[id] = e.Factor
+		}
+	}
+	return known
 }
 
 // recordReportedPace records the pace that an endpoint reports of itself.
@@ -98,10 +152,23 @@
 
 // streamTargets returns what the answer to a request for a stream of a model engine has to meet.
 func (j *job) streamTargets(now time.Time) capacity.Stream {
-	if j.service.Engine == nil || j.route.Kind != routes.Stream {
+	eventTokens := streamEventTokens(j.route, j.service)
+	if eventTokens == 0 {
 		return capacity.Stream{}
 	}
-	return capacity.Stream{Gap: j.route.GapObjective, EventTokens: j.service.Engine.EventTokens, Remaining: j.deadline.Sub(now)}
+	budget := j.timeBudget(now)
+	return capacity.Stream{
+		Gap: j.route.GapObjective, EventTokens: eventTokens, First: budget.Objective, Remaining: budget.Remaining,
+		Tokens: j.g.placer.expectedTokens(j.route.Name, j.call.Work.OutputTokens, j.call.MaxOutputTokens),
+	}
+}
+
+// streamEventTokens returns the number of tokens in an event of a model engine's stream, or zero for other answers.
+func streamEventTokens(r *routes.Route, s *routes.Service) int {
+	if s.Engine == nil || r.Kind != routes.Stream {
+		return 0
+	}
+	return s.Engine.EventTokens
 }
 
 // encodeDecodePace adds an endpoint's decode pace to its load.
@@ -109,7 +176,9 @@
 	if pace.SlowCount <= minReportedPace {
 		return
 	}
-	m.DecodeRatios, m.DecodeSquares, m.DecodeCount = float32(pace.Ratios), float32(pace.Squares), float32(pace.Count)
+	if pace.Count > minReportedPace {
+		m.DecodeRatios, m.DecodeSquares, m.DecodeCount = float32(pace.Ratios), float32(pace.Squares), float32(pace.Count)
+	}
 	m.SlowDecodeRatios, m.SlowDecodeCount = float32(pace.SlowRatios), float32(pace.SlowCount)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,6 +127,7 @@
 		workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
 	}
 	cfg.Metrics.Publish("stranded", expvar.Func(func() any { return g.placer.isStranded() }))
+	cfg.Metrics.Publish("endpointPaces", expvar.Func(func() any { return g.placer.paces(time.Now()) }))
 	cfg.Metrics.Publish("limitedEndpoints", expvar.Func(func() any { return g.placer.limitedEndpoints() }))
 	g.latencies = newLatencies(cfg.Metrics, g.pool)
 	g.view.Store(&view{})
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -56,11 +56,13 @@
 type placer struct {
 	cfg Config
 
-	mu               sync.Mutex
-	rng              *rand.Rand
-	states           map[string]*endpointState
-	peers            *peerLoads
-	speeds           map[string]capacity.Speed
+	mu     sync.Mutex
+	rng    *rand.Rand
+	states map[string]*endpointState
+	peers  *peerLoads
+	speeds map[string]capacity.Speed
+	// lengths are those of the answers by route.
+	lengths          map[string]capacity.Lengths
 	demands          map[string]capacity.Demand
 	endpointBreakers *retry.Breakers[string]
 	gatewayBreakers  *retry.Breakers[string]
@@ -115,6 +117,7 @@
 		states:           map[string]*endpointState{},
 		peers:            newPeerLoads(),
 		speeds:           map[string]capacity.Speed{},
+		lengths:          map[string]capacity.Lengths{},
 		demands:          map[string]capacity.Demand{},
 		endpointBreakers: retry.NewBreakers[string](source),
 		gatewayBreakers:  retry.NewBreakers[string](source),
@@ -174,7 +177,12 @@
 	handed   bool
 	expected time.Duration
 	// cost is the expected time plus the penalties of the candidate.
-	cost           time.Duration
+	cost time.Duration
+	// end is the expected time to the end of the answer, and pace the believed pace of the endpoint; zero if not known.
+	end  time.Duration
+	pace float64
+	// waitFactor is the factor of the pace in expected; zero stands for one.
+	waitFactor     float64
 	uncachedTokens int64
 	addedLoad      capacity.Outstanding
 	// backlog is the outstanding work of the endpoint before this request.
@@ -274,7 +282,7 @@
 	here := decision{
 		endpoint: *endpoints[choice.Index], reason: reasonBacklog, candidates: len(local),
 		expected: choice.Expected, cost: choice.Cost, uncachedTokens: choice.UncachedTokens, affinity: choice.Preferred, full: choice.Full,
-		backlog: local[choice.Index].Outstanding, addedLoad: q.work.Load(choice.UncachedTokens), rank: q.work.Rank,
+		end: choice.End, pace: choice.Pace, waitFactor: choice.WaitFactor, backlog: local[choice.Index].Outstanding, addedLoad: q.work.Load(choice.UncachedTokens), rank: q.work.Rank,
 	}
 	if choice.FetchFrom >= 0 {
 		here.fetchFrom = endpoints[choice.FetchFrom].Address
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -57,6 +57,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
+			j.recordLength(a, resumed)
 			return j.endStream(answer.Header, answer.Status)
 		}
 		if err == nil {
@@ -66,11 +67,7 @@
 			return j.recordBrokenStream(ctx, a, err)
 		}
 		now := time.Now()
-		if a != nil {
-			a.recordFirst(now)
-			a.recordReceived(now)
-			a.recordEvent(now, j.stream.lastAt)
-		}
+		a.recordArrival(now, j.stream.lastAt)
 		if j.firstAt.IsZero() {
 			j.firstAt = now
 			j.g.crashes.recordBegun(now, j.traits())
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -53,7 +53,7 @@
 	var loads []*wiregen.EndpointOutstanding
 	if all {
 		for id, s := range p.states {
-			if s.outstanding != (capacity.Outstanding{}) || s.recent.Tokens(now) >= 1 || s.decode.pace.Now(now).SlowCount > minReportedPace {
+			if s.outstanding != (capacity.Outstanding{}) || s.recent.Tokens(now) >= 1 || s.decode.pace.Now(now).SlowCount > minIdlePace {
 				loads = append(loads, encodeLoad(now, id, s))
 			}
 		}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -229,6 +229,9 @@
 		Int64("unread", d.uncachedTokens).Bool("favourite", d.affinity).Bool("full", d.full).Str("fetchFrom", d.fetchFrom).
 		Int64("queuedTokens", d.backlog.PromptTokens.Before(capacity.Ranks-1)).Int("outstanding", d.backlog.Requests).
 		Str("endpoint", d.endpoint.ID).Str("software", d.endpoint.Software)
+	if d.end > 0 {
+		e = e.Dur("expectedEnd", d.end).Float64("pace", d.pace)
+	}
 	if d.region != "" {
 		e = e.Str("toRegion", d.region).Str("gateway", d.gateway.Name)
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -49,7 +49,7 @@
 	j.tried[d.endpoint.ID] = true
 	j.chargedRuns = 1
 	a := g.placer.begin(now, j.service.Name, j.call.Work, d)
-	a.intervals.eventTokens = j.streamTargets(now).EventTokens
+	a.intervals.eventTokens = streamEventTokens(j.route, j.service)
 	h := copyHeader(j.r.Header)
 	g.cfg.Headers.Prepare(h, EndpointHeaders{Instance: d.endpoint.ID, FetchFrom: d.fetchFrom, TimeLeft: j.deadline.Sub(now), Urgency: j.urgency(d.verdict), LastEvent: j.lastEvent(), Team: j.teamName(), HideCredential: j.view.table.HasTeams()})
 	ctx, cancel := context.WithCancelCause(j.ctx)
