--- a/gateway/decode_test.go
+++ b/gateway/decode_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -10,14 +12,15 @@
 
 	"arbutusreel/capacity"
 	"arbutusreel/fleet"
+	"arbutusreel/routes"
 )
 
-// unevenPaces are the constant paces of the engines of the replay, which take turns.
-var unevenPaces = []float64{0.6, 1, 1.6}
+// unevenPaces returns the constant paces of the engines of the replay, which take turns.
+func unevenPaces() []float64 { return []float64{0.6, 1, 1.6} }
 
 // machineSpells returns when each engine's machine is busy with other work, at 15 of 100 of the time: the pace is then 2.5
 // times the constant one.
-func machineSpells(engines int, duration time.Duration) func(engine int, now time.Duration) float64 {
+func machineSpells(paces []float64, engines int, duration time.Duration) func(engine int, now time.Duration) float64 {
 	const share, factor, length = 0.15, 2.5, 300 * time.Millisecond
 	rng := rand.New(rand.NewPCG(replaySeed, 2))
 	spells := make([][][2]time.Duration, engines)
@@ -30,7 +33,7 @@
 		}
 	}
 	return func(engine int, now time.Duration) float64 {
-		pace := unevenPaces[engine%len(unevenPaces)]
+		pace := paces[engine%len(paces)]
 		n, _ := slices.BinarySearchFunc(spells[engine], now, func(s [2]time.Duration, t time.Duration) int { return int(s[1] - t) })
 		if n < len(spells[engine]) && spells[engine][n][0] <= now {
 			return pace * factor
@@ -39,11 +42,11 @@
 	}
 }
 
-// unevenSite is a region of engines of three paces before which long and short answers compete.
-func unevenSite(rate float64) replaySite {
+// unevenSite is a region of engines of the given paces before which long and short answers compete.
+func unevenSite(rate float64, paces []float64) replaySite {
 	const engines, duration = 24, 30 * time.Second
 	return replaySite{
-		engines: engines, slots: 64, gateways: 8, cacheTokens: 452_000, duration: duration, eventTokens: 10, tick: 250 * time.Microsecond,
+		engines: engines, slots: 64, gateways: 8, cacheTokens: 452_000, duration: duration, eventTokens: 10, hintError: 0.5, tick: 250 * time.Microsecond,
 		stepTime: func(running int, prefill bool) time.Duration {
 			step := 3030*time.Microsecond + time.Duration(running)*121*time.Microsecond
 			if prefill {
@@ -51,7 +54,7 @@
 			}
 			return step
 		},
-		slowdown: machineSpells(engines, duration),
+		slowdown: machineSpells(paces, engines, duration),
 		rate:     func(time.Duration) float64 { return rate },
 		report:   reportAll(100 * time.Millisecond),
 		kinds: []replayKind{
@@ -75,31 +78,25 @@
 // byPace places requests by the whole answer. If known is set, the placers are told the constant paces of the engines.
 func byPace(known bool) func(p *replay, r *replayRequest, now time.Time) bool {
 	return func(p *replay, r *replayRequest, now time.Time) bool {
-		if known {
+		if paces := unevenPaces(); known {
+			const often, spells = 1e6, 1 + 0.15*1.5
 			for i, e := range p.view.endpoints["model"] {
-				p.placers[r.gateway].state(&e).decode.pace = knownPace(now, unevenPaces[i%len(unevenPaces)])
+				d := &p.placers[r.gateway].state(&e).decode.pace
+				*d = d.Now(now)
+				d.SlowRatios, d.SlowCount = often*paces[i%len(paces)]*spells, often
 			}
 		}
 		return placeByWhole(p, r, now)
 	}
 }
 
-// knownPace returns the pace of an engine as if it had been observed very often.
-func knownPace(now time.Time, constant float64) capacity.DecodePace {
-	const often, share, factor = 1e6, 0.15, 2.5
-	mean, square := constant*(1-share+share*factor), constant*constant*(1-share+share*factor*factor)
-	return capacity.DecodePace{
-		Ratios: often * mean, Squares: often * square, Count: often, SlowRatios: often * mean, SlowCount: often, At: now,
-	}
-}
-
 // TestReplayUneven guards against late long answers at engines of uneven paces: at least half of the value that knowing the
 // paces brings over the rule without them is gained by learning them.
 func TestReplayUneven(t *testing.T) {
 	for _, rate := range []float64{90, 120} {
 		var values []float64
 		for i, decide := range []func(*replay, *replayRequest, time.Time) bool{byPlacer, byPace(false), byPace(true)} {
-			p := newReplay(t, unevenSite(rate), decide)
+			p := newReplay(t, unevenSite(rate, unevenPaces()), decide)
 			p.run()
 			values = append(values, p.value())
 			for _, kind := range p.site.kinds {
@@ -114,6 +111,21 @@
 	}
 }
 
+// TestReplayEven guards against an effect of learned paces where all engines have the same one: what their spells and the errors
+// of observations seem to tell must not change the value.
+func TestReplayEven(t *testing.T) {
+	var values []float64
+	for _, decide := range []func(*replay, *replayRequest, time.Time) bool{byPlacer, placeByWhole} {
+		p := newReplay(t, unevenSite(140, []float64{1}), decide)
+		p.run()
+		values = append(values, p.value())
+	}
+	t.Logf("value %.4f without paces, %.4f with", values[0], values[1])
+	if diff := values[1] - values[0]; diff < -0.01 || diff > 0.01 {
+		t.Errorf("value %.3f, without paces %.3f", values[1], values[0])
+	}
+}
+
 // TestLoadReportKeepsState guards against a report that changes with the load after it was made, as it is encoded outside
 // the lock.
 func TestLoadReportKeepsState(t *testing.T) {
@@ -168,3 +180,83 @@
 		}
 	}
 }
+
+// TestUnfinishedIsRefused guards against answers that are begun although no endpoint can complete them in time, and against the
+// end of a stream in progress for that reason.
+func TestUnfinishedIsRefused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		remaining time.Duration
+		resumed   bool
+		want      capacity.Verdict
+	}{
+		"enough time": {20 * time.Second, false, capacity.Take}, "too little": {700 * time.Millisecond, false, capacity.Refuse},
+		"in progress": {700 * time.Millisecond, true, capacity.Take},
+	} {
+		placers, v, r, s := newPlacers(t, 1, fleet.Endpoint{ID: "engine", Born: 7, Service: "model", Slots: 64, State: fleet.Ready})
+		e := v.endpoints["model"][0]
+		for range 20 {
+			d := &placers[0].state(&e).decode
+			d.pace = d.pace.With(now, time.Millisecond, 2*time.Millisecond)
+		}
+		q := testQuery(r, s)
+		q.mustPlace = c.resumed
+		q.work.OutputTokens, q.work.Stream = 1000, capacity.Stream{EventTokens: 10, Remaining: c.remaining}
+		if got := placers[0].decide(now, v, q); got.verdict != c.want || c.want == capacity.Refuse && got.reason != reasonUnfinished {
+			t.Errorf("%s: %v, reason %q, end %v", name, got.verdict, got.reason, got.end)
+		}
+	}
+}
+
+// TestStreamPaceIsLearned sends streams through a gateway: the pace of the endpoint that sent them is known and published.
+func TestStreamPaceIsLearned(t *testing.T) {
+	a := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+		c.head(r.Header.Get("Id"))
+		for n := range 12 {
+			c.event(n)
+			time.Sleep(100 * time.Millisecond)
+		}
+		c.end()
+		return true
+	})
+	route := routes.Route{
+		Name: "stream", Host: testHost, PathPrefix: "/", Kind: routes.Stream, MaxAttempts: 2, Resumable: true,
+		Backends: []routes.Backend{{Service: "desk", Weight: 1}}, Timeout: 5 * time.Second, Objective: time.Second,
+	}
+	table, err := routes.New(1, []routes.Route{route}, []routes.Service{{Name: "desk", Engine: &routes.Engine{EventTokens: 10, CacheTokens: 1 << 20}}}, routes.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := newGateway(t, table, a)
+	if got := g.call(t.Context(), "POST", "/stream/x", nil); !got.whole {
+		t.Fatal(got.err)
+	}
+	if paces := g.placer.paces(time.Now()); paces["a"] < 1.2 {
+		t.Errorf("paces %v after events of 10 ms for each token", paces)
+	}
+}
+
+// BenchmarkDecideUneven measures the placement of a stream among 300 endpoints whose paces are known from two gateways.
+func BenchmarkDecideUneven(b *testing.B) {
+	now := time.Unix(1000, 0)
+	var endpoints []fleet.Endpoint
+	for i := range 300 {
+		endpoints = append(endpoints, fleet.Endpoint{ID: fmt.Sprintf("engine-%d", i), Born: 7, Service: "model", Slots: 64, State: fleet.Ready})
+	}
+	placers, v, r, s := newPlacers(b, 2, endpoints...)
+	for _, p := range placers {
+		for i := range endpoints {
+			d := &p.state(&endpoints[i]).decode
+			for range 20 {
+				d.pace = d.pace.With(now, time.Millisecond, time.Duration(unevenPaces()[i%3]*float64(time.Millisecond)))
+			}
+		}
+	}
+	placers[0].updatePeer(now, placers[1].loadReport(now, 1, true))
+	q := testQuery(r, s)
+	q.work.Stream = capacity.Stream{Gap: 400 * time.Millisecond, EventTokens: 10, Remaining: 10 * time.Second}
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		placers[0].decide(now, v, q)
+	}
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -58,11 +58,13 @@
 type placer struct {
 	cfg Config
 
-	mu               sync.Mutex
-	rng              *rand.Rand
-	states           map[string]*endpointState
-	peers            *peerLoads
-	speeds           map[string]capacity.Speed
+	mu     sync.Mutex
+	rng    *rand.Rand
+	states map[string]*endpointState
+	peers  *peerLoads
+	speeds map[string]capacity.Speed
+	// lengths are those of the answers by route.
+	lengths          map[string]capacity.Lengths
 	demands          map[string]capacity.Demand
 	plainDemands     map[string]capacity.PlainDemand
 	endpointBreakers *retry.Breakers[string]
@@ -121,6 +123,7 @@
 		states:           map[string]*endpointState{},
 		peers:            newPeerLoads(),
 		speeds:           map[string]capacity.Speed{},
+		lengths:          map[string]capacity.Lengths{},
 		demands:          map[string]capacity.Demand{},
 		plainDemands:     map[string]capacity.PlainDemand{},
 		endpointBreakers: retry.NewBreakers[string](source),
@@ -183,7 +186,12 @@
 	handed   bool
 	expected time.Duration
 	// cost is the expected time plus the penalties of the candidate.
-	cost           time.Duration
+	cost time.Duration
+	// end is the expected time to the end of the answer, and pace the believed pace of the endpoint; zero if not known.
+	end  time.Duration
+	pace float64
+	// waitFactor is the factor of the pace in expected; zero stands for one.
+	waitFactor     float64
 	uncachedTokens int64
 	addedLoad      capacity.Outstanding
 	// backlog is the outstanding work of the endpoint before this request.
@@ -291,7 +299,7 @@
 	here := decision{
 		endpoint: *endpoints[choice.Index], reason: reasonBacklog, candidates: len(local),
 		expected: choice.Expected, cost: choice.Cost, uncachedTokens: choice.UncachedTokens, affinity: choice.Preferred, full: choice.Full,
-		backlog: local[choice.Index].Outstanding, addedLoad: q.work.Load(choice.UncachedTokens), rank: q.work.Rank,
+		end: choice.End, pace: choice.Pace, waitFactor: choice.WaitFactor, backlog: local[choice.Index].Outstanding, addedLoad: q.work.Load(choice.UncachedTokens), rank: q.work.Rank,
 	}
 	if choice.FetchFrom >= 0 {
 		here.fetchFrom = endpoints[choice.FetchFrom].Address
@@ -413,7 +421,7 @@
 		}
 		peers := p.peers.sum(e.ID)
 		c := capacity.Candidate{
-			ID: e.ID, Decode: s.decode.pace.Plus(now, peers.decode).Estimate(now), Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health.WithPace(now, s.pace.Plus(now, peers.pace)), Slots: e.Slots,
+			ID: e.ID, Decode: capacity.EstimateDecode(now, &s.decode.pace, &peers.decode), Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health.WithPace(now, s.pace.Plus(now, peers.pace)), Slots: e.Slots,
 			Busy:        s.prefillShare(now, speed, peers),
 			FailureRate: s.outcomes.Plus(now, peers.outcomes).FailureRate(now), Remote: e.FailureDomain != p.cfg.FailureDomain,
 		}
