Count the memory that requests hold at engines by their whole prompts

A request counted only its uncached tokens and its expected output, so that an engine whose slots are all taken by prompts of 12,400 tokens would need 1.7 times its memory, and preempted requests. It now counts its whole prompt, with shared parts once, and its output as far as it is generated or expected. A request for which no engine of the region has memory goes to another region or is refused. A gateway counts the last known memory of listed gateways that are silent, and leaves an equal share to those it has not heard of.

--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -15,7 +15,7 @@
 	// failureCost is the expected cost of a failure, as a multiple of the objective.
 	failureCost = 2.0
 	// maxMemoryShare is the share of an endpoint's token memory above which it counts as full; beyond it the engine
-	// preempts running requests.
+	// preempts running requests. The rest allows for requests that other gateways sent since their last report.
 	maxMemoryShare = 0.92
 	// sharedPrefixCost is the cost of prefilling shared parts that another endpoint has cached, as a multiple of the
 	// prefill time. It is above one because the prefill also delays all requests queued behind it, and the copy
@@ -48,6 +48,8 @@
 	// CachedParts is the number of leading shared parts of the request's prompt that the endpoint has recently
 	// prefilled.
 	CachedParts int
+	// SharedTokens is the number of tokens of the request's prompt that running requests at the endpoint hold already.
+	SharedTokens int64
 	// Busy is the share of time that the endpoint spends on prefill.
 	Busy float64
 	// FailureRate is the recent share of failed requests at the endpoint, over all gateways.
@@ -75,14 +77,16 @@
 	Full bool
 	// Crowded reports whether the request would take a slot that is left free for more urgent ones.
 	Crowded bool
+	// MemoryFull reports whether the endpoint has no memory for the request.
+	MemoryFull bool
 }
 
 // WaitEstimate is the expected wait of a request at an endpoint.
 type WaitEstimate struct {
 	// Wait is the expected time to the first chunk.
 	Wait time.Duration
-	// Full reports whether the request waits for a slot or memory.
-	Full bool
+	// Full reports whether the request waits for a slot or memory, and MemoryFull whether it waits for memory.
+	Full, MemoryFull bool
 }
 
 // EstimateWait estimates the wait of w at c if the endpoint has to prefill the given number of uncached tokens.
@@ -92,12 +96,11 @@
 	)
 	slot := slotWait(c, w.Rank, s)
 	d += slot
-	memoryFull := c.Memory > 0 &&
-		float64(c.Outstanding.HeldTokens+uncached+w.OutputTokens) > maxMemoryShare*float64(c.Memory)
+	memoryFull := c.MemoryFull(w)
 	if memoryFull {
 		d += s.SlotTime / 2
 	}
-	return WaitEstimate{Wait: time.Duration(float64(d) * c.Health.Slowdown()), Full: slot > 0 || memoryFull}
+	return WaitEstimate{Wait: time.Duration(float64(d) * c.Health.Slowdown()), Full: slot > 0 || memoryFull, MemoryFull: memoryFull}
 }
 
 // slotWait returns the expected time until a request of the rank gets a slot: enough running requests have to end, and
@@ -143,7 +146,7 @@
 		}
 		e := EstimateWait(c, w, uncached, s)
 		crowded := c.Crowded(w.Rank, s)
-		if crowded {
+		if crowded || e.MemoryFull {
 			extra += crowdedCost(objective)
 		}
 		if c.Remote {
@@ -168,7 +171,7 @@
 		}
 		best = Choice{
 			Index: i, Expected: e.Wait, Cost: cost, UncachedTokens: uncached, FetchFrom: source, Preferred: i == preferred, Full: e.Full,
-			Crowded: crowded,
+			Crowded: crowded, MemoryFull: e.MemoryFull,
 		}
 		bestCost = cost
 	}
--- a/capacity/outstanding.go
+++ b/capacity/outstanding.go
@@ -50,7 +50,7 @@
 	Waiting Backlog
 	// PromptTokens counts the uncached prompt tokens of waiting requests.
 	PromptTokens Backlog
-	// HeldTokens is the endpoint's memory held by the requests until they end, in tokens.
+	// HeldTokens is the endpoint's memory held by the requests until they end, in tokens; see HeldMemory.
 	HeldTokens int64
 }
 
@@ -113,9 +113,10 @@
 	return max(uncached, 0)
 }
 
-// Load returns the outstanding work of one request before its first chunk, with the given number of uncached tokens.
+// Load returns the outstanding work of one request before its first chunk, with the given number of uncached tokens. It
+// holds its whole prompt.
 func (w Work) Load(uncached int64) Outstanding {
-	o := Outstanding{Requests: 1, HeldTokens: uncached + w.OutputTokens}
+	o := Outstanding{Requests: 1, HeldTokens: w.HeldTokens()}
 	o.Waiting[w.Rank], o.PromptTokens[w.Rank] = 1, uncached
 	return o
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -16,6 +16,9 @@
 	service  string
 	load     capacity.Outstanding
 	work     capacity.Work
+	// holding is the memory that the request holds at the endpoint, and generated the tokens of the answer so far.
+	holding   capacity.Holding
+	generated int64
 	// queuedTokens is the number of prompt tokens to prefill before the first piece, this request's included.
 	queuedTokens int64
 	// uncachedTokens is the part of queuedTokens that belongs to this request.
@@ -41,6 +44,7 @@
 	defer p.mu.Unlock()
 	s := p.state(&d.endpoint)
 	s.outstanding = s.outstanding.Plus(d.addedLoad)
+	holding := p.hold(now, s, d.endpoint.ID, w)
 	s.coldWindow.Add(now)
 	s.recent = s.recent.With(now, d.uncachedTokens)
 	p.demands[service] = p.demands[service].With(now, d.rank, w, d.uncachedTokens, p.speed(service))
@@ -50,7 +54,7 @@
 	}
 	p.markChanged(d.endpoint.ID)
 	return &attempt{
-		placer: p, endpoint: d.endpoint, service: service, load: d.addedLoad, work: w, queuedTokens: d.backlog.PromptTokens.Before(d.rank) + d.uncachedTokens,
+		placer: p, endpoint: d.endpoint, service: service, load: d.addedLoad, work: w, holding: holding, queuedTokens: d.backlog.PromptTokens.Before(d.rank) + d.uncachedTokens,
 		uncachedTokens: d.uncachedTokens, full: d.full, preemptedShare: d.preemptedShare, sent: now, probe: p.endpointBreakers.Begin(now, d.endpoint.ID),
 		grantFrame: d.grantFrame, endpointReceivedNanos: &s.receivedNanos,
 	}
@@ -134,7 +138,7 @@
 	defer p.mu.Unlock()
 	s := p.state(&a.endpoint)
 	s.outstanding.Requests--
-	s.outstanding.HeldTokens -= a.load.HeldTokens
+	s.release(a.holding)
 	if a.firstAt.IsZero() {
 		s.outstanding = s.outstanding.WithBegun(a.load)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,6 +126,7 @@
 		crashes: newCrashes(cfg.Metrics), broken: make(chan fleet.Endpoint, maxCrashChecks),
 		workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
 	}
+	g.placer.startedAt = now
 	cfg.Metrics.Publish("stranded", expvar.Func(func() any { return g.placer.isStranded() }))
 	cfg.Metrics.Publish("limitedEndpoints", expvar.Func(func() any { return g.placer.limitedEndpoints() }))
 	g.latencies = newLatencies(cfg.Metrics, g.pool)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -14,6 +14,10 @@
 	peerLoadTTL = 3 * time.Second
 	// unlistedPeerTTL replaces peerLoadTTL for a gateway that the control daemons do not list: it has ended or just started.
 	unlistedPeerTTL = 500 * time.Millisecond
+	// silentPeerTTL is the age after which the memory held by the requests of a listed gateway is no longer counted. It is
+	// longer than requests run. Without a bound, a gateway whose last report was lost before it became idle would take up
+	// memory until its next request.
+	silentPeerTTL = 30 * time.Second
 )
 
 // endpointLoad is the load that one gateway reported for an endpoint.
@@ -51,7 +55,9 @@
 	born       int64
 	sequence   int64
 	receivedAt time.Time
-	loads      map[string]endpointLoad
+	// silent reports that only the memory is counted that its last reports named.
+	silent bool
+	loads  map[string]endpointLoad
 }
 
 // peerLoads holds the loads reported by the other gateways of the region, and their sums by endpoint.
@@ -79,7 +85,7 @@
 		peer = &peerLoad{born: m.GetBorn(), loads: map[string]endpointLoad{}}
 		p.gateways[m.GetGateway()] = peer
 	}
-	peer.sequence, peer.receivedAt = m.GetSequence(), now
+	peer.sequence, peer.receivedAt, peer.silent = m.GetSequence(), now, false
 	for _, o := range m.GetOutstanding() {
 		p.set(now, peer, o.GetEndpoint(), decodeEndpointLoad(now, o))
 	}
@@ -117,7 +123,8 @@
 }
 
 // expire drops the gateways that have not reported for peerLoadTTL, or for unlistedPeerTTL if they are not among the
-// listed ones, and the sums of endpoints that no gateway has reported.
+// listed ones, and the sums of endpoints that no gateway has reported. Of silent gateways that are still listed the memory
+// counts that their requests held last: they or this one may be cut off.
 func (p *peerLoads) expire(now time.Time, listed []fleet.Gateway) {
 	live := map[string]bool{}
 	for _, g := range listed {
@@ -126,9 +133,12 @@
 	reported := map[string]bool{}
 	for name, peer := range p.gateways {
 		silence := now.Sub(peer.receivedAt)
-		if silence > peerLoadTTL || !live[name] && silence > unlistedPeerTTL {
+		switch {
+		case silence > silentPeerTTL || !live[name] && silence > unlistedPeerTTL:
 			p.remove(now, name)
 			continue
+		case silence > peerLoadTTL && !peer.silent:
+			p.keepHeld(now, peer)
 		}
 		for endpoint := range peer.loads {
 			reported[endpoint] = true
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -27,8 +27,10 @@
 type endpointState struct {
 	born        int64
 	outstanding capacity.Outstanding
-	recent      capacity.RecentTokens
-	health      capacity.Health
+	// held is the memory that this gateway's requests hold, whose sum is outstanding.HeldTokens.
+	held   capacity.HeldMemory
+	recent capacity.RecentTokens
+	health capacity.Health
 	// pace is the endpoint's pace in this gateway's requests.
 	pace capacity.Pace
 	// outcomes counts the results of this gateway's requests, the endpoint's own error answers included.
@@ -54,6 +56,9 @@
 type placer struct {
 	cfg Config
 
+	// startedAt is when the gateway started.
+	startedAt time.Time
+
 	mu               sync.Mutex
 	rng              *rand.Rand
 	states           map[string]*endpointState
@@ -97,6 +102,8 @@
 	strandedHolders map[string]bool
 	holdersView     *view
 	reach           *reach
+	// otherGateways is the number of other gateways of the region, as of the last decision.
+	otherGateways int
 	// sweptAt is when expired peers and departures were last removed.
 	sweptAt time.Time
 }
@@ -201,6 +208,8 @@
 	reasonBacklog    = "backlog"
 	// reasonCrowded: the free slots of all endpoints are left for more urgent requests.
 	reasonCrowded = "crowded"
+	// reasonMemory: no endpoint of the region has memory for the request.
+	reasonMemory = "memory"
 	// reasonPaused: all endpoints of the region have asked this gateway to pause.
 	reasonPaused = "paused"
 	// reasonLimited: the limits of all endpoints of the region leave this gateway no request now.
@@ -278,8 +287,11 @@
 	late := q.work
 	late.Rank = capacity.Rank(q.priority(), true)
 	here.verdict = capacity.Admit(choice.Expected, capacity.EstimateWait(local[choice.Index], late, choice.UncachedTokens, speed).Wait, q.budget)
-	if choice.Crowded {
+	switch {
+	case choice.Crowded:
 		here.verdict, here.reason = capacity.Refuse, reasonCrowded
+	case choice.MemoryFull:
+		here.verdict, here.reason = capacity.Refuse, reasonMemory
 	}
 	if q.mustPlace {
 		here.verdict = capacity.Take
@@ -364,7 +376,7 @@
 	q.work.Rank = capacity.Rank(q.priority(), false)
 	local, _, _ := p.localCandidates(now, v, q, len(p.peersToHandTo(now, v, q)) > 0)
 	choice, ok := capacity.Choose(local, q.work, p.currentSpeed(now, v, q.service.Name), fetchTimePerToken(q.service), q.route.Objective, 0)
-	return ok && capacity.Admit(choice.Expected, choice.Expected, q.budget) == capacity.Take
+	return ok && !choice.MemoryFull && capacity.Admit(choice.Expected, choice.Expected, q.budget) == capacity.Take
 }
 
 // localCandidates returns the endpoints of this region that may take a request, and what keeps others from it. If another gateway is
@@ -375,6 +387,8 @@
 	}
 	p.expire(now, v)
 	sharers := p.sharersOf(now, v)
+	p.otherGateways = sharers.all.n - 1
+	unseen := p.unseenShare(now)
 	speed := p.speed(q.service.Name)
 	p.candidates, p.endpoints = p.candidates[:0], p.endpoints[:0]
 	all := v.endpoints[q.service.Name]
@@ -396,6 +410,7 @@
 		if q.service.Engine != nil {
 			c.Memory, c.Preempts = q.service.Engine.CacheTokens, true
 			c.CachedParts = s.cachedPartCount(now, q.work)
+			p.countMemory(now, &c, s, q.work, peers, unseen)
 		}
 		p.candidates, p.endpoints = append(p.candidates, c), append(p.endpoints, e)
 	}
@@ -429,11 +444,11 @@
 func (p *placer) state(e *fleet.Endpoint) *endpointState {
 	s := p.states[e.ID]
 	if s == nil || s.born < e.Born {
-		own := capacity.Outstanding{}
+		own, held := capacity.Outstanding{}, capacity.HeldMemory{}
 		if s != nil {
-			own = s.outstanding
+			own, held = s.outstanding, s.held
 		}
-		s = &endpointState{born: e.Born, outstanding: own, health: capacity.NewHealth(), cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second)}
+		s = &endpointState{born: e.Born, outstanding: own, held: held, health: capacity.NewHealth(), cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second)}
 		p.states[e.ID] = s
 		p.endpointBreakers.Forget(e.ID)
 	}
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -214,7 +214,7 @@
 		if !last.Full && last.Wait < capacityObjective {
 			tokens := int64(capacityObjective-last.Wait) / int64(max(speed.PrefillTokenTime, 1))
 			if c.Memory > 0 {
-				tokens = min(tokens, c.Memory-c.Outstanding.HeldTokens)
+				tokens = min(tokens, c.ReportedMemory())
 			}
 			m.PromptTokens += max(tokens, 0)
 		}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -69,6 +69,7 @@
 		if a != nil {
 			a.recordFirst(now)
 			a.recordReceived(now)
+			a.recordEvent(j.service)
 		}
 		if j.firstAt.IsZero() {
 			j.firstAt = now
