--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -82,6 +82,10 @@
 	Closing bool
 	// Stranded gateways reach no endpoint of their region; they accept callers, and hand requests to other gateways.
 	Stranded bool
+	// Weight is the size of the gateway relative to others, or zero if it is not known.
+	Weight float64
+	// InFlight is the number of requests in progress at the last report.
+	InFlight int
 	// LastSeen is the time of the last report.
 	LastSeen time.Time
 }
@@ -99,9 +103,11 @@
 	}
 }
 
-// sameState reports whether two records of one gateway differ at most in the number and time of the last report.
+// sameState reports whether two records of one gateway differ at most in the number and time of the last report and the
+// requests in progress, which change with almost every report.
 func (g Gateway) sameState(other Gateway) bool {
 	g.Sequence, other.Sequence = 0, 0
 	g.LastSeen, other.LastSeen = time.Time{}, time.Time{}
+	g.InFlight, other.InFlight = 0, 0
 	return g == other
 }
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -177,7 +177,7 @@
 		return
 	}
 	if old != nil && !old.gone && old.gateway.sameState(g) {
-		old.gateway.Sequence, old.gateway.LastSeen = g.Sequence, g.LastSeen
+		old.gateway.Sequence, old.gateway.LastSeen, old.gateway.InFlight = g.Sequence, g.LastSeen, g.InFlight
 		return
 	}
 	t.change++
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -40,8 +40,12 @@
 	Grace time.Duration
 	// RegionRoundTrip is the round-trip time between two regions.
 	RegionRoundTrip time.Duration
-	Keys            *keys.Source
-	Metrics         *metrics.Set
+	// Weight is the size of the gateway relative to others, or zero if it is not known.
+	Weight float64
+	// MemoryBytes is the memory limit of the process, of which a part is a budget for answers and bodies; zero sets none.
+	MemoryBytes int64
+	Keys        *keys.Source
+	Metrics     *metrics.Set
 }
 
 // Call holds what a caller's headers say about its request.
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -297,6 +297,7 @@
 	m := wire.EncodeGateway(fleet.Gateway{
 		Name: g.cfg.Name, Born: g.born, Sequence: g.reportSequence, CallerAddress: g.cfg.CallerAddress, LoadAddress: g.cfg.LoadAddress,
 		ForwardAddress: g.cfg.ForwardAddress, FailureDomain: g.cfg.FailureDomain, Region: g.cfg.Region, Ready: g.Ready(), Lingering: g.lingering(now), Closing: g.closing(now), Stranded: g.placer.isStranded(),
+		Weight: g.cfg.Weight, InFlight: int(g.inFlight.Load()),
 	})
 	g.reportMu.Unlock()
 	m.RouteVersion = v.version()
--- a/wire/fleet.go
+++ b/wire/fleet.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"time"
 
 	"arbutusreel/fleet"
@@ -47,12 +48,18 @@
 	return &wiregen.GatewayReport{
 		Name: g.Name, CallerAddress: g.CallerAddress, LoadAddress: g.LoadAddress, ForwardAddress: g.ForwardAddress,
 		FailureDomain: g.FailureDomain, Region: g.Region, Ready: g.Ready, Lingering: g.Lingering, Closing: g.Closing, Stranded: g.Stranded, Born: g.Born, Sequence: g.Sequence,
+		Weight: g.Weight, InFlight: int32(min(g.InFlight, math.MaxInt32)),
 	}
 }
 
-// DecodeGateway returns the gateway of a report that was current at the time at.
+// DecodeGateway returns the gateway of a report that was current at the time at. An invalid weight counts as unknown.
 func DecodeGateway(at time.Time, m *wiregen.GatewayReport) fleet.Gateway {
+	weight := m.GetWeight()
+	if !(weight > 0) || math.IsInf(weight, 0) {
+		weight = 0
+	}
 	return fleet.Gateway{
+		Weight: weight, InFlight: int(max(m.GetInFlight(), 0)),
 		Name: m.GetName(), CallerAddress: m.GetCallerAddress(), LoadAddress: m.GetLoadAddress(), ForwardAddress: m.GetForwardAddress(),
 		FailureDomain: m.GetFailureDomain(), Region: m.GetRegion(), Ready: m.GetReady(), Lingering: m.GetLingering(), Closing: m.GetClosing(), Stranded: m.GetStranded(),
 		Born: m.GetBorn(), Sequence: m.GetSequence(), LastSeen: at,
