--- a/gateway/config.go
+++ b/gateway/config.go
@@ -45,9 +45,13 @@
 	// RegionRoundTrip is the round-trip time between two regions.
 	RegionRoundTrip time.Duration
 	// Access is what the gateway does while it may have missed revocations of credentials.
-	Access  access.Policy
-	Keys    *keys.Source
-	Metrics *metrics.Set
+	Access access.Policy
+	// Weight is the size of the gateway relative to others, or zero if it is not known.
+	Weight float64
+	// MemoryBytes is the memory limit of the process, of which a part is a budget for answers and bodies; zero sets none.
+	MemoryBytes int64
+	Keys        *keys.Source
+	Metrics     *metrics.Set
 }
 
 // Call holds what a caller's headers say about its request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,6 +128,7 @@
 		crashes: newCrashes(cfg.Metrics), broken: make(chan fleet.Endpoint, maxCrashChecks),
 		workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
 	}
+	g.placer.startedAt = now
 	cfg.Metrics.Publish("stranded", expvar.Func(func() any { return g.placer.isStranded() }))
 	cfg.Metrics.Publish("endpointPaces", expvar.Func(func() any { return g.placer.paces(time.Now()) }))
 	cfg.Metrics.Publish("limitedEndpoints", expvar.Func(func() any { return g.placer.limitedEndpoints() }))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -68,6 +68,7 @@
 		}
 		now := time.Now()
 		a.recordArrival(now, j.stream.lastAt)
+		a.recordGrowth(j.service)
 		if j.firstAt.IsZero() {
 			j.firstAt = now
 			j.g.crashes.recordBegun(now, j.traits())
