--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -85,6 +85,8 @@
 	WaitFactor float64
 	// Unfinished reports that the response is expected to end too late at every candidate.
 	Unfinished bool
+	// Harmful reports that the response is expected to cost the requests that run at the endpoint more than it is worth.
+	Harmful bool
 }
 
 // WaitEstimate is the expected wait of a request at an endpoint.
@@ -188,6 +190,7 @@
 	}
 	best.Pace, best.WaitFactor = candidates[best.Index].Decode.Factor, finish.waitFactor(&candidates[best.Index])
 	best.End = finish.end(&candidates[best.Index], best.Expected)
+	best.Harmful = finish.harmful(&candidates[best.Index], best.UncachedTokens, best.Expected)
 	best.Unfinished = finish.unfinished(candidates, w, s, minUncached, best.End)
 	return best, true
 }
--- a/capacity/decode.go
+++ b/capacity/decode.go
@@ -99,7 +99,9 @@
 }
 
 // Estimate returns what the observations tell at now.
-func (p DecodePace) Estimate(now time.Time) DecodeEstimate { return EstimateDecode(now, &p, &DecodePace{}) }
+func (p DecodePace) Estimate(now time.Time) DecodeEstimate {
+	return EstimateDecode(now, &p, &DecodePace{})
+}
 
 // EstimateDecode returns what the sum of two paces tells at now. It is the same as the estimate of their sum, for decisions about
 // many endpoints.
--- a/capacity/finish.go
+++ b/capacity/finish.go
@@ -201,6 +201,12 @@
 	return time.Duration(f.scale * lost)
 }
 
+// harmful reports whether a response is expected to lose more value than it is worth at a candidate of whose slots at least half
+// are taken.
+func (f *finisher) harmful(c *Candidate, uncached int64, wait time.Duration) bool {
+	return f.uneven == 1 && 2*c.Outstanding.Requests >= c.Slots && float64(f.cost(c, uncached, wait)) >= f.scale
+}
+
 // over returns the probability that an expected time exceeds a limit, which goes from zero to one within the margin around
 // it. A limit of zero is never exceeded.
 func over(expected float64, limit time.Duration, margin float64) float64 {
--- a/capacity/finish_test.go
+++ b/capacity/finish_test.go
@@ -86,6 +86,26 @@
 	}
 }
 
+// TestHarmfulIsRefused guards against long answers at endpoints that are so loaded that they cost the others more than they
+// earn, and against a refusal while half of the slots are free.
+func TestHarmfulIsRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		paces   []float64
+		running int
+		want    bool
+	}{
+		"uneven, loaded": {[]float64{1, 2}, 60, true}, "uneven, half free": {[]float64{1, 2}, 31, false}, "even, loaded": {[]float64{2, 2}, 60, false},
+	} {
+		all := paced(c.paces...)
+		for i := range all {
+			all[i].Outstanding.Requests, all[i].Busy = c.running, 0.8
+		}
+		if got, _ := Choose(all, streamWork(700), NewSpeed(), 0, time.Second, 0); got.Harmful != c.want {
+			t.Errorf("%s: harmful %v at endpoint %d, cost %v", name, got.Harmful, got.Index, got.Cost)
+		}
+	}
+}
+
 // TestUnknownEndpointIsTried guards against a crowd of requests at an endpoint of unknown pace beside known ones, and against
 // one that is never tried.
 func TestUnknownEndpointIsTried(t *testing.T) {
--- a/gateway/decode_test.go
+++ b/gateway/decode_test.go
@@ -93,7 +93,7 @@
 // TestReplayUneven guards against late long answers at engines of uneven paces: at least half of the value that knowing the
 // paces brings over the rule without them is gained by learning them.
 func TestReplayUneven(t *testing.T) {
-	for _, rate := range []float64{90, 120} {
+	for _, rate := range []float64{90, 120, 200} {
 		var values []float64
 		for i, decide := range []func(*replay, *replayRequest, time.Time) bool{byPlacer, byPace(false), byPace(true)} {
 			p := newReplay(t, unevenSite(rate, unevenPaces()), decide)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -296,6 +296,9 @@
 	if choice.Unfinished {
 		here.verdict, here.reason = capacity.Refuse, reasonUnfinished
 	}
+	if choice.Harmful {
+		here.verdict, here.reason = capacity.Refuse, reasonCrowded
+	}
 	if q.mustPlace {
 		here.verdict = capacity.Take
 	}
