--- a/gateway/allotments_test.go
+++ b/gateway/allotments_test.go
@@ -36,14 +36,14 @@
 
 // allotmentFleet is a few gateways of one region that share the allotment of a team.
 type allotmentFleet struct {
-	t        *testing.T
+	t        testing.TB
 	table    *routes.Table
 	endpoint *testEndpoint
 	gateways []*testGateway
 	servers  []*grpc.Server
 }
 
-func newAllotmentFleet(t *testing.T, n int, a routes.Allotment) *allotmentFleet {
+func newAllotmentFleet(t testing.TB, n int, a routes.Allotment) *allotmentFleet {
 	table, err := testTable(t, nil).WithTeams([]routes.Team{{Name: "club", Credentials: []routes.Credential{routes.NewCredential("key")}, Allotment: a}})
 	if err != nil {
 		t.Fatal(err)
@@ -194,3 +194,18 @@
 		t.Errorf("%v tokens returned, want 100", got)
 	}
 }
+
+// BenchmarkAllotmentDraw measures what a draw from another gateway of the region adds to a request.
+func BenchmarkAllotmentDraw(b *testing.B) {
+	f := newAllotmentFleet(b, 2, routes.Allotment{Rate: 1e12, Burst: 1e12, Unit: routes.Tokens})
+	f.publish(0, 1)
+	a := f.gateways[1-f.owner(0, 1)].allotments
+	time.Sleep(10 * time.Millisecond)
+	for b.Loop() {
+		// A cost above the prefetch of the draw before makes each request draw.
+		if _, _, v := a.take(b.Context(), "club", float64(1+b.N%7)); v != charged {
+			b.Fatal(v)
+		}
+		clear(a.balances)
+	}
+}
