--- a/capacity/plain.go
+++ b/capacity/plain.go
@@ -9,12 +9,13 @@
 	// plainTimeConstant is the time constant with which the count of a gateway's requests decays: long enough to count some
 	// requests at each of 84 gateways, and short compared with the time in which load changes.
 	plainTimeConstant = 2 * time.Second
-	// plainNearFull is the share of the slots of plain endpoints above which the last free ones are dealt out.
-	plainNearFull = 0.6
+	// plainNearFull is the share of the slots of plain endpoints above which requests are placed by free slots and the last ones are
+	// dealt out: at 0.4 of the slots in use single endpoints of 6 slots are full at times.
+	plainNearFull = 0.3
 	// plainFull is the share of the slots above which a rejected request is not sent to another endpoint.
 	plainFull = 0.85
-	// plainFilled is the share of the slots that the dealt out requests fill on average. Endpoints that are chosen by reports
-	// which are older than a request takes reject some requests before all slots are taken.
+	// plainFilled is the load, as a share of the slots, that is sent when more is offered. It is above one because endpoints reject about
+	// a third of it: gateways choose them by reports that are older than a request takes.
 	plainFilled = 1.2
 	// plainMinRoom is the room that an endpoint counts at least as, as the reports about it may be older than its requests take.
 	plainMinRoom = 0.25
@@ -70,14 +71,14 @@
 func (r PlainRoom) Share(rate float64) float64 {
 	offered := rate * float64(r.Gateways) * r.Hold.Seconds()
 	slots := float64(r.Slots)
-	if float64(r.Outstanding) < plainNearFull*slots/2 || offered <= plainFilled*slots {
+	if float64(r.Outstanding) < plainNearFull*slots || offered <= plainFilled*slots {
 		return 1
 	}
 	return plainFilled * slots / offered
 }
 
 // NearFull reports whether the endpoints are so full that requests are placed by free slots.
-func (r PlainRoom) NearFull() bool { return float64(r.Outstanding) >= plainNearFull*float64(r.Slots)/2 }
+func (r PlainRoom) NearFull() bool { return float64(r.Outstanding) >= plainNearFull*float64(r.Slots) }
 
 // Full reports whether so few slots are free that a request which was rejected would mostly be rejected again.
 func (r PlainRoom) Full() bool { return float64(r.Outstanding) >= plainFull*float64(r.Slots) }
