Bound what a gateway holds for slow callers and for bodies

Answers in progress, buffered answers and bodies share a quarter of the memory limit. Beyond it, large bodies get 503, and callers that have read nothing for two seconds lose their answers, the slowest first.

--- a/capacity/memory.go
+++ b/capacity/memory.go
@@ -47,9 +47,10 @@
 
 // trackedPart is a shared part of prompts at an endpoint.
 type trackedPart struct {
-	// holders is the number of this gateway's requests that hold the part, and charged the tokens counted for them.
-	holders int
-	charged int64
+	// holders is the number of this gateway's requests that hold the part, tokens its size, and charged the tokens counted
+	// for them.
+	holders         int
+	tokens, charged int64
 	uses    decayedCount
 }
 
@@ -99,10 +100,11 @@
 		}
 		tokens := min(p.Tokens, left)
 		left -= tokens
-		if t.holders == 0 {
-			t.charged = tokens - m.expectedShared(now, t, tokens, others)
-			m.tokens += t.charged
-		}
+		// The estimate is renewed with each request, because a popular part is held without a pause.
+		t.tokens = max(t.tokens, tokens)
+		charged := t.tokens - m.expectedShared(now, t, t.tokens, others)
+		m.tokens += charged - t.charged
+		t.charged = charged
 		t.holders++
 		t.uses = t.uses.plusOne(now)
 	}
@@ -147,7 +149,7 @@
 		}
 		if t.holders--; t.holders == 0 {
 			m.tokens -= t.charged
-			t.charged = 0
+			t.tokens, t.charged = 0, 0
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,7 @@
 	origins   *origins
 	crashes   *crashes
 	latencies *latencies
+	answers   *answers
 	// broken receives the endpoints that may have crashed.
 	broken chan fleet.Endpoint
 	// originPeers are asked for unknown origins; originLookups holds a value for each lookup in progress.
@@ -124,7 +125,7 @@
 		peers:   exchange.NewPool(exchange.IdleLimits{Repeatable: idleTimeout / 2, NonRepeatable: idleTimeout / 2, Unannounced: idleTimeout / 2}, peerConnectTimeout, time.Now),
 		origins: newOrigins(cfg.Metrics), originPeers: newOriginPeers(cfg.Keys), originLookups: make(chan struct{}, maxOriginLookups),
 		crashes: newCrashes(cfg.Metrics), broken: make(chan fleet.Endpoint, maxCrashChecks),
-		workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
+		answers: newAnswers(cfg.MemoryBytes, cfg.Metrics), workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
 	}
 	g.placer.startedAt = now
 	cfg.Metrics.Publish("stranded", expvar.Func(func() any { return g.placer.isStranded() }))
@@ -211,6 +212,7 @@
 	g.wg.Go(func() { g.keepReach(g.workCtx) })
 	g.wg.Go(func() { g.closeExpiredConns(g.workCtx) })
 	g.wg.Go(func() { g.keepPartnersWarm(g.workCtx) })
+	g.wg.Go(func() { g.relievePressure(g.workCtx) })
 	g.log.Info().Str("callerAddress", g.cfg.CallerAddress).Str("domain", g.cfg.FailureDomain).Strs("controls", g.cfg.Controls).Msg("started")
 	<-ctx.Done()
 	g.stop()
@@ -237,7 +239,7 @@
 func (g *Gateway) server(handler http.HandlerFunc) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil, DisableGeneralOptionsHandler: true,
+		ConnContext: limitSocketBuffers, ErrorLog: nil, DisableGeneralOptionsHandler: true,
 	}
 }
 
--- /dev/null
+++ b/gateway/pressure.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"arbutusreel/clock"
+	"arbutusreel/metrics"
+	"arbutusreel/pressure"
+	"arbutusreel/problem"
+)
+
+const (
+	// pressurePeriod is the interval at which answers in progress are counted.
+	pressurePeriod = 250 * time.Millisecond
+	// callerWriteBuffer is the send buffer of a caller's socket, of which the kernel allocates twice as much. Without a
+	// bound, it grows to megabytes for a caller that reads slowly.
+	callerWriteBuffer = 24 << 10
+	// unreadAnswerTime is how long after the deadline of a request its caller may take to read the answer.
+	unreadAnswerTime = 5 * time.Second
+	// fullRetryAfter is the least retry delay given to the caller of a large request that is refused for memory.
+	fullRetryAfter = 500 * time.Millisecond
+)
+
+// answers holds the answers in progress and the memory for them and for bodies.
+type answers struct {
+	mu     sync.Mutex
+	budget *pressure.Budget
+	open   map[*answerWriter]bool
+	paused atomic.Int64
+	ended  atomic.Int64
+}
+
+func newAnswers(memoryBytes int64, m *metrics.Set) *answers {
+	a := &answers{budget: pressure.NewBudget(memoryBytes), open: map[*answerWriter]bool{}}
+	m.Publish("heldBytes", expvar.Func(func() any {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.budget.Held()
+	}))
+	m.Publish("streamsPaused", expvar.Func(func() any { return a.paused.Load() }))
+	m.Publish("streamsEnded", expvar.Func(func() any { return a.ended.Load() }))
+	return a
+}
+
+// answerWriter writes an answer to a caller and records since when a write has waited for the caller.
+type answerWriter struct {
+	http.ResponseWriter
+
+	answers *answers
+	// writingNanos is the Unix time at which the present write began; zero between writes.
+	writingNanos atomic.Int64
+	// ended is set if the answer was ended because the caller did not read it.
+	ended atomic.Bool
+	// held is what the request's body and its buffered answer hold.
+	held int64
+}
+
+// writer returns a writer for the answer to a request; close must be called at its end.
+func (a *answers) writer(w http.ResponseWriter) *answerWriter {
+	aw := &answerWriter{ResponseWriter: w, answers: a}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.open[aw] = true
+	return aw
+}
+
+// close removes the answer and what it held.
+func (w *answerWriter) close() {
+	w.answers.mu.Lock()
+	defer w.answers.mu.Unlock()
+	delete(w.answers.open, w)
+	w.answers.budget.Release(w.held)
+}
+
+// takeBody counts the body of the request, or returns false if there is no memory for it.
+func (w *answerWriter) takeBody(n int64) bool {
+	w.answers.mu.Lock()
+	defer w.answers.mu.Unlock()
+	if !w.answers.budget.TakeBody(n) {
+		return false
+	}
+	w.held += n
+	return true
+}
+
+// hold counts a buffered answer.
+func (w *answerWriter) hold(n int64) {
+	w.answers.mu.Lock()
+	defer w.answers.mu.Unlock()
+	w.answers.budget.Hold(n)
+	w.held += n
+}
+
+// bufferLimit returns the bytes of a signed answer that are buffered before it is passed on.
+func (a *answers) bufferLimit(signed bool) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if signed && a.budget.Exceeded(maxBufferedBytes) {
+		return pressure.LargeBodyBytes
+	}
+	return maxBufferedBytes
+}
+
+// Unwrap returns the writer of the HTTP server.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Write writes a part of the answer.
+func (w *answerWriter) Write(b []byte) (int, error) {
+	w.writingNanos.Store(time.Now().UnixNano())
+	defer w.writingNanos.Store(0)
+	return w.ResponseWriter.Write(b)
+}
+
+// FlushError sends what was written to the caller.
+func (w *answerWriter) FlushError() error {
+	w.writingNanos.Store(time.Now().UnixNano())
+	defer w.writingNanos.Store(0)
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// relieve counts the answers and ends those that the budget has no room for, without the end mark.
+func (a *answers) relieve(now time.Time) (ended int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	writers := make([]*answerWriter, 0, len(a.open))
+	states := make([]pressure.Answer, 0, len(a.open))
+	for w := range a.open {
+		var unread time.Duration
+		if since := w.writingNanos.Load(); since != 0 {
+			unread = max(now.Sub(time.Unix(0, since)), 1)
+		}
+		writers, states = append(writers, w), append(states, pressure.Answer{Unread: unread})
+	}
+	r := a.budget.Relieve(states)
+	a.paused.Store(int64(r.Paused))
+	for _, i := range r.End {
+		w := writers[i]
+		w.ended.Store(true)
+		_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Unix(1, 0))
+	}
+	a.ended.Add(int64(len(r.End)))
+	return len(r.End)
+}
+
+// relievePressure keeps what callers leave unread within the budget until ctx ends.
+func (g *Gateway) relievePressure(ctx context.Context) {
+	for clock.Sleep(ctx, pressurePeriod) {
+		if n := g.answers.relieve(time.Now()); n > 0 {
+			g.log.Warn().Int("answers", n).Int64("paused", g.answers.paused.Load()).Msg("answers of slow callers ended for memory")
+		}
+	}
+}
+
+// boundUnread bounds how long a caller may leave its answer unread.
+func (j *job) boundUnread() {
+	_ = http.NewResponseController(j.w).SetWriteDeadline(j.deadline.Add(unreadAnswerTime))
+}
+
+// limitSocketBuffers bounds what the kernel holds for a caller that does not read.
+func limitSocketBuffers(ctx context.Context, c net.Conn) context.Context {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(callerWriteBuffer)
+	}
+	return ctx
+}
+
+// instanceFull is the answer to a large request for which there is no memory.
+func (j *job) instanceFull() *problem.Problem {
+	after := fullRetryAfter + time.Duration(j.g.placer.draw()*float64(fullRetryAfter))
+	return problem.New(problem.InstanceFull, http.StatusServiceUnavailable, "the gateway has no memory for the body").WithRetryAfter(after)
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -79,8 +79,12 @@
 		timer.stop()
 		if err := j.writeEvent(e, answer, of); err != nil {
 			j.lastErr = err
-			j.log("callerLeft").Err(err).Msg("served")
-			j.g.cfg.Metrics.Count("callerLeft")
+			code := "callerLeft"
+			if j.w.ended.Load() {
+				code = string(problem.ReaderStopped)
+			}
+			j.log(code).Err(err).Msg("served")
+			j.g.cfg.Metrics.Count(code)
 			return abandoned, answered
 		}
 	}
--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -28,6 +28,9 @@
 	queue int
 	// cacheTokens is the memory of an engine that is shared by running requests and cached parts of prompts.
 	cacheTokens int64
+	// timing is how long steps take; nil for the usual figures. memoryBound lets the engines preempt requests for memory.
+	timing      *replayTiming
+	memoryBound bool
 	// chunks is the number of prompts of which an engine reads a chunk in one step, and gap the longest pause between
 	// the events of a stream that is on time; zero means one chunk and no limit.
 	chunks int
@@ -133,6 +136,10 @@
 	// slowdown is the factor by which steps take longer; zero means one.
 	slowdown    float64
 	cacheTokens int64
+	timing      replayTiming
+	memoryBound bool
+	// preemptedForMemory counts the requests that lost their memory.
+	preemptedForMemory int
 	// taken counts the requests that the engine accepted, and preempted how often one lost its slot to another.
 	taken, preempted int
 	running, waiting []*replayRequest
@@ -170,10 +177,10 @@
 		free -= int64(other.prompt + other.made)
 	}
 	// The own parts of ended requests take up memory until they are evicted, too; half of it is assumed to be theirs.
-	for int64(len(e.cached))*r.kind.shared > max(free/2, 0) {
-		oldest := r.subject
+	for len(e.cached) > 1 && int64(len(e.cached))*r.kind.shared > max(free/2, 0) {
+		oldest := ""
 		for id, used := range e.cached {
-			if used < e.cached[oldest] || used == e.cached[oldest] && id < oldest {
+			if oldest == "" || used < e.cached[oldest] || used == e.cached[oldest] && id < oldest {
 				oldest = id
 			}
 		}
@@ -184,7 +191,7 @@
 func (e *replayEngine) admit(now time.Duration) {
 	slices.SortFunc(e.waiting, (*replayRequest).before)
 	slices.SortFunc(e.running, (*replayRequest).before)
-	for len(e.waiting) > 0 {
+	for len(e.waiting) > 0 && e.hasMemory() {
 		first := e.waiting[0]
 		if len(e.running) == e.slots {
 			last := e.running[e.slots-1]
@@ -208,7 +215,7 @@
 // of the step.
 func (e *replayEngine) step(now time.Duration) (first, events, ended []*replayRequest, took time.Duration) {
 	const eventTokens = 9
-	const chunk, tokensPerMilli, stepMillis, slotMillis = 1024, 112, 3.23, 0.0483
+	const chunk = 1024
 	e.admit(now)
 	prefilling := 0
 	for _, r := range e.running {
@@ -235,7 +242,8 @@
 			ended = append(ended, r)
 		}
 	}
-	millis := stepMillis + slotMillis*float64(len(e.running)) + float64(budget-free)/tokensPerMilli
+	millis := e.timing.stepMillis + e.timing.slotMillis*float64(len(e.running)) + float64(budget-free)/e.timing.tokensPerMilli
+	e.fitMemory()
 	return first, events, ended, time.Duration(millis * max(e.slowdown, 1) * float64(time.Millisecond))
 }
 
@@ -299,7 +307,7 @@
 	var endpoints []fleet.Endpoint
 	for i := range site.engines {
 		id := fmt.Sprintf("engine-%d", i)
-		p.engines[id] = &replayEngine{slots: site.slots, chunks: site.chunks, queue: site.queue, cacheTokens: site.cacheTokens, cached: map[string]time.Duration{}}
+		p.engines[id] = &replayEngine{timing: site.engineTiming(), memoryBound: site.memoryBound, slots: site.slots, chunks: site.chunks, queue: site.queue, cacheTokens: site.cacheTokens, cached: map[string]time.Duration{}}
 		endpoints = append(endpoints, fleet.Endpoint{ID: id, Born: 7, Service: "model", Slots: site.slots, State: fleet.Ready})
 	}
 	p.view = &view{table: table, endpoints: map[string][]fleet.Endpoint{"model": endpoints}}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -234,13 +234,14 @@
 		return j.relayStream(ctx, answer, of, a, timer)
 	}
 	defer timer.stop()
-	buffered, err := readAnswer(answer, verdict.Signed)
+	buffered, err := readAnswer(answer, verdict.Signed, j.g.answers.bufferLimit(verdict.Signed))
 	if err != nil {
 		return j.endingOf(ctx, a, err), j.recordFailure(ctx, err, problem.Unknown)
 	}
 	if a != nil {
 		a.recordFirst(time.Now())
 	}
+	j.w.hold(int64(len(buffered.body)))
 	j.recordBegunAnswer(success)
 	if j.streaming() {
 		// A stream in progress cannot be continued by an answer that is not a stream.
@@ -270,16 +271,16 @@
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
-// readAnswer reads an answer of up to maxBufferedBytes; a longer one keeps the rest to be read, or returns
+// readAnswer reads an answer of up to limit bytes; a longer one keeps the rest to be read, or returns
 // *LongUnsignedAnswerError if it is not signed.
-func readAnswer(answer *exchange.Response, signed bool) (*bufferedAnswer, error) {
+func readAnswer(answer *exchange.Response, signed bool, limit int64) (*bufferedAnswer, error) {
 	var b bytes.Buffer
-	n, err := b.ReadFrom(io.LimitReader(answer, maxBufferedBytes))
+	n, err := b.ReadFrom(io.LimitReader(answer, limit))
 	if err != nil {
 		return nil, &exchange.Error{Stage: exchange.Reading, Outcome: problem.Unknown, Cause: err}
 	}
 	a := &bufferedAnswer{status: answer.Status, header: answer.Header, body: b.Bytes()}
-	if n == maxBufferedBytes {
+	if n == limit {
 		if !signed {
 			return nil, &LongUnsignedAnswerError{Status: answer.Status}
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -50,7 +50,7 @@
 // job is one caller's request.
 type job struct {
 	g         *Gateway
-	w         http.ResponseWriter
+	w         *answerWriter
 	r         *http.Request
 	ctx       context.Context
 	forwarded bool
@@ -116,17 +116,23 @@
 	v := g.view.Load()
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	j := &job{
-		g: g, w: w, r: r, forwarded: forwarded, path: path, received: now, view: v, tried: map[string]bool{}, outcome: problem.NotRun,
+		g: g, w: g.answers.writer(w), r: r, forwarded: forwarded, path: path, received: now, view: v, tried: map[string]bool{}, outcome: problem.NotRun,
 		draw: g.placer.draw(),
 	}
+	defer j.w.close()
 	if refusal := j.read(); refusal != nil {
 		j.refuse(refusal)
 		return
 	}
+	j.boundUnread()
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	j.ctx = ctx
 	j.run()
+	if j.w.ended.Load() {
+		// The connection is closed without the end mark.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // read decodes the headers, matches the route and reads the body.
@@ -244,12 +250,21 @@
 	if j.r.ContentLength == 0 {
 		return nil
 	}
+	// A body of unknown length may have any length within the limit.
+	size := j.r.ContentLength
+	if size < 0 {
+		size = limit
+	}
+	if !j.w.takeBody(size) {
+		return j.instanceFull()
+	}
 	var err error
 	if n := j.r.ContentLength; n > 0 {
 		j.body = make([]byte, n)
 		_, err = io.ReadFull(j.r.Body, j.body)
 	} else {
 		j.body, err = io.ReadAll(io.LimitReader(j.r.Body, limit+1))
+		j.w.hold(int64(len(j.body)) - size)
 	}
 	if err != nil {
 		return problem.New(problem.MalformedRequest, http.StatusBadRequest, "the body cannot be read: %v", err)
