--- a/capacity/memory.go
+++ b/capacity/memory.go
@@ -51,7 +51,7 @@
 	// for them.
 	holders         int
 	tokens, charged int64
-	uses    decayedCount
+	uses            decayedCount
 }
 
 // HeldMemory counts the token memory that one gateway's requests hold at an endpoint. A request holds its whole prompt,
--- a/pressure/pressure.go
+++ b/pressure/pressure.go
@@ -14,6 +14,8 @@
 	// AnswerBytes is what an answer holds that is read as fast as it arrives: the buffers of two connections and the
 	// stacks of its goroutines.
 	AnswerBytes = 24 << 10
+	// pausedAfter is the time after which a write counts as waiting for the caller.
+	pausedAfter = 100 * time.Millisecond
 	// SlowAfter is the time without reading after which a caller counts as slow. Endpoints cut off answers that stay
 	// unread for a few seconds.
 	SlowAfter = 2 * time.Second
@@ -29,7 +31,7 @@
 
 // held returns the bytes that the answer holds besides its buffered body.
 func (a Answer) held() int64 {
-	if a.Unread > 0 {
+	if a.Unread >= pausedAfter {
 		return UnreadAnswerBytes
 	}
 	return AnswerBytes
@@ -84,7 +86,7 @@
 	b.answers = 0
 	for i, a := range answers {
 		b.answers += a.held()
-		if a.Unread > 0 {
+		if a.Unread >= pausedAfter {
 			r.Paused++
 		}
 		if a.Unread >= SlowAfter {
