--- a/gateway/allotments.go
+++ b/gateway/allotments.go
@@ -257,12 +257,12 @@
 	return nil, wait, v
 }
 
-// answers tells which owners have answered: that of the own region, and any.
-type answers struct{ own, any bool }
+// ownerAnswers tells which owners have answered: that of the own region, and any.
+type ownerAnswers struct{ own, any bool }
 
 // drawAll completes a charge by draws from the owner of the own region, then from the others, one after the other, and from the own one again.
 // a.mu is locked, but not during the calls.
-func (a *allotments) drawAll(ctx context.Context, now time.Time, b *limits.Balance, allotted limits.Allotted, c *limits.Charge) (wait time.Duration, got answers, ok bool) {
+func (a *allotments) drawAll(ctx context.Context, now time.Time, b *limits.Balance, allotted limits.Allotted, c *limits.Charge) (wait time.Duration, got ownerAnswers, ok bool) {
 	if c.Missing <= 0 {
 		return 0, got, true
 	}
--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -28,6 +28,9 @@
 	queue int
 	// cacheTokens is the memory of an engine that is shared by running requests and cached parts of prompts.
 	cacheTokens int64
+	// timing is how long steps take; nil for the usual figures. memoryBound lets the engines preempt requests for memory.
+	timing      *replayTiming
+	memoryBound bool
 	// chunks is the number of prompts of which an engine reads a chunk in one step, and gap the longest pause between
 	// the events of a stream that is on time; zero means one chunk and no limit.
 	chunks int
@@ -150,6 +153,10 @@
 	// slowdown is the factor by which steps take longer; zero means one.
 	slowdown    float64
 	cacheTokens int64
+	timing      replayTiming
+	memoryBound bool
+	// preemptedForMemory counts the requests that lost their memory.
+	preemptedForMemory int
 	// taken counts the requests that the engine accepted, and preempted how often one lost its slot to another.
 	taken, preempted int
 	running, waiting []*replayRequest
@@ -187,10 +194,10 @@
 		free -= int64(other.prompt + other.made)
 	}
 	// The own parts of ended requests take up memory until they are evicted, too; half of it is assumed to be theirs.
-	for int64(len(e.cached))*r.kind.shared > max(free/2, 0) {
-		oldest := r.subject
+	for len(e.cached) > 1 && int64(len(e.cached))*r.kind.shared > max(free/2, 0) {
+		oldest := ""
 		for id, used := range e.cached {
-			if used < e.cached[oldest] || used == e.cached[oldest] && id < oldest {
+			if oldest == "" || used < e.cached[oldest] || used == e.cached[oldest] && id < oldest {
 				oldest = id
 			}
 		}
@@ -201,9 +208,9 @@
 func (e *replayEngine) admit(now time.Duration) {
 	slices.SortFunc(e.waiting, (*replayRequest).before)
 	slices.SortFunc(e.running, (*replayRequest).before)
-	for len(e.waiting) > 0 {
+	for len(e.waiting) > 0 && e.hasMemory() {
 		first := e.waiting[0]
-		if e.limited && len(e.running) > 0 && e.held()+int64(first.prompt) > e.cacheTokens {
+		if e.limited && len(e.running) > 0 && e.reserved()+int64(first.prompt) > e.cacheTokens {
 			return
 		}
 		if len(e.running) == e.slots {
@@ -224,8 +231,8 @@
 	}
 }
 
-// held returns the tokens in memory that the running requests hold; a shared part counts once.
-func (e *replayEngine) held() int64 {
+// reserved returns the tokens that the running requests hold once their prompts are read; a shared part counts once.
+func (e *replayEngine) reserved() int64 {
 	var n int64
 	counted := map[string]bool{}
 	for _, r := range e.running {
@@ -241,7 +248,7 @@
 // evict preempts the newest of the least urgent requests while the running ones hold more than the memory.
 func (e *replayEngine) evict() {
 	slices.SortFunc(e.running, (*replayRequest).before)
-	for len(e.running) > 1 && e.held() > e.cacheTokens {
+	for len(e.running) > 1 && e.reserved() > e.cacheTokens {
 		last := e.running[len(e.running)-1]
 		last.left, last.preempted = last.prompt+last.made, true
 		e.preempted++
@@ -253,10 +260,10 @@
 // of the step.
 func (e *replayEngine) step(now time.Duration) (first, events, ended []*replayRequest, took time.Duration) {
 	eventTokens := cmp.Or(e.eventTokens, 9)
-	const chunk, stepMillis = 1024, 3.23
-	tokensPerMilli, slotMillis := 112.0, 0.0483
+	const chunk = 1024
+	timing := e.timing
 	if e.limited {
-		tokensPerMilli, slotMillis = 92, 0.12
+		timing.tokensPerMilli, timing.slotMillis = 92, 0.12
 		e.evict()
 	}
 	e.admit(now)
@@ -285,10 +292,11 @@
 			ended = append(ended, r)
 		}
 	}
-	millis := stepMillis + slotMillis*float64(len(e.running)) + float64(budget-free)/tokensPerMilli
+	millis := timing.stepMillis + timing.slotMillis*float64(len(e.running)) + float64(budget-free)/timing.tokensPerMilli
 	if e.stepTime != nil {
 		millis = e.stepTime(len(e.running), budget > free).Seconds() * 1000
 	}
+	e.fitMemory()
 	return first, events, ended, time.Duration(millis * max(e.slowdown, 1) * float64(time.Millisecond))
 }
 
@@ -352,7 +360,10 @@
 	var endpoints []fleet.Endpoint
 	for i := range site.engines {
 		id := fmt.Sprintf("engine-%d", i)
-		p.engines[id] = &replayEngine{slots: site.slots, chunks: site.chunks, stepTime: site.stepTime, eventTokens: site.eventTokens, queue: site.queue, cacheTokens: site.cacheTokens, cached: map[string]time.Duration{}}
+		p.engines[id] = &replayEngine{
+			timing: site.engineTiming(), memoryBound: site.memoryBound, slots: site.slots, chunks: site.chunks, stepTime: site.stepTime, eventTokens: site.eventTokens,
+			queue: site.queue, cacheTokens: site.cacheTokens, cached: map[string]time.Duration{},
+		}
 		endpoints = append(endpoints, fleet.Endpoint{ID: id, Born: 7, Service: "model", Slots: site.slots, State: fleet.Ready})
 	}
 	p.view = &view{table: table, endpoints: map[string][]fleet.Endpoint{"model": endpoints}}
