Count the queues of plain endpoints as places

Plain endpoints serve 6 requests at once and queue more. Places now include the queue positions whose wait is within a third of the objective, up to three times the slots, and a rejection that reports the load shows how many an endpoint takes. TestPlainForwarded fills the queues too, as endpoints with free places are not full.

--- a/capacity/plain.go
+++ b/capacity/plain.go
@@ -12,8 +12,12 @@
 	// plainNearFull is the share of the slots of plain endpoints above which requests are placed by free slots and the last ones are
 	// dealt out: at 0.4 of the slots in use single endpoints of 6 slots are full at times.
 	plainNearFull = 0.3
-	// plainFull is the share of the slots above which a rejected request is not sent to another endpoint.
+	// plainFull is the share of the places above which a rejected request is not sent to another endpoint.
 	plainFull = 0.85
+	// plainWaitShare is the share of the objective that a request may wait in an endpoint's queue, and plainQueueSlots bounds the
+	// requests that wait there, as a multiple of its slots.
+	plainWaitShare  = 1.0 / 3
+	plainQueueSlots = 3
 	// plainFilled is the load, as a share of the slots, that is sent when more is offered. It is above one because endpoints reject about
 	// a third of it: gateways choose them by reports that are older than a request takes.
 	plainFilled = 1.2
@@ -58,8 +62,9 @@
 
 // PlainRoom describes the plain endpoints of a service in a region.
 type PlainRoom struct {
-	// Slots is the number of requests that they serve at once, and Outstanding the number of those sent and not ended.
-	Slots, Outstanding int
+	// Slots is the number of requests that they serve at once, Places that of those they serve or let wait, and Outstanding the
+	// number of those sent and not ended.
+	Slots, Places, Outstanding int
 	// Hold is how long a request takes.
 	Hold time.Duration
 	// Gateways is the number of gateways that share them.
@@ -71,7 +76,7 @@
 func (r PlainRoom) Share(rate float64) float64 {
 	offered := rate * float64(r.Gateways) * r.Hold.Seconds()
 	slots := float64(r.Slots)
-	if float64(r.Outstanding) < plainNearFull*slots || offered <= plainFilled*slots {
+	if float64(r.Outstanding) < plainNearFull*float64(max(r.Places, r.Slots)) || offered <= plainFilled*slots {
 		return 1
 	}
 	return plainFilled * slots / offered
@@ -80,24 +85,48 @@
 // NearFull reports whether the endpoints are so full that requests are placed by free slots.
 func (r PlainRoom) NearFull() bool { return float64(r.Outstanding) >= plainNearFull*float64(r.Slots) }
 
-// Full reports whether so few slots are free that a request which was rejected would mostly be rejected again.
-func (r PlainRoom) Full() bool { return float64(r.Outstanding) >= plainFull*float64(r.Slots) }
+// Full reports whether so few places are free that a request which was rejected would mostly be rejected again.
+func (r PlainRoom) Full() bool {
+	return float64(r.Outstanding) >= plainFull*float64(max(r.Places, r.Slots))
+}
 
 // PlainReport is an endpoint's own report of the requests that it runs or lets wait.
 type PlainReport struct {
 	Requests int
 	At       time.Time
+	// Limit is the number of requests with which the endpoint last rejected one; zero if it has rejected none.
+	Limit int
+}
+
+// With returns the report after an answer with the endpoint's load. A rejection shows how many requests the endpoint takes.
+func (r PlainReport) With(now time.Time, requests, slots int, rejected bool) PlainReport {
+	r.Requests, r.At = requests, now
+	if rejected && requests >= slots {
+		r.Limit = max(requests, 1)
+	}
+	return r
+}
+
+// Places returns the number of requests that a plain endpoint serves or lets wait. Those that wait longer than plainWaitShare of the
+// objective don't count; hold is how long a request takes.
+func (r PlainReport) Places(slots int, hold, objective time.Duration) int {
+	queued := plainWaitShare * float64(objective) / float64(max(hold, time.Millisecond)) * float64(slots)
+	places := slots + int(min(queued, float64(plainQueueSlots*slots)))
+	if r.Limit > 0 {
+		places = min(places, r.Limit)
+	}
+	return places
 }
 
-// Room returns the free slots of a plain endpoint, at least plainMinRoom. The endpoint's own report counts while it is fresh.
-func (r PlainReport) Room(now time.Time, outstanding, slots int) float64 {
+// Room returns the free places of a plain endpoint, at least plainMinRoom. The endpoint's own report counts while it is fresh.
+func (r PlainReport) Room(now time.Time, outstanding, places int) float64 {
 	if age := now.Sub(r.At); age >= 0 && age <= maxPlainReport {
-		outstanding = max(outstanding, min(r.Requests, slots))
-		if r.Requests >= slots {
+		outstanding = max(outstanding, min(r.Requests, places))
+		if r.Requests >= places {
 			return 0
 		}
 	}
-	return max(float64(slots-outstanding), plainMinRoom)
+	return max(float64(places-outstanding), plainMinRoom)
 }
 
 // ChoosePlain returns the index of an endpoint, drawn by its room, or -1 if none has any. Gateways that all chose
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -204,7 +204,7 @@
 	if s.born != e.Born {
 		return news
 	}
-	s.recordPlainLoad(now, v.Load)
+	s.recordPlainLoad(now, v)
 	news.limit = p.recordLimit(now, s, e.ID, v.Limit)
 	news.brittle = p.recordBrittle(now, s, e.ID, v.Brittle)
 	p.recordReportedPace(now, s, e.ID, v.Load)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -22,8 +22,10 @@
 		if c.Slots == 0 {
 			return local, endpoints
 		}
-		room.Slots, room.Outstanding = room.Slots+c.Slots, room.Outstanding+c.Outstanding.Requests
-		rooms[i] = p.states[c.ID].plain.Room(now, c.Outstanding.Requests, c.Slots)
+		report := p.states[c.ID].plain
+		places := report.Places(c.Slots, room.Hold, q.route.Objective)
+		room.Slots, room.Places, room.Outstanding = room.Slots+c.Slots, room.Places+places, room.Outstanding+c.Outstanding.Requests
+		rooms[i] = report.Room(now, c.Outstanding.Requests, places)
 	}
 	demand := p.plainDemands[name].With(now)
 	p.plainDemands[name] = demand
@@ -43,8 +45,8 @@
 }
 
 // recordPlainLoad records an endpoint's own report of its load.
-func (s *endpointState) recordPlainLoad(now time.Time, l Load) {
-	if l.Known {
-		s.plain = capacity.PlainReport{Requests: l.Running + l.Waiting, At: now}
+func (s *endpointState) recordPlainLoad(now time.Time, v Verdict) {
+	if v.Load.Known {
+		s.plain = s.plain.With(now, v.Load.Running+v.Load.Waiting, v.Load.Slots, v.Rejected)
 	}
 }
--- a/gateway/replay_plain_test.go
+++ b/gateway/replay_plain_test.go
@@ -10,8 +10,8 @@
 	"arbutusreel/fleet"
 )
 
-// plainReplay offers requests to gateways in front of endpoints without engines, which reject what exceeds their slots, in
-// simulated time.
+// plainReplay offers requests to gateways in front of endpoints without engines, which reject what exceeds their slots and their
+// queues, in simulated time.
 type plainReplay struct {
 	t         *testing.T
 	placers   []*placer
@@ -22,7 +22,9 @@
 	now       time.Time
 	slots     int
 	taken     time.Duration
+	queue     int
 	running   map[string]int
+	waiting   map[string][]*attempt
 	ends      []plainEnd
 	retries   []plainRetry
 	asked     int
@@ -62,6 +64,7 @@
 	}
 	return &plainReplay{
 		t: t, placers: placers, linked: linkPlacers(placers), v: v, q: q, rng: rand.New(rand.NewPCG(5, 5)), now: replayStart, slots: slots, taken: taken, running: map[string]int{},
+		waiting: map[string][]*attempt{},
 	}
 }
 
@@ -107,12 +110,23 @@
 		e.attempt.placer.recordVerdict(b.now, e.endpoint, Verdict{Load: b.load(e.endpoint.ID)})
 		e.attempt.end(b.now, succeeded)
 		b.served++
+		if waiting := b.waiting[e.endpoint.ID]; len(waiting) > 0 {
+			b.waiting[e.endpoint.ID] = waiting[1:]
+			kept = append(kept, b.start(waiting[0]))
+		}
 	}
 	b.ends = kept
 }
 
+// start begins to serve a request.
+func (b *plainReplay) start(a *attempt) plainEnd {
+	b.running[a.endpoint.ID]++
+	took := time.Duration((0.5 + b.rng.Float64()) * float64(b.taken))
+	return plainEnd{at: b.now.Add(took), attempt: a, endpoint: a.endpoint}
+}
+
 func (b *plainReplay) load(id string) Load {
-	return Load{Known: true, Running: b.running[id], Slots: b.slots}
+	return Load{Known: true, Running: b.running[id], Waiting: len(b.waiting[id]), Slots: b.slots}
 }
 
 // send places a request, and places it again a moment after a rejection.
@@ -141,10 +155,12 @@
 	b.arrivals++
 	id := d.endpoint.ID
 	a := p.begin(b.now, "model", q.work, d)
-	if b.running[id] < b.slots {
-		b.running[id]++
-		took := time.Duration((0.5 + b.rng.Float64()) * float64(b.taken))
-		b.ends = append(b.ends, plainEnd{at: b.now.Add(took), attempt: a, endpoint: d.endpoint})
+	switch {
+	case b.running[id] < b.slots:
+		b.ends = append(b.ends, b.start(a))
+		return
+	case len(b.waiting[id]) < b.queue:
+		b.waiting[id] = append(b.waiting[id], a)
 		return
 	}
 	b.rejected++
@@ -194,6 +210,35 @@
 	}
 }
 
+// TestReplayPlainQueues offers 84 gateways twice what 6 endpoints of 6 slots with a queue of 24 serve. Requests that may wait must not be
+// refused while endpoints idle: placement by room must serve as many as by waits alone, with a fifth of the rejections.
+func TestReplayPlainQueues(t *testing.T) {
+	served, rejected := map[bool]int{}, map[bool]int{}
+	for _, byRoom := range []bool{false, true} {
+		b := newPlainReplay(t, 84, 6, 6, 60*time.Millisecond)
+		b.queue = 24
+		if !byRoom {
+			plainQuery := b.q
+			b.q = func() query {
+				q := plainQuery()
+				q.service = b.v.table.Service("model")
+				return q
+			}
+		}
+		b.run(1200, 3*time.Second)
+		b.asked, b.served, b.refused, b.idle, b.arrivals, b.rejected = 0, 0, 0, 0, 0, 0
+		b.run(1200, 2*time.Second)
+		b.log()
+		served[byRoom], rejected[byRoom] = b.served, b.rejected
+	}
+	if served[true] < served[false]*99/100 {
+		t.Errorf("%d served, %d by waits alone", served[true], served[false])
+	}
+	if rejected[true]*5 > rejected[false] {
+		t.Errorf("%d rejections, %d by waits alone", rejected[true], rejected[false])
+	}
+}
+
 // TestPlainForwarded fills the plain endpoints of a region: a request goes to another region with free ones instead of being rejected
 // here, and is refused with a time to return if there is none.
 func TestPlainForwarded(t *testing.T) {
@@ -206,8 +251,8 @@
 		}
 		p := b.placers[0]
 		for _, e := range b.v.endpoints["model"] {
-			p.state(&e).outstanding.Requests = 6
-			p.recordVerdict(b.now, e, Verdict{Load: Load{Known: true, Running: 6, Slots: 6}})
+			p.state(&e).outstanding.Requests = 24
+			p.recordVerdict(b.now, e, Verdict{Load: Load{Known: true, Running: 6, Waiting: 18, Slots: 6}})
 		}
 		if d := p.decide(b.now, b.v, b.q()); other && d.region != "there" || !other && (d.verdict != capacity.Refuse || d.retryAfter <= 0) {
 			t.Errorf("other region %v: verdict %v, region %q, Retry-After %v", other, d.verdict, d.region, d.retryAfter)
