Admit callers that return before others of their team

A caller that returns is admitted like one of a team below its share while its team has used at most 1.5 times its share; the bound keeps a team that repeats at once from the shares of others (TestReturned). Without teams nothing changes.

--- a/fairness/fairness_test.go
+++ b/fairness/fairness_test.go
@@ -168,3 +168,27 @@
 		s.Decide(now, r, Room{Short: true, TimeLeft: time.Second})
 	}
 }
+
+// TestReturned guards against a second and final refusal of a caller whose team is near its share, and against a team that takes the
+// shares of others by repeating at once.
+func TestReturned(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		tokens   float64
+		returned bool
+		allow    bool
+	}{{1.2, true, true}, {1.2, false, false}, {4, true, false}} {
+		s := New()
+		for _, r := range []struct {
+			team     string
+			tokens   float64
+			admitted bool
+		}{{"returning", c.tokens * 1000, true}, {"other", 1000, true}, {"short", 3000, false}, {"short", 200, true}} {
+			s.Record(now, Request{Team: r.team, Tokens: r.tokens}, r.admitted)
+		}
+		order := s.Decide(now, Request{Team: "returning", Tokens: 1}, Room{Short: true, TimeLeft: time.Second, Returned: c.returned})
+		if order.Allow != c.allow {
+			t.Errorf("%v of the tokens of another team, returned %v: allowed %v", c.tokens, c.returned, order.Allow)
+		}
+	}
+}
--- a/fairness/state.go
+++ b/fairness/state.go
@@ -14,6 +14,9 @@
 	// tolerance is the part by which a team may exceed its share, or stay below it, before that counts: shares are computed from
 	// reports that are some hundred milliseconds old.
 	tolerance = 0.1
+	// returnedShare is the multiple of its share up to which a team's callers that were refused before are admitted. The bound keeps a
+	// team whose callers repeat at once from taking the shares of others.
+	returnedShare = 1.5
 	// minTokens is the usage below which a team is forgotten.
 	minTokens = 1
 	// maxReported is the number of teams in one report; the usage of all others is one sum.
@@ -35,6 +38,8 @@
 	Short bool
 	// Excess is the time by which the wait exceeds what is on time, and TimeLeft that until the caller's deadline.
 	Excess, TimeLeft time.Duration
+	// Returned reports that the caller was refused before; a second refusal is final for it.
+	Returned bool
 	// Draw is a random number in [0, 1).
 	Draw float64
 }
@@ -97,7 +102,7 @@
 	s.update(now)
 	u, share := s.sums[r.Team].Now(now), s.shares[r.Team]
 	switch {
-	case u.Admitted <= share:
+	case u.Admitted <= share, room.Returned && u.Admitted <= returnedShare*share:
 		return Order{Allow: true, UseHeadroom: true}
 	case s.deprived && u.Admitted > share*(1+tolerance):
 		return Order{Rank: 1, RetryAfter: s.RetryAfter(now, room)}
--- a/gateway/fairness.go
+++ b/gateway/fairness.go
@@ -28,7 +28,8 @@
 		return here
 	}
 	room := fairness.Room{
-		Short: here.verdict != capacity.Take || here.full, Excess: here.expected - q.budget.RouteObjective, TimeLeft: q.budget.Remaining, Draw: p.rng.Float64(),
+		Short: here.verdict != capacity.Take || here.full, Excess: here.expected - q.budget.RouteObjective, TimeLeft: q.budget.Remaining,
+		Returned: q.budget.Retried, Draw: p.rng.Float64(),
 	}
 	order := p.fairness.Decide(now, r, room)
 	onTime := capacity.Admit(here.expected, here.expected, q.budget) == capacity.Take
