Weigh cached prompts against the wait by how long caches keep them

Choose counts the expected number of evicted tokens, also at the preferred endpoint, fetches from no endpoint that has most likely evicted the parts, and charges reading again by how busy the endpoint is. Where memory is not known or ample the choice is unchanged.

The replay engine's eviction looped forever once the newest part itself had been evicted; it now takes the oldest of the parts that are left.

--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -48,6 +48,11 @@
 	// CachedParts is the number of leading shared parts of the request's prompt that the endpoint has recently
 	// prefilled.
 	CachedParts int
+	// Retention is that of the endpoint's cache. EvictedTokens is the expected number of tokens of the cached parts that
+	// were evicted since, and EvictedShared that of all shared parts if all gateways use the endpoint for them.
+	Retention     Retention
+	EvictedTokens int64
+	EvictedShared int64
 	// Busy is the share of time that the endpoint spends on prefill.
 	Busy float64
 	// Decode is the endpoint's time per output token relative to the usual one.
@@ -138,23 +143,12 @@
 	var bestCost time.Duration
 	ties := 0
 	preferred := preferredCandidate(candidates, w)
-	fetchable := preferred >= 0 && fetch > 0 && candidates[preferred].canServeFetches()
-	minUncached := w.UncachedTokens(len(w.Shared()))
+	prompt := newPromptRead(candidates, preferred, w, s, fetch)
 	baseline := baselineFailureRate(candidates)
 	finish := newFinisher(candidates, w, s, objective)
 	for i := range candidates {
 		c := &candidates[i]
-		uncached, source := w.UncachedTokens(c.CachedParts), -1
-		extra := time.Duration(sharedPrefixCost * float64(s.PrefillTokenTime) * float64(uncached-minUncached))
-		switch {
-		case i == preferred:
-			// All gateways agree on the preferred endpoint, so it has cached the parts even if this gateway has not
-			// seen it.
-			uncached, extra = minUncached, 0
-		case fetchable && uncached > minUncached:
-			extra = time.Duration(fetchCostShare*float64(extra)) + fetch*time.Duration(uncached-minUncached)
-			uncached, source = minUncached, preferred
-		}
+		uncached, source, extra := prompt.at(c, w, i == preferred)
 		e := EstimateWait(*c, w, uncached, s)
 		e.Wait = time.Duration(float64(e.Wait) * finish.waitFactor(c))
 		crowded := c.Crowded(w.Rank, s)
@@ -191,10 +185,46 @@
 	best.Pace, best.WaitFactor = candidates[best.Index].Decode.Factor, finish.waitFactor(&candidates[best.Index])
 	best.End = finish.end(&candidates[best.Index], best.Expected)
 	best.Harmful = finish.harmful(&candidates[best.Index], best.UncachedTokens, best.Expected)
-	best.Unfinished = finish.unfinished(candidates, w, s, minUncached, best.End)
+	best.Unfinished = finish.unfinished(candidates, w, s, prompt.minUncached, best.End)
 	return best, true
 }
 
+// promptRead holds what is common to the estimates of a prompt's uncached tokens at all candidates.
+type promptRead struct {
+	// minUncached is the number of tokens to prefill if all shared parts are cached, and all if none is.
+	minUncached, all int64
+	tokenTime, fetch time.Duration
+	// source is the index of the candidate from which the parts can be fetched, or -1 if none.
+	source int
+}
+
+func newPromptRead(candidates []Candidate, preferred int, w Work, s Speed, fetch time.Duration) promptRead {
+	p := promptRead{
+		minUncached: w.UncachedTokens(len(w.Shared())), all: w.UncachedTokens(0), tokenTime: s.PrefillTokenTime, fetch: fetch, source: -1,
+	}
+	// A source that has most likely evicted the parts is none.
+	if preferred >= 0 && fetch > 0 && candidates[preferred].canServeFetches() && 2*candidates[preferred].EvictedShared <= p.all-p.minUncached {
+		p.source = preferred
+	}
+	return p
+}
+
+// at returns the expected number of tokens to prefill at the candidate, the index of the one from which it fetches the
+// shared parts or -1 if none, and the cost beyond the wait of reading or fetching them.
+func (p *promptRead) at(c *Candidate, w Work, preferred bool) (uncached int64, source int, extra time.Duration) {
+	uncached = w.UncachedTokens(c.CachedParts) + c.EvictedTokens
+	if preferred {
+		// All gateways agree on the preferred endpoint, so it has cached the parts even if this gateway has not seen it.
+		uncached = p.minUncached + c.EvictedShared
+	}
+	uncached = min(uncached, p.all)
+	extra = time.Duration(c.Retention.ReadCost(c.Busy) * float64(p.tokenTime) * float64(uncached-p.minUncached))
+	if !preferred && p.source >= 0 && uncached > p.minUncached {
+		return p.minUncached, p.source, time.Duration(fetchCostShare*float64(extra)) + p.fetch*time.Duration(uncached-p.minUncached)
+	}
+	return uncached, -1, extra
+}
+
 // detourCost returns the cost of taking a slot that is left free for others, and of crossing to another failure domain.
 func (c *Candidate) detourCost(w Work, crowded bool, objective time.Duration) (cost time.Duration) {
 	if crowded {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -55,6 +55,9 @@
 // placer selects the endpoint or the region for each request. It does no I/O and is safe for concurrent use.
 type placer struct {
 	cfg Config
+	// retention estimates the retention of an endpoint's cache from the tokens prefilled in a second, its memory and the
+	// tokens held.
+	retention func(tokensPerSecond float64, memory, held int64) capacity.Retention
 
 	mu     sync.Mutex
 	rng    *rand.Rand
@@ -113,6 +116,7 @@
 func newPlacer(cfg Config, source rand.Source) *placer {
 	return &placer{
 		cfg:              cfg,
+		retention:        capacity.NewRetention,
 		rng:              rand.New(source),
 		states:           map[string]*endpointState{},
 		peers:            newPeerLoads(),
@@ -413,7 +417,9 @@
 		}
 		if q.service.Engine != nil {
 			c.Memory, c.Preempts = q.service.Engine.CacheTokens, true
-			c.CachedParts = s.cachedPartCount(now, q.work)
+			tokens := s.recent.Tokens(now) + peers.recent.Tokens(now)
+			c.Retention = p.retention(tokens, c.Memory, c.Outstanding.HeldTokens)
+			c.CachedParts, c.EvictedTokens, c.EvictedShared = s.cachedPartCount(now, q.work, c.Retention, sharers.all.n)
 		}
 		p.candidates, p.endpoints = append(p.candidates, c), append(p.endpoints, e)
 	}
@@ -478,14 +484,24 @@
 	return speed.Busy(s.recent.Tokens(now) + peers.recent.Tokens(now))
 }
 
-// cachedPartCount returns the number of leading shared parts of a prompt that the endpoint is assumed to have cached.
-func (s *endpointState) cachedPartCount(now time.Time, w capacity.Work) int {
-	for i, part := range w.Shared() {
-		if used, ok := s.cachedParts[part.ID]; !ok || now.Sub(used) > cachedPartTTL {
-			return i
+// cachedPartCount returns the number of leading shared parts of a prompt that this gateway has recently sent to the endpoint,
+// the expected number of their tokens that were evicted since, and that of all shared parts if the given number of
+// gateways send them to the endpoint equally often.
+func (s *endpointState) cachedPartCount(now time.Time, w capacity.Work, r capacity.Retention, gateways int) (n int, evicted, evictedShared int64) {
+	shared := w.Shared()
+	for i, part := range shared {
+		used, ok := s.cachedParts[part.ID]
+		if !ok {
+			break
+		}
+		age := now.Sub(used)
+		evictedShared += r.Expected(0, part.Tokens, age/time.Duration(max(gateways, 1)))
+		if n == i && age <= cachedPartTTL {
+			n++
+			evicted += r.Expected(0, part.Tokens, age)
 		}
 	}
-	return len(w.Shared())
+	return n, evicted, evictedShared
 }
 
 // speed returns the learned speed of a service's endpoints, or the initial one.
--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -184,9 +184,9 @@
 	}
 	// The own parts of ended requests take up memory until they are evicted, too; half of it is assumed to be theirs.
 	for int64(len(e.cached))*r.kind.shared > max(free/2, 0) {
-		oldest := r.subject
+		oldest := ""
 		for id, used := range e.cached {
-			if used < e.cached[oldest] || used == e.cached[oldest] && id < oldest {
+			if oldest == "" || used < e.cached[oldest] || used == e.cached[oldest] && id < oldest {
 				oldest = id
 			}
 		}
@@ -288,6 +288,8 @@
 	reported []time.Duration
 	// loadErrors are the absolute differences between the reported and the actual number of requests at the chosen engine.
 	loadErrors []float64
+	// firsts are the times to the first token.
+	firsts []time.Duration
 }
 
 var replayStart = time.Unix(1000, 0)
@@ -423,6 +425,7 @@
 		}
 	}
 	for _, r := range first {
+		p.firsts = append(p.firsts, e.nextStepAt-r.arrived)
 		if r.firstAt = e.nextStepAt; r.attempt != nil {
 			r.attempt.recordFirst(replayStart.Add(e.nextStepAt))
 		}
