--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -333,6 +333,8 @@
 	reported []time.Duration
 	// loadErrors are the absolute differences between the reported and the actual number of requests at the chosen engine.
 	loadErrors []float64
+	// firsts are the times to the first token.
+	firsts []time.Duration
 }
 
 var replayStart = time.Unix(1000, 0)
@@ -478,6 +480,7 @@
 		}
 	}
 	for _, r := range first {
+		p.firsts = append(p.firsts, e.nextStepAt-r.arrived)
 		if r.firstAt = e.nextStepAt; r.attempt != nil {
 			r.attempt.recordFirst(replayStart.Add(e.nextStepAt))
 		}
