Enable the placement by memory, queues and cache retention by the settings

What counts whole prompts as held memory, expects caches to evict parts, draws plain endpoints by their places, ages capacity reports and refuses what can't be finished applies only where the settings' contracts name pressure.

--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -48,6 +48,8 @@
 	// CachedParts is the number of leading shared parts of the request's prompt that the endpoint has recently
 	// prefilled.
 	CachedParts int
+	// Strict reports that HeldTokens counts whole prompts, so that an endpoint without memory for a request must not get it.
+	Strict bool
 	// SharedTokens is the number of tokens of the request's prompt that running requests at the endpoint hold already.
 	SharedTokens int64
 	// Retention is that of the endpoint's cache. EvictedTokens is the expected number of tokens of the cached parts that
@@ -114,10 +116,13 @@
 	slot := slotWait(c, w.Rank, s)
 	d += slot
 	memoryFull := c.MemoryFull(w)
+	if !c.Strict {
+		memoryFull = c.Memory > 0 && float64(c.Outstanding.HeldTokens+uncached+w.OutputTokens) > maxMemoryShare*float64(c.Memory)
+	}
 	if memoryFull {
 		d += s.SlotTime / 2
 	}
-	return WaitEstimate{Wait: time.Duration(float64(d) * c.Health.Slowdown()), Full: slot > 0 || memoryFull, MemoryFull: memoryFull}
+	return WaitEstimate{Wait: time.Duration(float64(d) * c.Health.Slowdown()), Full: slot > 0 || memoryFull, MemoryFull: memoryFull && c.Strict}
 }
 
 // slotWait returns the expected time until a request of the rank gets a slot: enough running requests have to end, and
--- a/capacity/memory.go
+++ b/capacity/memory.go
@@ -112,6 +112,12 @@
 	return h
 }
 
+// BeginPart counts a request of which only the given tokens are expected to need memory.
+func (m *HeldMemory) BeginPart(tokens int64) Holding {
+	m.tokens += tokens
+	return Holding{output: tokens}
+}
+
 // track adds a part, and removes rarely used ones if there are too many.
 func (m *HeldMemory) track(now time.Time, id string) *trackedPart {
 	if m.parts == nil {
--- a/capacity/regions.go
+++ b/capacity/regions.go
@@ -49,7 +49,7 @@
 func ChooseRegion(capacities []RegionCapacity, w Work, s Speed, roundTrip, localCost time.Duration) (best RegionChoice, ok bool) {
 	var bestRanking time.Duration
 	for _, r := range capacities {
-		if !r.Fresh() || r.Endpoints == 0 || r.PromptTokens == 0 || r.Sent+w.PromptTokens > r.PromptTokens {
+		if !r.Fresh() || r.Endpoints == 0 || r.Sent+w.PromptTokens > r.PromptTokens {
 			continue
 		}
 		expected := r.Wait[w.Rank] + roundTrip + s.PrefillTokenTime*time.Duration(w.PromptTokens+r.Sent/int64(r.Endpoints))
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,7 +49,7 @@
 	defer p.mu.Unlock()
 	s := p.state(&d.endpoint)
 	s.outstanding = s.outstanding.Plus(d.addedLoad)
-	holding := p.hold(now, s, d.endpoint.ID, w)
+	holding := p.hold(now, s, d, w)
 	s.coldWindow.Add(now)
 	s.recent = s.recent.With(now, d.uncachedTokens)
 	p.demands[service] = p.demands[service].With(now, d.rank, w, d.uncachedTokens, p.speed(service))
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -44,6 +44,9 @@
 	Grace time.Duration
 	// RegionRoundTrip is the round-trip time between two regions.
 	RegionRoundTrip time.Duration
+	// Pressure enables the placement for deployments whose endpoints queue requests and crash if these exceed their memory: whole
+	// prompts count as held memory, caches are expected to evict parts, and plain endpoints are drawn by their free places.
+	Pressure bool
 	// Access is what the gateway does while it may have missed revocations of credentials.
 	Access access.Policy
 	// Weight is the size of the gateway relative to others, or zero if it is not known.
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -21,6 +21,10 @@
 // not arrived yet. The latter does not keep a gateway from its first request at an endpoint, which may be larger than an
 // equal share.
 func (p *placer) countMemory(now time.Time, c *capacity.Candidate, s *endpointState, w capacity.Work, peers endpointLoad, unseen float64) {
+	if !p.cfg.Pressure {
+		return
+	}
+	c.Strict = true
 	c.SharedTokens = s.held.SharedTokens(now, w, p.othersAt(peers))
 	if unseen > 0 && s.held.Tokens() > 0 {
 		c.Outstanding.HeldTokens += int64(unseen * float64(c.Memory))
@@ -28,8 +32,13 @@
 }
 
 // hold counts the memory that a request holds at an endpoint.
-func (p *placer) hold(now time.Time, s *endpointState, endpoint string, w capacity.Work) capacity.Holding {
-	h := s.held.Begin(now, w, p.othersAt(p.peers.sum(endpoint)))
+func (p *placer) hold(now time.Time, s *endpointState, d decision, w capacity.Work) capacity.Holding {
+	var h capacity.Holding
+	if p.cfg.Pressure {
+		h = s.held.Begin(now, w, p.othersAt(p.peers.sum(d.endpoint.ID)))
+	} else {
+		h = s.held.BeginPart(d.uncachedTokens + w.OutputTokens)
+	}
 	s.outstanding.HeldTokens = s.held.Tokens()
 	return h
 }
@@ -43,7 +52,7 @@
 // recordGrowth counts the tokens of an event of the answer, which hold more memory than expected once the answer is longer
 // than expected. It must be called from one goroutine. The attempt is nil for a forwarded request.
 func (a *attempt) recordGrowth(service *routes.Service) {
-	if a == nil || service.Engine == nil {
+	if a == nil || service.Engine == nil || !a.placer.cfg.Pressure {
 		return
 	}
 	a.generated += int64(service.Engine.EventTokens)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -326,7 +326,7 @@
 	case choice.MemoryFull:
 		here.verdict, here.reason = capacity.Refuse, reasonMemory
 	}
-	if choice.Unfinished {
+	if choice.Unfinished && p.cfg.Pressure {
 		here.verdict, here.reason = capacity.Refuse, reasonUnfinished
 	}
 	if choice.Harmful {
@@ -450,7 +450,9 @@
 			c.Memory, c.Preempts = q.service.Engine.CacheTokens, true
 			p.countMemory(now, &c, s, q.work, peers, unseen)
 			tokens := s.recent.Tokens(now) + peers.recent.Tokens(now)
-			c.Retention = p.retention(tokens, c.Memory, c.Outstanding.HeldTokens)
+			if p.cfg.Pressure {
+				c.Retention = p.retention(tokens, c.Memory, c.Outstanding.HeldTokens)
+			}
 			c.CachedParts, c.EvictedTokens, c.EvictedShared = s.cachedPartCount(now, q.work, c.Retention, sharers.all.n)
 		}
 		p.candidates, p.endpoints = append(p.candidates, c), append(p.endpoints, e)
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -28,7 +28,7 @@
 // the tokens of a forwarded request against the reported capacity of the other region.
 func (p *placer) crossRegion(now time.Time, v *view, q query, speed capacity.Speed, here decision) (decision, bool) {
 	available := p.availableGateways(now, v, q)
-	there, ok := capacity.ChooseRegion(p.capacitiesOf(now, v, q, available, here.verdict != capacity.Take), q.work, speed, p.cfg.RegionRoundTrip, here.cost)
+	there, ok := capacity.ChooseRegion(p.capacitiesOf(now, v, q, available, p.cfg.Pressure && here.verdict != capacity.Take), q.work, speed, p.cfg.RegionRoundTrip, here.cost)
 	if !ok && here.candidates == 0 {
 		there.Region, ok = p.staleRegion(now, v, q, available)
 		there.Expected = speed.Base + p.cfg.RegionRoundTrip
--- a/gateway/replay_cache_test.go
+++ b/gateway/replay_cache_test.go
@@ -14,7 +14,8 @@
 func shortCacheSite(perEngine float64, subjects int, cacheTokens int64) replaySite {
 	const engines = 8
 	return replaySite{
-		engines: engines, slots: 64, gateways: 4, cacheTokens: cacheTokens, duration: 20 * time.Second, report: reportAll(50 * time.Millisecond),
+		pressure: true,
+		engines:  engines, slots: 64, gateways: 4, cacheTokens: cacheTokens, duration: 20 * time.Second, report: reportAll(50 * time.Millisecond),
 		rate: func(time.Duration) float64 { return perEngine * engines },
 		kinds: []replayKind{
 			{name: "check", share: 0.4, prompt: 1800, output: 22, objective: 600 * time.Millisecond, patience: 3 * time.Second, worth: 1.4},
--- a/gateway/replay_memory_test.go
+++ b/gateway/replay_memory_test.go
@@ -59,7 +59,8 @@
 func memorySite(perEngine float64) replaySite {
 	const engines = 16
 	return replaySite{
-		engines: engines, slots: 64, gateways: 15, cacheTokens: 452_000, memoryBound: true, chunks: 1, retries: true, gap: 400 * time.Millisecond,
+		pressure: true,
+		engines:  engines, slots: 64, gateways: 15, cacheTokens: 452_000, memoryBound: true, chunks: 1, retries: true, gap: 400 * time.Millisecond,
 		duration: 10 * time.Second, timing: &replayTiming{stepMillis: 3, slotMillis: 0.12, tokensPerMilli: 92},
 		rate: func(time.Duration) float64 { return perEngine * engines }, report: reportLinked(44 * time.Millisecond),
 		kinds: []replayKind{
--- a/gateway/replay_peak_test.go
+++ b/gateway/replay_peak_test.go
@@ -59,7 +59,8 @@
 	var gateways []fleet.Gateway
 	for i, s := range sites {
 		p := newReplay(t, replaySite{
-			engines: s.engines, slots: 64, gateways: s.gateways, cacheTokens: 452_000, chunks: 2, gap: 400 * time.Millisecond, retries: true,
+			pressure: true,
+			engines:  s.engines, slots: 64, gateways: s.gateways, cacheTokens: 452_000, chunks: 2, gap: 400 * time.Millisecond, retries: true,
 			duration: duration, kinds: peakKinds(), rate: func(now time.Duration) float64 { return s.rate(now) * float64(s.engines) },
 			report: reportLinked(44 * time.Millisecond),
 		}, w.place(s.name))
--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -22,6 +22,8 @@
 
 // replaySite describes a region and its load.
 type replaySite struct {
+	// pressure enables the placement for deployments that ask for it.
+	pressure                 bool
 	engines, slots, gateways int
 	// queue is the number of requests that an engine lets wait beyond its slots before it rejects them; zero means no
 	// limit.
@@ -371,7 +373,7 @@
 	p.view = &view{table: table, endpoints: map[string][]fleet.Endpoint{"model": endpoints}}
 	for i := range site.gateways {
 		cfg := testConfig()
-		cfg.Name = fmt.Sprintf("gateway-%d", i)
+		cfg.Name, cfg.Pressure = fmt.Sprintf("gateway-%d", i), site.pressure
 		p.view.gateways = append(p.view.gateways, fleet.Gateway{Name: cfg.Name, Region: cfg.Region, Ready: true})
 		p.placers = append(p.placers, newPlacer(cfg, rand.NewPCG(uint64(i), 1)))
 	}
