--- a/gateway/config.go
+++ b/gateway/config.go
@@ -45,8 +45,11 @@
 	// RegionRoundTrip is the round-trip time between two regions.
 	RegionRoundTrip time.Duration
 	// Pressure enables the placement for deployments whose endpoints queue requests and crash if these exceed their memory: whole
-	// prompts count as held memory, caches are expected to evict parts, and plain endpoints are drawn by their free places.
+	// prompts count as held memory, and caches are expected to evict parts.
 	Pressure bool
+	// DrawPlain enables drawing plain endpoints by their free places, and a region that forwards requests reports no free capacity. It
+	// avoids most rejections by endpoints, but serves fewer callers while a region is overloaded.
+	DrawPlain bool
 	// Access is what the gateway does while it may have missed revocations of credentials.
 	Access access.Policy
 	// Weight is the size of the gateway relative to others, or zero if it is not known.
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -29,7 +29,7 @@
 	var all []*placer
 	for i := range n {
 		cfg := testConfig()
-		cfg.Pressure = true
+		cfg.Pressure, cfg.DrawPlain = true, true
 		cfg.Name, cfg.ColdBurst, cfg.ColdReserve = fmt.Sprintf("gateway-%d", i), 1.5, 3
 		v.gateways = append(v.gateways, fleet.Gateway{Name: cfg.Name, Region: cfg.Region, Ready: true})
 		all = append(all, newPlacer(cfg, rand.NewPCG(uint64(i), 1)))
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -12,7 +12,7 @@
 func (p *placer) plainCandidates(
 	now time.Time, q query, local []capacity.Candidate, endpoints []*fleet.Endpoint, held *withheld,
 ) ([]capacity.Candidate, []*fleet.Endpoint) {
-	if !p.cfg.Pressure || q.service.Engine != nil || q.mustPlace || len(local) == 0 {
+	if !p.cfg.DrawPlain || q.service.Engine != nil || q.mustPlace || len(local) == 0 {
 		return local, endpoints
 	}
 	name := q.service.Name
--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -373,7 +373,7 @@
 	p.view = &view{table: table, endpoints: map[string][]fleet.Endpoint{"model": endpoints}}
 	for i := range site.gateways {
 		cfg := testConfig()
-		cfg.Name, cfg.Pressure = fmt.Sprintf("gateway-%d", i), site.pressure
+		cfg.Name, cfg.Pressure, cfg.DrawPlain = fmt.Sprintf("gateway-%d", i), site.pressure, site.pressure
 		p.view.gateways = append(p.view.gateways, fleet.Gateway{Name: cfg.Name, Region: cfg.Region, Ready: true})
 		p.placers = append(p.placers, newPlacer(cfg, rand.NewPCG(uint64(i), 1)))
 	}
