--- a/capacity/decode.go
+++ b/capacity/decode.go
@@ -7,7 +7,7 @@
 
 const (
 	// quickDecayTime is the time constant of the quick part of a decode pace, which follows how busy the other users of
-	// an endpoint's machine are, and slowDecayTime that of the slow part, which tells what machine it is.
+	// an endpoint's hardware are, and slowDecayTime that of the slow part, which is the endpoint's constant speed.
 	quickDecayTime = time.Second
 	slowDecayTime  = 30 * time.Second
 	// priorDecodeCount is the number of observations at the usual pace that are added to those of every endpoint.
@@ -98,12 +98,12 @@
 	Deviations, Observed float64
 }
 
-// Estimate returns what the observations tell at now.
+// Estimate returns the estimate from the observations at now.
 func (p DecodePace) Estimate(now time.Time) DecodeEstimate {
 	return EstimateDecode(now, &p, &DecodePace{})
 }
 
-// EstimateDecode returns what the sum of two paces tells at now. It is the same as the estimate of their sum, for decisions about
+// EstimateDecode returns the estimate from the sum of two paces at now. It is the same as the estimate of their sum, for decisions about
 // many endpoints.
 func EstimateDecode(now time.Time, own, others *DecodePace) DecodeEstimate {
 	if own.SlowCount == 0 && others.SlowCount == 0 {
--- a/capacity/finish.go
+++ b/capacity/finish.go
@@ -12,7 +12,7 @@
 	// failure.
 	lossCost = failureCost
 	// spellShare is the share of time in which an endpoint's machine is assumed to be busy with other work; the learned
-	// spread of its paces tells how much slower it is then.
+	// spread of its paces is how much slower it is then.
 	spellShare = 0.15
 	// exposureTime is how long an endpoint's pace and prefill stay about the same: spells and bursts of prefill last some
 	// hundred milliseconds.
--- a/capacity/retention.go
+++ b/capacity/retention.go
@@ -7,7 +7,7 @@
 	// be cached still. The probability then falls linearly to zero over one more turnover, because the size of the cache
 	// and the tokens read are known only roughly.
 	keptTurnover = 0.5
-	// retentionHorizon is the age up to which parts are believed to be cached where memory is ample.
+	// retentionHorizon is the age up to which parts are expected to be cached where memory is ample.
 	retentionHorizon = 20 * time.Second
 )
 
@@ -38,7 +38,7 @@
 	return uncached + int64((1-r.Probability(age))*float64(max(all-uncached, 0)))
 }
 
-// Ample reports whether the endpoint keeps all parts for as long as any are believed to be cached.
+// Ample reports whether the endpoint keeps all parts for as long as any are expected to be cached.
 func (r Retention) Ample() bool {
 	return r.Probability(retentionHorizon) == 1
 }
--- a/gateway/allotments.go
+++ b/gateway/allotments.go
@@ -257,7 +257,7 @@
 	return nil, wait, v
 }
 
-// ownerAnswers tells which owners have answered: that of the own region, and any.
+// ownerAnswers reports which owners have answered: that of the own region, and any.
 type ownerAnswers struct{ own, any bool }
 
 // drawAll completes a charge by draws from the owner of the own region, then from the others, one after the other, and from the own one again.
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -128,7 +128,7 @@
 	p.lengths[j.route.Name] = p.lengths[j.route.Name].With(j.call.Work.OutputTokens, int64(a.intervals.total*a.intervals.eventTokens))
 }
 
-// paces returns the believed pace of each endpoint with a known one.
+// paces returns the estimated pace of each endpoint with a known one.
 func (p *placer) paces(now time.Time) map[string]float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -198,7 +198,7 @@
 	expected time.Duration
 	// cost is the expected time plus the penalties of the candidate.
 	cost time.Duration
-	// end is the expected time to the end of the answer, and pace the believed pace of the endpoint; zero if not known.
+	// end is the expected time to the end of the answer, and pace the estimated pace of the endpoint; zero if not known.
 	end  time.Duration
 	pace float64
 	// waitFactor is the factor of the pace in expected; zero stands for one.
--- a/limits/allotment.go
+++ b/limits/allotment.go
@@ -16,7 +16,7 @@
 	// newOwnerTime is how long a new owner fills its buckets at half of the rate, unless the previous owner has confirmed
 	// that it no longer owns the share.
 	newOwnerTime = 6 * time.Second
-	// currentViewTime is the age of its view above which an owner may have been replaced without having heard of it.
+	// currentViewTime is the age of its view above which an owner may have been replaced unnoticed.
 	currentViewTime = 4 * time.Second
 	// maxPause is the time without a call of Touch above which an owner was suspended, and may have been replaced meanwhile.
 	maxPause = 1500 * time.Millisecond
