--- a/capacity/finish_test.go
+++ b/capacity/finish_test.go
@@ -134,7 +134,7 @@
 	}
 }
 
-// TestDecodePace guards against single pauses and false reports that change what is believed of an endpoint, and against
+// TestDecodePace guards against single pauses and false reports that change the estimate of an endpoint's pace, and against
 // sums that differ from what one gateway would have learned alone.
 func TestDecodePace(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/capacity/memory.go
+++ b/capacity/memory.go
@@ -207,8 +207,8 @@
 	return int64(maxMemoryShare*float64(c.Memory)) - c.Outstanding.HeldTokens
 }
 
-// ReportedMemory returns the free memory that a region reports for an endpoint. An endpoint with less room than a slot's
-// share of its memory adds nothing, because remains at many endpoints hold no request.
+// ReportedMemory returns the free memory that a region reports for an endpoint. An endpoint with less free memory than a
+// slot's share adds nothing, because small remainders at many endpoints sum up to capacity that no request can use.
 func (c Candidate) ReportedMemory() int64 {
 	free := c.FreeMemory()
 	if free < c.Memory/int64(max(c.Slots, 1)) {
--- a/capacity/retention_test.go
+++ b/capacity/retention_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-// TestRetention guards against parts believed to be cached after the endpoint has read more than its free cache holds,
+// TestRetention guards against parts that count as cached after the endpoint has read more than its free cache holds,
 // and against doubts where nothing is known or little was read.
 func TestRetention(t *testing.T) {
 	for _, c := range []struct {
@@ -52,7 +52,7 @@
 	})
 }
 
-// TestAmpleCacheChoosesAsBefore guards against other choices where no endpoint's cache is replaced while parts are believed
+// TestAmpleCacheChoosesAsBefore guards against other choices where no endpoint's cache is replaced while parts are expected
 // to be cached: they equal those without retention.
 func TestAmpleCacheChoosesAsBefore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/gateway/decode_test.go
+++ b/gateway/decode_test.go
@@ -75,7 +75,7 @@
 	return value / asked
 }
 
-// byPace places requests by the whole answer. If known is set, the placers are told the constant paces of the engines.
+// byPace places requests by the whole answer. If known is set, the placers get the true constant paces of the engines.
 func byPace(known bool) func(p *replay, r *replayRequest, now time.Time) bool {
 	return func(p *replay, r *replayRequest, now time.Time) bool {
 		if paces := unevenPaces(); known {
@@ -111,8 +111,8 @@
 	}
 }
 
-// TestReplayEven guards against an effect of learned paces where all engines have the same one: what their spells and the errors
-// of observations seem to tell must not change the value.
+// TestReplayEven guards against an effect of learned paces where all engines have the same one: spells and errors of
+// observation must not change the value.
 func TestReplayEven(t *testing.T) {
 	var values []float64
 	for _, decide := range []func(*replay, *replayRequest, time.Time) bool{byPlacer, placeByWhole} {
@@ -143,7 +143,7 @@
 	}
 }
 
-// TestDecodePaceReported guards against paces that only the gateway with the stream knows.
+// TestDecodePaceReported guards against a pace that is learned by the gateway with the stream and missing at the others.
 func TestDecodePaceReported(t *testing.T) {
 	now := time.Unix(1000, 0)
 	placers, v, r, s := newPlacers(t, 2, fleet.Endpoint{ID: "engine", Born: 7, Service: "model", Slots: 64, State: fleet.Ready})
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -110,7 +110,7 @@
 // Unwrap returns the writer of the HTTP server.
 func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// Write writes a part of the answer.
+// Write writes a part of the answer, and records while it waits for the caller.
 func (w *answerWriter) Write(b []byte) (int, error) {
 	w.writingNanos.Store(time.Now().UnixNano())
 	defer w.writingNanos.Store(0)
--- a/limits/balance.go
+++ b/limits/balance.go
@@ -43,7 +43,7 @@
 // maxShortage bounds the time for which an owner is not asked again, as its demand may have gone meanwhile.
 const maxShortage = 200 * time.Millisecond
 
-// maxAgainWait bounds the wait told by an owner that is asked again.
+// maxAgainWait is the longest reported wait after which the owner is asked again.
 const maxAgainWait = 500 * time.Millisecond
 
 // NewBalance returns an empty balance of a gateway that started at a time.
@@ -136,8 +136,8 @@
 	return max(s.availableAt.Sub(now), minRetryAfter), true
 }
 
-// Again reports whether the owner of the own region is worth a second draw after those of the other regions have been asked: it has drawn from
-// them meanwhile. One that is over its rate by far has told a longer wait.
+// Again reports whether the owner of the own region is worth a second draw after those of the other regions have been asked: it may have drawn
+// from them meanwhile. An owner far over its rate reports a longer wait, and a second draw would be in vain.
 func (b *Balance) Again(wait time.Duration) bool { return wait > 0 && wait < maxAgainWait }
 
 // Return puts back what a charge has taken, as its request has not run. Amounts that were drawn too long ago lapse.
--- a/limits/pool.go
+++ b/limits/pool.go
@@ -12,8 +12,8 @@
 	owners  *Owners
 	teams   map[string]Allotted
 	buckets map[string]*share
-	// former holds what is left of shares that this gateway no longer owns, for their next owners and for gateways that have not
-	// heard of them.
+	// former holds what is left of shares that this gateway no longer owns, for their next owners and for gateways whose view does
+	// not list these yet.
 	former map[string]lot
 	// contacts holds when each gateway of the region last drew here.
 	contacts  map[string]time.Time
