Weigh pauses in other regions like those at home, and count what all gateways sent there

Two causes in the logs: the cost at home contains the expected pauses and end of the answer, that of another region did not; and each of 20 gateways counted only its own requests against a capacity report, so that together they sent up to 20 times what it holds.

The cost in another region is now that at an average endpoint of it, by the paces seen at home, and what a gateway sent is multiplied by the gateways of its region. Both only where paces differ; the second also where the contracts name pressure.

--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -98,8 +98,14 @@
 	MemoryFull bool
 	// Harmful reports that the response is expected to cost the requests that run at the endpoint more than it is worth.
 	Harmful bool
+	// finish estimates the cost of pauses and of the end at other endpoints of the service, and slots is the number of slots of one.
+	finish finisher
+	slots  int
 }
 
+// Uneven reports whether the paces of the candidates differ.
+func (c Choice) Uneven() bool { return c.finish.uneven > 0 }
+
 // WaitEstimate is the expected wait of a request at an endpoint.
 type WaitEstimate struct {
 	// Wait is the expected time to the first chunk.
@@ -190,6 +196,7 @@
 	if best.Index < 0 {
 		return best, false
 	}
+	best.finish, best.slots = finish, candidates[best.Index].Slots
 	best.Pace, best.WaitFactor = candidates[best.Index].Decode.Factor, finish.waitFactor(&candidates[best.Index])
 	best.End = finish.end(&candidates[best.Index], best.Expected)
 	best.Harmful = finish.harmful(&candidates[best.Index], best.UncachedTokens, best.Expected)
--- a/capacity/choose_test.go
+++ b/capacity/choose_test.go
@@ -301,7 +301,7 @@
 	for n := range 20 {
 		there := idle
 		there.Sent = sent
-		got, ok := ChooseRegion([]RegionCapacity{busy, there}, w, NewSpeed(), roundTrip, 800*time.Millisecond)
+		got, ok := ChooseRegion([]RegionCapacity{busy, there}, w, NewSpeed(), Choice{}, roundTrip, 800*time.Millisecond)
 		switch {
 		case ok && got.Region == "idle":
 			sent += w.PromptTokens
@@ -318,7 +318,7 @@
 		"no endpoints": {Region: "empty", Wait: waits(1), PromptTokens: 1 << 40},
 		"no better":    {Region: "far", Wait: waits(700 * time.Millisecond), PromptTokens: 1 << 40, Endpoints: 1},
 	} {
-		if got, ok := ChooseRegion([]RegionCapacity{there}, w, NewSpeed(), roundTrip, 800*time.Millisecond); ok {
+		if got, ok := ChooseRegion([]RegionCapacity{there}, w, NewSpeed(), Choice{}, roundTrip, 800*time.Millisecond); ok {
 			t.Errorf("%s: crossed to %+v", name, got)
 		}
 	}
@@ -370,7 +370,7 @@
 	free := RegionCapacity{Region: "free", Wait: waits(60 * time.Millisecond), PromptTokens: 1 << 40, Endpoints: 36, Occupied: 0.5}
 	full := RegionCapacity{Region: "full", Wait: waits(60 * time.Millisecond), PromptTokens: 1 << 40, Endpoints: 22, Occupied: 0.95}
 	for _, regions := range [][]RegionCapacity{{free, full}, {full, free}} {
-		if got, ok := ChooseRegion(regions, w, NewSpeed(), 160*time.Millisecond, time.Second); !ok || got.Region != "free" {
+		if got, ok := ChooseRegion(regions, w, NewSpeed(), Choice{}, 160*time.Millisecond, time.Second); !ok || got.Region != "free" {
 			t.Errorf("%+v, %v", got, ok)
 		}
 	}
--- a/capacity/regions.go
+++ b/capacity/regions.go
@@ -1,6 +1,9 @@
 package capacity
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // RegionCapacity is the spare capacity of a service's endpoints in another region, as reported by a gateway there.
 type RegionCapacity struct {
@@ -19,6 +22,14 @@
 	Sent int64
 }
 
+// averageEndpoint returns an endpoint with the given slots of which the region's share is taken, of the usual pace.
+func (r RegionCapacity) averageEndpoint(slots int, busy float64) Candidate {
+	return Candidate{
+		Slots: slots, Outstanding: Outstanding{Requests: int(math.Round(r.Occupied * float64(slots)))}, Busy: busy,
+		Decode: DecodeEstimate{Factor: 1, Count: minKnownCount},
+	}
+}
+
 // ReportedQuantile is the quantile of the endpoints' waits that a region reports. The least wait would attract the
 // requests of all gateways of another region until the next report.
 const ReportedQuantile = 0.25
@@ -45,15 +56,22 @@
 
 // ChooseRegion returns the region that serves a request at the least cost, if that is less than localCost; of regions with
 // equal costs, one with more free slots is preferred. roundTrip is
-// the round-trip time to another region. The tokens sent to a region since its report are added to its load.
-func ChooseRegion(capacities []RegionCapacity, w Work, s Speed, roundTrip, localCost time.Duration) (best RegionChoice, ok bool) {
+// the round-trip time to another region. The tokens sent to a region since its report are added to its load. The pauses and
+// the end of the response cost there what they would cost at an average endpoint, by the paces of the candidates of here:
+// localCost contains that cost, so that without it a region forwards most of its work to a smaller one.
+func ChooseRegion(capacities []RegionCapacity, w Work, s Speed, here Choice, roundTrip, localCost time.Duration) (best RegionChoice, ok bool) {
 	var bestRanking time.Duration
 	for _, r := range capacities {
 		if !r.Fresh() || r.Endpoints == 0 || r.Sent+w.PromptTokens > r.PromptTokens {
 			continue
 		}
 		expected := r.Wait[w.Rank] + roundTrip + s.PrefillTokenTime*time.Duration(w.PromptTokens+r.Sent/int64(r.Endpoints))
-		cost := expected + DecodeCost(w, min(r.Busy+s.Busy(float64(r.Sent)/float64(r.Endpoints)), 1), 1)
+		busy := min(r.Busy+s.Busy(float64(r.Sent)/float64(r.Endpoints)), 1)
+		average := r.averageEndpoint(here.slots, busy)
+		if here.finish.harmful(&average, w.PromptTokens, expected) {
+			continue
+		}
+		cost := expected + DecodeCost(w, busy, 1) + here.finish.cost(&average, w.PromptTokens, expected)
 		ranking := cost + time.Duration(r.Occupied*float64(occupiedCost))
 		if cost < localCost && (!ok || ranking < bestRanking) {
 			late := expected - r.Wait[w.Rank] + r.Wait[Ranks-1]
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -205,6 +205,8 @@
 	waitFactor     float64
 	uncachedTokens int64
 	addedLoad      capacity.Outstanding
+	// choice is the choice among the endpoints of this region; zero if there was none.
+	choice capacity.Choice
 	// backlog is the outstanding work of the endpoint before this request.
 	backlog    capacity.Outstanding
 	candidates int
@@ -310,7 +312,7 @@
 // withChoice returns the decision about a request, given the chosen candidate.
 func (p *placer) withChoice(q query, speed capacity.Speed, local []capacity.Candidate, endpoints []*fleet.Endpoint, choice capacity.Choice) decision {
 	here := decision{
-		endpoint: *endpoints[choice.Index], reason: reasonBacklog, candidates: len(local),
+		endpoint: *endpoints[choice.Index], choice: choice, reason: reasonBacklog, candidates: len(local),
 		expected: choice.Expected, cost: choice.Cost, uncachedTokens: choice.UncachedTokens, affinity: choice.Preferred, full: choice.Full,
 		end: choice.End, pace: choice.Pace, waitFactor: choice.WaitFactor, backlog: local[choice.Index].Outstanding, addedLoad: q.work.Load(choice.UncachedTokens), rank: q.work.Rank,
 	}
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -28,7 +28,14 @@
 // the tokens of a forwarded request against the reported capacity of the other region.
 func (p *placer) crossRegion(now time.Time, v *view, q query, speed capacity.Speed, here decision) (decision, bool) {
 	available := p.availableGateways(now, v, q)
-	there, ok := capacity.ChooseRegion(p.capacitiesOf(now, v, q, available, p.cfg.Pressure && here.verdict != capacity.Take), q.work, speed, p.cfg.RegionRoundTrip, here.cost)
+	capacities := p.capacitiesOf(now, v, q, available, p.cfg.Pressure && here.verdict != capacity.Take)
+	if p.cfg.Pressure || here.choice.Uneven() {
+		for i := range capacities {
+			// The other gateways of this region see the same report and are assumed to have sent as much since.
+			capacities[i].Sent *= int64(p.otherGateways + 1)
+		}
+	}
+	there, ok := capacity.ChooseRegion(capacities, q.work, speed, here.choice, p.cfg.RegionRoundTrip, here.cost)
 	if !ok && here.candidates == 0 {
 		there.Region, ok = p.staleRegion(now, v, q, available)
 		there.Expected = speed.Base + p.cfg.RegionRoundTrip
--- a/gateway/replay_peak_test.go
+++ b/gateway/replay_peak_test.go
@@ -31,6 +31,20 @@
 	delay time.Duration
 }
 
+// setUneven gives the engines of all regions uneven paces and spells, in a deployment whose settings ask for nothing else.
+func (w *peakRegions) setUneven() {
+	for _, p := range w.regions {
+		p.site.eventTokens = 10
+		p.site.slowdown = machineSpells(unevenPaces(), p.site.engines, p.site.duration)
+		for _, e := range p.engines {
+			e.eventTokens = 10
+		}
+		for _, placer := range p.placers {
+			placer.cfg.Pressure, placer.cfg.DrawPlain = false, false
+		}
+	}
+}
+
 // peakEvent is what happens at a later time in the simulation.
 type peakEvent struct {
 	at  time.Duration
@@ -165,6 +179,11 @@
 		work:   capacity.Work{PromptTokens: int64(r.prompt), OutputTokens: int64(r.output), Parts: r.parts()},
 		budget: capacity.TimeBudget{Objective: route.Objective - waited, RouteObjective: route.Objective, Remaining: route.Timeout - waited, Retried: r.refused},
 	}
+	if p.site.eventTokens > 0 {
+		q.work.Stream = capacity.Stream{
+			Gap: p.site.gap, EventTokens: p.site.eventTokens, First: route.Objective - waited, Remaining: route.Timeout - waited,
+		}
+	}
 	placer := p.placers[r.gateway]
 	d := placer.decide(now, p.view, q)
 	switch {
@@ -181,6 +200,7 @@
 	}
 	r.engine, r.urgency = p.engines[d.endpoint.ID], d.rank
 	r.attempt = placer.begin(now, "model", q.work, d)
+	r.attempt.intervals.eventTokens = p.site.eventTokens
 	return r.engine.offer(r)
 }
 
@@ -281,6 +301,26 @@
 	testPeak(t, 5, 200*time.Millisecond)
 }
 
+// TestReplayUnevenPeak guards against a region at its peak that overloads smaller ones with what it forwards: the pauses that its own
+// endpoints are expected to make must be weighed against those in the other region, and its gateways must not all send to the
+// region that reported capacity last. Callers of the other regions must be served at least as well as those of the peak.
+func TestReplayUnevenPeak(t *testing.T) {
+	const mean = 5
+	w := newPeakRegions(
+		t, 8*time.Second, peakRegion{"one", 23, 20, peakLoad(mean)}, peakRegion{"two", 14, 13, steadyLoad(0.17 * mean)},
+		peakRegion{"three", 5, 9, steadyLoad(0.17 * mean)},
+	)
+	w.setUneven()
+	w.run()
+	w.result(t)
+	peak := w.regions["one"].worth()
+	for _, name := range []string{"two", "three"} {
+		if worth := w.regions[name].worth(); worth < peak {
+			t.Errorf("worth on time %.3f in region %s, %.3f in the one at its peak", worth, name, peak)
+		}
+	}
+}
+
 // TestReplayPeakStaleReports guards against the same while reports are older than the 1.2 s up to which they are fresh.
 func TestReplayPeakStaleReports(t *testing.T) {
 	testPeak(t, 4, 1300*time.Millisecond)
