Weigh the end of answers at engines of equal paces where the contracts name pressure

The expected pauses and end of an answer counted only where paces differ. With the contract named they now count always, so that such answers go to engines with fewer requests or are refused at once.

--- a/capacity/finish.go
+++ b/capacity/finish.go
@@ -55,6 +55,8 @@
 	First, Remaining time.Duration
 	// Tokens is the expected number of output tokens; zero stands for that of the work.
 	Tokens int64
+	// WeighEven counts the cost of pauses and of the end also where the paces of the endpoints are equal.
+	WeighEven bool
 }
 
 // finisher estimates the pauses and the end of a response at each candidate.
@@ -78,6 +80,9 @@
 	}
 	f.idle, f.each = s.Decode.line()
 	uneven, spread := unevenness(candidates)
+	if w.Stream.WeighEven {
+		uneven = 1
+	}
 	f.uneven, f.scale = uneven, uneven*lossCost*float64(objective)
 	deviation := math.Sqrt(spread / (spellShare * (1 - spellShare)))
 	f.calm = max(1-spellShare*deviation, minDecodeRatio)
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -160,7 +160,7 @@
 	budget := j.timeBudget(now)
 	return capacity.Stream{
 		Gap: j.route.GapObjective, EventTokens: eventTokens, First: budget.Objective, Remaining: budget.Remaining,
-		Tokens: j.g.placer.expectedTokens(j.route.Name, j.call.Work.OutputTokens, j.call.MaxOutputTokens),
+		Tokens: j.g.placer.expectedTokens(j.route.Name, j.call.Work.OutputTokens, j.call.MaxOutputTokens), WeighEven: j.g.cfg.Pressure,
 	}
 }
 
--- a/gateway/decode_test.go
+++ b/gateway/decode_test.go
@@ -126,6 +126,30 @@
 	}
 }
 
+// TestReplayLongAnswers guards against long answers that no longer end in time at engines of equal paces under overload: where the
+// settings ask for it, an answer that is expected to end too late is placed elsewhere or refused at once, so that fewer callers
+// leave in vain and no value is lost.
+func TestReplayLongAnswers(t *testing.T) {
+	for _, rate := range []float64{120, 260} {
+		var values []float64
+		var left []int
+		for _, weigh := range []bool{false, true} {
+			p := newReplay(t, unevenSite(rate, []float64{1}), placeByWhole)
+			p.site.weighEven = weigh
+			p.run()
+			n := 0
+			for _, r := range p.results {
+				n += r.left
+			}
+			values, left = append(values, p.value()), append(left, n)
+		}
+		t.Logf("rate %v: value %.3f and %d left, weighed %.3f and %d", rate, values[0], left[0], values[1], left[1])
+		if values[1] < values[0] || 2*left[1] > left[0] {
+			t.Errorf("rate %v: value %.3f and %d left, weighed %.3f and %d", rate, values[0], left[0], values[1], left[1])
+		}
+	}
+}
+
 // TestLoadReportKeepsState guards against a report that changes with the load after it was made, as it is encoded outside
 // the lock.
 func TestLoadReportKeepsState(t *testing.T) {
--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -22,8 +22,8 @@
 
 // replaySite describes a region and its load.
 type replaySite struct {
-	// pressure enables the placement for deployments that ask for it.
-	pressure                 bool
+	// pressure enables the placement for deployments that ask for it, and weighEven the cost of pauses at engines of equal paces.
+	pressure, weighEven      bool
 	engines, slots, gateways int
 	// queue is the number of requests that an engine lets wait beyond its slots before it rejects them; zero means no
 	// limit.
@@ -563,6 +563,7 @@
 	waited := now.Sub(replayStart) - r.arrived
 	return placeWith(p, r, now, capacity.Stream{
 		Gap: r.kind.gap, EventTokens: p.site.eventTokens, First: r.kind.objective - waited, Remaining: r.kind.patience - waited,
+		WeighEven: p.site.weighEven,
 	})
 }
 
