Count the usage and shares of teams by service

Cause: usage was summed over all services. A team that sent long prompts to the engines was over its share and was refused as overShare at the plain service too, whose capacity is separate; 150 to 190 requests a second were refused so while plain endpoints in other regions were idle.

Change: one fairness.State for each service, and the service in the usage of load reports: at most 64 entries in all, the rest one sum for each service. Usage without a service is dropped, since a gateway of the previous version sums all services together. Its own requests remain its own to judge, and it ignores the new field.

--- a/fairness/fairness_test.go
+++ b/fairness/fairness_test.go
@@ -38,9 +38,9 @@
 func hotTeam(t *testing.T, multiple float64) (asked, served [hotTeams]float64) {
 	const gateways, tokens, capacity = 3, 1000.0, 120.0
 	rng := rand.New(rand.NewPCG(3, 3))
-	var all []*State
+	var all []*Services
 	for range gateways {
-		all = append(all, New())
+		all = append(all, NewServices())
 	}
 	free := 0.0
 	for ms := range 35_000 {
@@ -54,7 +54,7 @@
 			if rng.Float64() >= rate/1000 {
 				continue
 			}
-			s := all[rng.IntN(gateways)]
+			s := all[rng.IntN(gateways)].Of("model")
 			r := Request{Team: fmt.Sprint(team), Tokens: tokens}
 			// Four of ten slots are kept free.
 			o := s.Decide(now, r, Room{Short: free < 5, TimeLeft: 3 * time.Second, Draw: rng.Float64()})
@@ -128,30 +128,42 @@
 	}
 }
 
-// TestReports guards against usage that is counted twice, stays after a gateway ends, or grows with the number of teams.
+// TestReports guards against usage that is counted twice or for another service, stays after a gateway ends, or grows with the number
+// of teams; against false figures; and against a gateway of the previous version that counts all services together.
 func TestReports(t *testing.T) {
-	a, b := New(), New()
+	a, b := NewServices(), NewServices()
 	for i := range 100 {
-		a.Record(start, Request{Team: fmt.Sprint(i), Tokens: 10}, true)
+		a.Of("model").Record(start, Request{Team: fmt.Sprint(i), Tokens: 10}, true)
+		a.Of("plain").Record(start, Request{Team: fmt.Sprint(i), Tokens: 1}, false)
 	}
 	reported := a.Report(start, false)
-	if len(reported) != maxReported || len(a.Report(start, false)) != 0 {
+	if len(reported) != maxReported || len(a.Report(start, false)) != 0 || a.Changed() {
 		t.Fatalf("%d teams reported", len(reported))
 	}
-	sum := func() (n float64) {
-		for _, u := range b.sums {
+	sum := func(service string) (n float64) {
+		for _, u := range b.Of(service).sums {
 			n += u.Now(start).Asked
 		}
 		return n
 	}
 	for range 2 {
-		if b.Update(start, "a", true, reported); math.Abs(sum()-1000) > 1e-6 {
-			t.Errorf("the sum is %v", sum())
+		if b.Update(start, "a", true, reported); math.Abs(sum("model")-1000) > 1e-6 || math.Abs(sum("plain")-100) > 1e-6 {
+			t.Errorf("the sums are %v and %v", sum("model"), sum("plain"))
 		}
 	}
-	b.Update(start, "c", false, []Reported{{Team: "0", Asked: math.NaN()}, {Team: "0", Asked: -5}, {Team: "0", Asked: math.Inf(1)}})
-	if b.Remove(start, "a"); sum() != 0 {
-		t.Errorf("the sum is %v after the gateway ended", sum())
+	wrong := []Reported{{"model", "0", math.NaN(), 0}, {"model", "0", -5, 0}, {"model", "0", math.Inf(1), 1}, {"", "0", 7, 7}}
+	b.Update(start, "c", false, wrong)
+	b.Update(start, "a", true, []Reported{{"model", "0", 10, 10}})
+	if sum("plain") != 0 || sum("model") != 10 {
+		t.Errorf("the sums are %v and %v after a report of one team", sum("model"), sum("plain"))
+	}
+	if b.Update(start, "a", true, nil); sum("model") != 0 || sum("plain") != 0 {
+		t.Errorf("the sums are %v and %v after the gateway ended", sum("model"), sum("plain"))
+	}
+	late := start.Add(time.Minute)
+	a.Report(late, true)
+	if a.Update(late, "c", true, nil); len(a.states) != 0 {
+		t.Errorf("%d services are kept without usage", len(a.states))
 	}
 }
 
--- a/fairness/state.go
+++ b/fairness/state.go
@@ -1,8 +1,6 @@
 package fairness
 
 import (
-	"cmp"
-	"slices"
 	"time"
 )
 
@@ -19,7 +17,7 @@
 	returnedShare = 1.5
 	// minTokens is the usage below which a team is forgotten.
 	minTokens = 1
-	// maxReported is the number of teams in one report; the usage of all others is one sum.
+	// maxReported is the number of entries in one report over all services; the usage of all other teams is one sum for each service.
 	maxReported = 64
 	// minRetryAfter is the least Retry-After.
 	minRetryAfter = 150 * time.Millisecond
@@ -54,9 +52,9 @@
 	RetryAfter time.Duration
 }
 
-// Reported is the usage of a team at a gateway; an empty team is the sum of those not listed.
+// Reported is the usage of a team at a gateway for a service; an empty team is the sum of those not listed.
 type Reported struct {
-	Team            string
+	Service, Team   string
 	Asked, Admitted float64
 }
 
@@ -65,7 +63,7 @@
 	teams map[string]Usage
 }
 
-// State holds the usage of teams at all gateways of a region. It is not safe for concurrent use.
+// State holds the usage of teams for one service at all gateways of a region. It is not safe for concurrent use.
 type State struct {
 	own, sums  map[string]Usage
 	peers      map[string]*peer
@@ -99,7 +97,7 @@
 		return Order{Allow: true}
 	}
 	s.priorities[r.Team] = r.Priority
-	s.update(now)
+	s.renew(now)
 	u, share := s.sums[r.Team].Now(now), s.shares[r.Team]
 	switch {
 	case u.Admitted <= share, room.Returned && u.Admitted <= returnedShare*share:
@@ -114,7 +112,7 @@
 // RetryAfter returns when a refused caller may return: after the excess of the wait, plus a spread as wide as the tokens refused
 // recently need at the rate at which the region admits tokens, at most a third of the time left.
 func (s *State) RetryAfter(now time.Time, room Room) time.Duration {
-	s.update(now)
+	s.renew(now)
 	spread := minRetryAfter
 	if t := s.total.Now(now); t.Admitted >= minTokens {
 		spread = max(spread, time.Duration((t.Asked-t.Admitted)/t.Admitted*float64(timeConstant)))
@@ -123,8 +121,8 @@
 	return min(after, max(room.TimeLeft/3, minRetryAfter))
 }
 
-// update computes the shares if they are older than sharesPeriod, and forgets teams without usage and silent gateways.
-func (s *State) update(now time.Time) {
+// renew computes the shares if they are older than sharesPeriod, and forgets teams without usage and silent gateways.
+func (s *State) renew(now time.Time) {
 	if !s.sharesAt.IsZero() && now.Sub(s.sharesAt) < sharesPeriod {
 		return
 	}
@@ -156,31 +154,23 @@
 	}
 }
 
-// Changed reports whether usage changed since the last report.
-func (s *State) Changed() bool { return len(s.changed) > 0 }
-
-// Report returns the usage of teams that changed since the last report, or of all: the maxReported that asked most, and one sum.
-func (s *State) Report(now time.Time, whole bool) []Reported {
+// report returns the usage of teams that changed since the last report, or of all.
+func (s *State) report(now time.Time, service string, whole bool) []Reported {
 	var all []Reported
 	for team, u := range s.own {
 		if u = u.Now(now); (whole || s.changed[team]) && u.Asked >= minTokens {
-			all = append(all, Reported{Team: team, Asked: u.Asked, Admitted: u.Admitted})
+			all = append(all, Reported{Service: service, Team: team, Asked: u.Asked, Admitted: u.Admitted})
 		}
 	}
 	clear(s.changed)
-	slices.SortFunc(all, func(a, b Reported) int { return cmp.Or(cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.Team, b.Team)) })
-	if len(all) <= maxReported {
-		return all
-	}
-	rest := Reported{}
-	for _, r := range all[maxReported-1:] {
-		rest.Asked, rest.Admitted = rest.Asked+r.Asked, rest.Admitted+r.Admitted
-	}
-	return append(all[:maxReported-1:maxReported-1], rest)
+	return all
 }
 
-// Update replaces the usage that another gateway reported, of the listed teams or if whole is set of all.
-func (s *State) Update(now time.Time, gateway string, whole bool, reported []Reported) {
+// empty reports whether the state holds no usage.
+func (s *State) empty() bool { return len(s.own) == 0 && len(s.sums) == 0 && len(s.peers) == 0 }
+
+// update replaces the usage that another gateway reported, of the listed teams or if whole is set of all.
+func (s *State) update(now time.Time, gateway string, whole bool, reported []Reported) {
 	if whole {
 		s.Remove(now, gateway)
 	}
--- a/gateway/fairness.go
+++ b/gateway/fairness.go
@@ -31,7 +31,7 @@
 		Short: here.verdict != capacity.Take || here.full, Excess: here.expected - q.budget.RouteObjective, TimeLeft: q.budget.Remaining,
 		Returned: q.budget.Retried, Draw: p.rng.Float64(),
 	}
-	order := p.fairness.Decide(now, r, room)
+	order := p.fairness.Of(q.service.Name).Decide(now, r, room)
 	onTime := capacity.Admit(here.expected, here.expected, q.budget) == capacity.Take
 	switch {
 	case !order.Allow:
@@ -49,7 +49,7 @@
 // recordFairness counts a request for the shares of teams at the first decision about it in this region.
 func (p *placer) recordFairness(now time.Time, q query, here decision) {
 	if r, ok := fairRequest(q); ok && len(q.tried) == 0 && here.candidates > 0 {
-		p.fairness.Record(now, r, here.verdict != capacity.Refuse)
+		p.fairness.Of(q.service.Name).Record(now, r, here.verdict != capacity.Refuse)
 		signal(p.loadsChanged)
 	}
 }
@@ -57,7 +57,7 @@
 // reportTeams adds the usage of teams to a report.
 func (p *placer) reportTeams(now time.Time, m *wiregen.OutstandingReport, whole bool) {
 	for _, r := range p.fairness.Report(now, whole) {
-		m.TeamUsage = append(m.TeamUsage, &wiregen.TeamUsage{Team: r.Team, AskedTokens: r.Asked, AdmittedTokens: r.Admitted})
+		m.TeamUsage = append(m.TeamUsage, &wiregen.TeamUsage{Service: r.Service, Team: r.Team, AskedTokens: r.Asked, AdmittedTokens: r.Admitted})
 	}
 }
 
@@ -65,7 +65,7 @@
 func (p *placer) updateTeams(now time.Time, m *wiregen.OutstandingReport) {
 	reported := make([]fairness.Reported, 0, len(m.GetTeamUsage()))
 	for _, u := range m.GetTeamUsage() {
-		reported = append(reported, fairness.Reported{Team: u.GetTeam(), Asked: u.GetAskedTokens(), Admitted: u.GetAdmittedTokens()})
+		reported = append(reported, fairness.Reported{Service: u.GetService(), Team: u.GetTeam(), Asked: u.GetAskedTokens(), Admitted: u.GetAdmittedTokens()})
 	}
 	p.fairness.Update(now, m.GetGateway(), m.GetWhole(), reported)
 }
--- a/gateway/fairness_test.go
+++ b/gateway/fairness_test.go
@@ -27,8 +27,8 @@
 		t.Fatalf("usage %v without teams", m.GetTeamUsage())
 	}
 	for range 30 {
-		placers[1].fairness.Record(now, fairness.Request{Team: "hot", Tokens: 1100}, true)
-		placers[1].fairness.Record(now, fairness.Request{Team: "cool", Tokens: 1100}, false)
+		placers[1].fairness.Of("model").Record(now, fairness.Request{Team: "hot", Tokens: 1100}, true)
+		placers[1].fairness.Of("model").Record(now, fairness.Request{Team: "cool", Tokens: 1100}, false)
 	}
 	placers[0].updatePeer(now, placers[1].loadReport(now, 1, true))
 	if d := decide("hot"); d.verdict == capacity.Refuse {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -84,7 +84,7 @@
 	sentToRegion   map[string][]sentTokens
 	// sheds holds the forwards because of this region's load, by service.
 	sheds    map[string]capacity.Forwards
-	fairness *fairness.State
+	fairness *fairness.Services
 	// forwards counts the recent requests forwarded to each region.
 	forwards         map[string]*capacity.Window
 	changedEndpoints map[string]bool
@@ -143,7 +143,7 @@
 		retryBudgets:     map[string]*retry.Allowance{},
 		sentToRegion:     map[string][]sentTokens{},
 		sheds:            map[string]capacity.Forwards{},
-		fairness:         fairness.New(),
+		fairness:         fairness.NewServices(),
 		forwards:         map[string]*capacity.Window{},
 		changedEndpoints: map[string]bool{},
 		loadsChanged:     make(chan struct{}, 1),
