Offer requests above their team's share to other regions

Cause: other regions were asked before the shares of teams were applied, so that a request refused as overShare was never offered to them; two regions used 10 to 20 of their 200 plain requests a second while a third one refused 150 to 190.

Change: the shares are applied first, and a request above its team's share goes to a region that serves it on time and is not short of capacity itself (expected wait up to half of the objective, without the way there). A region that forwards such requests reports no free capacity, also without placement.draw_plain, so that two regions never send each other requests at once. Forwarded requests are refused here as before.

Ruled out: to let such requests be late in the other region. They would take it from teams below their shares there.

--- a/fairness/state.go
+++ b/fairness/state.go
@@ -19,6 +19,9 @@
 	minTokens = 1
 	// maxReported is the number of entries in one report over all services; the usage of all other teams is one sum for each service.
 	maxReported = 64
+	// maxLeaveShare is the share of the objective up to which the expected wait in another region may be for it to be offered requests of
+	// teams above their shares.
+	maxLeaveShare = 0.5
 	// minRetryAfter is the least Retry-After.
 	minRetryAfter = 150 * time.Millisecond
 )
@@ -42,6 +45,13 @@
 	Draw float64
 }
 
+// MayLeave reports whether a request that is refused as its team is over its share may go to another region that is expected to begin
+// its answer in the given time, without the way there. A region that is short of capacity itself is not asked: two such regions would
+// send each other the requests of teams over their shares.
+func MayLeave(onTime bool, wait, objective time.Duration) bool {
+	return onTime && wait <= time.Duration(maxLeaveShare*float64(objective))
+}
+
 // Order is the decision about a request.
 type Order struct {
 	// Allow reports whether the request may be admitted, and UseHeadroom whether it may use capacity that is kept free.
--- a/gateway/crossing.go
+++ b/gateway/crossing.go
@@ -9,7 +9,7 @@
 
 // recordShed records that a request was forwarded because of the load of this region.
 func (p *placer) recordShed(now time.Time, q query, here decision) {
-	if p.cfg.DrawPlain && q.allows(p.cfg.Region) && here.candidates > 0 && len(q.tried) == 0 {
+	if (p.cfg.DrawPlain || here.reason == reasonOverShare) && q.allows(p.cfg.Region) && here.candidates > 0 && len(q.tried) == 0 {
 		p.sheds[q.service.Name] = p.sheds[q.service.Name].With(now)
 	}
 }
@@ -17,9 +17,17 @@
 // withholdCapacity removes the free capacity of a service from this region's report while the region forwards requests of the service
 // to others.
 func (p *placer) withholdCapacity(now time.Time, v *view, m *wiregen.ServiceRoom) {
-	if !p.cfg.DrawPlain {
-		return
+	if p.cfg.DrawPlain {
+		p.findSheds(now, v, m)
 	}
+	if p.sheds[m.GetService()].Holds(now) {
+		// A negative number excludes requests without a prompt, too.
+		m.PromptTokens = -1
+	}
+}
+
+// findSheds records that other gateways of the region forward requests of a service, by comparing the waits as they do.
+func (p *placer) findSheds(now time.Time, v *view, m *wiregen.ServiceRoom) {
 	var others []capacity.RegionCapacity
 	for region, reported := range v.capacities {
 		if rc, ok := reported.services[m.GetService()]; ok && region != p.cfg.Region {
@@ -32,8 +40,4 @@
 			p.sheds[m.GetService()] = p.sheds[m.GetService()].With(now)
 		}
 	}
-	if p.sheds[m.GetService()].Holds(now) {
-		// A negative number excludes requests without a prompt, too.
-		m.PromptTokens = -1
-	}
 }
--- a/gateway/fairness.go
+++ b/gateway/fairness.go
@@ -35,7 +35,7 @@
 	onTime := capacity.Admit(here.expected, here.expected, q.budget) == capacity.Take
 	switch {
 	case !order.Allow:
-		here.verdict, here.reason, here.retryAfter = capacity.Refuse, reasonOverShare, order.RetryAfter
+		here.verdict, here.reason, here.retryAfter, here.cost = capacity.Refuse, reasonOverShare, order.RetryAfter, noEndpointTime
 	case order.UseHeadroom && here.verdict == capacity.Refuse && here.reason == reasonCrowded && onTime && !here.full:
 		here.verdict = capacity.Take
 	case order.Rank > 0 && here.verdict == capacity.Take && here.rank < capacity.Ranks-2:
--- a/gateway/fairness_test.go
+++ b/gateway/fairness_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"arbutusreel/capacity"
 	"arbutusreel/fairness"
 	"arbutusreel/fleet"
 	"arbutusreel/routes"
+	"arbutusreel/wiregen"
 )
 
 // TestOverShare crowds the endpoint of a region: a team above its share is refused while another is refused below its own, as another
@@ -42,3 +44,36 @@
 		t.Errorf("below its share: refused as %q", d.reason)
 	}
 }
+
+// TestOverShareLeaves guards against a request that is refused as overShare without being offered to another region, that leaves this
+// region a second time, or that is sent to a region which is short of capacity itself and sends its own requests here.
+func TestOverShareLeaves(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		wait      time.Duration
+		forwarded bool
+		region    string
+	}{
+		{"the other region has capacity", 100 * time.Millisecond, false, "there"}, {"it is short", 700 * time.Millisecond, false, ""},
+		{"the request came from it", 100 * time.Millisecond, true, ""},
+	} {
+		placers, v, r, s := newPlacers(t, 1, fleet.Endpoint{ID: "e", Born: 7, Service: "model", Slots: 4, State: fleet.Ready})
+		now, p := replayStart, placers[0]
+		there := capacity.RegionCapacity{Region: "there", Endpoints: 1, PromptTokens: 1 << 20, Wait: [capacity.Ranks]time.Duration{c.wait}}
+		v.gateways = append(v.gateways, fleet.Gateway{Name: "there-0", Region: "there", Ready: true})
+		v.capacities = map[string]regionCapacity{"there": {reportedAt: now, services: map[string]capacity.RegionCapacity{"model": there}}}
+		p.fairness.Of("model").Record(now, fairness.Request{Team: "hot", Tokens: 1000}, true)
+		p.fairness.Of("model").Record(now, fairness.Request{Team: "cool", Tokens: 1000}, false)
+		p.state(&fleet.Endpoint{ID: "e", Born: 7}).outstanding.Requests = 4
+		q := testQuery(r, s)
+		q.team, q.forwarded = &routes.Team{Name: "hot"}, c.forwarded
+		d := p.decide(now, v, q)
+		if d.region != c.region || c.region == "" && d.reason != reasonOverShare {
+			t.Errorf("%s: region %q, refused as %q", c.name, d.region, d.reason)
+		}
+		m := &wiregen.ServiceRoom{Service: "model", PromptTokens: 9}
+		if p.withholdCapacity(now, v, m); (m.PromptTokens < 0) != (c.region != "") {
+			t.Errorf("%s: %d tokens are reported as free", c.name, m.PromptTokens)
+		}
+	}
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -266,12 +266,16 @@
 	if ok {
 		here = p.withChoice(q, speed, local, endpoints, choice)
 	}
+	fair := p.applyFairness(now, q, speed, here)
+	if fair.reason == reasonOverShare {
+		here = fair
+	}
 	if !q.forwarded && (here.verdict != capacity.Take || here.cost > p.cfg.RegionRoundTrip+minCrossRegionGain) {
 		if there, ok := p.crossRegion(now, v, q, speed, here); ok {
 			return there
 		}
 	}
-	here = p.applyFairness(now, q, speed, here)
+	here = fair
 	p.recordFairness(now, q, here)
 	switch {
 	case here.reason == reasonOverShare:
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusreel/capacity"
+	"arbutusreel/fairness"
 	"arbutusreel/fleet"
 	"arbutusreel/retry"
 	"arbutusreel/routes"
@@ -44,6 +45,9 @@
 	if !ok || !shouldCrossRegion(here, there.Cost, verdict) {
 		return decision{}, false
 	}
+	if here.reason == reasonOverShare && !fairness.MayLeave(verdict == capacity.Take, there.Expected-p.cfg.RegionRoundTrip, q.budget.RouteObjective) {
+		return decision{}, false
+	}
 	g, _ := fleet.Partner(p.cfg.Name, available[there.Region])
 	p.countForward(now, there.Region)
 	p.recordShed(now, q, here)
