Withdraw the record of a stream that a restarted endpoint may have begun

Cause: an endpoint that restarts under its ID with another software version answers before its heartbeat has come. The gateway records the version before as the origin of the stream, sends that to all gateways, and the stream is resumed at that version: TestStreamBegunAfterRestartUnderSameID saw "v1 v1" after "v2 v2".

Change: a gateway keeps which incarnation it took a stream's endpoint for. When a view lists a later incarnation with another version that may have begun the stream (1 s of difference between clocks allowed), it replaces the record by the zero origin and sends that like a record, so that a caller who resumes gets 503, not run, at any gateway. Gateways of earlier versions ignore it: the first record of a key stays with them. A resume before any gateway has the heartbeat is not covered.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -41,6 +41,10 @@
 	waiting map[wiregen.ReportLink]*origin.Queue
 	// recent holds this gateway's own records.
 	recent *origin.Recent
+	// served holds the streams that this gateway's endpoints began lately, by endpoint, and observed the view that they were last
+	// compared with.
+	served   map[string][]servedStream
+	observed *view
 }
 
 // newOrigins returns an empty collection and adds its counters to a metrics set.
@@ -48,6 +52,7 @@
 	o := &origins{
 		changed: make(chan struct{}, 1), table: origin.NewTable(originRetention, maxOrigins),
 		asked:  origin.NewTable(originRetention, maxOrigins),
+		served: map[string][]servedStream{},
 		recent: origin.NewRecent(recentOriginPeriod, maxRecentOrigins), waiting: map[wiregen.ReportLink]*origin.Queue{
 			wiregen.ReportLink_row:    origin.NewQueue(maxWaitingOrigins),
 			wiregen.ReportLink_column: origin.NewQueue(maxWaitingOrigins),
@@ -119,7 +124,7 @@
 	defer o.mu.Unlock()
 	for _, b := range batches {
 		for _, key := range b.Keys {
-			if o.table.Add(now, key, b.Origin) && len(onward) > 0 {
+			if o.store(now, key, b.Origin) && len(onward) > 0 {
 				o.relay(key, b.Origin, onward...)
 			}
 		}
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -40,8 +40,9 @@
 	if j.call.Resumes != "" {
 		ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 		defer cancel()
+		j.g.origins.observe(j.received, j.view)
 		if began, ok := j.g.findOrigin(ctx, j.call.Resumes); ok {
-			return began, true
+			return began, began != origin.Origin{}
 		}
 	}
 	// A control daemon that has not run for long may not know a version that has served meanwhile.
@@ -89,8 +90,12 @@
 	if j.began == nil {
 		j.began = &of
 	}
+	now := time.Now()
 	if !j.forwarded && of.Service != "" {
-		j.g.origins.record(time.Now(), j.call.ID, of)
+		j.g.origins.record(now, j.call.ID, of)
+	}
+	if j.decision.region == "" {
+		j.g.origins.recordServed(now, j.call.ID, j.decision.endpoint)
 	}
 }
 
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -350,6 +350,7 @@
 		}
 	}
 	g.view.Store(v)
+	g.origins.observe(now, v)
 	g.allotments.observe(now, v)
 	if before.table == nil && v.table != nil {
 		g.log.Info().Int64("routeVersion", v.version()).Msg("ready")
--- a/origin/table.go
+++ b/origin/table.go
@@ -69,6 +69,18 @@
 	return true
 }
 
+// Replace sets the origin of a key, known or not, and reports whether that changes it.
+func (t *Table) Replace(now time.Time, key Key, o Origin) (changed bool) {
+	if old, known := t.Find(now, key); known && old == o {
+		return false
+	}
+	if len(t.current.records) >= t.generationSize {
+		t.current, t.previous, t.began = newGeneration(), t.current, now
+	}
+	t.current.add(key, o)
+	return true
+}
+
 // Find returns the origin of a key, and whether it is known.
 func (t *Table) Find(now time.Time, key Key) (Origin, bool) {
 	t.rotate(now)
