--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -84,7 +84,7 @@
 	sentToRegion   map[string][]sentTokens
 	// sheds holds the forwards because of this region's load, by service.
 	sheds    map[string]capacity.Forwards
-	fairness *fairness.State
+	fairness *fairness.Services
 	// forwards counts the recent requests forwarded to each region.
 	forwards         map[string]*capacity.Window
 	changedEndpoints map[string]bool
@@ -143,7 +143,7 @@
 		retryBudgets:     map[string]*retry.Allowance{},
 		sentToRegion:     map[string][]sentTokens{},
 		sheds:            map[string]capacity.Forwards{},
-		fairness:         fairness.New(),
+		fairness:         fairness.NewServices(),
 		forwards:         map[string]*capacity.Window{},
 		changedEndpoints: map[string]bool{},
 		loadsChanged:     make(chan struct{}, 1),
@@ -268,12 +268,16 @@
 	if ok {
 		here = p.withChoice(q, speed, local, endpoints, choice)
 	}
+	fair := p.applyFairness(now, q, speed, here)
+	if fair.reason == reasonOverShare {
+		here = fair
+	}
 	if !q.forwarded && (here.verdict != capacity.Take || here.cost > p.cfg.RegionRoundTrip+minCrossRegionGain) {
 		if there, ok := p.crossRegion(now, v, q, speed, here); ok {
 			return there
 		}
 	}
-	here = p.applyFairness(now, q, speed, here)
+	here = fair
 	p.recordFairness(now, q, here)
 	switch {
 	case here.reason == reasonOverShare:
