Judge the shortage of plain endpoints by the wait, not by free slots

Cause: an endpoint without a free slot counted as short of capacity, although plain endpoints queue requests and the wait was far within the objective. Teams above their shares were then refused without need.

Change: a service without engines is short if the expected wait exceeds half of the route's objective. Engines as before.

--- a/fairness/fairness_test.go
+++ b/fairness/fairness_test.go
@@ -204,3 +204,21 @@
 		}
 	}
 }
+
+// TestShort guards against plain endpoints that count as short of capacity while requests wait in their queues and are on time, and
+// against engines that do not count as short without a free slot.
+func TestShort(t *testing.T) {
+	const objective = time.Second
+	for _, c := range []struct {
+		engines, late, full bool
+		wait                time.Duration
+		want                bool
+	}{
+		{false, false, true, 500 * time.Millisecond, false}, {false, false, false, 501 * time.Millisecond, true},
+		{true, false, false, 900 * time.Millisecond, false}, {true, false, true, 0, true}, {true, true, false, 0, true},
+	} {
+		if got := Short(c.engines, c.late, c.full, c.wait, objective); got != c.want {
+			t.Errorf("%+v: short %v", c, got)
+		}
+	}
+}
--- a/fairness/state.go
+++ b/fairness/state.go
@@ -19,9 +19,9 @@
 	minTokens = 1
 	// maxReported is the number of entries in one report over all services; the usage of all other teams is one sum for each service.
 	maxReported = 64
-	// maxLeaveShare is the share of the objective up to which the expected wait in another region may be for it to be offered requests of
-	// teams above their shares.
-	maxLeaveShare = 0.5
+	// shortWaitShare is the share of the objective above which the expected wait makes a service without engines, or another region,
+	// short of capacity.
+	shortWaitShare = 0.5
 	// minRetryAfter is the least Retry-After.
 	minRetryAfter = 150 * time.Millisecond
 )
@@ -45,11 +45,21 @@
 	Draw float64
 }
 
+// Short reports whether a service is short of capacity for a request that is expected to wait for a time until its answer begins.
+// Requests to endpoints with engines are late or full. Endpoints without engines have queues, so that one without a free slot is not
+// short while the wait is well within the objective.
+func Short(engines, late, full bool, wait, objective time.Duration) bool {
+	if engines {
+		return late || full
+	}
+	return wait > time.Duration(shortWaitShare*float64(objective))
+}
+
 // MayLeave reports whether a request that is refused as its team is over its share may go to another region that is expected to begin
 // its answer in the given time, without the way there. A region that is short of capacity itself is not asked: two such regions would
 // send each other the requests of teams over their shares.
 func MayLeave(onTime bool, wait, objective time.Duration) bool {
-	return onTime && wait <= time.Duration(maxLeaveShare*float64(objective))
+	return onTime && wait <= time.Duration(shortWaitShare*float64(objective))
 }
 
 // Order is the decision about a request.
--- a/gateway/fairness.go
+++ b/gateway/fairness.go
@@ -27,8 +27,10 @@
 	if !ok || q.mustPlace || here.candidates == 0 {
 		return here
 	}
+	late := here.verdict != capacity.Take
 	room := fairness.Room{
-		Short: here.verdict != capacity.Take || here.full, Excess: here.expected - q.budget.RouteObjective, TimeLeft: q.budget.Remaining,
+		Short:  fairness.Short(q.service.Engine != nil, late, here.full, here.expected, q.budget.RouteObjective),
+		Excess: here.expected - q.budget.RouteObjective, TimeLeft: q.budget.Remaining,
 		Returned: q.budget.Retried, Draw: p.rng.Float64(),
 	}
 	order := p.fairness.Of(q.service.Name).Decide(now, r, room)
