--- a/gateway/fairness_test.go
+++ b/gateway/fairness_test.go
@@ -77,3 +77,23 @@
 		}
 	}
 }
+
+// TestPlainQueueIsNotShort guards against a request of a team above its share that is refused while plain endpoints only queue it, and
+// against one that is admitted before others when the queue is long.
+func TestPlainQueueIsNotShort(t *testing.T) {
+	for requests, reason := range map[int]string{6: "", 60: reasonOverShare} {
+		placers, v, r, s := newPlacers(t, 1, fleet.Endpoint{ID: "e", Born: 7, Service: "model", Slots: 4, State: fleet.Ready})
+		now, p := replayStart, placers[0]
+		p.cfg.DrawPlain = false
+		p.fairness.Of("model").Record(now, fairness.Request{Team: "hot", Tokens: 1000}, true)
+		p.fairness.Of("model").Record(now, fairness.Request{Team: "cool", Tokens: 1000}, false)
+		p.state(&fleet.Endpoint{ID: "e", Born: 7}).outstanding.Requests = requests
+		plain := *s
+		plain.Engine = nil
+		q := testQuery(r, &plain)
+		q.team = &routes.Team{Name: "hot"}
+		if d := p.decide(now, v, q); (d.verdict == capacity.Refuse) != (reason != "") || reason != "" && d.reason != reason {
+			t.Errorf("%d requests at 4 slots, expected %v: %v as %q, want %q", requests, d.expected, d.verdict, d.reason, reason)
+		}
+	}
+}
