Merge the loads of other gateways in place

Cause: the merging of a report copied sums and loads of 320 bytes for each endpoint, out of and into maps, and looked up the sum and the load of the gateway apart. Change: sums and loads are changed in place. The load of a gateway points to the sum that it is a part of, which counts its reporters. Records of dropped loads are used again by the next whole report. The arithmetic is the same.

--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -105,8 +105,7 @@
 
 // constantPace returns the slow part of an endpoint's pace as all gateways know it.
 func (p *placer) constantPace(now time.Time, s *endpointState, endpoint string) float64 {
-	others := p.peers.sum(endpoint).decode
-	return capacity.EstimateDecode(now, &s.decode.pace, &others).Factor
+	return capacity.EstimateDecode(now, &s.decode.pace, &p.peers.sum(endpoint).decode).Factor
 }
 
 // expectedTokens returns the expected length of a route's answer with a hint and a bound.
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -8,7 +8,7 @@
 )
 
 // othersAt returns the requests that the other gateways of the region have outstanding at an endpoint.
-func (p *placer) othersAt(peers endpointLoad) capacity.OtherRequests {
+func (p *placer) othersAt(peers *endpointLoad) capacity.OtherRequests {
 	return capacity.OtherRequests{Requests: peers.outstanding.Requests, Gateways: p.otherGateways}
 }
 
@@ -20,7 +20,7 @@
 // countMemory adds what w shares with running requests at a candidate, and what gateways hold there whose reports have
 // not arrived yet. The latter does not keep a gateway from its first request at an endpoint, which may be larger than an
 // equal share.
-func (p *placer) countMemory(now time.Time, c *capacity.Candidate, s *endpointState, w capacity.Work, peers endpointLoad, unseen float64) {
+func (p *placer) countMemory(now time.Time, c *capacity.Candidate, s *endpointState, w capacity.Work, peers *endpointLoad, unseen float64) {
 	if !p.cfg.Pressure {
 		return
 	}
@@ -72,6 +72,6 @@
 func (p *peerLoads) keepHeld(now time.Time, peer *peerLoad) {
 	peer.silent = true
 	for endpoint, load := range peer.loads {
-		p.set(now, peer, endpoint, endpointLoad{outstanding: capacity.Outstanding{HeldTokens: load.outstanding.HeldTokens}})
+		p.set(now, peer, endpoint, &endpointLoad{outstanding: capacity.Outstanding{HeldTokens: load.load.outstanding.HeldTokens}})
 	}
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -18,6 +18,8 @@
 	// longer than requests run. Without a bound, a gateway whose last report was lost before it became idle would take up
 	// memory until its next request.
 	silentPeerTTL = 30 * time.Second
+	// maxUnusedLoads bounds the records that are kept for reuse: the endpoints of one whole report of a large region.
+	maxUnusedLoads = 512
 )
 
 // endpointLoad is the load that one gateway reported for an endpoint.
@@ -32,26 +34,35 @@
 	decode capacity.DecodePace
 }
 
-// plus returns the sum of two loads.
-func (l endpointLoad) plus(now time.Time, other endpointLoad) endpointLoad {
-	return endpointLoad{
-		outstanding: l.outstanding.Plus(other.outstanding),
-		recent:      capacity.NewRecentTokens(now, l.recent.Tokens(now)+other.recent.Tokens(now)),
-		outcomes:    l.outcomes.Plus(now, other.outcomes),
-		pace:        l.pace.Plus(now, other.pace),
-		decode:      l.decode.Plus(now, other.decode),
-	}
+// add adds a load at now.
+func (l *endpointLoad) add(now time.Time, other *endpointLoad) {
+	l.outstanding = l.outstanding.Plus(other.outstanding)
+	l.recent = capacity.NewRecentTokens(now, l.recent.Tokens(now)+other.recent.Tokens(now))
+	l.outcomes = l.outcomes.Plus(now, other.outcomes)
+	l.pace = l.pace.Plus(now, other.pace)
+	l.decode = l.decode.Plus(now, other.decode)
 }
 
-// minus returns the difference of two loads, of which the other is a part of this one.
-func (l endpointLoad) minus(now time.Time, other endpointLoad) endpointLoad {
-	return endpointLoad{
-		outstanding: l.outstanding.Minus(other.outstanding),
-		recent:      capacity.NewRecentTokens(now, max(l.recent.Tokens(now)-other.recent.Tokens(now), 0)),
-		outcomes:    l.outcomes.Minus(now, other.outcomes),
-		pace:        l.pace.Minus(now, other.pace),
-		decode:      l.decode.Minus(now, other.decode),
-	}
+// subtract subtracts a load that is a part of this one.
+func (l *endpointLoad) subtract(now time.Time, other *endpointLoad) {
+	l.outstanding = l.outstanding.Minus(other.outstanding)
+	l.recent = capacity.NewRecentTokens(now, max(l.recent.Tokens(now)-other.recent.Tokens(now), 0))
+	l.outcomes = l.outcomes.Minus(now, other.outcomes)
+	l.pace = l.pace.Minus(now, other.pace)
+	l.decode = l.decode.Minus(now, other.decode)
+}
+
+// endpointSum is the load that the other gateways reported for an endpoint.
+type endpointSum struct {
+	load endpointLoad
+	// reporters is the number of gateways that reported the endpoint.
+	reporters int
+}
+
+// peerEndpointLoad is the load that a gateway reported for an endpoint, with the sum that it is a part of.
+type peerEndpointLoad struct {
+	load endpointLoad
+	sum  *endpointSum
 }
 
 // peerLoad is the load reported by another gateway of the region.
@@ -61,21 +72,32 @@
 	receivedAt time.Time
 	// silent reports that only the memory is counted that its last reports named.
 	silent bool
-	loads  map[string]endpointLoad
+	loads  map[string]*peerEndpointLoad
 }
 
 // peerLoads holds the loads reported by the other gateways of the region, and their sums by endpoint.
 type peerLoads struct {
 	gateways map[string]*peerLoad
-	sums     map[string]endpointLoad
+	sums     map[string]*endpointSum
+	// unknown is the sum of an endpoint that no gateway has reported.
+	unknown endpointSum
+	// unused holds records of dropped loads that are used again by the next ones.
+	unused []*peerEndpointLoad
+	// generation changes with the set of endpoints that have sums.
+	generation int
 }
 
 func newPeerLoads() *peerLoads {
-	return &peerLoads{gateways: map[string]*peerLoad{}, sums: map[string]endpointLoad{}}
+	return &peerLoads{gateways: map[string]*peerLoad{}, sums: map[string]*endpointSum{}}
 }
 
-// sum returns the load of the other gateways at an endpoint.
-func (p *peerLoads) sum(endpoint string) endpointLoad { return p.sums[endpoint] }
+// sum returns the load of the other gateways at an endpoint, which later reports change.
+func (p *peerLoads) sum(endpoint string) *endpointLoad {
+	if s := p.sums[endpoint]; s != nil {
+		return &s.load
+	}
+	return &p.unknown.load
+}
 
 // update stores a report and reports whether it is newer than the last one of its gateway. Reports may arrive by several
 // ways and out of order; a report that an older one overtakes is completed by the next whole report.
@@ -84,14 +106,16 @@
 	if peer != nil && (m.GetBorn() < peer.born || m.GetBorn() == peer.born && m.GetSequence() != 0 && m.GetSequence() <= peer.sequence) {
 		return false
 	}
-	if peer == nil || m.GetWhole() || peer.born != m.GetBorn() {
-		p.remove(now, m.GetGateway())
-		peer = &peerLoad{born: m.GetBorn(), loads: map[string]endpointLoad{}}
+	if peer == nil {
+		peer = &peerLoad{loads: map[string]*peerEndpointLoad{}}
 		p.gateways[m.GetGateway()] = peer
+	} else if m.GetWhole() || peer.born != m.GetBorn() {
+		p.clear(now, peer)
 	}
-	peer.sequence, peer.receivedAt, peer.silent = m.GetSequence(), now, false
+	peer.born, peer.sequence, peer.receivedAt, peer.silent = m.GetBorn(), m.GetSequence(), now, false
 	for _, o := range m.GetOutstanding() {
-		p.set(now, peer, o.GetEndpoint(), decodeEndpointLoad(now, o))
+		load := decodeEndpointLoad(now, o)
+		p.set(now, peer, o.GetEndpoint(), &load)
 	}
 	return true
 }
@@ -110,21 +134,52 @@
 }
 
 // set replaces the load of a gateway at an endpoint.
-func (p *peerLoads) set(now time.Time, peer *peerLoad, endpoint string, load endpointLoad) {
-	p.sums[endpoint] = p.sums[endpoint].minus(now, peer.loads[endpoint]).plus(now, load)
-	peer.loads[endpoint] = load
+func (p *peerLoads) set(now time.Time, peer *peerLoad, endpoint string, load *endpointLoad) {
+	l := peer.loads[endpoint]
+	if l == nil {
+		l = p.track(endpoint)
+		peer.loads[endpoint] = l
+	}
+	l.sum.load.subtract(now, &l.load)
+	l.sum.load.add(now, load)
+	l.load = *load
 }
 
-// remove drops the load of a gateway.
-func (p *peerLoads) remove(now time.Time, name string) {
-	peer := p.gateways[name]
-	if peer == nil {
-		return
+// track returns the record of a first load at an endpoint.
+func (p *peerLoads) track(endpoint string) *peerEndpointLoad {
+	sum := p.sums[endpoint]
+	if sum == nil {
+		sum = &endpointSum{}
+		p.sums[endpoint] = sum
+		p.generation++
+	}
+	sum.reporters++
+	l := &peerEndpointLoad{}
+	if n := len(p.unused); n > 0 {
+		l, p.unused = p.unused[n-1], p.unused[:n-1]
+	}
+	*l = peerEndpointLoad{sum: sum}
+	return l
+}
+
+// clear drops the loads of a gateway.
+func (p *peerLoads) clear(now time.Time, peer *peerLoad) {
+	for _, l := range peer.loads {
+		l.sum.load.subtract(now, &l.load)
+		l.sum.reporters--
+		if len(p.unused) < maxUnusedLoads {
+			p.unused = append(p.unused, l)
+		}
 	}
-	for endpoint, load := range peer.loads {
-		p.sums[endpoint] = p.sums[endpoint].minus(now, load)
+	clear(peer.loads)
+}
+
+// remove drops a gateway and its load.
+func (p *peerLoads) remove(now time.Time, name string) {
+	if peer := p.gateways[name]; peer != nil {
+		p.clear(now, peer)
+		delete(p.gateways, name)
 	}
-	delete(p.gateways, name)
 }
 
 // expire drops the gateways that have not reported for peerLoadTTL, or for unlistedPeerTTL if they are not among the
@@ -135,23 +190,19 @@
 	for _, g := range listed {
 		live[g.Name] = true
 	}
-	reported := map[string]bool{}
 	for name, peer := range p.gateways {
 		silence := now.Sub(peer.receivedAt)
 		switch {
 		case silence > silentPeerTTL || !live[name] && silence > unlistedPeerTTL:
 			p.remove(now, name)
-			continue
 		case silence > peerLoadTTL && !peer.silent:
 			p.keepHeld(now, peer)
 		}
-		for endpoint := range peer.loads {
-			reported[endpoint] = true
-		}
 	}
-	for endpoint := range p.sums {
-		if !reported[endpoint] {
+	for endpoint, s := range p.sums {
+		if s.reporters == 0 {
 			delete(p.sums, endpoint)
+			p.generation++
 		}
 	}
 }
