--- a/capacity/window.go
+++ b/capacity/window.go
@@ -1,6 +1,9 @@
 package capacity
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Window counts events in a sliding time window; use NewWindow to create one.
 type Window struct {
@@ -36,3 +39,6 @@
 	}
 	return share
 }
+
+// Clone returns a copy of the window.
+func (w *Window) Clone() *Window { return &Window{span: w.span, times: slices.Clone(w.times)} }
--- a/fleet/departures.go
+++ b/fleet/departures.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -65,3 +66,6 @@
 		}
 	}
 }
+
+// Clone returns a copy of the set.
+func (d *Departures) Clone() *Departures { return &Departures{records: maps.Clone(d.records)} }
