Explain a decision without recording it

Cause: the where command must show the real decision and change nothing, while decide spends turns, grants, probes, shares and draws at many places. Change: placer.explain runs decide itself on a copy of the placer under its lock (gateway/fork.go). maySend returns what excludes an endpoint instead of a bool, so that explanations need no rules of their own; views list the endpoints that are not ready. Ruled out: splitting decide into deciding and recording, which would touch its order of steps and all that it calls.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -61,7 +61,7 @@
 	return &attempt{
 		placer: p, endpoint: d.endpoint, service: service, load: d.addedLoad, work: w, holding: holding, queuedTokens: d.backlog.PromptTokens.Before(d.rank) + d.uncachedTokens,
 		uncachedTokens: d.uncachedTokens, full: d.full, preemptedShare: d.preemptedShare, sent: now, probe: p.endpointBreakers.Begin(now, d.endpoint.ID),
-		grantFrame: d.grantFrame, endpointReceivedNanos: &s.receivedNanos, waitFactor: cmp.Or(d.waitFactor, 1),
+		grantFrame: d.grantFrame, endpointReceivedNanos: s.receivedNanos, waitFactor: cmp.Or(d.waitFactor, 1),
 	}
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -228,7 +229,7 @@
 		v.software.add(v.endpoints["desk"][i], "here", true)
 		// The latency factor rises from one endpoint to the next, so that the order of attempts is fixed.
 		g.placer.states[e.id] = &endpointState{
-			born: 1, pace: capacity.Pace{Ratios: (2 + 2*float64(i)) * 1e9, Count: 1e9, At: time.Now()}, cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second),
+			born: 1, pace: capacity.Pace{Ratios: (2 + 2*float64(i)) * 1e9, Count: 1e9, At: time.Now()}, cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second), receivedNanos: new(atomic.Int64),
 		}
 	}
 	g.view.Store(v)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -53,7 +53,7 @@
 	brittle     brittleness
 	plain       capacity.PlainReport
 	// receivedNanos is the Unix time of the last piece of an answer from the endpoint, in nanoseconds.
-	receivedNanos atomic.Int64
+	receivedNanos *atomic.Int64
 }
 
 // placer selects the endpoint or the region for each request. It does no I/O and is safe for concurrent use.
@@ -66,7 +66,8 @@
 	// startedAt is when the gateway started.
 	startedAt time.Time
 
-	mu     sync.Mutex
+	// mu is a pointer so that fork can copy the placer.
+	mu     *sync.Mutex
 	rng    *rand.Rand
 	states map[string]*endpointState
 	peers  *peerLoads
@@ -130,6 +131,7 @@
 	return &placer{
 		cfg:              cfg,
 		retention:        capacity.NewRetention,
+		mu:               &sync.Mutex{},
 		rng:              rand.New(source),
 		states:           map[string]*endpointState{},
 		peers:            newPeerLoads(),
@@ -434,10 +436,7 @@
 	for i := range all {
 		e := &all[i]
 		s := p.state(e)
-		if !e.TerminatesAt.IsZero() || p.departures.Contains(e.ID, e.Born) || !q.mayServe(e) {
-			continue
-		}
-		if !byOther && !p.maySend(now, q, e, s, sharers, &held) {
+		if p.exclusionOf(now, q, e, s, byOther, sharers, &held) != included {
 			continue
 		}
 		peers := p.peers.sum(e.ID)
@@ -461,27 +460,6 @@
 	return p.candidates, p.endpoints, held
 }
 
-// maySend reports whether this gateway may send a request to an endpoint now, and adds what keeps it from that to held.
-func (p *placer) maySend(now time.Time, q query, e *fleet.Endpoint, s *endpointState, by sharers, held *withheld) bool {
-	switch {
-	case q.tried[e.ID]:
-		return false
-	case now.Before(s.pausedUntil):
-		held.addPause(s.pausedUntil)
-		return false
-	case !p.endpointBreakers.Allows(now, e.ID):
-		return false
-	case !p.mayTake(now, e, &s.limit, by.reaching.rank, by.reaching.n):
-		held.addLimited(s.limit.perSecond)
-		return false
-	case s.brittle.rejections.named && !p.mayStart(now, e, s, s.outstanding.Requests+p.peers.sum(e.ID).outstanding.Requests, by.reaching.rank, by.reaching.n):
-		held.brittle++
-		return false
-	default:
-		return !p.isCold(e, s, now) || s.coldWindow.Count(now) < p.coldLimit(now, q.service, e, by.all.rank, by.all.n)
-	}
-}
-
 // state returns the tracked state of the latest known incarnation of an endpoint. A new incarnation starts afresh,
 // except for the requests still outstanding.
 func (p *placer) state(e *fleet.Endpoint) *endpointState {
@@ -491,7 +469,7 @@
 		if s != nil {
 			own, held = s.outstanding, s.held
 		}
-		s = &endpointState{born: e.Born, outstanding: own, held: held, health: capacity.NewHealth(), cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second)}
+		s = &endpointState{born: e.Born, outstanding: own, held: held, health: capacity.NewHealth(), cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second), receivedNanos: new(atomic.Int64)}
 		p.states[e.ID] = s
 		p.endpointBreakers.Forget(e.ID)
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -19,6 +19,9 @@
 	table *routes.Table
 	// endpoints holds the ready endpoints of this region by service, without those in evacuated failure domains.
 	endpoints map[string][]fleet.Endpoint
+	// unready holds the other endpoints of this region that have not left, and evacuated the evacuated failure domains.
+	unready   []fleet.Endpoint
+	evacuated []string
 	software  softwareVersions
 	// completeFor is how long the control daemon has received the heartbeats of all endpoints without interruption.
 	completeFor time.Duration
@@ -162,7 +165,7 @@
 // view builds a full view of the state at a time, and removes expired endpoints.
 func (st *fleetState) view(now time.Time) *view {
 	v := &view{
-		table: st.table, endpoints: map[string][]fleet.Endpoint{}, software: newSoftwareVersions(), capacities: maps.Clone(st.capacities),
+		table: st.table, endpoints: map[string][]fleet.Endpoint{}, evacuated: st.evacuated, software: newSoftwareVersions(), capacities: maps.Clone(st.capacities),
 	}
 	for id, e := range st.endpoints {
 		if now.Sub(e.LastSeen) > endpointTTL {
@@ -173,8 +176,12 @@
 		serves := e.State == fleet.Ready && !slices.Contains(st.evacuated, e.FailureDomain)
 		v.software.add(e, region, serves)
 		st.software[origin.Origin{Service: e.Service, Software: e.Software}] = now
-		if serves && region == st.cfg.Region {
+		switch {
+		case region != st.cfg.Region:
+		case serves:
 			v.endpoints[e.Service] = append(v.endpoints[e.Service], st.withRestoreColdTime(e))
+		case e.State != fleet.Gone:
+			v.unready = append(v.unready, e)
 		}
 	}
 	for o, knownAt := range st.software {
