--- a/problem/problem.go
+++ b/problem/problem.go
@@ -36,6 +36,7 @@
 	UnknownClass       Code = "unknownClass"
 	UnknownLabel       Code = "unknownLabel"
 	UnknownRoute       Code = "unknownRoute"
+	UnknownTeam        Code = "unknownTeam"
 	ResidencyRefused   Code = "residencyRefused"
 	LoopRefused        Code = "loopRefused"
 	PatienceExceeded   Code = "patienceExceeded"
