--- a/routes/table.go
+++ b/routes/table.go
@@ -229,6 +229,18 @@
 	return nil
 }
 
+// RouteNamed returns the route of a name, or nil.
+func (t *Table) RouteNamed(name string) *Route {
+	for _, all := range t.hosts {
+		for _, r := range all {
+			if r.Name == name {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
 // Serves reports whether requests of the route may be served by a service.
 func (r *Route) Serves(service string) bool {
 	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service && b.Weight > 0 })
