--- a/cmd/arbutusreel/errors.go
+++ b/cmd/arbutusreel/errors.go
@@ -77,3 +77,11 @@
 func (e *NoLinesError) Error() string {
 	return fmt.Sprintf("no line about request %q in %s", e.Request, e.Files)
 }
+
+// StatusError reports an answer with an HTTP status that has no explanation.
+type StatusError struct {
+	Status int
+}
+
+// Error returns a message with the status.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
--- a/cmd/arbutusreel/main.go
+++ b/cmd/arbutusreel/main.go
@@ -74,6 +74,7 @@
 		statusCommand(),
 		membersCommand(),
 		explainCommand(),
+		whereCommand(),
 		traceCommand(),
 		lossesCommand(),
 		repairCommand(),
