--- a/capacity/costs.go
+++ b/capacity/costs.go
@@ -29,13 +29,13 @@
 	costs := make([]Cost, len(candidates))
 	for i := range candidates {
 		c := &candidates[i]
-		uncached, _, extra := prompt.at(c, w, i == preferred)
+		uncached, _, extra := prompt.at(c, &w, i == preferred)
 		e := EstimateWait(*c, w, uncached, s)
 		e.Wait = time.Duration(float64(e.Wait) * finish.waitFactor(c))
-		crowded := c.Crowded(w.Rank, s)
+		crowded := c.Crowded(w.Rank, &s)
 		costs[i] = Cost{
 			Expected: e.Wait, End: finish.end(c, e.Wait), Decode: DecodeCost(w, c.Busy, c.Health.Slowdown()), Read: extra,
-			Detour:  c.detourCost(w, crowded || e.MemoryFull, objective),
+			Detour:  c.detourCost(&w, crowded || e.MemoryFull, objective),
 			Failure: time.Duration((c.Health.FailureRate + c.excessFailureRate(baseline)) * failureCost * float64(objective)),
 			Finish:  finish.cost(c, uncached, e.Wait), UncachedTokens: uncached, Preferred: i == preferred, Full: e.Full, Crowded: crowded, MemoryFull: e.MemoryFull,
 		}
--- a/capacity/reference_test.go
+++ b/capacity/reference_test.go
@@ -65,6 +65,7 @@
 		return best, false
 	}
 	chosen := &candidates[best.Index]
+	best.finish, best.slots = finish, candidates[best.Index].Slots
 	best.Pace, best.WaitFactor, best.End = chosen.Decode.Factor, finish.waitFactor(chosen), finish.end(chosen, best.Expected)
 	best.Harmful = finish.harmful(chosen, best.UncachedTokens, best.Expected)
 	best.Unfinished = finish.unfinished(candidates, w, s, prompt.minUncached, best.End)
--- a/fairness/clone.go
+++ b/fairness/clone.go
@@ -16,6 +16,15 @@
 	return &c
 }
 
+// Clone returns a copy of the states of all services.
+func (s *Services) Clone() *Services {
+	c := NewServices()
+	for service, state := range s.states {
+		c.states[service] = state.Clone()
+	}
+	return c
+}
+
 // Standing is what a team has used of its share, in recent tokens.
 type Standing struct {
 	Share, Admitted float64
@@ -25,6 +34,6 @@
 
 // Standing returns what a team has used of its share.
 func (s *State) Standing(now time.Time, team string) Standing {
-	s.update(now)
+	s.renew(now)
 	return Standing{Share: s.shares[team], Admitted: s.sums[team].Now(now).Admitted, Deprived: s.deprived}
 }
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -63,7 +63,7 @@
 	f, home := p.fork(now, explainSource(now)), p.fork(now, explainSource(now))
 	var x explanation
 	if r, ok := fairRequest(q); ok {
-		x.standing = home.fairness.Standing(now, r.Team)
+		x.standing = home.fairness.Of(q.service.Name).Standing(now, r.Team)
 	}
 	x.decision = f.decide(now, v, q)
 	q.work.Rank = capacity.Rank(q.priority(), false)
@@ -159,11 +159,10 @@
 	if !r.reported {
 		return regionUnreported
 	}
-	aged := p.cfg.Pressure && here.verdict != capacity.Take
-	reported := p.capacitiesOf(now, v, q, map[string][]fleet.Gateway{r.name: available[r.name]}, aged)
+	reported := p.offeredCapacities(now, v, q, map[string][]fleet.Gateway{r.name: available[r.name]}, here)
 	var ok bool
 	// Any cost at home exceeds that of a region with room.
-	r.choice, ok = capacity.ChooseRegion(reported, q.work, p.currentSpeed(now, v, q.service.Name), p.cfg.RegionRoundTrip, 2*noEndpointTime)
+	r.choice, ok = capacity.ChooseRegion(reported, q.work, p.currentSpeed(now, v, q.service.Name), here.choice, p.cfg.RegionRoundTrip, 2*noEndpointTime)
 	verdict := capacity.Admit(r.choice.Expected, r.choice.Late, q.budget)
 	switch {
 	case !reported[0].Fresh():
--- a/gateway/fork.go
+++ b/gateway/fork.go
@@ -69,10 +69,18 @@
 
 // clone returns a copy of the loads.
 func (p *peerLoads) clone() *peerLoads {
-	c := &peerLoads{gateways: make(map[string]*peerLoad, len(p.gateways)), sums: maps.Clone(p.sums)}
+	c := newPeerLoads()
+	c.generation = p.generation
+	for endpoint, sum := range p.sums {
+		copied := *sum
+		c.sums[endpoint] = &copied
+	}
 	for name, peer := range p.gateways {
 		copied := *peer
-		copied.loads = maps.Clone(peer.loads)
+		copied.loads = make(map[string]*peerEndpointLoad, len(peer.loads))
+		for endpoint, l := range peer.loads {
+			copied.loads[endpoint] = &peerEndpointLoad{load: l.load, sum: c.sums[endpoint]}
+		}
 		c.gateways[name] = &copied
 	}
 	return c
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -29,14 +29,7 @@
 // the tokens of a forwarded request against the reported capacity of the other region.
 func (p *placer) crossRegion(now time.Time, v *view, q query, speed capacity.Speed, here decision) (decision, bool) {
 	available := p.availableGateways(now, v, q)
-	capacities := p.capacitiesOf(now, v, q, available, p.cfg.Pressure && here.verdict != capacity.Take)
-	if p.cfg.Pressure || here.choice.Uneven() {
-		for i := range capacities {
-			// The other gateways of this region see the same report and are assumed to have sent as much since.
-			capacities[i].Sent *= int64(p.otherGateways + 1)
-		}
-	}
-	there, ok := capacity.ChooseRegion(capacities, q.work, speed, here.choice, p.cfg.RegionRoundTrip, here.cost)
+	there, ok := capacity.ChooseRegion(p.offeredCapacities(now, v, q, available, here), q.work, speed, here.choice, p.cfg.RegionRoundTrip, here.cost)
 	if !ok && here.candidates == 0 {
 		there.Region, ok = p.staleRegion(now, v, q, available)
 		there.Expected = speed.Base + p.cfg.RegionRoundTrip
@@ -65,6 +58,18 @@
 	}, true
 }
 
+// offeredCapacities returns the capacities of other regions for a request, given the decision in this region.
+func (p *placer) offeredCapacities(now time.Time, v *view, q query, available map[string][]fleet.Gateway, here decision) []capacity.RegionCapacity {
+	capacities := p.capacitiesOf(now, v, q, available, p.cfg.Pressure && here.verdict != capacity.Take)
+	if p.cfg.Pressure || here.choice.Uneven() {
+		for i := range capacities {
+			// The other gateways of this region see the same report and are assumed to have sent as much since.
+			capacities[i].Sent *= int64(p.otherGateways + 1)
+		}
+	}
+	return capacities
+}
+
 // shouldCrossRegion reports whether a request is forwarded to another region, given the decision in this region and the
 // cost and the verdict in the other one.
 func shouldCrossRegion(here decision, cost time.Duration, verdict capacity.Verdict) bool {
