Name the caller's team in X-Tenant also to other gateways

Headers.Forward now replaces the name by the team's, as Prepare does for endpoints, so that an endpoint gets the right name and no key through an old gateway, too.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -145,9 +145,9 @@
 	Call(h http.Header) (Call, error)
 	// Prepare removes the headers that callers may not set from a copy of their headers, and sets those of e.
 	Prepare(h http.Header, e EndpointHeaders)
-	// Forward sets the time left in headers that are sent to another gateway, and removes the caller's key if hideCredential is
-	// set.
-	Forward(h http.Header, left time.Duration, hideCredential bool)
+	// Forward sets the time left in headers that are sent to another gateway, replaces the name that the caller gives its team by
+	// team, and removes the caller's key if hideCredential is set.
+	Forward(h http.Header, left time.Duration, team string, hideCredential bool)
 	// Matches reports whether an answer belongs to the request with the ID; fresh means that its connection is new.
 	Matches(h http.Header, status int, id string, fresh bool) bool
 	// Verdict reads an endpoint's answer.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -24,10 +24,11 @@
 		margin, oneWay = peerMargin, 0
 	}
 	h := copyHeader(j.r.Header)
-	g.cfg.Headers.Forward(h, j.deadline.Sub(now)-margin, j.view.table.HasTeams())
 	if j.streaming() {
-		g.cfg.Headers.Prepare(h, EndpointHeaders{TimeLeft: j.deadline.Sub(now) - margin, Urgency: -1, LastEvent: j.lastEvent(), HideCredential: j.view.table.HasTeams()})
+		g.cfg.Headers.Prepare(h, EndpointHeaders{TimeLeft: j.deadline.Sub(now) - margin, Urgency: -1, LastEvent: j.lastEvent()})
 	}
+	// A gateway of a version without teams passes these headers on to endpoints.
+	g.cfg.Headers.Forward(h, j.deadline.Sub(now)-margin, j.teamName(), j.view.table.HasTeams())
 	j.setTeamHeader(h)
 	if j.began != nil {
 		h.Set(originHeader, formatOrigin(*j.began))
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -64,7 +64,11 @@
 	}
 }
 
-func (testHeaderCodec) Forward(h http.Header, left time.Duration, hideCredential bool) {
+func (testHeaderCodec) Forward(h http.Header, left time.Duration, team string, hideCredential bool) {
+	h.Del("Team")
+	if team != "" {
+		h.Set("Team", team)
+	}
 	if hideCredential {
 		h.Del("Key")
 	}
--- a/gateway/teams_test.go
+++ b/gateway/teams_test.go
@@ -245,7 +245,7 @@
 				}
 			}
 			for _, h := range forwarded() {
-				if h.Get(teamHeader) != "a" || strings.Contains(fmt.Sprint(h), testKey) {
+				if h.Get(teamHeader) != "a" || h.Get("Team") != "a" || strings.Contains(fmt.Sprint(h), testKey) {
 					t.Errorf("the other gateway got %v", h)
 				}
 			}
