Replay a load of shared prompt parts, and report in later replays of a site

Engines keep own parts of ended requests, too, and can fetch. reportAll starts anew with each replay.

--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -33,6 +33,10 @@
 	// timing is how long steps take; nil for the usual figures. memoryBound lets the engines preempt requests for memory.
 	timing      *replayTiming
 	memoryBound bool
+	// cacheOwn keeps the own parts of ended requests in the cache too, so that they evict shared ones.
+	cacheOwn bool
+	// fetch is the time to fetch a token of a shared part from another engine; zero if engines cannot.
+	fetch time.Duration
 	// chunks is the number of prompts of which an engine reads a chunk in one step, and gap the longest pause between
 	// the events of a stream that is on time; zero means one chunk and no limit.
 	chunks int
@@ -56,11 +60,11 @@
 	report func(p *replay, now time.Duration)
 }
 
-// reportAll reports the loads of all gateways to all others at once in each period.
+// reportAll reports the loads of all gateways to all others at once in each period, also in later replays of the same site.
 func reportAll(period time.Duration) func(p *replay, now time.Duration) {
 	var reported time.Duration
 	return func(p *replay, now time.Duration) {
-		if now-reported >= period {
+		if now-reported >= period || now < reported {
 			reported = now
 			p.report(replayStart.Add(now))
 		}
@@ -128,6 +132,9 @@
 	done    bool
 	// subject is the id of the shared part of the prompt; empty for none.
 	subject string
+	// preferred reports whether the placer chose the engine for the shared part, and source the engine to fetch it from.
+	preferred bool
+	source    *replayEngine
 }
 
 // parts returns the parts of the prompt for the placer.
@@ -167,6 +174,11 @@
 	// parts that were read.
 	cached    map[string]time.Duration
 	readAgain int64
+	// own holds the sizes of cached own parts of ended requests; nil if they are not kept. shared is called for each shared
+	// part, with whether the engine reads it.
+	own    map[string]int64
+	shared func(r *replayRequest, now time.Duration, read bool)
+	fetch  time.Duration
 }
 
 // offer adds a request to the queue, or returns false if the queue is full.
@@ -185,12 +197,27 @@
 	if r.subject == "" {
 		return
 	}
-	if _, ok := e.cached[r.subject]; ok {
+	_, ok := e.cached[r.subject]
+	if !ok && r.source != nil {
+		_, fetched := r.source.cached[r.subject]
+		ok = fetched
+		if fetched {
+			e.nextStepAt += e.fetch * time.Duration(r.kind.shared)
+		}
+	}
+	if ok {
 		r.left -= int(r.kind.shared)
 	} else {
 		e.readAgain += r.kind.shared
 	}
+	if e.shared != nil {
+		e.shared(r, now, !ok)
+	}
 	e.cached[r.subject] = now
+	if e.own != nil {
+		e.evictCached(r.kind.shared)
+		return
+	}
 	free := e.cacheTokens
 	for _, other := range e.running {
 		free -= int64(other.prompt + other.made)
@@ -355,7 +382,7 @@
 			Backends: []routes.Backend{{Service: "model", Weight: 1}}, Timeout: kind.patience, Objective: kind.objective, GapObjective: kind.gap,
 		})
 	}
-	engine := &routes.Engine{BatchSlots: site.slots, CacheTokens: site.cacheTokens, EventTokens: 10}
+	engine := &routes.Engine{BatchSlots: site.slots, CacheTokens: site.cacheTokens, EventTokens: 10, FetchTimePerToken: site.fetch}
 	table, err := routes.New(1, all, []routes.Service{{Name: "model", Engine: engine}}, routes.Limits{})
 	if err != nil {
 		t.Fatal(err)
@@ -366,9 +393,12 @@
 		id := fmt.Sprintf("engine-%d", i)
 		p.engines[id] = &replayEngine{
 			timing: site.engineTiming(), memoryBound: site.memoryBound, slots: site.slots, chunks: site.chunks, stepTime: site.stepTime, eventTokens: site.eventTokens,
-			queue: site.queue, cacheTokens: site.cacheTokens, cached: map[string]time.Duration{},
+			queue: site.queue, cacheTokens: site.cacheTokens, cached: map[string]time.Duration{}, fetch: site.fetch,
+		}
+		if site.cacheOwn {
+			p.engines[id].own = map[string]int64{}
 		}
-		endpoints = append(endpoints, fleet.Endpoint{ID: id, Born: 7, Service: "model", Slots: site.slots, State: fleet.Ready})
+		endpoints = append(endpoints, fleet.Endpoint{ID: id, Address: id, Born: 7, Service: "model", Slots: site.slots, State: fleet.Ready})
 	}
 	p.view = &view{table: table, endpoints: map[string][]fleet.Endpoint{"model": endpoints}}
 	for i := range site.gateways {
@@ -527,6 +557,7 @@
 func (p *replay) end(r *replayRequest, now time.Duration, how ending) {
 	r.done = true
 	r.engine.remove(r)
+	r.engine.keepOwn(r, now)
 	if r.attempt != nil {
 		r.attempt.end(replayStart.Add(now), how)
 	}
@@ -585,6 +616,7 @@
 		}
 		q.tried[at.endpoint.ID] = true
 		r.engine, r.urgency = p.engines[at.endpoint.ID], at.rank
+		r.preferred, r.source = at.affinity, p.engines[at.fetchFrom]
 		p.loadErrors = append(p.loadErrors, math.Abs(float64(at.backlog.Requests-len(r.engine.running)-len(r.engine.waiting))))
 		r.attempt = p.placers[r.gateway].begin(now, "model", q.work, at)
 		r.attempt.intervals.eventTokens = stream.EventTokens
