--- a/capacity/reference_test.go
+++ b/capacity/reference_test.go
@@ -30,17 +30,19 @@
 func referenceChoose(candidates []Candidate, w Work, s Speed, fetch, objective time.Duration, draw float64) (Choice, bool) {
 	best, bestCost, ties := Choice{Index: -1}, time.Duration(0), 0
 	preferred := preferredCandidate(candidates, w)
-	prompt := newPromptRead(candidates, preferred, w, s, fetch)
+	prompt := newPromptRead(candidates, preferred, w, s, fetch, objective)
 	finish := newFinisher(candidates, w, s, objective)
 	for i := range candidates {
 		c := &candidates[i]
-		uncached, source, extra := prompt.at(c, &w, i == preferred)
+		uncached, source, extra, copying := prompt.at(c, &w, i == preferred)
 		e := referenceWait(*c, w, uncached, s)
 		e.Wait = time.Duration(float64(e.Wait) * finish.waitFactor(c))
 		crowded := c.Crowded(w.Rank, &s)
 		cost := e.Wait + DecodeCost(w, c.Busy, c.Health.Slowdown()) + extra + c.detourCost(&w, crowded || e.MemoryFull, objective) +
 			time.Duration((c.Health.FailureRate+c.excessFailureRate(baselineFailureRate(candidates)))*failureCost*float64(objective)) +
 			finish.cost(c, uncached, e.Wait)
+		miss := prompt.missCost(c, e, crowded, finish.uneven) + copying
+		cost += miss
 		switch {
 		case best.Index < 0 || cost < bestCost-tieThreshold:
 			ties = 1
@@ -56,7 +58,7 @@
 			continue
 		}
 		best = Choice{
-			Index: i, Expected: e.Wait, Cost: cost, UncachedTokens: uncached, FetchFrom: source, Preferred: i == preferred, Full: e.Full,
+			Index: i, Expected: e.Wait, Cost: cost - miss, UncachedTokens: uncached, FetchFrom: source, Preferred: i == preferred, Full: e.Full,
 			Crowded: crowded, MemoryFull: e.MemoryFull,
 		}
 		bestCost = cost
@@ -76,7 +78,7 @@
 // are alike, so that the draw decides.
 func randomState(rng *rand.Rand) ([]Candidate, Work, Speed) {
 	all := make([]Candidate, rng.IntN(46))
-	load, alike, uneven := rng.Float64(), rng.IntN(4) == 0, rng.IntN(2) == 0
+	load, alike, uneven, known := rng.Float64(), rng.IntN(4) == 0, rng.IntN(2) == 0, rng.IntN(2) == 0
 	backlog := func(most int64) (b Backlog) {
 		for rank := range b {
 			b[rank] = rng.Int64N(1+int64(load*float64(most))) * rng.Int64N(2)
@@ -91,9 +93,11 @@
 		}
 		c := Candidate{ID: fmt.Sprint("engine-", i), Health: Health{Factor: rng.Float64() * 3}, Slots: rng.IntN(3) * 32, Memory: rng.Int64N(3) * 200_000}
 		c.Outstanding = Outstanding{Requests: rng.IntN(80), Waiting: backlog(5), PromptTokens: backlog(9000), HeldTokens: rng.Int64N(420_000)}
-		c.CachedParts, c.SharedTokens, c.EvictedTokens, c.EvictedShared = rng.IntN(3), rng.Int64N(500), rng.Int64N(2000), rng.Int64N(2000)
+		c.CachedParts, c.SharedTokens = rng.IntN(3), rng.Int64N(500)
 		c.Strict, c.Preempts, c.Remote, c.Busy = rng.IntN(2) == 0, rng.IntN(2) == 0, rng.IntN(3) == 0, rng.Float64()
-		c.Retention = NewRetention(rng.Float64()*90_000, c.Memory, c.Outstanding.HeldTokens)
+		if known {
+			c.Held = CachedPrompt{Known: true, Evicted: rng.Int64N(2000), ReadCost: rng.Float64() * 60_000}
+		}
 		if rng.IntN(4) == 0 {
 			c.Health.FailureRate, c.FailureRate = rng.Float64(), rng.Float64()
 		}
--- a/explanation/explanation.go
+++ b/explanation/explanation.go
@@ -46,8 +46,9 @@
 	Chosen   bool
 	// Expected and End are the expected times to the first chunk and to the end; zero if they are not known.
 	Expected, End time.Duration
-	// Cost is Expected plus Decode, Read, Detour, Failure and Finish.
-	Cost, Decode, Read, Detour, Failure, Finish time.Duration
+	// Cost is Expected plus Decode, Read, Detour, Failure and Finish. Miss decides only between the candidates: the cost of another copy
+	// of the shared parts, of a late first chunk and of a refusal where the holders of the parts are known.
+	Cost, Decode, Read, Detour, Failure, Finish, Miss time.Duration
 	// CachedTokens are the prompt tokens that the endpoint is expected to have cached.
 	CachedTokens int64
 	// Pace is relative to the usual endpoint, above one if it is slower; zero if it is not known.
--- a/explanation/table.go
+++ b/explanation/table.go
@@ -21,11 +21,11 @@
 	}
 	w := tabwriter.NewWriter(out, 0, 0, columnGap, ' ', 0)
 	if len(e.Candidates) > 0 {
-		fmt.Fprintln(w, "\nCANDIDATE\tFIRST\tEND\tCOST\tDECODE\tREAD\tDETOUR\tFAILURE\tFINISH\tCACHED\tPACE\tSLOTS\tMEMORY\tNOTES")
+		fmt.Fprintln(w, "\nCANDIDATE\tFIRST\tEND\tCOST\tDECODE\tREAD\tDETOUR\tFAILURE\tFINISH\tMISS\tCACHED\tPACE\tSLOTS\tMEMORY\tNOTES")
 	}
 	for _, c := range e.Candidates {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%d/%d\t%d/%d\t%s\n", c.Endpoint, short(c.Expected), known(c.End), short(c.Cost), short(c.Decode),
-			short(c.Read), short(c.Detour), short(c.Failure), short(c.Finish), c.CachedTokens, pace(c.Pace), c.Requests, c.Slots, c.HeldTokens, c.Memory, c.notes())
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%d/%d\t%d/%d\t%s\n", c.Endpoint, short(c.Expected), known(c.End), short(c.Cost), short(c.Decode),
+			short(c.Read), short(c.Detour), short(c.Failure), short(c.Finish), short(c.Miss), c.CachedTokens, pace(c.Pace), c.Requests, c.Slots, c.HeldTokens, c.Memory, c.notes())
 	}
 	if len(e.Excluded) > 0 {
 		fmt.Fprintln(w, "\nNO CANDIDATE\tREASON")
--- a/gateway/fork.go
+++ b/gateway/fork.go
@@ -45,7 +45,8 @@
 	}
 	f.newDepartures = slices.Clone(p.newDepartures)
 	f.loadsChanged = make(chan struct{}, 1)
-	f.candidates, f.endpoints = nil, nil
+	f.candidates, f.endpoints, f.prompt = nil, nil, capacity.PromptHolders{}
+	f.holders = p.holders.ReadOnly()
 	f.reach = p.reach.fork()
 	return &f
 }
--- a/gateway/where.go
+++ b/gateway/where.go
@@ -96,7 +96,7 @@
 		all = append(all, answer.Candidate{
 			Endpoint: c.ID, Chosen: x.decision.verdict != capacity.Refuse && x.decision.region == "" && c.ID == x.decision.endpoint.ID,
 			Expected: cost.Expected, End: cost.End, Cost: cost.Total(), Decode: cost.Decode, Read: cost.Read, Detour: cost.Detour, Failure: cost.Failure,
-			Finish: cost.Finish, CachedTokens: max(prompt-cost.UncachedTokens, 0), Pace: c.Decode.Factor, Requests: c.Outstanding.Requests, Slots: c.Slots,
+			Finish: cost.Finish, Miss: cost.Miss, CachedTokens: max(prompt-cost.UncachedTokens, 0), Pace: c.Decode.Factor, Requests: c.Outstanding.Requests, Slots: c.Slots,
 			HeldTokens: c.Outstanding.HeldTokens, Memory: c.Memory, Preferred: cost.Preferred, Full: cost.Full, Crowded: cost.Crowded, MemoryFull: cost.MemoryFull,
 		})
 	}
