--- a/capacity/holders.go
+++ b/capacity/holders.go
@@ -48,7 +48,9 @@
 func NewHolders() *Holders { return &Holders{parts: map[uint64]*partUses{}} }
 
 // ReadOnly returns holders that share the known uses and ignore changes.
-func (h *Holders) ReadOnly() *Holders { return &Holders{parts: h.parts, sweptAt: h.sweptAt, readOnly: true} }
+func (h *Holders) ReadOnly() *Holders {
+	return &Holders{parts: h.parts, sweptAt: h.sweptAt, readOnly: true}
+}
 
 // Use records that a request with the part was sent to the endpoint. Beyond maxHeldParts new parts are not recorded.
 func (h *Holders) Use(now time.Time, part uint64, endpoint string) {
--- a/gateway/fork.go
+++ b/gateway/fork.go
@@ -46,7 +46,8 @@
 	f.newDepartures = slices.Clone(p.newDepartures)
 	f.loadsChanged = make(chan struct{}, 1)
 	f.candidates, f.endpoints, f.prompt = nil, nil, capacity.PromptHolders{}
-	f.holders = p.holders.ReadOnly()
+	// The uses of parts are too many to copy, and read-only holders keep them unchanged.
+	f.holders, f.reportPace, f.caches = p.holders.ReadOnly(), maps.Clone(p.reportPace), maps.Clone(p.caches)
 	f.reach = p.reach.fork()
 	return &f
 }
