Carry the usage of teams in the messages for links

Cause: linkMessage, which combines reports for the links between gateways, left out teamUsage. No gateway ever received the usage of another one, so that each divided shares by its own requests alone: at 84 gateways the last dozen of them. Teams below their shares were refused as overShare, and a hot team was not seen as one.

Found with a replay of ten teams before 42 gateways, one at ten times its load: the sums that a gateway decided by held 12 requests of some 800. TestUsageReachesAll fails without the change (all other gateways know of 0 tokens).

--- a/fairness/state.go
+++ b/fairness/state.go
@@ -111,6 +111,9 @@
 	s.changed[r.Team] = true
 }
 
+// Usage returns the recent usage of a team at all gateways.
+func (s *State) Usage(now time.Time, team string) Usage { return s.sums[team].Now(now) }
+
 // Decide returns whether a request goes first, later or not now. With room for it every request is allowed.
 func (s *State) Decide(now time.Time, r Request, room Room) Order {
 	if !room.Short {
--- a/gateway/fairness_test.go
+++ b/gateway/fairness_test.go
@@ -97,3 +97,20 @@
 		}
 	}
 }
+
+// TestUsageReachesAll guards against usage of teams that is lost where reports are combined into messages for links or passed on.
+func TestUsageReachesAll(t *testing.T) {
+	placers, _, _, _ := newPlacers(t, 9)
+	linked := linkPlacers(placers)
+	placers[0].fairness.Of("model").Record(replayStart, fairness.Request{Team: "a", Tokens: 1000}, true)
+	for range 3 {
+		for _, l := range linked {
+			l.report(replayStart, true)
+		}
+	}
+	for i, p := range placers[1:] {
+		if got := p.fairness.Of("model").Usage(replayStart, "a"); got.Asked < 1000 {
+			t.Errorf("gateway %d knows of %v tokens", i+1, got.Asked)
+		}
+	}
+}
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -82,7 +82,8 @@
 	}
 	return &wiregen.OutstandingReport{
 		Gateway: own.GetGateway(), Born: own.GetBorn(), Sequence: own.GetSequence(), Whole: own.GetWhole(), Outstanding: own.GetOutstanding(),
-		Departures: own.GetDepartures(), Limits: own.GetLimits(), Brittle: own.GetBrittle(), Link: link, Relayed: relayed,
+		Departures: own.GetDepartures(), Limits: own.GetLimits(), Brittle: own.GetBrittle(), TeamUsage: own.GetTeamUsage(),
+		Link: link, Relayed: relayed,
 	}
 }
 
