Tell callers refused for lack of capacity to return when it is their turn

Cause: callers refused as crowded were told to return after 0.4 to 1.2 s, when the region was still short, and a second refusal is final for them. Only overShare had a rule by the tokens refused.

Change: crowded, backlog, memory, full and overShare follow one rule for requests of teams, fairness.State.Refuse: the excess of the wait, plus the time that the tokens of the callers who are still to return need at the rate at which the region admits tokens of the service, times 0.5 to 1.5 by a draw. It is at least 150 ms and at most a third of the time left. Callers count until the time that they were told, so that it falls as they return. Without teams as before.

Ruled out: the tokens refused in the last 4 s, decaying, times a draw from 0 to 1. It forgets callers who are still to return, and half of them return before their turn.

--- a/fairness/fairness_test.go
+++ b/fairness/fairness_test.go
@@ -115,7 +115,7 @@
 	now := start.Add(2300 * time.Millisecond)
 	counts, n := map[int]int{}, 1000
 	for range n {
-		after := s.RetryAfter(now, Room{Excess: 200 * time.Millisecond, TimeLeft: left, Draw: rng.Float64()})
+		after := s.Refuse(now, Request{Team: "a", Tokens: 1}, Room{Excess: 200 * time.Millisecond, TimeLeft: left, Draw: rng.Float64()})
 		if after > left/3 || after < minRetryAfter {
 			t.Fatalf("Retry-After %v", after)
 		}
--- a/fairness/state.go
+++ b/fairness/state.go
@@ -22,8 +22,6 @@
 	// shortWaitShare is the share of the objective above which the expected wait makes a service without engines, or another region,
 	// short of capacity.
 	shortWaitShare = 0.5
-	// minRetryAfter is the least Retry-After.
-	minRetryAfter = 150 * time.Millisecond
 )
 
 // Request is a request that a region may admit.
@@ -68,8 +66,6 @@
 	Allow, UseHeadroom bool
 	// Rank is by how many ranks the request goes behind others of its priority.
 	Rank int
-	// RetryAfter is when the caller of a refused request may return.
-	RetryAfter time.Duration
 }
 
 // Reported is the usage of a team at a gateway for a service; an empty team is the sum of those not listed.
@@ -94,6 +90,9 @@
 	// deprived reports that a team below its share was refused recently, and total is the sum of all teams.
 	deprived bool
 	total    Usage
+	// ownTotal is the sum of all teams at this gateway, and returns holds its refused callers.
+	ownTotal Usage
+	returns  returns
 }
 
 // New returns a state without usage.
@@ -126,24 +125,12 @@
 	case u.Admitted <= share, room.Returned && u.Admitted <= returnedShare*share:
 		return Order{Allow: true, UseHeadroom: true}
 	case s.deprived && u.Admitted > share*(1+tolerance):
-		return Order{Rank: 1, RetryAfter: s.RetryAfter(now, room)}
+		return Order{Rank: 1}
 	default:
 		return Order{Allow: true, Rank: 1}
 	}
 }
 
-// RetryAfter returns when a refused caller may return: after the excess of the wait, plus a spread as wide as the tokens refused
-// recently need at the rate at which the region admits tokens, at most a third of the time left.
-func (s *State) RetryAfter(now time.Time, room Room) time.Duration {
-	s.renew(now)
-	spread := minRetryAfter
-	if t := s.total.Now(now); t.Admitted >= minTokens {
-		spread = max(spread, time.Duration((t.Asked-t.Admitted)/t.Admitted*float64(timeConstant)))
-	}
-	after := max(room.Excess, minRetryAfter) + time.Duration(room.Draw*float64(spread))
-	return min(after, max(room.TimeLeft/3, minRetryAfter))
-}
-
 // renew computes the shares if they are older than sharesPeriod, and forgets teams without usage and silent gateways.
 func (s *State) renew(now time.Time) {
 	if !s.sharesAt.IsZero() && now.Sub(s.sharesAt) < sharesPeriod {
@@ -155,7 +142,7 @@
 			s.Remove(now, name)
 		}
 	}
-	s.total = Usage{At: now}
+	s.total, s.ownTotal = Usage{At: now}, Usage{At: now}
 	var demands []Demand
 	for team, u := range s.sums {
 		u = u.Now(now)
@@ -165,7 +152,7 @@
 			delete(s.priorities, team)
 			continue
 		}
-		s.total = s.total.Plus(now, u)
+		s.total, s.ownTotal = s.total.Plus(now, u), s.ownTotal.Plus(now, s.own[team])
 		demands = append(demands, Demand{Team: team, Priority: s.priorities[team], Asked: u.Asked})
 	}
 	s.shares = Shares(demands, s.total.Admitted)
--- a/gateway/fairness.go
+++ b/gateway/fairness.go
@@ -29,15 +29,14 @@
 	}
 	late := here.verdict != capacity.Take
 	room := fairness.Room{
-		Short:  fairness.Short(q.service.Engine != nil, late, here.full, here.expected, q.budget.RouteObjective),
-		Excess: here.expected - q.budget.RouteObjective, TimeLeft: q.budget.Remaining,
-		Returned: q.budget.Retried, Draw: p.rng.Float64(),
+		Short:    fairness.Short(q.service.Engine != nil, late, here.full, here.expected, q.budget.RouteObjective),
+		Returned: q.budget.Retried,
 	}
 	order := p.fairness.Of(q.service.Name).Decide(now, r, room)
 	onTime := capacity.Admit(here.expected, here.expected, q.budget) == capacity.Take
 	switch {
 	case !order.Allow:
-		here.verdict, here.reason, here.retryAfter, here.cost = capacity.Refuse, reasonOverShare, order.RetryAfter, noEndpointTime
+		here.verdict, here.reason, here.cost = capacity.Refuse, reasonOverShare, noEndpointTime
 	case order.UseHeadroom && here.verdict == capacity.Refuse && here.reason == reasonCrowded && onTime && !here.full:
 		here.verdict = capacity.Take
 	case order.Rank > 0 && here.verdict == capacity.Take && here.rank < capacity.Ranks-2:
@@ -48,9 +47,28 @@
 	return here
 }
 
+// returnTime returns when the caller of a request may return that was refused for lack of capacity, or false if it has no team or was
+// refused for another reason.
+func (p *placer) returnTime(now time.Time, q query, refused decision) (time.Duration, bool) {
+	switch refused.reason {
+	case reasonCrowded, reasonBacklog, reasonMemory, reasonFull, reasonOverShare:
+	default:
+		return 0, false
+	}
+	r, ok := fairRequest(q)
+	if !ok {
+		return 0, false
+	}
+	room := fairness.Room{TimeLeft: q.budget.Remaining, Returned: q.budget.Retried, Draw: p.rng.Float64()}
+	if refused.candidates > 0 {
+		room.Excess = refused.expected - q.budget.RouteObjective
+	}
+	return p.fairness.Of(q.service.Name).Refuse(now, r, room), true
+}
+
 // recordFairness counts a request for the shares of teams at the first decision about it in this region.
 func (p *placer) recordFairness(now time.Time, q query, here decision) {
-	if r, ok := fairRequest(q); ok && len(q.tried) == 0 && here.candidates > 0 {
+	if r, ok := fairRequest(q); ok && len(q.tried) == 0 && (here.candidates > 0 || here.reason == reasonFull) {
 		p.fairness.Of(q.service.Name).Record(now, r, here.verdict != capacity.Refuse)
 		signal(p.loadsChanged)
 	}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -278,7 +278,6 @@
 	here = fair
 	p.recordFairness(now, q, here)
 	switch {
-	case here.reason == reasonOverShare:
 	case here.verdict == capacity.Refuse:
 		here.retryAfter = p.retryAfter(now, q, here, held)
 	case len(peers) > 0:
@@ -381,6 +380,9 @@
 
 // retryAfter returns when the caller of a refused request may return.
 func (p *placer) retryAfter(now time.Time, q query, refused decision, held withheld) time.Duration {
+	if after, ok := p.returnTime(now, q, refused); ok {
+		return after
+	}
 	if refused.reason == reasonStranded {
 		return strandedRetryAfter + time.Duration(p.rng.Float64()*float64(strandedRetryAfter)/2)
 	}
