Keep free slots for requests as urgent as the refused ones

Cause: a team below its share could use the slots kept for more urgent requests for any request. Long prompts of low priority took them while short ones of the highest priority of other teams were refused.

Change: such slots are used only by requests that are at least as urgent, by the route's priority, as the most urgent ones that this gateway refused for lack of capacity in the last second. Load reports do not carry refusals by priority; a gateway of a busy region refuses several a second itself.

--- a/fairness/fairness_test.go
+++ b/fairness/fairness_test.go
@@ -222,3 +222,45 @@
 		}
 	}
 }
+
+// TestHeadroomReplay offers a region twice its capacity of long requests of low priority and short ones of the highest, the latter mostly of
+// a team above its share. It guards against long requests that take the capacity kept free for urgent ones while those are refused, and
+// against a kind that is starved.
+func TestHeadroomReplay(t *testing.T) {
+	const capacity, slots = 10.0, 10.0
+	s, rng := New(), rand.New(rand.NewPCG(5, 5))
+	free := slots
+	var asked, served [2]float64
+	for ms := range 40_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		free = min(free+capacity/1000, slots)
+		r, cost := Request{Team: fmt.Sprint(rng.IntN(9)), Urgency: 1, Tokens: 12_000}, 2.8
+		if rng.Float64() < 0.85 {
+			r, cost = Request{Team: fmt.Sprint(max(rng.IntN(40)-31, 0)), Tokens: 1000}, 1
+		}
+		if rng.Float64() >= 0.015 {
+			continue
+		}
+		// Half of the slots are kept free for urgent requests.
+		crowded := r.Urgency > 0 && free < slots/2
+		room := Room{Short: free < slots/2, TimeLeft: 3 * time.Second, Draw: rng.Float64()}
+		order := s.Decide(now, r, room)
+		admitted := order.Allow && (!crowded || order.UseHeadroom) && free >= cost
+		if s.Record(now, r, admitted); admitted {
+			free -= cost
+		} else {
+			s.Refuse(now, r, room)
+		}
+		if ms > 5000 {
+			asked[r.Urgency]++
+			if admitted {
+				served[r.Urgency]++
+			}
+		}
+	}
+	short, long, all := served[0]/asked[0], served[1]/asked[1], (served[0]+served[1])/(asked[0]+asked[1])
+	t.Logf("short %.3f of %.0f, long %.3f of %.0f, all %.3f", short, asked[0], long, asked[1], all)
+	if short < long || long < all/4 {
+		t.Errorf("served: short %.3f, long %.3f, all %.3f", short, long, all)
+	}
+}
--- a/fairness/returns.go
+++ b/fairness/returns.go
@@ -49,6 +49,7 @@
 func (s *State) Refuse(now time.Time, r Request, room Room) time.Duration {
 	s.renew(now)
 	s.returns.advance(now)
+	s.refusedAt[bounded(r.Urgency)] = now
 	var need float64
 	total, own := s.total.Now(now), s.ownTotal.Now(now)
 	if total.Admitted >= minTokens && own.Asked >= minTokens {
--- a/fairness/state.go
+++ b/fairness/state.go
@@ -28,7 +28,9 @@
 type Request struct {
 	Team     string
 	Priority int
-	Tokens   float64
+	// Urgency is the priority of the route alone.
+	Urgency int
+	Tokens  float64
 }
 
 // Room describes the capacity for a request.
@@ -93,6 +95,8 @@
 	// ownTotal is the sum of all teams at this gateway, and returns holds its refused callers.
 	ownTotal Usage
 	returns  returns
+	// refusedAt is the time of the last refusal for lack of capacity, by urgency.
+	refusedAt [maxPriorities]time.Time
 }
 
 // New returns a state without usage.
@@ -123,7 +127,7 @@
 	u, share := s.sums[r.Team].Now(now), s.shares[r.Team]
 	switch {
 	case u.Admitted <= share, room.Returned && u.Admitted <= returnedShare*share:
-		return Order{Allow: true, UseHeadroom: true}
+		return Order{Allow: true, UseHeadroom: s.mayUseHeadroom(now, r)}
 	case s.deprived && u.Admitted > share*(1+tolerance):
 		return Order{Rank: 1}
 	default:
--- a/gateway/fairness.go
+++ b/gateway/fairness.go
@@ -17,7 +17,7 @@
 		return fairness.Request{}, false
 	}
 	tokens := max(q.work.PromptTokens+q.work.OutputTokens, q.team.Allotment.PlainTokens, 1)
-	return fairness.Request{Team: q.team.Name, Priority: q.priority(), Tokens: float64(tokens)}, true
+	return fairness.Request{Team: q.team.Name, Priority: q.priority(), Urgency: q.route.Priority, Tokens: float64(tokens)}, true
 }
 
 // applyFairness returns the decision about a request after the shares of teams. Only a decision about endpoints of this region that
