Order requests of one priority by slack and tokens when capacity is short

Cause: with more load than capacity, every gateway admitted what came first up to 1.5 times the objective. Plain endpoints serve by arrival, so that nearly all answers were late; callers that returned after a refusal were refused a second time; a hot team was refused only after others had been.

Change: while a service is short, a request may be expected to wait for 0.5 to 0.75 of the objective (0.9 at engines) by its place among the last 64 requests of its priority at this gateway: least slack first, then fewest tokens. Callers who return go first, teams above their shares last. Half of the requests get a drawn place if that is better, so that no size starves, and kinds admitted less than a quarter as often as all are exempt. Late requests at engines stay as before: engines serve them last. A request that yields is offered to other regions like one above its share.

--- a/fairness/fairness_test.go
+++ b/fairness/fairness_test.go
@@ -177,7 +177,7 @@
 	now := start
 	for b.Loop() {
 		now = now.Add(100 * time.Microsecond)
-		s.Decide(now, r, Room{Short: true, TimeLeft: time.Second})
+		s.Decide(now, r, Room{Short: true, TimeLeft: time.Second, Needed: 100 * time.Millisecond, Wait: 600 * time.Millisecond, Objective: time.Second, Draw: 0.7})
 	}
 }
 
@@ -234,16 +234,16 @@
 	for ms := range 40_000 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
 		free = min(free+capacity/1000, slots)
-		r, cost := Request{Team: fmt.Sprint(rng.IntN(9)), Urgency: 1, Tokens: 12_000}, 2.8
+		r, cost := Request{Team: fmt.Sprint(rng.IntN(9)), Kind: "long", Urgency: 1, Tokens: 12_000}, 2.8
 		if rng.Float64() < 0.85 {
-			r, cost = Request{Team: fmt.Sprint(max(rng.IntN(40)-31, 0)), Tokens: 1000}, 1
+			r, cost = Request{Team: fmt.Sprint(max(rng.IntN(40)-31, 0)), Kind: "short", Tokens: 1000}, 1
 		}
 		if rng.Float64() >= 0.015 {
 			continue
 		}
 		// Half of the slots are kept free for urgent requests.
 		crowded := r.Urgency > 0 && free < slots/2
-		room := Room{Short: free < slots/2, TimeLeft: 3 * time.Second, Draw: rng.Float64()}
+		room := Room{Short: free < slots/2, TimeLeft: 3 * time.Second, Objective: time.Second, Draw: rng.Float64()}
 		order := s.Decide(now, r, room)
 		admitted := order.Allow && (!crowded || order.UseHeadroom) && free >= cost
 		if s.Record(now, r, admitted); admitted {
@@ -264,3 +264,61 @@
 		t.Errorf("served: short %.3f, long %.3f, all %.3f", short, long, all)
 	}
 }
+
+// TestPlace guards against an order other than by the least slack and then the fewest tokens, and against one by too few requests.
+func TestPlace(t *testing.T) {
+	room := func(left time.Duration) Room { return Room{TimeLeft: left, Needed: time.Second, Draw: 0.9} }
+	s := New()
+	for i := range 20 {
+		s.place(Request{Tokens: float64(1 + i%2)}, room(time.Duration(2+i/2)*time.Second))
+	}
+	for _, c := range []struct {
+		left   time.Duration
+		tokens float64
+		want   float64
+	}{{time.Second, 9, 0}, {2 * time.Second, 1.5, 0.05}, {7 * time.Second, 1, 0.5}, {time.Minute, 1, 1}} {
+		s := *s
+		if got := s.place(Request{Tokens: c.tokens}, room(c.left)); got != c.want {
+			t.Errorf("%v left, %v tokens: place %v, want %v", c.left, c.tokens, got, c.want)
+		}
+	}
+	if got := New().place(Request{}, room(time.Minute)); got != 0 {
+		t.Errorf("place %v without other requests", got)
+	}
+}
+
+// TestLargestTenth offers twice what is served of requests of equal urgency, the largest of which have the most slack. It guards against an
+// order that starves the largest tenth: it is served at least half as often as all.
+func TestLargestTenth(t *testing.T) {
+	s, rng := New(), rand.New(rand.NewPCG(6, 6))
+	wait, objective := 0.0, time.Second
+	var asked, served [2]float64
+	for ms := range 60_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		wait = max(wait-1, 0)
+		if rng.Float64() >= 0.2 {
+			continue
+		}
+		size := rng.Float64()
+		r := Request{Team: fmt.Sprint(rng.IntN(8)), Kind: "r", Tokens: 1000 * (0.5 + size)}
+		room := Room{Wait: time.Duration(wait) * time.Millisecond, Objective: objective, Draw: rng.Float64(), TimeLeft: time.Duration(5+5*size) * time.Second}
+		room.Short = Short(false, false, true, room.Wait, objective)
+		o := s.Decide(now, r, room)
+		admitted := o.Allow
+		if s.Record(now, r, admitted); admitted {
+			wait += 10 * (0.5 + size)
+		}
+		for i := range 2 {
+			if i == 0 || size > 0.9 {
+				asked[i]++
+				if admitted {
+					served[i]++
+				}
+			}
+		}
+	}
+	all, largest := served[0]/asked[0], served[1]/asked[1]
+	if t.Logf("all %.3f, largest %.3f", all, largest); largest < all/2 {
+		t.Errorf("the largest tenth is served %.3f, all %.3f", largest, all)
+	}
+}
--- a/fairness/state.go
+++ b/fairness/state.go
@@ -28,7 +28,8 @@
 type Request struct {
 	Team     string
 	Priority int
-	// Urgency is the priority of the route alone.
+	// Kind is the name of the route, and Urgency its priority.
+	Kind    string
 	Urgency int
 	Tokens  float64
 }
@@ -37,6 +38,10 @@
 type Room struct {
 	// Short reports that the request would not begin in time, or that its endpoint is crowded.
 	Short bool
+	// Engines reports whether the service has engines, which serve by urgency, and Late that the request would not be on time.
+	Engines, Late bool
+	// Wait is the expected time until the answer begins, and Needed that until it ends; Objective is the route's for the former.
+	Wait, Needed, Objective time.Duration
 	// Excess is the time by which the wait exceeds what is on time, and TimeLeft that until the caller's deadline.
 	Excess, TimeLeft time.Duration
 	// Returned reports that the caller was refused before; a second refusal is final for it.
@@ -64,10 +69,13 @@
 
 // Order is the decision about a request.
 type Order struct {
-	// Allow reports whether the request may be admitted, and UseHeadroom whether it may use capacity that is kept free.
-	Allow, UseHeadroom bool
+	// Allow reports whether the request may be admitted, and UseHeadroom whether it may use capacity that is kept free. OverShare reports
+	// that it may not, or goes behind, because its team is above its share.
+	Allow, UseHeadroom, OverShare bool
 	// Rank is by how many ranks the request goes behind others of its priority.
 	Rank int
+	// Place is its place among those of its priority, from 0 for the first to 1 for the last one.
+	Place float64
 }
 
 // Reported is the usage of a team at a gateway for a service; an empty team is the sum of those not listed.
@@ -92,6 +100,11 @@
 	// deprived reports that a team below its share was refused recently, and total is the sum of all teams.
 	deprived bool
 	total    Usage
+	// kinds and requests count the requests at this gateway, by kind and all.
+	kinds    map[string]Usage
+	requests Usage
+	// queues hold the recent requests by priority.
+	queues [maxPriorities]queue
 	// ownTotal is the sum of all teams at this gateway, and returns holds its refused callers.
 	ownTotal Usage
 	returns  returns
@@ -103,6 +116,7 @@
 func New() *State {
 	return &State{
 		own: map[string]Usage{}, sums: map[string]Usage{}, peers: map[string]*peer{}, priorities: map[string]int{}, changed: map[string]bool{},
+		kinds: map[string]Usage{},
 	}
 }
 
@@ -112,6 +126,8 @@
 	s.sums[r.Team] = s.sums[r.Team].With(now, r.Tokens, admitted)
 	s.priorities[r.Team] = r.Priority
 	s.changed[r.Team] = true
+	s.kinds[r.Kind] = s.kinds[r.Kind].With(now, 1, admitted)
+	s.requests = s.requests.With(now, 1, admitted)
 }
 
 // Usage returns the recent usage of a team at all gateways.
@@ -119,20 +135,33 @@
 
 // Decide returns whether a request goes first, later or not now. With room for it every request is allowed.
 func (s *State) Decide(now time.Time, r Request, room Room) Order {
+	place := s.place(r, room)
 	if !room.Short {
-		return Order{Allow: true}
+		return Order{Allow: true, Place: place}
 	}
 	s.priorities[r.Team] = r.Priority
 	s.renew(now)
 	u, share := s.sums[r.Team].Now(now), s.shares[r.Team]
+	order := Order{Allow: true}
 	switch {
-	case u.Admitted <= share, room.Returned && u.Admitted <= returnedShare*share:
-		return Order{Allow: true, UseHeadroom: s.mayUseHeadroom(now, r)}
-	case s.deprived && u.Admitted > share*(1+tolerance):
-		return Order{Rank: 1}
+	case room.Returned && u.Admitted <= returnedShare*share:
+		// A second refusal is final, so that callers who have returned go first.
+		place, order.UseHeadroom = 0, s.mayUseHeadroom(now, r)
+	case u.Admitted <= share:
+		order.UseHeadroom = s.mayUseHeadroom(now, r)
 	default:
-		return Order{Allow: true, Rank: 1}
+		place, order.Rank, order.OverShare = 1, 1, true
+		order.Allow = !s.deprived || u.Admitted <= share*(1+tolerance)
 	}
+	order.Place = place
+	switch {
+	case !order.Allow:
+	case s.starved(now, r.Kind):
+		order.UseHeadroom = true
+	default:
+		order.Allow = !room.behind(place)
+	}
+	return order
 }
 
 // renew computes the shares if they are older than sharesPeriod, and forgets teams without usage and silent gateways.
@@ -146,6 +175,11 @@
 			s.Remove(now, name)
 		}
 	}
+	for kind, u := range s.kinds {
+		if u.Now(now).Asked < minTokens {
+			delete(s.kinds, kind)
+		}
+	}
 	s.total, s.ownTotal = Usage{At: now}, Usage{At: now}
 	var demands []Demand
 	for team, u := range s.sums {
--- a/gateway/crossing.go
+++ b/gateway/crossing.go
@@ -9,7 +9,7 @@
 
 // recordShed records that a request was forwarded because of the load of this region.
 func (p *placer) recordShed(now time.Time, q query, here decision) {
-	if (p.cfg.DrawPlain || here.reason == reasonOverShare) && q.allows(p.cfg.Region) && here.candidates > 0 && len(q.tried) == 0 {
+	if (p.cfg.DrawPlain || here.yields) && q.allows(p.cfg.Region) && here.candidates > 0 && len(q.tried) == 0 {
 		p.sheds[q.service.Name] = p.sheds[q.service.Name].With(now)
 	}
 }
--- a/gateway/fairness.go
+++ b/gateway/fairness.go
@@ -8,7 +8,7 @@
 	"arbutusreel/wiregen"
 )
 
-// reasonOverShare: the team has used more than its share of the region's capacity while others were refused.
+// reasonOverShare: the team has used more than its share of the capacity of the service while the region is short of it.
 const reasonOverShare = "overShare"
 
 // fairRequest returns the description of a request for the shares of teams, or false if it has no team.
@@ -17,7 +17,7 @@
 		return fairness.Request{}, false
 	}
 	tokens := max(q.work.PromptTokens+q.work.OutputTokens, q.team.Allotment.PlainTokens, 1)
-	return fairness.Request{Team: q.team.Name, Priority: q.priority(), Urgency: q.route.Priority, Tokens: float64(tokens)}, true
+	return fairness.Request{Team: q.team.Name, Priority: q.priority(), Kind: q.route.Name, Urgency: q.route.Priority, Tokens: float64(tokens)}, true
 }
 
 // applyFairness returns the decision about a request after the shares of teams. Only a decision about endpoints of this region that
@@ -27,16 +27,18 @@
 	if !ok || q.mustPlace || here.candidates == 0 {
 		return here
 	}
-	late := here.verdict != capacity.Take
+	late, engines := here.verdict != capacity.Take, q.service.Engine != nil
 	room := fairness.Room{
-		Short:    fairness.Short(q.service.Engine != nil, late, here.full, here.expected, q.budget.RouteObjective),
-		Returned: q.budget.Retried,
+		Short:    fairness.Short(engines, late, here.full, here.expected, q.budget.RouteObjective),
+		Returned: q.budget.Retried, TimeLeft: q.budget.Remaining, Draw: p.rng.Float64(), Engines: engines, Late: late,
+		Wait: here.expected, Needed: max(here.end, here.expected), Objective: q.budget.Objective,
 	}
 	order := p.fairness.Of(q.service.Name).Decide(now, r, room)
 	onTime := capacity.Admit(here.expected, here.expected, q.budget) == capacity.Take
+	here.place = order.Place
 	switch {
 	case !order.Allow:
-		here.verdict, here.reason, here.cost = capacity.Refuse, reasonOverShare, noEndpointTime
+		return here.yield(order)
 	case order.UseHeadroom && here.verdict == capacity.Refuse && here.reason == reasonCrowded && onTime && !here.full:
 		here.verdict = capacity.Take
 	case order.Rank > 0 && here.verdict == capacity.Take && here.rank < capacity.Ranks-2:
@@ -47,6 +49,20 @@
 	return here
 }
 
+// yield returns the decision to refuse a request that others go before.
+func (d decision) yield(order fairness.Order) decision {
+	switch {
+	case order.OverShare:
+		d.reason = reasonOverShare
+	case d.verdict == capacity.Refuse:
+		return d
+	default:
+		d.reason = reasonBacklog
+	}
+	d.verdict, d.cost, d.yields = capacity.Refuse, noEndpointTime, true
+	return d
+}
+
 // returnTime returns when the caller of a request may return that was refused for lack of capacity, or false if it has no team or was
 // refused for another reason.
 func (p *placer) returnTime(now time.Time, q query, refused decision) (time.Duration, bool) {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -219,10 +219,14 @@
 	// higher priority take.
 	rank           int
 	preemptedShare float64
-	reason         string
-	retryAfter     time.Duration
-	probe          retry.Probe
-	regionProbe    retry.Probe
+	// yields reports that the request is refused to leave capacity to others, by the shares of teams or the order within a priority.
+	yields bool
+	// place is that of the request in the order of its priority, from 0 for the first to 1 for the last one.
+	place       float64
+	reason      string
+	retryAfter  time.Duration
+	probe       retry.Probe
+	regionProbe retry.Probe
 }
 
 // Reasons for a refusal.
@@ -267,7 +271,7 @@
 		here = p.withChoice(q, speed, local, endpoints, choice)
 	}
 	fair := p.applyFairness(now, q, speed, here)
-	if fair.reason == reasonOverShare {
+	if fair.yields {
 		here = fair
 	}
 	if !q.forwarded && (here.verdict != capacity.Take || here.cost > p.cfg.RegionRoundTrip+minCrossRegionGain) {
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -45,7 +45,7 @@
 	if !ok || !shouldCrossRegion(here, there.Cost, verdict) {
 		return decision{}, false
 	}
-	if here.reason == reasonOverShare && !fairness.MayLeave(verdict == capacity.Take, there.Expected-p.cfg.RegionRoundTrip, q.budget.RouteObjective) {
+	if here.yields && !fairness.MayLeave(verdict == capacity.Take, there.Expected-p.cfg.RegionRoundTrip, q.budget.RouteObjective) {
 		return decision{}, false
 	}
 	g, _ := fleet.Partner(p.cfg.Name, available[there.Region])
--- a/gateway/replay_order_test.go
+++ b/gateway/replay_order_test.go
@@ -30,6 +30,12 @@
 	results map[string]*orderResult
 	crossed map[string]time.Time
 	both    int
+	// queue is the number of requests that an endpoint lets wait.
+	queue int
+	// burstEnd is the end of a burst; eligible counts the callers refused before it whose Retry-After may reach it, and again those of
+	// them who were refused twice.
+	burstEnd        time.Time
+	eligible, again int
 }
 
 type orderEvent struct {
@@ -54,17 +60,19 @@
 }
 
 type orderRequest struct {
-	team    *routes.Team
-	arrived time.Time
-	gateway int
-	refused bool
-	home    *orderRegion
-	result  *orderResult
+	team *routes.Team
+	// arrived is when the caller first came, and sent when it last came.
+	arrived, sent time.Time
+	gateway       int
+	// refused reports that it was refused before, and eligible whether it counts among those who may wait for the end of a burst.
+	refused, eligible bool
+	home              *orderRegion
+	result            *orderResult
 }
 
 const (
-	orderSlots, orderQueue = 6, 24
-	orderTaken             = 60 * time.Millisecond
+	orderSlots = 6
+	orderTaken = 60 * time.Millisecond
 )
 
 // newOrderReplay returns a replay of regions with the given numbers of gateways, two plain endpoints each, and teams that ask for shares of
@@ -85,7 +93,7 @@
 	}
 	o := &orderReplay{
 		now: replayStart, rng: rand.New(rand.NewPCG(7, 7)), weights: weights, plain: table.Match(testHost, "/plain/x"), model: table.Match(testHost, "/model/x"),
-		results: map[string]*orderResult{}, crossed: map[string]time.Time{},
+		results: map[string]*orderResult{}, crossed: map[string]time.Time{}, queue: 24,
 	}
 	for i := range weights {
 		o.teams = append(o.teams, &routes.Team{Name: fmt.Sprintf("team-%d", i), Allotment: routes.Allotment{PlainTokens: 200}})
@@ -193,13 +201,13 @@
 	team := o.team()
 	result := o.results[team.Name]
 	result.asked++
-	o.send(r, &orderRequest{team: team, arrived: o.now, gateway: o.rng.IntN(len(r.placers)), home: r, result: result}, map[string]bool{}, false)
+	o.send(r, &orderRequest{team: team, arrived: o.now, sent: o.now, gateway: o.rng.IntN(len(r.placers)), home: r, result: result}, map[string]bool{}, false)
 }
 
 // sendLong sends a long prompt to the engine if it has room, where it takes a second.
 func (o *orderReplay) sendLong(r *orderRegion) {
 	p := r.placers[o.rng.IntN(len(r.placers))]
-	q := o.query(o.model, &orderRequest{team: o.team(), arrived: o.now}, nil, false)
+	q := o.query(o.model, &orderRequest{team: o.team(), arrived: o.now, sent: o.now}, nil, false)
 	q.work = capacity.Work{PromptTokens: 12_000, OutputTokens: 100}
 	if d := p.decide(o.now, r.v, q); d.verdict == capacity.Take {
 		a := p.begin(o.now, "model", q.work, d)
@@ -208,11 +216,11 @@
 }
 
 func (o *orderReplay) query(route *routes.Route, r *orderRequest, tried map[string]bool, forwarded bool) query {
-	waited := o.now.Sub(r.arrived)
+	waited := o.now.Sub(r.sent)
 	return query{
 		route: route, team: r.team, service: o.regions[0].v.table.Service(route.Backends[0].Service), tried: tried, forwarded: forwarded,
 		work:   capacity.Work{Bytes: 500},
-		budget: capacity.TimeBudget{Objective: route.Objective - waited, RouteObjective: route.Objective, Remaining: route.Timeout - waited, Retried: r.refused},
+		budget: capacity.TimeBudget{Objective: route.Objective - waited, RouteObjective: route.Objective, Remaining: route.Timeout - o.now.Sub(r.arrived), Retried: r.refused},
 	}
 }
 
@@ -256,11 +264,11 @@
 		o.later(time.Duration((0.5+o.rng.Float64())*float64(orderTaken)), func() {
 			a.recordFirst(o.now)
 			a.end(o.now, succeeded)
-			took := o.now.Sub(r.arrived)
+			arrived := o.now
 			if q.forwarded {
-				took += peakRoundTrip / 2
+				arrived = arrived.Add(peakRoundTrip / 2)
 			}
-			if took <= o.plain.Objective || r.refused && took <= o.plain.Timeout {
+			if arrived.Sub(r.sent) <= o.plain.Objective && arrived.Sub(r.arrived) <= o.plain.Timeout {
 				r.result.onTime++
 			} else {
 				r.result.late++
@@ -275,7 +283,7 @@
 	switch {
 	case at.running[id] < orderSlots:
 		start()
-	case len(at.waiting[id]) < orderQueue:
+	case len(at.waiting[id]) < o.queue:
 		at.waiting[id] = append(at.waiting[id], start)
 	default:
 		a.end(o.now, rejected)
@@ -290,13 +298,23 @@
 	switch {
 	case r.refused:
 		r.result.again++
+		if r.eligible {
+			o.again++
+		}
 		fallthrough
 	case !o.returns:
 		r.result.refused++
 		r.result.reasons[d.reason]++
 	default:
-		r.refused = true
-		o.later(d.retryAfter, func() { o.send(r.home, r, map[string]bool{}, false) })
+		left := o.plain.Timeout - o.now.Sub(r.arrived)
+		r.refused, r.eligible = true, o.now.Before(o.burstEnd) && o.burstEnd.Sub(o.now) <= left/3
+		if r.eligible {
+			o.eligible++
+		}
+		o.later(d.retryAfter, func() {
+			r.sent = o.now
+			o.send(r.home, r, map[string]bool{}, false)
+		})
 	}
 }
 
@@ -330,3 +348,130 @@
 		t.Errorf("%.3f served on time, want 0.95; %d forwards against the other direction", served, o.both)
 	}
 }
+
+// withTeams lets a replay's callers belong to teams in turn, the first of which sends a multiple of the others' load.
+func withTeams(multiple int, decide func(p *replay, r *replayRequest, now time.Time) bool) func(p *replay, r *replayRequest, now time.Time) bool {
+	const teams = 10
+	n := 0
+	return func(p *replay, r *replayRequest, now time.Time) bool {
+		if r.team == nil {
+			n++
+			r.team = &routes.Team{Name: fmt.Sprint("team-", max(n%(teams+multiple-1)-multiple+1, 0))}
+		}
+		return decide(p, r, now)
+	}
+}
+
+// TestReplayRefusedTwice offers plain endpoints 2.3 times their capacity for 10 s. It guards against callers that are told to return while
+// the region is still short, as their second refusal is final: no more than a tenth of those for whom the burst ends within a third of
+// their time left.
+func TestReplayRefusedTwice(t *testing.T) {
+	const burst = 10 * time.Second
+	o := newOrderReplay(t, []float64{0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1}, 42)
+	o.regions[0].rate, o.returns, o.queue = 2.3*200, true, 200
+	o.plain.Timeout = 60 * time.Second
+	o.burstEnd = o.now.Add(burst)
+	o.run(burst)
+	o.regions[0].rate = 0.3 * 200
+	o.run(20 * time.Second)
+	o.served(t)
+	t.Logf("%d of %d refused twice", o.again, o.eligible)
+	if o.again*10 > o.eligible {
+		t.Errorf("%d of %d callers were refused twice", o.again, o.eligible)
+	}
+}
+
+// TestReplayQuarter lets the usable engines of a region fall to a quarter for six seconds. It guards against long requests of low priority
+// that take the slots kept for more urgent ones while those are refused, and against an order that starves the largest requests: the
+// highest priority is served at least as often as each lower one, and the largest tenth of a kind at least half as often as the kind.
+func TestReplayQuarter(t *testing.T) {
+	const engines, from, until = 46, 2 * time.Second, 8 * time.Second
+	site := replaySite{
+		pressure: true, engines: engines, slots: 64, gateways: 44, cacheTokens: 452_000, memoryBound: true, chunks: 1, gap: 400 * time.Millisecond,
+		duration: 9 * time.Second, timing: &replayTiming{stepMillis: 3, slotMillis: 0.12, tokensPerMilli: 92}, kinds: peakKinds(),
+		rate: func(time.Duration) float64 { return 4 * engines },
+	}
+	report := reportLinked(44 * time.Millisecond)
+	var all []fleet.Endpoint
+	site.report = func(p *replay, now time.Duration) {
+		report(p, now)
+		if all == nil {
+			all = p.view.endpoints["model"]
+		}
+		v := *p.view
+		v.endpoints = map[string][]fleet.Endpoint{"model": all}
+		if now >= from && now < until {
+			v.endpoints["model"] = all[:engines/4]
+		}
+		p.view = &v
+	}
+	var asked []*replayRequest
+	p := newReplay(t, site, withTeams(5, func(p *replay, r *replayRequest, now time.Time) bool {
+		if !r.refused && r.arrived >= from && r.arrived < until {
+			asked = append(asked, r)
+		}
+		return byPlacer(p, r, now)
+	}))
+	p.run()
+	type count struct{ asked, served float64 }
+	share := func(c count) float64 { return c.served / max(c.asked, 1) }
+	var priorities [3]count
+	for _, kind := range site.kinds {
+		var whole, large count
+		for _, r := range asked {
+			if r.kind.name != kind.name {
+				continue
+			}
+			served := 0.0
+			if r.output > 0 && r.made >= r.output {
+				served = 1
+			}
+			whole.asked, whole.served = whole.asked+1, whole.served+served
+			if float64(r.prompt) > 1.4*kind.prompt+float64(kind.shared) {
+				large.asked, large.served = large.asked+1, large.served+served
+			}
+			c := &priorities[kind.priority]
+			c.asked, c.served = c.asked+1, c.served+served
+		}
+		t.Logf("%s: %.3f of %.0f served, %.3f of the %.0f largest; %+v", kind.name, share(whole), whole.asked, share(large), large.asked, *p.results[kind.name])
+		if large.asked > 0 && share(large) < share(whole)/2 {
+			t.Errorf("the largest of kind %s are served %.3f, all %.3f", kind.name, share(large), share(whole))
+		}
+	}
+	t.Logf("by priority %.3f %.3f %.3f, worth on time %.3f", share(priorities[0]), share(priorities[1]), share(priorities[2]), p.worth())
+	if share(priorities[0]) < share(priorities[1]) || share(priorities[0]) < share(priorities[2]) {
+		t.Errorf("served by priority %.3f %.3f %.3f", share(priorities[0]), share(priorities[1]), share(priorities[2]))
+	}
+}
+
+// TestReplayHotTeam lets one of ten teams send ten times its usual load to plain endpoints. It guards against a team that slows others: each
+// of them is served at least 0.9 as often as without it.
+func TestReplayHotTeam(t *testing.T) {
+	const usual = 18.0
+	served := map[bool]map[string]float64{}
+	for _, hot := range []bool{false, true} {
+		first := 1.0
+		if hot {
+			first = 10
+		}
+		weights := []float64{first / (first + 9)}
+		for range 9 {
+			weights = append(weights, 1/(first+9))
+		}
+		o := newOrderReplay(t, weights, 42)
+		o.regions[0].rate, o.queue = usual*(first+9), 200
+		o.run(4 * time.Second)
+		o.reset()
+		o.run(8 * time.Second)
+		o.served(t)
+		served[hot] = map[string]float64{}
+		for name, r := range o.results {
+			served[hot][name] = float64(r.onTime) / float64(r.asked)
+		}
+	}
+	for name, share := range served[true] {
+		if name != "team-0" && share < 0.9*served[false][name] {
+			t.Errorf("%s is served %.3f, %.3f without the hot team", name, share, served[false][name])
+		}
+	}
+}
--- a/gateway/replay_test.go
+++ b/gateway/replay_test.go
@@ -128,6 +128,8 @@
 	done    bool
 	// subject is the id of the shared part of the prompt; empty for none.
 	subject string
+	// team is that of the caller; nil for none.
+	team *routes.Team
 }
 
 // parts returns the parts of the prompt for the placer.
@@ -569,7 +571,7 @@
 func placeWith(p *replay, r *replayRequest, now time.Time, stream capacity.Stream) bool {
 	route := p.table.Match(testHost, "/"+r.kind.name+"/x")
 	q := query{
-		route: route, service: p.table.Service("model"), tried: map[string]bool{},
+		route: route, team: r.team, service: p.table.Service("model"), tried: map[string]bool{},
 		work: capacity.Work{PromptTokens: int64(r.prompt), OutputTokens: int64(r.hint), Parts: r.parts(), Stream: stream},
 	}
 	waited := now.Sub(replayStart) - r.arrived
