Show tokens, share and place of teams in metrics and log lines

Cause: operators could not see whether a refused caller's team was above its share, or behind others of its priority.

Change: teams at /debug/vars has tokens of admitted requests and shareLeft.SERVICE for the first 64 teams; tokens of the rest count as other. Log lines of requests, which trace prints, have shareLeft and place if the service was short of capacity. The lines of explain come from the entry path, which does not use these shares; they are unchanged.

Measured: TestTeamShare (300 teams: 65 names), TestOverShare (order of a refused request). TestFailures covers reports by service that are lost or whose gateway is cut off.

--- a/fairness/fairness_test.go
+++ b/fairness/fairness_test.go
@@ -322,3 +322,32 @@
 		t.Errorf("the largest tenth is served %.3f, all %.3f", largest, all)
 	}
 }
+
+// TestFailures guards, by service, against usage of a gateway that is cut off, against a lost report that a whole one does not replace, and
+// against a state that grows while no capacity is short.
+func TestFailures(t *testing.T) {
+	a, b := NewServices(), NewServices()
+	record := func(at time.Time, service string) { a.Of(service).Record(at, Request{Team: "t", Tokens: 1000}, true) }
+	record(start, "plain")
+	a.Report(start, false)
+	record(start, "model")
+	b.Update(start, "a", false, a.Report(start, false))
+	if plain, model := b.Of("plain").Usage(start, "t"), b.Of("model").Usage(start, "t"); plain.Asked != 0 || model.Asked != 1000 {
+		t.Errorf("after a lost report: %v and %v tokens", plain.Asked, model.Asked)
+	}
+	b.Update(start, "a", true, a.Report(start, true))
+	if u := b.Of("plain").Usage(start, "t"); u.Asked != 1000 {
+		t.Errorf("after a whole report: %v tokens", u.Asked)
+	}
+	cut := start.Add(peerTTL + time.Millisecond)
+	b.Of("model").Record(cut, Request{Team: "own", Tokens: 500}, true)
+	b.Report(cut, true)
+	for _, service := range []string{"plain", "model"} {
+		if u := b.Of(service).Usage(cut, "t"); u.Asked != 0 || len(b.Of(service).peers) != 0 {
+			t.Errorf("%s: %v tokens of a gateway that is cut off", service, u.Asked)
+		}
+	}
+	if u := b.Of("model").Usage(cut, "own"); u.Asked != 500 {
+		t.Errorf("%v own tokens of a gateway that is cut off", u.Asked)
+	}
+}
--- a/fairness/state.go
+++ b/fairness/state.go
@@ -74,6 +74,9 @@
 	Allow, UseHeadroom, OverShare bool
 	// Rank is by how many ranks the request goes behind others of its priority.
 	Rank int
+	// Short is that of the room, and ShareLeft the part of its share that the team has not used, from 0 to 1.
+	Short     bool
+	ShareLeft float64
 	// Place is its place among those of its priority, from 0 for the first to 1 for the last one.
 	Place float64
 }
@@ -137,12 +140,12 @@
 func (s *State) Decide(now time.Time, r Request, room Room) Order {
 	place := s.place(r, room)
 	if !room.Short {
-		return Order{Allow: true, Place: place}
+		return Order{Allow: true, Place: place, ShareLeft: 1}
 	}
 	s.priorities[r.Team] = r.Priority
 	s.renew(now)
 	u, share := s.sums[r.Team].Now(now), s.shares[r.Team]
-	order := Order{Allow: true}
+	order := Order{Allow: true, Short: true, ShareLeft: max(1-u.Admitted/max(share, minTokens), 0)}
 	switch {
 	case room.Returned && u.Admitted <= returnedShare*share:
 		// A second refusal is final, so that callers who have returned go first.
--- a/gateway/fairness.go
+++ b/gateway/fairness.go
@@ -5,6 +5,7 @@
 
 	"arbutusreel/capacity"
 	"arbutusreel/fairness"
+	"arbutusreel/routes"
 	"arbutusreel/wiregen"
 )
 
@@ -16,8 +17,12 @@
 	if q.team == nil {
 		return fairness.Request{}, false
 	}
-	tokens := max(q.work.PromptTokens+q.work.OutputTokens, q.team.Allotment.PlainTokens, 1)
-	return fairness.Request{Team: q.team.Name, Priority: q.priority(), Kind: q.route.Name, Urgency: q.route.Priority, Tokens: float64(tokens)}, true
+	return fairness.Request{Team: q.team.Name, Priority: q.priority(), Kind: q.route.Name, Urgency: q.route.Priority, Tokens: float64(tokensOf(q.team, q.work))}, true
+}
+
+// tokensOf returns the tokens that a request counts for its team.
+func tokensOf(team *routes.Team, w capacity.Work) int64 {
+	return max(w.PromptTokens+w.OutputTokens, team.Allotment.PlainTokens, 1)
 }
 
 // applyFairness returns the decision about a request after the shares of teams. Only a decision about endpoints of this region that
@@ -35,7 +40,7 @@
 	}
 	order := p.fairness.Of(q.service.Name).Decide(now, r, room)
 	onTime := capacity.Admit(here.expected, here.expected, q.budget) == capacity.Take
-	here.place = order.Place
+	here.order = order
 	switch {
 	case !order.Allow:
 		return here.yield(order)
--- a/gateway/fairness_test.go
+++ b/gateway/fairness_test.go
@@ -37,8 +37,9 @@
 		t.Errorf("a request was refused as %s while slots are free", d.reason)
 	}
 	placers[0].state(&fleet.Endpoint{ID: "e", Born: 7}).outstanding.Requests = 4
-	if d := decide("hot"); d.verdict != capacity.Refuse || d.reason != reasonOverShare || d.retryAfter <= 0 {
-		t.Errorf("above its share: %v as %q, Retry-After %v", d.verdict, d.reason, d.retryAfter)
+	d := decide("hot")
+	if d.verdict != capacity.Refuse || d.reason != reasonOverShare || d.retryAfter <= 0 || !d.order.Short || d.order.Place != 1 || d.order.ShareLeft != 0 {
+		t.Errorf("above its share: %v as %q, Retry-After %v, order %+v", d.verdict, d.reason, d.retryAfter, d.order)
 	}
 	if d := decide("cool"); d.verdict == capacity.Refuse {
 		t.Errorf("below its share: refused as %q", d.reason)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -221,8 +221,8 @@
 	preemptedShare float64
 	// yields reports that the request is refused to leave capacity to others, by the shares of teams or the order within a priority.
 	yields bool
-	// place is that of the request in the order of its priority, from 0 for the first to 1 for the last one.
-	place       float64
+	// order is where the request stands among others by the shares of teams; zero for one without a team.
+	order       fairness.Order
 	reason      string
 	retryAfter  time.Duration
 	probe       retry.Probe
@@ -276,6 +276,7 @@
 	}
 	if !q.forwarded && (here.verdict != capacity.Take || here.cost > p.cfg.RegionRoundTrip+minCrossRegionGain) {
 		if there, ok := p.crossRegion(now, v, q, speed, here); ok {
+			there.order = fair.order
 			return there
 		}
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -62,6 +62,7 @@
 		}
 		d := j.g.placer.decide(now, j.view, j.query(now))
 		j.decision = d
+		j.recordShare()
 		if d.verdict == capacity.Refuse {
 			j.refusePlacement(d)
 			return
@@ -215,6 +216,9 @@
 	}
 	if j.team != nil {
 		e = e.Str("team", j.team.Name)
+		if o := j.decision.order; o.Short {
+			e = e.Float64("shareLeft", o.ShareLeft).Float64("place", o.Place)
+		}
 	}
 	if j.forwarded {
 		e = e.Bool("forwarded", true)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -132,7 +132,7 @@
 		j.refuse(refusal)
 		return
 	}
-	j.countTeam(admittedCode)
+	j.countAdmitted()
 	j.boundUnread()
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
--- a/gateway/teams.go
+++ b/gateway/teams.go
@@ -71,6 +71,21 @@
 	}
 }
 
+// countAdmitted counts a request of a team that passed the checks at its arrival, and its tokens.
+func (j *job) countAdmitted() {
+	j.countTeam(admittedCode)
+	if j.team != nil && !j.forwarded {
+		j.g.cfg.Metrics.CountTeamTokens(j.team.Name, tokensOf(j.team, j.call.Work))
+	}
+}
+
+// recordShare publishes what the caller's team has left of its share of the service after a decision.
+func (j *job) recordShare() {
+	if o := j.decision.order; j.team != nil && (o.Short || o.ShareLeft > 0) {
+		j.g.cfg.Metrics.SetTeamShareLeft(j.team.Name, j.service.Name, o.ShareLeft)
+	}
+}
+
 // teamName returns the name of the caller's team, or an empty string.
 func (j *job) teamName() string {
 	if j.team == nil {
--- a/metrics/teams_test.go
+++ b/metrics/teams_test.go
@@ -33,3 +33,26 @@
 		t.Errorf("%d names, %d requests: %v", len(got.Teams), total, got.Teams)
 	}
 }
+
+// TestTeamShare guards against shares left that are lost or mixed up between teams and services, and against names without bound.
+func TestTeamShare(t *testing.T) {
+	s := New()
+	for i := range 300 {
+		team := fmt.Sprint("team-", i)
+		s.CountTeamTokens(team, 10)
+		s.SetTeamShareLeft(team, "plain", 0.25)
+		s.SetTeamShareLeft(team, "model", float64(i))
+	}
+	var got struct {
+		Teams map[string]map[string]float64 `json:"teams"`
+	}
+	if err := json.Unmarshal([]byte(s.String()), &got); err != nil {
+		t.Fatal(err)
+	}
+	if m := got.Teams["team-5"]; m["tokens"] != 10 || m["shareLeft.plain"] != 0.25 || m["shareLeft.model"] != 5 {
+		t.Errorf("team-5: %v", m)
+	}
+	if m := got.Teams["other"]; len(got.Teams) != 65 || len(m) != 1 || m["tokens"] != 2360 {
+		t.Errorf("%d names, other: %v", len(got.Teams), m)
+	}
+}
