Put less urgent requests last at plain services while more urgent ones are refused

Cause: plain endpoints serve by arrival, so that only admission can prefer the more urgent requests; the order within a priority let each priority have the same share of the wait.

Change: at services without engines a request goes last if this gateway has refused a more urgent one for lack of capacity in the last second.

Ruled out: places of teams below their shares in the first half and of others in the second half.

--- a/fairness/state.go
+++ b/fairness/state.go
@@ -77,7 +77,7 @@
 	// Short is that of the room, and ShareLeft the part of its share that the team has not used, from 0 to 1.
 	Short     bool
 	ShareLeft float64
-	// Place is its place among those of its priority, from 0 for the first to 1 for the last one.
+	// Place is its place in the order, from 0 for the first to 1 for the last one and those of teams above their shares.
 	Place float64
 }
 
@@ -146,16 +146,20 @@
 	s.renew(now)
 	u, share := s.sums[r.Team].Now(now), s.shares[r.Team]
 	order := Order{Allow: true, Short: true, ShareLeft: max(1-u.Admitted/max(share, minTokens), 0)}
+	urgent := s.mostUrgent(now, r)
 	switch {
 	case room.Returned && u.Admitted <= returnedShare*share:
 		// A second refusal is final, so that callers who have returned go first.
-		place, order.UseHeadroom = 0, s.mayUseHeadroom(now, r)
+		place, order.UseHeadroom = 0, urgent
 	case u.Admitted <= share:
-		order.UseHeadroom = s.mayUseHeadroom(now, r)
+		order.UseHeadroom = urgent
 	default:
 		place, order.Rank, order.OverShare = 1, 1, true
 		order.Allow = !s.deprived || u.Admitted <= share*(1+tolerance)
 	}
+	if !room.Engines && !urgent {
+		place = 1
+	}
 	order.Place = place
 	switch {
 	case !order.Allow:
