--- a/fairness/fairness_test.go
+++ b/fairness/fairness_test.go
@@ -115,7 +115,7 @@
 	now := start.Add(2300 * time.Millisecond)
 	counts, n := map[int]int{}, 1000
 	for range n {
-		after := s.RetryAfter(now, Room{Excess: 200 * time.Millisecond, TimeLeft: left, Draw: rng.Float64()})
+		after := s.Refuse(now, Request{Team: "a", Tokens: 1}, Room{Excess: 200 * time.Millisecond, TimeLeft: left, Draw: rng.Float64()})
 		if after > left/3 || after < minRetryAfter {
 			t.Fatalf("Retry-After %v", after)
 		}
@@ -177,7 +177,7 @@
 	now := start
 	for b.Loop() {
 		now = now.Add(100 * time.Microsecond)
-		s.Decide(now, r, Room{Short: true, TimeLeft: time.Second})
+		s.Decide(now, r, Room{Short: true, TimeLeft: time.Second, Needed: 100 * time.Millisecond, Wait: 600 * time.Millisecond, Objective: time.Second, Draw: 0.7})
 	}
 }
 
@@ -222,3 +222,135 @@
 		}
 	}
 }
+
+// TestHeadroomReplay offers a region twice its capacity of long requests of low priority and short ones of the highest, the latter mostly of
+// a team above its share. It guards against long requests that take the capacity kept free for urgent ones while those are refused, and
+// against a kind that is starved.
+func TestHeadroomReplay(t *testing.T) {
+	const capacity, slots = 10.0, 10.0
+	s, rng := New(), rand.New(rand.NewPCG(5, 5))
+	free := slots
+	var asked, served [2]float64
+	for ms := range 40_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		free = min(free+capacity/1000, slots)
+		r, cost := Request{Team: fmt.Sprint(rng.IntN(9)), Kind: "long", Urgency: 1, Tokens: 12_000}, 2.8
+		if rng.Float64() < 0.85 {
+			r, cost = Request{Team: fmt.Sprint(max(rng.IntN(40)-31, 0)), Kind: "short", Tokens: 1000}, 1
+		}
+		if rng.Float64() >= 0.015 {
+			continue
+		}
+		// Half of the slots are kept free for urgent requests.
+		crowded := r.Urgency > 0 && free < slots/2
+		room := Room{Short: free < slots/2, TimeLeft: 3 * time.Second, Objective: time.Second, Draw: rng.Float64()}
+		order := s.Decide(now, r, room)
+		admitted := order.Allow && (!crowded || order.UseHeadroom) && free >= cost
+		if s.Record(now, r, admitted); admitted {
+			free -= cost
+		} else {
+			s.Refuse(now, r, room)
+		}
+		if ms > 5000 {
+			asked[r.Urgency]++
+			if admitted {
+				served[r.Urgency]++
+			}
+		}
+	}
+	short, long, all := served[0]/asked[0], served[1]/asked[1], (served[0]+served[1])/(asked[0]+asked[1])
+	t.Logf("short %.3f of %.0f, long %.3f of %.0f, all %.3f", short, asked[0], long, asked[1], all)
+	if short < long || long < all/4 {
+		t.Errorf("served: short %.3f, long %.3f, all %.3f", short, long, all)
+	}
+}
+
+// TestPlace guards against an order other than by the least slack and then the fewest tokens, and against one by too few requests.
+func TestPlace(t *testing.T) {
+	room := func(left time.Duration) Room { return Room{TimeLeft: left, Needed: time.Second, Draw: 0.9} }
+	s := New()
+	for i := range 20 {
+		s.place(Request{Tokens: float64(1 + i%2)}, room(time.Duration(2+i/2)*time.Second))
+	}
+	for _, c := range []struct {
+		left   time.Duration
+		tokens float64
+		want   float64
+	}{{time.Second, 9, 0}, {2 * time.Second, 1.5, 0.05}, {7 * time.Second, 1, 0.5}, {time.Minute, 1, 1}} {
+		s := *s
+		if got := s.place(Request{Tokens: c.tokens}, room(c.left)); got != c.want {
+			t.Errorf("%v left, %v tokens: place %v, want %v", c.left, c.tokens, got, c.want)
+		}
+	}
+	if got := New().place(Request{}, room(time.Minute)); got != 0 {
+		t.Errorf("place %v without other requests", got)
+	}
+}
+
+// TestOrderReplay offers a service that serves by arrival twice its capacity, a third of it of low priority. It guards against an order that
+// starves the largest tenth, which have the most slack here, or a kind, and against low priority that is served more often than high.
+func TestOrderReplay(t *testing.T) {
+	s, rng := New(), rand.New(rand.NewPCG(6, 6))
+	wait, objective := 0.0, time.Second
+	type count struct{ asked, served float64 }
+	var all, largest count
+	var kinds [2]count
+	for ms := range 60_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		wait = max(wait-1, 0)
+		if rng.Float64() >= 0.2 {
+			continue
+		}
+		size, kind := rng.Float64(), rng.IntN(3)/2
+		r := Request{Team: fmt.Sprint(rng.IntN(8)), Priority: kind, Kind: fmt.Sprint(kind), Urgency: kind, Tokens: 1000 * (0.5 + size)}
+		room := Room{Wait: time.Duration(wait) * time.Millisecond, Objective: objective, Draw: rng.Float64(), TimeLeft: time.Duration(5+5*size) * time.Second}
+		room.Short = Short(false, false, true, room.Wait, objective)
+		served := 0.0
+		if s.Decide(now, r, room).Allow {
+			served = 1
+			wait += 10 * (0.5 + size)
+		} else {
+			s.Refuse(now, r, room)
+		}
+		s.Record(now, r, served > 0)
+		for c, counted := range map[*count]bool{&all: true, &largest: kind == 0 && size > 0.9, &kinds[kind]: true} {
+			if counted {
+				c.asked, c.served = c.asked+1, c.served+served
+			}
+		}
+	}
+	share := func(c count) float64 { return c.served / c.asked }
+	t.Logf("all %.3f, by kind %.3f %.3f, largest of the first %.3f", share(all), share(kinds[0]), share(kinds[1]), share(largest))
+	if share(largest) < share(kinds[0])/2 || share(kinds[0]) < share(kinds[1]) || share(kinds[1]) < share(all)/4 {
+		t.Errorf("all %.3f, by kind %.3f %.3f, largest of the first %.3f", share(all), share(kinds[0]), share(kinds[1]), share(largest))
+	}
+}
+
+// TestFailures guards, by service, against usage of a gateway that is cut off, against a lost report that a whole one does not replace, and
+// against a state that grows while no capacity is short.
+func TestFailures(t *testing.T) {
+	a, b := NewServices(), NewServices()
+	record := func(at time.Time, service string) { a.Of(service).Record(at, Request{Team: "t", Tokens: 1000}, true) }
+	record(start, "plain")
+	a.Report(start, false)
+	record(start, "model")
+	b.Update(start, "a", false, a.Report(start, false))
+	if plain, model := b.Of("plain").Usage(start, "t"), b.Of("model").Usage(start, "t"); plain.Asked != 0 || model.Asked != 1000 {
+		t.Errorf("after a lost report: %v and %v tokens", plain.Asked, model.Asked)
+	}
+	b.Update(start, "a", true, a.Report(start, true))
+	if u := b.Of("plain").Usage(start, "t"); u.Asked != 1000 {
+		t.Errorf("after a whole report: %v tokens", u.Asked)
+	}
+	cut := start.Add(peerTTL + time.Millisecond)
+	b.Of("model").Record(cut, Request{Team: "own", Tokens: 500}, true)
+	b.Report(cut, true)
+	for _, service := range []string{"plain", "model"} {
+		if u := b.Of(service).Usage(cut, "t"); u.Asked != 0 || len(b.Of(service).peers) != 0 {
+			t.Errorf("%s: %v tokens of a gateway that is cut off", service, u.Asked)
+		}
+	}
+	if u := b.Of("model").Usage(cut, "own"); u.Asked != 500 {
+		t.Errorf("%v own tokens of a gateway that is cut off", u.Asked)
+	}
+}
--- a/fairness/state.go
+++ b/fairness/state.go
@@ -22,21 +22,26 @@
 	// shortWaitShare is the share of the objective above which the expected wait makes a service without engines, or another region,
 	// short of capacity.
 	shortWaitShare = 0.5
-	// minRetryAfter is the least Retry-After.
-	minRetryAfter = 150 * time.Millisecond
 )
 
 // Request is a request that a region may admit.
 type Request struct {
 	Team     string
 	Priority int
-	Tokens   float64
+	// Kind is the name of the route, and Urgency its priority.
+	Kind    string
+	Urgency int
+	Tokens  float64
 }
 
 // Room describes the capacity for a request.
 type Room struct {
 	// Short reports that the request would not begin in time, or that its endpoint is crowded.
 	Short bool
+	// Engines reports whether the service has engines, which serve by urgency, and Late that the request would not be on time.
+	Engines, Late bool
+	// Wait is the expected time until the answer begins, and Needed that until it ends; Objective is the route's for the former.
+	Wait, Needed, Objective time.Duration
 	// Excess is the time by which the wait exceeds what is on time, and TimeLeft that until the caller's deadline.
 	Excess, TimeLeft time.Duration
 	// Returned reports that the caller was refused before; a second refusal is final for it.
@@ -64,12 +69,16 @@
 
 // Order is the decision about a request.
 type Order struct {
-	// Allow reports whether the request may be admitted, and UseHeadroom whether it may use capacity that is kept free.
-	Allow, UseHeadroom bool
+	// Allow reports whether the request may be admitted, and UseHeadroom whether it may use capacity that is kept free. OverShare reports
+	// that it may not, or goes behind, because its team is above its share.
+	Allow, UseHeadroom, OverShare bool
 	// Rank is by how many ranks the request goes behind others of its priority.
 	Rank int
-	// RetryAfter is when the caller of a refused request may return.
-	RetryAfter time.Duration
+	// Short is that of the room, and ShareLeft the part of its share that the team has not used, from 0 to 1.
+	Short     bool
+	ShareLeft float64
+	// Place is its place in the order, from 0 for the first to 1 for the last one and those of teams above their shares.
+	Place float64
 }
 
 // Reported is the usage of a team at a gateway for a service; an empty team is the sum of those not listed.
@@ -94,12 +103,23 @@
 	// deprived reports that a team below its share was refused recently, and total is the sum of all teams.
 	deprived bool
 	total    Usage
+	// kinds and requests count the requests at this gateway, by kind and all.
+	kinds    map[string]Usage
+	requests Usage
+	// queues hold the recent requests by priority.
+	queues [maxPriorities]queue
+	// ownTotal is the sum of all teams at this gateway, and returns holds its refused callers.
+	ownTotal Usage
+	returns  returns
+	// refusedAt is the time of the last refusal for lack of capacity, by urgency.
+	refusedAt [maxPriorities]time.Time
 }
 
 // New returns a state without usage.
 func New() *State {
 	return &State{
 		own: map[string]Usage{}, sums: map[string]Usage{}, peers: map[string]*peer{}, priorities: map[string]int{}, changed: map[string]bool{},
+		kinds: map[string]Usage{},
 	}
 }
 
@@ -109,36 +129,46 @@
 	s.sums[r.Team] = s.sums[r.Team].With(now, r.Tokens, admitted)
 	s.priorities[r.Team] = r.Priority
 	s.changed[r.Team] = true
+	s.kinds[r.Kind] = s.kinds[r.Kind].With(now, 1, admitted)
+	s.requests = s.requests.With(now, 1, admitted)
 }
 
+// Usage returns the recent usage of a team at all gateways.
+func (s *State) Usage(now time.Time, team string) Usage { return s.sums[team].Now(now) }
+
 // Decide returns whether a request goes first, later or not now. With room for it every request is allowed.
 func (s *State) Decide(now time.Time, r Request, room Room) Order {
+	place := s.place(r, room)
 	if !room.Short {
-		return Order{Allow: true}
+		return Order{Allow: true, Place: place, ShareLeft: 1}
 	}
 	s.priorities[r.Team] = r.Priority
 	s.renew(now)
 	u, share := s.sums[r.Team].Now(now), s.shares[r.Team]
+	order := Order{Allow: true, Short: true, ShareLeft: max(1-u.Admitted/max(share, minTokens), 0)}
+	urgent := s.mostUrgent(now, r)
 	switch {
-	case u.Admitted <= share, room.Returned && u.Admitted <= returnedShare*share:
-		return Order{Allow: true, UseHeadroom: true}
-	case s.deprived && u.Admitted > share*(1+tolerance):
-		return Order{Rank: 1, RetryAfter: s.RetryAfter(now, room)}
+	case room.Returned && u.Admitted <= returnedShare*share:
+		// A second refusal is final, so that callers who have returned go first.
+		place, order.UseHeadroom = 0, urgent
+	case u.Admitted <= share:
+		order.UseHeadroom = urgent
 	default:
-		return Order{Allow: true, Rank: 1}
+		place, order.Rank, order.OverShare = 1, 1, true
+		order.Allow = !s.deprived || u.Admitted <= share*(1+tolerance)
 	}
-}
-
-// RetryAfter returns when a refused caller may return: after the excess of the wait, plus a spread as wide as the tokens refused
-// recently need at the rate at which the region admits tokens, at most a third of the time left.
-func (s *State) RetryAfter(now time.Time, room Room) time.Duration {
-	s.renew(now)
-	spread := minRetryAfter
-	if t := s.total.Now(now); t.Admitted >= minTokens {
-		spread = max(spread, time.Duration((t.Asked-t.Admitted)/t.Admitted*float64(timeConstant)))
+	if !room.Engines && !urgent {
+		place = 1
 	}
-	after := max(room.Excess, minRetryAfter) + time.Duration(room.Draw*float64(spread))
-	return min(after, max(room.TimeLeft/3, minRetryAfter))
+	order.Place = place
+	switch {
+	case !order.Allow:
+	case s.starved(now, r.Kind):
+		order.UseHeadroom = true
+	default:
+		order.Allow = !room.behind(place)
+	}
+	return order
 }
 
 // renew computes the shares if they are older than sharesPeriod, and forgets teams without usage and silent gateways.
@@ -152,7 +182,12 @@
 			s.Remove(now, name)
 		}
 	}
-	s.total = Usage{At: now}
+	for kind, u := range s.kinds {
+		if u.Now(now).Asked < minTokens {
+			delete(s.kinds, kind)
+		}
+	}
+	s.total, s.ownTotal = Usage{At: now}, Usage{At: now}
 	var demands []Demand
 	for team, u := range s.sums {
 		u = u.Now(now)
@@ -162,7 +197,7 @@
 			delete(s.priorities, team)
 			continue
 		}
-		s.total = s.total.Plus(now, u)
+		s.total, s.ownTotal = s.total.Plus(now, u), s.ownTotal.Plus(now, s.own[team])
 		demands = append(demands, Demand{Team: team, Priority: s.priorities[team], Asked: u.Asked})
 	}
 	s.shares = Shares(demands, s.total.Admitted)
--- a/gateway/fairness_test.go
+++ b/gateway/fairness_test.go
@@ -37,8 +37,9 @@
 		t.Errorf("a request was refused as %s while slots are free", d.reason)
 	}
 	placers[0].state(&fleet.Endpoint{ID: "e", Born: 7}).outstanding.Requests = 4
-	if d := decide("hot"); d.verdict != capacity.Refuse || d.reason != reasonOverShare || d.retryAfter <= 0 {
-		t.Errorf("above its share: %v as %q, Retry-After %v", d.verdict, d.reason, d.retryAfter)
+	d := decide("hot")
+	if d.verdict != capacity.Refuse || d.reason != reasonOverShare || d.retryAfter <= 0 || !d.order.Short || d.order.Place != 1 || d.order.ShareLeft != 0 {
+		t.Errorf("above its share: %v as %q, Retry-After %v, order %+v", d.verdict, d.reason, d.retryAfter, d.order)
 	}
 	if d := decide("cool"); d.verdict == capacity.Refuse {
 		t.Errorf("below its share: refused as %q", d.reason)
@@ -97,3 +98,20 @@
 		}
 	}
 }
+
+// TestUsageReachesAll guards against usage of teams that is lost where reports are combined into messages for links or passed on.
+func TestUsageReachesAll(t *testing.T) {
+	placers, _, _, _ := newPlacers(t, 9)
+	linked := linkPlacers(placers)
+	placers[0].fairness.Of("model").Record(replayStart, fairness.Request{Team: "a", Tokens: 1000}, true)
+	for range 3 {
+		for _, l := range linked {
+			l.report(replayStart, true)
+		}
+	}
+	for i, p := range placers[1:] {
+		if got := p.fairness.Of("model").Usage(replayStart, "a"); got.Asked < 1000 {
+			t.Errorf("gateway %d knows of %v tokens", i+1, got.Asked)
+		}
+	}
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -237,10 +237,14 @@
 	// higher priority take.
 	rank           int
 	preemptedShare float64
-	reason         string
-	retryAfter     time.Duration
-	probe          retry.Probe
-	regionProbe    retry.Probe
+	// yields reports that the request is refused to leave capacity to others, by the shares of teams or the order within a priority.
+	yields bool
+	// order is where the request stands among others by the shares of teams; zero for one without a team.
+	order       fairness.Order
+	reason      string
+	retryAfter  time.Duration
+	probe       retry.Probe
+	regionProbe retry.Probe
 }
 
 // Reasons for a refusal.
@@ -285,18 +289,18 @@
 		here = p.withChoice(q, speed, local, endpoints, choice)
 	}
 	fair := p.applyFairness(now, q, speed, here)
-	if fair.reason == reasonOverShare {
+	if fair.yields {
 		here = fair
 	}
 	if !q.forwarded && (here.verdict != capacity.Take || here.cost > p.cfg.RegionRoundTrip+minCrossRegionGain) {
 		if there, ok := p.crossRegion(now, v, q, speed, here); ok {
+			there.order = fair.order
 			return there
 		}
 	}
 	here = fair
 	p.recordFairness(now, q, here)
 	switch {
-	case here.reason == reasonOverShare:
 	case here.verdict == capacity.Refuse:
 		here.retryAfter = p.retryAfter(now, q, here, held)
 	case len(peers) > 0:
@@ -399,6 +403,9 @@
 
 // retryAfter returns when the caller of a refused request may return.
 func (p *placer) retryAfter(now time.Time, q query, refused decision, held withheld) time.Duration {
+	if after, ok := p.returnTime(now, q, refused); ok {
+		return after
+	}
 	if refused.reason == reasonStranded {
 		return strandedRetryAfter + time.Duration(p.rng.Float64()*float64(strandedRetryAfter)/2)
 	}
