--- a/control/previous_test.go
+++ b/control/previous_test.go
@@ -27,6 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer os.Remove(filepath.Join(folder, "lock"))
 	defer files.Close()
 	d, _, err := openDisk(files)
 	if err != nil {
