--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -52,11 +52,9 @@
 	Strict bool
 	// SharedTokens is the number of tokens of the request's prompt that running requests at the endpoint hold already.
 	SharedTokens int64
-	// Retention is that of the endpoint's cache. EvictedTokens is the expected number of tokens of the cached parts that
-	// were evicted since, and EvictedShared that of all shared parts if all gateways use the endpoint for them.
-	Retention     Retention
-	EvictedTokens int64
-	EvictedShared int64
+	// Held is what is known of the shared parts at the endpoint over all gateways; without it, CachedParts are those that
+	// this gateway sent.
+	Held CachedPrompt
 	// Busy is the share of time that the endpoint spends on prefill.
 	Busy float64
 	// Decode is the endpoint's time per output token relative to the usual one.
@@ -98,8 +96,14 @@
 	MemoryFull bool
 	// Harmful reports that the response is expected to cost the requests that run at the endpoint more than it is worth.
 	Harmful bool
+	// finish estimates the cost of pauses and of the end at other endpoints of the service, and slots is the number of slots of one.
+	finish finisher
+	slots  int
 }
 
+// Uneven reports whether the paces of the candidates differ.
+func (c Choice) Uneven() bool { return c.finish.uneven > 0 }
+
 // WaitEstimate is the expected wait of a request at an endpoint.
 type WaitEstimate struct {
 	// Wait is the expected time to the first chunk.
@@ -110,13 +114,20 @@
 
 // EstimateWait estimates the wait of w at c if the endpoint has to prefill the given number of uncached tokens.
 func EstimateWait(c Candidate, w Work, uncached int64, s Speed) WaitEstimate {
+	return c.estimateWait(&w, uncached, &s)
+}
+
+// estimateWait is EstimateWait without copies, which took more time than the estimate.
+func (c *Candidate) estimateWait(w *Work, uncached int64, s *Speed) WaitEstimate {
 	d := s.Base + inflateWait(
 		s.PrefillTokenTime*time.Duration(c.Outstanding.PromptTokens.Before(w.Rank)+uncached), s.Overtaking.Prefill[w.Rank],
 	)
-	slot := slotWait(c, w.Rank, s)
+	slot := c.slotWait(w.Rank, s)
 	d += slot
-	memoryFull := c.MemoryFull(w)
-	if !c.Strict {
+	var memoryFull bool
+	if c.Strict {
+		memoryFull = c.MemoryFull(w)
+	} else {
 		memoryFull = c.Memory > 0 && float64(c.Outstanding.HeldTokens+uncached+w.OutputTokens) > maxMemoryShare*float64(c.Memory)
 	}
 	if memoryFull {
@@ -127,10 +138,13 @@
 
 // slotWait returns the expected time until a request of the rank gets a slot: enough running requests have to end, and
 // the waiting ones with the same or a more urgent rank take slots first.
-func slotWait(c Candidate, rank int, s Speed) time.Duration {
+func (c *Candidate) slotWait(rank int, s *Speed) time.Duration {
+	if c.Slots == 0 {
+		return 0
+	}
 	running := int64(c.Outstanding.Requests) - c.Outstanding.Waiting.All()
 	ahead := running + c.Outstanding.Waiting.Before(rank) - int64(c.Slots) + 1
-	if c.Slots == 0 || ahead <= 0 {
+	if ahead <= 0 {
 		return 0
 	}
 	return inflateWait(s.SlotTime*time.Duration(ahead)/time.Duration(c.Slots), s.Overtaking.Slots[rank])
@@ -138,7 +152,9 @@
 
 // DecodeCost returns the cost of slower decoding at an endpoint that spends the fraction busy of its time on prefill and
 // is slower than the others by the given factor.
-func DecodeCost(w Work, busy, slowdown float64) time.Duration {
+func DecodeCost(w Work, busy, slowdown float64) time.Duration { return w.decodeCost(busy, slowdown) }
+
+func (w *Work) decodeCost(busy, slowdown float64) time.Duration {
 	return time.Duration(decodeWeight * (busy*slowdown + slowdown - 1) * float64(w.OutputTokens) * float64(prefillChunkTime))
 }
 
@@ -151,17 +167,19 @@
 	var bestCost time.Duration
 	ties := 0
 	preferred := preferredCandidate(candidates, w)
-	prompt := newPromptRead(candidates, preferred, w, s, fetch)
+	prompt := newPromptRead(candidates, preferred, w, s, fetch, objective)
 	baseline := baselineFailureRate(candidates)
 	finish := newFinisher(candidates, w, s, objective)
 	for i := range candidates {
 		c := &candidates[i]
-		uncached, source, extra := prompt.at(c, w, i == preferred)
-		e := EstimateWait(*c, w, uncached, s)
+		uncached, source, extra, copying := prompt.at(c, &w, i == preferred)
+		e := c.estimateWait(&w, uncached, &s)
 		e.Wait = time.Duration(float64(e.Wait) * finish.waitFactor(c))
-		crowded := c.Crowded(w.Rank, s)
-		cost := e.Wait + DecodeCost(w, c.Busy, c.Health.Slowdown()) + extra + c.detourCost(w, crowded || e.MemoryFull, objective) +
+		crowded := c.Crowded(w.Rank, &s)
+		cost := e.Wait + w.decodeCost(c.Busy, c.Health.Slowdown()) + extra + c.detourCost(&w, crowded || e.MemoryFull, objective) +
 			time.Duration((c.Health.FailureRate+c.excessFailureRate(baseline))*failureCost*float64(objective))
+		miss := prompt.missCost(c, e, crowded, finish.uneven) + copying
+		cost += miss
 		if best.Index < 0 || cost < bestCost+tieThreshold {
 			// The cost of the pauses and the end is never negative, so that it need not be known of the others.
 			cost += finish.cost(c, uncached, e.Wait)
@@ -182,7 +200,7 @@
 			continue
 		}
 		best = Choice{
-			Index: i, Expected: e.Wait, Cost: cost, UncachedTokens: uncached, FetchFrom: source, Preferred: i == preferred, Full: e.Full,
+			Index: i, Expected: e.Wait, Cost: cost - miss, UncachedTokens: uncached, FetchFrom: source, Preferred: i == preferred, Full: e.Full,
 			Crowded: crowded, MemoryFull: e.MemoryFull,
 		}
 		bestCost = cost
@@ -190,6 +208,7 @@
 	if best.Index < 0 {
 		return best, false
 	}
+	best.finish, best.slots = finish, candidates[best.Index].Slots
 	best.Pace, best.WaitFactor = candidates[best.Index].Decode.Factor, finish.waitFactor(&candidates[best.Index])
 	best.End = finish.end(&candidates[best.Index], best.Expected)
 	best.Harmful = finish.harmful(&candidates[best.Index], best.UncachedTokens, best.Expected)
@@ -204,37 +223,81 @@
 	tokenTime, fetch time.Duration
 	// source is the index of the candidate from which the parts can be fetched, or -1 if none.
 	source int
+	// sourceUncached is the number of tokens to prefill at the source.
+	sourceUncached int64
+	// objective is that of the route, and first the time left until the first chunk should arrive.
+	objective, first time.Duration
 }
 
-func newPromptRead(candidates []Candidate, preferred int, w Work, s Speed, fetch time.Duration) promptRead {
+func newPromptRead(candidates []Candidate, preferred int, w Work, s Speed, fetch, objective time.Duration) promptRead {
 	p := promptRead{
 		minUncached: w.UncachedTokens(len(w.Shared())), all: w.UncachedTokens(0), tokenTime: s.PrefillTokenTime, fetch: fetch, source: -1,
+		objective: objective, first: objective,
+	}
+	if w.Stream.First > 0 {
+		p.first = w.Stream.First
 	}
-	// A source that has most likely evicted the parts is none.
-	if preferred >= 0 && fetch > 0 && candidates[preferred].canServeFetches() && 2*candidates[preferred].EvictedShared <= p.all-p.minUncached {
-		p.source = preferred
+	if fetch <= 0 || preferred < 0 {
+		return p
+	}
+	p.sourceUncached = p.all
+	for i := range candidates {
+		c := &candidates[i]
+		uncached := p.uncached(c, &w, i == preferred)
+		// A source that has most likely evicted the parts is none.
+		if uncached < p.sourceUncached && 2*(uncached-p.minUncached) <= p.all-p.minUncached && (c.Held.Known || i == preferred) && c.canServeFetches() {
+			p.source, p.sourceUncached = i, uncached
+		}
 	}
 	return p
 }
 
-// at returns the expected number of tokens to prefill at the candidate, the index of the one from which it fetches the
-// shared parts or -1 if none, and the cost beyond the wait of reading or fetching them.
-func (p *promptRead) at(c *Candidate, w Work, preferred bool) (uncached int64, source int, extra time.Duration) {
-	uncached = w.UncachedTokens(c.CachedParts) + c.EvictedTokens
-	if preferred {
+// uncached returns the expected number of tokens to prefill at the candidate.
+func (p *promptRead) uncached(c *Candidate, w *Work, preferred bool) int64 {
+	switch {
+	case c.Held.Known:
+		return min(w.UncachedTokens(c.CachedParts)+c.Held.Evicted, p.all)
+	case preferred:
 		// All gateways agree on the preferred endpoint, so it has cached the parts even if this gateway has not seen it.
-		uncached = p.minUncached + c.EvictedShared
+		return p.minUncached
+	default:
+		return w.UncachedTokens(c.CachedParts)
 	}
-	uncached = min(uncached, p.all)
-	extra = time.Duration(c.Retention.ReadCost(c.Busy) * float64(p.tokenTime) * float64(uncached-p.minUncached))
-	if !preferred && p.source >= 0 && uncached > p.minUncached {
-		return p.minUncached, p.source, time.Duration(fetchCostShare*float64(extra)) + p.fetch*time.Duration(uncached-p.minUncached)
+}
+
+// at returns the expected number of tokens to prefill at the candidate, the index of the one from which it fetches the
+// shared parts or -1 if none, and the cost beyond the wait of reading or fetching them. Copying is the part of the cost that
+// decides between the endpoints of a region only: a request in another region reads the parts, too.
+func (p *promptRead) at(c *Candidate, w *Work, preferred bool) (uncached int64, source int, extra, copying time.Duration) {
+	uncached = p.uncached(c, w, preferred)
+	extra = time.Duration(sharedPrefixCost * float64(p.tokenTime) * float64(uncached-p.minUncached))
+	read := extra
+	if c.Held.Known {
+		read = min(time.Duration(c.Held.ReadCost*float64(p.tokenTime)*c.paceFactor()), time.Duration(maxReadCost*float64(p.objective)))
+	}
+	if p.source >= 0 && uncached > p.sourceUncached {
+		fetched := time.Duration(fetchCostShare*float64(extra)) + p.fetch*time.Duration(uncached-p.sourceUncached)
+		if !c.Held.Known || fetched < read {
+			return p.sourceUncached, p.source, fetched, 0
+		}
+	}
+	return uncached, -1, min(extra, read), max(read-extra, 0)
+}
+
+// missCost returns the cost of a late first chunk or a refusal where holders of the parts are known, so that no request waits for a
+// cached part beyond its objective while another endpoint is free. Where paces differ, the cost of the whole response holds the former.
+func (p *promptRead) missCost(c *Candidate, e WaitEstimate, crowded bool, uneven float64) time.Duration {
+	if !c.Held.Known {
+		return 0
+	}
+	if crowded || e.MemoryFull {
+		return time.Duration(fullCost * float64(p.objective))
 	}
-	return uncached, -1, extra
+	return time.Duration((1 - uneven) * lateLoss * lossCost * float64(p.objective) * over(float64(e.Wait), p.first, firstMargin))
 }
 
 // detourCost returns the cost of taking a slot that is left free for others, and of crossing to another failure domain.
-func (c *Candidate) detourCost(w Work, crowded bool, objective time.Duration) (cost time.Duration) {
+func (c *Candidate) detourCost(w *Work, crowded bool, objective time.Duration) (cost time.Duration) {
 	if crowded {
 		cost += crowdedCost(objective)
 	}
@@ -244,8 +307,16 @@
 	return cost
 }
 
+// paceFactor returns how long work takes at the endpoint relative to the usual time.
+func (c *Candidate) paceFactor() float64 {
+	if c.Decode.Factor <= 0 {
+		return 1
+	}
+	return c.Decode.Factor
+}
+
 // canServeFetches reports whether other endpoints may fetch from the endpoint; a failing or slow one would delay them.
-func (c Candidate) canServeFetches() bool {
+func (c *Candidate) canServeFetches() bool {
 	return c.Health.FailureRate < maxSourceFailures && c.Health.Slowdown() <= maxSourceSlowdown
 }
 
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -40,7 +40,11 @@
 	outcomes capacity.Outcomes
 	// cachedParts maps the ID of a prompt part to the time of its last use.
 	cachedParts map[string]time.Time
-	coldWindow  *capacity.Window
+	// turnover is the rate at which the endpoint prefills tokens of all gateways, and usedParts the hashes of the parts that
+	// were sent there since the last report.
+	turnover   capacity.Turnover
+	usedParts  []uint64
+	coldWindow *capacity.Window
 	// coldUntil is the end of the cold period that the endpoint announced in an answer.
 	coldUntil time.Time
 	// connectFailedAt is the time of the last failed connection; zero once the endpoint has answered since.
@@ -53,7 +57,7 @@
 	brittle     brittleness
 	plain       capacity.PlainReport
 	// receivedNanos is the Unix time of the last piece of an answer from the endpoint, in nanoseconds.
-	receivedNanos atomic.Int64
+	receivedNanos *atomic.Int64
 }
 
 // placer selects the endpoint or the region for each request. It does no I/O and is safe for concurrent use.
@@ -66,11 +70,19 @@
 	// startedAt is when the gateway started.
 	startedAt time.Time
 
-	mu     sync.Mutex
+	// mu is a pointer so that fork can copy the placer.
+	mu     *sync.Mutex
 	rng    *rand.Rand
 	states map[string]*endpointState
 	peers  *peerLoads
 	speeds map[string]capacity.Speed
+	// holders are the endpoints that have parts of prompts cached, and prompt those of the present decision. reportPace holds
+	// the services whose endpoints have reported a pace.
+	holders    *capacity.Holders
+	prompt     capacity.PromptHolders
+	reportPace map[string]bool
+	// caches counts cached tokens by service.
+	caches map[string]cacheCounts
 	// lengths are those of the answers by route.
 	lengths          map[string]capacity.Lengths
 	demands          map[string]capacity.Demand
@@ -84,7 +96,7 @@
 	sentToRegion   map[string][]sentTokens
 	// sheds holds the forwards because of this region's load, by service.
 	sheds    map[string]capacity.Forwards
-	fairness *fairness.State
+	fairness *fairness.Services
 	// forwards counts the recent requests forwarded to each region.
 	forwards         map[string]*capacity.Window
 	changedEndpoints map[string]bool
@@ -130,10 +142,14 @@
 	return &placer{
 		cfg:              cfg,
 		retention:        capacity.NewRetention,
+		mu:               &sync.Mutex{},
 		rng:              rand.New(source),
 		states:           map[string]*endpointState{},
 		peers:            newPeerLoads(),
 		speeds:           map[string]capacity.Speed{},
+		holders:          capacity.NewHolders(),
+		reportPace:       map[string]bool{},
+		caches:           map[string]cacheCounts{},
 		lengths:          map[string]capacity.Lengths{},
 		demands:          map[string]capacity.Demand{},
 		plainDemands:     map[string]capacity.PlainDemand{},
@@ -143,7 +159,7 @@
 		retryBudgets:     map[string]*retry.Allowance{},
 		sentToRegion:     map[string][]sentTokens{},
 		sheds:            map[string]capacity.Forwards{},
-		fairness:         fairness.New(),
+		fairness:         fairness.NewServices(),
 		forwards:         map[string]*capacity.Window{},
 		changedEndpoints: map[string]bool{},
 		loadsChanged:     make(chan struct{}, 1),
@@ -205,6 +221,8 @@
 	waitFactor     float64
 	uncachedTokens int64
 	addedLoad      capacity.Outstanding
+	// choice is the choice among the endpoints of this region; zero if there was none.
+	choice capacity.Choice
 	// backlog is the outstanding work of the endpoint before this request.
 	backlog    capacity.Outstanding
 	candidates int
@@ -266,12 +284,16 @@
 	if ok {
 		here = p.withChoice(q, speed, local, endpoints, choice)
 	}
+	fair := p.applyFairness(now, q, speed, here)
+	if fair.reason == reasonOverShare {
+		here = fair
+	}
 	if !q.forwarded && (here.verdict != capacity.Take || here.cost > p.cfg.RegionRoundTrip+minCrossRegionGain) {
 		if there, ok := p.crossRegion(now, v, q, speed, here); ok {
 			return there
 		}
 	}
-	here = p.applyFairness(now, q, speed, here)
+	here = fair
 	p.recordFairness(now, q, here)
 	switch {
 	case here.reason == reasonOverShare:
@@ -310,7 +332,7 @@
 // withChoice returns the decision about a request, given the chosen candidate.
 func (p *placer) withChoice(q query, speed capacity.Speed, local []capacity.Candidate, endpoints []*fleet.Endpoint, choice capacity.Choice) decision {
 	here := decision{
-		endpoint: *endpoints[choice.Index], reason: reasonBacklog, candidates: len(local),
+		endpoint: *endpoints[choice.Index], choice: choice, reason: reasonBacklog, candidates: len(local),
 		expected: choice.Expected, cost: choice.Cost, uncachedTokens: choice.UncachedTokens, affinity: choice.Preferred, full: choice.Full,
 		end: choice.End, pace: choice.Pace, waitFactor: choice.WaitFactor, backlog: local[choice.Index].Outstanding, addedLoad: q.work.Load(choice.UncachedTokens), rank: q.work.Rank,
 	}
@@ -429,15 +451,16 @@
 	p.otherGateways = sharers.all.n - 1
 	unseen := p.unseenShare(now)
 	speed := p.speed(q.service.Name)
+	retains := p.retains(q.service.Name)
+	if retains {
+		p.prompt = p.holders.Of(now, q.work, p.prompt)
+	}
 	p.candidates, p.endpoints = p.candidates[:0], p.endpoints[:0]
 	all := v.endpoints[q.service.Name]
 	for i := range all {
 		e := &all[i]
 		s := p.state(e)
-		if !e.TerminatesAt.IsZero() || p.departures.Contains(e.ID, e.Born) || !q.mayServe(e) {
-			continue
-		}
-		if !byOther && !p.maySend(now, q, e, s, sharers, &held) {
+		if p.exclusionOf(now, q, e, s, byOther, sharers, &held) != included {
 			continue
 		}
 		peers := p.peers.sum(e.ID)
@@ -449,11 +472,11 @@
 		if q.service.Engine != nil {
 			c.Memory, c.Preempts = q.service.Engine.CacheTokens, true
 			p.countMemory(now, &c, s, q.work, peers, unseen)
-			tokens := s.recent.Tokens(now) + peers.recent.Tokens(now)
-			if p.cfg.Pressure {
-				c.Retention = p.retention(tokens, c.Memory, c.Outstanding.HeldTokens)
+			if retains {
+				p.countCached(now, &c, s, e, s.recent.Tokens(now)+peers.recent.Tokens(now))
+			} else {
+				c.CachedParts = s.cachedPartCount(now, q.work)
 			}
-			c.CachedParts, c.EvictedTokens, c.EvictedShared = s.cachedPartCount(now, q.work, c.Retention, sharers.all.n)
 		}
 		p.candidates, p.endpoints = append(p.candidates, c), append(p.endpoints, e)
 	}
@@ -461,27 +484,6 @@
 	return p.candidates, p.endpoints, held
 }
 
-// maySend reports whether this gateway may send a request to an endpoint now, and adds what keeps it from that to held.
-func (p *placer) maySend(now time.Time, q query, e *fleet.Endpoint, s *endpointState, by sharers, held *withheld) bool {
-	switch {
-	case q.tried[e.ID]:
-		return false
-	case now.Before(s.pausedUntil):
-		held.addPause(s.pausedUntil)
-		return false
-	case !p.endpointBreakers.Allows(now, e.ID):
-		return false
-	case !p.mayTake(now, e, &s.limit, by.reaching.rank, by.reaching.n):
-		held.addLimited(s.limit.perSecond)
-		return false
-	case s.brittle.rejections.named && !p.mayStart(now, e, s, s.outstanding.Requests+p.peers.sum(e.ID).outstanding.Requests, by.reaching.rank, by.reaching.n):
-		held.brittle++
-		return false
-	default:
-		return !p.isCold(e, s, now) || s.coldWindow.Count(now) < p.coldLimit(now, q.service, e, by.all.rank, by.all.n)
-	}
-}
-
 // state returns the tracked state of the latest known incarnation of an endpoint. A new incarnation starts afresh,
 // except for the requests still outstanding.
 func (p *placer) state(e *fleet.Endpoint) *endpointState {
@@ -490,8 +492,9 @@
 		own, held := capacity.Outstanding{}, capacity.HeldMemory{}
 		if s != nil {
 			own, held = s.outstanding, s.held
+			p.holders.Forget(e.ID)
 		}
-		s = &endpointState{born: e.Born, outstanding: own, held: held, health: capacity.NewHealth(), cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second)}
+		s = &endpointState{born: e.Born, outstanding: own, held: held, health: capacity.NewHealth(), cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second), receivedNanos: new(atomic.Int64)}
 		p.states[e.ID] = s
 		p.endpointBreakers.Forget(e.ID)
 	}
@@ -514,28 +517,19 @@
 
 // prefillShare returns the share of its time that an endpoint spends on prefill, from the tokens that all gateways sent
 // recently.
-func (s *endpointState) prefillShare(now time.Time, speed capacity.Speed, peers endpointLoad) float64 {
+func (s *endpointState) prefillShare(now time.Time, speed capacity.Speed, peers *endpointLoad) float64 {
 	return speed.Busy(s.recent.Tokens(now) + peers.recent.Tokens(now))
 }
 
-// cachedPartCount returns the number of leading shared parts of a prompt that this gateway has recently sent to the endpoint,
-// the expected number of their tokens that were evicted since, and that of all shared parts if the given number of
-// gateways send them to the endpoint equally often.
-func (s *endpointState) cachedPartCount(now time.Time, w capacity.Work, r capacity.Retention, gateways int) (n int, evicted, evictedShared int64) {
+// cachedPartCount returns the number of leading shared parts of a prompt that this gateway has recently sent to the endpoint.
+func (s *endpointState) cachedPartCount(now time.Time, w capacity.Work) int {
 	shared := w.Shared()
 	for i, part := range shared {
-		used, ok := s.cachedParts[part.ID]
-		if !ok {
-			break
-		}
-		age := now.Sub(used)
-		evictedShared += r.Expected(0, part.Tokens, age/time.Duration(max(gateways, 1)))
-		if n == i && age <= cachedPartTTL {
-			n++
-			evicted += r.Expected(0, part.Tokens, age)
+		if used, ok := s.cachedParts[part.ID]; !ok || now.Sub(used) > cachedPartTTL {
+			return i
 		}
 	}
-	return n, evicted, evictedShared
+	return len(shared)
 }
 
 // speed returns the learned speed of a service's endpoints, or the initial one.
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusreel/capacity"
+	"arbutusreel/fairness"
 	"arbutusreel/fleet"
 	"arbutusreel/retry"
 	"arbutusreel/routes"
@@ -28,7 +29,7 @@
 // the tokens of a forwarded request against the reported capacity of the other region.
 func (p *placer) crossRegion(now time.Time, v *view, q query, speed capacity.Speed, here decision) (decision, bool) {
 	available := p.availableGateways(now, v, q)
-	there, ok := capacity.ChooseRegion(p.capacitiesOf(now, v, q, available, p.cfg.Pressure && here.verdict != capacity.Take), q.work, speed, p.cfg.RegionRoundTrip, here.cost)
+	there, ok := capacity.ChooseRegion(p.offeredCapacities(now, v, q, available, here), q.work, speed, here.choice, p.cfg.RegionRoundTrip, here.cost)
 	if !ok && here.candidates == 0 {
 		there.Region, ok = p.staleRegion(now, v, q, available)
 		there.Expected = speed.Base + p.cfg.RegionRoundTrip
@@ -44,6 +45,9 @@
 	if !ok || !shouldCrossRegion(here, there.Cost, verdict) {
 		return decision{}, false
 	}
+	if here.reason == reasonOverShare && !fairness.MayLeave(verdict == capacity.Take, there.Expected-p.cfg.RegionRoundTrip, q.budget.RouteObjective) {
+		return decision{}, false
+	}
 	g, _ := fleet.Partner(p.cfg.Name, available[there.Region])
 	p.countForward(now, there.Region)
 	p.recordShed(now, q, here)
@@ -54,6 +58,18 @@
 	}, true
 }
 
+// offeredCapacities returns the capacities of other regions for a request, given the decision in this region.
+func (p *placer) offeredCapacities(now time.Time, v *view, q query, available map[string][]fleet.Gateway, here decision) []capacity.RegionCapacity {
+	capacities := p.capacitiesOf(now, v, q, available, p.cfg.Pressure && here.verdict != capacity.Take)
+	if p.cfg.Pressure || here.choice.Uneven() {
+		for i := range capacities {
+			// The other gateways of this region see the same report and are assumed to have sent as much since.
+			capacities[i].Sent *= int64(p.otherGateways + 1)
+		}
+	}
+	return capacities
+}
+
 // shouldCrossRegion reports whether a request is forwarded to another region, given the decision in this region and the
 // cost and the verdict in the other one.
 func shouldCrossRegion(here decision, cost time.Duration, verdict capacity.Verdict) bool {
@@ -207,7 +223,7 @@
 		}
 		for rank := range capacity.Ranks {
 			wait := capacity.EstimateWait(c, capacity.Work{Rank: rank}, 0, speed).Wait
-			if c.Crowded(rank, speed) {
+			if c.Crowded(rank, &speed) {
 				wait += capacityObjective
 			}
 			waits[rank] = append(waits[rank], wait.Milliseconds())
