--- a/gateway/explain_test.go
+++ b/gateway/explain_test.go
@@ -15,6 +15,7 @@
 	"arbutusreel/capacity"
 	"arbutusreel/fleet"
 	"arbutusreel/routes"
+	"arbutusreel/statetest"
 	"arbutusreel/wiregen"
 )
 
@@ -93,56 +94,13 @@
 	return p, v, queries, now
 }
 
-// walk calls f with each value below v and its path; f returns whether to go on below it.
-func walk(path string, v reflect.Value, f func(path string, v reflect.Value) bool) {
-	if !f(path, v) {
-		return
-	}
-	switch v.Kind() {
-	case reflect.Pointer, reflect.Interface:
-		if !v.IsNil() {
-			walk(path, v.Elem(), f)
-		}
-	case reflect.Struct:
-		for i := range v.NumField() {
-			walk(path+"."+v.Type().Field(i).Name, v.Field(i), f)
-		}
-	case reflect.Map:
-		for _, k := range v.MapKeys() {
-			walk(fmt.Sprintf("%s[%v]", path, k), v.MapIndex(k), f)
-		}
-	case reflect.Slice, reflect.Array:
-		for i := range v.Len() {
-			walk(fmt.Sprintf("%s[%d]", path, i), v.Index(i), f)
-		}
-	default:
-	}
-}
-
 // outside reports whether a path leads to what does not belong to a placer's state.
 func outside(path string, v reflect.Value) bool {
 	return path == ".cfg" || path == ".holdersView" || path == ".mu" || strings.HasSuffix(path, ".loc") || v.Kind() == reflect.Func || strings.Contains(path, ".reach.waiting[")
 }
 
-// dump returns the whole state of a placer, one line for each value.
-func dump(p *placer) string {
-	var lines []string
-	walk("", reflect.ValueOf(p).Elem(), func(path string, v reflect.Value) bool {
-		if outside(path, v) {
-			return false
-		}
-		switch v.Kind() {
-		case reflect.Pointer, reflect.Interface, reflect.Struct, reflect.Array:
-		case reflect.Map, reflect.Slice, reflect.Chan:
-			lines = append(lines, fmt.Sprint(path, " has ", v.Len()))
-		default:
-			lines = append(lines, fmt.Sprint(path, " is ", v))
-		}
-		return true
-	})
-	slices.Sort(lines)
-	return strings.Join(lines, "\n")
-}
+// dump returns the whole state of a placer.
+func dump(p *placer) string { return statetest.Dump(p, outside) }
 
 // TestExplainChangesNothing guards against explanations that spend shares, grants, probes or random draws, or change any other state: the
 // whole state of the placer and what its reports show are equal before and after.
@@ -155,13 +113,8 @@
 			for _, q := range queries {
 				p.explain(now.Add(later), v, q)
 			}
-			if after := dump(p); after != before {
-				was, is := strings.Split(before, "\n"), strings.Split(after, "\n")
-				for i := range was {
-					if was[i] != is[i] {
-						t.Fatalf("seed %d: was %q, is %q", seed, was[i], is[i])
-					}
-				}
+			if was, is, changed := statetest.FirstDifference(before, dump(p)); changed {
+				t.Fatalf("seed %d: was %q, is %q", seed, was, is)
 			}
 			for i, m := range p.localCapacity(now, v) {
 				if !slices.ContainsFunc(room, func(r *wiregen.ServiceRoom) bool { return proto.Equal(r, m) }) {
@@ -177,11 +130,11 @@
 	p, _, _, now := busyPlacer(t, 1)
 	references := func(p *placer) map[string]uintptr {
 		all := map[string]uintptr{}
-		walk("", reflect.ValueOf(p).Elem(), func(path string, v reflect.Value) bool {
+		statetest.Walk(p, func(path string, v reflect.Value) bool {
 			if outside(path, v) {
 				return false
 			}
-			if k := v.Kind(); k == reflect.Map || k == reflect.Pointer || k == reflect.Chan || k == reflect.Slice && v.Cap() > 0 {
+			if k := v.Kind(); path != "" && (k == reflect.Map || k == reflect.Pointer || k == reflect.Chan || k == reflect.Slice && v.Cap() > 0) {
 				all[path] = v.Pointer()
 			}
 			return true
