Explain the placement of a request at an entry without recording it

Cause: the where command is to answer for the own entry path, where placing a request counts, queues, logs and reserves.

--- a/dispatch/crossregion.go
+++ b/dispatch/crossregion.go
@@ -13,39 +13,53 @@
 // request is forwarded only if the region has no endpoint for it. tryForward returns nil if the request is not
 // forwarded.
 func (s *scheduler) tryForward(now time.Time, j *job, q *modelQueue, d routing.Decision, hasEndpoint bool) *placement {
-	if hasEndpoint && j.class.Deferrable {
-		return nil
-	}
 	if !hasEndpoint {
 		if p := s.tryHandOver(now, j); p != nil {
 			return p
 		}
 	}
-	reason, localTerms := s.forwardReason(now, j, q, d, hasEndpoint)
-	if reason == "" {
-		return nil
-	}
-	routes := slices.DeleteFunc(j.routes(s.self.Region), func(r routing.Route) bool {
-		return !s.regionBreakers.Allows(now, r.Region)
-	})
-	target, ok := s.regions.Choose(now, &j.query, j.wireBytes(), routes, localTerms)
+	f, ok := s.decideForward(now, j, q, d, hasEndpoint)
 	if !ok {
 		return nil
 	}
 	s.counts.SentAway++
-	if reason == forwardBetter {
+	if f.reason == forwardBetter {
 		s.optionalForwards--
 	}
-	s.explainForward(j, target, localTerms, reason)
+	s.explainForward(j, f.target, f.localTerms, f.reason)
 	return &placement{
-		region:        target.Region,
-		forwardTicket: s.regions.Start(now, target, &j.query, j.wireBytes()),
-		probe:         s.regionBreakers.Begin(now, target.Region),
-		terms:         target.Terms,
+		region:        f.target.Region,
+		forwardTicket: s.regions.Start(now, f.target, &j.query, j.wireBytes()),
+		probe:         s.regionBreakers.Begin(now, f.target.Region),
+		terms:         f.target.Terms,
 		promptTokens:  j.request.PromptTokens,
 	}
 }
 
+// forward is the decision to forward a request to another region, with the terms that it had to improve on.
+type forward struct {
+	target     routing.RegionDecision
+	reason     string
+	localTerms *routing.Terms
+}
+
+// decideForward returns the region that a request is forwarded to, or false if it is not forwarded.
+func (s *scheduler) decideForward(now time.Time, j *job, q *modelQueue, d routing.Decision, hasEndpoint bool) (f forward, ok bool) {
+	if hasEndpoint && j.class.Deferrable {
+		return f, false
+	}
+	if f.reason, f.localTerms = s.forwardReason(now, j, q, d, hasEndpoint); f.reason == "" {
+		return f, false
+	}
+	f.target, ok = s.regions.Choose(now, &j.query, j.wireBytes(), s.openRoutes(now, j), f.localTerms)
+	return f, ok
+}
+
+// openRoutes returns the routes to the regions whose circuit breakers allow a request.
+func (s *scheduler) openRoutes(now time.Time, j *job) []routing.Route {
+	return slices.DeleteFunc(j.routes(s.self.Region), func(r routing.Route) bool { return !s.regionBreakers.Allows(now, r.Region) })
+}
+
 // Reasons to forward a request to another region.
 const (
 	forwardNoEndpoint    = "noEndpoint"
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,6 +65,7 @@
 	SetInstances(n int)
 	Capacity(now time.Time, service, model string) routing.Capacity
 	Choose(now time.Time, q *routing.Query) (routing.Decision, bool)
+	Explain(now time.Time, q *routing.Query, source rand.Source) (routing.Decision, []routing.Scored, bool)
 	Start(now time.Time, d routing.Decision, q *routing.Query) *routing.Ticket
 	FirstToken(now time.Time, t *routing.Ticket)
 	Done(now time.Time, t *routing.Ticket, ok bool)
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -14,11 +14,10 @@
 // may be out of reach from here only. A request is handed over once at most, and only if it may be repeated, as the ledger holds the
 // claim of another one for this instance. It returns nil if the request is not handed over.
 func (s *scheduler) tryHandOver(now time.Time, j *job) *placement {
-	region := s.self.Region
-	if s.instances < 2 || len(j.request.Via) > 0 || !j.attempts.Repeatable || slices.Contains(j.excluded, region) ||
-		!residency.Allows(j.inventory, j.request.Subject(), region) || !s.regionBreakers.Allows(now, region) || !s.allTripped(now, j) {
+	if !s.mayHandOver(now, j) {
 		return nil
 	}
+	region := s.self.Region
 	s.counts.SentAway++
 	s.requestEvent(j).Str("action", "handedOver").Str("region", region).Msg("routed")
 	return &placement{
@@ -26,6 +25,13 @@
 	}
 }
 
+// mayHandOver reports whether a request for which this instance has no endpoint is handed to another one of the region.
+func (s *scheduler) mayHandOver(now time.Time, j *job) bool {
+	region := s.self.Region
+	return s.instances >= 2 && len(j.request.Via) == 0 && j.attempts.Repeatable && !slices.Contains(j.excluded, region) &&
+		residency.Allows(j.inventory, j.request.Subject(), region) && s.regionBreakers.Allows(now, region) && s.allTripped(now, j)
+}
+
 // allTripped reports whether endpoints are known that may serve the request, and the circuit breakers of all are open.
 func (s *scheduler) allTripped(now time.Time, j *job) bool {
 	known := 0
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -86,8 +86,17 @@
 	return p.endpoint.Models
 }
 
-// newJob checks a request and prepares its query.
+// newJob checks a request, prepares its query and counts it.
 func (d *Dispatcher) newJob(r Request) (*job, error) {
+	j, err := d.prepareJob(r)
+	if err == nil {
+		d.scheduler.register(j)
+	}
+	return j, err
+}
+
+// prepareJob checks a request and prepares its query without the expected tokens.
+func (d *Dispatcher) prepareJob(r Request) (*job, error) {
 	inv, _ := d.view.Inventory()
 	if inv == nil {
 		return nil, problem.New(problem.NotReady, http.StatusServiceUnavailable, "instance %q has no inventory yet", d.self.Instance)
@@ -109,7 +118,6 @@
 		Objective:    routing.NewObjective(inv.Rules().Objective),
 		Cost:         relativeCost(inv, region.CostPerThousandTokens),
 	}
-	d.scheduler.register(j)
 	return j, nil
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -60,31 +60,64 @@
 	if p := s.tryForward(now, j, q, d, hasEndpoint); p != nil {
 		return p
 	}
-	free := hasEndpoint && d.HasCapacity && q.queue.Ahead(j.class.Priority) == 0
-	if !free || j.class.Deferrable && !s.hasHeadroom(now, j) {
+	if !s.mayStart(now, j, q, d, hasEndpoint) {
 		return nil
 	}
 	s.explain(j, d, "started")
 	return s.start(now, j, d)
 }
 
-// waitOrRefuse enqueues a request that cannot start now, or refuses it. If no other endpoint is known, the endpoints
-// that have failed the request may be tried again.
-func (s *scheduler) waitOrRefuse(now time.Time, j *job, q *modelQueue, d routing.Decision, hasEndpoint bool) (*admission.Waiting[*waiter], error) {
+// mayStart reports whether the request may start at the chosen endpoint now.
+func (s *scheduler) mayStart(now time.Time, j *job, q *modelQueue, d routing.Decision, hasEndpoint bool) bool {
+	free := hasEndpoint && d.HasCapacity && q.queue.Ahead(j.class.Priority) == 0
+	return free && (!j.class.Deferrable || s.hasHeadroom(now, j))
+}
+
+// waiting is what follows for a request that cannot start now.
+type waiting int
+
+const (
+	// waitForCapacity: the request waits in its queue.
+	waitForCapacity waiting = iota
+	// waitForDiscovery: the request waits until an endpoint is known.
+	waitForDiscovery
+	// refuseUnknown: no endpoint is known.
+	refuseUnknown
+	// refuseLate: the request cannot be met within its patience.
+	refuseLate
+)
+
+// decideWaiting returns what follows for a request that cannot start now, with the endpoint and the estimate behind it. If no other
+// endpoint is known, the endpoints that have failed the request may be tried again.
+func (s *scheduler) decideWaiting(now time.Time, j *job, q *modelQueue, d routing.Decision, hasEndpoint bool) (waiting, routing.Decision, admission.Verdict) {
 	if !hasEndpoint {
 		d, hasEndpoint = s.chooseFailed(now, j)
 	}
-	if !hasEndpoint && s.awaitingDiscovery(now, j) {
-		return s.enqueue(now, j, q, admission.Verdict{Queue: true}), nil
-	}
-	if !hasEndpoint {
-		return nil, s.refuseNoEndpoint(now, j)
+	switch {
+	case !hasEndpoint && s.awaitingDiscovery(now, j):
+		return waitForDiscovery, d, admission.Verdict{Queue: true}
+	case !hasEndpoint:
+		return refuseUnknown, d, admission.Verdict{RetryAfter: retryAfterNoCapacity}
 	}
 	v := admission.Decide(now, j.request.Deadline, s.estimate(now, j, q, d))
 	if !v.Queue && !j.answerStarted() {
+		return refuseLate, d, v
+	}
+	return waitForCapacity, d, v
+}
+
+// waitOrRefuse enqueues a request that cannot start now, or refuses it.
+func (s *scheduler) waitOrRefuse(now time.Time, j *job, q *modelQueue, d routing.Decision, hasEndpoint bool) (*admission.Waiting[*waiter], error) {
+	next, d, v := s.decideWaiting(now, j, q, d, hasEndpoint)
+	switch next {
+	case refuseUnknown:
+		return nil, s.refuseNoEndpoint(now, j)
+	case refuseLate:
 		return nil, s.refusePatienceExceeded(j, q, v)
+	case waitForCapacity:
+		s.explain(j, d, "queued")
+	case waitForDiscovery:
 	}
-	s.explain(j, d, "queued")
 	return s.enqueue(now, j, q, v), nil
 }
 
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -66,18 +66,23 @@
 func (s *scheduler) register(j *job) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	asked := j.request.MaxTokens
-	j.query.ExpectedTokens = s.usage.Mean(j.usageKey(), asked)
-	j.quantileTokens = s.usage.QuantileOrPrior(j.usageKey(), patienceQuantile, asked)
-	j.query.ReserveTokens = j.request.PromptTokens + s.usage.Quantile(j.usageKey(), j.inventory.Rules().ReservationQuantile, asked)
+	s.estimateUse(s.now(), j)
 	s.counts.Requests++
 	s.optionalForwards = min(s.optionalForwards+optionalForwardShare, maxOptionalForwards)
-	j.query.PrefillPerSecond = s.chooser.Capacity(s.now(), j.query.Service, j.query.Model).PrefillTokensPerSecond
-	s.counts.AskedTokens += int64(asked)
+	s.counts.AskedTokens += int64(j.request.MaxTokens)
 	s.counts.ReservedTokens += int64(j.query.ReserveTokens - j.request.PromptTokens)
 	s.retryBudget.First(s.budgetKey(j), j.inventory.Rules().RetryBudget)
 }
 
+// estimateUse estimates the tokens that a new request will use.
+func (s *scheduler) estimateUse(now time.Time, j *job) {
+	asked := j.request.MaxTokens
+	j.query.ExpectedTokens = s.usage.Mean(j.usageKey(), asked)
+	j.quantileTokens = s.usage.QuantileOrPrior(j.usageKey(), patienceQuantile, asked)
+	j.query.ReserveTokens = j.request.PromptTokens + s.usage.Quantile(j.usageKey(), j.inventory.Rules().ReservationQuantile, asked)
+	j.query.PrefillPerSecond = s.chooser.Capacity(now, j.query.Service, j.query.Model).PrefillTokensPerSecond
+}
+
 // refresh reads the known endpoints and regions again if they are older than refreshPeriod, and starts the waiting
 // requests for which there is capacity then.
 func (s *scheduler) refresh(now time.Time) {
