Answer at entries where a request would go, and ask them by the where command

Cause: the where command answered for platform gateways only. Measured by TestWhere in entry: unknown team, model, service and class, a missing team, a team's token and a missing inventory get problems; the explained request reaches no endpoint, spends nothing and writes no routed line. TestWhereCommand: both paths.

--- a/cmd/arbutusreel/where.go
+++ b/cmd/arbutusreel/where.go
@@ -6,12 +6,16 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"time"
 
 	"github.com/integrii/flaggy"
 
 	"arbutusreel/explanation"
+	"arbutusreel/operator"
 	"arbutusreel/problem"
+	"arbutusreel/settings"
+	"arbutusreel/wiregen"
 )
 
 const (
@@ -25,35 +29,57 @@
 
 // whereArguments holds the arguments of the where command.
 type whereArguments struct {
-	gateway  string
-	question explanation.Question
-	parts    string
-	json     bool
+	gateway      string
+	question     explanation.Question
+	parts        string
+	model, class string
+	json         bool
+	// entry holds the settings for asking an entry, of which flags are the texts; they are loaded only then.
+	entry *wiregen.RepairSettings
+	flags settings.Flags
 }
 
 func whereCommand() *command {
-	a := &whereArguments{}
+	a := &whereArguments{entry: &wiregen.RepairSettings{}}
 	return &command{
-		name: "where",
-		doc:  "Explains where a request would go now, and why, without sending it.",
-		bind: a.bind,
+		name:  "where",
+		doc:   "Explains where a request would go now, and why, without sending it: of a gateway with --gateway, else of an entry.",
+		bind:  a.bind,
+		check: a.check,
 		run: func(ctx context.Context, stdout io.Writer) error {
+			if a.gateway == "" {
+				return a.explainEntry(ctx, stdout)
+			}
 			e, err := a.askGateway(ctx)
 			if err != nil {
 				return err
 			}
-			return a.print(stdout, e)
+			if a.json {
+				return printJSON(stdout, e, explanation.Encode)
+			}
+			return explanation.WriteTable(stdout, e)
 		},
 	}
 }
 
+// check loads the settings for asking an entry if no gateway is given.
+func (a *whereArguments) check() error {
+	if a.gateway != "" {
+		return nil
+	}
+	return settings.Load(a.entry, a.flags, os.Getenv)
+}
+
 func (a *whereArguments) bind(sub *flaggy.Subcommand) {
 	q := &a.question
+	a.flags = settings.Bind(binder{sub: sub}, a.entry)
 	sub.String(&a.gateway, "", "gateway", "Address of a gateway's debug listener.")
+	sub.String(&a.model, "", "model", "Model or adapter, at an entry.")
+	sub.String(&a.class, "", "class", "Class of the request, at an entry; by default that of the team.")
 	sub.String(&q.Route, "", "route", "Name of the route, in place of host and path.")
 	sub.String(&q.Host, "", "host", "Host of the request.")
 	sub.String(&q.Path, "", "path", "Path of the request; / by default.")
-	sub.String(&q.Service, "", "service", "Service of the route; by default the one with the greatest weight.")
+	sub.String(&q.Service, "", "service", "Service of the route, by default the one with the greatest weight; or a plain service, at an entry.")
 	sub.String(&q.Team, "", "team", "Name of the caller's team.")
 	sub.Int64(&q.PromptTokens, "", "promptTokens", "Number of prompt tokens.")
 	sub.Int64(&q.MaxOutputTokens, "", "maxOutputTokens", "Largest number of output tokens.")
@@ -77,9 +103,6 @@
 	if _, err := explanation.ParseQuestion(values); err != nil {
 		return nil, err
 	}
-	if a.gateway == "" {
-		return nil, &explanation.ParameterError{Name: "gateway", Reason: "is missing"}
-	}
 	ctx, cancel := context.WithTimeout(ctx, whereTimeout)
 	defer cancel()
 	target := url.URL{Scheme: "http", Host: a.gateway, Path: wherePath, RawQuery: values.Encode()}
@@ -105,12 +128,33 @@
 	return explanation.Decode(b)
 }
 
-// print prints the explanation as tables, or as JSON.
-func (a *whereArguments) print(stdout io.Writer, e *explanation.Explanation) error {
-	if !a.json {
-		return explanation.WriteTable(stdout, e)
+// explainEntry prints the explanation of an entry.
+func (a *whereArguments) explainEntry(ctx context.Context, stdout io.Writer) error {
+	q := explanation.EntryQuestion{
+		Model: a.model, Service: a.question.Service, Team: a.question.Team, Class: a.class,
+		PromptTokens: a.question.PromptTokens, MaxOutputTokens: a.question.MaxOutputTokens,
 	}
-	b, err := explanation.Encode(e)
+	if _, err := explanation.ParseEntryQuestion(q.Values()); err != nil {
+		return err
+	}
+	server := &wiregen.OperatorSettings{
+		Controls: a.entry.GetEntries(), TokenFile: a.entry.GetTokenFile(), Timeout: a.entry.GetTimeout(), TlsAuthorityFile: a.entry.GetTlsAuthorityFile(),
+	}
+	return withClient(ctx, server, func(ctx context.Context, c *operator.Client) error {
+		e, err := c.Where(ctx, q)
+		if err != nil {
+			return err
+		}
+		if a.json {
+			return printJSON(stdout, e, explanation.EncodeEntry)
+		}
+		return explanation.WriteEntryTable(stdout, e)
+	})
+}
+
+// printJSON writes an explanation as JSON.
+func printJSON[T any](stdout io.Writer, e *T, encode func(*T) ([]byte, error)) error {
+	b, err := encode(e)
 	if err != nil {
 		return err
 	}
--- a/completion/request.go
+++ b/completion/request.go
@@ -18,8 +18,8 @@
 // bytesPerToken is the number of prompt bytes that are estimated as one token.
 const bytesPerToken = 4
 
-// defaultMaxTokens is the maximum length in tokens of an answer whose request does not set one.
-const defaultMaxTokens = 1024
+// DefaultMaxTokens is the maximum length in tokens of an answer whose request does not set one.
+const DefaultMaxTokens = 1024
 
 // Request is the part of a caller's request that the gateway reads; Fields holds the whole request.
 type Request struct {
@@ -77,7 +77,7 @@
 // Decode decodes a caller's request; it returns *MalformedError, *MissingError or *RangeError if the request is
 // invalid.
 func Decode(kind Kind, body []byte) (Request, error) {
-	r := Request{Kind: kind, MaxTokens: defaultMaxTokens}
+	r := Request{Kind: kind, MaxTokens: DefaultMaxTokens}
 	if err := json.Unmarshal(body, &r.Fields); err != nil {
 		return Request{}, &MalformedError{Field: "", Cause: err}
 	}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -43,6 +43,7 @@
 	authorizer := operator.NewAuthorizer(n.cfg.OperatorTokenDigest, n.cfg.MaxBodyBytes)
 	mux.HandleFunc("GET /v1/repair", authorizer.Handle(n.listDoubtful))
 	mux.HandleFunc("POST /v1/repair", authorizer.Handle(n.settleDoubtful))
+	mux.HandleFunc(operator.WhereRoute, authorizer.HandleJSON(n.explainRequest))
 	mux.HandleFunc(operator.DecisionsRoute, authorizer.Handle(operator.Decisions(n.cfg.Decisions)))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", n.writeReadiness)
--- a/explanation/explanation_test.go
+++ b/explanation/explanation_test.go
@@ -51,6 +51,21 @@
 	if got, err := Decode(b); err != nil || !cmp.Equal(*got, e) {
 		t.Errorf("%v\n%s", err, cmp.Diff(e, *got))
 	}
+	var entry EntryExplanation
+	fill(reflect.ValueOf(&entry).Elem(), &n)
+	b, err = EncodeEntry(&entry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := DecodeEntry(b); err != nil || !cmp.Equal(*got, entry) {
+		t.Errorf("%v\n%s", err, cmp.Diff(entry, *got))
+	}
+	var eq EntryQuestion
+	fill(reflect.ValueOf(&eq).Elem(), &n)
+	eq.Service = ""
+	if got, err := ParseEntryQuestion(eq.Values()); err != nil || got != eq {
+		t.Errorf("%v\n%s", err, cmp.Diff(eq, got))
+	}
 	var q Question
 	fill(reflect.ValueOf(&q).Elem(), &n)
 	if got, err := ParseQuestion(q.Values()); err != nil || !cmp.Equal(got, q) {
@@ -73,3 +88,17 @@
 		}
 	}
 }
+
+// TestEntryTable guards against an action that is shown as another.
+func TestEntryTable(t *testing.T) {
+	for action, want := range map[string]string{
+		"started": `sent to endpoint "e1"`, "queued": "waits for capacity", "sentAway": `forwarded to region "there"`, "handedOver": "handed over", "refused": "refused: capacity",
+	} {
+		var b bytes.Buffer
+		e := &EntryExplanation{Limited: true, Candidates: []EntryCandidate{{Endpoint: "e1"}}, Excluded: []Excluded{{"e2", "draining"}}, Regions: []EntryRegion{{Name: "far"}}}
+		e.Decision = EntryDecision{Action: action, Reason: "capacity", Endpoint: "e1", Region: "there"}
+		if err := WriteEntryTable(&b, e); err != nil || !strings.HasPrefix(b.String(), want) {
+			t.Errorf("%v: %s", err, b.String())
+		}
+	}
+}
--- a/explanation/table.go
+++ b/explanation/table.go
@@ -89,11 +89,19 @@
 
 // notes names what is true of the candidate.
 func (c Candidate) notes() string {
+	return join(note{c.Chosen, "chosen"}, note{c.Preferred, "preferred"}, note{c.Full, "full"}, note{c.Crowded, "crowded"}, note{c.MemoryFull, "memory"})
+}
+
+// note is a name for what may be true.
+type note struct {
+	holds bool
+	name  string
+}
+
+// join returns the names of what is true.
+func join(notes ...note) string {
 	var all []string
-	for _, n := range []struct {
-		holds bool
-		name  string
-	}{{c.Chosen, "chosen"}, {c.Preferred, "preferred"}, {c.Full, "full"}, {c.Crowded, "crowded"}, {c.MemoryFull, "memory"}} {
+	for _, n := range notes {
 		if n.holds {
 			all = append(all, n.name)
 		}
--- a/limits/standing.go
+++ b/limits/standing.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -27,3 +28,19 @@
 	pool.fill(now, &filled)
 	return filled.level, true
 }
+
+// Standing returns the rate that the instance may use of a team's limit, in tokens per second, and the tokens that are left now. It
+// changes nothing; ok is false if the team has no limit.
+func (t *Teams) Standing(now time.Time, team string) (rate, left float64, ok bool) {
+	a := t.accounts[team]
+	if a == nil {
+		return 0, 0, false
+	}
+	c := *a
+	c.leases, c.borrowedLeases = maps.Clone(a.leases), maps.Clone(a.borrowedLeases)
+	for borrower, granted := range c.leases {
+		c.leases[borrower] = slices.Clone(granted)
+	}
+	c.updateBucket(now)
+	return c.bucket.rate, c.bucket.level, true
+}
--- a/operator/authorization.go
+++ b/operator/authorization.go
@@ -30,7 +30,25 @@
 // Handle returns an HTTP handler that writes the message returned by handler as JSON, or its error as a problem.
 func (a Authorizer) Handle(handler func(*http.Request) (proto.Message, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		b, err := a.serve(w, r, handler)
+		a.HandleJSON(func(r *http.Request) ([]byte, error) {
+			reply, err := handler(r)
+			if err != nil {
+				return nil, err
+			}
+			return wire.EncodeJSON(reply)
+		})(w, r)
+	}
+}
+
+// HandleJSON is Handle for a handler that encodes its reply itself.
+func (a Authorizer) HandleJSON(handler func(*http.Request) ([]byte, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		err := authorize(r, a.digest)
+		var b []byte
+		if err == nil {
+			r.Body = http.MaxBytesReader(w, r.Body, a.maxBytes)
+			b, err = handler(r)
+		}
 		if err != nil {
 			problem.Write(w, problem.From(err), "")
 			return
@@ -40,18 +58,6 @@
 	}
 }
 
-func (a Authorizer) serve(w http.ResponseWriter, r *http.Request, handler func(*http.Request) (proto.Message, error)) ([]byte, error) {
-	if err := authorize(r, a.digest); err != nil {
-		return nil, err
-	}
-	r.Body = http.MaxBytesReader(w, r.Body, a.maxBytes)
-	reply, err := handler(r)
-	if err != nil {
-		return nil, err
-	}
-	return wire.EncodeJSON(reply)
-}
-
 // authorize returns a *problem.Problem unless the request carries the token with the digest.
 func authorize(r *http.Request, digest string) error {
 	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
