Keep given team names out of refusals, and show which endpoints would fetch

Change: the refusals name no team; candidates report fetches. The tests of where give a key as the team's name and look for it.

--- a/capacity/costs.go
+++ b/capacity/costs.go
@@ -11,6 +11,8 @@
 	Decode, Read, Detour, Failure, Finish time.Duration
 	// UncachedTokens is the number of uncached prompt tokens that the endpoint has to prefill.
 	UncachedTokens int64
+	// Fetches reports that the endpoint would fetch shared parts of the prompt from the preferred one instead of prefilling them.
+	Fetches bool
 	// Preferred, Full, Crowded and MemoryFull are those of Choice.
 	Preferred, Full, Crowded, MemoryFull bool
 }
@@ -29,7 +31,7 @@
 	costs := make([]Cost, len(candidates))
 	for i := range candidates {
 		c := &candidates[i]
-		uncached, _, extra := prompt.at(c, w, i == preferred)
+		uncached, source, extra := prompt.at(c, w, i == preferred)
 		e := EstimateWait(*c, w, uncached, s)
 		e.Wait = time.Duration(float64(e.Wait) * finish.waitFactor(c))
 		crowded := c.Crowded(w.Rank, s)
@@ -37,7 +39,7 @@
 			Expected: e.Wait, End: finish.end(c, e.Wait), Decode: DecodeCost(w, c.Busy, c.Health.Slowdown()), Read: extra,
 			Detour:  c.detourCost(w, crowded || e.MemoryFull, objective),
 			Failure: time.Duration((c.Health.FailureRate + c.excessFailureRate(baseline)) * failureCost * float64(objective)),
-			Finish:  finish.cost(c, uncached, e.Wait), UncachedTokens: uncached, Preferred: i == preferred, Full: e.Full, Crowded: crowded, MemoryFull: e.MemoryFull,
+			Finish:  finish.cost(c, uncached, e.Wait), UncachedTokens: uncached, Fetches: source >= 0, Preferred: i == preferred, Full: e.Full, Crowded: crowded, MemoryFull: e.MemoryFull,
 		}
 	}
 	return costs
--- a/capacity/costs_test.go
+++ b/capacity/costs_test.go
@@ -26,7 +26,7 @@
 		choice, _ := Choose(all, w, NewSpeed(), fetch, time.Second, rapid.Float64Range(0, 0.999).Draw(t, "draw"))
 		costs := Costs(all, w, NewSpeed(), fetch, time.Second)
 		got := costs[choice.Index]
-		if got.Total() != choice.Cost || got.Expected != choice.Expected || got.End != choice.End || got.UncachedTokens != choice.UncachedTokens {
+		if got.Total() != choice.Cost || got.Expected != choice.Expected || got.End != choice.End || got.UncachedTokens != choice.UncachedTokens || got.Fetches != (choice.FetchFrom >= 0) {
 			t.Fatalf("%+v, chosen %+v", got, choice)
 		}
 		for i, c := range costs {
--- a/entry/where.go
+++ b/entry/where.go
@@ -43,7 +43,7 @@
 	}
 	team, ok := inv.Team(q.Team)
 	if !ok {
-		return dispatch.Request{}, 0, problem.New(problem.UnknownTeam, http.StatusNotFound, "no team has the name %q", q.Team)
+		return dispatch.Request{}, 0, problem.New(problem.UnknownTeam, http.StatusNotFound, "no team has the given name")
 	}
 	c := caller{team: team, inventory: inv}
 	asCaller := &http.Request{Header: http.Header{}}
--- a/entry/where_test.go
+++ b/entry/where_test.go
@@ -41,7 +41,7 @@
 		problem.UnknownClass:     change(func(q *explanation.EntryQuestion) { q.Class = "other" }),
 		problem.MalformedRequest: change(func(q *explanation.EntryQuestion) { q.Team = "" }),
 	} {
-		if _, p := ask(token, q); p == nil || p.Code != want {
+		if _, p := ask(token, q); p == nil || p.Code != want || strings.Contains(p.Detail, teamToken) {
 			t.Errorf("want %s: %v", want, p)
 		}
 	}
--- a/explanation/codec.go
+++ b/explanation/codec.go
@@ -46,6 +46,7 @@
 		FailureMillis  float64 `json:"failureMillis"`
 		FinishMillis   float64 `json:"finishMillis"`
 		CachedTokens   int64   `json:"cachedTokens"`
+		Fetches        bool    `json:"fetches"`
 		Pace           float64 `json:"pace,omitempty"`
 		Requests       int     `json:"requests"`
 		Slots          int     `json:"slots"`
@@ -112,7 +113,7 @@
 		m.Candidates = append(m.Candidates, candidateMessage{
 			Endpoint: c.Endpoint, Chosen: c.Chosen, ExpectedMillis: millis(c.Expected), EndMillis: millis(c.End), CostMillis: millis(c.Cost),
 			DecodeMillis: millis(c.Decode), ReadMillis: millis(c.Read), DetourMillis: millis(c.Detour), FailureMillis: millis(c.Failure),
-			FinishMillis: millis(c.Finish), CachedTokens: c.CachedTokens, Pace: c.Pace, Requests: c.Requests, Slots: c.Slots, HeldTokens: c.HeldTokens,
+			FinishMillis: millis(c.Finish), CachedTokens: c.CachedTokens, Fetches: c.Fetches, Pace: c.Pace, Requests: c.Requests, Slots: c.Slots, HeldTokens: c.HeldTokens,
 			Memory: c.Memory, Preferred: c.Preferred, Full: c.Full, Crowded: c.Crowded, MemoryFull: c.MemoryFull,
 		})
 	}
@@ -163,7 +164,7 @@
 		e.Candidates = append(e.Candidates, Candidate{
 			Endpoint: c.Endpoint, Chosen: c.Chosen, Expected: fromMillis(c.ExpectedMillis), End: fromMillis(c.EndMillis), Cost: fromMillis(c.CostMillis),
 			Decode: fromMillis(c.DecodeMillis), Read: fromMillis(c.ReadMillis), Detour: fromMillis(c.DetourMillis), Failure: fromMillis(c.FailureMillis),
-			Finish: fromMillis(c.FinishMillis), CachedTokens: c.CachedTokens, Pace: c.Pace, Requests: c.Requests, Slots: c.Slots, HeldTokens: c.HeldTokens,
+			Finish: fromMillis(c.FinishMillis), CachedTokens: c.CachedTokens, Fetches: c.Fetches, Pace: c.Pace, Requests: c.Requests, Slots: c.Slots, HeldTokens: c.HeldTokens,
 			Memory: c.Memory, Preferred: c.Preferred, Full: c.Full, Crowded: c.Crowded, MemoryFull: c.MemoryFull,
 		})
 	}
--- a/explanation/explanation.go
+++ b/explanation/explanation.go
@@ -48,8 +48,9 @@
 	Expected, End time.Duration
 	// Cost is Expected plus Decode, Read, Detour, Failure and Finish.
 	Cost, Decode, Read, Detour, Failure, Finish time.Duration
-	// CachedTokens are the prompt tokens that the endpoint is expected to have cached.
+	// CachedTokens are the prompt tokens that the endpoint need not prefill, as it has them cached, or fetches them from the preferred one.
 	CachedTokens int64
+	Fetches      bool
 	// Pace is relative to the usual endpoint, above one if it is slower; zero if it is not known.
 	Pace float64
 	// Requests are outstanding at the endpoint, of all gateways, and HeldTokens is the memory that they hold. A limit of zero is not
--- a/explanation/table.go
+++ b/explanation/table.go
@@ -89,7 +89,7 @@
 
 // notes names what is true of the candidate.
 func (c Candidate) notes() string {
-	return join(note{c.Chosen, "chosen"}, note{c.Preferred, "preferred"}, note{c.Full, "full"}, note{c.Crowded, "crowded"}, note{c.MemoryFull, "memory"})
+	return join(note{c.Chosen, "chosen"}, note{c.Preferred, "preferred"}, note{c.Fetches, "fetches"}, note{c.Full, "full"}, note{c.Crowded, "crowded"}, note{c.MemoryFull, "memory"})
 }
 
 // note is a name for what may be true.
--- a/gateway/where.go
+++ b/gateway/where.go
@@ -70,9 +70,10 @@
 	if j.service = j.view.table.Service(service); j.service == nil || !j.route.Serves(service) {
 		return problem.New(problem.UnknownService, http.StatusNotFound, "route %q has no service %q", j.route.Name, service)
 	}
+	// The name is not part of the answer, as it may be a key that was given by mistake.
 	team, result := j.g.cfg.Access.Check(j.received, j.view.currentAt, j.view.table, access.Request{Route: j.route, Forwarded: true, Team: q.Team})
 	if result != access.Allowed {
-		return problem.New(problem.UnknownTeam, http.StatusNotFound, "no team %q, which route %q needs", q.Team, j.route.Name)
+		return problem.New(problem.UnknownTeam, http.StatusNotFound, "route %q needs a team of the routing document; the one given is none", j.route.Name)
 	}
 	j.team = team
 	return nil
@@ -96,7 +97,7 @@
 		all = append(all, answer.Candidate{
 			Endpoint: c.ID, Chosen: x.decision.verdict != capacity.Refuse && x.decision.region == "" && c.ID == x.decision.endpoint.ID,
 			Expected: cost.Expected, End: cost.End, Cost: cost.Total(), Decode: cost.Decode, Read: cost.Read, Detour: cost.Detour, Failure: cost.Failure,
-			Finish: cost.Finish, CachedTokens: max(prompt-cost.UncachedTokens, 0), Pace: c.Decode.Factor, Requests: c.Outstanding.Requests, Slots: c.Slots,
+			Finish: cost.Finish, CachedTokens: max(prompt-cost.UncachedTokens, 0), Fetches: cost.Fetches, Pace: c.Decode.Factor, Requests: c.Outstanding.Requests, Slots: c.Slots,
 			HeldTokens: c.Outstanding.HeldTokens, Memory: c.Memory, Preferred: cost.Preferred, Full: cost.Full, Crowded: cost.Crowded, MemoryFull: cost.MemoryFull,
 		})
 	}
--- a/gateway/where_test.go
+++ b/gateway/where_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,7 +45,7 @@
 		problem.UnknownRoute: {Host: "elsewhere", Path: "/", Team: "a"}, problem.UnknownService: {Host: testHost, Path: "/stream/x", Team: "a", Service: "other"},
 		problem.UnknownTeam: {Host: testHost, Path: "/stream/x", Team: testKey},
 	} {
-		if _, p := ask(q); p == nil || p.Code != want || p.Status != http.StatusNotFound {
+		if _, p := ask(q); p == nil || p.Code != want || p.Status != http.StatusNotFound || strings.Contains(p.Detail, testKey) {
 			t.Errorf("want %s: %v", want, p)
 		}
 	}
