Report malformed numbers of the where command as its other parameters

Cause: flaggy parsed numbers and times itself, so that a malformed one ended with exit code 2 and an untyped error. Change: the flags are texts, read by the parsers that the listeners use. Measured by TestWhereCommand (a number that is none and a flag of the other path exit with 1 and name the parameter) and TestWhereAcrossRegions.

--- a/cmd/arbutusreel/where.go
+++ b/cmd/arbutusreel/where.go
@@ -29,18 +29,18 @@
 
 // whereArguments holds the arguments of the where command.
 type whereArguments struct {
-	gateway      string
-	question     explanation.Question
-	parts        string
-	model, class string
-	json         bool
+	gateway string
+	// texts holds the parameters of the question by name.
+	texts    map[string]*string
+	returned bool
+	json     bool
 	// entry holds the settings for asking an entry, of which flags are the texts; they are loaded only then.
 	entry *wiregen.RepairSettings
 	flags settings.Flags
 }
 
 func whereCommand() *command {
-	a := &whereArguments{entry: &wiregen.RepairSettings{}}
+	a := &whereArguments{texts: map[string]*string{}, entry: &wiregen.RepairSettings{}}
 	return &command{
 		name:  "where",
 		doc:   "Explains where a request would go now, and why, without sending it: of a gateway with --gateway, else of an entry.",
@@ -71,41 +71,55 @@
 }
 
 func (a *whereArguments) bind(sub *flaggy.Subcommand) {
-	q := &a.question
 	a.flags = settings.Bind(binder{sub: sub}, a.entry)
 	sub.String(&a.gateway, "", "gateway", "Address of a gateway's debug listener.")
-	sub.String(&a.model, "", "model", "Model or adapter, at an entry.")
-	sub.String(&a.class, "", "class", "Class of the request, at an entry; by default that of the team.")
-	sub.String(&q.Route, "", "route", "Name of the route, in place of host and path.")
-	sub.String(&q.Host, "", "host", "Host of the request.")
-	sub.String(&q.Path, "", "path", "Path of the request; / by default.")
-	sub.String(&q.Service, "", "service", "Service of the route, by default the one with the greatest weight; or a plain service, at an entry.")
-	sub.String(&q.Team, "", "team", "Name of the caller's team.")
-	sub.Int64(&q.PromptTokens, "", "promptTokens", "Number of prompt tokens.")
-	sub.Int64(&q.MaxOutputTokens, "", "maxOutputTokens", "Largest number of output tokens.")
-	sub.Int64(&q.Hint, "", "hint", "Estimated number of output tokens; none by default.")
-	sub.String(&a.parts, "", "parts", "Parts of the prompt, ID:TOKENS,..., the one that is not shared last.")
-	sub.Int64(&q.BodyBytes, "", "bodyBytes", "Size of the body.")
-	sub.Duration(&q.TimeLeft, "", "timeLeft", "Time that the caller has left; the route's timeout by default.")
-	sub.Bool(&q.Returned, "", "returned", "The caller was refused before.")
+	for _, p := range []struct{ name, doc string }{
+		{"route", "Name of the route, in place of host and path."},
+		{"host", "Host of the request."},
+		{"path", "Path of the request; / by default."},
+		{"model", "Model or adapter, at an entry."},
+		{"service", "Service of the route, by default the one with the greatest weight; or a plain service, at an entry."},
+		{"team", "Name of the caller's team."},
+		{"class", "Class of the request, at an entry; by default that of the team."},
+		{"promptTokens", "Number of prompt tokens."},
+		{"maxOutputTokens", "Largest number of output tokens."},
+		{"hint", "Estimated number of output tokens; none by default."},
+		{"parts", "Parts of the prompt, ID:TOKENS,..., the one that is not shared last."},
+		{"bodyBytes", "Size of the body."},
+		{"timeLeft", "Time that the caller has left; the route's timeout by default."},
+	} {
+		text := new(string)
+		a.texts[p.name] = text
+		sub.String(text, "", p.name, p.doc)
+	}
+	sub.Bool(&a.returned, "", "returned", "The caller was refused before.")
 	sub.Bool(&a.json, "", "json", "Prints JSON instead of tables.")
 }
 
+// values returns the parameters that are given.
+func (a *whereArguments) values() url.Values {
+	v := url.Values{}
+	for name, text := range a.texts {
+		if *text != "" {
+			v.Set(name, *text)
+		}
+	}
+	if a.returned {
+		v.Set("returned", "true")
+	}
+	return v
+}
+
 // askGateway returns the explanation of a platform gateway. A malformed argument returns *explanation.ParameterError, a refusal
 // *problem.Problem, another answer *explanation.AnswerError.
 func (a *whereArguments) askGateway(ctx context.Context) (*explanation.Explanation, error) {
-	parts, err := explanation.ParseParts(a.parts)
+	q, err := explanation.ParseQuestion(a.values())
 	if err != nil {
 		return nil, err
 	}
-	a.question.Parts = parts
-	values := a.question.Values()
-	if _, err := explanation.ParseQuestion(values); err != nil {
-		return nil, err
-	}
 	ctx, cancel := context.WithTimeout(ctx, whereTimeout)
 	defer cancel()
-	target := url.URL{Scheme: "http", Host: a.gateway, Path: wherePath, RawQuery: values.Encode()}
+	target := url.URL{Scheme: "http", Host: a.gateway, Path: wherePath, RawQuery: q.Values().Encode()}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
 		return nil, err
@@ -130,11 +144,8 @@
 
 // explainEntry prints the explanation of an entry.
 func (a *whereArguments) explainEntry(ctx context.Context, stdout io.Writer) error {
-	q := explanation.EntryQuestion{
-		Model: a.model, Service: a.question.Service, Team: a.question.Team, Class: a.class,
-		PromptTokens: a.question.PromptTokens, MaxOutputTokens: a.question.MaxOutputTokens,
-	}
-	if _, err := explanation.ParseEntryQuestion(q.Values()); err != nil {
+	q, err := explanation.ParseEntryQuestion(a.values())
+	if err != nil {
 		return err
 	}
 	server := &wiregen.OperatorSettings{
--- a/cmd/arbutusreel/where_test.go
+++ b/cmd/arbutusreel/where_test.go
@@ -35,13 +35,15 @@
 	}{
 		{
 			"--gateway " + address + " --route chat --team club --promptTokens 1000 --parts s:900,o:100 --maxOutputTokens 400 --hint 80 --timeLeft 2s",
-			"hint=80&maxOutputTokens=400&parts=s%3A900%2Co%3A100&promptTokens=1000&route=chat&team=club&timeLeft=2s", `sent to endpoint "e1"`, 0,
+			"hint=80&maxOutputTokens=400&parts=s%3A900%2Co%3A100&path=%2F&promptTokens=1000&route=chat&team=club&timeLeft=2s", `sent to endpoint "e1"`, 0,
 		},
 		{"--gateway " + address + " --host h --path /x --team club --json", "host=h&path=%2Fx&team=club", `"endpoint": "e1"`, 0},
-		{"--gateway " + address + " --route chat --team other", "route=chat&team=other", "unknownTeam", exitFailure},
-		{"--gateway " + address + " --route chat", "route=chat", "status 418", exitFailure},
+		{"--gateway " + address + " --route chat --team other", "path=%2F&route=chat&team=other", "unknownTeam", exitFailure},
+		{"--gateway " + address + " --route chat", "path=%2F&route=chat", "status 418", exitFailure},
 		{"--gateway " + address, "", `parameter "host" is missing`, exitFailure},
 		{"--gateway " + address + " --route chat --parts s", "", `parameter "parts"`, exitFailure},
+		{"--gateway " + address + " --route chat --promptTokens many", "", `parameter "promptTokens"`, exitFailure},
+		{"--gateway " + address + " --route chat --model m", "", `parameter "model" is not known`, exitFailure},
 		{"--route chat", "", `entries`, exitUsage},
 		{"--entries " + address + " --model m --team club --class chat --promptTokens 9", "class=chat&model=m&promptTokens=9&team=club", "sent to endpoint", 0},
 		{"--entries " + address + " --model m --team other --json", "model=m&team=other", "unknownTeam", exitFailure},
