--- a/explanation/explanation.go
+++ b/explanation/explanation.go
@@ -49,8 +49,9 @@
 	// Cost is Expected plus Decode, Read, Detour, Failure and Finish. Miss decides only between the candidates: the cost of another copy
 	// of the shared parts, of a late first chunk and of a refusal where the holders of the parts are known.
 	Cost, Decode, Read, Detour, Failure, Finish, Miss time.Duration
-	// CachedTokens are the prompt tokens that the endpoint is expected to have cached.
+	// CachedTokens are the prompt tokens that the endpoint need not prefill, as it has them cached, or fetches them from another endpoint.
 	CachedTokens int64
+	Fetches      bool
 	// Pace is relative to the usual endpoint, above one if it is slower; zero if it is not known.
 	Pace float64
 	// Requests are outstanding at the endpoint, of all gateways, and HeldTokens is the memory that they hold. A limit of zero is not
