Keep what decisions look up by endpoint, and count sharers on change

Cause: localCandidates took 80% of a decision. It looked up the state and the sum of each endpoint by ID, copied query, speed, sum and candidate for each endpoint (2 kB), decayed the recent tokens twice, and counted the sharers of rates anew at each decision. Change: states and sums are looked up when the list of endpoints, a state or the set of sums changes. Sharers are counted when the view changes or a share expires. Candidates are filled in place.

--- a/capacity/recent.go
+++ b/capacity/recent.go
@@ -34,6 +34,6 @@
 }
 
 // Busy returns the share of time that an endpoint spends on prefill, given the decayed sum of prompt tokens sent to it.
-func (s Speed) Busy(recentTokens float64) float64 {
+func (s *Speed) Busy(recentTokens float64) float64 {
 	return min(recentTokens*float64(s.PrefillTokenTime)/float64(recentTimeConstant), 1)
 }
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -65,13 +65,22 @@
 	all, reaching holders
 }
 
+// countedSharers are the sharers as last counted. They change with the view, and when the share of a gateway expires that it doesn't list.
+type countedSharers struct {
+	sharers
+
+	valid bool
+	// expiresAt is when the first share expires; zero if none does.
+	expiresAt time.Time
+}
+
 // sharersOf returns this gateway's position among the sharers of its region.
 func (p *placer) sharersOf(now time.Time, v *view) sharers {
 	if p.firstDecisionAt.IsZero() {
 		p.firstDecisionAt = now
 	}
 	if p.holdersView != v {
-		p.holdersView = v
+		p.holdersView, p.counted.valid = v, false
 		clear(p.strandedHolders)
 		for _, g := range v.gateways {
 			if g.Region != p.cfg.Region {
@@ -83,23 +92,38 @@
 			}
 		}
 	}
+	if !p.counted.valid || !p.counted.expiresAt.IsZero() && now.After(p.counted.expiresAt) {
+		p.countSharers(now, v)
+	}
+	return p.counted.sharers
+}
+
+// countSharers counts the sharers, and removes those whose share has expired.
+func (p *placer) countSharers(now time.Time, v *view) {
 	all, reaching := holders{n: 1}, holders{n: 1}
+	p.counted = countedSharers{valid: true}
 	for name, seen := range p.shareHolders {
-		switch {
-		case name == p.cfg.Name:
-		case now.Sub(seen) > coldShareTTL && !v.listsGateway(name):
-			delete(p.shareHolders, name)
-		default:
-			before := 0
-			if name < p.cfg.Name {
-				before = 1
+		if name == p.cfg.Name {
+			continue
+		}
+		if !v.listsGateway(name) {
+			if now.Sub(seen) > coldShareTTL {
+				delete(p.shareHolders, name)
+				continue
 			}
-			all.n, all.rank = all.n+1, all.rank+before
-			// One that is stranded sends nothing, and waits for coldHoldoffTime once it reaches endpoints again.
-			if !p.strandedHolders[name] {
-				reaching.n, reaching.rank = reaching.n+1, reaching.rank+before
+			if end := seen.Add(coldShareTTL); p.counted.expiresAt.IsZero() || end.Before(p.counted.expiresAt) {
+				p.counted.expiresAt = end
 			}
 		}
+		before := 0
+		if name < p.cfg.Name {
+			before = 1
+		}
+		all.n, all.rank = all.n+1, all.rank+before
+		// One that is stranded sends nothing, and waits for coldHoldoffTime once it reaches endpoints again.
+		if !p.strandedHolders[name] {
+			reaching.n, reaching.rank = reaching.n+1, reaching.rank+before
+		}
 	}
-	return sharers{all: all, reaching: reaching}
+	p.counted.sharers = sharers{all: all, reaching: reaching}
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,6 +106,10 @@
 	// the callers that were refused for limits, by service.
 	changedLimits map[string]bool
 	returns       map[string]*returns
+	// tracked holds by service what decisions look up by endpoint.
+	tracked map[string]*trackedEndpoints
+	// stateGeneration changes when a state is replaced.
+	stateGeneration int
 	// candidates and endpoints are buffers that are reused by each decision.
 	candidates []capacity.Candidate
 	endpoints  []*fleet.Endpoint
@@ -114,6 +119,7 @@
 	shareHolders    map[string]time.Time
 	strandedHolders map[string]bool
 	holdersView     *view
+	counted         countedSharers
 	reach           *reach
 	// otherGateways is the number of other gateways of the region, as of the last decision.
 	otherGateways int
@@ -132,6 +138,7 @@
 		retention:        capacity.NewRetention,
 		rng:              rand.New(source),
 		states:           map[string]*endpointState{},
+		tracked:          map[string]*trackedEndpoints{},
 		peers:            newPeerLoads(),
 		speeds:           map[string]capacity.Speed{},
 		lengths:          map[string]capacity.Lengths{},
@@ -429,40 +436,40 @@
 	p.otherGateways = sharers.all.n - 1
 	unseen := p.unseenShare(now)
 	speed := p.speed(q.service.Name)
-	p.candidates, p.endpoints = p.candidates[:0], p.endpoints[:0]
 	all := v.endpoints[q.service.Name]
+	tracked := p.trackedEndpoints(q.service.Name, all)
+	p.candidates, p.endpoints = slices.Grow(p.candidates[:0], len(all)), p.endpoints[:0]
 	for i := range all {
-		e := &all[i]
-		s := p.state(e)
+		e, s, peers := &all[i], tracked.endpoints[i].state, tracked.endpoints[i].peers
 		if !e.TerminatesAt.IsZero() || p.departures.Contains(e.ID, e.Born) || !q.mayServe(e) {
 			continue
 		}
-		if !byOther && !p.maySend(now, q, e, s, sharers, &held) {
+		if !byOther && !p.maySend(now, &q, e, s, peers, sharers, &held) {
 			continue
 		}
-		peers := p.peers.sum(e.ID)
-		c := capacity.Candidate{
-			ID: e.ID, Decode: capacity.EstimateDecode(now, &s.decode.pace, &peers.decode), Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health.WithPace(now, s.pace.Plus(now, peers.pace)), Slots: e.Slots,
-			Busy:        s.prefillShare(now, speed, peers),
-			FailureRate: s.outcomes.Plus(now, peers.outcomes).FailureRate(now), Remote: e.FailureDomain != p.cfg.FailureDomain,
-		}
+		tokens := s.recent.Tokens(now) + peers.recent.Tokens(now)
+		p.candidates = append(p.candidates, capacity.Candidate{ID: e.ID, Health: s.health, Slots: e.Slots})
+		c := &p.candidates[len(p.candidates)-1]
+		c.Decode, c.Outstanding = capacity.EstimateDecode(now, &s.decode.pace, &peers.decode), s.outstanding.Plus(peers.outstanding)
+		c.Health.Factor = s.pace.Plus(now, peers.pace).Factor(now)
+		c.FailureRate, c.Busy = s.outcomes.Plus(now, peers.outcomes).FailureRate(now), speed.Busy(tokens)
+		c.Remote = e.FailureDomain != p.cfg.FailureDomain
 		if q.service.Engine != nil {
 			c.Memory, c.Preempts = q.service.Engine.CacheTokens, true
-			p.countMemory(now, &c, s, q.work, peers, unseen)
-			tokens := s.recent.Tokens(now) + peers.recent.Tokens(now)
+			p.countMemory(now, c, s, q.work, peers, unseen)
 			if p.cfg.Pressure {
 				c.Retention = p.retention(tokens, c.Memory, c.Outstanding.HeldTokens)
 			}
 			c.CachedParts, c.EvictedTokens, c.EvictedShared = s.cachedPartCount(now, q.work, c.Retention, sharers.all.n)
 		}
-		p.candidates, p.endpoints = append(p.candidates, c), append(p.endpoints, e)
+		p.endpoints = append(p.endpoints, e)
 	}
 	capacity.NormalizePace(p.candidates)
 	return p.candidates, p.endpoints, held
 }
 
 // maySend reports whether this gateway may send a request to an endpoint now, and adds what keeps it from that to held.
-func (p *placer) maySend(now time.Time, q query, e *fleet.Endpoint, s *endpointState, by sharers, held *withheld) bool {
+func (p *placer) maySend(now time.Time, q *query, e *fleet.Endpoint, s *endpointState, peers *endpointLoad, by sharers, held *withheld) bool {
 	switch {
 	case q.tried[e.ID]:
 		return false
@@ -474,7 +481,7 @@
 	case !p.mayTake(now, e, &s.limit, by.reaching.rank, by.reaching.n):
 		held.addLimited(s.limit.perSecond)
 		return false
-	case s.brittle.rejections.named && !p.mayStart(now, e, s, s.outstanding.Requests+p.peers.sum(e.ID).outstanding.Requests, by.reaching.rank, by.reaching.n):
+	case s.brittle.rejections.named && !p.mayStart(now, e, s, s.outstanding.Requests+peers.outstanding.Requests, by.reaching.rank, by.reaching.n):
 		held.brittle++
 		return false
 	default:
@@ -493,6 +500,7 @@
 		}
 		s = &endpointState{born: e.Born, outstanding: own, held: held, health: capacity.NewHealth(), cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second)}
 		p.states[e.ID] = s
+		p.stateGeneration++
 		p.endpointBreakers.Forget(e.ID)
 	}
 	return s
