Use fixed flow control windows between processes

Cause: for each small message on an idle connection gRPC sends a ping and a window update to estimate the bandwidth, and the peer answers: two or three more writes and reads for each load report. Ruled out: fewer messages, as it would change what decisions know. Tests of keys and control pass.

--- a/control/control.go
+++ b/control/control.go
@@ -16,6 +16,7 @@
 
 	"arbutusreel/clock"
 	"arbutusreel/journal"
+	"arbutusreel/keys"
 	"arbutusreel/relay"
 	"arbutusreel/wiregen"
 )
@@ -173,6 +174,8 @@
 		peers: grpc.NewServer(
 			grpc.MaxRecvMsgSize(maxMessageBytes),
 			grpc.Creds(c.cfg.Keys.Server()),
+			grpc.StaticStreamWindowSize(keys.WindowBytes),
+			grpc.StaticConnWindowSize(keys.WindowBytes),
 			grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: linkMinPing, PermitWithoutStream: true}),
 		),
 		peerListener: peers,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"google.golang.org/grpc"
 
 	"arbutusreel/clock"
 	"arbutusreel/configuration"
@@ -202,7 +201,7 @@
 		g.server(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, false) }),
 		g.server(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, true) }),
 	}
-	loadServer := grpc.NewServer(grpc.Creds(g.cfg.Keys.Server()))
+	loadServer := newLoadServer(g.cfg.Keys)
 	wiregen.RegisterOutstandingServer(loadServer, g)
 	for i, l := range []net.Listener{callers, forwarded} {
 		g.wg.Go(func() { g.serveHTTP(servers[i], l) })
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -11,6 +11,7 @@
 
 	"arbutusreel/clock"
 	"arbutusreel/fleet"
+	"arbutusreel/keys"
 	"arbutusreel/origin"
 	"arbutusreel/wiregen"
 )
@@ -210,3 +211,8 @@
 		g.crashes.receive(now, m.GetLink(), m.GetCrashes())
 	}
 }
+
+// newLoadServer returns the server of load reports and origin records.
+func newLoadServer(source *keys.Source) *grpc.Server {
+	return grpc.NewServer(grpc.Creds(source.Server()), grpc.StaticStreamWindowSize(keys.WindowBytes), grpc.StaticConnWindowSize(keys.WindowBytes))
+}
