--- a/gateway/exclusion.go
+++ b/gateway/exclusion.go
@@ -34,7 +34,7 @@
 
 // exclusionOf returns what keeps an endpoint from being a candidate now, and adds it to held if it will end soon. If another gateway is
 // to send the request, what keeps this one from sending it does not count.
-func (p *placer) exclusionOf(now time.Time, q query, e *fleet.Endpoint, s *endpointState, byOther bool, by sharers, held *withheld) exclusion {
+func (p *placer) exclusionOf(now time.Time, q *query, e *fleet.Endpoint, s *endpointState, peers *endpointLoad, byOther bool, by sharers, held *withheld) exclusion {
 	switch {
 	case !e.TerminatesAt.IsZero() || p.departures.Contains(e.ID, e.Born):
 		return excludedLeaving
@@ -43,12 +43,12 @@
 	case byOther:
 		return included
 	default:
-		return p.sendExclusion(now, q, e, s, by, held)
+		return p.sendExclusion(now, q, e, s, peers, by, held)
 	}
 }
 
 // sendExclusion returns what keeps this gateway from sending a request to an endpoint now.
-func (p *placer) sendExclusion(now time.Time, q query, e *fleet.Endpoint, s *endpointState, by sharers, held *withheld) exclusion {
+func (p *placer) sendExclusion(now time.Time, q *query, e *fleet.Endpoint, s *endpointState, peers *endpointLoad, by sharers, held *withheld) exclusion {
 	switch {
 	case q.tried[e.ID]:
 		return excludedTried
@@ -60,7 +60,7 @@
 	case !p.mayTake(now, e, &s.limit, by.reaching.rank, by.reaching.n):
 		held.addLimited(s.limit.perSecond)
 		return excludedLimited
-	case s.brittle.rejections.named && !p.mayStart(now, e, s, s.outstanding.Requests+p.peers.sum(e.ID).outstanding.Requests, by.reaching.rank, by.reaching.n):
+	case s.brittle.rejections.named && !p.mayStart(now, e, s, s.outstanding.Requests+peers.outstanding.Requests, by.reaching.rank, by.reaching.n):
 		held.brittle++
 		return excludedBrittle
 	case p.isCold(e, s, now) && s.coldWindow.Count(now) >= p.coldLimit(now, q.service, e, by.all.rank, by.all.n):
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -90,7 +90,7 @@
 		}
 		all[e.ID] = excludedHomes
 		if q.allows(p.cfg.Region) {
-			all[e.ID] = p.exclusionOf(now, q, e, p.state(e), byOther, sharers, &withheld{})
+			all[e.ID] = p.exclusionOf(now, &q, e, p.state(e), p.peers.sum(e.ID), byOther, sharers, &withheld{})
 		}
 	}
 	for _, e := range v.unready {
--- a/gateway/fork.go
+++ b/gateway/fork.go
@@ -23,7 +23,7 @@
 		// The loads of many gateways are copied only if the decision would remove some.
 		f.peers = p.peers.clone()
 	}
-	f.departures = p.departures.Clone()
+	f.tracked, f.departures = map[string]*trackedEndpoints{}, p.departures.Clone()
 	f.speeds, f.lengths, f.demands, f.plainDemands = maps.Clone(p.speeds), maps.Clone(p.lengths), maps.Clone(p.demands), maps.Clone(p.plainDemands)
 	f.sheds, f.longestPatience = maps.Clone(p.sheds), maps.Clone(p.longestPatience)
 	f.changedEndpoints, f.changedLimits = maps.Clone(p.changedEndpoints), maps.Clone(p.changedLimits)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,6 +118,10 @@
 	// the callers that were refused for limits, by service.
 	changedLimits map[string]bool
 	returns       map[string]*returns
+	// tracked holds by service what decisions look up by endpoint.
+	tracked map[string]*trackedEndpoints
+	// stateGeneration changes when a state is replaced.
+	stateGeneration int
 	// candidates and endpoints are buffers that are reused by each decision.
 	candidates []capacity.Candidate
 	endpoints  []*fleet.Endpoint
@@ -126,6 +131,7 @@
 	shareHolders    map[string]time.Time
 	strandedHolders map[string]bool
 	holdersView     *view
+	counted         countedSharers
 	reach           *reach
 	// otherGateways is the number of other gateways of the region, as of the last decision.
 	otherGateways int
@@ -145,6 +151,7 @@
 		mu:               &sync.Mutex{},
 		rng:              rand.New(source),
 		states:           map[string]*endpointState{},
+		tracked:          map[string]*trackedEndpoints{},
 		peers:            newPeerLoads(),
 		speeds:           map[string]capacity.Speed{},
 		holders:          capacity.NewHolders(),
@@ -462,30 +469,31 @@
 	if retains {
 		p.prompt = p.holders.Of(now, q.work, p.prompt)
 	}
-	p.candidates, p.endpoints = p.candidates[:0], p.endpoints[:0]
 	all := v.endpoints[q.service.Name]
+	tracked := p.trackedEndpoints(q.service.Name, all)
+	p.candidates, p.endpoints = slices.Grow(p.candidates[:0], len(all)), p.endpoints[:0]
 	for i := range all {
-		e := &all[i]
-		s := p.state(e)
-		if p.exclusionOf(now, q, e, s, byOther, sharers, &held) != included {
+		e, s, peers := &all[i], tracked.endpoints[i].state, tracked.endpoints[i].peers
+		if p.exclusionOf(now, &q, e, s, peers, byOther, sharers, &held) != included {
 			continue
 		}
-		peers := p.peers.sum(e.ID)
-		c := capacity.Candidate{
-			ID: e.ID, Decode: capacity.EstimateDecode(now, &s.decode.pace, &peers.decode), Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health.WithPace(now, s.pace.Plus(now, peers.pace)), Slots: e.Slots,
-			Busy:        s.prefillShare(now, speed, peers),
-			FailureRate: s.outcomes.Plus(now, peers.outcomes).FailureRate(now), Remote: e.FailureDomain != p.cfg.FailureDomain,
-		}
+		tokens := s.recent.Tokens(now) + peers.recent.Tokens(now)
+		p.candidates = append(p.candidates, capacity.Candidate{ID: e.ID, Health: s.health, Slots: e.Slots})
+		c := &p.candidates[len(p.candidates)-1]
+		c.Decode, c.Outstanding = capacity.EstimateDecode(now, &s.decode.pace, &peers.decode), s.outstanding.Plus(peers.outstanding)
+		c.Health.Factor = s.pace.Plus(now, peers.pace).Factor(now)
+		c.FailureRate, c.Busy = s.outcomes.Plus(now, peers.outcomes).FailureRate(now), speed.Busy(tokens)
+		c.Remote = e.FailureDomain != p.cfg.FailureDomain
 		if q.service.Engine != nil {
 			c.Memory, c.Preempts = q.service.Engine.CacheTokens, true
-			p.countMemory(now, &c, s, q.work, peers, unseen)
+			p.countMemory(now, c, s, q.work, peers, unseen)
 			if retains {
-				p.countCached(now, &c, s, e, s.recent.Tokens(now)+peers.recent.Tokens(now))
+				p.countCached(now, c, s, e, tokens)
 			} else {
 				c.CachedParts = s.cachedPartCount(now, q.work)
 			}
 		}
-		p.candidates, p.endpoints = append(p.candidates, c), append(p.endpoints, e)
+		p.endpoints = append(p.endpoints, e)
 	}
 	capacity.NormalizePace(p.candidates)
 	return p.candidates, p.endpoints, held
@@ -503,6 +511,7 @@
 		}
 		s = &endpointState{born: e.Born, outstanding: own, held: held, health: capacity.NewHealth(), cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second), receivedNanos: new(atomic.Int64)}
 		p.states[e.ID] = s
+		p.stateGeneration++
 		p.endpointBreakers.Forget(e.ID)
 	}
 	return s
