Look up endpoints before the holders of a prompt's parts

A later incarnation of an endpoint drops its uses of parts, which the holders of the present prompt would still list.

--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -465,12 +465,13 @@
 	p.otherGateways = sharers.all.n - 1
 	unseen := p.unseenShare(now)
 	speed := p.speed(q.service.Name)
+	all := v.endpoints[q.service.Name]
+	// A later incarnation of an endpoint is known from here on, whose cache holds nothing.
+	tracked := p.trackedEndpoints(q.service.Name, all)
 	retains := p.retains(q.service.Name)
 	if retains {
 		p.prompt = p.holders.Of(now, q.work, p.prompt)
 	}
-	all := v.endpoints[q.service.Name]
-	tracked := p.trackedEndpoints(q.service.Name, all)
 	p.candidates, p.endpoints = slices.Grow(p.candidates[:0], len(all)), p.endpoints[:0]
 	for i := range all {
 		e, s, peers := &all[i], tracked.endpoints[i].state, tracked.endpoints[i].peers
