--- a/fairness/clone.go
+++ b/fairness/clone.go
@@ -9,6 +9,7 @@
 func (s *State) Clone() *State {
 	c := *s
 	c.own, c.sums, c.priorities, c.changed, c.shares = maps.Clone(s.own), maps.Clone(s.sums), maps.Clone(s.priorities), maps.Clone(s.changed), maps.Clone(s.shares)
+	c.kinds = maps.Clone(s.kinds)
 	c.peers = make(map[string]*peer, len(s.peers))
 	for name, p := range s.peers {
 		c.peers[name] = &peer{at: p.at, teams: maps.Clone(p.teams)}
--- a/gateway/fairness.go
+++ b/gateway/fairness.go
@@ -64,7 +64,7 @@
 	default:
 		d.reason = reasonBacklog
 	}
-	d.verdict, d.cost, d.yields = capacity.Refuse, noEndpointTime, true
+	d.verdict, d.yields = capacity.Refuse, true
 	return d
 }
 
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -297,7 +297,9 @@
 	}
 	fair := p.applyFairness(now, q, speed, here)
 	if fair.yields {
+		// Any region that serves the request in time is better than a refusal.
 		here = fair
+		here.cost = noEndpointTime
 	}
 	if !q.forwarded && (here.verdict != capacity.Take || here.cost > p.cfg.RegionRoundTrip+minCrossRegionGain) {
 		if there, ok := p.crossRegion(now, v, q, speed, here); ok {
