Hold the reported loads by position instead of by name

Each report of an endpoint looked it up in the map of its gateway, of which there are as many as gateways: their buckets, keys and records are out of the processor's cache. Change: an endpoint has a position, looked up in one small map; the loads of a gateway are a slice. A position is used again when no gateway reports its endpoint (TestPositionReused). The arithmetic is the same.

--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -71,7 +71,9 @@
 // keepHeld drops all loads of a gateway except the memory that its requests hold.
 func (p *peerLoads) keepHeld(now time.Time, peer *peerLoad) {
 	peer.silent = true
-	for endpoint, load := range peer.loads {
-		p.set(now, peer, endpoint, &endpointLoad{outstanding: capacity.Outstanding{HeldTokens: load.load.outstanding.HeldTokens}})
+	for i := range peer.loads {
+		if l := &peer.loads[i]; l.reported {
+			p.set(now, peer, i, &endpointLoad{outstanding: capacity.Outstanding{HeldTokens: l.load.outstanding.HeldTokens}})
+		}
 	}
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -18,8 +18,6 @@
 	// longer than requests run. Without a bound, a gateway whose last report was lost before it became idle would take up
 	// memory until its next request.
 	silentPeerTTL = 30 * time.Second
-	// maxUnusedLoads bounds the records that are kept for reuse: the endpoints of one whole report of a large region.
-	maxUnusedLoads = 512
 )
 
 // endpointLoad is the load that one gateway reported for an endpoint.
@@ -54,15 +52,16 @@
 
 // endpointSum is the load that the other gateways reported for an endpoint.
 type endpointSum struct {
-	load endpointLoad
+	endpoint string
+	load     endpointLoad
 	// reporters is the number of gateways that reported the endpoint.
 	reporters int
 }
 
-// peerEndpointLoad is the load that a gateway reported for an endpoint, with the sum that it is a part of.
-type peerEndpointLoad struct {
-	load endpointLoad
-	sum  *endpointSum
+// reportedLoad is the load that a gateway reported for an endpoint, if it did.
+type reportedLoad struct {
+	load     endpointLoad
+	reported bool
 }
 
 // peerLoad is the load reported by another gateway of the region.
@@ -72,31 +71,34 @@
 	receivedAt time.Time
 	// silent reports that only the memory is counted that its last reports named.
 	silent bool
-	loads  map[string]*peerEndpointLoad
+	// loads holds the loads by the position of the endpoint.
+	loads []reportedLoad
 }
 
-// peerLoads holds the loads reported by the other gateways of the region, and their sums by endpoint.
+// peerLoads holds the loads reported by the other gateways of the region, and their sums by endpoint. Each endpoint has a position in the
+// slices: reports of many gateways then look up one small map that stays in the processor's cache.
 type peerLoads struct {
-	gateways map[string]*peerLoad
-	sums     map[string]*endpointSum
+	gateways  map[string]*peerLoad
+	positions map[string]int
+	// sums holds nil at the free positions.
+	sums []*endpointSum
+	free []int
 	// unknown is the sum of an endpoint that no gateway has reported.
-	unknown endpointSum
-	// unused holds records of dropped loads that are used again by the next ones.
-	unused []*peerEndpointLoad
+	unknown endpointLoad
 	// generation changes with the set of endpoints that have sums.
 	generation int
 }
 
 func newPeerLoads() *peerLoads {
-	return &peerLoads{gateways: map[string]*peerLoad{}, sums: map[string]*endpointSum{}}
+	return &peerLoads{gateways: map[string]*peerLoad{}, positions: map[string]int{}}
 }
 
 // sum returns the load of the other gateways at an endpoint, which later reports change.
 func (p *peerLoads) sum(endpoint string) *endpointLoad {
-	if s := p.sums[endpoint]; s != nil {
-		return &s.load
+	if i, ok := p.positions[endpoint]; ok {
+		return &p.sums[i].load
 	}
-	return &p.unknown.load
+	return &p.unknown
 }
 
 // update stores a report and reports whether it is newer than the last one of its gateway. Reports may arrive by several
@@ -107,7 +109,7 @@
 		return false
 	}
 	if peer == nil {
-		peer = &peerLoad{loads: map[string]*peerEndpointLoad{}}
+		peer = &peerLoad{}
 		p.gateways[m.GetGateway()] = peer
 	} else if m.GetWhole() || peer.born != m.GetBorn() {
 		p.clear(now, peer)
@@ -115,7 +117,7 @@
 	peer.born, peer.sequence, peer.receivedAt, peer.silent = m.GetBorn(), m.GetSequence(), now, false
 	for _, o := range m.GetOutstanding() {
 		load := decodeEndpointLoad(now, o)
-		p.set(now, peer, o.GetEndpoint(), &load)
+		p.set(now, peer, p.position(o.GetEndpoint()), &load)
 	}
 	return true
 }
@@ -133,48 +135,48 @@
 	return load
 }
 
-// set replaces the load of a gateway at an endpoint.
-func (p *peerLoads) set(now time.Time, peer *peerLoad, endpoint string, load *endpointLoad) {
-	l := peer.loads[endpoint]
-	if l != nil {
-		l.sum.load.subtract(now, &l.load)
+// position returns the position of an endpoint.
+func (p *peerLoads) position(endpoint string) int {
+	if i, ok := p.positions[endpoint]; ok {
+		return i
+	}
+	p.generation++
+	s, i := &endpointSum{endpoint: endpoint}, len(p.sums)
+	if n := len(p.free); n > 0 {
+		i, p.free = p.free[n-1], p.free[:n-1]
+		p.sums[i] = s
 	} else {
-		l = p.track(endpoint)
-		peer.loads[endpoint] = l
+		p.sums = append(p.sums, s)
 	}
-	l.sum.load.add(now, load)
-	l.load = *load
+	p.positions[endpoint] = i
+	return i
 }
 
-// track returns the record of a first load at an endpoint.
-func (p *peerLoads) track(endpoint string) *peerEndpointLoad {
-	sum := p.sums[endpoint]
-	if sum == nil {
-		sum = &endpointSum{}
-		p.sums[endpoint] = sum
-		p.generation++
+// set replaces the load of a gateway at the endpoint of a position.
+func (p *peerLoads) set(now time.Time, peer *peerLoad, position int, load *endpointLoad) {
+	if n := len(p.sums); position >= len(peer.loads) {
+		peer.loads = append(peer.loads, make([]reportedLoad, n-len(peer.loads))...)
 	}
-	sum.reporters++
-	n := len(p.unused)
-	if n == 0 {
-		return &peerEndpointLoad{sum: sum}
+	l, s := &peer.loads[position], p.sums[position]
+	if l.reported {
+		s.load.subtract(now, &l.load)
+	} else {
+		l.reported = true
+		s.reporters++
 	}
-	l := p.unused[n-1]
-	p.unused = p.unused[:n-1]
-	*l = peerEndpointLoad{sum: sum}
-	return l
+	s.load.add(now, load)
+	l.load = *load
 }
 
 // clear drops the loads of a gateway.
 func (p *peerLoads) clear(now time.Time, peer *peerLoad) {
-	for _, l := range peer.loads {
-		l.sum.load.subtract(now, &l.load)
-		l.sum.reporters--
-		if len(p.unused) < maxUnusedLoads {
-			p.unused = append(p.unused, l)
+	for i := range peer.loads {
+		if l := &peer.loads[i]; l.reported {
+			p.sums[i].load.subtract(now, &l.load)
+			p.sums[i].reporters--
+			l.reported = false
 		}
 	}
-	clear(peer.loads)
 }
 
 // remove drops a gateway and its load.
@@ -202,9 +204,10 @@
 			p.keepHeld(now, peer)
 		}
 	}
-	for endpoint, s := range p.sums {
-		if s.reporters == 0 {
-			delete(p.sums, endpoint)
+	for i, s := range p.sums {
+		if s != nil && s.reporters == 0 {
+			delete(p.positions, s.endpoint)
+			p.sums[i], p.free = nil, append(p.free, i)
 			p.generation++
 		}
 	}
--- a/gateway/reports_test.go
+++ b/gateway/reports_test.go
@@ -194,3 +194,24 @@
 		})
 	}
 }
+
+// TestPositionReused guards against the load of an endpoint that is gone at the one that takes its position.
+func TestPositionReused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	loads := newPeerLoads()
+	report := func(gateway string, sequence int64, endpoint string, requests int32) {
+		loads.update(now, &wiregen.OutstandingReport{
+			Gateway: gateway, Born: 1, Sequence: sequence, Whole: true, Outstanding: []*wiregen.EndpointOutstanding{{Endpoint: endpoint, Requests: requests}},
+		})
+	}
+	listed := []fleet.Gateway{{Name: "one"}, {Name: "two"}}
+	for i := range int64(3) {
+		endpoint, before := fmt.Sprint("engine-", i), fmt.Sprint("engine-", i-1)
+		report("one", i+1, endpoint, 2)
+		report("two", i+1, endpoint, 3)
+		loads.expire(now, listed)
+		if got, gone := loads.sum(endpoint).outstanding.Requests, loads.sum(before).outstanding.Requests; got != 5 || gone != 0 || len(loads.sums) > 2 {
+			t.Errorf("%s: %d requests, want 5; %s: %d, want 0; %d positions", endpoint, got, before, gone, len(loads.sums))
+		}
+	}
+}
