--- a/gateway/fork.go
+++ b/gateway/fork.go
@@ -72,17 +72,17 @@
 // clone returns a copy of the loads.
 func (p *peerLoads) clone() *peerLoads {
 	c := newPeerLoads()
-	c.generation = p.generation
-	for endpoint, sum := range p.sums {
-		copied := *sum
-		c.sums[endpoint] = &copied
+	c.positions, c.free, c.generation = maps.Clone(p.positions), slices.Clone(p.free), p.generation
+	for _, sum := range p.sums {
+		if sum != nil {
+			copied := *sum
+			sum = &copied
+		}
+		c.sums = append(c.sums, sum)
 	}
 	for name, peer := range p.gateways {
 		copied := *peer
-		copied.loads = make(map[string]*peerEndpointLoad, len(peer.loads))
-		for endpoint, l := range peer.loads {
-			copied.loads[endpoint] = &peerEndpointLoad{load: l.load, sum: c.sums[endpoint]}
-		}
+		copied.loads = slices.Clone(peer.loads)
 		c.gateways[name] = &copied
 	}
 	return c
