--- a/gateway/holders_test.go
+++ b/gateway/holders_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -36,9 +37,11 @@
 			t.Errorf("%s: reported twice", subject)
 		}
 	}
-	for i := range v.endpoints["model"] {
-		v.endpoints["model"][i].Born++
+	restarted := slices.Clone(endpoints)
+	for i := range restarted {
+		restarted[i].Born++
 	}
+	v.endpoints = map[string][]fleet.Endpoint{"model": restarted}
 	now = now.Add(cachedPartTTL / 2)
 	q := sharedQuery(testQuery(r, s), "x")
 	if got := placers[1].decide(now, v, q); got.uncachedTokens != q.work.PromptTokens {
