Count shared parts as read again in other regions where they count at home

Idle regions sent each other requests (TestReplayPeak: 1 forward against the other direction of 158, none allowed): the cost at home contains what reading shared parts again costs the others there, that of another region did not.

--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -99,6 +99,8 @@
 	// finish estimates the cost of pauses and of the end at other endpoints of the service, and slots is the number of slots of one.
 	finish finisher
 	slots  int
+	// weighsParts reports that reading shared parts of the prompt again counts in Cost, as the holders of the parts are known.
+	weighsParts bool
 }
 
 // Uneven reports whether the paces of the candidates differ.
@@ -208,7 +210,7 @@
 	if best.Index < 0 {
 		return best, false
 	}
-	best.finish, best.slots = finish, candidates[best.Index].Slots
+	best.finish, best.slots, best.weighsParts = finish, candidates[best.Index].Slots, candidates[best.Index].Held.Known
 	best.Pace, best.WaitFactor = candidates[best.Index].Decode.Factor, finish.waitFactor(&candidates[best.Index])
 	best.End = finish.end(&candidates[best.Index], best.Expected)
 	best.Harmful = finish.harmful(&candidates[best.Index], best.UncachedTokens, best.Expected)
--- a/capacity/reference_test.go
+++ b/capacity/reference_test.go
@@ -67,7 +67,7 @@
 		return best, false
 	}
 	chosen := &candidates[best.Index]
-	best.finish, best.slots = finish, candidates[best.Index].Slots
+	best.finish, best.slots, best.weighsParts = finish, candidates[best.Index].Slots, candidates[best.Index].Held.Known
 	best.Pace, best.WaitFactor, best.End = chosen.Decode.Factor, finish.waitFactor(chosen), finish.end(chosen, best.Expected)
 	best.Harmful = finish.harmful(chosen, best.UncachedTokens, best.Expected)
 	best.Unfinished = finish.unfinished(candidates, w, s, prompt.minUncached, best.End)
--- a/capacity/regions.go
+++ b/capacity/regions.go
@@ -72,6 +72,10 @@
 			continue
 		}
 		cost := expected + DecodeCost(w, busy, 1) + here.finish.cost(&average, w.PromptTokens, expected)
+		if here.weighsParts {
+			// Nothing is known of the caches there, so that all shared parts count as read again, as they do here.
+			cost += time.Duration(sharedPrefixCost * float64(s.PrefillTokenTime) * float64(w.UncachedTokens(0)-w.UncachedTokens(len(w.Shared()))))
+		}
 		ranking := cost + time.Duration(r.Occupied*float64(occupiedCost))
 		if cost < localCost && (!ok || ranking < bestRanking) {
 			late := expected - r.Wait[w.Rank] + r.Wait[Ranks-1]
