Keep two regions that are both short from sending each other requests

Cause: requests that yield here were sent to regions where the expected wait was up to half of the objective. Waits of regions that are short vary about that, and only the own forwards of the reporting gateway withheld free capacity.

Change: the other region's expected wait may be up to a quarter of the objective, and a region withholds free capacity of a service that teams use while it forwards for its load, also by the comparison of waits that finds the forwards of its other gateways, which was on with placement.draw_plain only.

Measured: TestReplayBothShort, two regions of 200 requests a second at 230 and 250 each: 60 and 60 forwards against the other direction before (fails), none after; on time 2,469 and 2,464 before, 2,462 and 2,462 after. TestReplayPlainPeak as before, 1,926 of 1,936 on time.

--- a/fairness/services.go
+++ b/fairness/services.go
@@ -25,6 +25,12 @@
 	return state
 }
 
+// Active reports whether teams have asked this gateway for a service recently.
+func (s *Services) Active(now time.Time, service string) bool {
+	state := s.states[service]
+	return state != nil && state.requests.Now(now).Asked >= minTokens
+}
+
 // Changed reports whether usage changed since the last report.
 func (s *Services) Changed() bool {
 	for _, state := range s.states {
--- a/fairness/state.go
+++ b/fairness/state.go
@@ -19,9 +19,11 @@
 	minTokens = 1
 	// maxReported is the number of entries in one report over all services; the usage of all other teams is one sum for each service.
 	maxReported = 64
-	// shortWaitShare is the share of the objective above which the expected wait makes a service without engines, or another region,
-	// short of capacity.
+	// shortWaitShare is the share of the objective above which the expected wait makes a service without engines short of capacity.
 	shortWaitShare = 0.5
+	// idleWaitShare is the share up to which the reported wait of another region may be for it to be offered what others go before here.
+	// It is half of shortWaitShare, as the waits of a region that is short vary about that, and reports are some 300 ms old.
+	idleWaitShare = 0.25
 )
 
 // Request is a request that a region may admit.
@@ -64,7 +66,7 @@
 // its answer in the given time, without the way there. A region that is short of capacity itself is not asked: two such regions would
 // send each other the requests of teams over their shares.
 func MayLeave(onTime bool, wait, objective time.Duration) bool {
-	return onTime && wait <= time.Duration(shortWaitShare*float64(objective))
+	return onTime && wait <= time.Duration(idleWaitShare*float64(objective))
 }
 
 // Order is the decision about a request.
--- a/gateway/crossing.go
+++ b/gateway/crossing.go
@@ -9,7 +9,7 @@
 
 // recordShed records that a request was forwarded because of the load of this region.
 func (p *placer) recordShed(now time.Time, q query, here decision) {
-	if (p.cfg.DrawPlain || here.yields) && q.allows(p.cfg.Region) && here.candidates > 0 && len(q.tried) == 0 {
+	if (p.cfg.DrawPlain || q.team != nil) && q.allows(p.cfg.Region) && here.candidates > 0 && len(q.tried) == 0 {
 		p.sheds[q.service.Name] = p.sheds[q.service.Name].With(now)
 	}
 }
@@ -17,7 +17,7 @@
 // withholdCapacity removes the free capacity of a service from this region's report while the region forwards requests of the service
 // to others.
 func (p *placer) withholdCapacity(now time.Time, v *view, m *wiregen.ServiceRoom) {
-	if p.cfg.DrawPlain {
+	if p.cfg.DrawPlain || p.fairness.Active(now, m.GetService()) {
 		p.findSheds(now, v, m)
 	}
 	if p.sheds[m.GetService()].Holds(now) {
--- a/gateway/replay_order_test.go
+++ b/gateway/replay_order_test.go
@@ -475,3 +475,16 @@
 		}
 	}
 }
+
+// TestReplayBothShort offers two regions more than each serves. It guards against regions that are both short of capacity and send each
+// other requests.
+func TestReplayBothShort(t *testing.T) {
+	for _, rate := range []float64{230, 250} {
+		o := newOrderReplay(t, []float64{0.4, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1}, 44, 40)
+		o.regions[0].rate, o.regions[1].rate, o.queue = rate, rate, 200
+		o.run(6 * time.Second)
+		if o.served(t); o.both > 0 {
+			t.Errorf("at %v requests a second %d forwards against the other direction", rate, o.both)
+		}
+	}
+}
