Judge retried and forwarded requests of teams by what applies to them

Cause: a request that an endpoint failed was refused for its place as its objective had passed, although it had been admitted. A forwarded request that is refused here was counted among the callers who return here, whom the home region tells when to return.

Change: after a failure the order uses the route's objective; refused forwarded requests do not count as callers to return.

Measured: TestRetriedNotBehind fails without the change (refused as backlog at an expected wait of 569 ms of 1 s).

--- a/gateway/fairness.go
+++ b/gateway/fairness.go
@@ -38,6 +38,10 @@
 		Returned: q.budget.Retried, TimeLeft: q.budget.Remaining, Draw: p.rng.Float64(), Engines: engines, Late: late,
 		Wait: here.expected, Needed: max(here.end, here.expected), Objective: q.budget.Objective,
 	}
+	if len(q.tried) > 0 {
+		// An endpoint or a region has failed or rejected a request that was admitted before.
+		room.Objective = q.budget.RouteObjective
+	}
 	order := p.fairness.Of(q.service.Name).Decide(now, r, room)
 	onTime := capacity.Admit(here.expected, here.expected, q.budget) == capacity.Take
 	here.order = order
@@ -80,7 +84,8 @@
 	if !ok {
 		return 0, false
 	}
-	room := fairness.Room{TimeLeft: q.budget.Remaining, Returned: q.budget.Retried, Draw: p.rng.Float64()}
+	// The caller of a forwarded request returns to its own region, if at all.
+	room := fairness.Room{TimeLeft: q.budget.Remaining, Returned: q.budget.Retried || q.forwarded, Draw: p.rng.Float64()}
 	if refused.candidates > 0 {
 		room.Excess = refused.expected - q.budget.RouteObjective
 	}
--- a/gateway/fairness_test.go
+++ b/gateway/fairness_test.go
@@ -115,3 +115,18 @@
 		}
 	}
 }
+
+// TestRetriedNotBehind guards against a request that is refused for its place after a failure at an endpoint, when its objective has passed.
+func TestRetriedNotBehind(t *testing.T) {
+	placers, v, r, s := newPlacers(t, 1, fleet.Endpoint{ID: "e", Born: 7, Service: "model", Slots: 4, State: fleet.Ready})
+	p := placers[0]
+	p.cfg.DrawPlain = false
+	p.state(&fleet.Endpoint{ID: "e", Born: 7}).outstanding.Requests = 36
+	plain := *s
+	plain.Engine = nil
+	q := testQuery(r, &plain)
+	q.team, q.tried, q.budget.Objective = &routes.Team{Name: "a"}, map[string]bool{"failed": true}, -time.Second
+	if d := p.decide(replayStart, v, q); d.verdict != capacity.TakeLate || !d.order.Short {
+		t.Errorf("expected %v: %v as %q", d.expected, d.verdict, d.reason)
+	}
+}
