Leave out candidates whose wait alone exceeds the best cost

Cause: the other costs of such a candidate cannot change the choice, as none is negative. Change: they are not computed. TestChooseEqualsReference finds no other choice on 20,000 states.

--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -171,6 +171,10 @@
 		uncached, source, extra := prompt.at(c, &w, i == preferred)
 		e := c.EstimateWait(&w, uncached, &s)
 		e.Wait = time.Duration(float64(e.Wait) * finish.waitFactor(c))
+		if best.Index >= 0 && e.Wait >= bestCost+tieThreshold {
+			// No other cost is negative, so that the wait alone excludes the candidate.
+			continue
+		}
 		crowded := c.Crowded(w.Rank, &s)
 		cost := e.Wait + w.decodeCost(c.Busy, c.Health.Slowdown()) + extra + c.detourCost(&w, crowded || e.MemoryFull, objective) +
 			time.Duration((c.Health.FailureRate+c.excessFailureRate(baseline))*failureCost*float64(objective))
