Hash parts with endpoints only while none is known to have them

Cause: with known holders a decision still hashed the last shared part with each endpoint, whose result it did not use. A gateway in its first 20 s counted a part of which it had not heard as cached at the endpoint to which it is hashed, so that what it had to read was too low.

Change: the hash is computed for new parts only, and such parts are read in full everywhere, also by a gateway that has just started. The hook with which a replay replaced the retention is gone, as the switch replaces it.

--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -78,7 +78,8 @@
 	// FetchFrom is the index of the candidate from which the endpoint fetches the shared parts of the prompt, or -1 if
 	// none.
 	FetchFrom int
-	// Preferred reports whether the request's last shared part is hashed to the endpoint.
+	// Preferred reports whether the endpoint is known to have used all shared parts of the prompt or, if none is known to
+	// have the last one, whether that is hashed to it.
 	Preferred bool
 	// Full reports whether the endpoint has no free slot or memory, so that the request waits for another one to end.
 	Full bool
@@ -182,7 +183,7 @@
 			continue
 		}
 		best = Choice{
-			Index: i, Expected: e.Wait, Cost: cost - miss, UncachedTokens: uncached, FetchFrom: source, Preferred: i == preferred, Full: e.Full,
+			Index: i, Expected: e.Wait, Cost: cost - miss, UncachedTokens: uncached, FetchFrom: source, Preferred: i == preferred || c.Held.Known && !c.Held.New && c.CachedParts == len(w.Shared()), Full: e.Full,
 			Crowded: crowded, MemoryFull: e.MemoryFull,
 		}
 		bestCost = cost
@@ -218,7 +219,7 @@
 	if w.Stream.First > 0 {
 		p.first = w.Stream.First
 	}
-	if fetch <= 0 || preferred < 0 {
+	if fetch <= 0 || len(w.Shared()) == 0 {
 		return p
 	}
 	p.sourceUncached = p.all
@@ -306,10 +307,10 @@
 }
 
 // preferredCandidate returns the index of the candidate that the last shared part of the prompt is hashed to by
-// rendezvous hashing, or -1 if the prompt has no shared part.
+// rendezvous hashing, or -1 if the prompt has no shared part or endpoints are known to have it.
 func preferredCandidate(candidates []Candidate, w Work) int {
 	shared := w.Shared()
-	if len(shared) == 0 {
+	if len(shared) == 0 || len(candidates) > 0 && candidates[0].Held.Known && !candidates[0].Held.New {
 		return -1
 	}
 	partID := shared[len(shared)-1].ID
--- a/gateway/holders.go
+++ b/gateway/holders.go
@@ -37,9 +37,7 @@
 // countCached adds to a candidate what it has cached of a prompt, from the tokens that all gateways sent it recently.
 func (p *placer) countCached(now time.Time, c *capacity.Candidate, s *endpointState, e *fleet.Endpoint, recent float64) {
 	s.turnover = s.turnover.With(now, recent)
-	c.CachedParts, c.Held = p.prompt.At(now, e.ID, p.retention(s.turnover.PerSecond, c.Memory, c.Outstanding.HeldTokens))
-	// A gateway that has just started may not have heard of the holders. It takes the preferred endpoint for one.
-	c.Held.Known = c.Held.Known && (p.prompt.Known() || now.Sub(p.startedAt) >= cachedPartTTL)
+	c.CachedParts, c.Held = p.prompt.At(now, e.ID, capacity.NewRetention(s.turnover.PerSecond, c.Memory, c.Outstanding.HeldTokens))
 }
 
 // recordUse records the shared parts of a prompt as cached at the endpoint that gets it, and notes them for the next report.
--- a/gateway/holders_test.go
+++ b/gateway/holders_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -46,6 +47,28 @@
 	}
 }
 
+// BenchmarkDecideShared measures the placement of a prompt with a shared part among 300 endpoints.
+func BenchmarkDecideShared(b *testing.B) {
+	for name, retention := range map[string]CacheRetention{"on": RetainAlways, "off": RetainNever} {
+		b.Run(name, func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			var endpoints []fleet.Endpoint
+			for i := range 300 {
+				endpoints = append(endpoints, fleet.Endpoint{ID: fmt.Sprintf("engine-%d", i), Born: 7, Service: "model", Slots: 64, State: fleet.Ready})
+			}
+			placers, v, r, s := newPlacers(b, 1, endpoints...)
+			placers[0].cfg.CacheRetention = retention
+			q := sharedQuery(testQuery(r, s), "x")
+			placers[0].begin(now, "model", q.work, placers[0].decide(now, v, q))
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				placers[0].decide(now, v, q)
+			}
+		})
+	}
+}
+
 // TestRetains guards against the weighing where no setting and no endpoint asks for it, and against none where one does.
 func TestRetains(t *testing.T) {
 	e := fleet.Endpoint{ID: "a", Born: 7, Service: "model", Slots: 64, State: fleet.Ready}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -63,9 +63,6 @@
 // placer selects the endpoint or the region for each request. It does no I/O and is safe for concurrent use.
 type placer struct {
 	cfg Config
-	// retention estimates the retention of an endpoint's cache from the tokens prefilled in a second, its memory and the
-	// tokens held.
-	retention func(tokensPerSecond float64, memory, held int64) capacity.Retention
 
 	// startedAt is when the gateway started.
 	startedAt time.Time
@@ -140,7 +137,6 @@
 func newPlacer(cfg Config, source rand.Source) *placer {
 	return &placer{
 		cfg:              cfg,
-		retention:        capacity.NewRetention,
 		rng:              rand.New(source),
 		states:           map[string]*endpointState{},
 		peers:            newPeerLoads(),
