Test the counts of cached prompt tokens

Cause: cachedPrompts at /debug/vars had no test. Change: TestCachedPromptsCounted compares expected and measured tokens of two requests with the same part.

--- a/gateway/holders_test.go
+++ b/gateway/holders_test.go
@@ -47,6 +47,28 @@
 	}
 }
 
+// TestCachedPromptsCounted guards against counts of cached tokens that differ from what was expected, and from what the time to the
+// first chunk shows.
+func TestCachedPromptsCounted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	placers, v, r, s := newPlacers(t, 1, fleet.Endpoint{ID: "a", Born: 7, Service: "model", Slots: 64, State: fleet.Ready})
+	p, q := placers[0], sharedQuery(testQuery(r, s), "x")
+	for range 2 {
+		a := p.begin(now, "model", q.work, p.decide(now, v, q))
+		speed := p.speed("model")
+		a.recordFirst(now.Add(speed.Base + time.Duration(a.uncachedTokens)*speed.PrefillTokenTime))
+		a.end(now.Add(time.Second), succeeded)
+		now = now.Add(time.Second)
+	}
+	got := p.caches["model"]
+	if got.shared != 2*4870 || got.expected != 4870 || got.measuredExpected != 4870 || got.measuredCached < 4800 || got.measuredCached > 4900 {
+		t.Errorf("counts %+v", got)
+	}
+	if parts := p.cacheSummary()["parts"]; parts != 1 {
+		t.Errorf("%v parts known", parts)
+	}
+}
+
 // BenchmarkDecideShared measures the placement of a prompt with a shared part among 300 endpoints.
 func BenchmarkDecideShared(b *testing.B) {
 	for name, retention := range map[string]CacheRetention{"on": RetainAlways, "off": RetainNever} {
