--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -207,7 +207,7 @@
 			continue
 		}
 		best = Choice{
-			Index: i, Expected: e.Wait, Cost: cost - miss, UncachedTokens: uncached, FetchFrom: source, Preferred: i == preferred || c.Held.Known && !c.Held.New && c.CachedParts == len(w.Shared()), Full: e.Full,
+			Index: i, Expected: e.Wait, Cost: cost - miss, UncachedTokens: uncached, FetchFrom: source, Preferred: c.isPreferred(&w, i == preferred), Full: e.Full,
 			Crowded: crowded, MemoryFull: e.MemoryFull,
 		}
 		bestCost = cost
@@ -326,6 +326,11 @@
 	return c.Decode.Factor
 }
 
+// isPreferred reports whether the endpoint is known to have used all shared parts of the prompt, or the last one is hashed to it.
+func (c *Candidate) isPreferred(w *Work, hashed bool) bool {
+	return hashed || c.Held.Known && !c.Held.New && c.CachedParts == len(w.Shared())
+}
+
 // canServeFetches reports whether other endpoints may fetch from the endpoint; a failing or slow one would delay them.
 func (c *Candidate) canServeFetches() bool {
 	return c.Health.FailureRate < maxSourceFailures && c.Health.Slowdown() <= maxSourceSlowdown
--- a/capacity/costs.go
+++ b/capacity/costs.go
@@ -43,7 +43,7 @@
 			Expected: e.Wait, End: finish.end(c, e.Wait), Decode: DecodeCost(w, c.Busy, c.Health.Slowdown()), Read: extra,
 			Detour:  c.detourCost(&w, crowded || e.MemoryFull, objective),
 			Failure: time.Duration((c.Health.FailureRate + c.excessFailureRate(baseline)) * failureCost * float64(objective)),
-			Finish:  finish.cost(c, uncached, e.Wait), UncachedTokens: uncached, Fetches: source >= 0, Preferred: i == preferred, Full: e.Full, Crowded: crowded, MemoryFull: e.MemoryFull,
+			Finish:  finish.cost(c, uncached, e.Wait), UncachedTokens: uncached, Fetches: source >= 0, Preferred: c.isPreferred(&w, i == preferred), Full: e.Full, Crowded: crowded, MemoryFull: e.MemoryFull,
 		}
 	}
 	return costs
--- a/capacity/reference_test.go
+++ b/capacity/reference_test.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		best = Choice{
-			Index: i, Expected: e.Wait, Cost: cost - miss, UncachedTokens: uncached, FetchFrom: source, Preferred: i == preferred || c.Held.Known && !c.Held.New && c.CachedParts == len(w.Shared()), Full: e.Full,
+			Index: i, Expected: e.Wait, Cost: cost - miss, UncachedTokens: uncached, FetchFrom: source, Preferred: c.isPreferred(&w, i == preferred), Full: e.Full,
 			Crowded: crowded, MemoryFull: e.MemoryFull,
 		}
 		bestCost = cost
--- a/fairness/state.go
+++ b/fairness/state.go
@@ -63,8 +63,8 @@
 }
 
 // MayLeave reports whether a request that is refused as its team is over its share may go to another region that is expected to begin
-// its answer in the given time, without the way there. A region that is short of capacity itself is not asked: two such regions would
-// send each other the requests of teams over their shares.
+// its answer after the given wait, without the way there and the time of an idle endpoint. A region that is short of capacity itself is
+// not asked: two such regions would send each other the requests of teams over their shares.
 func MayLeave(onTime bool, wait, objective time.Duration) bool {
 	return onTime && wait <= time.Duration(idleWaitShare*float64(objective))
 }
