--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -78,7 +78,8 @@
 	// FetchFrom is the index of the candidate from which the endpoint fetches the shared parts of the prompt, or -1 if
 	// none.
 	FetchFrom int
-	// Preferred reports whether the request's last shared part is hashed to the endpoint.
+	// Preferred reports whether the endpoint is known to have used all shared parts of the prompt or, if none is known to
+	// have the last one, whether that is hashed to it.
 	Preferred bool
 	// Full reports whether the endpoint has no free slot or memory, so that the request waits for another one to end.
 	Full bool
@@ -116,11 +117,11 @@
 
 // EstimateWait estimates the wait of w at c if the endpoint has to prefill the given number of uncached tokens.
 func EstimateWait(c Candidate, w Work, uncached int64, s Speed) WaitEstimate {
-	return c.estimateWait(&w, uncached, &s)
+	return c.EstimateWait(&w, uncached, &s)
 }
 
-// estimateWait is EstimateWait without copies, which took more time than the estimate.
-func (c *Candidate) estimateWait(w *Work, uncached int64, s *Speed) WaitEstimate {
+// EstimateWait is the function EstimateWait without copies, which take more time than the estimate.
+func (c *Candidate) EstimateWait(w *Work, uncached int64, s *Speed) WaitEstimate {
 	d := s.Base + inflateWait(
 		s.PrefillTokenTime*time.Duration(c.Outstanding.PromptTokens.Before(w.Rank)+uncached), s.Overtaking.Prefill[w.Rank],
 	)
@@ -175,8 +176,12 @@
 	for i := range candidates {
 		c := &candidates[i]
 		uncached, source, extra, copying := prompt.at(c, &w, i == preferred)
-		e := c.estimateWait(&w, uncached, &s)
+		e := c.EstimateWait(&w, uncached, &s)
 		e.Wait = time.Duration(float64(e.Wait) * finish.waitFactor(c))
+		if best.Index >= 0 && e.Wait >= bestCost+tieThreshold {
+			// No other cost is negative, so that the wait alone excludes the candidate.
+			continue
+		}
 		crowded := c.Crowded(w.Rank, &s)
 		cost := e.Wait + w.decodeCost(c.Busy, c.Health.Slowdown()) + extra + c.detourCost(&w, crowded || e.MemoryFull, objective) +
 			time.Duration((c.Health.FailureRate+c.excessFailureRate(baseline))*failureCost*float64(objective))
@@ -202,7 +207,7 @@
 			continue
 		}
 		best = Choice{
-			Index: i, Expected: e.Wait, Cost: cost - miss, UncachedTokens: uncached, FetchFrom: source, Preferred: i == preferred, Full: e.Full,
+			Index: i, Expected: e.Wait, Cost: cost - miss, UncachedTokens: uncached, FetchFrom: source, Preferred: c.isPreferred(&w, i == preferred), Full: e.Full,
 			Crowded: crowded, MemoryFull: e.MemoryFull,
 		}
 		bestCost = cost
@@ -239,7 +244,7 @@
 	if w.Stream.First > 0 {
 		p.first = w.Stream.First
 	}
-	if fetch <= 0 || preferred < 0 {
+	if fetch <= 0 || len(w.Shared()) == 0 {
 		return p
 	}
 	p.sourceUncached = p.all
@@ -321,16 +326,21 @@
 	return c.Decode.Factor
 }
 
+// isPreferred reports whether the endpoint is known to have used all shared parts of the prompt, or the last one is hashed to it.
+func (c *Candidate) isPreferred(w *Work, hashed bool) bool {
+	return hashed || c.Held.Known && !c.Held.New && c.CachedParts == len(w.Shared())
+}
+
 // canServeFetches reports whether other endpoints may fetch from the endpoint; a failing or slow one would delay them.
 func (c *Candidate) canServeFetches() bool {
 	return c.Health.FailureRate < maxSourceFailures && c.Health.Slowdown() <= maxSourceSlowdown
 }
 
 // preferredCandidate returns the index of the candidate that the last shared part of the prompt is hashed to by
-// rendezvous hashing, or -1 if the prompt has no shared part.
+// rendezvous hashing, or -1 if the prompt has no shared part or endpoints are known to have it.
 func preferredCandidate(candidates []Candidate, w Work) int {
 	shared := w.Shared()
-	if len(shared) == 0 {
+	if len(shared) == 0 || len(candidates) > 0 && candidates[0].Held.Known && !candidates[0].Held.New {
 		return -1
 	}
 	partID := shared[len(shared)-1].ID
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -64,9 +64,6 @@
 // placer selects the endpoint or the region for each request. It does no I/O and is safe for concurrent use.
 type placer struct {
 	cfg Config
-	// retention estimates the retention of an endpoint's cache from the tokens prefilled in a second, its memory and the
-	// tokens held.
-	retention func(tokensPerSecond float64, memory, held int64) capacity.Retention
 
 	// startedAt is when the gateway started.
 	startedAt time.Time
@@ -147,7 +144,6 @@
 func newPlacer(cfg Config, source rand.Source) *placer {
 	return &placer{
 		cfg:              cfg,
-		retention:        capacity.NewRetention,
 		mu:               &sync.Mutex{},
 		rng:              rand.New(source),
 		states:           map[string]*endpointState{},
@@ -536,7 +532,7 @@
 
 // prefillShare returns the share of its time that an endpoint spends on prefill, from the tokens that all gateways sent
 // recently.
-func (s *endpointState) prefillShare(now time.Time, speed capacity.Speed, peers *endpointLoad) float64 {
+func (s *endpointState) prefillShare(now time.Time, speed *capacity.Speed, peers *endpointLoad) float64 {
 	return speed.Busy(s.recent.Tokens(now) + peers.recent.Tokens(now))
 }
 
