--- a/explanation/entry.go
+++ b/explanation/entry.go
@@ -76,7 +76,7 @@
 	Candidates                  []EntryCandidate
 	Excluded                    []Excluded
 	Regions                     []EntryRegion
-	// Limited tells whether the team has a limit. Rate and Left are what the entry may use of it per second, and what is left now, in tokens.
+	// Limited reports whether the team has a limit. Rate and Left are what the entry may use of it per second, and what is left now, in tokens.
 	Limited    bool
 	Rate, Left float64
 }
@@ -123,7 +123,7 @@
 type EntryRegion struct {
 	Name   string
 	Chosen bool
-	// Reason says why the region is not chosen; empty if it is.
+	// Reason is why the region is not chosen; empty if it is.
 	Reason      string
 	Terms       Terms
 	Outstanding float64
--- a/explanation/explanation.go
+++ b/explanation/explanation.go
@@ -72,11 +72,11 @@
 type Region struct {
 	Name   string
 	Chosen bool
-	// Reason says why the region is not chosen; empty if it is.
+	// Reason is why the region is not chosen; empty if it is.
 	Reason string
 	// Gateways is the number of gateways to which the request might be forwarded.
 	Gateways int
-	// Reported tells whether the region has reported its capacity for the service. What follows is known only then.
+	// Reported is true if the region has reported its capacity for the service. What follows is known only then.
 	Reported     bool
 	Age          time.Duration
 	Endpoints    int
--- a/fairness/returns.go
+++ b/fairness/returns.go
@@ -6,7 +6,7 @@
 	// returnStep and returnSteps divide the time until refused callers return; no caller waits for longer than a third of its time left.
 	returnStep  = 250 * time.Millisecond
 	returnSteps = 256
-	// minReturnSpread is the least factor of the expected time that a caller is told; the greatest is as far above one. Callers
+	// minReturnSpread is the least factor of the expected time in Retry-After; the greatest is as far above one. Callers
 	// refused at one moment return spread, and on the average when it is their turn.
 	minReturnSpread = 0.5
 	// minRetryAfter is the least Retry-After.
@@ -15,7 +15,7 @@
 	maxScale = 1000
 )
 
-// returns counts the tokens of refused callers until the times at which they were told to return.
+// returns counts the tokens of refused callers until the times given in their Retry-After.
 type returns struct {
 	due  [returnSteps]float64
 	sum  float64
@@ -36,7 +36,7 @@
 	r.step = step
 }
 
-// add counts the tokens of a caller that was told to return.
+// add counts the tokens of a caller with the given Retry-After.
 func (r *returns) add(after time.Duration, tokens float64) {
 	r.due[(r.step+min(int64(after/returnStep), returnSteps-1))%returnSteps] += tokens
 	r.sum += tokens
