Log what a choice of the directory depends on

The log line of a changed choice named neither the states of the gateways in the callers' region, nor whether the list was complete, nor the homes of some routes, nor the regions named.

--- a/fleet/nearest.go
+++ b/fleet/nearest.go
@@ -109,6 +109,41 @@
 	}
 }
 
+// States returns the gateways of a region, each as its name and its state, for logs.
+func States(gateways []Gateway, region string) []string {
+	var all []string
+	for _, g := range gateways {
+		if g.Region == region {
+			all = append(all, g.Name+":"+g.state())
+		}
+	}
+	return all
+}
+
+// state returns the name of the state in which a gateway takes requests, or "absent" if it takes none.
+func (g Gateway) state() string {
+	switch {
+	case g.Ready:
+		return "ready"
+	case g.Lingering:
+		return "lingering"
+	case g.Closing:
+		return "closing"
+	default:
+		return "absent"
+	}
+}
+
+// RegionsOf returns the regions of gateways, in order and each once.
+func RegionsOf(gateways []Gateway) []string {
+	var all []string
+	for _, g := range gateways {
+		all = append(all, g.Region)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // Accepting returns the gateways that accept requests forwarded to their region: the ready ones, else the lingering
 // ones, else the closing ones.
 func Accepting(gateways []Gateway) []Gateway {
--- a/fleet/nearest_test.go
+++ b/fleet/nearest_test.go
@@ -207,3 +207,14 @@
 	}
 	return strings.Join(names, " ")
 }
+
+// TestStates lists gateways in each state, those of another region left out.
+func TestStates(t *testing.T) {
+	all := parseGateways("ready@here starting@here lingering@here closing@here ready@home")
+	if got := strings.Join(States(all, "here"), " "); got != "ready:ready starting:absent lingering:lingering closing:closing" {
+		t.Errorf("%q", got)
+	}
+	if got := strings.Join(RegionsOf(all), " "); got != "here home" {
+		t.Errorf("%q", got)
+	}
+}
