Take a region whose gateways stopped and stay away for lost after 4 s, not 10 s

Requests of callers without an open connection failed.

Cause: a gateway that said it was stopping and fell silent counted as one that restarts for 10 s (restartTime), and a region with a restarting gateway is not lost.

Why it works: 4 s is longer than a lease and seven times a restart, so that a planned stop still isn't taken for a loss, and a region that was left is served by others within 5 s.

--- a/fleet/table.go
+++ b/fleet/table.go
@@ -13,7 +13,8 @@
 	// goneRetention is how long a record in state Gone is kept, so that late heartbeats cannot restore it.
 	goneRetention = 60 * time.Second
 	// restartTime is the time after its last report within which a gateway that was stopping or starting is expected back.
-	restartTime = 10 * time.Second
+	// While a region has no other gateways, its callers may be named none.
+	restartTime = 4 * time.Second
 )
 
 type record struct {
