Keep a lost region lost while a control daemon hears of no leader

What callers saw: callers of a region that all gateways had left for good got no gateway again for 3 to 4 s after each restart of the leading control daemon, from every directory.

Cause: a directory took a region for lost only while its list of gateways was complete. An election of more than a second interrupts that, and it takes a lease of 3 s until the list counts as complete again. That the region had been vacant in the last complete list was not remembered.

TestLostRegionForgottenInElection failed without the memory: "in the election: \"\" by noGateway".

Why it works: fleet.Coverage records which regions had a gateway when the list was last complete, or since. A region that had one is never taken for lost by an incomplete list, as before; one that had none stays lost until a gateway of it is heard of. nearest_test.go and gateways_test.go pass coverages instead of booleans; what they ask is unchanged, and that of TestRegionTakenForLostWithoutQuorum asks for more.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -53,6 +53,8 @@
 	// runningSince is since when this daemon has run and been current without interruption, checkedAt when this was last
 	// checked, and currentAt when the daemon was last found to be current.
 	runningSince, checkedAt, currentAt time.Time
+	// coverage is that of the lists of gateways so far.
+	coverage fleet.Coverage
 	// localEndpoints and localGateways hold the names of those that report to this daemon directly. An endpoint is removed
 	// when a newer report about it arrives from another control daemon.
 	localEndpoints map[string]bool
@@ -100,12 +102,18 @@
 // Gateways returns the gateways with a valid lease, whichever control daemon they are connected to, and those that are
 // restarting, which are neither ready nor lingering nor closing. The list is complete while this daemon is current and has
 // been for a lease without interruption, within which every gateway reports.
-func (c *Control) Gateways() (all []fleet.Gateway, complete bool) {
+func (c *Control) Gateways() ([]fleet.Gateway, fleet.Coverage) {
 	now, current := c.now(), c.Current()
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
-	all = append(c.fleet.gateways.Live(), c.fleet.gateways.Restarting(now)...)
-	return all, c.fleet.complete(now, current)
+	return c.fleet.list(now, current)
+}
+
+// list returns the gateways that callers may be named or should wait for, and what the list covers.
+func (f *fleetState) list(now time.Time, current bool) ([]fleet.Gateway, fleet.Coverage) {
+	all := append(f.gateways.Live(), f.gateways.Restarting(now)...)
+	f.coverage = f.coverage.With(all, f.complete(now, current))
+	return all, f.coverage
 }
 
 // complete reports whether no live gateway can be missing. A suspension of half a lease, or longer than staleTolerance
@@ -154,9 +162,9 @@
 	for clock.Sleep(ctx, fleetHeartbeat) {
 		now, current := c.now(), c.Current()
 		c.fleet.mu.Lock()
-		c.fleet.complete(now, current)
 		c.fleet.endpoints.Expire(now)
 		c.fleet.gateways.Expire(now)
+		c.fleet.list(now, current)
 		c.fleet.mu.Unlock()
 		others := map[string]bool{}
 		for _, m := range c.quorum.Status().Members {
--- a/control/gateways_test.go
+++ b/control/gateways_test.go
@@ -41,7 +41,7 @@
 		report(cut, "east-1", "east")
 		return !lists(cut, "north") && !cut.Current()
 	})
-	if _, complete := cut.Gateways(); complete {
+	if _, coverage := cut.Gateways(); coverage.Complete || coverage.Vacant("north") {
 		t.Error("the list of a daemon without a leader counts as complete")
 	}
 }
@@ -65,8 +65,9 @@
 		c.fleet.gateways.Expire(now)
 	}
 	all, _ := c.Gateways()
+	coverage := fleet.Coverage{}.With(all, true)
 	homes := fleet.Homes{Known: true, Restricted: true, Some: []string{"north", "east", "west"}}
-	if got, choice := fleet.Nearest(all, true, "north", homes, 9); len(got) > 0 {
+	if got, choice := fleet.Nearest(all, coverage, "north", homes, 9); len(got) > 0 {
 		t.Errorf("%v named by %v", got, choice)
 	}
 }
@@ -139,3 +140,58 @@
 		}
 	}
 }
+
+// TestLostRegionForgottenInElection has a region left for good and an election afterwards: the region stays lost, its callers
+// are named gateways meanwhile, and neither does the other region become lost nor does the first one stay so when it has a
+// gateway again.
+func TestLostRegionForgottenInElection(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newFleetState(func() time.Time { return now })
+	homes := fleet.Homes{Known: true, Restricted: true, Some: []string{"north", "east"}}
+	named := func(region string, current bool) (string, fleet.Choice) {
+		all, coverage := f.list(now, current)
+		got, choice := fleet.Nearest(all, coverage, region, homes, 9)
+		if len(got) == 0 {
+			return "", choice
+		}
+		return got[0].Name, choice
+	}
+	step := func(current bool, reports ...fleet.Gateway) {
+		now = now.Add(500 * time.Millisecond)
+		for _, g := range reports {
+			g.LastSeen = now
+			g.Sequence = now.UnixNano()
+			f.gateways.Announce(g)
+		}
+		f.gateways.Expire(now)
+		f.list(now, current)
+	}
+	east := fleet.Gateway{Name: "east-1", Region: "east", Ready: true, Born: 1}
+	north := fleet.Gateway{Name: "north-1", Region: "north", Closing: true, Born: 1}
+	for range 10 {
+		step(true, east, north)
+	}
+	for range 10 {
+		step(true, east)
+	}
+	if got, choice := named("north", true); got != "east-1" {
+		t.Fatalf("before the election: %q by %v", got, choice)
+	}
+	for range 5 {
+		step(false, east)
+		if got, choice := named("north", false); got != "east-1" || choice != fleet.LostRegion {
+			t.Errorf("in the election: %q by %v", got, choice)
+		}
+	}
+	for range 10 {
+		step(false)
+	}
+	if got, choice := named("east", false); choice != fleet.NoGateway {
+		t.Errorf("%q by %v to callers of a region whose reports are missing without a leader", got, choice)
+	}
+	north.Born, north.Closing = 2, false
+	step(false, east, north)
+	if got, choice := named("north", false); choice != fleet.NoGateway {
+		t.Errorf("%q by %v to callers of a region that has a gateway again", got, choice)
+	}
+}
--- a/fleet/nearest.go
+++ b/fleet/nearest.go
@@ -62,12 +62,12 @@
 // host and not for a route, other regions are named only if they are homes of all restricted routes of the host. While
 // none is ready and the caller's region still has gateways that stop or start, no gateway is named: the caller keeps its
 // previous answer, and one of its own region's gateways is ready soon. A region without any gateway is lost; then its
-// callers are sent wherever a gateway is ready, first to regions that are homes of some route. If complete is not set,
-// the list may lack gateways, and no region counts as lost.
-func Nearest(gateways []Gateway, complete bool, region string, homes Homes, n int) ([]Gateway, Choice) {
+// callers are sent wherever a gateway is ready, first to regions that are homes of some route. A region that the coverage
+// of the list does not show to be vacant is not lost.
+func Nearest(gateways []Gateway, coverage Coverage, region string, homes Homes, n int) ([]Gateway, Choice) {
 	// tiers holds the gateways by the choice that allows them; those of regions that are homes of no route come last.
 	var tiers [NoGateway + 1][]Gateway
-	lost := complete && homes.Known
+	lost := coverage.Vacant(region) && homes.Known
 	for _, g := range gateways {
 		if g.Region == region {
 			lost = false
--- a/fleet/nearest_test.go
+++ b/fleet/nearest_test.go
@@ -66,7 +66,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			got, choice := Nearest(parseGateways(c.gateways), true, "here", c.homes, 9)
+			got, choice := Nearest(parseGateways(c.gateways), covering(c.gateways), "here", c.homes, 9)
 			if names := join(got); names != c.want || choice != c.choice {
 				t.Errorf("%q by %v, want %q by %v", names, choice, c.want, c.choice)
 			}
@@ -93,7 +93,7 @@
 		{"no document known", true, Homes{}, "", NoGateway},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			got, choice := Nearest(all, c.complete, "elsewhere", c.homes, 9)
+			got, choice := Nearest(all, Coverage{}.With(all, c.complete), "elsewhere", c.homes, 9)
 			if names := join(got); names != c.want || choice != c.choice {
 				t.Errorf("%q by %v, want %q by %v", names, choice, c.want, c.choice)
 			}
@@ -116,7 +116,7 @@
 		{"closing1@here closing2@here closing3@here", differ, "closing1@here closing2@here", OwnClosing},
 		{"ready1@home ready2@home ready3@home ready@there", differ, "ready1@home ready2@home", LostRegion},
 	} {
-		got, choice := Nearest(parseGateways(c.gateways), true, "here", c.homes, 2)
+		got, choice := Nearest(parseGateways(c.gateways), covering(c.gateways), "here", c.homes, 2)
 		if names := join(got); names != c.want || choice != c.choice {
 			t.Errorf("%q by %v, want %q by %v", names, choice, c.want, c.choice)
 		}
@@ -127,13 +127,13 @@
 // does not know yet.
 func TestNearestBeforeListComplete(t *testing.T) {
 	differ := Homes{Known: true, Restricted: true, Shared: []string{"here"}, Some: []string{"here", "home"}}
-	if got, choice := Nearest(parseGateways("ready@home"), false, "here", differ, 9); len(got) > 0 || choice != NoGateway {
+	if got, choice := Nearest(parseGateways("ready@home"), Coverage{}, "here", differ, 9); len(got) > 0 || choice != NoGateway {
 		t.Errorf("%q by %v", join(got), choice)
 	}
-	if got, choice := Nearest(parseGateways("ready@home"), false, "here", Homes{Known: true}, 9); join(got) != "ready@home" || choice != HomeRegion {
+	if got, choice := Nearest(parseGateways("ready@home"), Coverage{}, "here", Homes{Known: true}, 9); join(got) != "ready@home" || choice != HomeRegion {
 		t.Errorf("%q by %v", join(got), choice)
 	}
-	if got, choice := Nearest(parseGateways("closing@here ready@home"), false, "here", differ, 9); join(got) != "closing@here" || choice != OwnClosing {
+	if got, choice := Nearest(parseGateways("closing@here ready@home"), Coverage{}, "here", differ, 9); join(got) != "closing@here" || choice != OwnClosing {
 		t.Errorf("%q by %v", join(got), choice)
 	}
 }
@@ -155,7 +155,7 @@
 			homes.Shared = homes.Some[:rapid.IntRange(0, len(homes.Some)).Draw(t, "shared")]
 		}
 		complete := rapid.Bool().Draw(t, "complete")
-		got, choice := Nearest(all, complete, "here", homes, 9)
+		got, choice := Nearest(all, Coverage{}.With(all, complete), "here", homes, 9)
 		own, ownAccepting, ownClosing, allowed, anyReady := 0, false, false, false, false
 		for _, g := range all {
 			anyReady = anyReady || g.Ready
@@ -200,6 +200,9 @@
 	return all
 }
 
+// covering returns the coverage of a complete list.
+func covering(text string) Coverage { return Coverage{}.With(parseGateways(text), true) }
+
 func join(gateways []Gateway) string {
 	var names []string
 	for _, g := range gateways {
--- a/fleet/series_test.go
+++ b/fleet/series_test.go
@@ -123,7 +123,7 @@
 				end, leaves := gone[region]
 				lost := leaves && now > end
 				for _, homes := range hosts {
-					named, choice := Nearest(known, true, region, homes, 9)
+					named, choice := Nearest(known, Coverage{}.With(known, true), region, homes, 9)
 					for _, g := range named {
 						if g.Region != region && !homes.allow(g.Region) && !lost {
 							t.Fatalf("after %v %s@%s is named by %v to callers of %s, which has %v", now, g.Name, g.Region, choice, region, States(known, region))
