Refuse an event without an ID as the continuation of a stream

What callers saw: a stream broke off, the next endpoint, of this region or of another one, answered 200 with an event stream whose first event had no ID, such as "event: error", and that text was written into the middle of the caller's stream. With the end of that answer, or with events in order after it, the stream looked complete.

Cause: the order of a continued stream was checked for events with an ID only. A stream that had no ID so far was even begun anew behind the events that the caller already had.

Change: stream.Events decides which events are passed on, and gateway/ calls it. An answer that goes on with a stream has to begin with the next event; later events without an ID are passed on as before, since the answer has shown by then that it goes on with the stream. Comments before that are dropped. A stream whose events have no ID is not sent again but cut off.

--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -70,16 +70,6 @@
 // Error says what is not reached.
 func (e *StrandedError) Error() string { return "no endpoint of the region is reached from here" }
 
-// EventOrderError reports that an event of a resumed stream does not follow the one before it.
-type EventOrderError struct {
-	Want, Got int64
-}
-
-// Error names both event numbers.
-func (e *EventOrderError) Error() string {
-	return fmt.Sprintf("event %d arrived instead of event %d", e.Got, e.Want)
-}
-
 // VersionError reports that an answer is of another software version than the one that began its stream.
 type VersionError struct {
 	Began, Got origin.Origin
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -13,6 +13,7 @@
 	"arbutusreel/exchange"
 	"arbutusreel/origin"
 	"arbutusreel/problem"
+	"arbutusreel/stream"
 )
 
 // callerStream is the response stream to the caller, which may be fed by several runs one after the other.
@@ -20,8 +21,7 @@
 	w http.ResponseWriter
 	// started reports whether the header has been sent.
 	started bool
-	// lastEvent is the ID of the last event sent.
-	lastEvent int64
+	events  *stream.Events
 	// lastAt is when the last event was sent, and longestPause the longest time between two events.
 	lastAt       time.Time
 	longestPause time.Duration
@@ -33,7 +33,7 @@
 // lastEvent returns the ID of the last event that the caller has received.
 func (j *job) lastEvent() int64 {
 	if j.streaming() {
-		return j.stream.lastEvent
+		return j.stream.events.Last()
 	}
 	return j.call.LastEvent
 }
@@ -46,23 +46,17 @@
 		return failed, j.recordFailure(ctx, err, problem.Ran)
 	}
 	if j.stream == nil {
-		j.stream = &callerStream{w: j.w, lastEvent: j.call.LastEvent}
+		j.stream = &callerStream{w: j.w, events: stream.NewEvents(j.call.LastEvent)}
 	}
 	events := newEventReader(answer)
 	resumed := j.stream.started
+	j.stream.events.BeginAnswer()
 	for {
-		e, err := events.next()
-		if errors.Is(err, io.EOF) && answer.EndsWithConnection && !j.stream.started && j.call.LastEvent == NoEvent {
-			// A process that ends closes its connections in order, too.
-			err = io.ErrUnexpectedEOF
-		}
+		e, err := j.stream.next(events, answer.EndsWithConnection)
 		if errors.Is(err, io.EOF) {
 			j.recordLength(a, resumed)
 			return j.endStream(answer.Header, answer.Status)
 		}
-		if err == nil {
-			err = j.stream.checkOrder(e, resumed)
-		}
 		if err != nil {
 			return j.recordBrokenStream(ctx, a, err)
 		}
@@ -88,12 +82,25 @@
 	}
 }
 
-// checkOrder returns an error if an event of a resumed stream does not directly follow the last one sent.
-func (s *callerStream) checkOrder(e event, resumed bool) error {
-	if resumed && e.id >= 0 && s.lastEvent >= 0 && e.id != s.lastEvent+1 {
-		return &EventOrderError{Want: s.lastEvent + 1, Got: e.id}
+// next returns the next event that is passed on to the caller, or io.EOF at the end of the stream.
+func (s *callerStream) next(r *eventReader, endsWithConnection bool) (event, error) {
+	for {
+		e, err := r.next()
+		switch {
+		case errors.Is(err, io.EOF):
+			if endsWithConnection && !s.started && s.events.Last() == NoEvent {
+				// A process that ends closes its connections in order, too.
+				return event{}, io.ErrUnexpectedEOF
+			}
+			return event{}, err
+		case err != nil:
+			return event{}, err
+		case !e.comment:
+			return e, s.events.Accept(e.id)
+		case s.events.AcceptComment():
+			return e, nil
+		}
 	}
-	return nil
 }
 
 // writeEvent sends one event to the caller.
@@ -108,9 +115,6 @@
 	if _, err := s.w.Write(e.raw); err != nil {
 		return &CallerError{Cause: err}
 	}
-	if e.id >= 0 {
-		s.lastEvent = e.id
-	}
 	now := time.Now()
 	if !s.lastAt.IsZero() {
 		s.longestPause = max(s.longestPause, now.Sub(s.lastAt))
@@ -134,13 +138,13 @@
 	}
 	j.g.latencies.record(j.route.Kind, j.received, j.firstAt)
 	j.g.cfg.Metrics.Count("answered")
-	j.log("answered").Int("status", status).Int64("lastEvent", j.stream.lastEvent).Dur("longestPause", j.stream.longestPause).Msg("served")
+	j.log("answered").Int("status", status).Int64("lastEvent", j.stream.events.Last()).Dur("longestPause", j.stream.longestPause).Msg("served")
 	return succeeded, answered
 }
 
 // recordBrokenStream records that a stream broke off.
 func (j *job) recordBrokenStream(ctx context.Context, a *attempt, err error) (ending, nextStep) {
-	broken := &BrokenStreamError{LastEvent: j.stream.lastEvent, Cause: err}
+	broken := &BrokenStreamError{LastEvent: j.stream.events.Last(), Cause: err}
 	how := j.endingOf(ctx, a, err)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		how = abandoned
@@ -153,6 +157,8 @@
 	// id is negative if the event has none.
 	id  int64
 	raw []byte
+	// comment reports whether it consists of comments and empty lines only.
+	comment bool
 }
 
 // eventReader splits a stream into events.
@@ -191,6 +197,7 @@
 			return event{}, err
 		}
 		if blank := bytes.TrimRight(line, "\r\n"); len(blank) == 0 && endsWithEmptyLine(e.raw, len(line)) {
+			e.comment = isComment(e.raw)
 			return e, nil
 		}
 		if id, ok := eventID(e.raw); ok {
@@ -205,6 +212,16 @@
 	return len(before) == 0 || before[len(before)-1] == '\n'
 }
 
+// isComment reports whether text consists of comments and empty lines.
+func isComment(text []byte) bool {
+	for line := range bytes.Lines(text) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the numeric ID in the last line of text, and whether that line is an id field.
 func eventID(text []byte) (int64, bool) {
 	line := bytes.TrimRight(text, "\r\n")
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -143,6 +143,8 @@
 		return "too many attempts failed", false
 	case j.runs > 0 && !j.route.Repeatable():
 		return "the request may have run and must not run again", false
+	case j.streaming() && !j.stream.events.Resumable():
+		return "the stream has no event that another endpoint could go on after", false
 	case j.runs >= j.maxRuns():
 		return "the endpoints that it may run on have failed", false
 	case j.sends > 0 && !j.g.placer.takeRetry(now, j.view, j.service.Name):
--- /dev/null
+++ b/stream/events_test.go
@@ -0,0 +1,53 @@
+package stream
+
+import (
+	"errors"
+	"testing"
+)
+
+// TestEventsOfSecondAnswer has a second answer go on with streams: an event that isn't the next one is refused, one without
+// an ID as long as none has come in order.
+func TestEventsOfSecondAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		first, second []int64
+		resumable     bool
+		accepted      int
+	}{
+		{"next", []int64{4, 5}, []int64{6, 7}, true, 2},
+		{"no event before", nil, []int64{4, -1, 5}, true, 3},
+		{"from its start", []int64{4, 5}, []int64{4}, true, 0},
+		{"gap", []int64{4, 5}, []int64{6, 8}, true, 1},
+		{"without ID", []int64{4, 5}, []int64{-1}, true, 0},
+		{"without ID after the next", []int64{4, 5}, []int64{6, -1, 7}, true, 3},
+		{"after one without ID", []int64{-1}, []int64{-1}, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewEvents(-1)
+			s.BeginAnswer()
+			for _, id := range c.first {
+				if err := s.Accept(id); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if s.Resumable() != c.resumable {
+				t.Errorf("resumable: %v", s.Resumable())
+			}
+			s.BeginAnswer()
+			if s.AcceptComment() != (len(c.first) == 0) {
+				t.Errorf("a comment before the first event is passed on: %v", s.AcceptComment())
+			}
+			accepted := 0
+			var err error
+			for accepted < len(c.second) && err == nil {
+				if err = s.Accept(c.second[accepted]); err == nil {
+					accepted++
+				}
+			}
+			var order *EventOrderError
+			if accepted != c.accepted || accepted < len(c.second) && !errors.As(err, &order) {
+				t.Errorf("accepted %d events, error %v", accepted, err)
+			}
+		})
+	}
+}
