Take a continued stream without length that ends before its first event for broken

What callers saw: a stream broke off, the next endpoint answered 200 with an event stream that had neither a length nor chunks and ended it before its first event, and the stream got its end mark although events were missing. A caller that took a stream up with the ID of its last event got an empty, complete stream. Both happened through a gateway of another region, too.

Change: stream.Events.End judges all answers alike: without an event of its own, such an answer is broken off. An answer in chunks or with a length may still have no event. If a stream broke off after its last event and the next endpoint has neither, the caller's stream is cut off instead of completed.

Evidence: on the code before, the cases "stream without length or event" of TestErrorInBrokenStream (3) and TestErrorInOtherRegionInBrokenStream failed with "looks complete after id: 1", and both of TestResumedStreamWithoutEvent with status 200 and an empty body. They pass now.

--- a/gateway/brokenstream_test.go
+++ b/gateway/brokenstream_test.go
@@ -93,6 +93,7 @@
 		"event without ID before the rest":  {ok + events + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(errorText+pieces(2, 3)), errorText+pieces(2, 3)) + "0\r\n\r\n"},
 		"stream from its start":             {ok + events + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(pieces(0, 3)), pieces(0, 3))},
 		"stream with a gap":                 {ok + events + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(pieces(9, 9)), pieces(9, 9))},
+		"stream without length or event":    {ok + events + "\r\n"},
 		"stream without length, part of it": {ok + events + "\r\nid: 2\n"},
 	} {
 		answers[name] = answer
@@ -300,3 +301,22 @@
 	v.endpoints = map[string][]fleet.Endpoint{"desk": v.endpoints["desk"][:1]}
 	g.view.Store(&v)
 }
+
+// TestResumedStreamWithoutEvent has a caller take up a stream at an endpoint that ends its answer, without length, before the
+// first event, here or in another region: that does not look like the end of the stream.
+func TestResumedStreamWithoutEvent(t *testing.T) {
+	empty := answerWith(errorAnswers()["stream without length or event"])
+	for name, remote := range map[string]bool{"here": false, "in another region": true} {
+		t.Run(name, func(t *testing.T) {
+			g := newGateway(t, testTable(t, nil), newEndpoint(t, "a", empty))
+			if remote {
+				there := g
+				g = newGateway(t, testTable(t, nil))
+				connectRegions(t, g, there)
+			}
+			if got := g.call(t.Context(), http.MethodPost, "/stream/x", map[string]string{"Last": "1"}); got.status < http.StatusInternalServerError {
+				t.Errorf("status %d, whole: %v, body %q", got.status, got.whole, got.body)
+			}
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -88,9 +88,8 @@
 		e, err := r.next()
 		switch {
 		case errors.Is(err, io.EOF):
-			if endsWithConnection && !s.started && s.events.Last() == NoEvent {
-				// A process that ends closes its connections in order, too.
-				return event{}, io.ErrUnexpectedEOF
+			if broken := s.events.End(endsWithConnection); broken != nil {
+				return event{}, broken
 			}
 			return event{}, err
 		case err != nil:
--- a/stream/events.go
+++ b/stream/events.go
@@ -1,6 +1,9 @@
 package stream
 
-import "fmt"
+import (
+	"fmt"
+	"io"
+)
 
 // Events decides which server-sent events of a stream are passed on, if several answers may feed it one after the other.
 type Events struct {
@@ -41,6 +44,15 @@
 	return nil
 }
 
+// End returns io.ErrUnexpectedEOF if the orderly end of the present answer is not the end of the stream: that of a
+// connection may also be the end of the process that answered, if no event has shown that it was able to.
+func (s *Events) End(endsWithConnection bool) error {
+	if endsWithConnection && !s.answered {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
 // EventOrderError reports an event that does not follow the one before it; Got is negative if it has no ID.
 type EventOrderError struct {
 	Want, Got int64
--- a/stream/events_test.go
+++ b/stream/events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"testing"
 )
 
@@ -51,3 +52,18 @@
 		})
 	}
 }
+
+// TestEndOfAnswerWithoutEvent ends answers before their first event: the end of a connection isn't that of the stream.
+func TestEndOfAnswerWithoutEvent(t *testing.T) {
+	s := NewEvents(3)
+	s.BeginAnswer()
+	if err := s.End(true); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("with its connection: %v", err)
+	}
+	if err := s.End(false); err != nil {
+		t.Errorf("with an end mark: %v", err)
+	}
+	if err := errors.Join(s.Accept(4), s.End(true)); err != nil {
+		t.Errorf("after an event: %v", err)
+	}
+}
