Check that the answer to a caller that resumes a stream goes on with it

What callers saw: a caller took its broken stream up with the ID of its last event, and the endpoint answered 200 with an event stream that began with an error without an ID, with the first event again or after a gap. The caller got it unchanged, as complete, behind the events that it had: an error's text or an event twice in the middle, or events missing.

Cause: only an answer that the gateway itself joined to an earlier one was checked.

Change: on routes that are resumable, stream.Events knows the caller's last event, and the first answer has to go on with it like any later one. Nothing has been sent to the caller by then, so that the next endpoint is tried, and without one the caller gets an error. On other routes the ID stays without a meaning, as before.

--- a/gateway/brokenstream_test.go
+++ b/gateway/brokenstream_test.go
@@ -320,3 +320,20 @@
 		})
 	}
 }
+
+// TestErrorInResumedStream has callers take up a stream at an endpoint that does not go on with it: the caller gets the rest
+// from the next endpoint, or an error that is not a stream.
+func TestErrorInResumedStream(t *testing.T) {
+	for _, name := range []string{"event without ID", "event without ID before the rest", "stream from its start", "stream with a gap"} {
+		for served, next := range map[string]endpointScript{"served": streamRest, "failed": answerWith(errorAnswers()[name])} {
+			t.Run(name+", "+served, func(t *testing.T) {
+				t.Parallel()
+				g := newGateway(t, testTable(t, nil), newEndpoint(t, "a", answerWith(errorAnswers()[name])), newEndpoint(t, "b", next))
+				got := g.call(t.Context(), http.MethodPost, "/stream/x", map[string]string{"Last": "1"})
+				if served == "served" && (got.body != pieces(2, lastPiece) || !got.whole) || served == "failed" && got.status < http.StatusInternalServerError {
+					t.Errorf("status %d, whole: %v, body %q", got.status, got.whole, got.body)
+				}
+			})
+		}
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -46,7 +46,11 @@
 		return failed, j.recordFailure(ctx, err, problem.Ran)
 	}
 	if j.stream == nil {
-		j.stream = &callerStream{w: j.w, events: stream.NewEvents(j.call.LastEvent)}
+		last := int64(NoEvent)
+		if j.route.Resumable {
+			last = j.call.LastEvent
+		}
+		j.stream = &callerStream{w: j.w, events: stream.NewEvents(last)}
 	}
 	events := newEventReader(answer)
 	resumed := j.stream.started
--- a/stream/events.go
+++ b/stream/events.go
@@ -9,13 +9,14 @@
 type Events struct {
 	// last is the ID of the last event; negative if there was none.
 	last int64
-	// begun reports whether an event was passed on, and continued whether one was before the present answer.
+	// begun reports whether an event was passed on, and continued whether the present answer goes on with events before it.
 	begun, continued bool
 	// answered reports whether the present answer has had an event.
 	answered bool
 }
 
-// NewEvents returns the events of a stream of which the caller already has those up to the ID last, if it is not negative.
+// NewEvents returns the events of a stream of which the caller already has those up to the ID last, if it is not negative. The
+// first answer goes on with it then.
 func NewEvents(last int64) *Events { return &Events{last: last} }
 
 // Last returns the ID of the last event; it is negative if there was none.
@@ -25,11 +26,11 @@
 func (s *Events) Resumable() bool { return s.last >= 0 || !s.begun }
 
 // BeginAnswer begins an answer that feeds the stream from now on.
-func (s *Events) BeginAnswer() { s.continued, s.answered = s.begun, false }
+func (s *Events) BeginAnswer() { s.continued, s.answered = s.begun || s.last >= 0, false }
 
 // AcceptComment reports whether a comment is passed on. One that an answer sends before it has shown that it goes on with
 // the stream is dropped.
-func (s *Events) AcceptComment() bool { return !s.continued || s.answered }
+func (s *Events) AcceptComment() bool { return s.answered || !s.begun }
 
 // Accept returns *EventOrderError if an event of the present answer must not be passed on. The ID is negative if it has none.
 // An answer that goes on with a stream must begin with the next event, as an event without an ID may be an error.
--- a/stream/events_test.go
+++ b/stream/events_test.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// TestEventsOfResumedStream has the first answer go on with a stream that a caller resumes: it must begin with the next event.
+func TestEventsOfResumedStream(t *testing.T) {
+	for id, want := range map[int64]bool{-1: false, 0: false, 3: false, 4: true, 5: false} {
+		s := NewEvents(3)
+		s.BeginAnswer()
+		if err := s.Accept(id); (err == nil) != want {
+			t.Errorf("event %d: %v", id, err)
+		}
+	}
+}
+
 // TestEndOfAnswerWithoutEvent ends answers before their first event: the end of a connection isn't that of the stream.
 func TestEndOfAnswerWithoutEvent(t *testing.T) {
 	s := NewEvents(3)
