--- a/gateway/brokenstream_test.go
+++ b/gateway/brokenstream_test.go
@@ -321,6 +321,26 @@
 	}
 }
 
+// TestEventsOutOfOrder has an endpoint repeat events or go back within an answer: the caller's stream ends before that, and does
+// not look complete.
+func TestEventsOutOfOrder(t *testing.T) {
+	for name, ids := range map[string][]int{"repeated": {0, 1, 1, 2, 3}, "back to the start": {0, 1, 0, 1, 2, 3}} {
+		t.Run(name, func(t *testing.T) {
+			g := newGateway(t, testTable(t, nil), newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+				c.head(r.Header.Get("Id"))
+				for _, id := range ids {
+					c.event(id)
+				}
+				c.end()
+				return true
+			}))
+			if got := g.call(t.Context(), http.MethodPost, "/stream/x", nil); got.body != pieces(0, 1) || got.whole {
+				t.Errorf("whole: %v, body %q", got.whole, got.body)
+			}
+		})
+	}
+}
+
 // TestErrorInResumedStream has callers take up a stream at an endpoint that does not go on with it: the caller gets the rest
 // from the next endpoint, or an error that is not a stream.
 func TestErrorInResumedStream(t *testing.T) {
