Reset a broken answer under HTTP/1.0

What callers saw: a caller, or a proxy in front of it, that speaks HTTP/1.0 got a stream, or a plain answer of more than 1 MiB, that broke off, as if it were complete.

Cause: without chunks the end of the connection ends the body, and http.ErrAbortHandler closes it in order.

Change: answerWriter.abort takes over such a connection and resets it; all places that end an answer which has begun call it. Under HTTP/1.1 nothing changes: the end mark is missing.

--- a/gateway/brokenstream_test.go
+++ b/gateway/brokenstream_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -357,3 +359,30 @@
 		}
 	}
 }
+
+// TestBrokenAnswerUnderHTTP10 has a caller speak HTTP/1.0, which knows no chunks: an answer that breaks off after it has begun
+// must not end in order.
+func TestBrokenAnswerUnderHTTP10(t *testing.T) {
+	long := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: request-1\r\nSigned: a\r\nContent-Length: %d\r\n\r\n%s", 2*maxBufferedBytes, strings.Repeat("x", maxBufferedBytes+9))
+	for path, c := range map[string]struct {
+		script endpointScript
+		whole  bool
+	}{
+		"/stream/broken": {broken(pieces(0, 1)+"id: 2\nda", true), false},
+		"/stream/whole":  {streamRest, true},
+		"/safe/broken":   {answerWith([]string{long}), false},
+	} {
+		t.Run(path, func(t *testing.T) {
+			g := newGateway(t, testTable(t, nil), newEndpoint(t, "a", c.script))
+			caller, err := net.Dial("tcp", g.server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer caller.Close()
+			fmt.Fprintf(caller, "POST %s HTTP/1.0\r\nHost: %s\r\nId: request-1\r\nContent-Length: 0\r\n\r\n", path, testHost)
+			if b, err := io.ReadAll(caller); (err == nil) != c.whole {
+				t.Errorf("%d bytes, error %v", len(b), err)
+			}
+		})
+	}
+}
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -124,6 +124,20 @@
 	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
+// abort ends the answer so that it does not look complete; it does not return. The connection is closed without the end mark, or
+// reset under HTTP/1.0, where a body without length ends with its connection.
+func (w *answerWriter) abort(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // relieve counts the answers and ends those that the budget has no room for, without the end mark.
 func (a *answers) relieve(now time.Time) (ended int) {
 	a.mu.Lock()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -99,11 +99,10 @@
 	return true
 }
 
-// shouldContinue reports whether another attempt follows. It panics with http.ErrAbortHandler after a truncated answer,
-// so that the connection is aborted and the answer does not look complete.
+// shouldContinue reports whether another attempt follows. It aborts a truncated answer.
 func (j *job) shouldContinue(step nextStep) bool {
 	if step == truncated {
-		panic(http.ErrAbortHandler)
+		j.w.abort(j.r)
 	}
 	return step == tryNext
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -139,8 +139,7 @@
 	j.ctx = ctx
 	j.run()
 	if j.w.ended.Load() {
-		// The connection is closed without the end mark.
-		panic(http.ErrAbortHandler)
+		j.w.abort(r)
 	}
 }
 
@@ -310,7 +309,7 @@
 func (j *job) refuse(p *problem.Problem) {
 	if j.streaming() {
 		j.log("streamBroken").Str("reason", string(p.Code)).Err(j.lastErr).Msg("served")
-		panic(http.ErrAbortHandler)
+		j.w.abort(j.r)
 	}
 	if p.Outcome == problem.NotRun {
 		j.returnCharge()
