Keep the head of another answer out of the events of a stream

What callers saw: an endpoint broke a stream off and sent an error on the same connection. The error's whole head was in the middle of the caller's stream, as an event of its own or as the end of the event that was cut, and the stream went on behind it at another endpoint and looked complete.

Cause: in an answer without length, or in a chunk that was not finished, the bytes of the next answer count as those of the body, and the empty line at the end of its head ends an event.

Change: stream.CheckEvent refuses an event with a status line, or with a field that frames the body of an HTTP message; the stream is broken off before it and may go on at another endpoint. Fields that a platform adds to events pass, and so does text about HTTP in data. Not recognized: a head cut into a line of an event that has none of these fields.

--- a/gateway/brokenstream_test.go
+++ b/gateway/brokenstream_test.go
@@ -386,3 +386,21 @@
 		})
 	}
 }
+
+// TestHeadInsideStream has an endpoint break a stream off and send another answer on the same connection, which an answer without
+// length or an unfinished chunk takes in: the caller gets none of it, and the stream goes on at the next endpoint.
+func TestHeadInsideStream(t *testing.T) {
+	const text = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\noverloaded"
+	for framing, head := range map[string]string{"without length": "\r\n", "in a chunk": "Transfer-Encoding: chunked\r\n\r\n900\r\n"} {
+		for place, sent := range map[string]string{"between events": pieces(0, 1), "inside an event": pieces(0, 1) + "id: 2\ndata: pie", "after a line": pieces(0, 1) + "id: 2\ndata: piece 2\n"} {
+			t.Run(framing+", "+place, func(t *testing.T) {
+				t.Parallel()
+				a := newEndpoint(t, "a", answerWith([]string{"HTTP/1.1 200 OK\r\nId: {ID}\r\nSigned: a\r\nContent-Type: text/event-stream\r\n" + head + sent + text}))
+				g := newGateway(t, testTable(t, nil), a, newEndpoint(t, "b", streamRest))
+				if got := g.call(t.Context(), http.MethodPost, "/stream/x", nil); got.body != pieces(0, lastPiece) || !got.whole {
+					t.Errorf("whole: %v, body %q", got.whole, got.body)
+				}
+			})
+		}
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -99,6 +99,9 @@
 		case err != nil:
 			return event{}, err
 		case !e.comment:
+			if err := stream.CheckEvent(e.raw); err != nil {
+				return event{}, err
+			}
 			return e, s.events.Accept(e.id)
 		case s.events.AcceptComment():
 			return e, nil
