--- a/gateway/run.go
+++ b/gateway/run.go
@@ -99,11 +99,10 @@
 	return true
 }
 
-// shouldContinue reports whether another attempt follows. It panics with http.ErrAbortHandler after a truncated answer,
-// so that the connection is aborted and the answer does not look complete.
+// shouldContinue reports whether another attempt follows. It aborts a truncated answer.
 func (j *job) shouldContinue(step nextStep) bool {
 	if step == truncated {
-		panic(http.ErrAbortHandler)
+		j.w.abort(j.r)
 	}
 	return step == tryNext
 }
@@ -143,6 +142,8 @@
 		return "too many attempts failed", false
 	case j.runs > 0 && !j.route.Repeatable():
 		return "the request may have run and must not run again", false
+	case j.streaming() && !j.stream.events.Resumable():
+		return "the stream has no event that another endpoint could go on after", false
 	case j.runs >= j.maxRuns():
 		return "the endpoints that it may run on have failed", false
 	case j.sends > 0 && !j.g.placer.takeRetry(now, j.view, j.service.Name):
