Match refusals to requests by the ID, never by their order

What callers saw: an endpoint that wrote an earlier refusal once more on a kept connection, without an X-Request-Id, had it taken for the refusal of the request that it was running. An unsafe request or a stream then ran at a second endpoint, or its caller was told that it had not run.

Cause: HeaderCodec.Matches took every rejection without an ID (X-Not-Executed, or status 421) for that of the present request, on kept connections too. Besides, an answer without an ID counted as that of a new connection's only request even after an answer to another request.

Why this works: the decision lies in exchange now, and HeaderCodec only reads the ID. An answer without one belongs to the request only if it is the first on a new connection. Others are skipped, so that the true answer, if it comes, is read; if none comes, the outcome is unknown.

--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -63,7 +63,7 @@
 func testRequest() *Request {
 	return &Request{
 		Method: http.MethodPost, Target: "/", Host: "host.example", Header: http.Header{},
-		Matches: func(a *http.Response, _ bool) bool { return a.Header.Get("Id") == "own" },
+		ID: "own", ResponseID: func(h http.Header) string { return h.Get("Id") },
 	}
 }
 
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -78,9 +78,11 @@
 }
 
 // getConn returns an idle connection to the address, or opens one.
-func (p *Pool) getConn(ctx context.Context, address string, repeatable bool) (*connection, error) {
-	if c := p.getIdle(address, repeatable); c != nil {
-		return c, nil
+func (p *Pool) getConn(ctx context.Context, address string, r *Request) (*connection, error) {
+	if r.ID != "" {
+		if c := p.getIdle(address, r.Repeatable); c != nil {
+			return c, nil
+		}
 	}
 	p.opened.Add(1)
 	return dial(ctx, address, p.connectTimeout)
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -43,9 +43,11 @@
 	// Repeatable reports that the request may run again, so that a connection that has been idle for longer may be
 	// reused.
 	Repeatable bool
-	// Matches reports whether a response belongs to this request; fresh means that the connection has carried no other
-	// request.
-	Matches func(a *http.Response, fresh bool) bool
+	// ID identifies the request. A request without one gets a connection of its own, as no response could be matched to
+	// it on a kept one.
+	ID string
+	// ResponseID returns the identifier that a response echoes; it is empty if there is none.
+	ResponseID func(h http.Header) string
 }
 
 // Response is a response whose header has arrived.
@@ -82,10 +84,22 @@
 	return b.Bytes()
 }
 
+// owns reports whether a response belongs to the request. One without an identifier does so only if it is the first on
+// a new connection: on a kept one it may repeat the response to an earlier request, also if it is a rejection.
+func (r *Request) owns(response *http.Response, first bool) bool {
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return false
+	}
+	if echoed := r.ResponseID(response.Header); echoed != "" {
+		return echoed == r.ID
+	}
+	return first
+}
+
 // Send sends the request to the address and returns its response once the header has arrived; the body is read with
 // Response.Read. A failure is of type *Error.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Response, error) {
-	c, err := p.getConn(ctx, address, r.Repeatable)
+	c, err := p.getConn(ctx, address, r)
 	if err != nil {
 		return nil, &Error{Address: address, Stage: Connecting, Outcome: problem.NotRun, Cause: err}
 	}
@@ -156,7 +170,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if response.StatusCode != http.StatusSwitchingProtocols && r.Matches(response, fresh) {
+		if r.owns(response, fresh && unmatched == 0) {
 			return response, nil
 		}
 		unmatched++
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -150,8 +150,8 @@
 	// Forward sets the time left in headers that are sent to another gateway, replaces the name that the caller gives its team by
 	// team, and removes the caller's key if hideCredential is set.
 	Forward(h http.Header, left time.Duration, team string, hideCredential bool)
-	// Matches reports whether an answer belongs to the request with the ID; fresh means that its connection is new.
-	Matches(h http.Header, status int, id string, fresh bool) bool
+	// ResponseID returns the identifier of the request that an answer names; it is empty if it names none.
+	ResponseID(h http.Header) string
 	// Verdict reads an endpoint's answer.
 	Verdict(h http.Header, status int) Verdict
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -50,8 +50,11 @@
 	timer := j.startFirstTimer(d, cancel)
 	answer, err := g.peers.Send(ctx, d.gateway.ForwardAddress, &exchange.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Repeatable: j.route.Repeatable(),
-		Matches: func(a *http.Response, _ bool) bool {
-			return a.Header.Get(outcomeHeader) != "" || g.cfg.Headers.Matches(a.Header, a.StatusCode, j.call.ID, false)
+		ID: j.call.ID, ResponseID: func(h http.Header) string {
+			if h.Get(outcomeHeader) != "" {
+				return j.call.ID
+			}
+			return g.cfg.Headers.ResponseID(h)
 		},
 	})
 	if err != nil {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -76,9 +76,7 @@
 	h.Set("Patience", strconv.FormatInt(left.Milliseconds(), 10))
 }
 
-func (testHeaderCodec) Matches(h http.Header, _ int, id string, fresh bool) bool {
-	return h.Get("Id") == id || fresh && h.Get("Id") == ""
-}
+func (testHeaderCodec) ResponseID(h http.Header) string { return h.Get("Id") }
 
 func (testHeaderCodec) Verdict(h http.Header, _ int) Verdict {
 	v := Verdict{Rejected: h.Get("Rejected") != "", Signed: h.Get("Signed") != "", Leaving: h.Get("Leaving") != ""}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -60,9 +60,7 @@
 	}
 	answer, err := g.pool.Send(ctx, d.endpoint.Address, &exchange.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Repeatable: j.route.Repeatable(),
-		Matches: func(a *http.Response, fresh bool) bool {
-			return g.cfg.Headers.Matches(a.Header, a.StatusCode, j.call.ID, fresh)
-		},
+		ID: j.call.ID, ResponseID: g.cfg.Headers.ResponseID,
 	})
 	if err != nil {
 		timer.stop()
