Refuse endpoints whose names cannot be encoded

What callers saw: after one heartbeat to /v1/Instances.Heartbeat/%FF, no gateway and no other control daemon learned of any change any more. The session of each gateway and the stream to each other control daemon ended at the next update, were opened again, and ended again, until the record expired after a minute; each further such heartbeat began it anew.

Cause: the id is taken from the path of the call, which may hold any bytes, and was only checked not to be empty. All changed records are encoded in one message, and protobuf refuses to encode a string that is not valid UTF-8, so that one record made the whole update impossible. An id with a line break, a blank or a NUL byte was listed too, although the gateway sends the id to endpoints in a header field.

fleet.Endpoint.Check now requires an id of visible ASCII characters, and names of at most 255 bytes of valid UTF-8.

--- /dev/null
+++ b/fleet/check_test.go
@@ -0,0 +1,35 @@
+package fleet
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+// TestCheckEndpoint guards against records that cannot be encoded or name no usable endpoint, and against proper ones that
+// are refused.
+func TestCheckEndpoint(t *testing.T) {
+	proper := Endpoint{ID: "i-7f3a91c2", Service: "huvo11a", Address: "10.128.0.9:8080", FailureDomain: "a-1", Slots: 128, Sequence: 4}
+	if err := proper.Check(); err != nil {
+		t.Error(err)
+	}
+	long := strings.Repeat("x", 256)
+	for field, changes := range map[string][]func(*Endpoint){
+		"id": {
+			func(e *Endpoint) { e.ID = "" }, func(e *Endpoint) { e.ID = "\xff" }, func(e *Endpoint) { e.ID = "a b" }, func(e *Endpoint) { e.ID = "a\x00" },
+			func(e *Endpoint) { e.ID = "a\r\n" }, func(e *Endpoint) { e.ID = "é" }, func(e *Endpoint) { e.ID = long },
+		},
+		"service":       {func(e *Endpoint) { e.Service = "" }, func(e *Endpoint) { e.Service = "\xff" }, func(e *Endpoint) { e.Service = long }},
+		"failureDomain": {func(e *Endpoint) { e.FailureDomain = "" }, func(e *Endpoint) { e.FailureDomain = "\xff" }, func(e *Endpoint) { e.FailureDomain = long }},
+		"software":      {func(e *Endpoint) { e.Software = "\xff" }, func(e *Endpoint) { e.Software = long }},
+	} {
+		for i, change := range changes {
+			e := proper
+			change(&e)
+			var invalid *EndpointError
+			if err := e.Check(); !errors.As(err, &invalid) || invalid.Field != field {
+				t.Errorf("%s, change %d: %v", field, i, err)
+			}
+		}
+	}
+}
