Refuse endpoints at addresses where none can listen

What callers saw: an entry with port 0, the unspecified or a multicast address, or an IPv6 address with a zone was listed as a ready endpoint, to which gateways send requests that fail. A port or IPv4-mapped address in another spelling, such as "127.0.0.1:00080", differs as a text from the address of the endpoint that listens there, so that an old endpoint kept its address beside the new one.

Cause: the address was only parsed. Ports out of range (65536, 99999, -1), host names and other types were refused before.

fleet.ValidAddress requires the canonical text of the IP address of one host and a port other than 0. The product's own announcements use it too.

--- a/fleet/check.go
+++ b/fleet/check.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"net/netip"
 	"strings"
 	"unicode/utf8"
 )
@@ -22,9 +23,23 @@
 			return &EndpointError{Field: name.field, Value: name.value}
 		}
 	}
+	if !ValidAddress(e.Address) {
+		return &EndpointError{Field: "address", Value: e.Address}
+	}
 	return nil
 }
 
+// ValidAddress reports whether an address is the IP address of one host and a port other than 0, in canonical form, so that
+// equal addresses have equal texts.
+func ValidAddress(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || a.Port() == 0 || a.String() != address {
+		return false
+	}
+	ip := a.Addr()
+	return ip.Zone() == "" && !ip.Is4In6() && !ip.IsUnspecified() && !ip.IsMulticast()
+}
+
 // validID reports whether an id is not empty and consists of visible ASCII characters, as it is sent in a header field.
 func validID(id string) bool {
 	invalid := func(r rune) bool { return r <= ' ' || r >= 0x7f }
--- a/fleet/check_test.go
+++ b/fleet/check_test.go
@@ -21,7 +21,11 @@
 		},
 		"service":       {func(e *Endpoint) { e.Service = "" }, func(e *Endpoint) { e.Service = "\xff" }, func(e *Endpoint) { e.Service = long }},
 		"failureDomain": {func(e *Endpoint) { e.FailureDomain = "" }, func(e *Endpoint) { e.FailureDomain = "\xff" }, func(e *Endpoint) { e.FailureDomain = long }},
-		"software":      {func(e *Endpoint) { e.Software = "\xff" }, func(e *Endpoint) { e.Software = long }},
+		"address": {
+			func(e *Endpoint) { e.Address = "" }, func(e *Endpoint) { e.Address = "10.0.0.1:0" }, func(e *Endpoint) { e.Address = "10.0.0.1:65536" },
+			func(e *Endpoint) { e.Address = "10.0.0.1:080" }, func(e *Endpoint) { e.Address = "host:80" }, func(e *Endpoint) { e.Address = "0.0.0.0:80" },
+		},
+		"software": {func(e *Endpoint) { e.Software = "\xff" }, func(e *Endpoint) { e.Software = long }},
 	} {
 		for i, change := range changes {
 			e := proper
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -2,9 +2,9 @@
 
 import (
 	"math"
-	"net/netip"
 	"time"
 
+	"arbutusreel/fleet"
 	"arbutusreel/membership"
 	"arbutusreel/wiregen"
 )
@@ -97,8 +97,8 @@
 			return &InvalidAnnouncementError{Field: r.field, Reason: "the field is required"}
 		}
 	}
-	if _, err := netip.ParseAddrPort(m.GetAddress()); err != nil {
-		return &InvalidAnnouncementError{Field: "address", Reason: "an address must be an IP address and a port"}
+	if !fleet.ValidAddress(m.GetAddress()) {
+		return &InvalidAnnouncementError{Field: "address", Reason: "an address must be an IP address and a port in canonical form"}
 	}
 	if m.GetSlots() <= 0 {
 		return &InvalidAnnouncementError{Field: "slots", Reason: "the value must be greater than zero"}
