Let only one control daemon pass on the reports of a gateway

What callers saw: a directory could list a gateway that had ended, or wait for one that would not come back, longer than its lease and restartTime allow, and list it again after it had been removed.

Cause: a control daemon passes on the last report of every gateway that has ever reported to it directly, as localGateways was never cleared. A gateway that looks for a control daemon reports to several, and one that changes its session leaves its name behind. Two such daemons pass on to each other what they have from each other. The age in a message doesn't include the transit, so that each pass renews the lease by the transit time; a gone record is live again as the same report seems later.

It has not been seen to lead a caller out of its homes: it prolongs how long a region counts as occupied.

Why it works: as for endpoints, a name is removed when a later report of the gateway arrives from another daemon, which is then the only one that passes it on. The report itself coming back (same incarnation and number) doesn't remove it.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -55,8 +55,8 @@
 	runningSince, checkedAt, currentAt time.Time
 	// coverage is that of the lists of gateways so far.
 	coverage fleet.Coverage
-	// localEndpoints and localGateways hold the names of those that report to this daemon directly. An endpoint is removed
-	// when a newer report about it arrives from another control daemon.
+	// localEndpoints and localGateways hold the names of those that report to this daemon directly. A name is removed when
+	// a newer report arrives from another control daemon.
 	localEndpoints map[string]bool
 	localGateways  map[string]bool
 }
--- a/control/fleet_sync.go
+++ b/control/fleet_sync.go
@@ -154,7 +154,10 @@
 // moved its session to this daemon, so it is removed only if no newer report exists.
 func (f *fleetState) mergeGateway(g fleet.Gateway, gone bool) {
 	if !gone {
-		f.gateways.Announce(g)
+		// Two daemons that each pass on what the other one has passed on would renew the lease by the transit time.
+		if f.gateways.Announce(g) {
+			delete(f.localGateways, g.Name)
+		}
 		return
 	}
 	for _, known := range f.gateways.Live() {
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -170,19 +170,21 @@
 	return &Gateways{lease: lease, records: map[string]*gatewayRecord{}}
 }
 
-// Announce stores a report and renews the lease; a report of an earlier incarnation, an earlier report of the same one,
-// and the same report from an earlier time are dropped.
-func (t *Gateways) Announce(g Gateway) {
+// Announce stores a report, renews the lease, and returns whether the report was not known yet; a report of an earlier
+// incarnation, an earlier report of the same one, and the same report from an earlier time are dropped.
+func (t *Gateways) Announce(g Gateway) bool {
 	old := t.records[g.Name]
 	if old != nil && !g.supersedes(old.gateway) {
-		return
+		return false
 	}
+	later := old == nil || g.Born != old.gateway.Born || g.Sequence != old.gateway.Sequence
 	if old != nil && !old.gone && old.gateway.sameState(g) {
 		old.gateway.Sequence, old.gateway.LastSeen, old.gateway.InFlight = g.Sequence, g.LastSeen, g.InFlight
-		return
+		return later
 	}
 	t.change++
 	t.records[g.Name] = &gatewayRecord{gateway: g, change: t.change}
+	return later
 }
 
 // Leave marks a gateway as gone if its record is of the same incarnation.
