Refuse endpoints with numbers out of range

What callers saw: heartbeats with impossible numbers were listed.

Cause: only the types were checked, not the ranges.

--- a/fleet/check.go
+++ b/fleet/check.go
@@ -2,12 +2,25 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"strings"
+	"time"
 	"unicode/utf8"
 )
 
-// maxNameBytes bounds the names in the record of an endpoint.
-const maxNameBytes = 255
+const (
+	// maxNameBytes bounds the names in the record of an endpoint.
+	maxNameBytes = 255
+	// maxSlots bounds the slots of an endpoint, so that sums over all endpoints do not overflow.
+	maxSlots = 1 << 20
+	// maxSequence is the largest integer that every JSON writer encodes exactly (RFC 7493, section 2.2).
+	maxSequence = 1<<53 - 1
+	// maxClockDifference is how far the clock of an endpoint may be ahead. A later start would make all heartbeats of the true
+	// incarnation outdated.
+	maxClockDifference = 24 * time.Hour
+	// maxRemaining bounds the warm-up and the time until termination.
+	maxRemaining = 24 * time.Hour
+)
 
 // Check returns *EndpointError for a record that names no usable endpoint. Records from outside must be checked before they
 // enter a table: all records that changed are encoded in one message, which one invalid name would make impossible.
@@ -26,6 +39,28 @@
 	if !ValidAddress(e.Address) {
 		return &EndpointError{Field: "address", Value: e.Address}
 	}
+	return e.checkNumbers()
+}
+
+func (e Endpoint) checkNumbers() error {
+	for _, n := range []struct {
+		field              string
+		value, least, most int64
+	}{
+		{"slots", int64(e.Slots), 1, maxSlots},
+		{"sequence", e.Sequence, 0, maxSequence},
+		{"born", e.Born, 0, e.LastSeen.Add(maxClockDifference).UnixMilli()},
+	} {
+		if n.value < n.least || n.value > n.most {
+			return &EndpointError{Field: n.field, Value: strconv.FormatInt(n.value, 10)}
+		}
+	}
+	if e.ColdUntil.Sub(e.LastSeen) > maxRemaining {
+		return &EndpointError{Field: "coldUntil", Value: e.ColdUntil.Sub(e.LastSeen).String()}
+	}
+	if !e.TerminatesAt.IsZero() && e.TerminatesAt.Sub(e.LastSeen).Abs() > maxRemaining {
+		return &EndpointError{Field: "terminatesAt", Value: e.TerminatesAt.Sub(e.LastSeen).String()}
+	}
 	return nil
 }
 
