--- a/fleet/check.go
+++ b/fleet/check.go
@@ -49,12 +49,14 @@
 	}{
 		{"slots", int64(e.Slots), 1, maxSlots},
 		{"sequence", e.Sequence, 0, maxSequence},
-		{"born", e.Born, 0, e.LastSeen.Add(maxClockDifference).UnixMilli()},
 	} {
 		if n.value < n.least || n.value > n.most {
 			return &EndpointError{Field: n.field, Value: strconv.FormatInt(n.value, 10)}
 		}
 	}
+	if !ValidBorn(e.LastSeen, e.Born) {
+		return &EndpointError{Field: "born", Value: strconv.FormatInt(e.Born, 10)}
+	}
 	if e.ColdUntil.Sub(e.LastSeen) > maxRemaining {
 		return &EndpointError{Field: "coldUntil", Value: e.ColdUntil.Sub(e.LastSeen).String()}
 	}
@@ -75,6 +77,12 @@
 	return ip.Zone() == "" && !ip.Is4In6() && !ip.IsUnspecified() && !ip.IsMulticast()
 }
 
+// ValidBorn reports whether an incarnation can have been born at a time, in Unix milliseconds, if it was heard at now. Zero is an
+// unknown time.
+func ValidBorn(now time.Time, born int64) bool {
+	return born >= 0 && born <= now.Add(maxClockDifference).UnixMilli()
+}
+
 // validID reports whether an id is not empty and consists of visible ASCII characters, as it is sent in a header field.
 func validID(id string) bool {
 	invalid := func(r rune) bool { return r <= ' ' || r >= 0x7f }
