Keep the address of a running endpoint from other services

What callers saw: after one heartbeat with the address of a running endpoint, another id, and a service or zone that is not known, no gateway sent requests to that endpoint any more, and its own heartbeats were refused for a minute.

Cause: the later of two endpoints at an address takes it, whatever it is, and the other one counts as gone for good. Control daemons do not know which services are named, and the entry itself is used by no gateway.

TestAddressOfRunning, without the check: "the owner is gone, want ready".

The address of an endpoint that said that it is leaving is free at once, as before, and so is that of one of the same service. Not covered: an odd entry that arrives while the owner's heartbeats are late by more, and one with the service and zone of its owner, which cannot be told from a restart.

--- a/fleet/table.go
+++ b/fleet/table.go
@@ -12,6 +12,9 @@
 	expireAfter = 60 * time.Second
 	// goneRetention is how long a record in state Gone is kept, so that late heartbeats cannot restore it.
 	goneRetention = 60 * time.Second
+	// ownerSilence is the silence of an endpoint from which on its address may be that of an endpoint of another service or
+	// failure domain: a heartbeat interval and the time until other control daemons report an unchanged endpoint again.
+	ownerSilence = 4 * time.Second
 	// restartTime is the time after its last report within which a gateway that was stopping or starting is expected back.
 	restartTime = 10 * time.Second
 )
@@ -32,7 +35,7 @@
 func NewEndpoints() *Endpoints { return &Endpoints{records: map[string]*record{}} }
 
 // Announce stores a heartbeat and reports whether it was accepted. It rejects an outdated heartbeat, and one for an
-// address at which an endpoint that started later is known. A heartbeat without new state renews the record and does
+// address at which an endpoint that started later is known, or from another service or failure domain one that still runs. A heartbeat without new state renews the record and does
 // not count as a change.
 func (t *Endpoints) Announce(e Endpoint) bool {
 	old := t.records[e.ID]
@@ -61,12 +64,17 @@
 	return nil
 }
 
-// supersedeOwner marks the owner of an address as gone and returns true, unless e started before the owner. Between
-// equal starts, such as two unknown ones, the heartbeat that arrives later wins.
+// supersedeOwner marks the owner of an address as gone and returns true, unless e started before the owner, or is of another
+// service or failure domain while the owner was heard within ownerSilence. Between equal starts, such as two unknown ones, the
+// heartbeat that arrives later wins.
 func (t *Endpoints) supersedeOwner(owner *record, e Endpoint) bool {
 	if e.Born < owner.endpoint.Born {
 		return false
 	}
+	elsewhere := e.Service != owner.endpoint.Service || e.FailureDomain != owner.endpoint.FailureDomain
+	if elsewhere && e.LastSeen.Sub(owner.endpoint.LastSeen) < ownerSilence {
+		return false
+	}
 	gone := owner.endpoint
 	gone.State = Gone
 	t.put(gone)
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -55,6 +55,38 @@
 	}
 }
 
+// TestAddressOfRunning guards against a running endpoint that is taken for gone as an endpoint of another service or failure
+// domain has its address, and against an address that another service cannot get after the end of its endpoint.
+func TestAddressOfRunning(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name    string
+		change  func(*Endpoint)
+		silence time.Duration
+		want    State
+	}{
+		{"other service, running", func(e *Endpoint) { e.Service = "other" }, 3200 * time.Millisecond, Ready},
+		{"other domain, running", func(e *Endpoint) { e.FailureDomain = "other" }, 3200 * time.Millisecond, Ready},
+		{"other service, silent", func(e *Endpoint) { e.Service = "other" }, 4 * time.Second, Gone},
+		{"same service, running", func(*Endpoint) {}, 0, Gone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := NewEndpoints()
+			old, next := endpoint("old", 1, 5, Ready), endpoint("new", 2, 1, Ready)
+			c.change(&next)
+			old.LastSeen, next.LastSeen = start, start.Add(c.silence)
+			table.Announce(old)
+			table.Announce(next)
+			if e, _ := table.Get("old"); e.State != c.want {
+				t.Errorf("the owner is %v, want %v", e.State, c.want)
+			}
+			if _, known := table.Get("new"); known != (c.want == Gone) {
+				t.Errorf("the other endpoint is known: %v", known)
+			}
+		})
+	}
+}
+
 // TestSince builds a copy of a table from its changes alone and compares the states.
 func TestSince(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
