Close a connection on which an answer to another request came

What callers saw: nothing that was reported. An endpoint that writes answers to other requests kept its connection, and the next requests were sent where more such answers may lie.

Cause: readResponse skipped answers to other requests, and release put the connection back.

Evidence: TestConnectionKeptAfterOtherResponse before the change: "request 2: status 200, new connection: false".

go test ./exchange: passed.

--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -32,6 +32,8 @@
 	reader *bufio.Reader
 	// requestCount is the number of requests completed on the connection.
 	requestCount int
+	// unmatched reports that a response to another request has arrived, so that more may follow.
+	unmatched bool
 	// idleSince is when the last response ended; idleLimit is how long the endpoint keeps the connection open from then
 	// on.
 	idleSince time.Time
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -174,6 +174,7 @@
 			return response, nil
 		}
 		unmatched++
+		c.unmatched = true
 		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, unmatchedBytes))
 		if unmatchedBytes -= n; unmatchedBytes == 0 {
 			return nil, &UnmatchedBodyError{Limit: maxUnmatchedBytes}
@@ -210,7 +211,7 @@
 		return
 	}
 	r.done = true
-	reusable := r.stop() && r.keepAlive && r.conn.reader.Buffered() == 0
+	reusable := r.stop() && r.keepAlive && !r.conn.unmatched && r.conn.reader.Buffered() == 0
 	select {
 	case err := <-r.written:
 		reusable = reusable && err == nil
--- a/exchange/unmatched_test.go
+++ b/exchange/unmatched_test.go
@@ -139,3 +139,25 @@
 		}
 	}
 }
+
+// TestConnectionKeptAfterOtherResponse guards against the reuse of a connection on which an answer to another request came: more
+// may follow.
+func TestConnectionKeptAfterOtherResponse(t *testing.T) {
+	for _, id := range []string{"", "other"} {
+		t.Run(fmt.Sprintf("%q", id), func(t *testing.T) {
+			p := newKeptPool(t)
+			address := keptEndpoint(t, func(n int) string {
+				if n == 0 {
+					return response(200, "own", "own")
+				}
+				return response(503, id, "") + response(200, "own", "own")
+			})
+			for i, want := range []bool{true, false, true, false} {
+				status, _, fresh, err := exchangeOnce(t, p, address, testRequest())
+				if status != 200 || fresh != want || err != nil {
+					t.Errorf("request %d: status %d, new connection: %v, error %v", i, status, fresh, err)
+				}
+			}
+		})
+	}
+}
