Match answers between gateways by the ID of the request

What callers saw: nothing that was reported. A gateway took every refusal of another gateway, and every refusal of an endpoint without an ID, on a kept connection for that of the forwarded request, whichever request it belonged to.

Cause: forward accepted any answer with an outcome header, and refusals between gateways named no request.

Evidence: TestRepeatedForwardRefusal before the change: "earlier", "earlier, then the answer" and "without an ID, as of an earlier version": "status 503 ... notRun" for an unsafe request that the other gateway had. In TestForwardRefusalNamesRequest the refusals had no name of the request, also before a routing table is in force.

Why this works: each answer to a forwarded request names it in Arbutusreel-Request, which callers don't get, and is matched by it. A gateway of an earlier version names none: on a new connection its refusal counts as before, on a kept one the outcome is unknown. So during an upgrade an unsafe request that such a gateway refuses is answered with 502.

go test ./gateway -run 'TestRepeated|TestForward|TestRefusalOnIdle|TestRejection|Stopping|TestServe|Forward': passed.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -51,7 +51,11 @@
 	answer, err := g.peers.Send(ctx, d.gateway.ForwardAddress, &exchange.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Repeatable: j.route.Repeatable(),
 		ID: j.call.ID, ResponseID: func(h http.Header) string {
+			if named := h.Get(requestHeader); named != "" {
+				return named
+			}
 			if h.Get(outcomeHeader) != "" {
+				// A gateway of an earlier version; the outcome tells whether the answer may belong to another request.
 				return j.call.ID
 			}
 			return g.cfg.Headers.ResponseID(h)
@@ -73,6 +77,10 @@
 	}
 	if outcome := problem.Outcome(answer.Header.Get(outcomeHeader)); outcome != "" {
 		timer.stop()
+		if answer.Header.Get(requestHeader) == "" && !answer.Fresh && outcome == problem.NotRun {
+			answer.Close()
+			outcome = problem.Unknown
+		}
 		answer.Discard(maxRejectionBytes, maxRejectionWait)
 		return j.recordForwardFailure(d, answer, outcome)
 	}
--- a/gateway/refusals_test.go
+++ b/gateway/refusals_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"arbutusreel/fleet"
+	"arbutusreel/problem"
 	"arbutusreel/routes"
 )
 
@@ -155,3 +157,58 @@
 		})
 	}
 }
+
+// TestRepeatedForwardRefusal guards against the refusal of an earlier forwarded request, written once more on a kept connection
+// between gateways, that is taken for the refusal of one that the other gateway has sent to an endpoint.
+func TestRepeatedForwardRefusal(t *testing.T) {
+	stale := func(id string) string {
+		if id != "" {
+			id = requestHeader + ": " + id + "\r\n"
+		}
+		return "HTTP/1.1 503 Full\r\n" + id + outcomeHeader + ": " + string(problem.NotRun) + "\r\nContent-Length: 0\r\n\r\n"
+	}
+	for name, c := range map[string]struct {
+		text    string
+		answers bool
+		want    int
+	}{
+		"earlier, then the answer":                 {stale("request-0"), true, http.StatusOK},
+		"earlier, then the own one":                {stale("request-0") + stale("request-1"), false, http.StatusServiceUnavailable},
+		"earlier":                                  {stale("request-0"), false, http.StatusBadGateway},
+		"without an ID, as of an earlier version":  {stale(""), false, http.StatusBadGateway},
+		"of an endpoint, without an ID":            {refusal(""), false, http.StatusBadGateway},
+		"of an endpoint, earlier, then the answer": {refusal("request-0"), true, http.StatusOK},
+		"own": {stale("request-1"), false, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			there := repeatingEndpoint(t, "gateway-b", func(conn *endpointConn, r *http.Request) bool {
+				_, _ = io.WriteString(conn, c.text)
+				return c.answers && answering()(conn, r, 1)
+			})
+			here := newGateway(t, testTable(t, func(r *routes.Route) { r.HomeRegions = []string{"there"} }))
+			here.changeView(func(v *view) {
+				v.gateways = []fleet.Gateway{{Name: "gateway-b", Region: "there", ForwardAddress: there.address, Ready: true}}
+			})
+			here.call(t.Context(), http.MethodPost, "/unsafe/x", map[string]string{"Id": "request-0"})
+			got := here.call(t.Context(), http.MethodPost, "/unsafe/x", nil)
+			if got.status != c.want || !got.whole || got.header.Get(requestHeader) != "" {
+				t.Errorf("status %d, whole: %v, header %v", got.status, got.whole, got.header)
+			}
+		})
+	}
+}
+
+// TestForwardRefusalNamesRequest guards against a refusal of a forwarded request that the forwarding gateway could not match.
+func TestForwardRefusalNamesRequest(t *testing.T) {
+	for name, table := range map[string]*routes.Table{"no capacity": testTable(t, nil), "not ready": nil} {
+		t.Run(name, func(t *testing.T) {
+			there := newGateway(t, table)
+			there.server.URL = "http://" + newForwardServer(t, there)
+			got := there.call(t.Context(), http.MethodPost, "/unsafe/x", nil)
+			if got.status != http.StatusServiceUnavailable || got.header.Get(requestHeader) != "request-1" {
+				t.Errorf("status %d, header %v", got.status, got.header)
+			}
+		})
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -40,6 +40,8 @@
 	ageHeader = "Arbutusreel-Age"
 	// teamHeader names the caller's team to another gateway, which does not get the credential.
 	teamHeader = "Arbutusreel-Team"
+	// requestHeader names the request that an answer to another gateway belongs to.
+	requestHeader = "Arbutusreel-Request"
 	// startupTime is the time after its start within which a gateway usually has a routing table. notReadyRetryAfter is
 	// the least retry delay given to callers before that.
 	startupTime        = 1200 * time.Millisecond
@@ -146,15 +148,18 @@
 
 // read decodes the headers, matches the route and reads the body.
 func (j *job) read() *problem.Problem {
+	call, err := j.g.cfg.Headers.Call(j.r.Header)
+	j.call = call
+	if j.forwarded && call.ID != "" {
+		j.w.Header().Set(requestHeader, call.ID)
+	}
 	if j.view.table == nil {
 		return problem.New(problem.NotReady, http.StatusServiceUnavailable, "no routing document is in force yet").
 			WithRetryAfter(j.g.notReadyRetryAfter(j.received))
 	}
-	call, err := j.g.cfg.Headers.Call(j.r.Header)
 	if err != nil {
 		return problem.New(problem.MalformedRequest, http.StatusBadRequest, "%v", err)
 	}
-	j.call = call
 	if j.forwarded {
 		j.readForwarded()
 	}
