Match the refusals of engines to requests by the correlation ID

What callers saw: nothing that was reported. The refusal of an earlier request, written once more on a kept connection to an engine, counted as not run for a request that the engine was running.

Cause: net/http matches answers by their order, and ModelClient took any problem in an error response for that of the present request.

Evidence: TestEarlierEngineRefusal before the change, with the ID of the earlier request and without one: "not run: true, error noCapacity: full, 1 connections".

Why this works: on a reused connection a problem must name the request's correlation ID, or the attempt may have run. Plain calls, which may not be repeated, have a connection each: TestPlainCallOnKeptConnection passed before as well.

go test ./endpoint ./problem: passed.

--- a/endpoint/model.go
+++ b/endpoint/model.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 
 	"arbutusreel/completion"
@@ -46,6 +47,8 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	reused := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { reused = c.Reused }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address+r.Path, bytes.NewReader(body))
 	if err != nil {
 		return stream.End{}, &UnreachableError{Endpoint: e.Name, Cause: err}
@@ -59,7 +62,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return stream.End{}, responseError(e, resp)
+		return stream.End{}, responseError(e, resp, r.CorrelationID, reused)
 	}
 	return newAnswerReader(r.CorrelationID, attempt.Number, attempt.Next, sink).read(resp.Body)
 }
@@ -102,10 +105,11 @@
 	return json.Marshal(fields)
 }
 
-// responseError returns the problem in an error response of an engine, or *StatusError if there is none.
-func responseError(e membership.Endpoint, resp *http.Response) error {
+// responseError returns the problem in an error response of an engine, or *StatusError if there is none. A problem that does
+// not name the request is one only on a new connection: on a reused one it may belong to an earlier request.
+func responseError(e membership.Endpoint, resp *http.Response, id string, reused bool) error {
 	b, _ := io.ReadAll(io.LimitReader(resp.Body, maxProblemBytes))
-	if p, ok := problem.Decode(b); ok {
+	if p, ok := problem.Decode(b); ok && (!reused || problem.CorrelationID(b) == id) {
 		return p
 	}
 	return &StatusError{Endpoint: e.Name, Status: resp.StatusCode}
--- a/problem/codec.go
+++ b/problem/codec.go
@@ -69,6 +69,15 @@
 	}, true
 }
 
+// CorrelationID returns the correlation ID in problem JSON; it is empty if there is none.
+func CorrelationID(b []byte) string {
+	var m message
+	if json.Unmarshal(b, &m) != nil {
+		return ""
+	}
+	return m.CorrelationID
+}
+
 // Write responds to an HTTP request with p; RetryAfter is rounded up to whole seconds in the Retry-After header.
 func Write(w http.ResponseWriter, p *Problem, correlationID string) {
 	h := w.Header()
