--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -50,16 +50,7 @@
 	timer := j.startFirstTimer(d, cancel)
 	answer, err := g.peers.Send(ctx, d.gateway.ForwardAddress, &exchange.Request{
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: h, Body: j.body, Repeatable: j.route.Repeatable(),
-		ID: j.call.ID, ResponseID: func(h http.Header) string {
-			if named := h.Get(requestHeader); named != "" {
-				return named
-			}
-			if h.Get(outcomeHeader) != "" {
-				// A gateway of an earlier version; the outcome tells whether the answer may belong to another request.
-				return j.call.ID
-			}
-			return g.cfg.Headers.ResponseID(h)
-		},
+		ID: j.call.ID, ResponseID: j.forwardedID,
 	})
 	if err != nil {
 		timer.stop()
@@ -75,12 +66,8 @@
 	if runs, err := strconv.Atoi(answer.Header.Get(runsHeader)); err == nil && !isEventStream(answer.Header) {
 		j.chargedRuns = runs
 	}
-	if outcome := problem.Outcome(answer.Header.Get(outcomeHeader)); outcome != "" {
+	if outcome := forwardOutcome(answer); outcome != "" {
 		timer.stop()
-		if answer.Header.Get(requestHeader) == "" && !answer.Fresh && outcome == problem.NotRun {
-			answer.Close()
-			outcome = problem.Unknown
-		}
 		answer.Discard(maxRejectionBytes, maxRejectionWait)
 		return j.recordForwardFailure(d, answer, outcome)
 	}
@@ -90,6 +77,28 @@
 	return step
 }
 
+// forwardedID returns the ID of the request that an answer of another gateway names. A refusal by a gateway of an earlier version
+// names none and counts as one of this request; forwardOutcome tells whether its outcome holds.
+func (j *job) forwardedID(h http.Header) string {
+	if named := h.Get(requestHeader); named != "" {
+		return named
+	}
+	if h.Get(outcomeHeader) != "" {
+		return j.call.ID
+	}
+	return j.g.cfg.Headers.ResponseID(h)
+}
+
+// forwardOutcome returns the outcome that another gateway reports, or an empty one if it passes on an endpoint's answer. A refusal
+// that names no request may belong to an earlier one if the connection is not new.
+func forwardOutcome(answer *exchange.Response) problem.Outcome {
+	outcome := problem.Outcome(answer.Header.Get(outcomeHeader))
+	if outcome == problem.NotRun && answer.Header.Get(requestHeader) == "" && !answer.Fresh {
+		return problem.Unknown
+	}
+	return outcome
+}
+
 // recordForwardFailure records a failure that another gateway reported itself, without the answer of an endpoint. Its region is not
 // tried again, unless it is only that gateway which reaches no endpoint.
 func (j *job) recordForwardFailure(d decision, answer *exchange.Response, o problem.Outcome) nextStep {
