--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -39,7 +39,12 @@
 	flaggy.Int(&sizes.Gateways, "", "gateways", "Number of gateways; zero selects the default.")
 	flaggy.Int(&sizes.Endpoints, "", "endpoints", "Number of endpoints; zero selects the default.")
 	flaggy.Int(&sizes.Callers, "", "callers", "Number of callers; zero selects the default.")
+	run, regions := soak.Run, false
+	flaggy.Bool(&regions, "", "regions", "Restart the gateways of regions instead, under callers that ask the directories.")
 	flaggy.Parse()
+	if regions {
+		run = soak.RunRegions
+	}
 	if dir == "" {
 		tempDir, err := os.MkdirTemp("", "soak")
 		if err != nil {
@@ -56,7 +61,7 @@
 			FaultDuration: time.Duration(seconds * float64(time.Second)), Controls: sizes.Controls, Gateways: sizes.Gateways,
 			Endpoints: sizes.Endpoints, Callers: sizes.Callers,
 		}
-		checker, err := soak.Run(context.Background(), o)
+		checker, err := run(context.Background(), o)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
