--- a/fleet/check.go
+++ b/fleet/check.go
@@ -77,8 +77,8 @@
 	return ip.Zone() == "" && !ip.Is4In6() && !ip.IsUnspecified() && !ip.IsMulticast()
 }
 
-// ValidBorn reports whether an incarnation can have been born at a time, in Unix milliseconds, if it was heard at now. Zero is an
-// unknown time.
+// ValidBorn reports whether a start in Unix milliseconds is possible for an incarnation that reports at now. Zero is an unknown
+// start.
 func ValidBorn(now time.Time, born int64) bool {
 	return born >= 0 && born <= now.Add(maxClockDifference).UnixMilli()
 }
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -36,8 +36,8 @@
 func NewEndpoints() *Endpoints { return &Endpoints{records: map[string]*record{}} }
 
 // Announce stores a heartbeat and reports whether it was accepted. It rejects an outdated heartbeat, and one for an
-// address at which an endpoint that started later is known, or from another service or failure domain one that still runs. A heartbeat without new state renews the record and does
-// not count as a change.
+// address at which an endpoint that started later, or a running one of another service or failure domain, is known. A
+// heartbeat without new state renews the record and does not count as a change.
 func (t *Endpoints) Announce(e Endpoint) bool {
 	old := t.records[e.ID]
 	if old != nil && !e.supersedes(old.endpoint) {
@@ -66,7 +66,7 @@
 }
 
 // supersedeOwner marks the owner of an address as gone and returns true, unless e started before the owner, or is of another
-// service or failure domain while the owner was heard within ownerSilence. Between equal starts, such as two unknown ones, the
+// service or failure domain and the owner has been silent for less than ownerSilence. Between equal starts, such as two unknown ones, the
 // heartbeat that arrives later wins.
 func (t *Endpoints) supersedeOwner(owner *record, e Endpoint) bool {
 	if e.Born < owner.endpoint.Born {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -78,7 +78,7 @@
 }
 
 // forwardedID returns the ID of the request that an answer of another gateway names. A refusal by a gateway of an earlier version
-// names none and counts as one of this request; forwardOutcome tells whether its outcome holds.
+// names none and counts as one of this request; forwardOutcome decides whether its outcome holds.
 func (j *job) forwardedID(h http.Header) string {
 	if named := h.Get(requestHeader); named != "" {
 		return named
