--- a/fleet/table.go
+++ b/fleet/table.go
@@ -66,8 +66,8 @@
 }
 
 // supersedeOwner marks the owner of an address as gone and returns true, unless e started before the owner, or is of another
-// service or failure domain and the owner has been silent for less than ownerSilence. Between equal starts, such as two unknown ones, the
-// heartbeat that arrives later wins.
+// service or failure domain and the owner has been silent for less than ownerSilence. Between equal starts, such as two
+// unknown ones, the heartbeat that arrives later wins.
 func (t *Endpoints) supersedeOwner(owner *record, e Endpoint) bool {
 	if e.Born < owner.endpoint.Born {
 		return false
--- a/stream/events.go
+++ b/stream/events.go
@@ -33,8 +33,7 @@
 func (s *Events) AcceptComment() bool { return s.answered || !s.begun }
 
 // Accept returns *EventOrderError if an event of the present answer must not be passed on. The ID is negative if it has none.
-// IDs increase.
-// An answer that goes on with a stream must begin with the next event, as an event without an ID may be an error.
+// IDs increase. An answer that goes on with a stream must begin with the next event, as an event without an ID may be an error.
 func (s *Events) Accept(id int64) error {
 	outOfOrder := id >= 0 && id <= s.last
 	if outOfOrder || s.continued && id != s.last+1 && (id >= 0 || !s.answered) {
