--- a/control/fleet.go
+++ b/control/fleet.go
@@ -109,7 +109,7 @@
 	return c.fleet.list(now, current)
 }
 
-// list returns the gateways that callers may be named or should wait for, and what the list covers.
+// list returns the gateways that are live or expected back, and the coverage of this list.
 func (f *fleetState) list(now time.Time, current bool) ([]fleet.Gateway, fleet.Coverage) {
 	all := append(f.gateways.Live(), f.gateways.Restarting(now)...)
 	f.coverage = f.coverage.With(all, f.complete(now, current))
