--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -13,7 +14,7 @@
 // runEvacuation evacuates a second zone, and kills all processes of the core right after the acknowledgement. They are back within a
 // second, one after the other.
 func runEvacuation(c *cluster, trouble bool) (int, error) {
-	if err := c.settle(); err != nil {
+	if err := c.settle(nil); err != nil {
 		return failed, err
 	}
 	const earlier, later = "grandport-2", "plateau-2"
@@ -78,10 +79,21 @@
 
 // runDeregistration has a worker deregister first and serve on, and kills the control daemon that acknowledged this.
 func runDeregistration(c *cluster, trouble bool) (int, error) {
-	if err := c.settle(); err != nil {
+	if err := c.settle(nil); err != nil {
 		return failed, err
 	}
-	leaving, at := c.workers[0], c.controls[0]
+	leaving, users := c.workers[0], c.sessions()
+	// The worker calls a daemon with which few gateways of its region have their sessions.
+	least := func(d *process) (n int) {
+		for _, g := range users[d] {
+			if region(g.zone) == region(leaving.zone) {
+				n++
+			}
+		}
+		return n
+	}
+	at := slices.MinFunc(c.controls, func(a, b *process) int { return least(a) - least(b) })
+	c.printf("%d gateways of the worker's region have their sessions with %s", least(at), at.name)
 	leaving.mu.Lock()
 	leaving.silent = true
 	leaving.mu.Unlock()
--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -180,10 +180,12 @@
 	return errors.New("no free loopback addresses")
 }
 
+func portRange(first int) []byte { return fmt.Appendf(nil, "internal_ports=%d,%d", first, first+15) }
+
 func (c *cluster) writeSettings(p *process, seeds []string, bootstrap bool) error {
 	lines := []string{
 		"node_name=" + p.name, "role=" + p.role, "ip=" + p.ip, "zone=" + p.zone, "region=" + region(p.zone),
-		fmt.Sprintf("internal_ports=%d,%d", c.ports.internal, c.ports.internal+15), "seeds=" + strings.Join(seeds, ","), fmt.Sprintf("bootstrap=%t", bootstrap),
+		string(portRange(c.ports.internal)), "seeds=" + strings.Join(seeds, ","), fmt.Sprintf("bootstrap=%t", bootstrap),
 		"limits.cpu_share=0.4", "limits.cores=1", "limits.memory_mb=284", "limits.max_fds=4100", "limits.link_mbps=1000.0", "discovery=registry", "entry=directory",
 		"heartbeat_ms=1200", "contracts=base,drain,config,cost,retry,recover,engine,stream,places",
 		"fault_tolerance.machines=1", "fault_tolerance.zones=1", "fault_tolerance.regions=1",
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,7 +23,7 @@
 
 func main() {
 	cases := map[string]func(c *cluster, trouble bool) (int, error){
-		"evacuation": runEvacuation, "deregistration": runDeregistration, "memory": runMemory,
+		"evacuation": runEvacuation, "deregistration": runDeregistration, "silence": runSilence,
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE PROGRAM RECORD")
@@ -62,8 +62,9 @@
 }
 
 // settle starts the deployment with two workers in each zone and clients, and waits until it has been calm for the connectivity
-// window.
-func (c *cluster) settle() error {
+// window. If ready is not nil, the gateways are restarted before the clients start, until it returns true: a gateway has its session
+// with the control daemon that answers first.
+func (c *cluster) settle(ready func() bool) error {
 	if err := c.startAll(); err != nil {
 		return err
 	}
@@ -83,6 +84,20 @@
 	if err := c.awaitReady(20 * time.Second); err != nil {
 		return err
 	}
+	for i := 0; ready != nil && !ready() && i < 8; i++ {
+		for _, p := range c.gateways {
+			p.signal(syscall.SIGKILL)
+			p.wait(time.Second)
+			if err := p.start(c.program, 0); err != nil {
+				return err
+			}
+		}
+		c.printf("all gateways were restarted")
+		if err := c.awaitReady(20 * time.Second); err != nil {
+			return err
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
 	time.Sleep(2 * time.Second)
 	c.startClients(4, 100*time.Millisecond)
 	from := time.Now()
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -47,13 +47,14 @@
 	state    string
 	silent   bool
 	arrivals []*arrival
-	target   *process
+	// target is the index of the daemon that the worker reports to, until one of its heartbeats fails there.
+	target int
 }
 
 func (c *cluster) newWorker(zone string, host int) (*worker, error) {
 	w := &worker{
 		c: c, id: fmt.Sprintf("i-%08x", rand.Uint32()), zone: zone, address: fmt.Sprintf("%s.%d:%d", c.subnet, host, c.ports.front), born: time.Now().UnixMilli(),
-		slots: make(chan struct{}, workerSlots), state: "ready",
+		slots: make(chan struct{}, workerSlots), state: "ready", target: rand.IntN(len(c.controls)),
 	}
 	l, err := net.Listen("tcp", w.address)
 	if err != nil {
@@ -143,13 +144,23 @@
 		"service": "desk", "address": w.address, "zone": w.zone, "version": "v1", "slots": workerSlots, "state": w.state, "cold_remaining_ms": 0, "sequence": w.sequence, "born": w.born,
 	})
 	w.mu.Unlock()
-	for _, i := range rand.Perm(len(w.c.controls)) {
-		if status, _, err := w.c.call(w.c.controls[i], http.MethodPost, "/v1/Instances.Heartbeat/"+w.id, body); err == nil && status/100 == 2 || w.c.ctx.Err() != nil {
+	for range w.c.controls {
+		if status, _, err := w.c.call(w.daemon(), http.MethodPost, "/v1/Instances.Heartbeat/"+w.id, body); err == nil && status/100 == 2 || w.c.ctx.Err() != nil {
 			return
 		}
+		w.mu.Lock()
+		w.target = (w.target + 1) % len(w.c.controls)
+		w.mu.Unlock()
 	}
 }
 
+// daemon returns the control daemon that the worker reports to.
+func (w *worker) daemon() *process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.c.controls[w.target]
+}
+
 // since returns the requests that the worker ran at or after a time.
 func (w *worker) since(at time.Time) []arrival {
 	w.mu.Lock()
