--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -82,7 +82,8 @@
 	if err := c.settle(nil); err != nil {
 		return failed, err
 	}
-	leaving, users := c.workers[0], c.sessions()
+	// The region of this worker has most gateways.
+	leaving, users := c.workers[2*workersPerZone], c.sessions()
 	// The worker calls a daemon with which few gateways of its region have their sessions.
 	least := func(d *process) (n int) {
 		for _, g := range users[d] {
