--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -35,7 +35,7 @@
 			p.wait(time.Second)
 		}
 		for _, p := range c.controls {
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(180 * time.Millisecond)
 			if err := c.restart(p); err != nil {
 				return failed, err
 			}
