--- a/control/quorum.go
+++ b/control/quorum.go
@@ -110,6 +110,7 @@
 	}, r, now(), rand.New(rand.NewPCG(uint64(now().UnixNano()), rand.Uint64())))
 	q.publishInventory()
 	q.publish(now())
+	q.log.Info().Int64("index", q.appliedIndex).Int64("version", q.Orders().Document().Version).Strs("evacuated", q.Orders().Evacuated()).Msg("orders restored")
 	return q, nil
 }
 
@@ -267,6 +268,9 @@
 func (q *quorum) publishInventory() {
 	revision := q.machine.state.Revision()
 	q.mu.Lock()
+	if evacuated := q.machine.orders.Evacuated(); !slices.Equal(evacuated, q.orders.Evacuated()) {
+		q.log.Info().Int64("index", q.appliedIndex).Strs("evacuated", evacuated).Msg("evacuated failure domains applied")
+	}
 	q.orders = q.machine.orders
 	if revision == q.current.Revision {
 		q.mu.Unlock()
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -322,12 +322,7 @@
 	st := g.state
 	g.updateEndpoints(now, control, u.GetEndpoints())
 	g.updateGateways(now, control, u.GetGateways())
-	if u.GetEvacuationsTold() && (u.GetCurrent() || len(st.evacuated) == 0) {
-		if !slices.Equal(st.evacuated, u.GetEvacuated()) {
-			g.log.Info().Strs("evacuated", u.GetEvacuated()).Str("control", control).Msg("evacuated failure domains changed")
-		}
-		st.updateEvacuations(now, u.GetEvacuated())
-	}
+	g.updateEvacuations(now, control, u)
 	for _, m := range u.GetRooms() {
 		st.capacities[m.GetRegion()] = decodeRegionCapacity(now, m)
 	}
@@ -357,6 +352,23 @@
 	}
 }
 
+// updateEvacuations applies the evacuated failure domains of an update. Those of a stale control daemon are ignored if any
+// are known.
+func (g *Gateway) updateEvacuations(now time.Time, control string, u *wiregen.FleetUpdate) {
+	st := g.state
+	if !u.GetEvacuationsTold() {
+		return
+	}
+	applied := u.GetCurrent() || len(st.evacuated) == 0
+	if !slices.Equal(st.evacuated, u.GetEvacuated()) {
+		g.log.Info().Strs("evacuated", u.GetEvacuated()).Strs("before", st.evacuated).Bool("current", u.GetCurrent()).Bool("applied", applied).
+			Str("control", control).Msg("evacuated failure domains changed")
+	}
+	if applied {
+		st.updateEvacuations(now, u.GetEvacuated())
+	}
+}
+
 // updateEndpoints merges endpoint records into the fleet state, and drops the connections to endpoints that are gone.
 func (g *Gateway) updateEndpoints(now time.Time, control string, records []*wiregen.EndpointRecord) {
 	for _, m := range records {
