Apply evacuations of a control daemon that was stale when it told them

Cause: a control daemon tells evacuations only when they change, and a gateway that knows of any ignores those of a daemon without a leader.

Evacuations now carry the index of the log entry that changed them. Entries are final, so a gateway takes the higher index whichever daemon tells it and ignores lower ones, also of a daemon that lost its disk. For daemons and gateways of earlier versions, which know no index, a gateway keeps what it was told until the daemon is current, and a daemon tells evacuations again when it becomes current.

--- a/configuration/orders.go
+++ b/configuration/orders.go
@@ -13,23 +13,24 @@
 // Orders is the replicated state of the operators' orders that are applied without an expected revision: the newest
 // document and the evacuated failure domains. It is immutable.
 type Orders struct {
-	document  Document
-	evacuated []string
+	document    Document
+	evacuations Evacuations
 }
 
-// RestoreOrders returns the orders with a document and the evacuated failure domains, which may be unsorted and
-// repeated.
-func RestoreOrders(d Document, evacuated []string) Orders {
-	sorted := slices.Clone(evacuated)
+// RestoreOrders returns the orders with a document and evacuations, whose domains may be unsorted and repeated.
+func RestoreOrders(d Document, e Evacuations) Orders {
+	sorted := slices.Clone(e.Domains)
 	slices.Sort(sorted)
-	return Orders{document: d, evacuated: slices.Compact(sorted)}
+	return Orders{document: d, evacuations: Evacuations{Index: e.Index, Domains: slices.Compact(sorted)}}
 }
 
 // Document returns the document with the highest version so far; its version is zero if there was none.
 func (o Orders) Document() Document { return o.document }
 
-// Evacuated returns the evacuated failure domains, sorted by name.
-func (o Orders) Evacuated() []string { return slices.Clone(o.evacuated) }
+// Evacuations returns the evacuated failure domains and the index of their last change.
+func (o Orders) Evacuations() Evacuations {
+	return Evacuations{Index: o.evacuations.Index, Domains: slices.Clone(o.evacuations.Domains)}
+}
 
 // WithDocument returns the orders with d in force. A document whose version is not higher than the current one is
 // ignored, whatever its content.
@@ -37,16 +38,22 @@
 	if d.Version <= o.document.Version {
 		return o
 	}
-	return Orders{document: d, evacuated: o.evacuated}
+	return Orders{document: d, evacuations: o.evacuations}
 }
 
-// WithEvacuation returns the orders with a failure domain evacuated.
-func (o Orders) WithEvacuation(domain string) Orders {
-	return RestoreOrders(o.document, append(slices.Clone(o.evacuated), domain))
+// WithEvacuation returns the orders with a failure domain evacuated by the log entry at an index.
+func (o Orders) WithEvacuation(index int64, domain string) Orders {
+	if slices.Contains(o.evacuations.Domains, domain) {
+		return o
+	}
+	return RestoreOrders(o.document, Evacuations{Index: index, Domains: append(slices.Clone(o.evacuations.Domains), domain)})
 }
 
-// WithoutEvacuation returns the orders with the evacuation of a failure domain withdrawn.
-func (o Orders) WithoutEvacuation(domain string) Orders {
-	without := slices.DeleteFunc(slices.Clone(o.evacuated), func(d string) bool { return d == domain })
-	return Orders{document: o.document, evacuated: without}
+// WithoutEvacuation returns the orders with the evacuation of a failure domain withdrawn by the log entry at an index.
+func (o Orders) WithoutEvacuation(index int64, domain string) Orders {
+	if !slices.Contains(o.evacuations.Domains, domain) {
+		return o
+	}
+	without := slices.DeleteFunc(slices.Clone(o.evacuations.Domains), func(d string) bool { return d == domain })
+	return Orders{document: o.document, evacuations: Evacuations{Index: index, Domains: without}}
 }
--- a/configuration/orders_test.go
+++ b/configuration/orders_test.go
@@ -28,14 +28,14 @@
 }
 
 func TestEvacuations(t *testing.T) {
-	o := Orders{}.WithEvacuation("b").WithEvacuation("a").WithEvacuation("b")
-	if diff := cmp.Diff([]string{"a", "b"}, o.Evacuated()); diff != "" {
+	o := Orders{}.WithEvacuation(1, "b").WithEvacuation(2, "a").WithEvacuation(3, "b")
+	if diff := cmp.Diff([]string{"a", "b"}, o.Evacuations().Domains); diff != "" {
 		t.Error(diff)
 	}
-	if diff := cmp.Diff([]string{"a"}, o.WithoutEvacuation("b").WithoutEvacuation("c").Evacuated()); diff != "" {
+	if diff := cmp.Diff([]string{"a"}, o.WithoutEvacuation(4, "b").WithoutEvacuation(5, "c").Evacuations().Domains); diff != "" {
 		t.Error(diff)
 	}
-	if diff := cmp.Diff([]string{"a", "b"}, o.Evacuated()); diff != "" {
+	if diff := cmp.Diff([]string{"a", "b"}, o.Evacuations().Domains); diff != "" {
 		t.Errorf("withdrawing changed the orders before it: %s", diff)
 	}
 }
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -156,7 +156,7 @@
 		if got := readNewest(t, d); got.Version != 14 || string(got.Content) != "newer" {
 			t.Errorf("after a restart of all: version %d %q", got.Version, got.Content)
 		}
-		waitFor(t, "the evacuation is known", func() bool { return len(d.quorum.Orders().Evacuated()) == 1 })
+		waitFor(t, "the evacuation is known", func() bool { return len(d.quorum.Orders().Evacuations().Domains) == 1 })
 	}
 }
 
--- a/control/fuzz_test.go
+++ b/control/fuzz_test.go
@@ -42,7 +42,7 @@
 		return nil, false
 	}
 	if r.Snapshot != nil {
-		_, _ = restoreStateMachine(r.Snapshot.Data)
+		_, _ = restoreStateMachine(r.Snapshot.Index, r.Snapshot.Data)
 	}
 	cfg := consensus.Config{Self: fuzzSelf, Address: "a", Heartbeat: 10 * time.Millisecond, ElectionTimeout: 100 * time.Millisecond}
 	return consensus.New(cfg, r, fuzzStart, rand.New(rand.NewPCG(1, 1))), true
@@ -160,11 +160,11 @@
 	f.Add(marshal(&wiregen.ChangeCommand{ChangeId: "2", ExpectedRevision: 1, Inventory: []byte("no inventory")}))
 	f.Fuzz(func(t *testing.T, command []byte) {
 		m := newStateMachine()
-		if _, err := m.apply(base); err != nil {
+		if _, err := m.apply(1, base); err != nil {
 			t.Fatal(err)
 		}
-		_, _ = m.apply(command)
-		again, _ := restoreStateMachine(m.snapshot())
+		_, _ = m.apply(1, command)
+		again, _ := restoreStateMachine(1, m.snapshot())
 		if string(again.snapshot()) != string(m.snapshot()) {
 			t.Error("the state did not survive its snapshot")
 		}
--- a/control/gateways.go
+++ b/control/gateways.go
@@ -102,7 +102,7 @@
 	// endpointsRenewedAt is when the endpoints without changes were last sent.
 	endpointsRenewedAt time.Time
 	documentVersion    int64
-	evacuated          []string
+	evacuationsIndex   int64
 	controls           []string
 	current            bool
 	sentCapacities     map[string]time.Time
@@ -120,9 +120,11 @@
 		u.Document = encodeDocument(d)
 		v.documentVersion = d.Version
 	}
-	if evacuated := orders.Evacuated(); !v.started || !slices.Equal(evacuated, v.evacuated) {
-		u.EvacuationsTold, u.Evacuated = true, evacuated
-		v.evacuated = evacuated
+	// Gateways of earlier versions ignore the evacuations of a stale daemon.
+	becameCurrent := u.GetCurrent() && !v.current
+	if e := orders.Evacuations(); !v.started || e.Index != v.evacuationsIndex || becameCurrent {
+		u.EvacuationsTold, u.Evacuated, u.EvacuationsIndex = true, e.Domains, &e.Index
+		v.evacuationsIndex = e.Index
 	}
 	if controls := c.controlAddresses(); !slices.Equal(controls, v.controls) {
 		u.Controls = controls
--- a/control/machine.go
+++ b/control/machine.go
@@ -39,17 +39,17 @@
 	return marshal(m)
 }
 
-// apply decides the change in a command. The inventory was validated before it was proposed. Its validity does not
+// apply decides the change in the command of the log entry at an index. The inventory was validated before it was proposed. Its validity does not
 // enter the decision here, so that voters of different versions reach the same result. A command that cannot be
 // decoded, or a delta that does not match, returns *RecordError: the state then differs from that of the other
 // voters.
-func (m *stateMachine) apply(command []byte) (configuration.Answer, error) {
+func (m *stateMachine) apply(index int64, command []byte) (configuration.Answer, error) {
 	c := &wiregen.ChangeCommand{}
 	if err := proto.Unmarshal(command, c); err != nil {
 		return configuration.Answer{}, &RecordError{Record: "change", Cause: err}
 	}
 	if c.GetFleet() != nil {
-		m.orders = applyOrder(m.orders, c.GetFleet())
+		m.orders = applyOrder(index, m.orders, c.GetFleet())
 		return configuration.Answer{Accepted: true, Revision: m.state.Revision()}, nil
 	}
 	if m.decidedWithoutInventory(c) {
@@ -114,9 +114,9 @@
 	return marshal(s)
 }
 
-// restoreStateMachine decodes the state of a snapshot. A snapshot that cannot be decoded returns *RecordError; one
+// restoreStateMachine decodes the state of a snapshot that includes the log up to an index. A snapshot that cannot be decoded returns *RecordError; one
 // whose inventory this version refuses returns the state and *InventoryRefusedError.
-func restoreStateMachine(snapshot []byte) (*stateMachine, error) {
+func restoreStateMachine(index int64, snapshot []byte) (*stateMachine, error) {
 	s := &wiregen.ConfigurationSnapshot{}
 	if err := proto.Unmarshal(snapshot, s); err != nil {
 		return nil, &RecordError{Record: "configuration snapshot", Cause: err}
@@ -143,7 +143,7 @@
 		state:            configuration.RestoreState(s.GetRevision(), inv, answers),
 		history:          configuration.RestoreHistory(records),
 		encodedInventory: s.GetInventory(),
-		orders:           decodeOrders(s.GetFleet()),
+		orders:           decodeOrders(index, s.GetFleet()),
 	}
 	return m, m.inventoryError(err)
 }
--- a/control/machine_test.go
+++ b/control/machine_test.go
@@ -64,27 +64,27 @@
 	first := encodeCommand(configuration.Change{ID: "first", Inventory: newTestInventory(t, 10, 1)}, 0, nil)
 	refused := encodeCommand(configuration.Change{ID: "refused", Inventory: newTestInventory(t, 10, 2)}, 0, nil)
 	for _, command := range [][]byte{first, refused} {
-		if _, err := m.apply(command); err != nil {
+		if _, err := m.apply(1, command); err != nil {
 			t.Fatal(err)
 		}
 	}
 	next := configuration.Change{ID: "second", Expected: 1, Inventory: newTestInventory(t, 10, 3)}
-	if _, err := m.apply(encodeCommand(next, 1, m.encodedInventory)); err != nil {
+	if _, err := m.apply(1, encodeCommand(next, 1, m.encodedInventory)); err != nil {
 		t.Fatal(err)
 	}
 	if diff := cmp.Diff(marshal(wire.EncodeInventory(next.Inventory)), m.encodedInventory); diff != "" {
 		t.Errorf("the inventory of a delta: %s", diff)
 	}
 	stale := encodeCommand(configuration.Change{ID: "stale", Expected: 1, Inventory: newTestInventory(t, 10, 4)}, 1, []byte("another inventory"))
-	if got, err := m.apply(stale); got.Accepted || err != nil {
+	if got, err := m.apply(1, stale); got.Accepted || err != nil {
 		t.Errorf("a delta against an old revision: %+v, %v", got, err)
 	}
 	other := newTestInventory(t, 10, 4)
 	foreign := encodeCommand(configuration.Change{ID: "foreign", Expected: 2, Inventory: other}, 2, marshal(wire.EncodeInventory(other)))
-	if _, err := m.apply(foreign); !errors.As(err, new(*RecordError)) {
+	if _, err := m.apply(1, foreign); !errors.As(err, new(*RecordError)) {
 		t.Errorf("a delta against another inventory: %v", err)
 	}
-	restored, err := restoreStateMachine(m.snapshot())
+	restored, err := restoreStateMachine(1, m.snapshot())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -98,7 +98,7 @@
 		{first, configuration.Answer{Accepted: true, Revision: 1}},
 		{refused, configuration.Answer{Revision: 1}},
 	} {
-		got, err := restored.apply(c.command)
+		got, err := restored.apply(1, c.command)
 		if diff := cmp.Diff(c.want, got); diff != "" || err != nil {
 			t.Errorf("a resend after the snapshot: %v: %s", err, diff)
 		}
@@ -165,7 +165,7 @@
 				before := m.encodedInventory
 				c := configuration.Change{ID: fmt.Sprint(i), Expected: int64(i), Inventory: inventories[i%2]}
 				command := encodeCommand(c, m.state.Revision(), m.encodedInventory)
-				if _, err := m.apply(command); err != nil {
+				if _, err := m.apply(1, command); err != nil {
 					b.Fatal(err)
 				}
 				sizes.command = len(command)
--- a/control/orders_codec.go
+++ b/control/orders_codec.go
@@ -18,26 +18,35 @@
 
 // encodeOrders returns nil for the state before the first order, so that equal states have equal encodings.
 func encodeOrders(o configuration.Orders) *wiregen.FleetSnapshot {
-	evacuated := o.Evacuated()
-	if o.Document().Version == 0 && len(evacuated) == 0 {
+	evacuations := o.Evacuations()
+	if o.Document().Version == 0 && evacuations.Index == 0 {
 		return nil
 	}
-	return &wiregen.FleetSnapshot{Document: encodeDocument(o.Document()), Evacuated: evacuated}
+	return &wiregen.FleetSnapshot{Document: encodeDocument(o.Document()), Evacuated: evacuations.Domains, EvacuationsIndex: &evacuations.Index}
 }
 
-func decodeOrders(m *wiregen.FleetSnapshot) configuration.Orders {
-	return configuration.RestoreOrders(decodeDocument(m.GetDocument()), m.GetEvacuated())
+// decodeOrders returns the orders of a snapshot that includes the log up to an index, which stands in for the index that
+// snapshots of earlier versions lack.
+func decodeOrders(index int64, m *wiregen.FleetSnapshot) configuration.Orders {
+	if m == nil {
+		return configuration.Orders{}
+	}
+	e := configuration.Evacuations{Index: index, Domains: m.GetEvacuated()}
+	if m.EvacuationsIndex != nil {
+		e.Index = m.GetEvacuationsIndex()
+	}
+	return configuration.RestoreOrders(decodeDocument(m.GetDocument()), e)
 }
 
-// applyOrder returns the orders with one order of the log applied.
-func applyOrder(o configuration.Orders, m *wiregen.FleetOrder) configuration.Orders {
+// applyOrder returns the orders with the order of the log entry at an index applied.
+func applyOrder(index int64, o configuration.Orders, m *wiregen.FleetOrder) configuration.Orders {
 	if m.GetDocument() != nil {
 		o = o.WithDocument(decodeDocument(m.GetDocument()))
 	}
 	if e := m.GetEvacuation(); e != nil && e.GetWithdrawn() {
-		return o.WithoutEvacuation(e.GetFailureDomain())
+		return o.WithoutEvacuation(index, e.GetFailureDomain())
 	} else if e != nil {
-		return o.WithEvacuation(e.GetFailureDomain())
+		return o.WithEvacuation(index, e.GetFailureDomain())
 	}
 	return o
 }
--- a/control/previous_test.go
+++ b/control/previous_test.go
@@ -40,7 +40,7 @@
 		order(&wiregen.FleetOrder{Document: &wiregen.RouteDocument{Version: 6, Content: []byte(goldenDocument)}}),
 		order(&wiregen.FleetOrder{Evacuation: &wiregen.EvacuationOrder{FailureDomain: "d-1"}}),
 	} {
-		if _, err := m.apply(command); err != nil {
+		if _, err := m.apply(1, command); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -109,7 +109,7 @@
 	if diff := cmp.Diff(fuzzMembers().Without("c"), r.Entries[2].Members); diff != "" {
 		t.Error(diff)
 	}
-	m, err := restoreStateMachine(r.Snapshot.Data)
+	m, err := restoreStateMachine(r.Snapshot.Index, r.Snapshot.Data)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,7 +117,7 @@
 		t.Errorf("the snapshot holds document %d, revision %d and %d changes", before.Version, m.state.Revision(), len(m.history.Records()))
 	}
 	for _, i := range []int{1, 3} {
-		if _, err := m.apply(r.Entries[i].Data); err != nil {
+		if _, err := m.apply(1, r.Entries[i].Data); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -125,7 +125,7 @@
 	if diff := cmp.Diff(want, m.orders.Document()); diff != "" {
 		t.Error(diff)
 	}
-	if diff := cmp.Diff([]string{"d-1", "d-2"}, m.orders.Evacuated()); diff != "" {
+	if diff := cmp.Diff([]string{"d-1", "d-2"}, m.orders.Evacuations().Domains); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -110,7 +110,7 @@
 	}, r, now(), rand.New(rand.NewPCG(uint64(now().UnixNano()), rand.Uint64())))
 	q.publishInventory()
 	q.publish(now())
-	q.log.Info().Int64("index", q.appliedIndex).Int64("version", q.Orders().Document().Version).Strs("evacuated", q.Orders().Evacuated()).Msg("orders restored")
+	q.log.Info().Int64("index", q.appliedIndex).Int64("version", q.Orders().Document().Version).Strs("evacuated", q.Orders().Evacuations().Domains).Msg("orders restored")
 	return q, nil
 }
 
@@ -203,7 +203,7 @@
 	if s == nil {
 		return nil
 	}
-	m, err := restoreStateMachine(s.Data)
+	m, err := restoreStateMachine(s.Index, s.Data)
 	if err := q.tolerateRefusedInventory(err, s.Index); err != nil {
 		return err
 	}
@@ -230,7 +230,7 @@
 	result := changeResult{}
 	if e.Kind == consensus.CommandEntry {
 		var err error
-		result.answer, err = q.machine.apply(e.Data)
+		result.answer, err = q.machine.apply(e.Index, e.Data)
 		if err := q.tolerateRefusedInventory(err, e.Index); err != nil {
 			return err
 		}
@@ -268,8 +268,8 @@
 func (q *quorum) publishInventory() {
 	revision := q.machine.state.Revision()
 	q.mu.Lock()
-	if evacuated := q.machine.orders.Evacuated(); !slices.Equal(evacuated, q.orders.Evacuated()) {
-		q.log.Info().Int64("index", q.appliedIndex).Strs("evacuated", evacuated).Msg("evacuated failure domains applied")
+	if e := q.machine.orders.Evacuations(); !e.Equal(q.orders.Evacuations()) {
+		q.log.Info().Int64("index", e.Index).Strs("evacuated", e.Domains).Msg("evacuated failure domains applied")
 	}
 	q.orders = q.machine.orders
 	if revision == q.current.Revision {
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -352,21 +352,34 @@
 	}
 }
 
-// updateEvacuations applies the evacuated failure domains of an update. Those of a stale control daemon are ignored if any
-// are known.
+// updateEvacuations applies the evacuations that a control daemon told in this update or in an earlier one of the session,
+// when it may have been stale.
 func (g *Gateway) updateEvacuations(now time.Time, control string, u *wiregen.FleetUpdate) {
 	st := g.state
-	if !u.GetEvacuationsTold() {
-		return
+	if u.GetEvacuationsTold() {
+		st.toldEvacuations = decodeEvacuations(u)
+	}
+	told := st.toldEvacuations
+	after := st.evacuations.With(told, u.GetCurrent())
+	if u.GetEvacuationsTold() && !slices.Equal(after.Domains, told.Domains) {
+		g.log.Info().Strs("evacuated", told.Domains).Int64("index", told.Index).Int64("knownIndex", after.Index).Bool("current", u.GetCurrent()).
+			Str("control", control).Msg("outdated evacuations ignored")
 	}
-	applied := u.GetCurrent() || len(st.evacuated) == 0
-	if !slices.Equal(st.evacuated, u.GetEvacuated()) {
-		g.log.Info().Strs("evacuated", u.GetEvacuated()).Strs("before", st.evacuated).Bool("current", u.GetCurrent()).Bool("applied", applied).
-			Str("control", control).Msg("evacuated failure domains changed")
+	if after.Equal(st.evacuations) {
+		return
 	}
-	if applied {
-		st.updateEvacuations(now, u.GetEvacuated())
+	g.log.Info().Strs("evacuated", after.Domains).Int64("index", after.Index).Bool("current", u.GetCurrent()).Str("control", control).
+		Msg("evacuated failure domains changed")
+	st.updateEvacuations(now, after)
+}
+
+// decodeEvacuations decodes the evacuations of an update that tells them.
+func decodeEvacuations(u *wiregen.FleetUpdate) configuration.Evacuations {
+	e := configuration.Evacuations{Index: configuration.UnknownIndex, Domains: u.GetEvacuated()}
+	if u.EvacuationsIndex != nil {
+		e.Index = u.GetEvacuationsIndex()
 	}
+	return e
 }
 
 // updateEndpoints merges endpoint records into the fleet state, and drops the connections to endpoints that are gone.
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,6 +22,8 @@
 	current bool
 	// silent is the number of initial sessions that get no update.
 	silent atomic.Int32
+	// first is the first update of each session; it is empty if nil.
+	first *wiregen.FleetUpdate
 }
 
 func (c *testControl) Attend(session grpc.BidiStreamingServer[wiregen.GatewayReport, wiregen.FleetUpdate]) error {
@@ -29,6 +32,11 @@
 		<-session.Context().Done()
 		return session.Context().Err()
 	}
+	if c.first != nil {
+		if err := session.Send(c.first); err != nil {
+			return err
+		}
+	}
 	for {
 		if err := session.Send(&wiregen.FleetUpdate{Current: c.current, Sender: c.address}); err != nil {
 			return err
@@ -48,11 +56,18 @@
 		t.Fatal(err)
 	}
 	c := &testControl{address: l.Addr().String(), delay: delay, current: current}
+	c.serve(t, l)
+	return c
+}
+
+// serve serves sessions at a listener until the returned function is called or the test ends.
+func (c *testControl) serve(t *testing.T, l net.Listener) (stop func()) {
+	t.Helper()
 	server := grpc.NewServer(grpc.Creds(keys.Plain().Server()))
 	wiregen.RegisterFleetServer(server, c)
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(server.Stop)
-	return c
+	return server.Stop
 }
 
 // TestSessionMovesToCurrent has a nearby control daemon without a leader, and a distant one with a leader whose first
@@ -104,3 +119,47 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// TestEvacuationsOfStaleControlForgotten has a control daemon restart without a leader after evacuations were ordered or
+// withdrawn, tell the evacuated failure domains in the first update of a session, and become current without telling them
+// again: the gateway applies them, although it knew others before.
+func TestEvacuationsOfStaleControlForgotten(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		known, told []string
+	}{
+		{"ordered", []string{"here-a"}, []string{"here-a", "there-a"}},
+		{"withdrawn", []string{"here-a", "there-a"}, []string{"here-a"}},
+		{"all withdrawn", []string{"here-a"}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			address := l.Addr().String()
+			before := &testControl{address: address, current: true, first: &wiregen.FleetUpdate{Current: true, EvacuationsTold: true, Evacuated: c.known}}
+			stop := before.serve(t, l)
+			g := newGateway(t, testTable(t, nil))
+			g.view.Store(&view{})
+			g.cfg.Controls = []string{address}
+			g.wg.Go(func() { g.subscribe(g.workCtx) })
+			t.Cleanup(func() {
+				g.cancelWork()
+				g.wg.Wait()
+			})
+			follows := func(evacuated []string) bool {
+				v := g.view.Load()
+				return v.current && slices.Equal(v.evacuated, evacuated)
+			}
+			waitFor(t, "evacuations before the restart", func() bool { return follows(c.known) })
+			stop()
+			if l, err = net.Listen("tcp", address); err != nil {
+				t.Fatal(err)
+			}
+			after := &testControl{address: address, current: true, first: &wiregen.FleetUpdate{EvacuationsTold: true, Evacuated: c.told}}
+			after.serve(t, l)
+			waitFor(t, "evacuations told by the restarted daemon", func() bool { return follows(c.told) })
+		})
+	}
+}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -82,11 +82,12 @@
 
 // fleetState holds the tables from which views are built. Only the session's goroutine uses it.
 type fleetState struct {
-	cfg        Config
-	endpoints  map[string]fleet.Endpoint
-	gateways   map[string]fleet.Gateway
-	evacuated  []string
-	restoredAt map[string]time.Time
+	cfg       Config
+	endpoints map[string]fleet.Endpoint
+	gateways  map[string]fleet.Gateway
+	// evacuations are in force, and toldEvacuations those that a control daemon told last.
+	evacuations, toldEvacuations configuration.Evacuations
+	restoredAt                   map[string]time.Time
 	// software holds when an endpoint was last known to have each software version.
 	software   map[origin.Origin]time.Time
 	capacities map[string]regionCapacity
@@ -131,15 +132,15 @@
 	return true, nil
 }
 
-// updateEvacuations replaces the evacuated failure domains. The endpoints of a restored domain count as cold for the
+// updateEvacuations replaces the evacuations in force. The endpoints of a restored domain count as cold for the
 // cold time of their service, as they may have been restarted meanwhile.
-func (st *fleetState) updateEvacuations(now time.Time, evacuated []string) {
-	for _, domain := range st.evacuated {
-		if !slices.Contains(evacuated, domain) {
+func (st *fleetState) updateEvacuations(now time.Time, e configuration.Evacuations) {
+	for _, domain := range st.evacuations.Domains {
+		if !slices.Contains(e.Domains, domain) {
 			st.restoredAt[domain] = now
 		}
 	}
-	st.evacuated = evacuated
+	st.evacuations = e
 }
 
 // endpointTTL is the age of its last heartbeat above which an endpoint that the control daemons no longer list is
@@ -152,7 +153,7 @@
 
 // refresh returns the view after an update. Most updates carry capacities alone and leave the other tables unchanged.
 func (st *fleetState) refresh(now time.Time, u *wiregen.FleetUpdate, before *view) *view {
-	changed := len(u.GetEndpoints()) > 0 || len(u.GetGateways()) > 0 || u.GetEvacuationsTold() || before.table != st.table
+	changed := len(u.GetEndpoints()) > 0 || len(u.GetGateways()) > 0 || !slices.Equal(before.evacuated, st.evacuations.Domains) || before.table != st.table
 	if changed || now.Sub(st.fullViewAt) > fullRefreshPeriod {
 		st.fullViewAt = now
 		return st.view(now)
@@ -165,7 +166,7 @@
 // view builds a full view of the state at a time, and removes expired endpoints.
 func (st *fleetState) view(now time.Time) *view {
 	v := &view{
-		table: st.table, endpoints: map[string][]fleet.Endpoint{}, evacuated: st.evacuated, software: newSoftwareVersions(), capacities: maps.Clone(st.capacities),
+		table: st.table, endpoints: map[string][]fleet.Endpoint{}, evacuated: st.evacuations.Domains, software: newSoftwareVersions(), capacities: maps.Clone(st.capacities),
 	}
 	for id, e := range st.endpoints {
 		if now.Sub(e.LastSeen) > endpointTTL {
@@ -173,7 +174,7 @@
 			continue
 		}
 		region := st.cfg.Regions[e.FailureDomain]
-		serves := e.State == fleet.Ready && !slices.Contains(st.evacuated, e.FailureDomain)
+		serves := e.State == fleet.Ready && !slices.Contains(st.evacuations.Domains, e.FailureDomain)
 		v.software.add(e, region, serves)
 		st.software[origin.Origin{Service: e.Service, Software: e.Software}] = now
 		switch {
