Log endpoint states that come from other control daemons

Two hypotheses: (1) the others never got the departure (review/3/claim.txt); (2) they got it, and a heartbeat that another daemon passed on later brought the endpoint back. The logs of the other daemons showed neither.

One run of review/3/run.sh with this line (exit 1): no daemon and no gateway logs the state gone for the endpoint at any time; the daemon that was killed is told after its restart that it is ready. Its own line about the departure is lost with its log buffer. So (1) holds and (2) doesn't.

--- a/control/fleet_sync.go
+++ b/control/fleet_sync.go
@@ -124,18 +124,26 @@
 		if err != nil {
 			return err
 		}
-		c.fleet.merge(c.now(), u)
+		for _, e := range c.fleet.merge(c.now(), u) {
+			c.log.Info().Str("endpoint", e.ID).Int64("born", e.Born).Str("state", e.State.String()).Str("control", u.GetSender()).Msg("endpoint state received")
+		}
 	}
 }
 
-// merge applies an update from another control daemon. A newer report that this daemon received directly takes
-// precedence.
-func (f *fleetState) merge(now time.Time, u *wiregen.FleetUpdate) {
+// merge applies an update from another control daemon and returns the endpoints whose state or incarnation changed. A newer
+// report that this daemon received directly takes precedence.
+func (f *fleetState) merge(now time.Time, u *wiregen.FleetUpdate) (changed []fleet.Endpoint) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, m := range u.GetEndpoints() {
-		if e := wire.DecodeFleetEndpoint(now, m); f.endpoints.Announce(e) {
-			delete(f.localEndpoints, e.ID)
+		e := wire.DecodeFleetEndpoint(now, m)
+		old, known := f.endpoints.Get(e.ID)
+		if !f.endpoints.Announce(e) {
+			continue
+		}
+		delete(f.localEndpoints, e.ID)
+		if !known || old.State != e.State || old.Born != e.Born {
+			changed = append(changed, e)
 		}
 	}
 	for _, m := range u.GetGateways() {
@@ -148,6 +156,7 @@
 			f.capacities[m.GetRegion()] = regionCapacity{services: m.GetRoom(), receivedAt: receivedAt}
 		}
 	}
+	return changed
 }
 
 // mergeGateway applies a report about a gateway from another control daemon. A gateway reported as gone may have
