Acknowledge the departure of an endpoint once the quorum has it

Cause: the daemon acknowledged what only its memory held. The others and the gateways ask for changes every 50 ms, and an endpoint announces its departure once. Beside it, a daemon acknowledged departures of endpoints that it didn't know without recording them, and recorded one of a later incarnation under the known one.

A departure is now an entry of the quorum's log and is acknowledged once committed, or after 0.7 s without a decision, within which it reaches all connected daemons and gateways. It survives the end of the daemon and of all daemons.

--- a/control/control.go
+++ b/control/control.go
@@ -110,7 +110,7 @@
 		return err
 	}
 	onAccepted := func(revision int64, encoded []byte) { c.hub.Put(revision, encoded) }
-	if c.quorum, err = newQuorum(c.cfg, d, restored, l, onAccepted, c.log, c.now); err != nil {
+	if c.quorum, err = newQuorum(c.cfg, d, restored, l, onAccepted, c.removeDeparted, c.log, c.now); err != nil {
 		return err
 	}
 	c.store = c.quorum
--- /dev/null
+++ b/control/departures.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"arbutusreel/clock"
+	"arbutusreel/fleet"
+	"arbutusreel/wiregen"
+)
+
+const (
+	// departureTimeout bounds the wait for the quorum's decision on a departure. Endpoints wait a second for the answer, which may
+	// take 80 ms to another region and back each way. Within this time the departure reaches all daemons and gateways that are
+	// connected, so that it is answered even without a decision.
+	departureTimeout = 700 * time.Millisecond
+	// departureRetryPeriod is the interval between attempts while there is no leader.
+	departureRetryPeriod = 50 * time.Millisecond
+)
+
+// RemoveEndpoint marks an endpoint as gone after it announced its departure, and returns when the quorum has accepted the
+// departure, or after departureTimeout: an endpoint announces it once, and the daemon that acknowledged it may end right after.
+// A born of zero means the incarnation that is known.
+func (c *Control) RemoveEndpoint(ctx context.Context, id string, born int64) {
+	began := c.now()
+	c.fleet.mu.Lock()
+	applied := c.fleet.endpoints.Leave(began, id, born)
+	if applied {
+		c.fleet.localEndpoints[id] = true
+	}
+	known, recorded := c.fleet.endpoints.Get(id)
+	c.fleet.mu.Unlock()
+	d := fleet.Departure{ID: id, Born: born}
+	if born == 0 {
+		d.Born = known.Born
+	}
+	decided := false
+	if recorded && d.Born != 0 {
+		decided = c.decideDeparture(ctx, d)
+	}
+	c.log.Info().Str("endpoint", id).Int64("born", d.Born).Bool("known", applied).Bool("decided", decided).Dur("took", c.now().Sub(began)).
+		Msg("endpoint left")
+}
+
+// decideDeparture submits a departure to the leader until it is accepted, and reports whether it was in time.
+func (c *Control) decideDeparture(ctx context.Context, d fleet.Departure) bool {
+	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if c.decideOrder(ctx, &wiregen.FleetOrder{Departure: encodeDeparture(d)}) == nil {
+			return true
+		}
+		clock.Sleep(ctx, departureRetryPeriod)
+	}
+	return false
+}
+
+// removeDeparted marks endpoints as gone whose departure the quorum has accepted.
+func (c *Control) removeDeparted(departed []fleet.Departure) {
+	now := c.now()
+	for _, d := range departed {
+		c.fleet.mu.Lock()
+		applied := c.fleet.endpoints.Leave(now, d.ID, d.Born)
+		c.fleet.mu.Unlock()
+		if applied {
+			c.log.Info().Str("endpoint", d.ID).Int64("born", d.Born).Msg("departure applied")
+		}
+	}
+}
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -87,18 +87,6 @@
 	}
 }
 
-// RemoveEndpoint marks an endpoint as gone after it announced its departure. A born of zero means the incarnation that
-// is known.
-func (c *Control) RemoveEndpoint(id string, born int64) {
-	c.fleet.mu.Lock()
-	applied := c.fleet.endpoints.Leave(c.now(), id, born)
-	if applied {
-		c.fleet.localEndpoints[id] = true
-	}
-	c.fleet.mu.Unlock()
-	c.log.Info().Str("endpoint", id).Int64("born", born).Bool("known", applied).Msg("endpoint left")
-}
-
 // Gateways returns the gateways with a valid lease, whichever control daemon they are connected to, and those that are
 // restarting, which are neither ready nor lingering nor closing. The list is complete while this daemon is current and has
 // been for a lease without interruption, within which every gateway reports.
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -208,7 +208,7 @@
 		daemons[0].Announce(fleet.Endpoint{ID: "e", Born: 1, Sequence: int64(sequence), Service: "s", Address: "10.0.0.1:1", State: want, LastSeen: time.Now()})
 		waitFor(t, want.String()+" everywhere", func() bool { return state(daemons[1]) == want && state(daemons[2]) == want })
 	}
-	daemons[1].RemoveEndpoint("e", 0)
+	daemons[1].RemoveEndpoint(t.Context(), "e", 0)
 	waitFor(t, "gone everywhere", func() bool { return state(daemons[0]) == fleet.Gone && state(daemons[2]) == fleet.Gone })
 	// A delayed heartbeat does not bring it back.
 	daemons[2].Announce(fleet.Endpoint{ID: "e", Born: 1, Sequence: 9, Service: "s", Address: "10.0.0.1:1", LastSeen: time.Now()})
--- a/control/machine.go
+++ b/control/machine.go
@@ -7,19 +7,21 @@
 
 	"arbutusreel/configuration"
 	"arbutusreel/distribution"
+	"arbutusreel/fleet"
 	"arbutusreel/inventory"
 	"arbutusreel/relay"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
 )
 
-// stateMachine is the replicated state: the configuration, its history, the encoded inventory in force and the
-// operators' orders.
+// stateMachine is the replicated state: the configuration, its history, the encoded inventory in force, the operators'
+// orders and the departures of endpoints.
 type stateMachine struct {
 	state            *configuration.State
 	history          *configuration.History
 	encodedInventory []byte
 	orders           configuration.Orders
+	departures       fleet.DepartureLog
 }
 
 func newStateMachine() *stateMachine {
@@ -50,6 +52,9 @@
 	}
 	if c.GetFleet() != nil {
 		m.orders = applyOrder(index, m.orders, c.GetFleet())
+		if d := c.GetFleet().GetDeparture(); d != nil {
+			m.departures = m.departures.With(decodeDeparture(d))
+		}
 		return configuration.Answer{Accepted: true, Revision: m.state.Revision()}, nil
 	}
 	if m.decidedWithoutInventory(c) {
@@ -110,7 +115,7 @@
 			Revision: r.Revision, ChangeId: r.ChangeID, Operator: r.Operator, UnixMillis: r.At.UnixMilli(), Undo: relay.EncodeDelta(r.Undo),
 		})
 	}
-	s.Fleet = encodeOrders(m.orders)
+	s.Fleet = encodeFleet(m.orders, m.departures)
 	return marshal(s)
 }
 
@@ -144,6 +149,7 @@
 		history:          configuration.RestoreHistory(records),
 		encodedInventory: s.GetInventory(),
 		orders:           decodeOrders(index, s.GetFleet()),
+		departures:       decodeDepartures(s.GetFleet()),
 	}
 	return m, m.inventoryError(err)
 }
--- a/control/operators_orders.go
+++ b/control/operators_orders.go
@@ -93,12 +93,15 @@
 	return nil
 }
 
-// proposeOrder appends an order to the log. For a document that is not newer than the one in force it only confirms
-// leadership.
+// proposeOrder appends an order to the log. For a document that is not newer than the one in force, and a departure that was
+// accepted, it only confirms leadership.
 func (c *Control) proposeOrder(ctx context.Context, m *wiregen.FleetOrder) error {
 	if d := m.GetDocument(); d != nil && d.GetVersion() <= c.quorum.Orders().Document().Version {
 		return c.quorum.Confirm(ctx)
 	}
+	if d := m.GetDeparture(); d != nil && c.quorum.departed(decodeDeparture(d)) {
+		return c.quorum.Confirm(ctx)
+	}
 	command := marshal(&wiregen.ChangeCommand{Fleet: m, UnixMillis: c.now().UnixMilli()})
 	_, err := c.quorum.proposeAndWait(ctx, func(now time.Time) (index, term int64, err error) { return c.quorum.node.Propose(now, command) })
 	return err
--- a/control/orders_codec.go
+++ b/control/orders_codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"arbutusreel/configuration"
+	"arbutusreel/fleet"
 	"arbutusreel/wiregen"
 )
 
@@ -16,13 +17,33 @@
 	return configuration.Document{Version: m.GetVersion(), Content: m.GetContent()}
 }
 
-// encodeOrders returns nil for the state before the first order, so that equal states have equal encodings.
-func encodeOrders(o configuration.Orders) *wiregen.FleetSnapshot {
-	evacuations := o.Evacuations()
-	if o.Document().Version == 0 && evacuations.Index == 0 {
+// encodeFleet returns nil for the state before the first order and the first departure, so that equal states have equal encodings.
+func encodeFleet(o configuration.Orders, l fleet.DepartureLog) *wiregen.FleetSnapshot {
+	evacuations, departures := o.Evacuations(), l.All()
+	if o.Document().Version == 0 && evacuations.Index == 0 && len(departures) == 0 {
 		return nil
 	}
-	return &wiregen.FleetSnapshot{Document: encodeDocument(o.Document()), Evacuated: evacuations.Domains, EvacuationsIndex: &evacuations.Index}
+	m := &wiregen.FleetSnapshot{Document: encodeDocument(o.Document()), Evacuated: evacuations.Domains, EvacuationsIndex: &evacuations.Index}
+	for _, d := range departures {
+		m.Departures = append(m.Departures, encodeDeparture(d))
+	}
+	return m
+}
+
+func encodeDeparture(d fleet.Departure) *wiregen.EndpointDeparture {
+	return &wiregen.EndpointDeparture{Endpoint: d.ID, Born: d.Born}
+}
+
+func decodeDeparture(m *wiregen.EndpointDeparture) fleet.Departure {
+	return fleet.Departure{ID: m.GetEndpoint(), Born: m.GetBorn()}
+}
+
+func decodeDepartures(m *wiregen.FleetSnapshot) fleet.DepartureLog {
+	var departures []fleet.Departure
+	for _, d := range m.GetDepartures() {
+		departures = append(departures, decodeDeparture(d))
+	}
+	return fleet.RestoreDepartureLog(departures)
 }
 
 // decodeOrders returns the orders of a snapshot that includes the log up to an index, which stands in for the index that
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -14,6 +14,7 @@
 
 	"arbutusreel/configuration"
 	"arbutusreel/consensus"
+	"arbutusreel/fleet"
 	"arbutusreel/ring"
 )
 
@@ -61,6 +62,8 @@
 	links  *links
 	// onAccepted is called with each accepted inventory, in order.
 	onAccepted func(revision int64, encoded []byte)
+	// onDeparted is called with the endpoints whose departure was accepted.
+	onDeparted func([]fleet.Departure)
 
 	node           *consensus.Node
 	disk           *disk
@@ -79,6 +82,7 @@
 	lease            leaseState
 	acceptTimes      map[int64]time.Time
 	orders           configuration.Orders
+	departures       fleet.DepartureLog
 	// replyAges holds, on the leader, the time since each other member's last reply.
 	replyAges map[consensus.ID]time.Duration
 }
@@ -87,9 +91,9 @@
 
 // newQuorum returns a voter with the restored state, or a new one if there is none. A snapshot that cannot be decoded
 // returns *RecordError.
-func newQuorum(cfg Config, d *disk, r consensus.Restored, l *links, onAccepted func(int64, []byte), log zerolog.Logger, now func() time.Time) (*quorum, error) {
+func newQuorum(cfg Config, d *disk, r consensus.Restored, l *links, onAccepted func(int64, []byte), onDeparted func([]fleet.Departure), log zerolog.Logger, now func() time.Time) (*quorum, error) {
 	q := &quorum{
-		cfg: cfg, log: log, now: now, links: l, onAccepted: onAccepted, disk: d,
+		cfg: cfg, log: log, now: now, links: l, onAccepted: onAccepted, onDeparted: onDeparted, disk: d,
 		inputs:         ring.New[func(time.Time)](inputQueueLength),
 		machine:        newStateMachine(),
 		pendingChanges: map[int64]pendingChange{},
@@ -264,10 +268,15 @@
 	return all
 }
 
-// publishInventory publishes the operators' orders, and the inventory in force if its revision changed.
+// publishInventory publishes the operators' orders, the departures of endpoints, and the inventory in force if its revision
+// changed.
 func (q *quorum) publishInventory() {
+	if departed := q.machine.departures.Since(q.departures); len(departed) > 0 {
+		q.onDeparted(departed)
+	}
 	revision := q.machine.state.Revision()
 	q.mu.Lock()
+	q.departures = q.machine.departures
 	if e := q.machine.orders.Evacuations(); !e.Equal(q.orders.Evacuations()) {
 		q.log.Info().Int64("index", e.Index).Strs("evacuated", e.Domains).Msg("evacuated failure domains applied")
 	}
@@ -374,6 +383,13 @@
 	return q.orders
 }
 
+// departed reports whether the departure of an endpoint has been accepted.
+func (q *quorum) departed(d fleet.Departure) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.departures.Contains(d)
+}
+
 // unresponsiveVoter returns a voter that has not replied to this leader for the timeout.
 func (q *quorum) unresponsiveVoter(timeout time.Duration) (consensus.ID, bool) {
 	q.mu.Lock()
--- a/control/quorum_test.go
+++ b/control/quorum_test.go
@@ -12,6 +12,7 @@
 
 	"arbutusreel/configuration"
 	"arbutusreel/consensus"
+	"arbutusreel/fleet"
 	"arbutusreel/journal"
 	"arbutusreel/keys"
 	"arbutusreel/problem"
@@ -57,7 +58,7 @@
 		Name: "a", Voters: []string{"a=127.0.0.1:1"}, SnapshotEntries: 100,
 		Heartbeat: 5 * time.Millisecond, ElectionTimeout: 20 * time.Millisecond,
 	}
-	q, err := newQuorum(cfg, d, restored, newLinks(ctx, keys.Plain(), zerolog.Nop()), func(int64, []byte) {}, zerolog.Nop(), time.Now)
+	q, err := newQuorum(cfg, d, restored, newLinks(ctx, keys.Plain(), zerolog.Nop()), func(int64, []byte) {}, func([]fleet.Departure) {}, zerolog.Nop(), time.Now)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -127,7 +128,7 @@
 		t.Errorf("revision %d with %d bytes is in force", revision, len(encoded))
 	}
 	restored := consensus.Restored{Snapshot: &consensus.Snapshot{Index: 100, Data: []byte("unreadable")}}
-	if _, err := newQuorum(q.cfg, q.disk, restored, q.links, q.onAccepted, zerolog.Nop(), time.Now); !errors.As(err, &unreadable) {
+	if _, err := newQuorum(q.cfg, q.disk, restored, q.links, q.onAccepted, q.onDeparted, zerolog.Nop(), time.Now); !errors.As(err, &unreadable) {
 		t.Errorf("a start from the snapshot was answered %v", err)
 	}
 }
--- a/fleet/departures.go
+++ b/fleet/departures.go
@@ -13,6 +13,14 @@
 	Born int64
 }
 
+// Check returns *EndpointError for a departure that names no endpoint. Departures from outside must be checked.
+func (d Departure) Check() error {
+	if !validID(d.ID) {
+		return &EndpointError{Field: "id", Value: d.ID}
+	}
+	return nil
+}
+
 // Departures holds the latest incarnation of each endpoint that has announced in an answer that it is leaving. Such an
 // announcement is final: a heartbeat of the same incarnation that says otherwise was sent before it. Use NewDepartures
 // to create it.
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -52,6 +52,18 @@
 // Cold reports whether the endpoint is still warming up.
 func (e Endpoint) Cold(now time.Time) bool { return now.Before(e.ColdUntil) }
 
+// Described reports whether the record says more of the endpoint than that it has left.
+func (e Endpoint) Described() bool { return e.Service != "" }
+
+// DescribedBy returns e with the description of an earlier record of the same id if it has none.
+func (e Endpoint) DescribedBy(old Endpoint) Endpoint {
+	if e.Described() {
+		return e
+	}
+	old.Born, old.Sequence, old.State, old.LastSeen = e.Born, e.Sequence, e.State, e.LastSeen
+	return old
+}
+
 // supersedes reports whether e is newer than old, a record of the same endpoint id.
 func (e Endpoint) supersedes(old Endpoint) bool {
 	if e.Born != old.Born {
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -46,9 +46,12 @@
 	if owner := t.addressOwner(e); owner != nil && !t.supersedeOwner(owner, e) {
 		return false
 	}
-	if old != nil && sameState(old.endpoint, e) {
-		old.endpoint = e
-		return true
+	if old != nil {
+		e = e.DescribedBy(old.endpoint)
+		if sameState(old.endpoint, e) {
+			old.endpoint = e
+			return true
+		}
 	}
 	t.put(e)
 	return true
@@ -100,16 +103,22 @@
 	t.records[e.ID] = &record{endpoint: e, change: t.change}
 }
 
-// Leave marks an endpoint as gone and reports whether its state changed. An incarnation later than born is not marked;
-// a born of zero applies to any incarnation.
+// Leave marks an endpoint as gone and reports whether its record changed. An incarnation later than born is not marked; a born of
+// zero applies to the known one. The record of an unknown endpoint holds only its name, so that heartbeats sent before it left
+// cannot add it.
 func (t *Endpoints) Leave(now time.Time, id string, born int64) bool {
-	r := t.records[id]
-	if r == nil || r.endpoint.State == Gone || born != 0 && born < r.endpoint.Born {
+	gone := Endpoint{ID: id}
+	if r := t.records[id]; r != nil {
+		gone = r.endpoint
+	}
+	if born == 0 {
+		born = gone.Born
+	}
+	_, known := t.records[id]
+	if !known && born == 0 || born < gone.Born || gone.State == Gone && born == gone.Born {
 		return false
 	}
-	gone := r.endpoint
-	gone.State = Gone
-	gone.LastSeen = now
+	gone.Born, gone.State, gone.LastSeen = born, Gone, now
 	t.put(gone)
 	return true
 }
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -13,8 +13,8 @@
 	return Endpoint{ID: id, Born: born, Sequence: sequence, Service: "s", Address: "10.0.0.1:1", State: state, LastSeen: time.Unix(1000, 0)}
 }
 
-// TestLateHeartbeats delivers the heartbeats of one id's incarnations in any order: the record is always the newest one
-// received, and a late heartbeat does not restore an incarnation that left.
+// TestLateHeartbeats delivers the heartbeats and departures of one id's incarnations in any order: the record is always the
+// newest one received, and a late heartbeat does not restore or add an incarnation that left.
 func TestLateHeartbeats(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table := NewEndpoints()
@@ -22,15 +22,12 @@
 		known := false
 		for range rapid.IntRange(1, 40).Draw(t, "heartbeats") {
 			e := endpoint("e", rapid.Int64Range(1, 3).Draw(t, "born"), rapid.Int64Range(1, 9).Draw(t, "sequence"), Ready)
-			if rapid.Bool().Draw(t, "leaves") && known {
+			if rapid.Bool().Draw(t, "leaves") {
 				table.Leave(time.Unix(1000, 0), "e", e.Born)
-				if e.Born >= newest.Born {
-					newest.State = Gone
+				if known = true; e.Born >= newest.Born {
+					newest.State, newest.Born = Gone, e.Born
 				}
-				continue
-			}
-			table.Announce(e)
-			if !known || e.Born > newest.Born || e.Born == newest.Born && newest.State != Gone && e.Sequence > newest.Sequence {
+			} else if table.Announce(e); !known || e.Born > newest.Born || e.Born == newest.Born && newest.State != Gone && e.Sequence > newest.Sequence {
 				newest, known = e, true
 			}
 			got, _ := table.Get("e")
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -391,7 +391,7 @@
 				Dur("silent", now.Sub(e.LastSeen)).Bool("cold", e.Cold(now)).Str("control", control).Msg("endpoint state updated")
 		}
 		if e.State == fleet.Gone {
-			g.pool.CloseIdle(e.Address)
+			g.pool.CloseIdle(g.state.endpoints[e.ID].Address)
 		}
 	}
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -111,8 +111,11 @@
 	if known && (e.Born < old.Born || e.Born == old.Born && (old.State == fleet.Gone || e.Sequence < old.Sequence && e.State != fleet.Gone)) {
 		return false
 	}
-	if known && old.Software != e.Software {
-		st.software[origin.Origin{Service: old.Service, Software: old.Software}] = e.LastSeen
+	if known {
+		e = e.DescribedBy(old)
+		if old.Described() && old.Software != e.Software {
+			st.software[origin.Origin{Service: old.Service, Software: old.Software}] = e.LastSeen
+		}
 	}
 	st.endpoints[e.ID] = e
 	return !known || old.State != e.State || old.Born != e.Born
@@ -173,6 +176,9 @@
 			delete(st.endpoints, id)
 			continue
 		}
+		if !e.Described() {
+			continue
+		}
 		region := st.cfg.Regions[e.FailureDomain]
 		serves := e.State == fleet.Ready && !slices.Contains(st.evacuations.Domains, e.FailureDomain)
 		v.software.add(e, region, serves)
