Refuse plain requests that can't end before a stopping gateway does

Cause: a stopping gateway took every plain request until 1.3 s before its end and only brought the deadline forward.

Now one whose deadline is after the end is taken only if a quarter more than the longest recent request of its service and kind is left; without a known one, within 2.8 s of the stop. Others are refused at once as not run. A forwarding gateway that gets this refusal tries other gateways of the region.

TestPlainRequestsCutAtStop and TestPlainRequestsOutlastStop took it for right that requests of unknown duration are accepted late: they now say how long recent requests took, keep their cases, and have cases for long and unknown durations.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -100,9 +100,10 @@
 }
 
 // recordForwardFailure records a failure that another gateway reported itself, without the answer of an endpoint. Its region is not
-// tried again, unless it is only that gateway which reaches no endpoint.
+// tried again, unless it is only that gateway which reaches no endpoint or stops.
 func (j *job) recordForwardFailure(d decision, answer *exchange.Response, o problem.Outcome) nextStep {
-	if problem.Code(answer.Header.Get(codeHeader)) != problem.Stranded {
+	code := problem.Code(answer.Header.Get(codeHeader))
+	if code != problem.Stranded && code != problem.Stopping {
 		j.tried[d.region] = true
 	}
 	if o != problem.NotRun {
@@ -112,7 +113,6 @@
 	if crashed, err := strconv.Atoi(answer.Header.Get(crashesHeader)); err == nil {
 		j.crashes = max(j.crashes, crashed)
 	}
-	code := problem.Code(answer.Header.Get(codeHeader))
 	j.log(string(o)).Int("status", answer.Status).Str("code", string(code)).Msg("attemptFailed")
 	if isBlocked(code) && !j.streaming() {
 		j.giveUpBlocked(newBlocked(code, "region %q has blocked the request or parts of its prompt, under which endpoints crashed", d.region))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,10 +42,11 @@
 	// directory answer, plus the time until the directory learns that the gateway is stopping.
 	minDrainTime = 3500 * time.Millisecond
 	// lingeringTime is how long a stopping gateway still accepts every request for a region without ready gateways. The
-	// streams that callers ask for after a directory named it are accepted within streamAcceptTime.
+	// streams that callers ask for after a directory named it are accepted within lateAcceptTime.
 	lingeringTime = 1800 * time.Millisecond
-	// streamAcceptTime is how long a stopping gateway still accepts streams that may outlast the grace period.
-	streamAcceptTime = 2800 * time.Millisecond
+	// lateAcceptTime is how long a stopping gateway still accepts streams, and requests of unknown duration, that may outlast
+	// the grace period: a caller may have been named the gateway until shortly before.
+	lateAcceptTime = 2800 * time.Millisecond
 	// answerLifetime is how long callers use an answer of the directory. A stopping gateway must not be named in the
 	// last part of its grace period.
 	answerLifetime = time.Second
@@ -81,6 +82,7 @@
 	origins   *origins
 	crashes   *crashes
 	latencies *latencies
+	durations *durations
 	// allotments holds the teams' allotments.
 	allotments *allotments
 	answers    *answers
@@ -126,7 +128,7 @@
 		peers:   exchange.NewPool(exchange.IdleLimits{Repeatable: idleTimeout / 2, NonRepeatable: idleTimeout / 2, Unannounced: idleTimeout / 2}, peerConnectTimeout, time.Now),
 		origins: newOrigins(cfg.Metrics), originPeers: newOriginPeers(cfg.Keys), originLookups: make(chan struct{}, maxOriginLookups),
 		crashes: newCrashes(cfg.Metrics), broken: make(chan fleet.Endpoint, maxCrashChecks),
-		answers: newAnswers(cfg.MemoryBytes, cfg.Metrics), workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
+		durations: newDurations(), answers: newAnswers(cfg.MemoryBytes, cfg.Metrics), workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
 	}
 	g.placer.startedAt = now
 	cfg.Metrics.Publish("stranded", expvar.Func(func() any { return g.placer.isStranded() }))
@@ -158,15 +160,17 @@
 	return elapsed >= lingeringTime && elapsed < g.cfg.Grace-stopMargin-answerLifetime && !g.withdrawn.Load() && g.view.Load().table != nil
 }
 
-// acceptsUntil returns until when this stopping gateway serves requests, and whether it still accepts those of a kind that
-// may run until then.
-func (g *Gateway) acceptsUntil(now time.Time, kind routes.Kind) (end time.Time, accepts bool) {
-	acceptTime := g.cfg.Grace - stopMargin - answerLifetime
-	if kind == routes.Stream {
-		acceptTime = min(acceptTime, streamAcceptTime)
+// acceptsUntil returns until when this stopping gateway serves requests, and whether it still accepts one whose deadline is
+// later. A plain request is expected to take no longer than recent ones of its service.
+func (g *Gateway) acceptsUntil(now time.Time, service string, kind routes.Kind) (end time.Time, accepts bool) {
+	elapsed, acceptTime := g.stoppingFor(now), g.cfg.Grace-stopMargin-answerLifetime
+	left := g.cfg.Grace - stopMargin - lastAnswerTime - elapsed
+	end = now.Add(left)
+	ends, known := g.durations.endsIn(now, service, kind, left)
+	if kind == routes.Stream || !known {
+		return end, elapsed <= min(acceptTime, lateAcceptTime)
 	}
-	elapsed := g.stoppingFor(now)
-	return now.Add(g.cfg.Grace - stopMargin - lastAnswerTime - elapsed), elapsed <= acceptTime
+	return end, ends && elapsed <= acceptTime
 }
 
 // stoppingRetryAfter returns when the caller of a request that this stopping gateway refuses may return.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -140,6 +140,10 @@
 	defer cancel()
 	j.ctx = ctx
 	j.run()
+	if j.sends > 0 && j.route.Kind != routes.Stream {
+		ended := time.Now()
+		g.durations.record(ended, j.service.Name, j.route.Kind, ended.Sub(j.received))
+	}
 	if j.w.ended.Load() {
 		j.w.abort(r)
 	}
@@ -189,10 +193,10 @@
 }
 
 // boundByStop refuses a request that this stopping gateway might not answer before it ends. A plain request that is
-// accepted is answered by then. A forwarded stream must always end in time: the gateway that forwarded it can still send
+// accepted is answered by then, with a failure if it takes longer than others did. A forwarded stream must always end in time: the gateway that forwarded it can still send
 // it elsewhere.
 func (j *job) boundByStop() *problem.Problem {
-	end, accepts := j.g.acceptsUntil(j.received, j.route.Kind)
+	end, accepts := j.g.acceptsUntil(j.received, j.service.Name, j.route.Kind)
 	if !j.deadline.After(end) {
 		return nil
 	}
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -170,6 +170,7 @@
 				<-release
 				return false
 			}))
+			g.durations.record(time.Now(), "desk", routes.Unsafe, 100*time.Millisecond)
 			got := g.call(t.Context(), "POST", "/unsafe/x", map[string]string{"Patience": "5000"})
 			if got.status != c.status || !got.whole {
 				t.Errorf("%+v", got)
@@ -179,25 +180,36 @@
 }
 
 // TestPlainRequestsOutlastStop takes plain requests with late deadlines at times of the grace period of 8 s: those that are
-// accepted get a deadline shortly before the gateway ends, and others are refused.
+// accepted get a deadline shortly before the gateway ends, and others are refused, also if recent ones took longer than what is left.
 func TestPlainRequestsOutlastStop(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, c := range []struct {
 		elapsed, patience time.Duration
+		// longest is how long recent requests took; zero if there was none.
+		longest time.Duration
 		// deadline is the time from the beginning of the stop to the request's deadline; zero if it is refused.
 		deadline time.Duration
 	}{
-		{time.Second, 5 * time.Second, 6 * time.Second},
-		{6600 * time.Millisecond, 5 * time.Second, 7500 * time.Millisecond},
-		{6700 * time.Millisecond, 5 * time.Second, 7500 * time.Millisecond},
-		{6800 * time.Millisecond, 5 * time.Second, 0},
-		{6800 * time.Millisecond, 500 * time.Millisecond, 7300 * time.Millisecond},
-		{7200 * time.Millisecond, 5 * time.Second, 0},
+		{time.Second, 5 * time.Second, 100 * time.Millisecond, 6 * time.Second},
+		{6600 * time.Millisecond, 5 * time.Second, 100 * time.Millisecond, 7500 * time.Millisecond},
+		{6700 * time.Millisecond, 5 * time.Second, 100 * time.Millisecond, 7500 * time.Millisecond},
+		{6800 * time.Millisecond, 5 * time.Second, 100 * time.Millisecond, 0},
+		{6800 * time.Millisecond, 500 * time.Millisecond, 100 * time.Millisecond, 7300 * time.Millisecond},
+		{7200 * time.Millisecond, 5 * time.Second, 100 * time.Millisecond, 0},
+		{4 * time.Second, 5 * time.Second, 2200 * time.Millisecond, 7500 * time.Millisecond},
+		{5 * time.Second, 5 * time.Second, 2200 * time.Millisecond, 0},
+		{5 * time.Second, 2 * time.Second, 2200 * time.Millisecond, 7 * time.Second},
+		{time.Second, 7 * time.Second, 6 * time.Second, 0},
+		{2700 * time.Millisecond, 7 * time.Second, 0, 7500 * time.Millisecond},
+		{2900 * time.Millisecond, 7 * time.Second, 0, 0},
 	} {
 		g := stoppingGateway(t, 0)
+		if c.longest > 0 {
+			g.durations.record(now, "desk", routes.Unsafe, c.longest)
+		}
 		began := now.Add(-c.elapsed)
 		g.stopBeganNanos.Store(began.UnixNano())
-		j := &job{g: g.Gateway, received: now, deadline: now.Add(c.patience), route: &routes.Route{Kind: routes.Unsafe}}
+		j := &job{g: g.Gateway, received: now, deadline: now.Add(c.patience), route: &routes.Route{Kind: routes.Unsafe}, service: &routes.Service{Name: "desk"}}
 		refusal := j.boundByStop()
 		if (refusal != nil) != (c.deadline == 0) || refusal == nil && j.deadline.Sub(began) != c.deadline {
 			t.Errorf("after %v: %v, deadline after %v", c.elapsed, refusal, j.deadline.Sub(began))
