Count buffered answers as they grow

Cause: a buffered answer entered the budget for answers only when it had been read, so that any number could be read at once; events of streams never did.

A buffer is now counted as it grows, and released when it has been passed on. Without room in the budget a signed answer is passed on from 64 KB on, an unsigned one is given up, and an event above 64 KB ends its attempt.

--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -89,7 +89,7 @@
 	return true
 }
 
-// hold counts a buffered answer.
+// hold counts bytes that are held for the request; a negative number is released.
 func (w *answerWriter) hold(n int64) {
 	w.answers.mu.Lock()
 	defer w.answers.mu.Unlock()
@@ -97,14 +97,16 @@
 	w.held += n
 }
 
-// bufferLimit returns the bytes of a signed answer that are buffered before it is passed on.
-func (a *answers) bufferLimit(signed bool) int64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if signed && a.budget.Exceeded(maxBufferedBytes) {
-		return pressure.LargeBodyBytes
+// growBuffer counts n further bytes of a buffer of the answer that holds some already, or returns false if there is no memory
+// for them.
+func (w *answerWriter) growBuffer(held, n int64) bool {
+	w.answers.mu.Lock()
+	defer w.answers.mu.Unlock()
+	if !w.answers.budget.Grow(held, n) {
+		return false
 	}
-	return maxBufferedBytes
+	w.held += n
+	return true
 }
 
 // Unwrap returns the writer of the HTTP server.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -52,7 +52,8 @@
 		}
 		j.stream = &callerStream{w: j.w, events: stream.NewEvents(last)}
 	}
-	events := newEventReader(answer)
+	events := newEventReader(j.w, answer)
+	defer events.release()
 	resumed := j.stream.started
 	j.stream.events.BeginAnswer()
 	for {
@@ -169,7 +170,10 @@
 
 // eventReader splits a stream into events.
 type eventReader struct {
+	w *answerWriter
 	r *bufio.Reader
+	// held is what is counted at the caller's answer for long events.
+	held int64
 }
 
 const (
@@ -177,14 +181,30 @@
 	eventBufferBytes = 2 << 10
 	// maxEventBytes bounds an event, which is held until it is complete.
 	maxEventBytes = 256 << 10
+	// longEventBytes is the size up to which events are not counted, as an answer in progress is expected to hold one.
+	longEventBytes = 8 << 10
 )
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes)}
+func newEventReader(w *answerWriter, r io.Reader) *eventReader {
+	return &eventReader{w: w, r: bufio.NewReaderSize(r, eventBufferBytes)}
 }
 
+// hold counts the buffer of an event, or returns false if it is long and there is no memory for it.
+func (s *eventReader) hold(size int) bool {
+	if more := int64(size) - s.held; size > longEventBytes && more > 0 {
+		if !s.w.growBuffer(s.held, more) {
+			return false
+		}
+		s.held += more
+	}
+	return true
+}
+
+// release removes what was counted.
+func (s *eventReader) release() { s.w.hold(-s.held) }
+
 // next returns the next complete event. It returns io.EOF at the end of the stream, io.ErrUnexpectedEOF if the stream
-// ends within an event, and *EventTooLargeError if an event has more than maxEventBytes.
+// ends within an event, and *EventTooLargeError if an event has more than maxEventBytes or than there is memory for.
 func (s *eventReader) next() (event, error) {
 	e := event{id: NoEvent}
 	for {
@@ -193,6 +213,9 @@
 			return event{}, &EventTooLargeError{Limit: maxEventBytes}
 		}
 		e.raw = append(e.raw, line...)
+		if !s.hold(cap(e.raw)) {
+			return event{}, &EventTooLargeError{Limit: len(e.raw)}
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -23,6 +22,8 @@
 	// maxBufferedBytes bounds the part of an answer that is buffered, so that the request can be retried at another
 	// endpoint if the answer breaks off. The rest of a longer answer is streamed.
 	maxBufferedBytes = 1 << 20
+	// minBufferedBytes is the size that the buffer for an answer has at first.
+	minBufferedBytes = 1 << 10
 	// forwardMargin is subtracted from the time left that is sent to another gateway, so that its answer arrives here
 	// in time.
 	forwardMargin = 90 * time.Millisecond
@@ -38,7 +39,8 @@
 	status int
 	header http.Header
 	body   []byte
-	// rest reads what follows the body of a long answer; nil if the body is complete.
+	// rest reads what follows the body of a long answer; nil if the body is complete. The capacity of body is counted at the
+	// caller's answer.
 	rest io.Reader
 }
 
@@ -233,14 +235,13 @@
 		return j.relayStream(ctx, answer, of, a, timer)
 	}
 	defer timer.stop()
-	buffered, err := readAnswer(answer, verdict.Signed, j.g.answers.bufferLimit(verdict.Signed))
+	buffered, err := readAnswer(j.w, answer, verdict.Signed)
 	if err != nil {
 		return j.endingOf(ctx, a, err), j.recordFailure(ctx, err, problem.Unknown)
 	}
 	if a != nil {
 		a.recordFirst(time.Now())
 	}
-	j.w.hold(int64(len(buffered.body)))
 	j.recordBegunAnswer(success)
 	if j.streaming() {
 		// A stream in progress cannot be continued by an answer that is not a stream.
@@ -270,24 +271,51 @@
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
-// readAnswer reads an answer of up to limit bytes; a longer one keeps the rest to be read, or returns
-// *LongUnsignedAnswerError if it is not signed.
-func readAnswer(answer *exchange.Response, signed bool, limit int64) (*bufferedAnswer, error) {
-	var b bytes.Buffer
-	n, err := b.ReadFrom(io.LimitReader(answer, limit))
-	if err != nil {
-		return nil, &exchange.Error{Stage: exchange.Reading, Outcome: problem.Unknown, Cause: err}
-	}
-	a := &bufferedAnswer{status: answer.Status, header: answer.Header, body: b.Bytes()}
-	if n == limit {
-		if !signed {
-			return nil, &LongUnsignedAnswerError{Status: answer.Status}
+// readAnswer reads an answer of up to maxBufferedBytes, or less if there is no memory for it, which it counts at the caller's
+// answer. A longer one keeps the rest to be read, or returns *LongUnsignedAnswerError if it is not signed.
+func readAnswer(w *answerWriter, answer *exchange.Response, signed bool) (*bufferedAnswer, error) {
+	a := &bufferedAnswer{status: answer.Status, header: answer.Header}
+	for {
+		if len(a.body) == cap(a.body) && !a.grow(w) {
+			a.rest = answer
+			break
+		}
+		n, err := answer.Read(a.body[len(a.body):cap(a.body)])
+		a.body = a.body[:len(a.body)+n]
+		if errors.Is(err, io.EOF) {
+			return a, nil
 		}
-		a.rest = answer
+		if err != nil {
+			a.release(w)
+			return nil, &exchange.Error{Stage: exchange.Reading, Outcome: problem.Unknown, Cause: err}
+		}
+	}
+	if !signed {
+		a.release(w)
+		return nil, &LongUnsignedAnswerError{Status: answer.Status}
 	}
 	return a, nil
 }
 
+// grow doubles the buffer, or returns false if it has maxBufferedBytes or there is no memory for it.
+func (a *bufferedAnswer) grow(w *answerWriter) bool {
+	held := int64(cap(a.body))
+	size := min(max(2*held, minBufferedBytes), maxBufferedBytes)
+	if size == held || !w.growBuffer(held, size-held) {
+		return false
+	}
+	body := make([]byte, len(a.body), size)
+	copy(body, a.body)
+	a.body = body
+	return true
+}
+
+// release drops the buffer.
+func (a *bufferedAnswer) release(w *answerWriter) {
+	w.hold(-int64(cap(a.body)))
+	a.body = nil
+}
+
 // writeBufferedError sends the buffered error answer of an endpoint to the caller.
 func (j *job) writeBufferedError() nextStep {
 	if err := j.writeAnswer(j.bufferedError); err != nil {
@@ -313,6 +341,7 @@
 	j.w.WriteHeader(a.status)
 	_, err := j.w.Write(a.body)
 	if err == nil && a.rest != nil {
+		a.release(j.w)
 		_, err = io.Copy(j.w, a.rest)
 	}
 	if err != nil {
--- a/pressure/pressure.go
+++ b/pressure/pressure.go
@@ -64,10 +64,19 @@
 	return true
 }
 
-// Hold counts bytes that are held already, and Release removes what Hold or TakeBody counted.
+// Grow counts n further bytes of a buffer that holds some already, or returns false if it becomes large and does not fit.
+func (b *Budget) Grow(held, n int64) bool {
+	if held+n > LargeBodyBytes && b.Exceeded(n) {
+		return false
+	}
+	b.bodies += n
+	return true
+}
+
+// Hold counts bytes that are held already.
 func (b *Budget) Hold(n int64) { b.bodies += n }
 
-// Release removes bytes that Hold or TakeBody counted.
+// Release removes bytes that Hold, Grow or TakeBody counted.
 func (b *Budget) Release(n int64) { b.bodies -= n }
 
 // Relief is what relieves the memory, given the answers in progress.
