Notice share streams between control daemons that have gone silent

Cause: a share stream only sends, and sends into a silent connection succeed until the window of 4 MB is full; the receiver waits without a limit.

The sender now makes a call over the same connection every 2 s and reconnects if there is no answer within 1.5 s; a new stream begins with the whole state. The receiving side closes silent connections after 12 s.

--- a/control/control.go
+++ b/control/control.go
@@ -177,6 +177,8 @@
 			grpc.StaticStreamWindowSize(keys.WindowBytes),
 			grpc.StaticConnWindowSize(keys.WindowBytes),
 			grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: linkMinPing, PermitWithoutStream: true}),
+			// Connections that went silent are closed by this side as well.
+			grpc.KeepaliveParams(keepalive.ServerParameters{Time: linkPing, Timeout: linkPingTimeout}),
 		),
 		peerListener: peers,
 	}
--- a/control/fleet_sync.go
+++ b/control/fleet_sync.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return err
 	}
+	go c.checkShareConnection(ctx, cancel, conn, address)
 	state := &peerSendState{control: c, sentCapacities: map[string]time.Time{}}
 	for clock.Sleep(ctx, fleetPeriod) {
 		u := state.next(c.now())
@@ -64,6 +65,28 @@
 	return ctx.Err()
 }
 
+const (
+	// shareCheckPeriod is the interval at which the connection of a share stream is checked, and shareCheckTimeout the time after
+	// which a check has failed. Together they are shorter than the time after which a disturbance counts as over.
+	shareCheckPeriod  = 2 * time.Second
+	shareCheckTimeout = 1500 * time.Millisecond
+)
+
+// checkShareConnection ends a share stream whose connection has gone silent. The receiver of a share stream sends nothing, and sends into
+// a silent connection succeed until its window is full, so the check is a call over the same connection.
+func (c *Control) checkShareConnection(ctx context.Context, cancel context.CancelFunc, conn *grpc.ClientConn, address string) {
+	for clock.Sleep(ctx, shareCheckPeriod) {
+		callCtx, cancelCall := context.WithTimeout(ctx, shareCheckTimeout)
+		_, err := wiregen.NewFleetClient(conn).LastHeartbeat(callCtx, &wiregen.EndpointQuery{})
+		cancelCall()
+		if err != nil && ctx.Err() == nil {
+			c.log.Warn().Str("control", address).Err(err).Msg("share stream is silent")
+			cancel()
+			return
+		}
+	}
+}
+
 // peerSendState records what was last sent to another control daemon.
 type peerSendState struct {
 	control            *Control
