Record departures that name no incarnation

A departure without a start is now logged with its time and means the incarnation whose last heartbeat came before. Control daemons and gateways that know the endpoint mark that incarnation; a later one of the same id is accepted.

--- a/control/departures.go
+++ b/control/departures.go
@@ -20,7 +20,7 @@
 
 // RemoveEndpoint marks an endpoint as gone after it announced its departure, and returns when the quorum has accepted the
 // departure, or after departureTimeout: an endpoint announces it once, and the daemon that acknowledged it may end right after.
-// A born of zero means the incarnation that is known.
+// A born of zero means the incarnation that is known, here or elsewhere.
 func (c *Control) RemoveEndpoint(ctx context.Context, id string, born int64) {
 	began := c.now()
 	c.fleet.mu.Lock()
@@ -28,22 +28,19 @@
 	if applied {
 		c.fleet.localEndpoints[id] = true
 	}
-	known, recorded := c.fleet.endpoints.Get(id)
+	known, _ := c.fleet.endpoints.Get(id)
 	c.fleet.mu.Unlock()
-	d := fleet.Departure{ID: id, Born: born}
+	d := fleet.LoggedDeparture{Departure: fleet.Departure{ID: id, Born: born}, At: began.UnixMilli()}
 	if born == 0 {
 		d.Born = known.Born
 	}
-	decided := false
-	if recorded && d.Born != 0 {
-		decided = c.decideDeparture(ctx, d)
-	}
-	c.log.Info().Str("endpoint", id).Int64("born", d.Born).Bool("known", applied).Bool("decided", decided).Dur("took", c.now().Sub(began)).
-		Msg("endpoint left")
+	decided := c.decideDeparture(ctx, d)
+	c.log.Info().Str("endpoint", id).Int64("born", d.Born).Bool("known", applied && known.Described()).Bool("decided", decided).
+		Dur("took", c.now().Sub(began)).Msg("endpoint left")
 }
 
 // decideDeparture submits a departure to the leader until it is accepted, and reports whether it was in time.
-func (c *Control) decideDeparture(ctx context.Context, d fleet.Departure) bool {
+func (c *Control) decideDeparture(ctx context.Context, d fleet.LoggedDeparture) bool {
 	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
@@ -55,15 +52,20 @@
 	return false
 }
 
-// removeDeparted marks endpoints as gone whose departure the quorum has accepted.
-func (c *Control) removeDeparted(departed []fleet.Departure) {
+// removeDeparted marks endpoints as gone whose departure the quorum has accepted. The clocks of control daemons differ, so that
+// the time of a departure may lie in the future.
+func (c *Control) removeDeparted(departed []fleet.LoggedDeparture) {
 	now := c.now()
 	for _, d := range departed {
+		at := time.UnixMilli(d.At)
+		if at.After(now) {
+			at = now
+		}
 		c.fleet.mu.Lock()
-		applied := c.fleet.endpoints.Leave(now, d.ID, d.Born)
+		applied := c.fleet.endpoints.Leave(at, d.ID, d.Born)
 		c.fleet.mu.Unlock()
 		if applied {
-			c.log.Info().Str("endpoint", d.ID).Int64("born", d.Born).Msg("departure applied")
+			c.log.Info().Str("endpoint", d.ID).Int64("born", d.Born).Dur("age", now.Sub(at)).Msg("departure applied")
 		}
 	}
 }
--- a/control/departures_test.go
+++ b/control/departures_test.go
@@ -122,7 +122,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
 	daemons[2].RemoveEndpoint(ctx, e.ID, e.Born)
-	if ctx.Err() != nil || !daemons[0].quorum.departed(fleet.Departure{ID: e.ID, Born: e.Born}) {
+	if ctx.Err() != nil || !daemons[0].quorum.departed(fleet.LoggedDeparture{Departure: fleet.Departure{ID: e.ID, Born: e.Born}}) {
 		t.Errorf("not decided by two of three voters: %v", ctx.Err())
 	}
 	daemons[0].stop()
@@ -134,3 +134,66 @@
 		t.Errorf("not answered by a daemon alone: %v", ctx.Err())
 	}
 }
+
+// TestDepartureWithoutIncarnation has all control daemons restart and an endpoint depart before its next heartbeat, without
+// naming its start: gateways, which still know it, are told, also by daemons that restart once more, and a later incarnation of
+// the same id is accepted.
+func TestDepartureWithoutIncarnation(t *testing.T) {
+	e := leavingEndpoint()
+	daemons := startKnowing(t, e)
+	restart := func() {
+		for _, i := range []int{2, 1, 0} {
+			daemons[i].stop()
+		}
+		for i, d := range daemons {
+			daemons[i] = start(t, d.cfg)
+		}
+	}
+	restart()
+	waitFor(t, "a leader", func() bool { return slices.ContainsFunc(daemons, (*daemon).leads) })
+	daemons[2].RemoveEndpoint(t.Context(), e.ID, 0)
+	restart()
+	for _, d := range daemons {
+		session := attend(t, d)
+		for told := false; !told; {
+			u, err := session.Recv()
+			if err != nil {
+				t.Fatalf("the departure was not told: %v", err)
+			}
+			for _, m := range u.GetEndpoints() {
+				told = told || m.GetId() == e.ID && fleet.State(m.GetState()) == fleet.Gone
+			}
+		}
+	}
+	e.Born++
+	daemons[0].Announce(e)
+	waitFor(t, "the next incarnation known by all", func() bool {
+		return !slices.ContainsFunc(daemons, func(d *daemon) bool { return !d.knows(e.ID, fleet.Ready) })
+	})
+}
+
+// TestDepartureWithoutIncarnationShared has a daemon alone record the departure of an endpoint that only the other one knows: it is
+// passed on, unless the endpoint was seen later.
+func TestDepartureWithoutIncarnationShared(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name   string
+		seenAt time.Time
+		want   fleet.State
+	}{{"seen before", now.Add(-time.Second), fleet.Gone}, {"seen later", now.Add(time.Second), fleet.Ready}} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := func() time.Time { return now }
+			from := &Control{now: clock, fleet: newFleetState(clock)}
+			to := newFleetState(clock)
+			e := leavingEndpoint()
+			e.LastSeen = c.seenAt
+			to.endpoints.Announce(e)
+			from.fleet.endpoints.Leave(now, e.ID, 0)
+			from.fleet.localEndpoints[e.ID] = true
+			to.merge(now, (&peerSendState{control: from, sentCapacities: map[string]time.Time{}}).next(now))
+			if got, _ := to.endpoints.Get(e.ID); got.State != c.want || got.Born != e.Born || got.Service != e.Service {
+				t.Errorf("%+v", got)
+			}
+		})
+	}
+}
--- a/control/fleet_sync.go
+++ b/control/fleet_sync.go
@@ -161,7 +161,11 @@
 	for _, m := range u.GetEndpoints() {
 		e := wire.DecodeFleetEndpoint(now, m)
 		old, known := f.endpoints.Get(e.ID)
-		if !f.endpoints.Announce(e) {
+		accept := f.endpoints.Announce
+		if e.Leaves() {
+			accept = func(e fleet.Endpoint) bool { return f.endpoints.Leave(e.LastSeen, e.ID, 0) }
+		}
+		if !accept(e) {
 			continue
 		}
 		delete(f.localEndpoints, e.ID)
--- a/control/orders_codec.go
+++ b/control/orders_codec.go
@@ -30,16 +30,16 @@
 	return m
 }
 
-func encodeDeparture(d fleet.Departure) *wiregen.EndpointDeparture {
-	return &wiregen.EndpointDeparture{Endpoint: d.ID, Born: d.Born}
+func encodeDeparture(d fleet.LoggedDeparture) *wiregen.LoggedDeparture {
+	return &wiregen.LoggedDeparture{Endpoint: d.ID, Born: d.Born, UnixMillis: d.At}
 }
 
-func decodeDeparture(m *wiregen.EndpointDeparture) fleet.Departure {
-	return fleet.Departure{ID: m.GetEndpoint(), Born: m.GetBorn()}
+func decodeDeparture(m *wiregen.LoggedDeparture) fleet.LoggedDeparture {
+	return fleet.LoggedDeparture{Departure: fleet.Departure{ID: m.GetEndpoint(), Born: m.GetBorn()}, At: m.GetUnixMillis()}
 }
 
 func decodeDepartures(m *wiregen.FleetSnapshot) fleet.DepartureLog {
-	var departures []fleet.Departure
+	var departures []fleet.LoggedDeparture
 	for _, d := range m.GetDepartures() {
 		departures = append(departures, decodeDeparture(d))
 	}
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -63,7 +63,7 @@
 	// onAccepted is called with each accepted inventory, in order.
 	onAccepted func(revision int64, encoded []byte)
 	// onDeparted is called with the endpoints whose departure was accepted.
-	onDeparted func([]fleet.Departure)
+	onDeparted func([]fleet.LoggedDeparture)
 
 	node           *consensus.Node
 	disk           *disk
@@ -91,7 +91,7 @@
 
 // newQuorum returns a voter with the restored state, or a new one if there is none. A snapshot that cannot be decoded
 // returns *RecordError.
-func newQuorum(cfg Config, d *disk, r consensus.Restored, l *links, onAccepted func(int64, []byte), onDeparted func([]fleet.Departure), log zerolog.Logger, now func() time.Time) (*quorum, error) {
+func newQuorum(cfg Config, d *disk, r consensus.Restored, l *links, onAccepted func(int64, []byte), onDeparted func([]fleet.LoggedDeparture), log zerolog.Logger, now func() time.Time) (*quorum, error) {
 	q := &quorum{
 		cfg: cfg, log: log, now: now, links: l, onAccepted: onAccepted, onDeparted: onDeparted, disk: d,
 		inputs:         ring.New[func(time.Time)](inputQueueLength),
@@ -384,7 +384,7 @@
 }
 
 // departed reports whether the departure of an endpoint has been accepted.
-func (q *quorum) departed(d fleet.Departure) bool {
+func (q *quorum) departed(d fleet.LoggedDeparture) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.departures.Contains(d)
--- a/control/quorum_test.go
+++ b/control/quorum_test.go
@@ -58,7 +58,7 @@
 		Name: "a", Voters: []string{"a=127.0.0.1:1"}, SnapshotEntries: 100,
 		Heartbeat: 5 * time.Millisecond, ElectionTimeout: 20 * time.Millisecond,
 	}
-	q, err := newQuorum(cfg, d, restored, newLinks(ctx, keys.Plain(), zerolog.Nop()), func(int64, []byte) {}, func([]fleet.Departure) {}, zerolog.Nop(), time.Now)
+	q, err := newQuorum(cfg, d, restored, newLinks(ctx, keys.Plain(), zerolog.Nop()), func(int64, []byte) {}, func([]fleet.LoggedDeparture) {}, zerolog.Nop(), time.Now)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/fleet/departurelog_test.go
+++ b/fleet/departurelog_test.go
@@ -13,10 +13,11 @@
 func TestDepartureLog(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var l DepartureLog
-		var want []Departure
+		var want []LoggedDeparture
 		logs := []DepartureLog{l}
 		for range rapid.IntRange(0, 3*maxLoggedDepartures/2).Draw(t, "departures") {
-			d := Departure{ID: strconv.Itoa(rapid.IntRange(1, 2*maxLoggedDepartures).Draw(t, "id")), Born: 1}
+			id := strconv.Itoa(rapid.IntRange(1, 2*maxLoggedDepartures).Draw(t, "id"))
+			d := LoggedDeparture{Departure: Departure{ID: id, Born: rapid.Int64Range(0, 1).Draw(t, "born")}, At: 1}
 			if !slices.Contains(want, d) {
 				want = append(want, d)
 			}
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -64,6 +64,21 @@
 	return old
 }
 
+// Leaves reports whether the record says that an endpoint of unknown incarnation left.
+func (e Endpoint) Leaves() bool { return e.State == Gone && e.Born == 0 }
+
+// After returns the record of an endpoint after it left according to a record of unknown incarnation, unless it was seen later.
+func (e Endpoint) After(departure Endpoint) Endpoint { return e.left(departure.LastSeen, 0) }
+
+// left returns the record of an endpoint after the incarnation born left at a time, which is the known one if it is zero.
+func (e Endpoint) left(at time.Time, born int64) Endpoint {
+	if born != 0 && born < e.Born || born == 0 && e.LastSeen.After(at) {
+		return e
+	}
+	e.Born, e.State, e.LastSeen = max(born, e.Born), Gone, at
+	return e
+}
+
 // supersedes reports whether e is newer than old, a record of the same endpoint id.
 func (e Endpoint) supersedes(old Endpoint) bool {
 	if e.Born != old.Born {
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -103,22 +103,17 @@
 	t.records[e.ID] = &record{endpoint: e, change: t.change}
 }
 
-// Leave marks an endpoint as gone and reports whether its record changed. An incarnation later than born is not marked; a born of
-// zero applies to the known one. The record of an unknown endpoint holds only its name, so that heartbeats sent before it left
-// cannot add it.
-func (t *Endpoints) Leave(now time.Time, id string, born int64) bool {
-	gone := Endpoint{ID: id}
+// Leave marks an endpoint as gone that left at a time, and reports whether its record changed. An incarnation later than born is
+// not marked; a born of zero applies to the known one, unless it was seen later. The record of an unknown endpoint holds only its
+// name: gateways may know it, and heartbeats of that incarnation were sent before it left.
+func (t *Endpoints) Leave(at time.Time, id string, born int64) bool {
+	gone := Endpoint{ID: id, Born: born}
 	if r := t.records[id]; r != nil {
-		gone = r.endpoint
-	}
-	if born == 0 {
-		born = gone.Born
-	}
-	_, known := t.records[id]
-	if !known && born == 0 || born < gone.Born || gone.State == Gone && born == gone.Born {
-		return false
+		if gone = r.endpoint.left(at, born); gone.State != Gone || r.endpoint.State == Gone && gone.Born == r.endpoint.Born {
+			return false
+		}
 	}
-	gone.Born, gone.State, gone.LastSeen = born, Gone, now
+	gone.State, gone.LastSeen = Gone, at
 	t.put(gone)
 	return true
 }
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/grpc"
 
+	"arbutusreel/fleet"
 	"arbutusreel/keys"
 	"arbutusreel/wiregen"
 )
@@ -163,3 +164,30 @@
 		})
 	}
 }
+
+// TestDepartureWithoutIncarnation has a control daemon that doesn't know an endpoint tell its departure: a gateway that knows the
+// endpoint sends nothing more to it, unless it was seen later, and keeps its address to close connections.
+func TestDepartureWithoutIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name string
+		left time.Duration
+		want fleet.State
+	}{{"seen before", time.Second, fleet.Gone}, {"seen later", -time.Second, fleet.Ready}} {
+		t.Run(c.name, func(t *testing.T) {
+			st := newFleetState(testConfig())
+			st.updateEndpoint(fleet.Endpoint{ID: "e", Born: 5, Sequence: 9, Service: "desk", Address: "10.0.0.1:1", FailureDomain: "here-a", LastSeen: now})
+			departure := fleet.Endpoint{ID: "e", State: fleet.Gone, LastSeen: now.Add(c.left)}
+			if changed := st.updateEndpoint(departure); changed != (c.want == fleet.Gone) {
+				t.Errorf("changed: %v", changed)
+			}
+			if got := st.endpoints["e"]; got.State != c.want || got.Born != 5 || got.Address != "10.0.0.1:1" {
+				t.Errorf("%+v", got)
+			}
+			st.updateEndpoint(fleet.Endpoint{ID: "unknown", State: fleet.Gone, LastSeen: now})
+			if v := st.view(now); len(v.endpoints["desk"]) != 1-int(c.want/fleet.Gone) {
+				t.Errorf("the view lists %v", v.endpoints)
+			}
+		})
+	}
+}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -108,6 +108,9 @@
 // reports whether the endpoint's state or incarnation changed.
 func (st *fleetState) updateEndpoint(e fleet.Endpoint) (changed bool) {
 	old, known := st.endpoints[e.ID]
+	if known && e.Leaves() {
+		e = old.After(e)
+	}
 	if known && (e.Born < old.Born || e.Born == old.Born && (old.State == fleet.Gone || e.Sequence < old.Sequence && e.State != fleet.Gone)) {
 		return false
 	}
