Give daemons in tests addresses that no other process takes

Cause: freeAddress and listenAddress chose a free port of 127.0.0.1 and released it, and another process or an outgoing connection took it before the daemon listened.

--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -24,16 +23,6 @@
 	stop func()
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // start runs a daemon in a data folder until the test ends or it is stopped.
 func start(t *testing.T, cfg Config) *daemon {
 	t.Helper()
