Go on to submit departures that were acknowledged without a decision

They are now submitted for another minute. TestDepartureWithoutQuorum has a part for it, which fails without the change.

--- a/control/control.go
+++ b/control/control.go
@@ -15,9 +15,11 @@
 	"google.golang.org/grpc/keepalive"
 
 	"arbutusreel/clock"
+	"arbutusreel/fleet"
 	"arbutusreel/journal"
 	"arbutusreel/keys"
 	"arbutusreel/relay"
+	"arbutusreel/ring"
 	"arbutusreel/wiregen"
 )
 
@@ -39,6 +41,8 @@
 	fleet       *fleetState
 	peers       *peers
 	recentJoins recentJoins
+	// undecided holds the departures that were acknowledged without a decision.
+	undecided *ring.Queue[fleet.LoggedDeparture]
 	// inventoryMu is held for reading while a whole inventory is proposed and for writing while a patch is, so that
 	// no other change through this daemon comes between a patch's read and its proposal.
 	inventoryMu sync.RWMutex
@@ -47,7 +51,7 @@
 
 // New returns a control daemon that starts when Run is called.
 func New(cfg Config, log zerolog.Logger, now func() time.Time) *Control {
-	return &Control{cfg: cfg, log: log, now: now, hub: relay.NewHub(cfg.Name, now), followers: newFollowers(), fleet: newFleetState(now), done: make(chan struct{})}
+	return &Control{cfg: cfg, log: log, now: now, hub: relay.NewHub(cfg.Name, now), followers: newFollowers(), fleet: newFleetState(now), undecided: ring.New[fleet.LoggedDeparture](maxUndecidedDepartures), done: make(chan struct{})}
 }
 
 // Done returns a channel that is closed when the daemon has stopped.
--- a/control/departures.go
+++ b/control/departures.go
@@ -16,6 +16,10 @@
 	departureTimeout = 700 * time.Millisecond
 	// departureRetryPeriod is the interval between attempts while there is no leader.
 	departureRetryPeriod = 50 * time.Millisecond
+	// undecidedTime is how long a departure that was acknowledged without a decision is submitted further, and
+	// maxUndecidedDepartures bounds their number. Control daemons keep the record of an endpoint that has gone for as long.
+	undecidedTime          = time.Minute
+	maxUndecidedDepartures = 256
 )
 
 // RemoveEndpoint marks an endpoint as gone after it announced its departure, and returns when the quorum has accepted the
@@ -34,14 +38,32 @@
 	if born == 0 {
 		d.Born = known.Born
 	}
-	decided := c.decideDeparture(ctx, d)
+	decided := c.decideDeparture(ctx, d, departureTimeout)
+	if !decided {
+		c.undecided.Offer(d)
+	}
 	c.log.Info().Str("endpoint", id).Int64("born", d.Born).Bool("known", applied && known.Described()).Bool("decided", decided).
 		Dur("took", c.now().Sub(began)).Msg("endpoint left")
 }
 
+// decideLater submits the departures that were acknowledged without a decision until ctx ends.
+func (c *Control) decideLater(ctx context.Context) {
+	for {
+		d, err := c.undecided.Take(ctx)
+		if err != nil {
+			return
+		}
+		decided := false
+		for began := c.now(); !decided && ctx.Err() == nil && c.now().Sub(began) < undecidedTime; {
+			decided = c.decideDeparture(ctx, d, time.Second)
+		}
+		c.log.Info().Str("endpoint", d.ID).Int64("born", d.Born).Bool("decided", decided).Msg("departure submitted later")
+	}
+}
+
 // decideDeparture submits a departure to the leader until it is accepted, and reports whether it was in time.
-func (c *Control) decideDeparture(ctx context.Context, d fleet.LoggedDeparture) bool {
-	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
+func (c *Control) decideDeparture(ctx context.Context, d fleet.LoggedDeparture, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for ctx.Err() == nil {
 		if c.decideOrder(ctx, &wiregen.FleetOrder{Departure: encodeDeparture(d)}) == nil {
--- a/control/departures_test.go
+++ b/control/departures_test.go
@@ -113,7 +113,8 @@
 }
 
 // TestDepartureWithoutQuorum has an endpoint depart at a control daemon whose peers have ended: it is answered within the
-// second that endpoints wait, and with one of three voters gone the quorum still decides.
+// second that endpoints wait, with one of three voters gone the quorum still decides, and what was answered without a decision is
+// decided once there is a quorum again.
 func TestDepartureWithoutQuorum(t *testing.T) {
 	e := leavingEndpoint()
 	daemons := startKnowing(t, e)
@@ -133,6 +134,10 @@
 	if ctx.Err() != nil || !daemons[2].knows("f", fleet.Gone) {
 		t.Errorf("not answered by a daemon alone: %v", ctx.Err())
 	}
+	start(t, daemons[0].cfg)
+	waitFor(t, "the departure decided once there is a quorum again", func() bool {
+		return daemons[2].quorum.departed(fleet.LoggedDeparture{Departure: fleet.Departure{ID: "f", Born: 5}})
+	})
 }
 
 // TestDepartureWithoutIncarnation has all control daemons restart and an endpoint depart before its next heartbeat, without
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -139,14 +139,15 @@
 	return status.Leader.Name != "" && now.Sub(status.LastLeaderContact) < leaderMaxAge
 }
 
-// runFleet expires endpoints and gateways, keeps a Share stream to each other control daemon and maintains this
-// daemon's membership.
+// runFleet expires endpoints and gateways, keeps a Share stream to each other control daemon, submits undecided departures
+// and maintains this daemon's membership.
 func (c *Control) runFleet(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	streams := map[string]context.CancelFunc{}
 	wg.Go(func() { c.maintainMembership(ctx) })
 	wg.Go(func() { c.replaceUnresponsive(ctx) })
+	wg.Go(func() { c.decideLater(ctx) })
 	for clock.Sleep(ctx, fleetHeartbeat) {
 		now, current := c.now(), c.Current()
 		c.fleet.mu.Lock()
