--- a/control/departures_test.go
+++ b/control/departures_test.go
@@ -127,6 +127,7 @@
 		t.Errorf("not decided by two of three voters: %v", ctx.Err())
 	}
 	daemons[0].stop()
+	waitFor(t, "no leader", func() bool { return !daemons[2].leads() && !daemons[2].Current() })
 	ctx, cancel = context.WithTimeout(t.Context(), patience)
 	defer cancel()
 	daemons[2].Announce(fleet.Endpoint{ID: "f", Born: 5, Sequence: 1, Service: "s", Address: "10.0.0.1:2", FailureDomain: "d", Slots: 1, LastSeen: time.Now()})
