--- a/admission/durations.go
+++ b/admission/durations.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// EndsIn reports whether a request that begins now is expected to end within a time, and whether any recent request is known
-// to tell this by.
+// EndsIn reports whether a request that begins now is expected to end within a time, and whether any recent request is
+// known.
 func (d Durations) EndsIn(now time.Time, left time.Duration) (ends, known bool) {
 	d = d.at(now)
 	longest := max(d.longest, d.previous)
--- a/configuration/evacuations.go
+++ b/configuration/evacuations.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// UnknownIndex is the Index of evacuations from a control daemon that does not tell it.
+// UnknownIndex is the Index of evacuations from a control daemon of an earlier version, which does not send it.
 const UnknownIndex = -1
 
 // Evacuations is the set of evacuated failure domains, with its place in the quorum's log.
@@ -13,17 +13,17 @@
 	Domains []string
 }
 
-// With returns the evacuations in force after a control daemon told its own, and whether it was in contact with the leader.
-// Log entries are final, so the set with the higher index is the newer one, whichever daemon told it. A set without an index
-// may be outdated; it is used if the daemon is current or if no domain is known to be evacuated.
-func (e Evacuations) With(told Evacuations, current bool) Evacuations {
+// With returns the evacuations in force after a control daemon sent its own, where current reports whether that daemon was in
+// contact with the leader. Committed log entries are final, so the set with the higher index is the newer one, whichever daemon
+// sent it. A set without an index may be outdated; it is used if the daemon is current or if no domain is known to be evacuated.
+func (e Evacuations) With(received Evacuations, current bool) Evacuations {
 	switch {
-	case told.Index > e.Index:
-		return told
-	case told.Index != UnknownIndex:
+	case received.Index > e.Index:
+		return received
+	case received.Index != UnknownIndex:
 		return e
 	case current || len(e.Domains) == 0:
-		return Evacuations{Index: e.Index, Domains: told.Domains}
+		return Evacuations{Index: e.Index, Domains: received.Domains}
 	default:
 		return e
 	}
--- a/configuration/evacuations_test.go
+++ b/configuration/evacuations_test.go
@@ -7,8 +7,8 @@
 	"pgregory.net/rapid"
 )
 
-// TestEvacuationsOutOfOrder has control daemons that are behind one another, current or not, tell their evacuations in
-// random order: the ones with the highest index are in force.
+// TestEvacuationsOutOfOrder has control daemons that are behind one another, current or not, send their evacuations in random
+// order: the ones with the highest index are in force.
 func TestEvacuationsOutOfOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		history := []Orders{{}}
@@ -23,24 +23,24 @@
 		}
 		var known, newest Evacuations
 		for range rapid.IntRange(1, 20).Draw(t, "updates") {
-			told := rapid.SampledFrom(history).Draw(t, "orders").Evacuations()
-			if told.Index > newest.Index {
-				newest = told
+			received := rapid.SampledFrom(history).Draw(t, "orders").Evacuations()
+			if received.Index > newest.Index {
+				newest = received
 			}
-			if known = known.With(told, rapid.Bool().Draw(t, "current")); !known.Equal(newest) {
+			if known = known.With(received, rapid.Bool().Draw(t, "current")); !known.Equal(newest) {
 				t.Fatalf("%v in force, want %v", known, newest)
 			}
 		}
 	})
 }
 
-// TestEvacuationsWithoutIndex has a control daemon tell evacuations without an index.
+// TestEvacuationsWithoutIndex has a control daemon of an earlier version send evacuations, which have no index.
 func TestEvacuationsWithoutIndex(t *testing.T) {
 	for _, c := range []struct {
-		name        string
-		known, told []string
-		current     bool
-		want        []string
+		name            string
+		known, received []string
+		current         bool
+		want            []string
 	}{
 		{"current", []string{"a"}, []string{"b"}, true, []string{"b"}},
 		{"current, withdrawn", []string{"a"}, nil, true, nil},
@@ -48,7 +48,7 @@
 		{"stale, none known", nil, []string{"b"}, false, []string{"b"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			got := Evacuations{Index: 7, Domains: c.known}.With(Evacuations{Index: UnknownIndex, Domains: c.told}, c.current)
+			got := Evacuations{Index: 7, Domains: c.known}.With(Evacuations{Index: UnknownIndex, Domains: c.received}, c.current)
 			if got.Index != 7 || !slices.Equal(got.Domains, c.want) {
 				t.Errorf("%v in force", got)
 			}
--- a/control/departures_test.go
+++ b/control/departures_test.go
@@ -70,7 +70,7 @@
 }
 
 // TestDepartureLostWithAllDaemons has all control daemons end right after one of them acknowledged the departure of an
-// endpoint: they tell it after their restart to gateways, which know the endpoint as ready.
+// endpoint: they send it after their restart to gateways, which know the endpoint as ready.
 func TestDepartureLostWithAllDaemons(t *testing.T) {
 	e := leavingEndpoint()
 	daemons := startKnowing(t, e)
@@ -83,13 +83,13 @@
 	}
 	for _, d := range daemons {
 		session := attend(t, d)
-		for told := false; !told; {
+		for received := false; !received; {
 			u, err := session.Recv()
 			if err != nil {
-				t.Fatalf("the departure was not told: %v", err)
+				t.Fatalf("the departure was not sent: %v", err)
 			}
 			for _, m := range u.GetEndpoints() {
-				told = told || m.GetId() == e.ID && m.GetBorn() == e.Born && fleet.State(m.GetState()) == fleet.Gone
+				received = received || m.GetId() == e.ID && m.GetBorn() == e.Born && fleet.State(m.GetState()) == fleet.Gone
 			}
 		}
 	}
@@ -142,8 +142,8 @@
 }
 
 // TestDepartureWithoutIncarnation has all control daemons restart and an endpoint depart before its next heartbeat, without
-// naming its start: gateways, which still know it, are told, also by daemons that restart once more, and a later incarnation of
-// the same id is accepted.
+// naming its start: gateways, which still know it, receive the departure, also from daemons that restart once more, and a later
+// incarnation of the same id is accepted.
 func TestDepartureWithoutIncarnation(t *testing.T) {
 	e := leavingEndpoint()
 	daemons := startKnowing(t, e)
@@ -161,13 +161,13 @@
 	restart()
 	for _, d := range daemons {
 		session := attend(t, d)
-		for told := false; !told; {
+		for received := false; !received; {
 			u, err := session.Recv()
 			if err != nil {
-				t.Fatalf("the departure was not told: %v", err)
+				t.Fatalf("the departure was not sent: %v", err)
 			}
 			for _, m := range u.GetEndpoints() {
-				told = told || m.GetId() == e.ID && fleet.State(m.GetState()) == fleet.Gone
+				received = received || m.GetId() == e.ID && fleet.State(m.GetState()) == fleet.Gone
 			}
 		}
 	}
--- a/control/evacuations_test.go
+++ b/control/evacuations_test.go
@@ -45,10 +45,10 @@
 	})
 }
 
-// TestEvacuationsNotToldWhenCurrent has all control daemons end after evacuations were ordered or withdrawn, and a gateway
-// attend one of them before it has a leader again: the daemon tells the evacuated failure domains in an update that a gateway
+// TestEvacuationsNotSentWhenCurrent has all control daemons end after evacuations were ordered or withdrawn, and a gateway
+// attend one of them before it has a leader again: the daemon sends the evacuated failure domains in an update that a gateway
 // applies, although they have not changed since its first update.
-func TestEvacuationsNotToldWhenCurrent(t *testing.T) {
+func TestEvacuationsNotSentWhenCurrent(t *testing.T) {
 	for _, c := range []struct {
 		name      string
 		withdrawn bool
@@ -88,7 +88,7 @@
 				t.Fatalf("the first update is current: %v, %v", first.GetCurrent(), err)
 			}
 			if !slices.Equal(first.GetEvacuated(), c.want) {
-				t.Fatalf("the restarted daemon tells %v", first.GetEvacuated())
+				t.Fatalf("the restarted daemon sent %v", first.GetEvacuated())
 			}
 			for i, cfg := range cfgs {
 				if i != leader {
@@ -104,7 +104,7 @@
 					continue
 				}
 				if !u.GetEvacuationsTold() || !slices.Equal(u.GetEvacuated(), c.want) {
-					t.Errorf("the first update of the current daemon tells evacuations: %v, %v; want %v", u.GetEvacuationsTold(), u.GetEvacuated(), c.want)
+					t.Errorf("the first update of the current daemon has evacuations: %v, %v; want %v", u.GetEvacuationsTold(), u.GetEvacuated(), c.want)
 				}
 				return
 			}
--- a/fleet/departurelog_test.go
+++ b/fleet/departurelog_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestDepartureLog adds departures, some of them again, and restores the log in between: it holds the last ones in order, and
-// those that an earlier log lacks are told apart.
+// Since returns those that an earlier log lacks.
 func TestDepartureLog(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var l DepartureLog
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -352,17 +352,17 @@
 	}
 }
 
-// updateEvacuations applies the evacuations that a control daemon told in this update or in an earlier one of the session,
-// when it may have been stale.
+// updateEvacuations applies the evacuations that a control daemon sent in this update, or in an earlier one of the session when it
+// was not current.
 func (g *Gateway) updateEvacuations(now time.Time, control string, u *wiregen.FleetUpdate) {
 	st := g.state
 	if u.GetEvacuationsTold() {
-		st.toldEvacuations = decodeEvacuations(u)
+		st.receivedEvacuations = decodeEvacuations(u)
 	}
-	told := st.toldEvacuations
-	after := st.evacuations.With(told, u.GetCurrent())
-	if u.GetEvacuationsTold() && !slices.Equal(after.Domains, told.Domains) {
-		g.log.Info().Strs("evacuated", told.Domains).Int64("index", told.Index).Int64("knownIndex", after.Index).Bool("current", u.GetCurrent()).
+	received := st.receivedEvacuations
+	after := st.evacuations.With(received, u.GetCurrent())
+	if u.GetEvacuationsTold() && !slices.Equal(after.Domains, received.Domains) {
+		g.log.Info().Strs("evacuated", received.Domains).Int64("index", received.Index).Int64("knownIndex", after.Index).Bool("current", u.GetCurrent()).
 			Str("control", control).Msg("outdated evacuations ignored")
 	}
 	if after.Equal(st.evacuations) {
@@ -373,7 +373,7 @@
 	st.updateEvacuations(now, after)
 }
 
-// decodeEvacuations decodes the evacuations of an update that tells them.
+// decodeEvacuations decodes the evacuations of an update that has them.
 func decodeEvacuations(u *wiregen.FleetUpdate) configuration.Evacuations {
 	e := configuration.Evacuations{Index: configuration.UnknownIndex, Domains: u.GetEvacuated()}
 	if u.EvacuationsIndex != nil {
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -122,12 +122,12 @@
 }
 
 // TestEvacuationsOfStaleControlForgotten has a control daemon restart without a leader after evacuations were ordered or
-// withdrawn, tell the evacuated failure domains in the first update of a session, and become current without telling them
+// withdrawn, send the evacuated failure domains in the first update of a session, and become current without sending them
 // again: the gateway applies them, although it knew others before.
 func TestEvacuationsOfStaleControlForgotten(t *testing.T) {
 	for _, c := range []struct {
-		name        string
-		known, told []string
+		name            string
+		known, received []string
 	}{
 		{"ordered", []string{"here-a"}, []string{"here-a", "there-a"}},
 		{"withdrawn", []string{"here-a", "there-a"}, []string{"here-a"}},
@@ -158,14 +158,14 @@
 			if l, err = net.Listen("tcp", address); err != nil {
 				t.Fatal(err)
 			}
-			after := &testControl{address: address, current: true, first: &wiregen.FleetUpdate{EvacuationsTold: true, Evacuated: c.told}}
+			after := &testControl{address: address, current: true, first: &wiregen.FleetUpdate{EvacuationsTold: true, Evacuated: c.received}}
 			after.serve(t, l)
-			waitFor(t, "evacuations told by the restarted daemon", func() bool { return follows(c.told) })
+			waitFor(t, "evacuations of the restarted daemon", func() bool { return follows(c.received) })
 		})
 	}
 }
 
-// TestDepartureWithoutIncarnation has a control daemon that doesn't know an endpoint tell its departure: a gateway that knows the
+// TestDepartureWithoutIncarnation has a control daemon that doesn't know an endpoint send its departure: a gateway that knows the
 // endpoint sends nothing more to it, unless it was seen later, and keeps its address to close connections.
 func TestDepartureWithoutIncarnation(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -85,9 +85,9 @@
 	cfg       Config
 	endpoints map[string]fleet.Endpoint
 	gateways  map[string]fleet.Gateway
-	// evacuations are in force, and toldEvacuations those that a control daemon told last.
-	evacuations, toldEvacuations configuration.Evacuations
-	restoredAt                   map[string]time.Time
+	// evacuations are in force, and receivedEvacuations those that a control daemon sent last.
+	evacuations, receivedEvacuations configuration.Evacuations
+	restoredAt                       map[string]time.Time
 	// software holds when an endpoint was last known to have each software version.
 	software   map[origin.Origin]time.Time
 	capacities map[string]regionCapacity
