--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,7 +45,7 @@
 	// streams that callers ask for after a directory named it are accepted within lateAcceptTime.
 	lingeringTime = 1800 * time.Millisecond
 	// lateAcceptTime is how long a stopping gateway still accepts streams, and requests of unknown duration, that may outlast
-	// the grace period: a caller may have been named the gateway until shortly before.
+	// the grace period: directories name the gateway until shortly before.
 	lateAcceptTime = 2800 * time.Millisecond
 	// answerLifetime is how long callers use an answer of the directory. A stopping gateway must not be named in the
 	// last part of its grace period.
