--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -97,8 +97,8 @@
 	w.held += n
 }
 
-// growBuffer counts n further bytes of a buffer of the answer that holds some already, or returns false if there is no memory
-// for them.
+// growBuffer counts n further bytes of a buffer that holds some already in the memory budget, or returns false if the buffer
+// becomes large and the budget is used up.
 func (w *answerWriter) growBuffer(held, n int64) bool {
 	w.answers.mu.Lock()
 	defer w.answers.mu.Unlock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -172,7 +172,7 @@
 type eventReader struct {
 	w *answerWriter
 	r *bufio.Reader
-	// held is what is counted at the caller's answer for long events.
+	// held is the number of bytes of long events that are counted in the memory budget.
 	held int64
 }
 
@@ -200,7 +200,7 @@
 	return true
 }
 
-// release removes what was counted.
+// release removes the bytes of long events from the memory budget.
 func (s *eventReader) release() { s.w.hold(-s.held) }
 
 // next returns the next complete event. It returns io.EOF at the end of the stream, io.ErrUnexpectedEOF if the stream
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -271,8 +271,8 @@
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
-// readAnswer reads an answer of up to maxBufferedBytes, or less if there is no memory for it, which it counts at the caller's
-// answer. A longer one keeps the rest to be read, or returns *LongUnsignedAnswerError if it is not signed.
+// readAnswer buffers an answer of up to maxBufferedBytes, or less if the memory budget is used up. The rest of a longer answer
+// remains to be read; if it is not signed, *LongUnsignedAnswerError is returned.
 func readAnswer(w *answerWriter, answer *exchange.Response, signed bool) (*bufferedAnswer, error) {
 	a := &bufferedAnswer{status: answer.Status, header: answer.Header}
 	for {
