Log failed attempts to reach control daemons, and the size of first updates

Nothing told whether a gateway without a session tried to get one, and how much each attempt asks for.

--- a/gateway/session.go
+++ b/gateway/session.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"arbutusreel/capacity"
 	"arbutusreel/clock"
@@ -73,14 +74,17 @@
 func (g *Gateway) subscribe(ctx context.Context) {
 	var c *controlConn
 	for ctx.Err() == nil {
+		began := time.Now()
 		if c == nil {
 			c = g.connectAny(ctx, false)
 		}
 		if c == nil {
+			g.log.Warn().Dur("after", time.Since(began)).Msg("no control daemon has sent its first update")
 			clock.Sleep(ctx, pollPeriod)
 			continue
 		}
-		g.log.Info().Str("control", c.address).Bool("current", c.firstUpdate.GetCurrent()).Msg("subscribed to control daemon")
+		g.log.Info().Str("control", c.address).Bool("current", c.firstUpdate.GetCurrent()).Dur("after", time.Since(began)).
+			Int("bytes", proto.Size(c.firstUpdate)).Msg("subscribed to control daemon")
 		better, err := g.runSession(ctx, c)
 		c.close()
 		g.log.Warn().Str("control", c.address).Bool("replaced", better != nil).Err(err).Msg("control daemon connection lost")
@@ -196,6 +200,7 @@
 			return nil, err
 		case found := <-s.found:
 			s.searching = false
+			g.log.Info().Dur("after", time.Since(s.searchedAt)).Bool("found", found != nil).Msg("searched for a current control daemon")
 			if found != nil && found.firstUpdate.GetCurrent() && time.Since(s.currentAt) > staleControlTime {
 				return found, &StaleControlError{Address: c.address, Behind: time.Since(s.currentAt)}
 			}
