Pass the sender and the random source to a voter, and make the choice of a replaceable voter a function

A simulation of control daemons on one clock with one seed needs to take the voter's messages and to draw its election timeouts. The choice of the voter that a daemon that joined may replace now depends on the members and on the ages of their replies only. No change of behaviour.

--- a/control/control.go
+++ b/control/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -114,7 +115,7 @@
 		return err
 	}
 	onAccepted := func(revision int64, encoded []byte) { c.hub.Put(revision, encoded) }
-	if c.quorum, err = newQuorum(c.cfg, d, restored, l, onAccepted, c.removeDeparted, c.log, c.now); err != nil {
+	if c.quorum, err = newQuorum(c.cfg, d, restored, l, onAccepted, c.removeDeparted, c.log, c.now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))); err != nil {
 		return err
 	}
 	c.store = c.quorum
--- a/control/joining.go
+++ b/control/joining.go
@@ -103,8 +103,8 @@
 		if !c.recentJoins.pending(c.now()) {
 			continue
 		}
-		voter, ok := c.quorum.unresponsiveVoter(voterReplyTimeout)
-		if !ok || len(c.quorum.Status().Members.Voters()) <= max(2*c.cfg.ToleratedDisks+1, minVoters) {
+		voter, ok := c.quorum.replaceableVoter()
+		if !ok {
 			continue
 		}
 		err := c.quorum.Remove(ctx, voter)
@@ -115,5 +115,20 @@
 	}
 }
 
+// replaceableVoter returns a voter that has not replied to the leader for voterReplyTimeout, unless too few voters would
+// remain without it.
+func replaceableVoter(members consensus.Members, replyAges map[consensus.ID]time.Duration, toleratedDisks int) (consensus.ID, bool) {
+	voters := members.Voters()
+	if len(voters) <= max(2*toleratedDisks+1, minVoters) {
+		return consensus.ID{}, false
+	}
+	for _, id := range voters {
+		if replyAges[id] >= voterReplyTimeout {
+			return id, true
+		}
+	}
+	return consensus.ID{}, false
+}
+
 // minVoters is the number of voters at or below which no unresponsive voter is removed.
 const minVoters = 3
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -52,6 +52,11 @@
 	held bool
 }
 
+// sender sends messages to other voters; a message may be lost.
+type sender interface {
+	send(m consensus.Message)
+}
+
 // quorum runs this voter's consensus node. The node, the disk and the state machine are accessed by the event loop
 // only.
 type quorum struct {
@@ -59,7 +64,7 @@
 	log    zerolog.Logger
 	now    func() time.Time
 	inputs *ring.Queue[func(time.Time)]
-	links  *links
+	links  sender
 	// onAccepted is called with each accepted inventory, in order.
 	onAccepted func(revision int64, encoded []byte)
 	// onDeparted is called with the endpoints whose departure was accepted.
@@ -91,7 +96,7 @@
 
 // newQuorum returns a voter with the restored state, or a new one if there is none. A snapshot that cannot be decoded
 // returns *RecordError.
-func newQuorum(cfg Config, d *disk, r consensus.Restored, l *links, onAccepted func(int64, []byte), onDeparted func([]fleet.LoggedDeparture), log zerolog.Logger, now func() time.Time) (*quorum, error) {
+func newQuorum(cfg Config, d *disk, r consensus.Restored, l sender, onAccepted func(int64, []byte), onDeparted func([]fleet.LoggedDeparture), log zerolog.Logger, now func() time.Time, rnd *rand.Rand) (*quorum, error) {
 	q := &quorum{
 		cfg: cfg, log: log, now: now, links: l, onAccepted: onAccepted, onDeparted: onDeparted, disk: d,
 		inputs:         ring.New[func(time.Time)](inputQueueLength),
@@ -111,7 +116,7 @@
 		Heartbeat:       cfg.Heartbeat,
 		ElectionTimeout: cfg.ElectionTimeout,
 		RetainedEntries: retainedEntries,
-	}, r, now(), rand.New(rand.NewPCG(uint64(now().UnixNano()), rand.Uint64())))
+	}, r, now(), rnd)
 	q.publishInventory()
 	q.publish(now())
 	q.log.Info().Int64("index", q.appliedIndex).Int64("version", q.Orders().Document().Version).Strs("evacuated", q.Orders().Evacuations().Domains).Msg("orders restored")
@@ -390,16 +395,14 @@
 	return q.departures.Contains(d)
 }
 
-// unresponsiveVoter returns a voter that has not replied to this leader for the timeout.
-func (q *quorum) unresponsiveVoter(timeout time.Duration) (consensus.ID, bool) {
+// replaceableVoter returns, on the leader, a voter that a daemon that joined may replace.
+func (q *quorum) replaceableVoter() (consensus.ID, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, m := range q.status.Members {
-		if m.Voter && q.status.IsLeader && q.replyAges[m.ID] >= timeout {
-			return m.ID, true
-		}
+	if !q.status.IsLeader {
+		return consensus.ID{}, false
 	}
-	return consensus.ID{}, false
+	return replaceableVoter(q.status.Members, q.replyAges, q.cfg.ToleratedDisks)
 }
 
 // Lease returns the leader lease; ok is false if it is not held or has ended at now.
--- a/control/quorum_test.go
+++ b/control/quorum_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"syscall"
 	"testing"
 	"time"
@@ -42,6 +43,8 @@
 	return f.File.Sync()
 }
 
+func newTestRand() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
 // startSingleVoter starts a quorum of one voter and returns it with the channel for the result of its event loop.
 func startSingleVoter(t testing.TB, syncs int) (*quorum, <-chan error) {
 	t.Helper()
@@ -58,7 +61,7 @@
 		Name: "a", Voters: []string{"a=127.0.0.1:1"}, SnapshotEntries: 100,
 		Heartbeat: 5 * time.Millisecond, ElectionTimeout: 20 * time.Millisecond,
 	}
-	q, err := newQuorum(cfg, d, restored, newLinks(ctx, keys.Plain(), zerolog.Nop()), func(int64, []byte) {}, func([]fleet.LoggedDeparture) {}, zerolog.Nop(), time.Now)
+	q, err := newQuorum(cfg, d, restored, newLinks(ctx, keys.Plain(), zerolog.Nop()), func(int64, []byte) {}, func([]fleet.LoggedDeparture) {}, zerolog.Nop(), time.Now, newTestRand())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -128,7 +131,7 @@
 		t.Errorf("revision %d with %d bytes is in force", revision, len(encoded))
 	}
 	restored := consensus.Restored{Snapshot: &consensus.Snapshot{Index: 100, Data: []byte("unreadable")}}
-	if _, err := newQuorum(q.cfg, q.disk, restored, q.links, q.onAccepted, q.onDeparted, zerolog.Nop(), time.Now); !errors.As(err, &unreadable) {
+	if _, err := newQuorum(q.cfg, q.disk, restored, q.links, q.onAccepted, q.onDeparted, zerolog.Nop(), time.Now, newTestRand()); !errors.As(err, &unreadable) {
 		t.Errorf("a start from the snapshot was answered %v", err)
 	}
 }
