Decide no order whose caller has gone

An operator gives a daemon up after a second and sends the order to another one. A voter that was held up, by its disk or by a freeze, decided the first call later all the same: proposeAndWait queued the proposal for the event loop even if its context had ended (Queue.Put chooses at random between room and an ended context), and the loop did not look at the context. An evacuation that was ended, and ordered and acknowledged again elsewhere meanwhile, was undone by the late call.

TestOrderOfGoneCallerDecided failed in both cases before.

The event loop appends nothing once the context has ended. What remains: a caller that leaves after the entry was appended, and a connection whose end is not seen before the entry is appended.

--- a/control/quorum_test.go
+++ b/control/quorum_test.go
@@ -110,6 +110,57 @@
 	}
 }
 
+// TestOrderOfGoneCallerDecided checks that an order is not decided whose caller has gone before the voter handles it: the
+// caller may have had it decided elsewhere, and the opposite order after it.
+func TestOrderOfGoneCallerDecided(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		queued bool
+	}{{"gone before the call", false}, {"gone in the queue", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			q, _ := startSingleVoter(t, 1<<30)
+			q.waitForLease(t)
+			for i := range 20 {
+				release := q.block(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				if !c.queued {
+					cancel()
+				}
+				answered := make(chan error, 1)
+				go func() {
+					_, err := q.Propose(ctx, configuration.Change{ID: fmt.Sprint(i), Inventory: newTestInventory(t, 1, 1)})
+					answered <- err
+				}()
+				for c.queued && q.inputs.Len() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				cancel()
+				if err := <-answered; err == nil {
+					t.Error("the order was accepted")
+				}
+				close(release)
+				if err := q.Confirm(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				if _, ok, err := q.RecordedAnswer(t.Context(), fmt.Sprint(i)); ok || err != nil {
+					t.Fatalf("the order was decided: %v, %v", ok, err)
+				}
+			}
+		})
+	}
+}
+
+// block keeps the event loop from handling its queue until the returned channel is closed.
+func (q *quorum) block(t *testing.T) chan struct{} {
+	t.Helper()
+	blocked, release := make(chan struct{}), make(chan struct{})
+	if err := q.enqueue(t.Context(), func(time.Time) { close(blocked); <-release }); err != nil {
+		t.Fatal(err)
+	}
+	<-blocked
+	return release
+}
+
 // TestUnreadableSnapshotStopsVoter checks that a snapshot that cannot be decoded is refused at installation and at
 // start, and that the revision in force stays.
 func TestUnreadableSnapshotStopsVoter(t *testing.T) {
--- a/control/requests.go
+++ b/control/requests.go
@@ -132,12 +132,17 @@
 }
 
 // proposeAndWait appends an entry and waits until it is applied. A failure before the entry is appended returns the
-// reason; after that the outcome of the change is unknown.
+// reason; after that the outcome of the change is unknown. Nothing is appended once ctx has ended: its caller may have
+// had the opposite change decided through another voter.
 func (q *quorum) proposeAndWait(ctx context.Context, propose func(now time.Time) (index, term int64, err error)) (configuration.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, decisionTimeout)
 	defer cancel()
 	result := make(chan changeResult, 1)
 	err := q.enqueue(ctx, func(now time.Time) {
+		if ctx.Err() != nil {
+			result <- changeResult{err: q.notLeader()}
+			return
+		}
 		index, term, err := propose(now)
 		if err != nil {
 			result <- changeResult{err: q.consensusProblem(err)}
