Found the quorum although founders end before they have voted

What callers would see: no change is ever accepted, while all processes run. The settings say that the system starts for the first time at the first start only. A founder that was killed, lost power or met a full disk before the founding, about a second after the start, came back as a daemon that joins and refused its vote; all founders must vote, so that nothing was founded.

A founder records the founders on its disk, and stays one after a restart. A daemon in the place of another founder whose disk was emptied may vote as long as its log is empty: only the first founder founds, and its own log is empty when it asks, so that nothing was founded before. An emptied first founder has no record and does not ask.

What remains: if the first founder loses its disk before the founding, nothing is founded.

--- a/consensus/bootstrap.go
+++ b/consensus/bootstrap.go
@@ -5,9 +5,11 @@
 // bootstrap asks the other initial voters for their votes and for the identities
 // of their disks; it does nothing unless this node is the first in the list of
 // initial voters. Bootstrap is an election in which all initial voters must vote
-// for the first one, and an initial voter votes only while its log is empty.
-// Initial voters whose disks were wiped therefore cannot bootstrap a second
-// quorum while another initial voter still has the log of the first quorum.
+// for the first one, and a node votes only while its log is empty. Initial
+// voters whose disks were wiped therefore cannot bootstrap a second quorum while
+// another initial voter still has the log of the first quorum. A node in the
+// place of another initial voter whose disk was wiped may vote, since only the
+// first one can have bootstrapped a quorum.
 func (n *Node) bootstrap() {
 	if len(n.cfg.InitialVoters) == 0 || n.cfg.InitialVoters[0].Name != n.cfg.Self.Name {
 		return
@@ -31,7 +33,7 @@
 	if m.To.Name != n.cfg.Self.Name || m.From.Name == n.cfg.Self.Name {
 		return
 	}
-	empty := n.log.last() == 0 && len(n.cfg.InitialVoters) > 0
+	empty := n.log.last() == 0
 	if empty && m.Term > n.hardState.Term {
 		n.hardState = HardState{Term: m.Term, Vote: m.From}
 	}
--- a/control/disk.go
+++ b/control/disk.go
@@ -15,6 +15,8 @@
 type disk struct {
 	journal  *journal.Journal
 	identity string
+	// founders are the initial voters if this voter is one of them and has not compacted its journal, or nil.
+	founders []consensus.InitialVoter
 	// commit is the highest commit index written.
 	commit int64
 	// compactedSize is the size of the journal in bytes after the last compaction.
@@ -28,7 +30,46 @@
 		return nil, consensus.Restored{}, err
 	}
 	r, err := restore(contents)
-	return &disk{journal: j, identity: contents.Identity}, r, err
+	if err != nil {
+		return nil, r, err
+	}
+	founders, err := restoreFounders(contents)
+	return &disk{journal: j, identity: contents.Identity, founders: founders}, r, err
+}
+
+// restoreFounders decodes the initial voters of a journal; it returns nil if the journal names none.
+func restoreFounders(contents journal.Contents) ([]consensus.InitialVoter, error) {
+	var founders []consensus.InitialVoter
+	for _, record := range contents.Records {
+		m := &wiregen.JournalRecord{}
+		if err := proto.Unmarshal(record, m); err != nil {
+			return nil, &RecordError{Record: "journal record", Cause: err}
+		}
+		if len(m.GetFounders()) > 0 {
+			founders = nil
+		}
+		for _, f := range m.GetFounders() {
+			founders = append(founders, consensus.InitialVoter{Name: f.GetId().GetName(), Address: f.GetAddress()})
+		}
+	}
+	return founders, nil
+}
+
+// saveFounders persists the initial voters unless they are known, so that this voter is still one of them after a
+// restart as a daemon that joins.
+func (d *disk) saveFounders(founders []consensus.InitialVoter) error {
+	if slices.Equal(d.founders, founders) {
+		return nil
+	}
+	m := &wiregen.JournalRecord{}
+	for _, f := range founders {
+		m.Founders = append(m.Founders, &wiregen.ConsensusMember{Id: &wiregen.VoterId{Name: f.Name}, Address: f.Address})
+	}
+	if err := d.journal.Append(marshal(m)); err != nil {
+		return err
+	}
+	d.founders = founders
+	return d.journal.Sync()
 }
 
 // restore decodes the contents of a journal; contents that no voter can have written return *RecordError.
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -95,7 +95,7 @@
 var _ Store = (*quorum)(nil)
 
 // newQuorum returns a voter with the restored state, or a new one if there is none. A snapshot that cannot be decoded
-// returns *RecordError.
+// returns *RecordError, and a disk that cannot be written *journal.WriteError.
 func newQuorum(cfg Config, d *disk, r consensus.Restored, l sender, onAccepted func(int64, []byte), onDeparted func([]fleet.LoggedDeparture), log zerolog.Logger, now func() time.Time, rnd *rand.Rand) (*quorum, error) {
 	q := &quorum{
 		cfg: cfg, log: log, now: now, links: l, onAccepted: onAccepted, onDeparted: onDeparted, disk: d,
@@ -109,10 +109,15 @@
 	if err := q.install(r.Snapshot); err != nil {
 		return nil, err
 	}
+	if empty := r.Snapshot == nil && len(r.Entries) == 0; empty && !cfg.Join {
+		if err := d.saveFounders(initialVoters(cfg)); err != nil {
+			return nil, err
+		}
+	}
 	q.node = consensus.New(consensus.Config{
 		Self:            consensus.ID{Name: cfg.Name, Disk: d.identity},
 		Address:         cfg.PeerAddress,
-		InitialVoters:   initialVoters(cfg),
+		InitialVoters:   d.founders,
 		Heartbeat:       cfg.Heartbeat,
 		ElectionTimeout: cfg.ElectionTimeout,
 		RetainedEntries: retainedEntries,
@@ -124,9 +129,6 @@
 }
 
 func initialVoters(cfg Config) []consensus.InitialVoter {
-	if cfg.Join {
-		return nil
-	}
 	var all []consensus.InitialVoter
 	for _, voter := range cfg.Voters {
 		name, address, _ := strings.Cut(voter, "=")
