--- a/control/diskloss_test.go
+++ b/control/diskloss_test.go
@@ -839,6 +839,30 @@
 	}
 }
 
+// TestChangesRefusedAfterFullDisks has each disk be full for a few seconds, one after another, from the first seconds on.
+func TestChangesRefusedAfterFullDisks(t *testing.T) {
+	for _, c := range []struct{ daemons, tolerated int }{{5, 1}, {9, 2}} {
+		t.Run(fmt.Sprint(c.daemons, " daemons"), func(t *testing.T) {
+			for seed := range uint64(12) {
+				s := newSimulation(seed, c.daemons, c.tolerated)
+				s.operate(200 * time.Millisecond)
+				s.run(s.between(300*time.Millisecond, 3*time.Second))
+				for _, i := range s.rnd.Perm(c.daemons) {
+					d := s.daemons[i]
+					d.disk.full = true
+					s.run(s.now + s.between(time.Second, 6*time.Second))
+					d.disk.full = false
+				}
+				acknowledged := len(s.acked)
+				s.run(s.now + simRecovery)
+				if s.failure != "" || len(s.acked) == acknowledged {
+					t.Errorf("seed %d: no acknowledgement: %s %s", seed, s.failure, s.describe())
+				}
+			}
+		})
+	}
+}
+
 // restartSoon ends a daemon and starts it again within two seconds.
 func (s *simulation) restartSoon(d *simDaemon, end func(*simDaemon)) {
 	end(d)
