--- a/control/quorum_test.go
+++ b/control/quorum_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"syscall"
 	"testing"
 	"time"
@@ -42,6 +43,8 @@
 	return f.File.Sync()
 }
 
+func newTestRand() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
 // startSingleVoter starts a quorum of one voter and returns it with the channel for the result of its event loop.
 func startSingleVoter(t testing.TB, syncs int) (*quorum, <-chan error) {
 	t.Helper()
@@ -58,7 +61,7 @@
 		Name: "a", Voters: []string{"a=127.0.0.1:1"}, SnapshotEntries: 100,
 		Heartbeat: 5 * time.Millisecond, ElectionTimeout: 20 * time.Millisecond,
 	}
-	q, err := newQuorum(cfg, d, restored, newLinks(ctx, keys.Plain(), zerolog.Nop()), func(int64, []byte) {}, func([]fleet.LoggedDeparture) {}, zerolog.Nop(), time.Now)
+	q, err := newQuorum(cfg, d, restored, newLinks(ctx, keys.Plain(), zerolog.Nop()), func(int64, []byte) {}, func([]fleet.LoggedDeparture) {}, zerolog.Nop(), time.Now, newTestRand())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -88,7 +91,7 @@
 }
 
 func TestFailedSyncStopsVoter(t *testing.T) {
-	const syncsToLead = 2
+	const syncsToLead = 3
 	q, failed := startSingleVoter(t, syncsToLead)
 	q.waitForLease(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
@@ -107,6 +110,57 @@
 	}
 }
 
+// TestOrderOfGoneCallerDecided checks that an order is not decided whose caller has gone before the voter handles it: the
+// caller may have had it decided elsewhere, and the opposite order after it.
+func TestOrderOfGoneCallerDecided(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		queued bool
+	}{{"gone before the call", false}, {"gone in the queue", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			q, _ := startSingleVoter(t, 1<<30)
+			q.waitForLease(t)
+			for i := range 20 {
+				release := q.block(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				if !c.queued {
+					cancel()
+				}
+				answered := make(chan error, 1)
+				go func() {
+					_, err := q.Propose(ctx, configuration.Change{ID: fmt.Sprint(i), Inventory: newTestInventory(t, 1, 1)})
+					answered <- err
+				}()
+				for c.queued && q.inputs.Len() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				cancel()
+				if err := <-answered; err == nil {
+					t.Error("the order was accepted")
+				}
+				close(release)
+				if err := q.Confirm(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				if _, ok, err := q.RecordedAnswer(t.Context(), fmt.Sprint(i)); ok || err != nil {
+					t.Fatalf("the order was decided: %v, %v", ok, err)
+				}
+			}
+		})
+	}
+}
+
+// block keeps the event loop from handling its queue until the returned channel is closed.
+func (q *quorum) block(t *testing.T) chan struct{} {
+	t.Helper()
+	blocked, release := make(chan struct{}), make(chan struct{})
+	if err := q.enqueue(t.Context(), func(time.Time) { close(blocked); <-release }); err != nil {
+		t.Fatal(err)
+	}
+	<-blocked
+	return release
+}
+
 // TestUnreadableSnapshotStopsVoter checks that a snapshot that cannot be decoded is refused at installation and at
 // start, and that the revision in force stays.
 func TestUnreadableSnapshotStopsVoter(t *testing.T) {
@@ -128,7 +182,7 @@
 		t.Errorf("revision %d with %d bytes is in force", revision, len(encoded))
 	}
 	restored := consensus.Restored{Snapshot: &consensus.Snapshot{Index: 100, Data: []byte("unreadable")}}
-	if _, err := newQuorum(q.cfg, q.disk, restored, q.links, q.onAccepted, q.onDeparted, zerolog.Nop(), time.Now); !errors.As(err, &unreadable) {
+	if _, err := newQuorum(q.cfg, q.disk, restored, q.links, q.onAccepted, q.onDeparted, zerolog.Nop(), time.Now, newTestRand()); !errors.As(err, &unreadable) {
 		t.Errorf("a start from the snapshot was answered %v", err)
 	}
 }
