Answer requests that are read while a stopping gateway closes its servers

Callers saw: a connection that ended without an answer, for a request that had been passed on to an endpoint, when a stopping gateway ended before its grace period was over.

Cause: the gateway looked whether it had requests in progress and then closed all connections with http.Server.Close. A request that a server read between the two was passed on and cut off; so was an answer that was still being flushed after its handler had returned.

Evidence: TestRequestCutAtEarlyEnd has a request in progress when the servers are closed. With Close in the new closeServers it failed for a plain request and a stream: no answer.

Why this works: Shutdown has the servers pass on no request that they read from then on, and the gateway waits until no connection is active. net/http makes a connection active before it looks whether the server shuts down, so that each request that reaches a handler is counted. Idle and new connections are closed at once; at the end of the grace period all are, as before.

--- /dev/null
+++ b/gateway/closing.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"arbutusreel/clock"
+)
+
+// closingPeriod is the interval at which a gateway that closes its servers looks for requests in progress.
+const closingPeriod = 10 * time.Millisecond
+
+// activeConns holds the connections on which a request has been read whose answer is not complete. It is safe for concurrent use.
+type activeConns struct {
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+func newActiveConns() *activeConns { return &activeConns{conns: map[net.Conn]struct{}{}} }
+
+// record is called by a server at each change of the state of a connection.
+func (a *activeConns) record(c net.Conn, s http.ConnState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if s == http.StateActive {
+		a.conns[c] = struct{}{}
+	} else {
+		delete(a.conns, c)
+	}
+}
+
+func (a *activeConns) any() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.conns) > 0
+}
+
+// closeServers closes the servers. They pass on no further request; those that they have read by then are answered until end.
+func (g *Gateway) closeServers(end time.Time, servers ...*http.Server) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	var wg, closing sync.WaitGroup
+	closing.Add(len(servers))
+	for _, s := range servers {
+		s.RegisterOnShutdown(closing.Done)
+		wg.Go(func() {
+			_ = s.Shutdown(ctx)
+			_ = s.Close()
+		})
+	}
+	closing.Wait()
+	// Shutdown also waits for new connections that have carried no request.
+	for g.active.any() && clock.Sleep(ctx, closingPeriod) {
+	}
+	cancel()
+	wg.Wait()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,7 @@
 	// the last request. withdrawn is set when a stopping gateway may no longer be named, as it ends early.
 	stopBeganNanos   atomic.Int64
 	withdrawn        atomic.Bool
+	active           *activeConns
 	inFlight         atomic.Int64
 	lastRequestNanos atomic.Int64
 }
@@ -128,7 +129,7 @@
 		peers:   exchange.NewPool(exchange.IdleLimits{Repeatable: idleTimeout / 2, NonRepeatable: idleTimeout / 2, Unannounced: idleTimeout / 2}, peerConnectTimeout, time.Now),
 		origins: newOrigins(cfg.Metrics), originPeers: newOriginPeers(cfg.Keys), originLookups: make(chan struct{}, maxOriginLookups),
 		crashes: newCrashes(cfg.Metrics), broken: make(chan fleet.Endpoint, maxCrashChecks),
-		durations: newDurations(), answers: newAnswers(cfg.MemoryBytes, cfg.Metrics), workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
+		durations: newDurations(), answers: newAnswers(cfg.MemoryBytes, cfg.Metrics), active: newActiveConns(), workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
 	}
 	g.placer.startedAt = now
 	cfg.Metrics.Publish("stranded", expvar.Func(func() any { return g.placer.isStranded() }))
@@ -206,6 +207,9 @@
 		g.server(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, false) }),
 		g.server(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, true) }),
 	}
+	for _, s := range servers {
+		s.ConnState = g.active.record
+	}
 	loadServer := newLoadServer(g.cfg.Keys)
 	wiregen.RegisterOutstandingServer(loadServer, g)
 	for i, l := range []net.Listener{callers, forwarded} {
@@ -224,9 +228,7 @@
 	g.log.Info().Str("callerAddress", g.cfg.CallerAddress).Str("domain", g.cfg.FailureDomain).Strs("controls", g.cfg.Controls).Msg("started")
 	<-ctx.Done()
 	g.stop()
-	for _, s := range servers {
-		_ = s.Close()
-	}
+	g.closeServers(time.Unix(0, g.stopBeganNanos.Load()).Add(g.cfg.Grace-stopMargin), servers...)
 	g.cancelWork()
 	loadServer.Stop()
 	g.pool.Close()
