Answer requests without an answer at the end of the grace period

Callers saw: a connection that ended without an answer, for requests that a gateway had accepted before its SIGTERM, or streams shortly after it, and whose answers had not begun when the grace period was over. Gateways that had forwarded such requests saw the same.

Cause: only plain requests that arrive after the SIGTERM get a deadline before the end. All others ran until the servers were closed.

Evidence: TestRequestCutAtGraceEnd failed before for plain requests and streams, from callers and forwarded: no answer. A stream whose first event has been sent is still broken off without its end mark, as there is no other way to say that it is incomplete.

--- a/gateway/closing_test.go
+++ b/gateway/closing_test.go
@@ -3,8 +3,11 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
+
+	"arbutusreel/problem"
 )
 
 // TestRequestCutAtEarlyEnd guards against a stopping gateway that ends early and cuts off a request which it has read and passed on
@@ -34,14 +37,8 @@
 				return true
 			})
 			g := newGateway(t, testTable(t, nil), endpoint)
-			server := g.Gateway.server(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, false) })
-			server.ConnState = g.active.record
-			l, err := listen(t.Context(), "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			go g.serveHTTP(server, l)
-			caller, idle := newRawCaller(t, l.Addr().String()), newRawCaller(t, l.Addr().String())
+			server := serveTCP(t, g, false)
+			caller, idle := newRawCaller(t, server.address), newRawCaller(t, server.address)
 			if got := caller.send("kept", path); got.err != nil || got.status != http.StatusOK {
 				t.Fatalf("in calm: %+v", got)
 			}
@@ -50,10 +47,10 @@
 			<-began
 			go func() {
 				defer close(closed)
-				g.closeServers(time.Now().Add(10*time.Second), server)
+				g.closeServers(time.Now().Add(10*time.Second), server.Server)
 			}()
 			for {
-				conn, err := net.Dial("tcp", l.Addr().String())
+				conn, err := net.Dial("tcp", server.address)
 				if err != nil {
 					break
 				}
@@ -73,3 +70,67 @@
 		})
 	}
 }
+
+// TestRequestCutAtGraceEnd guards against a stopping gateway that cuts off, at the end of its grace period, requests that it accepted
+// before and whose answers have not begun: they are answered that they may have run.
+func TestRequestCutAtGraceEnd(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	endpoint := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+		if r.Header.Get("Id") == "begun" {
+			c.head("begun")
+			c.event(0)
+		}
+		<-release
+		return false
+	})
+	g := newGateway(t, testTable(t, nil), endpoint)
+	g.cfg.Grace = 1500 * time.Millisecond
+	callers, forwards := serveTCP(t, g, false), serveTCP(t, g, true)
+	requests := map[string]struct{ address, path string }{
+		"unsafe": {callers.address, "/unsafe/x"}, "safe": {callers.address, "/safe/x"}, "stream": {callers.address, "/stream/x"}, "begun": {callers.address, "/stream/x"},
+		"forwarded unsafe": {forwards.address, "/unsafe/x"}, "forwarded stream": {forwards.address, "/stream/x"},
+	}
+	var wg sync.WaitGroup
+	for id, r := range requests {
+		c := newRawCaller(t, r.address)
+		wg.Go(func() {
+			got := c.send(id, r.path)
+			if id == "begun" {
+				if got.err == nil {
+					t.Errorf("%s looks complete: %+v", id, got)
+				}
+				return
+			}
+			if got.err != nil || got.status != http.StatusBadGateway || got.header.Get(outcomeHeader) == string(problem.NotRun) {
+				t.Errorf("%s: %+v", id, got)
+			}
+		})
+	}
+	for len(endpoint.requests()) < len(requests) {
+		time.Sleep(time.Millisecond)
+	}
+	g.stop()
+	g.closeServers(time.Unix(0, g.stopBeganNanos.Load()).Add(g.cfg.Grace-stopMargin), callers.Server, forwards.Server)
+	wg.Wait()
+}
+
+// tcpServer is a server of a gateway with its address.
+type tcpServer struct {
+	*http.Server
+
+	address string
+}
+
+// serveTCP has a gateway serve callers or other gateways as Run does.
+func serveTCP(t *testing.T, g *testGateway, forwarded bool) tcpServer {
+	t.Helper()
+	server := g.Gateway.server(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, forwarded) })
+	server.ConnState = g.active.record
+	l, err := listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go g.serveHTTP(server, l)
+	return tcpServer{Server: server, address: l.Addr().String()}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,6 +95,9 @@
 	// workCtx ends when the daemon has stopped.
 	workCtx    context.Context
 	cancelWork context.CancelFunc
+	// answerCtx ends shortly before the grace period does: requests whose answers have not begun by then are answered that they failed.
+	answerCtx  context.Context
+	endAnswers context.CancelFunc
 	wg         sync.WaitGroup
 	done       chan struct{}
 
@@ -123,13 +126,14 @@
 func New(cfg Config, log zerolog.Logger, source rand.Source) *Gateway {
 	now := time.Now()
 	workCtx, cancelWork := context.WithCancel(context.Background())
+	answerCtx, endAnswers := context.WithCancel(workCtx)
 	g := &Gateway{
 		cfg: cfg, log: log, started: now, born: now.UnixMilli(), placer: newPlacer(cfg, source), relay: newReportRelay(), state: newFleetState(cfg),
 		pool:    exchange.NewPool(exchange.IdleLimits{Repeatable: repeatableIdleTimeout, NonRepeatable: nonRepeatableIdleTimeout}, endpointConnectTimeout, time.Now),
 		peers:   exchange.NewPool(exchange.IdleLimits{Repeatable: idleTimeout / 2, NonRepeatable: idleTimeout / 2, Unannounced: idleTimeout / 2}, peerConnectTimeout, time.Now),
 		origins: newOrigins(cfg.Metrics), originPeers: newOriginPeers(cfg.Keys), originLookups: make(chan struct{}, maxOriginLookups),
 		crashes: newCrashes(cfg.Metrics), broken: make(chan fleet.Endpoint, maxCrashChecks),
-		durations: newDurations(), answers: newAnswers(cfg.MemoryBytes, cfg.Metrics), active: newActiveConns(), workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
+		durations: newDurations(), answers: newAnswers(cfg.MemoryBytes, cfg.Metrics), active: newActiveConns(), workCtx: workCtx, cancelWork: cancelWork, answerCtx: answerCtx, endAnswers: endAnswers, done: make(chan struct{}),
 	}
 	g.placer.startedAt = now
 	cfg.Metrics.Publish("stranded", expvar.Func(func() any { return g.placer.isStranded() }))
@@ -275,6 +279,7 @@
 	g.stopBeganNanos.Store(began.UnixNano())
 	g.allotments.leave(began)
 	g.log.Info().Int64("inFlight", g.inFlight.Load()).Dur("grace", g.cfg.Grace).Msg("stopping")
+	time.AfterFunc(g.cfg.Grace-stopMargin-lastAnswerTime, g.endAnswers)
 	var withdrawnAt time.Time
 	for time.Since(began) < g.cfg.Grace-stopMargin {
 		now := time.Now()
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -55,6 +55,8 @@
 	answers *answers
 	// writingNanos is the Unix time at which the present write began; zero between writes.
 	writingNanos atomic.Int64
+	// begun is set when the header has been written.
+	begun atomic.Bool
 	// ended is set if the answer was ended because the caller did not read it.
 	ended atomic.Bool
 	// held is what the request's body and its buffered answer hold.
@@ -112,6 +114,12 @@
 // Unwrap returns the writer of the HTTP server.
 func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// WriteHeader begins the answer.
+func (w *answerWriter) WriteHeader(status int) {
+	w.begun.Store(true)
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // Write writes a part of the answer, and records while it waits for the caller.
 func (w *answerWriter) Write(b []byte) (int, error) {
 	w.writingNanos.Store(time.Now().UnixNano())
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -44,6 +44,10 @@
 		if !j.adoptView() {
 			return
 		}
+		if j.g.answerCtx.Err() != nil && !j.streaming() {
+			j.giveUp(problem.Stopping, "the grace period of the gateway is over")
+			return
+		}
 		if j.ctx.Err() != nil || j.deadline.Sub(now) < minTimeLeft {
 			j.giveUp(problem.PatienceExceeded, "the deadline of the request has passed")
 			return
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -187,7 +187,7 @@
 			return abandoned
 		}
 		return failed
-	case j.r.Context().Err() != nil:
+	case j.r.Context().Err() != nil || j.g.answerCtx.Err() != nil:
 		return abandoned
 	case errors.As(err, &failure) && failure.Stage == exchange.Connecting:
 		if isTimeout(err) {
