End a gateway within its grace period when a part is stuck

Operators saw: a gateway that outlived its grace period, and was killed.

Cause: Run waited for all of its goroutines without a bound. Closing a gRPC connection waits up to 5 s for a peer that doesn't read, and the connections for allotments are closed one after the other.

Evidence: TestStuckPartOutlivesGrace failed before: the gateway still ran 20 s after the end of its grace period.

A gateway has no state to save.

--- a/gateway/closing.go
+++ b/gateway/closing.go
@@ -7,11 +7,17 @@
 	"sync"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"arbutusreel/clock"
 )
 
-// closingPeriod is the interval at which a gateway that closes its servers looks for requests in progress.
-const closingPeriod = 10 * time.Millisecond
+const (
+	// closingPeriod is the interval at which a gateway that closes its servers looks for requests in progress.
+	closingPeriod = 10 * time.Millisecond
+	// closingTime bounds the time to close everything else, within stopMargin.
+	closingTime = 100 * time.Millisecond
+)
 
 // activeConns holds the connections on which a request has been read whose answer is not complete. It is safe for concurrent use.
 type activeConns struct {
@@ -58,3 +64,23 @@
 	cancel()
 	wg.Wait()
 }
+
+// closeParts ends everything but the HTTP servers, and returns after closingTime at the latest: closing a gRPC connection may take
+// seconds, and there is nothing to save.
+func (g *Gateway) closeParts(loadServer *grpc.Server) {
+	g.cancelWork()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		loadServer.Stop()
+		g.pool.Close()
+		g.peers.Close()
+		g.allotments.close()
+		g.wg.Wait()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(closingTime):
+		g.log.Warn().Msg("not all parts have ended")
+	}
+}
--- a/gateway/closing_test.go
+++ b/gateway/closing_test.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"arbutusreel/problem"
 )
 
@@ -134,3 +138,22 @@
 	go g.serveHTTP(server, l)
 	return tcpServer{Server: server, address: l.Addr().String()}
 }
+
+// TestStuckPartOutlivesGrace guards against a gateway that outlives its grace period because one of its parts doesn't end: closing a
+// gRPC connection takes 5 s if the other side does not read.
+func TestStuckPartOutlivesGrace(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	cfg := testConfig()
+	cfg.CallerAddress, cfg.ForwardAddress, cfg.LoadAddress, cfg.Grace = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", stopMargin
+	g := New(cfg, zerolog.Nop(), rand.NewPCG(1, 1))
+	g.wg.Go(func() { <-release })
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	go func() { _ = g.Run(ctx) }()
+	select {
+	case <-g.Done():
+	case <-time.After(20 * time.Second):
+		t.Error("the gateway still runs 20 s after the end of its grace period")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -233,12 +233,7 @@
 	<-ctx.Done()
 	g.stop()
 	g.closeServers(time.Unix(0, g.stopBeganNanos.Load()).Add(g.cfg.Grace-stopMargin), servers...)
-	g.cancelWork()
-	loadServer.Stop()
-	g.pool.Close()
-	g.peers.Close()
-	g.allotments.close()
-	g.wg.Wait()
+	g.closeParts(loadServer)
 	g.log.Info().Int64("inFlight", g.inFlight.Load()).Msg("stopped")
 	return nil
 }
