Keep signals caught until a process has ended

Cause: the handlers of SIGHUP and SIGTERM were taken away before the process exited, while it still flushed its log.

Why this works: the signals are caught from then on until the exit. A SIGHUP before main runs still ends a process.

--- a/cmd/arbutusreel/main.go
+++ b/cmd/arbutusreel/main.go
@@ -37,10 +37,15 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
+	ctx, cancel := context.WithCancel(context.Background())
+	// Signals stay caught until the process has ended, as one more would cut off an orderly end.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+	}()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
 
 // run parses the command line, loads the settings, runs the command and returns the exit code.
--- a/cmd/arbutusreel/platform.go
+++ b/cmd/arbutusreel/platform.go
@@ -26,7 +26,6 @@
 		run: func(ctx context.Context, stdout io.Writer) error {
 			reload := make(chan os.Signal, 1)
 			signal.Notify(reload, syscall.SIGHUP)
-			defer signal.Stop(reload)
 			lines := logs.New(stdout)
 			defer lines.Close(logTimeout)
 			expvar.Publish("logLinesDropped", expvar.Func(func() any { return lines.Dropped() }))
