Hand streams back to the gateway that forwarded them at the end of the grace period

Callers saw: a stream that may be resumed broken off midway by a gateway that could have gone on with it.

Cause: the gateway that forwards a request doesn't know how many endpoints the other one has used when a stream breaks off, and counts all that it had left to it. So it may not go on.

Evidence: TestForwardedStreamCutAtGraceEnd fails if streams are not handed back: the caller gets one of two events.

Why this works: at the end of its grace period, a gateway that was told that the other one takes streams back stops the endpoint's work and ends the stream with a comment that says how many endpoints have run it; the other one does not pass this on and goes on elsewhere. Streams that may not be resumed are broken off as before.

--- a/gateway/closing_test.go
+++ b/gateway/closing_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/rs/zerolog"
 
+	"arbutusreel/fleet"
 	"arbutusreel/problem"
+	"arbutusreel/routes"
 )
 
 // TestRequestCutAtEarlyEnd guards against a stopping gateway that ends early and cuts off a request which it has read and passed on
@@ -157,3 +159,54 @@
 		t.Error("the gateway still runs 20 s after the end of its grace period")
 	}
 }
+
+// TestForwardedStreamCutAtGraceEnd guards against a stream that a caller loses because the gateway to which it was forwarded, at whose
+// only endpoint it runs, ends: it goes on elsewhere.
+func TestForwardedStreamCutAtGraceEnd(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	first := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+		c.head(r.Header.Get("Id"))
+		c.event(0)
+		<-release
+		return false
+	})
+	second := newEndpoint(t, "b", func(c *endpointConn, r *http.Request, _ int) bool {
+		c.head(r.Header.Get("Id"))
+		if r.Header.Get("Last") == "0" {
+			c.event(1)
+		}
+		c.end()
+		return true
+	})
+	homeRegions := func(r *routes.Route) { r.HomeRegions = []string{"there"} }
+	var there []*testGateway
+	for _, e := range []*testEndpoint{first, second} {
+		g := newGateway(t, testTable(t, homeRegions), e)
+		g.cfg.Region, g.placer.cfg.Region, g.cfg.Grace = "there", "there", 1500*time.Millisecond
+		there = append(there, g)
+	}
+	stopping := serveTCP(t, there[0], true)
+	here := newGateway(t, testTable(t, homeRegions))
+	here.view.Load().software.add(fleet.Endpoint{Service: "desk"}, "there", true)
+	name := func(gateways ...fleet.Gateway) {
+		v := *here.view.Load()
+		v.gateways = gateways
+		here.view.Store(&v)
+	}
+	name(fleet.Gateway{Name: "gateway-b", Region: "there", ForwardAddress: stopping.address, Ready: true})
+	answers := make(chan result, 1)
+	go func() { answers <- here.call(t.Context(), "POST", "/stream/x", nil) }()
+	for len(first.requests()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	name(fleet.Gateway{Name: "gateway-c", Region: "there", ForwardAddress: newForwardServer(t, there[1]), Ready: true})
+	there[0].stop()
+	there[0].closeServers(time.Unix(0, there[0].stopBeganNanos.Load()).Add(there[0].cfg.Grace-stopMargin), stopping.Server)
+	if got := <-answers; !got.whole || got.body != pieces(0, 1) {
+		t.Errorf("%+v", got)
+	}
+	if runs := len(first.requests()) + len(second.requests()); runs != 2 {
+		t.Errorf("%d runs, want 2", runs)
+	}
+}
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -81,6 +81,17 @@
 		e.Got.Software, e.Got.Service, e.Began.Software, e.Began.Service)
 }
 
+// HandedBackError reports that another gateway has stopped and handed a stream back.
+type HandedBackError struct {
+	// Runs is the number of endpoints that the other gateway used.
+	Runs int
+}
+
+// Error names the number of endpoints.
+func (e *HandedBackError) Error() string {
+	return fmt.Sprintf("the other gateway has stopped after %d runs", e.Runs)
+}
+
 // UnusableAnswerError reports an answer that must not be passed on: a success without an endpoint's signature or with a
 // content encoding, or an answer that cannot continue a stream in progress.
 type UnusableAnswerError struct {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -33,6 +33,9 @@
 	if j.began != nil {
 		h.Set(originHeader, formatOrigin(*j.began))
 	}
+	if j.route.Repeatable() && j.chargedRuns > 1 {
+		h.Set(takesBackHeader, "1")
+	}
 	h.Set(attemptsHeader, strconv.Itoa(j.chargedRuns))
 	if j.sends == 0 && !j.firstMoved {
 		j.firstMoved = true
--- /dev/null
+++ b/gateway/handback.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// handBackPrefix begins the comment with which a stopping gateway ends a stream that another gateway may go on with. The number of
+// endpoints that ran the request follows.
+const handBackPrefix = ": arbutusreel-runs "
+
+// formatHandBack returns the comment for a number of runs.
+func formatHandBack(runs int) []byte { return []byte(handBackPrefix + strconv.Itoa(runs) + "\n\n") }
+
+// parseHandBack returns the number of runs in a comment, and whether the comment hands a stream back.
+func parseHandBack(comment []byte) (runs int, ok bool) {
+	rest, ok := bytes.CutPrefix(bytes.TrimRight(comment, "\n"), []byte(handBackPrefix))
+	if !ok {
+		return 0, false
+	}
+	runs, err := strconv.Atoi(string(rest))
+	return runs, err == nil && runs > 0
+}
+
+// mayHandBack reports whether the gateway that forwarded the stream goes on with it once this one stops.
+func (j *job) mayHandBack() bool { return j.takesBack && j.streaming() && j.stream.events.Resumable() }
+
+// handBack ends a stream that another gateway goes on with. It does not return.
+func (j *job) handBack() {
+	j.log("handedBack").Err(j.lastErr).Msg("served")
+	_, _ = j.w.Write(formatHandBack(j.runs))
+	_ = j.w.FlushError()
+	j.w.abort(j.r)
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -57,7 +57,7 @@
 	resumed := j.stream.started
 	j.stream.events.BeginAnswer()
 	for {
-		e, err := j.stream.next(events, answer.EndsWithConnection)
+		e, err := j.stream.next(events, answer.EndsWithConnection, a == nil)
 		if errors.Is(err, io.EOF) {
 			j.recordLength(a, resumed)
 			return j.endStream(answer.Header, answer.Status)
@@ -87,8 +87,9 @@
 	}
 }
 
-// next returns the next event that is passed on to the caller, or io.EOF at the end of the stream.
-func (s *callerStream) next(r *eventReader, endsWithConnection bool) (event, error) {
+// next returns the next event that is passed on to the caller, or io.EOF at the end of the stream. If another gateway hands a
+// forwarded stream back, it returns *HandedBackError.
+func (s *callerStream) next(r *eventReader, endsWithConnection, forwarded bool) (event, error) {
 	for {
 		e, err := r.next()
 		switch {
@@ -104,6 +105,10 @@
 				return event{}, err
 			}
 			return e, s.events.Accept(e.id)
+		case forwarded && bytes.HasPrefix(e.raw, []byte(handBackPrefix)):
+			if runs, ok := parseHandBack(e.raw); ok {
+				return event{}, &HandedBackError{Runs: runs}
+			}
 		case s.events.AcceptComment():
 			return e, nil
 		}
@@ -152,6 +157,10 @@
 // recordBrokenStream records that a stream broke off.
 func (j *job) recordBrokenStream(ctx context.Context, a *attempt, err error) (ending, nextStep) {
 	broken := &BrokenStreamError{LastEvent: j.stream.events.Last(), Cause: err}
+	var back *HandedBackError
+	if errors.As(err, &back) {
+		j.chargedRuns = min(j.chargedRuns, back.Runs)
+	}
 	how := j.endingOf(ctx, a, err)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		how = abandoned
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -367,7 +367,7 @@
 	for _, name := range connectionHeaders() {
 		c.Del(name)
 	}
-	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, crashesHeader, countedHeader, ageHeader, originHeader, teamHeader, requestHeader} {
+	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, crashesHeader, countedHeader, ageHeader, originHeader, teamHeader, requestHeader, takesBackHeader} {
 		c.Del(name)
 	}
 	return c
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -40,6 +40,8 @@
 	ageHeader = "Arbutusreel-Age"
 	// teamHeader names the caller's team to another gateway, which does not get the credential.
 	teamHeader = "Arbutusreel-Team"
+	// takesBackHeader is set if the forwarding gateway goes on with a stream that the other one hands back.
+	takesBackHeader = "Arbutusreel-Takes-Back"
 	// requestHeader names the request that an answer to another gateway belongs to.
 	requestHeader = "Arbutusreel-Request"
 	// startupTime is the time after its start within which a gateway usually has a routing table. notReadyRetryAfter is
@@ -70,6 +72,8 @@
 	// firstMoved reports that another gateway counts the request towards its retry budget, and counted that the one that
 	// forwarded it does.
 	firstMoved, counted bool
+	// takesBack reports that the gateway which forwarded the request goes on with a stream that is handed back.
+	takesBack bool
 	// draw is the random number in [0, 1) that selects one of the route's services.
 	draw     float64
 	received time.Time
@@ -140,7 +144,7 @@
 	defer cancel()
 	j.ctx = ctx
 	defer context.AfterFunc(g.answerCtx, func() {
-		if !j.w.begun.Load() {
+		if !j.w.begun.Load() || j.takesBack {
 			cancel()
 		}
 	})()
@@ -237,6 +241,7 @@
 		j.crashes = crashed
 	}
 	j.counted = h.Get(countedHeader) != ""
+	j.takesBack = h.Get(takesBackHeader) != ""
 	if age, err := strconv.ParseInt(h.Get(ageHeader), 10, 64); err == nil && age > 0 {
 		j.age = time.Duration(age) * time.Millisecond
 	}
