--- a/gateway/closing.go
+++ b/gateway/closing.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 
 	"arbutusreel/clock"
+	"arbutusreel/problem"
 )
 
 const (
@@ -84,3 +85,19 @@
 		g.log.Warn().Msg("not all parts have ended")
 	}
 }
+
+// endAtStop ends the request if the grace period is nearly over, and reports whether it did. A stream in progress that is not handed
+// back goes on until the servers are closed.
+func (j *job) endAtStop() bool {
+	if j.g.answerCtx.Err() == nil {
+		return false
+	}
+	if j.mayHandBack() {
+		j.handBack()
+	}
+	if j.streaming() {
+		return false
+	}
+	j.giveUp(problem.Stopping, "the grace period of the gateway is over")
+	return true
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -33,9 +33,7 @@
 	if j.began != nil {
 		h.Set(originHeader, formatOrigin(*j.began))
 	}
-	if j.route.Repeatable() && j.chargedRuns > 1 {
-		h.Set(takesBackHeader, "1")
-	}
+	j.setTakesBackHeader(h)
 	h.Set(attemptsHeader, strconv.Itoa(j.chargedRuns))
 	if j.sends == 0 && !j.firstMoved {
 		j.firstMoved = true
--- a/gateway/handback.go
+++ b/gateway/handback.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strconv"
 )
 
@@ -32,3 +33,10 @@
 	_ = j.w.FlushError()
 	j.w.abort(j.r)
 }
+
+// setTakesBackHeader tells another gateway whether this one can go on with the request if it is handed back.
+func (j *job) setTakesBackHeader(h http.Header) {
+	if j.route.Repeatable() && j.chargedRuns > 1 {
+		h.Set(takesBackHeader, "1")
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -44,11 +44,7 @@
 		if !j.adoptView() {
 			return
 		}
-		if j.g.answerCtx.Err() != nil && j.mayHandBack() {
-			j.handBack()
-		}
-		if j.g.answerCtx.Err() != nil && !j.streaming() {
-			j.giveUp(problem.Stopping, "the grace period of the gateway is over")
+		if j.endAtStop() {
 			return
 		}
 		if j.ctx.Err() != nil || j.deadline.Sub(now) < minTimeLeft {
