--- /dev/null
+++ b/gateway/closing_test.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"arbutusreel/fleet"
+	"arbutusreel/problem"
+	"arbutusreel/routes"
+)
+
+// TestRequestCutAtEarlyEnd guards against a stopping gateway that ends early and cuts off a request which it has read and passed on
+// since it last looked whether there was any.
+func TestRequestCutAtEarlyEnd(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			began, release := make(chan struct{}), make(chan struct{})
+			endpoint := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, n int) bool {
+				id := r.Header.Get("Id")
+				if r.URL.Path != "/stream/x" {
+					if n > 0 {
+						close(began)
+						<-release
+					}
+					c.plain(id, http.StatusOK, "answer")
+					return true
+				}
+				c.head(id)
+				c.event(0)
+				if n > 0 {
+					close(began)
+					<-release
+				}
+				c.event(1)
+				c.end()
+				return true
+			})
+			g := newGateway(t, testTable(t, nil), endpoint)
+			server := serveTCP(t, g, false)
+			caller, idle := newRawCaller(t, server.address), newRawCaller(t, server.address)
+			if got := caller.send("kept", path); got.err != nil || got.status != http.StatusOK {
+				t.Fatalf("in calm: %+v", got)
+			}
+			answers, closed := make(chan rawAnswer, 1), make(chan struct{})
+			go func() { answers <- caller.send("crossing", path) }()
+			<-began
+			go func() {
+				defer close(closed)
+				g.closeServers(time.Now().Add(10*time.Second), server.Server)
+			}()
+			for {
+				conn, err := net.Dial("tcp", server.address)
+				if err != nil {
+					break
+				}
+				_ = conn.Close()
+			}
+			if got := idle.send("late", path); got.err == nil {
+				t.Errorf("on an idle connection: %+v", got)
+			}
+			close(release)
+			if got := <-answers; got.err != nil || got.status != http.StatusOK {
+				t.Errorf("read before the end: %+v", got)
+			}
+			<-closed
+			if n := len(endpoint.requests()); n != 2 {
+				t.Errorf("%d requests reached the endpoint, want 2", n)
+			}
+		})
+	}
+}
+
+// TestRequestCutAtGraceEnd guards against a stopping gateway that cuts off, at the end of its grace period, requests that it accepted
+// before and whose answers have not begun: they are answered that they may have run.
+func TestRequestCutAtGraceEnd(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	endpoint := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+		if r.Header.Get("Id") == "begun" {
+			c.head("begun")
+			c.event(0)
+		}
+		<-release
+		return false
+	})
+	g := newGateway(t, testTable(t, nil), endpoint)
+	g.cfg.Grace = 1500 * time.Millisecond
+	callers, forwards := serveTCP(t, g, false), serveTCP(t, g, true)
+	requests := map[string]struct{ address, path string }{
+		"unsafe": {callers.address, "/unsafe/x"}, "safe": {callers.address, "/safe/x"}, "stream": {callers.address, "/stream/x"}, "begun": {callers.address, "/stream/x"},
+		"forwarded unsafe": {forwards.address, "/unsafe/x"}, "forwarded stream": {forwards.address, "/stream/x"},
+	}
+	var wg sync.WaitGroup
+	for id, r := range requests {
+		c := newRawCaller(t, r.address)
+		wg.Go(func() {
+			got := c.send(id, r.path)
+			if id == "begun" {
+				if got.err == nil {
+					t.Errorf("%s looks complete: %+v", id, got)
+				}
+				return
+			}
+			if got.err != nil || got.status != http.StatusBadGateway || got.header.Get(outcomeHeader) == string(problem.NotRun) {
+				t.Errorf("%s: %+v", id, got)
+			}
+		})
+	}
+	for len(endpoint.requests()) < len(requests) {
+		time.Sleep(time.Millisecond)
+	}
+	g.stop()
+	g.closeServers(time.Unix(0, g.stopBeganNanos.Load()).Add(g.cfg.Grace-stopMargin), callers.Server, forwards.Server)
+	wg.Wait()
+}
+
+// tcpServer is a server of a gateway with its address.
+type tcpServer struct {
+	*http.Server
+
+	address string
+}
+
+// serveTCP has a gateway serve callers or other gateways as Run does.
+func serveTCP(t *testing.T, g *testGateway, forwarded bool) tcpServer {
+	t.Helper()
+	server := g.Gateway.server(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, forwarded) })
+	server.ConnState = g.active.record
+	l, err := listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go g.serveHTTP(server, l)
+	return tcpServer{Server: server, address: l.Addr().String()}
+}
+
+// TestStuckPartOutlivesGrace guards against a gateway that outlives its grace period because one of its parts doesn't end: closing a
+// gRPC connection takes 5 s if the other side does not read.
+func TestStuckPartOutlivesGrace(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	cfg := testConfig()
+	cfg.CallerAddress, cfg.ForwardAddress, cfg.LoadAddress, cfg.Grace = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", stopMargin
+	g := New(cfg, zerolog.Nop(), rand.NewPCG(1, 1))
+	g.wg.Go(func() { <-release })
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	go func() { _ = g.Run(ctx) }()
+	select {
+	case <-g.Done():
+	case <-time.After(20 * time.Second):
+		t.Error("the gateway still runs 20 s after the end of its grace period")
+	}
+}
+
+// TestForwardedStreamCutAtGraceEnd guards against a stream that a caller loses because the gateway to which it was forwarded, at whose
+// only endpoint it runs, ends: it goes on elsewhere.
+func TestForwardedStreamCutAtGraceEnd(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	first := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+		c.head(r.Header.Get("Id"))
+		c.event(0)
+		<-release
+		return false
+	})
+	second := newEndpoint(t, "b", func(c *endpointConn, r *http.Request, _ int) bool {
+		c.head(r.Header.Get("Id"))
+		if r.Header.Get("Last") == "0" {
+			c.event(1)
+		}
+		c.end()
+		return true
+	})
+	homeRegions := func(r *routes.Route) { r.HomeRegions = []string{"there"} }
+	var there []*testGateway
+	for _, e := range []*testEndpoint{first, second} {
+		g := newGateway(t, testTable(t, homeRegions), e)
+		g.cfg.Region, g.placer.cfg.Region, g.cfg.Grace = "there", "there", 1500*time.Millisecond
+		there = append(there, g)
+	}
+	stopping := serveTCP(t, there[0], true)
+	here := newGateway(t, testTable(t, homeRegions))
+	here.view.Load().software.add(fleet.Endpoint{Service: "desk"}, "there", true)
+	name := func(gateways ...fleet.Gateway) {
+		v := *here.view.Load()
+		v.gateways = gateways
+		here.view.Store(&v)
+	}
+	name(fleet.Gateway{Name: "gateway-b", Region: "there", ForwardAddress: stopping.address, Ready: true})
+	answers := make(chan result, 1)
+	go func() { answers <- here.call(t.Context(), "POST", "/stream/x", nil) }()
+	for len(first.requests()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	name(fleet.Gateway{Name: "gateway-c", Region: "there", ForwardAddress: newForwardServer(t, there[1]), Ready: true})
+	there[0].stop()
+	there[0].closeServers(time.Unix(0, there[0].stopBeganNanos.Load()).Add(there[0].cfg.Grace-stopMargin), stopping.Server)
+	if got := <-answers; !got.whole || got.body != pieces(0, 1) {
+		t.Errorf("%+v", got)
+	}
+	if runs := len(first.requests()) + len(second.requests()); runs != 2 {
+		t.Errorf("%d runs, want 2", runs)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,6 +95,9 @@
 	// workCtx ends when the daemon has stopped.
 	workCtx    context.Context
 	cancelWork context.CancelFunc
+	// answerCtx ends shortly before the grace period does: requests whose answers have not begun by then are answered that they failed.
+	answerCtx  context.Context
+	endAnswers context.CancelFunc
 	wg         sync.WaitGroup
 	done       chan struct{}
 
@@ -114,6 +117,7 @@
 	// the last request. withdrawn is set when a stopping gateway may no longer be named, as it ends early.
 	stopBeganNanos   atomic.Int64
 	withdrawn        atomic.Bool
+	active           *activeConns
 	inFlight         atomic.Int64
 	lastRequestNanos atomic.Int64
 }
@@ -122,13 +126,14 @@
 func New(cfg Config, log zerolog.Logger, source rand.Source) *Gateway {
 	now := time.Now()
 	workCtx, cancelWork := context.WithCancel(context.Background())
+	answerCtx, endAnswers := context.WithCancel(workCtx)
 	g := &Gateway{
 		cfg: cfg, log: log, started: now, born: now.UnixMilli(), placer: newPlacer(cfg, source), relay: newReportRelay(), state: newFleetState(cfg),
 		pool:    exchange.NewPool(exchange.IdleLimits{Repeatable: repeatableIdleTimeout, NonRepeatable: nonRepeatableIdleTimeout}, endpointConnectTimeout, time.Now),
 		peers:   exchange.NewPool(exchange.IdleLimits{Repeatable: idleTimeout / 2, NonRepeatable: idleTimeout / 2, Unannounced: idleTimeout / 2}, peerConnectTimeout, time.Now),
 		origins: newOrigins(cfg.Metrics), originPeers: newOriginPeers(cfg.Keys), originLookups: make(chan struct{}, maxOriginLookups),
 		crashes: newCrashes(cfg.Metrics), broken: make(chan fleet.Endpoint, maxCrashChecks),
-		durations: newDurations(), answers: newAnswers(cfg.MemoryBytes, cfg.Metrics), workCtx: workCtx, cancelWork: cancelWork, done: make(chan struct{}),
+		durations: newDurations(), answers: newAnswers(cfg.MemoryBytes, cfg.Metrics), active: newActiveConns(), workCtx: workCtx, cancelWork: cancelWork, answerCtx: answerCtx, endAnswers: endAnswers, done: make(chan struct{}),
 	}
 	g.placer.startedAt = now
 	cfg.Metrics.Publish("stranded", expvar.Func(func() any { return g.placer.isStranded() }))
@@ -206,6 +211,9 @@
 		g.server(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, false) }),
 		g.server(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, true) }),
 	}
+	for _, s := range servers {
+		s.ConnState = g.active.record
+	}
 	loadServer := newLoadServer(g.cfg.Keys)
 	wiregen.RegisterOutstandingServer(loadServer, g)
 	for i, l := range []net.Listener{callers, forwarded} {
@@ -224,15 +232,8 @@
 	g.log.Info().Str("callerAddress", g.cfg.CallerAddress).Str("domain", g.cfg.FailureDomain).Strs("controls", g.cfg.Controls).Msg("started")
 	<-ctx.Done()
 	g.stop()
-	for _, s := range servers {
-		_ = s.Close()
-	}
-	g.cancelWork()
-	loadServer.Stop()
-	g.pool.Close()
-	g.peers.Close()
-	g.allotments.close()
-	g.wg.Wait()
+	g.closeServers(time.Unix(0, g.stopBeganNanos.Load()).Add(g.cfg.Grace-stopMargin), servers...)
+	g.closeParts(loadServer)
 	g.log.Info().Int64("inFlight", g.inFlight.Load()).Msg("stopped")
 	return nil
 }
@@ -273,6 +274,7 @@
 	g.stopBeganNanos.Store(began.UnixNano())
 	g.allotments.leave(began)
 	g.log.Info().Int64("inFlight", g.inFlight.Load()).Dur("grace", g.cfg.Grace).Msg("stopping")
+	time.AfterFunc(g.cfg.Grace-stopMargin-lastAnswerTime, g.endAnswers)
 	var withdrawnAt time.Time
 	for time.Since(began) < g.cfg.Grace-stopMargin {
 		now := time.Now()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -44,6 +44,9 @@
 		if !j.adoptView() {
 			return
 		}
+		if j.endAtStop() {
+			return
+		}
 		if j.ctx.Err() != nil || j.deadline.Sub(now) < minTimeLeft {
 			j.giveUp(problem.PatienceExceeded, "the deadline of the request has passed")
 			return
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -187,7 +187,7 @@
 			return abandoned
 		}
 		return failed
-	case j.r.Context().Err() != nil:
+	case j.r.Context().Err() != nil || j.g.answerCtx.Err() != nil:
 		return abandoned
 	case errors.As(err, &failure) && failure.Stage == exchange.Connecting:
 		if isTimeout(err) {
@@ -367,7 +367,7 @@
 	for _, name := range connectionHeaders() {
 		c.Del(name)
 	}
-	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, crashesHeader, countedHeader, ageHeader, originHeader, teamHeader, requestHeader} {
+	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, crashesHeader, countedHeader, ageHeader, originHeader, teamHeader, requestHeader, takesBackHeader} {
 		c.Del(name)
 	}
 	return c
