Give up unused connections between gateways before the other side closes them

Cause: a gateway kept connections that had carried no request for 15 s, while the other one's HTTP server closes them after readHeaderTimeout, 5 s. A request sent while that was on its way, 80 ms between regions, had an unknown outcome.

Why this works: the pool has a limit of its own for connections without a request, half of the time after which the other side closes them. They are replaced when they expire.

--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -15,6 +15,8 @@
 	NonRepeatable time.Duration
 	// Unannounced applies to connections whose endpoint announces no limit of its own; zero selects defaultIdleLimit.
 	Unannounced time.Duration
+	// Unused applies to connections that have carried no request, which servers close sooner; zero selects Unannounced.
+	Unused time.Duration
 }
 
 // Pool holds idle connections to endpoints. It is safe for concurrent use.
@@ -38,6 +40,9 @@
 	if idle.Unannounced == 0 {
 		idle.Unannounced = defaultIdleLimit
 	}
+	if idle.Unused == 0 {
+		idle.Unused = idle.Unannounced
+	}
 	return &Pool{
 		idleLimits: idle, connectTimeout: connectTimeout, now: now, idleConns: map[string][]*connection{}, opening: map[string]int{},
 	}
@@ -127,7 +132,7 @@
 		_ = c.Close()
 		return
 	}
-	c.idleSince, c.idleLimit = p.now(), p.idleLimits.Unannounced
+	c.idleSince, c.idleLimit = p.now(), p.idleLimits.Unused
 	// Connections that have carried a request are used first, as they are known to work.
 	p.idleConns[address] = append([]*connection{c}, p.idleConns[address]...)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,7 +130,7 @@
 	g := &Gateway{
 		cfg: cfg, log: log, started: now, born: now.UnixMilli(), placer: newPlacer(cfg, source), relay: newReportRelay(), state: newFleetState(cfg),
 		pool:    exchange.NewPool(exchange.IdleLimits{Repeatable: repeatableIdleTimeout, NonRepeatable: nonRepeatableIdleTimeout}, endpointConnectTimeout, time.Now),
-		peers:   exchange.NewPool(exchange.IdleLimits{Repeatable: idleTimeout / 2, NonRepeatable: idleTimeout / 2, Unannounced: idleTimeout / 2}, peerConnectTimeout, time.Now),
+		peers:   exchange.NewPool(exchange.IdleLimits{Repeatable: idleTimeout / 2, NonRepeatable: idleTimeout / 2, Unannounced: idleTimeout / 2, Unused: readHeaderTimeout / 2}, peerConnectTimeout, time.Now),
 		origins: newOrigins(cfg.Metrics), originPeers: newOriginPeers(cfg.Keys), originLookups: make(chan struct{}, maxOriginLookups),
 		crashes: newCrashes(cfg.Metrics), broken: make(chan fleet.Endpoint, maxCrashChecks),
 		durations: newDurations(), answers: newAnswers(cfg.MemoryBytes, cfg.Metrics), active: newActiveConns(), workCtx: workCtx, cancelWork: cancelWork, answerCtx: answerCtx, endAnswers: endAnswers, done: make(chan struct{}),
