Ask one control daemon for its state, and wait for it while it arrives

Cause: a gateway without a session, or whose daemon has no leader, asks all control daemons at once, up to three times each, and each answered with the whole state, 308 KB with this document. Its link of 10 Mbit/s can't carry 27 of these in the second after which all are given up, and the next attempt began from nothing. A daemon that needed longer than 1.5 s to send its state counted as silent meanwhile. The class: concurrent fetches whose size grows with the state, repeated after a fixed time, of which nothing is kept.

TestLargeFirstUpdateOverNarrowLink and TestStateSlowerThanControlTimeout failed before (no session within 20 s); the second one fails also without the count of received bytes.

Why this works: a gateway that looks for a daemon says so, and gets a brief answer, whether the daemon is current. It asks the chosen one for its state, without the document if it has that version. While bytes arrive the daemon does not count as silent, and stays current if it was, for up to 10 s. A search that finds the daemon of the session itself keeps the session. Daemons of earlier versions answer with their state at once, as before (TestEarlierControlSendsStateAtOnce), and gateways of earlier versions get it so.

--- a/control/departures_test.go
+++ b/control/departures_test.go
@@ -82,7 +82,7 @@
 		daemons[i] = start(t, d.cfg)
 	}
 	for _, d := range daemons {
-		session := attend(t, d)
+		session := attend(t, d, nil)
 		for received := false; !received; {
 			u, err := session.Recv()
 			if err != nil {
@@ -160,7 +160,7 @@
 	daemons[2].RemoveEndpoint(t.Context(), e.ID, 0)
 	restart()
 	for _, d := range daemons {
-		session := attend(t, d)
+		session := attend(t, d, nil)
 		for received := false; !received; {
 			u, err := session.Recv()
 			if err != nil {
--- a/control/evacuations_test.go
+++ b/control/evacuations_test.go
@@ -14,8 +14,17 @@
 	"arbutusreel/wiregen"
 )
 
-// attend opens a gateway's session with a daemon.
-func attend(t *testing.T, d *daemon) grpc.BidiStreamingClient[wiregen.GatewayReport, wiregen.FleetUpdate] {
+// gatewayReport returns a gateway's report, changed by change unless it is nil.
+func gatewayReport(change func(*wiregen.GatewayReport)) *wiregen.GatewayReport {
+	m := wire.EncodeGateway(fleet.Gateway{Name: "gateway", ForwardAddress: "10.0.0.1:1", Region: "r", FailureDomain: "d", Born: 1})
+	if change != nil {
+		change(m)
+	}
+	return m
+}
+
+// attend opens a gateway's session with a daemon, whose first report is changed by change unless it is nil.
+func attend(t *testing.T, d *daemon, change func(*wiregen.GatewayReport)) grpc.BidiStreamingClient[wiregen.GatewayReport, wiregen.FleetUpdate] {
 	t.Helper()
 	conn, err := keys.Plain().Dial(d.cfg.PeerAddress, maxMessageBytes)
 	if err != nil {
@@ -28,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := session.Send(wire.EncodeGateway(fleet.Gateway{Name: "gateway", ForwardAddress: "10.0.0.1:1", Region: "r", FailureDomain: "d", Born: 1})); err != nil {
+	if err := session.Send(gatewayReport(change)); err != nil {
 		t.Fatal(err)
 	}
 	return session
@@ -82,7 +91,7 @@
 			daemons[leader].stop()
 			alone := start(t, cfgs[leader])
 			waitFor(t, "the orders restored", func() bool { return slices.Equal(alone.quorum.Orders().Evacuations().Domains, c.want) })
-			session := attend(t, alone)
+			session := attend(t, alone, nil)
 			first, err := session.Recv()
 			if err != nil || first.GetCurrent() {
 				t.Fatalf("the first update is current: %v, %v", first.GetCurrent(), err)
--- a/control/gateways.go
+++ b/control/gateways.go
@@ -17,7 +17,8 @@
 	"arbutusreel/wiregen"
 )
 
-// Attend serves the session of a gateway: it receives the gateway's reports and sends it updates of the fleet.
+// Attend serves the session of a gateway: it receives the gateway's reports and sends it updates of the fleet. A gateway that
+// probes this daemon gets a brief update, and the state once it reports again.
 func (c *Control) Attend(session grpc.BidiStreamingServer[wiregen.GatewayReport, wiregen.FleetUpdate]) error {
 	ctx, cancel := context.WithCancel(session.Context())
 	defer cancel()
@@ -28,11 +29,35 @@
 	if first.GetName() == "" || first.GetForwardAddress() == "" {
 		return status.Error(codes.InvalidArgument, "the report has no gateway name or no forward address")
 	}
-	c.updateGateway(first)
-	c.log.Info().Str("gateway", first.GetName()).Str("domain", first.GetFailureDomain()).Int64("routeVersion", first.GetRouteVersion()).Msg("gateway connected")
+	reports := make(chan *wiregen.GatewayReport, 1)
+	if first.GetProbing() {
+		if err := session.Send(&wiregen.FleetUpdate{Brief: true, Current: c.Current(), Sender: c.cfg.Name}); err != nil {
+			return err
+		}
+	} else {
+		c.updateGateway(first)
+		reports <- first
+	}
 	ended := make(chan error, 1)
-	go func() { ended <- c.receiveReports(ctx, cancel, session) }()
-	state := &gatewaySendState{control: c}
+	go func() { ended <- c.receiveReports(ctx, cancel, session, reports) }()
+	select {
+	case report := <-reports:
+		c.sendUpdates(ctx, session, report)
+	case <-ctx.Done():
+	}
+	cancel()
+	select {
+	case err := <-ended:
+		return err
+	default:
+		return nil
+	}
+}
+
+// sendUpdates sends a gateway the state that it lacks by its first report, and then all changes, until ctx or the stream ends.
+func (c *Control) sendUpdates(ctx context.Context, session grpc.BidiStreamingServer[wiregen.GatewayReport, wiregen.FleetUpdate], first *wiregen.GatewayReport) {
+	c.log.Info().Str("gateway", first.GetName()).Str("domain", first.GetFailureDomain()).Int64("routeVersion", first.GetRouteVersion()).Msg("gateway connected")
+	state := &gatewaySendState{control: c, documentVersion: first.GetRouteVersion()}
 	for ctx.Err() == nil {
 		if u := state.next(c.now()); u != nil {
 			if err := session.Send(u); err != nil {
@@ -41,18 +66,14 @@
 		}
 		clock.Sleep(ctx, fleetPeriod)
 	}
-	cancel()
 	c.log.Info().Str("gateway", first.GetName()).Msg("gateway disconnected")
-	select {
-	case err := <-ended:
-		return err
-	default:
-		return nil
-	}
 }
 
-// receiveReports receives a gateway's reports until the stream ends or no report arrives within two gateway leases.
-func (c *Control) receiveReports(ctx context.Context, cancel context.CancelFunc, session grpc.BidiStreamingServer[wiregen.GatewayReport, wiregen.FleetUpdate]) error {
+// receiveReports receives a gateway's reports until the stream ends or no report arrives within two gateway leases. It offers
+// each to reports, of which only the first is taken.
+func (c *Control) receiveReports(
+	ctx context.Context, cancel context.CancelFunc, session grpc.BidiStreamingServer[wiregen.GatewayReport, wiregen.FleetUpdate], reports chan<- *wiregen.GatewayReport,
+) error {
 	defer cancel()
 	idleTimer := time.AfterFunc(2*gatewayLease, cancel)
 	defer idleTimer.Stop()
@@ -66,6 +87,10 @@
 		}
 		idleTimer.Reset(2 * gatewayLease)
 		c.updateGateway(report)
+		select {
+		case reports <- report:
+		default:
+		}
 	}
 	return nil
 }
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -56,6 +57,8 @@
 	stream      controlStream
 	cancel      context.CancelFunc
 	firstUpdate *wiregen.FleetUpdate
+	// received is the number of bytes that have arrived.
+	received *atomic.Int64
 }
 
 // close ends the stream and the connection; it does nothing on nil.
@@ -84,7 +87,7 @@
 			continue
 		}
 		g.log.Info().Str("control", c.address).Bool("current", c.firstUpdate.GetCurrent()).Dur("after", time.Since(began)).
-			Int("bytes", proto.Size(c.firstUpdate)).Msg("subscribed to control daemon")
+			Msg("subscribed to control daemon")
 		better, err := g.runSession(ctx, c)
 		c.close()
 		g.log.Warn().Str("control", c.address).Bool("replaced", better != nil).Err(err).Msg("control daemon connection lost")
@@ -141,21 +144,25 @@
 	return best
 }
 
-// connect opens a session and returns it once its first update has arrived, or nil if that fails.
+// connect opens a session and returns it once its first update has arrived, or nil if that fails. The first update is brief:
+// several control daemons are asked at once, and the state of one of them may take most of what the link carries.
 func (g *Gateway) connect(raceCtx context.Context, address string) *controlConn {
 	if raceCtx.Err() != nil {
 		return nil
 	}
-	conn, err := g.cfg.Keys.Dial(address, maxUpdateBytes)
+	received := &atomic.Int64{}
+	conn, err := g.cfg.Keys.Dial(address, maxUpdateBytes, countReceived(received))
 	if err != nil {
 		return nil
 	}
 	ctx, cancel := context.WithCancel(g.workCtx)
-	c := &controlConn{address: address, conn: conn, cancel: cancel}
+	c := &controlConn{address: address, conn: conn, cancel: cancel, received: received}
 	stopCancel := context.AfterFunc(raceCtx, cancel)
 	c.stream, err = wiregen.NewFleetClient(conn).Attend(ctx)
 	if err == nil {
-		err = c.stream.Send(g.report(time.Now(), false))
+		report := g.report(time.Now(), false)
+		report.Probing = true
+		err = c.stream.Send(report)
 	}
 	if err == nil {
 		c.firstUpdate, err = c.stream.Recv()
@@ -179,14 +186,15 @@
 // runSession receives updates and sends reports until the session fails or times out. While its control daemon is
 // stale, it searches for a current one, which it returns.
 func (g *Gateway) runSession(ctx context.Context, c *controlConn) (better *controlConn, err error) {
-	// The table of gateways starts empty, as those that have gone since the previous session would never be reported as
-	// gone in this one.
-	clear(g.state.gateways)
-	g.applyUpdate(c.address, c.firstUpdate)
 	now := time.Now()
 	s := &session{
 		gateway: g, control: c, updates: make(chan *wiregen.FleetUpdate, updateQueueLength), failed: make(chan error, 1),
-		found: make(chan *controlConn, 1), updatedAt: now, currentAt: now,
+		found: make(chan *controlConn, 1), beganAt: now, updatedAt: now, currentAt: now, current: c.firstUpdate.GetCurrent(),
+	}
+	if !c.firstUpdate.GetBrief() {
+		s.handleUpdate(c.firstUpdate)
+	} else if err := s.sendReport(now, false); err != nil {
+		return nil, err
 	}
 	go s.receive()
 	defer s.release()
@@ -199,9 +207,8 @@
 		case err := <-s.failed:
 			return nil, err
 		case found := <-s.found:
-			s.searching = false
 			g.log.Info().Dur("after", time.Since(s.searchedAt)).Bool("found", found != nil).Msg("searched for a current control daemon")
-			if found != nil && found.firstUpdate.GetCurrent() && time.Since(s.currentAt) > staleControlTime {
+			if s.replacedBy(found) {
 				return found, &StaleControlError{Address: c.address, Behind: time.Since(s.currentAt)}
 			}
 			found.close()
@@ -228,7 +235,14 @@
 	found      chan *controlConn
 	searching  bool
 	searchedAt time.Time
-	updatedAt  time.Time
+	beganAt    time.Time
+	// hasState is set once the state of the control daemon has been applied.
+	hasState bool
+	// updatedAt is when the last update arrived, and receivedAt when progressBytes had last arrived in addition to counted ones.
+	updatedAt, receivedAt time.Time
+	counted               int64
+	// current reports whether the control daemon was current when last heard of, and currentAt when it last was.
+	current    bool
 	currentAt  time.Time
 	reportedAt time.Time
 	// ready, lingering, closing and stranded are the values in the last report.
@@ -266,19 +280,62 @@
 	if u == nil {
 		return
 	}
+	if !s.hasState {
+		// The table of gateways starts empty, as those that have gone since the previous session would never be reported as
+		// gone in this one.
+		clear(s.gateway.state.gateways)
+		s.hasState = true
+		s.gateway.log.Info().Str("control", s.control.address).Int("bytes", proto.Size(u)).Bool("current", u.GetCurrent()).
+			Dur("after", time.Since(s.beganAt)).Msg("state of control daemon received")
+	}
 	s.gateway.applyUpdate(s.control.address, u)
-	s.updatedAt = time.Now()
-	if u.GetCurrent() {
+	s.updatedAt, s.current = time.Now(), u.GetCurrent()
+	if s.current {
 		s.currentAt = s.updatedAt
 	}
 }
 
+// replacedBy reports whether a control daemon that a search has found takes the place of the present one, which may have become
+// current itself.
+func (s *session) replacedBy(found *controlConn) bool {
+	s.searching = false
+	if found == nil || !found.firstUpdate.GetCurrent() {
+		return false
+	}
+	if found.address == s.control.address {
+		s.current, s.currentAt = true, time.Now()
+		return false
+	}
+	return time.Since(s.currentAt) > staleControlTime
+}
+
+const (
+	// progressBytes is the number of bytes that show that an update is arriving: more than a connection without updates carries
+	// within controlTimeout.
+	progressBytes = 4 << 10
+	// maxUpdateTime bounds the time that one update takes to arrive.
+	maxUpdateTime = 10 * time.Second
+)
+
+// recordProgress records that a part of an update has arrived.
+func (s *session) recordProgress(now time.Time) {
+	received := s.control.received.Load()
+	if received-s.counted < progressBytes || now.Sub(s.updatedAt) > maxUpdateTime {
+		return
+	}
+	s.counted, s.receivedAt = received, now
+	if s.current {
+		s.currentAt = now
+	}
+}
+
 // check returns an error if the control daemon has timed out. It starts a search if the daemon is stale, and sends a
 // report if one is due.
 func (s *session) check(ctx context.Context, now time.Time) error {
 	g := s.gateway
-	if now.Sub(s.updatedAt) > controlTimeout {
-		return &SilentControlError{Address: s.control.address, Silence: now.Sub(s.updatedAt)}
+	s.recordProgress(now)
+	if silence := now.Sub(laterOf(s.updatedAt, s.receivedAt)); silence > controlTimeout {
+		return &SilentControlError{Address: s.control.address, Silence: silence}
 	}
 	if now.Sub(s.currentAt) > staleControlTime && now.Sub(s.searchedAt) > searchPeriod && !s.searching {
 		s.searchedAt, s.searching = now, true
@@ -290,8 +347,14 @@
 	if !due && ready == s.ready && lingering == s.lingering && closing == s.closing && stranded == s.stranded {
 		return nil
 	}
-	s.ready, s.lingering, s.closing, s.stranded, s.reportedAt = ready, lingering, closing, stranded, now
-	return s.control.stream.Send(g.report(now, withCapacity))
+	s.ready, s.lingering, s.closing, s.stranded = ready, lingering, closing, stranded
+	return s.sendReport(now, withCapacity)
+}
+
+// sendReport sends a report, which asks for the state if it is the first one of the session.
+func (s *session) sendReport(now time.Time, withCapacity bool) error {
+	s.reportedAt = now
+	return s.control.stream.Send(s.gateway.report(now, withCapacity))
 }
 
 // report returns the report to the control daemon, with the region's capacity if requested.
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -23,8 +23,10 @@
 	current bool
 	// silent is the number of initial sessions that get no update.
 	silent atomic.Int32
-	// first is the first update of each session; it is empty if nil.
+	// first is the first update of each session that is not brief; it is empty if nil.
 	first *wiregen.FleetUpdate
+	// earlier marks a daemon of a version that does not know brief updates.
+	earlier bool
 }
 
 func (c *testControl) Attend(session grpc.BidiStreamingServer[wiregen.GatewayReport, wiregen.FleetUpdate]) error {
@@ -33,6 +35,18 @@
 		<-session.Context().Done()
 		return session.Context().Err()
 	}
+	report, err := session.Recv()
+	if err != nil {
+		return err
+	}
+	if report.GetProbing() && !c.earlier {
+		if err := session.Send(&wiregen.FleetUpdate{Brief: true, Current: c.current, Sender: c.address}); err != nil {
+			return err
+		}
+		if report, err = session.Recv(); err != nil || report.GetProbing() {
+			return err
+		}
+	}
 	if c.first != nil {
 		if err := session.Send(c.first); err != nil {
 			return err
--- a/keys/dial.go
+++ b/keys/dial.go
@@ -23,9 +23,9 @@
 const WindowBytes = 4 << 20
 
 // Dial returns a connection to another process of the system that reconnects automatically; maxBytes bounds one
-// received message.
-func (s *Source) Dial(address string, maxBytes int) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
+// received message. Further options are applied as well.
+func (s *Source) Dial(address string, maxBytes int, options ...grpc.DialOption) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address, append([]grpc.DialOption{
 		grpc.WithTransportCredentials(s.Client(address)),
 		grpc.WithStaticStreamWindowSize(WindowBytes),
 		grpc.WithStaticConnWindowSize(WindowBytes),
@@ -33,5 +33,6 @@
 			Backoff:           backoff.Config{BaseDelay: firstDialDelay, Multiplier: dialMultiplier, Jitter: dialJitter, MaxDelay: maxDialDelay},
 			MinConnectTimeout: dialTimeout,
 		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxBytes)))
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxBytes)),
+	}, options...)...)
 }
