--- a/journal/journal.go
+++ b/journal/journal.go
@@ -111,8 +111,9 @@
 }
 
 // reopen opens the file for appending, and truncates it to j.size if truncate
-// is set. It syncs the file, since records that a crashed process wrote without
-// a sync have been read and must be durable before the caller relies on them.
+// is set. It syncs the file and the folder, since records that a crashed
+// process wrote, or a file that it renamed, without a sync have been read and
+// must be durable before the caller relies on them.
 func (j *Journal) reopen(truncate bool) error {
 	f, err := j.files.Append(fileName)
 	if err != nil {
@@ -124,6 +125,9 @@
 			return j.fail("truncation", fileName, err)
 		}
 	}
+	if err := j.files.Sync(); err != nil {
+		return j.fail("sync", "the folder", err)
+	}
 	return j.Sync()
 }
 
