--- a/control/quorum.go
+++ b/control/quorum.go
@@ -104,18 +104,22 @@
 	if err := q.install(r.Snapshot); err != nil {
 		return nil, err
 	}
-	q.node = consensus.New(consensus.Config{
-		Self:            consensus.ID{Name: cfg.Name, Disk: d.identity},
+	q.node = consensus.New(nodeConfig(cfg, d.identity), r, now(), rand.New(rand.NewPCG(uint64(now().UnixNano()), rand.Uint64())))
+	q.publishInventory()
+	q.publish(now())
+	q.log.Info().Int64("index", q.appliedIndex).Int64("version", q.Orders().Document().Version).Strs("evacuated", q.Orders().Evacuations().Domains).Msg("orders restored")
+	return q, nil
+}
+
+func nodeConfig(cfg Config, identity string) consensus.Config {
+	return consensus.Config{
+		Self:            consensus.ID{Name: cfg.Name, Disk: identity},
 		Address:         cfg.PeerAddress,
 		InitialVoters:   initialVoters(cfg),
 		Heartbeat:       cfg.Heartbeat,
 		ElectionTimeout: cfg.ElectionTimeout,
 		RetainedEntries: retainedEntries,
-	}, r, now(), rand.New(rand.NewPCG(uint64(now().UnixNano()), rand.Uint64())))
-	q.publishInventory()
-	q.publish(now())
-	q.log.Info().Int64("index", q.appliedIndex).Int64("version", q.Orders().Document().Version).Strs("evacuated", q.Orders().Evacuations().Domains).Msg("orders restored")
-	return q, nil
+	}
 }
 
 func initialVoters(cfg Config) []consensus.InitialVoter {
