Test control daemons whose disks are full

TestDaemonNotRestoredAfterFullDisk has the disks of five daemons be full in series, the leader's each second time, until each daemon has ended twice. Documents are accepted meanwhile, and in the end all daemons are voters and have the last document. TestMemberNotPromotedAfterFullDisk has a new daemon, and one that lost its disk, start on a disk that takes nothing or only its identity: it becomes a voter once the disk has room.

The daemons use sockets and real folders whose files return ENOSPC; for that a daemon opens its folder by a field.

--- a/control/control.go
+++ b/control/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -46,12 +47,28 @@
 	// inventoryMu is held for reading while a whole inventory is proposed and for writing while a patch is, so that
 	// no other change through this daemon comes between a patch's read and its proposal.
 	inventoryMu sync.RWMutex
-	done        chan struct{}
+	// openFolder opens and locks the data folder.
+	openFolder func(path string) (dataFolder, error)
+	done       chan struct{}
+}
+
+// dataFolder is the locked folder of a journal.
+type dataFolder interface {
+	journal.Files
+	io.Closer
+}
+
+func openDataFolder(path string) (dataFolder, error) {
+	folder, err := journal.OpenFolder(path)
+	if err != nil {
+		return nil, err
+	}
+	return folder, nil
 }
 
 // New returns a control daemon that starts when Run is called.
 func New(cfg Config, log zerolog.Logger, now func() time.Time) *Control {
-	return &Control{cfg: cfg, log: log, now: now, hub: relay.NewHub(cfg.Name, now), followers: newFollowers(), fleet: newFleetState(now), undecided: ring.New[fleet.LoggedDeparture](maxUndecidedDepartures), done: make(chan struct{})}
+	return &Control{cfg: cfg, log: log, now: now, hub: relay.NewHub(cfg.Name, now), followers: newFollowers(), fleet: newFleetState(now), undecided: ring.New[fleet.LoggedDeparture](maxUndecidedDepartures), openFolder: openDataFolder, done: make(chan struct{})}
 }
 
 // Done returns a channel that is closed when the daemon has stopped.
@@ -66,7 +83,7 @@
 	defer close(c.done)
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	folder, err := journal.OpenFolder(c.cfg.DataFolder)
+	folder, err := c.openFolder(c.cfg.DataFolder)
 	if err != nil {
 		return err
 	}
