Test a voter that is replaced while its disk is full

TestReplacedVoterNotReadmittedAfterFullDisk has a new daemon join while a voter's disk is full for more than the 6 s after which the leader removes a silent voter. Once the disk has room, the removed daemon is added and votes again.

--- a/control/fulldiskdaemons_test.go
+++ b/control/fulldiskdaemons_test.go
@@ -217,3 +217,35 @@
 		})
 	}
 }
+
+// TestReplacedVoterNotReadmittedAfterFullDisk has a daemon join while the disk of a voter is full for so long that the voter is
+// removed: the voter is added again once its disk has room.
+func TestReplacedVoterNotReadmittedAfterFullDisk(t *testing.T) {
+	cfgs := newConfigs(t, 3, 3)
+	var daemons []*restartedDaemon
+	for _, cfg := range cfgs[:5] {
+		daemons = append(daemons, keepRunning(t, cfg, unlimited))
+	}
+	waitForRestored(t, daemons, 0)
+	replaced := daemons[1]
+	replaced.room.Store(0)
+	version := int64(0)
+	waitFor(t, "the end of the daemon", func() bool {
+		version++
+		putAnywhere(t, daemons, version)
+		return replaced.ends.Load() > 0
+	})
+	added := keepRunning(t, cfgs[5], unlimited)
+	waitFor(t, "the removal of the voter", func() bool {
+		c := added.current.Load()
+		if c == nil {
+			return false
+		}
+		_, member := c.quorum.Status().Members.Find(replaced.cfg.Name)
+		return !member && added.restored(5, version)
+	})
+	replaced.room.Store(unlimited)
+	version++
+	putAnywhere(t, daemons, version)
+	waitForRestored(t, append(daemons, added), version)
+}
