--- a/control/diskloss_test.go
+++ b/control/diskloss_test.go
@@ -839,8 +839,8 @@
 	}
 }
 
-// TestChangesRefusedAfterFullDisks has each disk be full for a few seconds, one after another, from the first seconds on.
-func TestChangesRefusedAfterFullDisks(t *testing.T) {
+// TestChangesRefusedAfterFullDisksFromStart has each disk be full for a few seconds, one after another, from the first seconds on.
+func TestChangesRefusedAfterFullDisksFromStart(t *testing.T) {
 	for _, c := range []struct{ daemons, tolerated int }{{5, 1}, {9, 2}} {
 		t.Run(fmt.Sprint(c.daemons, " daemons"), func(t *testing.T) {
 			for seed := range uint64(12) {
