--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -39,12 +39,16 @@
 	flaggy.Int(&sizes.Gateways, "", "gateways", "Number of gateways; zero selects the default.")
 	flaggy.Int(&sizes.Endpoints, "", "endpoints", "Number of endpoints; zero selects the default.")
 	flaggy.Int(&sizes.Callers, "", "callers", "Number of callers; zero selects the default.")
-	run, regions := soak.Run, false
+	run, regions, kept := soak.Run, false, false
 	flaggy.Bool(&regions, "", "regions", "Restart the gateways of regions instead, under callers that ask the directories.")
+	flaggy.Bool(&kept, "", "kept", "Do planned work alone instead, under callers that keep their connections.")
 	flaggy.Parse()
 	if regions {
 		run = soak.RunRegions
 	}
+	if kept {
+		run = soak.RunKept
+	}
 	if dir == "" {
 		tempDir, err := os.MkdirTemp("", "soak")
 		if err != nil {
