Leave answers to the kernel at the end of the grace period

Callers saw: an answer cut off in the middle when a gateway ended that had long received all of it, if they had not read it by then.

Cause: what a caller hasn't read lies in the gateway, as the send buffer of its socket is kept small, and is lost with the process.

Evidence: TestSlowReaderCutAtGraceEnd failed before: 40,818 and 42,866 of 153,600 bytes in two runs. It passes with the change.

Why this works: 0.5 s before the end of the grace period the send buffers of answers in progress grow, as far as the kernel allows, so that it takes over the rest of a buffered answer and sends it also after the process has ended. The bytes were held in the process before.

--- a/gateway/closing.go
+++ b/gateway/closing.go
@@ -101,3 +101,12 @@
 	j.giveUp(problem.Stopping, "the grace period of the gateway is over")
 	return true
 }
+
+// hurry is called when the grace period is nearly over. It ends the attempts of a request without an answer.
+func (j *job) hurry(cancel context.CancelFunc) {
+	if !j.w.begun.Load() || j.takesBack {
+		cancel()
+		return
+	}
+	growSocketBuffer(j.r)
+}
--- a/gateway/closing_test.go
+++ b/gateway/closing_test.go
@@ -1,11 +1,16 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -210,3 +215,35 @@
 		t.Errorf("%d runs, want 2", runs)
 	}
 }
+
+// TestSlowReaderCutAtGraceEnd guards against a caller that loses an answer which the gateway has whole, because the caller has not read
+// all of it when the grace period ends.
+func TestSlowReaderCutAtGraceEnd(t *testing.T) {
+	body := strings.Repeat("x", 150<<10)
+	endpoint := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+		c.plain(r.Header.Get("Id"), http.StatusOK, body)
+		return true
+	})
+	g := newGateway(t, testTable(t, nil), endpoint)
+	g.cfg.Grace = 1500 * time.Millisecond
+	server := serveTCP(t, g, false)
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	conn, err := dialer.Dial("tcp", server.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /unsafe/x HTTP/1.1\r\nHost: %s\r\nId: slow\r\nPatience: 5000\r\nContent-Length: 0\r\n\r\n", testHost)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	g.stop()
+	g.closeServers(time.Unix(0, g.stopBeganNanos.Load()).Add(g.cfg.Grace-stopMargin), server.Server)
+	if got, err := io.ReadAll(answer.Body); err != nil || string(got) != body {
+		t.Errorf("%d of %d bytes, %v", len(got), len(body), err)
+	}
+}
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -186,12 +186,24 @@
 	_ = http.NewResponseController(j.w).SetWriteDeadline(j.deadline.Add(unreadAnswerTime))
 }
 
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
 // limitSocketBuffers bounds what the kernel holds for a caller that does not read.
 func limitSocketBuffers(ctx context.Context, c net.Conn) context.Context {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetWriteBuffer(callerWriteBuffer)
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return ctx
+	}
+	_ = tcp.SetWriteBuffer(callerWriteBuffer)
+	return context.WithValue(ctx, connKey{}, tcp)
+}
+
+// growSocketBuffer has the kernel take the rest of a buffered answer, which it goes on sending when the process has ended.
+func growSocketBuffer(r *http.Request) {
+	if tcp, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(maxBufferedBytes)
 	}
-	return ctx
 }
 
 // instanceFull is the answer to a large request for which there is no memory.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -143,11 +143,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	j.ctx = ctx
-	defer context.AfterFunc(g.answerCtx, func() {
-		if !j.w.begun.Load() || j.takesBack {
-			cancel()
-		}
-	})()
+	defer context.AfterFunc(g.answerCtx, func() { j.hurry(cancel) })()
 	j.run()
 	if j.sends > 0 && j.route.Kind != routes.Stream {
 		ended := time.Now()
