Break off at a stop only streams that another gateway goes on with

Callers saw, found by the review: forwarded answers over 1 MB and streams without event IDs that were cut 0.2 s before the gateway's servers are closed, although their endpoint would have completed them in that time; and a stream that an endpoint could end with the comment by which gateways hand streams back.

Cause: the header by which a gateway says that it goes on with a stream was sent for every request that may be repeated, and any such request was ended early. A gateway passed on comments of endpoints that look like its own.

Evidence: TestAnswerNotHandedBackCut and TestEndpointHandsStreamBack failed before.

Why this works: the header is sent for streams only, and a stream is ended early once it has an event that another endpoint can go on after. A comment of this form is dropped unless it comes from a gateway.

--- a/gateway/closing.go
+++ b/gateway/closing.go
@@ -102,9 +102,10 @@
 	return true
 }
 
-// hurry is called when the grace period is nearly over. It ends the attempts of a request without an answer.
+// hurry is called when the grace period is nearly over. It ends the attempts of a request without an answer, and of a stream that is
+// handed back.
 func (j *job) hurry(cancel context.CancelFunc) {
-	if !j.w.begun.Load() || j.takesBack {
+	if !j.w.begun.Load() || j.mayHandBack() {
 		cancel()
 		return
 	}
--- a/gateway/handback.go
+++ b/gateway/handback.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"net/http"
 	"strconv"
+
+	"arbutusreel/routes"
 )
 
 // handBackPrefix begins the comment with which a stopping gateway ends a stream that another gateway may go on with. The number of
@@ -24,7 +26,7 @@
 }
 
 // mayHandBack reports whether the gateway that forwarded the stream goes on with it once this one stops.
-func (j *job) mayHandBack() bool { return j.takesBack && j.streaming() && j.stream.events.Resumable() }
+func (j *job) mayHandBack() bool { return j.handable.Load() }
 
 // handBack ends a stream that another gateway goes on with. It does not return.
 func (j *job) handBack() {
@@ -34,9 +36,9 @@
 	j.w.abort(j.r)
 }
 
-// setTakesBackHeader tells another gateway whether this one can go on with the request if it is handed back.
+// setTakesBackHeader tells another gateway whether this one can go on with a stream that is handed back.
 func (j *job) setTakesBackHeader(h http.Header) {
-	if j.route.Repeatable() && j.chargedRuns > 1 {
+	if j.route.Kind == routes.Stream && j.route.Repeatable() && j.chargedRuns > 1 {
 		h.Set(takesBackHeader, "1")
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -105,8 +105,9 @@
 				return event{}, err
 			}
 			return e, s.events.Accept(e.id)
-		case forwarded && bytes.HasPrefix(e.raw, []byte(handBackPrefix)):
-			if runs, ok := parseHandBack(e.raw); ok {
+		case bytes.HasPrefix(e.raw, []byte(handBackPrefix)):
+			// Only another gateway may hand a stream back; such a comment of an endpoint is dropped.
+			if runs, ok := parseHandBack(e.raw); ok && forwarded {
 				return event{}, &HandedBackError{Runs: runs}
 			}
 		case s.events.AcceptComment():
@@ -135,6 +136,7 @@
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
 		return &CallerError{Cause: err}
 	}
+	j.handable.Store(j.takesBack && s.events.Resumable())
 	return nil
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"arbutusreel/capacity"
@@ -74,6 +75,8 @@
 	firstMoved, counted bool
 	// takesBack reports that the gateway which forwarded the request goes on with a stream that is handed back.
 	takesBack bool
+	// handable is set once the stream can be handed back.
+	handable atomic.Bool
 	// draw is the random number in [0, 1) that selects one of the route's services.
 	draw     float64
 	received time.Time
