Bound the open connections of the platform's processes

Callers saw: a process opened a descriptor for each connection that anybody made, and limits.max_fds was not read. 800 clients that send nothing took 817 to 819 of 500 allowed descriptors at each listener, 800 that keep their connection 818 to 945, and 800 that do not read 575 to 1,561 (7 to 62 s to answer an ordinary request, or none).

Cause: http.Server accepts without a bound, and no part of the process knew how many connections there were.

The pure package intake orders the open connections by what they are doing. When there is no place, the first of this order yields: without a whole request (oldest first), idle (longest first), a client that has not read for 2 s. A request in progress never yields, so that ordinary callers keep their answers. acceptor applies this at all HTTP listeners of a process together. It costs one lock for each change of a connection's phase and none for a read or a write.

TestCallerLockedOut, TestRequestInProgressShed and TestRegisterBounds are new with the code.

--- /dev/null
+++ b/acceptor/acceptor.go
@@ -0,0 +1,146 @@
+package acceptor
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"arbutusreel/intake"
+)
+
+// stallTime is how long a write to a client takes until the client counts as one that does not read.
+const stallTime = 2 * time.Second
+
+// Acceptor bounds the connections of a process.
+type Acceptor struct {
+	now func() time.Time
+	// shed and refused count the connections that were closed for others, and those that were not accepted.
+	shed, refused atomic.Int64
+
+	mu       sync.Mutex
+	register *intake.Register[*Conn]
+}
+
+// New returns an acceptor without connections.
+func New(limits intake.Limits, now func() time.Time) *Acceptor {
+	return &Acceptor{now: now, register: intake.New[*Conn](limits)}
+}
+
+// Counts are the numbers of connections of an acceptor.
+type Counts struct {
+	// Waiting, Idle and Serving are the open connections by phase.
+	Waiting int `json:"waiting"`
+	Idle    int `json:"idle"`
+	Serving int `json:"serving"`
+	// Shed and Refused are the connections closed for others, and those closed when they were accepted, since the start.
+	Shed    int64 `json:"shed"`
+	Refused int64 `json:"refused"`
+}
+
+// Counts returns the present counts.
+func (a *Acceptor) Counts() Counts {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Counts{
+		Waiting: a.register.Count(intake.Waiting), Idle: a.register.Count(intake.Idle), Serving: a.register.Count(intake.Serving),
+		Shed: a.shed.Load(), Refused: a.refused.Load(),
+	}
+}
+
+// Listener returns a listener that accepts the TCP connections of l within the bounds. Configure must be called on the
+// server that uses it. A nil acceptor sets no bounds and returns l.
+func (a *Acceptor) Listener(l net.Listener) net.Listener {
+	if a == nil {
+		return l
+	}
+	return listener{Listener: l, acceptor: a}
+}
+
+// Configure prepares a server, so that the acceptor knows what its connections are doing.
+func (a *Acceptor) Configure(s *http.Server) {
+	if a == nil {
+		return
+	}
+	s.ConnState = a.connState
+	s.Handler = a.handler(s.Handler)
+	before := s.ConnContext
+	s.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		if before != nil {
+			ctx = before(ctx, nc)
+		}
+		return withConn(ctx, nc)
+	}
+}
+
+type listener struct {
+	net.Listener
+
+	acceptor *Acceptor
+}
+
+// Accept returns the next connection that is not refused.
+func (l listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			return c, nil
+		}
+		if accepted := l.acceptor.open(tcp); accepted != nil {
+			return accepted, nil
+		}
+		l.acceptor.refused.Add(1)
+		_ = c.Close()
+	}
+}
+
+// open registers a connection; it returns nil if the connection is refused.
+func (a *Acceptor) open(tcp *net.TCPConn) *Conn {
+	c := &Conn{TCPConn: tcp, acceptor: a}
+	now := a.now()
+	a.mu.Lock()
+	entry, closing := a.register.Open(c, func(c *Conn) bool { return c.stalled(now) })
+	c.entry = entry
+	a.mu.Unlock()
+	if closing != nil {
+		a.close(closing.Conn)
+	}
+	if entry == nil {
+		return nil
+	}
+	return c
+}
+
+// close closes a connection that the register has given up.
+func (a *Acceptor) close(c *Conn) {
+	a.shed.Add(1)
+	_ = c.TCPConn.Close()
+}
+
+func (a *Acceptor) enter(c *Conn, p intake.Phase) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.register.Enter(c.entry, p)
+}
+
+// connState records the changes of a server's connections.
+func (a *Acceptor) connState(nc net.Conn, state http.ConnState) {
+	if c := connOf(nc); c != nil && state == http.StateIdle {
+		a.enter(c, intake.Idle)
+	}
+}
+
+// connOf returns the connection below one of a server, or nil if it was not accepted here.
+func connOf(nc net.Conn) *Conn {
+	if wrapped, ok := nc.(interface{ NetConn() net.Conn }); ok {
+		nc = wrapped.NetConn()
+	}
+	c, _ := nc.(*Conn)
+	return c
+}
--- /dev/null
+++ b/acceptor/acceptor_test.go
@@ -0,0 +1,154 @@
+package acceptor
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"arbutusreel/intake"
+)
+
+const waitTime = 20 * time.Second
+
+// newServer starts a server with an acceptor; requests under /wait end when wait is closed.
+func newServer(t *testing.T, limits intake.Limits, wait <-chan struct{}) (a *Acceptor, address string) {
+	t.Helper()
+	a = New(limits, time.Now)
+	s := &http.Server{ReadHeaderTimeout: waitTime, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if r.URL.Path == "/wait" {
+			<-wait
+		}
+		fmt.Fprintf(w, "%s %d", r.URL.Path, len(b))
+	})}
+	a.Configure(s)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(a.Listener(l)) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return a, l.Addr().String()
+}
+
+type testConn struct {
+	net.Conn
+
+	t *testing.T
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *testConn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(waitTime))
+	return &testConn{Conn: c, t: t, r: bufio.NewReader(c)}
+}
+
+func (c *testConn) send(text string) { _, _ = io.WriteString(c, text) }
+
+// expect reads an answer with a body.
+func (c *testConn) expect(body string) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		c.t.Fatalf("want %q: %v", body, err)
+	}
+	defer resp.Body.Close()
+	if got, err := io.ReadAll(resp.Body); err != nil || string(got) != body {
+		c.t.Fatalf("got %q, %v, want %q", got, err, body)
+	}
+}
+
+// expectClosed waits until the server has closed the connection.
+func (c *testConn) expectClosed() {
+	c.t.Helper()
+	if n, err := c.r.Read(make([]byte, 1)); n > 0 || err == nil || isTimeout(err) {
+		c.t.Errorf("the connection is open: %v", err)
+	}
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
+func until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitTime); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out waiting until %s", what)
+		}
+	}
+}
+
+const get = "GET %s HTTP/1.1\r\nHost: a\r\n\r\n"
+
+// TestCallerLockedOut guards against a listener whose connections are all taken by clients that send nothing, a part of a
+// head or a part of a body.
+func TestCallerLockedOut(t *testing.T) {
+	a, address := newServer(t, intake.Limits{Connections: 3}, nil)
+	for i, start := range []string{"", "GET / HTTP/1.1\r\nHost", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc"} {
+		dial(t, address).send(start)
+		until(t, "it is accepted", func() bool { return a.Counts().Waiting == i+1 })
+	}
+	for range 5 {
+		c := dial(t, address)
+		c.send(fmt.Sprintf(get, "/x"))
+		c.expect("/x 0")
+		until(t, "it is idle", func() bool { return a.Counts().Idle > 0 })
+	}
+	if counts := a.Counts(); counts.Waiting+counts.Idle+counts.Serving > 3 || counts.Shed != 5 {
+		t.Errorf("%+v", counts)
+	}
+}
+
+// TestRequestInProgressShed guards against an answer that is lost because a connection had to yield.
+func TestRequestInProgressShed(t *testing.T) {
+	wait := make(chan struct{})
+	a, address := newServer(t, intake.Limits{Connections: 2}, wait)
+	var inProgress []*testConn
+	for i := range 2 {
+		c := dial(t, address)
+		c.send("POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+		until(t, "it is served", func() bool { return a.Counts().Serving == i+1 })
+		inProgress = append(inProgress, c)
+	}
+	dial(t, address).expectClosed()
+	close(wait)
+	for _, c := range inProgress {
+		c.expect("/wait 3")
+	}
+	if got := a.Counts().Refused; got != 1 {
+		t.Errorf("%d connections were refused, want 1", got)
+	}
+}
+
+// TestKeptConnections guards against requests on one connection that are mistaken for one another: in one write, and cut at any
+// byte.
+func TestKeptConnections(t *testing.T) {
+	_, address := newServer(t, intake.Limits{Connections: 4}, nil)
+	text := fmt.Sprintf(get, "/1") + "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n\r\n\r\n" + "POST /3 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n" + fmt.Sprintf(get, "/4")
+	for cut := 0; cut <= len(text); cut += 5 {
+		c := dial(t, address)
+		c.send(text[:cut])
+		time.Sleep(time.Millisecond)
+		c.send(text[cut:])
+		for _, want := range []string{"/1 0", "/2 4", "/3 2", "/4 0"} {
+			c.expect(want)
+		}
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/acceptor/handler.go
@@ -0,0 +1,58 @@
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+
+	"arbutusreel/intake"
+)
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// handler returns a handler that records when the whole request has been read.
+func (a *Acceptor) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(connKey{}).(*Conn)
+		switch {
+		case c == nil:
+		case r.ContentLength == 0:
+			a.enter(c, intake.Serving)
+		default:
+			a.enter(c, intake.Waiting)
+			// The server looks at the body of its own request to decide whether to read the rest of it.
+			withBody := *r
+			withBody.Body = &body{ReadCloser: r.Body, whole: func() { a.enter(c, intake.Serving) }}
+			r = &withBody
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// withConn adds the connection to the context of its requests.
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	if c := connOf(nc); c != nil {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
+// body is the body of a request.
+type body struct {
+	io.ReadCloser
+
+	whole func()
+}
+
+// Read reads from the body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && b.whole != nil {
+		b.whole()
+		b.whole = nil
+	}
+	return n, err
+}
--- a/control/config.go
+++ b/control/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"arbutusreel/acceptor"
 	"arbutusreel/decision"
 	"arbutusreel/keys"
 )
@@ -31,4 +32,6 @@
 	PlacementPeriod     time.Duration
 	Keys                *keys.Source
 	Decisions           *decision.Store
+	// Connections bounds the connections of the process; nil sets no bound.
+	Connections *acceptor.Acceptor
 }
--- a/control/control.go
+++ b/control/control.go
@@ -174,7 +174,7 @@
 	}
 	s := &servers{
 		operators:        &http.Server{Handler: c.operatorHandler(), ReadHeaderTimeout: headerTimeout},
-		operatorListener: c.cfg.Keys.Listener(operators),
+		operatorListener: c.cfg.Keys.Listener(c.cfg.Connections.Listener(operators)),
 		peers: grpc.NewServer(
 			grpc.MaxRecvMsgSize(maxMessageBytes),
 			grpc.Creds(c.cfg.Keys.Server()),
@@ -186,6 +186,7 @@
 		),
 		peerListener: peers,
 	}
+	c.cfg.Connections.Configure(s.operators)
 	wiregen.RegisterConfigurationServer(s.peers, relay.NewServer(c.hub, c.acceptFollower, done))
 	wiregen.RegisterConsensusServer(s.peers, c)
 	wiregen.RegisterFleetServer(s.peers, fleetServer{Control: c})
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"arbutusreel/acceptor"
 	"arbutusreel/access"
 	"arbutusreel/capacity"
 	"arbutusreel/configuration"
@@ -60,6 +61,8 @@
 	MemoryBytes int64
 	Keys        *keys.Source
 	Metrics     *metrics.Set
+	// Connections bounds the connections of the process; nil sets no bound.
+	Connections *acceptor.Acceptor
 }
 
 // Call holds what a caller's headers say about its request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -209,7 +209,7 @@
 	loadServer := newLoadServer(g.cfg.Keys)
 	wiregen.RegisterOutstandingServer(loadServer, g)
 	for i, l := range []net.Listener{callers, forwarded} {
-		g.wg.Go(func() { g.serveHTTP(servers[i], l) })
+		g.wg.Go(func() { g.serveHTTP(servers[i], g.cfg.Connections.Listener(l)) })
 	}
 	g.wg.Go(func() { _ = loadServer.Serve(loads) })
 	g.wg.Go(func() { g.subscribe(g.workCtx) })
@@ -246,10 +246,12 @@
 const maxHeaderBytes = 64 << 10
 
 func (g *Gateway) server(handler http.HandlerFunc) *http.Server {
-	return &http.Server{
+	s := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: limitSocketBuffers, ErrorLog: nil, DisableGeneralOptionsHandler: true,
 	}
+	g.cfg.Connections.Configure(s)
+	return s
 }
 
 func (g *Gateway) serveHTTP(s *http.Server, l net.Listener) {
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -131,7 +131,7 @@
 func (w *answerWriter) abort(r *http.Request) {
 	if !r.ProtoAtLeast(1, 1) {
 		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			if tcp, ok := c.(*net.TCPConn); ok {
+			if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 				_ = tcp.SetLinger(0)
 			}
 			_ = c.Close()
@@ -180,7 +180,7 @@
 
 // limitSocketBuffers bounds what the kernel holds for a caller that does not read.
 func limitSocketBuffers(ctx context.Context, c net.Conn) context.Context {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := c.(interface{ SetWriteBuffer(bytes int) error }); ok {
 		_ = tcp.SetWriteBuffer(callerWriteBuffer)
 	}
 	return ctx
--- /dev/null
+++ b/intake/register.go
@@ -0,0 +1,111 @@
+package intake
+
+// Phase is what a connection is doing.
+type Phase int
+
+// Phases of a connection, in the order in which connections are given up.
+const (
+	// Waiting connections have not sent a whole request yet.
+	Waiting Phase = iota
+	// Idle connections are kept open after a request was answered.
+	Idle
+	// Serving connections have a request in progress.
+	Serving
+
+	phases
+)
+
+// Entry is the place of one connection in a Register.
+type Entry[C any] struct {
+	// Conn is the connection.
+	Conn C
+
+	phase      Phase
+	closed     bool
+	prev, next *Entry[C]
+}
+
+// Register holds the open connections of a process.
+type Register[C any] struct {
+	limits Limits
+	// lists are circular, with a sentinel, and have the entry that is longest in its phase first.
+	lists  [phases]Entry[C]
+	counts [phases]int
+}
+
+// New returns a register without connections.
+func New[C any](limits Limits) *Register[C] {
+	r := &Register[C]{limits: limits}
+	for i := range r.lists {
+		r.lists[i].prev, r.lists[i].next = &r.lists[i], &r.lists[i]
+	}
+	return r
+}
+
+// Count returns the number of connections in a phase.
+func (r *Register[C]) Count(p Phase) int { return r.counts[p] }
+
+func (r *Register[C]) total() int { return r.counts[Waiting] + r.counts[Idle] + r.counts[Serving] }
+
+// Open adds a connection and returns its entry, and the connection to close in its place if there are too many. The
+// entry is nil if no other connection may be given up, so that the new one must be closed. stalled reports whether the
+// client of a connection with a request in progress does not read.
+func (r *Register[C]) Open(c C, stalled func(C) bool) (entry, closing *Entry[C]) {
+	if n := r.limits.Connections; n > 0 && r.total() >= n {
+		closing = r.choose(stalled)
+		if closing == nil {
+			return nil, nil
+		}
+		r.Close(closing)
+	}
+	entry = &Entry[C]{Conn: c}
+	r.push(entry, Waiting)
+	return entry, closing
+}
+
+// choose returns the connection that is given up first, or nil if there is none.
+func (r *Register[C]) choose(stalled func(C) bool) *Entry[C] {
+	for _, p := range []Phase{Waiting, Idle} {
+		if r.counts[p] > 0 {
+			return r.lists[p].next
+		}
+	}
+	for e := r.lists[Serving].next; e != &r.lists[Serving]; e = e.next {
+		if stalled(e.Conn) {
+			return e
+		}
+	}
+	return nil
+}
+
+// Enter moves a connection to a phase.
+func (r *Register[C]) Enter(e *Entry[C], p Phase) {
+	if e.closed || e.phase == p {
+		return
+	}
+	r.remove(e)
+	r.push(e, p)
+}
+
+// Close removes a connection. It does nothing if it was removed before.
+func (r *Register[C]) Close(e *Entry[C]) {
+	if e.closed {
+		return
+	}
+	e.closed = true
+	r.remove(e)
+}
+
+func (r *Register[C]) push(e *Entry[C], p Phase) {
+	list := &r.lists[p]
+	e.phase = p
+	e.prev, e.next = list.prev, list
+	list.prev.next, list.prev = e, e
+	r.counts[p]++
+}
+
+func (r *Register[C]) remove(e *Entry[C]) {
+	e.prev.next, e.next.prev = e.next, e.prev
+	e.prev, e.next = nil, nil
+	r.counts[e.phase]--
+}
--- /dev/null
+++ b/intake/register_test.go
@@ -0,0 +1,84 @@
+package intake
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func never(string) bool { return false }
+
+func open(t *testing.T, r *Register[string], name string, p Phase) *Entry[string] {
+	t.Helper()
+	e, _ := r.Open(name, never)
+	if e == nil {
+		t.Fatalf("%s is refused", name)
+	}
+	r.Enter(e, p)
+	return e
+}
+
+// TestCallersShedBeforeSilentConnections guards against a full process that closes connections of ordinary callers while it
+// holds some that sent nothing.
+func TestCallersShedBeforeSilentConnections(t *testing.T) {
+	r := New[string](Limits{Connections: 5})
+	stalled := map[string]bool{"unread": true}
+	for _, c := range []struct {
+		name  string
+		phase Phase
+	}{{"serving", Serving}, {"unread", Serving}, {"kept", Idle}, {"older", Waiting}, {"newer", Waiting}} {
+		open(t, r, c.name, c.phase)
+	}
+	for _, want := range []string{"older", "newer", "kept", "unread"} {
+		e, closing := r.Open("caller", func(name string) bool { return stalled[name] })
+		if e == nil || closing == nil || closing.Conn != want {
+			t.Fatalf("closed %+v, want %s", closing, want)
+		}
+		r.Enter(e, Serving)
+	}
+	if e, closing := r.Open("caller", never); e != nil || closing != nil {
+		t.Errorf("a request in progress was given up: %+v", closing)
+	}
+}
+
+// TestRegisterBounds checks with any sequence of events that the bounds hold and that the counts match the connections.
+func TestRegisterBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Connections: rapid.IntRange(1, 8).Draw(t, "connections")}
+		r := New[string](limits)
+		open := map[*Entry[string]]Phase{}
+		drop := func(e *Entry[string]) {
+			if _, ok := open[e]; e != nil && !ok {
+				t.Fatal("a connection was closed twice")
+			}
+			delete(open, e)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			known := make([]*Entry[string], 0, len(open))
+			for e := range open {
+				known = append(known, e)
+			}
+			action := rapid.IntRange(0, 2).Draw(t, "action")
+			if action == 0 || len(known) == 0 {
+				e, closing := r.Open("", func(string) bool { return false })
+				drop(closing)
+				if e != nil {
+					open[e] = Waiting
+				}
+				continue
+			}
+			e := known[rapid.IntRange(0, len(known)-1).Draw(t, "entry")]
+			switch action {
+			case 1:
+				open[e] = Phase(rapid.IntRange(0, int(phases)-1).Draw(t, "phase"))
+				r.Enter(e, open[e])
+			case 2:
+				r.Close(e)
+				drop(e)
+			}
+			if r.total() != len(open) || r.total() > limits.Connections {
+				t.Fatalf("%d connections of %d", r.total(), len(open))
+			}
+		}
+	})
+}
