Bound the memory of requests' heads

Callers saw: unfinished heads of 60 KB in short lines took 246 to 498 MB of 96 MB at each HTTP listener of gateways and control daemons, whole heads of 15 KB with a body that trickles 133 to 257 MB.

Cause: each head had a bound of 64 KB, their sum none, and net/http keeps a parsed line in up to 256 bytes.

What a head costs is counted while it is read, 2 bytes for each byte and 256 for each line, and held until the request ends. Heads of up to 8 KB by this count are not counted, which ordinary ones stay below, so that they cost no lock. Beyond a sixteenth of the process's memory the oldest heads without a whole request yield, and at last the new one. A single head of 16 KB in the shortest lines counts as 1 MB of at least 2 MB.

TestHeadsHeldTogether and TestHeadsShedOldest are new with the code.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -29,12 +29,14 @@
 	return &Acceptor{now: now, register: intake.New[*Conn](limits)}
 }
 
-// Counts are the numbers of connections of an acceptor.
+// Counts are the numbers of connections and bytes of an acceptor.
 type Counts struct {
 	// Waiting, Idle and Serving are the open connections by phase.
 	Waiting int `json:"waiting"`
 	Idle    int `json:"idle"`
 	Serving int `json:"serving"`
+	// HeadBytes is the memory that large heads count for.
+	HeadBytes int64 `json:"headBytes"`
 	// Shed and Refused are the connections closed for others, and those closed when they were accepted, since the start.
 	Shed    int64 `json:"shed"`
 	Refused int64 `json:"refused"`
@@ -46,7 +48,7 @@
 	defer a.mu.Unlock()
 	return Counts{
 		Waiting: a.register.Count(intake.Waiting), Idle: a.register.Count(intake.Idle), Serving: a.register.Count(intake.Serving),
-		Shed: a.shed.Load(), Refused: a.refused.Load(),
+		HeadBytes: a.register.HeadCost(), Shed: a.shed.Load(), Refused: a.refused.Load(),
 	}
 }
 
@@ -103,6 +105,7 @@
 // open registers a connection; it returns nil if the connection is refused.
 func (a *Acceptor) open(tcp *net.TCPConn) *Conn {
 	c := &Conn{TCPConn: tcp, acceptor: a}
+	c.readsHead.Store(true)
 	now := a.now()
 	a.mu.Lock()
 	entry, closing := a.register.Open(c, func(c *Conn) bool { return c.stalled(now) })
@@ -131,8 +134,18 @@
 
 // connState records the changes of a server's connections.
 func (a *Acceptor) connState(nc net.Conn, state http.ConnState) {
-	if c := connOf(nc); c != nil && state == http.StateIdle {
+	c := connOf(nc)
+	if c == nil {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.readsHead.Store(false)
+	case http.StateIdle:
+		c.head = intake.Head{}
+		c.readsHead.Store(true)
 		a.enter(c, intake.Idle)
+	default:
 	}
 }
 
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -139,7 +140,7 @@
 // TestKeptConnections guards against requests on one connection that are mistaken for one another: in one write, and cut at any
 // byte.
 func TestKeptConnections(t *testing.T) {
-	_, address := newServer(t, intake.Limits{Connections: 4}, nil)
+	_, address := newServer(t, intake.Limits{Connections: 4, HeadBytes: 1 << 20}, nil)
 	text := fmt.Sprintf(get, "/1") + "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n\r\n\r\n" + "POST /3 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n" + fmt.Sprintf(get, "/4")
 	for cut := 0; cut <= len(text); cut += 5 {
 		c := dial(t, address)
@@ -152,3 +153,20 @@
 		_ = c.Close()
 	}
 }
+
+// TestHeadsHeldTogether guards against heads that are each within the limit and together take any memory.
+func TestHeadsHeldTogether(t *testing.T) {
+	const bound = 4 << 20
+	a, address := newServer(t, intake.Limits{Connections: 100, HeadBytes: bound}, nil)
+	head := "GET /x HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\r\n", 3000)
+	for range 20 {
+		dial(t, address).send(head)
+	}
+	until(t, "connections are closed", func() bool { return a.Counts().Shed >= 14 })
+	if got := a.Counts().HeadBytes; got > bound {
+		t.Errorf("%d bytes of heads are held", got)
+	}
+	c := dial(t, address)
+	c.send(head + "\r\n")
+	c.expect("/x 0")
+}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -15,6 +15,9 @@
 
 	acceptor *Acceptor
 	entry    *intake.Entry[*Conn]
+	// readsHead is set while the server reads the head of a request. Only then does the connection's one reader use head.
+	readsHead atomic.Bool
+	head      intake.Head
 	// writes is odd during a write, and grows with each one.
 	writes atomic.Int64
 	// seenWrites and seenAt are the write that stalled has seen in progress, and when it saw it first.
@@ -22,6 +25,31 @@
 	seenAt     time.Time
 }
 
+// Read reads from the client.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 && c.readsHead.Load() {
+		c.countHead(b[:n])
+	}
+	return n, err
+}
+
+// countHead counts a part of the head of a request. If that closes the connection, the next read of the server fails.
+func (c *Conn) countHead(b []byte) {
+	c.head = c.head.With(b)
+	cost := c.head.Cost()
+	if cost == 0 {
+		return
+	}
+	a := c.acceptor
+	a.mu.Lock()
+	closing := a.register.GrowHead(c.entry, cost)
+	a.mu.Unlock()
+	for _, e := range closing {
+		a.close(e.Conn)
+	}
+}
+
 // Write writes to the client.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.writes.Add(1)
--- a/intake/doc.go
+++ b/intake/doc.go
@@ -1,4 +1,5 @@
-// Package intake decides which connections a process keeps when clients open too many of them.
+// Package intake decides which connections a process keeps when clients open too many of them, or when the heads of
+// their requests take too much memory.
 //
 // A Register holds the open connections in the order in which they are given up: first those that have not sent a whole
 // request, the oldest first; then those that are idle between two requests; and then those with a request in progress
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -6,18 +6,24 @@
 	reservedDescriptors = 64
 	// connectionsPerRequest are the descriptors that one request may need: the caller's connection and that to an endpoint.
 	connectionsPerRequest = 2
-	minConnections        = 16
+	// headMemoryShare is the part of a process's memory that heads may take.
+	headMemoryShare = 16
+	minConnections  = 16
+	minHeadBytes    = 2 << 20
 )
 
 // Limits bounds what a process holds for its clients. Zero values set no bound.
 type Limits struct {
 	// Connections is the greatest number of open connections.
 	Connections int
+	// HeadBytes bounds the memory of large heads, in bytes.
+	HeadBytes int64
 }
 
-// LimitsFor returns the limits of a process that may use a number of descriptors.
-func LimitsFor(descriptors int) Limits {
+// LimitsFor returns the limits of a process that may use a number of descriptors and bytes of memory.
+func LimitsFor(descriptors int, memoryBytes int64) Limits {
 	return Limits{
 		Connections: max((descriptors-reservedDescriptors)/connectionsPerRequest, minConnections),
+		HeadBytes:   max(memoryBytes/headMemoryShare, minHeadBytes),
 	}
 }
--- a/intake/register.go
+++ b/intake/register.go
@@ -21,16 +21,21 @@
 	Conn C
 
 	phase      Phase
+	headCost   int64
 	closed     bool
 	prev, next *Entry[C]
+	// prevHead and nextHead link the entries whose heads count, the oldest first.
+	prevHead, nextHead *Entry[C]
 }
 
 // Register holds the open connections of a process.
 type Register[C any] struct {
 	limits Limits
 	// lists are circular, with a sentinel, and have the entry that is longest in its phase first.
-	lists  [phases]Entry[C]
-	counts [phases]int
+	lists    [phases]Entry[C]
+	counts   [phases]int
+	heads    Entry[C]
+	headCost int64
 }
 
 // New returns a register without connections.
@@ -39,12 +44,16 @@
 	for i := range r.lists {
 		r.lists[i].prev, r.lists[i].next = &r.lists[i], &r.lists[i]
 	}
+	r.heads.prevHead, r.heads.nextHead = &r.heads, &r.heads
 	return r
 }
 
 // Count returns the number of connections in a phase.
 func (r *Register[C]) Count(p Phase) int { return r.counts[p] }
 
+// HeadCost returns the memory that heads count for, in bytes.
+func (r *Register[C]) HeadCost() int64 { return r.headCost }
+
 func (r *Register[C]) total() int { return r.counts[Waiting] + r.counts[Idle] + r.counts[Serving] }
 
 // Open adds a connection and returns its entry, and the connection to close in its place if there are too many. The
@@ -78,15 +87,49 @@
 	return nil
 }
 
-// Enter moves a connection to a phase.
+// Enter moves a connection to a phase. One that becomes idle no longer holds a head.
 func (r *Register[C]) Enter(e *Entry[C], p Phase) {
 	if e.closed || e.phase == p {
 		return
 	}
 	r.remove(e)
 	r.push(e, p)
+	if p == Idle {
+		r.dropHead(e)
+	}
 }
 
+// GrowHead sets what the head of a connection costs so far, in bytes, and returns the connections to close so that all heads
+// stay within their bound: those with the oldest heads first, except for requests in progress, and at last the connection
+// itself.
+func (r *Register[C]) GrowHead(e *Entry[C], cost int64) (closing []*Entry[C]) {
+	if e.closed {
+		return nil
+	}
+	if e.headCost == 0 {
+		last := r.heads.prevHead
+		e.prevHead, e.nextHead = last, &r.heads
+		last.nextHead, r.heads.prevHead = e, e
+	}
+	r.headCost += cost - e.headCost
+	e.headCost = cost
+	for old := r.heads.nextHead; r.excess() && old != &r.heads; {
+		next := old.nextHead
+		if old != e && old.phase != Serving {
+			closing = append(closing, old)
+			r.Close(old)
+		}
+		old = next
+	}
+	if r.excess() {
+		closing = append(closing, e)
+		r.Close(e)
+	}
+	return closing
+}
+
+func (r *Register[C]) excess() bool { return r.limits.HeadBytes > 0 && r.headCost > r.limits.HeadBytes }
+
 // Close removes a connection. It does nothing if it was removed before.
 func (r *Register[C]) Close(e *Entry[C]) {
 	if e.closed {
@@ -94,6 +137,7 @@
 	}
 	e.closed = true
 	r.remove(e)
+	r.dropHead(e)
 }
 
 func (r *Register[C]) push(e *Entry[C], p Phase) {
@@ -109,3 +153,13 @@
 	e.prev, e.next = nil, nil
 	r.counts[e.phase]--
 }
+
+func (r *Register[C]) dropHead(e *Entry[C]) {
+	if e.headCost == 0 {
+		return
+	}
+	r.headCost -= e.headCost
+	e.headCost = 0
+	e.prevHead.nextHead, e.nextHead.prevHead = e.nextHead, e.prevHead
+	e.prevHead, e.nextHead = nil, nil
+}
--- a/intake/register_test.go
+++ b/intake/register_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -41,10 +42,42 @@
 	}
 }
 
+// TestHeadsShedOldest guards against heads without end that keep out a caller's large head.
+func TestHeadsShedOldest(t *testing.T) {
+	r := New[string](Limits{HeadBytes: 100})
+	served := open(t, r, "served", Waiting)
+	r.GrowHead(served, 40)
+	r.Enter(served, Serving)
+	old := open(t, r, "old", Waiting)
+	r.GrowHead(old, 50)
+	caller := open(t, r, "caller", Waiting)
+	if closing := r.GrowHead(caller, 60); len(closing) != 1 || closing[0] != old {
+		t.Errorf("closed %v, want the older head", closing)
+	}
+	if closing := r.GrowHead(caller, 70); len(closing) != 1 || closing[0] != caller {
+		t.Errorf("closed %v, want the head that is too large beside the one in progress", closing)
+	}
+	r.Enter(served, Idle)
+	if r.HeadCost() != 0 {
+		t.Errorf("%d bytes are still counted", r.HeadCost())
+	}
+}
+
+func TestHeadCost(t *testing.T) {
+	ordinary := Head{}.With([]byte(strings.Repeat("X-Header: value of a header\r\n", 20)))
+	tiny := Head{}.With([]byte(strings.Repeat("a:\r\n", 4096)))
+	if ordinary.Cost() != 0 {
+		t.Errorf("an ordinary head counts for %d bytes", ordinary.Cost())
+	}
+	if limits := LimitsFor(0, 0); tiny.Cost() > limits.HeadBytes {
+		t.Errorf("a head of 16 KB counts for %d bytes, more than the least bound %d", tiny.Cost(), limits.HeadBytes)
+	}
+}
+
 // TestRegisterBounds checks with any sequence of events that the bounds hold and that the counts match the connections.
 func TestRegisterBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := Limits{Connections: rapid.IntRange(1, 8).Draw(t, "connections")}
+		limits := Limits{Connections: rapid.IntRange(1, 8).Draw(t, "connections"), HeadBytes: 100}
 		r := New[string](limits)
 		open := map[*Entry[string]]Phase{}
 		drop := func(e *Entry[string]) {
@@ -58,7 +91,7 @@
 			for e := range open {
 				known = append(known, e)
 			}
-			action := rapid.IntRange(0, 2).Draw(t, "action")
+			action := rapid.IntRange(0, 3).Draw(t, "action")
 			if action == 0 || len(known) == 0 {
 				e, closing := r.Open("", func(string) bool { return false })
 				drop(closing)
@@ -73,11 +106,18 @@
 				open[e] = Phase(rapid.IntRange(0, int(phases)-1).Draw(t, "phase"))
 				r.Enter(e, open[e])
 			case 2:
+				for _, closing := range r.GrowHead(e, e.headCost+rapid.Int64Range(1, 60).Draw(t, "cost")) {
+					if closing != e && open[closing] == Serving {
+						t.Fatal("a request in progress was given up")
+					}
+					drop(closing)
+				}
+			case 3:
 				r.Close(e)
 				drop(e)
 			}
-			if r.total() != len(open) || r.total() > limits.Connections {
-				t.Fatalf("%d connections of %d", r.total(), len(open))
+			if r.total() != len(open) || r.total() > limits.Connections || r.HeadCost() > limits.HeadBytes || r.HeadCost() < 0 {
+				t.Fatalf("%d connections of %d, %d bytes of heads", r.total(), len(open), r.HeadCost())
 			}
 		}
 	})
