Apply the routing configuration's limits to the heads of requests

Callers saw: a head of 32 KB was served where the configuration allows 16 KB, and a head that dripped on a kept connection could take the idle time of 30 s.

Cause: max_header_bytes and header_timeout_ms were decoded, and the servers used constants.

The acceptor asks for the limits in force when a head is read: beyond max_header_bytes (with 8 KB for the start of a body and for the headers of gateways) it answers 431 and closes, as net/http does; the time runs from the first byte and replaces the deadline that the server sets, also on kept connections. It is 1 s longer than configured, as callers measure on their side. Without a configuration, 64 KB and 5 s hold as before.

TestHeadOverLimit and TestDrippingHead are new with the code.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -52,13 +52,27 @@
 	}
 }
 
+// HeadLimits bounds the head of one request. Zero values set no bound beyond those of the server.
+type HeadLimits struct {
+	// Bytes is the size at which an unfinished head is answered with status 431.
+	Bytes int64
+	// Time is the time from the first part of a head to its end, after which the connection is closed. It must be zero for
+	// a server with a ReadTimeout, whose deadline it would replace.
+	Time time.Duration
+}
+
 // Listener returns a listener that accepts the TCP connections of l within the bounds. Configure must be called on the
 // server that uses it. A nil acceptor sets no bounds and returns l.
 func (a *Acceptor) Listener(l net.Listener) net.Listener {
+	return a.ListenerWithin(l, func() HeadLimits { return HeadLimits{} })
+}
+
+// ListenerWithin is like Listener and bounds each head by the present limits.
+func (a *Acceptor) ListenerWithin(l net.Listener, limits func() HeadLimits) net.Listener {
 	if a == nil {
 		return l
 	}
-	return listener{Listener: l, acceptor: a}
+	return listener{Listener: l, acceptor: a, limits: limits}
 }
 
 // Configure prepares a server, so that the acceptor knows what its connections are doing.
@@ -81,6 +95,7 @@
 	net.Listener
 
 	acceptor *Acceptor
+	limits   func() HeadLimits
 }
 
 // Accept returns the next connection that is not refused.
@@ -94,7 +109,7 @@
 		if !ok {
 			return c, nil
 		}
-		if accepted := l.acceptor.open(tcp); accepted != nil {
+		if accepted := l.acceptor.open(tcp, l.limits); accepted != nil {
 			return accepted, nil
 		}
 		l.acceptor.refused.Add(1)
@@ -103,8 +118,8 @@
 }
 
 // open registers a connection; it returns nil if the connection is refused.
-func (a *Acceptor) open(tcp *net.TCPConn) *Conn {
-	c := &Conn{TCPConn: tcp, acceptor: a}
+func (a *Acceptor) open(tcp *net.TCPConn, limits func() HeadLimits) *Conn {
+	c := &Conn{TCPConn: tcp, acceptor: a, limits: limits}
 	c.readsHead.Store(true)
 	now := a.now()
 	a.mu.Lock()
@@ -142,7 +157,7 @@
 	case http.StateActive:
 		c.readsHead.Store(false)
 	case http.StateIdle:
-		c.head = intake.Head{}
+		c.head, c.headDeadline = intake.Head{}, time.Time{}
 		c.readsHead.Store(true)
 		a.enter(c, intake.Idle)
 	default:
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -170,3 +170,70 @@
 	c.send(head + "\r\n")
 	c.expect("/x 0")
 }
+
+// newLimitedServer starts a server whose heads have limits.
+func newLimitedServer(t *testing.T, limits HeadLimits) (address string) {
+	t.Helper()
+	a := New(intake.Limits{}, time.Now)
+	s := &http.Server{ReadHeaderTimeout: time.Hour, IdleTimeout: time.Hour, MaxHeaderBytes: 1 << 20, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.URL.Path)
+	})}
+	a.Configure(s)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(a.ListenerWithin(l, func() HeadLimits { return limits })) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+// TestHeadOverLimit guards against heads beyond the configured limit, on new connections and on kept ones; those within it are
+// served.
+func TestHeadOverLimit(t *testing.T) {
+	const limit = 20000
+	address := newLimitedServer(t, HeadLimits{Bytes: limit})
+	start := "GET /x HTTP/1.1\r\nHost: a\r\nX: "
+	c := dial(t, address)
+	for range 2 {
+		c.send(start + strings.Repeat("x", limit-len(start)-4) + "\r\n\r\n")
+		c.expect("/x")
+	}
+	c.send(start + strings.Repeat("x", limit))
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil || resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge || !resp.Close {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+	_ = resp.Body.Close()
+	endless := dial(t, address)
+	_, err = io.WriteString(endless, "GET /x HTTP/1.1\r\n")
+	total := 0
+	for block := strings.Repeat("a:\r\n", 4000); err == nil && total < 32<<20; total += len(block) {
+		_, err = io.WriteString(endless, block)
+	}
+	if err == nil {
+		t.Error("a head without end was read")
+	}
+}
+
+// TestDrippingHead guards against heads that arrive byte by byte, on new connections and on kept ones, where the server waits for
+// the next request much longer.
+func TestDrippingHead(t *testing.T) {
+	address := newLimitedServer(t, HeadLimits{Time: 200 * time.Millisecond})
+	for name, first := range map[string]string{"new": "", "kept": fmt.Sprintf(get, "/x")} {
+		t.Run(name, func(t *testing.T) {
+			c := dial(t, address)
+			if first != "" {
+				c.send(first)
+				c.expect("/x")
+			}
+			_, err := io.WriteString(c, "GET /x HTTP/1.1\r\nX: ")
+			for deadline := time.Now().Add(waitTime); err == nil && time.Now().Before(deadline); _, err = io.WriteString(c, "x") {
+				time.Sleep(5 * time.Millisecond)
+			}
+			if err == nil {
+				t.Error("the connection stayed open")
+			}
+		})
+	}
+}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"sync/atomic"
@@ -15,9 +16,12 @@
 
 	acceptor *Acceptor
 	entry    *intake.Entry[*Conn]
-	// readsHead is set while the server reads the head of a request. Only then does the connection's one reader use head.
-	readsHead atomic.Bool
-	head      intake.Head
+	limits   func() HeadLimits
+	// readsHead is set while the server reads the head of a request. Only then does the connection's one reader use the
+	// following fields.
+	readsHead    atomic.Bool
+	head         intake.Head
+	headDeadline time.Time
 	// writes is odd during a write, and grows with each one.
 	writes atomic.Int64
 	// seenWrites and seenAt are the write that stalled has seen in progress, and when it saw it first.
@@ -29,17 +33,29 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if n > 0 && c.readsHead.Load() {
-		c.countHead(b[:n])
+		if !c.countHead(b[:n]) {
+			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errHeadTooLarge}
+		}
 	}
 	return n, err
 }
 
-// countHead counts a part of the head of a request. If that closes the connection, the next read of the server fails.
-func (c *Conn) countHead(b []byte) {
+// countHead counts a part of the head of a request. It returns false if the head is too large and has been refused. If the
+// register gives the connection up, the next read of the server fails.
+func (c *Conn) countHead(b []byte) bool {
+	limits := c.limits()
+	if c.head.Size() == 0 && limits.Time > 0 && !bytes.Contains(b, []byte("\r\n\r\n")) {
+		c.headDeadline = c.acceptor.now().Add(limits.Time)
+		_ = c.TCPConn.SetReadDeadline(c.headDeadline)
+	}
 	c.head = c.head.With(b)
+	if limits.Bytes > 0 && c.head.Size() > limits.Bytes {
+		c.refuseHead()
+		return false
+	}
 	cost := c.head.Cost()
 	if cost == 0 {
-		return
+		return true
 	}
 	a := c.acceptor
 	a.mu.Lock()
@@ -48,6 +64,34 @@
 	for _, e := range closing {
 		a.close(e.Conn)
 	}
+	return true
+}
+
+// tooLarge is the answer to a head that is too large.
+const tooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n" +
+	"431 Request Header Fields Too Large"
+
+const (
+	// refusalTime is how long a client that sends too large a head may take to receive the answer, and refusalBytes what
+	// is read of it meanwhile: closing a connection with unread data resets it, which can destroy the answer.
+	refusalTime  = 500 * time.Millisecond
+	refusalBytes = 256 << 10
+)
+
+// refuseHead answers a head that is too large. No handler writes while a head is read.
+func (c *Conn) refuseHead() {
+	_ = c.SetDeadline(c.acceptor.now().Add(refusalTime))
+	_, _ = io.WriteString(c.TCPConn, tooLarge)
+	_ = c.CloseWrite()
+	_, _ = io.CopyN(io.Discard, c.TCPConn, refusalBytes)
+}
+
+// SetReadDeadline sets the deadline of reads. While a head is incomplete, its own deadline applies.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if c.readsHead.Load() && !c.headDeadline.IsZero() && !t.IsZero() {
+		t = c.headDeadline
+	}
+	return c.TCPConn.SetReadDeadline(t)
 }
 
 // Write writes to the client.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"arbutusreel/acceptor"
 	"arbutusreel/clock"
 	"arbutusreel/configuration"
 	"arbutusreel/exchange"
@@ -22,8 +23,11 @@
 )
 
 const (
-	// readHeaderTimeout bounds the reading of a request's header. The HeaderTimeout of the routing table is not applied.
+	// readHeaderTimeout bounds the wait for a request's header on a new connection, and its reading if the routing table has no
+	// HeaderTimeout.
 	readHeaderTimeout = 5 * time.Second
+	// headerTimeMargin is added to the HeaderTimeout of the routing table, which callers measure on their side.
+	headerTimeMargin = time.Second
 	// idleTimeout is how long an idle connection from a caller or another gateway is kept open. It exceeds the idle
 	// timeouts in routing tables, within which callers reuse connections.
 	idleTimeout = 30 * time.Second
@@ -209,7 +213,7 @@
 	loadServer := newLoadServer(g.cfg.Keys)
 	wiregen.RegisterOutstandingServer(loadServer, g)
 	for i, l := range []net.Listener{callers, forwarded} {
-		g.wg.Go(func() { g.serveHTTP(servers[i], g.cfg.Connections.Listener(l)) })
+		g.wg.Go(func() { g.serveHTTP(servers[i], g.cfg.Connections.ListenerWithin(l, g.headLimits)) })
 	}
 	g.wg.Go(func() { _ = loadServer.Serve(loads) })
 	g.wg.Go(func() { g.subscribe(g.workCtx) })
@@ -242,8 +246,32 @@
 	return config.Listen(ctx, "tcp", address)
 }
 
-// maxHeaderBytes bounds the size of a request's header. It exceeds the limits in routing tables.
-const maxHeaderBytes = 64 << 10
+const (
+	// maxHeaderBytes bounds the size of a request's header.
+	maxHeaderBytes = 1 << 20
+	// defaultHeaderBytes is the bound if the routing table sets none.
+	defaultHeaderBytes = 64 << 10
+	// headerBytesMargin is added to the limit of the routing table, for the start of the body that is read with a header, and
+	// for the headers that gateways add.
+	headerBytesMargin = 8 << 10
+)
+
+// headLimits returns the present bounds on the header of a request.
+func (g *Gateway) headLimits() acceptor.HeadLimits {
+	limits := acceptor.HeadLimits{Bytes: defaultHeaderBytes, Time: readHeaderTimeout}
+	table := g.view.Load().table
+	if table == nil {
+		return limits
+	}
+	configured := table.Limits()
+	if n := configured.HeaderBytes; n > 0 {
+		limits.Bytes = min(n, maxHeaderBytes) + headerBytesMargin
+	}
+	if d := configured.HeaderTimeout; d > 0 {
+		limits.Time = d + headerTimeMargin
+	}
+	return limits
+}
 
 func (g *Gateway) server(handler http.HandlerFunc) *http.Server {
 	s := &http.Server{
