End the wait for a body at the deadline of its request

Callers saw: nothing; a client whose body never ends held its request and connection for ever.

Cause: a gateway reads the body before it counts the time of the request, and its server has no ReadTimeout as streams last long.

The body is read until the deadline of the request, then answered with 408: it has not run. The deadline is taken back once the body is whole, as the server reads on to notice that the caller leaves.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -275,6 +276,8 @@
 	if !j.w.takeBody(size) {
 		return j.instanceFull()
 	}
+	control := http.NewResponseController(j.w)
+	_ = control.SetReadDeadline(j.deadline)
 	var err error
 	if n := j.r.ContentLength; n > 0 {
 		j.body = make([]byte, n)
@@ -283,7 +286,10 @@
 		j.body, err = io.ReadAll(io.LimitReader(j.r.Body, limit+1))
 		j.w.hold(int64(len(j.body)) - size)
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return problem.New(problem.PatienceExceeded, http.StatusRequestTimeout, "the body was not sent within the time of the request")
+	case err != nil:
 		return problem.New(problem.MalformedRequest, http.StatusBadRequest, "the body cannot be read: %v", err)
 	}
 	if int64(len(j.body)) > limit {
@@ -293,6 +299,8 @@
 	if n, err := j.r.Body.Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
 		return problem.New(problem.MalformedRequest, http.StatusBadRequest, "the body does not end at its declared length")
 	}
+	// The HTTP server reads on, and would take the deadline for the end of the connection.
+	_ = control.SetReadDeadline(time.Time{})
 	return nil
 }
 
