Bound the connections and unfinished calls of peers

Callers saw: at the gRPC listener of a gateway, unfinished heads took 1,879 MB of 96 MB, calls without a message 691 MB, parts of messages 259 MB; at that of a control daemon 460, 112 and 331 MB. 800 connections took 817 to 819 of 500 descriptors.

Cause: gRPC's defaults: no bound on connections and calls, heads of 16 MB, and 4 MB of window on each connection.

Peers get an eighth of the descriptors. Their connections count as waiting until a first message is whole, and what they sent until then, with 64 KB for each call, counts as a head, within a quarter of the memory, as a first message can hold a whole state. 1,024 calls on a connection, heads of 16 KB and 5 s for the handshake are the bounds of one. gRPC sets TCP_USER_TIMEOUT only on connections of package net; the listener sets it to the same values.

TestPeerLockedOut and TestStreamsWithoutMessages are new with the code.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -53,10 +53,14 @@
 		c.refuseHead()
 		return false
 	}
-	cost := c.head.Cost()
-	if cost == 0 {
-		return true
+	if cost := c.head.Cost(); cost > 0 {
+		c.growHead(cost)
 	}
+	return true
+}
+
+// growHead sets what the head costs so far, in bytes, and closes the connections that yield to it.
+func (c *Conn) growHead(cost int64) {
 	a := c.acceptor
 	a.mu.Lock()
 	closing := a.register.GrowHead(c.entry, cost)
@@ -64,7 +68,6 @@
 	for _, e := range closing {
 		a.close(e.Conn)
 	}
-	return true
 }
 
 // tooLarge is the answer to a head that is too large.
--- /dev/null
+++ b/acceptor/rpc_test.go
@@ -0,0 +1,109 @@
+package acceptor
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"arbutusreel/intake"
+	"arbutusreel/wiregen"
+)
+
+type tellServer struct {
+	wiregen.UnimplementedOutstandingServer
+}
+
+func (tellServer) Tell(stream grpc.ClientStreamingServer[wiregen.OutstandingReport, wiregen.OutstandingReply]) error {
+	for {
+		if _, err := stream.Recv(); err != nil {
+			return stream.SendAndClose(&wiregen.OutstandingReply{})
+		}
+	}
+}
+
+func newRPCServer(t *testing.T, limits intake.Limits) (a *Acceptor, address string) {
+	t.Helper()
+	a = New(limits, time.Now)
+	s := grpc.NewServer(a.ServerOptions()...)
+	wiregen.RegisterOutstandingServer(s, tellServer{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(a.RPCListener(l, waitTime)) }()
+	t.Cleanup(s.Stop)
+	return a, l.Addr().String()
+}
+
+// tell opens a stream and sends a message.
+func tell(t *testing.T, address string) grpc.ClientStreamingClient[wiregen.OutstandingReport, wiregen.OutstandingReply] {
+	t.Helper()
+	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	ctx, cancel := context.WithTimeout(t.Context(), waitTime)
+	t.Cleanup(cancel)
+	stream, err := wiregen.NewOutstandingClient(conn).Tell(ctx, grpc.WaitForReady(true))
+	if err == nil {
+		err = stream.Send(&wiregen.OutstandingReport{})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return stream
+}
+
+// TestPeerLockedOut guards against connections without a whole message that take the places of peers, or end their calls.
+func TestPeerLockedOut(t *testing.T) {
+	a, address := newRPCServer(t, intake.Limits{Connections: 3})
+	first := tell(t, address)
+	until(t, "the first peer's message was read", func() bool { return a.Counts().Serving == 1 })
+	for range 10 {
+		dial(t, address).send(http2.ClientPreface)
+	}
+	second := tell(t, address)
+	until(t, "the second peer's message was read", func() bool { return a.Counts().Serving == 2 })
+	for _, stream := range []grpc.ClientStreamingClient[wiregen.OutstandingReport, wiregen.OutstandingReply]{first, second} {
+		if _, err := stream.CloseAndRecv(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestStreamsWithoutMessages guards against calls that are opened without end and never send a message.
+func TestStreamsWithoutMessages(t *testing.T) {
+	const bound = 4 << 20
+	a, address := newRPCServer(t, intake.Limits{Connections: 100, HeadBytes: bound})
+	var head bytes.Buffer
+	encoder := hpack.NewEncoder(&head)
+	for _, f := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", wiregen.Outstanding_Tell_FullMethodName}, {":authority", "a"}, {"content-type", "application/grpc"}, {"te", "trailers"}} {
+		_ = encoder.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]})
+	}
+	for range 4 {
+		c := dial(t, address)
+		go func() { _, _ = io.Copy(io.Discard, c.Conn) }()
+		c.send(http2.ClientPreface)
+		framer := http2.NewFramer(c.Conn, nil)
+		_ = framer.WriteSettings()
+		for i := range uint32(200) {
+			_ = framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 2*i + 1, BlockFragment: head.Bytes(), EndHeaders: true})
+		}
+	}
+	until(t, "the calls fill the bound", func() bool { return a.Counts().HeadBytes > bound*3/4 })
+	if got := a.Counts().HeadBytes; got > bound {
+		t.Errorf("calls without a message take %d bytes", got)
+	}
+	if _, err := tell(t, address).CloseAndRecv(); err != nil {
+		t.Error(err)
+	}
+}
--- a/control/config.go
+++ b/control/config.go
@@ -32,6 +32,6 @@
 	PlacementPeriod     time.Duration
 	Keys                *keys.Source
 	Decisions           *decision.Store
-	// Connections bounds the connections of the process; nil sets no bound.
-	Connections *acceptor.Acceptor
+	// Connections and PeerConnections bound the connections of operators and of peers; nil sets no bound.
+	Connections, PeerConnections *acceptor.Acceptor
 }
--- a/control/control.go
+++ b/control/control.go
@@ -175,7 +175,7 @@
 	s := &servers{
 		operators:        &http.Server{Handler: c.operatorHandler(), ReadHeaderTimeout: headerTimeout},
 		operatorListener: c.cfg.Keys.Listener(c.cfg.Connections.Listener(operators)),
-		peers: grpc.NewServer(
+		peers: grpc.NewServer(append(c.cfg.PeerConnections.ServerOptions(),
 			grpc.MaxRecvMsgSize(maxMessageBytes),
 			grpc.Creds(c.cfg.Keys.Server()),
 			grpc.StaticStreamWindowSize(keys.WindowBytes),
@@ -183,8 +183,8 @@
 			grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: linkMinPing, PermitWithoutStream: true}),
 			// Connections that went silent are closed by this side as well.
 			grpc.KeepaliveParams(keepalive.ServerParameters{Time: linkPing, Timeout: linkPingTimeout}),
-		),
-		peerListener: peers,
+		)...),
+		peerListener: c.cfg.PeerConnections.RPCListener(peers, linkPingTimeout),
 	}
 	c.cfg.Connections.Configure(s.operators)
 	wiregen.RegisterConfigurationServer(s.peers, relay.NewServer(c.hub, c.acceptFollower, done))
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -61,8 +61,8 @@
 	MemoryBytes int64
 	Keys        *keys.Source
 	Metrics     *metrics.Set
-	// Connections bounds the connections of the process; nil sets no bound.
-	Connections *acceptor.Acceptor
+	// Connections and PeerConnections bound the connections of callers and of peers; nil sets no bound.
+	Connections, PeerConnections *acceptor.Acceptor
 }
 
 // Call holds what a caller's headers say about its request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -210,12 +210,12 @@
 		g.server(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, false) }),
 		g.server(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, true) }),
 	}
-	loadServer := newLoadServer(g.cfg.Keys)
+	loadServer := newLoadServer(g.cfg.Keys, g.cfg.PeerConnections)
 	wiregen.RegisterOutstandingServer(loadServer, g)
 	for i, l := range []net.Listener{callers, forwarded} {
 		g.wg.Go(func() { g.serveHTTP(servers[i], g.cfg.Connections.ListenerWithin(l, g.headLimits)) })
 	}
-	g.wg.Go(func() { _ = loadServer.Serve(loads) })
+	g.wg.Go(func() { _ = loadServer.Serve(g.cfg.PeerConnections.RPCListener(loads, loadUnackedTime)) })
 	g.wg.Go(func() { g.subscribe(g.workCtx) })
 	g.wg.Go(func() { g.reportLoads(g.workCtx) })
 	g.wg.Go(func() { g.keepOriginPeers(g.workCtx) })
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
+	"arbutusreel/acceptor"
 	"arbutusreel/clock"
 	"arbutusreel/fleet"
 	"arbutusreel/keys"
@@ -29,6 +30,8 @@
 	linkCheckPeriod = 200 * time.Millisecond
 	// loadSendTimeout bounds the sending of one report, after which the stream is closed.
 	loadSendTimeout = time.Second
+	// loadUnackedTime is how long bytes to another gateway may stay unacknowledged on its connection.
+	loadUnackedTime = 20 * time.Second
 )
 
 // reportLoads keeps a load stream to each gateway that this one is linked to until ctx ends. It sends nothing while there
@@ -231,6 +234,7 @@
 }
 
 // newLoadServer returns the server of load reports and origin records.
-func newLoadServer(source *keys.Source) *grpc.Server {
-	return grpc.NewServer(grpc.Creds(source.Server()), grpc.StaticStreamWindowSize(keys.WindowBytes), grpc.StaticConnWindowSize(keys.WindowBytes))
+func newLoadServer(source *keys.Source, connections *acceptor.Acceptor) *grpc.Server {
+	return grpc.NewServer(append(connections.ServerOptions(),
+		grpc.Creds(source.Server()), grpc.StaticStreamWindowSize(keys.WindowBytes), grpc.StaticConnWindowSize(keys.WindowBytes))...)
 }
--- a/gateway/loads_bench_test.go
+++ b/gateway/loads_bench_test.go
@@ -41,7 +41,7 @@
 		b.Fatal(err)
 	}
 	sink := &tellSink{received: make(chan struct{}, links)}
-	server := newLoadServer(keys.Plain())
+	server := newLoadServer(keys.Plain(), nil)
 	wiregen.RegisterOutstandingServer(server, sink)
 	go func() { _ = server.Serve(listener) }()
 	defer server.Stop()
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -8,8 +8,12 @@
 	connectionsPerRequest = 2
 	// headMemoryShare is the part of a process's memory that heads may take.
 	headMemoryShare = 16
-	minConnections  = 16
-	minHeadBytes    = 2 << 20
+	// peerDescriptorShare is the part of the descriptors that connections from peers may take, and peerMemoryShare that of the
+	// memory that they may take before their first message is whole, which can hold a whole state.
+	peerDescriptorShare = 8
+	peerMemoryShare     = 4
+	minConnections      = 16
+	minHeadBytes        = 2 << 20
 )
 
 // Limits bounds what a process holds for its clients. Zero values set no bound.
@@ -20,10 +24,18 @@
 	HeadBytes int64
 }
 
-// LimitsFor returns the limits of a process that may use a number of descriptors and bytes of memory.
+// LimitsFor returns the limits on callers of a process that may use a number of descriptors and bytes of memory.
 func LimitsFor(descriptors int, memoryBytes int64) Limits {
 	return Limits{
-		Connections: max((descriptors-reservedDescriptors)/connectionsPerRequest, minConnections),
+		Connections: max((descriptors-reservedDescriptors-descriptors/peerDescriptorShare)/connectionsPerRequest, minConnections),
 		HeadBytes:   max(memoryBytes/headMemoryShare, minHeadBytes),
 	}
 }
+
+// PeerLimitsFor returns the limits on the peers of such a process.
+func PeerLimitsFor(descriptors int, memoryBytes int64) Limits {
+	return Limits{
+		Connections: max(descriptors/peerDescriptorShare, minConnections),
+		HeadBytes:   max(memoryBytes/peerMemoryShare, minHeadBytes),
+	}
+}
--- a/intake/register.go
+++ b/intake/register.go
@@ -95,7 +95,7 @@
 	r.remove(e)
 	r.push(e, p)
 	if p == Idle {
-		r.dropHead(e)
+		r.EndHead(e)
 	}
 }
 
@@ -128,6 +128,11 @@
 	return closing
 }
 
+// Fits reports whether the head of a connection may cost so much, in bytes, without another one that yields.
+func (r *Register[C]) Fits(e *Entry[C], cost int64) bool {
+	return !e.closed && (r.limits.HeadBytes <= 0 || r.headCost-e.headCost+cost <= r.limits.HeadBytes)
+}
+
 func (r *Register[C]) excess() bool { return r.limits.HeadBytes > 0 && r.headCost > r.limits.HeadBytes }
 
 // Close removes a connection. It does nothing if it was removed before.
@@ -137,7 +142,7 @@
 	}
 	e.closed = true
 	r.remove(e)
-	r.dropHead(e)
+	r.EndHead(e)
 }
 
 func (r *Register[C]) push(e *Entry[C], p Phase) {
@@ -154,7 +159,8 @@
 	r.counts[e.phase]--
 }
 
-func (r *Register[C]) dropHead(e *Entry[C]) {
+// EndHead records that a connection holds no head any more.
+func (r *Register[C]) EndHead(e *Entry[C]) {
 	if e.headCost == 0 {
 		return
 	}
