Bound the connections of entries and of control daemons of the own path

Callers saw: heads of 60 KB in short lines took 377 MB at an entry's callers' address, 644 MB at that for endpoints and 490 MB at a control daemon's operators (96 MB allowed); behind 800 silent connections a peer was not answered.

Cause: as on the platform: no bound on connections, or on what heads hold together.

The acceptors of the platform are used with the process's limit on open files and its soft memory limit.

--- a/entry/config.go
+++ b/entry/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"arbutusreel/acceptor"
 	"arbutusreel/decision"
 	"arbutusreel/keys"
 	"arbutusreel/membership"
@@ -39,6 +40,8 @@
 	DataFolder      string
 	LedgerRetention time.Duration
 	LedgerMaxCalls  int
+	// Connections and PeerConnections bound the connections of callers and endpoints, and those of peers; nil sets no bound.
+	Connections, PeerConnections *acceptor.Acceptor
 }
 
 // Periods and limits of the daemon's tasks.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -98,7 +98,9 @@
 	if err != nil {
 		return err
 	}
-	listeners[0] = n.cfg.Keys.Listener(listeners[0])
+	listeners[0] = n.cfg.Keys.Listener(n.cfg.Connections.Listener(listeners[0]))
+	listeners[1] = n.cfg.Connections.Listener(listeners[1])
+	listeners[2] = n.cfg.PeerConnections.RPCListener(listeners[2], peerPingTimeout)
 	requests, cancelRequests := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancelRequests(nil)
 	servers := n.newServers(requests)
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -41,13 +41,15 @@
 			BaseContext:       func(net.Listener) context.Context { return requests },
 		},
 		endpoints: &http.Server{Handler: n.endpointHandler(), ReadHeaderTimeout: headerTimeout},
-		peers: grpc.NewServer(
+		peers: grpc.NewServer(append(n.cfg.PeerConnections.ServerOptions(),
 			grpc.Creds(n.cfg.Keys.Server()),
 			grpc.MaxRecvMsgSize(maxForwardBytes+int(n.cfg.MaxBodyBytes)),
 			grpc.KeepaliveParams(keepalive.ServerParameters{Time: peerIdlePingPeriod, Timeout: peerPingTimeout}),
 			grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: peerMinPingPeriod, PermitWithoutStream: true}),
-		),
+		)...),
 	}
+	n.cfg.Connections.Configure(s.callers)
+	n.cfg.Connections.Configure(s.endpoints)
 	wiregen.RegisterPeerServer(s.peers, n)
 	wiregen.RegisterPlacementServer(s.peers, n)
 	wiregen.RegisterLimitsServer(s.peers, limitsServer{limiter: n.limiter})
