Let new connections wait for a place

Callers saw: while 800 clients send request after request and read no answer, an ordinary request got no place in five attempts, at the callers' and at the forwarding listener (connection reset or closed): TestCallersUnread and TestForwardingUnread on the code before (one run).

Cause: when all connections have a request in progress, a new one was closed at once, so that places went to whoever tried most often; and a connection with the next request already sent kept its place.

A new connection waits up to 250 ms, with those after it in the queue of the socket. Meanwhile the first connection that ends its request gives up its place. TestNewConnectionStarved is new with the code.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -11,8 +11,14 @@
 	"arbutusreel/intake"
 )
 
-// stallTime is how long a write to a client takes until the client counts as one that does not read.
-const stallTime = 2 * time.Second
+const (
+	// stallTime is how long a write to a client takes until the client counts as one that does not read.
+	stallTime = 2 * time.Second
+	// placeTime is how long a new connection waits for a place, and placePeriod the interval at which it looks for one. The
+	// connections after it wait in the queue of the socket, in the order in which they came.
+	placeTime   = 250 * time.Millisecond
+	placePeriod = 2 * time.Millisecond
+)
 
 // Acceptor bounds the connections of a process.
 type Acceptor struct {
@@ -109,7 +115,7 @@
 		if !ok {
 			return c, nil
 		}
-		if accepted := l.acceptor.open(tcp, l.limits); accepted != nil {
+		if accepted := l.await(tcp); accepted != nil {
 			return accepted, nil
 		}
 		l.acceptor.refused.Add(1)
@@ -117,6 +123,18 @@
 	}
 }
 
+// await registers a connection as soon as there is a place; it returns nil if the connection is refused.
+func (l listener) await(tcp *net.TCPConn) *Conn {
+	for began := l.acceptor.now(); ; time.Sleep(placePeriod) {
+		if accepted := l.acceptor.open(tcp, l.limits); accepted != nil {
+			return accepted
+		}
+		if l.acceptor.now().Sub(began) >= placeTime {
+			return nil
+		}
+	}
+}
+
 // open registers a connection; it returns nil if the connection is refused.
 func (a *Acceptor) open(tcp *net.TCPConn, limits func() HeadLimits) *Conn {
 	c := &Conn{TCPConn: tcp, acceptor: a, limits: limits}
@@ -143,8 +161,11 @@
 
 func (a *Acceptor) enter(c *Conn, p intake.Phase) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.register.Enter(c.entry, p)
+	closing := a.register.Enter(c.entry, p)
+	a.mu.Unlock()
+	if closing {
+		a.close(c)
+	}
 }
 
 // connState records the changes of a server's connections.
--- a/intake/register.go
+++ b/intake/register.go
@@ -36,6 +36,8 @@
 	counts   [phases]int
 	heads    Entry[C]
 	headCost int64
+	// wanted is set if a connection found no place since one was last given up for it.
+	wanted bool
 }
 
 // New returns a register without connections.
@@ -57,16 +59,18 @@
 func (r *Register[C]) total() int { return r.counts[Waiting] + r.counts[Idle] + r.counts[Serving] }
 
 // Open adds a connection and returns its entry, and the connection to close in its place if there are too many. The
-// entry is nil if no other connection may be given up, so that the new one must be closed. stalled reports whether the
-// client of a connection with a request in progress does not read.
+// entry is nil if no other connection may be given up; the next one that becomes idle then makes room. stalled reports
+// whether the client of a connection with a request in progress does not read.
 func (r *Register[C]) Open(c C, stalled func(C) bool) (entry, closing *Entry[C]) {
 	if n := r.limits.Connections; n > 0 && r.total() >= n {
 		closing = r.choose(stalled)
 		if closing == nil {
+			r.wanted = true
 			return nil, nil
 		}
 		r.Close(closing)
 	}
+	r.wanted = false
 	entry = &Entry[C]{Conn: c}
 	r.push(entry, Waiting)
 	return entry, closing
@@ -87,16 +91,23 @@
 	return nil
 }
 
-// Enter moves a connection to a phase. One that becomes idle no longer holds a head.
-func (r *Register[C]) Enter(e *Entry[C], p Phase) {
+// Enter moves a connection to a phase. One that becomes idle no longer holds a head, and must be closed if Enter returns true:
+// its place is wanted.
+func (r *Register[C]) Enter(e *Entry[C], p Phase) (closing bool) {
 	if e.closed || e.phase == p {
-		return
+		return false
+	}
+	if p == Idle && r.wanted {
+		r.wanted = false
+		r.Close(e)
+		return true
 	}
 	r.remove(e)
 	r.push(e, p)
 	if p == Idle {
 		r.EndHead(e)
 	}
+	return false
 }
 
 // GrowHead sets what the head of a connection costs so far, in bytes, and returns the connections to close so that all heads
--- a/intake/register_test.go
+++ b/intake/register_test.go
@@ -42,6 +42,21 @@
 	}
 }
 
+// TestNewConnectionStarved guards against connections that send request after request and never leave a place to others.
+func TestNewConnectionStarved(t *testing.T) {
+	r := New[string](Limits{Connections: 2})
+	first, second := open(t, r, "first", Serving), open(t, r, "second", Serving)
+	if e, _ := r.Open("caller", never); e != nil {
+		t.Fatal("too many connections are open")
+	}
+	if !r.Enter(first, Idle) || r.Enter(second, Idle) {
+		t.Error("not exactly one connection leaves its place after its request")
+	}
+	if e, closing := r.Open("caller", never); e == nil || closing != nil {
+		t.Errorf("the place is not free: %+v", closing)
+	}
+}
+
 // TestHeadsShedOldest guards against heads without end that keep out a caller's large head.
 func TestHeadsShedOldest(t *testing.T) {
 	r := New[string](Limits{HeadBytes: 100})
@@ -104,7 +119,9 @@
 			switch action {
 			case 1:
 				open[e] = Phase(rapid.IntRange(0, int(phases)-1).Draw(t, "phase"))
-				r.Enter(e, open[e])
+				if r.Enter(e, open[e]) {
+					drop(e)
+				}
 			case 2:
 				for _, closing := range r.GrowHead(e, e.headCost+rapid.Int64Range(1, 60).Draw(t, "cost")) {
 					if closing != e && open[closing] == Serving {
