--- /dev/null
+++ b/acceptor/conn.go
@@ -0,0 +1,134 @@
+package acceptor
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"arbutusreel/intake"
+)
+
+// Conn is a connection from a client.
+type Conn struct {
+	*net.TCPConn
+
+	acceptor *Acceptor
+	entry    *intake.Entry[*Conn]
+	limits   func() HeadLimits
+	// readsHead is set while the server reads the head of a request. Only then does the connection's one reader use the
+	// following fields.
+	readsHead    atomic.Bool
+	head         intake.Head
+	headDeadline time.Time
+	// writes is odd during a write, and grows with each one.
+	writes atomic.Int64
+	// seenWrites and seenAt are the write that stalled has seen in progress, and when it saw it first.
+	seenWrites int64
+	seenAt     time.Time
+}
+
+// Read reads from the client.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 && c.readsHead.Load() {
+		if !c.countHead(b[:n]) {
+			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errHeadTooLarge}
+		}
+	}
+	return n, err
+}
+
+// countHead counts a part of the head of a request. It returns false if the head is too large and has been refused. If the
+// register gives the connection up, the next read of the server fails.
+func (c *Conn) countHead(b []byte) bool {
+	limits := c.limits()
+	if c.head.Size() == 0 && limits.Time > 0 && !bytes.Contains(b, []byte("\r\n\r\n")) {
+		c.headDeadline = c.acceptor.now().Add(limits.Time)
+		_ = c.TCPConn.SetReadDeadline(c.headDeadline)
+	}
+	c.head = c.head.With(b)
+	if limits.Bytes > 0 && c.head.Size() > limits.Bytes {
+		c.refuseHead()
+		return false
+	}
+	if cost := c.head.Cost(); cost > 0 {
+		c.growHead(cost)
+	}
+	return true
+}
+
+// growHead sets what the head costs so far, in bytes, and closes the connections that yield to it.
+func (c *Conn) growHead(cost int64) {
+	a := c.acceptor
+	a.mu.Lock()
+	closing := a.register.GrowHead(c.entry, cost)
+	a.mu.Unlock()
+	for _, e := range closing {
+		a.close(e.Conn)
+	}
+}
+
+// tooLarge is the answer to a head that is too large.
+const tooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n" +
+	"431 Request Header Fields Too Large"
+
+const (
+	// refusalTime is how long a client that sends too large a head may take to receive the answer, and refusalBytes what
+	// is read of it meanwhile: closing a connection with unread data resets it, which can destroy the answer.
+	refusalTime  = 500 * time.Millisecond
+	refusalBytes = 256 << 10
+)
+
+// refuseHead answers a head that is too large. No handler writes while a head is read.
+func (c *Conn) refuseHead() {
+	_ = c.SetDeadline(c.acceptor.now().Add(refusalTime))
+	_, _ = io.WriteString(c.TCPConn, tooLarge)
+	_ = c.CloseWrite()
+	_, _ = io.CopyN(io.Discard, c.TCPConn, refusalBytes)
+}
+
+// SetReadDeadline sets the deadline of reads. While a head is incomplete, its own deadline applies.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if c.readsHead.Load() && !c.headDeadline.IsZero() && !t.IsZero() {
+		t = c.headDeadline
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Write writes to the client.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.writes.Add(1)
+	defer c.writes.Add(1)
+	return c.TCPConn.Write(b)
+}
+
+// stalled reports whether the client does not read: a write that an earlier call has seen is still in progress. It must be
+// called with the acceptor locked.
+func (c *Conn) stalled(now time.Time) bool {
+	writes := c.writes.Load()
+	if writes%2 == 0 {
+		return false
+	}
+	if writes != c.seenWrites {
+		c.seenWrites, c.seenAt = writes, now
+		return false
+	}
+	return now.Sub(c.seenAt) >= stallTime
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.acceptor.mu.Lock()
+	c.acceptor.register.Close(c.entry)
+	c.acceptor.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// ReadFrom copies from r to the client.
+func (c *Conn) ReadFrom(r io.Reader) (int64, error) {
+	c.writes.Add(1)
+	defer c.writes.Add(1)
+	return c.TCPConn.ReadFrom(r)
+}
--- a/gateway/closing_test.go
+++ b/gateway/closing_test.go
@@ -137,7 +137,6 @@
 func serveTCP(t *testing.T, g *testGateway, forwarded bool) tcpServer {
 	t.Helper()
 	server := g.Gateway.server(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, forwarded) })
-	server.ConnState = g.active.record
 	l, err := listen(t.Context(), "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -139,7 +139,7 @@
 func (w *answerWriter) abort(r *http.Request) {
 	if !r.ProtoAtLeast(1, 1) {
 		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			if tcp, ok := c.(*net.TCPConn); ok {
+			if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 				_ = tcp.SetLinger(0)
 			}
 			_ = c.Close()
@@ -191,18 +191,23 @@
 
 // limitSocketBuffers bounds what the kernel holds for a caller that does not read.
 func limitSocketBuffers(ctx context.Context, c net.Conn) context.Context {
-	tcp, ok := c.(*net.TCPConn)
+	buffered, ok := c.(writeBuffered)
 	if !ok {
 		return ctx
 	}
-	_ = tcp.SetWriteBuffer(callerWriteBuffer)
-	return context.WithValue(ctx, connKey{}, tcp)
+	_ = buffered.SetWriteBuffer(callerWriteBuffer)
+	return context.WithValue(ctx, connKey{}, buffered)
+}
+
+// writeBuffered is a connection whose send buffer can be sized.
+type writeBuffered interface {
+	SetWriteBuffer(bytes int) error
 }
 
 // growSocketBuffer has the kernel take the rest of a buffered answer, which it goes on sending when the process has ended.
 func growSocketBuffer(r *http.Request) {
-	if tcp, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok {
-		_ = tcp.SetWriteBuffer(maxBufferedBytes)
+	if c, ok := r.Context().Value(connKey{}).(writeBuffered); ok {
+		_ = c.SetWriteBuffer(maxBufferedBytes)
 	}
 }
 
--- /dev/null
+++ b/intake/limits.go
@@ -0,0 +1,41 @@
+package intake
+
+const (
+	// reservedDescriptors are kept for files and for connections that a process opens without a caller: to its peers and to
+	// control.
+	reservedDescriptors = 64
+	// connectionsPerRequest are the descriptors that one request may need: the caller's connection and that to an endpoint.
+	connectionsPerRequest = 2
+	// headMemoryShare is the part of a process's memory that heads may take.
+	headMemoryShare = 16
+	// peerDescriptorShare is the part of the descriptors that connections from peers may take, and peerMemoryShare that of the
+	// memory that they may take before their first message is whole, which can hold a whole state.
+	peerDescriptorShare = 8
+	peerMemoryShare     = 4
+	minConnections      = 16
+	minHeadBytes        = 2 << 20
+)
+
+// Limits bounds what a process holds for its clients. Zero values set no bound.
+type Limits struct {
+	// Connections is the greatest number of open connections.
+	Connections int
+	// HeadBytes bounds the memory of large heads, in bytes.
+	HeadBytes int64
+}
+
+// LimitsFor returns the limits on callers of a process that may use a number of descriptors and bytes of memory.
+func LimitsFor(descriptors int, memoryBytes int64) Limits {
+	return Limits{
+		Connections: max((descriptors-reservedDescriptors-descriptors/peerDescriptorShare)/connectionsPerRequest, minConnections),
+		HeadBytes:   max(memoryBytes/headMemoryShare, minHeadBytes),
+	}
+}
+
+// PeerLimitsFor returns the limits on the peers of such a process.
+func PeerLimitsFor(descriptors int, memoryBytes int64) Limits {
+	return Limits{
+		Connections: max(descriptors/peerDescriptorShare, minConnections),
+		HeadBytes:   max(memoryBytes/peerMemoryShare, minHeadBytes),
+	}
+}
--- /dev/null
+++ b/intake/register_test.go
@@ -0,0 +1,141 @@
+package intake
+
+import (
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func never(string) bool { return false }
+
+func open(t *testing.T, r *Register[string], name string, p Phase) *Entry[string] {
+	t.Helper()
+	e, _ := r.Open(name, never)
+	if e == nil {
+		t.Fatalf("%s is refused", name)
+	}
+	r.Enter(e, p)
+	return e
+}
+
+// TestCallersShedBeforeSilentConnections guards against a full process that closes connections of ordinary callers while it
+// holds some that sent nothing.
+func TestCallersShedBeforeSilentConnections(t *testing.T) {
+	r := New[string](Limits{Connections: 5})
+	stalled := map[string]bool{"unread": true}
+	for _, c := range []struct {
+		name  string
+		phase Phase
+	}{{"serving", Serving}, {"unread", Serving}, {"kept", Idle}, {"older", Waiting}, {"newer", Waiting}} {
+		open(t, r, c.name, c.phase)
+	}
+	for _, want := range []string{"older", "newer", "kept", "unread"} {
+		e, closing := r.Open("caller", func(name string) bool { return stalled[name] })
+		if e == nil || closing == nil || closing.Conn != want {
+			t.Fatalf("closed %+v, want %s", closing, want)
+		}
+		r.Enter(e, Serving)
+	}
+	if e, closing := r.Open("caller", never); e != nil || closing != nil {
+		t.Errorf("a request in progress was given up: %+v", closing)
+	}
+}
+
+// TestNewConnectionStarved guards against connections that send request after request and never leave a place to others.
+func TestNewConnectionStarved(t *testing.T) {
+	r := New[string](Limits{Connections: 2})
+	first, second := open(t, r, "first", Serving), open(t, r, "second", Serving)
+	if e, _ := r.Open("caller", never); e != nil {
+		t.Fatal("too many connections are open")
+	}
+	if !r.Enter(first, Idle) || r.Enter(second, Idle) {
+		t.Error("not exactly one connection leaves its place after its request")
+	}
+	if e, closing := r.Open("caller", never); e == nil || closing != nil {
+		t.Errorf("the place is not free: %+v", closing)
+	}
+}
+
+// TestHeadsShedOldest guards against heads without end that keep out a caller's large head.
+func TestHeadsShedOldest(t *testing.T) {
+	r := New[string](Limits{HeadBytes: 100})
+	served := open(t, r, "served", Waiting)
+	r.GrowHead(served, 40)
+	r.Enter(served, Serving)
+	old := open(t, r, "old", Waiting)
+	r.GrowHead(old, 50)
+	caller := open(t, r, "caller", Waiting)
+	if closing := r.GrowHead(caller, 60); len(closing) != 1 || closing[0] != old {
+		t.Errorf("closed %v, want the older head", closing)
+	}
+	if closing := r.GrowHead(caller, 70); len(closing) != 1 || closing[0] != caller {
+		t.Errorf("closed %v, want the head that is too large beside the one in progress", closing)
+	}
+	r.Enter(served, Idle)
+	if r.HeadCost() != 0 {
+		t.Errorf("%d bytes are still counted", r.HeadCost())
+	}
+}
+
+func TestHeadCost(t *testing.T) {
+	ordinary := Head{}.With([]byte(strings.Repeat("X-Header: value of a header\r\n", 20)))
+	tiny := Head{}.With([]byte(strings.Repeat("a:\r\n", 4096)))
+	if ordinary.Cost() != 0 {
+		t.Errorf("an ordinary head counts for %d bytes", ordinary.Cost())
+	}
+	if limits := LimitsFor(0, 0); tiny.Cost() > limits.HeadBytes {
+		t.Errorf("a head of 16 KB counts for %d bytes, more than the least bound %d", tiny.Cost(), limits.HeadBytes)
+	}
+}
+
+// TestRegisterBounds checks with any sequence of events that the bounds hold and that the counts match the connections.
+func TestRegisterBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Connections: rapid.IntRange(1, 8).Draw(t, "connections"), HeadBytes: 100}
+		r := New[string](limits)
+		open := map[*Entry[string]]Phase{}
+		drop := func(e *Entry[string]) {
+			if _, ok := open[e]; e != nil && !ok {
+				t.Fatal("a connection was closed twice")
+			}
+			delete(open, e)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			known := make([]*Entry[string], 0, len(open))
+			for e := range open {
+				known = append(known, e)
+			}
+			action := rapid.IntRange(0, 3).Draw(t, "action")
+			if action == 0 || len(known) == 0 {
+				e, closing := r.Open("", func(string) bool { return false })
+				drop(closing)
+				if e != nil {
+					open[e] = Waiting
+				}
+				continue
+			}
+			e := known[rapid.IntRange(0, len(known)-1).Draw(t, "entry")]
+			switch action {
+			case 1:
+				open[e] = Phase(rapid.IntRange(0, int(phases)-1).Draw(t, "phase"))
+				if r.Enter(e, open[e]) {
+					drop(e)
+				}
+			case 2:
+				for _, closing := range r.GrowHead(e, e.headCost+rapid.Int64Range(1, 60).Draw(t, "cost")) {
+					if closing != e && open[closing] == Serving {
+						t.Fatal("a request in progress was given up")
+					}
+					drop(closing)
+				}
+			case 3:
+				r.Close(e)
+				drop(e)
+			}
+			if r.total() != len(open) || r.total() > limits.Connections || r.HeadCost() > limits.HeadBytes || r.HeadCost() < 0 {
+				t.Fatalf("%d connections of %d, %d bytes of heads", r.total(), len(open), r.HeadCost())
+			}
+		}
+	})
+}
