Test a large first update over a narrow link

A gateway without a session asks all known control daemons for a first update at once, three times each, and gives them all up after a second, again and again: 308 KB from each of nine over 10 Mbit/s never arrive.

--- /dev/null
+++ b/gateway/narrowlink_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"arbutusreel/wiregen"
+)
+
+// narrowLink carries the connections of one gateway, which share a number of bytes a second towards it.
+type narrowLink struct {
+	t         *testing.T
+	perSecond int
+
+	mu sync.Mutex
+	// free is when the link has sent what was put on it.
+	free time.Time
+}
+
+// send waits until the link has carried n more bytes.
+func (l *narrowLink) send(n int) {
+	l.mu.Lock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(n) * time.Second / time.Duration(l.perSecond))
+	free := l.free
+	l.mu.Unlock()
+	time.Sleep(time.Until(free))
+}
+
+// to returns an address from which connections are carried to a target.
+func (l *narrowLink) to(target string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			go relayBytes(far, near, func(int) {})
+			go relayBytes(near, far, l.send)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// relayBytes copies until either side is closed, and closes both. It calls delay with the number of bytes before it writes them.
+func relayBytes(to, from net.Conn, delay func(int)) {
+	defer func() { _, _ = to.Close(), from.Close() }()
+	buffer := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		delay(n)
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// TestLargeFirstUpdateOverNarrowLink guards against a gateway that never gets a session, since it asks all control daemons for a
+// first update at once that its link carries from one in a quarter of a second, but not from all before it gives up.
+func TestLargeFirstUpdateOverNarrowLink(t *testing.T) {
+	const updateBytes = 308_000
+	l := &narrowLink{t: t, perSecond: 1_250_000}
+	g := newGateway(t, testTable(t, nil))
+	g.view.Store(&view{})
+	g.cfg.Controls = nil
+	for range 9 {
+		c := newControl(t, 0, true)
+		c.first = &wiregen.FleetUpdate{Current: true, Sender: c.address, Evacuated: []string{strings.Repeat("x", updateBytes)}}
+		g.cfg.Controls = append(g.cfg.Controls, l.to(c.address))
+	}
+	g.wg.Go(func() { g.subscribe(g.workCtx) })
+	t.Cleanup(func() {
+		g.cancelWork()
+		g.wg.Wait()
+	})
+	for deadline := time.Now().Add(20 * time.Second); !g.view.Load().current; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no session with any control daemon")
+		}
+	}
+}
