Count a control daemon as current only while it has what the leader has committed

Cause: a control daemon that had been without power for 7 s counted as current as soon as the leader's heartbeats reached it, while it still lacked 15 versions of 300 KB each. A gateway that restarted at 23.2 s took version 36 from it as current, two seconds after it had had version 47; it got 44 at 26.1 s and 51 at 33.2 s, while 62 was acknowledged at 27.9 s. A new daemon with an empty log counted as current, too.

Why this works: a voter records when it last knew as many committed entries as its leader, by the commit index in each request. If that is 1.2 s ago, the daemon tells gateways that it is not current, and they look for one that is.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -31,10 +31,12 @@
 	leader ID
 	// lastLeaderContact is the time of the last message from a leader, or the node's start time.
 	lastLeaderContact time.Time
-	electionAt        time.Time
-	heartbeatAt       time.Time
-	votes             map[ID]bool
-	bootstrapVotes    map[string]ID
+	// caughtUpAt is the time of the last message from a leader after which this node's commit index was the leader's.
+	caughtUpAt     time.Time
+	electionAt     time.Time
+	heartbeatAt    time.Time
+	votes          map[ID]bool
+	bootstrapVotes map[string]ID
 
 	progress       map[ID]*progress
 	leaderSince    time.Time
@@ -138,6 +140,9 @@
 	case AppendRequest:
 		n.observeLeader(now, m)
 		n.onAppend(m)
+		if n.commit >= m.Commit {
+			n.caughtUpAt = now
+		}
 	case InstallRequest:
 		n.observeLeader(now, m)
 		n.onInstall(m)
@@ -199,14 +204,17 @@
 	IsLeader bool
 	// LastLeaderContact is the time of the last message from a leader, or the time of the call on the leader itself.
 	LastLeaderContact time.Time
+	// CaughtUpAt is the last time at which the node knew of as many committed entries as its leader, or the time of the call on
+	// the leader itself; zero if it never did since its start.
+	CaughtUpAt time.Time
 }
 
 // Status returns the node's status at now.
 func (n *Node) Status(now time.Time) Status {
-	s := Status{Self: n.cfg.Self, Leader: n.leader, Term: n.hardState.Term, Commit: n.commit, LastLeaderContact: n.lastLeaderContact, Members: n.log.currentMembers().members}
+	s := Status{Self: n.cfg.Self, Leader: n.leader, Term: n.hardState.Term, Commit: n.commit, LastLeaderContact: n.lastLeaderContact, CaughtUpAt: n.caughtUpAt, Members: n.log.currentMembers().members}
 	if n.role == leader {
 		s.IsLeader = true
-		s.LastLeaderContact = now
+		s.LastLeaderContact, s.CaughtUpAt = now, now
 	}
 	return s
 }
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -24,8 +24,8 @@
 	renewalPeriod = 2 * time.Second
 	// gatewayRenewalPeriod is how often they are reported to gateways, which drop an endpoint after two minutes without any.
 	gatewayRenewalPeriod = 30 * time.Second
-	// leaderMaxAge is the time since the last contact with a leader after which this daemon no longer counts as
-	// current.
+	// leaderMaxAge is the time since the last contact with a leader, and since this daemon last knew what the leader had committed,
+	// after which it no longer counts as current.
 	leaderMaxAge = 1200 * time.Millisecond
 	// staleTolerance is how long this daemon may be no longer current, as during an election, before its list of gateways
 	// counts as interrupted. Together with leaderMaxAge it is shorter than a lease.
@@ -125,7 +125,8 @@
 	return c.quorum.Orders().Document()
 }
 
-// Current reports whether this daemon leads with a valid lease or has had recent contact with the leader.
+// Current reports whether this daemon leads with a valid lease, or has had recent contact with the leader and what the leader has
+// committed.
 func (c *Control) Current() bool {
 	if c.quorum == nil {
 		return false
@@ -136,7 +137,7 @@
 		_, _, ok := c.quorum.Lease(now)
 		return ok
 	}
-	return status.Leader.Name != "" && now.Sub(status.LastLeaderContact) < leaderMaxAge
+	return status.Leader.Name != "" && now.Sub(status.LastLeaderContact) < leaderMaxAge && now.Sub(status.CaughtUpAt) < leaderMaxAge
 }
 
 // runFleet expires endpoints and gateways, keeps a Share stream to each other control daemon, submits undecided departures
