--- a/acceptor/rpc_test.go
+++ b/acceptor/rpc_test.go
@@ -43,7 +43,7 @@
 	return a, l.Addr().String()
 }
 
-// tell opens a stream and sends a message.
+// tell opens a stream on the client and sends one message.
 func tell(t *testing.T, address string) grpc.ClientStreamingClient[wiregen.OutstandingReport, wiregen.OutstandingReply] {
 	t.Helper()
 	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
--- a/gateway/handback.go
+++ b/gateway/handback.go
@@ -36,7 +36,7 @@
 	j.w.abort(j.r)
 }
 
-// setTakesBackHeader tells another gateway whether this one can go on with a stream that is handed back.
+// setTakesBackHeader sets the header that says whether this one can go on with a stream that is handed back.
 func (j *job) setTakesBackHeader(h http.Header) {
 	if j.route.Kind == routes.Stream && j.route.Repeatable() && j.chargedRuns > 1 {
 		h.Set(takesBackHeader, "1")
--- a/gateway/narrowlink_test.go
+++ b/gateway/narrowlink_test.go
@@ -16,7 +16,7 @@
 	perSecond int
 
 	mu sync.Mutex
-	// free is when the link has sent what was put on it.
+	// free is the time at which the link has sent all bytes queued so far.
 	free time.Time
 }
 
--- a/gateway/received.go
+++ b/gateway/received.go
@@ -8,7 +8,7 @@
 	"google.golang.org/grpc"
 )
 
-// countReceived returns the option of a connection whose received bytes are added to a number.
+// countReceived returns a dial option that adds the bytes received on the connection to a counter.
 func countReceived(received *atomic.Int64) grpc.DialOption {
 	return grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 		var d net.Dialer
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -241,7 +241,7 @@
 	// updatedAt is when the last update arrived, and receivedAt when progressBytes had last arrived in addition to counted ones.
 	updatedAt, receivedAt time.Time
 	counted               int64
-	// current reports whether the control daemon was current when last heard of, and currentAt when it last was.
+	// current reports whether the control daemon was current by its last update, and currentAt is the last time at which it was.
 	current    bool
 	currentAt  time.Time
 	reportedAt time.Time
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -18,7 +18,7 @@
 
 // Limits bounds what a process holds for its clients. Zero values set no bound.
 type Limits struct {
-	// Connections is the greatest number of open connections.
+	// Connections is the maximum number of open connections.
 	Connections int
 	// HeadBytes bounds the memory of large heads, in bytes.
 	HeadBytes int64
