--- a/exchange/pool_test.go
+++ b/exchange/pool_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -64,11 +63,11 @@
 // TestKeepWarm sends requests to an address to which connections are kept: each finds an idle one, and the one that it
 // takes is replaced while it is in use.
 func TestKeepWarm(t *testing.T) {
-	var accepted atomic.Int32
+	accepted := make(chan string, 100)
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
-	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+	server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
 		if state == http.StateNew {
-			accepted.Add(1)
+			accepted <- conn.RemoteAddr().String()
 		}
 	}
 	server.Start()
@@ -111,7 +110,17 @@
 		}
 	}
 	waitIdle(0)
-	if n := accepted.Load(); n != 5 {
-		t.Errorf("%d connections were opened", n)
+	// A connected client may still wait to be accepted. Connections are accepted in order.
+	last, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer last.Close()
+	opened := 0
+	for <-accepted != last.LocalAddr().String() {
+		opened++
+	}
+	if opened != 5 {
+		t.Errorf("%d connections were opened", opened)
 	}
 }
