Begin an answer or give it up at a stop, never both

Callers saw, found by the review: an answer that is cut because its first bytes are written at the moment at which a stopping gateway ends requests that are unanswered. An answer of more than 1 MB, or a stream, ended in the middle; one that the gateway has whole was cut for a caller that reads slowly.

Cause: hurry (gateway/closing.go) read whether the head had been written, and then ended the attempts. An answer that began in between was written although what it was read from had been ended, and its socket buffer was not enlarged. Class: check, then act.

Evidence: TestAnswerBegunAtGraceEndCut holds an answer between the two.

Why this works: beginning an answer and giving it up are one compare-and-swap of the same state. Who comes second learns it: hurry leaves the attempts of an answer that has begun alone; an answer that was given up is refused as one that may have run, unless it is whole already, and then its rest is left to the kernel.

--- a/gateway/closing.go
+++ b/gateway/closing.go
@@ -105,7 +105,7 @@
 // hurry is called when the grace period is nearly over. It ends the attempts of a request without an answer, and of a stream that is
 // handed back.
 func (j *job) hurry(cancel context.CancelFunc) {
-	if !j.w.begun.Load() || j.mayHandBack() {
+	if j.w.giveUp() || j.mayHandBack() {
 		cancel()
 		return
 	}
--- a/gateway/closing_test.go
+++ b/gateway/closing_test.go
@@ -136,7 +136,13 @@
 // serveTCP has a gateway serve callers or other gateways as Run does.
 func serveTCP(t *testing.T, g *testGateway, forwarded bool) tcpServer {
 	t.Helper()
-	server := g.Gateway.server(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, forwarded) })
+	return serveHandler(t, g, func(w http.ResponseWriter, r *http.Request) { g.serve(w, r, forwarded) })
+}
+
+// serveHandler serves a handler over connections that are set up as those of the gateway's callers.
+func serveHandler(t *testing.T, g *testGateway, handler http.HandlerFunc) tcpServer {
+	t.Helper()
+	server := g.Gateway.server(handler)
 	l, err := listen(t.Context(), "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -226,22 +232,122 @@
 	g := newGateway(t, testTable(t, nil), endpoint)
 	g.cfg.Grace = 1500 * time.Millisecond
 	server := serveTCP(t, g, false)
+	answer := callSlowly(t, server.address)
+	defer answer.Body.Close()
+	g.stop()
+	g.closeServers(time.Unix(0, g.stopBeganNanos.Load()).Add(g.cfg.Grace-stopMargin), server.Server)
+	if got, err := io.ReadAll(answer.Body); err != nil || string(got) != body {
+		t.Errorf("%d of %d bytes, %v", len(got), len(body), err)
+	}
+}
+
+// callSlowly sends a request over a connection with a small receive buffer, and returns its answer, of which little more than the
+// head has been read.
+func callSlowly(t *testing.T, address string) *http.Response {
+	t.Helper()
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
 	}}
-	conn, err := dialer.Dial("tcp", server.address)
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
+	t.Cleanup(func() { _ = conn.Close() })
 	fmt.Fprintf(conn, "POST /unsafe/x HTTP/1.1\r\nHost: %s\r\nId: slow\r\nPatience: 5000\r\nContent-Length: 0\r\n\r\n", testHost)
 	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return answer
+}
+
+// heldWriter calls hold at first before the header of an answer is set, or before it is written.
+type heldWriter struct {
+	http.ResponseWriter
+
+	atWriting bool
+	hold      func()
+}
+
+func (w *heldWriter) Header() http.Header {
+	if !w.atWriting {
+		w.hold()
+	}
+	return w.ResponseWriter.Header()
+}
+
+func (w *heldWriter) WriteHeader(status int) {
+	if w.atWriting {
+		w.hold()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *heldWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// endAnswersAndWait ends unanswered requests and leaves each the time to notice.
+func (g *testGateway) endAnswersAndWait() {
+	g.endAnswers()
+	time.Sleep(50 * time.Millisecond)
+}
+
+// TestAnswerBegunAtGraceEndCut guards against an answer that a stopping gateway begins while it ends the request as unanswered: it is
+// whole, or the request is answered that it may have run.
+func TestAnswerBegunAtGraceEndCut(t *testing.T) {
+	const size = 3 << 19
+	for _, c := range []struct{ name, path, begin, end string }{
+		{"long answer", "/unsafe/x", strings.Repeat("x", size-10), strings.Repeat("x", 10)},
+		{"stream", "/stream/x", pieces(0, 0), pieces(1, 1)},
+	} {
+		for _, atWriting := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, held at writing %v", c.name, atWriting), func(t *testing.T) {
+				var g *testGateway
+				endpoint := newEndpoint(t, "a", func(conn *endpointConn, r *http.Request, _ int) bool {
+					kind := "Content-Type: text/event-stream"
+					if c.path != "/stream/x" {
+						kind = fmt.Sprintf("Content-Length: %d", size)
+					}
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: a\r\n%s\r\n\r\n%s", r.Header.Get("Id"), kind, c.begin)
+					<-g.answerCtx.Done()
+					time.Sleep(100 * time.Millisecond)
+					fmt.Fprint(conn, c.end)
+					return false
+				})
+				g = newGateway(t, testTable(t, nil), endpoint)
+				hold := sync.OnceFunc(g.endAnswersAndWait)
+				g.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					g.serve(&heldWriter{ResponseWriter: w, atWriting: atWriting, hold: hold}, r, false)
+				})
+				got := g.call(t.Context(), "POST", c.path, nil)
+				whole := got.status == http.StatusOK && got.body == c.begin+c.end
+				refused := got.status == http.StatusBadGateway && got.header.Get(codeHeader) == string(problem.Stopping) && got.header.Get(outcomeHeader) != string(problem.NotRun) && got.header.Get("Signed") == ""
+				if !got.whole || !whole && !refused {
+					t.Errorf("status %d, %d bytes, %v", got.status, len(got.body), got.err)
+				}
+				if n := len(endpoint.requests()); n != 1 {
+					t.Errorf("%d runs, want 1", n)
+				}
+			})
+		}
+	}
+}
+
+// TestSlowReaderOfAnswerBegunAtGraceEndCut guards against a caller that loses an answer which the gateway has whole and begins to write
+// while it ends the request as unanswered, because the caller has not read all of it when the grace period ends.
+func TestSlowReaderOfAnswerBegunAtGraceEndCut(t *testing.T) {
+	body := strings.Repeat("x", 150<<10)
+	endpoint := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+		c.plain(r.Header.Get("Id"), http.StatusOK, body)
+		return true
+	})
+	g := newGateway(t, testTable(t, nil), endpoint)
+	hold := sync.OnceFunc(g.endAnswersAndWait)
+	server := serveHandler(t, g, func(w http.ResponseWriter, r *http.Request) {
+		g.serve(&heldWriter{ResponseWriter: w, hold: hold}, r, false)
+	})
+	answer := callSlowly(t, server.address)
 	defer answer.Body.Close()
-	g.stop()
-	g.closeServers(time.Unix(0, g.stopBeganNanos.Load()).Add(g.cfg.Grace-stopMargin), server.Server)
+	g.closeServers(time.Now().Add(lastAnswerTime), server.Server)
 	if got, err := io.ReadAll(answer.Body); err != nil || string(got) != body {
 		t.Errorf("%d of %d bytes, %v", len(got), len(body), err)
 	}
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -92,6 +92,14 @@
 	return fmt.Sprintf("the other gateway has stopped after %d runs", e.Runs)
 }
 
+// GivenUpError reports that an answer was given up at the end of the grace period before it began.
+type GivenUpError struct{}
+
+// Error says when the answer was given up.
+func (e *GivenUpError) Error() string {
+	return "the answer was given up at the end of the grace period before it began"
+}
+
 // UnusableAnswerError reports an answer that must not be passed on: a success without an endpoint's signature or with a
 // content encoding, or an answer that cannot continue a stream in progress.
 type UnusableAnswerError struct {
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -48,6 +48,16 @@
 	return a
 }
 
+// States of the answer to a request.
+const (
+	// answerAwaited: the answer may begin.
+	answerAwaited int32 = iota
+	// answerBegun: a part of the answer may have been written, so that no other answer is possible.
+	answerBegun
+	// answerGivenUp: the attempts of the request were ended before its answer began.
+	answerGivenUp
+)
+
 // answerWriter writes an answer to a caller and records since when a write has waited for the caller.
 type answerWriter struct {
 	http.ResponseWriter
@@ -55,8 +65,8 @@
 	answers *answers
 	// writingNanos is the Unix time at which the present write began; zero between writes.
 	writingNanos atomic.Int64
-	// begun is set when the header has been written.
-	begun atomic.Bool
+	// state is answerAwaited, answerBegun or answerGivenUp.
+	state atomic.Int32
 	// ended is set if the answer was ended because the caller did not read it.
 	ended atomic.Bool
 	// held is what the request's body and its buffered answer hold.
@@ -114,9 +124,17 @@
 // Unwrap returns the writer of the HTTP server.
 func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// WriteHeader begins the answer.
+// begin marks the answer as begun. It reports false if it was given up before.
+func (w *answerWriter) begin() bool {
+	return w.state.CompareAndSwap(answerAwaited, answerBegun) || w.state.Load() == answerBegun
+}
+
+// giveUp marks the answer as given up. It reports false if it has begun.
+func (w *answerWriter) giveUp() bool { return w.state.CompareAndSwap(answerAwaited, answerGivenUp) }
+
+// WriteHeader begins the answer. An answer that needs nothing more of an attempt may also be written after it was given up.
 func (w *answerWriter) WriteHeader(status int) {
-	w.begun.Store(true)
+	w.begin()
 	w.ResponseWriter.WriteHeader(status)
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -75,6 +75,10 @@
 		}
 		timer.stop()
 		if err := j.writeEvent(e, answer, of); err != nil {
+			var givenUp *GivenUpError
+			if errors.As(err, &givenUp) {
+				return j.recordBrokenStream(ctx, a, err)
+			}
 			j.lastErr = err
 			code := "callerLeft"
 			if j.w.ended.Load() {
@@ -116,11 +120,15 @@
 	}
 }
 
-// writeEvent sends one event to the caller.
+// writeEvent sends one event to the caller. It returns *GivenUpError if it would begin an answer that was given up.
 func (j *job) writeEvent(e event, answer *exchange.Response, of origin.Origin) error {
 	s := j.stream
 	if !s.started {
-		copyAnswerHeader(s.w.Header(), answer.Header)
+		h := s.w.Header()
+		if !j.w.begin() {
+			return &GivenUpError{}
+		}
+		copyAnswerHeader(h, answer.Header)
 		j.recordBegun(of)
 		s.w.WriteHeader(answer.Status)
 		s.started = true
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -256,7 +256,17 @@
 		}
 		return errorAnswer, j.writeBufferedError()
 	}
-	if err := j.writeAnswer(buffered); err != nil {
+	return j.relayBuffered(ctx, buffered, a)
+}
+
+// relayBuffered passes an answer on of which all that is buffered has arrived.
+func (j *job) relayBuffered(ctx context.Context, answer *bufferedAnswer, a *attempt) (ending, nextStep) {
+	err := j.writeAnswer(answer)
+	var givenUp *GivenUpError
+	switch {
+	case errors.As(err, &givenUp):
+		return j.endingOf(ctx, a, err), j.recordFailure(ctx, err, problem.Ran)
+	case err != nil:
 		return j.endingOf(ctx, a, err), truncated
 	}
 	return succeeded, answered
@@ -324,9 +334,17 @@
 	return answered
 }
 
-// writeAnswer sends an answer to the caller unchanged. An error means that the caller has not received all of it.
+// writeAnswer sends an answer to the caller unchanged. An error means that the caller has not received all of it, and
+// *GivenUpError that it has received nothing, as a long answer was given up before it began.
 func (j *job) writeAnswer(a *bufferedAnswer) error {
 	h := j.w.Header()
+	if !j.w.begin() {
+		if a.rest != nil {
+			a.release(j.w)
+			return &GivenUpError{}
+		}
+		growSocketBuffer(j.r)
+	}
 	copyAnswerHeader(h, a.header)
 	if a.rest == nil {
 		h.Set("Content-Length", strconv.Itoa(len(a.body)))
