Hand back streams whose first event is on its way at a stop

Callers of another gateway saw, or would see: a stream that was forwarded to a stopping gateway and got its first event at the moment at which that one hands its streams back is cut 0.2 s later, when its servers close, although the other gateway would have gone on with it.

Cause: hurry (gateway/closing.go) ends the attempts of streams that can be handed back, which a stream is once its first event is flushed. Nothing looked again after that. Class: check, then act.

Evidence: TestFirstEventAtGraceEndNotHandedBack holds the flush of the first event until hurry has run. Before, in 3 of 3 runs, the stream had not ended 2 s later: body "id: 0\ndata: piece 0\n\n", want "id: 0\ndata: piece 0\n\n: arbutusreel-runs 1\n\n". After: 10 of 10 passed, and 3 of 3 with the race detector.

Why this works: the stream is marked first, and then the relay looks whether streams are being handed back; hurry looks at the mark after that has begun. One of the two sees the other.

--- a/gateway/handback_test.go
+++ b/gateway/handback_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -93,3 +95,41 @@
 		t.Errorf("%+v after %d runs", got, len(endpoint.requests()))
 	}
 }
+
+// flushHeldWriter calls hold before each flush.
+type flushHeldWriter struct {
+	http.ResponseWriter
+
+	hold func()
+}
+
+func (w *flushHeldWriter) FlushError() error {
+	w.hold()
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+func (w *flushHeldWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// TestFirstEventAtGraceEndNotHandedBack guards against a forwarded stream that is not handed back because a stopping gateway hands
+// streams back while the first event is on its way to the other gateway.
+func TestFirstEventAtGraceEndNotHandedBack(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	endpoint := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+		c.head(r.Header.Get("Id"))
+		c.event(0)
+		<-release
+		return false
+	})
+	g := newGateway(t, testTable(t, nil), endpoint)
+	hold := sync.OnceFunc(g.endAnswersAndWait)
+	g.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.serve(&flushHeldWriter{ResponseWriter: w, hold: hold}, r, true)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	got := g.call(ctx, "POST", "/stream/x", map[string]string{takesBackHeader: "1"})
+	if want := pieces(0, 0) + string(formatHandBack(1)); got.body != want {
+		t.Errorf("body %q, want %q", got.body, want)
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -88,6 +88,10 @@
 			j.g.cfg.Metrics.Count(code)
 			return abandoned, answered
 		}
+		// hurry has not ended the attempt if the event was on its way.
+		if err := j.g.answerCtx.Err(); err != nil && j.mayHandBack() {
+			return j.recordBrokenStream(ctx, a, err)
+		}
 	}
 }
 
