Give the short request of TestLateRequestsCutAtStop a second of room

The test failed once beside other work (load 40 to 60): 503 for the request that must still be served late in the grace period. That is a fault of the test, not of the gateway: a request of unknown duration is taken until 1.7 s after the stop, and it was sent after 1.5 s.

The test now stops with a grace period of 4.3 s and has long requests of 2.2 s. They are sent 1.8 s after the stop, when 2.0 s are left, and the short one, which is taken until 2.8 s, right after them. All checks are the same, and the long requests still take 0.2 s more than what is left. Only a longer grace period was not enough: the time between the last long and the last short request that is taken depends on how long the long ones take.

--- a/gateway/latestop_test.go
+++ b/gateway/latestop_test.go
@@ -61,8 +61,11 @@
 // long ones that came in time, are served.
 func TestLateRequestsCutAtStop(t *testing.T) {
 	const (
-		grace = 3 * time.Second
-		long  = 1200 * time.Millisecond
+		grace = 4300 * time.Millisecond
+		long  = 2200 * time.Millisecond
+		// A long request is accepted until 1.05 s after the stop, and one of unknown duration until 2.8 s.
+		earlyAt = 200 * time.Millisecond
+		lateAt  = 1800 * time.Millisecond
 	)
 	var mu sync.Mutex
 	ran := map[string]bool{}
@@ -106,12 +109,12 @@
 	}()
 	early := newRawCaller(t, callers)
 	wg.Go(func() {
-		time.Sleep(time.Until(began.Add(grace / 10)))
+		time.Sleep(time.Until(began.Add(earlyAt)))
 		if got := early.send("early", "/unsafe/x"); got.err != nil || got.status != http.StatusOK {
 			t.Errorf("early in the grace period: %+v", got)
 		}
 	})
-	time.Sleep(time.Until(began.Add(grace / 2)))
+	time.Sleep(time.Until(began.Add(lateAt)))
 	late := map[string]*rawCaller{"new-caller": newRawCaller(t, callers), "new-forward": newRawCaller(t, forwards)}
 	for name, c := range kept {
 		late[name] = c
