Wait for the new share in TestAllotmentOwnerLost

A share starts empty at a change of owner (docs/teams-and-pace.md) and fills with 9,800 tokens a second here, 100 in 10 ms; the test asked for 100 for each of three gateways as soon as the first request had been admitted. The refusals are true, and the test's own first request is asked again until the share holds enough.

The test now waits until the share holds the 300 tokens of the three requests. Each must be served, as before, and all that follows is the same.

--- a/gateway/allotments_test.go
+++ b/gateway/allotments_test.go
@@ -107,6 +107,15 @@
 	return owner
 }
 
+// level returns the level of the share that a gateway owns.
+func (f *allotmentFleet) level(gateway int) float64 {
+	a := f.gateways[gateway].allotments
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	level, _ := a.pool.Level(time.Now(), "club")
+	return level
+}
+
 func (f *allotmentFleet) ask(gateway int) result {
 	return f.gateways[gateway].call(context.Background(), http.MethodGet, "/safe/x", map[string]string{"Key": "key", "Tokens": "100"})
 }
@@ -119,6 +128,8 @@
 	owner := f.owner(0, 1, 2)
 	other, third := (owner+1)%3, (owner+2)%3
 	waitFor(t, "a request is admitted by the owner's grant", func() bool { return f.ask(other).status == http.StatusOK })
+	// A new share starts empty.
+	waitFor(t, "the share holds a request of each gateway", func() bool { return f.level(owner) >= 300 })
 	for i := range f.gateways {
 		if r := f.ask(i); r.status != http.StatusOK {
 			t.Fatalf("gateway %d of a team within its allotment: status %d, %s", i, r.status, r.body)
