Count no follower as caught up before its leader knows what is committed

After a loss of power no restored commit index may cover the last acknowledged entry. The new leader sends its own restored index until an entry of its term is committed. Its followers counted as caught up, and so as current, while the leader itself did not: a gateway without a document took the old one as current and did not search.

Cause: a leader's commit index was taken for all that is committed, which it is only once an entry of its term is (Raft, 5.4.2 and 8). Evidence: TestFollowerOfNewLeaderCountsAsCaughtUp failed: "after 10 ms caught up ... with entry 2 committed", and the same after 110 ms. A follower now also needs an entry of the leader's term to be committed.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -31,7 +31,8 @@
 	leader ID
 	// lastLeaderContact is the time of the last message from a leader, or the node's start time.
 	lastLeaderContact time.Time
-	// caughtUpAt is the time of the last message from a leader after which this node's commit index was the leader's.
+	// caughtUpAt is the time of the last message from a leader after which this node's commit index was the leader's and an entry of
+	// the leader's term.
 	caughtUpAt     time.Time
 	electionAt     time.Time
 	heartbeatAt    time.Time
@@ -140,7 +141,8 @@
 	case AppendRequest:
 		n.observeLeader(now, m)
 		n.onAppend(m)
-		if n.commit >= m.Commit {
+		// A new leader knows what was committed before its term once an entry of its term is.
+		if term, ok := n.log.term(n.commit); ok && term == m.Term && n.commit >= m.Commit {
 			n.caughtUpAt = now
 		}
 	case InstallRequest:
