Answer requests whose body is not whole when the grace period ends

Callers saw, found by the review: the connection closes without an answer if the body of a request is still on its way when a stopping gateway's grace period ends. Cause: what ends unanswered requests is registered once the body is read; the wait for the body ended only at the request's own deadline.

The wait now ends when unanswered requests are ended, and such a request is answered 503, not run, and never passed on.

--- a/gateway/closing_test.go
+++ b/gateway/closing_test.go
@@ -352,3 +352,29 @@
 		t.Errorf("%d of %d bytes, %v", len(got), len(body), err)
 	}
 }
+
+// TestRequestInPartsCutAtGraceEnd guards against a request without an answer because its body is not whole when the grace period ends.
+func TestRequestInPartsCutAtGraceEnd(t *testing.T) {
+	endpoint := newEndpoint(t, "a", answering())
+	for _, header := range []string{"Content-Length: 10\r\n\r\n12345", "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n"} {
+		g := newGateway(t, testTable(t, nil), endpoint)
+		g.cfg.Grace = 1500 * time.Millisecond
+		server := serveTCP(t, g, false)
+		caller := newRawCaller(t, server.address)
+		fmt.Fprintf(caller.conn, "POST /unsafe/x HTTP/1.1\r\nHost: %s\r\nId: parts\r\nPatience: 5000\r\n%s", testHost, header)
+		time.Sleep(100 * time.Millisecond)
+		g.stop()
+		g.closeServers(time.Unix(0, g.stopBeganNanos.Load()).Add(g.cfg.Grace-stopMargin), server.Server)
+		answer, err := http.ReadResponse(caller.in, nil)
+		if err != nil {
+			t.Errorf("%q: %v", header, err)
+			continue
+		}
+		if _, err := io.ReadAll(answer.Body); err != nil || answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get(codeHeader) != string(problem.Stopping) {
+			t.Errorf("%q: status %d, %v, %v", header, answer.StatusCode, answer.Header, err)
+		}
+	}
+	if n := len(endpoint.requests()); n != 0 {
+		t.Errorf("%d runs, want none", n)
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -201,6 +201,11 @@
 	return j.readBody()
 }
 
+// stopping refuses a request that has not run.
+func (g *Gateway) stopping() *problem.Problem {
+	return problem.New(problem.Stopping, http.StatusServiceUnavailable, "the gateway is stopping").WithRetryAfter(g.stoppingRetryAfter())
+}
+
 // boundByStop refuses a request that this stopping gateway might not answer before it ends. A plain request that is
 // accepted is answered by then, with a failure if it takes longer than others did. A forwarded stream must always end in time: the gateway that forwarded it can still send
 // it elsewhere.
@@ -210,7 +215,7 @@
 		return nil
 	}
 	if !accepts || j.forwarded && j.route.Kind == routes.Stream {
-		return problem.New(problem.Stopping, http.StatusServiceUnavailable, "the gateway is stopping").WithRetryAfter(j.g.stoppingRetryAfter())
+		return j.g.stopping()
 	}
 	if j.route.Kind != routes.Stream {
 		j.deadline = end
@@ -287,6 +292,11 @@
 	}
 	control := http.NewResponseController(j.w)
 	_ = control.SetReadDeadline(j.deadline)
+	interrupted := make(chan struct{})
+	mayInterrupt := context.AfterFunc(j.g.answerCtx, func() {
+		_ = control.SetReadDeadline(time.Now())
+		close(interrupted)
+	})
 	var err error
 	if n := j.r.ContentLength; n > 0 {
 		j.body = make([]byte, n)
@@ -295,7 +305,12 @@
 		j.body, err = io.ReadAll(io.LimitReader(j.r.Body, limit+1))
 		j.w.hold(int64(len(j.body)) - size)
 	}
+	if !mayInterrupt() {
+		<-interrupted
+	}
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && j.g.answerCtx.Err() != nil:
+		return j.g.stopping()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return problem.New(problem.PatienceExceeded, http.StatusRequestTimeout, "the body was not sent within the time of the request")
 	case err != nil:
