Refuse evacuation orders that undo later decisions

An operator gives a control daemon up after a second and sends the order to another one. A daemon that had read the order and was held up, or whose call to the leader was, had it decided later all the same, unless it had noticed that the operator had gone. An opposite order that was acknowledged since was undone: requests reached endpoints of an evacuated failure domain, or none did of one that was taken back.

Cause: an evacuation order has no version, so that the leader can't tell an old one from a new one.

The receiver puts into the order the index of the last log entry that it had applied when the order arrived. The leader refuses the order (outdatedOrder, not run) if it would change the evacuated domains and the last decision about its domain, whether or not that changed anything, has a higher index. An order that changes nothing is decided, so that one that was accepted is never refused. The operator may send a refused order again at once to another daemon, or to the same one as soon as it has applied the decision.

The leader checks before it appends, and its log has all entries before the order's own, committed or not; if it is deposed meanwhile, the entry is lost or its log was right. So no other member checks anything, and members of earlier versions, which ignore the field in the log, have the same state.

Settled, with receiver and leader of this version: a receiver, or its call, that is held up at any point after Evacuate has begun, while the opposite order is decided; two orders in the leader's queue. A receiver that thaws before it has read the order and handles it before it has applied the later decision.

Not settled: a receiver that is up to date by the time at which it reads the order from its socket, as when only the operator's bytes were held up, or when it catches up first after a freeze. It can't tell the order's age; it decides the order unless it sees the end of the connection before. Orders from receivers of earlier versions, or to leaders of these, are decided as before.

A daemon that has not yet heard of the last decision about a domain refuses an order that changes it, although the order is new.

--- a/configuration/orders.go
+++ b/configuration/orders.go
@@ -15,13 +15,19 @@
 type Orders struct {
 	document    Document
 	evacuations Evacuations
+	decisions   evacuationDecisions
 }
 
-// RestoreOrders returns the orders with a document and evacuations, whose domains may be unsorted and repeated.
-func RestoreOrders(d Document, e Evacuations) Orders {
-	sorted := slices.Clone(e.Domains)
+// RestoreOrders returns the orders after the log entry at an index, with a document and evacuations, whose domains may be unsorted and
+// repeated.
+func RestoreOrders(index int64, d Document, e Evacuations) Orders {
+	return Orders{document: d, evacuations: Evacuations{Index: e.Index, Domains: sortedDomains(e.Domains)}, decisions: evacuationDecisions{floor: index}}
+}
+
+func sortedDomains(domains []string) []string {
+	sorted := slices.Clone(domains)
 	slices.Sort(sorted)
-	return Orders{document: d, evacuations: Evacuations{Index: e.Index, Domains: slices.Compact(sorted)}}
+	return slices.Compact(sorted)
 }
 
 // Document returns the document with the highest version so far; its version is zero if there was none.
@@ -38,22 +44,39 @@
 	if d.Version <= o.document.Version {
 		return o
 	}
-	return Orders{document: d, evacuations: o.evacuations}
+	o.document = d
+	return o
 }
 
 // WithEvacuation returns the orders with a failure domain evacuated by the log entry at an index.
 func (o Orders) WithEvacuation(index int64, domain string) Orders {
+	o.decisions = o.decisions.with(index, domain)
 	if slices.Contains(o.evacuations.Domains, domain) {
 		return o
 	}
-	return RestoreOrders(o.document, Evacuations{Index: index, Domains: append(slices.Clone(o.evacuations.Domains), domain)})
+	o.evacuations = Evacuations{Index: index, Domains: sortedDomains(append(slices.Clone(o.evacuations.Domains), domain))}
+	return o
 }
 
 // WithoutEvacuation returns the orders with the evacuation of a failure domain withdrawn by the log entry at an index.
 func (o Orders) WithoutEvacuation(index int64, domain string) Orders {
+	o.decisions = o.decisions.with(index, domain)
 	if !slices.Contains(o.evacuations.Domains, domain) {
 		return o
 	}
 	without := slices.DeleteFunc(slices.Clone(o.evacuations.Domains), func(d string) bool { return d == domain })
-	return Orders{document: o.document, evacuations: Evacuations{Index: index, Domains: without}}
+	o.evacuations = Evacuations{Index: index, Domains: without}
+	return o
+}
+
+// CheckEvacuation returns *OutdatedOrderError for an order about a failure domain that would undo a decision about it after the known
+// index, which is that of the last log entry applied where the order arrived.
+func (o Orders) CheckEvacuation(known int64, domain string, withdrawn bool) error {
+	if undoes := slices.Contains(o.evacuations.Domains, domain) == withdrawn; !undoes {
+		return nil
+	}
+	if decided := o.decisions.last(domain); known < decided {
+		return &OutdatedOrderError{Domain: domain, Known: known, Decided: decided}
+	}
+	return nil
 }
--- a/configuration/orders_test.go
+++ b/configuration/orders_test.go
@@ -1,6 +1,8 @@
 package configuration
 
 import (
+	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -39,3 +41,36 @@
 		t.Errorf("withdrawing changed the orders before it: %s", diff)
 	}
 }
+
+// TestOutdatedOrder checks which orders about the failure domain d would undo a decision that was not known where they arrived.
+func TestOutdatedOrder(t *testing.T) {
+	restored := RestoreOrders(5, Document{}, Evacuations{Index: 2, Domains: []string{"d"}})
+	many := restored
+	for i := range int64(maxEvacuationDecisions) {
+		many = many.WithEvacuation(10+i, fmt.Sprint(i))
+	}
+	for _, c := range []struct {
+		name      string
+		orders    Orders
+		known     int64
+		withdrawn bool
+		outdated  bool
+	}{
+		{"before the snapshot", restored, 4, true, true},
+		{"at the snapshot", restored, 5, true, false},
+		{"in force already", restored, 0, false, false},
+		{"before a change", restored.WithoutEvacuation(7, "d"), 6, false, true},
+		{"after a change", restored.WithoutEvacuation(7, "d"), 7, false, false},
+		{"before the same order again", restored.WithEvacuation(7, "d"), 6, true, true},
+		{"before orders about others", restored.WithEvacuation(7, "d").WithEvacuation(8, "e"), 7, true, false},
+		{"decision retained", many, 9, true, false},
+		{"decision not retained", many.WithEvacuation(1000, "e"), 9, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			err := c.orders.CheckEvacuation(c.known, "d", c.withdrawn)
+			if got := errors.As(err, new(*OutdatedOrderError)); got != c.outdated {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -77,6 +77,11 @@
 	return out
 }
 
+// EntriesAfter returns the entries of the log after an index, of which the last ones may not be committed.
+func (n *Node) EntriesAfter(index int64) []Entry {
+	return n.log.slice(max(index, n.log.base)+1, n.log.last())
+}
+
 // Tick advances the node's timers to now; it should be called a few times per heartbeat interval.
 func (n *Node) Tick(now time.Time) {
 	if n.role == leader {
--- a/control/evacuations_test.go
+++ b/control/evacuations_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"testing"
 	"time"
 
 	"google.golang.org/grpc"
 
+	"arbutusreel/configuration"
 	"arbutusreel/fleet"
 	"arbutusreel/keys"
+	"arbutusreel/problem"
 	"arbutusreel/wire"
 	"arbutusreel/wiregen"
 )
@@ -120,3 +123,110 @@
 		})
 	}
 }
+
+// holdCalls replaces a daemon's connection to another one by one whose calls are held up until the returned channel is closed; held
+// receives as the first call begins.
+func (d *daemon) holdCalls(t *testing.T, address string) (held <-chan struct{}, release chan<- struct{}) {
+	t.Helper()
+	began, released := make(chan struct{}, 1), make(chan struct{})
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(keys.Plain().Client("")),
+		grpc.WithUnaryInterceptor(func(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoke grpc.UnaryInvoker, opts ...grpc.CallOption) error {
+			select {
+			case began <- struct{}{}:
+			default:
+			}
+			<-released
+			return invoke(ctx, method, req, reply, cc, opts...)
+		}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.peers.mu.Lock()
+	defer d.peers.mu.Unlock()
+	if before := d.peers.connections[address]; before != nil {
+		t.Cleanup(func() { _ = before.Close() })
+	}
+	d.peers.connections[address] = conn
+	return began, released
+}
+
+// TestLateOrderUndoesAcknowledged has a control daemon be held up after it has read an order, and the opposite order acknowledged by
+// another one meanwhile: the late order is refused, and decided if it is sent again.
+func TestLateOrderUndoesAcknowledged(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// withdrawn is the late order; before it and while it is held up, others are acknowledged.
+		withdrawn         bool
+		before, meanwhile []bool
+	}{
+		{"withdrawn and ordered again", true, []bool{false}, []bool{true, false}},
+		{"ordered and withdrawn again", false, nil, []bool{false, true}},
+		{"ordered while in force", true, []bool{false}, []bool{false}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			daemons := startKnowing(t, leavingEndpoint())
+			leader, other, late := daemons[0], daemons[1], daemons[2]
+			for _, withdrawn := range c.before {
+				evacuate(t, other, "d", withdrawn)
+			}
+			waitFor(t, "the orders applied", func() bool {
+				return slices.Equal(late.quorum.Orders().Evacuations().Domains, leader.quorum.Orders().Evacuations().Domains)
+			})
+			held, release := late.holdCalls(t, leader.cfg.PeerAddress)
+			answered := make(chan error, 1)
+			go func() { answered <- late.Evacuate(t.Context(), "d", c.withdrawn) }()
+			<-held
+			for _, withdrawn := range c.meanwhile {
+				evacuate(t, other, "d", withdrawn)
+			}
+			close(release)
+			err := <-answered
+			if got := slices.Contains(leader.quorum.Orders().Evacuations().Domains, "d"); got != c.withdrawn {
+				t.Errorf("the late order was decided: evacuated %v, answered %v", got, err)
+			}
+			if p := problem.From(err); p.Code != problem.OutdatedOrder || p.Outcome != problem.NotRun {
+				t.Errorf("the late order was answered %v, %q", err, p.Outcome)
+			}
+			evacuate(t, late, "d", c.withdrawn)
+			if got := slices.Contains(leader.quorum.Orders().Evacuations().Domains, "d"); got == c.withdrawn {
+				t.Errorf("the order that was sent again was not decided: evacuated %v", got)
+			}
+		})
+	}
+}
+
+// TestLateOrderUndoesUncommitted has opposite orders reach the leader before the first one is committed: the second one, which was
+// read before the first one was appended, is refused.
+func TestLateOrderUndoesUncommitted(t *testing.T) {
+	q, _ := startSingleVoter(t, 1<<30)
+	q.waitForLease(t)
+	checked := make(chan error, 1)
+	err := q.enqueue(t.Context(), func(now time.Time) {
+		known := q.knownIndex()
+		first := &wiregen.FleetOrder{Evacuation: &wiregen.EvacuationOrder{FailureDomain: "d"}}
+		if _, _, err := q.node.Propose(now, marshal(&wiregen.ChangeCommand{Fleet: first})); err != nil {
+			t.Error(err)
+		}
+		checked <- q.checkEvacuation(&wiregen.EvacuationOrder{FailureDomain: "d", Withdrawn: true, KnownIndex: &known})
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := <-checked; !errors.As(err, new(*configuration.OutdatedOrderError)) {
+		t.Errorf("the second order was answered %v", err)
+	}
+}
+
+// TestOrderOfEarlierVersion has an earlier version forward an order, which lacks the index: it is decided.
+func TestOrderOfEarlierVersion(t *testing.T) {
+	leader := startKnowing(t, leavingEndpoint())[0]
+	for _, withdrawn := range []bool{false, true, false} {
+		order := &wiregen.FleetOrder{Evacuation: &wiregen.EvacuationOrder{FailureDomain: "d", Withdrawn: withdrawn}}
+		if _, err := leader.Decide(t.Context(), order); err != nil {
+			t.Fatal(err)
+		}
+		if got := slices.Contains(leader.quorum.Orders().Evacuations().Domains, "d"); got == withdrawn {
+			t.Errorf("evacuated %v after an order with withdrawn %v", got, withdrawn)
+		}
+	}
+}
--- a/control/operators_orders.go
+++ b/control/operators_orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -25,8 +26,12 @@
 
 // Evacuate orders that the endpoints of a failure domain get no new requests, or withdraws the order. Failures are of
 // type *problem.Problem.
+//
+// An order is refused with problem.OutdatedOrder if it would undo another one that this voter had not applied when Evacuate was called:
+// its caller may have had the other one decided elsewhere since.
 func (c *Control) Evacuate(ctx context.Context, domain string, withdrawn bool) error {
-	return c.submitOrder(ctx, &wiregen.FleetOrder{Evacuation: &wiregen.EvacuationOrder{FailureDomain: domain, Withdrawn: withdrawn}})
+	known := c.quorum.knownIndex()
+	return c.submitOrder(ctx, &wiregen.FleetOrder{Evacuation: &wiregen.EvacuationOrder{FailureDomain: domain, Withdrawn: withdrawn, KnownIndex: &known}})
 }
 
 // Newest returns the newest document accepted by the quorum, including every document accepted before the call.
@@ -87,12 +92,20 @@
 	_, err = callPeer(ctx, c.peers, leader.Address, func(ctx context.Context, conn grpc.ClientConnInterface) (*wiregen.FleetDecision, error) {
 		return wiregen.NewFleetClient(conn).Decide(ctx, m)
 	})
-	if err != nil {
+	switch {
+	case status.Code(err) == codes.Aborted:
+		return outdatedOrder(status.Convert(err).Message())
+	case err != nil:
 		return leaderUnreachable(leader, err)
 	}
 	return nil
 }
 
+// outdatedOrder returns the problem for an order that would undo a later decision.
+func outdatedOrder(reason string) *problem.Problem {
+	return problem.New(problem.OutdatedOrder, http.StatusServiceUnavailable, "%s", reason).WithRetryAfter(leaderRetryAfter)
+}
+
 // proposeOrder appends an order to the log. For a document that is not newer than the one in force, and a departure that was
 // accepted, it only confirms leadership.
 func (c *Control) proposeOrder(ctx context.Context, m *wiregen.FleetOrder) error {
@@ -103,13 +116,23 @@
 		return c.quorum.Confirm(ctx)
 	}
 	command := marshal(&wiregen.ChangeCommand{Fleet: m, UnixMillis: c.now().UnixMilli()})
-	_, err := c.quorum.proposeAndWait(ctx, func(now time.Time) (index, term int64, err error) { return c.quorum.node.Propose(now, command) })
+	_, err := c.quorum.proposeAndWait(ctx, func(now time.Time) (index, term int64, err error) {
+		if err := c.quorum.checkEvacuation(m.GetEvacuation()); err != nil {
+			return 0, 0, err
+		}
+		return c.quorum.node.Propose(now, command)
+	})
 	return err
 }
 
 // Decide decides an order forwarded by another voter.
 func (c *Control) Decide(ctx context.Context, m *wiregen.FleetOrder) (*wiregen.FleetDecision, error) {
-	if err := c.proposeOrder(ctx, m); err != nil {
+	err := c.proposeOrder(ctx, m)
+	var p *problem.Problem
+	switch {
+	case errors.As(err, &p) && p.Code == problem.OutdatedOrder:
+		return nil, status.Error(codes.Aborted, p.Detail)
+	case err != nil:
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
 	return &wiregen.FleetDecision{Accepted: true}, nil
--- a/control/orders_codec.go
+++ b/control/orders_codec.go
@@ -49,14 +49,11 @@
 // decodeOrders returns the orders of a snapshot that includes the log up to an index, which stands in for the index that
 // snapshots of earlier versions lack.
 func decodeOrders(index int64, m *wiregen.FleetSnapshot) configuration.Orders {
-	if m == nil {
-		return configuration.Orders{}
-	}
 	e := configuration.Evacuations{Index: index, Domains: m.GetEvacuated()}
-	if m.EvacuationsIndex != nil {
+	if m == nil || m.EvacuationsIndex != nil {
 		e.Index = m.GetEvacuationsIndex()
 	}
-	return configuration.RestoreOrders(decodeDocument(m.GetDocument()), e)
+	return configuration.RestoreOrders(index, decodeDocument(m.GetDocument()), e)
 }
 
 // applyOrder returns the orders with the order of the log entry at an index applied.
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -87,7 +87,9 @@
 	lease            leaseState
 	acceptTimes      map[int64]time.Time
 	orders           configuration.Orders
-	departures       fleet.DepartureLog
+	// ordersIndex is the index of the last log entry applied to orders.
+	ordersIndex int64
+	departures  fleet.DepartureLog
 	// replyAges holds, on the leader, the time since each other member's last reply.
 	replyAges map[consensus.ID]time.Duration
 }
@@ -287,7 +289,7 @@
 	if e := q.machine.orders.Evacuations(); !e.Equal(q.orders.Evacuations()) {
 		q.log.Info().Int64("index", e.Index).Strs("evacuated", e.Domains).Msg("evacuated failure domains applied")
 	}
-	q.orders = q.machine.orders
+	q.orders, q.ordersIndex = q.machine.orders, q.appliedIndex
 	if revision == q.current.Revision {
 		q.mu.Unlock()
 		return
@@ -390,6 +392,13 @@
 	return q.orders
 }
 
+// knownIndex returns the index of the last log entry that Orders includes.
+func (q *quorum) knownIndex() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ordersIndex
+}
+
 // departed reports whether the departure of an endpoint has been accepted.
 func (q *quorum) departed(d fleet.LoggedDeparture) bool {
 	q.mu.Lock()
--- a/control/requests.go
+++ b/control/requests.go
@@ -6,9 +6,12 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"arbutusreel/configuration"
 	"arbutusreel/consensus"
 	"arbutusreel/problem"
+	"arbutusreel/wiregen"
 )
 
 const (
@@ -39,6 +42,7 @@
 		unknown *consensus.UnknownMemberError
 		pending *consensus.ChangePendingError
 		risk    *consensus.QuorumAtRiskError
+		old     *configuration.OutdatedOrderError
 	)
 	switch {
 	case errors.As(err, &exists):
@@ -49,11 +53,29 @@
 		return problem.New(problem.ChangePending, http.StatusConflict, "%s", err.Error()).WithRetryAfter(leaderRetryAfter)
 	case errors.As(err, &risk):
 		return problem.New(problem.QuorumAtRisk, http.StatusConflict, "%s", err.Error())
+	case errors.As(err, &old):
+		return outdatedOrder(err.Error())
 	default:
 		return q.notLeader()
 	}
 }
 
+// checkEvacuation returns *configuration.OutdatedOrderError if an order would undo one in the log that its receiver did not know. All
+// entries before its own are in the leader's log, so that no voter needs to check it again, whatever its version.
+func (q *quorum) checkEvacuation(m *wiregen.EvacuationOrder) error {
+	if m == nil || m.KnownIndex == nil {
+		return nil
+	}
+	orders := q.machine.orders
+	for _, e := range q.node.EntriesAfter(q.appliedIndex) {
+		c := &wiregen.ChangeCommand{}
+		if e.Kind == consensus.CommandEntry && proto.Unmarshal(e.Data, c) == nil {
+			orders = applyOrder(e.Index, orders, c.GetFleet())
+		}
+	}
+	return orders.CheckEvacuation(m.GetKnownIndex(), m.GetFailureDomain(), m.GetWithdrawn())
+}
+
 // Propose proposes a change to the quorum and waits for the decision.
 func (q *quorum) Propose(ctx context.Context, c configuration.Change) (configuration.Answer, error) {
 	revision, encoded := q.currentEncoded()
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -76,6 +76,7 @@
 	MemberUnreachable  Code = "memberUnreachable"
 	ChangePending      Code = "changePending"
 	QuorumAtRisk       Code = "quorumAtRisk"
+	OutdatedOrder      Code = "outdatedOrder"
 	CallerGone         Code = "callerGone"
 	BodyTimeout        Code = "bodyTimeout"
 	HeaderTooLarge     Code = "headerTooLarge"
