Close a connection to the leader only after its last call

Calls of a control daemon to the leader share a connection. As one caller left, or one call reached its deadline, the others were cut: operators got 503 with an unknown outcome for orders that the leader may have decided, and sent them again.

Cause: callPeer closed the connection whenever the context of a call had ended, also a newer connection than its own.

A call that was cancelled says nothing about the connection and leaves it alone. After a deadline new calls use a new connection, and the old one is closed with its last call. A dead connection is still noticed, as orders, departures and membership requests have deadlines (an operator's of 950 ms ends before the second after which it leaves). Calls that wait on a dead connection now end with their own deadlines.

--- a/control/evacuations_test.go
+++ b/control/evacuations_test.go
@@ -146,7 +146,7 @@
 	if before := d.peers.connections[address]; before != nil {
 		t.Cleanup(func() { _ = before.Close() })
 	}
-	d.peers.connections[address] = conn
+	d.peers.connections[address] = &peerConnection{ClientConn: conn}
 	return began, released
 }
 
--- a/control/peers.go
+++ b/control/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"google.golang.org/grpc"
@@ -9,40 +10,56 @@
 	"arbutusreel/keys"
 )
 
-// peers holds one connection to each other control daemon that this one calls. A connection whose call timed out is
-// replaced, as it may be dead without a reset.
+// peers holds one connection to each other control daemon that this one calls. A connection whose call reached its deadline
+// is replaced, as it may be dead without a reset.
 type peers struct {
 	keys *keys.Source
 
 	mu          sync.Mutex
-	connections map[string]*grpc.ClientConn
+	connections map[string]*peerConnection
+	// replaced holds the connections that no further call uses.
+	replaced map[*peerConnection]bool
+}
+
+// peerConnection is a connection with the number of its calls in progress.
+type peerConnection struct {
+	*grpc.ClientConn
+	calls int
 }
 
 func newPeers(source *keys.Source) *peers {
-	return &peers{keys: source, connections: map[string]*grpc.ClientConn{}}
+	return &peers{keys: source, connections: map[string]*peerConnection{}, replaced: map[*peerConnection]bool{}}
 }
 
-func (p *peers) get(address string) (*grpc.ClientConn, error) {
+// begin returns the connection for a call, after which end must be called.
+func (p *peers) begin(address string) (*peerConnection, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if conn := p.connections[address]; conn != nil {
-		return conn, nil
+	conn := p.connections[address]
+	if conn == nil {
+		dialed, err := p.keys.Dial(address, maxMessageBytes)
+		if err != nil {
+			return nil, err
+		}
+		conn = &peerConnection{ClientConn: dialed}
+		p.connections[address] = conn
 	}
-	conn, err := p.keys.Dial(address, maxMessageBytes)
-	if err != nil {
-		return nil, err
-	}
-	p.connections[address] = conn
+	conn.calls++
 	return conn, nil
 }
 
-// drop closes a connection whose call timed out.
-func (p *peers) drop(address string) {
+// end ends a call. A connection that is to be replaced is closed after its last call.
+func (p *peers) end(address string, conn *peerConnection, replace bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if conn := p.connections[address]; conn != nil {
-		_ = conn.Close()
+	conn.calls--
+	if replace && p.connections[address] == conn {
 		delete(p.connections, address)
+		p.replaced[conn] = true
+	}
+	if conn.calls == 0 && p.replaced[conn] {
+		delete(p.replaced, conn)
+		_ = conn.Close()
 	}
 }
 
@@ -52,19 +69,21 @@
 	for _, conn := range p.connections {
 		_ = conn.Close()
 	}
-	p.connections = map[string]*grpc.ClientConn{}
+	for conn := range p.replaced {
+		_ = conn.Close()
+	}
+	p.connections, p.replaced = map[string]*peerConnection{}, map[*peerConnection]bool{}
 }
 
-// callPeer calls a control daemon and drops the connection if the call's context has ended.
+// callPeer calls a control daemon, and replaces the connection if the call reached its deadline. A call that was cancelled says
+// nothing about the connection.
 func callPeer[T any](ctx context.Context, p *peers, address string, call func(context.Context, grpc.ClientConnInterface) (T, error)) (T, error) {
-	var zero T
-	conn, err := p.get(address)
+	conn, err := p.begin(address)
 	if err != nil {
+		var zero T
 		return zero, err
 	}
 	reply, err := call(ctx, conn)
-	if ctx.Err() != nil {
-		p.drop(address)
-	}
+	p.end(address, conn, errors.Is(ctx.Err(), context.DeadlineExceeded))
 	return reply, err
 }
