Count heads until their connections have ended

Cause: when the heads of all connections exceeded their bound, the register gave up the oldest connection and stopped counting its head at once. Closing a connection does not end its request: until its goroutine runs and its handler returns, the parsed header is live, while the next connection has been read in its place. With more runnable goroutines than processors any number of such headers is held, each of up to 600 KB.

Fix: a connection that is given up stays counted with its head until the server has closed it. A head that would exceed the bound is read further only when those that yield to it have ended, so that what is counted is what is held; it has its connection closed after 1 s without room. The same holds for what peers send before their first message.

Changed tests of intake: GrowHead also returns whether the head has grown, which TestHeadsShedOldest and TestRegisterBounds check, and both now also check that heads given up count until their connections have ended; nothing that they checked is left out.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -18,6 +18,8 @@
 	// connections after it wait in the queue of the socket, in the order in which they came.
 	placeTime   = 250 * time.Millisecond
 	placePeriod = 2 * time.Millisecond
+	// headRoomTime is how long a head waits for the memory of those that yield to it.
+	headRoomTime = time.Second
 )
 
 // Acceptor bounds the connections of a process.
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -171,6 +173,36 @@
 	c.expect("/x 0")
 }
 
+// TestHandledHeadsOverBound guards against heads of closed connections that are no longer counted while their handlers still hold
+// them.
+func TestHandledHeadsOverBound(t *testing.T) {
+	const bound, cost = 4 << 20, 3000*256 + 2*12000
+	a := New(intake.Limits{Connections: 100, HeadBytes: bound}, time.Now)
+	var handled atomic.Int64
+	wait := make(chan struct{})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		handled.Add(1)
+		<-wait
+		fmt.Fprint(io.Discard, len(r.Header))
+	}))
+	a.Configure(s.Config)
+	s.Listener = a.Listener(s.Listener)
+	s.Start()
+	t.Cleanup(s.Close)
+	head := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n" + strings.Repeat("a:\r\n", 3000) + "\r\n"
+	for range 20 {
+		dial(t, s.Listener.Addr().String()).send(head)
+	}
+	until(t, "connections are closed", func() bool { return a.Counts().Shed >= 15 })
+	if got := handled.Load(); got > bound/cost {
+		t.Errorf("%d heads of %d bytes are held, limit %d bytes", got, cost, bound)
+	}
+	close(wait)
+	c := dial(t, s.Listener.Addr().String())
+	c.send(head + "some body")
+	c.expect("")
+}
+
 // newLimitedServer starts a server whose heads have limits.
 func newLimitedServer(t *testing.T, limits HeadLimits) (address string) {
 	t.Helper()
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -29,20 +29,20 @@
 	seenAt     time.Time
 }
 
-// Read reads from the client.
+// Read reads from the client. It returns a part of a head once there is room for it.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if n > 0 && c.readsHead.Load() {
-		if !c.countHead(b[:n]) {
-			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errHeadTooLarge}
+		if err := c.countHead(b[:n]); err != nil {
+			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
 		}
 	}
 	return n, err
 }
 
-// countHead counts a part of the head of a request. It returns false if the head is too large and has been refused. If the
-// register gives the connection up, the next read of the server fails.
-func (c *Conn) countHead(b []byte) bool {
+// countHead counts a part of the head of a request. It returns an error if the head is too large and has been refused, or if
+// the connection has been given up.
+func (c *Conn) countHead(b []byte) error {
 	limits := c.limits()
 	if c.head.Size() == 0 && limits.Time > 0 && !bytes.Contains(b, []byte("\r\n\r\n")) {
 		c.headDeadline = c.acceptor.now().Add(limits.Time)
@@ -51,22 +51,33 @@
 	c.head = c.head.With(b)
 	if limits.Bytes > 0 && c.head.Size() > limits.Bytes {
 		c.refuseHead()
-		return false
+		return errHeadTooLarge
 	}
-	if cost := c.head.Cost(); cost > 0 {
-		c.growHead(cost)
+	if cost := c.head.Cost(); cost > 0 && !c.growHead(cost) {
+		return net.ErrClosed
 	}
-	return true
+	return nil
 }
 
-// growHead sets what the head costs so far, in bytes, and closes the connections that yield to it.
-func (c *Conn) growHead(cost int64) {
+// growHead sets what the head costs so far, in bytes, and closes the connections that yield to it. It waits until these have
+// ended, and returns false if the connection itself is given up.
+func (c *Conn) growHead(cost int64) bool {
 	a := c.acceptor
-	a.mu.Lock()
-	closing := a.register.GrowHead(c.entry, cost)
-	a.mu.Unlock()
-	for _, e := range closing {
-		a.close(e.Conn)
+	for began := a.now(); ; time.Sleep(placePeriod) {
+		late := a.now().Sub(began) >= headRoomTime
+		a.mu.Lock()
+		closing, grown := a.register.GrowHead(c.entry, cost)
+		if late && !grown && a.register.GiveUp(c.entry) {
+			closing = append(closing, c.entry)
+		}
+		givenUp := c.entry.GivenUp()
+		a.mu.Unlock()
+		for _, e := range closing {
+			a.close(e.Conn)
+		}
+		if grown || givenUp {
+			return grown
+		}
 	}
 }
 
--- a/acceptor/rpc.go
+++ b/acceptor/rpc.go
@@ -121,17 +121,19 @@
 // Read reads from the client.
 func (c *rpcConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 && !c.whole.Load() {
-		c.grow(int64(n))
+	if n > 0 && !c.grow(int64(n)) {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.Conn.RemoteAddr(), Err: net.ErrClosed}
 	}
 	return n, err
 }
 
-// grow counts what the connection takes before its first whole message.
-func (c *rpcConn) grow(n int64) {
-	if cost := c.received.Add(n); cost > uncountedBytes && !c.whole.Load() {
-		c.growHead(cost)
+// grow counts what the connection takes before its first whole message. It returns false if the connection has been given up.
+func (c *rpcConn) grow(n int64) bool {
+	if c.whole.Load() {
+		return true
 	}
+	cost := c.received.Add(n)
+	return cost <= uncountedBytes || c.growHead(cost)
 }
 
 // admit counts a call before the first whole message; it returns false if there is no room for it. Closing the connection instead
@@ -149,8 +151,7 @@
 			return false
 		}
 	}
-	c.grow(streamCost)
-	return true
+	return c.grow(streamCost)
 }
 
 // markWhole records that a message of a call was whole.
--- a/intake/register.go
+++ b/intake/register.go
@@ -20,15 +20,19 @@
 	// Conn is the connection.
 	Conn C
 
-	phase      Phase
-	headCost   int64
-	closed     bool
-	prev, next *Entry[C]
+	phase    Phase
+	headCost int64
+	// givenUp is set once the connection is to be closed, and ended once it is.
+	givenUp, ended bool
+	prev, next     *Entry[C]
 	// prevHead and nextHead link the entries whose heads count, the oldest first.
 	prevHead, nextHead *Entry[C]
 }
 
-// Register holds the open connections of a process.
+// GivenUp reports whether the connection has been given up, or has ended.
+func (e *Entry[C]) GivenUp() bool { return e.givenUp }
+
+// Register holds the open connections of a process, and what those that it has given up still hold.
 type Register[C any] struct {
 	limits Limits
 	// lists are circular, with a sentinel, and have the entry that is longest in its phase first.
@@ -36,6 +40,8 @@
 	counts   [phases]int
 	heads    Entry[C]
 	headCost int64
+	// endingCost is the part of headCost that connections hold which were given up and have not ended.
+	endingCost int64
 	// wanted is set if a connection found no place since one was last given up for it.
 	wanted bool
 }
@@ -68,7 +74,7 @@
 			r.wanted = true
 			return nil, nil
 		}
-		r.Close(closing)
+		r.giveUp(closing)
 	}
 	r.wanted = false
 	entry = &Entry[C]{Conn: c}
@@ -94,12 +100,12 @@
 // Enter moves a connection to a phase. One that becomes idle no longer holds a head, and must be closed if Enter returns true:
 // its place is wanted.
 func (r *Register[C]) Enter(e *Entry[C], p Phase) (closing bool) {
-	if e.closed || e.phase == p {
+	if e.givenUp || e.phase == p {
 		return false
 	}
 	if p == Idle && r.wanted {
 		r.wanted = false
-		r.Close(e)
+		r.giveUp(e)
 		return true
 	}
 	r.remove(e)
@@ -110,50 +116,80 @@
 	return false
 }
 
-// GrowHead sets what the head of a connection costs so far, in bytes, and returns the connections to close so that all heads
-// stay within their bound: those with the oldest heads first, except for requests in progress, and at last the connection
-// itself.
-func (r *Register[C]) GrowHead(e *Entry[C], cost int64) (closing []*Entry[C]) {
-	if e.closed {
-		return nil
+// GrowHead sets what the head of a connection costs so far, in bytes, if all heads stay within their bound. Otherwise grown is
+// false: the caller tries again once a connection that was given up has ended, unless this one was given up too. The
+// connections to close are given up for it: those with the oldest heads first, except for requests in progress, and at last the
+// connection itself.
+func (r *Register[C]) GrowHead(e *Entry[C], cost int64) (closing []*Entry[C], grown bool) {
+	if e.givenUp {
+		return nil, false
 	}
-	if e.headCost == 0 {
-		last := r.heads.prevHead
-		e.prevHead, e.nextHead = last, &r.heads
-		last.nextHead, r.heads.prevHead = e, e
+	if r.Fits(e, cost) {
+		r.setHead(e, cost)
+		return nil, true
 	}
-	r.headCost += cost - e.headCost
-	e.headCost = cost
-	for old := r.heads.nextHead; r.excess() && old != &r.heads; {
+	// What connections hold that were given up before is about to be free.
+	fits := func() bool { return r.headCost-r.endingCost-e.headCost+cost <= r.limits.HeadBytes }
+	for old := r.heads.nextHead; !fits() && old != &r.heads; {
 		next := old.nextHead
 		if old != e && old.phase != Serving {
 			closing = append(closing, old)
-			r.Close(old)
+			r.giveUp(old)
 		}
 		old = next
 	}
-	if r.excess() {
+	if !fits() {
 		closing = append(closing, e)
-		r.Close(e)
+		r.giveUp(e)
+	}
+	return closing, false
+}
+
+// setHead sets what the head of a connection costs, in bytes.
+func (r *Register[C]) setHead(e *Entry[C], cost int64) {
+	if e.headCost == 0 {
+		last := r.heads.prevHead
+		e.prevHead, e.nextHead = last, &r.heads
+		last.nextHead, r.heads.prevHead = e, e
 	}
-	return closing
+	r.headCost += cost - e.headCost
+	e.headCost = cost
 }
 
 // Fits reports whether the head of a connection may cost so much, in bytes, without another one that yields.
 func (r *Register[C]) Fits(e *Entry[C], cost int64) bool {
-	return !e.closed && (r.limits.HeadBytes <= 0 || r.headCost-e.headCost+cost <= r.limits.HeadBytes)
+	return !e.givenUp && (r.limits.HeadBytes <= 0 || r.headCost-e.headCost+cost <= r.limits.HeadBytes)
 }
 
-func (r *Register[C]) excess() bool { return r.limits.HeadBytes > 0 && r.headCost > r.limits.HeadBytes }
+// GiveUp removes a connection that is to be closed. Its head counts until it has ended. It reports false if the connection was
+// given up before.
+func (r *Register[C]) GiveUp(e *Entry[C]) bool {
+	if e.givenUp {
+		return false
+	}
+	r.giveUp(e)
+	return true
+}
 
-// Close removes a connection. It does nothing if it was removed before.
+func (r *Register[C]) giveUp(e *Entry[C]) {
+	e.givenUp = true
+	r.remove(e)
+	if e.headCost > 0 {
+		r.unlinkHead(e)
+		r.endingCost += e.headCost
+	}
+}
+
+// Close records that a connection has ended. It does nothing if it has ended before.
 func (r *Register[C]) Close(e *Entry[C]) {
-	if e.closed {
+	if e.ended {
 		return
 	}
-	e.closed = true
-	r.remove(e)
-	r.EndHead(e)
+	r.GiveUp(e)
+	e.ended = true
+	r.endingCost -= e.headCost
+	r.headCost -= e.headCost
+	e.headCost = 0
 }
 
 func (r *Register[C]) push(e *Entry[C], p Phase) {
@@ -172,11 +208,15 @@
 
 // EndHead records that a connection holds no head any more.
 func (r *Register[C]) EndHead(e *Entry[C]) {
-	if e.headCost == 0 {
+	if e.givenUp || e.headCost == 0 {
 		return
 	}
+	r.unlinkHead(e)
 	r.headCost -= e.headCost
 	e.headCost = 0
+}
+
+func (r *Register[C]) unlinkHead(e *Entry[C]) {
 	e.prevHead.nextHead, e.nextHead.prevHead = e.nextHead, e.prevHead
 	e.prevHead, e.nextHead = nil, nil
 }
--- a/intake/register_test.go
+++ b/intake/register_test.go
@@ -66,12 +66,20 @@
 	old := open(t, r, "old", Waiting)
 	r.GrowHead(old, 50)
 	caller := open(t, r, "caller", Waiting)
-	if closing := r.GrowHead(caller, 60); len(closing) != 1 || closing[0] != old {
-		t.Errorf("closed %v, want the older head", closing)
+	if closing, grown := r.GrowHead(caller, 60); len(closing) != 1 || closing[0] != old || grown {
+		t.Errorf("closed %v, grown %t, want the older head closed first", closing, grown)
 	}
-	if closing := r.GrowHead(caller, 70); len(closing) != 1 || closing[0] != caller {
+	if closing, grown := r.GrowHead(caller, 60); len(closing) != 0 || grown || r.HeadCost() != 90 {
+		t.Errorf("closed %v, grown %t, %d bytes counted before the older head has ended", closing, grown, r.HeadCost())
+	}
+	r.Close(old)
+	if closing, grown := r.GrowHead(caller, 60); len(closing) != 0 || !grown {
+		t.Errorf("closed %v, grown %t after the older head has ended", closing, grown)
+	}
+	if closing, _ := r.GrowHead(caller, 70); len(closing) != 1 || closing[0] != caller {
 		t.Errorf("closed %v, want the head that is too large beside the one in progress", closing)
 	}
+	r.Close(caller)
 	r.Enter(served, Idle)
 	if r.HeadCost() != 0 {
 		t.Errorf("%d bytes are still counted", r.HeadCost())
@@ -95,18 +103,23 @@
 		limits := Limits{Connections: rapid.IntRange(1, 8).Draw(t, "connections"), HeadBytes: 100}
 		r := New[string](limits)
 		open := map[*Entry[string]]Phase{}
+		var givenUp []*Entry[string]
 		drop := func(e *Entry[string]) {
-			if _, ok := open[e]; e != nil && !ok {
+			if e == nil {
+				return
+			}
+			if _, ok := open[e]; !ok || !e.GivenUp() {
 				t.Fatal("a connection was closed twice")
 			}
 			delete(open, e)
+			givenUp = append(givenUp, e)
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			known := make([]*Entry[string], 0, len(open))
 			for e := range open {
 				known = append(known, e)
 			}
-			action := rapid.IntRange(0, 3).Draw(t, "action")
+			action := rapid.IntRange(0, 4).Draw(t, "action")
 			if action == 0 || len(known) == 0 {
 				e, closing := r.Open("", func(string) bool { return false })
 				drop(closing)
@@ -123,7 +136,12 @@
 					drop(e)
 				}
 			case 2:
-				for _, closing := range r.GrowHead(e, e.headCost+rapid.Int64Range(1, 60).Draw(t, "cost")) {
+				cost := e.headCost + rapid.Int64Range(1, 60).Draw(t, "cost")
+				given, grown := r.GrowHead(e, cost)
+				if grown && (e.headCost != cost || len(given) > 0) || !grown && !e.GivenUp() && len(given) == 0 && len(givenUp) == 0 {
+					t.Fatalf("grown %t, costs %d of %d, %d connections given up", grown, e.headCost, cost, len(given))
+				}
+				for _, closing := range given {
 					if closing != e && open[closing] == Serving {
 						t.Fatal("a request in progress was given up")
 					}
@@ -131,7 +149,22 @@
 				}
 			case 3:
 				r.Close(e)
-				drop(e)
+				delete(open, e)
+			case 4:
+				for _, e := range givenUp {
+					r.Close(e)
+				}
+				givenUp = nil
+			}
+			held := int64(0)
+			for e := range open {
+				held += e.headCost
+			}
+			for _, e := range givenUp {
+				held += e.headCost
+			}
+			if r.HeadCost() != held {
+				t.Fatalf("%d bytes of heads are counted, %d are held", r.HeadCost(), held)
 			}
 			if r.total() != len(open) || r.total() > limits.Connections || r.HeadCost() > limits.HeadBytes || r.HeadCost() < 0 {
 				t.Fatalf("%d connections of %d, %d bytes of heads", r.total(), len(open), r.HeadCost())
