Log when connections are given up or refused

Acceptors now log the counts with the first such connection, and at most once a minute after that. No behaviour of connections changes.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"arbutusreel/intake"
 )
 
@@ -25,16 +27,18 @@
 // Acceptor bounds the connections of a process.
 type Acceptor struct {
 	now func() time.Time
+	log zerolog.Logger
 	// shed and refused count the connections that were closed for others, and those that were not accepted.
 	shed, refused atomic.Int64
 
 	mu       sync.Mutex
 	register *intake.Register[*Conn]
+	notices  intake.Notices
 }
 
 // New returns an acceptor without connections.
-func New(limits intake.Limits, now func() time.Time) *Acceptor {
-	return &Acceptor{now: now, register: intake.New[*Conn](limits)}
+func New(limits intake.Limits, log zerolog.Logger, now func() time.Time) *Acceptor {
+	return &Acceptor{now: now, log: log, register: intake.New[*Conn](limits)}
 }
 
 // Counts are the numbers of connections and bytes of an acceptor.
@@ -129,6 +133,7 @@
 		}
 		l.acceptor.refused.Add(1)
 		_ = c.Close()
+		l.acceptor.notify()
 	}
 }
 
@@ -166,6 +171,17 @@
 func (a *Acceptor) close(c *Conn) {
 	a.shed.Add(1)
 	_ = c.TCPConn.Close()
+	a.notify()
+}
+
+// notify logs the counts, if that is due.
+func (a *Acceptor) notify() {
+	a.mu.Lock()
+	due := a.notices.Due(a.now())
+	a.mu.Unlock()
+	if due {
+		a.log.Warn().Interface("counts", a.Counts()).Msg("connections exceed a bound")
+	}
 }
 
 func (a *Acceptor) enter(c *Conn, p intake.Phase) {
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"arbutusreel/intake"
 )
 
@@ -21,7 +24,7 @@
 // newServer starts a server with an acceptor; requests under /wait end when wait is closed.
 func newServer(t *testing.T, limits intake.Limits, wait <-chan struct{}) (a *Acceptor, address string) {
 	t.Helper()
-	a = New(limits, time.Now)
+	a = New(limits, zerolog.Nop(), time.Now)
 	s := &http.Server{ReadHeaderTimeout: waitTime, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b, err := io.ReadAll(r.Body)
 		if err != nil {
@@ -177,7 +180,7 @@
 // them.
 func TestHandledHeadsOverBound(t *testing.T) {
 	const bound, cost = 4 << 20, 3000*256 + 2*12000
-	a := New(intake.Limits{Connections: 100, HeadBytes: bound}, time.Now)
+	a := New(intake.Limits{Connections: 100, HeadBytes: bound}, zerolog.Nop(), time.Now)
 	var handled atomic.Int64
 	wait := make(chan struct{})
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -203,10 +206,38 @@
 	c.expect("")
 }
 
+// TestShedConnectionsSilent guards against connections that are given up without a line in the log, and against a line for each.
+func TestShedConnectionsSilent(t *testing.T) {
+	var log bytes.Buffer
+	now := time.Unix(1, 0)
+	a := New(intake.Limits{Connections: 1}, zerolog.New(&log), func() time.Time { return now })
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := a.Listener(tcp)
+	defer l.Close()
+	accept := func() {
+		dial(t, l.Addr().String())
+		if _, err := l.Accept(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, want := range []int{0, 1, 1} {
+		if accept(); strings.Count(log.String(), "connections exceed a bound") != want {
+			t.Errorf("%d connections: %q", i+1, log.String())
+		}
+	}
+	now = now.Add(time.Minute)
+	if accept(); strings.Count(log.String(), `"shed":`) != 2 {
+		t.Errorf("a minute later: %q", log.String())
+	}
+}
+
 // newLimitedServer starts a server whose heads have limits.
 func newLimitedServer(t *testing.T, limits HeadLimits) (address string) {
 	t.Helper()
-	a := New(intake.Limits{}, time.Now)
+	a := New(intake.Limits{}, zerolog.Nop(), time.Now)
 	s := &http.Server{ReadHeaderTimeout: time.Hour, IdleTimeout: time.Hour, MaxHeaderBytes: 1 << 20, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, r.URL.Path)
 	})}
--- a/acceptor/refusal_test.go
+++ b/acceptor/refusal_test.go
@@ -6,12 +6,14 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"arbutusreel/intake"
 )
 
 // TestRefusalWaitsForBody guards against an early answer that waits for the rest of a large body.
 func TestRefusalWaitsForBody(t *testing.T) {
-	a := New(intake.Limits{}, time.Now)
+	a := New(intake.Limits{}, zerolog.Nop(), time.Now)
 	s := &http.Server{ReadHeaderTimeout: waitTime, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})}
--- a/acceptor/rpc_test.go
+++ b/acceptor/rpc_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 	"google.golang.org/grpc"
@@ -31,7 +32,7 @@
 
 func newRPCServer(t *testing.T, limits intake.Limits) (a *Acceptor, address string) {
 	t.Helper()
-	a = New(limits, time.Now)
+	a = New(limits, zerolog.Nop(), time.Now)
 	s := grpc.NewServer(a.ServerOptions()...)
 	wiregen.RegisterOutstandingServer(s, tellServer{})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/cmd/arbutusreel/connections.go
+++ b/cmd/arbutusreel/connections.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
 	"arbutusreel/acceptor"
@@ -21,7 +22,7 @@
 
 // newAcceptors returns the acceptors of the connections from clients and from peers, bounded by the limits of the process on open
 // files and by its soft memory limit, and publishes their counts.
-func newAcceptors() (clients, peers *acceptor.Acceptor) {
+func newAcceptors(log zerolog.Logger) (clients, peers *acceptor.Acceptor) {
 	descriptors, memory := defaultDescriptors, debug.SetMemoryLimit(-1)
 	var limit unix.Rlimit
 	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) == nil {
@@ -30,8 +31,8 @@
 	if memory == math.MaxInt64 {
 		memory = defaultMemoryBytes
 	}
-	clients = acceptor.New(intake.LimitsFor(descriptors, memory), time.Now)
-	peers = acceptor.New(intake.PeerLimitsFor(descriptors, memory), time.Now)
+	clients = acceptor.New(intake.LimitsFor(descriptors, memory), log.With().Str("from", "clients").Logger(), time.Now)
+	peers = acceptor.New(intake.PeerLimitsFor(descriptors, memory), log.With().Str("from", "peers").Logger(), time.Now)
 	expvar.Publish("connections", expvar.Func(func() any { return clients.Counts() }))
 	expvar.Publish("peerConnections", expvar.Func(func() any { return peers.Counts() }))
 	return clients, peers
--- a/cmd/arbutusreel/daemons.go
+++ b/cmd/arbutusreel/daemons.go
@@ -69,7 +69,7 @@
 				return err
 			}
 			cfg := entryConfig(m)
-			cfg.Connections, cfg.PeerConnections = newAcceptors()
+			cfg.Connections, cfg.PeerConnections = newAcceptors(log)
 			cfg.Keys = source
 			cfg.Decisions = decisions
 			cfg.Metrics = metrics.New()
@@ -146,7 +146,7 @@
 				return err
 			}
 			cfg := controlConfig(m)
-			cfg.Connections, cfg.PeerConnections = newAcceptors()
+			cfg.Connections, cfg.PeerConnections = newAcceptors(log)
 			cfg.Keys = source
 			cfg.Decisions = decisions
 			return control.New(cfg, log, time.Now).Run(ctx)
