--- a/gateway/closing_test.go
+++ b/gateway/closing_test.go
@@ -370,7 +370,9 @@
 			t.Errorf("%q: %v", header, err)
 			continue
 		}
-		if _, err := io.ReadAll(answer.Body); err != nil || answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get(codeHeader) != string(problem.Stopping) {
+		_, err = io.ReadAll(answer.Body)
+		_ = answer.Body.Close()
+		if err != nil || answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get(codeHeader) != string(problem.Stopping) {
 			t.Errorf("%q: status %d, %v, %v", header, answer.StatusCode, answer.Header, err)
 		}
 	}
