Refuse a connection that waits for a place when its listener closes

TestClosedListenerWaitsForPlace, whose clock stands still, failed before: "the listener still accepts"; 5 of 5 passed after.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -84,7 +84,7 @@
 	if a == nil {
 		return l
 	}
-	return listener{Listener: l, acceptor: a, limits: limits}
+	return newListener(l, a, limits)
 }
 
 // Configure prepares a server, so that the acceptor knows what its connections are doing.
@@ -115,6 +115,17 @@
 
 	acceptor *Acceptor
 	limits   func() HeadLimits
+	closed   *atomic.Bool
+}
+
+func newListener(l net.Listener, a *Acceptor, limits func() HeadLimits) listener {
+	return listener{Listener: l, acceptor: a, limits: limits, closed: &atomic.Bool{}}
+}
+
+// Close closes the listener. A connection that waits for a place is refused.
+func (l listener) Close() error {
+	l.closed.Store(true)
+	return l.Listener.Close()
 }
 
 // Accept returns the next connection that is not refused.
@@ -143,7 +154,7 @@
 		if accepted := l.acceptor.open(tcp, l.limits); accepted != nil {
 			return accepted
 		}
-		if l.acceptor.now().Sub(began) >= placeTime {
+		if l.closed.Load() || l.acceptor.now().Sub(began) >= placeTime {
 			return nil
 		}
 	}
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -234,6 +234,40 @@
 	}
 }
 
+// TestClosedListenerWaitsForPlace guards against an end of the process that is late because a connection waits for a place.
+func TestClosedListenerWaitsForPlace(t *testing.T) {
+	began := time.Now()
+	a := New(intake.Limits{Connections: 1}, zerolog.Nop(), func() time.Time { return began })
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := a.Listener(tcp)
+	dial(t, tcp.Addr().String())
+	first, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, _ := first.(*Conn)
+	a.enter(c, intake.Serving)
+	dial(t, tcp.Addr().String())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := l.Accept()
+		ended <- err
+	}()
+	time.Sleep(20 * time.Millisecond)
+	_ = l.Close()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, net.ErrClosed) {
+			t.Errorf("got %v", err)
+		}
+	case <-time.After(waitTime):
+		t.Error("the listener still accepts")
+	}
+}
+
 // newLimitedServer starts a server whose heads have limits.
 func newLimitedServer(t *testing.T, limits HeadLimits) (address string) {
 	t.Helper()
--- a/acceptor/rpc.go
+++ b/acceptor/rpc.go
@@ -37,7 +37,7 @@
 	if a == nil {
 		return l
 	}
-	return rpcListener{listener: listener{Listener: l, acceptor: a}, unackedTime: unackedTime}
+	return rpcListener{listener: newListener(l, a, nil), unackedTime: unackedTime}
 }
 
 // ServerOptions returns the options of a gRPC server that uses RPCListener.
