Try control daemons that send no state after the others

Callers saw a gateway that stays not ready, or on an old document, although a control daemon in order is within reach: a daemon that answers searches and then sends nothing, and answers sooner than the good one, is chosen again and again.

Cause: a search, 0.6 s after the last update, finds the silent daemon itself first, which keeps the session. After 1.5 s the session is given up, and the next race begins as the first one did, so that the same daemon wins it.

Evidence: found by a review, whose trial got no state in 15 s. TestControlWithoutStateChosenAgain failed before with "no session with any control daemon" after 20 s, with one such daemon and with two (two runs). It takes 1.3 s now, with two (six runs).

Why this works: a daemon that was chosen and of whose state nothing arrives for 0.6 s counts as unresponsive for 5 s. Searches leave it out, so that the first one already finds another daemon, and a race tries it 0.4 s after the others. It is still tried, as it may be the only one. A session whose state has arrived is judged as before: a heartbeat that is late by 0.1 s does not make gateways leave their daemon.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,8 +109,9 @@
 	state           *fleetState
 	pendingDocument configuration.Document
 
-	controlsMu sync.Mutex
-	controls   []string
+	controlsMu   sync.Mutex
+	controls     []string
+	unresponsive fleet.Unresponsive
 
 	// reportMu orders reports to control daemons: a report with a higher number has a later state.
 	reportMu sync.Mutex
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -28,6 +28,8 @@
 	// SYN that is lost, for example to a machine without power, is retransmitted only after a second.
 	raceAttempts = 3
 	raceStagger  = 250 * time.Millisecond
+	// unresponsiveDelay is the time after the others at which a race tries unresponsive control daemons.
+	unresponsiveDelay = 400 * time.Millisecond
 	// currentPreferenceTime is how long a gateway without a session waits for a current control daemon once a stale one
 	// has answered. A control daemon is current while it is in contact with the leader, and stale otherwise.
 	currentPreferenceTime = 150 * time.Millisecond
@@ -99,25 +101,14 @@
 }
 
 // connectAny connects to all known control daemons concurrently and returns the first that is current. Unless
-// onlyCurrent is set, it returns a stale one if no current one answers within currentPreferenceTime of it.
+// onlyCurrent is set, it returns a stale one if no current one answers within currentPreferenceTime of it. It tries
+// unresponsive ones unresponsiveDelay after the others, and not at all if onlyCurrent is set.
 func (g *Gateway) connectAny(ctx context.Context, onlyCurrent bool) *controlConn {
 	ctx, cancel := context.WithTimeout(ctx, raceTimeout)
 	defer cancel()
-	addresses, starts := g.controlAddresses(), raceAttempts
-	if onlyCurrent {
-		starts = 1
-	}
-	results := make(chan *controlConn, len(addresses)*starts)
-	for _, address := range addresses {
-		for i := range starts {
-			go func() {
-				clock.Sleep(ctx, time.Duration(i)*raceStagger)
-				results <- g.connect(ctx, address)
-			}()
-		}
-	}
+	results, attempts := g.startAttempts(ctx, onlyCurrent)
 	var best *controlConn
-	for range len(addresses) * starts {
+	for range attempts {
 		c := <-results
 		if c == nil {
 			continue
@@ -144,6 +135,33 @@
 	return best
 }
 
+// startAttempts starts the connection attempts of connectAny, and returns the channel of their results and their number.
+func (g *Gateway) startAttempts(ctx context.Context, onlyCurrent bool) (results chan *controlConn, attempts int) {
+	addresses, starts := g.controlAddresses(), raceAttempts
+	if onlyCurrent {
+		starts = 1
+	}
+	results = make(chan *controlConn, len(addresses)*starts)
+	unresponsive, now := g.unresponsiveControls(), time.Now()
+	for _, address := range addresses {
+		var delay time.Duration
+		if unresponsive.Has(now, address) {
+			if onlyCurrent {
+				continue
+			}
+			delay = unresponsiveDelay
+		}
+		attempts += starts
+		for i := range starts {
+			go func() {
+				clock.Sleep(ctx, delay+time.Duration(i)*raceStagger)
+				results <- g.connect(ctx, address)
+			}()
+		}
+	}
+	return results, attempts
+}
+
 // connect opens a session and returns it once its first update has arrived, or nil if that fails. The first update is brief:
 // several control daemons are asked at once, and the state of one of them may take most of what the link carries.
 func (g *Gateway) connect(raceCtx context.Context, address string) *controlConn {
@@ -183,6 +201,20 @@
 	return slices.Compact(all)
 }
 
+// unresponsiveControls returns the control daemons that have lately sent no state.
+func (g *Gateway) unresponsiveControls() fleet.Unresponsive {
+	g.controlsMu.Lock()
+	defer g.controlsMu.Unlock()
+	return g.unresponsive
+}
+
+// recordUnresponsive records that a control daemon answered a search and sent no state.
+func (g *Gateway) recordUnresponsive(now time.Time, address string) {
+	g.controlsMu.Lock()
+	defer g.controlsMu.Unlock()
+	g.unresponsive = g.unresponsive.With(now, address)
+}
+
 // runSession receives updates and sends reports until the session fails or times out. While its control daemon is
 // stale, it searches for a current one, which it returns.
 func (g *Gateway) runSession(ctx context.Context, c *controlConn) (better *controlConn, err error) {
@@ -334,7 +366,11 @@
 func (s *session) check(ctx context.Context, now time.Time) error {
 	g := s.gateway
 	s.recordProgress(now)
-	if silence := now.Sub(laterOf(s.updatedAt, s.receivedAt)); silence > controlTimeout {
+	silence := now.Sub(laterOf(s.updatedAt, s.receivedAt))
+	if silence > staleControlTime && !s.hasState {
+		g.recordUnresponsive(now, s.control.address)
+	}
+	if silence > controlTimeout {
 		return &SilentControlError{Address: s.control.address, Silence: silence}
 	}
 	if now.Sub(s.currentAt) > staleControlTime && now.Sub(s.searchedAt) > searchPeriod && !s.searching {
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -27,6 +27,8 @@
 	first *wiregen.FleetUpdate
 	// earlier marks a daemon of a version that does not know brief updates.
 	earlier bool
+	// stateless marks a daemon that answers searches and sends nothing else.
+	stateless bool
 }
 
 func (c *testControl) Attend(session grpc.BidiStreamingServer[wiregen.GatewayReport, wiregen.FleetUpdate]) error {
@@ -47,6 +49,10 @@
 			return err
 		}
 	}
+	if c.stateless {
+		<-session.Context().Done()
+		return session.Context().Err()
+	}
 	if c.first != nil {
 		if err := session.Send(c.first); err != nil {
 			return err
@@ -205,3 +211,19 @@
 		})
 	}
 }
+
+// TestControlWithoutStateChosenAgain guards against a gateway that chooses control daemons again and again which answer searches
+// and send no state, although another one, slower to answer, would send it.
+func TestControlWithoutStateChosenAgain(t *testing.T) {
+	a, b, good := newControl(t, 0, true), newControl(t, 0, true), newControl(t, 100*time.Millisecond, true)
+	a.stateless, b.stateless = true, true
+	g := newGateway(t, testTable(t, nil))
+	g.view.Store(&view{})
+	g.cfg.Controls = []string{a.address, b.address, good.address}
+	g.wg.Go(func() { g.subscribe(g.workCtx) })
+	t.Cleanup(func() {
+		g.cancelWork()
+		g.wg.Wait()
+	})
+	g.waitForState(t)
+}
