Try endpoints again that failed some time ago

Cause: a gateway's share of failed requests at an endpoint (capacity.Health.FailureRate) changed only as requests ended there. While others had room, the cost of failures kept all requests away, so that none showed that the endpoint had recovered. Outcomes and pace, which all gateways share, did decay; Outcomes count no rejections and no refused connections, so that after these only the share that did not decay was left.

The average decays to zero with a time constant of 3 s now (capacity.Failures), and Health holds its value at the time of a decision. An endpoint that still fails is tried more often; breakers stay as they are. TestWhere sets the share by five failures (0.56) instead of 0.5.

--- a/capacity/speed.go
+++ b/capacity/speed.go
@@ -5,8 +5,6 @@
 const (
 	// speedGain is the smoothing factor of learned times.
 	speedGain = 0.05
-	// healthGain is the smoothing factor of an endpoint's health, which must follow a slowdown within seconds.
-	healthGain = 0.15
 	// initialPrefillTokenTime is the prefill time per token before the first observation; current engines prefill about
 	// 100 tokens per millisecond and decode between chunks.
 	initialPrefillTokenTime = 14 * time.Microsecond
@@ -115,7 +113,7 @@
 	return took - max(waited, 0)
 }
 
-// Health holds the recent slowdown and failure rate of one endpoint. It is an immutable value.
+// Health holds the slowdown and the failure rate of one endpoint at one moment. It is an immutable value.
 type Health struct {
 	// Factor is the mean ratio of observed to expected times, over all gateways.
 	Factor float64
@@ -123,24 +121,8 @@
 	FailureRate float64
 }
 
-// WithPace returns the health with the factor of the endpoint's pace.
-func (h Health) WithPace(now time.Time, p Pace) Health {
-	h.Factor = p.Factor(now)
-	return h
-}
-
 // NewHealth returns the health assumed before the first observation.
 func NewHealth() Health { return Health{Factor: 1} }
 
 // Slowdown returns how many times slower the endpoint is than the others, at least 1.
 func (h Health) Slowdown() float64 { return max(1, h.Factor/maxNormalFactor) }
-
-// WithOutcome returns the health after a request ended.
-func (h Health) WithOutcome(failed bool) Health {
-	observed := 0.0
-	if failed {
-		observed = 1
-	}
-	h.FailureRate += healthGain * (observed - h.FailureRate)
-	return h
-}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -169,22 +169,22 @@
 	case succeeded:
 		speed := p.speed(a.service)
 		p.speeds[a.service] = speed.WithCompleted(a.work, a.uncachedTokens, speed.Held(now.Sub(a.sent), a.firstAt.Sub(a.sent), a.uncachedTokens))
-		s.health = s.health.WithOutcome(false)
+		s.failures = s.failures.With(now, false)
 		p.endpointBreakers.Succeeded(now, a.endpoint.ID)
 	case failed:
-		s.health = s.health.WithOutcome(true)
+		s.failures = s.failures.With(now, true)
 		p.endpointBreakers.Failed(now, a.endpoint.ID)
 	case unanswered:
 		s.unansweredAt = now
 		p.endpointBreakers.Unreached(now, a.endpoint.ID)
 	case unreached:
 		s.connectFailedAt = now
-		s.health = s.health.WithOutcome(true)
+		s.failures = s.failures.With(now, true)
 		p.endpointBreakers.Unreached(now, a.endpoint.ID)
 		clear(s.cachedParts)
 		p.holders.Forget(a.endpoint.ID)
 	case rejected:
-		s.health = s.health.WithOutcome(true)
+		s.failures = s.failures.With(now, true)
 	default:
 	}
 	p.endpointBreakers.End(a.endpoint.ID, a.probe)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -32,7 +32,8 @@
 	// held is the memory that this gateway's requests hold, whose sum is outstanding.HeldTokens.
 	held   capacity.HeldMemory
 	recent capacity.RecentTokens
-	health capacity.Health
+	// failures is the share of this gateway's requests that failed there, rejections included.
+	failures capacity.Failures
 	// pace is the endpoint's pace in this gateway's requests.
 	pace capacity.Pace
 	// decode is its pace between the events of this gateway's streams.
@@ -477,10 +478,10 @@
 			continue
 		}
 		tokens := s.recent.Tokens(now) + peers.recent.Tokens(now)
-		p.candidates = append(p.candidates, capacity.Candidate{ID: e.ID, Health: s.health, Slots: e.Slots})
+		p.candidates = append(p.candidates, capacity.Candidate{ID: e.ID, Slots: e.Slots})
 		c := &p.candidates[len(p.candidates)-1]
 		c.Decode, c.Outstanding = capacity.EstimateDecode(now, &s.decode.pace, &peers.decode), s.outstanding.Plus(peers.outstanding)
-		c.Health.Factor = s.pace.Plus(now, peers.pace).Factor(now)
+		c.Health.Factor, c.Health.FailureRate = s.pace.Plus(now, peers.pace).Factor(now), s.failures.Rate(now)
 		c.FailureRate, c.Busy = s.outcomes.Plus(now, peers.outcomes).FailureRate(now), speed.Busy(tokens)
 		c.Remote = e.FailureDomain != p.cfg.FailureDomain
 		if q.service.Engine != nil {
@@ -508,7 +509,7 @@
 			own, held = s.outstanding, s.held
 			p.holders.Forget(e.ID)
 		}
-		s = &endpointState{born: e.Born, outstanding: own, held: held, health: capacity.NewHealth(), cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second), receivedNanos: new(atomic.Int64)}
+		s = &endpointState{born: e.Born, outstanding: own, held: held, cachedParts: map[string]time.Time{}, coldWindow: capacity.NewWindow(time.Second), receivedNanos: new(atomic.Int64)}
 		p.states[e.ID] = s
 		p.stateGeneration++
 		p.endpointBreakers.Forget(e.ID)
--- a/gateway/reference_test.go
+++ b/gateway/reference_test.go
@@ -59,7 +59,7 @@
 		speed := p.speed(q.service.Name)
 		c := capacity.Candidate{
 			ID: e.ID, Decode: capacity.EstimateDecode(now, &s.decode.pace, &peers.decode), Outstanding: s.outstanding.Plus(peers.outstanding),
-			Health: s.health.WithPace(now, s.pace.Plus(now, peers.pace)), Slots: e.Slots, Busy: speed.Busy(tokens), Strict: true,
+			Health: capacity.Health{Factor: s.pace.Plus(now, peers.pace).Factor(now), FailureRate: s.failures.Rate(now)}, Slots: e.Slots, Busy: speed.Busy(tokens), Strict: true,
 			FailureRate: s.outcomes.Plus(now, peers.outcomes).FailureRate(now), Remote: e.FailureDomain != p.cfg.FailureDomain,
 			Memory: q.service.Engine.CacheTokens, Preempts: true,
 		}
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -219,7 +219,7 @@
 		if s.outcomes.Plus(now, peers.outcomes).FailureRate(now) > capacity.MaxFailureRate {
 			continue
 		}
-		c := capacity.Candidate{ID: e.ID, Outstanding: s.outstanding.Plus(peers.outstanding), Health: s.health, Slots: e.Slots}
+		c := capacity.Candidate{ID: e.ID, Outstanding: s.outstanding.Plus(peers.outstanding), Health: capacity.NewHealth(), Slots: e.Slots}
 		if service.Engine != nil {
 			c.Memory, c.Preempts = service.Engine.CacheTokens, true
 		}
--- a/gateway/where_test.go
+++ b/gateway/where_test.go
@@ -39,7 +39,9 @@
 	g.changeView(func(v *view) {
 		v.table, v.gateways = table, []fleet.Gateway{{Name: g.cfg.Name, Region: g.cfg.Region, Ready: true}}
 	})
-	g.placer.states["b"].health.FailureRate = 0.5
+	for b, i := g.placer.states["b"], 0; i < 5; i++ {
+		b.failures = b.failures.With(time.Now(), true)
+	}
 	g.allotments.observe(time.Now(), g.view.Load())
 	for want, q := range map[problem.Code]answer.Question{
 		problem.UnknownRoute: {Host: "elsewhere", Path: "/", Team: "a"}, problem.UnknownService: {Host: testHost, Path: "/stream/x", Team: "a", Service: "other"},
