Admit requests at endpoints where none waits

Cause: while the crowd pressed the process, each of its streams took a second or more until the first piece, and Speed.Base rose to that. Nothing else entered the estimate: no prompt tokens, no slot wait, a pace of 1, no overtaking. Above 1.5 times the objective every request was refused, and only answers correct Base. Not the cause: callers that don't read, as the time is taken at the first piece from the endpoint, and requests that are broken off, which teach nothing. The class is that of a learned estimate that refuses everything, so that nothing corrects it.

A request is taken late now at an endpoint where no request waits for its first piece, and where it need not wait for a slot or memory itself (Choice.Unqueued). The wait there is made of learned times alone, which the answer corrects; behind a request that waits, others are refused as before, so that an endpoint that is really slow gets about one at a time.

--- a/capacity/admit.go
+++ b/capacity/admit.go
@@ -79,6 +79,17 @@
 	return Refuse
 }
 
+// Admit decides whether to admit a request at the chosen endpoint; late is the expected time to the first chunk if it is sent with a
+// rank below all requests that can be on time. It refuses none at an endpoint without a queue, where only the answer to a request can
+// correct learned times that are too long.
+func (c Choice) Admit(late time.Duration, budget TimeBudget) Verdict {
+	v := Admit(c.Expected, late, budget)
+	if v == Refuse && c.Unqueued {
+		return TakeLate
+	}
+	return v
+}
+
 // RetryAfter returns the time after which a refused request should be retried. The excess is the time by which expected
 // exceeds half of the route's objective, but at least minRetryAfter. The result is half of the excess, in which the
 // backlog falls, plus the draw in [0, 1) times the excess, so that retries do not all arrive together. It is at most a
--- a/capacity/choose.go
+++ b/capacity/choose.go
@@ -83,6 +83,8 @@
 	Preferred bool
 	// Full reports whether the endpoint has no free slot or memory, so that the request waits for another one to end.
 	Full bool
+	// Unqueued reports that no request waits for its first chunk at the endpoint, and that this one need not wait for a slot or memory.
+	Unqueued bool
 	// Crowded reports whether the request would take a slot that is left free for more urgent ones.
 	Crowded bool
 	// End is the expected time to the end of the response; zero if its length is not known.
@@ -218,6 +220,7 @@
 	best.finish, best.slots, best.weighsParts = finish, candidates[best.Index].Slots, candidates[best.Index].Held.Known
 	best.Pace, best.WaitFactor = candidates[best.Index].Decode.Factor, finish.waitFactor(&candidates[best.Index])
 	best.End = finish.end(&candidates[best.Index], best.Expected)
+	best.Unqueued = !best.Full && candidates[best.Index].Outstanding.Waiting.All() == 0
 	best.Harmful = finish.harmful(&candidates[best.Index], best.UncachedTokens, best.Expected)
 	best.Unfinished = finish.unfinished(candidates, w, s, prompt.minUncached, best.End)
 	return best, true
--- a/capacity/reference_test.go
+++ b/capacity/reference_test.go
@@ -69,6 +69,7 @@
 	chosen := &candidates[best.Index]
 	best.finish, best.slots, best.weighsParts = finish, candidates[best.Index].Slots, candidates[best.Index].Held.Known
 	best.Pace, best.WaitFactor, best.End = chosen.Decode.Factor, finish.waitFactor(chosen), finish.end(chosen, best.Expected)
+	best.Unqueued = !best.Full && chosen.Outstanding.Waiting == Backlog{}
 	best.Harmful = finish.harmful(chosen, best.UncachedTokens, best.Expected)
 	best.Unfinished = finish.unfinished(candidates, w, s, prompt.minUncached, best.End)
 	return best, true
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -351,7 +351,7 @@
 	}
 	late := q.work
 	late.Rank = capacity.Rank(q.priority(), true)
-	here.verdict = capacity.Admit(choice.Expected, capacity.EstimateWait(local[choice.Index], late, choice.UncachedTokens, speed).Wait, q.budget)
+	here.verdict = choice.Admit(capacity.EstimateWait(local[choice.Index], late, choice.UncachedTokens, speed).Wait, q.budget)
 	switch {
 	case choice.Crowded:
 		here.verdict, here.reason = capacity.Refuse, reasonCrowded
