Ask a second control daemon for its state when the first one is slow

Callers saw a gateway without a document that is not ready for over 10 s, and one with a document that stays on an old one, although a control daemon within reach would send its state at once.

Cause: a gateway takes the daemon that answers a search first. While bytes of its state arrive the daemon counts as current, so that no other one is looked for, for up to 10 s. A daemon whose link carries the states of many gateways at once answers searches soon and keeps all of them waiting.

TestStateOfSlowControlWaitedFor failed before: the state was that of the slow daemon, after 6.3 s; 1.6 s now.

Why this works: when the whole state has not come after 1.5 s, one other current daemon is asked beside the first, and the state that is whole first is taken. Another one is asked only when the second has failed, after 3 s, then 6 s, so that never more than two states share the gateway's link. A state that the link carries alone within 10 s arrives within 20 s beside a second one, which is now its limit: TestStateSlowerBesideSecond passes before, and fails with a limit of 10 s (no session within 20 s).

--- a/fleet/unresponsive.go
+++ b/fleet/unresponsive.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// unresponsiveTime is how long a control daemon that sent no state is tried after others.
+// unresponsiveTime is how long a control daemon that did not send its state in time is tried after others.
 const unresponsiveTime = 5 * time.Second
 
-// Unresponsive holds the control daemons that answered a search and then did not send their state; its zero value holds none.
+// Unresponsive holds the control daemons that answered a search and then did not send their state in time; its zero value holds none.
 type Unresponsive struct {
 	// since has the time at which each was last found to be so, by address.
 	since map[string]time.Time
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -18,6 +18,17 @@
 	return fmt.Sprintf("control daemon %s has been silent for %v", e.Address, e.Silence)
 }
 
+// SlowControlError reports that another control daemon has sent its state before the one of the session.
+type SlowControlError struct {
+	Address string
+	Waited  time.Duration
+}
+
+// Error names the daemon and the time for which its state was waited for.
+func (e *SlowControlError) Error() string {
+	return fmt.Sprintf("control daemon %s has not sent its state in %v, and another one has", e.Address, e.Waited)
+}
+
 // StaleControlError reports that a control daemon has lost contact with the leader.
 type StaleControlError struct {
 	Address string
--- a/gateway/narrowlink_test.go
+++ b/gateway/narrowlink_test.go
@@ -133,3 +133,31 @@
 	c.earlier = true
 	newNarrowGateway(t, l, c).waitForState(t)
 }
+
+// TestStateOfSlowControlWaitedFor guards against a gateway that waits for the state of the control daemon that answers first, over
+// a narrow link, although another one would send its state at once.
+func TestStateOfSlowControlWaitedFor(t *testing.T) {
+	slow, fast := newControl(t, 0, true), newControl(t, 100*time.Millisecond, true)
+	slow.first, fast.first = largeState(slow.address, 308_000), largeState(fast.address, 308_000)
+	g := newGateway(t, testTable(t, nil))
+	g.view.Store(&view{})
+	g.cfg.Controls = []string{(&narrowLink{t: t, perSecond: 50_000}).to(slow.address), fast.address}
+	g.wg.Go(func() { g.subscribe(g.workCtx) })
+	t.Cleanup(func() {
+		g.cancelWork()
+		g.wg.Wait()
+	})
+	g.waitForState(t)
+	if got := g.view.Load().control; got != fast.address {
+		t.Errorf("the gateway has taken the state of %s", got)
+	}
+}
+
+// TestStateSlowerBesideSecond guards against a session that is given up while its state arrives, as that of a second control daemon takes
+// half of the gateway's link.
+func TestStateSlowerBesideSecond(t *testing.T) {
+	l := &narrowLink{t: t, perSecond: 50_000}
+	a, b := newControl(t, 0, true), newControl(t, 0, true)
+	a.first, b.first = largeState(a.address, 460_000), largeState(b.address, 460_000)
+	newNarrowGateway(t, l, a, b).waitForState(t)
+}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -192,6 +192,57 @@
 	return c
 }
 
+// fetchState opens a session with a current control daemon that is not unresponsive, and returns it once its state has arrived, or
+// nil if that fails.
+func (g *Gateway) fetchState(ctx context.Context) *controlConn {
+	c := g.connectAny(ctx, true)
+	if c == nil || !c.firstUpdate.GetBrief() {
+		return c
+	}
+	stopCancel := context.AfterFunc(ctx, c.cancel)
+	if err := c.receiveState(g); err != nil || !c.firstUpdate.GetCurrent() || !stopCancel() {
+		c.close()
+		return nil
+	}
+	return c
+}
+
+// receiveState receives the state of a control daemon that has answered a search, and sends reports until then.
+func (c *controlConn) receiveState(g *Gateway) error {
+	done := make(chan error, 1)
+	send := func(now time.Time) error { return c.stream.Send(g.report(now, false)) }
+	progressAt, counted := time.Now(), int64(0)
+	if err := send(progressAt); err != nil {
+		return err
+	}
+	go func() {
+		var err error
+		for err == nil && c.firstUpdate.GetBrief() {
+			c.firstUpdate, err = c.stream.Recv()
+		}
+		done <- err
+	}()
+	reports := time.NewTicker(reportPeriod)
+	defer reports.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case now := <-reports.C:
+			if received := c.received.Load(); received-counted >= progressBytes {
+				progressAt, counted = now, received
+			}
+			if silence := now.Sub(progressAt); silence > controlTimeout {
+				g.recordUnresponsive(now, c.address)
+				return &SilentControlError{Address: c.address, Silence: silence}
+			}
+			if err := send(now); err != nil {
+				return err
+			}
+		}
+	}
+}
+
 // controlAddresses returns the addresses of all known control daemons.
 func (g *Gateway) controlAddresses() []string {
 	g.controlsMu.Lock()
@@ -201,14 +252,14 @@
 	return slices.Compact(all)
 }
 
-// unresponsiveControls returns the control daemons that have lately sent no state.
+// unresponsiveControls returns the control daemons that have lately not sent their state in time.
 func (g *Gateway) unresponsiveControls() fleet.Unresponsive {
 	g.controlsMu.Lock()
 	defer g.controlsMu.Unlock()
 	return g.unresponsive
 }
 
-// recordUnresponsive records that a control daemon answered a search and sent no state.
+// recordUnresponsive records that a control daemon answered a search and has not sent its state in time.
 func (g *Gateway) recordUnresponsive(now time.Time, address string) {
 	g.controlsMu.Lock()
 	defer g.controlsMu.Unlock()
@@ -221,7 +272,7 @@
 	now := time.Now()
 	s := &session{
 		gateway: g, control: c, updates: make(chan *wiregen.FleetUpdate, updateQueueLength), failed: make(chan error, 1),
-		found: make(chan *controlConn, 1), beganAt: now, updatedAt: now, currentAt: now, current: c.firstUpdate.GetCurrent(),
+		found: make(chan *controlConn, 1), second: make(chan *controlConn, 1), secondRequest: fleet.NewSecondRequest(now), beganAt: now, updatedAt: now, currentAt: now, current: c.firstUpdate.GetCurrent(),
 	}
 	if !c.firstUpdate.GetBrief() {
 		s.handleUpdate(c.firstUpdate)
@@ -230,6 +281,8 @@
 	}
 	go s.receive()
 	defer s.release()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	check := time.NewTicker(pollPeriod)
 	defer check.Stop()
 	for {
@@ -244,6 +297,11 @@
 				return found, &StaleControlError{Address: c.address, Behind: time.Since(s.currentAt)}
 			}
 			found.close()
+		case second := <-s.second:
+			if s.precededBy(second) {
+				return second, &SlowControlError{Address: c.address, Waited: time.Since(s.beganAt)}
+			}
+			second.close()
 		case now := <-check.C:
 			if err := s.check(ctx, now); err != nil {
 				return nil, err
@@ -267,7 +325,12 @@
 	found      chan *controlConn
 	searching  bool
 	searchedAt time.Time
-	beganAt    time.Time
+	// second receives another control daemon whose state has arrived, or nil if that fails.
+	second chan *controlConn
+	// askingSecond is set while another one is asked for its state, and askedSecond once one was.
+	askingSecond, askedSecond bool
+	secondRequest             fleet.SecondRequest
+	beganAt                   time.Time
 	// hasState is set once the state of the control daemon has been applied.
 	hasState bool
 	// updatedAt is when the last update arrived, and receivedAt when progressBytes had last arrived in addition to counted ones.
@@ -305,6 +368,9 @@
 	if s.searching {
 		go func() { (<-s.found).close() }()
 	}
+	if s.askingSecond {
+		go func() { (<-s.second).close() }()
+	}
 }
 
 // handleUpdate applies an update; nil marks a closed channel.
@@ -341,18 +407,42 @@
 	return time.Since(s.currentAt) > staleControlTime
 }
 
+// askSecond asks another control daemon for its state if the present one has not sent all of it in time.
+func (s *session) askSecond(ctx context.Context, now time.Time) {
+	if s.hasState || s.askingSecond || !s.secondRequest.Due(now) {
+		return
+	}
+	s.gateway.recordUnresponsive(now, s.control.address)
+	s.askingSecond, s.askedSecond = true, true
+	go func() { s.second <- s.gateway.fetchState(ctx) }()
+}
+
+// precededBy reports whether another control daemon, nil if none, has sent its state before the present one.
+func (s *session) precededBy(second *controlConn) bool {
+	s.askingSecond = false
+	if second == nil {
+		s.secondRequest = s.secondRequest.WithFailure(time.Now())
+	}
+	return second != nil && !s.hasState
+}
+
 const (
 	// progressBytes is the number of bytes that show that an update is arriving: more than a connection without updates carries
 	// within controlTimeout.
 	progressBytes = 4 << 10
-	// maxUpdateTime bounds the time that one update takes to arrive.
-	maxUpdateTime = 10 * time.Second
+	// maxUpdateTime bounds the time that one update takes to arrive, and maxSharedUpdateTime that of a state beside which
+	// another one was asked for: both may share the gateway's link.
+	maxUpdateTime       = 10 * time.Second
+	maxSharedUpdateTime = 2 * maxUpdateTime
 )
 
 // recordProgress records that a part of an update has arrived.
 func (s *session) recordProgress(now time.Time) {
-	received := s.control.received.Load()
-	if received-s.counted < progressBytes || now.Sub(s.updatedAt) > maxUpdateTime {
+	received, limit := s.control.received.Load(), maxUpdateTime
+	if !s.hasState && s.askedSecond {
+		limit = maxSharedUpdateTime
+	}
+	if received-s.counted < progressBytes || now.Sub(s.updatedAt) > limit {
 		return
 	}
 	s.counted, s.receivedAt = received, now
@@ -377,6 +467,7 @@
 		s.searchedAt, s.searching = now, true
 		go func() { s.found <- g.connectAny(ctx, true) }()
 	}
+	s.askSecond(ctx, now)
 	withCapacity := g.reportsCapacity(now)
 	ready, lingering, closing, stranded := g.Ready(), g.lingering(now), g.closing(now), g.placer.isStranded()
 	due := now.Sub(s.reportedAt) >= reportPeriod || withCapacity && now.Sub(s.reportedAt) >= capacityReportPeriod
