--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -234,7 +234,7 @@
 	}
 }
 
-// TestClosedListenerWaitsForPlace guards against an end of the process that is late because a connection waits for a place.
+// TestClosedListenerWaitsForPlace guards against a listener that, when closed, still waits for a place for a new connection.
 func TestClosedListenerWaitsForPlace(t *testing.T) {
 	began := time.Now()
 	a := New(intake.Limits{Connections: 1}, zerolog.Nop(), func() time.Time { return began })
--- a/acceptor/rpc_test.go
+++ b/acceptor/rpc_test.go
@@ -44,7 +44,7 @@
 	return a, l.Addr().String()
 }
 
-// tell opens a stream on the client and sends one message.
+// tell opens a stream of load reports on the client and sends one message.
 func tell(t *testing.T, address string) grpc.ClientStreamingClient[wiregen.OutstandingReport, wiregen.OutstandingReply] {
 	t.Helper()
 	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -252,7 +252,7 @@
 	return slices.Compact(all)
 }
 
-// unresponsiveControls returns the control daemons that have lately not sent their state in time.
+// unresponsiveControls returns the control daemons that did not send their state in time within the last seconds.
 func (g *Gateway) unresponsiveControls() fleet.Unresponsive {
 	g.controlsMu.Lock()
 	defer g.controlsMu.Unlock()
