Replace connections after calls that failed at their deadline before the context expired

Cause: a gRPC server ends a call at its deadline by itself. If its timer runs before that of the caller's context, the call has failed and ctx.Err() is still nil, so that callPeer kept the connection. The deadline itself is compared with the time now.

--- a/control/peers.go
+++ b/control/peers.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
 
@@ -75,7 +75,7 @@
 	p.connections, p.replaced = map[string]*peerConnection{}, map[*peerConnection]bool{}
 }
 
-// callPeer calls a control daemon, and replaces the connection if the call reached its deadline. A call that was cancelled says
+// callPeer calls a control daemon, and replaces the connection if the call failed at its deadline. A call that was cancelled says
 // nothing about the connection.
 func callPeer[T any](ctx context.Context, p *peers, address string, call func(context.Context, grpc.ClientConnInterface) (T, error)) (T, error) {
 	conn, err := p.begin(address)
@@ -84,6 +84,13 @@
 		return zero, err
 	}
 	reply, err := call(ctx, conn)
-	p.end(address, conn, errors.Is(ctx.Err(), context.DeadlineExceeded))
+	p.end(address, conn, err != nil && deadlinePassed(ctx, time.Now()))
 	return reply, err
 }
+
+// deadlinePassed reports whether now is at or after the deadline of ctx. The peer may end a call at its deadline before the context
+// of the caller has expired.
+func deadlinePassed(ctx context.Context, now time.Time) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && !now.Before(deadline)
+}
--- a/control/peers_test.go
+++ b/control/peers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -99,3 +101,34 @@
 		})
 	}
 }
+
+// lateContext is a context whose deadline has passed and whose timer has not run yet.
+type lateContext struct{ context.Context }
+
+func (lateContext) Deadline() (time.Time, bool) { return time.Unix(1, 0), true }
+
+// TestConnectionKeptAfterDeadline has a call fail at its deadline before its context has expired: the next call uses a new connection.
+func TestConnectionKeptAfterDeadline(t *testing.T) {
+	p := newPeers(keys.Plain())
+	defer p.close()
+	var used []grpc.ClientConnInterface
+	call := func(ctx context.Context, result error) {
+		_, err := callPeer(ctx, p, "127.0.0.1:1", func(_ context.Context, conn grpc.ClientConnInterface) (struct{}, error) {
+			used = append(used, conn)
+			return struct{}{}, result
+		})
+		if !errors.Is(err, result) {
+			t.Errorf("got %v, want %v", err, result)
+		}
+	}
+	call(t.Context(), io.EOF)
+	call(lateContext{t.Context()}, nil)
+	call(lateContext{t.Context()}, io.EOF)
+	call(t.Context(), nil)
+	if used[0] != used[1] || used[1] != used[2] {
+		t.Error("a connection was replaced without a call that failed at its deadline")
+	}
+	if used[2] == used[3] {
+		t.Error("the connection was used again after a call that failed at its deadline")
+	}
+}
