Cut no stream that has begun because nothing arrives from endpoints

Cause: a gateway to which nothing has arrived from any endpoint for 0.6 s, and that cannot connect to one, cancelled all attempts that may be repeated, also those whose answer its callers were receiving. On a link that is full (10 Mbit/s here, taken by the state of control daemons) that is a delay, not a cut. No gateway of the region was known to reach endpoints, so that no attempt followed and the callers' connections were closed. Class: a fault of the observer taken for one of the observed, and acted on where nothing can be gained.

An attempt is now cancelled only while it waits for its first piece. A dead connection under a stream that has begun is noticed by the kernel after some 2.5 s, and the stream is resumed elsewhere as before.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -39,6 +39,8 @@
 	endpoints map[string][]*crashEndpoint
 	// links holds the links of gateways that are not connected directly, by gateway and endpoint.
 	links map[string]map[string]*link
+	// held is closed when streams go on after their first event; nil if they need not wait.
+	held chan struct{}
 	// running holds the endpoint that runs the last request for each path.
 	running sync.Map
 	// reached counts the requests with crashing parts that reached endpoints, crashed the endpoints that have crashed,
@@ -138,7 +140,12 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	fmt.Fprint(w, pieces(0, 2))
+	fmt.Fprint(w, pieces(0, 0))
+	if f.held != nil {
+		_ = http.NewResponseController(w).Flush()
+		<-f.held
+	}
+	fmt.Fprint(w, pieces(1, 2))
 }
 
 // start starts a gateway and lists it in the views of all gateways.
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -190,7 +190,8 @@
 	}
 }
 
-// cancelSilent cancels the attempts that wait if nothing arrives from any endpoint, so that they are sent elsewhere.
+// cancelSilent cancels the attempts that wait for the first piece of their answer if nothing arrives from any endpoint, so that they
+// are sent elsewhere. An answer that has begun goes on once the link carries it again, and a dead connection is noticed by the kernel.
 func (p *placer) cancelSilent(now time.Time) {
 	if p.silentFor(now) < silenceTime {
 		return
@@ -198,7 +199,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a, cancel := range p.reach.waiting {
-		if now.Sub(a.sent) > silenceTime {
+		if a.firstAt.IsZero() && now.Sub(a.sent) > silenceTime {
 			cancel(&StrandedError{})
 		}
 	}
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"arbutusreel/capacity"
 	"arbutusreel/retry"
+	"arbutusreel/routes"
 )
 
 // TestSilentEndpointBlamed has a sound endpoint fall silent for a second and go on, on open connections and for new ones: it has
@@ -80,3 +82,46 @@
 		}
 	}
 }
+
+// TestStreamCutBySilentLinks has nothing arrive from any endpoint for a while, as on a link that is full: a stream that has begun, and
+// that no other gateway can go on with, is not cut.
+func TestStreamCutBySilentLinks(t *testing.T) {
+	f := newCrashFleet(t, []string{"here"}, 1, 2)
+	f.table = testTable(t, func(r *routes.Route) { r.Timeout = time.Minute })
+	f.held = make(chan struct{})
+	g := f.gateways[0]
+	f.connect(g)
+	begun := func() bool {
+		g.placer.mu.Lock()
+		defer g.placer.mu.Unlock()
+		for a := range g.placer.reach.waiting {
+			if !a.firstAt.IsZero() {
+				return true
+			}
+		}
+		return false
+	}
+	wait := func(what string, condition func() bool) {
+		for deadline := time.Now().Add(20 * time.Second); !condition(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("timed out waiting until %s", what)
+			}
+		}
+	}
+	answered := make(chan result, 1)
+	go func() {
+		answered <- g.call(t.Context(), http.MethodPost, "/stream/x", map[string]string{"Id": "stream-1"})
+	}()
+	wait("the stream has begun", begun)
+	f.cut(g, silentCut)
+	go g.call(t.Context(), http.MethodPost, "/safe/x", map[string]string{"Id": "safe-1"})
+	wait("no endpoint is reached", g.placer.isUnreachable)
+	time.Sleep(silenceTime + strandedProbePeriod)
+	for _, l := range f.links[g.cfg.Name] {
+		l.restore()
+	}
+	close(f.held)
+	if got := <-answered; !got.whole || got.body != pieces(0, 2) {
+		t.Errorf("the caller got %q, %v", got.body, got.err)
+	}
+}
