Serve no request whose connection has yielded to another one

Callers on kept connections, under a crowd of new ones: the gateway passed a request on to an endpoint and closed the connection without an answer.

Cause: a connection counts as idle until the handler of its next request begins, and as waiting until the body is whole. One that was given up between the end of the head, or of the body, and that moment was closed, while its handler went on, as Enter ignores connections that have been given up.

Now the handler is told that the connection has been given up, and ends before it passes the request on; so does reading the end of a body. A request that crosses the close has not run.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -195,13 +195,16 @@
 	}
 }
 
-func (a *Acceptor) enter(c *Conn, p intake.Phase) {
+// enter moves a connection to a phase. It returns false if the connection has been given up.
+func (a *Acceptor) enter(c *Conn, p intake.Phase) bool {
 	a.mu.Lock()
 	closing := a.register.Enter(c.entry, p)
+	givenUp := c.entry.GivenUp()
 	a.mu.Unlock()
 	if closing {
 		a.close(c)
 	}
+	return !givenUp
 }
 
 // connState records the changes of a server's connections.
--- a/acceptor/handler.go
+++ b/acceptor/handler.go
@@ -13,21 +13,26 @@
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
-// handler returns a handler that records when the whole request has been read.
+// handler returns a handler that records when the whole request has been read. A request whose connection has been given up by
+// then is not served, as its caller would get no answer.
 func (a *Acceptor) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*Conn)
+		open := true
 		switch {
 		case c == nil:
 		case r.ContentLength == 0:
-			a.enter(c, intake.Serving)
+			open = a.enter(c, intake.Serving)
 		default:
-			a.enter(c, intake.Waiting)
+			open = a.enter(c, intake.Waiting)
 			// The server looks at the body of its own request to decide whether to read the rest of it.
 			withBody := *r
-			withBody.Body = &body{ReadCloser: r.Body, whole: func() { a.enter(c, intake.Serving) }}
+			withBody.Body = &body{ReadCloser: r.Body, whole: func() bool { return a.enter(c, intake.Serving) }}
 			r = &withBody
 		}
+		if !open {
+			panic(http.ErrAbortHandler)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -44,14 +49,17 @@
 type body struct {
 	io.ReadCloser
 
-	whole func()
+	// whole is called at the end of the body; it returns false if the connection has been given up.
+	whole func() bool
 }
 
-// Read reads from the body.
+// Read reads from the body. It returns net.ErrClosed at the end if the connection has been given up.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) && b.whole != nil {
-		b.whole()
+		if !b.whole() {
+			return n, net.ErrClosed
+		}
 		b.whole = nil
 	}
 	return n, err
