Answer calls that wait for a voter whose event loop has ended

Operators: a change sent to a control daemon that stopped, or whose disk failed, before the change was decided ended with a closed connection and no answer.

Cause: the pending changes and reads of a voter whose event loop has ended are never completed, and later ones stay in its queue. A leader that hands its leadership over completes them; one that finds no voter with its whole log at that moment, or whose disk fails, does not. Reads of history and recorded answers had no limit of their own.

Evidence: TestCallUnansweredAtEnd did not end within 20 and 30 s before, as the read of a recorded answer waited for ever.

Now the end of the event loop ends what waits for it: a change may have been decided, a read is refused.

--- a/control/quorum.go
+++ b/control/quorum.go
@@ -78,6 +78,9 @@
 	pendingChanges map[int64]pendingChange
 	pendingReads   map[int64]chan<- error
 	lastReadToken  int64
+	// ended ends with the event loop, which calls end.
+	ended context.Context
+	end   context.CancelFunc
 
 	mu               sync.Mutex
 	current          Current
@@ -108,6 +111,7 @@
 		changed:        make(chan struct{}),
 		acceptTimes:    map[int64]time.Time{},
 	}
+	q.ended, q.end = context.WithCancel(context.Background())
 	if err := q.install(r.Snapshot); err != nil {
 		return nil, err
 	}
@@ -146,6 +150,7 @@
 
 // run runs the event loop until ctx ends. It returns an error if the disk fails, after which the process must stop.
 func (q *quorum) run(ctx context.Context) error {
+	defer q.end()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	ctx, cancel := context.WithCancel(ctx)
--- a/control/quorum_test.go
+++ b/control/quorum_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -110,6 +111,37 @@
 	}
 }
 
+// TestCallUnansweredAtEnd guards against changes and reads that wait for a voter whose event loop has ended, for longer than its daemon
+// waits for calls in progress: their callers' connections were closed without an answer.
+func TestCallUnansweredAtEnd(t *testing.T) {
+	const syncsToLead = 3
+	q, failed := startSingleVoter(t, syncsToLead)
+	q.waitForLease(t)
+	calls := map[string]func() error{
+		"change": func() error {
+			_, err := q.Propose(t.Context(), configuration.Change{ID: "change", Inventory: newTestInventory(t, 1, 1)})
+			return err
+		},
+		"read": func() error { return q.Confirm(t.Context()) },
+		"answer": func() error {
+			_, _, err := q.RecordedAnswer(t.Context(), "change")
+			return err
+		},
+	}
+	check := func(when, name string, err error) {
+		var p *problem.Problem
+		if !errors.As(err, &p) || !strings.Contains(p.Detail, "ended") {
+			t.Errorf("%s: the %s was answered %v", when, name, err)
+		}
+	}
+	// The first write after the last sync that succeeds ends the event loop.
+	check("in progress", "change", calls["change"]())
+	<-failed
+	for name, call := range calls {
+		check("later", name, call())
+	}
+}
+
 // TestOrderOfGoneCallerDecided checks that an order is not decided whose caller has gone before the voter handles it: the
 // caller may have had it decided elsewhere, and the opposite order after it.
 func TestOrderOfGoneCallerDecided(t *testing.T) {
--- a/control/requests.go
+++ b/control/requests.go
@@ -35,6 +35,32 @@
 	return problem.New(problem.ChangeUnknown, http.StatusGatewayTimeout, "%s; send it again with the same change id", reason).WithOutcome(problem.Unknown)
 }
 
+// decisionContext returns the context of a call that waits for the event loop: until it answers or ends, or decisionTimeout is over.
+func (q *quorum) decisionContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, decisionTimeout)
+	stop := context.AfterFunc(q.ended, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// unanswered returns the problem for a read that the event loop has not answered.
+func (q *quorum) unanswered() *problem.Problem {
+	if q.ended.Err() != nil {
+		return problem.New(problem.QuorumUnavailable, http.StatusServiceUnavailable, "voter %q has ended", q.cfg.Name).WithRetryAfter(leaderRetryAfter)
+	}
+	return q.notLeader()
+}
+
+// undecided returns the problem for a change that the event loop has not decided.
+func (q *quorum) undecided() *problem.Problem {
+	if q.ended.Err() != nil {
+		return changeUnknown("the voter has ended before the change was decided")
+	}
+	return changeUnknown("the quorum did not decide in time")
+}
+
 // consensusProblem converts a consensus error to a problem.
 func (q *quorum) consensusProblem(err error) *problem.Problem {
 	var (
@@ -117,16 +143,18 @@
 
 // readState runs f on the replicated state in the event loop, between two inputs, and returns its result.
 func readState[T any](ctx context.Context, q *quorum, f func(*stateMachine) T) (T, error) {
+	ctx, cancel := q.decisionContext(ctx)
+	defer cancel()
 	result := make(chan T, 1)
 	var zero T
 	if err := q.enqueue(ctx, func(time.Time) { result <- f(q.machine) }); err != nil {
-		return zero, q.notLeader()
+		return zero, q.unanswered()
 	}
 	select {
 	case value := <-result:
 		return value, nil
 	case <-ctx.Done():
-		return zero, q.notLeader()
+		return zero, q.unanswered()
 	}
 }
 
@@ -157,7 +185,7 @@
 // reason; after that the outcome of the change is unknown. Nothing is appended once ctx has ended: its caller may have
 // had the opposite change decided through another voter.
 func (q *quorum) proposeAndWait(ctx context.Context, propose func(now time.Time) (index, term int64, err error)) (configuration.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, decisionTimeout)
+	ctx, cancel := q.decisionContext(ctx)
 	defer cancel()
 	result := make(chan changeResult, 1)
 	err := q.enqueue(ctx, func(now time.Time) {
@@ -173,19 +201,24 @@
 		q.pendingChanges[index] = pendingChange{term: term, result: result}
 	})
 	if err != nil {
-		return configuration.Answer{}, q.notLeader()
+		return configuration.Answer{}, q.unanswered()
 	}
 	select {
 	case r := <-result:
 		return r.answer, r.err
 	case <-ctx.Done():
-		return configuration.Answer{}, changeUnknown("the quorum did not decide in time")
+	}
+	select {
+	case r := <-result:
+		return r.answer, r.err
+	default:
+		return configuration.Answer{}, q.undecided()
 	}
 }
 
 // Confirm returns once this voter, as the leader, is confirmed to be current.
 func (q *quorum) Confirm(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, decisionTimeout)
+	ctx, cancel := q.decisionContext(ctx)
 	defer cancel()
 	result := make(chan error, 1)
 	err := q.enqueue(ctx, func(now time.Time) {
@@ -197,12 +230,12 @@
 		}
 	})
 	if err != nil {
-		return q.notLeader()
+		return q.unanswered()
 	}
 	select {
 	case err := <-result:
 		return err
 	case <-ctx.Done():
-		return q.notLeader()
+		return q.unanswered()
 	}
 }
