Answer requests whose body is whole as the wait for it ends

Callers of a stopping gateway: the connection was closed without an answer to a request with a body that was read in the moment at which the grace period was nearly over, or just after. It had not run.

Cause: the end of the wait for a body sets a read deadline that has passed. After a whole body net/http reads on, takes that deadline for the end of the connection and cancels the request, which then counts as left by its caller.

Such a request is now refused as not run, as it would have been next.

--- a/gateway/closing_test.go
+++ b/gateway/closing_test.go
@@ -401,3 +401,30 @@
 		t.Errorf("%d runs, want none", n)
 	}
 }
+
+// TestWholeRequestCutAtGraceEnd guards against a request without an answer whose body is read as the grace period ends: the end of the
+// wait for the body must not count as that of the connection.
+func TestWholeRequestCutAtGraceEnd(t *testing.T) {
+	endpoint := newEndpoint(t, "a", answering())
+	g := newGateway(t, testTable(t, nil), endpoint)
+	server := serveTCP(t, g, false)
+	g.endAnswers()
+	for range 50 {
+		for _, body := range []string{"Content-Length: 5\r\n\r\n12345", "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n\r\n"} {
+			caller := newRawCaller(t, server.address)
+			fmt.Fprintf(caller.conn, "POST /unsafe/x HTTP/1.1\r\nHost: %s\r\nId: whole\r\nPatience: 5000\r\n%s", testHost, body)
+			answer, err := http.ReadResponse(caller.in, nil)
+			if err != nil {
+				t.Fatalf("%q: %v", body, err)
+			}
+			_, err = io.ReadAll(answer.Body)
+			_ = answer.Body.Close()
+			if err != nil || answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get(codeHeader) != string(problem.Stopping) {
+				t.Fatalf("%q: status %d, %v, %v", body, answer.StatusCode, answer.Header, err)
+			}
+		}
+	}
+	if n := len(endpoint.requests()); n != 0 {
+		t.Errorf("%d runs, want none", n)
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -306,11 +306,11 @@
 		j.w.hold(int64(len(j.body)) - size)
 	}
 	if !mayInterrupt() {
+		// The server reads on after a whole body, and has taken the deadline for the end of the connection.
 		<-interrupted
+		return j.g.stopping()
 	}
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded) && j.g.answerCtx.Err() != nil:
-		return j.g.stopping()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return problem.New(problem.PatienceExceeded, http.StatusRequestTimeout, "the body was not sent within the time of the request")
 	case err != nil:
