Keep the newest document while waiting for a current control daemon

Callers of a gateway that has just started, with no leader yet: an older routing document than one that it had received.

Cause: for its first half second a gateway without a document waits for one of a current daemon. The document of a second session that is not current replaced the one that was waiting, whatever their versions, and came into force.

Evidence: TestOlderDocumentWhileWaiting failed before ("version 2 is in force, want 3").

--- a/gateway/session.go
+++ b/gateway/session.go
@@ -611,7 +611,7 @@
 // currentDocumentWait for one from a current control daemon, since a stale daemon may offer an old one.
 func (g *Gateway) updateDocument(now time.Time, u *wiregen.FleetUpdate) {
 	st := g.state
-	if m := u.GetDocument(); m != nil {
+	if m := u.GetDocument(); m.GetVersion() > g.pendingDocument.Version {
 		g.pendingDocument = configuration.Document{Version: m.GetVersion(), Content: m.GetContent()}
 	}
 	if g.pendingDocument.Version == 0 || !u.GetCurrent() && now.Sub(g.started) < currentDocumentWait {
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -8,10 +9,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
+	"arbutusreel/configuration"
 	"arbutusreel/fleet"
 	"arbutusreel/keys"
+	"arbutusreel/routes"
 	"arbutusreel/wiregen"
 )
 
@@ -185,6 +189,25 @@
 	}
 }
 
+// TestOlderDocumentWhileWaiting guards against a gateway that takes an older document into force than one that it has received: it
+// starts, waits for a current control daemon, and gets the documents of two others.
+func TestOlderDocumentWhileWaiting(t *testing.T) {
+	cfg := testConfig()
+	cfg.Decode = func(configuration.Document) (*routes.Table, error) { return testTable(t, nil), nil }
+	g := New(cfg, zerolog.Nop(), rand.NewPCG(1, 1))
+	t.Cleanup(g.cancelWork)
+	for _, version := range []int64{3, 2} {
+		g.updateDocument(g.started, &wiregen.FleetUpdate{Document: &wiregen.RouteDocument{Version: version}})
+	}
+	if got := g.state.document.Version; got != 0 {
+		t.Fatalf("version %d is in force while the gateway waits", got)
+	}
+	g.updateDocument(g.started.Add(currentDocumentWait), &wiregen.FleetUpdate{})
+	if got := g.state.document.Version; got != 3 {
+		t.Errorf("version %d is in force, want 3", got)
+	}
+}
+
 // TestDepartureWithoutIncarnation has a control daemon that doesn't know an endpoint send its departure: a gateway that knows the
 // endpoint sends nothing more to it, unless it was seen later, and keeps its address to close connections.
 func TestDepartureWithoutIncarnation(t *testing.T) {
