Keep leaders in tests of evacuation orders and departures while the machine is busy

TestLateOrderUndoesAcknowledged hung in a run of the package beside other work: it waited for a call to be held up that was never made. Its voters elect anew after 60 ms without a heartbeat; once the leader has changed, the order goes elsewhere. TestOrderOfEarlierVersion calls the leader too.

The daemons of startKnowing elect after 500 ms, as elections are not the subject of its tests; their checks are the same. A call that isn't held up, or that ends before it has begun, fails the test instead of hanging it; the deadline in TestCallCutAsAnotherEnds is 1 s, was 0.5 s.

--- a/control/departures_test.go
+++ b/control/departures_test.go
@@ -25,11 +25,11 @@
 // startKnowing starts three daemons that all know a ready endpoint, and returns them with a follower as the last one.
 func startKnowing(t *testing.T, e fleet.Endpoint) []*daemon {
 	t.Helper()
-	return startKnowingWith(t, e, newConfigs(t, 3, 0))
-}
-
-func startKnowingWith(t *testing.T, e fleet.Endpoint, cfgs []Config) []*daemon {
-	t.Helper()
+	cfgs := newConfigs(t, 3, 0)
+	for i := range cfgs {
+		// No election takes place while the process is starved for a moment.
+		cfgs[i].ElectionTimeout = 500 * time.Millisecond
+	}
 	var daemons []*daemon
 	for _, cfg := range cfgs {
 		daemons = append(daemons, start(t, cfg))
@@ -122,12 +122,7 @@
 // decided once there is a quorum again.
 func TestDepartureWithoutQuorum(t *testing.T) {
 	e := leavingEndpoint()
-	cfgs := newConfigs(t, 3, 0)
-	for i := range cfgs {
-		// No election takes place while the process is starved for a moment.
-		cfgs[i].ElectionTimeout = 500 * time.Millisecond
-	}
-	daemons := startKnowingWith(t, e, cfgs)
+	daemons := startKnowing(t, e)
 	daemons[1].stop()
 	const patience = time.Second
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
--- a/control/evacuations_test.go
+++ b/control/evacuations_test.go
@@ -175,7 +175,11 @@
 			held, release := late.holdCalls(t, leader.cfg.PeerAddress)
 			answered := make(chan error, 1)
 			go func() { answered <- late.Evacuate(t.Context(), "d", c.withdrawn) }()
-			<-held
+			select {
+			case <-held:
+			case err := <-answered:
+				t.Fatalf("the order was not held up: %v", err)
+			}
 			for _, withdrawn := range c.meanwhile {
 				evacuate(t, other, "d", withdrawn)
 			}
--- a/control/peers_test.go
+++ b/control/peers_test.go
@@ -43,7 +43,7 @@
 	}{
 		{"cancelled", context.WithCancel, false},
 		{"deadline", func(ctx context.Context) (context.Context, context.CancelFunc) {
-			return context.WithTimeout(ctx, 500*time.Millisecond)
+			return context.WithTimeout(ctx, time.Second)
 		}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -75,8 +75,13 @@
 			first := shared
 			ctx, cancel := c.end(t.Context())
 			ended := call(ctx)
-			if at := <-fleet.began; at != address {
-				t.Fatalf("the calls use different connections: %s, %s", address, at)
+			select {
+			case at := <-fleet.began:
+				if at != address {
+					t.Fatalf("the calls use different connections: %s, %s", address, at)
+				}
+			case err := <-ended:
+				t.Fatalf("the call that ends did not begin: %v", err)
 			}
 			if !c.replaced {
 				cancel()
