Let stopping gateways own allotment shares while their region has no ready one

Callers of a team within its allotment got 503 "allotmentUnknown" from gateways that were lingering or closing and accepted the request otherwise, while all gateways of the region stopped: owners were chosen among ready gateways only, and a stopping one gave up its shares although no other could own them, so that 2 % of the allotment was left.

limits.Owners now takes the lingering and closing gateways of a region while it has no ready one. A gateway that begins to stop counts as one of them at once, so that the last one keeps its shares; the next owner asks the previous one for what is left, and fills at half of the rate until then, as at every change of owners. The policy is in package limits; the gateway only lists both kinds.

--- a/gateway/allotments.go
+++ b/gateway/allotments.go
@@ -77,16 +77,19 @@
 		return
 	}
 	a.addresses = make(map[string]string, len(v.gateways))
-	var ready []limits.Member
+	var ready, stopping []limits.Member
 	for _, g := range v.gateways {
 		a.addresses[g.Name] = g.LoadAddress
-		if g.Ready {
-			ready = append(ready, limits.Member{Instance: g.Name, Region: g.Region})
+		switch m := (limits.Member{Instance: g.Name, Region: g.Region}); {
+		case g.Ready:
+			ready = append(ready, m)
+		case g.Lingering || g.Closing:
+			stopping = append(stopping, m)
 		}
 	}
 	if v.current {
 		a.pool.SetCurrent(now)
-		if a.owners.Update(ready) {
+		if a.owners.Update(ready, stopping) {
 			changes += a.pool.UpdateOwners(now)
 		}
 	}
@@ -135,7 +138,7 @@
 	}
 }
 
-// leave gives up the shares at a planned stop.
+// leave gives up the shares at a planned stop, if another gateway of the region owns them then.
 func (a *allotments) leave(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/gateway/allotments_stop_test.go
+++ b/gateway/allotments_stop_test.go
@@ -15,6 +15,8 @@
 	for i := range f.gateways {
 		waitFor(t, "a request is admitted", func() bool { return f.ask(i).status == http.StatusOK })
 	}
+	// A new share starts empty; it must hold all requests that follow.
+	waitFor(t, "the share holds ten requests", func() bool { return f.level(f.owner(0, 1)) >= 1000 })
 	c := *f.gateways[0].view.Load()
 	for i := range c.gateways {
 		c.gateways[i].Ready, c.gateways[i].Lingering = false, true
--- a/limits/allotment.go
+++ b/limits/allotment.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -118,15 +119,17 @@
 	NotOwner bool
 }
 
-// Owners finds the owners of the shares among the ready gateways of the last view of a current control daemon.
+// Owners finds the owners of the shares in the last view of a current control daemon: among the ready gateways of a region or, while it has
+// none, among those that are stopping and still accept requests.
 type Owners struct {
-	ready   []Member
-	members map[string][]Member
-	// before holds the members before the last change.
-	before map[string][]Member
-	cache  map[ownerKey]string
+	ready, stopping []Member
+	// members holds by region the gateways that may own shares, and before those before the last change.
+	members, before map[string][]Member
+	cache           map[ownerKey]string
 	// most is the largest number of gateways that were ready at once.
 	most int
+	// leaving is the gateway that is stopping although the last view may list it as ready; empty for none.
+	leaving string
 }
 
 type ownerKey struct{ team, region string }
@@ -134,22 +137,53 @@
 // NewOwners returns the owners of a fleet without gateways.
 func NewOwners() *Owners { return &Owners{cache: map[ownerKey]string{}} }
 
-// Update replaces the ready gateways, in the order of their names, and reports whether they have changed. It keeps the slice.
-func (o *Owners) Update(ready []Member) (changed bool) {
-	if slices.Equal(ready, o.ready) {
+// Update replaces the ready gateways and those that are stopping and accept requests, in the order of their names, and reports whether owners
+// may have changed. It keeps the slices.
+func (o *Owners) Update(ready, stopping []Member) (changed bool) {
+	if slices.Equal(ready, o.ready) && slices.Equal(stopping, o.stopping) {
 		return false
 	}
+	o.most = max(o.most, len(ready))
+	o.ready, o.stopping = ready, stopping
+	return o.setMembers()
+}
+
+// leave records that a gateway has begun to stop.
+func (o *Owners) leave(gateway string) {
+	o.leaving = gateway
+	o.setMembers()
+}
+
+func (o *Owners) setMembers() (changed bool) {
 	members := map[string][]Member{}
-	for _, m := range ready {
-		members[m.Region] = append(members[m.Region], m)
+	for _, m := range o.ready {
+		if m.Instance != o.leaving {
+			members[m.Region] = append(members[m.Region], m)
+		}
 	}
-	o.most = max(o.most, len(ready))
-	o.ready, o.members, o.before = ready, members, o.members
+	stopping := map[string][]Member{}
+	for _, m := range o.ready {
+		if m.Instance == o.leaving {
+			stopping[m.Region] = append(stopping[m.Region], m)
+		}
+	}
+	for _, m := range o.stopping {
+		stopping[m.Region] = append(stopping[m.Region], m)
+	}
+	for region, all := range stopping {
+		if len(members[region]) == 0 {
+			members[region] = all
+		}
+	}
+	if maps.EqualFunc(members, o.members, slices.Equal) {
+		return false
+	}
+	o.members, o.before = members, o.members
 	clear(o.cache)
 	return true
 }
 
-// Of returns the owner of a region's share of a team's allotment; empty if the region has no ready gateway.
+// Of returns the owner of a region's share of a team's allotment; empty if no gateway of the region accepts requests.
 func (o *Owners) Of(team, region string) string {
 	key := ownerKey{team, region}
 	owner, ok := o.cache[key]
@@ -160,25 +194,26 @@
 	return owner
 }
 
-// without returns the owner if a gateway were not ready.
-func (o *Owners) without(team, region, gateway string) string {
-	owner, _ := Owner(team, region, slices.DeleteFunc(slices.Clone(o.members[region]), func(m Member) bool { return m.Instance == gateway }))
-	return owner
-}
-
 // previous returns the gateway that owned a share before self: by the last view, or, if there is none or self is in it as owner, the one that
 // owns it while self is not ready.
 func (o *Owners) previous(team string, self Member) string {
 	if owner, ok := Owner(team, self.Region, o.before[self.Region]); ok && owner != self.Instance {
 		return owner
 	}
-	return o.without(team, self.Region, self.Instance)
+	others := func(members []Member) []Member {
+		return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Instance == self.Instance })
+	}
+	owner, ok := Owner(team, self.Region, others(o.members[self.Region]))
+	if !ok {
+		owner, _ = Owner(team, self.Region, others(o.stopping))
+	}
+	return owner
 }
 
 // Gateways returns the largest number of gateways that were ready at once, at least one.
 func (o *Owners) Gateways() int { return max(o.most, 1) }
 
-// inRegion returns the number of ready gateways of a region, at least one.
+// inRegion returns the number of gateways of a region that may own shares, at least one.
 func (o *Owners) inRegion(region string) int { return max(len(o.members[region]), 1) }
 
 // age returns the time between two readings by the monotonic or the wall clock, whichever is longer: the monotonic clock
--- a/limits/allotments_test.go
+++ b/limits/allotments_test.go
@@ -17,6 +17,7 @@
 	simOwnTrip   = time.Millisecond
 	simOtherTrip = 25 * time.Millisecond
 	simView      = 250 * time.Millisecond
+	simViewDelay = 200 * time.Millisecond
 	simGone      = 1500 * time.Millisecond
 	simTouch     = 200 * time.Millisecond
 )
@@ -173,12 +174,16 @@
 	if s.controlLost {
 		return
 	}
-	var ready []Member
+	var ready, stopping []Member
 	for _, g := range s.gateways {
 		if !g.down && !g.frozen && g.side == 0 {
 			g.seenAt = s.now
 		}
-		if !g.down && !g.leaving && s.now.Sub(g.seenAt) <= simGone {
+		switch {
+		case g.down || s.now.Sub(g.seenAt) > simGone:
+		case g.leaving:
+			stopping = append(stopping, g.self)
+		default:
 			ready = append(ready, g.self)
 		}
 	}
@@ -187,13 +192,13 @@
 			continue
 		}
 		pool := g.pool
-		s.at(s.now.Add(time.Duration(s.rng.IntN(200))*time.Millisecond), func() {
+		s.at(s.now.Add(time.Duration(s.rng.Int64N(int64(simViewDelay)))), func() {
 			s.on(g, func() {
 				if g.pool != pool || g.side != 0 {
 					return
 				}
 				g.pool.SetCurrent(s.now)
-				if g.owners.Update(ready) {
+				if g.owners.Update(ready, stopping) {
 					g.pool.UpdateOwners(s.now)
 					s.handovers(g)
 				}
@@ -515,6 +520,14 @@
 				s.boot(g)
 			}
 		},
+		"regions stopped in series": func(s *simulation) {
+			for _, interval := range []time.Duration{0, 100 * time.Millisecond, 900 * time.Millisecond} {
+				for _, region := range regions {
+					s.stopRegion(region, interval, 6*time.Second, time.Second)
+				}
+				s.run(12 * time.Second)
+			}
+		},
 		"restarted at once": func(s *simulation) {
 			for range 3 {
 				for _, g := range s.gateways {
@@ -582,6 +595,47 @@
 	return all
 }
 
+// stopRegion stops the gateways of a region one after the other, and starts them again.
+func (s *simulation) stopRegion(region string, interval, grace, away time.Duration) {
+	n := 0
+	for _, g := range s.gateways {
+		if g.self.Region != region {
+			continue
+		}
+		stop := s.now.Add(time.Duration(n) * interval)
+		n++
+		s.at(stop, func() {
+			g.leaving = true
+			g.pool.Leave(s.now)
+		})
+		s.at(stop.Add(grace), func() { g.down = true })
+		s.at(stop.Add(grace+away), func() { s.boot(g) })
+	}
+}
+
+// TestAllotmentRegionStopping guards against refusals of a team within its allotment at gateways that still accept requests while all
+// gateways of its only region stop, but for requests that come while views differ, as at the stop of any owner.
+func TestAllotmentRegionStopping(t *testing.T) {
+	for _, interval := range []time.Duration{0, 50 * time.Millisecond, 300 * time.Millisecond} {
+		for _, n := range []int{3, 12, 30} {
+			s := newSimulation(*simSeed+17, n, 1_000_000, 1_000_000)
+			s.team.Regions = regions[:1]
+			for _, g := range s.gateways {
+				s.boot(g)
+			}
+			s.run(12 * time.Second)
+			s.load(600_000, 9000, func(i int) bool { return regions[i%3] == regions[0] })
+			s.run(5 * time.Second)
+			s.stopRegion(regions[0], interval, 7*time.Second, time.Second)
+			s.run(6 * time.Second)
+			t.Logf("stops %v apart, %d gateways: %d of %d refused, %d unknown", interval, n, s.refused, s.requests, s.unknown)
+			if most := int(600_000 / 9000 * (simView + simViewDelay).Seconds()); s.refused+s.unknown > most {
+				t.Errorf("%d requests of a team within its allotment were refused, more than the %d that come while views differ", s.refused+s.unknown, most)
+			}
+		}
+	}
+}
+
 // TestAllotmentLowered guards against a lowered limit that does not bind one window after all gateways have it.
 func TestAllotmentLowered(t *testing.T) {
 	s := newSimulation(*simSeed+5, 84, 1_000_000, 1_000_000)
--- a/limits/pool.go
+++ b/limits/pool.go
@@ -19,7 +19,6 @@
 	contacts  map[string]time.Time
 	currentAt time.Time
 	touchedAt time.Time
-	leaving   bool
 }
 
 // share is the token bucket of one team's share. Its level is negative after a request on credit.
@@ -69,7 +68,7 @@
 		switch {
 		case !ok:
 			delete(p.buckets, team)
-		case p.leaving || p.owners.Of(team, p.self.Region) != p.self.Instance || !slices.Contains(a.Regions, p.self.Region):
+		case p.owners.Of(team, p.self.Region) != p.self.Instance || !slices.Contains(a.Regions, p.self.Region):
 			p.fill(now, s)
 			p.former[team] = lot{amount: s.level, at: now}
 			delete(p.buckets, team)
@@ -81,7 +80,7 @@
 		}
 	}
 	for team, a := range p.teams {
-		if p.buckets[team] != nil || p.leaving || p.owners.Of(team, p.self.Region) != p.self.Instance || !slices.Contains(a.Regions, p.self.Region) {
+		if p.buckets[team] != nil || p.owners.Of(team, p.self.Region) != p.self.Instance || !slices.Contains(a.Regions, p.self.Region) {
 			continue
 		}
 		p.buckets[team] = &share{
@@ -101,10 +100,10 @@
 	p.currentAt = now
 }
 
-// Leave ends all shares, permanently; what is left of them is for the next owners.
-func (p *Pool) Leave(now time.Time) {
-	p.leaving = true
-	p.UpdateOwners(now)
+// Leave gives up the shares at a planned stop if another gateway of the region owns them then; what is left of them is for that one.
+func (p *Pool) Leave(now time.Time) (ownerChanges int) {
+	p.owners.leave(p.self.Instance)
+	return p.UpdateOwners(now)
 }
 
 // Touch is called several times a second. After a longer pause the process was suspended: another gateway may own its shares, so that
@@ -274,7 +273,7 @@
 		return 0
 	}
 	amount := d.Needed
-	if d.Needed == 0 && p.next(d.Team) == d.Gateway {
+	if d.Needed == 0 && p.owners.Of(d.Team, p.self.Region) == d.Gateway {
 		amount = min(left.amount, d.Wanted)
 		delete(p.former, d.Team)
 	}
@@ -288,14 +287,6 @@
 	return amount
 }
 
-// next returns the owner of a share that this gateway has owned.
-func (p *Pool) next(team string) string {
-	if p.leaving {
-		return p.owners.without(team, p.self.Region, p.self.Instance)
-	}
-	return p.owners.Of(team, p.self.Region)
-}
-
 // Handovers returns the draws that ask the previous owners, by name, for what is left of shares that this gateway has become the owner of.
 func (p *Pool) Handovers(now time.Time) map[string][]Draw {
 	var all map[string][]Draw
