Go on with a stream at the service that began it after its route has moved

A caller lost a stream in progress, cut off in the middle of its answer, when three things came together: its gateway had forwarded it, the other gateway stopped and handed it back, and a new document had moved the route to another service meanwhile. Both gateways matched the route again and gave the stream up as unknownRoute, although the service that began it was still there: the request was sent, and its answer begun, while the route went to that one.

A gateway that forwards the rest says so by a header, so that a stream that its caller resumes with a new request still goes where its route goes now. Homes and keys of the newest document hold as before.

--- a/gateway/closing_test.go
+++ b/gateway/closing_test.go
@@ -192,8 +192,31 @@
 }
 
 // TestForwardedStreamCutAtGraceEnd guards against a stream that a caller loses because the gateway to which it was forwarded, at whose
-// only endpoint it runs, ends: it goes on elsewhere.
+// only endpoint it runs, ends: it goes on elsewhere, also if its route has moved to another service meanwhile.
 func TestForwardedStreamCutAtGraceEnd(t *testing.T) {
+	for _, moved := range []bool{false, true} {
+		t.Run(fmt.Sprintf("route moved %t", moved), func(t *testing.T) {
+			t.Parallel()
+			testForwardedStreamAtGraceEnd(t, moved)
+		})
+	}
+}
+
+// streamTable returns a table with a route of streams at home in region there, which goes to one of two services.
+func streamTable(t *testing.T, version int64, service string) *routes.Table {
+	t.Helper()
+	table, err := routes.New(version, []routes.Route{{
+		Name: "stream", Host: testHost, PathPrefix: "/stream/", Kind: routes.Stream, MaxAttempts: 2, Resumable: true, Timeout: 5 * time.Second,
+		Objective: time.Second, GapObjective: 100 * time.Millisecond, Backends: []routes.Backend{{Service: service, Weight: 1}}, HomeRegions: []string{"there"},
+	}}, []routes.Service{{Name: "desk"}, {Name: "counter"}}, routes.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+func testForwardedStreamAtGraceEnd(t *testing.T, moved bool) {
+	t.Helper()
 	release := make(chan struct{})
 	defer close(release)
 	first := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
@@ -210,15 +233,18 @@
 		c.end()
 		return true
 	})
-	homeRegions := func(r *routes.Route) { r.HomeRegions = []string{"there"} }
+	table, later := streamTable(t, 1, "desk"), streamTable(t, 1, "desk")
+	if moved {
+		later = streamTable(t, 2, "counter")
+	}
 	var there []*testGateway
 	for _, e := range []*testEndpoint{first, second} {
-		g := newGateway(t, testTable(t, homeRegions), e)
+		g := newGateway(t, table, e)
 		g.cfg.Region, g.placer.cfg.Region, g.cfg.Grace = "there", "there", 1500*time.Millisecond
 		there = append(there, g)
 	}
 	stopping := serveTCP(t, there[0], true)
-	here := newGateway(t, testTable(t, homeRegions))
+	here := newGateway(t, table)
 	here.view.Load().software.add(fleet.Endpoint{Service: "desk"}, "there", true)
 	name := func(gateways ...fleet.Gateway) {
 		v := *here.view.Load()
@@ -228,10 +254,14 @@
 	name(fleet.Gateway{Name: "gateway-b", Region: "there", ForwardAddress: stopping.address, Ready: true})
 	answers := make(chan result, 1)
 	go func() { answers <- here.call(t.Context(), "POST", "/stream/x", nil) }()
-	for len(first.requests()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	waitFor(t, "the stream has begun", func() bool { return len(first.requests()) > 0 })
+	time.Sleep(20 * time.Millisecond)
 	name(fleet.Gateway{Name: "gateway-c", Region: "there", ForwardAddress: newForwardServer(t, there[1]), Ready: true})
+	for _, g := range append(there, here) {
+		v := *g.view.Load()
+		v.table = later
+		g.view.Store(&v)
+	}
 	there[0].stop()
 	there[0].closeServers(time.Unix(0, there[0].stopBeganNanos.Load()).Add(there[0].cfg.Grace-stopMargin), stopping.Server)
 	if got := <-answers; !got.whole || got.body != pieces(0, 1) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -33,7 +33,7 @@
 	if j.began != nil {
 		h.Set(originHeader, formatOrigin(*j.began))
 	}
-	j.setTakesBackHeader(h)
+	j.setStreamHeaders(h)
 	h.Set(attemptsHeader, strconv.Itoa(j.chargedRuns))
 	if j.sends == 0 && !j.firstMoved {
 		j.firstMoved = true
--- a/gateway/handback.go
+++ b/gateway/handback.go
@@ -36,8 +36,12 @@
 	j.w.abort(j.r)
 }
 
-// setTakesBackHeader sets the header that says whether this one can go on with a stream that is handed back.
-func (j *job) setTakesBackHeader(h http.Header) {
+// setStreamHeaders sets the headers that say whether this gateway can go on with a stream that is handed back, and whether the stream is in
+// progress.
+func (j *job) setStreamHeaders(h http.Header) {
+	if j.inProgress || j.streaming() {
+		h.Set(inProgressHeader, "1")
+	}
 	if j.route.Kind == routes.Stream && j.route.Repeatable() && j.chargedRuns > 1 {
 		h.Set(takesBackHeader, "1")
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -385,7 +385,7 @@
 	for _, name := range connectionHeaders() {
 		c.Del(name)
 	}
-	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, crashesHeader, countedHeader, ageHeader, originHeader, teamHeader, requestHeader, takesBackHeader} {
+	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, crashesHeader, countedHeader, ageHeader, originHeader, teamHeader, requestHeader, takesBackHeader, inProgressHeader} {
 		c.Del(name)
 	}
 	return c
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -44,6 +44,8 @@
 	teamHeader = "Arbutusreel-Team"
 	// takesBackHeader is set if the forwarding gateway goes on with a stream that the other one hands back.
 	takesBackHeader = "Arbutusreel-Takes-Back"
+	// inProgressHeader is set if the caller has received a part of the stream over its open connection.
+	inProgressHeader = "Arbutusreel-In-Progress"
 	// requestHeader names the request that an answer to another gateway belongs to.
 	requestHeader = "Arbutusreel-Request"
 	// startupTime is the time after its start within which a gateway usually has a routing table. notReadyRetryAfter is
@@ -76,6 +78,8 @@
 	firstMoved, counted bool
 	// takesBack reports that the gateway which forwarded the request goes on with a stream that is handed back.
 	takesBack bool
+	// inProgress reports that the gateway which forwarded the request has sent its caller a part of the stream.
+	inProgress bool
 	// handable is set once the stream can be handed back.
 	handable atomic.Bool
 	// draw is the random number in [0, 1) that selects one of the route's services.
@@ -247,6 +251,7 @@
 	}
 	j.counted = h.Get(countedHeader) != ""
 	j.takesBack = h.Get(takesBackHeader) != ""
+	j.inProgress = h.Get(inProgressHeader) != ""
 	if age, err := strconv.ParseInt(h.Get(ageHeader), 10, 64); err == nil && age > 0 {
 		j.age = time.Duration(age) * time.Millisecond
 	}
@@ -261,7 +266,7 @@
 	}
 	service := route.Choose(j.draw)
 	if j.began != nil {
-		if service = j.began.Service; !route.Serves(service) {
+		if service = j.began.Service; !route.GoesOnAt(service, j.inProgress || j.streaming()) {
 			return false
 		}
 	}
--- a/routes/table.go
+++ b/routes/table.go
@@ -246,6 +246,12 @@
 	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service && b.Weight > 0 })
 }
 
+// GoesOnAt reports whether a stream may go on at the service that began it: one in progress also after its route has moved to another service,
+// since it was taken while the route went there.
+func (r *Route) GoesOnAt(service string, inProgress bool) bool {
+	return inProgress || r.Serves(service)
+}
+
 // Choose returns the service that a uniform draw in [0, 1) selects by the weights of the backends.
 func (r *Route) Choose(draw float64) string {
 	var total int64
--- a/routes/table_test.go
+++ b/routes/table_test.go
@@ -43,3 +43,17 @@
 		}
 	}
 }
+
+// TestMovedRouteEndsStream guards against streams in progress that may not go on after their route has moved to another service, and
+// against resumed ones that go on at the old service.
+func TestMovedRouteEndsStream(t *testing.T) {
+	r := Route{Backends: []Backend{{Service: "counter", Weight: 1}}}
+	for _, c := range []struct {
+		service          string
+		inProgress, want bool
+	}{{"counter", false, true}, {"counter", true, true}, {"desk", false, false}, {"desk", true, true}} {
+		if got := r.GoesOnAt(c.service, c.inProgress); got != c.want {
+			t.Errorf("service %s, in progress %v: %v", c.service, c.inProgress, got)
+		}
+	}
+}
