Bound the memory of bodies at control daemons and announcements to entries

Seen: at the real limits (trial, 280 MB), 60 clients with 8 MB of an unfinished body to Config.Put took 733 MB of a control daemon. In platform/crowd, TestControlPartConfigs took 301 to 315 MB of 96 and TestEntryEndpointsPartBodies 156 to 170, in four of four runs.

Cause: each body had a bound of its own (32 MB for a routing configuration, 1 MB for an announcement), and their sum had none.

Bodies count like large heads, in an account of their own with a quarter of the memory: the oldest unfinished ones yield, bodies of requests in progress stay and count until these end, and a body is read further when there is room. The register's list of heads becomes an account for each of the two (intake/account.go), with the same rules. Bodies of callers at gateways and entries keep their own bounds, which answer with 503.

TestLongConfigurationInLimits (a configuration of 4 MB in calm) passed before and after.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -20,8 +20,8 @@
 	// connections after it wait in the queue of the socket, in the order in which they came.
 	placeTime   = 250 * time.Millisecond
 	placePeriod = 2 * time.Millisecond
-	// headRoomTime is how long a head waits for the memory of those that yield to it.
-	headRoomTime = time.Second
+	// roomTime is how long a head or a body waits for the memory of those that yield to it.
+	roomTime = time.Second
 )
 
 // Acceptor bounds the connections of a process.
@@ -49,6 +49,8 @@
 	Serving int `json:"serving"`
 	// HeadBytes is the memory that large heads count for.
 	HeadBytes int64 `json:"headBytes"`
+	// BodyBytes is the memory that bodies count for.
+	BodyBytes int64 `json:"bodyBytes"`
 	// Shed and Refused are the connections closed for others, and those closed when they were accepted, since the start.
 	Shed    int64 `json:"shed"`
 	Refused int64 `json:"refused"`
@@ -60,7 +62,7 @@
 	defer a.mu.Unlock()
 	return Counts{
 		Waiting: a.register.Count(intake.Waiting), Idle: a.register.Count(intake.Idle), Serving: a.register.Count(intake.Serving),
-		HeadBytes: a.register.HeadCost(), Shed: a.shed.Load(), Refused: a.refused.Load(),
+		HeadBytes: a.register.HeadCost(), BodyBytes: a.register.BodyCost(), Shed: a.shed.Load(), Refused: a.refused.Load(),
 	}
 }
 
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -61,12 +61,17 @@
 
 // growHead sets what the head costs so far, in bytes, and closes the connections that yield to it. It waits until these have
 // ended, and returns false if the connection itself is given up.
-func (c *Conn) growHead(cost int64) bool {
+func (c *Conn) growHead(cost int64) bool { return c.grow(c.acceptor.register.GrowHead, cost) }
+
+// growBody is like growHead for the body of a request.
+func (c *Conn) growBody(cost int64) bool { return c.grow(c.acceptor.register.GrowBody, cost) }
+
+func (c *Conn) grow(grow func(*intake.Entry[*Conn], int64) ([]*intake.Entry[*Conn], bool), cost int64) bool {
 	a := c.acceptor
 	for began := a.now(); ; time.Sleep(placePeriod) {
-		late := a.now().Sub(began) >= headRoomTime
+		late := a.now().Sub(began) >= roomTime
 		a.mu.Lock()
-		closing, grown := a.register.GrowHead(c.entry, cost)
+		closing, grown := grow(c.entry, cost)
 		if late && !grown && a.register.GiveUp(c.entry) {
 			closing = append(closing, c.entry)
 		}
--- a/acceptor/handler.go
+++ b/acceptor/handler.go
@@ -56,3 +56,37 @@
 	}
 	return n, err
 }
+
+// BoundBodies returns a handler that reads bodies only within the bound on what they hold together, for handlers that do not
+// bound them. The server must be configured by Configure. A nil acceptor returns next.
+func (a *Acceptor) BoundBodies(next http.Handler) http.Handler {
+	if a == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*Conn); ok && r.ContentLength != 0 {
+			bounded := *r
+			bounded.Body = &boundedBody{ReadCloser: r.Body, conn: c}
+			r = &bounded
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// boundedBody is a body that counts as long as its request is in progress.
+type boundedBody struct {
+	io.ReadCloser
+
+	conn *Conn
+	size int64
+}
+
+// Read reads from the body. It returns a part of it once there is room for it.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.size += int64(n)
+	if cost := intake.BodyCost(b.size); n > 0 && cost > 0 && !b.conn.growBody(cost) {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: b.conn.RemoteAddr(), Err: net.ErrClosed}
+	}
+	return n, err
+}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -40,7 +40,7 @@
 			IdleTimeout:       callerIdleTimeout,
 			BaseContext:       func(net.Listener) context.Context { return requests },
 		},
-		endpoints: &http.Server{Handler: n.endpointHandler(), ReadHeaderTimeout: headerTimeout},
+		endpoints: &http.Server{Handler: n.cfg.Connections.BoundBodies(n.endpointHandler()), ReadHeaderTimeout: headerTimeout},
 		peers: grpc.NewServer(append(n.cfg.PeerConnections.ServerOptions(),
 			grpc.Creds(n.cfg.Keys.Server()),
 			grpc.MaxRecvMsgSize(maxForwardBytes+int(n.cfg.MaxBodyBytes)),
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -14,6 +14,9 @@
 	peerMemoryShare     = 4
 	minConnections      = 16
 	minHeadBytes        = 2 << 20
+	// bodyMemoryShare is the part of the memory that bodies may take where no handler bounds them.
+	bodyMemoryShare = 4
+	minBodyBytes    = 8 << 20
 )
 
 // Limits bounds what a process holds for its clients. Zero values set no bound.
@@ -22,6 +25,8 @@
 	Connections int
 	// HeadBytes bounds the memory of large heads, in bytes.
 	HeadBytes int64
+	// BodyBytes bounds the memory of bodies, in bytes.
+	BodyBytes int64
 }
 
 // LimitsFor returns the limits on callers of a process that may use a number of descriptors and bytes of memory.
@@ -29,6 +34,7 @@
 	return Limits{
 		Connections: max((descriptors-reservedDescriptors-descriptors/peerDescriptorShare)/connectionsPerRequest, minConnections),
 		HeadBytes:   max(memoryBytes/headMemoryShare, minHeadBytes),
+		BodyBytes:   max(memoryBytes/bodyMemoryShare, minBodyBytes),
 	}
 }
 
--- a/intake/register.go
+++ b/intake/register.go
@@ -20,13 +20,11 @@
 	// Conn is the connection.
 	Conn C
 
-	phase    Phase
-	headCost int64
+	phase Phase
 	// givenUp is set once the connection is to be closed, and ended once it is.
 	givenUp, ended bool
 	prev, next     *Entry[C]
-	// prevHead and nextHead link the entries whose heads count, the oldest first.
-	prevHead, nextHead *Entry[C]
+	held           [parts]holding[C]
 }
 
 // GivenUp reports whether the connection has been given up, or has ended.
@@ -38,10 +36,7 @@
 	// lists are circular, with a sentinel, and have the entry that is longest in its phase first.
 	lists    [phases]Entry[C]
 	counts   [phases]int
-	heads    Entry[C]
-	headCost int64
-	// endingCost is the part of headCost that connections hold which were given up and have not ended.
-	endingCost int64
+	accounts [parts]account[C]
 	// wanted is set if a connection found no place since one was last given up for it.
 	wanted bool
 }
@@ -52,7 +47,9 @@
 	for i := range r.lists {
 		r.lists[i].prev, r.lists[i].next = &r.lists[i], &r.lists[i]
 	}
-	r.heads.prevHead, r.heads.nextHead = &r.heads, &r.heads
+	for p, limit := range [parts]int64{head: limits.HeadBytes, body: limits.BodyBytes} {
+		r.accounts[p].init(part(p), limit)
+	}
 	return r
 }
 
@@ -60,7 +57,10 @@
 func (r *Register[C]) Count(p Phase) int { return r.counts[p] }
 
 // HeadCost returns the memory that heads count for, in bytes.
-func (r *Register[C]) HeadCost() int64 { return r.headCost }
+func (r *Register[C]) HeadCost() int64 { return r.accounts[head].cost }
+
+// BodyCost returns the memory that bodies count for, in bytes.
+func (r *Register[C]) BodyCost() int64 { return r.accounts[body].cost }
 
 func (r *Register[C]) total() int { return r.counts[Waiting] + r.counts[Idle] + r.counts[Serving] }
 
@@ -97,8 +97,8 @@
 	return nil
 }
 
-// Enter moves a connection to a phase. One that becomes idle no longer holds a head, and must be closed if Enter returns true:
-// its place is wanted.
+// Enter moves a connection to a phase. One that becomes idle no longer holds a head or a body, and must be closed if Enter
+// returns true: its place is wanted.
 func (r *Register[C]) Enter(e *Entry[C], p Phase) (closing bool) {
 	if e.givenUp || e.phase == p {
 		return false
@@ -111,7 +111,7 @@
 	r.remove(e)
 	r.push(e, p)
 	if p == Idle {
-		r.EndHead(e)
+		r.release(e)
 	}
 	return false
 }
@@ -121,47 +121,44 @@
 // connections to close are given up for it: those with the oldest heads first, except for requests in progress, and at last the
 // connection itself.
 func (r *Register[C]) GrowHead(e *Entry[C], cost int64) (closing []*Entry[C], grown bool) {
+	return r.grow(head, e, cost)
+}
+
+// GrowBody is like GrowHead for what the body of a request costs so far, in bytes.
+func (r *Register[C]) GrowBody(e *Entry[C], cost int64) (closing []*Entry[C], grown bool) {
+	return r.grow(body, e, cost)
+}
+
+func (r *Register[C]) grow(p part, e *Entry[C], cost int64) (closing []*Entry[C], grown bool) {
 	if e.givenUp {
 		return nil, false
 	}
-	if r.Fits(e, cost) {
-		r.setHead(e, cost)
+	a := &r.accounts[p]
+	if a.fits(e, cost) {
+		a.set(e, cost)
 		return nil, true
 	}
-	// What connections hold that were given up before is about to be free.
-	fits := func() bool { return r.headCost-r.endingCost-e.headCost+cost <= r.limits.HeadBytes }
-	for old := r.heads.nextHead; !fits() && old != &r.heads; {
-		next := old.nextHead
+	for old := a.oldest(); !a.willFit(e, cost) && old != nil; {
+		next := a.newer(old)
 		if old != e && old.phase != Serving {
 			closing = append(closing, old)
 			r.giveUp(old)
 		}
 		old = next
 	}
-	if !fits() {
+	if !a.willFit(e, cost) {
 		closing = append(closing, e)
 		r.giveUp(e)
 	}
 	return closing, false
 }
 
-// setHead sets what the head of a connection costs, in bytes.
-func (r *Register[C]) setHead(e *Entry[C], cost int64) {
-	if e.headCost == 0 {
-		last := r.heads.prevHead
-		e.prevHead, e.nextHead = last, &r.heads
-		last.nextHead, r.heads.prevHead = e, e
-	}
-	r.headCost += cost - e.headCost
-	e.headCost = cost
-}
-
 // Fits reports whether the head of a connection may cost so much, in bytes, without another one that yields.
 func (r *Register[C]) Fits(e *Entry[C], cost int64) bool {
-	return !e.givenUp && (r.limits.HeadBytes <= 0 || r.headCost-e.headCost+cost <= r.limits.HeadBytes)
+	return !e.givenUp && r.accounts[head].fits(e, cost)
 }
 
-// GiveUp removes a connection that is to be closed. Its head counts until it has ended. It reports false if the connection was
+// GiveUp removes a connection that is to be closed. Its head and its body count until it has ended. It reports false if the connection was
 // given up before.
 func (r *Register[C]) GiveUp(e *Entry[C]) bool {
 	if e.givenUp {
@@ -174,9 +171,8 @@
 func (r *Register[C]) giveUp(e *Entry[C]) {
 	e.givenUp = true
 	r.remove(e)
-	if e.headCost > 0 {
-		r.unlinkHead(e)
-		r.endingCost += e.headCost
+	for p := range r.accounts {
+		r.accounts[p].giveUp(e)
 	}
 }
 
@@ -187,9 +183,9 @@
 	}
 	r.GiveUp(e)
 	e.ended = true
-	r.endingCost -= e.headCost
-	r.headCost -= e.headCost
-	e.headCost = 0
+	for p := range r.accounts {
+		r.accounts[p].end(e)
+	}
 }
 
 func (r *Register[C]) push(e *Entry[C], p Phase) {
@@ -208,15 +204,13 @@
 
 // EndHead records that a connection holds no head any more.
 func (r *Register[C]) EndHead(e *Entry[C]) {
-	if e.givenUp || e.headCost == 0 {
-		return
+	if !e.givenUp {
+		r.accounts[head].release(e)
 	}
-	r.unlinkHead(e)
-	r.headCost -= e.headCost
-	e.headCost = 0
 }
 
-func (r *Register[C]) unlinkHead(e *Entry[C]) {
-	e.prevHead.nextHead, e.nextHead.prevHead = e.nextHead, e.prevHead
-	e.prevHead, e.nextHead = nil, nil
+func (r *Register[C]) release(e *Entry[C]) {
+	for p := range r.accounts {
+		r.accounts[p].release(e)
+	}
 }
--- a/intake/register_test.go
+++ b/intake/register_test.go
@@ -86,6 +86,47 @@
 	}
 }
 
+// TestBodiesShedOldest guards against unfinished bodies without bound that keep out a caller's body.
+func TestBodiesShedOldest(t *testing.T) {
+	r := New[string](Limits{HeadBytes: 100, BodyBytes: 100})
+	whole := open(t, r, "whole", Waiting)
+	r.GrowBody(whole, 40)
+	r.Enter(whole, Serving)
+	old := open(t, r, "old", Waiting)
+	r.GrowHead(old, 10)
+	r.GrowBody(old, 50)
+	caller := open(t, r, "caller", Waiting)
+	r.GrowHead(caller, 60)
+	if closing, grown := r.GrowBody(caller, 60); len(closing) != 1 || closing[0] != old || grown {
+		t.Errorf("closed %v, grown %t, want the older body closed first", closing, grown)
+	}
+	if r.BodyCost() != 90 || r.HeadCost() != 70 {
+		t.Errorf("%d bytes of bodies and %d of heads are counted before the older request has ended", r.BodyCost(), r.HeadCost())
+	}
+	r.Close(old)
+	if closing, grown := r.GrowBody(caller, 60); len(closing) != 0 || !grown || r.HeadCost() != 60 {
+		t.Errorf("closed %v, grown %t after the older request has ended, %d bytes of heads", closing, grown, r.HeadCost())
+	}
+	if closing, _ := r.GrowBody(caller, 70); len(closing) != 1 || closing[0] != caller {
+		t.Errorf("closed %v, want the body that is too large beside the whole one", closing)
+	}
+	r.Close(caller)
+	r.Enter(whole, Idle)
+	if r.BodyCost() != 0 || r.HeadCost() != 0 {
+		t.Errorf("%d bytes of bodies and %d of heads are still counted", r.BodyCost(), r.HeadCost())
+	}
+}
+
+// TestBodyCost guards against a bound that heartbeats count for, or that is less than a long routing configuration.
+func TestBodyCost(t *testing.T) {
+	if cost := BodyCost(2 << 10); cost != 0 {
+		t.Errorf("a body of 2 KB counts for %d bytes", cost)
+	}
+	if limits := LimitsFor(4096, 256<<20); BodyCost(32<<20) > limits.BodyBytes {
+		t.Errorf("a body of 32 MB counts for %d bytes, more than the bound %d of 256 MB", BodyCost(32<<20), limits.BodyBytes)
+	}
+}
+
 func TestHeadCost(t *testing.T) {
 	ordinary := Head{}.With([]byte(strings.Repeat("X-Header: value of a header\r\n", 20)))
 	tiny := Head{}.With([]byte(strings.Repeat("a:\r\n", 4096)))
@@ -100,7 +141,7 @@
 // TestRegisterBounds checks with any sequence of events that the bounds hold and that the counts match the connections.
 func TestRegisterBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := Limits{Connections: rapid.IntRange(1, 8).Draw(t, "connections"), HeadBytes: 100}
+		limits := Limits{Connections: rapid.IntRange(1, 8).Draw(t, "connections"), HeadBytes: 100, BodyBytes: 100}
 		r := New[string](limits)
 		open := map[*Entry[string]]Phase{}
 		var givenUp []*Entry[string]
@@ -136,10 +177,14 @@
 					drop(e)
 				}
 			case 2:
-				cost := e.headCost + rapid.Int64Range(1, 60).Draw(t, "cost")
-				given, grown := r.GrowHead(e, cost)
-				if grown && (e.headCost != cost || len(given) > 0) || !grown && !e.GivenUp() && len(given) == 0 && len(givenUp) == 0 {
-					t.Fatalf("grown %t, costs %d of %d, %d connections given up", grown, e.headCost, cost, len(given))
+				p, grow := head, r.GrowHead
+				if rapid.Bool().Draw(t, "body") {
+					p, grow = body, r.GrowBody
+				}
+				cost := e.held[p].cost + rapid.Int64Range(1, 60).Draw(t, "cost")
+				given, grown := grow(e, cost)
+				if grown && (e.held[p].cost != cost || len(given) > 0) || !grown && !e.GivenUp() && len(given) == 0 && len(givenUp) == 0 {
+					t.Fatalf("grown %t, costs %d of %d, %d connections given up", grown, e.held[p].cost, cost, len(given))
 				}
 				for _, closing := range given {
 					if closing != e && open[closing] == Serving {
@@ -156,18 +201,23 @@
 				}
 				givenUp = nil
 			}
-			held := int64(0)
-			for e := range open {
-				held += e.headCost
-			}
-			for _, e := range givenUp {
-				held += e.headCost
-			}
-			if r.HeadCost() != held {
-				t.Fatalf("%d bytes of heads are counted, %d are held", r.HeadCost(), held)
+			for p, cost := range [parts]int64{head: r.HeadCost(), body: r.BodyCost()} {
+				held := int64(0)
+				for e := range open {
+					held += e.held[p].cost
+				}
+				for _, e := range givenUp {
+					held += e.held[p].cost
+				}
+				if cost != held {
+					t.Fatalf("%d bytes of part %d are counted, %d are held", cost, p, held)
+				}
+				if cost > limits.HeadBytes || cost < 0 {
+					t.Fatalf("%d bytes of part %d", cost, p)
+				}
 			}
-			if r.total() != len(open) || r.total() > limits.Connections || r.HeadCost() > limits.HeadBytes || r.HeadCost() < 0 {
-				t.Fatalf("%d connections of %d, %d bytes of heads", r.total(), len(open), r.HeadCost())
+			if r.total() != len(open) || r.total() > limits.Connections {
+				t.Fatalf("%d connections of %d", r.total(), len(open))
 			}
 		}
 	})
