Let new peers take the places of those that send no messages

Cause: a connection counted as serving for good once one message was whole, an empty one included, and serving connections of peers never left their places.

The listener now follows the frames of connections that are not encrypted and notes when a message is whole; a new peer takes the place of one that has sent none for 3 s, the time after which followers take their source for lost. Peers report every second or more often. As for clients that do not read, this happens only when all places are taken. A client that keeps sending messages still keeps its place.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -16,6 +16,8 @@
 const (
 	// stallTime is how long a write to a client takes until the client counts as one that does not read.
 	stallTime = 2 * time.Second
+	// quietTime is how long a peer sends no whole message until its place may be taken: peers report every second, and take each other for lost after 3 s.
+	quietTime = 3 * time.Second
 	// placeTime is how long a new connection waits for a place, and placePeriod the interval at which it looks for one. The
 	// connections after it wait in the queue of the socket, in the order in which they came.
 	placeTime   = 250 * time.Millisecond
@@ -26,8 +28,9 @@
 
 // Acceptor bounds the connections of a process.
 type Acceptor struct {
-	now func() time.Time
-	log zerolog.Logger
+	now     func() time.Time
+	log     zerolog.Logger
+	started time.Time
 	// shed and refused count the connections that were closed for others, and those that were not accepted.
 	shed, refused atomic.Int64
 
@@ -38,7 +41,7 @@
 
 // New returns an acceptor without connections.
 func New(limits intake.Limits, log zerolog.Logger, now func() time.Time) *Acceptor {
-	return &Acceptor{now: now, log: log, register: intake.New[*Conn](limits)}
+	return &Acceptor{now: now, log: log, started: now(), register: intake.New[*Conn](limits)}
 }
 
 // Counts are the numbers of connections and bytes of an acceptor.
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -27,6 +27,8 @@
 	// seenWrites and seenAt are the write that stalled has seen in progress, and when it saw it first.
 	seenWrites int64
 	seenAt     time.Time
+	// heardAt is when a peer last sent a whole message, from the start of the acceptor; zero for other clients.
+	heardAt atomic.Int64
 }
 
 // Read reads from the client. It returns a part of a head once there is room for it.
@@ -120,9 +122,12 @@
 	return c.TCPConn.Write(b)
 }
 
-// stalled reports whether the client does not read: a write that an earlier call has seen is still in progress. It must be
-// called with the acceptor locked.
+// stalled reports whether the client does not read, as a write that an earlier call has seen is still in progress, or is a peer
+// that sends no messages. It must be called with the acceptor locked.
 func (c *Conn) stalled(now time.Time) bool {
+	if heardAt := time.Duration(c.heardAt.Load()); heardAt > 0 && now.Sub(c.acceptor.started)-heardAt >= quietTime {
+		return true
+	}
 	writes := c.writes.Load()
 	if writes%2 == 0 {
 		return false
--- a/acceptor/rpc.go
+++ b/acceptor/rpc.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -106,6 +107,9 @@
 	// whole is set once a message was whole; received counts what came before, in bytes.
 	whole    atomic.Bool
 	received atomic.Int64
+	// mu guards messages.
+	mu       sync.Mutex
+	messages messages
 }
 
 // rpcAddr is the address of a client, by which the calls of a connection find it.
@@ -121,12 +125,33 @@
 // Read reads from the client.
 func (c *rpcConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.follow(b[:n])
 	if n > 0 && !c.grow(int64(n)) {
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.Conn.RemoteAddr(), Err: net.ErrClosed}
 	}
 	return n, err
 }
 
+// follow records when the client sends a whole message, or anything on an encrypted connection.
+func (c *rpcConn) follow(b []byte) {
+	c.mu.Lock()
+	before := c.messages.held.Whole()
+	c.messages.receive(b)
+	heard := c.messages.opaque || c.messages.held.Whole() > before
+	c.mu.Unlock()
+	if heard {
+		c.heardAt.Store(int64(max(c.acceptor.now().Sub(c.acceptor.started), 1)))
+	}
+}
+
+// Write writes to the client.
+func (c *rpcConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.messages.send(b)
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
 // grow counts what the connection takes before its first whole message. It returns false if the connection has been given up.
 func (c *rpcConn) grow(n int64) bool {
 	if c.whole.Load() {
--- a/acceptor/rpc_test.go
+++ b/acceptor/rpc_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,21 +21,30 @@
 
 type tellServer struct {
 	wiregen.UnimplementedOutstandingServer
+
+	// received counts messages.
+	received *atomic.Int64
 }
 
-func (tellServer) Tell(stream grpc.ClientStreamingServer[wiregen.OutstandingReport, wiregen.OutstandingReply]) error {
+func (s tellServer) Tell(stream grpc.ClientStreamingServer[wiregen.OutstandingReport, wiregen.OutstandingReply]) error {
 	for {
 		if _, err := stream.Recv(); err != nil {
 			return stream.SendAndClose(&wiregen.OutstandingReply{})
 		}
+		s.received.Add(1)
 	}
 }
 
 func newRPCServer(t *testing.T, limits intake.Limits) (a *Acceptor, address string) {
 	t.Helper()
-	a = New(limits, zerolog.Nop(), time.Now)
+	return newClockedRPCServer(t, limits, time.Now, &atomic.Int64{})
+}
+
+func newClockedRPCServer(t *testing.T, limits intake.Limits, now func() time.Time, received *atomic.Int64) (a *Acceptor, address string) {
+	t.Helper()
+	a = New(limits, zerolog.Nop(), now)
 	s := grpc.NewServer(a.ServerOptions()...)
-	wiregen.RegisterOutstandingServer(s, tellServer{})
+	wiregen.RegisterOutstandingServer(s, tellServer{received: received})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -81,6 +91,31 @@
 	}
 }
 
+// TestQuietPeers guards against places of peers that are held by connections whose clients send messages no more; those that do
+// keep theirs.
+func TestQuietPeers(t *testing.T) {
+	var passed, received atomic.Int64
+	a, address := newClockedRPCServer(t, intake.Limits{Connections: 2}, func() time.Time { return time.Now().Add(time.Duration(passed.Load())) }, &received)
+	reporting := tell(t, address)
+	until(t, "the first message was read", func() bool { return a.Counts().Serving == 1 })
+	quiet := tell(t, address)
+	until(t, "the second message was read", func() bool { return a.Counts().Serving == 2 })
+	passed.Store(int64(quietTime))
+	if err := reporting.Send(&wiregen.OutstandingReport{}); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the report was read", func() bool { return received.Load() == 3 })
+	if _, err := tell(t, address).CloseAndRecv(); err != nil {
+		t.Errorf("a new peer has no place: %v", err)
+	}
+	if _, err := quiet.CloseAndRecv(); err == nil {
+		t.Error("the quiet peer kept its place")
+	}
+	if _, err := reporting.CloseAndRecv(); err != nil {
+		t.Errorf("the reporting peer lost its place: %v", err)
+	}
+}
+
 // TestStreamsWithoutMessages guards against calls that are opened without end and never send a message.
 func TestStreamsWithoutMessages(t *testing.T) {
 	const bound = 4 << 20
