Bound the calls and unfinished messages of peers after their first message

Cause: all bounds on a connection ended with its first whole message, and an empty message is whole.

Calls now count until they end, at 16 KB each once a message was whole, and so do messages that are not whole, of which the frames tell (not on encrypted connections, whose peers have certificates). They share the bound that was there, a quarter of the memory. Calls beyond it are refused. When a message grows beyond it, connections yield as before, and then those that serve, the oldest first, as otherwise these could keep out messages of others for good. The first 68 KB of a connection, four calls, are not counted.

TestCallsAfterMessage and TestPartMessagesAfterMessage are new with the code.

--- a/acceptor/rpc.go
+++ b/acceptor/rpc.go
@@ -24,14 +24,19 @@
 	maxCallHeadBytes = 16 << 10
 	// handshakeTime bounds the start of a connection.
 	handshakeTime = 5 * time.Second
-	// streamCost is the memory for a call without a message, in bytes.
+	// streamCost is the memory for a call on a connection without a whole message, in bytes, and callCost that for one in progress
+	// on others.
 	streamCost = 64 << 10
-	// uncountedBytes is what a connection may take before its first whole message without being counted: one call.
+	callCost   = 16 << 10
+	// uncountedBytes is what a connection may take without being counted: one call before its first whole message, and four after
+	// it.
 	uncountedBytes = streamCost + 4<<10
 )
 
 // RPCListener returns a listener for a gRPC server within the bounds; the server needs ServerOptions. A connection counts as
-// waiting until the first message of a call is whole, and what it has sent until then counts as a head. A connection ends
+// waiting until the first message of a call is whole, and what it has sent until then counts as a head. After that its calls in
+// progress count, and if it is not encrypted the parts of messages that are not whole; its place may be taken when it has sent no
+// message for quietTime. A connection ends
 // when sent bytes are not acknowledged for unackedTime, which gRPC sets only on connections of package net. A nil acceptor
 // sets no bounds and returns l.
 func (a *Acceptor) RPCListener(l net.Listener, unackedTime time.Duration) net.Listener {
@@ -49,8 +54,8 @@
 	}
 	return append(bounds,
 		grpc.InTapHandle(func(ctx context.Context, _ *tap.Info) (context.Context, error) {
-			if c := rpcConnOf(ctx); c != nil && !c.admit() {
-				return nil, status.Error(codes.ResourceExhausted, "too many calls without a message")
+			if c := rpcConnOf(ctx); c != nil && !c.admit(ctx) {
+				return nil, status.Error(codes.ResourceExhausted, "too many calls")
 			}
 			return ctx, nil
 		}),
@@ -107,6 +112,9 @@
 	// whole is set once a message was whole; received counts what came before, in bytes.
 	whole    atomic.Bool
 	received atomic.Int64
+	// calls counts the calls in progress, and counted is set while what the connection takes counts.
+	calls   atomic.Int64
+	counted atomic.Bool
 	// mu guards messages.
 	mu       sync.Mutex
 	messages messages
@@ -125,15 +133,22 @@
 // Read reads from the client.
 func (c *rpcConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.follow(b[:n])
-	if n > 0 && !c.grow(int64(n)) {
+	if n > 0 && !c.receive(b[:n]) {
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.Conn.RemoteAddr(), Err: net.ErrClosed}
 	}
 	return n, err
 }
 
-// follow records when the client sends a whole message, or anything on an encrypted connection.
-func (c *rpcConn) follow(b []byte) {
+// Write writes to the client.
+func (c *rpcConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.messages.send(b)
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// receive counts what the client has sent. It returns false if the connection has been given up.
+func (c *rpcConn) receive(b []byte) bool {
 	c.mu.Lock()
 	before := c.messages.held.Whole()
 	c.messages.receive(b)
@@ -142,33 +157,46 @@
 	if heard {
 		c.heardAt.Store(int64(max(c.acceptor.now().Sub(c.acceptor.started), 1)))
 	}
+	if !c.whole.Load() {
+		c.received.Add(int64(len(b)))
+	}
+	return c.settle()
 }
 
-// Write writes to the client.
-func (c *rpcConn) Write(b []byte) (int, error) {
+// cost returns what the connection takes, in bytes.
+func (c *rpcConn) cost() int64 {
+	if !c.whole.Load() {
+		return c.received.Load()
+	}
 	c.mu.Lock()
-	c.messages.send(b)
-	c.mu.Unlock()
-	return c.Conn.Write(b)
+	defer c.mu.Unlock()
+	return callCost*c.calls.Load() + c.messages.held.Size()
 }
 
-// grow counts what the connection takes before its first whole message. It returns false if the connection has been given up.
-func (c *rpcConn) grow(n int64) bool {
-	if c.whole.Load() {
+// settle counts what the connection takes. It returns false if the connection has been given up.
+func (c *rpcConn) settle() bool {
+	if cost := c.cost(); cost > uncountedBytes {
+		c.counted.Store(true)
+		return c.growHead(cost)
+	}
+	if !c.counted.Swap(false) {
 		return true
 	}
-	cost := c.received.Add(n)
-	return cost <= uncountedBytes || c.growHead(cost)
+	c.acceptor.mu.Lock()
+	defer c.acceptor.mu.Unlock()
+	c.acceptor.register.EndHead(c.entry)
+	return !c.entry.GivenUp()
 }
 
-// admit counts a call before the first whole message; it returns false if there is no room for it. Closing the connection instead
+// admit counts a call, which ends with its context; it returns false if there is no room for it. Closing the connection instead
 // would let clients have calls started and torn down without end.
-func (c *rpcConn) admit() bool {
+func (c *rpcConn) admit(ctx context.Context) bool {
+	a := c.acceptor
+	added := int64(streamCost)
 	if c.whole.Load() {
-		return true
+		added = callCost
 	}
-	a := c.acceptor
-	if cost := c.received.Load() + streamCost; cost > uncountedBytes {
+	if cost := c.cost() + added; cost > uncountedBytes {
 		a.mu.Lock()
 		fits := a.register.Fits(c.entry, cost)
 		a.mu.Unlock()
@@ -176,7 +204,17 @@
 			return false
 		}
 	}
-	return c.grow(streamCost)
+	c.calls.Add(1)
+	context.AfterFunc(ctx, func() {
+		c.calls.Add(-1)
+		if c.whole.Load() {
+			c.settle()
+		}
+	})
+	if !c.whole.Load() {
+		c.received.Add(streamCost)
+	}
+	return c.settle()
 }
 
 // markWhole records that a message of a call was whole.
@@ -186,9 +224,9 @@
 	}
 	a := c.acceptor
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	a.register.Enter(c.entry, intake.Serving)
-	a.register.EndHead(c.entry)
+	a.mu.Unlock()
+	c.settle()
 }
 
 func rpcConnOf(ctx context.Context) *rpcConn {
--- a/acceptor/rpc_test.go
+++ b/acceptor/rpc_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"io"
 	"net"
 	"sync/atomic"
@@ -43,7 +44,8 @@
 func newClockedRPCServer(t *testing.T, limits intake.Limits, now func() time.Time, received *atomic.Int64) (a *Acceptor, address string) {
 	t.Helper()
 	a = New(limits, zerolog.Nop(), now)
-	s := grpc.NewServer(a.ServerOptions()...)
+	const window = 4 << 20
+	s := grpc.NewServer(append(a.ServerOptions(), grpc.StaticStreamWindowSize(window), grpc.StaticConnWindowSize(window))...)
 	wiregen.RegisterOutstandingServer(s, tellServer{received: received})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -91,6 +93,85 @@
 	}
 }
 
+// greet begins HTTP/2 on a new connection, and sends an empty message as the first of a call.
+func greet(t *testing.T, a *Acceptor, address string) (framer *http2.Framer, head []byte) {
+	t.Helper()
+	var b bytes.Buffer
+	encoder := hpack.NewEncoder(&b)
+	for _, f := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", wiregen.Outstanding_Tell_FullMethodName}, {":authority", "a"}, {"content-type", "application/grpc"}, {"te", "trailers"}} {
+		_ = encoder.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]})
+	}
+	c := dial(t, address)
+	go func() { _, _ = io.Copy(io.Discard, c.Conn) }()
+	c.send(http2.ClientPreface)
+	framer = http2.NewFramer(c.Conn, nil)
+	before := a.Counts().Serving
+	_ = framer.WriteSettings()
+	_ = framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: b.Bytes(), EndHeaders: true})
+	_ = framer.WriteData(1, false, make([]byte, 5))
+	until(t, "the message was read", func() bool { return a.Counts().Serving == before+1 })
+	return framer, b.Bytes()
+}
+
+// TestCallsAfterMessage guards against calls that are opened without end on connections whose first message was whole.
+func TestCallsAfterMessage(t *testing.T) {
+	const bound = 4 << 20
+	a, address := newRPCServer(t, intake.Limits{Connections: 100, HeadBytes: bound, ServingYield: true})
+	for range 4 {
+		framer, head := greet(t, a, address)
+		for i := range uint32(200) {
+			_ = framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 2*i + 3, BlockFragment: head, EndHeaders: true})
+		}
+	}
+	until(t, "the calls fill the bound", func() bool { return a.Counts().HeadBytes > bound*3/4 })
+	if got := a.Counts().HeadBytes; got > bound {
+		t.Errorf("calls take %d bytes", got)
+	}
+	if _, err := tell(t, address).CloseAndRecv(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestPartMessagesAfterMessage guards against parts of messages that don't count on connections whose first message was whole:
+// the oldest connections with such parts yield, and what ended or became whole counts no more.
+func TestPartMessagesAfterMessage(t *testing.T) {
+	const bound, part = 4 << 20, 1 << 20
+	a, address := newRPCServer(t, intake.Limits{Connections: 100, HeadBytes: bound, ServingYield: true})
+	first, head := greet(t, a, address)
+	begin := func(framer *http2.Framer, stream uint32) {
+		_ = framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: head, EndHeaders: true})
+		message := make([]byte, 16<<10)
+		binary.BigEndian.PutUint32(message[1:], part+16<<10-5)
+		for range part / len(message) {
+			_ = framer.WriteData(stream, false, message)
+			clear(message)
+		}
+	}
+	begin(first, 3)
+	until(t, "a part of a message counts", func() bool { return a.Counts().HeadBytes > part })
+	_ = first.WriteData(3, false, make([]byte, 16<<10))
+	until(t, "the whole message does not count", func() bool { return a.Counts().HeadBytes == 0 })
+	begin(first, 5)
+	until(t, "a part of a message counts", func() bool { return a.Counts().HeadBytes > part })
+	_ = first.WriteRSTStream(5, http2.ErrCodeCancel)
+	until(t, "a message of a call that was cancelled does not count", func() bool { return a.Counts().HeadBytes == 0 })
+	var framers []*http2.Framer
+	for range 8 {
+		framer, _ := greet(t, a, address)
+		framers = append(framers, framer)
+	}
+	for _, framer := range framers {
+		begin(framer, 3)
+	}
+	until(t, "connections yield", func() bool { return a.Counts().Shed > 0 && a.Counts().HeadBytes > bound/2 })
+	if got := a.Counts().HeadBytes; got > bound {
+		t.Errorf("parts of messages take %d bytes", got)
+	}
+	if _, err := tell(t, address).CloseAndRecv(); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestQuietPeers guards against places of peers that are held by connections whose clients send messages no more; those that do
 // keep theirs.
 func TestQuietPeers(t *testing.T) {
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -27,6 +27,8 @@
 	HeadBytes int64
 	// BodyBytes bounds the memory of bodies, in bytes.
 	BodyBytes int64
+	// ServingYield is set if connections with a request in progress also yield to the heads of others, after all others.
+	ServingYield bool
 }
 
 // LimitsFor returns the limits on callers of a process that may use a number of descriptors and bytes of memory.
@@ -41,7 +43,8 @@
 // PeerLimitsFor returns the limits on the peers of such a process.
 func PeerLimitsFor(descriptors int, memoryBytes int64) Limits {
 	return Limits{
-		Connections: max(descriptors/peerDescriptorShare, minConnections),
-		HeadBytes:   max(memoryBytes/peerMemoryShare, minHeadBytes),
+		Connections:  max(descriptors/peerDescriptorShare, minConnections),
+		HeadBytes:    max(memoryBytes/peerMemoryShare, minHeadBytes),
+		ServingYield: true,
 	}
 }
--- a/intake/register.go
+++ b/intake/register.go
@@ -118,8 +118,8 @@
 
 // GrowHead sets what the head of a connection costs so far, in bytes, if all heads stay within their bound. Otherwise grown is
 // false: the caller tries again once a connection that was given up has ended, unless this one was given up too. The
-// connections to close are given up for it: those with the oldest heads first, except for requests in progress, and at last the
-// connection itself.
+// connections to close are given up for it: those with the oldest heads first, except for requests in progress unless these
+// yield too, and at last the connection itself.
 func (r *Register[C]) GrowHead(e *Entry[C], cost int64) (closing []*Entry[C], grown bool) {
 	return r.grow(head, e, cost)
 }
@@ -138,13 +138,19 @@
 		a.set(e, cost)
 		return nil, true
 	}
-	for old := a.oldest(); !a.willFit(e, cost) && old != nil; {
-		next := a.newer(old)
-		if old != e && old.phase != Serving {
-			closing = append(closing, old)
-			r.giveUp(old)
+	yield := func(serving bool) {
+		for old := a.oldest(); !a.willFit(e, cost) && old != nil; {
+			next := a.newer(old)
+			if old != e && (old.phase == Serving) == serving {
+				closing = append(closing, old)
+				r.giveUp(old)
+			}
+			old = next
 		}
-		old = next
+	}
+	yield(false)
+	if r.limits.ServingYield {
+		yield(true)
 	}
 	if !a.willFit(e, cost) {
 		closing = append(closing, e)
