Count what is decoded from bodies

What is decoded was bounded by the number of bytes alone, of which 32 MB are allowed.

Bodies now count with 1 KB for each object and 32 bytes for each other value of their JSON, as heads count with their lines, so that a body whose decoding does not fit has its connection closed while it is read, and those that fit wait for each other. TestBodyCost checks that 20,000 routes of ordinary length, 32 MB of space and a heartbeat fit.

--- a/acceptor/handler.go
+++ b/acceptor/handler.go
@@ -78,14 +78,14 @@
 	io.ReadCloser
 
 	conn *Conn
-	size int64
+	read intake.Body
 }
 
 // Read reads from the body. It returns a part of it once there is room for it.
 func (b *boundedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.size += int64(n)
-	if cost := intake.BodyCost(b.size); n > 0 && cost > 0 && !b.conn.growBody(cost) {
+	b.read = b.read.With(p[:n])
+	if cost := b.read.Cost(); n > 0 && cost > 0 && !b.conn.growBody(cost) {
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: b.conn.RemoteAddr(), Err: net.ErrClosed}
 	}
 	return n, err
--- a/intake/register_test.go
+++ b/intake/register_test.go
@@ -119,11 +119,20 @@
 
 // TestBodyCost guards against a bound that heartbeats count for, or that is less than a long routing configuration.
 func TestBodyCost(t *testing.T) {
-	if cost := BodyCost(2 << 10); cost != 0 {
-		t.Errorf("a body of 2 KB counts for %d bytes", cost)
+	heartbeat := Body{}.With([]byte(`{"service":"desk","address":"10.0.0.1:80","zone":"northwest-1","version":"v1","slots":64,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":1700000000000}`))
+	if cost := heartbeat.Cost(); cost != 0 {
+		t.Errorf("a heartbeat counts for %d bytes", cost)
 	}
-	if limits := LimitsFor(4096, 256<<20); BodyCost(32<<20) > limits.BodyBytes {
-		t.Errorf("a body of 32 MB counts for %d bytes, more than the bound %d of 256 MB", BodyCost(32<<20), limits.BodyBytes)
+	limits := LimitsFor(4096, 256<<20)
+	route := `{"name":"safe","host":"crowd.example","path_prefix":"/safe/","kind":"safe","timeout_ms":20000,"target_latency_ms":1000,"priority":1,"service":"desk","max_attempts":2},`
+	if cost := (Body{}.With([]byte(strings.Repeat(route, 20000)))).Cost(); cost > limits.BodyBytes {
+		t.Errorf("20,000 routes count for %d bytes, more than the bound %d of 256 MB", cost, limits.BodyBytes)
+	}
+	if cost := (Body{}.With([]byte(strings.Repeat("{},", 100000)))).Cost(); cost <= limits.BodyBytes {
+		t.Errorf("100,000 empty objects count for %d bytes", cost)
+	}
+	if cost := (Body{}.With(make([]byte, 32<<20))).Cost(); cost > limits.BodyBytes {
+		t.Errorf("a body of 32 MB counts for %d bytes, more than the bound %d of 256 MB", cost, limits.BodyBytes)
 	}
 }
 
