--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -16,18 +16,21 @@
 const (
 	// stallTime is how long a write to a client takes until the client counts as one that does not read.
 	stallTime = 2 * time.Second
+	// quietTime is how long a peer sends no whole message until its place may be taken: peers report every second, and take each other for lost after 3 s.
+	quietTime = 3 * time.Second
 	// placeTime is how long a new connection waits for a place, and placePeriod the interval at which it looks for one. The
 	// connections after it wait in the queue of the socket, in the order in which they came.
 	placeTime   = 250 * time.Millisecond
 	placePeriod = 2 * time.Millisecond
-	// headRoomTime is how long a head waits for the memory of those that yield to it.
-	headRoomTime = time.Second
+	// roomTime is how long a head or a body waits for the memory of those that yield to it.
+	roomTime = time.Second
 )
 
 // Acceptor bounds the connections of a process.
 type Acceptor struct {
-	now func() time.Time
-	log zerolog.Logger
+	now     func() time.Time
+	log     zerolog.Logger
+	started time.Time
 	// shed and refused count the connections that were closed for others, and those that were not accepted.
 	shed, refused atomic.Int64
 
@@ -38,7 +41,7 @@
 
 // New returns an acceptor without connections.
 func New(limits intake.Limits, log zerolog.Logger, now func() time.Time) *Acceptor {
-	return &Acceptor{now: now, log: log, register: intake.New[*Conn](limits)}
+	return &Acceptor{now: now, log: log, started: now(), register: intake.New[*Conn](limits)}
 }
 
 // Counts are the numbers of connections and bytes of an acceptor.
@@ -49,6 +52,8 @@
 	Serving int `json:"serving"`
 	// HeadBytes is the memory that large heads count for.
 	HeadBytes int64 `json:"headBytes"`
+	// BodyBytes is the memory that bodies count for.
+	BodyBytes int64 `json:"bodyBytes"`
 	// Shed and Refused are the connections closed for others, and those closed when they were accepted, since the start.
 	Shed    int64 `json:"shed"`
 	Refused int64 `json:"refused"`
@@ -60,7 +65,7 @@
 	defer a.mu.Unlock()
 	return Counts{
 		Waiting: a.register.Count(intake.Waiting), Idle: a.register.Count(intake.Idle), Serving: a.register.Count(intake.Serving),
-		HeadBytes: a.register.HeadCost(), Shed: a.shed.Load(), Refused: a.refused.Load(),
+		HeadBytes: a.register.HeadCost(), BodyBytes: a.register.BodyCost(), Shed: a.shed.Load(), Refused: a.refused.Load(),
 	}
 }
 
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -27,6 +27,8 @@
 	// seenWrites and seenAt are the write that stalled has seen in progress, and when it saw it first.
 	seenWrites int64
 	seenAt     time.Time
+	// heardAt is when a peer last sent a whole message, from the start of the acceptor; zero for other clients.
+	heardAt atomic.Int64
 }
 
 // Read reads from the client. It returns a part of a head once there is room for it.
@@ -61,12 +63,17 @@
 
 // growHead sets what the head costs so far, in bytes, and closes the connections that yield to it. It waits until these have
 // ended, and returns false if the connection itself is given up.
-func (c *Conn) growHead(cost int64) bool {
+func (c *Conn) growHead(cost int64) bool { return c.grow(c.acceptor.register.GrowHead, cost) }
+
+// growBody is like growHead for the body of a request.
+func (c *Conn) growBody(cost int64) bool { return c.grow(c.acceptor.register.GrowBody, cost) }
+
+func (c *Conn) grow(grow func(*intake.Entry[*Conn], int64) ([]*intake.Entry[*Conn], bool), cost int64) bool {
 	a := c.acceptor
 	for began := a.now(); ; time.Sleep(placePeriod) {
-		late := a.now().Sub(began) >= headRoomTime
+		late := a.now().Sub(began) >= roomTime
 		a.mu.Lock()
-		closing, grown := a.register.GrowHead(c.entry, cost)
+		closing, grown := grow(c.entry, cost)
 		if late && !grown && a.register.GiveUp(c.entry) {
 			closing = append(closing, c.entry)
 		}
@@ -115,9 +122,12 @@
 	return c.TCPConn.Write(b)
 }
 
-// stalled reports whether the client does not read: a write that an earlier call has seen is still in progress. It must be
-// called with the acceptor locked.
+// stalled reports whether the client does not read, as a write that an earlier call has seen is still in progress, or is a peer
+// that sends no messages. It must be called with the acceptor locked.
 func (c *Conn) stalled(now time.Time) bool {
+	if heardAt := time.Duration(c.heardAt.Load()); heardAt > 0 && now.Sub(c.acceptor.started)-heardAt >= quietTime {
+		return true
+	}
 	writes := c.writes.Load()
 	if writes%2 == 0 {
 		return false
