--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -67,6 +67,14 @@
 	return all
 }
 
+// withSlowElections has no election take place while the process is starved for a moment, for tests that rely on a leader.
+func withSlowElections(cfgs []Config) []Config {
+	for i := range cfgs {
+		cfgs[i].ElectionTimeout = 500 * time.Millisecond
+	}
+	return cfgs
+}
+
 func waitFor(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(30 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
