Refuse small bodies and buffers when far more than the budget is held

Seen: 1,350 callers with 60 KB of an unfinished body each took 91 to 95 MB of a gateway with 96 MB (ten of ten runs of TestPlacesPartBodies), and callers that do not read a long answer 136 to 158 MB (TestPlacesUnreadLarge).

Cause: bodies and buffered answers up to 64 KB were accepted with the budget used up, without any bound on their sum.

Up to a quarter of the budget beyond it all is as before; then bodies above 4 KB get 503, and longer answers are streamed. TestManySmallBodies is new with the code.

--- a/pressure/pressure.go
+++ b/pressure/pressure.go
@@ -8,6 +8,9 @@
 const (
 	// LargeBodyBytes is the size above which a body is refused while the budget is used up.
 	LargeBodyBytes = 64 << 10
+	// SmallBodyBytes is the size up to which a body is accepted while more than the budget and overdraftShare of it are held:
+	// thousands of bodies below LargeBodyBytes would take several times the budget.
+	SmallBodyBytes = 4 << 10
 	// UnreadAnswerBytes bounds what an answer holds that its caller does not read: the buffers of two connections, one
 	// event, and the socket's send buffer.
 	UnreadAnswerBytes = 64 << 10
@@ -21,6 +24,8 @@
 	SlowAfter = 2 * time.Second
 	// budgetShare is the share of the memory limit that is used as the budget.
 	budgetShare = 0.25
+	// overdraftShare is the part of the budget by which bodies up to LargeBodyBytes may exceed it.
+	overdraftShare = 0.25
 )
 
 // Answer is an answer in progress. Unread is the time for which the caller has not taken what is being written; zero if
@@ -56,17 +61,12 @@
 func (b *Budget) Exceeded(further int64) bool { return b.limit > 0 && b.Held()+further > b.limit }
 
 // TakeBody counts the body of a new request, or returns false if it is large and does not fit.
-func (b *Budget) TakeBody(n int64) bool {
-	if n > LargeBodyBytes && b.Exceeded(n) {
-		return false
-	}
-	b.bodies += n
-	return true
-}
+func (b *Budget) TakeBody(n int64) bool { return b.Grow(0, n) }
 
 // Grow counts n further bytes of a buffer that holds some already, or returns false if it becomes large and does not fit.
 func (b *Budget) Grow(held, n int64) bool {
-	if held+n > LargeBodyBytes && b.Exceeded(n) {
+	overdraft := int64(overdraftShare * float64(b.limit))
+	if size := held + n; size > LargeBodyBytes && b.Exceeded(n) || size > SmallBodyBytes && b.Exceeded(n-overdraft) {
 		return false
 	}
 	b.bodies += n
--- a/pressure/pressure_test.go
+++ b/pressure/pressure_test.go
@@ -57,3 +57,17 @@
 		t.Error("a body was refused without a limit")
 	}
 }
+
+// TestManySmallBodies guards against bodies that are small each and together exceed the budget without bound, and against refusals
+// of ordinary ones then.
+func TestManySmallBodies(t *testing.T) {
+	b := NewBudget(memoryLimit)
+	for b.TakeBody(LargeBodyBytes) && b.Held() < memoryLimit {
+	}
+	if held := b.Held(); held > memoryLimit*5/16 || held <= memoryLimit/4 {
+		t.Errorf("%d bytes are held, the budget is %d", held, memoryLimit/4)
+	}
+	if b.Grow(SmallBodyBytes, 1) || !b.Grow(0, SmallBodyBytes) || !b.TakeBody(SmallBodyBytes) {
+		t.Error("a longer buffer was grown, or an ordinary body refused")
+	}
+}
