Bound the places of clients by memory too

Seen: at the real limits (trial: 144 MB, 4,100 descriptors), 1,500 callers that do not read an answer of 1 MB took 189 MB of a gateway.

Cause: the number of places came from the descriptors alone. 1,500 unread streams took 108 MB (trial), so that a caller that does not read and the connection to its endpoint take 60 KB without what the budget counts. The rest of a long answer took a buffer of 32 KB more from io.Copy.

A process has at most one place for each 160 KB of its memory: 921 with 144 MB, 1,177 with 184 and 1,792 with 280; descriptors allow 1,674 of 4,100. The rest of an answer is copied with 8 KB. Beyond the places idle connections yield first, as before.

--- a/gateway/send.go
+++ b/gateway/send.go
@@ -24,6 +24,8 @@
 	maxBufferedBytes = 1 << 20
 	// minBufferedBytes is the size that the buffer for an answer has at first.
 	minBufferedBytes = 1 << 10
+	// restBufferBytes is the size of the buffer for the rest of an answer that is streamed.
+	restBufferBytes = 8 << 10
 	// forwardMargin is subtracted from the time left that is sent to another gateway, so that its answer arrives here
 	// in time.
 	forwardMargin = 90 * time.Millisecond
@@ -360,7 +362,8 @@
 	_, err := j.w.Write(a.body)
 	if err == nil && a.rest != nil {
 		a.release(j.w)
-		_, err = io.Copy(j.w, a.rest)
+		// Not io.Copy, whose buffer of 32 KB would be held for each caller that does not read.
+		_, err = io.CopyBuffer(struct{ io.Writer }{j.w}, a.rest, make([]byte, restBufferBytes))
 	}
 	if err != nil {
 		j.lastErr = err
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -13,6 +13,9 @@
 	peerDescriptorShare = 8
 	peerMemoryShare     = 4
 	minConnections      = 16
+	// memoryPerConnection is the memory that a process needs for each place: 60 KB for a caller that does not read and the
+	// connection to its endpoint (measured), as much for bodies and buffered answers, and what is not collected yet.
+	memoryPerConnection = 160 << 10
 	minHeadBytes        = 2 << 20
 	// bodyMemoryShare is the part of the memory that bodies may take where no handler bounds them.
 	bodyMemoryShare = 4
@@ -33,8 +36,12 @@
 
 // LimitsFor returns the limits on callers of a process that may use a number of descriptors and bytes of memory.
 func LimitsFor(descriptors int, memoryBytes int64) Limits {
+	connections := (descriptors - reservedDescriptors - descriptors/peerDescriptorShare) / connectionsPerRequest
+	if memoryBytes > 0 {
+		connections = min(connections, int(memoryBytes/memoryPerConnection))
+	}
 	return Limits{
-		Connections: max((descriptors-reservedDescriptors-descriptors/peerDescriptorShare)/connectionsPerRequest, minConnections),
+		Connections: max(connections, minConnections),
 		HeadBytes:   max(memoryBytes/headMemoryShare, minHeadBytes),
 		BodyBytes:   max(memoryBytes/bodyMemoryShare, minBodyBytes),
 	}
