--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -16,7 +16,8 @@
 const (
 	// stallTime is how long a write to a client takes until the client counts as one that does not read.
 	stallTime = 2 * time.Second
-	// quietTime is how long a peer sends no whole message until its place may be taken: peers report every second, and take each other for lost after 3 s.
+	// quietTime is how long a peer sends no whole message until its place may be taken. Peers report every second, and take one
+	// another for lost after 3 s.
 	quietTime = 3 * time.Second
 	// placeTime is how long a new connection waits for a place, and placePeriod the interval at which it looks for one. The
 	// connections after it wait in the queue of the socket, in the order in which they came.
--- a/acceptor/rpc.go
+++ b/acceptor/rpc.go
@@ -36,9 +36,8 @@
 // RPCListener returns a listener for a gRPC server within the bounds; the server needs ServerOptions. A connection counts as
 // waiting until the first message of a call is whole, and what it has sent until then counts as a head. After that its calls in
 // progress count, and if it is not encrypted the parts of messages that are not whole; its place may be taken when it has sent no
-// message for quietTime. A connection ends
-// when sent bytes are not acknowledged for unackedTime, which gRPC sets only on connections of package net. A nil acceptor
-// sets no bounds and returns l.
+// message for quietTime. A connection ends when sent bytes are not acknowledged for unackedTime, which gRPC sets only on
+// connections of package net. A nil acceptor sets no bounds and returns l.
 func (a *Acceptor) RPCListener(l net.Listener, unackedTime time.Duration) net.Listener {
 	if a == nil {
 		return l
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -14,7 +14,7 @@
 	peerMemoryShare     = 4
 	minConnections      = 16
 	// memoryPerConnection is the memory that a process needs for each place: 60 KB for a caller that does not read and the
-	// connection to its endpoint (measured), as much for bodies and buffered answers, and what is not collected yet.
+	// connection to its endpoint, as much for bodies and buffered answers, and the rest for garbage.
 	memoryPerConnection = 160 << 10
 	minHeadBytes        = 2 << 20
 	// bodyMemoryShare is the part of the memory that bodies may take where no handler bounds them.
