--- a/acceptor/rpc_test.go
+++ b/acceptor/rpc_test.go
@@ -56,7 +56,7 @@
 	return a, l.Addr().String()
 }
 
-// tell opens a stream of load reports on the client and sends one message.
+// tell opens a stream of load reports over a new connection and sends one message.
 func tell(t *testing.T, address string) grpc.ClientStreamingClient[wiregen.OutstandingReport, wiregen.OutstandingReply] {
 	t.Helper()
 	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
--- a/control/diskloss_test.go
+++ b/control/diskloss_test.go
@@ -187,7 +187,7 @@
 		delay += simRegionDelay
 	}
 	if until := s.cuts[[2]string{from.name, to}]; until > s.now {
-		// A cut holds up what was sent, or loses it.
+		// A partition delays messages or drops them.
 		if s.rnd.IntN(2) == 0 {
 			return
 		}
--- a/fleet/unresponsive_test.go
+++ b/fleet/unresponsive_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// TestUnresponsiveExpires forgets control daemons 5 s after they last were unresponsive, each by its own time.
+// TestUnresponsiveExpires checks that each control daemon counts as unresponsive until 5 s after it last was.
 func TestUnresponsiveExpires(t *testing.T) {
 	t0 := time.Unix(1000, 0)
 	u := Unresponsive{}.With(t0, "a").With(t0.Add(4*time.Second), "b")
--- a/intake/messages_test.go
+++ b/intake/messages_test.go
@@ -17,7 +17,7 @@
 // divided.
 func TestPartMessagesCounted(t *testing.T) {
 	type stream struct {
-		// left are the messages that are not whole yet; received is what came of the first one.
+		// left holds the messages that are not complete, and received the bytes of the first one that have arrived.
 		left     [][]byte
 		received int
 	}
