--- /dev/null
+++ b/review/stand-2/cold.go
@@ -0,0 +1,91 @@
+//go:build review2
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+)
+
+// coldBound is cold_per_s x cold_burst_factor + cold_slack.
+const coldBound = 4.1*1.5 + 3
+
+// playCold ends the evacuation of a zone whose workers have become cold shortly before, and kills the gateways at that moment.
+func playCold(r *record, trouble bool) error {
+	f, err := startFleet(r, layout{controls: []string{"a", "a", "a"}, gateways: []string{"a", "a"}})
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return err
+	}
+	var workers []*worker
+	for i := range 4 {
+		w, err := f.startWorker(fmt.Sprintf("i-%d", i+1), "desk", "a", 12, 20*time.Millisecond)
+		if err != nil {
+			return err
+		}
+		defer w.close()
+		workers = append(workers, w)
+	}
+	if _, err := f.order("POST", "/v1/Config.Put", plainConfig("unsafe"), 20*time.Second); err != nil {
+		return err
+	}
+	c := f.newClient()
+	for g := range f.gateways {
+		if err := c.awaitServed(g, "POST", plainHost, plainPath+"1", 20*time.Second); err != nil {
+			return err
+		}
+	}
+	time.Sleep(7 * time.Second)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.load(ctx, 240, []int{0, 1}, "POST", plainHost, plainPath+"1", 3*time.Second)
+	}()
+	defer func() { stop(); <-done }()
+	time.Sleep(time.Second)
+	if _, err := f.order("POST", "/v1/Evacuation.Start/a", nil, 5*time.Second); err != nil {
+		return err
+	}
+	time.Sleep(7 * time.Second)
+	for _, w := range workers {
+		w.mu.Lock()
+		w.coldUntil = time.Now().Add(3 * time.Second)
+		w.mu.Unlock()
+	}
+	r.printf("the workers have become cold")
+	began := time.Now()
+	time.Sleep(200 * time.Millisecond)
+	if _, err := f.order("POST", "/v1/Evacuation.End/a", nil, 5*time.Second); err != nil {
+		return err
+	}
+	if trouble {
+		for _, g := range f.gateways {
+			g.signal(syscall.SIGKILL)
+		}
+	}
+	time.Sleep(5 * time.Second)
+	for _, w := range workers {
+		w.mu.Lock()
+		most := 0
+		for i, a := range w.arrivals {
+			n := 0
+			for _, b := range w.arrivals[i:] {
+				if b.at.Sub(a.at) < time.Second && b.at.Before(w.coldUntil) && a.at.After(began) {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+		w.mu.Unlock()
+		r.printf("%s got at most %d requests in one second while it was cold; the bound is %.2f", w.id, most, coldBound)
+		if float64(most) > coldBound {
+			err = fmt.Errorf("%w: cold worker %s got %d requests in one second, more than %.2f", errBroken, w.id, most, coldBound)
+		}
+	}
+	return err
+}
