--- a/review/stand-2/cold.go
+++ b/review/stand-2/cold.go
@@ -52,6 +52,9 @@
 		return err
 	}
 	time.Sleep(7 * time.Second)
+	// The workers send their heartbeats at about the same time, and become cold after one.
+	workers[0].awaitBeat()
+	time.Sleep(50 * time.Millisecond)
 	for _, w := range workers {
 		w.mu.Lock()
 		w.coldUntil = time.Now().Add(3 * time.Second)
@@ -59,7 +62,7 @@
 	}
 	r.printf("the workers have become cold")
 	began := time.Now()
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
 	if _, err := f.order("POST", "/v1/Evacuation.End/a", nil, 5*time.Second); err != nil {
 		return err
 	}
--- a/review/stand-2/peers.go
+++ b/review/stand-2/peers.go
@@ -141,6 +141,18 @@
 	return time.Time{}, false
 }
 
+// awaitBeat waits for the next heartbeat.
+func (w *worker) awaitBeat() {
+	sequence := func() int64 {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.sequence
+	}
+	for before := sequence(); sequence() == before; {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 func (w *worker) announce(ctx context.Context) {
 	for {
 		w.beat()
