--- a/review/stand-2/cold.go
+++ b/review/stand-2/cold.go
@@ -10,7 +10,10 @@
 )
 
 // coldBound is cold_per_s x cold_burst_factor + cold_slack.
-const coldBound = 4.1*1.5 + 3
+const coldBound = 9.15
+
+// coldCrash is the rate, well above the bound, at which a cold worker crashes.
+const coldCrash = 30
 
 // playCold ends the evacuation of a zone whose workers have become cold shortly before, and kills the gateways at that moment.
 func playCold(r *record, trouble bool) error {
@@ -28,6 +31,7 @@
 			return err
 		}
 		defer w.close()
+		w.coldCrash = coldCrash
 		workers = append(workers, w)
 	}
 	if _, err := f.order("POST", "/v1/Config.Put", plainConfig("unsafe"), 20*time.Second); err != nil {
@@ -72,6 +76,7 @@
 		}
 	}
 	time.Sleep(5 * time.Second)
+	lost := 0
 	for _, w := range workers {
 		w.mu.Lock()
 		most := 0
@@ -85,10 +90,14 @@
 			most = max(most, n)
 		}
 		w.mu.Unlock()
+		if w.crashed.Load() {
+			lost += c.failedOf(w.arrivalsAfter(began))
+		}
 		r.printf("%s got at most %d requests in one second while it was cold; the bound is %.2f", w.id, most, coldBound)
 		if float64(most) > coldBound {
 			err = fmt.Errorf("%w: cold worker %s got %d requests in one second, more than %.2f", errBroken, w.id, most, coldBound)
 		}
 	}
+	r.printf("%d requests that reached workers which crashed got no success", lost)
 	return err
 }
--- a/review/stand-2/drain.go
+++ b/review/stand-2/drain.go
@@ -42,7 +42,7 @@
 	}
 	var workers []*worker
 	for i := range 3 {
-		w, err := f.startWorker(fmt.Sprintf("i-%d", i+1), "desk", "a", 6, 30*time.Millisecond)
+		w, err := f.startWorker(fmt.Sprintf("i-%d", i+1), "desk", "a", 6, 200*time.Millisecond)
 		if err != nil {
 			return err
 		}
@@ -87,6 +87,11 @@
 	time.Sleep(drainTime + 4*time.Second)
 	late := leaving.arrivalsAfter(acked.Add(drainTime))
 	r.printf("%s got %d requests later than %v after the acknowledgement", leaving.id, len(late), drainTime)
+	// The worker says goodbye and ends, with what it runs.
+	f.control(0, "POST", "/v1/Instances.Deregister/"+leaving.id, map[string]any{"born": leaving.born})
+	leaving.close()
+	time.Sleep(time.Second)
+	r.printf("%d requests that reached it so late got no success", c.failedOf(late))
 	if len(late) > 0 {
 		return fmt.Errorf("%w: %d requests reached %s later than %v after it was acknowledged as draining", errBroken, len(late), leaving.id, drainTime)
 	}
--- a/review/stand-2/peers.go
+++ b/review/stand-2/peers.go
@@ -23,9 +23,8 @@
 
 // arrival is a request that reached a worker.
 type arrival struct {
-	id     string
-	at     time.Time
-	status int
+	id string
+	at time.Time
 }
 
 // worker is a sound worker of a service.
@@ -44,8 +43,8 @@
 	coldUntil                  time.Time
 	arrivals                   []arrival
 	running                    atomic.Int64
-	// coldLimit is the number of requests in a second above which the cold worker crashes; zero for none.
-	coldLimit int
+	// coldCrash is the number of requests in a second above which the cold worker crashes; zero for none.
+	coldCrash int
 	crashed   atomic.Bool
 }
 
@@ -88,9 +87,10 @@
 	}
 	running := w.running.Add(1)
 	defer w.running.Add(-1)
-	w.mu.Lock()
-	w.arrivals = append(w.arrivals, arrival{id: id, at: time.Now()})
-	w.mu.Unlock()
+	if w.arrive(id) {
+		w.crash()
+		return
+	}
 	w.f.record.printf("%s gets request %s (from %s)", w.id, id, r.RemoteAddr)
 	select {
 	case <-time.After(w.work):
@@ -102,6 +102,32 @@
 	_, _ = fmt.Fprintf(rw, "%s %s %s %x", w.id, r.Method, r.URL.Path, len(body))
 }
 
+// arrive records a request, and reports whether it makes the worker crash.
+func (w *worker) arrive(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.arrivals = append(w.arrivals, arrival{id: id, at: now})
+	if w.coldCrash <= 0 || now.After(w.coldUntil) {
+		return false
+	}
+	n := 0
+	for _, a := range w.arrivals {
+		if now.Sub(a.at) < time.Second {
+			n++
+		}
+	}
+	return n > w.coldCrash
+}
+
+// crash ends the worker without notice.
+func (w *worker) crash() {
+	if w.crashed.CompareAndSwap(false, true) {
+		w.f.record.printf("%s crashes, as it got more than %d requests in a second while it was cold; it runs %d", w.id, w.coldCrash, w.running.Load())
+		go w.close()
+	}
+}
+
 // arrivalsAfter returns the requests that reached the worker after a time.
 func (w *worker) arrivalsAfter(t time.Time) []arrival {
 	w.mu.Lock()
@@ -272,6 +298,23 @@
 	return a
 }
 
+// failedOf returns how many of the requests that arrived at a worker were not answered with success.
+func (c *client) failedOf(all []arrival) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	served := map[string]bool{}
+	for _, a := range c.all {
+		served[a.id] = a.err == nil && a.status == http.StatusOK
+	}
+	n := 0
+	for _, a := range all {
+		if !served[a.id] {
+			n++
+		}
+	}
+	return n
+}
+
 // load sends requests at a rate to the gateways in turn until ctx ends.
 func (c *client) load(ctx context.Context, perSecond int, gateways []int, method, host, path string, deadline time.Duration) {
 	t := time.NewTicker(time.Second / time.Duration(perSecond))
