--- a/review/stand-2/drain.go
+++ b/review/stand-2/drain.go
@@ -71,9 +71,9 @@
 	if trouble {
 		h := leaving.heartbeat()
 		delete(h, "version")
-		h["sequence"] = leaving.sequence + 1000
+		h["sequence"] = time.Now().UnixMilli()
 		status := f.control(0, "POST", "/v1/Instances.Heartbeat/"+leaving.id, h)
-		r.printf("another writer sends a heartbeat of %s without version: status %d", leaving.id, status)
+		r.printf("another writer sends a heartbeat of %s without version, its sequence is the time: status %d", leaving.id, status)
 	}
 	time.Sleep(2 * time.Second)
 	leaving.mu.Lock()
