--- a/review/stand-2/cold.go
+++ b/review/stand-2/cold.go
@@ -76,20 +76,9 @@
 		}
 	}
 	time.Sleep(5 * time.Second)
-	lost := 0
+	lost, sent := 0, c.sentTimes()
 	for _, w := range workers {
-		w.mu.Lock()
-		most := 0
-		for i, a := range w.arrivals {
-			n := 0
-			for _, b := range w.arrivals[i:] {
-				if b.at.Sub(a.at) < time.Second && b.at.Before(w.coldUntil) && a.at.After(began) {
-					n++
-				}
-			}
-			most = max(most, n)
-		}
-		w.mu.Unlock()
+		most := mostInSecond(w.arrivalsAfter(began), sent, w.coldUntil)
 		if w.crashed.Load() {
 			lost += c.failedOf(w.arrivalsAfter(began))
 		}
@@ -101,3 +90,18 @@
 	r.printf("%d requests that reached workers which crashed got no success", lost)
 	return err
 }
+
+// mostInSecond returns the largest number of requests that were sent and arrived inside one second, before a time.
+func mostInSecond(arrivals []arrival, sent map[string]time.Time, before time.Time) int {
+	most := 0
+	for _, first := range arrivals {
+		start, n := sent[first.id], 0
+		for _, a := range arrivals {
+			if s, ok := sent[a.id]; ok && !s.Before(start) && a.at.Before(start.Add(time.Second)) && a.at.Before(before) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
--- a/review/stand-2/peers.go
+++ b/review/stand-2/peers.go
@@ -315,6 +315,17 @@
 	return n
 }
 
+// sentTimes returns when each request that has ended was sent.
+func (c *client) sentTimes() map[string]time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sent := map[string]time.Time{}
+	for _, a := range c.all {
+		sent[a.id] = a.sentAt
+	}
+	return sent
+}
+
 // load sends requests at a rate to the gateways in turn until ctx ends.
 func (c *client) load(ctx context.Context, perSecond int, gateways []int, method, host, path string, deadline time.Duration) {
 	t := time.NewTicker(time.Second / time.Duration(perSecond))
