Do not take an answer that a reset cut for a whole one

Callers got the first part of a 200 without length as a complete answer if the endpoint reset the connection while a long request was still being written.

Cause: the kernel reports a failed connection to one call only.

Fix: at the end of a connection that ends a body, the write is ended and its error decides. A read sees an end after a reset only if a write has taken the error already, so that nothing is missed. After an orderly end the kernel reports a reset as EPIPE, and a waiting write ends by its deadline; neither counts.

--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -76,3 +76,16 @@
 func (e *UnmatchedBodyError) Error() string {
 	return fmt.Sprintf("responses to other requests have bodies of at least %d bytes", e.Limit)
 }
+
+// ResetError reports that the connection was reset in a body that the end of the connection was to end.
+type ResetError struct {
+	Cause error
+}
+
+// Error names the cause.
+func (e *ResetError) Error() string {
+	return fmt.Sprintf("the connection failed while the request was written, before the end of the response: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ResetError) Unwrap() error { return e.Cause }
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -64,7 +64,7 @@
 	conn      *connection
 	pool      *Pool
 	stop      func() bool
-	written   <-chan error
+	upload    *upload
 	keepAlive bool
 	done      bool
 }
@@ -114,7 +114,7 @@
 		return &Error{Address: address, Stage: stage, Outcome: outcome, Reused: reused, Cause: err}
 	}
 	head := r.head()
-	written, n, err := write(c, head, r.Body)
+	u, n, err := write(c, head, r.Body)
 	if err != nil {
 		outcome := problem.Unknown
 		if n < len(head) {
@@ -128,27 +128,24 @@
 	}
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Fresh: !reused, EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0, body: response.Body,
-		conn: c, pool: p, stop: stop, written: written, keepAlive: !response.Close && response.ProtoAtLeast(1, 1),
+		conn: c, pool: p, stop: stop, upload: u, keepAlive: !response.Close && response.ProtoAtLeast(1, 1),
 	}, nil
 }
 
 // write sends the header and the body. A body of more than maxInlineBody bytes is sent in the background while the
-// response is awaited. The channel receives the result once the body has been written.
-func write(c *connection, head, body []byte) (written <-chan error, n int, err error) {
-	done := make(chan error, 1)
+// response is awaited.
+func write(c *connection, head, body []byte) (u *upload, n int, err error) {
 	if len(body) <= maxInlineBody {
 		n, err = c.Write(append(head, body...))
-		done <- err
-		return done, n, err
+		return finishedUpload(), n, err
 	}
 	if n, err = c.Write(head); err != nil {
 		return nil, n, err
 	}
-	go func() {
+	return startUpload(func() error {
 		_, err := c.Write(body)
-		done <- err
-	}()
-	return done, n, nil
+		return err
+	}), n, nil
 }
 
 // readResponse reads the header of the response that belongs to the request; it skips informational responses and up to
@@ -189,9 +186,16 @@
 // Read reads the body; it returns io.EOF only at the end of a complete response.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if errors.Is(err, io.EOF) {
-		r.release()
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if r.EndsWithConnection && !r.done {
+		if cause := r.upload.takenReset(r.conn); cause != nil {
+			r.Close()
+			return n, &ResetError{Cause: cause}
+		}
+	}
+	r.release()
 	return n, err
 }
 
@@ -211,14 +215,7 @@
 		return
 	}
 	r.done = true
-	reusable := r.stop() && r.keepAlive && !r.conn.unmatched && r.conn.reader.Buffered() == 0
-	select {
-	case err := <-r.written:
-		reusable = reusable && err == nil
-	default:
-		reusable = false
-	}
-	if !reusable {
+	if !r.stop() || !r.keepAlive || r.conn.unmatched || r.conn.reader.Buffered() > 0 || !r.upload.written() {
 		_ = r.conn.Close()
 		return
 	}
