Read the heads of answers by one strict reader; check the status line

Callers got answers whose status line is none of HTTP/1: after a status of 000, 001, 099 or +20 the body of that answer as a 200, if it looked like one; 600, 999, HTTP/9.9 and control bytes in the reason were passed on.

Cause: http.ReadResponse takes what Atoi reads as a status and any digits as a version, and everything below 200 was skipped as informational.

What had been refused before stays so.

Fix: responseReader reads the lines of a head, checks the status line, and gives the bytes to net/http only then. A head that fails ends the exchange with an unknown outcome. As net/http no longer reads from the connection, bodies are read by their length, chunks or the end of the connection here; the chunks themselves are decoded by the standard library. 101, which no request asks for, is refused instead of skipped. A missing reason and lines without a carriage return pass as before.

--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
-	"math"
 	"net"
 	"syscall"
 	"time"
@@ -26,10 +24,8 @@
 // connection is a connection to an endpoint; it carries one request at a time.
 type connection struct {
 	net.Conn
-	address string
-	// unread limits the bytes that reader still takes from the connection.
-	unread *io.LimitedReader
-	reader *bufio.Reader
+	address   string
+	responses responseReader
 	// requestCount is the number of requests completed on the connection.
 	requestCount int
 	// unmatched reports that a response to another request has arrived, so that more may follow.
@@ -59,13 +55,16 @@
 	if err != nil {
 		return nil, err
 	}
-	unread := &io.LimitedReader{R: conn, N: math.MaxInt64}
-	return &connection{Conn: conn, address: address, unread: unread, reader: bufio.NewReaderSize(unread, readBufferBytes)}, nil
+	return newConnection(conn, address), nil
+}
+
+func newConnection(conn net.Conn, address string) *connection {
+	return &connection{Conn: conn, address: address, responses: responseReader{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}}
 }
 
 // reusable reports whether an idle connection is open and has no unread data; such data would belong to no request.
 func (c *connection) reusable() bool {
-	if c.reader.Buffered() > 0 {
+	if c.responses.reader.Buffered() > 0 {
 		return false
 	}
 	sc, ok := c.Conn.(syscall.Conn)
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -113,6 +113,7 @@
 	var b strings.Builder
 	b.WriteString(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 8))
 	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: %d\r\n\r\n%s", maxUnmatchedBytes-1, strings.Repeat("o", maxUnmatchedBytes-1))
+	b.WriteString("HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: x\r\n\r\n")
 	long := strings.Repeat("x", maxHeadBytes*3/4)
 	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nId: own\r\nX: %s\r\nContent-Length: %d\r\n\r\n%s", long, 4<<20, strings.Repeat("a", 4<<20))
 	address := keptEndpoint(t, func(int) string { return b.String() })
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -77,6 +77,18 @@
 	return fmt.Sprintf("responses to other requests have bodies of at least %d bytes", e.Limit)
 }
 
+// MalformedHeadError reports that the head or the trailer of a response is not one of HTTP/1.
+type MalformedHeadError struct {
+	// Line is the number of the line, counted from 1.
+	Line   int
+	Reason string
+}
+
+// Error names the line and the reason.
+func (e *MalformedHeadError) Error() string {
+	return fmt.Sprintf("line %d of the response header is malformed: %s", e.Line, e.Reason)
+}
+
 // ResetError reports that the connection was reset in a body that the end of the connection was to end.
 type ResetError struct {
 	Cause error
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -87,9 +86,6 @@
 // owns reports whether a response belongs to the request. One without an identifier does so only if it is the first on
 // a new connection: on a kept one it may repeat the response to an earlier request, also if it is a rejection.
 func (r *Request) owns(response *http.Response, first bool) bool {
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		return false
-	}
 	if echoed := r.ResponseID(response.Header); echoed != "" {
 		return echoed == r.ID
 	}
@@ -122,6 +118,7 @@
 		}
 		return nil, fail(Writing, outcome, err)
 	}
+	c.responses.begin(u, maxHeadBytes)
 	response, err := readResponse(c, r, !reused) //nolint:bodyclose // Response.Close closes the connection, and with it the body.
 	if err != nil {
 		return nil, fail(Awaiting, problem.Unknown, err)
@@ -152,21 +149,12 @@
 // maxUnmatchedResponses responses to other requests.
 func readResponse(c *connection, r *Request, fresh bool) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
-	headBytes, unmatchedBytes := int64(maxHeadBytes), int64(maxUnmatchedBytes)
+	unmatchedBytes := int64(maxUnmatchedBytes)
 	for unmatched := 0; unmatched <= maxUnmatchedResponses; {
-		c.unread.N = headBytes
-		response, err := http.ReadResponse(c.reader, request)
-		headBytes = c.unread.N
-		c.unread.N = math.MaxInt64
-		if err != nil && headBytes <= 0 {
-			return nil, &HeadTooLargeError{Limit: maxHeadBytes}
-		}
+		response, err := c.responses.next(request)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		if r.owns(response, fresh && unmatched == 0) {
 			return response, nil
 		}
@@ -186,16 +174,9 @@
 // Read reads the body; it returns io.EOF only at the end of a complete response.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if !errors.Is(err, io.EOF) {
-		return n, err
-	}
-	if r.EndsWithConnection && !r.done {
-		if cause := r.upload.takenReset(r.conn); cause != nil {
-			r.Close()
-			return n, &ResetError{Cause: cause}
-		}
+	if errors.Is(err, io.EOF) {
+		r.release()
 	}
-	r.release()
 	return n, err
 }
 
@@ -215,7 +196,7 @@
 		return
 	}
 	r.done = true
-	if !r.stop() || !r.keepAlive || r.conn.unmatched || r.conn.reader.Buffered() > 0 || !r.upload.written() {
+	if !r.stop() || !r.keepAlive || r.conn.unmatched || r.conn.responses.reader.Buffered() > 0 || !r.upload.written() {
 		_ = r.conn.Close()
 		return
 	}
--- a/gateway/brokenanswer_test.go
+++ b/gateway/brokenanswer_test.go
@@ -113,3 +113,70 @@
 		}
 	}
 }
+
+// malformedHeads returns the starts of heads that are none of HTTP/1, by what is wrong. Each stands before whole fields and a body.
+func malformedHeads() map[string]string {
+	return map[string]string{
+		"status 000":             "HTTP/1.1 000 Failed\r\n",
+		"status 000, then a 200": "HTTP/1.1 000 Failed\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"status 099":             "HTTP/1.1 099 Failed\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"status +20":             "HTTP/1.1 +20 Failed\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"status 101":             "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"status 600":             "HTTP/1.1 600 Failed\r\n",
+		"status 999":             "HTTP/1.1 999 Failed\r\n",
+		"version 9.9":            "HTTP/9.9 200 OK\r\n",
+		"control byte in reason": "HTTP/1.1 200 O\x00K\r\n",
+	}
+}
+
+// TestMalformedAnswer has endpoints and other gateways answer with heads that are none of HTTP/1: callers get nothing of such an
+// answer, and a request that may not run twice counts as one that may have run.
+func TestMalformedAnswer(t *testing.T) {
+	fields := fmt.Sprintf("Id: request-1\r\nSigned: a\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(pieces(0, 1)), pieces(0, 1))
+	for name, start := range malformedHeads() {
+		for _, forwards := range []bool{false, true} {
+			for _, path := range []string{"/unsafe/x", "/safe/x", "/stream/x"} {
+				t.Run(fmt.Sprintf("%s/forwards %v%s", name, forwards, path), func(t *testing.T) {
+					t.Parallel()
+					g := newGatewayBefore(t, earlyEndpoint(t, start+fields, false), forwards)
+					got := g.call(t.Context(), http.MethodPost, path, nil)
+					if got.status != http.StatusBadGateway || !got.whole || strings.Contains(got.body, "piece") {
+						t.Errorf("status %d, whole: %v, body %q", got.status, got.whole, got.body)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestMalformedAnswerReplaced has one endpoint answer with a head that is none of HTTP/1: another one answers a request that may run
+// again or goes on with its stream, and no other one gets a request that may not.
+func TestMalformedAnswerReplaced(t *testing.T) {
+	for name, start := range malformedHeads() {
+		malformed := func(c *endpointConn, _ *http.Request, _ int) bool {
+			fmt.Fprintf(c, "%sId: request-1\r\nSigned: a\r\nContent-Length: 4\r\n\r\nbody", start)
+			return false
+		}
+		for _, path := range []string{"/unsafe/x", "/safe/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				b := newEndpoint(t, "b", answering())
+				got := newGateway(t, testTable(t, nil), newEndpoint(t, "a", malformed), b).call(t.Context(), http.MethodPost, path, nil)
+				want, runs := http.StatusOK, 1
+				if path == "/unsafe/x" {
+					want, runs = http.StatusBadGateway, 0
+				}
+				if got.status != want || !got.whole || got.body == "body" || len(b.requests()) != runs {
+					t.Errorf("status %d, whole: %v, body %q, %d requests at the other endpoint", got.status, got.whole, got.body, len(b.requests()))
+				}
+			})
+		}
+		t.Run(name+", resumed stream", func(t *testing.T) {
+			t.Parallel()
+			g := newGateway(t, testTable(t, fourRuns), newEndpoint(t, "a", broken(pieces(0, 1), true)), newEndpoint(t, "b", malformed), newEndpoint(t, "c", streamRest))
+			if got := g.call(t.Context(), http.MethodPost, "/stream/x", nil); got.body != pieces(0, lastPiece) || !got.whole {
+				t.Errorf("whole: %v, body %q", got.whole, got.body)
+			}
+		})
+	}
+}
