Refuse answers with malformed field names

Callers got a 200 from an answer with "Content-Length : 4", "Transfer-Encoding : chunked" or "X Y: a" in a head, an informational head or a trailer, with that line passed on or a body that ran to the end of the connection.

Cause: net/http keeps a field whose name holds a blank under that name, where no reader of lengths and encodings finds it. It joins a line that begins with a blank to the one before, which hides a field too.

Control bytes in names and values were refused before; the tests keep that.

Fix: responseReader, which also reads the trailers, takes a line for a field only if its name is a token and its value has no control byte; the outcome is unknown.

TestEndlessHead: a header line that is continued without end now ends the exchange at its first continuation, with MalformedHeadError instead of HeadTooLargeError. The bound on what the endpoint can write and the unknown outcome are checked as before. RFC 9112, 5.2, lets a gateway refuse such an answer.

--- a/exchange/body.go
+++ b/exchange/body.go
@@ -41,7 +41,7 @@
 	return n, err
 }
 
-// chunkedBody is a body in chunks and the trailer after them, which is dropped.
+// chunkedBody is a body in chunks and the trailer after them, which is checked and dropped.
 type chunkedBody struct {
 	chunks    io.Reader
 	responses *responseReader
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -77,7 +77,7 @@
 		{"no HTTP", "", "no answer ", new(HeadTooLargeError)},
 		{"status line", "HTTP/1.1 200 ", "OK", new(HeadTooLargeError)},
 		{"header line", "HTTP/1.1 200 OK\r\nId: own\r\nX: ", "xxxx", new(HeadTooLargeError)},
-		{"continued header line", "HTTP/1.1 200 OK\r\nId: own\r\nX: x\r\n", " x\r\n", new(HeadTooLargeError)},
+		{"continued header line", "HTTP/1.1 200 OK\r\nId: own\r\nX: x\r\n", " x\r\n", new(MalformedHeadError)},
 		{"header lines", "HTTP/1.1 200 OK\r\nId: own\r\n", "X: x\r\n", new(HeadTooLargeError)},
 		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n", new(HeadTooLargeError)},
 		{"head after an unmatched response", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4\r\n\r\nbody", "no answer", new(HeadTooLargeError)},
--- a/exchange/head.go
+++ b/exchange/head.go
@@ -8,13 +8,16 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // responseReader reads the responses on a connection.
 //
 // It accepts what RFC 9112 calls a status line and field lines. net/http accepts more: other status codes and versions, control
-// bytes in the reason, and blanks in field names, which hide the fields that delimit the body. As that RFC allows, a line may end
-// without a carriage return, the blank before an empty reason may be missing, and a field may be continued on the next line.
+// bytes in the reason, and blanks in field names, which hide the fields that delimit the body. A line that begins with a blank, the
+// obsolete continuation of a field, may hide one too and is refused. As that RFC allows, a line may end without a carriage return;
+// the blank before an empty reason may be missing.
 type responseReader struct {
 	conn   net.Conn
 	reader *bufio.Reader
@@ -71,13 +74,24 @@
 	return http.ReadResponse(&b.reader, request)
 }
 
-// readFields reads the field lines up to the empty line that ends them, which it adds to text.
+// readFields reads the field lines up to the empty line that ends them, which it adds to text. A line that is not a field returns
+// *MalformedHeadError.
 func (r *responseReader) readFields(text *bytes.Buffer) error {
 	for {
 		line, err := r.readLine(text)
-		if err != nil || len(line) == 0 {
+		if err != nil {
 			return err
 		}
+		if len(line) == 0 {
+			return nil
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || !isToken(name) {
+			return &MalformedHeadError{Line: r.line, Reason: "the name of a field is not a token"}
+		}
+		if hasControlByte(value) {
+			return &MalformedHeadError{Line: r.line, Reason: "the value of a field contains a control byte"}
+		}
 	}
 }
 
@@ -133,4 +147,9 @@
 	return bytes.ContainsFunc(text, func(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f })
 }
 
+// isToken reports whether text may be the name of a field.
+func isToken(text []byte) bool {
+	return len(text) > 0 && !bytes.ContainsFunc(text, func(c rune) bool { return !httpguts.IsTokenRune(c) })
+}
+
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
--- a/exchange/head_test.go
+++ b/exchange/head_test.go
@@ -93,6 +93,73 @@
 	}
 }
 
+// malformedFields returns lines of a header that RFC 9110 does not allow.
+func malformedFields() []string {
+	lines := []string{
+		"Content-Length : 4", "Content-Length\t: 4", "Transfer-Encoding : chunked", "Id : own", "X Y: a", "X Y : a", " : a", "\t: a", ": a", ":", "X", "X Y", "X=a", "X;Y: a", "X\"Y: a",
+		"(X): a", "X/Y: a", "X[0]: a", "{X}: a", "X@Y: a", "X\xa0Y: a", "X\xe9: a", "X: a\rY: b", "X: a\r", "X\r: a", "\rX: a", " Content-Length: 4", "\tContent-Length: 4", "X: a\r\n b", "X: a\r\n\tb", "X: a\r\n Content-Length: 4", " ",
+	}
+	for c := range 0x20 {
+		if c != '\n' && c != '\t' {
+			lines = append(lines, fmt.Sprintf("X%cY: a", c), fmt.Sprintf("%cX: a", c), fmt.Sprintf("X: a%cb", c), fmt.Sprintf("X: a\r\n %cb", c))
+		}
+	}
+	return append(lines, "X\x7f: a", "X: a\x7f")
+}
+
+// fieldPlaces are responses in whose place FIELD a line stands.
+func fieldPlaces() map[string]string {
+	return map[string]string{
+		"first":                       "HTTP/1.1 200 OK\r\nFIELD\r\nId: own\r\nContent-Length: 4\r\n\r\nbody",
+		"last":                        "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 4\r\nFIELD\r\n\r\nbody",
+		"version 1.0":                 "HTTP/1.0 200 OK\r\nId: own\r\nFIELD\r\nContent-Length: 4\r\n\r\nbody",
+		"without another length":      "HTTP/1.1 200 OK\r\nId: own\r\nFIELD\r\n\r\nbody",
+		"chunks":                      "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\nFIELD\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"informational head":          "HTTP/1.1 103 Early Hints\r\nFIELD\r\n\r\nHTTP/1.1 200 OK\r\n" + ownFields,
+		"head after an informational": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nFIELD\r\n" + ownFields,
+		"head of another response":    "HTTP/1.1 503 Full\r\nId: other\r\nFIELD\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + ownFields,
+		"rejection":                   "HTTP/1.1 503 Full\r\nId: own\r\nFIELD\r\nContent-Length: 0\r\n\r\n",
+		"trailer":                     "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nFIELD\r\n\r\n",
+		"trailer, last":               "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\nTrailer: Y\r\n\r\n4\r\nbody\r\n0\r\nY: a\r\nFIELD\r\n\r\n",
+	}
+}
+
+// TestMalformedField sends responses in which a line of a head or a trailer is not a field.
+func TestMalformedField(t *testing.T) {
+	for place, text := range fieldPlaces() {
+		for _, line := range malformedFields() {
+			t.Run(fmt.Sprintf("%s/%q", place, line), func(t *testing.T) {
+				t.Parallel()
+				expectUnknown(t, strings.ReplaceAll(text, "FIELD", line))
+			})
+		}
+	}
+}
+
+// TestSoundField checks that unusual fields which the RFC allows are accepted.
+func TestSoundField(t *testing.T) {
+	for place, text := range fieldPlaces() {
+		if place == "rejection" || place == "without another length" {
+			continue
+		}
+		for _, line := range []string{"X: a", "X:a", "X:", "X: \t", "X: a:b", "!#$%&'*+-.^_`|~09aZ: a", "X: \xe4\xbd\xa0", "X: a\tb", "x-y: a\r\nX-Y: b", "X: " + strings.Repeat("a", 3<<10)} {
+			if body, err := sendTo(t, strings.ReplaceAll(text, "FIELD", line)); err != nil || body != "body" {
+				t.Errorf("%s, %q: body %q, error %v", place, line, body, err)
+			}
+		}
+	}
+}
+
+// TestUnclearEnd sends responses whose head leaves open where the body ends.
+func TestUnclearEnd(t *testing.T) {
+	for _, fields := range []string{
+		"Content-Length: 4\r\nContent-Length: 5", "Content-Length: 4, 5", "Content-Length: +4", "Content-Length: -4", "Content-Length: 4x", "Content-Length: ", "Content-Length: 99999999999999999999",
+		"Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, chunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+	} {
+		expectUnknown(t, "HTTP/1.1 200 OK\r\nId: own\r\n"+fields+"\r\n\r\nbody")
+	}
+}
+
 // TestTrailerBound sends a trailer that is longer than the bound, or that has no end.
 func TestTrailerBound(t *testing.T) {
 	const start = "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
--- a/gateway/brokenanswer_test.go
+++ b/gateway/brokenanswer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"arbutusreel/fleet"
 	"arbutusreel/routes"
@@ -126,6 +127,13 @@
 		"status 999":             "HTTP/1.1 999 Failed\r\n",
 		"version 9.9":            "HTTP/9.9 200 OK\r\n",
 		"control byte in reason": "HTTP/1.1 200 O\x00K\r\n",
+		"blank before colon":     "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n",
+		"blank before name":      "HTTP/1.1 200 OK\r\nX: a\r\n Content-Length: 4\r\n",
+		"blank in name":          "HTTP/1.1 200 OK\r\nX Y: a\r\n",
+		"control byte in name":   "HTTP/1.1 200 OK\r\nX\x01Y: a\r\n",
+		"informational":          "HTTP/1.1 103 Early Hints\r\nX Y: a\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"rejection":              "HTTP/1.1 503 Full\r\nX Y: a\r\nRejected: 1\r\n",
+		"rejection by a gateway": "HTTP/1.1 503 Full\r\nX Y: a\r\n" + outcomeHeader + ": notRun\r\n",
 	}
 }
 
@@ -180,3 +188,25 @@
 		})
 	}
 }
+
+// TestMalformedTrailer has an endpoint end an answer in chunks with a trailer that holds no field.
+func TestMalformedTrailer(t *testing.T) {
+	for _, trailer := range []string{"X Y: a", "Content-Length : 4", "X: a\r\n Y: b", "X\x01: a", "X"} {
+		for _, path := range []string{"/unsafe/x", "/stream/x"} {
+			t.Run(fmt.Sprintf("%q%s", trailer, path), func(t *testing.T) {
+				t.Parallel()
+				e := newEndpoint(t, "a", func(c *endpointConn, r *http.Request, _ int) bool {
+					c.head(r.Header.Get("Id"))
+					c.event(0)
+					time.Sleep(5 * time.Millisecond)
+					fmt.Fprintf(c, "0\r\n%s\r\n\r\n", trailer)
+					return false
+				})
+				got := newGateway(t, testTable(t, nil), e).call(t.Context(), http.MethodPost, path, nil)
+				if got.status == http.StatusOK && got.whole {
+					t.Errorf("passed as a whole answer: %q", got.body)
+				}
+			})
+		}
+	}
+}
