Refuse answers of version 1.0 with a transfer encoding

Callers got the lines of the chunks as part of a 200 if an endpoint answered by HTTP/1.0 with Transfer-Encoding: chunked. Found while the reports of malformed heads were checked.

Cause: net/http ignores the field in that version, so that the body runs to its length or to the end of the connection. RFC 9112, 6.1, regards the framing as faulty.

Fix: responseReader counts such a head as malformed; the outcome is unknown.

--- a/exchange/body.go
+++ b/exchange/body.go
@@ -66,7 +66,7 @@
 	left, limit := r.left, r.limit
 	defer func() { r.left, r.limit = left, limit }()
 	r.left, r.limit, r.line = maxTrailerBytes, maxTrailerBytes, 0
-	if err := r.readFields(new(bytes.Buffer)); err != nil {
+	if err := r.readFields(new(bytes.Buffer), false); err != nil {
 		return err
 	}
 	return io.EOF
--- a/exchange/head.go
+++ b/exchange/head.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 
 	"golang.org/x/net/http/httpguts"
@@ -67,7 +68,8 @@
 	if reason := checkStatusLine(line); reason != "" {
 		return nil, &MalformedHeadError{Line: r.line, Reason: reason}
 	}
-	if err := r.readFields(&b.text); err != nil {
+	version10 := bytes.HasPrefix(line, []byte("HTTP/1.0"))
+	if err := r.readFields(&b.text, version10); err != nil {
 		return nil, err
 	}
 	b.reader.Reset(&b.text)
@@ -75,8 +77,8 @@
 }
 
 // readFields reads the field lines up to the empty line that ends them, which it adds to text. A line that is not a field returns
-// *MalformedHeadError.
-func (r *responseReader) readFields(text *bytes.Buffer) error {
+// *MalformedHeadError, and so does a transfer encoding in a message of version 1.0: RFC 9112 regards the end of its body as unclear.
+func (r *responseReader) readFields(text *bytes.Buffer, version10 bool) error {
 	for {
 		line, err := r.readLine(text)
 		if err != nil {
@@ -92,6 +94,9 @@
 		if hasControlByte(value) {
 			return &MalformedHeadError{Line: r.line, Reason: "the value of a field contains a control byte"}
 		}
+		if version10 && strings.EqualFold(string(name), "Transfer-Encoding") {
+			return &MalformedHeadError{Line: r.line, Reason: "a response of version 1.0 has a transfer encoding"}
+		}
 	}
 }
 
--- a/exchange/head_test.go
+++ b/exchange/head_test.go
@@ -158,6 +158,10 @@
 	} {
 		expectUnknown(t, "HTTP/1.1 200 OK\r\nId: own\r\n"+fields+"\r\n\r\nbody")
 	}
+	const chunks = "4\r\nbody\r\n0\r\n\r\n"
+	for _, fields := range []string{"Transfer-Encoding: chunked", "transfer-encoding: chunked", "Transfer-Encoding: identity", "Transfer-Encoding: chunked\r\nContent-Length: 4", "Transfer-Encoding: chunked\r\nContent-Length: 14"} {
+		expectUnknown(t, "HTTP/1.0 200 OK\r\nId: own\r\n"+fields+"\r\n\r\n"+chunks)
+	}
 }
 
 // TestTrailerBound sends a trailer that is longer than the bound, or that has no end.
