--- a/exchange/head.go
+++ b/exchange/head.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 
 	"golang.org/x/net/http/httpguts"
 )
 
+// usualHeadBytes is what most heads fit into.
+const usualHeadBytes = 512
+
 // responseReader reads the responses on a connection.
 //
 // It accepts what RFC 9112 calls a status line and field lines. net/http accepts more: other status codes and versions, control
@@ -32,14 +34,6 @@
 	r.upload, r.left, r.limit = u, limit, limit
 }
 
-// headBuffer holds the bytes of one head while net/http decodes it.
-type headBuffer struct {
-	text   bytes.Buffer
-	reader bufio.Reader
-}
-
-var headBuffers = sync.Pool{New: func() any { return &headBuffer{} }}
-
 // next returns the next response that is not informational, with its body. A head that is not sound returns
 // *MalformedHeadError, and one with too many bytes *HeadTooLargeError.
 func (r *responseReader) next(request *http.Request) (*http.Response, error) {
@@ -57,11 +51,10 @@
 
 // readHead returns the next response, which may be informational, without its body.
 func (r *responseReader) readHead(request *http.Request) (*http.Response, error) {
-	b := headBuffers.Get().(*headBuffer)
-	defer headBuffers.Put(b)
-	b.text.Reset()
+	var text bytes.Buffer
+	text.Grow(usualHeadBytes)
 	r.line = 0
-	line, err := r.readLine(&b.text)
+	line, err := r.readLine(&text)
 	if err != nil {
 		return nil, err
 	}
@@ -69,11 +62,10 @@
 		return nil, &MalformedHeadError{Line: r.line, Reason: reason}
 	}
 	version10 := bytes.HasPrefix(line, []byte("HTTP/1.0"))
-	if err := r.readFields(&b.text, version10); err != nil {
+	if err := r.readFields(&text, version10); err != nil {
 		return nil, err
 	}
-	b.reader.Reset(&b.text)
-	return http.ReadResponse(&b.reader, request)
+	return http.ReadResponse(bufio.NewReaderSize(&text, text.Len()), request)
 }
 
 // readFields reads the field lines up to the empty line that ends them, which it adds to text. A line that is not a field returns
--- a/rawresponse/serve.go
+++ b/rawresponse/serve.go
@@ -27,7 +27,7 @@
 // Serve answers the first bytes of each connection with the text, ends the connection, and returns the server's address.
 func Serve(tb testing.TB, text string, end End) (address string) {
 	tb.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(tb.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -45,7 +45,7 @@
 }
 
 func answer(c *net.TCPConn, text string, end End) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	if _, err := c.Read(make([]byte, 1<<10)); err != nil {
 		return
 	}
