Test resets after a pause, and answers by way of a second gateway

The raw servers of the tests also reset 30 ms after their answer, and the tests of broken answers send requests through a second gateway too.

--- a/endpoint/malformed_test.go
+++ b/endpoint/malformed_test.go
@@ -65,14 +65,14 @@
 		"length":    {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", true},
 		"chunks":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true},
 	} {
-		for _, end := range []rawresponse.End{rawresponse.Reset, rawresponse.Closed, rawresponse.ClosedUnread, rawresponse.ClosedThenReset} {
+		for _, end := range rawresponse.Ends() {
 			t.Run(name+", "+string(end), func(t *testing.T) {
 				t.Parallel()
 				e := membership.Endpoint{Name: "desk", Address: rawresponse.Serve(t, c.text, end)}
 				for range 8 {
 					reply, err := NewPlainClient().Call(t.Context(), e, dispatch.Request{Method: http.MethodPost, Path: "/orders", Body: order})
 					var unknown *OutcomeUnknownError
-					if complete := c.sized || end != rawresponse.Reset; complete != (err == nil) || err != nil && !errors.As(err, &unknown) || complete && string(reply.Body) != "body" {
+					if complete := c.sized || end.Orderly(); complete != (err == nil) || err != nil && !errors.As(err, &unknown) || complete && string(reply.Body) != "body" {
 						t.Errorf("status %d, body %q, error %v", reply.Status, reply.Body, err)
 					}
 				}
--- a/exchange/upload_test.go
+++ b/exchange/upload_test.go
@@ -27,12 +27,12 @@
 		"chunks":            {"HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", true},
 	}
 	for name, f := range framings {
-		for _, end := range []rawresponse.End{rawresponse.Reset, rawresponse.Closed, rawresponse.ClosedUnread, rawresponse.ClosedThenReset} {
+		for _, end := range rawresponse.Ends() {
 			for _, size := range []int{uploadBytes, 300 << 10} {
 				t.Run(fmt.Sprintf("%s/%s/%d", name, end, size), func(t *testing.T) {
 					t.Parallel()
 					for range 8 {
-						checkEarlyAnswer(t, f.whole, end, size, f.delimitsItself || end != rawresponse.Reset)
+						checkEarlyAnswer(t, f.whole, end, size, f.delimitsItself || end.Orderly())
 						if f.part != "" {
 							checkEarlyAnswer(t, f.part, end, size, false)
 						}
--- a/gateway/brokenanswer_test.go
+++ b/gateway/brokenanswer_test.go
@@ -31,11 +31,31 @@
 	return result{status: a.StatusCode, header: a.Header, body: string(b), whole: err == nil, err: err}
 }
 
-// newGatewayBefore returns a gateway that sends requests to the address of an endpoint, or forwards them to it as to another gateway.
-func newGatewayBefore(t *testing.T, address string, forwards bool) *testGateway {
+// way is how a request gets from the caller's gateway to a server.
+type way string
+
+const (
+	// direct sends the request to the server as to an endpoint.
+	direct way = "direct"
+	// throughGateway forwards it to a gateway of another region, which sends it to the server.
+	throughGateway way = "through a gateway"
+	// asGateway forwards it to the server as to a gateway of another region.
+	asGateway way = "as to a gateway"
+)
+
+func ways() []way { return []way{direct, throughGateway, asGateway} }
+
+// newGatewayBefore returns a gateway whose requests get to the server at the address in the given way.
+func newGatewayBefore(t *testing.T, address string, w way) *testGateway {
 	t.Helper()
-	if !forwards {
-		return newGateway(t, testTable(t, nil), &testEndpoint{id: "a", address: address})
+	if w != asGateway {
+		g := newGateway(t, testTable(t, nil), &testEndpoint{id: "a", address: address})
+		if w == direct {
+			return g
+		}
+		here := newGateway(t, testTable(t, nil))
+		connectRegions(t, here, g)
+		return here
 	}
 	g := newGateway(t, testTable(t, func(r *routes.Route) { r.HomeRegions = []string{"there"} }))
 	g.changeView(func(v *view) {
@@ -58,15 +78,15 @@
 		"chunks":            head + events + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(text), text),
 	}
 	for name, answer := range framings {
-		for _, end := range []rawresponse.End{rawresponse.Reset, rawresponse.Closed} {
-			for _, forwards := range []bool{false, true} {
+		for _, end := range rawresponse.Ends() {
+			for _, way := range ways() {
 				for _, path := range []string{"/unsafe/x", "/stream/x"} {
-					t.Run(fmt.Sprintf("%s/%s/forwards %v%s", name, end, forwards, path), func(t *testing.T) {
+					t.Run(fmt.Sprintf("%s/%s/%s%s", name, end, way, path), func(t *testing.T) {
 						t.Parallel()
-						complete := end == rawresponse.Closed || name == "length" || name == "chunks"
+						complete := end.Orderly() || name == "length" || name == "chunks"
 						address := rawresponse.Serve(t, answer, end)
 						for range 4 {
-							got := newGatewayBefore(t, address, forwards).upload(t, path)
+							got := newGatewayBefore(t, address, way).upload(t, path)
 							if complete && (got.status != http.StatusOK || !got.whole || got.body != text) {
 								t.Errorf("status %d, whole: %v, body %q", got.status, got.whole, got.body)
 							}
@@ -94,11 +114,11 @@
 // as a whole one, and a request that may not run twice counts as one that may have run.
 func TestMalformedAnswer(t *testing.T) {
 	for name, answer := range malformedAnswers(pieces(0, 1)) {
-		for _, forwards := range []bool{false, true} {
+		for _, way := range ways() {
 			for _, path := range []string{"/unsafe/x", "/safe/x", "/stream/x"} {
-				t.Run(fmt.Sprintf("%s/forwards %v%s", name, forwards, path), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%s/%s%s", name, way, path), func(t *testing.T) {
 					t.Parallel()
-					got := newGatewayBefore(t, rawresponse.Serve(t, answer, rawresponse.Closed), forwards).call(t.Context(), http.MethodPost, path, nil)
+					got := newGatewayBefore(t, rawresponse.Serve(t, answer, rawresponse.Closed), way).call(t.Context(), http.MethodPost, path, nil)
 					if path == "/stream/x" && strings.Contains(name, "trailer") {
 						// Events are passed on before the trailer arrives.
 						if got.whole {
--- a/rawresponse/serve.go
+++ b/rawresponse/serve.go
@@ -13,6 +13,8 @@
 // Ends of a connection.
 const (
 	Reset End = "reset"
+	// ResetLater is a reset after a pause, in which the server reads nothing.
+	ResetLater End = "reset later"
 	// Closed is an orderly end; the server reads the rest of the request.
 	Closed End = "closed"
 	// ClosedUnread is an orderly end after which the server reads nothing for a while.
@@ -21,8 +23,17 @@
 	ClosedThenReset End = "closed, then reset"
 )
 
-// unreadPause is how long a server reads nothing after the orderly end ClosedUnread.
-const unreadPause = 300 * time.Millisecond
+// Pauses in which a server reads nothing, before the end ResetLater and after the end ClosedUnread.
+const (
+	resetPause  = 30 * time.Millisecond
+	unreadPause = 300 * time.Millisecond
+)
+
+// Orderly reports whether the connection is ended in order.
+func (e End) Orderly() bool { return e != Reset && e != ResetLater }
+
+// Ends returns all ends of a connection.
+func Ends() []End { return []End{Reset, ResetLater, Closed, ClosedUnread, ClosedThenReset} }
 
 // Serve answers the first bytes of each connection with the text, ends the connection, and returns the server's address.
 func Serve(tb testing.TB, text string, end End) (address string) {
@@ -50,7 +61,10 @@
 		return
 	}
 	_, _ = io.WriteString(c, text)
-	if end == Reset {
+	if end == ResetLater {
+		time.Sleep(resetPause)
+	}
+	if !end.Orderly() {
 		_ = c.SetLinger(0)
 		return
 	}
