exchange: forget addresses without idle connections; rename two methods

A Transport kept an empty list for each address whose connections had all been taken. No behaviour changes otherwise.

--- a/exchange/head.go
+++ b/exchange/head.go
@@ -12,7 +12,7 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// usualHeadBytes is what most heads fit into.
+// usualHeadBytes is the initial size of the buffer for a head.
 const usualHeadBytes = 512
 
 // responseReader reads the responses on a connection.
--- a/exchange/head_test.go
+++ b/exchange/head_test.go
@@ -108,7 +108,7 @@
 	return append(lines, "X\x7f: a", "X: a\x7f")
 }
 
-// fieldPlaces are responses in whose place FIELD a line stands.
+// fieldPlaces returns responses, by the place of a line of their heads or trailers, for which FIELD stands.
 func fieldPlaces() map[string]string {
 	return map[string]string{
 		"first":                       "HTTP/1.1 200 OK\r\nFIELD\r\nId: own\r\nContent-Length: 4\r\n\r\nbody",
--- a/exchange/transport.go
+++ b/exchange/transport.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"time"
 )
@@ -70,7 +71,7 @@
 		r = r.WithContext(r.Context())
 		r.Close = true
 	}
-	c, err := t.connection(r)
+	c, err := t.connect(r)
 	if err != nil {
 		if r.Body != nil {
 			_ = r.Body.Close()
@@ -81,7 +82,7 @@
 		trace.GotConn(httptrace.GotConnInfo{Conn: c.Conn, Reused: c.requestCount > 0})
 	}
 	stop := context.AfterFunc(r.Context(), func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	response, u, err := t.exchange(c, r)
+	response, u, err := t.send(c, r)
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -106,9 +107,9 @@
 	return err
 }
 
-// exchange writes the request and reads the head of its response. A request with a long body, or with one of unknown length, is
+// send writes the request and reads the head of its response. A request with a long body, or with one of unknown length, is
 // written in the background.
-func (t *Transport) exchange(c *connection, r *http.Request) (*http.Response, *upload, error) {
+func (t *Transport) send(c *connection, r *http.Request) (*http.Response, *upload, error) {
 	if r.ContentLength > maxInlineBody || r.ContentLength < 0 || r.ContentLength == 0 && r.Body != nil && r.Body != http.NoBody {
 		u := startUpload(func() error { return c.writeRequest(r) })
 		c.responses.begin(u, t.cfg.MaxHeadBytes)
@@ -134,7 +135,7 @@
 // writeRequest writes the request. If it fails for another reason than a failure of the connection, no response is to be expected,
 // and it closes the connection.
 func (c *connection) writeRequest(r *http.Request) error {
-	// Request.Write hides the errors of both in one that cannot be unwrapped.
+	// Request.Write wraps the errors of body and connection in one type, without Unwrap.
 	w, body := &errorWriter{w: c.Conn}, &errorReader{ReadCloser: r.Body}
 	if r.Body != nil && r.Body != http.NoBody {
 		r = r.WithContext(r.Context())
@@ -183,8 +184,8 @@
 	return n, err
 }
 
-// connection returns an idle connection to the host of a request, or a new one.
-func (t *Transport) connection(r *http.Request) (*connection, error) {
+// connect returns an idle connection to the host of a request, or a new one.
+func (t *Transport) connect(r *http.Request) (*connection, error) {
 	port := r.URL.Port()
 	if port == "" && r.URL.Scheme == "https" {
 		port = "443"
@@ -238,7 +239,7 @@
 		return nil
 	}
 	c := conns[len(conns)-1]
-	t.idle[key] = conns[:len(conns)-1]
+	t.setIdle(key, conns[:len(conns)-1])
 	c.timer.Stop()
 	return c.connection
 }
@@ -262,15 +263,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	conns := t.idle[dropped.address]
-	for i, c := range conns {
-		if c == dropped {
-			_ = c.Close()
-			t.idle[dropped.address] = append(conns[:i:i], conns[i+1:]...)
-		}
+	if i := slices.Index(conns, dropped); i >= 0 {
+		_ = dropped.Close()
+		t.setIdle(dropped.address, slices.Delete(conns, i, i+1))
 	}
-	if len(t.idle[dropped.address]) == 0 {
-		delete(t.idle, dropped.address)
+}
+
+// setIdle replaces the idle connections to an address. The caller holds the lock.
+func (t *Transport) setIdle(key string, conns []*idleConnection) {
+	if len(conns) == 0 {
+		delete(t.idle, key)
+		return
 	}
+	t.idle[key] = conns
 }
 
 // CloseIdleConnections closes the connections that carry no request.
