exchange: keep a connection whose request was written as its response ended

A Transport closed its connection after a complete response if the writer of a long request had not yet recorded that its last write was done, although the request had been sent whole. Callers saw no failure, but the next request had to open a connection.

Fix: like http.Transport, wait up to 50 ms for the writer before the connection is judged. A response whose connection is not to be kept does not wait. Connections of requests that ask for their connection's end are no longer kept either. Pool is unchanged.

--- a/exchange/transport.go
+++ b/exchange/transport.go
@@ -19,6 +19,9 @@
 	defaultMaxHeadBytes = 64 << 10
 )
 
+// maxWrittenWait bounds how long a complete response waits for its request to be written; http.Transport waits as long.
+const maxWrittenWait = 50 * time.Millisecond
+
 // TransportConfig configures a Transport.
 type TransportConfig struct {
 	// Dial opens a connection to an address of the form host:port; nil selects a net.Dialer.
@@ -89,7 +92,7 @@
 		return nil, joinContext(r.Context(), err)
 	}
 	body := &transportBody{
-		ReadCloser: response.Body, ctx: r.Context(), transport: t, conn: c, stop: stop, upload: u, keepAlive: !response.Close && response.ProtoAtLeast(1, 1),
+		ReadCloser: response.Body, ctx: r.Context(), transport: t, conn: c, stop: stop, upload: u, keepAlive: !r.Close && !response.Close && response.ProtoAtLeast(1, 1),
 	}
 	if response.Body == http.NoBody {
 		body.end(true)
@@ -328,8 +331,8 @@
 // end ends the exchange; complete reports that the response has been read to its end.
 func (b *transportBody) end(complete bool) {
 	b.once.Do(func() {
-		stopped := b.stop()
-		if complete && stopped && b.keepAlive && b.conn.responses.reader.Buffered() == 0 && b.upload.written() {
+		reusable := complete && b.keepAlive && b.conn.responses.reader.Buffered() == 0 && b.upload.writtenWithin(maxWrittenWait)
+		if stopped := b.stop(); stopped && reusable {
 			b.transport.putIdle(b.conn)
 			return
 		}
--- a/exchange/transport_test.go
+++ b/exchange/transport_test.go
@@ -66,6 +66,31 @@
 	return string(b), err
 }
 
+// lateConn returns from its writes some time after the other side can read them.
+type lateConn struct {
+	*net.TCPConn
+}
+
+// Write writes p.
+func (c lateConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	time.Sleep(5 * time.Millisecond)
+	return n, err
+}
+
+// dialLate opens a lateConn.
+func dialLate(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil, fmt.Errorf("connection of type %T", conn)
+	}
+	return lateConn{tcp}, nil
+}
+
 // TestTransportConnections sends requests one after another, with bodies of known and unknown length, and counts the connections.
 func TestTransportConnections(t *testing.T) {
 	const n = 5
@@ -73,7 +98,10 @@
 		cfg   TransportConfig
 		conns int32
 	}{
-		"kept": {TransportConfig{IdleTimeout: time.Minute, MaxIdle: 1}, 1}, "none kept": {TransportConfig{IdleTimeout: time.Minute}, n}, "single": {TransportConfig{}, n},
+		"kept":              {TransportConfig{IdleTimeout: time.Minute, MaxIdle: 1}, 1},
+		"kept, late writes": {TransportConfig{Dial: dialLate, IdleTimeout: time.Minute, MaxIdle: 1}, 1},
+		"none kept":         {TransportConfig{IdleTimeout: time.Minute}, n},
+		"single":            {TransportConfig{}, n},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newCountingServer(t, echo)
--- a/exchange/upload.go
+++ b/exchange/upload.go
@@ -42,6 +42,19 @@
 	}
 }
 
+// writtenWithin reports whether the whole request has been written, or is within the limit. The response may arrive before the last
+// write returns.
+func (u *upload) writtenWithin(limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-u.done:
+		return u.err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // takenReset returns the error of the connection that the upload has taken, or nil if the connection ended in order. It is called
 // when a read has reached the end, and ends the upload.
 //
