--- a/control/malformed_test.go
+++ b/control/malformed_test.go
@@ -8,8 +8,8 @@
 	"arbutusreel/wiregen"
 )
 
-// TestMalformedOrderReply has engines answer orders with heads or trailers that are none of HTTP/1: the order does not count as applied,
-// and the engine has not refused it either.
+// TestMalformedOrderReply has engines answer orders with heads or trailers that are not valid HTTP/1: the order counts neither as applied
+// nor as refused.
 func TestMalformedOrderReply(t *testing.T) {
 	for name, text := range rawresponse.Malformed("Content-Type: application/json\r\n", `{"applied":true}`) {
 		t.Run(name, func(t *testing.T) {
--- a/directory/malformed_test.go
+++ b/directory/malformed_test.go
@@ -10,8 +10,8 @@
 	"arbutusreel/rawresponse"
 )
 
-// TestMalformedResponse has a directory answer with heads or trailers that are none of HTTP/1: nothing counts as published or listed,
-// and the directory has not refused it either.
+// TestMalformedResponse has a directory answer with heads or trailers that are not valid HTTP/1: each call fails, but does not count
+// as refused by the directory.
 func TestMalformedResponse(t *testing.T) {
 	for name, text := range rawresponse.Malformed("Content-Type: application/json\r\n", `{"entries":[]}`) {
 		t.Run(name, func(t *testing.T) {
--- a/endpoint/malformed_test.go
+++ b/endpoint/malformed_test.go
@@ -14,7 +14,7 @@
 	"arbutusreel/rawresponse"
 )
 
-// TestMalformedReply has plain services answer with heads or trailers that are none of HTTP/1: the outcome of the call is unknown.
+// TestMalformedReply has plain services answer with heads or trailers that are not valid HTTP/1: the outcome of the call is unknown.
 func TestMalformedReply(t *testing.T) {
 	for name, text := range rawresponse.Malformed("", "body") {
 		for _, method := range []string{http.MethodPost, http.MethodGet} {
@@ -30,8 +30,8 @@
 	}
 }
 
-// TestMalformedEngineAnswer has engines answer with heads that are none of HTTP/1: the caller gets nothing of them, and a refusal in
-// one does not count as not run.
+// TestMalformedEngineAnswer has engines answer with heads that are not valid HTTP/1: the caller receives no part of such an answer, and
+// a refusal with such a head does not show that the request was not run.
 func TestMalformedEngineAnswer(t *testing.T) {
 	whole := append(bytes.Join(wholeEvents(requestID, 1, 2), nil), event([]byte(completion.Done))...)
 	refusal := problem.Encode(problem.New(problem.NoCapacity, http.StatusServiceUnavailable, "full"), requestID)
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -79,7 +79,7 @@
 
 // MalformedHeadError reports that the head or the trailer of a response is not one of HTTP/1.
 type MalformedHeadError struct {
-	// Line is the number of the line, counted from 1.
+	// Line is the number of the line in the head or trailer, counted from 1.
 	Line   int
 	Reason string
 }
--- a/exchange/fuzz_test.go
+++ b/exchange/fuzz_test.go
@@ -35,7 +35,7 @@
 	encodingIn10      = regexp.MustCompile(`^HTTP/1\.0(?:.*\n)+?(?i:Transfer-Encoding):`)
 )
 
-// bytesConn is a connection that has ended in order after its bytes.
+// bytesConn is a connection that yields the bytes of its reader and then ends in order.
 type bytesConn struct {
 	net.Conn
 	io.Reader
@@ -45,7 +45,7 @@
 
 func (*bytesConn) SetWriteDeadline(time.Time) error { return nil }
 
-// decoded is what a reader makes of the bytes of a response.
+// decoded is a response as it was read, with the number of bytes after it.
 type decoded struct {
 	status int
 	header http.Header
@@ -99,7 +99,7 @@
 	}
 }
 
-// checkDecoded compares what responseReader makes of the bytes with the grammar, with net/http, and with the same bytes one by one.
+// checkDecoded reads the bytes with responseReader and compares the result with the grammar, with net/http and with a read byte by byte.
 func checkDecoded(tb interface{ Fatalf(string, ...any) }, text []byte) {
 	got, err := decode(strings.NewReader(string(text)))
 	if again, errAgain := decode(iotest.OneByteReader(strings.NewReader(string(text)))); !reflect.DeepEqual(got, again) || (err == nil) != (errAgain == nil) {
--- a/exchange/head.go
+++ b/exchange/head.go
@@ -18,8 +18,8 @@
 // responseReader reads the responses on a connection.
 //
 // It accepts what RFC 9112 calls a status line and field lines. net/http accepts more: other status codes and versions, control
-// bytes in the reason, and blanks in field names, which hide the fields that delimit the body. A line that begins with a blank, the
-// obsolete continuation of a field, may hide one too and is refused. As that RFC allows, a line may end without a carriage return;
+// bytes in the reason, and blanks in field names, which hide the fields that delimit the body. Obsolete line
+// folding (RFC 9112, 5.2) may hide such a field too and is refused. As that RFC allows, a line may end without a carriage return;
 // the blank before an empty reason may be missing.
 type responseReader struct {
 	conn   net.Conn
--- a/exchange/head_test.go
+++ b/exchange/head_test.go
@@ -15,7 +15,7 @@
 // ownFields are the fields of a whole response to the test request.
 const ownFields = "Id: own\r\nContent-Length: 4\r\n\r\nbody"
 
-// sendTo sends the test request to an endpoint that writes the text and ends the connection in order.
+// sendTo sends the test request to an endpoint that answers with the text and closes the connection.
 func sendTo(t *testing.T, text string) (body string, err error) {
 	t.Helper()
 	status, body, _, err := exchangeOnce(t, newKeptPool(t), rawresponse.Serve(t, text, rawresponse.Closed), testRequest())
--- a/exchange/transport.go
+++ b/exchange/transport.go
@@ -28,7 +28,7 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// TLS is the configuration for https; nil selects that of the system.
 	TLS *tls.Config
-	// MaxHeadBytes bounds the head of a response and the informational ones before it; zero selects 64 KB.
+	// MaxHeadBytes bounds the heads of a response and of the informational responses before it, in all; zero selects 64 KB.
 	MaxHeadBytes int
 	// IdleTimeout is how long an idle connection is kept, and MaxIdle how many are kept to each address. With a zero one each request
 	// has a connection of its own.
@@ -135,8 +135,8 @@
 	return response, u, err
 }
 
-// writeRequest writes the request. If it fails for another reason than a failure of the connection, no response is to be expected,
-// and it closes the connection.
+// writeRequest writes the request. It closes the connection after an error that is not one of the connection, such as one of the
+// body, as no response can be expected then.
 func (c *connection) writeRequest(r *http.Request) error {
 	// Request.Write wraps the errors of body and connection in one type, without Unwrap.
 	w, body := &errorWriter{w: c.Conn}, &errorReader{ReadCloser: r.Body}
@@ -164,7 +164,7 @@
 	err error
 }
 
-// Write writes p.
+// Write writes p and keeps the error.
 func (w *errorWriter) Write(p []byte) (int, error) {
 	n, err := w.w.Write(p)
 	w.err = err
@@ -178,7 +178,7 @@
 	err error
 }
 
-// Read reads the body.
+// Read reads the body and keeps the error, unless it is io.EOF.
 func (r *errorReader) Read(p []byte) (int, error) {
 	n, err := r.ReadCloser.Read(p)
 	if !errors.Is(err, io.EOF) {
--- a/exchange/transport_test.go
+++ b/exchange/transport_test.go
@@ -71,7 +71,7 @@
 	*net.TCPConn
 }
 
-// Write writes p.
+// Write writes p and returns after a pause.
 func (c lateConn) Write(p []byte) (int, error) {
 	n, err := c.TCPConn.Write(p)
 	time.Sleep(5 * time.Millisecond)
@@ -233,7 +233,7 @@
 	}
 }
 
-// TestTransportMalformed sends requests to servers that answer with heads or trailers that are none of HTTP/1.
+// TestTransportMalformed sends requests to servers that answer with heads or trailers that are not valid HTTP/1.
 func TestTransportMalformed(t *testing.T) {
 	for name, text := range rawresponse.Malformed("", "body") {
 		t.Run(name, func(t *testing.T) {
--- a/exchange/upload.go
+++ b/exchange/upload.go
@@ -25,7 +25,7 @@
 	return u
 }
 
-// finishedUpload returns an upload that has been written.
+// finishedUpload returns an upload whose request has already been written.
 func finishedUpload() *upload {
 	u := &upload{done: make(chan struct{})}
 	close(u.done)
--- a/gateway/brokenanswer_test.go
+++ b/gateway/brokenanswer_test.go
@@ -13,7 +13,7 @@
 	"arbutusreel/routes"
 )
 
-// upload sends a request with a body of 4 MB, which the socket buffers do not take.
+// upload sends a request whose body of 4 MB exceeds the socket buffers.
 func (g *testGateway) upload(t *testing.T, path string) result {
 	t.Helper()
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, g.server.URL+path, strings.NewReader(strings.Repeat("x", 4<<20)))
@@ -31,7 +31,7 @@
 	return result{status: a.StatusCode, header: a.Header, body: string(b), whole: err == nil, err: err}
 }
 
-// way is how a request gets from the caller's gateway to a server.
+// way is the route of a request from the caller's gateway to a server.
 type way string
 
 const (
@@ -101,7 +101,7 @@
 	}
 }
 
-// malformedAnswers returns answers to the test request whose head or trailer is none of HTTP/1.
+// malformedAnswers returns answers to the test request whose head or trailer is not valid HTTP/1.
 func malformedAnswers(body string) map[string]string {
 	answers := rawresponse.Malformed("Id: request-1\r\nSigned: a\r\nContent-Type: text/event-stream\r\n", body)
 	sized := fmt.Sprintf("Id: request-1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
@@ -110,8 +110,8 @@
 	return answers
 }
 
-// TestMalformedAnswer has endpoints and other gateways answer with heads or trailers that are none of HTTP/1: callers get no such answer
-// as a whole one, and a request that may not run twice counts as one that may have run.
+// TestMalformedAnswer has endpoints and other gateways answer with heads or trailers that are not valid HTTP/1: no caller gets such an
+// answer as a complete one, and a request that may not run twice counts as one that may have run.
 func TestMalformedAnswer(t *testing.T) {
 	for name, answer := range malformedAnswers(pieces(0, 1)) {
 		for _, way := range ways() {
@@ -135,7 +135,7 @@
 	}
 }
 
-// TestMalformedAnswerReplaced has one endpoint answer with a head or trailer that is none of HTTP/1: another one answers a request that
+// TestMalformedAnswerReplaced has one endpoint answer with a head or trailer that is not valid HTTP/1: another one answers a request that
 // may run again or goes on with its stream, and no other one gets a request that may not.
 func TestMalformedAnswerReplaced(t *testing.T) {
 	const wrong = "id: 2\ndata: wrong\n\n"
--- a/operator/malformed_test.go
+++ b/operator/malformed_test.go
@@ -13,8 +13,8 @@
 	"arbutusreel/wiregen"
 )
 
-// TestMalformedReply has a voter answer a change with heads or trailers that are none of HTTP/1: the change may have been accepted,
-// also if the answer says that it was refused.
+// TestMalformedReply has a voter answer a change with heads or trailers that are not valid HTTP/1: the outcome of the change is
+// unknown, even if the answer says that it was refused.
 func TestMalformedReply(t *testing.T) {
 	refusal := string(problem.Encode(problem.New(problem.Forbidden, http.StatusForbidden, "no"), "a"))
 	for kind, body := range map[string]string{"accepted": `{"revision":"1"}`, "refused": refusal} {
--- a/rawresponse/malformed.go
+++ b/rawresponse/malformed.go
@@ -2,8 +2,8 @@
 
 import "strconv"
 
-// Malformed returns responses whose head or trailer is none of HTTP/1, by what is wrong with them. The fields, each with its line end,
-// and the body would make a sound response of each.
+// Malformed returns responses whose head or trailer is not valid HTTP/1, keyed by their defect. Each has the given body and fields;
+// each field ends with a line break.
 func Malformed(fields, body string) map[string]string {
 	responses := map[string]string{}
 	for name, start := range map[string]string{
--- a/rawresponse/serve.go
+++ b/rawresponse/serve.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// End is how a server ends a connection, on which a request may still be written.
+// End is the way in which a server ends a connection while the client may still be sending its request.
 type End string
 
 // Ends of a connection.
@@ -32,7 +32,7 @@
 // Orderly reports whether the connection is ended in order.
 func (e End) Orderly() bool { return e != Reset && e != ResetLater }
 
-// Ends returns all ends of a connection.
+// Ends returns all values of End.
 func Ends() []End { return []End{Reset, ResetLater, Closed, ClosedUnread, ClosedThenReset} }
 
 // Serve answers the first bytes of each connection with the text, ends the connection, and returns the server's address.
