control: keep replacements in the log and signs of life at every voter

Cause: the join that allows the removal of a failed voter was in the leader's memory, and a voter's silence was counted from the leader's election. Both were lost with the leader, and failed voters stayed members.

Why it works: the permission and its suspects are part of the member that joined, in the log; leaders' requests and their replies carry the age of the last sign of life of silent members, so that a new leader knows it. A voter that was heard from, or that may be paused, is not a suspect. Daemons that join don't wait for unreachable ones.

--- a/consensus/check.go
+++ b/consensus/check.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "slices"
+
 // maxNumber bounds terms, indices, rounds and times, so that arithmetic on them cannot overflow.
 const maxNumber = 1 << 60
 
@@ -12,6 +14,8 @@
 		return &MalformedError{Part: "sender of the message"}
 	case !allInRange(m.Term, m.Index, m.LogTerm, m.Commit, m.Match, m.Round, int64(m.SentAt)):
 		return &MalformedError{Part: "number in the message"}
+	case slices.ContainsFunc(m.Contacts, func(c Contact) bool { return !allInRange(int64(c.Age)) }):
+		return &MalformedError{Part: "contact in the message"}
 	case m.Kind == InstallRequest && m.Snapshot == nil:
 		return &MalformedError{Part: "snapshot of the message"}
 	}
@@ -72,6 +76,9 @@
 			return &MalformedError{Part: "names of the members"}
 		}
 		names[member.ID.Name] = true
+		if r := member.Replacement; r != nil && !allInRange(int64(r.Uptime)) {
+			return &MalformedError{Part: "replacement of a member"}
+		}
 	}
 	if len(m.Voters()) == 0 {
 		return &MalformedError{Part: "voters of the members"}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -28,6 +28,12 @@
 	commit         int64
 	applied        int64
 
+	// contacts holds the last signs of life of the other members.
+	contacts map[ID]contact
+	stopping bool
+	// leaderClock is that of the last leader.
+	leaderClock leaderClock
+
 	leader ID
 	// lastLeaderContact is the time of the last message from a leader, or the node's start time.
 	lastLeaderContact time.Time
@@ -50,7 +56,7 @@
 
 // New returns a node that starts at now with the persisted state r.
 func New(cfg Config, r Restored, now time.Time, rnd *rand.Rand) *Node {
-	n := &Node{cfg: cfg, rnd: rnd, started: now, hardState: r.HardState, persistedState: r.HardState, log: newLog(r), snapshot: r.Snapshot}
+	n := &Node{cfg: cfg, rnd: rnd, started: now, hardState: r.HardState, persistedState: r.HardState, log: newLog(r), snapshot: r.Snapshot, contacts: map[ID]contact{}}
 	if r.Snapshot != nil {
 		n.commit, n.applied = r.Snapshot.Index, r.Snapshot.Index
 	}
@@ -110,6 +116,7 @@
 	if m.To != n.cfg.Self {
 		return
 	}
+	n.recordContacts(now, m)
 	switch m.Kind {
 	case BootstrapReply:
 		n.onBootstrapReply(now, m)
@@ -145,14 +152,14 @@
 		n.onVoteReply(now, m)
 	case AppendRequest:
 		n.observeLeader(now, m)
-		n.onAppend(m)
+		n.onAppend(now, m)
 		// A new leader knows what was committed before its term once an entry of its term is.
 		if term, ok := n.log.term(n.commit); ok && term == m.Term && n.commit >= m.Commit {
 			n.caughtUpAt = now
 		}
 	case InstallRequest:
 		n.observeLeader(now, m)
-		n.onInstall(m)
+		n.onInstall(now, m)
 	case AppendReply:
 		n.onAppendReply(now, m)
 	case TimeoutNow:
@@ -181,7 +188,7 @@
 
 func (n *Node) send(to ID, address string, m Message) {
 	m.From, m.FromAddress = n.cfg.Self, n.cfg.Address
-	m.To, m.ToAddress = to, address
+	m.To, m.ToAddress, m.Stopping = to, address, n.stopping
 	if m.Term == 0 {
 		m.Term = n.hardState.Term
 	}
@@ -226,15 +233,5 @@
 	return s
 }
 
-// SinceAcknowledged returns, on a leader, the time since it sent the newest request that each other member has
-// acknowledged, but at most the time since this node became the leader; on any other node it returns an empty map.
-func (n *Node) SinceAcknowledged(now time.Time) map[ID]time.Duration {
-	durations := make(map[ID]time.Duration, len(n.progress))
-	for id, p := range n.progress {
-		durations[id] = min(now.Sub(p.ackedAt), now.Sub(n.leaderSince))
-	}
-	return durations
-}
-
 // majority returns the smallest number of voters that is a majority of count.
 func majority(count int) int { return count/2 + 1 }
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -59,6 +59,7 @@
 		}
 	}
 	n.progress = kept
+	n.trimContacts()
 }
 
 // tickLeader sends heartbeats and promotes a learner, or steps down if no majority has acknowledged a request within
@@ -98,7 +99,7 @@
 func (n *Node) sendAppend(now time.Time, to Member, index, term int64, entries []Entry) {
 	n.send(to.ID, to.Address, Message{
 		Kind: AppendRequest, Index: index, LogTerm: term, Entries: entries,
-		Commit: n.commit, Round: n.round, SentAt: now.Sub(n.started),
+		Commit: n.commit, Round: n.round, SentAt: now.Sub(n.started), Contacts: n.silentMembers(now),
 	})
 }
 
@@ -117,7 +118,7 @@
 		term, ok := n.log.term(p.next - 1)
 		if !ok {
 			n.send(member.ID, member.Address, Message{
-				Kind: InstallRequest, Snapshot: n.snapshot, Commit: n.commit, Round: n.round, SentAt: now.Sub(n.started),
+				Kind: InstallRequest, Snapshot: n.snapshot, Commit: n.commit, Round: n.round, SentAt: now.Sub(n.started), Contacts: n.silentMembers(now),
 			})
 			continue
 		}
@@ -138,8 +139,8 @@
 	return entries
 }
 
-func (n *Node) onAppend(m Message) {
-	answer := Message{Kind: AppendReply, Round: m.Round, SentAt: m.SentAt}
+func (n *Node) onAppend(now time.Time, m Message) {
+	answer := Message{Kind: AppendReply, Round: m.Round, SentAt: m.SentAt, Contacts: n.newerContacts(now, m.Contacts)}
 	if m.Index < n.commit {
 		answer.Granted, answer.Match = true, n.commit
 		n.reply(m, answer)
@@ -184,9 +185,9 @@
 	return max(index, n.commit)
 }
 
-func (n *Node) onInstall(m Message) {
+func (n *Node) onInstall(now time.Time, m Message) {
 	s := m.Snapshot
-	answer := Message{Kind: AppendReply, Granted: true, Round: m.Round, SentAt: m.SentAt}
+	answer := Message{Kind: AppendReply, Granted: true, Round: m.Round, SentAt: m.SentAt, Contacts: n.newerContacts(now, m.Contacts)}
 	term, ok := n.log.term(s.Index)
 	switch {
 	case s.Index <= n.commit:
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -17,6 +17,33 @@
 	ID      ID
 	Address string
 	Voter   bool
+	// Replacement is not nil while the member may still replace a failed one. It is part of the log, so that it
+	// survives a change of the leader.
+	Replacement *Replacement
+}
+
+// Replacement allows the removal of one failed member because another one has joined; it is immutable.
+type Replacement struct {
+	// Suspects are the members that have not been heard from since the start of the one that joined.
+	Suspects []ID
+	// Uptime is the time from the start of the member that joined to its join.
+	Uptime time.Duration
+}
+
+// Without returns a copy without the given suspects.
+func (r Replacement) Without(ids ...ID) *Replacement {
+	r.Suspects = slices.DeleteFunc(slices.Clone(r.Suspects), func(id ID) bool { return slices.Contains(ids, id) })
+	return &r
+}
+
+// Contact is the last sign of life of a member that is known to a voter.
+type Contact struct {
+	Member ID
+	// Age is the time since the sign of life; it has no meaning unless Known is set.
+	Age   time.Duration
+	Known bool
+	// Stopping reports that the member has announced its stop.
+	Stopping bool
 }
 
 // Members is an immutable set of members, sorted by name.
@@ -175,6 +202,11 @@
 	// The reply to an AppendRequest or InstallRequest of the current term echoes both.
 	Round  int64
 	SentAt time.Duration
+	// Stopping reports that the sender is about to stop.
+	Stopping bool
+	// Contacts holds, in a leader's request, the members that the leader has not heard from for an election timeout and,
+	// in the reply, those of them that the sender has heard from since.
+	Contacts []Contact
 }
 
 // ReadResult is the answer to a read: if OK, a state that has applied the entry at Index is current.
--- a/control/codec.go
+++ b/control/codec.go
@@ -23,7 +23,7 @@
 func encodeMembers(members consensus.Members) []*wiregen.ConsensusMember {
 	var all []*wiregen.ConsensusMember
 	for _, m := range members {
-		all = append(all, &wiregen.ConsensusMember{Id: encodeID(m.ID), Address: m.Address, Voter: m.Voter})
+		all = append(all, &wiregen.ConsensusMember{Id: encodeID(m.ID), Address: m.Address, Voter: m.Voter, Replacement: encodeReplacement(m.Replacement)})
 	}
 	return all
 }
@@ -31,11 +31,56 @@
 func decodeMembers(all []*wiregen.ConsensusMember) consensus.Members {
 	var members consensus.Members
 	for _, m := range all {
-		members = append(members, consensus.Member{ID: decodeID(m.GetId()), Address: m.GetAddress(), Voter: m.GetVoter()})
+		members = append(members, consensus.Member{ID: decodeID(m.GetId()), Address: m.GetAddress(), Voter: m.GetVoter(), Replacement: decodeReplacement(m.GetReplacement())})
 	}
 	return members
 }
 
+func encodeReplacement(r *consensus.Replacement) *wiregen.MemberReplacement {
+	if r == nil {
+		return nil
+	}
+	m := &wiregen.MemberReplacement{UptimeNanos: r.Uptime.Nanoseconds()}
+	for _, id := range r.Suspects {
+		m.Suspects = append(m.Suspects, encodeID(id))
+	}
+	return m
+}
+
+func decodeReplacement(m *wiregen.MemberReplacement) *consensus.Replacement {
+	if m == nil {
+		return nil
+	}
+	r := &consensus.Replacement{Uptime: time.Duration(m.GetUptimeNanos())}
+	for _, id := range m.GetSuspects() {
+		r.Suspects = append(r.Suspects, decodeID(id))
+	}
+	return r
+}
+
+func encodeContacts(contacts []consensus.Contact) []*wiregen.MemberContact {
+	var all []*wiregen.MemberContact
+	for _, c := range contacts {
+		m := &wiregen.MemberContact{Member: encodeID(c.Member), Stopping: c.Stopping}
+		if c.Known {
+			age := c.Age.Nanoseconds()
+			m.AgeNanos = &age
+		}
+		all = append(all, m)
+	}
+	return all
+}
+
+func decodeContacts(all []*wiregen.MemberContact) []consensus.Contact {
+	var contacts []consensus.Contact
+	for _, m := range all {
+		contacts = append(contacts, consensus.Contact{
+			Member: decodeID(m.GetMember()), Age: time.Duration(m.GetAgeNanos()), Known: m.AgeNanos != nil, Stopping: m.GetStopping(),
+		})
+	}
+	return contacts
+}
+
 func encodeEntries(entries []consensus.Entry) []*wiregen.ConsensusEntry {
 	var all []*wiregen.ConsensusEntry
 	for _, e := range entries {
@@ -73,6 +118,7 @@
 		Kind: int32(m.Kind), From: encodeID(m.From), FromAddress: m.FromAddress, To: encodeID(m.To), Term: m.Term,
 		Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit, Entries: encodeEntries(m.Entries), Snapshot: encodeSnapshot(m.Snapshot),
 		Granted: m.Granted, Match: m.Match, Transfer: m.Transfer, Round: m.Round, SentAtNanos: m.SentAt.Nanoseconds(),
+		Stopping: m.Stopping, Contacts: encodeContacts(m.Contacts),
 	}
 }
 
@@ -82,6 +128,7 @@
 		Kind: consensus.MessageKind(m.GetKind()), From: decodeID(m.GetFrom()), FromAddress: m.GetFromAddress(), To: decodeID(m.GetTo()), Term: m.GetTerm(),
 		Index: m.GetIndex(), LogTerm: m.GetLogTerm(), Commit: m.GetCommit(), Entries: decodeEntries(m.GetEntries()), Snapshot: decodeSnapshot(m.GetSnapshot()),
 		Granted: m.GetGranted(), Match: m.GetMatch(), Transfer: m.GetTransfer(), Round: m.GetRound(), SentAt: time.Duration(m.GetSentAtNanos()),
+		Stopping: m.GetStopping(), Contacts: decodeContacts(m.GetContacts()),
 	}
 	if err := decoded.Check(); err != nil {
 		return consensus.Message{}, &RecordError{Record: "message", Cause: err}
--- a/control/config.go
+++ b/control/config.go
@@ -22,7 +22,10 @@
 	Seeds []string
 	// ToleratedDisks is the number of disks that may be lost at once. The leader removes no unresponsive voter if
 	// fewer than 2*ToleratedDisks+1 voters would remain.
-	ToleratedDisks      int
+	ToleratedDisks int
+	// CatchUpTime is the time after its start within which a daemon that joins takes the place of a failed one; zero means
+	// 8 s.
+	CatchUpTime         time.Duration
 	DataFolder          string
 	OperatorTokenDigest string
 	MaxInventoryBytes   int64
--- a/control/control.go
+++ b/control/control.go
@@ -33,16 +33,15 @@
 	wiregen.UnimplementedConsensusServer
 	wiregen.UnimplementedFleetServer
 
-	cfg         Config
-	log         zerolog.Logger
-	now         func() time.Time
-	hub         *relay.Hub
-	quorum      *quorum
-	store       Store
-	followers   *followers
-	fleet       *fleetState
-	peers       *peers
-	recentJoins recentJoins
+	cfg       Config
+	log       zerolog.Logger
+	now       func() time.Time
+	hub       *relay.Hub
+	quorum    *quorum
+	store     Store
+	followers *followers
+	fleet     *fleetState
+	peers     *peers
 	// undecided holds the departures that were acknowledged without a decision.
 	undecided *ring.Queue[fleet.LoggedDeparture]
 	// inventoryMu is held for reading while a whole inventory is proposed and for writing while a patch is, so that
@@ -111,7 +110,7 @@
 	close(opened)
 	select {
 	case <-ctx.Done():
-		c.transferLeadership(workCtx)
+		c.leaveQuorum(workCtx)
 	case err = <-failed:
 	}
 	stop()
@@ -157,12 +156,20 @@
 	}
 }
 
+// leaveQuorum announces a planned stop to the other members and hands leadership over if this voter leads.
+func (c *Control) leaveQuorum(ctx context.Context) {
+	c.quorum.announceStop(ctx)
+	if c.store.Status().IsLeader {
+		c.transferLeadership(ctx)
+		return
+	}
+	// The reply to the leader's next heartbeat carries the announcement.
+	clock.Sleep(ctx, 2*c.cfg.Heartbeat)
+}
+
 // transferLeadership hands leadership to another voter before a planned stop. It waits up to the election timeout
 // until a new leader is known, so that the transfer message is sent before the links close.
 func (c *Control) transferLeadership(ctx context.Context) {
-	if !c.store.Status().IsLeader {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.ElectionTimeout)
 	defer cancel()
 	c.quorum.transfer(ctx)
--- a/control/diskloss_test.go
+++ b/control/diskloss_test.go
@@ -64,27 +64,18 @@
 	// quorum is nil while the daemon does not run; boot counts its starts.
 	quorum *quorum
 	boot   int
-	joins  recentJoins
+	// started is the time of the last start.
+	started time.Duration
 	// removed daemons never start again.
 	removed     bool
 	frozenUntil time.Duration
 	held        []func()
 	// emptyUntil is the time until which the disk counts as lost.
 	emptyUntil time.Duration
-	admission  *simAdmission
 	waiting    []*simAttempt
 	attempts   int
 }
 
-// simAdmission is a join request that the leader carries out.
-type simAdmission struct {
-	id      consensus.ID
-	address string
-	known   bool
-	result  chan changeResult
-	adding  bool
-}
-
 // simOrder is an operator's order.
 type simOrder struct {
 	command *wiregen.FleetOrder
@@ -230,7 +221,7 @@
 		return
 	}
 	cfg := Config{
-		Name: d.name, PeerAddress: d.name, Join: d.join, Seeds: s.seeds, ToleratedDisks: s.tolerated,
+		Name: d.name, PeerAddress: d.name, Join: d.join, Seeds: s.seeds, ToleratedDisks: s.tolerated, CatchUpTime: simCatchUp,
 		Heartbeat: simHeartbeat, ElectionTimeout: simElectionTimeout, SnapshotEntries: 16,
 	}
 	for _, name := range s.seeds {
@@ -245,10 +236,10 @@
 		return
 	}
 	d.boot++
-	d.joins = recentJoins{}
+	d.started = s.now
 	d.repeat(simTick, func() { d.quorum.node.Tick(s.clock()) })
 	d.repeat(joinPeriod, d.maintainMembership)
-	d.repeat(time.Second, d.replaceUnresponsive)
+	d.repeat(replacementPeriod, d.replaceFailed)
 }
 
 // repeat runs f periodically until the daemon ends.
@@ -282,7 +273,7 @@
 
 // stop ends the process; its files stay as they are.
 func (d *simDaemon) stop() {
-	d.quorum, d.admission, d.waiting, d.held, d.frozenUntil = nil, nil, nil, nil, 0
+	d.quorum, d.waiting, d.held, d.frozenUntil = nil, nil, nil, 0
 	d.boot++
 }
 
@@ -309,7 +300,6 @@
 		d.end(err)
 		return
 	}
-	d.continueAdmission()
 	for _, a := range d.waiting {
 		if !a.order.acked && a.decided() && a.until > d.sim.now {
 			d.sim.acknowledge(a.order)
@@ -333,58 +323,28 @@
 	}
 	addresses = slices.DeleteFunc(append(addresses, d.sim.seeds...), func(a string) bool { return a == d.name })
 	d.attempts++
-	id := consensus.ID{Name: d.name, Disk: d.quorum.disk.identity}
-	d.sim.deliver(d, addresses[d.attempts%len(addresses)], func(to *simDaemon) { to.requestAdmission(id, d.name, true) })
+	r := joinRequest{
+		id: consensus.ID{Name: d.name, Disk: d.quorum.disk.identity}, address: d.name,
+		uptime: d.sim.now - d.started, returning: len(s.Members) > 0,
+	}
+	d.sim.deliver(d, addresses[d.attempts%len(addresses)], func(to *simDaemon) { to.requestAdmission(r, true) })
 }
 
-// requestAdmission begins the admission of a daemon on the leader, and otherwise forwards the request to it.
-func (d *simDaemon) requestAdmission(id consensus.ID, address string, forward bool) {
+// requestAdmission admits a daemon on the leader, and otherwise forwards the request to it.
+func (d *simDaemon) requestAdmission(r joinRequest, forward bool) {
 	status := d.quorum.Status()
 	if !status.IsLeader {
 		if leader, ok := status.Members.Find(status.Leader.Name); ok && forward {
-			d.sim.deliver(d, leader.Address, func(to *simDaemon) { to.requestAdmission(id, address, false) })
+			d.sim.deliver(d, leader.Address, func(to *simDaemon) { to.requestAdmission(r, false) })
 		}
 		return
 	}
-	member, known := status.Members.Find(id.Name)
-	if d.admission != nil || known && member.ID == id {
-		return
-	}
-	d.admission = &simAdmission{id: id, address: address, known: known}
-	if !known {
-		d.addAdmitted()
-		return
-	}
-	d.admission.result = d.propose(func(now time.Time) (int64, int64, error) { return d.quorum.node.Remove(now, id.Name) })
-}
-
-func (d *simDaemon) addAdmitted() {
-	a := d.admission
-	a.adding = true
-	a.result = d.propose(func(now time.Time) (int64, int64, error) { return d.quorum.node.Add(now, a.id, a.address) })
-}
-
-// continueAdmission adds the daemon after the removal of its predecessor, and records its join.
-func (d *simDaemon) continueAdmission() {
-	if d.admission == nil {
+	if member, known := status.Members.Find(r.id.Name); known && member.ID == r.id {
 		return
 	}
-	select {
-	case r := <-d.admission.result:
-		switch {
-		case r.err != nil:
-			d.admission = nil
-		case !d.admission.adding:
-			d.addAdmitted()
-			d.process()
-		default:
-			if !d.admission.known {
-				d.joins.record(d.sim.clock())
-			}
-			d.admission = nil
-		}
-	default:
-	}
+	d.propose(func(now time.Time) (int64, int64, error) {
+		return d.quorum.node.Join(now, r.id, r.address, r.uptime, r.returning)
+	})
 }
 
 func (d *simDaemon) propose(f func(now time.Time) (index, term int64, err error)) chan changeResult {
@@ -398,16 +358,12 @@
 	return result
 }
 
-func (d *simDaemon) replaceUnresponsive() {
-	if !d.joins.pending(d.sim.clock()) {
-		return
-	}
-	voter, ok := d.quorum.replaceableVoter()
+func (d *simDaemon) replaceFailed() {
+	step, ok := d.quorum.replacementStep(d.sim.clock())
 	if !ok {
 		return
 	}
-	if _, _, err := d.quorum.node.Remove(d.sim.clock(), voter.Name); err == nil {
-		d.joins.consume()
+	if _, _, err := step.propose(d.sim.clock(), d.quorum.node); err == nil && step.failed != (consensus.ID{}) {
 		d.sim.counts["replaced"]++
 	}
 }
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -147,7 +147,7 @@
 	defer wg.Wait()
 	streams := map[string]context.CancelFunc{}
 	wg.Go(func() { c.maintainMembership(ctx) })
-	wg.Go(func() { c.replaceUnresponsive(ctx) })
+	wg.Go(func() { c.replaceFailed(ctx) })
 	wg.Go(func() { c.decideLater(ctx) })
 	for clock.Sleep(ctx, fleetHeartbeat) {
 		now, current := c.now(), c.Current()
--- a/control/joining.go
+++ b/control/joining.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -16,14 +17,12 @@
 const (
 	// joinPeriod is how often a daemon without a leader requests membership.
 	joinPeriod = 300 * time.Millisecond
-	// joinTimeout limits one join request, which takes a removal and an addition of two round trips between regions
-	// each.
+	// joinTimeout limits one join request, which takes two round trips between regions.
 	joinTimeout = 2 * time.Second
-	// voterReplyTimeout is the time without a reply to the leader after which a voter may be replaced by a daemon
-	// that joined.
-	voterReplyTimeout = 6 * time.Second
-	// replacementWindow is how long after its join a daemon may replace an unresponsive voter.
-	replacementWindow = 20 * time.Second
+	// maxJoinRequests is the number of join requests at once, so that an unreachable daemon delays none at the others.
+	maxJoinRequests = 4
+	// replacementPeriod is how often the leader looks for failed members that can be replaced.
+	replacementPeriod = 200 * time.Millisecond
 )
 
 // maintainMembership requests membership from the leader whenever this daemon has no contact with one. That is the
@@ -32,18 +31,30 @@
 	if len(c.cfg.Seeds) == 0 {
 		return
 	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	started := c.now()
+	requests := make(chan struct{}, maxJoinRequests)
 	for attempt := 0; clock.Sleep(ctx, joinPeriod); attempt++ {
 		s := c.quorum.Status()
 		sinceContact := c.now().Sub(s.LastLeaderContact)
 		if s.IsLeader || s.Leader.Name != "" && sinceContact < 2*c.cfg.ElectionTimeout || !c.cfg.Join && sinceContact < 4*c.cfg.ElectionTimeout {
 			continue
 		}
-		c.requestJoin(ctx, attempt)
+		select {
+		case requests <- struct{}{}:
+		default:
+			continue
+		}
+		wg.Go(func() {
+			defer func() { <-requests }()
+			c.requestJoin(ctx, attempt, c.now().Sub(started))
+		})
 	}
 }
 
 // requestJoin requests membership from one of the known control daemons, chosen in turn by attempt.
-func (c *Control) requestJoin(ctx context.Context, attempt int) {
+func (c *Control) requestJoin(ctx context.Context, attempt int, uptime time.Duration) {
 	var addresses []string
 	for _, address := range append(c.controlAddresses(), c.cfg.Seeds...) {
 		if address != c.cfg.PeerAddress {
@@ -59,11 +70,22 @@
 	reply, err := callPeer(ctx, c.peers, address, func(ctx context.Context, conn grpc.ClientConnInterface) (*wiregen.JoinReply, error) {
 		return wiregen.NewFleetClient(conn).Join(ctx, &wiregen.JoinRequest{
 			Name: c.cfg.Name, Disk: c.quorum.disk.identity, Address: c.cfg.PeerAddress, FailureDomain: c.cfg.FailureDomain,
+			UptimeNanos: uptime.Nanoseconds(), Returning: len(c.quorum.Status().Members) > 0,
 		})
 	})
 	c.log.Info().Str("control", address).Bool("member", reply.GetMember()).Err(err).Msg("membership requested")
 }
 
+// joinRequest is the request of a daemon for membership.
+type joinRequest struct {
+	id      consensus.ID
+	address string
+	// uptime is the time since the start of the daemon.
+	uptime time.Duration
+	// returning reports that the daemon was a member before.
+	returning bool
+}
+
 // Join adds a control daemon to the members. A voter that does not lead forwards the request to the leader.
 func (c *Control) Join(ctx context.Context, m *wiregen.JoinRequest) (*wiregen.JoinReply, error) {
 	if !c.quorum.Status().IsLeader {
@@ -75,60 +97,37 @@
 			return wiregen.NewFleetClient(conn).Join(ctx, m)
 		})
 	}
-	id := consensus.ID{Name: m.GetName(), Disk: m.GetDisk()}
-	member, known := c.quorum.Status().Members.Find(id.Name)
-	if known && member.ID == id {
+	r := joinRequest{
+		id: consensus.ID{Name: m.GetName(), Disk: m.GetDisk()}, address: m.GetAddress(),
+		uptime: max(0, time.Duration(m.GetUptimeNanos())), returning: m.GetReturning(),
+	}
+	member, known := c.quorum.Status().Members.Find(r.id.Name)
+	if known && member.ID == r.id {
 		return &wiregen.JoinReply{Member: true}, nil
 	}
 	if known {
-		c.log.Warn().Str("member", id.Name).Str("disk", member.ID.Disk).Str("newDisk", id.Disk).Msg("member lost its disk")
-		if err := c.quorum.Remove(ctx, member.ID); err != nil {
-			return nil, status.Error(codes.Unavailable, err.Error())
-		}
+		c.log.Warn().Str("member", r.id.Name).Str("disk", member.ID.Disk).Str("newDisk", r.id.Disk).Msg("member lost its disk")
 	}
-	if err := c.quorum.Add(ctx, id, m.GetAddress()); err != nil {
+	if err := c.quorum.join(ctx, r); err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	if !known {
-		c.recentJoins.record(c.now())
-	}
-	c.log.Info().Str("member", id.Name).Str("disk", id.Disk).Str("address", m.GetAddress()).Str("domain", m.GetFailureDomain()).Msg("member joined")
+	c.log.Info().Str("member", r.id.Name).Str("disk", r.id.Disk).Str("address", r.address).Str("domain", m.GetFailureDomain()).
+		Dur("uptime", r.uptime).Bool("returning", r.returning).Msg("member joined")
 	return &wiregen.JoinReply{Member: true}, nil
 }
 
-// replaceUnresponsive removes, on the leader, one unresponsive voter for each daemon that recently joined under a new
-// name.
-func (c *Control) replaceUnresponsive(ctx context.Context) {
-	for clock.Sleep(ctx, time.Second) {
-		if !c.recentJoins.pending(c.now()) {
-			continue
-		}
-		voter, ok := c.quorum.replaceableVoter()
+// replaceFailed performs, on the leader, the changes of the members that follow from joins.
+func (c *Control) replaceFailed(ctx context.Context) {
+	for clock.Sleep(ctx, replacementPeriod) {
+		step, ok := c.quorum.replacementStep(c.now())
 		if !ok {
 			continue
 		}
-		err := c.quorum.Remove(ctx, voter)
-		if err == nil {
-			c.recentJoins.consume()
-		}
-		c.log.Warn().Str("member", voter.Name).Dur("silence", voterReplyTimeout).Err(err).Msg("unresponsive voter removal")
-	}
-}
-
-// replaceableVoter returns a voter that has not replied to the leader for voterReplyTimeout, unless too few voters would
-// remain without it.
-func replaceableVoter(members consensus.Members, replyAges map[consensus.ID]time.Duration, toleratedDisks int) (consensus.ID, bool) {
-	voters := members.Voters()
-	if len(voters) <= max(2*toleratedDisks+1, minVoters) {
-		return consensus.ID{}, false
-	}
-	for _, id := range voters {
-		if replyAges[id] >= voterReplyTimeout {
-			return id, true
+		_, err := c.quorum.proposeAndWait(ctx, func(now time.Time) (index, term int64, err error) { return step.propose(now, c.quorum.node) })
+		if step.failed != (consensus.ID{}) {
+			c.log.Warn().Str("member", step.failed.Name).Str("joined", step.joined.Name).Err(err).Msg("unresponsive voter removal")
+			continue
 		}
+		c.log.Info().Str("joined", step.joined.Name).Strs("suspects", step.suspects()).Err(err).Msg("replacement changed")
 	}
-	return consensus.ID{}, false
 }
-
-// minVoters is the number of voters at or below which no unresponsive voter is removed.
-const minVoters = 3
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -93,8 +93,10 @@
 	// ordersIndex is the index of the last log entry applied to orders.
 	ordersIndex int64
 	departures  fleet.DepartureLog
-	// replyAges holds, on the leader, the time since each other member's last reply.
-	replyAges map[consensus.ID]time.Duration
+	// silences holds, on the leader, the last sign of life of each other member.
+	silences []consensus.Contact
+	// joinedAt holds when this voter learned of the members that may still replace failed ones.
+	joinedAt joinTimes
 }
 
 var _ Store = (*quorum)(nil)
@@ -110,6 +112,7 @@
 		pendingReads:   map[int64]chan<- error{},
 		changed:        make(chan struct{}),
 		acceptTimes:    map[int64]time.Time{},
+		joinedAt:       joinTimes{},
 	}
 	q.ended, q.end = context.WithCancel(context.Background())
 	if err := q.install(r.Snapshot); err != nil {
@@ -332,7 +335,8 @@
 	q.mu.Lock()
 	before := q.status
 	q.status = status
-	q.replyAges = q.node.SinceAcknowledged(now)
+	q.silences = q.node.Silences(now)
+	q.joinedAt.update(now, status.Members)
 	q.lease = leaseState{term: term, end: end, held: held}
 	q.mu.Unlock()
 	if before.Leader != status.Leader || before.IsLeader != status.IsLeader {
@@ -352,6 +356,11 @@
 	}
 }
 
+// announceStop tells the other members that this one is about to stop.
+func (q *quorum) announceStop(ctx context.Context) {
+	_ = q.enqueue(ctx, func(time.Time) { q.node.AnnounceStop() })
+}
+
 // transfer transfers leadership to another voter before a planned stop.
 func (q *quorum) transfer(ctx context.Context) {
 	done := make(chan bool, 1)
@@ -411,14 +420,14 @@
 	return q.departures.Contains(d)
 }
 
-// replaceableVoter returns, on the leader, a voter that a daemon that joined may replace.
-func (q *quorum) replaceableVoter() (consensus.ID, bool) {
+// replacementStep returns, on the leader, the next change of the members that follows from a join.
+func (q *quorum) replacementStep(now time.Time) (replacementStep, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !q.status.IsLeader {
-		return consensus.ID{}, false
+		return replacementStep{}, false
 	}
-	return replaceableVoter(q.status.Members, q.replyAges, q.cfg.ToleratedDisks)
+	return nextReplacementStep(q.status.Members, q.silences, q.joinedAt.ages(now), q.cfg.replacementTimes(), q.cfg.ToleratedDisks)
 }
 
 // Lease returns the leader lease; ok is false if it is not held or has ended at now.
--- a/control/requests.go
+++ b/control/requests.go
@@ -169,6 +169,17 @@
 	return err
 }
 
+// join admits a daemon that requested membership; admitting a member that is present with the same disk succeeds.
+func (q *quorum) join(ctx context.Context, r joinRequest) error {
+	_, err := q.proposeAndWait(ctx, func(now time.Time) (index, term int64, err error) {
+		return q.node.Join(now, r.id, r.address, r.uptime, r.returning)
+	})
+	if member, ok := q.Status().Members.Find(r.id.Name); err != nil && ok && member.ID == r.id {
+		return nil
+	}
+	return err
+}
+
 // Remove removes a member; the request is refused if the member is present with another disk.
 func (q *quorum) Remove(ctx context.Context, id consensus.ID) error {
 	_, err := q.proposeAndWait(ctx, func(now time.Time) (index, term int64, err error) {
