control: check orders against what their senders have read

Cause: an order was checked against the index of the log at its arrival, which shows nothing about when it was sent.

--- a/configuration/orders.go
+++ b/configuration/orders.go
@@ -70,7 +70,7 @@
 }
 
 // CheckEvacuation returns *OutdatedOrderError for an order about a failure domain that would undo a decision about it after the known
-// index, which is that of the last log entry applied where the order arrived.
+// index, which is that of the last log entry that was decided before the order was sent.
 func (o Orders) CheckEvacuation(known int64, domain string, withdrawn bool) error {
 	if undoes := slices.Contains(o.evacuations.Domains, domain) == withdrawn; !undoes {
 		return nil
--- a/control/control.go
+++ b/control/control.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -42,6 +43,8 @@
 	followers *followers
 	fleet     *fleetState
 	peers     *peers
+	// decidedIndex is the highest index of an order that the leader has reported as decided.
+	decidedIndex atomic.Int64
 	// undecided holds the departures that were acknowledged without a decision.
 	undecided *ring.Queue[fleet.LoggedDeparture]
 	// inventoryMu is held for reading while a whole inventory is proposed and for writing while a patch is, so that
--- a/control/evacuations_test.go
+++ b/control/evacuations_test.go
@@ -53,7 +53,7 @@
 	waitFor(t, "the evacuation decided", func() bool {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		return d.Evacuate(ctx, domain, withdrawn) == nil
+		return d.Evacuate(ctx, domain, withdrawn, d.KnownIndex()) == nil
 	})
 }
 
@@ -174,7 +174,7 @@
 			})
 			held, release := late.holdCalls(t, leader.cfg.PeerAddress)
 			answered := make(chan error, 1)
-			go func() { answered <- late.Evacuate(t.Context(), "d", c.withdrawn) }()
+			go func() { answered <- late.Evacuate(t.Context(), "d", c.withdrawn, late.KnownIndex()) }()
 			select {
 			case <-held:
 			case err := <-answered:
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -133,7 +133,7 @@
 			t.Errorf("version %d %q", got.Version, got.Content)
 		}
 	}
-	waitFor(t, "evacuation decided", func() bool { return daemons[4].Evacuate(t.Context(), "d", false) == nil })
+	waitFor(t, "evacuation decided", func() bool { return daemons[4].Evacuate(t.Context(), "d", false, daemons[4].KnownIndex()) == nil })
 
 	daemons[1].stop()
 	lost := cfgs[1]
--- a/control/operators_orders.go
+++ b/control/operators_orders.go
@@ -27,11 +27,27 @@
 // Evacuate orders that the endpoints of a failure domain get no new requests, or withdraws the order. Failures are of
 // type *problem.Problem.
 //
-// An order is refused with problem.OutdatedOrder if it would undo another one that this voter had not applied when Evacuate was called:
-// its caller may have had the other one decided elsewhere since.
-func (c *Control) Evacuate(ctx context.Context, domain string, withdrawn bool) error {
-	known := c.quorum.knownIndex()
-	return c.submitOrder(ctx, &wiregen.FleetOrder{Evacuation: &wiregen.EvacuationOrder{FailureDomain: domain, Withdrawn: withdrawn, KnownIndex: &known}})
+// An order is refused with problem.OutdatedOrder if it would undo a decision after a log index, which is that of the last entry that was
+// decided before the order was sent: its sender may have had the later decision made elsewhere since.
+func (c *Control) Evacuate(ctx context.Context, domain string, withdrawn bool, after int64) error {
+	if err := c.quorum.Orders().CheckEvacuation(after, domain, withdrawn); err != nil {
+		return outdatedOrder(err.Error())
+	}
+	return c.submitOrder(ctx, &wiregen.FleetOrder{Evacuation: &wiregen.EvacuationOrder{FailureDomain: domain, Withdrawn: withdrawn, KnownIndex: &after}})
+}
+
+// KnownIndex returns the index of the last log entry that this voter has applied, or of a later one that the leader has told it to be
+// decided.
+func (c *Control) KnownIndex() int64 { return max(c.quorum.knownIndex(), c.decidedIndex.Load()) }
+
+// recordDecided records the index of a decided log entry.
+func (c *Control) recordDecided(index int64) {
+	for {
+		known := c.decidedIndex.Load()
+		if index <= known || c.decidedIndex.CompareAndSwap(known, index) {
+			return
+		}
+	}
 }
 
 // Newest returns the newest document accepted by the quorum, including every document accepted before the call.
@@ -83,13 +99,14 @@
 
 func (c *Control) decideOrder(ctx context.Context, m *wiregen.FleetOrder) error {
 	if c.quorum.Status().IsLeader {
-		return c.proposeOrder(ctx, m)
+		_, err := c.proposeOrder(ctx, m)
+		return err
 	}
 	leader, err := c.leader()
 	if err != nil {
 		return err
 	}
-	_, err = callPeer(ctx, c.peers, leader.Address, func(ctx context.Context, conn grpc.ClientConnInterface) (*wiregen.FleetDecision, error) {
+	decision, err := callPeer(ctx, c.peers, leader.Address, func(ctx context.Context, conn grpc.ClientConnInterface) (*wiregen.FleetDecision, error) {
 		return wiregen.NewFleetClient(conn).Decide(ctx, m)
 	})
 	switch {
@@ -98,6 +115,7 @@
 	case err != nil:
 		return leaderUnreachable(leader, err)
 	}
+	c.recordDecided(decision.GetIndex())
 	return nil
 }
 
@@ -106,28 +124,32 @@
 	return problem.New(problem.OutdatedOrder, http.StatusServiceUnavailable, "%s", reason).WithRetryAfter(leaderRetryAfter)
 }
 
-// proposeOrder appends an order to the log. For a document that is not newer than the one in force, and a departure that was
-// accepted, it only confirms leadership.
-func (c *Control) proposeOrder(ctx context.Context, m *wiregen.FleetOrder) error {
+// proposeOrder appends an order to the log and returns its index. For a document that is not newer than the one in force, and a departure
+// that was accepted, it only confirms leadership and returns zero.
+func (c *Control) proposeOrder(ctx context.Context, m *wiregen.FleetOrder) (decided int64, err error) {
 	if d := m.GetDocument(); d != nil && d.GetVersion() <= c.quorum.Orders().Document().Version {
-		return c.quorum.Confirm(ctx)
+		return 0, c.quorum.Confirm(ctx)
 	}
 	if d := m.GetDeparture(); d != nil && c.quorum.departed(decodeDeparture(d)) {
-		return c.quorum.Confirm(ctx)
+		return 0, c.quorum.Confirm(ctx)
 	}
 	command := marshal(&wiregen.ChangeCommand{Fleet: m, UnixMillis: c.now().UnixMilli()})
-	_, err := c.quorum.proposeAndWait(ctx, func(now time.Time) (index, term int64, err error) {
+	_, err = c.quorum.proposeAndWait(ctx, func(now time.Time) (index, term int64, err error) {
 		if err := c.quorum.checkEvacuation(m.GetEvacuation()); err != nil {
 			return 0, 0, err
 		}
-		return c.quorum.node.Propose(now, command)
+		decided, term, err = c.quorum.node.Propose(now, command)
+		return decided, term, err
 	})
-	return err
+	if err != nil {
+		return 0, err
+	}
+	return decided, nil
 }
 
 // Decide decides an order forwarded by another voter.
 func (c *Control) Decide(ctx context.Context, m *wiregen.FleetOrder) (*wiregen.FleetDecision, error) {
-	err := c.proposeOrder(ctx, m)
+	index, err := c.proposeOrder(ctx, m)
 	var p *problem.Problem
 	switch {
 	case errors.As(err, &p) && p.Code == problem.OutdatedOrder:
@@ -135,7 +157,7 @@
 	case err != nil:
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	return &wiregen.FleetDecision{Accepted: true}, nil
+	return &wiregen.FleetDecision{Accepted: true, Index: index}, nil
 }
 
 // Newest returns the newest document to another voter.
