gateway: charge each endpoint that a request reaches once

Cause: a forward that ended "not run" charged nothing, although the other gateway's endpoints had rejected the request, so that the next attempt was free. So was the attempt after an answer that another gateway had passed on.

Why it works: the other gateway says how many endpoints it has reached. retry.Charge takes a retry before an attempt, uses it up when an endpoint is reached, keeps it for the next attempt otherwise, and returns it at the end.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -280,6 +280,13 @@
 	return p.retryBudget(v, service).Take(now)
 }
 
+// returnRetry returns a retry to the common budget that was taken at a time and reached no endpoint.
+func (p *placer) returnRetry(now time.Time, v *view, service string, takenAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retryBudget(v, service).Return(now, takenAt)
+}
+
 // retryBudget returns this gateway's part of the common retry budget of a service. The reserve is divided by the
 // largest number of gateways ever seen, as those that are not visible now may still use their part.
 func (p *placer) retryBudget(v *view, service string) *retry.Allowance {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -35,7 +35,7 @@
 	}
 	j.setStreamHeaders(h)
 	h.Set(attemptsHeader, strconv.Itoa(j.chargedRuns))
-	if j.sends == 0 && !j.firstMoved {
+	if j.retries.Reached() == 0 && !j.firstMoved {
 		j.firstMoved = true
 		g.placer.moveFirstTry(now, j.view, j.service.Name)
 	} else {
@@ -72,6 +72,7 @@
 		answer.Discard(maxRejectionBytes, maxRejectionWait)
 		return j.recordForwardFailure(d, answer, outcome)
 	}
+	j.retries.Reach(1)
 	// The other gateway is the one that knows which endpoint answers.
 	of, _ := parseOrigin(answer.Header.Get(originHeader))
 	_, step := j.relayAnswer(ctx, answer, g.cfg.Headers.Verdict(answer.Header, answer.Status), of, nil, timer)
@@ -100,6 +101,18 @@
 	return outcome
 }
 
+// forwardReached returns the number of endpoints that a request has reached which another gateway refused. Of a gateway of an earlier version
+// only those count that may have run it.
+func forwardReached(answer *exchange.Response, o problem.Outcome) int {
+	if reached, err := strconv.Atoi(answer.Header.Get(reachedHeader)); err == nil {
+		return reached
+	}
+	if o != problem.NotRun {
+		return 1
+	}
+	return 0
+}
+
 // recordForwardFailure records a failure that another gateway reported itself, without the answer of an endpoint. Its region is not
 // tried again, unless it is only that gateway which reaches no endpoint or stops.
 func (j *job) recordForwardFailure(d decision, answer *exchange.Response, o problem.Outcome) nextStep {
@@ -110,6 +123,7 @@
 	if o != problem.NotRun {
 		j.sends++
 	}
+	j.retries.Reach(forwardReached(answer, o))
 	j.recordOutcome(o)
 	if crashed, err := strconv.Atoi(answer.Header.Get(crashesHeader)); err == nil {
 		j.crashes = max(j.crashes, crashed)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -38,6 +38,7 @@
 		j.g.placer.recordFirstTry(j.received, j.view, j.service.Name)
 	}
 	defer j.endTrial()
+	defer j.returnRetry()
 	for {
 		suspect := !j.mayTry()
 		now := time.Now()
@@ -84,6 +85,13 @@
 	}
 }
 
+// returnRetry returns the retry that was taken and reached no endpoint.
+func (j *job) returnRetry() {
+	if takenAt, ok := j.retries.Unspent(); ok {
+		j.g.placer.returnRetry(time.Now(), j.view, j.chargedService, takenAt)
+	}
+}
+
 // adoptView matches the request again, and checks its credential again, if the view has changed since. It answers the request
 // and returns false if it may no longer be served.
 func (j *job) adoptView() bool {
@@ -149,7 +157,10 @@
 		return "the stream has no event that another endpoint could go on after", false
 	case j.runs >= j.maxRuns():
 		return "the endpoints that it may run on have failed", false
-	case j.sends > 0 && !j.g.placer.takeRetry(now, j.view, j.service.Name):
+	case !j.retries.Begin(now, func() bool {
+		j.chargedService = j.service.Name
+		return j.g.placer.takeRetry(now, j.view, j.service.Name)
+	}):
 		return "the retry budget is exhausted", false
 	default:
 		return "", true
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -74,6 +74,7 @@
 	}
 	defer answer.Close()
 	j.sends++
+	j.retries.Reach(1)
 	g.placer.reach.recordReceived(time.Now())
 	if answer.Fresh {
 		g.placer.recordConnected(time.Now(), now)
@@ -221,6 +222,7 @@
 	var failure *exchange.Error
 	if !errors.As(err, &failure) || failure.Stage != exchange.Connecting {
 		j.sends++
+		j.retries.Reach(1)
 	}
 	j.recordOutcome(o)
 	j.log(string(o)).Str("digest", j.traits().request.String()).Err(j.lastErr).Msg("attemptFailed")
@@ -388,7 +390,7 @@
 	for _, name := range connectionHeaders() {
 		c.Del(name)
 	}
-	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, crashesHeader, countedHeader, ageHeader, originHeader, teamHeader, requestHeader, takesBackHeader, inProgressHeader} {
+	for _, name := range []string{outcomeHeader, codeHeader, attemptsHeader, drawHeader, runsHeader, reachedHeader, crashesHeader, countedHeader, ageHeader, originHeader, teamHeader, requestHeader, takesBackHeader, inProgressHeader} {
 		c.Del(name)
 	}
 	return c
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -16,6 +16,7 @@
 	"arbutusreel/limits"
 	"arbutusreel/origin"
 	"arbutusreel/problem"
+	"arbutusreel/retry"
 	"arbutusreel/routes"
 )
 
@@ -32,6 +33,9 @@
 	drawHeader = "Arbutusreel-Draw"
 	// runsHeader carries the number of endpoints that may have run a request back to the forwarding gateway.
 	runsHeader = "Arbutusreel-Runs"
+	// reachedHeader carries the number of endpoints that a refused request has reached back to the forwarding gateway. Earlier versions do
+	// not set it.
+	reachedHeader = "Arbutusreel-Reached"
 	// crashesHeader carries the number of endpoints that crashed under a request between gateways, both ways.
 	crashesHeader = "Arbutusreel-Crashes"
 	// countedHeader is set if the forwarding gateway counts the request towards its retry budget.
@@ -101,6 +105,9 @@
 	tried  map[string]bool
 	// sends counts the endpoints that the request was sent to, and runs those that may have run it.
 	sends, runs int
+	// retries is what the request has taken from the retry budget of chargedService.
+	retries        retry.Charge
+	chargedService string
 	// chargedRuns is the number of runs that the present attempt counts for if it fails: all that remained for a
 	// forwarded request unless the other gateway has reported how many it used.
 	chargedRuns int
@@ -345,6 +352,7 @@
 func (j *job) setRunsHeader(h http.Header) {
 	if j.forwarded {
 		h.Set(runsHeader, strconv.Itoa(j.runs))
+		h.Set(reachedHeader, strconv.Itoa(j.retries.Reached()))
 		if j.crashes > 0 {
 			h.Set(crashesHeader, strconv.Itoa(j.crashes))
 		}
--- a/retry/allowance.go
+++ b/retry/allowance.go
@@ -52,6 +52,17 @@
 // MoveFirst withdraws a first attempt that another holder of the common allowance counts.
 func (a *Allowance) MoveFirst(now time.Time) { a.currentBucket(now).firstAttempts-- }
 
+// Return withdraws a retry that was taken at a time and not used.
+func (a *Allowance) Return(now, takenAt time.Time) {
+	a.currentBucket(now)
+	for i := len(a.buckets) - 1; i >= 0; i-- {
+		if b := &a.buckets[i]; !b.start.After(takenAt) {
+			b.retries = max(b.retries-1, 0)
+			return
+		}
+	}
+}
+
 // Take counts a retry if it is allowed, and reports whether it is.
 func (a *Allowance) Take(now time.Time) bool {
 	bucket := a.currentBucket(now)
