Test resets in long uploads of resumed streams and to engines

Two places had no test of their own: a stream that goes on at another endpoint while a request of 4 MB is still being sent, here or by way of another gateway, and the entry's requests to engines.

--- a/endpoint/malformed_test.go
+++ b/endpoint/malformed_test.go
@@ -80,3 +80,25 @@
 		}
 	}
 }
+
+// TestEngineAnswerResetDuringUpload has engines answer long requests early, without a length, and reset the connection: what they
+// sent is no whole answer.
+func TestEngineAnswerResetDuringUpload(t *testing.T) {
+	part := string(bytes.Join(wholeEvents(requestID, 1, 2), nil))
+	r := dispatch.Request{CorrelationID: requestID, Path: "/v1/chat/completions", Body: []byte(`{"model":"m","prompt":"` + strings.Repeat("x", 4<<20) + `"}`)}
+	for name, head := range map[string]string{"no length": "HTTP/1.1 200 OK\r\n", "HTTP/1.0": "HTTP/1.0 200 OK\r\n", "connection: close": "HTTP/1.1 200 OK\r\nConnection: close\r\n"} {
+		for _, end := range []rawresponse.End{rawresponse.Reset, rawresponse.ResetLater} {
+			t.Run(name+", "+string(end), func(t *testing.T) {
+				t.Parallel()
+				address := rawresponse.Serve(t, head+"Content-Type: text/event-stream\r\n\r\n"+part, end)
+				for range 8 {
+					s := &sink{}
+					got, err := NewModelClient().Generate(t.Context(), membership.Endpoint{Name: "engine", Address: address}, r, dispatch.Attempt{Number: 1}, s)
+					if err == nil {
+						t.Errorf("a part of an answer passed as a whole one: %+v, %q", got, s.String())
+					}
+				}
+			})
+		}
+	}
+}
--- a/gateway/brokenanswer_test.go
+++ b/gateway/brokenanswer_test.go
@@ -189,3 +189,41 @@
 		}
 	}
 }
+
+// TestResumedStreamResetDuringUpload has an endpoint go on with a broken stream by an answer without length, and reset the connection
+// while the request of 4 MB is still being sent: what it sent is no end of the stream, which goes on at another endpoint.
+func TestResumedStreamResetDuringUpload(t *testing.T) {
+	const head, events = "HTTP/1.1 200 OK\r\nId: request-1\r\nSigned: b\r\n", "Content-Type: text/event-stream\r\n"
+	for name, answer := range map[string]string{
+		"no length":         head + events + "\r\n" + pieces(2, 2),
+		"HTTP/1.0":          strings.Replace(head, "1.1", "1.0", 1) + events + "\r\n" + pieces(2, 2),
+		"connection: close": head + events + "Connection: close\r\n\r\n" + pieces(2, 2),
+	} {
+		for _, end := range []rawresponse.End{rawresponse.Reset, rawresponse.ResetLater} {
+			for _, remote := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/remote %v", name, end, remote), func(t *testing.T) {
+					t.Parallel()
+					for range 4 {
+						part := &testEndpoint{id: "b", address: rawresponse.Serve(t, answer, end)}
+						endpoints := []*testEndpoint{newEndpoint(t, "a", broken(pieces(0, 1), true)), part, newEndpoint(t, "c", streamRest)}
+						for _, used := range [][]*testEndpoint{endpoints[:2], endpoints} {
+							g := newGateway(t, testTable(t, fourRuns), used...)
+							if remote {
+								there := g
+								g = newGateway(t, testTable(t, fourRuns))
+								connectRegions(t, g, there)
+							}
+							got := g.upload(t, "/stream/x")
+							if len(used) == 2 && got.status == http.StatusOK && got.whole {
+								t.Errorf("a part of a stream passed as a whole one: %q", got.body)
+							}
+							if len(used) == 3 && (got.body != pieces(0, lastPiece) || !got.whole) {
+								t.Errorf("status %d, whole: %v, body %q", got.status, got.whole, got.body)
+							}
+						}
+					}
+				})
+			}
+		}
+	}
+}
