consensus: date told signs of life by when they were sent

A request of an ended leader that is delivered late no longer makes the other members look heard of. The clock estimate of a leader may grow slowly, so that one whose machine was suspended, or whose clock runs at another rate, does not look older than it is.

--- a/consensus/contacts.go
+++ b/consensus/contacts.go
@@ -13,35 +13,50 @@
 	heardAt time.Time
 }
 
+// offsetGrowth is the divisor of the time in which the offset of a leaderClock may grow: clocks run at different rates,
+// and one of a suspended machine stands still.
+const offsetGrowth = 100
+
 // leaderClock estimates when the messages of a leader were sent, by the shortest delay of one of them.
 type leaderClock struct {
 	leader ID
 	term   int64
-	// offset is the shortest time between the start of the leader's clock and this node's, including the delay.
-	offset time.Duration
+	// offset is the time from the start of the leader's node to that of this one, including the shortest delay, and
+	// updatedAt when it was estimated.
+	offset    time.Duration
+	updatedAt time.Time
+}
+
+// update returns the clock after a message of the leader that was received at now.
+func (c leaderClock) update(now, started time.Time, m Message) leaderClock {
+	next := leaderClock{leader: m.From, term: m.Term, offset: now.Sub(started) - m.SentAt, updatedAt: now}
+	if c.leader == m.From && c.term == m.Term {
+		next.offset = min(next.offset, c.offset+now.Sub(c.updatedAt)/offsetGrowth)
+	}
+	return next
 }
 
 // recordContacts records a sign of life of the sender of a message, and what the sender knows of other members. A member
 // that a leader does not name has been heard by that leader within an election timeout.
 func (n *Node) recordContacts(now time.Time, m Message) {
-	if at, ok := n.sentTime(now, m); ok {
-		n.recordHeard(m.From, at, m.Stopping)
-	}
-	if m.Term < n.hardState.Term {
+	sent, ok := n.sentTime(now, m)
+	if !ok {
 		return
 	}
+	n.recordHeard(m.From, sent, m.Stopping)
 	for _, c := range m.Contacts {
 		if c.Known {
-			n.mergeContact(c.Member, contact{at: now.Add(-c.Age), stopping: c.Stopping})
+			n.mergeContact(c.Member, contact{at: sent.Add(-c.Age), stopping: c.Stopping})
 		}
 	}
 	if m.Kind == AppendRequest || m.Kind == InstallRequest {
-		n.recordHeardByLeader(now, m)
+		n.recordHeardByLeader(sent, m)
 	}
 }
 
-// sentTime returns a time, not much before the message was sent, at which its sender was alive. A message may be
-// delivered long after its sender has ended, so that the time of its receipt shows nothing where another time is known.
+// sentTime returns a time, not much before the message was sent, at which its sender was alive; ok is false if the message
+// is no sign of life. A message may be delivered long after its sender has ended, so that the time of its receipt shows
+// nothing where another time is known.
 func (n *Node) sentTime(now time.Time, m Message) (at time.Time, ok bool) {
 	switch m.Kind {
 	case AppendReply:
@@ -50,10 +65,7 @@
 		if m.Term < n.hardState.Term {
 			return time.Time{}, false
 		}
-		offset := now.Sub(n.started) - m.SentAt
-		if c := n.leaderClock; c.leader != m.From || c.term != m.Term || offset < c.offset {
-			n.leaderClock = leaderClock{leader: m.From, term: m.Term, offset: offset}
-		}
+		n.leaderClock = n.leaderClock.update(now, n.started, m)
 		return n.started.Add(m.SentAt + n.leaderClock.offset), true
 	case PreVoteRequest, VoteRequest, TimeoutNow:
 		return now, true
@@ -71,14 +83,14 @@
 	n.contacts[id] = contact{at: latest(known.at, at), stopping: stopping, heardAt: at}
 }
 
-func (n *Node) recordHeardByLeader(now time.Time, m Message) {
+func (n *Node) recordHeardByLeader(sent time.Time, m Message) {
 	silent := make(map[ID]bool, len(m.Contacts))
 	for _, c := range m.Contacts {
 		silent[c.Member] = true
 	}
 	for _, member := range n.log.currentMembers().members {
 		if !silent[member.ID] {
-			n.mergeContact(member.ID, contact{at: now.Add(-n.cfg.ElectionTimeout)})
+			n.mergeContact(member.ID, contact{at: sent.Add(-n.cfg.ElectionTimeout)})
 		}
 	}
 	n.trimContacts()
--- /dev/null
+++ b/consensus/contacts_test.go
@@ -0,0 +1,109 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// newFollower returns a follower of the leader "a" that has the members a, b, c and d, and the time of its start.
+func newFollower(t *testing.T) (*Node, time.Time) {
+	t.Helper()
+	var members Members
+	for _, name := range []string{"a", "b", "c", "d"} {
+		members = members.With(Member{ID: testID(name), Address: name, Voter: true})
+	}
+	now := time.Unix(1000, 0)
+	cfg := Config{Self: testID("b"), Address: "b", Heartbeat: testHeartbeat, ElectionTimeout: testElectionTimeout}
+	r := Restored{HardState: HardState{Term: 1}, Entries: []Entry{{Index: 1, Term: 1, Kind: MembersEntry, Members: members}}, Commit: 1}
+	return New(cfg, r, now, rand.New(rand.NewPCG(1, 1))), now
+}
+
+func testID(name string) ID { return ID{Name: name, Disk: "disk"} }
+
+// request returns a request of the leader "a", whose clock began with the follower's.
+func request(sentAt time.Duration, contacts ...Contact) Message {
+	return Message{Kind: AppendRequest, From: testID("a"), FromAddress: "a", To: testID("b"), Term: 1, Index: 1, LogTerm: 1, Commit: 1, Round: 1, SentAt: sentAt, Contacts: contacts}
+}
+
+// age returns the age of the last sign of life of a member.
+func (n *Node) age(now time.Time, name string) time.Duration {
+	return now.Sub(n.contacts[testID(name)].at)
+}
+
+// TestDelayedRequestOfEndedLeader guards against a request that is delivered long after its sender has ended and that
+// counts as a sign of life.
+func TestDelayedRequestOfEndedLeader(t *testing.T) {
+	const delay = 10 * time.Millisecond
+	n, began := newFollower(t)
+	last := time.Duration(0)
+	for ; last < time.Second; last += testHeartbeat {
+		n.Receive(began.Add(last+delay), request(last))
+	}
+	now := began.Add(last + 3*time.Second)
+	n.Receive(now, request(last-testHeartbeat))
+	if age := n.age(now, "a"); age < 3*time.Second-testElectionTimeout {
+		t.Errorf("the leader ended %v ago, and its last sign of life is %v old", 3*time.Second, age)
+	}
+}
+
+// TestLeaderClockRate has the clock of the leader run slower, and stand still for a while: its signs of life stay fresh.
+func TestLeaderClockRate(t *testing.T) {
+	for name, sent := range map[string]func(now time.Duration) time.Duration{
+		"slow":      func(now time.Duration) time.Duration { return now - now/500 },
+		"suspended": func(now time.Duration) time.Duration { return now - min(now/2, 80*time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, began := newFollower(t)
+			for now := time.Duration(0); now < time.Minute; now += testHeartbeat {
+				n.Receive(began.Add(now), request(sent(now)))
+			}
+			now := began.Add(time.Minute)
+			if age := n.age(now, "a"); age > testElectionTimeout {
+				t.Errorf("the leader's last sign of life is %v old", age)
+			}
+		})
+	}
+}
+
+// TestContactsOfLeader checks what a follower learns from the members that a leader names, and what it replies.
+func TestContactsOfLeader(t *testing.T) {
+	n, began := newFollower(t)
+	now := began.Add(time.Second)
+	n.Receive(now, request(time.Second, Contact{Member: testID("c"), Age: 3 * time.Second, Known: true, Stopping: true}, Contact{Member: testID("d")}))
+	if age := n.age(now, "c"); age != 3*time.Second || !n.contacts[testID("c")].stopping {
+		t.Errorf("the sign of life of c is %v old, stopping %v", age, n.contacts[testID("c")].stopping)
+	}
+	if _, ok := n.contacts[testID("d")]; ok {
+		t.Error("a member that the leader has never heard of has a sign of life")
+	}
+	n.Receive(now, Message{Kind: PreVoteRequest, From: testID("c"), FromAddress: "c", To: testID("b"), Term: 1})
+	n.Actions()
+	n.Receive(now.Add(testHeartbeat), request(time.Second+testHeartbeat, Contact{Member: testID("c"), Age: 3 * time.Second, Known: true}, Contact{Member: testID("d"), Age: time.Second, Known: true}))
+	for _, m := range n.Actions().Messages {
+		if m.Kind == AppendReply && (len(m.Contacts) != 1 || m.Contacts[0].Member != testID("c") || m.Contacts[0].Age != testHeartbeat || m.Contacts[0].Stopping) {
+			t.Errorf("the reply names %+v", m.Contacts)
+		}
+	}
+}
+
+// TestToldContactsStayOld guards against two voters that tell each other an old sign of life, which grows newer by the
+// transmission delay each time.
+func TestToldContactsStayOld(t *testing.T) {
+	c := newCluster(t, 5, 3, equalRates)
+	leader := c.waitForLeader()
+	c.run(time.Second)
+	lost := c.others(leader)[0]
+	lost.isolated = true
+	lostAt := c.now
+	c.run(5 * time.Second)
+	for _, s := range c.servers {
+		if s.node.Status(c.clock(s)).IsLeader && s != lost {
+			for _, silence := range s.node.Silences(c.clock(s)) {
+				if silence.Member == lost.id && silence.Age < c.now-lostAt-testElectionTimeout/2 {
+					t.Errorf("%s was lost %v ago, and its last sign of life is %v old", lost.name, c.now-lostAt, silence.Age)
+				}
+			}
+		}
+	}
+}
