consensus: count the silence of a new member from its addition

A member that had joined looked silent for as long as the leader had led, so that another join could have removed it before its first reply. A member that loses its disk keeps its replacement.

TestSilenceOfNewMember failed before; TestReplacementOfLostDisk is new. Found by reading.

--- a/consensus/contacts.go
+++ b/consensus/contacts.go
@@ -173,8 +173,8 @@
 	return unheard
 }
 
-// Silences returns, on a leader, for each other member the time since its last sign of life that a voter has told this
-// one or, if none is known, since this node became the leader; on any other node it returns nil.
+// Silences returns, on a leader, for each other member the time since its last known sign of life or, if none is known,
+// since this node has replicated to it; on any other node it returns nil.
 func (n *Node) Silences(now time.Time) []Contact {
 	if n.role != leader {
 		return nil
@@ -186,7 +186,7 @@
 		}
 		c, known := n.contacts[member.ID]
 		if !known {
-			c.at = n.leaderSince
+			c.at = n.progress[member.ID].since
 		}
 		all = append(all, Contact{Member: member.ID, Age: now.Sub(c.at), Known: known, Stopping: c.stopping})
 	}
--- a/consensus/contacts_test.go
+++ b/consensus/contacts_test.go
@@ -107,3 +107,53 @@
 		}
 	}
 }
+
+// TestSilenceOfNewMember guards against a member that joins and looks silent for as long as the leader has led.
+func TestSilenceOfNewMember(t *testing.T) {
+	c := newCluster(t, 3, 4, equalRates)
+	c.loss = 0
+	leader := c.waitForLeader()
+	c.run(2 * time.Second)
+	if _, _, err := leader.node.Join(c.clock(leader), testID("z"), "nowhere", time.Second, false); err != nil {
+		t.Fatal(err)
+	}
+	for _, silence := range leader.node.Silences(c.clock(leader)) {
+		if silence.Member == testID("z") && (silence.Known || silence.Age > 0) {
+			t.Errorf("the new member is silent for %v, known %v", silence.Age, silence.Known)
+		}
+	}
+}
+
+// TestReplacementOfLostDisk checks that a member whose disk was lost keeps its replacement, and takes its old place in one entry.
+func TestReplacementOfLostDisk(t *testing.T) {
+	c := newCluster(t, 3, 5, equalRates)
+	c.loss = 0
+	leader := c.waitForLeader()
+	lost := c.others(leader)[0]
+	lost.isolated = true
+	c.run(time.Second)
+	join := func(id ID) {
+		t.Helper()
+		// Nobody answers at the address of the lost member.
+		if _, _, err := leader.node.Join(c.clock(leader), id, lost.name, 500*time.Millisecond, false); err != nil {
+			t.Fatal(err)
+		}
+		c.processActions(leader)
+		c.run(200 * time.Millisecond)
+	}
+	join(testID("z"))
+	again := ID{Name: "z", Disk: "disk 2"}
+	join(again)
+	members := leader.node.Status(c.clock(leader)).Members
+	member, _ := members.Find("z")
+	if len(members) != 4 || member.ID != again || member.Replacement == nil || len(member.Replacement.Suspects) != 1 || member.Replacement.Suspects[0] != lost.id {
+		t.Errorf("the members are %+v", members)
+	}
+	if _, _, err := leader.node.Replace(c.clock(leader), lost.id, again); err != nil {
+		t.Fatal(err)
+	}
+	members = leader.node.Status(c.clock(leader)).Members
+	if member, _ = members.Find("z"); len(members) != 3 || member.Replacement != nil {
+		t.Errorf("after the removal the members are %+v", members)
+	}
+}
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -20,8 +20,8 @@
 }
 
 // Join is like Add for a member that requested its admission itself, uptime after its start. A member of the same name
-// with another disk is replaced by it in the same entry; a member under a new name may replace a failed one later. If
-// it had been a member before, it has no suspects, as it may have been removed while it was unreachable.
+// with another disk is replaced by it in the same entry, and leaves it its replacement; a member under a new name may
+// replace a failed one later. If it had been a member before, it has no suspects, as it may have been removed while it was unreachable.
 func (n *Node) Join(now time.Time, id ID, address string, uptime time.Duration, returning bool) (index, term int64, err error) {
 	if err := n.checkChangeAllowed(); err != nil {
 		return 0, 0, err
@@ -36,6 +36,7 @@
 		if err := n.checkRemoval(now, members.Without(id.Name), id.Name); err != nil {
 			return 0, 0, err
 		}
+		joined.Replacement = member.Replacement
 	default:
 		joined.Replacement = &Replacement{Uptime: uptime}
 		if !returning {
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -13,6 +13,8 @@
 
 // progress is a leader's view of the replication to another member.
 type progress struct {
+	// since is the time from which this node has replicated to the member.
+	since time.Time
 	match int64
 	next  int64
 	// inflightSince is the time at which the unacknowledged entries or snapshot were sent, or zero if there are none.
@@ -40,14 +42,14 @@
 	e.Index = n.log.last() + 1
 	e.Term = n.hardState.Term
 	n.log.append(e)
-	n.trackMembers()
+	n.trackMembers(now)
 	n.sendEntries(now)
 	n.advanceCommit(now)
 	return e.Index
 }
 
 // trackMembers updates progress to hold exactly the other members.
-func (n *Node) trackMembers() {
+func (n *Node) trackMembers(now time.Time) {
 	kept := map[ID]*progress{}
 	for _, member := range n.log.currentMembers().members {
 		if member.ID == n.cfg.Self {
@@ -55,7 +57,7 @@
 		}
 		kept[member.ID] = n.progress[member.ID]
 		if kept[member.ID] == nil {
-			kept[member.ID] = &progress{next: n.log.last()}
+			kept[member.ID] = &progress{since: now, next: n.log.last()}
 		}
 	}
 	n.progress = kept
