--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -205,10 +205,13 @@
 	signed := "HTTP/1.1 200 OK\r\nId: request-1\r\nSigned: a\r\n"
 	for name, start := range map[string]string{"head": signed + "X: ", "body": signed + "\r\n", "event": signed + "Content-Type: text/event-stream\r\n\r\ndata: "} {
 		t.Run(name, func(t *testing.T) {
-			a := newEndpoint(t, "a", func(c *endpointConn, _ *http.Request, _ int) bool { return c.drip(start, "x") })
-			g := newGateway(t, testTable(t, func(r *routes.Route) { r.Timeout = time.Hour }), a)
 			ctx, cancel := context.WithCancel(t.Context())
-			time.AfterFunc(50*time.Millisecond, cancel)
+			a := newEndpoint(t, "a", func(c *endpointConn, _ *http.Request, _ int) bool {
+				// A caller that leaves before the endpoint has the request leaves nothing to cut off.
+				time.AfterFunc(50*time.Millisecond, cancel)
+				return c.drip(start, "x")
+			})
+			g := newGateway(t, testTable(t, func(r *routes.Route) { r.Timeout = time.Hour }), a)
 			if got := g.call(ctx, "POST", "/stream/x", nil); got.whole {
 				t.Errorf("status %d, body %q", got.status, got.body)
 			}
