--- a/consensus/contacts.go
+++ b/consensus/contacts.go
@@ -5,29 +5,30 @@
 	"time"
 )
 
-// contact is the last known sign of life of a member.
+// contact is the last known time at which a member was running.
 type contact struct {
 	at       time.Time
 	stopping bool
-	// heardAt is the time of the last sign of life in a message from the member itself, or zero if there was none.
+	// heardAt is the last such time known from a message of the member itself, or zero if there was none.
 	heardAt time.Time
 }
 
-// offsetGrowth is the divisor of the time in which the offset of a leaderClock may grow: clocks run at different rates,
-// and one of a suspended machine stands still.
+// offsetGrowth bounds the growth of the offset of a leaderClock to 1/offsetGrowth of the elapsed time. The offset must be
+// able to grow, as clock rates differ and a suspended host's clock stops.
 const offsetGrowth = 100
 
 // leaderClock estimates when the messages of a leader were sent, by the shortest delay of one of them.
 type leaderClock struct {
 	leader ID
 	term   int64
-	// offset is the time from the start of the leader's node to that of this one, including the shortest delay, and
-	// updatedAt when it was estimated.
-	offset    time.Duration
+	// offset is what must be added to a time on the leader's clock to get the time on this node's clock at which a message
+	// sent then arrives with the shortest delay. Both clocks count from the starts of their nodes.
+	offset time.Duration
+	// updatedAt is the time of the last estimate of offset.
 	updatedAt time.Time
 }
 
-// update returns the clock after a message of the leader that was received at now.
+// update returns the estimate that includes a message of the leader received at now.
 func (c leaderClock) update(now, started time.Time, m Message) leaderClock {
 	next := leaderClock{leader: m.From, term: m.Term, offset: now.Sub(started) - m.SentAt, updatedAt: now}
 	if c.leader == m.From && c.term == m.Term {
@@ -36,8 +37,9 @@
 	return next
 }
 
-// recordContacts records a sign of life of the sender of a message, and what the sender knows of other members. A member
-// that a leader does not name has been heard by that leader within an election timeout.
+// recordContacts updates the last contact with the sender of a message and with the members that the message reports on.
+// A leader reports only members that it has had no contact with for an election timeout, so that any other member was
+// running within that time.
 func (n *Node) recordContacts(now time.Time, m Message) {
 	sent, ok := n.sentTime(now, m)
 	if !ok {
@@ -54,9 +56,8 @@
 	}
 }
 
-// sentTime returns a time, not much before the message was sent, at which its sender was alive; ok is false if the message
-// is no sign of life. A message may be delivered long after its sender has ended, so that the time of its receipt shows
-// nothing where another time is known.
+// sentTime estimates when a message was sent; ok is false if the message does not show that its sender was running. The
+// time of receipt is used only if no other estimate exists, since a message may arrive long after its sender has ended.
 func (n *Node) sentTime(now time.Time, m Message) (at time.Time, ok bool) {
 	switch m.Kind {
 	case AppendReply:
@@ -74,7 +75,7 @@
 	}
 }
 
-// recordHeard records that a member was alive at a time and whether it had announced its stop.
+// recordHeard updates the last contact with a member from one of its own messages, which was sent at the given time.
 func (n *Node) recordHeard(id ID, at time.Time, stopping bool) {
 	known := n.contacts[id]
 	if at.Before(known.heardAt) || at.Before(known.at.Add(-n.cfg.ElectionTimeout)) {
@@ -105,8 +106,8 @@
 	})
 }
 
-// mergeContact records a sign of life that another member has told. An announced stop stands although the times of two
-// voters differ by transmission delays.
+// mergeContact updates the last contact with a member from the report of another one. An announced stop is kept if the
+// reported time is slightly older than the known one, as reports are subject to transmission delays.
 func (n *Node) mergeContact(id ID, told contact) {
 	known, ok := n.contacts[id]
 	switch {
@@ -127,7 +128,7 @@
 	return b
 }
 
-// silentMembers returns the other members that have not been heard from for an election timeout, or never.
+// silentMembers returns the other members without contact for at least an election timeout.
 func (n *Node) silentMembers(now time.Time) []Contact {
 	var silent []Contact
 	for _, member := range n.log.currentMembers().members {
@@ -144,9 +145,9 @@
 	return silent
 }
 
-// newerContacts returns the signs of life of the given members that the leader does not know. Of a member with a known
-// sign of life only messages from the member itself count: what two voters tell each other grows newer by the
-// transmission delay each time.
+// newerContacts returns the contacts that are newer than those reported by the leader. If the leader reported a time, only
+// messages received from the member itself are considered: each report adds a transmission delay to the time, so that two
+// voters exchanging reports would advance it forever.
 func (n *Node) newerContacts(now time.Time, told []Contact) []Contact {
 	var newer []Contact
 	for _, t := range told {
@@ -162,7 +163,7 @@
 	return newer
 }
 
-// unheardSince returns the other members without a sign of life since a time.
+// unheardSince returns the other members without contact since a time.
 func (n *Node) unheardSince(since time.Time) []ID {
 	var unheard []ID
 	for _, member := range n.log.currentMembers().members {
@@ -173,7 +174,7 @@
 	return unheard
 }
 
-// Silences returns, on a leader, for each other member the time since its last known sign of life or, if none is known,
+// Silences returns, on a leader, for each other member the time since its last contact or, if none is known,
 // since this node has replicated to it; on any other node it returns nil.
 func (n *Node) Silences(now time.Time) []Contact {
 	if n.role != leader {
@@ -193,5 +194,5 @@
 	return all
 }
 
-// AnnounceStop has all later messages of this node tell that it is about to stop.
+// AnnounceStop sets Stopping in all later messages of this node.
 func (n *Node) AnnounceStop() { n.stopping = true }
--- a/consensus/contacts_test.go
+++ b/consensus/contacts_test.go
@@ -21,18 +21,18 @@
 
 func testID(name string) ID { return ID{Name: name, Disk: "disk"} }
 
-// request returns a request of the leader "a", whose clock began with the follower's.
+// request returns an AppendRequest of the leader "a", whose node started at the same time as the follower.
 func request(sentAt time.Duration, contacts ...Contact) Message {
 	return Message{Kind: AppendRequest, From: testID("a"), FromAddress: "a", To: testID("b"), Term: 1, Index: 1, LogTerm: 1, Commit: 1, Round: 1, SentAt: sentAt, Contacts: contacts}
 }
 
-// age returns the age of the last sign of life of a member.
+// age returns the time since the last contact with a member.
 func (n *Node) age(now time.Time, name string) time.Duration {
 	return now.Sub(n.contacts[testID(name)].at)
 }
 
-// TestDelayedRequestOfEndedLeader guards against a request that is delivered long after its sender has ended and that
-// counts as a sign of life.
+// TestDelayedRequestOfEndedLeader guards against counting a request as contact with its sender when it arrives long after
+// the sender has ended.
 func TestDelayedRequestOfEndedLeader(t *testing.T) {
 	const delay = 10 * time.Millisecond
 	n, began := newFollower(t)
@@ -43,11 +43,11 @@
 	now := began.Add(last + 3*time.Second)
 	n.Receive(now, request(last-testHeartbeat))
 	if age := n.age(now, "a"); age < 3*time.Second-testElectionTimeout {
-		t.Errorf("the leader ended %v ago, and its last sign of life is %v old", 3*time.Second, age)
+		t.Errorf("the leader ended %v ago, and its last contact is %v old", 3*time.Second, age)
 	}
 }
 
-// TestLeaderClockRate has the clock of the leader run slower, and stand still for a while: its signs of life stay fresh.
+// TestLeaderClockRate guards against outdated contacts with a running leader whose clock is slow or was suspended.
 func TestLeaderClockRate(t *testing.T) {
 	for name, sent := range map[string]func(now time.Duration) time.Duration{
 		"slow":      func(now time.Duration) time.Duration { return now - now/500 },
@@ -60,7 +60,7 @@
 			}
 			now := began.Add(time.Minute)
 			if age := n.age(now, "a"); age > testElectionTimeout {
-				t.Errorf("the leader's last sign of life is %v old", age)
+				t.Errorf("the leader's last contact is %v old", age)
 			}
 		})
 	}
@@ -72,10 +72,10 @@
 	now := began.Add(time.Second)
 	n.Receive(now, request(time.Second, Contact{Member: testID("c"), Age: 3 * time.Second, Known: true, Stopping: true}, Contact{Member: testID("d")}))
 	if age := n.age(now, "c"); age != 3*time.Second || !n.contacts[testID("c")].stopping {
-		t.Errorf("the sign of life of c is %v old, stopping %v", age, n.contacts[testID("c")].stopping)
+		t.Errorf("the last contact with c is %v old, stopping %v", age, n.contacts[testID("c")].stopping)
 	}
 	if _, ok := n.contacts[testID("d")]; ok {
-		t.Error("a member that the leader has never heard of has a sign of life")
+		t.Error("there is a contact with a member that the leader reports no time for")
 	}
 	n.Receive(now, Message{Kind: PreVoteRequest, From: testID("c"), FromAddress: "c", To: testID("b"), Term: 1})
 	n.Actions()
@@ -87,8 +87,8 @@
 	}
 }
 
-// TestToldContactsStayOld guards against two voters that tell each other an old sign of life, which grows newer by the
-// transmission delay each time.
+// TestToldContactsStayOld guards against contact times that advance by a transmission delay each time two voters report
+// them to each other.
 func TestToldContactsStayOld(t *testing.T) {
 	c := newCluster(t, 5, 3, equalRates)
 	leader := c.waitForLeader()
@@ -101,7 +101,7 @@
 		if s.node.Status(c.clock(s)).IsLeader && s != lost {
 			for _, silence := range s.node.Silences(c.clock(s)) {
 				if silence.Member == lost.id && silence.Age < c.now-lostAt-testElectionTimeout/2 {
-					t.Errorf("%s was lost %v ago, and its last sign of life is %v old", lost.name, c.now-lostAt, silence.Age)
+					t.Errorf("%s was lost %v ago, and its last contact is %v old", lost.name, c.now-lostAt, silence.Age)
 				}
 			}
 		}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -28,7 +28,7 @@
 	commit         int64
 	applied        int64
 
-	// contacts holds the last signs of life of the other members.
+	// contacts holds the last contact with each other member.
 	contacts map[ID]contact
 	stopping bool
 	// leaderClock is that of the last leader.
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -24,9 +24,9 @@
 
 // Replacement allows the removal of one failed member because another one has joined; it is immutable.
 type Replacement struct {
-	// Suspects are the members that have not been heard from since the start of the one that joined.
+	// Suspects are the members without contact since the start of the one that joined.
 	Suspects []ID
-	// Uptime is the time from the start of the member that joined to its join.
+	// Uptime is how long the new member had been running when it joined.
 	Uptime time.Duration
 }
 
@@ -36,10 +36,10 @@
 	return &r
 }
 
-// Contact is the last sign of life of a member that is known to a voter.
+// Contact is a voter's last contact with a member, direct or reported by another voter.
 type Contact struct {
 	Member ID
-	// Age is the time since the sign of life; it has no meaning unless Known is set.
+	// Age is the time since the contact; it is valid only if Known is set.
 	Age   time.Duration
 	Known bool
 	// Stopping reports that the member has announced its stop.
@@ -204,8 +204,8 @@
 	SentAt time.Duration
 	// Stopping reports that the sender is about to stop.
 	Stopping bool
-	// Contacts holds, in a leader's request, the members that the leader has not heard from for an election timeout and,
-	// in the reply, those of them that the sender has heard from since.
+	// Contacts holds, in a leader's request, the members without contact for an election timeout and, in the reply, the
+	// sender's newer contacts with these members.
 	Contacts []Contact
 }
 
--- a/control/operators_orders.go
+++ b/control/operators_orders.go
@@ -36,7 +36,7 @@
 	return c.submitOrder(ctx, &wiregen.FleetOrder{Evacuation: &wiregen.EvacuationOrder{FailureDomain: domain, Withdrawn: withdrawn, KnownIndex: &after}})
 }
 
-// KnownIndex returns the index of the last log entry that this voter has applied, or of a later one that the leader has told it to be
+// KnownIndex returns the index of the last log entry that this voter has applied, or of a later one that the leader has reported as
 // decided.
 func (c *Control) KnownIndex() int64 { return max(c.quorum.knownIndex(), c.decidedIndex.Load()) }
 
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -93,7 +93,7 @@
 	// ordersIndex is the index of the last log entry applied to orders.
 	ordersIndex int64
 	departures  fleet.DepartureLog
-	// silences holds, on the leader, the last sign of life of each other member.
+	// silences holds, on the leader, the last contact with each other member.
 	silences []consensus.Contact
 	// joinedAt holds when this voter learned of the members that may still replace failed ones.
 	joinedAt joinTimes
@@ -356,7 +356,7 @@
 	}
 }
 
-// announceStop tells the other members that this one is about to stop.
+// announceStop marks all later messages of this voter as sent by one that is about to stop.
 func (q *quorum) announceStop(ctx context.Context) {
 	_ = q.enqueue(ctx, func(time.Time) { q.node.AnnounceStop() })
 }
--- a/control/replacement.go
+++ b/control/replacement.go
@@ -21,15 +21,15 @@
 
 // replacementTimes holds the times after which a failed member is removed once another one has joined.
 type replacementTimes struct {
-	// suspect is the time from the start of a daemon that joined, for a member that nobody has heard from since.
+	// suspect applies to members without contact since the start of the daemon that joined, and counts from that start.
 	suspect time.Duration
-	// stopped is the silence of a member that had announced its stop.
+	// stopped applies to members that had announced their stop, and counts from the last contact.
 	stopped time.Duration
-	// silent is the silence of any other member.
+	// silent applies to all other members, and counts from the last contact.
 	silent time.Duration
-	// heard is the silence below which a member counts as responsive.
+	// heard is the time since the last contact below which a member is considered responsive.
 	heard time.Duration
-	// tolerance is by how much two voters may differ about when a member was heard from.
+	// tolerance is the maximum error of contact times, due to transmission delays.
 	tolerance time.Duration
 }
 
@@ -104,9 +104,9 @@
 // nextReplacementStep returns the next change of the members that follows from a join, if there is one. The silences are
 // those of the other members, and ages the times since the members that may still replace failed ones joined.
 //
-// A member that nobody has heard from since another one started is removed as soon as it is the only such member, or the
-// daemons that joined suffice for all of them. A partition or a pause is not told from a failure otherwise, so that any
-// other member is removed only after a long silence, unless it had announced its stop.
+// A member without contact since the start of a daemon that joined is removed if it is the only such member, or if as many
+// daemons joined as there are such members. In all other cases a failure cannot be distinguished from a partition or a
+// pause, so that a member is removed only after longSilence, or earlier if it had announced its stop.
 func nextReplacementStep(members consensus.Members, silences []consensus.Contact, ages map[consensus.ID]time.Duration, times replacementTimes, toleratedDisks int) (replacementStep, bool) {
 	r := replacements{
 		voters: len(members.Voters()), silences: slices.Clone(silences), ages: ages, times: times,
@@ -133,7 +133,7 @@
 	return replacementStep{}, false
 }
 
-// settled drops the suspects that have been heard from since, or are no members any more.
+// settled removes suspects that have had contact since, or that are no longer members.
 func (r replacements) settled() (replacementStep, bool) {
 	for _, m := range r.joined {
 		var cleared []consensus.ID
@@ -150,8 +150,7 @@
 	return replacementStep{}, false
 }
 
-// heardSince reports whether a member has been heard from after the start of another one. The times of two voters differ
-// by transmission delays.
+// heardSince reports whether there was contact with a member after the start of the daemon that joined.
 func (r replacements) heardSince(m consensus.Member, c consensus.Contact) bool {
 	return c.Known && c.Age < m.Replacement.Uptime+r.ages[m.ID]-r.times.tolerance
 }
--- a/control/replacement_test.go
+++ b/control/replacement_test.go
@@ -131,7 +131,7 @@
 	const pause = 8 * time.Second
 	cases := map[string]struct {
 		disturb func(t *testing.T, s *simulation) (kept, lost *simDaemon)
-		// inTime reports that the lost voter must be replaced although the other one is unreachable.
+		// inTime is set if the lost voter must be replaced while the other one is still unreachable.
 		inTime bool
 	}{
 		"paused beside a loss": {disturb: func(t *testing.T, s *simulation) (kept, lost *simDaemon) {
--- a/gateway/forwardcredit_test.go
+++ b/gateway/forwardcredit_test.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// rejectAll has the endpoints of a region reject all requests, and counts these.
+// rejectAll makes the endpoints of a region reject all requests, and returns the counter of rejected requests.
 func (f *crashFleet) rejectAll(region string) *atomic.Int32 {
 	arrivals := &atomic.Int32{}
 	for _, e := range f.endpoints[region] {
--- a/operator/causality.go
+++ b/operator/causality.go
@@ -28,7 +28,7 @@
 }
 
 // NewCausality returns a handler that passes requests on to next; known returns the index of the last known log entry.
-// A server must use its ConnContext.
+// The server's ConnContext must be set to that of the handler, which otherwise sees no earlier responses.
 func NewCausality(known func() int64, next http.Handler) *Causality {
 	return &Causality{known: known, next: next}
 }
--- a/retry/charge.go
+++ b/retry/charge.go
@@ -8,7 +8,7 @@
 	reached int
 	// attemptReached reports whether the present attempt has reached an endpoint.
 	attemptReached bool
-	// takenAt is the time of the retry that was taken and has reached no endpoint yet, or zero.
+	// takenAt is when a retry was taken from the allowance that no attempt has used yet, or zero.
 	takenAt time.Time
 }
 
