--- a/consensus/bootstrap.go
+++ b/consensus/bootstrap.go
@@ -56,8 +56,11 @@
 	n.finishBootstrap(now)
 }
 
-// finishBootstrap makes this node the leader once all initial voters have voted for it.
+// finishBootstrap makes this node the leader once all initial voters have voted for it, and its own vote is durable.
 func (n *Node) finishBootstrap(now time.Time) {
+	if n.bootstrapVotes == nil || n.hardState != n.durable.hardState {
+		return
+	}
 	var members Members
 	for _, v := range n.cfg.InitialVoters {
 		id := n.bootstrapVotes[v.Name]
--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -29,21 +29,28 @@
 // server is one instance with its disk, its clock and its network state; rate is its clock's rate relative to the
 // simulated time, and disks the number of disks that it has had.
 type server struct {
-	name     string
-	id       ID
-	disks    int
-	rate     float64
-	node     *Node
-	stored   Restored
-	state    register
-	applied  int64
-	paused   bool
-	isolated bool
+	name    string
+	id      ID
+	disks   int
+	rate    float64
+	node    *Node
+	stored  Restored
+	state   register
+	applied int64
+	// compacted is the index of the last snapshot.
+	compacted int64
+	paused    bool
+	isolated  bool
 	// crashOnPersist makes the server crash before or after it next persists its state.
 	crashOnPersist bool
 	inbox          []Message
-	pending        map[int64]pendingOp
-	reads          map[int64]*op
+	// writing is what the server persists until writtenAt, or nil.
+	writing   *Actions
+	writtenAt time.Duration
+	// syncTime returns how long the next write takes; nil means no time.
+	syncTime func() time.Duration
+	pending  map[int64]pendingOp
+	reads    map[int64]*op
 }
 
 type delivery struct {
@@ -72,6 +79,7 @@
 	ops       []*op
 	tokens    int64
 	wiped     int
+	swaps     int
 }
 
 func newCluster(t testingT, count int, seed uint64, rates []float64) *cluster {
@@ -92,6 +100,15 @@
 	return c
 }
 
+// addSpare starts a server that is not one of the initial voters.
+func (c *cluster) addSpare() *server {
+	s := &server{name: string(rune('a' + len(c.servers))), rate: 1}
+	c.servers = append(c.servers, s)
+	c.wipe(s)
+	c.start(s)
+	return s
+}
+
 // clock returns the time of the server's clock, which runs at its own rate.
 func (c *cluster) clock(s *server) time.Time {
 	return c.epoch.Add(time.Duration(float64(c.now) * s.rate))
@@ -101,8 +118,11 @@
 	if s.node != nil {
 		return
 	}
-	cfg := Config{Self: s.id, Address: s.name, InitialVoters: c.initialVoters, Heartbeat: testHeartbeat, ElectionTimeout: c.electionTimeout, RetainedEntries: 5}
-	s.state, s.applied = register{Answers: map[int]casAnswer{}}, 0
+	cfg := Config{Self: s.id, Address: s.name, Heartbeat: testHeartbeat, ElectionTimeout: c.electionTimeout, RetainedEntries: 5}
+	if slices.ContainsFunc(c.initialVoters, func(v InitialVoter) bool { return v.Name == s.name }) {
+		cfg.InitialVoters = c.initialVoters
+	}
+	s.state, s.applied, s.compacted = register{Answers: map[int]casAnswer{}}, 0, 0
 	if s.stored.Snapshot != nil {
 		s.restore(s.stored.Snapshot)
 	}
@@ -118,11 +138,15 @@
 	if err := json.Unmarshal(snapshot.Data, &s.state); err != nil {
 		panic(err)
 	}
-	s.applied = snapshot.Index
+	s.applied, s.compacted = snapshot.Index, snapshot.Index
 }
 
 func (c *cluster) crash(s *server) {
-	s.node, s.paused, s.crashOnPersist, s.inbox = nil, false, false, nil
+	// A write in progress has reached the disk or not.
+	if s.writing != nil && c.rnd.IntN(2) == 0 {
+		s.persist(*s.writing)
+	}
+	s.node, s.paused, s.crashOnPersist, s.inbox, s.writing = nil, false, false, nil, nil
 }
 
 // wipe crashes the server and replaces its disk with an empty one.
@@ -139,6 +163,9 @@
 		c.now += time.Millisecond
 		c.deliver()
 		for _, s := range c.servers {
+			if s.writing != nil && !s.paused && s.writtenAt <= c.now {
+				c.finishWrite(s)
+			}
 			if s.node != nil && !s.paused && c.rnd.IntN(4) == 0 {
 				s.node.Tick(c.clock(s))
 				c.processActions(s)
@@ -204,18 +231,38 @@
 	}
 }
 
-// processActions performs the node's Actions; a server with crashOnPersist set crashes before or after the sync.
+// processActions performs the node's Actions. A server without a syncTime persists them at once.
 func (c *cluster) processActions(s *server) {
 	a := s.node.Actions()
-	if s.crashOnPersist && a.Persists() && c.rnd.IntN(2) == 0 {
-		c.crash(s)
-		return
+	if a.Persists() && s.writing != nil {
+		c.t.Fatalf("%s persists two sets of actions at once", s.id)
+	}
+	if a.Persists() {
+		s.writing, s.writtenAt = &a, c.now
+		if s.syncTime != nil {
+			s.writtenAt += s.syncTime()
+		}
+	}
+	c.performActions(s, a)
+	if s.node != nil && s.writing != nil && s.writtenAt <= c.now {
+		c.finishWrite(s)
 	}
-	s.persist(a)
-	if s.crashOnPersist && a.Persists() {
+}
+
+// finishWrite ends the write in progress; a server with crashOnPersist set crashes instead.
+func (c *cluster) finishWrite(s *server) {
+	if s.crashOnPersist {
 		c.crash(s)
 		return
 	}
+	s.persist(*s.writing)
+	s.writing = nil
+	s.node.Persisted(c.clock(s))
+	c.processActions(s)
+}
+
+// performActions performs the Actions that do not wait for the disk.
+func (c *cluster) performActions(s *server, a Actions) {
 	for _, m := range a.Messages {
 		c.send(s, m)
 	}
@@ -229,12 +276,13 @@
 	for _, r := range a.Reads {
 		c.answerRead(s, r)
 	}
-	if n := s.applied; s.stored.Snapshot == nil && n >= snapshotEvery || s.stored.Snapshot != nil && n >= s.stored.Snapshot.Index+snapshotEvery {
+	if n := s.applied; n >= s.compacted+snapshotEvery {
+		s.compacted = n
 		data, err := json.Marshal(s.state)
 		if err != nil {
 			panic(err)
 		}
-		s.stored = s.node.Compact(n, data)
+		s.node.Compact(n, data)
 	}
 }
 
@@ -242,8 +290,8 @@
 	if a.HardState != nil {
 		s.stored.HardState = *a.HardState
 	}
-	if a.Install != nil {
-		s.stored.Snapshot, s.stored.Entries = a.Install, nil
+	if a.Snapshot != nil {
+		s.stored.Snapshot, s.stored.Entries = a.Snapshot, nil
 	}
 	if len(a.Entries) == 0 {
 		return
--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -28,6 +28,9 @@
 func runFaults(t *rapid.T, count int) {
 	c := newCluster(t, count, rapid.Uint64().Draw(t, "seed"), driftingRates)
 	c.loss = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "loss")
+	for _, s := range c.servers {
+		c.slowDisk(s, rapid.SampledFrom([]string{"", "", "slow", "slower", "uneven", "stalled"}).Draw(t, "disk"))
+	}
 	for range rapid.IntRange(1, 60).Draw(t, "steps") {
 		s := c.servers[rapid.IntRange(0, count-1).Draw(t, "server")]
 		c.injectFault(s, rapid.IntRange(0, 9).Draw(t, "fault"))
@@ -41,6 +44,22 @@
 	c.healAndCheck()
 }
 
+// syncTimes returns the time of each write of one server, in milliseconds; an election timeout is 100.
+var syncTimes = map[string]func(rnd *rand.Rand) int{
+	"slow":    func(*rand.Rand) int { return 40 },
+	"slower":  func(*rand.Rand) int { return 400 },
+	"uneven":  func(rnd *rand.Rand) int { return rnd.IntN(300) },
+	"stalled": func(rnd *rand.Rand) int { return 5 + rnd.IntN(20)/19*1500 },
+}
+
+// slowDisk has the writes of a server take the named times from now on.
+func (c *cluster) slowDisk(s *server, name string) {
+	s.syncTime = nil
+	if f := syncTimes[name]; f != nil {
+		s.syncTime = func() time.Duration { return time.Duration(f(c.rnd)) * time.Millisecond }
+	}
+}
+
 // injectFault starts or ends one fault.
 func (c *cluster) injectFault(s *server, kind int) {
 	switch kind {
@@ -224,7 +243,9 @@
 	now = now.Add(2 * testElectionTimeout)
 	n.Tick(now)
 	n.Receive(now, Message{Kind: PreVoteReply, From: ids[1], To: ids[0], Term: 3, Granted: true})
+	n.persist(now)
 	n.Receive(now, Message{Kind: VoteReply, From: ids[1], To: ids[0], Term: 3, Granted: true})
+	n.persist(now)
 	n.Receive(now, Message{Kind: AppendReply, From: ids[1], To: ids[0], Term: 3, Granted: true, Match: 2, Round: 1})
 	if status := n.Status(now); !status.IsLeader || status.Commit != 0 {
 		t.Fatalf("with an entry of term 2 on a majority: %+v", status)
@@ -232,15 +253,20 @@
 	if _, _, err := n.Remove(now, "c"); !errors.As(err, new(*NotReadyError)) {
 		t.Errorf("a change before an entry of the term: %v", err)
 	}
-	n.Receive(now, Message{Kind: AppendReply, From: ids[1], To: ids[0], Term: 3, Granted: true, Match: 3, Round: 1})
+	n.Receive(now, Message{Kind: AppendReply, From: ids[1], To: ids[0], Term: 3, Granted: true, Match: 3, Round: 1, SentAt: 2 * testElectionTimeout})
 	if status := n.Status(now); status.Commit != 3 {
 		t.Errorf("with an entry of term 3 on a majority: %+v", status)
 	}
-	if _, _, err := n.Add(now, ID{Name: "d"}, "d"); err != nil {
-		t.Errorf("a first change: %v", err)
+	for _, name := range []string{"d", "e"} {
+		if _, _, err := n.Add(now, ID{Name: name}, name); err != nil {
+			t.Errorf("an addition of a learner: %v", err)
+		}
+	}
+	if _, _, err := n.Remove(now, "c"); err != nil {
+		t.Errorf("a first change of the voters: %v", err)
 	}
-	if _, _, err := n.Add(now, ID{Name: "e"}, "e"); !errors.As(err, new(*ChangePendingError)) {
-		t.Errorf("a second change: %v", err)
+	if _, _, err := n.Remove(now, "b"); !errors.As(err, new(*ChangePendingError)) {
+		t.Errorf("a second change of the voters: %v", err)
 	}
 }
 
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -25,6 +25,7 @@
 	}
 	n.role = follower
 	n.leader = ID{}
+	n.preVotes = nil
 	n.progress = nil
 }
 
@@ -33,29 +34,35 @@
 	if n.role != follower {
 		n.becomeFollower(now, m.Term)
 	}
-	n.leader = m.From
+	if n.matchedTerm != m.Term {
+		n.matched, n.matchedTerm = 0, m.Term
+	}
+	n.leader, n.leaderAddress = m.From, m.FromAddress
+	n.preVotes = nil
 	n.lastLeaderContact = now
 	n.bootstrapVotes = nil
 	n.resetElection(now)
 }
 
-// preCampaign asks the voters whether this node could win an election, without starting a new term.
+// preCampaign asks the voters whether this node could win an election, without starting a new term. A candidate remains one
+// meanwhile, since the votes for it may be delayed by slow disks.
 func (n *Node) preCampaign(now time.Time) {
-	n.role = preCandidate
 	n.leader = ID{}
-	n.votes = map[ID]bool{n.cfg.Self: true}
+	n.preVotes = map[ID]bool{n.cfg.Self: true}
 	// A refused pre-vote disturbs no leader, so it is repeated sooner than an election. After a restart of all voters,
 	// the first pre-votes may be refused, because those voters that started last withhold their votes the longest.
 	n.electionAt = now.Add(n.cfg.ElectionTimeout/2 + time.Duration(n.rnd.Int64N(int64(n.cfg.ElectionTimeout/2))))
-	if n.hasVoteMajority() {
+	if n.hasMajority(n.preVotes) {
 		n.campaign(now, false)
 		return
 	}
-	n.sendToMembers(Message{Kind: PreVoteRequest, Term: n.hardState.Term + 1, Index: n.log.last(), LogTerm: n.log.lastTerm()}, true)
+	n.sendToMembers(Message{Kind: PreVoteRequest, Term: n.hardState.Term + 1, Index: n.durable.last, LogTerm: n.durable.lastTerm}, true)
 }
 
+// onPreVoteRequest refuses a pre-vote while this node's vote is not durable: the election that it voted in may still be won,
+// however long the disks take.
 func (n *Node) onPreVoteRequest(now time.Time, m Message) {
-	granted := n.role != leader && !n.withholdsVote(now) && m.Term > n.hardState.Term && n.upToDate(m)
+	granted := n.role != leader && !n.withholdsVote(now) && m.Term > n.hardState.Term && n.hardState == n.durable.hardState && n.upToDate(m)
 	term := n.hardState.Term
 	if granted {
 		term = m.Term
@@ -64,33 +71,35 @@
 }
 
 func (n *Node) onPreVoteReply(now time.Time, m Message) {
-	if n.role != preCandidate || !m.Granted || m.Term != n.hardState.Term+1 {
+	if n.preVotes == nil || !m.Granted || m.Term != n.hardState.Term+1 {
 		return
 	}
-	n.votes[m.From] = true
-	if n.hasVoteMajority() {
+	n.preVotes[m.From] = true
+	if n.hasMajority(n.preVotes) {
 		n.campaign(now, false)
 	}
 }
 
-// campaign starts an election in a new term; transfer marks that the leader has stepped down in this node's favour.
+// campaign starts an election in a new term; transfer marks that the leader has stepped down in this node's favour. The votes
+// are requested while this node's own vote is being persisted, so that the voters do so at the same time and start no elections
+// of their own. It counts its own vote, and can be elected, only once that is durable.
+//
+// The request names the last durable entry. If the node restarts and requests votes in the same term again, its log is
+// therefore still as up to date as its first request stated, to which late replies may arrive.
 func (n *Node) campaign(now time.Time, transfer bool) {
 	n.hardState = HardState{Term: n.hardState.Term + 1, Vote: n.cfg.Self}
 	n.role = candidate
 	n.leader = ID{}
-	n.votes = map[ID]bool{n.cfg.Self: true}
+	n.votes, n.preVotes = map[ID]bool{}, nil
 	n.resetElection(now)
-	if n.hasVoteMajority() {
-		n.becomeLeader(now, Entry{Kind: TermEntry})
-		return
-	}
-	n.sendToMembers(Message{Kind: VoteRequest, Index: n.log.last(), LogTerm: n.log.lastTerm(), Transfer: transfer}, true)
+	n.sendToMembers(Message{Kind: VoteRequest, Index: n.durable.last, LogTerm: n.durable.lastTerm, Transfer: transfer}, true)
 }
 
 func (n *Node) onVoteRequest(now time.Time, m Message) {
 	granted := (n.hardState.Vote == ID{} || n.hardState.Vote == m.From) && n.upToDate(m)
 	if granted {
 		n.hardState.Vote = m.From
+		n.preVotes = nil
 		n.resetElection(now)
 	}
 	n.reply(m, Message{Kind: VoteReply, Granted: granted})
@@ -101,36 +110,34 @@
 		return
 	}
 	n.votes[m.From] = true
-	if n.hasVoteMajority() {
-		n.becomeLeader(now, Entry{Kind: TermEntry})
-	}
+	n.finishElection(now)
 }
 
-// upToDate reports whether the candidate's log is at least as up to date as this node's log.
-func (n *Node) upToDate(m Message) bool {
-	if m.LogTerm != n.log.lastTerm() {
-		return m.LogTerm > n.log.lastTerm()
+// finishElection makes a candidate the leader once its own vote is durable and a majority has voted for it.
+func (n *Node) finishElection(now time.Time) {
+	if n.role != candidate || n.hardState != n.durable.hardState {
+		return
+	}
+	n.votes[n.cfg.Self] = true
+	if n.hasMajority(n.votes) {
+		n.becomeLeader(now, Entry{Kind: TermEntry})
 	}
-	return m.Index >= n.log.last()
 }
 
-// hasVoteMajority reports whether a majority of the voters has voted for this node. A vote counts only if it comes from
-// the disk that the member was added with.
-func (n *Node) hasVoteMajority() bool {
-	voters := n.log.currentMembers().members.Voters()
-	count := 0
-	for _, id := range voters {
-		if n.votes[id] {
-			count++
-		}
+// upToDate reports whether the candidate's log is at least as up to date as the durable part of this node's log, which holds
+// all entries that it has acknowledged.
+func (n *Node) upToDate(m Message) bool {
+	if m.LogTerm != n.durable.lastTerm {
+		return m.LogTerm > n.durable.lastTerm
 	}
-	return count >= majority(len(voters))
+	return m.Index >= n.durable.last
 }
 
 // becomeLeader makes the node the leader of its term and appends the term's first entry.
 func (n *Node) becomeLeader(now time.Time, first Entry) {
 	n.role = leader
 	n.leader = n.cfg.Self
+	n.preVotes = nil
 	n.progress = map[ID]*progress{}
 	n.pendingReads = nil
 	n.leaderSince = now
--- a/consensus/invariants_test.go
+++ b/consensus/invariants_test.go
@@ -67,7 +67,7 @@
 	c.loss = 0
 	clear(c.cutLinks)
 	for _, s := range c.servers {
-		s.isolated, s.crashOnPersist = false, false
+		s.isolated, s.crashOnPersist, s.syncTime = false, false, nil
 		c.start(s)
 		c.resume(s)
 	}
--- a/consensus/lease.go
+++ b/consensus/lease.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -23,16 +24,12 @@
 // quorumAckTime returns the latest time t such that a majority of the voters has acknowledged a request sent at t or
 // later.
 func (n *Node) quorumAckTime(now time.Time) time.Time {
-	var times []time.Time
-	for _, id := range n.log.currentMembers().members.Voters() {
+	return agreed(n, time.Time.Compare, func(id ID) time.Time {
 		if id == n.cfg.Self {
-			times = append(times, now)
-			continue
+			return now
 		}
-		times = append(times, n.progress[id].ackedAt)
-	}
-	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
-	return times[majority(len(times))-1]
+		return n.replica(id).ackedAt
+	})
 }
 
 // Lease returns the term and the end of the leader's lease; ok is false if the
@@ -83,16 +80,12 @@
 }
 
 func (n *Node) quorumAckRound() int64 {
-	var rounds []int64
-	for _, id := range n.log.currentMembers().members.Voters() {
+	return agreed(n, cmp.Compare, func(id ID) int64 {
 		if id == n.cfg.Self {
-			rounds = append(rounds, n.round)
-			continue
+			return n.round
 		}
-		rounds = append(rounds, n.progress[id].ackedRound)
-	}
-	slices.Sort(rounds)
-	return rounds[len(rounds)-majority(len(rounds))]
+		return n.replica(id).ackedRound
+	})
 }
 
 // failReads answers the pending reads of a leader that steps down with OK unset.
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -12,8 +12,8 @@
 	baseTerm   int64
 	entries    []Entry
 	memberSets []memberSet
-	// firstUnpersisted is the lowest index not yet returned in Actions to be persisted.
-	firstUnpersisted int64
+	// firstUnwritten is the lowest index not yet returned in Actions to be persisted.
+	firstUnwritten int64
 }
 
 func newLog(r Restored) log {
@@ -25,7 +25,7 @@
 	for _, e := range r.Entries {
 		l.append(e)
 	}
-	l.firstUnpersisted = l.last() + 1
+	l.firstUnwritten = l.last() + 1
 	return l
 }
 
@@ -60,7 +60,7 @@
 	if e.Kind == MembersEntry {
 		l.memberSets = append(l.memberSets, memberSet{index: e.Index, members: e.Members})
 	}
-	l.firstUnpersisted = min(l.firstUnpersisted, e.Index)
+	l.firstUnwritten = min(l.firstUnwritten, e.Index)
 }
 
 // truncate drops the entries from index on.
@@ -69,7 +69,7 @@
 	for len(l.memberSets) > 0 && l.memberSets[len(l.memberSets)-1].index >= index {
 		l.memberSets = l.memberSets[:len(l.memberSets)-1]
 	}
-	l.firstUnpersisted = min(l.firstUnpersisted, index)
+	l.firstUnwritten = min(l.firstUnwritten, index)
 }
 
 // currentMembers returns the members in force and the index from which they are in force.
@@ -80,6 +80,16 @@
 	return l.memberSets[len(l.memberSets)-1]
 }
 
+// additionOf returns the index of the set of members that added a member, or of the first known one that holds it.
+func (l *log) additionOf(id ID) int64 {
+	for _, s := range l.memberSets {
+		if member, ok := s.members.Find(id.Name); ok && member.ID == id {
+			return s.index
+		}
+	}
+	return l.last() + 1
+}
+
 // membersAt returns the members in force at index.
 func (l *log) membersAt(index int64) Members {
 	var members Members
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -9,7 +9,6 @@
 
 const (
 	follower role = iota
-	preCandidate
 	candidate
 	leader
 )
@@ -20,13 +19,22 @@
 	rnd     *rand.Rand
 	started time.Time
 
-	role           role
-	hardState      HardState
-	persistedState HardState
-	log            log
-	snapshot       *Snapshot
-	commit         int64
-	applied        int64
+	role      role
+	hardState HardState
+	log       log
+	snapshot  *Snapshot
+	commit    int64
+	applied   int64
+
+	// durable is the state that survives a restart, and writing the one that will once the write in progress is done, or nil.
+	durable durableState
+	writing *durableState
+	// writtenCommit is the commit index of the last write.
+	writtenCommit int64
+	// rewrite is set if the next write must replace everything stored before by the snapshot and the entries after it.
+	rewrite bool
+	// held are the messages that must not be sent before hardState is durable.
+	held []Message
 
 	// contacts holds the last contact with each other member.
 	contacts map[ID]contact
@@ -34,15 +42,20 @@
 	// leaderClock is that of the last leader.
 	leaderClock leaderClock
 
-	leader ID
+	leader        ID
+	leaderAddress string
+	// matched is the last index at which the log is known to match that of the leader of term matchedTerm.
+	matched, matchedTerm int64
 	// lastLeaderContact is the time of the last message from a leader, or the node's start time.
 	lastLeaderContact time.Time
 	// caughtUpAt is the time of the last message from a leader after which this node's commit index was the leader's and an entry of
 	// the leader's term.
-	caughtUpAt     time.Time
-	electionAt     time.Time
-	heartbeatAt    time.Time
-	votes          map[ID]bool
+	caughtUpAt  time.Time
+	electionAt  time.Time
+	heartbeatAt time.Time
+	votes       map[ID]bool
+	// preVotes are the granted pre-votes for the next term, or nil if none are requested.
+	preVotes       map[ID]bool
 	bootstrapVotes map[string]ID
 
 	progress       map[ID]*progress
@@ -56,11 +69,13 @@
 
 // New returns a node that starts at now with the persisted state r.
 func New(cfg Config, r Restored, now time.Time, rnd *rand.Rand) *Node {
-	n := &Node{cfg: cfg, rnd: rnd, started: now, hardState: r.HardState, persistedState: r.HardState, log: newLog(r), snapshot: r.Snapshot, contacts: map[ID]contact{}}
+	n := &Node{cfg: cfg, rnd: rnd, started: now, hardState: r.HardState, log: newLog(r), snapshot: r.Snapshot, contacts: map[ID]contact{}}
+	n.durable = durableState{hardState: r.HardState, last: n.log.last(), lastTerm: n.log.lastTerm()}
 	if r.Snapshot != nil {
 		n.commit, n.applied = r.Snapshot.Index, r.Snapshot.Index
 	}
 	n.commit = max(n.commit, min(r.Commit, n.log.last()))
+	n.writtenCommit = n.commit
 	// Before the restart the voter may have acknowledged a leader's request, which commits it not to vote for another
 	// candidate within one election timeout.
 	n.lastLeaderContact = now
@@ -68,17 +83,13 @@
 	return n
 }
 
-// Actions returns the work that has accumulated since the last call.
+// Actions returns the work that has accumulated since the last call. If it persists anything, Persisted must be called once
+// that is durable; until then, the Actions persist nothing else.
 func (n *Node) Actions() Actions {
+	n.releaseHeld()
 	out := n.out
 	n.out = Actions{}
-	if n.hardState != n.persistedState {
-		hard := n.hardState
-		out.HardState = &hard
-		n.persistedState = n.hardState
-	}
-	out.Entries = n.log.slice(n.log.firstUnpersisted, n.log.last())
-	n.log.firstUnpersisted = n.log.last() + 1
+	n.beginWrite(&out)
 	out.Committed = n.log.slice(n.applied+1, n.commit)
 	n.applied = n.commit
 	return out
@@ -102,6 +113,8 @@
 	switch {
 	case len(n.log.memberSets) == 0:
 		n.bootstrap()
+	case n.hardState != n.durable.hardState:
+		// Its vote in the current term is not decided yet.
 	case n.log.currentMembers().members.Voter(n.cfg.Self):
 		n.preCampaign(now)
 	}
@@ -192,6 +205,10 @@
 	if m.Term == 0 {
 		m.Term = n.hardState.Term
 	}
+	if n.mustHold(m) {
+		n.hold(m)
+		return
+	}
 	n.out.Messages = append(n.out.Messages, m)
 }
 
@@ -221,11 +238,24 @@
 	// CaughtUpAt is the last time at which the node knew of as many committed entries as its leader, or the time of the call on
 	// the leader itself; zero if it never did since its start.
 	CaughtUpAt time.Time
+	// Votes is the number of votes or, before an election, of pre-votes that the node has, and VotesNeeded the number of votes
+	// that elect a leader. Votes is zero on a node that requests none.
+	Votes, VotesNeeded int
+	// Writing reports that the node's last state is not durable yet.
+	Writing bool
 }
 
 // Status returns the node's status at now.
 func (n *Node) Status(now time.Time) Status {
-	s := Status{Self: n.cfg.Self, Leader: n.leader, Term: n.hardState.Term, Commit: n.commit, LastLeaderContact: n.lastLeaderContact, CaughtUpAt: n.caughtUpAt, Members: n.log.currentMembers().members}
+	s := Status{Self: n.cfg.Self, Leader: n.leader, Term: n.hardState.Term, Commit: n.commit, LastLeaderContact: n.lastLeaderContact, CaughtUpAt: n.caughtUpAt, Members: n.log.currentMembers().members, Writing: n.writing != nil}
+	voters := s.Members.Voters()
+	s.VotesNeeded = majority(len(voters))
+	switch {
+	case n.preVotes != nil:
+		s.Votes = countVotes(voters, n.preVotes)
+	case n.role == candidate:
+		s.Votes = countVotes(voters, n.votes)
+	}
 	if n.role == leader {
 		s.IsLeader = true
 		s.LastLeaderContact, s.CaughtUpAt = now, now
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -1,7 +1,7 @@
 package consensus
 
 import (
-	"slices"
+	"cmp"
 	"time"
 )
 
@@ -17,6 +17,10 @@
 	since time.Time
 	match int64
 	next  int64
+	// received is the last index that the member has received, and receivedRound the round in which this was learned.
+	received, receivedRound int64
+	// supportsSwap reports that the member's version waits for two majorities while a swap of voters is not committed.
+	supportsSwap bool
 	// inflightSince is the time at which the unacknowledged entries or snapshot were sent, or zero if there are none.
 	inflightSince time.Time
 	// inflightRound is the heartbeat round in which they were sent; after a reply to a later round, they are considered
@@ -144,8 +148,8 @@
 func (n *Node) onAppend(now time.Time, m Message) {
 	answer := Message{Kind: AppendReply, Round: m.Round, SentAt: m.SentAt, Contacts: n.newerContacts(now, m.Contacts)}
 	if m.Index < n.commit {
-		answer.Granted, answer.Match = true, n.commit
-		n.reply(m, answer)
+		n.matched = max(n.matched, n.commit)
+		n.replyMatched(m, answer)
 		return
 	}
 	if term, ok := n.log.term(m.Index); !ok || term != m.LogTerm {
@@ -156,9 +160,16 @@
 	for _, e := range m.Entries {
 		n.appendReceived(e)
 	}
-	answer.Granted, answer.Match = true, m.Index+int64(len(m.Entries))
-	n.commit = max(n.commit, min(m.Commit, answer.Match))
-	n.reply(m, answer)
+	n.matched = max(n.matched, m.Index+int64(len(m.Entries)))
+	n.commit = max(n.commit, min(m.Commit, n.matched))
+	n.replyMatched(m, answer)
+}
+
+// replyMatched accepts a leader's request. The reply does not wait until the entries are durable; it acknowledges those that
+// are, and Persisted the rest.
+func (n *Node) replyMatched(request, answer Message) {
+	answer.Granted, answer.Index, answer.Match = true, n.matched, n.acknowledged()
+	n.reply(request, answer)
 }
 
 // appendReceived appends an entry from the leader. If the log has an entry of another term at its index, that entry and
@@ -168,7 +179,7 @@
 		return
 	}
 	if e.Index <= n.log.last() {
-		n.log.truncate(e.Index)
+		n.truncate(e.Index)
 	}
 	n.log.append(e)
 }
@@ -189,7 +200,7 @@
 
 func (n *Node) onInstall(now time.Time, m Message) {
 	s := m.Snapshot
-	answer := Message{Kind: AppendReply, Granted: true, Round: m.Round, SentAt: m.SentAt, Contacts: n.newerContacts(now, m.Contacts)}
+	answer := Message{Kind: AppendReply, Round: m.Round, SentAt: m.SentAt, Contacts: n.newerContacts(now, m.Contacts)}
 	term, ok := n.log.term(s.Index)
 	switch {
 	case s.Index <= n.commit:
@@ -197,13 +208,15 @@
 		// The log already has these entries; later ones must be kept, since they may count towards a majority.
 		n.commit = s.Index
 	default:
+		committedTerm, _ := n.log.term(n.commit)
+		n.limitDurable(n.commit, committedTerm)
 		n.log.replace(s)
-		n.snapshot = s
+		n.snapshot, n.rewrite = s, true
 		n.commit, n.applied = s.Index, s.Index
 		n.out.Install = s
 	}
-	answer.Match = n.commit
-	n.reply(m, answer)
+	n.matched = max(n.matched, n.commit)
+	n.replyMatched(m, answer)
 }
 
 func (n *Node) onAppendReply(now time.Time, m Message) {
@@ -219,9 +232,8 @@
 		p.next = max(p.match, min(m.Match, p.next-1)) + 1
 		p.inflightSince = time.Time{}
 	}
-	if m.Granted && m.Match > p.match {
-		p.match = m.Match
-		p.inflightSince = time.Time{}
+	if m.Granted {
+		p.record(m, n.round)
 	}
 	if m.Round > p.inflightRound {
 		p.inflightSince = time.Time{}
@@ -233,20 +245,33 @@
 	}
 }
 
-// advanceCommit commits up to the last index that a majority of the voters has, if its entry is of the current term,
+// record updates the indices that a member has received and persisted from a granted reply, in the given round of the leader. A
+// member that restarted may have lost entries that it had received but not persisted.
+func (p *progress) record(m Message, round int64) {
+	// Versions that know of swaps name the last index that they have received.
+	p.supportsSwap = m.Index > 0
+	p.match = max(p.match, m.Match)
+	received := max(p.match, m.Index)
+	switch {
+	case received > p.received:
+		p.received, p.receivedRound = received, round
+		p.next, p.inflightSince = max(p.next, received+1), time.Time{}
+	case received < p.received && m.Round > p.receivedRound:
+		p.received = received
+		p.next, p.inflightSince = received+1, time.Time{}
+	}
+}
+
+// advanceCommit commits up to the last index that a majority of the voters has persisted, if its entry is of the current term,
 // and answers the reads that a majority has confirmed. The leader steps down once a set of members that does not
 // include it as a voter is committed.
 func (n *Node) advanceCommit(now time.Time) {
-	var matches []int64
-	for _, id := range n.log.currentMembers().members.Voters() {
+	index := agreed(n, cmp.Compare, func(id ID) int64 {
 		if id == n.cfg.Self {
-			matches = append(matches, n.log.last())
-			continue
+			return n.durable.last
 		}
-		matches = append(matches, n.progress[id].match)
-	}
-	slices.Sort(matches)
-	index := matches[len(matches)-majority(len(matches))]
+		return n.replica(id).match
+	})
 	if term, _ := n.log.term(index); index > n.commit && term == n.hardState.Term {
 		n.commit = index
 	}
@@ -257,12 +282,11 @@
 	}
 }
 
-// Compact makes data, the replicated state after the entry at index, the
-// snapshot. It returns the snapshot with the hard state and the entries after
-// index, which the caller persists in place of everything stored before.
-func (n *Node) Compact(index int64, data []byte) Restored {
+// Compact makes data, the replicated state after the entry at index, the snapshot. The next Actions that persist anything replace
+// everything stored before by the snapshot, the hard state and the entries after index.
+func (n *Node) Compact(index int64, data []byte) {
 	term, _ := n.log.term(index)
 	n.snapshot = &Snapshot{Index: index, Term: term, Members: n.log.membersAt(index), Data: data}
+	n.rewrite = true
 	n.log.compact(max(n.log.base, index-int64(n.cfg.RetainedEntries)))
-	return Restored{HardState: n.hardState, Snapshot: n.snapshot, Entries: n.log.slice(index+1, n.log.last())}
 }
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -183,7 +183,8 @@
 	To          ID
 	ToAddress   string
 	Term        int64
-	// Index and LogTerm are those of the entry that precedes Entries, or of the candidate's last entry.
+	// Index and LogTerm are those of the entry that precedes Entries, or of the candidate's last durable entry. In a granted
+	// AppendReply, Index is the last index that the sender has received, which need not be durable yet.
 	Index   int64
 	LogTerm int64
 	Commit  int64
@@ -192,7 +193,7 @@
 	Snapshot *Snapshot
 	// Granted reports that the vote was granted, or that the entries or the snapshot were accepted.
 	Granted bool
-	// Match is the last index known to match the leader's log or, if Granted is false, the index at which the leader
+	// Match is the last durable index known to match the leader's log or, if Granted is false, the index at which the leader
 	// should compare the logs next.
 	Match int64
 	// Transfer marks a vote request of a leadership transfer: the leader of the previous term has stepped down in
@@ -216,20 +217,27 @@
 	OK    bool
 }
 
-// Actions is the work that the caller of a node must perform, in the order of the fields.
+// Actions is the work that the caller of a node must perform. HardState, Snapshot, Entries and Commit must be persisted together, after
+// which Node.Persisted is called; the rest does not wait for them.
 type Actions struct {
 	// HardState must be persisted if it is not nil.
 	HardState *HardState
-	// Install, if not nil, replaces the log and the replicated state.
-	Install *Snapshot
+	// Snapshot, if not nil, replaces everything persisted before, and comes with HardState.
+	Snapshot *Snapshot
 	// Entries replace the persisted entries from the index of the first one on.
-	Entries   []Entry
+	Entries []Entry
+	// Commit, if not zero, is the commit index, which is persisted along. If it comes alone, it need not be synced: a node that
+	// loses it in a restart learns it from the next leader.
+	Commit int64
+
+	// Install, if not nil, replaces the replicated state before Committed is applied.
+	Install   *Snapshot
 	Messages  []Message
 	Committed []Entry
 	Reads     []ReadResult
 }
 
-// Persists reports whether a contains anything that must be persisted and synced.
+// Persists reports whether a contains anything that must be persisted.
 func (a Actions) Persists() bool {
-	return a.HardState != nil || a.Install != nil || len(a.Entries) > 0
+	return a.HardState != nil || a.Snapshot != nil || len(a.Entries) > 0 || a.Commit > 0
 }
--- a/control/control.go
+++ b/control/control.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -52,7 +53,9 @@
 	inventoryMu sync.RWMutex
 	// openFolder opens and locks the data folder.
 	openFolder func(path string) (dataFolder, error)
-	done       chan struct{}
+	// started is the time at which Run was called. Opening the journal takes long on a slow disk.
+	started time.Time
+	done    chan struct{}
 }
 
 // dataFolder is the locked folder of a journal.
@@ -84,6 +87,7 @@
 // RunOpened is like Run and closes opened once the daemon accepts calls.
 func (c *Control) RunOpened(ctx context.Context, opened chan<- struct{}) error {
 	defer close(c.done)
+	c.started = c.now()
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	folder, err := c.openFolder(c.cfg.DataFolder)
@@ -109,7 +113,8 @@
 	wg.Go(func() { c.runPlacement(workCtx) })
 	wg.Go(func() { c.runFleet(workCtx) })
 	c.log.Info().Str("operatorAddress", c.cfg.OperatorAddress).Str("disk", c.quorum.disk.identity).
-		Int64("revision", c.store.Current().Revision).Msg("started")
+		Int64("revision", c.store.Current().Revision).Dur("opened", c.now().Sub(c.started)).Int("processors", runtime.NumCPU()).
+		Int("usedProcessors", runtime.GOMAXPROCS(0)).Msg("started")
 	close(opened)
 	select {
 	case <-ctx.Done():
--- a/control/disk.go
+++ b/control/disk.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -11,18 +12,29 @@
 	"arbutusreel/wiregen"
 )
 
-// disk persists the voter's durable state.
+// disk persists the voter's durable state. After the start, write is the only method that may be called, by one goroutine.
 type disk struct {
 	journal  *journal.Journal
 	identity string
 	// founders are the initial voters if this voter is one of them and has not compacted its journal, or nil.
 	founders []consensus.InitialVoter
-	// commit is the highest commit index written.
-	commit int64
 	// compactedSize is the size of the journal in bytes after the last compaction.
 	compactedSize int64
 }
 
+// diskWrite is state to be persisted; if snapshot is set, it replaces everything persisted before.
+type diskWrite struct {
+	hardState *consensus.HardState
+	snapshot  *consensus.Snapshot
+	entries   []consensus.Entry
+	commit    int64
+}
+
+// durable reports whether the write must be synced.
+func (w diskWrite) durable() bool {
+	return w.hardState != nil || w.snapshot != nil || len(w.entries) > 0
+}
+
 // openDisk opens the journal in the files and returns the persisted state. A new journal gets a random identity.
 func openDisk(files journal.Files) (*disk, consensus.Restored, error) {
 	j, contents, err := journal.Open(files, rand.Text())
@@ -108,34 +120,38 @@
 	return append(entries[:n:n], appended...)
 }
 
-// save persists what the actions require and syncs it. A higher commit index is written along with it. If only the
-// commit index changed, it is written without a sync: a voter that loses it in a restart learns it from the next
-// leader.
-func (d *disk) save(a consensus.Actions, hard consensus.HardState, commit int64) error {
-	if a.Install != nil {
-		return d.compact(consensus.Restored{HardState: hard, Snapshot: a.Install, Entries: a.Entries})
-	}
-	if !a.Persists() && commit == d.commit {
+// write persists a write and syncs it. A write with nothing but a commit index is not synced: a voter that loses it in a restart
+// learns it from the next leader.
+func (d *disk) write(w diskWrite) error {
+	if w.snapshot != nil {
+		if err := d.journal.Compact(marshal(encodeSnapshot(w.snapshot)), encodeRecord(w.hardState, w.entries, w.commit)); err != nil {
+			return err
+		}
+		d.compactedSize = d.journal.Size()
 		return nil
 	}
-	if err := d.journal.Append(encodeRecord(a.HardState, a.Entries, commit)); err != nil {
+	if err := d.journal.Append(encodeRecord(w.hardState, w.entries, w.commit)); err != nil {
 		return err
 	}
-	d.commit = commit
-	if !a.Persists() {
+	if !w.durable() {
 		return nil
 	}
 	return d.journal.Sync()
 }
 
-// compact replaces the journal by a snapshot and the entries that follow it.
-func (d *disk) compact(r consensus.Restored) error {
-	if err := d.journal.Compact(marshal(encodeSnapshot(r.Snapshot)), encodeRecord(&r.HardState, r.Entries, r.Commit)); err != nil {
-		return err
-	}
-	d.compactedSize = d.journal.Size()
-	return nil
+// writeResult is the result of a write.
+type writeResult struct {
+	err error
+	// growth is the number of bytes appended since the last compaction.
+	growth int64
+	// took is the duration of the write.
+	took  time.Duration
+	write diskWrite
 }
 
-// growth returns the number of bytes appended since the last compaction.
-func (d *disk) growth() int64 { return d.journal.Size() - d.compactedSize }
+// perform writes w and returns the result.
+func (d *disk) perform(w diskWrite, now func() time.Time) writeResult {
+	began := now()
+	err := d.write(w)
+	return writeResult{err: err, growth: d.journal.Size() - d.compactedSize, took: now().Sub(began), write: w}
+}
--- a/control/diskloss_test.go
+++ b/control/diskloss_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -74,6 +75,8 @@
 	emptyUntil time.Duration
 	waiting    []*simAttempt
 	attempts   int
+	// syncTime returns how long the next write takes; nil means no time.
+	syncTime func() time.Duration
 }
 
 // simOrder is an operator's order.
@@ -215,11 +218,27 @@
 	})
 }
 
+// start starts the daemon, which opens its journal with two syncs.
 func (d *simDaemon) start() {
-	s := d.sim
 	if d.quorum != nil || d.removed {
 		return
 	}
+	d.started = d.sim.now
+	if d.syncTime == nil {
+		d.open()
+		return
+	}
+	d.boot++
+	boot := d.boot
+	d.sim.after(d.syncTime()+d.syncTime(), func() {
+		if d.boot == boot && !d.removed {
+			d.open()
+		}
+	})
+}
+
+func (d *simDaemon) open() {
+	s := d.sim
 	cfg := Config{
 		Name: d.name, PeerAddress: d.name, Join: d.join, Seeds: s.seeds, ToleratedDisks: s.tolerated, CatchUpTime: simCatchUp,
 		Heartbeat: simHeartbeat, ElectionTimeout: simElectionTimeout, SnapshotEntries: 16,
@@ -236,12 +255,35 @@
 		return
 	}
 	d.boot++
-	d.started = s.now
+	d.quorum.beginWrite = d.beginWrite
 	d.repeat(simTick, func() { d.quorum.node.Tick(s.clock()) })
 	d.repeat(joinPeriod, d.maintainMembership)
 	d.repeat(replacementPeriod, d.replaceFailed)
 }
 
+// beginWrite performs a write. If it takes time, a loss of power meanwhile may come before or after it reached the disk.
+func (d *simDaemon) beginWrite(w diskWrite) {
+	s, q := d.sim, d.quorum
+	if d.syncTime == nil || !w.durable() {
+		q.finishWrite(s.clock(), q.disk.perform(w, s.clock))
+		return
+	}
+	var r writeResult
+	early := s.rnd.IntN(2) == 0
+	if early {
+		r = q.disk.perform(w, s.clock)
+	}
+	s.after(d.syncTime(), func() {
+		if d.quorum != q {
+			return
+		}
+		if !early {
+			r = q.disk.perform(w, s.clock)
+		}
+		d.receive(func() { q.finishWrite(s.clock(), r) })
+	})
+}
+
 // repeat runs f periodically until the daemon ends.
 func (d *simDaemon) repeat(period time.Duration, f func()) {
 	boot := d.boot
@@ -265,7 +307,7 @@
 	d.join = true
 	if errors.Is(err, errPowerLost) {
 		d.losePower(false)
-	} else if !d.disk.full {
+	} else if !errors.Is(err, syscall.ENOSPC) {
 		d.sim.fail("%s ended at %v: %v", d.name, d.sim.now, err)
 	}
 	d.sim.after(d.sim.between(200*time.Millisecond, 2*time.Second), d.start)
@@ -359,7 +401,7 @@
 }
 
 func (d *simDaemon) replaceFailed() {
-	step, ok := d.quorum.replacementStep(d.sim.clock())
+	step, _, ok := d.quorum.replacementStep(d.sim.clock())
 	if !ok {
 		return
 	}
@@ -606,7 +648,7 @@
 		}
 		for _, d := range running {
 			d.losePower(synced || s.rnd.IntN(2) == 0)
-			d.disk.full = false
+			d.disk.full, d.syncTime = false, nil
 		}
 		s.emptyHolders(running, index)
 		clear(s.cuts)
@@ -696,9 +738,15 @@
 	}
 }
 
-// runDay plays a day of random disturbances and the final fault, and checks the survivors.
+// runDay plays a day and returns its simulation.
 func runDay(seed uint64, daemons, tolerated int) *simulation {
 	s := newSimulation(seed, daemons, tolerated)
+	s.playDay()
+	return s
+}
+
+// playDay plays a day of random disturbances and the final fault, and checks the survivors. Slow disks end with it.
+func (s *simulation) playDay() {
 	s.loss = []float64{0, 0.01, 0.05}[s.rnd.IntN(3)]
 	s.operate(s.between(20*time.Millisecond, 400*time.Millisecond))
 	length := s.between(0, 25*time.Second)
@@ -710,7 +758,7 @@
 			s.after(s.between(0, 2*period), next)
 		}
 	}
-	s.grow(2*tolerated + 1)
+	s.grow(2*s.tolerated + 1)
 	s.after(s.between(0, 4*time.Second), next)
 	s.run(s.now + length)
 	length = s.now
@@ -722,11 +770,10 @@
 	}
 	if !s.finished {
 		s.fail("no acknowledgement %v after the last disturbance: %s", 2*simRecovery, s.describe())
-		return s
+		return
 	}
 	s.run(s.now + simRecovery + 1500*time.Millisecond)
 	s.check()
-	return s
 }
 
 var (
--- a/control/fuzz_test.go
+++ b/control/fuzz_test.go
@@ -68,6 +68,7 @@
 		now := fuzzStart.Add(time.Second)
 		n.Tick(now)
 		n.Actions()
+		n.Persisted(now)
 		n.Receive(now, consensus.Message{Kind: consensus.VoteReply, From: fuzzPeer, To: fuzzSelf, Term: n.HardState().Term, Granted: true})
 		n.Actions()
 		n.Status(now)
@@ -108,14 +109,15 @@
 		now := fuzzStart.Add(time.Second)
 		step := func() {
 			a := n.Actions()
-			if a.Install != nil {
-				c.Snapshot, c.Records = marshal(encodeSnapshot(a.Install)), nil
+			if a.Snapshot != nil {
+				c.Snapshot, c.Records = marshal(encodeSnapshot(a.Snapshot)), nil
 			}
 			hard := n.HardState()
 			c.Records = append(c.Records, encodeRecord(&hard, a.Entries, 0))
 			if _, err := restore(c); err != nil {
 				t.Fatalf("the voter wrote what it cannot read: %v", err)
 			}
+			n.Persisted(now)
 		}
 		receive := func(b []byte) {
 			m := &wiregen.ConsensusMessage{}
--- a/control/joining.go
+++ b/control/joining.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,7 +35,6 @@
 	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	started := c.now()
 	requests := make(chan struct{}, maxJoinRequests)
 	for attempt := 0; clock.Sleep(ctx, joinPeriod); attempt++ {
 		s := c.quorum.Status()
@@ -48,7 +49,7 @@
 		}
 		wg.Go(func() {
 			defer func() { <-requests }()
-			c.requestJoin(ctx, attempt, c.now().Sub(started))
+			c.requestJoin(ctx, attempt, c.now().Sub(c.started))
 		})
 	}
 }
@@ -109,6 +110,7 @@
 		c.log.Warn().Str("member", r.id.Name).Str("disk", member.ID.Disk).Str("newDisk", r.id.Disk).Msg("member lost its disk")
 	}
 	if err := c.quorum.join(ctx, r); err != nil {
+		c.log.Warn().Str("member", r.id.Name).Str("disk", r.id.Disk).Dur("uptime", r.uptime).Err(err).Msg("join failed")
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
 	c.log.Info().Str("member", r.id.Name).Str("disk", r.id.Disk).Str("address", r.address).Str("domain", m.GetFailureDomain()).
@@ -116,18 +118,48 @@
 	return &wiregen.JoinReply{Member: true}, nil
 }
 
+// errNoReplacement is returned if no change of the members follows from a join.
+var errNoReplacement = errors.New("no member is to be replaced")
+
 // replaceFailed performs, on the leader, the changes of the members that follow from joins.
 func (c *Control) replaceFailed(ctx context.Context) {
+	var waiting []string
 	for clock.Sleep(ctx, replacementPeriod) {
-		step, ok := c.quorum.replacementStep(c.now())
-		if !ok {
+		if !c.quorum.Status().IsLeader {
 			continue
 		}
-		_, err := c.quorum.proposeAndWait(ctx, func(now time.Time) (index, term int64, err error) { return step.propose(now, c.quorum.node) })
-		if step.failed != (consensus.ID{}) {
-			c.log.Warn().Str("member", step.failed.Name).Str("joined", step.joined.Name).Err(err).Msg("unresponsive voter removal")
-			continue
+		steps, reasons := make(chan replacementStep, 1), make(chan []string, 1)
+		_, err := c.quorum.proposeAndWait(ctx, func(now time.Time) (index, term int64, err error) {
+			step, why, ok := c.quorum.replacementStep(now)
+			if !ok {
+				reasons <- why
+				return 0, 0, errNoReplacement
+			}
+			steps <- step
+			return step.propose(now, c.quorum.node)
+		})
+		select {
+		case step := <-steps:
+			c.logReplacement(step, err)
+			waiting = nil
+		case why := <-reasons:
+			if len(why) > 0 && !slices.Equal(why, waiting) {
+				s := c.quorum.Status()
+				c.log.Info().Strs("reasons", why).Int("voters", len(s.Members.Voters())).Int("needed", s.VotesNeeded).Msg("replacement waits")
+			}
+			waiting = why
+		default:
 		}
+	}
+}
+
+func (c *Control) logReplacement(step replacementStep, err error) {
+	switch {
+	case step.failed != consensus.ID{}:
+		c.log.Warn().Str("member", step.failed.Name).Str("joined", step.joined.Name).Err(err).Msg("unresponsive voter removal")
+	case step.promoted:
+		c.log.Info().Str("joined", step.joined.Name).Err(err).Msg("promoted without a removal")
+	default:
 		c.log.Info().Str("joined", step.joined.Name).Strs("suspects", step.suspects()).Err(err).Msg("replacement changed")
 	}
 }
--- a/control/machine_test.go
+++ b/control/machine_test.go
@@ -131,12 +131,12 @@
 		return consensus.Entry{Index: index, Term: term, Data: []byte(fmt.Sprint(index, term))}
 	}
 	hard := consensus.HardState{Term: 3, Vote: members[0].ID}
-	for _, a := range []consensus.Actions{
-		{Install: &consensus.Snapshot{Index: 4, Term: 1, Members: members, Data: []byte("state")}},
-		{Entries: []consensus.Entry{entry(5, 1), entry(6, 1), entry(7, 1)}},
-		{HardState: &hard, Entries: []consensus.Entry{entry(6, 3)}},
+	for _, w := range []diskWrite{
+		{hardState: &consensus.HardState{Term: 2}, snapshot: &consensus.Snapshot{Index: 4, Term: 1, Members: members, Data: []byte("state")}},
+		{entries: []consensus.Entry{entry(5, 1), entry(6, 1), entry(7, 1)}},
+		{hardState: &hard, entries: []consensus.Entry{entry(6, 3)}},
 	} {
-		if err := d.save(a, consensus.HardState{Term: 2}, 0); err != nil {
+		if err := d.write(w); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -15,6 +15,9 @@
 	Members         int   `json:"members"`
 	LeaderAgeMillis int64 `json:"leaderAgeMillis"`
 	WaitingInputs   int   `json:"waitingInputs"`
+	VotesNeeded     int   `json:"votesNeeded"`
+	LastWriteMillis int64 `json:"lastWriteMillis"`
+	MaxWriteMillis  int64 `json:"maxWriteMillis"`
 }
 
 // publishMetrics publishes the voter's metrics. In a process with several voters, only the first one's are published.
@@ -24,6 +27,7 @@
 	}
 	expvar.Publish(quorumVar, expvar.Func(func() any {
 		s := c.store.Status()
+		last, longest := c.quorum.writeTimes()
 		return metrics{
 			Term:            s.Term,
 			Leads:           s.IsLeader,
@@ -33,6 +37,9 @@
 			Members:         len(s.Members),
 			LeaderAgeMillis: c.hub.LeaderAge().Milliseconds(),
 			WaitingInputs:   c.quorum.inputs.Len(),
+			VotesNeeded:     s.VotesNeeded,
+			LastWriteMillis: last.Milliseconds(),
+			MaxWriteMillis:  longest.Milliseconds(),
 		}
 	}))
 }
--- a/control/previous_test.go
+++ b/control/previous_test.go
@@ -45,19 +45,17 @@
 		}
 	}
 	snapshot := &consensus.Snapshot{Index: 3, Term: 1, Members: fuzzMembers(), Data: m.snapshot()}
-	if err := d.compact(consensus.Restored{HardState: consensus.HardState{Term: 1}, Snapshot: snapshot, Commit: 3}); err != nil {
-		t.Fatal(err)
-	}
-	for _, a := range []consensus.Actions{
-		{HardState: &consensus.HardState{Term: 2, Vote: fuzzPeer}},
-		{Entries: []consensus.Entry{{Index: 4, Term: 2, Kind: consensus.TermEntry}, {Index: 5, Term: 2, Data: order(&wiregen.FleetOrder{Document: &wiregen.RouteDocument{Version: 6}})}}},
-		{Entries: []consensus.Entry{
+	for _, w := range []diskWrite{
+		{hardState: &consensus.HardState{Term: 1}, snapshot: snapshot, commit: 3},
+		{hardState: &consensus.HardState{Term: 2, Vote: fuzzPeer}, commit: 7},
+		{commit: 7, entries: []consensus.Entry{{Index: 4, Term: 2, Kind: consensus.TermEntry}, {Index: 5, Term: 2, Data: order(&wiregen.FleetOrder{Document: &wiregen.RouteDocument{Version: 6}})}}},
+		{commit: 7, entries: []consensus.Entry{
 			{Index: 5, Term: 2, Data: order(&wiregen.FleetOrder{Document: &wiregen.RouteDocument{Version: 7, Content: []byte(goldenDocument)}})},
 			{Index: 6, Term: 2, Kind: consensus.MembersEntry, Members: fuzzMembers().Without("c")},
 			{Index: 7, Term: 2, Data: order(&wiregen.FleetOrder{Evacuation: &wiregen.EvacuationOrder{FailureDomain: "d-2"}})},
 		}},
 	} {
-		if err := d.save(a, consensus.HardState{Term: 2, Vote: fuzzPeer}, 7); err != nil {
+		if err := d.write(w); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/control/quorum.go
+++ b/control/quorum.go
@@ -70,9 +70,15 @@
 	// onDeparted is called with the endpoints whose departure was accepted.
 	onDeparted func([]fleet.LoggedDeparture)
 
-	node           *consensus.Node
-	disk           *disk
-	machine        *stateMachine
+	node    *consensus.Node
+	disk    *disk
+	machine *stateMachine
+	// beginWrite begins a write, whose result is passed to finishWrite.
+	beginWrite func(diskWrite)
+	// failure is the error of the write that failed, or nil.
+	failure error
+	// journalGrowth is the number of bytes appended to the journal since its last compaction.
+	journalGrowth  int64
 	appliedIndex   int64
 	compactedIndex int64
 	pendingChanges map[int64]pendingChange
@@ -88,13 +94,15 @@
 	changed          chan struct{}
 	status           consensus.Status
 	lease            leaseState
-	acceptTimes      map[int64]time.Time
-	orders           configuration.Orders
+	// lastWrite and longestWrite are durations of writes of the journal.
+	lastWrite, longestWrite time.Duration
+	acceptTimes             map[int64]time.Time
+	orders                  configuration.Orders
 	// ordersIndex is the index of the last log entry applied to orders.
 	ordersIndex int64
 	departures  fleet.DepartureLog
-	// silences holds, on the leader, the last contact with each other member.
-	silences []consensus.Contact
+	// electionLoggedAt is the time of the last log of an election.
+	electionLoggedAt time.Time
 	// joinedAt holds when this voter learned of the members that may still replace failed ones.
 	joinedAt joinTimes
 }
@@ -114,6 +122,7 @@
 		acceptTimes:    map[int64]time.Time{},
 		joinedAt:       joinTimes{},
 	}
+	q.beginWrite = func(w diskWrite) { q.finishWrite(now(), d.perform(w, now)) }
 	q.ended, q.end = context.WithCancel(context.Background())
 	if err := q.install(r.Snapshot); err != nil {
 		return nil, err
@@ -159,6 +168,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wg.Go(func() { q.tick(ctx) })
+	writes := make(chan diskWrite, 1)
+	defer close(writes)
+	q.beginWrite = func(w diskWrite) { writes <- w }
+	wg.Go(func() {
+		for w := range writes {
+			r := q.disk.perform(w, q.now)
+			_ = q.enqueue(ctx, func(now time.Time) { q.finishWrite(now, r) })
+		}
+	})
 	for {
 		f, err := q.inputs.Take(ctx)
 		if err != nil {
@@ -190,32 +208,46 @@
 	}
 }
 
-// processActions persists, sends and applies what the node requires, in this order. A snapshot that cannot be decoded
-// is not persisted.
+// processActions sends, applies and begins to persist what the node requires. It returns the error of a write that failed, or of a
+// snapshot that cannot be decoded.
 func (q *quorum) processActions() error {
-	a := q.node.Actions()
-	if err := q.install(a.Install); err != nil {
-		return err
-	}
-	if err := q.disk.save(a, q.node.HardState(), q.node.Status(q.now()).Commit); err != nil {
-		return err
-	}
-	for _, m := range a.Messages {
-		q.links.send(m)
-	}
-	q.publishInventory()
-	for _, e := range a.Committed {
-		if err := q.apply(e); err != nil {
+	for q.failure == nil {
+		a := q.node.Actions()
+		if err := q.install(a.Install); err != nil {
 			return err
 		}
+		for _, m := range a.Messages {
+			q.links.send(m)
+		}
+		q.publishInventory()
+		for _, e := range a.Committed {
+			if err := q.apply(e); err != nil {
+				return err
+			}
+		}
+		q.answerReads(a.Reads)
+		q.publish(q.now())
+		if q.appliedIndex-q.compactedIndex >= int64(q.cfg.SnapshotEntries) || q.journalGrowth >= maxJournalGrowth {
+			q.compactedIndex, q.journalGrowth = q.appliedIndex, 0
+			q.node.Compact(q.appliedIndex, q.machine.snapshot())
+		}
+		if !a.Persists() {
+			return nil
+		}
+		q.beginWrite(diskWrite{hardState: a.HardState, snapshot: a.Snapshot, entries: a.Entries, commit: a.Commit})
 	}
-	q.answerReads(a.Reads)
-	q.publish(q.now())
-	if q.appliedIndex-q.compactedIndex < int64(q.cfg.SnapshotEntries) && q.disk.growth() < maxJournalGrowth {
-		return nil
+	return q.failure
+}
+
+// finishWrite handles the result of a write, after which the node may send what waited for it.
+func (q *quorum) finishWrite(now time.Time, r writeResult) {
+	if r.err != nil {
+		q.failure = r.err
+		return
 	}
-	q.compactedIndex = q.appliedIndex
-	return q.disk.compact(q.node.Compact(q.appliedIndex, q.machine.snapshot()))
+	q.journalGrowth = r.growth
+	q.recordWrite(r)
+	q.node.Persisted(now)
 }
 
 // install replaces the replicated state by a snapshot, if there is one; publishInventory makes it visible. A snapshot
@@ -335,13 +367,13 @@
 	q.mu.Lock()
 	before := q.status
 	q.status = status
-	q.silences = q.node.Silences(now)
 	q.joinedAt.update(now, status.Members)
 	q.lease = leaseState{term: term, end: end, held: held}
 	q.mu.Unlock()
 	if before.Leader != status.Leader || before.IsLeader != status.IsLeader {
 		q.log.Info().Int64("term", status.Term).Str("leader", status.Leader.Name).Bool("leads", status.IsLeader).Msg("leader changed")
 	}
+	q.logElection(now, before, status)
 	if before.IsLeader && !status.IsLeader {
 		q.failPendingChanges()
 	}
@@ -420,14 +452,14 @@
 	return q.departures.Contains(d)
 }
 
-// replacementStep returns, on the leader, the next change of the members that follows from a join.
-func (q *quorum) replacementStep(now time.Time) (replacementStep, bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if !q.status.IsLeader {
-		return replacementStep{}, false
+// replacementStep returns, on the leader, the next change of the members that follows from a join, or why there is none. Only the
+// event loop may call it.
+func (q *quorum) replacementStep(now time.Time) (step replacementStep, reasons []string, ok bool) {
+	status := q.node.Status(now)
+	if !status.IsLeader {
+		return replacementStep{}, nil, false
 	}
-	return nextReplacementStep(q.status.Members, q.silences, q.joinedAt.ages(now), q.cfg.replacementTimes(), q.cfg.ToleratedDisks)
+	return nextReplacementStep(now, q.node, status.Members, q.node.Silences(now), q.joinedAt.ages(now), q.cfg.replacementTimes(), q.cfg.ToleratedDisks)
 }
 
 // Lease returns the leader lease; ok is false if it is not held or has ended at now.
--- a/control/quorum_test.go
+++ b/control/quorum_test.go
@@ -92,7 +92,7 @@
 }
 
 func TestFailedSyncStopsVoter(t *testing.T) {
-	const syncsToLead = 3
+	const syncsToLead = 4
 	q, failed := startSingleVoter(t, syncsToLead)
 	q.waitForLease(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
@@ -114,7 +114,7 @@
 // TestCallUnansweredAtEnd guards against changes and reads that wait for a voter whose event loop has ended, for longer than its daemon
 // waits for calls in progress: their callers' connections were closed without an answer.
 func TestCallUnansweredAtEnd(t *testing.T) {
-	const syncsToLead = 3
+	const syncsToLead = 4
 	q, failed := startSingleVoter(t, syncsToLead)
 	q.waitForLease(t)
 	calls := map[string]func() error{
--- a/control/replacement_test.go
+++ b/control/replacement_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -218,6 +219,20 @@
 	}
 }
 
+// testGroup is a group in which the named learners can be promoted and, unless noSwap is set, swapped.
+type testGroup struct {
+	caughtUp []string
+	noSwap   bool
+}
+
+func (g testGroup) CaughtUp(_ time.Time, id consensus.ID) bool {
+	return slices.Contains(g.caughtUp, id.Name)
+}
+
+func (g testGroup) CanSwap(now time.Time, _, joined consensus.ID) bool {
+	return !g.noSwap && g.CaughtUp(now, joined)
+}
+
 // TestReplacementChoice checks which member is removed, and when.
 func TestReplacementChoice(t *testing.T) {
 	id := func(name string) consensus.ID { return consensus.ID{Name: name, Disk: "d"} }
@@ -278,7 +293,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			ages := map[consensus.ID]time.Duration{id("x"): c.age, id("y"): c.age}
-			step, ok := nextReplacementStep(c.members, c.silences, ages, times, 1)
+			step, _, ok := nextReplacementStep(time.Time{}, testGroup{}, c.members, c.silences, ages, times, 1)
 			if ok != c.ok || step.failed.Name != c.failed {
 				t.Fatalf("step %+v, %v", step, ok)
 			}
