consensus: keep naming removed members as silent until their removal is committed

A leader names the members without contact, and a follower takes all others for running. If the removal was lost with the leader, the next one did not take the member for failed.

Members of sets that are not committed keep their contacts and are named. TestContactOfRemovedMember failed before.

--- a/consensus/contacts.go
+++ b/consensus/contacts.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -99,11 +100,25 @@
 
 // trimContacts drops the contacts of former members.
 func (n *Node) trimContacts() {
-	members := n.log.currentMembers().members
-	maps.DeleteFunc(n.contacts, func(id ID, _ contact) bool {
-		member, ok := members.Find(id.Name)
-		return !ok || member.ID != id
-	})
+	members := n.uncommittedMembers()
+	maps.DeleteFunc(n.contacts, func(id ID, _ contact) bool { return !slices.Contains(members, id) })
+}
+
+// uncommittedMembers returns the members of the committed set and of all later ones. A member whose removal is not committed may
+// remain one, so that its contacts are kept and reported.
+func (n *Node) uncommittedMembers() []ID {
+	var all []ID
+	for i, s := range n.log.memberSets {
+		if i+1 < len(n.log.memberSets) && n.log.memberSets[i+1].index <= n.commit {
+			continue
+		}
+		for _, member := range s.members {
+			if !slices.Contains(all, member.ID) {
+				all = append(all, member.ID)
+			}
+		}
+	}
+	return all
 }
 
 // mergeContact updates the last contact with a member from the report of another one. An announced stop is kept if the
@@ -131,15 +146,15 @@
 // silentMembers returns the other members without contact for at least an election timeout.
 func (n *Node) silentMembers(now time.Time) []Contact {
 	var silent []Contact
-	for _, member := range n.log.currentMembers().members {
-		if member.ID == n.cfg.Self {
+	for _, id := range n.uncommittedMembers() {
+		if id == n.cfg.Self {
 			continue
 		}
-		c, known := n.contacts[member.ID]
+		c, known := n.contacts[id]
 		if age := now.Sub(c.at); !known {
-			silent = append(silent, Contact{Member: member.ID})
+			silent = append(silent, Contact{Member: id})
 		} else if age >= n.cfg.ElectionTimeout {
-			silent = append(silent, Contact{Member: member.ID, Age: age, Known: true, Stopping: c.stopping})
+			silent = append(silent, Contact{Member: id, Age: age, Known: true, Stopping: c.stopping})
 		}
 	}
 	return silent
--- a/consensus/contacts_test.go
+++ b/consensus/contacts_test.go
@@ -28,7 +28,12 @@
 
 // age returns the time since the last contact with a member.
 func (n *Node) age(now time.Time, name string) time.Duration {
-	return now.Sub(n.contacts[testID(name)].at)
+	for id, c := range n.contacts {
+		if id.Name == name {
+			return now.Sub(c.at)
+		}
+	}
+	return -1
 }
 
 // TestDelayedRequestOfEndedLeader guards against counting a request as contact with its sender when it arrives long after
@@ -157,3 +162,30 @@
 		t.Errorf("after the removal the members are %+v", members)
 	}
 }
+
+// TestContactOfRemovedMember guards against a removed member that followers take for one that was heard, because the leader no longer
+// names it among the silent ones: if the removal is lost with the leader, the member would not be removed again.
+func TestContactOfRemovedMember(t *testing.T) {
+	c := newCluster(t, 5, 6, equalRates)
+	c.loss = 0
+	leader := c.waitForLeader()
+	c.run(5 * testElectionTimeout)
+	lost := c.others(leader)[0]
+	lost.isolated = true
+	lostAt := c.now
+	c.run(10 * testElectionTimeout)
+	// The removal reaches one follower, and is not committed.
+	for _, s := range c.others(leader)[1:] {
+		s.syncTime = func() time.Duration { return time.Hour }
+	}
+	if _, _, err := leader.node.Remove(c.clock(leader), lost.name); err != nil {
+		t.Fatal(err)
+	}
+	c.processActions(leader)
+	c.run(5 * testElectionTimeout)
+	for _, s := range c.others(leader)[1:] {
+		if age := s.node.age(c.clock(s), lost.name); age < c.now-lostAt-2*testElectionTimeout {
+			t.Errorf("%s: the last contact with a member lost %v ago is %v old", s.name, c.now-lostAt, age)
+		}
+	}
+}
