--- a/consensus/node.go
+++ b/consensus/node.go
@@ -238,6 +238,8 @@
 	// CaughtUpAt is the last time at which the node knew of as many committed entries as its leader, or the time of the call on
 	// the leader itself; zero if it never did since its start.
 	CaughtUpAt time.Time
+	// Admitted reports that the node knows of a committed set of members that it is in, which may have been replaced since.
+	Admitted bool
 	// Votes is the number of votes or, before an election, of pre-votes that the node has, and VotesNeeded the number of votes
 	// that elect a leader. Votes is zero on a node that requests none.
 	Votes, VotesNeeded int
@@ -248,6 +250,8 @@
 // Status returns the node's status at now.
 func (n *Node) Status(now time.Time) Status {
 	s := Status{Self: n.cfg.Self, Leader: n.leader, Term: n.hardState.Term, Commit: n.commit, LastLeaderContact: n.lastLeaderContact, CaughtUpAt: n.caughtUpAt, Members: n.log.currentMembers().members, Writing: n.writing != nil}
+	member, ok := n.log.membersAt(n.commit).Find(n.cfg.Self.Name)
+	s.Admitted = ok && member.ID == n.cfg.Self
 	voters := s.Members.Voters()
 	s.VotesNeeded = majority(len(voters))
 	switch {
--- a/control/diskloss_test.go
+++ b/control/diskloss_test.go
@@ -367,7 +367,7 @@
 	d.attempts++
 	r := joinRequest{
 		id: consensus.ID{Name: d.name, Disk: d.quorum.disk.identity}, address: d.name,
-		uptime: d.sim.now - d.started, returning: len(s.Members) > 0,
+		uptime: d.sim.now - d.started, returning: s.Admitted,
 	}
 	d.sim.deliver(d, addresses[d.attempts%len(addresses)], func(to *simDaemon) { to.requestAdmission(r, true) })
 }
--- a/control/joining.go
+++ b/control/joining.go
@@ -71,7 +71,7 @@
 	reply, err := callPeer(ctx, c.peers, address, func(ctx context.Context, conn grpc.ClientConnInterface) (*wiregen.JoinReply, error) {
 		return wiregen.NewFleetClient(conn).Join(ctx, &wiregen.JoinRequest{
 			Name: c.cfg.Name, Disk: c.quorum.disk.identity, Address: c.cfg.PeerAddress, FailureDomain: c.cfg.FailureDomain,
-			UptimeNanos: uptime.Nanoseconds(), Returning: len(c.quorum.Status().Members) > 0,
+			UptimeNanos: uptime.Nanoseconds(), Returning: c.quorum.Status().Admitted,
 		})
 	})
 	c.log.Info().Str("control", address).Bool("member", reply.GetMember()).Err(err).Msg("membership requested")
--- a/control/slowdisk_test.go
+++ b/control/slowdisk_test.go
@@ -197,6 +197,35 @@
 	}
 }
 
+// TestUncommittedJoinRepeated guards against a daemon that is taken for one that returns, and so replaces nobody, because it
+// learned of its admission from a leader that was lost before that was committed.
+func TestUncommittedJoinRepeated(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSettledSimulation(t, seed)
+		lost := s.follower(t, nil)
+		next := s.lose(lost, 500*time.Millisecond)
+		for _, d := range s.running() {
+			if d != next {
+				d.slowDisk(func(*rand.Rand) time.Duration { return 3 * time.Second })
+			}
+		}
+		if !s.waitFor(simCatchUp, func() bool { return next.quorum != nil && len(next.quorum.Status().Members) > 0 }) {
+			t.Fatalf("seed %d: the successor received no log: %s", seed, s.describe())
+		}
+		// The join is lost with the leader and with all writes in progress.
+		for _, d := range s.running() {
+			d.syncTime = nil
+			if d != next {
+				d.losePower(true)
+				s.after(300*time.Millisecond, d.start)
+			}
+		}
+		if !s.waitFor(simRecovery, func() bool { return s.votes(next) }) || !s.waitFor(simRecovery, func() bool { return s.leader() != nil && !s.isMember(lost) }) {
+			t.Errorf("seed %d: the lost voter is still a member: %s", seed, s.describe())
+		}
+	}
+}
+
 // TestAcknowledgedChangeLostBesideSlowDisks plays the days of TestAcknowledgedChangeLostWithDisks with slow disks: a write that takes
 // time has reached the disk or not when the power fails.
 func TestAcknowledgedChangeLostBesideSlowDisks(t *testing.T) {
