control: test the choice of swaps, and daemons whose syncs take longer than an election

TestDaemonsBesideSlowDisks runs three daemons with real files whose syncs take twice the election timeout, and stops their leader. The new cases of TestReplacementChoice check when a learner is promoted, waits, or takes the place of a failed voter.

--- a/control/fulldiskdaemons_test.go
+++ b/control/fulldiskdaemons_test.go
@@ -18,15 +18,16 @@
 // unlimited is the room of a disk that is not full.
 const unlimited = 1 << 40
 
-// fillableFolder is a folder on a disk with room for a number of bytes; without room no file can be created.
+// fillableFolder is a folder on a disk with room for a number of bytes, whose syncs take a time in nanoseconds; without room no file
+// can be created.
 type fillableFolder struct {
 	*journal.Folder
-	room *atomic.Int64
+	room, syncTime *atomic.Int64
 }
 
 type fillableFile struct {
 	journal.File
-	room *atomic.Int64
+	room, syncTime *atomic.Int64
 }
 
 func (f *fillableFolder) Append(name string) (journal.File, error) {
@@ -37,7 +38,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &fillableFile{File: file, room: f.room}, nil
+	return &fillableFile{File: file, room: f.room, syncTime: f.syncTime}, nil
+}
+
+func (f *fillableFile) Sync() error {
+	time.Sleep(time.Duration(f.syncTime.Load()))
+	return f.File.Sync()
 }
 
 func (f *fillableFile) Write(b []byte) (int, error) {
@@ -51,10 +57,12 @@
 
 // restartedDaemon is a control daemon that is started again whenever it ends.
 type restartedDaemon struct {
-	t       *testing.T
-	cfg     Config
-	room    atomic.Int64
-	current atomic.Pointer[Control]
+	t    *testing.T
+	cfg  Config
+	room atomic.Int64
+	// syncTime is how long a sync of its disk takes, in nanoseconds.
+	syncTime atomic.Int64
+	current  atomic.Pointer[Control]
 	// ends counts the ends of the daemon because of its disk.
 	ends atomic.Int64
 	stop func()
@@ -92,7 +100,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &fillableFolder{Folder: folder, room: &d.room}, nil
+		return &fillableFolder{Folder: folder, room: &d.room, syncTime: &d.syncTime}, nil
 	}
 	opened := make(chan struct{})
 	go func() {
@@ -249,3 +257,40 @@
 	putAnywhere(t, daemons, version)
 	waitForRestored(t, append(daemons, added), version)
 }
+
+// TestDaemonsBesideSlowDisks guards against daemons that elect no leader, or accept nothing, while each sync takes longer than an
+// election.
+func TestDaemonsBesideSlowDisks(t *testing.T) {
+	var daemons []*restartedDaemon
+	for _, cfg := range withSlowElections(newConfigs(t, 3, 0)) {
+		daemons = append(daemons, keepRunning(t, cfg, unlimited))
+	}
+	waitForRestored(t, daemons, 0)
+	for _, d := range daemons {
+		d.syncTime.Store(int64(2 * d.cfg.ElectionTimeout))
+	}
+	version := int64(1)
+	putSlowly(t, daemons, version)
+	leader := daemons[max(slices.IndexFunc(daemons, (*restartedDaemon).leads), 0)]
+	leader.stop()
+	rest := slices.DeleteFunc(slices.Clone(daemons), func(d *restartedDaemon) bool { return d == leader })
+	version++
+	putSlowly(t, rest, version)
+	for _, d := range daemons {
+		d.syncTime.Store(0)
+	}
+	waitFor(t, "the document at the daemons that run", func() bool {
+		return !slices.ContainsFunc(rest, func(d *restartedDaemon) bool { return !d.restored(len(daemons), version) })
+	})
+}
+
+// putSlowly submits a document to the daemons, again and again, until one of them knows that it was accepted.
+func putSlowly(t *testing.T, daemons []*restartedDaemon, version int64) {
+	t.Helper()
+	turn := 0
+	waitFor(t, "a document accepted", func() bool {
+		turn++
+		c := daemons[turn%len(daemons)].current.Load()
+		return daemons[turn%len(daemons)].put(version) || c != nil && c.Document().Version >= version
+	})
+}
--- a/control/replacement_test.go
+++ b/control/replacement_test.go
@@ -264,9 +264,13 @@
 		ok       bool
 		failed   string
 		suspects []string
+		learner  bool
+		group    testGroup
+		promoted bool
+		reasons  int
 	}{
 		"no join":                  {members: members(), silences: []consensus.Contact{silent("b", time.Hour)}},
-		"suspect too early":        {members: members(joined("x", id("b"))), silences: []consensus.Contact{silent("b", 3*time.Second)}, age: 1900 * time.Millisecond},
+		"suspect too early":        {members: members(joined("x", id("b"))), silences: []consensus.Contact{silent("b", 3*time.Second)}, age: 1900 * time.Millisecond, reasons: 1},
 		"suspect":                  {members: members(joined("x", id("b"))), silences: []consensus.Contact{silent("b", 4*time.Second)}, age: 2 * time.Second, ok: true, failed: "b"},
 		"suspect heard":            {members: members(joined("x", id("b"), id("c"))), silences: []consensus.Contact{silent("b", 100*time.Millisecond), silent("c", 4*time.Second)}, age: 2 * time.Second, ok: true, suspects: []string{"c"}},
 		"suspect heard before":     {members: members(joined("x", id("b"))), silences: []consensus.Contact{silent("b", 3*time.Second)}, age: 8 * time.Second, ok: true, suspects: []string{}},
@@ -285,6 +289,43 @@
 		"stopped beside suspects":              {members: members(joined("x", id("c"))), silences: []consensus.Contact{stopped("b", 2*time.Second), silent("c", 3*time.Second)}, age: time.Second},
 		"expired":                              {members: members(joined("x")), silences: []consensus.Contact{silent("b", 100*time.Millisecond)}, age: 21 * time.Second, ok: true},
 		"not expired while a member is silent": {members: members(joined("x")), silences: []consensus.Contact{silent("b", 5*time.Second)}, age: 21 * time.Second},
+		"learner that has caught up": {
+			members: members(joined("x", id("b"))), silences: []consensus.Contact{silent("b", 2*time.Second)}, age: 500 * time.Millisecond, learner: true,
+			group: testGroup{caughtUp: []string{"x"}}, ok: true, promoted: true,
+		},
+		"learner that waits for the removal": {
+			members: members(joined("x", id("b"))), silences: []consensus.Contact{silent("b", 3*time.Second)}, age: 1500 * time.Millisecond, learner: true,
+			group: testGroup{caughtUp: []string{"x"}}, reasons: 1,
+		},
+		"learner that takes the place": {
+			members: members(joined("x", id("b"))), silences: []consensus.Contact{silent("b", 4*time.Second)}, age: 2 * time.Second, learner: true,
+			group: testGroup{caughtUp: []string{"x"}}, ok: true, failed: "b",
+		},
+		"learner that is behind": {
+			members: members(joined("x", id("b"))), silences: []consensus.Contact{silent("b", 4*time.Second), silent("x", 0)}, age: 2 * time.Second, learner: true, reasons: 1,
+		},
+		"learner that does not respond": {
+			members: members(joined("x", id("b"))), silences: []consensus.Contact{silent("b", 4*time.Second), silent("x", 2*time.Second)}, age: 2 * time.Second, learner: true,
+			ok: true, failed: "b",
+		},
+		"learner of several suspects": {
+			members: members(joined("x", id("b"), id("c"))), silences: []consensus.Contact{silent("b", 5*time.Second), silent("c", 5*time.Second)}, age: 3 * time.Second, learner: true,
+			group: testGroup{caughtUp: []string{"x"}}, ok: true, promoted: true,
+		},
+		"swap among few voters": {
+			members: consensus.Members{
+				{ID: id("a"), Voter: true}, {ID: id("b"), Voter: true}, {ID: id("c"), Voter: true},
+				{ID: id("x"), Replacement: &consensus.Replacement{Suspects: []consensus.ID{id("b")}}},
+			},
+			silences: []consensus.Contact{silent("b", 4*time.Second)}, age: 3 * time.Second, group: testGroup{caughtUp: []string{"x"}}, ok: true, failed: "b",
+		},
+		"no swap among few voters": {
+			members: consensus.Members{
+				{ID: id("a"), Voter: true}, {ID: id("b"), Voter: true}, {ID: id("c"), Voter: true},
+				{ID: id("x"), Replacement: &consensus.Replacement{Suspects: []consensus.ID{id("b")}}},
+			},
+			silences: []consensus.Contact{silent("b", 4*time.Second)}, age: 3 * time.Second, group: testGroup{caughtUp: []string{"x"}, noSwap: true}, reasons: 1,
+		},
 		"too few voters": {
 			members:  consensus.Members{{ID: id("a"), Voter: true}, {ID: id("b"), Voter: true}, {ID: id("x"), Voter: true, Replacement: &consensus.Replacement{Suspects: []consensus.ID{id("b")}}}},
 			silences: []consensus.Contact{silent("b", time.Hour)}, age: time.Hour,
@@ -293,10 +334,17 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			ages := map[consensus.ID]time.Duration{id("x"): c.age, id("y"): c.age}
-			step, _, ok := nextReplacementStep(time.Time{}, testGroup{}, c.members, c.silences, ages, times, 1)
-			if ok != c.ok || step.failed.Name != c.failed {
+			if m, ok := c.members.Find("x"); ok && c.learner {
+				m.Voter = false
+				c.members = c.members.With(m)
+			}
+			step, reasons, ok := nextReplacementStep(time.Time{}, c.group, c.members, c.silences, ages, times, 1)
+			if ok != c.ok || step.failed.Name != c.failed || step.promoted != c.promoted {
 				t.Fatalf("step %+v, %v", step, ok)
 			}
+			if c.reasons > 0 && len(reasons) != c.reasons {
+				t.Errorf("reasons %q, want %d", reasons, c.reasons)
+			}
 			if c.suspects != nil && len(step.suspects()) != len(c.suspects) || len(c.suspects) == 1 && step.suspects()[0] != c.suspects[0] {
 				t.Errorf("suspects %v, want %v", step.suspects(), c.suspects)
 			}
