--- a/consensus/durability.go
+++ b/consensus/durability.go
@@ -5,7 +5,8 @@
 // durableState is what a node finds after a restart.
 type durableState struct {
 	hardState HardState
-	// last and lastTerm are those of the last entry.
+	// last and lastTerm are those of the last entry. Until a snapshot that replaced the log is durable, they are those of the log
+	// before, which the node may have acknowledged.
 	last, lastTerm int64
 }
 
@@ -55,16 +56,13 @@
 	return min(n.matched, n.durable.last)
 }
 
-// truncate drops the entries from index on, which are no longer durable even if a write of them is in progress.
+// truncate drops the entries from index on, which the leader's log lacks, so that they are not committed. They are no longer durable
+// even if a write of them is in progress.
 func (n *Node) truncate(index int64) {
 	n.log.truncate(index)
-	n.limitDurable(n.log.last(), n.log.lastTerm())
-}
-
-func (n *Node) limitDurable(last, lastTerm int64) {
 	for _, s := range []*durableState{&n.durable, n.writing} {
-		if s != nil && s.last > last {
-			s.last, s.lastTerm = last, lastTerm
+		if s != nil && s.last >= index {
+			s.last, s.lastTerm = n.log.last(), n.log.lastTerm()
 		}
 	}
 }
--- a/consensus/durability_test.go
+++ b/consensus/durability_test.go
@@ -163,3 +163,31 @@
 		c.healAndCheck()
 	}
 }
+
+// TestVoteBesideUnwrittenSnapshot guards against a vote for a candidate that lacks an entry which the voter has acknowledged, while a
+// snapshot that covers the entry is not durable yet.
+func TestVoteBesideUnwrittenSnapshot(t *testing.T) {
+	for index, want := range map[int64]bool{2: false, 3: true} {
+		n, now := newFollower(t)
+		receive := func(m Message) {
+			m.From, m.FromAddress, m.To = testID("a"), "a", testID("b")
+			n.Receive(now, m)
+			n.Actions()
+		}
+		receive(Message{Kind: AppendRequest, Term: 1, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 1}, {Index: 3, Term: 1}}, Round: 1})
+		n.Persisted(now)
+		n.Actions()
+		snapshot := &Snapshot{Index: 5, Term: 2, Members: n.Status(now).Members}
+		receive(Message{Kind: InstallRequest, Term: 2, Snapshot: snapshot, Round: 1})
+		receive(Message{Kind: VoteRequest, Term: 3, Index: index, LogTerm: 1, Transfer: true})
+		var replies []Message
+		for range 3 {
+			n.Persisted(now)
+			replies = append(replies, n.Actions().Messages...)
+		}
+		granted := slices.ContainsFunc(replies, func(m Message) bool { return m.Kind == VoteReply && m.Granted })
+		if granted != want {
+			t.Errorf("a candidate whose last entry is %d of term 1: granted %v, want %v", index, granted, want)
+		}
+	}
+}
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -208,8 +208,6 @@
 		// The log already has these entries; later ones must be kept, since they may count towards a majority.
 		n.commit = s.Index
 	default:
-		committedTerm, _ := n.log.term(n.commit)
-		n.limitDurable(n.commit, committedTerm)
 		n.log.replace(s)
 		n.snapshot, n.rewrite = s, true
 		n.commit, n.applied = s.Index, s.Index
--- a/control/joining.go
+++ b/control/joining.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -118,48 +117,56 @@
 	return &wiregen.JoinReply{Member: true}, nil
 }
 
-// errNoReplacement is returned if no change of the members follows from a join.
-var errNoReplacement = errors.New("no member is to be replaced")
+// replacementOutcome is a change of the members with the error of its proposal, or the reasons why there is none.
+type replacementOutcome struct {
+	step    replacementStep
+	err     error
+	reasons []string
+}
 
-// replaceFailed performs, on the leader, the changes of the members that follow from joins.
+// replaceFailed performs, on the leader, the changes of the members that follow from joins. It does not wait until a change is
+// committed, as some may follow each other sooner.
 func (c *Control) replaceFailed(ctx context.Context) {
 	var waiting []string
 	for clock.Sleep(ctx, replacementPeriod) {
 		if !c.quorum.Status().IsLeader {
 			continue
 		}
-		steps, reasons := make(chan replacementStep, 1), make(chan []string, 1)
-		_, err := c.quorum.proposeAndWait(ctx, func(now time.Time) (index, term int64, err error) {
-			step, why, ok := c.quorum.replacementStep(now)
+		outcomes := make(chan replacementOutcome, 1)
+		err := c.quorum.enqueue(ctx, func(now time.Time) {
+			step, reasons, ok := c.quorum.replacementStep(now)
 			if !ok {
-				reasons <- why
-				return 0, 0, errNoReplacement
+				outcomes <- replacementOutcome{reasons: reasons}
+				return
 			}
-			steps <- step
-			return step.propose(now, c.quorum.node)
+			_, _, err := step.propose(now, c.quorum.node)
+			outcomes <- replacementOutcome{step: step, err: err}
 		})
+		if err != nil {
+			return
+		}
 		select {
-		case step := <-steps:
-			c.logReplacement(step, err)
-			waiting = nil
-		case why := <-reasons:
-			if len(why) > 0 && !slices.Equal(why, waiting) {
-				s := c.quorum.Status()
-				c.log.Info().Strs("reasons", why).Int("voters", len(s.Members.Voters())).Int("needed", s.VotesNeeded).Msg("replacement waits")
-			}
-			waiting = why
-		default:
+		case o := <-outcomes:
+			c.logReplacement(o, waiting)
+			waiting = o.reasons
+		case <-ctx.Done():
+			return
 		}
 	}
 }
 
-func (c *Control) logReplacement(step replacementStep, err error) {
+// logReplacement logs a change, or the reasons why there is none unless they have been logged before.
+func (c *Control) logReplacement(o replacementOutcome, logged []string) {
+	step := o.step
 	switch {
 	case step.failed != consensus.ID{}:
-		c.log.Warn().Str("member", step.failed.Name).Str("joined", step.joined.Name).Err(err).Msg("unresponsive voter removal")
+		c.log.Warn().Str("member", step.failed.Name).Str("joined", step.joined.Name).Err(o.err).Msg("unresponsive voter removal")
 	case step.promoted:
-		c.log.Info().Str("joined", step.joined.Name).Err(err).Msg("promoted without a removal")
-	default:
-		c.log.Info().Str("joined", step.joined.Name).Strs("suspects", step.suspects()).Err(err).Msg("replacement changed")
+		c.log.Info().Str("joined", step.joined.Name).Err(o.err).Msg("promoted without a removal")
+	case step.joined != consensus.ID{}:
+		c.log.Info().Str("joined", step.joined.Name).Strs("suspects", step.suspects()).Err(o.err).Msg("replacement changed")
+	case len(o.reasons) > 0 && !slices.Equal(o.reasons, logged):
+		s := c.quorum.Status()
+		c.log.Info().Strs("reasons", o.reasons).Int("voters", len(s.Members.Voters())).Int("needed", s.VotesNeeded).Msg("replacement waits")
 	}
 }
