--- a/consensus/contacts_test.go
+++ b/consensus/contacts_test.go
@@ -163,8 +163,8 @@
 	}
 }
 
-// TestContactOfRemovedMember guards against a removed member that followers take for one that was heard, because the leader no longer
-// names it among the silent ones: if the removal is lost with the leader, the member would not be removed again.
+// TestContactOfRemovedMember guards against followers that record a contact with a removed member because the leader no longer reports
+// it as silent. If the leader fails before the removal is committed, the next leader would not remove that member.
 func TestContactOfRemovedMember(t *testing.T) {
 	c := newCluster(t, 5, 6, equalRates)
 	c.loss = 0
--- a/control/replacement.go
+++ b/control/replacement.go
@@ -221,7 +221,7 @@
 	}
 }
 
-// responsive reports whether a member was heard recently.
+// responsive reports whether the last contact with a member is more recent than times.heard.
 func (r replacements) responsive(id consensus.ID) bool {
 	return slices.ContainsFunc(r.silences, func(c consensus.Contact) bool { return c.Member == id && c.Age < r.times.heard })
 }
